Log event catalogue and connection interfaces

Change: the constant renamed; logevents.def with its page and the test that holds both together; EngineConnection and ServiceConnection.

--- a/carawaylatch/base/error.cpp
+++ b/carawaylatch/base/error.cpp
@@ -8,11 +8,11 @@
 
 std::string_view errorKindName(ErrorKind kind)
 {
-    static constexpr std::array<std::string_view, 14> kindNames{
+    static constexpr std::array<std::string_view, 14> KindNames{
         "invalid_argument", "unauthenticated", "forbidden", "not_found",   "conflict",  "limit_exceeded", "overloaded",
         "unavailable",      "unclear",         "not_run",   "stale_state", "truncated", "cancelled",      "internal",
     };
-    return kindNames.at(static_cast<std::size_t>(kind));
+    return KindNames.at(static_cast<std::size_t>(kind));
 }
 
 } // namespace carawaylatch::base
--- /dev/null
+++ b/carawaylatch/base/logevents.cpp
@@ -0,0 +1,86 @@
+// The event catalogue and its way to glog. Values with spaces or quotes are
+// quoted, so that a line splits into fields without guessing.
+#include "carawaylatch/base/logevents.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <array>
+#include <sstream>
+
+namespace carawaylatch::base
+{
+
+namespace
+{
+
+constexpr std::array Catalogue{
+#define CARAWAYLATCH_EVENT(name, number, level, fields, meaning, remedy) LogEventInfo{LogEvent::name, #name, LogLevel::level, fields, meaning, remedy},
+#include "carawaylatch/base/logevents.def"
+#undef CARAWAYLATCH_EVENT
+};
+
+std::string_view levelName(LogLevel level)
+{
+    static constexpr std::array<std::string_view, 3> LevelNames{"info", "warning", "error"};
+    return LevelNames.at(static_cast<std::size_t>(level));
+}
+
+std::string quoted(std::string_view value)
+{
+    if (!value.empty() && value.find_first_of(" \"\n\r\\") == std::string_view::npos) {
+        return std::string(value);
+    }
+    std::string out = "\"";
+    for (const char it : value) {
+        if (it == '"' || it == '\\') {
+            out += '\\';
+        }
+        out += it == '\n' || it == '\r' ? ' ' : it;
+    }
+    return out + '"';
+}
+
+} // namespace
+
+std::span<const LogEventInfo> logEventCatalogue()
+{
+    return Catalogue;
+}
+
+std::string renderLogEventCatalogue()
+{
+    std::ostringstream out;
+    out << "# Log events\n\nRendered from carawaylatch/base/logevents.def; a test compares the two.\n\n";
+    out << "| number | event | level | fields | meaning | what to do |\n|---|---|---|---|---|---|\n";
+    for (const auto &it : Catalogue) {
+        out << "| " << static_cast<int>(it.event) << " | " << it.name << " | " << levelName(it.level) << " | " << it.fields << " | " << it.meaning << " | "
+            << it.remedy << " |\n";
+    }
+    return out.str();
+}
+
+void logEvent(LogEvent event, std::initializer_list<LogField> fields)
+{
+    const auto it = std::find_if(Catalogue.begin(), Catalogue.end(), [event](const LogEventInfo &info) {
+        return info.event == event;
+    });
+    std::ostringstream line;
+    line << 'E' << static_cast<int>(event) << ' ' << it->name;
+    for (const auto &field : fields) {
+        line << ' ' << field.name << '=' << quoted(field.value);
+    }
+    switch (it->level) {
+    case LogLevel::Info:
+        LOG(INFO) << line.str();
+        break;
+    case LogLevel::Warning:
+        LOG(WARNING) << line.str();
+        break;
+    case LogLevel::Error:
+        LOG(ERROR) << line.str();
+        break;
+    }
+}
+
+} // namespace carawaylatch::base
