Platform: object store, its fakes, HTTP client and stand-in

Cause: configuration, claims and leases all stand on conditional updates, and what a lost answer means must be the same everywhere. Ruled out: retrying inside the client (a write repeated after a lost answer would hide that it took effect).

--- /dev/null
+++ b/carawaylatch/platform/faultystore.h
@@ -0,0 +1,54 @@
+// An ObjectStore that fails on demand, around another one.
+//
+// Each fault is what a caller of the platform can meet; tests set one and count
+// calls. Safe for use from any thread.
+#pragma once
+
+#include <cstdint>
+#include <mutex>
+
+#include "carawaylatch/platform/objectstore.h"
+
+namespace carawaylatch::platform
+{
+
+enum class StoreFault {
+    None,
+    Down, // nothing reaches the store
+    AnswerLost, // the call takes effect, its answer is lost
+    RequestLost, // the call takes no effect, and the caller can't tell
+};
+
+// All faults, for tables of cases.
+constexpr StoreFault AllStoreFaults[] = {StoreFault::None, StoreFault::Down, StoreFault::AnswerLost, StoreFault::RequestLost};
+
+class FaultyStore : public ObjectStore
+{
+public:
+    // `inner` must outlive this store.
+    explicit FaultyStore(ObjectStore &inner);
+
+    // The next `calls` calls after `skip` unharmed ones meet the fault.
+    void inject(StoreFault fault, std::uint64_t calls = UINT64_MAX, std::uint64_t skip = 0);
+    [[nodiscard]] std::uint64_t callCount() const;
+
+    [[nodiscard]] base::Result<Object> read(std::string_view name) override;
+    [[nodiscard]] base::Result<Version> write(std::string_view name, std::string_view value, Version expected) override;
+    [[nodiscard]] base::Result<void> remove(std::string_view name, Version expected) override;
+    [[nodiscard]] base::Result<ObjectChanges> list(std::string_view prefix) override;
+    [[nodiscard]] base::Result<ObjectChanges> watch(std::string_view prefix, Version since, base::Duration wait) override;
+    [[nodiscard]] base::Result<std::vector<VmRecord>> vms() override;
+
+private:
+    [[nodiscard]] StoreFault nextFault();
+
+    ObjectStore &m_inner;
+    mutable std::mutex m_mutex;
+    // All below are guarded by m_mutex.
+    StoreFault m_fault = StoreFault::None;
+    std::uint64_t m_skip = 0;
+    std::uint64_t m_left = 0;
+    std::uint64_t m_calls = 0;
+};
+
+} // namespace carawaylatch::platform
--- /dev/null
+++ b/carawaylatch/platform/httpobjectstore.cpp
@@ -0,0 +1,259 @@
+// A pool of httplib clients, one call each at a time.
+//
+// What a failed call means depends on how far it came. A connection that was
+// never made carried nothing: Unavailable. Anything later may have reached the
+// platform; for a write that is Unclear. A 503 is the platform's own word that
+// nothing took effect.
+#include "carawaylatch/platform/httpobjectstore.h"
+
+#include <httplib.h>
+
+#include <algorithm>
+#include <mutex>
+#include <set>
+#include <utility>
+
+#include "carawaylatch/platform/objectjson.h"
+
+namespace carawaylatch::platform
+{
+
+namespace
+{
+
+constexpr int StatusOk = 200;
+constexpr int StatusNotFound = 404;
+constexpr int StatusGone = 410;
+constexpr int StatusPreconditionFailed = 412;
+constexpr int StatusTooLarge = 413;
+constexpr base::Duration RetryLater = base::seconds{1};
+
+enum class CallKind {
+    Read,
+    Write,
+};
+
+base::Error transportError(httplib::Error error, CallKind kind)
+{
+    const std::string why = httplib::to_string(error);
+    if (kind == CallKind::Read || error == httplib::Error::Connection) {
+        return base::fail(base::ErrorKind::Unavailable, "the platform was not reached (" + why + "); check [platform] address and port", RetryLater);
+    }
+    return base::fail(base::ErrorKind::Unclear, "the platform's answer was lost (" + why + "); read back to learn whether the write took effect");
+}
+
+base::Error statusError(int status, std::string_view name)
+{
+    const std::string object(name);
+    switch (status) {
+    case StatusNotFound:
+        return base::fail(base::ErrorKind::NotFound, "no object " + object + "; write it with expected version 0 to create it");
+    case StatusGone:
+        return base::fail(base::ErrorKind::StaleState, "the platform no longer holds that history; list again");
+    case StatusPreconditionFailed:
+        return base::fail(base::ErrorKind::Conflict, object + " was changed by another writer; read it and decide again");
+    case StatusTooLarge:
+        return base::fail(base::ErrorKind::InvalidArgument, object + " is over the platform's limit for a value; split it");
+    default:
+        return base::fail(base::ErrorKind::Unavailable, "the platform answered status " + std::to_string(status) + "; try again later", RetryLater);
+    }
+}
+
+base::Result<std::string> bodyOf(const httplib::Result &result, CallKind kind, std::string_view name)
+{
+    if (!result) {
+        return transportError(result.error(), kind);
+    }
+    if (result->status != StatusOk) {
+        return statusError(result->status, name);
+    }
+    return result->body;
+}
+
+// An answer that can't be understood says as little as a lost one.
+template <typename T>
+base::Result<T> decodedWrite(base::Result<T> decoded)
+{
+    if (!decoded) {
+        return base::fail(base::ErrorKind::Unclear, decoded.error().message + "; read back to learn whether the write took effect");
+    }
+    return decoded;
+}
+
+bool isOutage(base::ErrorKind kind)
+{
+    return kind == base::ErrorKind::Unavailable || kind == base::ErrorKind::Unclear;
+}
+
+httplib::Headers condition(Version expected)
+{
+    if (expected == Version{}) {
+        return {{"If-None-Match", "*"}};
+    }
+    return {{"If-Match", std::to_string(expected.value)}};
+}
+
+std::string objectPath(std::string_view name)
+{
+    return "/v1/objects/" + std::string(name);
+}
+
+} // namespace
+
+class HttpObjectStore::Connections
+{
+public:
+    Connections(base::Endpoint endpoint, base::FailureDomain domain, base::Duration timeout)
+        : m_endpoint(std::move(endpoint))
+        , m_domain(std::move(domain))
+        , m_timeout(timeout)
+    {
+    }
+
+    // Runs one call on a connection of its own.
+    template <typename Call>
+    base::Result<std::string> run(CallKind kind, std::string_view name, base::Duration extraTime, Call call)
+    {
+        auto client = take();
+        if (!client) {
+            return base::fail(base::ErrorKind::Unavailable, "the connection to the platform is closed; the process is stopping");
+        }
+        client->set_read_timeout(std::chrono::duration_cast<base::microseconds>(m_timeout + extraTime));
+        auto answer = bodyOf(call(*client), kind, name);
+        m_failures += !answer && isOutage(answer.error().kind) ? 1 : 0;
+        give(std::move(client));
+        return answer;
+    }
+
+    [[nodiscard]] std::uint64_t failures() const
+    {
+        return m_failures;
+    }
+
+    void stop()
+    {
+        const std::lock_guard lock(m_mutex);
+        m_isStopped = true;
+        for (auto *it : m_busy) {
+            it->stop();
+        }
+    }
+
+private:
+    std::unique_ptr<httplib::Client> take()
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_isStopped) {
+            return nullptr;
+        }
+        std::unique_ptr<httplib::Client> client;
+        if (m_idle.empty()) {
+            client = std::make_unique<httplib::Client>(m_endpoint.address, m_endpoint.port);
+            client->set_keep_alive(true);
+            client->set_tcp_nodelay(true);
+            client->set_connection_timeout(std::chrono::duration_cast<base::microseconds>(m_timeout));
+            client->set_default_headers({{"X-Failure-Domain", m_domain.value()}});
+        } else {
+            client = std::move(m_idle.back());
+            m_idle.pop_back();
+        }
+        m_busy.insert(client.get());
+        return client;
+    }
+
+    void give(std::unique_ptr<httplib::Client> client)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_busy.erase(client.get());
+        if (m_idle.size() < MaxIdle) {
+            m_idle.push_back(std::move(client));
+        }
+    }
+
+    static constexpr std::size_t MaxIdle = 16; // connections
+
+    const base::Endpoint m_endpoint;
+    const base::FailureDomain m_domain;
+    const base::Duration m_timeout;
+    std::atomic<std::uint64_t> m_failures = 0;
+    std::mutex m_mutex;
+    // All below are guarded by m_mutex.
+    std::vector<std::unique_ptr<httplib::Client>> m_idle;
+    std::set<httplib::Client *> m_busy;
+    bool m_isStopped = false;
+};
+
+HttpObjectStore::HttpObjectStore(base::Endpoint endpoint, base::FailureDomain domain, base::Duration timeout)
+    : m_connections(std::make_unique<Connections>(std::move(endpoint), std::move(domain), timeout))
+{
+}
+
+HttpObjectStore::~HttpObjectStore() = default;
+
+base::Result<Object> HttpObjectStore::read(std::string_view name)
+{
+    ++m_reads;
+    BOOST_OUTCOME_TRY(body, m_connections->run(CallKind::Read, name, {}, [&](httplib::Client &client) {
+        return client.Get(objectPath(name));
+    }));
+    return decodeObject(body);
+}
+
+base::Result<Version> HttpObjectStore::write(std::string_view name, std::string_view value, Version expected)
+{
+    ++m_writes;
+    BOOST_OUTCOME_TRY(body, m_connections->run(CallKind::Write, name, {}, [&](httplib::Client &client) {
+        return client.Put(objectPath(name), condition(expected), value.data(), value.size(), "application/octet-stream");
+    }));
+    return decodedWrite(decodeVersion(body));
+}
+
+base::Result<void> HttpObjectStore::remove(std::string_view name, Version expected)
+{
+    ++m_writes;
+    BOOST_OUTCOME_TRY(m_connections->run(CallKind::Write, name, {}, [&](httplib::Client &client) {
+        return client.Delete(objectPath(name), condition(expected));
+    }));
+    return base::ok();
+}
+
+base::Result<ObjectChanges> HttpObjectStore::list(std::string_view prefix)
+{
+    ++m_reads;
+    BOOST_OUTCOME_TRY(body, m_connections->run(CallKind::Read, prefix, {}, [&](httplib::Client &client) {
+        return client.Get("/v1/list", httplib::Params{{"prefix", std::string(prefix)}}, httplib::Headers{});
+    }));
+    return decodeChanges(body);
+}
+
+base::Result<ObjectChanges> HttpObjectStore::watch(std::string_view prefix, Version since, base::Duration wait)
+{
+    ++m_reads;
+    const httplib::Params params{
+        {"prefix", std::string(prefix)}, {"since", std::to_string(since.value)}, {"wait_ms", std::to_string(base::toMilliseconds(wait))}};
+    BOOST_OUTCOME_TRY(body, m_connections->run(CallKind::Read, prefix, wait, [&](httplib::Client &client) {
+        return client.Get("/v1/watch", params, httplib::Headers{});
+    }));
+    return decodeChanges(body);
+}
+
+base::Result<std::vector<VmRecord>> HttpObjectStore::vms()
+{
+    ++m_reads;
+    BOOST_OUTCOME_TRY(body, m_connections->run(CallKind::Read, "vms", {}, [&](httplib::Client &client) {
+        return client.Get("/v1/vms");
+    }));
+    return decodeVms(body);
+}
+
+void HttpObjectStore::stop()
+{
+    m_connections->stop();
+}
+
+PlatformCalls HttpObjectStore::calls() const
+{
+    return {m_reads, m_writes, m_connections->failures()};
+}
+
+} // namespace carawaylatch::platform
--- /dev/null
+++ b/carawaylatch/platform/memorystore.h
@@ -0,0 +1,51 @@
+// An ObjectStore in memory: the fake of the platform in tests, and the core of
+// the platform stand-in.
+//
+// Removed names are kept as tombstones so that a watch can report them; at most
+// MaxTombstones, after which the oldest are dropped and a watch from before
+// them fails with StaleState, whose remedy is to list again. Safe for use from
+// any thread.
+#pragma once
+
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "carawaylatch/platform/objectstore.h"
+
+namespace carawaylatch::platform
+{
+
+class MemoryStore : public ObjectStore
+{
+public:
+    static constexpr std::size_t MaxTombstones = 10'000;
+
+    [[nodiscard]] base::Result<Object> read(std::string_view name) override;
+    [[nodiscard]] base::Result<Version> write(std::string_view name, std::string_view value, Version expected) override;
+    [[nodiscard]] base::Result<void> remove(std::string_view name, Version expected) override;
+    [[nodiscard]] base::Result<ObjectChanges> list(std::string_view prefix) override;
+    [[nodiscard]] base::Result<ObjectChanges> watch(std::string_view prefix, Version since, base::Duration wait) override;
+    [[nodiscard]] base::Result<std::vector<VmRecord>> vms() override;
+
+    void setVms(std::vector<VmRecord> vms);
+
+private:
+    [[nodiscard]] ObjectChanges changesSince(std::string_view prefix, Version since) const;
+    [[nodiscard]] Version versionOf(std::string_view name) const;
+    void addTombstone(std::string_view name);
+
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    // All below are guarded by m_mutex.
+    std::map<std::string, Object, std::less<>> m_objects;
+    std::map<Version, std::string> m_tombstones; // by version of the removal
+    Version m_version; // of the last write or removal
+    Version m_forgotten; // removals up to here are no longer known
+    std::vector<VmRecord> m_vms;
+};
+
+} // namespace carawaylatch::platform
--- /dev/null
+++ b/carawaylatch/platform/objectjson.h
@@ -0,0 +1,25 @@
+// JSON of the platform's object API (docs/design/wire.md), for its client and
+// for the stand-in. Values are arbitrary bytes and travel as base64.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "carawaylatch/platform/objectstore.h"
+
+namespace carawaylatch::platform
+{
+
+[[nodiscard]] std::string encodeObject(const Object &object);
+[[nodiscard]] std::string encodeChanges(const ObjectChanges &changes);
+[[nodiscard]] std::string encodeVersion(Version version);
+[[nodiscard]] std::string encodeVms(const std::vector<VmRecord> &vms);
+
+// Each decoder returns InvalidArgument for text that is not of its shape.
+[[nodiscard]] base::Result<Object> decodeObject(std::string_view text);
+[[nodiscard]] base::Result<ObjectChanges> decodeChanges(std::string_view text);
+[[nodiscard]] base::Result<Version> decodeVersion(std::string_view text);
+[[nodiscard]] base::Result<std::vector<VmRecord>> decodeVms(std::string_view text);
+
+} // namespace carawaylatch::platform
--- /dev/null
+++ b/standin/platform.cpp
@@ -0,0 +1,272 @@
+// Handlers of the object API.
+//
+// Faults are decided before and after the store is touched: "down" answers 503
+// without a call, "slow" waits first, "lose_answers" makes the call and then
+// closes the connection without an answer, which is how a write takes effect
+// although its answer never arrives. A fault may be limited to callers of one
+// failure domain, which is how a domain is cut off from the platform.
+#include "standin/platform.h"
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include <atomic>
+#include <charconv>
+#include <map>
+#include <mutex>
+#include <thread>
+
+#include "carawaylatch/platform/objectjson.h"
+
+namespace carawaylatch::standin
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+constexpr int StatusUnavailable = 503;
+constexpr base::Duration MaxWatchWait = base::seconds{20};
+constexpr const char *JsonType = "application/json";
+
+enum class FaultMode {
+    Up,
+    Down,
+    Slow,
+    LoseAnswers,
+};
+
+struct Fault
+{
+    FaultMode mode = FaultMode::Up;
+    base::Duration delay{};
+    std::uint64_t callsLeft = UINT64_MAX;
+};
+
+int statusOf(base::ErrorKind kind)
+{
+    switch (kind) {
+    case base::ErrorKind::NotFound:
+        return 404;
+    case base::ErrorKind::Conflict:
+        return 412;
+    case base::ErrorKind::StaleState:
+        return 410;
+    case base::ErrorKind::InvalidArgument:
+        return 413;
+    default:
+        return StatusUnavailable;
+    }
+}
+
+void answerError(httplib::Response &response, const base::Error &error)
+{
+    response.status = statusOf(error.kind);
+    response.set_content(Json{{"error", {{"message", error.message}}}}.dump(), JsonType);
+}
+
+std::uint64_t numberOf(const std::string &text)
+{
+    std::uint64_t value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
+// The expected version of a conditional call; a call without condition never holds.
+platform::Version expectedVersion(const httplib::Request &request)
+{
+    if (request.has_header("If-None-Match")) {
+        return {};
+    }
+    return {request.has_header("If-Match") ? numberOf(request.get_header_value("If-Match")) : UINT64_MAX};
+}
+
+} // namespace
+
+class Platform::Impl
+{
+public:
+    explicit Impl(const PlatformOptions &options)
+        : m_listLag(options.listLag)
+        , m_program(options.endpoint)
+    {
+        addObjectHandlers();
+        addAdminHandlers();
+    }
+
+    HttpProgram &program()
+    {
+        return m_program;
+    }
+    platform::MemoryStore &store()
+    {
+        return m_store;
+    }
+
+    void setFault(const Json &json)
+    {
+        static const std::map<std::string, FaultMode> Modes{
+            {"up", FaultMode::Up}, {"down", FaultMode::Down}, {"slow", FaultMode::Slow}, {"lose_answers", FaultMode::LoseAnswers}};
+        const std::uint64_t count = json.value("count", std::uint64_t{0});
+        const Fault fault{Modes.at(json.at("mode").get<std::string>()), base::milliseconds{json.value("delay_ms", 0)}, count == 0 ? UINT64_MAX : count};
+        const std::lock_guard lock(m_mutex);
+        m_faults[json.value("failure_domain", "")] = fault;
+    }
+
+private:
+    using Handler = std::function<void(const httplib::Request &, httplib::Response &)>;
+
+    void addObjectHandlers()
+    {
+        auto &server = m_program.server();
+        server.Get("/v1/objects/(.+)", faulty(m_reads, [this](const auto &request, auto &response) {
+                       const auto object = m_store.read(std::string(request.matches[1]));
+                       object ? response.set_content(platform::encodeObject(object.value()), JsonType) : answerError(response, object.error());
+                   }));
+        server.Put("/v1/objects/(.+)", faulty(m_writes, [this](const auto &request, auto &response) {
+                       const auto version = m_store.write(std::string(request.matches[1]), request.body, expectedVersion(request));
+                       version ? response.set_content(platform::encodeVersion(version.value()), JsonType) : answerError(response, version.error());
+                   }));
+        server.Delete("/v1/objects/(.+)", faulty(m_writes, [this](const auto &request, auto &response) {
+                          const auto done = m_store.remove(std::string(request.matches[1]), expectedVersion(request));
+                          done ? response.set_content("{}", JsonType) : answerError(response, done.error());
+                      }));
+        server.Get("/v1/list", faulty(m_reads, [this](const auto &request, auto &response) {
+                       response.set_content(platform::encodeChanges(m_store.list(request.get_param_value("prefix")).value()), JsonType);
+                   }));
+        server.Get("/v1/watch", faulty(m_watches, [this](const auto &request, auto &response) {
+                       const base::Duration wait = std::min<base::Duration>(MaxWatchWait, base::milliseconds{numberOf(request.get_param_value("wait_ms"))});
+                       const platform::Version since{numberOf(request.get_param_value("since"))};
+                       const auto changes = m_store.watch(request.get_param_value("prefix"), since, wait);
+                       changes ? response.set_content(platform::encodeChanges(changes.value()), JsonType) : answerError(response, changes.error());
+                   }));
+        server.Get("/v1/vms", faulty(m_reads, [this](const auto &, auto &response) {
+                       response.set_content(platform::encodeVms(m_store.vms().value()), JsonType);
+                   }));
+    }
+
+    void addAdminHandlers()
+    {
+        auto &server = m_program.server();
+        server.Post("/admin/faults", [this](const httplib::Request &request, httplib::Response &response) {
+            setFault(Json::parse(request.body));
+            response.set_content("{}", JsonType);
+        });
+        server.Post("/admin/vms", [this](const httplib::Request &request, httplib::Response &response) {
+            auto vms = platform::decodeVms(request.body);
+            if (!vms) {
+                answerError(response, vms.error());
+                return;
+            }
+            showLater(std::move(vms).value());
+            response.set_content("{}", JsonType);
+        });
+        server.Get("/admin/counters", [this](const httplib::Request &, httplib::Response &response) {
+            response.set_content(Json{{"reads", m_reads.load()}, {"writes", m_writes.load()}, {"watches", m_watches.load()}}.dump(), JsonType);
+        });
+    }
+
+    // The fault that a caller of this domain meets now; counts it down.
+    Fault takeFault(const std::string &domain)
+    {
+        const std::lock_guard lock(m_mutex);
+        auto it = m_faults.find(domain);
+        if (it == m_faults.end()) {
+            it = m_faults.find("");
+        }
+        if (it == m_faults.end() || it->second.callsLeft == 0) {
+            return {};
+        }
+        --it->second.callsLeft;
+        return it->second;
+    }
+
+    Handler faulty(std::atomic<std::uint64_t> &counter, Handler handler)
+    {
+        return [this, &counter, handler = std::move(handler)](const httplib::Request &request, httplib::Response &response) {
+            ++counter;
+            const Fault fault = takeFault(request.get_header_value("X-Failure-Domain"));
+            if (fault.mode == FaultMode::Down) {
+                answerError(response, base::fail(base::ErrorKind::Unavailable, "the platform is down"));
+                return;
+            }
+            if (fault.mode == FaultMode::Slow) {
+                std::this_thread::sleep_for(fault.delay);
+            }
+            handler(request, response);
+            if (fault.mode == FaultMode::LoseAnswers) {
+                loseAnswer(response);
+            }
+        };
+    }
+
+    // A body that ends before its announced length closes the connection.
+    static void loseAnswer(httplib::Response &response)
+    {
+        response.body.clear();
+        response.headers.clear();
+        response.set_content_provider(1, JsonType, [](std::size_t, std::size_t, httplib::DataSink &) {
+            return false;
+        });
+    }
+
+    void showLater(std::vector<platform::VmRecord> vms)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_showing.emplace_back([this, vms = std::move(vms)](const std::stop_token &stop) mutable {
+            const auto showAt = std::chrono::steady_clock::now() + m_listLag;
+            while (!stop.stop_requested() && std::chrono::steady_clock::now() < showAt) {
+                std::this_thread::sleep_for(base::milliseconds{10});
+            }
+            m_store.setVms(std::move(vms));
+        });
+    }
+
+    const base::Duration m_listLag;
+    platform::MemoryStore m_store;
+    std::atomic<std::uint64_t> m_reads = 0;
+    std::atomic<std::uint64_t> m_writes = 0;
+    std::atomic<std::uint64_t> m_watches = 0;
+    std::mutex m_mutex;
+    std::map<std::string, Fault> m_faults; // by failure domain, "" for all; guarded by m_mutex
+    HttpProgram m_program;
+    std::vector<std::jthread> m_showing; // guarded by m_mutex; ends before the store
+};
+
+Platform::Platform(const PlatformOptions &options)
+    : m_impl(std::make_unique<Impl>(options))
+{
+}
+
+Platform::~Platform()
+{
+    stop();
+}
+
+bool Platform::start()
+{
+    return m_impl->program().start();
+}
+
+void Platform::stop()
+{
+    m_impl->program().stop();
+}
+
+const base::Endpoint &Platform::endpoint() const
+{
+    return m_impl->program().endpoint();
+}
+
+void Platform::injectFault(std::string_view mode, std::uint64_t count, std::string_view domain)
+{
+    m_impl->setFault({{"mode", mode}, {"count", count}, {"failure_domain", domain}});
+}
+
+platform::MemoryStore &Platform::store()
+{
+    return m_impl->store();
+}
+
+} // namespace carawaylatch::standin
