--- /dev/null
+++ b/standin/engine.h
@@ -0,0 +1,28 @@
+// Stand-in of a model engine: the HTTP interface over an EngineModel.
+#pragma once
+
+#include "standin/enginemodel.h"
+#include "standin/httpprogram.h"
+
+namespace carawaylatch::standin
+{
+
+class Engine
+{
+public:
+    explicit Engine(const EngineOptions &options);
+
+    [[nodiscard]] bool start();
+    void stop();
+    [[nodiscard]] const base::Endpoint &endpoint() const;
+    [[nodiscard]] EngineModel &model();
+
+private:
+    void addStreamHandlers();
+    void addStateHandlers();
+
+    EngineModel m_model;
+    HttpProgram m_program;
+};
+
+} // namespace carawaylatch::standin
--- /dev/null
+++ b/standin/enginemodel.h
@@ -0,0 +1,188 @@
+// A model of an engine with continuous batching, in real time.
+//
+// One scheduler thread makes a step every decode interval: it lets waiting jobs
+// in by priority up to the batch size, advances one prefill at a time at the
+// prefill rate, and adds one token to each decoding job. A job outlives its
+// connection for a while, so that its stream can be taken up again. Token i of a
+// prompt is " " and eight hex digits of hash64(prompt, i): whoever knows the
+// prompt can check each token.
+#pragma once
+
+#include <condition_variable>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <vector>
+
+#include "carawaylatch/base/error.h"
+#include "carawaylatch/base/ids.h"
+#include "carawaylatch/base/time.h"
+#include "standin/enginecache.h"
+
+namespace carawaylatch::standin
+{
+
+enum class FenceCheck {
+    Off,
+    On,
+};
+
+struct EngineOptions
+{
+    base::Endpoint endpoint{"127.0.0.1", 0};
+    base::ModelId model{"clause-1"};
+    base::WeightsVersion weights{1};
+    FenceCheck fencing = FenceCheck::On;
+    std::uint32_t blockBytes = 4000;
+    std::size_t capacityBlocks = 4000;
+    std::uint32_t maxRunning = 16; // jobs in the batch
+    double prefillTokensPerSecond = 20'000;
+    base::Duration decodeInterval = base::milliseconds{10};
+    base::Duration loadTime = base::milliseconds{600}; // of new weights
+    base::Duration reportLag = base::milliseconds{300};
+    base::Duration eventLag = base::milliseconds{500};
+    double eventLoss = 0.02; // share of events that are never published
+};
+
+enum class EngineState {
+    Live,
+    Leaving,
+    Loading,
+};
+
+struct JobRequest
+{
+    base::AttemptId attempt;
+    std::string prompt;
+    base::CacheSalt salt;
+    std::uint32_t maxTokens = 0;
+    std::uint32_t priority = 0; // 0 before 1
+    std::uint64_t firstIndex = 0; // above zero for a continuation
+};
+
+struct JobProgress
+{
+    std::uint64_t firstIndex = 0;
+    std::vector<std::string> tokens; // from the index asked for
+    bool isDone = false;
+    bool isCancelled = false;
+    std::uint64_t promptTokens = 0;
+    std::uint64_t cachedTokens = 0;
+    std::uint64_t count = 0; // tokens of the whole answer so far
+};
+
+struct LoadSnapshot
+{
+    EngineState state = EngineState::Live;
+    base::WeightsVersion weights;
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint64_t queuedTokens = 0;
+    std::size_t usedBlocks = 0;
+    base::TimePoint at;
+};
+
+struct EngineCounters
+{
+    std::uint64_t jobs = 0;
+    std::uint64_t cancelled = 0;
+    std::uint64_t wrongHits = 0; // across namespaces or weights
+    std::uint64_t promptTokens = 0;
+    std::uint64_t cachedTokens = 0;
+    std::uint64_t staleOrders = 0; // refused for an old fencing number
+};
+
+// Under what a job runs.
+struct JobOrigin
+{
+    base::WeightsVersion weights;
+    base::CacheSalt salt;
+};
+
+// Returns token `index` of the answer to a prompt.
+[[nodiscard]] std::string tokenText(std::string_view prompt, std::uint64_t index);
+
+class EngineModel
+{
+public:
+    explicit EngineModel(const EngineOptions &options);
+    ~EngineModel();
+
+    [[nodiscard]] base::Incarnation incarnation() const;
+    [[nodiscard]] const EngineOptions &options() const;
+
+    // Queues a job; Overloaded while leaving or loading.
+    [[nodiscard]] base::Result<base::WeightsVersion> submit(JobRequest request);
+    // Waits for progress from token `from` on; NotFound if the job isn't held.
+    [[nodiscard]] base::Result<JobProgress> wait(base::AttemptId attempt, std::uint64_t from, base::Duration atMost);
+    [[nodiscard]] base::Result<JobOrigin> origin(base::AttemptId attempt) const;
+    void cancel(base::AttemptId attempt);
+
+    // Starts a load of weights; Conflict for an old fencing number where that is checked.
+    [[nodiscard]] base::Result<void> loadWeights(base::FenceToken fence, base::WeightsVersion weights);
+    void leave();
+    // The newest snapshot that is at least the report lag old.
+    [[nodiscard]] LoadSnapshot loadReport() const;
+    // Published events after a sequence number: late, and some lost.
+    [[nodiscard]] std::vector<CacheEvent> cacheEvents(std::uint64_t sequence);
+    [[nodiscard]] EngineCounters counters() const;
+
+private:
+    struct Job
+    {
+        JobRequest request;
+        std::vector<std::uint64_t> keys;
+        std::uint64_t promptTokens = 0;
+        std::uint64_t cachedTokens = 0;
+        base::TimePoint prefillDoneAt;
+        std::vector<std::string> tokens;
+        bool isRunning = false;
+        bool isDone = false;
+        bool isCancelled = false;
+        base::TimePoint lastRead;
+        base::WeightsVersion weights;
+    };
+    using JobPointer = std::shared_ptr<Job>;
+
+    void schedule(const std::stop_token &stop);
+    void step(base::TimePoint now);
+    void admitWaiting(base::TimePoint now);
+    void startPrefill(Job &job, base::TimePoint now);
+    void advance(Job &job, base::TimePoint now);
+    void finishLoad(base::TimePoint now);
+    void forgetUnread(base::TimePoint now);
+    void takeSnapshot(base::TimePoint now);
+    [[nodiscard]] std::uint32_t runningCount() const;
+
+    const EngineOptions m_options;
+    const base::Incarnation m_incarnation;
+    mutable std::mutex m_mutex;
+    std::condition_variable m_progress;
+    // All below are guarded by m_mutex.
+    EngineCache m_cache;
+    std::map<base::AttemptId, JobPointer> m_jobs;
+    std::deque<JobPointer> m_waiting; // interactive before batch, each in order of arrival
+    base::TimePoint m_prefillFreeAt;
+    EngineState m_state = EngineState::Live;
+    base::WeightsVersion m_weights;
+    base::FenceToken m_fence;
+    std::optional<base::WeightsVersion> m_loading;
+    std::optional<base::TimePoint> m_loadDoneAt;
+    std::deque<LoadSnapshot> m_snapshots;
+    struct PublishMark
+    {
+        base::TimePoint at;
+        std::uint64_t sequence = 0;
+    };
+    std::deque<PublishMark> m_publishMarks; // the last sequence at each time
+    EngineCounters m_counters;
+    std::jthread m_scheduler; // last: ends before the members it uses
+};
+
+} // namespace carawaylatch::standin
