--- /dev/null
+++ b/carawaylatch/prefix/hotstate.h
@@ -0,0 +1,45 @@
+// Snapshots of hot prefixes, as routers hand them to each other at a restart.
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "carawaylatch/base/ids.h"
+#include "carawaylatch/base/time.h"
+
+namespace carawaylatch::prefix
+{
+
+struct HotBlock
+{
+    std::uint64_t key = 0;
+    std::uint32_t ageMilliseconds = 0; // since it was touched last, when the snapshot was made
+};
+
+// Blocks that one life of an upstream holds.
+struct HotUpstream
+{
+    base::UpstreamId upstream;
+    base::Incarnation incarnation;
+    std::uint32_t lifetimeMilliseconds = 0; // measured time until eviction
+    std::vector<HotBlock> blocks;
+};
+
+struct HotPlacements
+{
+    std::vector<HotUpstream> upstreams;
+};
+
+struct HotLevel
+{
+    std::uint64_t key = 0;
+    float heat = 0; // tokens per second
+    std::uint8_t spread = 0; // see HeatTable
+};
+
+struct HotLevels
+{
+    std::vector<HotLevel> levels;
+};
+
+} // namespace carawaylatch::prefix
--- /dev/null
+++ b/carawaylatch/prefix/manifest.h
@@ -0,0 +1,61 @@
+// When cached prompt state may be imported, and whether it pays.
+//
+// A manifest describes exported blocks. It may be imported only into its own
+// namespace and weights, and only if the life that exported it still runs or the
+// manifest is sealed, which means that the export was complete before that life
+// could end. An import that is refused or fails falls back to computing the prompt.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "carawaylatch/base/error.h"
+#include "carawaylatch/base/ids.h"
+#include "carawaylatch/base/time.h"
+
+namespace carawaylatch::prefix
+{
+
+enum class Sealing {
+    Open,
+    Sealed,
+};
+
+struct Manifest
+{
+    base::CacheSalt salt;
+    base::ModelId model;
+    base::WeightsVersion weightsVersion;
+    std::string adapter;
+    base::UpstreamId exporter;
+    base::Incarnation incarnation; // of the exporter
+    Sealing sealing = Sealing::Open;
+    std::vector<std::uint64_t> blocks; // leading blocks of a chain, in order
+};
+
+// The namespace of the request that wants to import.
+struct ImportTarget
+{
+    base::CacheSalt salt;
+    base::ModelId model;
+    base::WeightsVersion weightsVersion;
+    std::string adapter;
+    base::Incarnation exporterNow; // the exporter's incarnation if it is alive, else zero
+    std::vector<std::uint64_t> chain;
+};
+
+// Returns how many leading blocks of the chain may be imported, or StaleState.
+[[nodiscard]] base::Result<std::uint32_t> checkImport(const Manifest &manifest, const ImportTarget &target);
+
+struct ImportCost
+{
+    double bytesPerSecond = 1e9; // from store to upstream
+    std::uint64_t bytesPerBlock = 8'000'000;
+    base::Duration roundTrip = base::milliseconds{5};
+};
+
+// Returns the time in which an import saves more than it costs, zero if it doesn't.
+[[nodiscard]] base::Duration importSaving(std::uint32_t blocks, std::uint32_t tokensPerBlock, double prefillTokensPerSecond, const ImportCost &cost);
+
+} // namespace carawaylatch::prefix
--- /dev/null
+++ b/carawaylatch/upstreams/inflight.h
@@ -0,0 +1,94 @@
+// The router's own requests at each upstream, counted by traffic threads.
+//
+// Load reports lag. What this router sent since a report's figures were true is
+// known here without lag, so a decision adds it to the report; the same counters
+// show how much of this router's work still waits for its first token.
+//
+// The table also holds an adaptive limit for each upstream: how many requests
+// this router may have there at once. It grows while the upstream answers
+// without a queue and shrinks when the upstream reports waiting requests, so that
+// queues form in the router, where priorities and customers' shares are honoured.
+//
+// All counters are atomics; any thread may call any function.
+#pragma once
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+#include <memory>
+
+#include "carawaylatch/base/time.h"
+#include "carawaylatch/upstreams/loadreport.h"
+#include "carawaylatch/upstreams/slot.h"
+
+namespace carawaylatch::upstreams
+{
+
+struct InflightCounts
+{
+    std::uint32_t requests = 0; // sent and not finished
+    std::uint64_t tokensBeforeFirst = 0; // prompt tokens to compute of requests without a first token
+    std::uint64_t tokensSince = 0; // prompt tokens to compute of requests sent since the given time
+    std::uint32_t requestsSince = 0;
+};
+
+class InflightTable
+{
+public:
+    // Counts one request until it is destroyed.
+    class Ticket
+    {
+    public:
+        Ticket() = default;
+        Ticket(InflightTable *table, Slot slot, std::uint32_t tokens);
+        Ticket(Ticket &&other) noexcept;
+        Ticket &operator=(Ticket &&other) noexcept;
+        Ticket(const Ticket &) = delete;
+        Ticket &operator=(const Ticket &) = delete;
+        ~Ticket();
+        // The first token arrived: the prompt is computed.
+        void onFirstToken();
+        void finish();
+
+    private:
+        InflightTable *m_table = nullptr;
+        Slot m_slot;
+        std::uint32_t m_tokens = 0; // zero after the first token
+    };
+
+    explicit InflightTable(std::size_t maxUpstreams = MaxSlots);
+
+    // Counts a request that is sent now and has to compute `tokens` prompt tokens.
+    [[nodiscard]] Ticket begin(Slot slot, std::uint32_t tokens, base::TimePoint now);
+    // Returns the counts; `since` reaches back at most HistorySpan.
+    [[nodiscard]] InflightCounts counts(Slot slot, base::TimePoint since, base::TimePoint now) const;
+    // Adapts the limit to a report. Control thread.
+    void onLoadReport(Slot slot, const LoadReport &report);
+    // Starts the slot anew for another life of the upstream; open tickets stay counted.
+    void onIncarnation(Slot slot);
+    // Returns how many more requests this router should send now.
+    [[nodiscard]] std::uint32_t freeSlots(Slot slot) const;
+    [[nodiscard]] std::uint32_t limit(Slot slot) const;
+
+private:
+    static constexpr std::size_t HistoryBuckets = 64;
+    static constexpr base::Duration BucketWidth = base::milliseconds{50};
+
+    // Sums over one BucketWidth. `period` and the sums are packed into one word, so
+    // that a bucket is never read half renewed.
+    struct Row
+    {
+        std::atomic<std::uint32_t> requests{0};
+        std::atomic<std::uint32_t> limit{0};
+        std::atomic<std::uint64_t> tokensBeforeFirst{0};
+        std::array<std::atomic<std::uint64_t>, HistoryBuckets> history{};
+    };
+
+    std::size_t m_size;
+    std::unique_ptr<Row[]> m_rows;
+
+public:
+    static constexpr base::Duration HistorySpan = BucketWidth * (HistoryBuckets - 1);
+};
+
+} // namespace carawaylatch::upstreams
--- /dev/null
+++ b/carawaylatch/upstreams/registry.h
@@ -0,0 +1,126 @@
+// The control thread's table of upstreams: configuration, health, load,
+// incarnations, leaving marks and ejection, out of which views are built.
+//
+// A state machine: events and `now` in, actions out; no I/O. The driver polls
+// /v1/load of each upstream every PollPeriod and reports the answer or the miss;
+// traffic threads report failed attempts through the control queue.
+//
+//     registry.configure(tables, now);
+//     registry.onLoadReport(id, report, now);
+//     registry.onTick(now);                       // at least every ViewPeriod
+//     for (auto &it : registry.takeActions()) ... // cache index, peers
+//     publish(registry.view());
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "carawaylatch/base/error.h"
+#include "carawaylatch/base/ids.h"
+#include "carawaylatch/base/time.h"
+#include "carawaylatch/config/tables.h"
+#include "carawaylatch/platform/objectstore.h"
+#include "carawaylatch/upstreams/leavingmarks.h"
+#include "carawaylatch/upstreams/loadreport.h"
+#include "carawaylatch/upstreams/upstreamview.h"
+
+namespace carawaylatch::upstreams
+{
+
+constexpr base::Duration PollPeriod = base::milliseconds{250};
+
+enum class AttemptOutcome {
+    Succeeded,
+    NotSent, // the connection could not be made
+    Failed, // broke, timed out or made no sense after it was sent
+    RefusedLeaving, // the upstream refused because it leaves
+    RefusedOther, // overloaded or loading; says nothing about health
+};
+
+// The slot's cache knowledge is void; entries recorded from now on belong to `incarnation`.
+struct AdoptIncarnation
+{
+    Slot slot;
+    base::UpstreamId upstream;
+    base::Incarnation incarnation; // zero: the slot is free
+    std::uint64_t capacityBlocks = 0;
+};
+
+// A mark that peers must hear of at once.
+struct AnnounceMark
+{
+    LeavingMark mark;
+};
+
+using RegistryAction = std::variant<AdoptIncarnation, AnnounceMark>;
+
+class Registry
+{
+public:
+    // Takes the upstreams of accepted tables; those no longer named get no new work.
+    void configure(const config::Tables &tables, base::TimePoint now);
+    // A report of the upstream itself. A report of a past incarnation is ignored.
+    void onLoadReport(const base::UpstreamId &id, const LoadReport &report, base::TimePoint now);
+    // A poll of /v1/load that failed.
+    void onUnreachable(const base::UpstreamId &id, base::TimePoint now);
+    // The end of an attempt, from traffic threads.
+    void onAttempt(const base::UpstreamId &id, base::Incarnation incarnation, AttemptOutcome outcome, base::TimePoint now);
+    // The first or a later notice that this life of the upstream leaves. A zero
+    // incarnation stands for the current one.
+    void onLeaving(const base::UpstreamId &id, base::Incarnation incarnation, LeavingSource source, base::TimePoint now);
+    // An operator takes a drain back; has no effect on an upstream that says itself that it leaves.
+    void onUndrain(const base::UpstreamId &id, base::TimePoint now);
+    // The platform's lagging list; only "leaving" is taken from it.
+    void onPlatformList(std::span<const platform::VmRecord> vms, base::TimePoint now);
+    // Marks from a peer or a snapshot; also ends the wait after a freeze.
+    void importMarks(std::span<const LeavingMark> marks, base::TimePoint now);
+    [[nodiscard]] std::vector<LeavingMark> exportMarks() const;
+    // Advances health and ejection and notices that the process was frozen.
+    void onTick(base::TimePoint now);
+
+    // Returns what has to be done since the last call, in order.
+    [[nodiscard]] std::vector<RegistryAction> takeActions();
+    // Returns the current snapshot; built anew only if something changed or it is due.
+    [[nodiscard]] std::shared_ptr<const UpstreamView> view() const;
+
+private:
+    struct Entry
+    {
+        UpstreamStatus status;
+        bool isConfigured = false;
+        // When the last report arrived; unlike confirmedAt it ignores the report's age.
+        base::TimePoint heardAt;
+        std::uint32_t misses = 0; // failed polls in a row
+        std::uint32_t failures = 0; // failed attempts in a row
+        std::uint32_t ejections = 0; // in a row; lengthens the pause
+        base::TimePoint ejectedUntil;
+        bool saidLeaving = false; // by its own word, this incarnation
+        std::vector<base::Incarnation> past; // newest last, at most MaxPastIncarnations
+    };
+
+    void adopt(Entry &entry, const LoadReport &report);
+    void eject(Entry &entry, base::TimePoint now);
+    void mark(Entry &entry, LeavingSource source);
+    [[nodiscard]] UpstreamState stateOf(const Entry &entry, base::TimePoint now) const;
+    [[nodiscard]] bool mayEject(const Entry &entry, base::TimePoint now) const;
+    Slot takeSlot();
+    void rebuild(base::TimePoint now);
+    [[nodiscard]] PoolView buildPool(const config::Pool &pool, const UpstreamView &view) const;
+
+    std::map<base::UpstreamId, Entry> m_entries;
+    std::vector<config::Pool> m_pools;
+    LeavingMarks m_marks;
+    std::vector<Slot> m_freeSlots;
+    std::uint16_t m_nextSlot = 0;
+    std::vector<RegistryAction> m_actions;
+    base::TimePoint m_lastTick;
+    base::TimePoint m_usableFrom;
+    std::shared_ptr<const UpstreamView> m_view = std::make_shared<const UpstreamView>();
+};
+
+} // namespace carawaylatch::upstreams
--- /dev/null
+++ b/carawaylatch/upstreams/slot.h
@@ -0,0 +1,27 @@
+// Dense number of an upstream inside one router process.
+//
+// The registry hands slots out; tables that traffic threads touch for every
+// request (cache index, in-flight counters) are arrays over slots. A slot means
+// nothing outside its process: snapshots and messages carry UpstreamId and
+// Incarnation.
+#pragma once
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+
+namespace carawaylatch::upstreams
+{
+
+struct Slot
+{
+    std::uint16_t index = 0;
+
+    auto operator<=>(const Slot &) const = default;
+    bool operator==(const Slot &) const = default;
+};
+
+// Upper bound of slots in one process.
+constexpr std::size_t MaxSlots = 16'384;
+
+} // namespace carawaylatch::upstreams
