--- /dev/null
+++ b/carawaylatch/orders/retention.h
@@ -0,0 +1,102 @@
+// Pruning of old order records, such that no pruned key can ever run again.
+//
+// Age is counted in epochs: the object "orders/epoch" holds a number that any
+// router advances once it has seen it unchanged for a whole epoch by its own
+// monotonic clock. A record carries the epoch of its last write and is kept for
+// at least `keepEpochs` whole epochs after it.
+//
+// Before a record is removed its key goes into the closed set, kept in one
+// object for each hash range, as an eight-byte digest that is never dropped.
+// Claim stores read the set after a claim is written and before it is confirmed:
+// a key whose record is gone was closed before that, so the claim is not
+// confirmed and the answer is Unknown. Two keys with one digest cost a false
+// Unknown, never a second run.
+//
+// Bound: a closed object holds MaxClosedPerRange digests. When it is full,
+// records of the range are kept as they are and the counter `full` grows.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "carawaylatch/base/error.h"
+#include "carawaylatch/base/time.h"
+#include "carawaylatch/orders/orderrecord.h"
+#include "carawaylatch/platform/objectstore.h"
+
+namespace carawaylatch::orders
+{
+
+// Hash ranges of the closed set; never changes for a given store.
+constexpr std::uint32_t ClosedRanges = 4096;
+constexpr std::size_t DigestBytes = 8;
+constexpr std::size_t MaxClosedPerRange = 120'000;
+
+struct RetentionSettings
+{
+    base::Duration epoch = base::hours{1};
+    std::uint64_t keepEpochs = 48;
+    std::size_t maxPrunedPerStep = 200; // records examined in one step
+};
+
+// Digests of closed keys of one range, in ascending order.
+class ClosedSet
+{
+public:
+    ClosedSet() = default;
+    // Returns the set, or InvalidArgument for bytes that no router wrote.
+    [[nodiscard]] static base::Result<ClosedSet> decode(std::string_view bytes);
+    [[nodiscard]] std::string encode() const;
+    [[nodiscard]] bool contains(std::uint64_t digest) const;
+    // Adds digests; false and unchanged if the bound would be passed.
+    [[nodiscard]] bool add(std::span<const std::uint64_t> digests);
+    [[nodiscard]] std::size_t size() const;
+
+private:
+    std::vector<std::uint64_t> m_digests; // ascending, unique
+};
+
+// Returns the name of the closed object that an order belongs to.
+[[nodiscard]] std::string closedObjectName(const OrderId &order);
+// Returns ok if the key is open, StaleState if it is closed, or the platform's error.
+[[nodiscard]] base::Result<void> checkOpen(platform::ObjectStore &store, const OrderId &order);
+
+struct RetentionCounters
+{
+    std::uint64_t epoch = 0;
+    std::uint64_t pruned = 0;
+    std::uint64_t full = 0; // records kept because their closed range is full
+};
+
+// Advances the epoch and prunes records of SingleClaimStore. Safe to run on any
+// number of routers at once; one (the lease holder) is enough.
+class RecordPruner
+{
+public:
+    RecordPruner(platform::ObjectStore &store, RetentionSettings settings);
+
+    // One round: reads the epoch, advances it if due, prunes some records.
+    void step(base::TimePoint now);
+    // The epoch last read, for OrderDesk::setEpoch().
+    [[nodiscard]] std::uint64_t epoch() const;
+    [[nodiscard]] const RetentionCounters &counters() const;
+
+private:
+    void advanceEpoch(base::TimePoint now);
+    void pruneCustomers();
+    void prune(const platform::Object &object);
+
+    platform::ObjectStore &m_store;
+    RetentionSettings m_settings;
+    std::uint64_t m_epoch = 0;
+    base::TimePoint m_seenAt;
+    std::optional<platform::Version> m_seenVersion;
+    RetentionCounters m_counters;
+};
+
+} // namespace carawaylatch::orders
