--- a/carawaylatch/orders/claimjournal.h
+++ b/carawaylatch/orders/claimjournal.h
@@ -8,11 +8,13 @@
 //
 // Each call keeps the meaning of a single compare-and-set: its condition is
 // checked against its own record's version in the journal that is replaced.
+//
+// Bounds: a range holds MaxJournalBytes; when it is full, new orders of the range
+// are refused as Overloaded until prune() makes room. Answers longer than
+// MaxJournalAnswerBytes are not kept. A pruned record leaves eight bytes behind,
+// in the same object, so a claim needs no second read.
 #pragma once
 
-#include <condition_variable>
-#include <cstdint>
-#include <deque>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -23,10 +25,14 @@
 #include <vector>
 
 #include "carawaylatch/orders/claimstore.h"
+#include "carawaylatch/orders/retention.h"
 
 namespace carawaylatch::orders
 {
 
+constexpr std::size_t MaxJournalBytes = 900'000;
+constexpr std::size_t MaxJournalAnswerBytes = 4'000;
+
 // The records of one hash range.
 class JournalImage
 {
@@ -34,29 +40,33 @@
     [[nodiscard]] static base::Result<JournalImage> decode(std::string_view bytes);
     [[nodiscard]] std::string encode() const;
 
-    [[nodiscard]] const VersionedRecord *find(const OrderId &order) const;
-    // Compare-and-set of one record. Conflict, or Overloaded if the journal is full.
+    // Returns the record, NotFound, or StaleState if the key is closed.
+    [[nodiscard]] base::Result<VersionedRecord> find(const OrderId &order) const;
+    // Compare-and-set of one record: Conflict, StaleState, or Overloaded if the journal is full.
     [[nodiscard]] base::Result<platform::Version> apply(const OrderId &order, const OrderRecord &record, platform::Version expected);
+    // Closes keys and drops records written before the epoch; returns how many.
+    std::size_t prune(std::uint64_t beforeEpoch);
     [[nodiscard]] std::size_t size() const;
 
 private:
     std::map<OrderId, VersionedRecord> m_records;
+    ClosedSet m_closed;
     std::uint64_t m_lastVersion = 0; // grows with every applied write
-    std::size_t m_bytes = 0; // estimate of the encoded size
+    std::size_t m_bytes = 0; // upper estimate of the encoded size
 };
 
 struct JournalSettings
 {
     std::uint32_t ranges = 16; // equal on all routers; never changes for a given store
     std::size_t maxBatch = 500;
-    std::uint32_t maxConflicts = 20; // lost races before a batch is given up as not written
+    std::uint32_t maxTries = 20; // lost races and read-backs before a batch is given up
 };
 
 struct JournalCounters
 {
-    std::uint64_t batches = 0;
-    std::uint64_t records = 0;
-    std::uint64_t conflicts = 0;
+    std::uint64_t writes = 0; // platform writes that were tried
+    std::uint64_t records = 0; // records that these carried
+    std::uint64_t conflicts = 0; // writes lost against another router
 };
 
 class JournalClaimStore : public ClaimStore
@@ -67,20 +77,29 @@
 
     [[nodiscard]] base::Result<VersionedRecord> read(const OrderId &order) override;
     [[nodiscard]] base::Result<platform::Version> write(const OrderId &order, const OrderRecord &record, platform::Version expected) override;
+    // Prunes one range in one conditional write; returns the records dropped.
+    [[nodiscard]] base::Result<std::size_t> prune(std::uint32_t range, std::uint64_t beforeEpoch);
     [[nodiscard]] JournalCounters counters() const;
 
 private:
     struct Call;
     struct Range;
+    struct Loaded
+    {
+        JournalImage image;
+        platform::Version version;
+    };
 
-    [[nodiscard]] Range &rangeOf(const OrderId &order);
-    void commit(Range &range, std::span<Call *const> batch);
+    [[nodiscard]] std::uint32_t rangeIndex(const OrderId &order) const;
+    [[nodiscard]] base::Result<Loaded> load(std::uint32_t range);
+    void commit(std::uint32_t index, std::span<Call *const> batch);
+    [[nodiscard]] bool tryCommit(std::uint32_t index, std::span<Call *const> batch, bool &isUnclear);
 
     platform::ObjectStore &m_store;
     const JournalSettings m_settings;
     std::vector<std::unique_ptr<Range>> m_ranges;
     mutable std::mutex m_counterMutex;
-    JournalCounters m_counters;
+    JournalCounters m_counters; // guarded by m_counterMutex
 };
 
 } // namespace carawaylatch::orders
--- /dev/null
+++ b/carawaylatch/orders/claimstore.cpp
@@ -0,0 +1,55 @@
+// One platform object for each order, and the check against the closed set.
+//
+// The check comes after the claim is written. The pruner closes a key before it
+// removes the record. So if our claim was created because the record had been
+// removed, the key was closed before the creation, and the read that follows the
+// creation sees it. Reading the set first, or trusting a cached one, would let a
+// paused router claim a pruned key.
+#include "carawaylatch/orders/claimstore.h"
+
+#include "carawaylatch/orders/retention.h"
+
+namespace carawaylatch::orders
+{
+
+using base::ErrorKind;
+
+SingleClaimStore::SingleClaimStore(platform::ObjectStore &store)
+    : m_store(store)
+{
+}
+
+base::Result<VersionedRecord> SingleClaimStore::read(const OrderId &order)
+{
+    const auto object = m_store.read(recordObjectName(order));
+    if (!object && object.error().kind != ErrorKind::NotFound) {
+        return object.error();
+    }
+    if (!object) {
+        BOOST_OUTCOME_TRYV(checkOpen(m_store, order));
+        return object.error();
+    }
+    BOOST_OUTCOME_TRY(record, decodeRecord(object.value().value));
+    if (record.state == RecordState::Claimed) {
+        BOOST_OUTCOME_TRYV(checkOpen(m_store, order));
+    }
+    return VersionedRecord{std::move(record), object.value().version};
+}
+
+base::Result<platform::Version> SingleClaimStore::write(const OrderId &order, const OrderRecord &record, platform::Version expected)
+{
+    BOOST_OUTCOME_TRY(version, m_store.write(recordObjectName(order), encodeRecord(record), expected));
+    if (record.state != RecordState::Claimed) {
+        return version;
+    }
+    const auto open = checkOpen(m_store, order);
+    if (open) {
+        return version;
+    }
+    if (open.error().kind == ErrorKind::StaleState) {
+        return open.error();
+    }
+    return base::fail(ErrorKind::Unclear, "the claim was written but the closed set could not be read; read the record back");
+}
+
+} // namespace carawaylatch::orders
--- a/carawaylatch/orders/orderguard.h
+++ b/carawaylatch/orders/orderguard.h
@@ -21,6 +21,7 @@
 #include "carawaylatch/base/error.h"
 #include "carawaylatch/base/time.h"
 #include "carawaylatch/orders/claimstore.h"
+#include "carawaylatch/orders/orderduty.h"
 #include "carawaylatch/orders/serviceconnection.h"
 
 namespace carawaylatch::orders
@@ -59,12 +60,11 @@
 // Steps of the guard. The fault table has a row for each step and event.
 enum class OrderStep {
     Idle, // nothing done yet
-    Reading, // first read of the record, before any claim
+    Reading, // reading who has the claim after ours was refused
     Claiming, // claim write under way
     SettlingClaim, // reading back after an unclear claim
     Sending, // the service has the order, or is about to
     Recording, // outcome write under way
-    SettlingOutcome, // reading back after an unclear outcome write
     Waiting, // another attempt holds the claim; read again after a pause
     Answered,
 };
@@ -74,16 +74,10 @@
     WriteRecord, // `record` over `expected`
     Send,
     Pause, // for `pause`, then onPauseOver()
-    Answer, // final; `duty` says what is left to do in the background
+    Answer, // final
 };
 
 // Work that stays after the answer, until the platform has it.
-enum class OrderDuty {
-    None,
-    RecordOutcome, // write `record` over our claim, so that duplicates get the answer
-    Reopen, // say that this attempt did not send and never will
-};
-
 struct OrderAction
 {
     OrderActionKind kind = OrderActionKind::Answer;
@@ -91,7 +85,7 @@
     platform::Version expected; // with WriteRecord
     base::Duration pause{};
     OrderAnswer answer;
-    OrderDuty duty = OrderDuty::None;
+    std::optional<OrderDuty> duty; // with Answer: what the platform must still learn
 };
 
 // Whether this router had seen the reopened record before the request arrived.
@@ -106,6 +100,7 @@
     base::Duration longestPause = base::milliseconds{500};
     base::Duration retryAfter = base::seconds{1}; // named in refusals
     std::uint32_t maxSends = 3; // sends of one attempt, all but the last provably not run
+    base::Duration longestWait = base::seconds{2}; // for another attempt's answer
     std::uint32_t maxSettlingTries = 5; // reads and writes to settle one unclear write before the answer
 };
 
@@ -117,15 +112,35 @@
     base::TimePoint deadline;
 };
 
+// All that a guard remembers; two guards of equal state and request act alike.
+struct GuardState
+{
+    OrderStep step = OrderStep::Idle;
+    // Version of our own claim; set only while it is confirmed.
+    std::optional<platform::Version> claim;
+    // Expected version of the last claim write.
+    platform::Version expected;
+    // True while a claim write of ours may be in the platform or reach it later.
+    bool mayHaveClaimed = false;
+    // True from a send until it provably did not run; no send happens while it is true.
+    bool mayHaveRun = false;
+    std::uint32_t sends = 0;
+    std::uint32_t tries = 0;
+    base::Duration pause{};
+    std::optional<base::TimePoint> waitUntil;
+
+    bool operator==(const GuardState &) const = default;
+};
+
 class OrderGuard
 {
 public:
-    OrderGuard(const GuardRequest &request, const GuardSettings &settings);
+    OrderGuard(GuardRequest request, GuardSettings settings);
 
-    // Each event returns the next action. Events that don't fit the step are an
-    // internal fault: the guard answers Unknown and never sends.
+    // Each event returns the next action. An event that doesn't fit the step is
+    // an internal fault: the guard answers Unknown and never sends again.
     [[nodiscard]] OrderAction onStart(base::TimePoint now);
-    // `seen` is asked for a reopened record, `life` for one claimed elsewhere.
+    // `seen` counts for a reopened record, `life` for one claimed by another.
     [[nodiscard]] OrderAction onRead(base::TimePoint now, const base::Result<VersionedRecord> &result, ReopenedSeen seen, ClaimantLife life);
     [[nodiscard]] OrderAction onWritten(base::TimePoint now, const base::Result<platform::Version> &result);
     [[nodiscard]] OrderAction onSent(base::TimePoint now, const base::Result<ServiceAnswer> &result);
@@ -133,41 +148,33 @@
     [[nodiscard]] OrderAction onNoUpstream(base::TimePoint now, const base::Error &error);
     [[nodiscard]] OrderAction onPauseOver(base::TimePoint now);
 
-    [[nodiscard]] OrderStep step() const;
-    // True once a send may have run; from then on nothing is ever sent again.
-    [[nodiscard]] bool mayHaveRun() const;
+    [[nodiscard]] const GuardState &state() const;
 
 private:
+    [[nodiscard]] OrderRecord record(RecordState state) const;
+    [[nodiscard]] bool isPastDeadline(base::TimePoint now) const;
+
     OrderAction claim(base::TimePoint now, platform::Version expected);
-    OrderAction afterClaimRead(base::TimePoint now, const base::Result<VersionedRecord> &result, ReopenedSeen seen, ClaimantLife life);
-    OrderAction afterOutcomeRead(base::TimePoint now, const base::Result<VersionedRecord> &result);
-    OrderAction onForeignRecord(base::TimePoint now, const VersionedRecord &found, ReopenedSeen seen, ClaimantLife life);
     OrderAction onClaimWritten(base::TimePoint now, const base::Result<platform::Version> &result);
-    OrderAction onOutcomeWritten(base::TimePoint now, const base::Result<platform::Version> &result);
-    OrderAction settleAgain(base::TimePoint now);
+    OrderAction onOutcomeWritten(const base::Result<platform::Version> &result);
+    OrderAction onReadFailed(base::TimePoint now, const base::Error &error);
+    OrderAction onForeignRecord(base::TimePoint now, const VersionedRecord &found, ReopenedSeen seen, ClaimantLife life);
+    OrderAction onForeignClaim(base::TimePoint now, ClaimantLife life);
+    OrderAction confirmClaim(base::TimePoint now, platform::Version version);
+    OrderAction read(OrderStep step);
+    OrderAction settleAgain(base::TimePoint now, const base::Error &error);
     OrderAction send(base::TimePoint now);
-    OrderAction recordOutcome(RecordState state);
+    OrderAction recordOutcome();
     OrderAction giveUpUnsent(const base::Error &cause);
-    OrderAction answerOutcome(OrderDuty duty);
-    OrderAction answer(OrderAnswer answer, OrderDuty duty = OrderDuty::None);
-    OrderAction refuse(OrderAnswerKind kind, AttemptFate fate, base::ErrorKind error, std::string message, OrderDuty duty = OrderDuty::None);
+    OrderAction answerOutcome(std::optional<OrderDuty> duty);
+    OrderAction replay(const OrderRecord &found);
+    OrderAction refuse(OrderAnswerKind kind, AttemptFate fate, base::Error error, std::optional<OrderDuty> duty = std::nullopt);
+    OrderAction misfit();
 
     GuardRequest m_request;
     GuardSettings m_settings;
-    OrderStep m_step = OrderStep::Idle;
-    // Version of our own claim; set only while it is confirmed.
-    std::optional<platform::Version> m_claim;
-    // True once a claim write may have reached the platform.
-    bool m_mayHaveClaimed = false;
-    // Grows only; once true the guard never returns Send.
-    bool m_mayHaveRun = false;
-    std::uint32_t m_sends = 0;
-    std::uint32_t m_tries = 0;
-    base::Duration m_pause{};
-    OrderRecord m_outcome;
-    // Expected version of the claim write under way.
-    platform::Version m_expected;
-    std::optional<base::Error> m_refusal; // why the last send did not run
+    GuardState m_state;
+    OrderRecord m_outcome; // set from step Recording on
 };
 
 } // namespace carawaylatch::orders
--- a/carawaylatch/orders/orderrecord.h
+++ b/carawaylatch/orders/orderrecord.h
@@ -31,10 +31,13 @@
     auto operator<=>(const OrderId &) const = default;
     bool operator==(const OrderId &) const = default;
 
-    // Returns the stable hash that assigns the order to a hash range.
+    // Returns the stable hash that assigns the order to a hash range and stands for
+    // its key once the record is pruned.
     [[nodiscard]] std::uint64_t hash() const;
     // Returns "CUSTOMER/KEY" with every byte outside [A-Za-z0-9._-] as ~XX.
     [[nodiscard]] std::string path() const;
+    // Returns the order of a path, or InvalidArgument.
+    [[nodiscard]] static base::Result<OrderId> fromPath(std::string_view path);
 };
 
 enum class RecordState {
@@ -79,6 +82,10 @@
     bool operator==(const OrderRecord &) const = default;
 };
 
+// Returns the record with its answer's body left out if that is too long to keep.
+[[nodiscard]] OrderRecord storable(OrderRecord record);
+// Returns the digest of a request that duplicates are compared by.
+[[nodiscard]] std::uint64_t requestDigest(std::string_view method, std::string_view path, std::string_view contentType, std::string_view body);
 // Returns the record's bytes (protobuf, so that mixed versions of routers agree).
 [[nodiscard]] std::string encodeRecord(const OrderRecord &record);
 // Returns the record, or InvalidArgument for bytes that no router wrote.
--- a/carawaylatch/orders/retention.h
+++ b/carawaylatch/orders/retention.h
@@ -41,7 +41,7 @@
 {
     base::Duration epoch = base::hours{1};
     std::uint64_t keepEpochs = 48;
-    std::size_t maxPrunedPerStep = 200; // records examined in one step
+    std::size_t maxPrunedPerStep = 200; // records removed in one step
 };
 
 // Digests of closed keys of one range, in ascending order.
@@ -61,8 +61,12 @@
     std::vector<std::uint64_t> m_digests; // ascending, unique
 };
 
+// Returns "order/RRR/CUSTOMER/KEY", RRR being the order's range in hexadecimal.
+[[nodiscard]] std::string recordObjectName(const OrderId &order);
 // Returns the name of the closed object that an order belongs to.
 [[nodiscard]] std::string closedObjectName(const OrderId &order);
+// Returns the StaleState error of a closed key.
+[[nodiscard]] base::Error closedError();
 // Returns ok if the key is open, StaleState if it is closed, or the platform's error.
 [[nodiscard]] base::Result<void> checkOpen(platform::ObjectStore &store, const OrderId &order);
 
@@ -80,22 +84,24 @@
 public:
     RecordPruner(platform::ObjectStore &store, RetentionSettings settings);
 
-    // One round: reads the epoch, advances it if due, prunes some records.
+    // One round: reads the epoch, advances it if due, prunes the next hash range.
+    // Costs one read and one list, and writes only if there is something to prune.
     void step(base::TimePoint now);
     // The epoch last read, for OrderDesk::setEpoch().
     [[nodiscard]] std::uint64_t epoch() const;
     [[nodiscard]] const RetentionCounters &counters() const;
 
 private:
-    void advanceEpoch(base::TimePoint now);
-    void pruneCustomers();
-    void prune(const platform::Object &object);
+    void readEpoch(base::TimePoint now);
+    void pruneRange(std::uint32_t range);
+    [[nodiscard]] bool closeKeys(std::uint32_t range, std::span<const std::uint64_t> digests);
 
     platform::ObjectStore &m_store;
     RetentionSettings m_settings;
-    std::uint64_t m_epoch = 0;
+    std::uint32_t m_nextRange = 0;
+    // The epoch object's version last seen, and since when.
+    std::optional<platform::Version> m_seen;
     base::TimePoint m_seenAt;
-    std::optional<platform::Version> m_seenVersion;
     RetentionCounters m_counters;
 };
 
