--- /dev/null
+++ b/carawaylatch/config/inidocument.cpp
@@ -0,0 +1,176 @@
+// INI text through libinih.
+//
+// The library reads line by line through a callback. This reader counts the
+// lines, which the library's handler doesn't pass on, notes each section header,
+// which the library reports only with its first key, and refuses what the
+// library would cut silently: long lines, long section names and NUL bytes.
+// The library calls the handler again with the same key for a continuation
+// line; the reader knows from the line's first character which case it is.
+#include "carawaylatch/config/inidocument.h"
+
+#include <ini.h>
+
+#include <algorithm>
+#include <cstring>
+
+namespace carawaylatch::config
+{
+
+namespace
+{
+
+constexpr std::string_view Blanks = " \t\r\n";
+
+struct Reader
+{
+    std::string_view rest;
+    std::string_view fileName;
+    int line = 0;
+    bool isContinuation = false;
+    std::string problem; // of the first line that is refused
+    IniDocument document;
+};
+
+void refuse(Reader &reader, std::string_view problem)
+{
+    if (reader.problem.empty()) {
+        reader.problem = linePrefix(reader.fileName, reader.line) + std::string(problem);
+    }
+}
+
+void noteSection(Reader &reader, std::string_view line)
+{
+    const auto start = line.find_first_not_of(Blanks);
+    if (start == std::string_view::npos || line[start] != '[') {
+        return;
+    }
+    const auto end = line.find(']', start);
+    if (end == std::string_view::npos) {
+        refuse(reader, "the section header has no ']'; write [NAME]");
+        return;
+    }
+    const auto name = line.substr(start + 1, end - start - 1);
+    if (name.empty() || name.size() > MaxIniSectionBytes) {
+        refuse(reader, "a section name has 1 to 49 bytes; shorten it");
+    }
+    reader.document.sections.push_back({std::string(name), reader.line, {}});
+}
+
+char *readLine(char *buf, int size, void *user)
+{
+    auto &reader = *static_cast<Reader *>(user);
+    if (reader.rest.empty() || !reader.problem.empty()) {
+        return nullptr;
+    }
+    const auto end = std::min(reader.rest.find('\n'), reader.rest.size());
+    const auto line = reader.rest.substr(0, end);
+    reader.rest.remove_prefix(std::min(end + 1, reader.rest.size()));
+    ++reader.line;
+    if (line.size() > std::min<std::size_t>(MaxIniLineBytes, size - 3)) {
+        refuse(reader, "the line is longer than 190 bytes; break it and begin the next line with a space");
+        return nullptr;
+    }
+    if (line.find('\0') != std::string_view::npos) {
+        refuse(reader, "the line has a NUL byte; write plain text");
+        return nullptr;
+    }
+    const auto &sections = reader.document.sections;
+    const bool isIndented = !line.empty() && (line.front() == ' ' || line.front() == '\t');
+    reader.isContinuation = isIndented && !sections.empty() && !sections.back().entries.empty();
+    if (!reader.isContinuation) {
+        noteSection(reader, line);
+    }
+    std::memcpy(buf, line.data(), line.size());
+    buf[line.size()] = '\n';
+    buf[line.size() + 1] = '\0';
+    return buf;
+}
+
+int addEntry(void *user, const char *section, const char *name, const char *value)
+{
+    auto &reader = *static_cast<Reader *>(user);
+    auto &sections = reader.document.sections;
+    if (sections.empty() || sections.back().name != section) {
+        refuse(reader, "the key '" + std::string(name) + "' stands before any section; put it below a [SECTION] line");
+        return 0;
+    }
+    auto &entries = sections.back().entries;
+    if (reader.isContinuation && !entries.empty() && entries.back().key == name) {
+        auto &joined = entries.back().value;
+        joined += joined.empty() ? "" : " ";
+        joined += value;
+        return 1;
+    }
+    entries.push_back({name, value, reader.line});
+    return 1;
+}
+
+} // namespace
+
+std::string linePrefix(std::string_view fileName, int line)
+{
+    return std::string(fileName) + ':' + std::to_string(line) + ": ";
+}
+
+base::Result<IniDocument> parseIni(std::string_view text, std::string_view fileName)
+{
+    Reader reader{text, fileName, 0, false, {}, {}};
+    const int errorLine = ini_parse_stream(readLine, &reader, addEntry, &reader);
+    if (!reader.problem.empty()) {
+        return base::fail(base::ErrorKind::InvalidArgument, reader.problem);
+    }
+    if (errorLine != 0) {
+        return base::fail(base::ErrorKind::InvalidArgument,
+                          linePrefix(fileName, errorLine) + "neither a section nor a key; write [SECTION] or KEY = VALUE, comments begin with #");
+    }
+    return std::move(reader.document);
+}
+
+base::Result<void> checkIniValue(std::string_view value)
+{
+    if (std::any_of(value.begin(), value.end(), [](unsigned char it) {
+            return it < ' ';
+        })) {
+        return base::fail(base::ErrorKind::InvalidArgument, "a value has control characters; write it on one line of plain text");
+    }
+    if (!value.empty() && (value.front() == ' ' || value.back() == ' ' || value.find("  ") != std::string_view::npos)) {
+        return base::fail(base::ErrorKind::InvalidArgument, "a value has spaces at an end or doubled; leave one between words");
+    }
+    if (value.find(" ;") != std::string_view::npos || value.starts_with(';')) {
+        return base::fail(base::ErrorKind::InvalidArgument, "a value has ';' at the start of a word, which begins a comment; leave it out");
+    }
+    constexpr std::size_t MaxWordBytes = 120;
+    for (std::size_t start = 0; start < value.size();) {
+        const auto end = std::min(value.find(' ', start), value.size());
+        if (end - start > MaxWordBytes) {
+            return base::fail(base::ErrorKind::InvalidArgument, "a value has a word of more than 120 bytes; shorten it");
+        }
+        if (start > 0 && value[start] == '#') {
+            return base::fail(base::ErrorKind::InvalidArgument, "a value has a word that begins with '#'; write it otherwise");
+        }
+        start = end + 1;
+    }
+    return base::ok();
+}
+
+void appendIniEntry(std::string &text, std::string_view key, std::string_view value)
+{
+    std::size_t column = key.size() + 2;
+    text += key;
+    text += " =";
+    for (std::size_t start = 0; start < value.size();) {
+        const auto end = std::min(value.find(' ', start), value.size());
+        const auto word = value.substr(start, end - start);
+        if (column + 1 + word.size() > MaxIniLineBytes) {
+            text += "\n   ";
+            column = 3;
+        }
+        text += ' ';
+        text += word;
+        column += 1 + word.size();
+        start = end + 1;
+    }
+    text += '\n';
+}
+
+} // namespace carawaylatch::config
--- /dev/null
+++ b/carawaylatch/config/valuetext.h
@@ -0,0 +1,46 @@
+// Text forms of the values in settings and tables.
+//
+// Parsers return an error whose message says what to write; the caller adds file,
+// line and key in front. Formatters give the shortest text that parses back.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "carawaylatch/base/error.h"
+#include "carawaylatch/base/ids.h"
+#include "carawaylatch/base/time.h"
+
+namespace carawaylatch::config
+{
+
+// "250ms", "3s", "2m", "1h"; a unit is needed, also for zero.
+[[nodiscard]] base::Result<base::Duration> parseDuration(std::string_view text);
+[[nodiscard]] std::string formatDuration(base::Duration duration);
+
+// A whole decimal number.
+[[nodiscard]] base::Result<std::uint64_t> parseNumber(std::string_view text);
+
+// A decimal fraction without exponent, zero or more.
+[[nodiscard]] base::Result<double> parseFraction(std::string_view text);
+[[nodiscard]] std::string formatFraction(double value);
+
+// "10.0.0.1:8080" or "[::1]:8080"; the address is an IP number.
+[[nodiscard]] base::Result<base::Endpoint> parseEndpoint(std::string_view text);
+[[nodiscard]] std::string formatEndpoint(const base::Endpoint &endpoint);
+
+// An IP number, version 4 or 6.
+[[nodiscard]] base::Result<std::string> parseAddress(std::string_view text);
+
+// A name: letters, digits, '.', '_' and '-', at most 40 bytes.
+[[nodiscard]] base::Result<std::string> parseName(std::string_view text);
+
+// Parts between commas without blanks around them; nothing for an empty text.
+[[nodiscard]] std::vector<std::string_view> splitList(std::string_view text);
+// Parts between blanks.
+[[nodiscard]] std::vector<std::string_view> splitWords(std::string_view text);
+[[nodiscard]] std::string_view trimmed(std::string_view text);
+
+} // namespace carawaylatch::config
