--- a/carawaylatch/telemetry/dashboard.cpp
+++ b/carawaylatch/telemetry/dashboard.cpp
@@ -39,6 +39,7 @@
 .span{display:flex;justify-content:space-between;padding-left:3.8rem;font-size:.75rem;color:var(--soft)}
 .line{fill:none;stroke-width:2;vector-effect:non-scaling-stroke}.line.a{stroke:var(--a)}.line.b{stroke:var(--b)}
 .grid{fill:none;stroke:var(--line);vector-effect:non-scaling-stroke}
+@media(min-width:800px){.tiles{grid-template-columns:repeat(5,1fr)}.charts{grid-template-columns:repeat(2,1fr)}}
 .scroll{overflow-x:auto}table{border-collapse:collapse;width:100%;font-variant-numeric:tabular-nums}
 th,td{padding:5px 10px;text-align:right;white-space:nowrap;border-bottom:1px solid var(--line)}
 th{font-weight:600;color:var(--soft);font-size:.85rem}tr:last-child td{border-bottom:0}
