--- /dev/null
+++ b/carawaylatch/http/callerjson.cpp
@@ -0,0 +1,206 @@
+// Bodies are checked field by field, so that an error can name the field.
+#include "carawaylatch/http/callerjson.h"
+
+#include <nlohmann/json.hpp>
+
+namespace carawaylatch::http
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+base::Error invalid(std::string message)
+{
+    return base::fail(base::ErrorKind::InvalidArgument, std::move(message));
+}
+
+std::string dump(const Json &json)
+{
+    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+std::string event(const Json &json)
+{
+    return "data: " + dump(json) + "\n\n";
+}
+
+// Joins chat messages in the form in which engines read them.
+base::Result<std::string> joinMessages(const Json &messages)
+{
+    if (!messages.is_array() || messages.empty()) {
+        return invalid("\"messages\" is not a list of messages; write [{\"role\":\"user\",\"content\":\"...\"}]");
+    }
+    std::string prompt;
+    for (const auto &it : messages) {
+        if (!it.is_object() || !it.contains("role") || !it["role"].is_string() || !it.contains("content") || !it["content"].is_string()) {
+            return invalid("a message lacks \"role\" or \"content\" as strings; write {\"role\":\"user\",\"content\":\"...\"}");
+        }
+        prompt += "<|" + it["role"].get<std::string>() + "|>\n" + it["content"].get<std::string>() + "\n";
+    }
+    return prompt + "<|assistant|>\n";
+}
+
+base::Result<std::string> promptOf(const Json &json, CompletionForm form)
+{
+    if (form == CompletionForm::Chat) {
+        return joinMessages(json.value("messages", Json()));
+    }
+    if (!json.contains("prompt") || !json["prompt"].is_string()) {
+        return invalid("\"prompt\" is missing or not a string; write the prompt as one JSON string");
+    }
+    return json["prompt"].get<std::string>();
+}
+
+base::Result<std::uint32_t> maxTokensOf(const Json &json)
+{
+    if (!json.contains("max_tokens")) {
+        return DefaultMaxTokens;
+    }
+    const Json &value = json["max_tokens"];
+    if (!value.is_number_integer() || value.get<std::int64_t>() < 1 || value.get<std::int64_t>() > MaxMaxTokens) {
+        return invalid("\"max_tokens\" is not a whole number from 1 to " + std::to_string(MaxMaxTokens) + "; write one or leave it out");
+    }
+    return value.get<std::uint32_t>();
+}
+
+Json choice(CompletionForm form, Streaming streaming, std::string_view text, const Json &finishReason)
+{
+    Json json{{"index", 0}, {"finish_reason", finishReason}};
+    if (form == CompletionForm::Text) {
+        json["text"] = text;
+    } else if (streaming == Streaming::On) {
+        json["delta"] = {{"content", text}};
+    } else {
+        json["message"] = {{"role", "assistant"}, {"content", text}};
+    }
+    return json;
+}
+
+Json envelope(const AnswerIdentity &identity, Streaming streaming, std::string_view text, const Json &finishReason)
+{
+    const std::string_view object = identity.form == CompletionForm::Text ? "text_completion"
+                                    : streaming == Streaming::On          ? "chat.completion.chunk"
+                                                                          : "chat.completion";
+    return {{"id", identity.requestId},
+            {"object", object},
+            {"model", identity.model.value()},
+            {"choices", Json::array({choice(identity.form, streaming, text, finishReason)})}};
+}
+
+void addUsage(Json &json, const relay::DoneEvent &done)
+{
+    const auto &usage = done.usage;
+    json["usage"] = {{"prompt_tokens", usage.promptTokens},
+                     {"completion_tokens", done.count},
+                     {"total_tokens", usage.promptTokens + done.count},
+                     {"prompt_tokens_details", {{"cached_tokens", usage.cachedTokens}}}};
+    json["token_count"] = done.count;
+}
+
+Json errorJson(const base::Error &error)
+{
+    Json json{{"type", base::errorKindName(error.kind)}, {"code", httpStatus(error.kind)}, {"message", error.message}};
+    if (error.retryAfter > base::Duration{}) {
+        json["retry_after_ms"] = base::toMilliseconds(error.retryAfter);
+    }
+    return {{"error", std::move(json)}};
+}
+
+} // namespace
+
+base::Result<CompletionBody> decodeCompletion(std::string_view body, CompletionForm form)
+{
+    const Json json = Json::parse(body, nullptr, false);
+    if (!json.is_object()) {
+        return invalid("the body is not a JSON object; send {\"model\":\"...\",\"prompt\":\"...\"}");
+    }
+    if (!json.contains("model") || !json["model"].is_string()) {
+        return invalid("\"model\" is missing or not a string; GET /v1/models lists the models");
+    }
+    if (json.contains("stream") && !json["stream"].is_boolean()) {
+        return invalid("\"stream\" is not true or false; write one or leave it out");
+    }
+    CompletionBody completion;
+    completion.model = base::ModelId(json["model"].get<std::string>());
+    BOOST_OUTCOME_TRY(prompt, promptOf(json, form));
+    BOOST_OUTCOME_TRY(maxTokens, maxTokensOf(json));
+    completion.prompt = std::move(prompt);
+    completion.maxTokens = maxTokens;
+    completion.streaming = json.value("stream", false) ? Streaming::On : Streaming::Off;
+    return completion;
+}
+
+std::string encodeTokenEvent(const AnswerIdentity &identity, std::uint64_t index, std::string_view text)
+{
+    Json json = envelope(identity, Streaming::On, text, nullptr);
+    json["token_index"] = index;
+    return event(json);
+}
+
+std::string encodeFinalEvent(const AnswerIdentity &identity, const relay::DoneEvent &done)
+{
+    Json json = envelope(identity, Streaming::On, "", done.finishReason);
+    addUsage(json, done);
+    return event(json) + "data: [DONE]\n\n";
+}
+
+std::string encodeErrorEvent(const base::Error &error)
+{
+    return event(errorJson(error));
+}
+
+std::string encodeAnswer(const AnswerIdentity &identity, std::string_view text, const relay::DoneEvent &done)
+{
+    Json json = envelope(identity, Streaming::Off, text, done.finishReason);
+    addUsage(json, done);
+    return dump(json);
+}
+
+std::string encodeError(const base::Error &error)
+{
+    return dump(errorJson(error));
+}
+
+std::string encodeModels(std::span<const base::ModelId> models)
+{
+    Json data = Json::array();
+    for (const auto &it : models) {
+        data.push_back({{"id", it.value()}, {"object", "model"}});
+    }
+    return Json{{"object", "list"}, {"data", std::move(data)}}.dump();
+}
+
+int httpStatus(base::ErrorKind kind)
+{
+    switch (kind) {
+    case base::ErrorKind::InvalidArgument:
+        return 400;
+    case base::ErrorKind::Unauthenticated:
+        return 401;
+    case base::ErrorKind::Forbidden:
+        return 403;
+    case base::ErrorKind::NotFound:
+        return 404;
+    case base::ErrorKind::Conflict:
+        return 409;
+    case base::ErrorKind::LimitExceeded:
+        return 429;
+    case base::ErrorKind::Overloaded:
+    case base::ErrorKind::Unavailable:
+    case base::ErrorKind::NotRun:
+        return 503;
+    case base::ErrorKind::Unclear:
+    case base::ErrorKind::StaleState:
+    case base::ErrorKind::Truncated:
+        return 502;
+    case base::ErrorKind::Cancelled:
+        return 499;
+    case base::ErrorKind::Internal:
+        return 500;
+    }
+    return 500;
+}
+
+} // namespace carawaylatch::http
--- /dev/null
+++ b/carawaylatch/http/callersserver.cpp
@@ -0,0 +1,370 @@
+// Requests of callers on httplib, a thread for each.
+//
+// A streamed request has a second thread from a pool that relays it, since the
+// status has to be known before httplib pulls the body (see streambridge.h). A
+// caller that leaves is noticed by the writing thread: by a failed write, or by
+// looking at the socket while there is nothing to write.
+#include "carawaylatch/http/callersserver.h"
+
+#include <httplib.h>
+
+#include <atomic>
+#include <random>
+#include <thread>
+
+#include "carawaylatch/base/hash.h"
+#include "carawaylatch/http/callerjson.h"
+#include "carawaylatch/http/streambridge.h"
+#include "carawaylatch/http/wirejson.h"
+
+namespace carawaylatch::http
+{
+
+namespace
+{
+
+constexpr const char *JsonType = "application/json";
+constexpr const char *StreamType = "text/event-stream";
+constexpr base::Duration LookInterval = base::milliseconds{50}; // between two looks at a quiet caller's socket
+constexpr int KeepAliveSeconds = 30;
+constexpr std::size_t KeepAliveRequests = 1'000'000;
+constexpr std::uint64_t MaxDeadlineMilliseconds = 3'600'000;
+constexpr std::size_t MaxRequestIdLength = 128;
+
+void answerError(httplib::Response &response, const base::Error &error)
+{
+    response.status = httpStatus(error.kind);
+    if (error.retryAfter > base::Duration{}) {
+        const auto wait = std::chrono::ceil<base::seconds>(error.retryAfter);
+        response.set_header("Retry-After", std::to_string(wait.count()));
+    }
+    response.set_content(encodeError(error), JsonType);
+}
+
+std::string bearerKey(const httplib::Request &request)
+{
+    constexpr std::string_view Scheme = "Bearer ";
+    const std::string value = request.get_header_value("Authorization");
+    return value.starts_with(Scheme) ? value.substr(Scheme.size()) : std::string();
+}
+
+bool isPlainId(std::string_view text)
+{
+    return !text.empty() && text.size() <= MaxRequestIdLength && std::all_of(text.begin(), text.end(), [](char it) {
+        return std::isalnum(static_cast<unsigned char>(it)) != 0 || it == '-' || it == '_' || it == '.';
+    });
+}
+
+base::Result<base::TrafficClass> trafficClassOf(const httplib::Request &request)
+{
+    const std::string name = request.get_header_value("X-Traffic-Class");
+    if (name.empty() || name == "interactive") {
+        return base::TrafficClass::Interactive;
+    }
+    if (name == "batch") {
+        return base::TrafficClass::Batch;
+    }
+    return base::fail(base::ErrorKind::InvalidArgument, "X-Traffic-Class is '" + name + "'; write interactive or batch");
+}
+
+base::Result<std::optional<base::Duration>> deadlineOf(const httplib::Request &request)
+{
+    if (!request.has_header("X-Deadline-Ms")) {
+        return std::optional<base::Duration>();
+    }
+    const std::string text = request.get_header_value("X-Deadline-Ms");
+    std::uint64_t milliseconds = 0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), milliseconds);
+    if (ec != std::errc{} || end != text.data() + text.size() || milliseconds == 0 || milliseconds > MaxDeadlineMilliseconds) {
+        return base::fail(base::ErrorKind::InvalidArgument,
+                          "X-Deadline-Ms is '" + text + "'; write whole milliseconds from 1 to " + std::to_string(MaxDeadlineMilliseconds));
+    }
+    return std::optional<base::Duration>(base::milliseconds{milliseconds});
+}
+
+} // namespace
+
+class CallersServer::Impl
+{
+public:
+    Impl(const CallersServerOptions &options, CallerHandler &handler)
+        : m_options(options)
+        , m_handler(handler)
+        , m_relayThreads(options.maxStreams)
+        , m_idSeed((static_cast<std::uint64_t>(std::random_device{}()) << 32U) ^ std::random_device{}())
+    {
+        configureServer();
+        addHandlers();
+    }
+
+    bool start()
+    {
+        if (m_options.endpoint.port == 0) {
+            const int port = m_server.bind_to_any_port(m_options.endpoint.address);
+            if (port <= 0) {
+                return false;
+            }
+            m_options.endpoint.port = static_cast<std::uint16_t>(port);
+        } else if (!m_server.bind_to_port(m_options.endpoint.address, m_options.endpoint.port)) {
+            return false;
+        }
+        m_thread = std::thread([this] {
+            m_server.listen_after_bind();
+        });
+        while (!m_server.is_running()) {
+            std::this_thread::yield();
+        }
+        return true;
+    }
+
+    void stop()
+    {
+        m_server.stop();
+        if (m_thread.joinable()) {
+            m_thread.join();
+            m_relayThreads.shutdown();
+        }
+    }
+
+    [[nodiscard]] const base::Endpoint &endpoint() const
+    {
+        return m_options.endpoint;
+    }
+
+private:
+    void configureServer()
+    {
+        const std::size_t threads = m_options.maxStreams;
+        m_server.new_task_queue = [threads] {
+            return new httplib::ThreadPool(threads);
+        };
+        m_server.set_payload_max_length(m_options.maxBodyBytes);
+        m_server.set_keep_alive_timeout(KeepAliveSeconds);
+        m_server.set_keep_alive_max_count(KeepAliveRequests);
+        m_server.set_tcp_nodelay(true);
+        m_server.set_error_handler([this](const httplib::Request &, httplib::Response &response) {
+            explainStatus(response);
+        });
+        m_server.set_exception_handler([](const httplib::Request &, httplib::Response &response, const std::exception_ptr &) {
+            answerError(response, base::fail(base::ErrorKind::Internal, "the router failed on this request; report its request id"));
+        });
+    }
+
+    // Gives the statuses that httplib sets by itself a body in the usual form.
+    void explainStatus(httplib::Response &response) const
+    {
+        if (!response.body.empty()) {
+            return;
+        }
+        const int status = response.status;
+        std::string message = "no such path; see /v1/completions, /v1/chat/completions, /v1/models and /v1/services/ROUTE";
+        base::ErrorKind kind = base::ErrorKind::NotFound;
+        if (status == 413) {
+            kind = base::ErrorKind::InvalidArgument;
+            message = "the body is over " + std::to_string(m_options.maxBodyBytes) + " bytes; send a shorter prompt";
+        } else if (status == 400) {
+            kind = base::ErrorKind::InvalidArgument;
+            message = "the request is not valid HTTP, or its head or body was cut off; send it whole, with header lines under 8 KB";
+        } else if (status != 404) {
+            return;
+        }
+        response.set_content(encodeError(base::fail(kind, message)), JsonType);
+        response.status = status;
+    }
+
+    void addHandlers()
+    {
+        m_server.Post("/v1/completions", [this](const httplib::Request &request, httplib::Response &response) {
+            complete(request, response, CompletionForm::Text);
+        });
+        m_server.Post("/v1/chat/completions", [this](const httplib::Request &request, httplib::Response &response) {
+            complete(request, response, CompletionForm::Chat);
+        });
+        m_server.Get("/v1/models", [this](const httplib::Request &request, httplib::Response &response) {
+            listModels(request, response);
+        });
+        const auto service = [this](const httplib::Request &request, httplib::Response &response) {
+            callService(request, response);
+        };
+        constexpr const char *ServicePath = "/v1/services/.+";
+        m_server.Get(ServicePath, service);
+        m_server.Post(ServicePath, service);
+        m_server.Put(ServicePath, service);
+        m_server.Patch(ServicePath, service);
+        m_server.Delete(ServicePath, service);
+    }
+
+    // Reads what every request carries; sets the answer's request id.
+    base::Result<CallerHead> headOf(const httplib::Request &request, httplib::Response &response)
+    {
+        CallerHead head;
+        head.requestId = request.get_header_value("X-Request-Id");
+        if (!isPlainId(head.requestId)) {
+            head.requestId = toHex(base::combineHashes(m_idSeed, ++m_requests));
+        }
+        response.set_header("X-Request-Id", head.requestId);
+        head.bearerKey = bearerKey(request);
+        head.path = request.path;
+        BOOST_OUTCOME_TRY(trafficClass, trafficClassOf(request));
+        BOOST_OUTCOME_TRY(deadline, deadlineOf(request));
+        head.trafficClass = trafficClass;
+        head.deadline = deadline;
+        return head;
+    }
+
+    void complete(const httplib::Request &request, httplib::Response &response, CompletionForm form)
+    {
+        auto head = headOf(request, response);
+        if (!head) {
+            answerError(response, head.error());
+            return;
+        }
+        auto body = decodeCompletion(request.body, form);
+        if (!body) {
+            answerError(response, body.error());
+            return;
+        }
+        const AnswerIdentity identity{head.value().requestId, body.value().model, form};
+        auto call = std::make_shared<CompletionCall>();
+        call->head = std::move(head).value();
+        call->model = body.value().model;
+        call->maxTokens = body.value().maxTokens;
+        call->prompt = std::move(body.value().prompt);
+        if (body.value().streaming == Streaming::On) {
+            stream(std::move(call), identity, response);
+        } else {
+            answerWhole(*call, identity, response);
+        }
+    }
+
+    void answerWhole(const CompletionCall &call, const AnswerIdentity &identity, httplib::Response &response)
+    {
+        relay::CollectingSink sink;
+        m_handler.complete(call, sink);
+        if (sink.done()) {
+            response.set_content(encodeAnswer(identity, sink.text(), *sink.done()), JsonType);
+        } else {
+            answerError(response, sink.error().value_or(base::fail(base::ErrorKind::Internal, "the router gave no answer; report the request id")));
+        }
+    }
+
+    void stream(std::shared_ptr<CompletionCall> call, const AnswerIdentity &identity, httplib::Response &response)
+    {
+        auto bridge = std::make_shared<StreamBridge>(identity);
+        m_relayThreads.enqueue([this, call = std::move(call), bridge] {
+            m_handler.complete(*call, *bridge);
+        });
+        if (bridge->waitForOpening() == StreamBridge::Opening::Refused) {
+            answerError(response, bridge->error());
+            return;
+        }
+        response.set_header("Cache-Control", "no-store");
+        response.set_chunked_content_provider(
+            StreamType,
+            [bridge](std::size_t, httplib::DataSink &sink) {
+                return writeSome(*bridge, sink);
+            },
+            [bridge](bool isWhole) {
+                if (!isWhole) {
+                    bridge->callerLeft();
+                }
+            });
+    }
+
+    // Writes what is buffered; false breaks the transfer off, so that a caller
+    // never takes a part for the whole.
+    static bool writeSome(StreamBridge &bridge, httplib::DataSink &sink)
+    {
+        auto phase = StreamBridge::Phase::Open;
+        const std::string bytes = bridge.take(LookInterval, phase);
+        const bool isWritten = bytes.empty() ? sink.is_writable() : sink.write(bytes.data(), bytes.size());
+        if (!isWritten) {
+            bridge.callerLeft();
+            return false;
+        }
+        if (phase == StreamBridge::Phase::Whole) {
+            sink.done();
+        }
+        return phase != StreamBridge::Phase::Broken;
+    }
+
+    void listModels(const httplib::Request &request, httplib::Response &response)
+    {
+        const auto head = headOf(request, response);
+        if (!head) {
+            answerError(response, head.error());
+            return;
+        }
+        const auto models = m_handler.models(head.value());
+        models ? response.set_content(encodeModels(models.value()), JsonType) : answerError(response, models.error());
+    }
+
+    void callService(const httplib::Request &request, httplib::Response &response)
+    {
+        auto head = headOf(request, response);
+        if (!head) {
+            answerError(response, head.error());
+            return;
+        }
+        ServiceCall call;
+        call.head = std::move(head).value();
+        call.head.path = request.target;
+        call.method = request.method;
+        call.contentType = request.get_header_value("Content-Type");
+        call.body = request.body;
+        call.idempotencyKey = request.get_header_value("Idempotency-Key");
+        answerService(m_handler.callService(call), response);
+    }
+
+    static void answerService(const ServiceReply &reply, httplib::Response &response)
+    {
+        static constexpr std::string_view OutcomeNames[] = {"", "done", "not_run", "unknown", "running"};
+        if (reply.outcome != OrderOutcome::None) {
+            response.set_header("X-Order-Outcome", std::string(OutcomeNames[static_cast<std::size_t>(reply.outcome)]));
+        }
+        if (reply.isReplayed) {
+            response.set_header("X-Order-Replayed", "true");
+        }
+        if (reply.error) {
+            answerError(response, *reply.error);
+            return;
+        }
+        response.status = reply.answer.status;
+        response.set_content(reply.answer.body, reply.answer.contentType.c_str());
+    }
+
+    CallersServerOptions m_options;
+    CallerHandler &m_handler;
+    httplib::ThreadPool m_relayThreads;
+    const std::uint64_t m_idSeed;
+    std::atomic<std::uint64_t> m_requests = 0;
+    httplib::Server m_server;
+    std::thread m_thread;
+};
+
+CallersServer::CallersServer(const CallersServerOptions &options, CallerHandler &handler)
+    : m_impl(std::make_unique<Impl>(options, handler))
+{
+}
+
+CallersServer::~CallersServer()
+{
+    stop();
+}
+
+bool CallersServer::start()
+{
+    return m_impl->start();
+}
+
+void CallersServer::stop()
+{
+    m_impl->stop();
+}
+
+const base::Endpoint &CallersServer::endpoint() const
+{
+    return m_impl->endpoint();
+}
+
+} // namespace carawaylatch::http
--- /dev/null
+++ b/carawaylatch/http/serviceclient.cpp
@@ -0,0 +1,67 @@
+// A call is sent on a fresh connection, exactly once: a kept one that turns out
+// closed would leave open whether the request was read.
+#include "carawaylatch/http/serviceclient.h"
+
+#include <httplib.h>
+
+#include "carawaylatch/http/wirejson.h"
+
+namespace carawaylatch::http
+{
+
+namespace
+{
+
+constexpr int StatusUnavailable = 503;
+
+std::string contentType(const httplib::Response &response)
+{
+    return response.has_header("Content-Type") ? response.get_header_value("Content-Type") : "application/octet-stream";
+}
+
+} // namespace
+
+ServiceClient::ServiceClient(base::Duration connectTimeout)
+    : m_connectTimeout(connectTimeout)
+{
+}
+
+base::Result<orders::ServiceAnswer> ServiceClient::call(const orders::ServiceRequest &request)
+{
+    httplib::Client client(request.endpoint.address, request.endpoint.port);
+    client.set_connection_timeout(std::chrono::duration_cast<base::microseconds>(m_connectTimeout));
+    client.set_read_timeout(std::chrono::duration_cast<base::microseconds>(std::max<base::Duration>(request.timeout, base::milliseconds{1})));
+    client.set_tcp_nodelay(true);
+    httplib::Request wire;
+    wire.method = request.method;
+    wire.path = request.path;
+    wire.body = std::string(request.body);
+    wire.set_header("X-Attempt-Id", toHex(request.attempt.value));
+    wire.set_header("X-Request-Id", request.requestId);
+    if (!request.contentType.empty()) {
+        wire.set_header("Content-Type", request.contentType);
+    }
+    if (!request.orderKey.empty()) {
+        wire.set_header("X-Order-Key", request.orderKey);
+    }
+    const httplib::Result result = client.send(wire);
+    const std::string upstream = request.upstream.value();
+    if (!result && result.error() == httplib::Error::Connection) {
+        return base::fail(base::ErrorKind::Unavailable, upstream + " refused the connection; nothing ran");
+    }
+    if (!result) {
+        return base::fail(base::ErrorKind::Unclear, "the answer of " + upstream + " was lost (" + to_string(result.error()) + "); the call may have run");
+    }
+    if (result->status == StatusUnavailable) {
+        return base::fail(base::ErrorKind::Overloaded, upstream + " refused (" + decodeRefusal(result->body).type + "); nothing ran");
+    }
+    orders::ServiceAnswer answer;
+    answer.status = result->status;
+    answer.contentType = contentType(*result);
+    answer.body = result->body;
+    answer.attempt = {fromHex(result->get_header_value("X-Attempt-Id"))};
+    answer.incarnation = {fromHex(result->get_header_value("X-Incarnation"))};
+    return answer;
+}
+
+} // namespace carawaylatch::http
--- a/carawaylatch/orders/orderdesk.cpp
+++ b/carawaylatch/orders/orderdesk.cpp
@@ -212,9 +212,9 @@
         return answer;
     }
     if (duty.machine.kind() == DutyKind::RecordOutcome) {
-        return refusal(OrderAnswerKind::Unknown, base::fail(ErrorKind::Unclear,
-                                                            "the order was sent and its answer is not known; ask the service whether the order exists "
-                                                            "before sending it under a new key"));
+        return refusal(OrderAnswerKind::Unknown,
+                       base::fail(ErrorKind::Unclear, "the order was sent and its answer is not known; ask the service whether the order exists "
+                                                      "before sending it under a new key"));
     }
     if (duty.machine.holdsClaim() && !duty.isUnderWay) {
         return refusal(OrderAnswerKind::NotRun, base::fail(ErrorKind::NotRun, "the order was not run; send it again with the same key after retry_after_ms",
