--- a/carawaylatch/http/callersserver.cpp
+++ b/carawaylatch/http/callersserver.cpp
@@ -8,12 +8,15 @@
 
 #include <httplib.h>
 
+#include <algorithm>
 #include <atomic>
+#include <cctype>
+#include <charconv>
 #include <random>
-#include <thread>
 
 #include "carawaylatch/base/hash.h"
 #include "carawaylatch/http/callerjson.h"
+#include "carawaylatch/http/httpserver.h"
 #include "carawaylatch/http/streambridge.h"
 #include "carawaylatch/http/wirejson.h"
 
@@ -26,8 +29,6 @@
 constexpr const char *JsonType = "application/json";
 constexpr const char *StreamType = "text/event-stream";
 constexpr base::Duration LookInterval = base::milliseconds{50}; // between two looks at a quiet caller's socket
-constexpr int KeepAliveSeconds = 30;
-constexpr std::size_t KeepAliveRequests = 1'000'000;
 constexpr std::uint64_t MaxDeadlineMilliseconds = 3'600'000;
 constexpr std::size_t MaxRequestIdLength = 128;
 
@@ -92,6 +93,7 @@
         , m_handler(handler)
         , m_relayThreads(options.maxStreams)
         , m_idSeed((static_cast<std::uint64_t>(std::random_device{}()) << 32U) ^ std::random_device{}())
+        , m_server(options.endpoint, options.maxStreams)
     {
         configureServer();
         addHandlers();
@@ -99,53 +101,32 @@
 
     bool start()
     {
-        if (m_options.endpoint.port == 0) {
-            const int port = m_server.bind_to_any_port(m_options.endpoint.address);
-            if (port <= 0) {
-                return false;
-            }
-            m_options.endpoint.port = static_cast<std::uint16_t>(port);
-        } else if (!m_server.bind_to_port(m_options.endpoint.address, m_options.endpoint.port)) {
-            return false;
-        }
-        m_thread = std::thread([this] {
-            m_server.listen_after_bind();
-        });
-        while (!m_server.is_running()) {
-            std::this_thread::yield();
-        }
-        return true;
+        return m_server.start();
     }
 
     void stop()
     {
         m_server.stop();
-        if (m_thread.joinable()) {
-            m_thread.join();
+        if (!m_isStopped) {
+            m_isStopped = true;
             m_relayThreads.shutdown();
         }
     }
 
     [[nodiscard]] const base::Endpoint &endpoint() const
     {
-        return m_options.endpoint;
+        return m_server.endpoint();
     }
 
 private:
     void configureServer()
     {
-        const std::size_t threads = m_options.maxStreams;
-        m_server.new_task_queue = [threads] {
-            return new httplib::ThreadPool(threads);
-        };
-        m_server.set_payload_max_length(m_options.maxBodyBytes);
-        m_server.set_keep_alive_timeout(KeepAliveSeconds);
-        m_server.set_keep_alive_max_count(KeepAliveRequests);
-        m_server.set_tcp_nodelay(true);
-        m_server.set_error_handler([this](const httplib::Request &, httplib::Response &response) {
+        auto &server = m_server.server();
+        server.set_payload_max_length(m_options.maxBodyBytes);
+        server.set_error_handler([this](const httplib::Request &, httplib::Response &response) {
             explainStatus(response);
         });
-        m_server.set_exception_handler([](const httplib::Request &, httplib::Response &response, const std::exception_ptr &) {
+        server.set_exception_handler([](const httplib::Request &, httplib::Response &response, const std::exception_ptr &) {
             answerError(response, base::fail(base::ErrorKind::Internal, "the router failed on this request; report its request id"));
         });
     }
@@ -174,24 +155,25 @@
 
     void addHandlers()
     {
-        m_server.Post("/v1/completions", [this](const httplib::Request &request, httplib::Response &response) {
+        auto &server = m_server.server();
+        server.Post("/v1/completions", [this](const httplib::Request &request, httplib::Response &response) {
             complete(request, response, CompletionForm::Text);
         });
-        m_server.Post("/v1/chat/completions", [this](const httplib::Request &request, httplib::Response &response) {
+        server.Post("/v1/chat/completions", [this](const httplib::Request &request, httplib::Response &response) {
             complete(request, response, CompletionForm::Chat);
         });
-        m_server.Get("/v1/models", [this](const httplib::Request &request, httplib::Response &response) {
+        server.Get("/v1/models", [this](const httplib::Request &request, httplib::Response &response) {
             listModels(request, response);
         });
         const auto service = [this](const httplib::Request &request, httplib::Response &response) {
             callService(request, response);
         };
         constexpr const char *ServicePath = "/v1/services/.+";
-        m_server.Get(ServicePath, service);
-        m_server.Post(ServicePath, service);
-        m_server.Put(ServicePath, service);
-        m_server.Patch(ServicePath, service);
-        m_server.Delete(ServicePath, service);
+        server.Get(ServicePath, service);
+        server.Post(ServicePath, service);
+        server.Put(ServicePath, service);
+        server.Patch(ServicePath, service);
+        server.Delete(ServicePath, service);
     }
 
     // Reads what every request carries; sets the answer's request id.
@@ -338,8 +320,8 @@
     httplib::ThreadPool m_relayThreads;
     const std::uint64_t m_idSeed;
     std::atomic<std::uint64_t> m_requests = 0;
-    httplib::Server m_server;
-    std::thread m_thread;
+    bool m_isStopped = false;
+    HttpServer m_server;
 };
 
 CallersServer::CallersServer(const CallersServerOptions &options, CallerHandler &handler)
--- a/standin/engine.cpp
+++ b/standin/engine.cpp
@@ -6,6 +6,8 @@
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
+#include "carawaylatch/http/wirejson.h"
+
 namespace carawaylatch::standin
 {
 
@@ -51,9 +53,9 @@
 {
     const Json json = Json::parse(request.body);
     JobRequest job;
-    job.attempt = {fromHex(request.get_header_value("X-Attempt-Id"))};
+    job.attempt = {http::fromHex(request.get_header_value("X-Attempt-Id"))};
     job.prompt = json.at("prompt").get<std::string>();
-    job.salt = {fromHex(json.value("cache_salt", ""))};
+    job.salt = {http::fromHex(json.value("cache_salt", ""))};
     job.maxTokens = json.value("max_tokens", 16U);
     job.priority = json.value("priority", 0U);
     job.firstIndex = json.value("continue_from", std::uint64_t{0});
@@ -126,8 +128,8 @@
 {
     auto &server = m_program.server();
     const auto stream = [this](httplib::Response &response, base::AttemptId attempt, std::uint64_t from) {
-        response.set_header("X-Attempt-Id", toHex(attempt.value));
-        response.set_header("X-Incarnation", toHex(m_model.incarnation().value));
+        response.set_header("X-Attempt-Id", http::toHex(attempt.value));
+        response.set_header("X-Incarnation", http::toHex(m_model.incarnation().value));
         response.set_chunked_content_provider(StreamType, [this, attempt, from](std::size_t, httplib::DataSink &sink) {
             return writeStream(m_model, attempt, from, sink);
         });
@@ -149,11 +151,11 @@
             return;
         }
         response.set_header("X-Weights-Version", std::to_string(weights.value().value));
-        response.set_header("X-Cache-Salt", toHex(salt.value));
+        response.set_header("X-Cache-Salt", http::toHex(salt.value));
         stream(response, attempt, from);
     });
     server.Get("/v1/streams/([0-9a-f]+)", [this, stream](const httplib::Request &request, httplib::Response &response) {
-        const base::AttemptId attempt{fromHex(std::string(request.matches[1]))};
+        const base::AttemptId attempt{http::fromHex(std::string(request.matches[1]))};
         const std::uint64_t from = std::strtoull(request.get_param_value("from").c_str(), nullptr, 10);
         const auto origin = m_model.origin(attempt);
         if (!origin) {
@@ -161,11 +163,11 @@
             return;
         }
         response.set_header("X-Weights-Version", std::to_string(origin.value().weights.value));
-        response.set_header("X-Cache-Salt", toHex(origin.value().salt.value));
+        response.set_header("X-Cache-Salt", http::toHex(origin.value().salt.value));
         stream(response, attempt, from);
     });
     server.Delete("/v1/streams/([0-9a-f]+)", [this](const httplib::Request &request, httplib::Response &response) {
-        m_model.cancel({fromHex(std::string(request.matches[1]))});
+        m_model.cancel({http::fromHex(std::string(request.matches[1]))});
         response.set_content("{}", JsonType);
     });
 }
@@ -176,7 +178,7 @@
     server.Get("/v1/load", [this](const httplib::Request &, httplib::Response &response) {
         const LoadSnapshot load = m_model.loadReport();
         const auto &options = m_model.options();
-        response.set_content(Json{{"incarnation", toHex(m_model.incarnation().value)},
+        response.set_content(Json{{"incarnation", http::toHex(m_model.incarnation().value)},
                                   {"model", options.model.value()},
                                   {"weights_version", load.weights.value},
                                   {"adapter", ""},
@@ -196,10 +198,10 @@
         std::uint64_t next = std::strtoull(request.get_param_value("since").c_str(), nullptr, 10);
         Json events = Json::array();
         for (const auto &it : m_model.cacheEvents(next)) {
-            events.push_back({{"seq", it.sequence}, {"op", it.op == CacheEvent::Op::Stored ? "stored" : "evicted"}, {"block", toHex(it.block)}});
+            events.push_back({{"seq", it.sequence}, {"op", it.op == CacheEvent::Op::Stored ? "stored" : "evicted"}, {"block", http::toHex(it.block)}});
             next = it.sequence;
         }
-        response.set_content(Json{{"incarnation", toHex(m_model.incarnation().value)}, {"next", next}, {"events", std::move(events)}}.dump(), JsonType);
+        response.set_content(Json{{"incarnation", http::toHex(m_model.incarnation().value)}, {"next", next}, {"events", std::move(events)}}.dump(), JsonType);
     });
     server.Post("/v1/orders", [this](const httplib::Request &request, httplib::Response &response) {
         try {
--- a/standin/engine.h
+++ b/standin/engine.h
@@ -1,8 +1,8 @@
 // Stand-in of a model engine: the HTTP interface over an EngineModel.
 #pragma once
 
+#include "carawaylatch/http/httpserver.h"
 #include "standin/enginemodel.h"
-#include "standin/httpprogram.h"
 
 namespace carawaylatch::standin
 {
@@ -22,7 +22,7 @@
     void addStateHandlers();
 
     EngineModel m_model;
-    HttpProgram m_program;
+    http::HttpServer m_program;
 };
 
 } // namespace carawaylatch::standin
--- a/standin/enginemodel.cpp
+++ b/standin/enginemodel.cpp
@@ -6,7 +6,9 @@
 #include <algorithm>
 
 #include "carawaylatch/base/hash.h"
-#include "standin/httpprogram.h"
+#include "carawaylatch/base/incarnation.h"
+#include "carawaylatch/http/httpserver.h"
+#include "carawaylatch/http/wirejson.h"
 
 namespace carawaylatch::standin
 {
@@ -36,12 +38,12 @@
 
 std::string tokenText(std::string_view prompt, std::uint64_t index)
 {
-    return " " + toHex(base::hash64(prompt, index)).substr(0, TokenDigits);
+    return " " + http::toHex(base::hash64(prompt, index)).substr(0, TokenDigits);
 }
 
 EngineModel::EngineModel(const EngineOptions &options)
     : m_options(options)
-    , m_incarnation(newIncarnation())
+    , m_incarnation(base::newIncarnation())
     , m_cache(options.capacityBlocks)
     , m_weights(options.weights)
     , m_scheduler([this](const std::stop_token &stop) {
--- a/standin/kvstore.h
+++ b/standin/kvstore.h
@@ -5,7 +5,7 @@
 #include <mutex>
 #include <string>
 
-#include "standin/httpprogram.h"
+#include "carawaylatch/http/httpserver.h"
 
 namespace carawaylatch::standin
 {
@@ -22,7 +22,7 @@
 private:
     std::mutex m_mutex;
     std::map<std::string, std::string> m_manifests; // by block key in hex; guarded by m_mutex
-    HttpProgram m_program;
+    http::HttpServer m_program;
 };
 
 } // namespace carawaylatch::standin
--- a/standin/platform.cpp
+++ b/standin/platform.cpp
@@ -95,7 +95,7 @@
         addAdminHandlers();
     }
 
-    HttpProgram &program()
+    http::HttpServer &program()
     {
         return m_program;
     }
@@ -230,7 +230,7 @@
     std::atomic<std::uint64_t> m_watches = 0;
     std::mutex m_mutex;
     std::map<std::string, Fault> m_faults; // by failure domain, "" for all; guarded by m_mutex
-    HttpProgram m_program;
+    http::HttpServer m_program;
     std::vector<std::jthread> m_showing; // guarded by m_mutex; ends before the store
 };
 
--- a/standin/platform.h
+++ b/standin/platform.h
@@ -4,8 +4,8 @@
 
 #include <memory>
 
+#include "carawaylatch/http/httpserver.h"
 #include "carawaylatch/platform/memorystore.h"
-#include "standin/httpprogram.h"
 
 namespace carawaylatch::standin
 {
--- a/standin/service.cpp
+++ b/standin/service.cpp
@@ -10,6 +10,9 @@
 #include <thread>
 #include <vector>
 
+#include "carawaylatch/base/incarnation.h"
+#include "carawaylatch/http/wirejson.h"
+
 namespace carawaylatch::standin
 {
 
@@ -35,14 +38,14 @@
 public:
     explicit Impl(const ServiceOptions &options)
         : m_runTime(options.runTime)
-        , m_incarnation(newIncarnation())
+        , m_incarnation(base::newIncarnation())
         , m_program(options.endpoint)
     {
         addStateHandlers();
         addRunHandlers();
     }
 
-    HttpProgram &program()
+    http::HttpServer &program()
     {
         return m_program;
     }
@@ -53,7 +56,8 @@
         auto &server = m_program.server();
         server.Get("/v1/load", [this](const httplib::Request &, httplib::Response &response) {
             const std::lock_guard lock(m_mutex);
-            response.set_content(Json{{"incarnation", toHex(m_incarnation.value)}, {"state", m_state}, {"running", m_running}, {"age_ms", 0}}.dump(), JsonType);
+            response.set_content(Json{{"incarnation", http::toHex(m_incarnation.value)}, {"state", m_state}, {"running", m_running}, {"age_ms", 0}}.dump(),
+                                 JsonType);
         });
         server.Get("/journal", [this](const httplib::Request &, httplib::Response &response) {
             const std::lock_guard lock(m_mutex);
@@ -93,7 +97,7 @@
     void run(const httplib::Request &request, httplib::Response &response)
     {
         response.set_header("X-Attempt-Id", request.get_header_value("X-Attempt-Id"));
-        response.set_header("X-Incarnation", toHex(m_incarnation.value));
+        response.set_header("X-Incarnation", http::toHex(m_incarnation.value));
         const std::string fault = begin(request);
         if (fault == "refuse" || fault == "leaving") {
             response.status = StatusUnavailable;
@@ -147,7 +151,7 @@
     std::uint64_t m_faultCalls = 0;
     std::string m_state = "live";
     int m_running = 0;
-    HttpProgram m_program;
+    http::HttpServer m_program;
 };
 
 Service::Service(const ServiceOptions &options)
--- a/standin/service.h
+++ b/standin/service.h
@@ -7,7 +7,7 @@
 #include <memory>
 
 #include "carawaylatch/base/time.h"
-#include "standin/httpprogram.h"
+#include "carawaylatch/http/httpserver.h"
 
 namespace carawaylatch::standin
 {
