--- /dev/null
+++ b/carawaylatch/base/controlloop.h
@@ -0,0 +1,63 @@
+// The control thread: it owns all control state and runs what others post to it.
+//
+// Tasks run one at a time in order of posting; timers of the loop's timer
+// service run between them. Neither may block: what waits for a platform, a peer
+// or an upstream runs on another thread and posts its result.
+#pragma once
+
+#include <atomic>
+#include <condition_variable>
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <thread>
+
+#include "carawaylatch/base/time.h"
+#include "carawaylatch/base/timerservice.h"
+
+namespace carawaylatch::base
+{
+
+class ControlLoop
+{
+public:
+    using Task = std::function<void(TimePoint now)>;
+
+    // `clock` must outlive the loop.
+    explicit ControlLoop(const Clock &clock);
+    ~ControlLoop();
+    ControlLoop(const ControlLoop &) = delete;
+    ControlLoop &operator=(const ControlLoop &) = delete;
+
+    void start();
+    // Ends the thread after the task that runs now; later tasks are dropped.
+    void stop();
+    // Runs a task on the control thread. Safe from any thread.
+    void post(Task task);
+    // Posts a task and waits until it has run; false if the loop has stopped.
+    // Not to be called from the control thread.
+    bool run(const Task &task);
+    // For the control thread and before start().
+    [[nodiscard]] TimerService &timers();
+    // Processor time that the control thread has used.
+    [[nodiscard]] Duration processorTime() const;
+
+private:
+    void loop();
+    [[nodiscard]] std::deque<Task> takeTasks();
+    void noteProcessorTime();
+
+    static constexpr Duration LongestSleep = seconds{1};
+
+    const Clock &m_clock;
+    TimerService m_timers; // control thread
+    std::mutex m_mutex;
+    std::condition_variable m_posted;
+    std::deque<Task> m_tasks; // guarded by m_mutex
+    bool m_isStopped = false; // guarded by m_mutex
+    std::atomic<std::int64_t> m_processorNanoseconds = 0;
+    std::thread m_thread;
+};
+
+} // namespace carawaylatch::base
--- /dev/null
+++ b/carawaylatch/router/published.h
@@ -0,0 +1,50 @@
+// What the control thread publishes to traffic threads: immutable, taken whole.
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <string>
+
+#include "carawaylatch/config/tables.h"
+#include "carawaylatch/membership/memberlist.h"
+#include "carawaylatch/upstreams/upstreamview.h"
+
+namespace carawaylatch::router
+{
+
+// Whether new requests are taken; the balancer is told by /readyz.
+enum class Serving {
+    NotYet, // started, configuration or upstreams are missing
+    Yes,
+    Draining, // a planned stop began; requests that still come are served
+    Refusing, // new requests are refused as not run
+};
+
+struct ControlSnapshot
+{
+    std::shared_ptr<const config::Tables> tables; // nullptr before the first configuration
+    std::shared_ptr<const upstreams::UpstreamView> upstreams; // never nullptr
+    std::shared_ptr<const membership::MembershipView> members; // nullptr before the first view
+    Serving serving = Serving::NotYet;
+    std::string notReadyBecause; // empty when ready
+};
+
+// The newest snapshot. Written by the control thread, read by all.
+class Published
+{
+public:
+    [[nodiscard]] std::shared_ptr<const ControlSnapshot> load() const
+    {
+        return m_snapshot.load(std::memory_order_acquire);
+    }
+    void store(std::shared_ptr<const ControlSnapshot> snapshot)
+    {
+        m_snapshot.store(std::move(snapshot), std::memory_order_release);
+    }
+
+private:
+    std::atomic<std::shared_ptr<const ControlSnapshot>> m_snapshot = std::make_shared<const ControlSnapshot>(
+        ControlSnapshot{nullptr, std::make_shared<const upstreams::UpstreamView>(), nullptr, Serving::NotYet, "starting"});
+};
+
+} // namespace carawaylatch::router
--- /dev/null
+++ b/carawaylatch/router/routeplacer.cpp
@@ -0,0 +1,171 @@
+// The namespace of a request depends on the weights version that the pool serves
+// at the moment, so the salt and the chain are made when the request is placed,
+// and anew if the version moved between two attempts. A continuation keeps the
+// version of the tokens already delivered.
+#include "carawaylatch/router/routeplacer.h"
+
+#include <algorithm>
+
+#include "carawaylatch/base/hash.h"
+#include "carawaylatch/prefix/chain.h"
+#include "carawaylatch/prefix/namespace.h"
+
+namespace carawaylatch::router
+{
+
+namespace
+{
+
+constexpr base::Duration ViewRetry = base::seconds{1};
+
+upstreams::AttemptOutcome noticeOf(const relay::AttemptOutcome &outcome)
+{
+    if (outcome.result != relay::AttemptResult::Broken || !outcome.breakKind) {
+        return upstreams::AttemptOutcome::Succeeded;
+    }
+    switch (*outcome.breakKind) {
+    case relay::BreakKind::NotSent:
+        return upstreams::AttemptOutcome::NotSent;
+    case relay::BreakKind::Refused:
+        return upstreams::AttemptOutcome::RefusedOther;
+    case relay::BreakKind::Cancelled:
+        return upstreams::AttemptOutcome::Succeeded;
+    case relay::BreakKind::Lost:
+    case relay::BreakKind::Malformed:
+        break;
+    }
+    return upstreams::AttemptOutcome::Failed;
+}
+
+} // namespace
+
+RoutePlacer::RoutePlacer(const PlacingParts &parts, const RequestContext &context)
+    : m_parts(parts)
+    , m_context(context)
+    , m_blockTokens(std::max(1U, context.pool->blockBytes / prefix::BytesPerToken))
+{
+}
+
+base::Result<relay::AttemptPlan> RoutePlacer::place(const relay::PlacementRequest &request)
+{
+    const base::TimePoint now = m_parts.clock.now();
+    BOOST_OUTCOME_TRY(view, usableView(request.weightsVersion, now));
+    const auto *pool = view->pool(m_context.pool->name);
+    std::vector<base::UpstreamId> excluded;
+    for (const auto &it : request.excluded) {
+        const auto *status = view->find(it.upstream);
+        if (status != nullptr && status->incarnation == it.incarnation) {
+            excluded.push_back(it.upstream);
+        }
+    }
+    BOOST_OUTCOME_TRY(placement, m_parts.strategy.place(routingRequest(excluded, now), *view));
+    if (!view->mayStart(placement.upstream, placement.incarnation, now)) {
+        return base::fail(base::ErrorKind::Unavailable, placement.upstream.value() + " takes no new work; try again", ViewRetry);
+    }
+    Placed placed{placement.slot, placement.incarnation, placement.predictedBlocks, bestHeld(now), {}};
+    placed.ticket = m_parts.knowledge.inflight.begin(placement.slot, placement.missingTokens, now);
+    m_parts.knowledge.caches.recordPlacement(placement.slot, placement.incarnation, m_chain, now);
+    m_parts.knowledge.heat.record(base::hash64(m_context.pool->name.value()), m_chain, prefix::promptTokens(m_context.prompt),
+                                  static_cast<std::uint32_t>(std::max<std::size_t>(1, pool->eligible.size())), now);
+    m_placed.emplace(placement.upstream, std::move(placed));
+    return relay::AttemptPlan{placement.upstream, placement.endpoint, placement.incarnation, m_version, m_salt};
+}
+
+void RoutePlacer::firstToken(const relay::AttemptPlan &plan, base::Duration)
+{
+    const auto it = m_placed.find(plan.upstream);
+    if (it != m_placed.end()) {
+        it->second.ticket.onFirstToken();
+    }
+}
+
+void RoutePlacer::ended(const relay::AttemptOutcome &outcome)
+{
+    const auto it = m_placed.find(outcome.plan.upstream);
+    if (it != m_placed.end()) {
+        it->second.ticket.finish();
+        learn(outcome, it->second);
+        m_placed.erase(it);
+    }
+    m_parts.onAttempt({outcome.plan.upstream, outcome.plan.incarnation, noticeOf(outcome)});
+}
+
+std::uint64_t RoutePlacer::wastedTokens() const
+{
+    return m_wastedTokens;
+}
+
+base::Result<routing::Placement> RoutePlacer::probe()
+{
+    const base::TimePoint now = m_parts.clock.now();
+    BOOST_OUTCOME_TRY(view, usableView(std::nullopt, now));
+    return m_parts.strategy.place(routingRequest({}, now), *view);
+}
+
+base::Result<routing::Explanation> RoutePlacer::explain()
+{
+    const base::TimePoint now = m_parts.clock.now();
+    BOOST_OUTCOME_TRY(view, usableView(std::nullopt, now));
+    return m_parts.strategy.explain(routingRequest({}, now), *view);
+}
+
+base::Result<std::shared_ptr<const upstreams::UpstreamView>> RoutePlacer::usableView(std::optional<base::WeightsVersion> version, base::TimePoint now)
+{
+    auto view = m_parts.published.load()->upstreams;
+    const auto *pool = view->pool(m_context.pool->name);
+    if (pool == nullptr || !view->isUsable(now)) {
+        return base::fail(base::ErrorKind::Unavailable, "the router has no fresh view of its upstreams; nothing ran, try again", ViewRetry);
+    }
+    prepareChain(version.value_or(pool->servingVersion));
+    return view;
+}
+
+routing::PlacementRequest RoutePlacer::routingRequest(const std::vector<base::UpstreamId> &excluded, base::TimePoint now) const
+{
+    routing::PlacementRequest request;
+    request.now = now;
+    request.pool = m_context.pool->name;
+    request.chain = m_chain;
+    request.promptTokens = prefix::promptTokens(m_context.prompt);
+    request.blockTokens = m_blockTokens;
+    request.trafficClass = m_context.head.trafficClass;
+    request.deadline = m_context.deadline;
+    request.excluded = excluded;
+    request.spreadKey = base::hash64(m_context.head.requestId);
+    return request;
+}
+
+void RoutePlacer::prepareChain(base::WeightsVersion version)
+{
+    if (m_salt.value != 0 && version == m_version) {
+        return;
+    }
+    m_version = version;
+    m_salt = prefix::cacheSalt(m_context.customer->id, m_context.model, version, m_context.pool->adapter);
+    m_chain = prefix::blockChain(m_context.prompt, m_salt, m_context.pool->blockBytes);
+}
+
+std::uint32_t RoutePlacer::bestHeld(base::TimePoint now) const
+{
+    std::vector<prefix::Holder> holders;
+    m_parts.knowledge.caches.findHolders(m_chain, now, holders);
+    std::uint32_t best = 0;
+    for (const auto &it : holders) {
+        best = std::max(best, it.blocks);
+    }
+    return best;
+}
+
+void RoutePlacer::learn(const relay::AttemptOutcome &outcome, const Placed &placed)
+{
+    if (outcome.result != relay::AttemptResult::Finished || !outcome.usage || outcome.purpose == relay::AttemptPurpose::Continue) {
+        return;
+    }
+    const auto cachedBlocks = static_cast<std::uint32_t>(outcome.usage->cachedTokens / m_blockTokens);
+    m_parts.knowledge.caches.recordAnswer({placed.slot, placed.incarnation, m_chain, placed.predictedBlocks, cachedBlocks}, m_parts.clock.now());
+    if (placed.bestHeldBlocks > cachedBlocks) {
+        m_wastedTokens += static_cast<std::uint64_t>(placed.bestHeldBlocks - cachedBlocks) * m_blockTokens;
+    }
+}
+
+} // namespace carawaylatch::router
--- /dev/null
+++ b/carawaylatch/router/routeplacer.h
@@ -0,0 +1,84 @@
+// Chooses upstreams for one completion request and feeds what its attempts
+// showed back into the router's knowledge.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "carawaylatch/relay/attemptplan.h"
+#include "carawaylatch/router/filterchain.h"
+#include "carawaylatch/router/knowledge.h"
+#include "carawaylatch/upstreams/registry.h"
+
+namespace carawaylatch::router
+{
+
+// What traffic threads tell the control thread about an attempt.
+struct AttemptNotice
+{
+    base::UpstreamId upstream;
+    base::Incarnation incarnation;
+    upstreams::AttemptOutcome outcome = upstreams::AttemptOutcome::Succeeded;
+};
+using AttemptListener = std::function<void(const AttemptNotice &notice)>;
+
+// Parts that placing needs; all outlive the requests.
+struct PlacingParts
+{
+    const Published &published;
+    Knowledge &knowledge;
+    const routing::RoutingStrategy &strategy;
+    const base::Clock &clock;
+    AttemptListener onAttempt;
+};
+
+class RoutePlacer : public relay::Placer
+{
+public:
+    // Both outlive the placer.
+    RoutePlacer(const PlacingParts &parts, const RequestContext &context);
+
+    [[nodiscard]] base::Result<relay::AttemptPlan> place(const relay::PlacementRequest &request) override;
+    void firstToken(const relay::AttemptPlan &plan, base::Duration sinceStart) override;
+    void ended(const relay::AttemptOutcome &outcome) override;
+
+    // Prompt tokens that were computed although a live upstream held them when
+    // the request was placed; known once an attempt has finished.
+    [[nodiscard]] std::uint64_t wastedTokens() const;
+    // Returns the placement that a new request would get, without taking it.
+    [[nodiscard]] base::Result<routing::Placement> probe();
+    // Returns every candidate of that placement with its estimate.
+    [[nodiscard]] base::Result<routing::Explanation> explain();
+
+private:
+    // One placement, until its attempt ends.
+    struct Placed
+    {
+        upstreams::Slot slot;
+        base::Incarnation incarnation;
+        std::uint32_t predictedBlocks = 0;
+        std::uint32_t bestHeldBlocks = 0; // by any live upstream
+        upstreams::InflightTable::Ticket ticket;
+    };
+
+    [[nodiscard]] routing::PlacementRequest routingRequest(const std::vector<base::UpstreamId> &excluded, base::TimePoint now) const;
+    void prepareChain(base::WeightsVersion version);
+    // Returns a view that may be used now, its chain prepared.
+    [[nodiscard]] base::Result<std::shared_ptr<const upstreams::UpstreamView>> usableView(std::optional<base::WeightsVersion> version, base::TimePoint now);
+    [[nodiscard]] std::uint32_t bestHeld(base::TimePoint now) const;
+    void learn(const relay::AttemptOutcome &outcome, const Placed &placed);
+
+    const PlacingParts &m_parts;
+    const RequestContext &m_context;
+    std::uint32_t m_blockTokens = 1;
+    base::WeightsVersion m_version; // of m_salt and m_chain
+    base::CacheSalt m_salt;
+    std::vector<std::uint64_t> m_chain;
+    std::multimap<base::UpstreamId, Placed> m_placed; // open attempts, a handful
+    std::uint64_t m_wastedTokens = 0;
+};
+
+} // namespace carawaylatch::router
