--- /dev/null
+++ b/carawaylatch/config/acceptance.h
@@ -0,0 +1,135 @@
+// Acceptance of one edit, as a state machine without I/O.
+//
+// The driver executes what request() asks for and reports the result:
+//
+//     Acceptance acceptance(edit, AcceptanceOptions{});
+//     while (const auto *request = acceptance.request()) {
+//         ... read, write or remove; then acceptance.onRead(...) or onWritten(...)
+//     }
+//     acceptance.outcome()
+//
+// The conditional write of the head is the only point of acceptance. A race lost
+// to an edit of other rows is tried again on top of it and checked again; one of
+// the same row is a Conflict that names both revisions. A write whose answer was
+// lost is settled by reading back: the edit is in force if and only if the edit
+// at its revision has its id. The head is compacted before it grows too large.
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "carawaylatch/base/error.h"
+#include "carawaylatch/config/head.h"
+#include "carawaylatch/platform/objectstore.h"
+
+namespace carawaylatch::config
+{
+
+enum class AcceptanceStep {
+    ReadHead,
+    ReadSnapshot,
+    WriteSnapshot, // of a compaction; the edit goes on if it fails
+    WriteHistory, // of a compaction
+    WriteHead,
+    ReadBack, // the write's answer was lost
+    ReadHistory, // the edit may have left the head since
+    RemoveSnapshot, // the one before the last; may fail
+    Done,
+};
+
+// All steps that talk to the store, for fault tables.
+constexpr AcceptanceStep AllAcceptanceSteps[] = {
+    AcceptanceStep::ReadHead,  AcceptanceStep::ReadSnapshot, AcceptanceStep::WriteSnapshot, AcceptanceStep::WriteHistory,
+    AcceptanceStep::WriteHead, AcceptanceStep::ReadBack,     AcceptanceStep::ReadHistory,   AcceptanceStep::RemoveSnapshot,
+};
+
+struct StoreRequest
+{
+    enum class Kind {
+        Read,
+        Write,
+        Remove,
+    };
+    Kind kind = Kind::Read;
+    std::string name;
+    std::string value;
+    platform::Version expected;
+};
+
+enum class DryRun {
+    Off,
+    On, // stop before the first write
+};
+
+struct AcceptanceOptions
+{
+    DryRun dryRun = DryRun::Off;
+    std::uint32_t maxRaces = 64; // lost races and unclear writes until Conflict or Unclear
+    std::uint32_t maxReadBacks = 8; // failed reads back until Unclear
+    std::size_t compactAfter = 128; // edits in the head
+    std::size_t keepEdits = 32; // edits that stay in the head at a compaction
+};
+
+struct Accepted
+{
+    base::Revision revision; // of the edit; of the configuration found if nothing changed
+    RowSet rows; // the configuration with the edit
+    std::size_t changedRows = 0; // zero if the tables already were as asked
+};
+
+class Acceptance
+{
+public:
+    Acceptance(Edit edit, AcceptanceOptions options);
+
+    // Returns what to do next, or nullptr once done.
+    [[nodiscard]] const StoreRequest *request() const;
+    [[nodiscard]] AcceptanceStep step() const;
+    // Reports the result of a Read.
+    void onRead(const base::Result<platform::Object> &result);
+    // Reports the result of a Write or Remove; of a Remove the version is ignored.
+    void onWritten(const base::Result<platform::Version> &result);
+    // Returns the result once done. Unavailable: the edit is not in force and was not
+    // accepted. Unclear: it may be; ask the history for its id.
+    [[nodiscard]] const base::Result<Accepted> &outcome() const;
+
+private:
+    void read(AcceptanceStep step, std::string name);
+    void write(AcceptanceStep step, std::string name, std::string value, platform::Version expected);
+    void finish(base::Result<Accepted> outcome);
+    void restart();
+    void onHead(const base::Result<platform::Object> &result);
+    void onSnapshot(const base::Result<platform::Object> &result);
+    void onReadBack(const base::Result<platform::Object> &result);
+    void onHistory(const base::Result<platform::Object> &result);
+    void onHeadWritten(const base::Result<platform::Version> &result);
+    void decide(RowSet current);
+    void fixExpectations(const RowSet &current);
+    [[nodiscard]] base::Result<void> checkConflicts(const RowSet &current) const;
+    void compactOrWrite();
+    void startCompaction();
+    void writeHead();
+    void afterAccepted();
+    void settle(const Head &head);
+    void failRead(const base::Error &error, const std::string &what);
+
+    Edit m_edit;
+    AcceptanceOptions m_options;
+    AcceptanceStep m_step = AcceptanceStep::ReadHead;
+    std::optional<StoreRequest> m_request;
+    std::optional<base::Result<Accepted>> m_outcome;
+
+    Head m_head; // as read last
+    platform::Version m_headVersion; // of m_head in the store
+    RowSet m_snapshot; // of m_head.snapshotName
+    std::string m_snapshotName; // whose content m_snapshot is
+    RowSet m_next; // the configuration with the edit
+    Head m_nextHead; // what is written
+    std::string m_oldSnapshot; // to remove after a compaction
+    bool m_areExpectationsFixed = false;
+    bool m_mayBeWritten = false; // a write of the head with an unknown result
+    std::uint32_t m_races = 0;
+    std::uint32_t m_readBacks = 0;
+};
+
+} // namespace carawaylatch::config
--- /dev/null
+++ b/carawaylatch/config/headstore.h
@@ -0,0 +1,73 @@
+// The stored configuration: what operators and routers call.
+//
+//     HeadStore store(objects);
+//     BOOST_OUTCOME_TRY(loaded, store.load());
+//     store.apply({id, "alice", now, {}, changes});
+//
+// Blocking; called from platform threads and tools, never from the control thread.
+#pragma once
+
+#include <functional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "carawaylatch/base/error.h"
+#include "carawaylatch/base/hash.h"
+#include "carawaylatch/config/acceptance.h"
+#include "carawaylatch/config/head.h"
+#include "carawaylatch/platform/objectstore.h"
+
+namespace carawaylatch::config
+{
+
+// What the platform holds.
+struct StoredConfig
+{
+    Head head;
+    platform::Version version; // of the head object, to watch from
+    RowSet rows;
+};
+
+// Which rows of the present tables a file replaces.
+enum class FileScope {
+    Rows, // only those it names
+    Whole, // all: rows that it doesn't name are removed
+};
+
+// Returns the changes that make `current` equal to `wanted`; rows that are equal don't count.
+// A row of `wanted` with a revision is expected to be at that revision.
+[[nodiscard]] std::vector<RowChange> changesBetween(const RowSet &current, const RowSet &wanted, FileScope scope);
+
+// Returns an id for a new edit; `random` must be seeded differently in every process.
+[[nodiscard]] EditId makeEditId(base::Random &random);
+
+class HeadStore
+{
+public:
+    // Pauses between repeated tries; tests pass one that returns at once.
+    using Pause = std::function<void(base::Duration)>;
+
+    // `objects` must outlive this.
+    explicit HeadStore(platform::ObjectStore &objects, AcceptanceOptions options = {}, Pause pause = {});
+
+    // Accepts an edit or says why not; see Acceptance::outcome() for what an error means.
+    [[nodiscard]] base::Result<Accepted> apply(Edit edit);
+    // Checks an edit against the present configuration and writes nothing.
+    [[nodiscard]] base::Result<Accepted> dryRun(Edit edit);
+    // Reads head and snapshot; an empty configuration of revision zero if there is none yet.
+    [[nodiscard]] base::Result<StoredConfig> load();
+    // Returns accepted edits, newest first, at most `limit`.
+    [[nodiscard]] base::Result<std::vector<Edit>> history(std::size_t limit);
+
+private:
+    [[nodiscard]] base::Result<Accepted> run(Edit edit, AcceptanceOptions options);
+    void execute(Acceptance &acceptance);
+
+    platform::ObjectStore &m_objects;
+    AcceptanceOptions m_options;
+    Pause m_pause;
+};
+
+} // namespace carawaylatch::config
--- /dev/null
+++ b/carawaylatch/membership/memberlist.h
@@ -0,0 +1,213 @@
+// The list of routers, as a state machine without I/O.
+//
+// In the manner of SWIM (Das, Gupta, Motivala 2002): a router probes one other
+// every period, asks a few others to probe it if it doesn't answer, suspects it
+// if these fail too and declares it dead if it doesn't refute the suspicion in
+// time. What changes travels on the probes. The platform's list of VMs and the
+// settings only seed the list.
+//
+//     MemberList members(options, self, now);
+//     members.onSeeds(endpoints);
+//     members.onTick(now);            // at nextDeadline() or every heartbeat
+//     for (auto &it : members.takeActions()) ...
+//     publish(members.view());
+//
+// Each router probes a small set: its next few routers on a ring in hash order,
+// so that everybody is watched, and some others that change slowly, so that news
+// reaches all in a logarithmic number of steps over few connections.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "carawaylatch/base/hash.h"
+#include "carawaylatch/base/ids.h"
+#include "carawaylatch/base/time.h"
+#include "carawaylatch/membership/member.h"
+
+namespace carawaylatch::membership
+{
+
+struct MemberListOptions
+{
+    base::Duration heartbeat = base::milliseconds{500}; // one probe each
+    base::Duration probeTimeout = base::milliseconds{200}; // until others are asked
+    base::Duration suspicion = base::seconds{2}; // until a suspect is dead
+    base::Duration reshuffle = base::seconds{10}; // until one of the probed is exchanged
+    base::Duration reconnect = base::seconds{2}; // between probes of a dead member or seed
+    base::Duration deadRetention = base::hours{24}; // then a dead member is forgotten
+    std::uint32_t ringProbes = 2; // next routers in hash order
+    std::uint32_t randomProbes = 6;
+    std::uint32_t indirectProbes = 3; // routers asked to probe another
+    std::uint32_t maxUpdates = 12; // records on one message
+    std::uint32_t pageRecords = 100; // records on one page of the table
+    std::size_t maxMembers = 8'192; // beyond it the longest dead are forgotten, then news of new ones dropped
+    std::uint64_t seed = 1; // of random choices
+};
+
+using MemberMessage = std::variant<Probe, ProbeAck, IndirectProbe, TableRequest, TablePage>;
+
+// Where to send: a member, or a seed of which only the endpoint is known.
+struct MemberAddress
+{
+    base::RouterId id; // empty for a seed
+    base::Endpoint endpoint;
+
+    auto operator<=>(const MemberAddress &) const = default;
+    bool operator==(const MemberAddress &) const = default;
+};
+
+struct SendMember
+{
+    MemberAddress to;
+    MemberMessage message;
+};
+
+// A member appeared, changed state or came back with another incarnation.
+struct MemberChanged
+{
+    MemberRecord record;
+};
+
+// A message showed a member's revision.
+struct RevisionSeen
+{
+    base::RouterId member;
+    base::Revision revision;
+};
+
+using MemberAction = std::variant<SendMember, MemberChanged, RevisionSeen>;
+
+// A member as other parts see it.
+struct MemberView
+{
+    MemberRecord record;
+    base::Revision revision; // last seen in a message of its own; may lag
+};
+
+// Immutable list for other threads, ordered by id.
+struct MembershipView
+{
+    base::RouterId self;
+    std::vector<MemberView> members; // this router included, dead ones left out
+
+    // Returns how many are alive or suspect.
+    [[nodiscard]] std::size_t liveCount() const;
+    // Returns the routers of a failure domain that take duties, by rank: in rendezvous
+    // order for a duty's name, so that all routers with the same view agree.
+    [[nodiscard]] std::vector<base::RouterId> ranked(std::string_view duty, const base::FailureDomain &domain) const;
+};
+
+class MemberList
+{
+public:
+    // `self` has the state Alive and a life; the time in milliseconds will do, because a
+    // router that finds a greater life of itself with others goes beyond it.
+    MemberList(MemberListOptions options, MemberRecord self, base::TimePoint now);
+
+    // Endpoints from settings and from the platform's list, to be asked if they are no members.
+    void onSeeds(std::span<const base::Endpoint> seeds);
+    // Member records known from elsewhere, such as a snapshot.
+    void onRecords(std::span<const MemberRecord> records, base::TimePoint now);
+    void onMessage(const MemberMessage &message, base::TimePoint now);
+    void onTick(base::TimePoint now);
+    // This router's configuration revision, for its messages.
+    void setRevision(base::Revision revision);
+    // Announces the planned stop; the router stays in the list as Leaving.
+    void leave(base::TimePoint now);
+    // Announces the end of a planned stop, so that nobody has to suspect.
+    void depart(base::TimePoint now);
+
+    [[nodiscard]] std::vector<MemberAction> takeActions();
+    [[nodiscard]] base::TimePoint nextDeadline() const;
+    [[nodiscard]] std::shared_ptr<const MembershipView> view() const;
+    [[nodiscard]] const MemberRecord &self() const;
+    // Members that this router probes now.
+    [[nodiscard]] std::vector<base::RouterId> probed() const;
+    // All records, dead ones included.
+    [[nodiscard]] std::vector<MemberRecord> records() const;
+    [[nodiscard]] MemberDigest digest() const;
+
+private:
+    struct Member
+    {
+        MemberRecord record;
+        base::Revision revision;
+        base::TimePoint since; // of the state
+    };
+    // A probe without an answer yet.
+    struct Pending
+    {
+        MemberAddress target;
+        base::TimePoint sentAt;
+        bool isIndirect = false; // others were asked
+    };
+    // A probe on behalf of another router.
+    struct Relayed
+    {
+        std::uint64_t number = 0; // of the asking router
+        MemberAddress asker;
+        base::TimePoint sentAt;
+    };
+    struct Update
+    {
+        base::RouterId id;
+        std::uint32_t sent = 0; // how often
+    };
+
+    void handle(const Probe &message, base::TimePoint now);
+    void handle(const ProbeAck &message, base::TimePoint now);
+    void handle(const IndirectProbe &message, base::TimePoint now);
+    void handle(const TableRequest &message, base::TimePoint now);
+    void handle(const TablePage &message, base::TimePoint now);
+    void absorb(const Gossip &gossip, base::TimePoint now);
+    void merge(const MemberRecord &record, base::TimePoint now);
+    void mergeSelf(const MemberRecord &record);
+    void store(Member &member, const MemberRecord &record, base::TimePoint now);
+    void setState(Member &member, MemberState state, base::TimePoint now);
+    void announce(const base::RouterId &id);
+    void send(const MemberAddress &to, MemberMessage message);
+    [[nodiscard]] Gossip makeGossip(const base::RouterId &to);
+    [[nodiscard]] std::uint32_t retransmissions() const;
+    void probeNext(base::TimePoint now);
+    void probe(const MemberAddress &target, base::TimePoint now);
+    void reconnectNext(base::TimePoint now);
+    void expireProbes(base::TimePoint now);
+    void expireSuspects(base::TimePoint now);
+    void forgetDead(base::TimePoint now);
+    void chooseProbed();
+    void exchangeProbed();
+    void syncWith(const Gossip &gossip, base::TimePoint now);
+    [[nodiscard]] std::vector<base::RouterId> others(MemberState last) const;
+
+    MemberListOptions m_options;
+    MemberRecord m_self;
+    base::Revision m_revision;
+    base::Random m_random;
+    std::map<base::RouterId, Member> m_members; // without this router; at most maxMembers
+    std::uint64_t m_hash = 0; // of all records, this router's included; see MemberDigest
+    std::set<base::Endpoint> m_seeds; // that are no members
+    std::vector<base::RouterId> m_probed;
+    std::size_t m_nextProbed = 0;
+    bool m_isProbedStale = true; // members came or went since m_probed was chosen
+    std::map<std::uint64_t, Pending> m_pending; // by number; ends within two heartbeats
+    std::map<std::uint64_t, Relayed> m_relayed; // by own number; ends within two heartbeats
+    std::uint64_t m_lastNumber = 0;
+    std::deque<Update> m_updates; // at most one for each member, least sent first
+    base::TimePoint m_nextHeartbeat;
+    base::TimePoint m_nextReshuffle;
+    base::TimePoint m_nextReconnect;
+    std::optional<base::TimePoint> m_syncAskedAt; // a page is under way
+    std::vector<MemberAction> m_actions;
+    mutable std::shared_ptr<const MembershipView> m_view; // nullptr if a change made it old
+};
+
+} // namespace carawaylatch::membership
