--- /dev/null
+++ b/carawaylatch/config/acceptance.cpp
@@ -0,0 +1,451 @@
+// Decisions of the acceptance of one edit.
+//
+// The head's version is the lock-free serialisation point: an edit is computed
+// against one version and written only over that version. So an edit that was
+// tried has exactly one revision that it can have, the one after the head it was
+// computed from, and whether it is in force can be read off later: either the
+// edit at that revision has its id, or it will never be in force in that form.
+// Two cases need care. A write whose answer was lost may still be on its way; it
+// is written again over the same version, so that whichever copy arrives first
+// wins and the other meets a conflict. And a head may have been compacted since;
+// then the history object that covers the revision is read.
+//
+// Compaction writes the snapshot and the history before the head that names them,
+// never after, so that a head never names what doesn't exist. Their content
+// follows from the total order of edits, so two writers of one name agree, and
+// "exists already" counts as written. What a compaction replaces is removed after
+// the head is written; a reader that still has the old head reads it again.
+#include "carawaylatch/config/acceptance.h"
+
+#include <algorithm>
+
+#include "carawaylatch/config/inidocument.h"
+
+namespace carawaylatch::config
+{
+
+using base::ErrorKind;
+using base::ok;
+using base::Result;
+
+namespace
+{
+
+constexpr std::size_t CompactHeadBytes = 300'000; // a head of this size is compacted early
+constexpr std::size_t MaxHeadBytes = 950'000;
+constexpr base::Duration RetryAfter = base::seconds{1};
+
+Result<void> checkEdit(const Edit &edit)
+{
+    BOOST_OUTCOME_TRY(checkIniValue(edit.author));
+    for (const auto &change : edit.changes) {
+        for (const auto &field : change.row.fields) {
+            BOOST_OUTCOME_TRY(checkIniValue(field.value));
+        }
+    }
+    return ok();
+}
+
+std::string revisionText(base::Revision revision)
+{
+    return revision.value == 0 ? std::string("absent") : "revision " + std::to_string(revision.value);
+}
+
+} // namespace
+
+Acceptance::Acceptance(Edit edit, AcceptanceOptions options)
+    : m_edit(std::move(edit))
+    , m_options(options)
+{
+    if (const auto checked = checkEdit(m_edit); !checked) {
+        finish(checked.error());
+    } else {
+        read(AcceptanceStep::ReadHead, std::string(HeadName));
+    }
+}
+
+const StoreRequest *Acceptance::request() const
+{
+    return m_request ? &*m_request : nullptr;
+}
+
+AcceptanceStep Acceptance::step() const
+{
+    return m_step;
+}
+
+const Result<Accepted> &Acceptance::outcome() const
+{
+    return *m_outcome;
+}
+
+void Acceptance::read(AcceptanceStep step, std::string name)
+{
+    m_step = step;
+    m_request = StoreRequest{StoreRequest::Kind::Read, std::move(name), {}, {}};
+}
+
+void Acceptance::write(AcceptanceStep step, std::string name, std::string value, platform::Version expected)
+{
+    m_step = step;
+    m_request = StoreRequest{StoreRequest::Kind::Write, std::move(name), std::move(value), expected};
+}
+
+void Acceptance::finish(Result<Accepted> outcome)
+{
+    const bool isAccepted = outcome.has_value();
+    m_outcome = std::move(outcome);
+    if (isAccepted) {
+        removeNext();
+    } else {
+        m_step = AcceptanceStep::Done;
+        m_request.reset();
+    }
+}
+
+void Acceptance::removeNext()
+{
+    if (m_old.empty()) {
+        m_step = AcceptanceStep::Done;
+        m_request.reset();
+        return;
+    }
+    read(AcceptanceStep::RemoveOld, std::move(m_old.back()));
+    m_old.pop_back();
+}
+
+void Acceptance::restart()
+{
+    m_old.clear();
+    read(AcceptanceStep::ReadHead, std::string(HeadName));
+}
+
+bool Acceptance::spendRace()
+{
+    return ++m_races <= m_options.maxRaces;
+}
+
+void Acceptance::onRead(const Result<platform::Object> &result)
+{
+    switch (m_step) {
+    case AcceptanceStep::ReadHead:
+        onHead(result);
+        break;
+    case AcceptanceStep::ReadSnapshot:
+        onSnapshot(result);
+        break;
+    case AcceptanceStep::ReadBack:
+        onReadBack(result);
+        break;
+    case AcceptanceStep::ReadHistory:
+        onHistory(result);
+        break;
+    case AcceptanceStep::RemoveOld:
+        if (result) {
+            m_request = StoreRequest{StoreRequest::Kind::Remove, result.value().name, {}, result.value().version};
+        } else {
+            removeNext();
+        }
+        break;
+    default:
+        break;
+    }
+}
+
+void Acceptance::onWritten(const Result<platform::Version> &result)
+{
+    switch (m_step) {
+    case AcceptanceStep::WriteSnapshot:
+    case AcceptanceStep::WriteHistory:
+        onCompactionWritten(result);
+        break;
+    case AcceptanceStep::WriteHead:
+        onHeadWritten(result);
+        break;
+    case AcceptanceStep::RemoveOld:
+        removeNext();
+        break;
+    default:
+        break;
+    }
+}
+
+void Acceptance::onHead(const Result<platform::Object> &result)
+{
+    m_head = {};
+    m_headVersion = {};
+    if (result) {
+        auto head = parseHead(result.value().value);
+        if (!head) {
+            finish(head.error());
+            return;
+        }
+        m_head = std::move(head.value());
+        m_headVersion = result.value().version;
+    } else if (result.error().kind != ErrorKind::NotFound) {
+        finish(base::fail(ErrorKind::Unavailable, "the configuration can't be read and nothing was changed: " + result.error().message, RetryAfter));
+        return;
+    }
+    if (m_head.snapshotName.empty()) {
+        m_snapshot = {};
+        m_snapshotName.clear();
+    } else if (m_head.snapshotName != m_snapshotName) {
+        read(AcceptanceStep::ReadSnapshot, m_head.snapshotName);
+        return;
+    }
+    decide(materialize(m_snapshot, m_head));
+}
+
+void Acceptance::onSnapshot(const Result<platform::Object> &result)
+{
+    if (!result && result.error().kind == ErrorKind::NotFound && spendRace()) {
+        restart(); // replaced by a compaction since the head was read
+        return;
+    }
+    if (!result) {
+        finish(base::fail(ErrorKind::Unavailable, "the configuration's snapshot can't be read and nothing was changed: " + result.error().message, RetryAfter));
+        return;
+    }
+    auto rows = parseSnapshot(result.value().value);
+    if (!rows) {
+        finish(rows.error());
+        return;
+    }
+    m_snapshot = std::move(rows.value());
+    m_snapshotName = m_head.snapshotName;
+    decide(materialize(m_snapshot, m_head));
+}
+
+void Acceptance::fixExpectations(const RowSet &current)
+{
+    if (m_areExpectationsFixed) {
+        return;
+    }
+    m_areExpectationsFixed = true;
+    std::erase_if(m_edit.changes, [&](const RowChange &it) {
+        const auto *row = current.find(it.row.key);
+        return it.kind == RowChange::Kind::Put ? row != nullptr && row->fields == it.row.fields : row == nullptr;
+    });
+    for (auto &it : m_edit.changes) {
+        const auto *row = current.find(it.row.key);
+        if (!it.expected) {
+            it.expected = row != nullptr ? row->revision : base::Revision{};
+        }
+    }
+}
+
+Result<void> Acceptance::checkConflicts(const RowSet &current) const
+{
+    for (const auto &it : m_edit.changes) {
+        const auto *row = current.find(it.row.key);
+        const auto found = row != nullptr ? row->revision : base::Revision{};
+        if (found != *it.expected) {
+            return base::fail(ErrorKind::Conflict, "[" + rowLabel(it.row.key) + "] was edited from " + revisionText(*it.expected) + " but is now at "
+                                                       + revisionText(found) + "; get the row again and repeat the edit on it");
+        }
+    }
+    return ok();
+}
+
+void Acceptance::decide(RowSet current)
+{
+    const auto same = std::find_if(m_head.edits.begin(), m_head.edits.end(), [this](const Edit &it) {
+        return it.id == m_edit.id;
+    });
+    if (same != m_head.edits.end()) {
+        finish(Accepted{same->revision, std::move(current), same->changes.size()});
+        return;
+    }
+    fixExpectations(current);
+    if (const auto checked = checkConflicts(current); !checked) {
+        finish(checked.error());
+        return;
+    }
+    if (m_edit.changes.empty()) {
+        const auto revision = current.revision;
+        finish(Accepted{revision, std::move(current), 0});
+        return;
+    }
+    m_edit.revision.value = current.revision.value + 1;
+    m_next = std::move(current);
+    applyEdit(m_next, m_edit);
+    if (const auto tables = toTables(m_next); !tables) {
+        finish(tables.error());
+    } else if (formatSnapshot(m_next).size() > MaxHeadBytes) {
+        finish(base::fail(ErrorKind::InvalidArgument, "the tables would be larger than 950000 bytes; remove rows that are no longer needed"));
+    } else if (m_options.dryRun == DryRun::On) {
+        finish(Accepted{m_edit.revision, m_next, m_edit.changes.size()});
+    } else {
+        compactOrWrite();
+    }
+}
+
+void Acceptance::compactOrWrite()
+{
+    m_nextHead = m_head;
+    if (m_head.edits.size() >= m_options.compactAfter || formatHead(m_head).size() > CompactHeadBytes) {
+        startCompaction();
+    } else {
+        writeHead();
+    }
+}
+
+void Acceptance::startCompaction()
+{
+    const auto kept = std::min(m_options.keepEdits, m_head.edits.size() / 2);
+    const auto cut = m_head.edits.end() - static_cast<std::ptrdiff_t>(kept);
+    RowSet rows = m_snapshot;
+    for (auto it = m_head.edits.begin(); it != cut; ++it) {
+        applyEdit(rows, *it);
+    }
+    auto text = formatSnapshot(rows);
+    m_nextHead.snapshotName = snapshotName(rows.revision, text);
+    m_nextHead.snapshotRevision = rows.revision;
+    m_nextHead.edits.assign(cut, m_head.edits.end());
+    m_nextHead.history.push_back({m_head.edits.front().revision, rows.revision});
+    write(AcceptanceStep::WriteSnapshot, m_nextHead.snapshotName, std::move(text), {});
+}
+
+void Acceptance::onCompactionWritten(const Result<platform::Version> &result)
+{
+    const bool isWritten = result || result.error().kind == ErrorKind::Conflict;
+    if (!isWritten) {
+        m_nextHead = m_head; // the next edit will compact
+        m_old.clear();
+        writeHead();
+    } else if (m_step == AcceptanceStep::WriteSnapshot) {
+        const auto &part = m_nextHead.history.back();
+        const auto count = static_cast<std::ptrdiff_t>(part.last.value - part.first.value + 1);
+        write(AcceptanceStep::WriteHistory, historyName(part), formatEdits({m_head.edits.begin(), m_head.edits.begin() + count}), {});
+    } else {
+        if (!m_head.snapshotName.empty()) {
+            m_old.push_back(m_head.snapshotName);
+        }
+        if (m_nextHead.history.size() > MaxHistoryParts) {
+            m_old.push_back(historyName(m_nextHead.history.front()));
+            m_nextHead.history.erase(m_nextHead.history.begin());
+        }
+        writeHead();
+    }
+}
+
+void Acceptance::writeHead()
+{
+    m_nextHead.revision = m_edit.revision;
+    m_nextHead.edits.push_back(m_edit);
+    auto text = formatHead(m_nextHead);
+    if (text.size() > MaxHeadBytes) {
+        finish(base::fail(ErrorKind::InvalidArgument, "the edit is too large for one write; apply its rows in several edits, or wait for a compaction",
+                          RetryAfter));
+        return;
+    }
+    write(AcceptanceStep::WriteHead, std::string(HeadName), std::move(text), m_headVersion);
+}
+
+void Acceptance::onHeadWritten(const Result<platform::Version> &result)
+{
+    if (result) {
+        finish(Accepted{m_edit.revision, m_next, m_edit.changes.size()});
+        return;
+    }
+    const auto kind = result.error().kind;
+    m_mayBeWritten = m_mayBeWritten || (kind != ErrorKind::Conflict && kind != ErrorKind::Unavailable);
+    if (m_mayBeWritten) {
+        read(AcceptanceStep::ReadBack, std::string(HeadName));
+    } else if (kind == ErrorKind::Unavailable) {
+        finish(base::fail(ErrorKind::Unavailable, "the platform was not reached and nothing was changed: " + result.error().message, RetryAfter));
+    } else if (spendRace()) {
+        restart();
+    } else {
+        finish(base::fail(ErrorKind::Conflict, "other edits kept coming first; nothing was changed, try again", RetryAfter));
+    }
+}
+
+void Acceptance::retryReadBack(const base::Error &error)
+{
+    if (++m_readBacks <= m_options.maxReadBacks) {
+        return; // the same request again
+    }
+    finish(base::fail(ErrorKind::Unclear,
+                      "the edit may be in force: its write was not answered and can't be read back (" + error.message
+                          + "); repeat it with the same id, or look for its id in the history",
+                      RetryAfter));
+}
+
+void Acceptance::onReadBack(const Result<platform::Object> &result)
+{
+    if (!result && result.error().kind == ErrorKind::NotFound) {
+        settle({});
+        return;
+    }
+    if (!result) {
+        retryReadBack(result.error());
+        return;
+    }
+    const auto head = parseHead(result.value().value);
+    if (!head) {
+        finish(head.error());
+        return;
+    }
+    settle(head.value());
+}
+
+// Decides by a head read after the unclear write.
+void Acceptance::settle(const Head &head)
+{
+    const auto revision = m_edit.revision;
+    if (head.revision < revision) {
+        if (spendRace()) {
+            write(AcceptanceStep::WriteHead, std::string(HeadName), formatHead(m_nextHead), m_headVersion);
+        } else {
+            m_readBacks = m_options.maxReadBacks;
+            retryReadBack(base::fail(ErrorKind::Unclear, "no write is answered"));
+        }
+        return;
+    }
+    if (head.snapshotRevision < revision) {
+        settleEdit(head.edits[revision.value - head.snapshotRevision.value - 1]);
+        return;
+    }
+    const auto part = std::find_if(head.history.begin(), head.history.end(), [revision](const HistoryPart &it) {
+        return it.first <= revision && revision <= it.last;
+    });
+    if (part == head.history.end()) {
+        m_readBacks = m_options.maxReadBacks;
+        retryReadBack(base::fail(ErrorKind::NotFound, "the history doesn't reach back to it"));
+        return;
+    }
+    read(AcceptanceStep::ReadHistory, historyName(*part));
+}
+
+void Acceptance::onHistory(const Result<platform::Object> &result)
+{
+    if (!result) {
+        retryReadBack(result.error());
+        return;
+    }
+    const auto edits = parseEdits(result.value().value);
+    if (!edits || edits.value().empty() || m_edit.revision < edits.value().front().revision || edits.value().back().revision < m_edit.revision) {
+        m_readBacks = m_options.maxReadBacks;
+        retryReadBack(edits ? base::fail(ErrorKind::NotFound, "the history has a gap") : edits.error());
+        return;
+    }
+    settleEdit(edits.value()[m_edit.revision.value - edits.value().front().revision.value]);
+}
+
+// Decides by the edit that has the revision which this one would have.
+void Acceptance::settleEdit(const Edit &edit)
+{
+    if (edit.id == m_edit.id) {
+        finish(Accepted{m_edit.revision, m_next, m_edit.changes.size()});
+        return;
+    }
+    m_mayBeWritten = false;
+    if (spendRace()) {
+        restart();
+    } else {
+        finish(base::fail(ErrorKind::Conflict, "other edits kept coming first; nothing was changed, try again", RetryAfter));
+    }
+}
+
+} // namespace carawaylatch::config
--- a/carawaylatch/config/acceptance.h
+++ b/carawaylatch/config/acceptance.h
@@ -33,14 +33,14 @@
     WriteHead,
     ReadBack, // the write's answer was lost
     ReadHistory, // the edit may have left the head since
-    RemoveSnapshot, // the one before the last; may fail
+    RemoveOld, // what a compaction replaced; may fail
     Done,
 };
 
 // All steps that talk to the store, for fault tables.
 constexpr AcceptanceStep AllAcceptanceSteps[] = {
     AcceptanceStep::ReadHead,  AcceptanceStep::ReadSnapshot, AcceptanceStep::WriteSnapshot, AcceptanceStep::WriteHistory,
-    AcceptanceStep::WriteHead, AcceptanceStep::ReadBack,     AcceptanceStep::ReadHistory,   AcceptanceStep::RemoveSnapshot,
+    AcceptanceStep::WriteHead, AcceptanceStep::ReadBack,     AcceptanceStep::ReadHistory,   AcceptanceStep::RemoveOld,
 };
 
 struct StoreRequest
@@ -108,16 +108,19 @@
     [[nodiscard]] base::Result<void> checkConflicts(const RowSet &current) const;
     void compactOrWrite();
     void startCompaction();
+    void onCompactionWritten(const base::Result<platform::Version> &result);
     void writeHead();
-    void afterAccepted();
+    void removeNext();
     void settle(const Head &head);
-    void failRead(const base::Error &error, const std::string &what);
+    void settleEdit(const Edit &edit);
+    void retryReadBack(const base::Error &error);
+    [[nodiscard]] bool spendRace();
 
     Edit m_edit;
     AcceptanceOptions m_options;
     AcceptanceStep m_step = AcceptanceStep::ReadHead;
     std::optional<StoreRequest> m_request;
-    std::optional<base::Result<Accepted>> m_outcome;
+    std::optional<base::Result<Accepted>> m_outcome; // set before RemoveOld already
 
     Head m_head; // as read last
     platform::Version m_headVersion; // of m_head in the store
@@ -125,7 +128,7 @@
     std::string m_snapshotName; // whose content m_snapshot is
     RowSet m_next; // the configuration with the edit
     Head m_nextHead; // what is written
-    std::string m_oldSnapshot; // to remove after a compaction
+    std::vector<std::string> m_old; // objects that a compaction replaced
     bool m_areExpectationsFixed = false;
     bool m_mayBeWritten = false; // a write of the head with an unknown result
     std::uint32_t m_races = 0;
--- /dev/null
+++ b/carawaylatch/config/head.cpp
@@ -0,0 +1,304 @@
+// Stored form of the configuration: INI text, like the tables themselves, so that
+// operators can read what the platform holds.
+//
+// The head is a section [head], then each edit as [edit ID] followed by the rows
+// that it changes. What an edit says of a row besides its fields stands in keys
+// that begin with '@', which no field's name can. A snapshot is a section
+// [configuration] followed by all rows.
+#include "carawaylatch/config/head.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstdio>
+
+#include "carawaylatch/base/hash.h"
+#include "carawaylatch/config/inidocument.h"
+#include "carawaylatch/config/rowtext.h"
+#include "carawaylatch/config/valuetext.h"
+
+namespace carawaylatch::config
+{
+
+using base::Result;
+
+namespace
+{
+
+constexpr std::string_view ChangeKey = "@change";
+constexpr std::string_view ExpectedKey = "@expected";
+constexpr std::string_view EditSection = "edit ";
+
+std::string hexText(std::uint64_t value)
+{
+    std::array<char, 17> buf{};
+    std::snprintf(buf.data(), buf.size(), "%016llx", static_cast<unsigned long long>(value));
+    return buf.data();
+}
+
+base::Error damaged(std::string_view what, const std::string &why)
+{
+    return base::fail(base::ErrorKind::Internal, std::string(what) + " can't be read: " + why + "; look at the object with the platform's own tools");
+}
+
+const std::string *findValue(const IniSection &section, std::string_view key)
+{
+    const auto it = std::find_if(section.entries.begin(), section.entries.end(), [key](const IniEntry &entry) {
+        return entry.key == key;
+    });
+    return it == section.entries.end() ? nullptr : &it->value;
+}
+
+Result<std::uint64_t> numberOf(const IniSection &section, std::string_view key)
+{
+    const auto *value = findValue(section, key);
+    if (value == nullptr) {
+        return base::fail(base::ErrorKind::InvalidArgument, "[" + section.name + "] has no key '" + std::string(key) + "'");
+    }
+    return parseNumber(*value);
+}
+
+void appendChange(std::string &text, const RowChange &change)
+{
+    text += '[' + rowLabel(change.row.key) + "]\n";
+    appendIniEntry(text, ChangeKey, change.kind == RowChange::Kind::Put ? "put" : "remove");
+    if (change.expected) {
+        appendIniEntry(text, ExpectedKey, std::to_string(change.expected->value));
+    }
+    for (const auto &it : change.row.fields) {
+        appendIniEntry(text, it.key, it.value);
+    }
+}
+
+void appendEdit(std::string &text, const Edit &edit)
+{
+    text += '[' + std::string(EditSection) + hexText(edit.id.value) + "]\n";
+    appendIniEntry(text, "revision", std::to_string(edit.revision.value));
+    appendIniEntry(text, "author", edit.author);
+    appendIniEntry(text, "made_at", std::to_string(edit.madeAt));
+    for (const auto &it : edit.changes) {
+        appendChange(text, it);
+    }
+}
+
+Result<RowChange> changeFrom(IniSection section)
+{
+    RowChange change;
+    const auto *kind = findValue(section, ChangeKey);
+    if (kind == nullptr || (*kind != "put" && *kind != "remove")) {
+        return base::fail(base::ErrorKind::InvalidArgument, "[" + section.name + "] has no key '@change' of put or remove");
+    }
+    change.kind = *kind == "put" ? RowChange::Kind::Put : RowChange::Kind::Remove;
+    if (findValue(section, ExpectedKey) != nullptr) {
+        BOOST_OUTCOME_TRY(expected, numberOf(section, ExpectedKey));
+        change.expected = base::Revision{expected};
+    }
+    std::erase_if(section.entries, [](const IniEntry &it) {
+        return it.key.starts_with('@');
+    });
+    BOOST_OUTCOME_TRY(row, rowFromSection(section, "edit"));
+    change.row = std::move(row);
+    return change;
+}
+
+Result<Edit> editFrom(const IniSection &section)
+{
+    Edit edit;
+    const auto hex = std::string_view(section.name).substr(EditSection.size());
+    const auto [end, ec] = std::from_chars(hex.data(), hex.data() + hex.size(), edit.id.value, 16);
+    if (ec != std::errc{} || end != hex.data() + hex.size()) {
+        return base::fail(base::ErrorKind::InvalidArgument, "[" + section.name + "] has no id");
+    }
+    BOOST_OUTCOME_TRY(revision, numberOf(section, "revision"));
+    BOOST_OUTCOME_TRY(madeAt, numberOf(section, "made_at"));
+    edit.revision.value = revision;
+    edit.madeAt = static_cast<std::int64_t>(madeAt);
+    if (const auto *author = findValue(section, "author"); author != nullptr) {
+        edit.author = *author;
+    }
+    return edit;
+}
+
+Result<std::vector<Edit>> editsFrom(std::span<const IniSection> sections)
+{
+    std::vector<Edit> edits;
+    for (const auto &section : sections) {
+        if (section.name.starts_with(EditSection)) {
+            BOOST_OUTCOME_TRY(edit, editFrom(section));
+            if (!edits.empty() && edit.revision.value != edits.back().revision.value + 1) {
+                return base::fail(base::ErrorKind::InvalidArgument, "[" + section.name + "] has a revision out of order");
+            }
+            edits.push_back(std::move(edit));
+        } else if (edits.empty()) {
+            return base::fail(base::ErrorKind::InvalidArgument, "[" + section.name + "] stands before any edit");
+        } else {
+            BOOST_OUTCOME_TRY(change, changeFrom(section));
+            edits.back().changes.push_back(std::move(change));
+        }
+    }
+    return edits;
+}
+
+std::string partText(const HistoryPart &part)
+{
+    return std::to_string(part.first.value) + '-' + std::to_string(part.last.value);
+}
+
+Result<HistoryPart> partFrom(std::string_view text)
+{
+    const auto dash = text.find('-');
+    BOOST_OUTCOME_TRY(first, parseNumber(text.substr(0, dash)));
+    BOOST_OUTCOME_TRY(last, parseNumber(dash == std::string_view::npos ? std::string_view{} : text.substr(dash + 1)));
+    return HistoryPart{{first}, {last}};
+}
+
+Result<Head> headFrom(const IniDocument &document)
+{
+    if (document.sections.empty() || document.sections.front().name != "head") {
+        return base::fail(base::ErrorKind::InvalidArgument, "the first section is not [head]");
+    }
+    const auto &section = document.sections.front();
+    Head head;
+    BOOST_OUTCOME_TRY(revision, numberOf(section, "revision"));
+    BOOST_OUTCOME_TRY(snapshotRevision, numberOf(section, "snapshot_revision"));
+    head.revision.value = revision;
+    head.snapshotRevision.value = snapshotRevision;
+    if (const auto *name = findValue(section, "snapshot"); name != nullptr) {
+        head.snapshotName = *name;
+    }
+    if (const auto *history = findValue(section, "history"); history != nullptr) {
+        for (const auto it : splitList(*history)) {
+            BOOST_OUTCOME_TRY(part, partFrom(it));
+            head.history.push_back(part);
+        }
+    }
+    BOOST_OUTCOME_TRY(edits, editsFrom(std::span(document.sections).subspan(1)));
+    head.edits = std::move(edits);
+    const bool isContiguous = head.edits.empty() ? head.revision == head.snapshotRevision
+                                                 : head.edits.front().revision.value == snapshotRevision + 1 && head.edits.back().revision == head.revision;
+    if (!isContiguous) {
+        return base::fail(base::ErrorKind::InvalidArgument, "its edits don't reach from its snapshot to its revision");
+    }
+    return head;
+}
+
+} // namespace
+
+std::string formatHead(const Head &head)
+{
+    std::string text = "[head]\n";
+    appendIniEntry(text, "revision", std::to_string(head.revision.value));
+    appendIniEntry(text, "snapshot", head.snapshotName);
+    appendIniEntry(text, "snapshot_revision", std::to_string(head.snapshotRevision.value));
+    std::string history;
+    for (const auto &it : head.history) {
+        history += (history.empty() ? "" : ", ") + partText(it);
+    }
+    appendIniEntry(text, "history", history);
+    return text + formatEdits(head.edits);
+}
+
+Result<Head> parseHead(std::string_view text)
+{
+    const auto document = parseIni(text, HeadName);
+    if (!document) {
+        return damaged(HeadName, document.error().message);
+    }
+    auto head = headFrom(document.value());
+    if (!head) {
+        return damaged(HeadName, head.error().message);
+    }
+    return head;
+}
+
+std::string formatEdits(std::span<const Edit> edits)
+{
+    std::string text;
+    for (const auto &it : edits) {
+        appendEdit(text, it);
+    }
+    return text;
+}
+
+Result<std::vector<Edit>> parseEdits(std::string_view text)
+{
+    const auto document = parseIni(text, "edits");
+    if (!document) {
+        return damaged("a list of edits", document.error().message);
+    }
+    auto edits = editsFrom(document.value().sections);
+    if (!edits) {
+        return damaged("a list of edits", edits.error().message);
+    }
+    return edits;
+}
+
+std::string formatSnapshot(const RowSet &rows)
+{
+    std::string text = "[configuration]\n";
+    appendIniEntry(text, "revision", std::to_string(rows.revision.value));
+    for (const auto &it : rows.rows) {
+        appendRow(text, it);
+    }
+    return text;
+}
+
+Result<RowSet> parseSnapshot(std::string_view text)
+{
+    const auto document = parseIni(text, "snapshot");
+    if (!document) {
+        return damaged("a snapshot", document.error().message);
+    }
+    const auto &sections = document.value().sections;
+    if (sections.empty() || sections.front().name != "configuration") {
+        return damaged("a snapshot", "the first section is not [configuration]");
+    }
+    const auto revision = numberOf(sections.front(), "revision");
+    if (!revision) {
+        return damaged("a snapshot", revision.error().message);
+    }
+    RowSet rows;
+    rows.revision.value = revision.value();
+    for (const auto &it : std::span(sections).subspan(1)) {
+        auto row = rowFromSection(it, "snapshot");
+        if (!row) {
+            return damaged("a snapshot", row.error().message);
+        }
+        rows.put(std::move(row.value()));
+    }
+    return rows;
+}
+
+std::string snapshotName(base::Revision revision, std::string_view text)
+{
+    return std::string(SnapshotPrefix) + std::to_string(revision.value) + '-' + hexText(base::hash64(text));
+}
+
+std::string historyName(const HistoryPart &part)
+{
+    return std::string(HistoryPrefix) + partText(part);
+}
+
+void applyEdit(RowSet &rows, const Edit &edit)
+{
+    for (const auto &it : edit.changes) {
+        if (it.kind == RowChange::Kind::Remove) {
+            rows.remove(it.row.key);
+        } else {
+            Row row = it.row;
+            row.revision = edit.revision;
+            rows.put(std::move(row));
+        }
+    }
+    rows.revision = edit.revision;
+}
+
+RowSet materialize(RowSet snapshot, const Head &head)
+{
+    for (const auto &it : head.edits) {
+        applyEdit(snapshot, it);
+    }
+    return snapshot;
+}
+
+} // namespace carawaylatch::config
--- /dev/null
+++ b/carawaylatch/config/headstore.cpp
@@ -0,0 +1,160 @@
+// Drives the acceptance against an object store.
+//
+// A pause follows whatever failed or lost a race, growing to MaxPause, so that
+// racing operators don't keep colliding and an outage is not hammered.
+#include "carawaylatch/config/headstore.h"
+
+#include <algorithm>
+#include <thread>
+
+namespace carawaylatch::config
+{
+
+using base::ErrorKind;
+using base::Result;
+
+namespace
+{
+
+constexpr base::Duration MinPause = base::milliseconds{5};
+constexpr base::Duration MaxPause = base::milliseconds{200};
+constexpr int MaxSnapshotReads = 8;
+
+void sleepFor(base::Duration duration)
+{
+    std::this_thread::sleep_for(duration);
+}
+
+} // namespace
+
+std::vector<RowChange> changesBetween(const RowSet &current, const RowSet &wanted, FileScope scope)
+{
+    std::vector<RowChange> changes;
+    for (const auto &it : wanted.rows) {
+        const auto *row = current.find(it.key);
+        if (row == nullptr || row->fields != it.fields) {
+            changes.push_back({RowChange::Kind::Put, it, it.revision.value == 0 ? std::optional<base::Revision>{} : it.revision});
+        }
+    }
+    for (const auto &it : current.rows) {
+        if (scope == FileScope::Whole && wanted.find(it.key) == nullptr) {
+            changes.push_back({RowChange::Kind::Remove, Row{it.key, {}, {}, 0}, it.revision});
+        }
+    }
+    return changes;
+}
+
+EditId makeEditId(base::Random &random)
+{
+    const auto id = random.next();
+    return {id == 0 ? 1 : id};
+}
+
+HeadStore::HeadStore(platform::ObjectStore &objects, AcceptanceOptions options, Pause pause)
+    : m_objects(objects)
+    , m_options(options)
+    , m_pause(pause ? std::move(pause) : Pause(sleepFor))
+{
+}
+
+Result<Accepted> HeadStore::apply(Edit edit)
+{
+    return run(std::move(edit), m_options);
+}
+
+Result<Accepted> HeadStore::dryRun(Edit edit)
+{
+    auto options = m_options;
+    options.dryRun = DryRun::On;
+    return run(std::move(edit), options);
+}
+
+Result<Accepted> HeadStore::run(Edit edit, AcceptanceOptions options)
+{
+    Acceptance acceptance(std::move(edit), options);
+    execute(acceptance);
+    return acceptance.outcome();
+}
+
+void HeadStore::execute(Acceptance &acceptance)
+{
+    auto pause = MinPause;
+    while (const auto *next = acceptance.request()) {
+        const StoreRequest request = *next;
+        bool isDone = false;
+        if (request.kind == StoreRequest::Kind::Read) {
+            const auto result = m_objects.read(request.name);
+            isDone = result || result.error().kind == ErrorKind::NotFound;
+            acceptance.onRead(result);
+        } else if (request.kind == StoreRequest::Kind::Write) {
+            const auto result = m_objects.write(request.name, request.value, request.expected);
+            isDone = result.has_value();
+            acceptance.onWritten(result);
+        } else {
+            const auto result = m_objects.remove(request.name, request.expected);
+            isDone = true;
+            acceptance.onWritten(result ? Result<platform::Version>(platform::Version{}) : Result<platform::Version>(result.error()));
+        }
+        if (!isDone && acceptance.request() != nullptr) {
+            m_pause(pause);
+            pause = std::min(pause * 2, MaxPause);
+        }
+    }
+}
+
+Result<RowSet> HeadStore::readSnapshot(const std::string &name)
+{
+    if (name != m_snapshotName) {
+        BOOST_OUTCOME_TRY(object, m_objects.read(name));
+        BOOST_OUTCOME_TRY(rows, parseSnapshot(object.value));
+        m_snapshot = std::move(rows);
+        m_snapshotName = name;
+    }
+    return m_snapshot;
+}
+
+Result<StoredConfig> HeadStore::load()
+{
+    base::Error last;
+    for (int i = 0; i < MaxSnapshotReads; ++i) {
+        const auto object = m_objects.read(HeadName);
+        if (!object && object.error().kind == ErrorKind::NotFound) {
+            return StoredConfig{};
+        }
+        if (!object) {
+            return object.error();
+        }
+        BOOST_OUTCOME_TRY(head, parseHead(object.value().value));
+        Result<RowSet> snapshot = head.snapshotName.empty() ? Result<RowSet>(RowSet{}) : readSnapshot(head.snapshotName);
+        if (snapshot) {
+            auto rows = materialize(std::move(snapshot.value()), head);
+            return StoredConfig{std::move(head), object.value().version, std::move(rows)};
+        }
+        last = snapshot.error();
+        if (last.kind != ErrorKind::NotFound) {
+            break;
+        }
+    }
+    return last;
+}
+
+Result<std::vector<Edit>> HeadStore::history(std::size_t limit)
+{
+    BOOST_OUTCOME_TRY(stored, load());
+    std::vector<Edit> edits(stored.head.edits.rbegin(), stored.head.edits.rend());
+    for (auto it = stored.head.history.rbegin(); it != stored.head.history.rend() && edits.size() < limit; ++it) {
+        const auto object = m_objects.read(historyName(*it));
+        if (!object && object.error().kind == ErrorKind::NotFound) {
+            break;
+        }
+        if (!object) {
+            return object.error();
+        }
+        BOOST_OUTCOME_TRY(part, parseEdits(object.value().value));
+        edits.insert(edits.end(), part.rbegin(), part.rend());
+    }
+    edits.resize(std::min(limit, edits.size()));
+    return edits;
+}
+
+} // namespace carawaylatch::config
--- a/carawaylatch/config/headstore.h
+++ b/carawaylatch/config/headstore.h
@@ -4,7 +4,7 @@
 //     BOOST_OUTCOME_TRY(loaded, store.load());
 //     store.apply({id, "alice", now, {}, changes});
 //
-// Blocking; called from platform threads and tools, never from the control thread.
+// Blocking; called from one platform thread or tool at a time, never from the control thread.
 #pragma once
 
 #include <functional>
@@ -64,10 +64,13 @@
 private:
     [[nodiscard]] base::Result<Accepted> run(Edit edit, AcceptanceOptions options);
     void execute(Acceptance &acceptance);
+    [[nodiscard]] base::Result<RowSet> readSnapshot(const std::string &name);
 
     platform::ObjectStore &m_objects;
     AcceptanceOptions m_options;
     Pause m_pause;
+    std::string m_snapshotName; // whose content m_snapshot is; a name never means two contents
+    RowSet m_snapshot;
 };
 
 } // namespace carawaylatch::config
--- a/carawaylatch/config/tablefile.cpp
+++ b/carawaylatch/config/tablefile.cpp
@@ -14,6 +14,7 @@
 #include <sstream>
 
 #include "carawaylatch/config/inidocument.h"
+#include "carawaylatch/config/rowtext.h"
 #include "carawaylatch/config/tablecheck.h"
 #include "carawaylatch/config/valuetext.h"
 
@@ -324,29 +325,6 @@
     return ok();
 }
 
-Result<Row> parseRow(const IniSection &section, std::string_view fileName)
-{
-    BOOST_OUTCOME_TRY(key, parseRowKey(section, fileName));
-    Row row{std::move(key), {}, {}, section.line};
-    for (const auto &it : section.entries) {
-        if (const auto checked = checkIniValue(it.value); !checked) {
-            return invalid(linePrefix(fileName, it.line) + "key '" + it.key + "': " + checked.error().message);
-        }
-        if (it.key == RevisionKey) {
-            const auto value = parseNumber(it.value);
-            if (!value) {
-                return invalid(linePrefix(fileName, it.line) + "key 'revision': " + value.error().message);
-            }
-            row.revision.value = value.value();
-        } else if (parseName(it.key)) {
-            row.fields.push_back({it.key, it.value, it.line});
-        } else {
-            return invalid(linePrefix(fileName, it.line) + "the key has other characters than letters, digits, '.', '_' and '-'; write KEY = VALUE");
-        }
-    }
-    return row;
-}
-
 template <typename T, typename Fields>
 Result<T> convert(const Row &row, T typed, const Fields &fields, std::string_view fileName)
 {
@@ -404,6 +382,29 @@
 
 } // namespace
 
+Result<Row> rowFromSection(const IniSection &section, std::string_view fileName)
+{
+    BOOST_OUTCOME_TRY(key, parseRowKey(section, fileName));
+    Row row{std::move(key), {}, {}, section.line};
+    for (const auto &it : section.entries) {
+        if (const auto checked = checkIniValue(it.value); !checked) {
+            return invalid(linePrefix(fileName, it.line) + "key '" + it.key + "': " + checked.error().message);
+        }
+        if (it.key == RevisionKey) {
+            const auto value = parseNumber(it.value);
+            if (!value) {
+                return invalid(linePrefix(fileName, it.line) + "key 'revision': " + value.error().message);
+            }
+            row.revision.value = value.value();
+        } else if (parseName(it.key)) {
+            row.fields.push_back({it.key, it.value, it.line});
+        } else {
+            return invalid(linePrefix(fileName, it.line) + "the key has other characters than letters, digits, '.', '_' and '-'; write KEY = VALUE");
+        }
+    }
+    return row;
+}
+
 std::string rowLabel(const RowKey &key)
 {
     return key.kind + ' ' + key.name;
@@ -438,7 +439,7 @@
     BOOST_OUTCOME_TRY(document, parseIni(text, fileName));
     RowSet rows;
     for (const auto &section : document.sections) {
-        BOOST_OUTCOME_TRY(row, parseRow(section, fileName));
+        BOOST_OUTCOME_TRY(row, rowFromSection(section, fileName));
         if (reading == TableReading::Strict) {
             BOOST_OUTCOME_TRY(checkKnown(row, fileName));
         }
@@ -451,17 +452,23 @@
     return rows;
 }
 
+void appendRow(std::string &text, const Row &row)
+{
+    text += '[' + rowLabel(row.key) + "]\n";
+    if (row.revision.value != 0) {
+        appendIniEntry(text, RevisionKey, std::to_string(row.revision.value));
+    }
+    for (const auto &it : row.fields) {
+        appendIniEntry(text, it.key, it.value);
+    }
+}
+
 std::string formatRows(const RowSet &rows)
 {
     std::string text;
     for (const auto &row : rows.rows) {
-        text += (text.empty() ? "[" : "\n[") + rowLabel(row.key) + "]\n";
-        if (row.revision.value != 0) {
-            appendIniEntry(text, RevisionKey, std::to_string(row.revision.value));
-        }
-        for (const auto &it : row.fields) {
-            appendIniEntry(text, it.key, it.value);
-        }
+        text += text.empty() ? "" : "\n";
+        appendRow(text, row);
     }
     return text;
 }
--- /dev/null
+++ b/carawaylatch/config/testing/acceptancetest.cpp
@@ -0,0 +1,360 @@
+// Acceptance of edits under faults at every step, races and lost answers.
+//
+// The judge is the stored history, read without faults: an edit that was said to
+// be accepted is there once, one that was refused is not there, and the history
+// replayed from nothing gives the stored configuration.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <sstream>
+
+#include "carawaylatch/base/hash.h"
+#include "carawaylatch/config/headstore.h"
+#include "carawaylatch/config/testing/storesteps.h"
+#include "testing/seed.h"
+
+namespace carawaylatch::config::testing
+{
+
+using base::ErrorKind;
+using platform::StoreFault;
+
+namespace
+{
+
+constexpr AcceptanceOptions Small{DryRun::Off, 64, 8, 6, 2};
+constexpr std::size_t AllEdits = 100'000;
+
+// Holds the stored history against the outcomes that operators were given.
+void checkHistory(Platform &platform, const std::map<std::uint64_t, ErrorKind> &refused, const std::set<std::uint64_t> &accepted, const std::string &label)
+{
+    HeadStore store(platform.memory);
+    const auto stored = store.load();
+    const auto history = store.history(AllEdits);
+    CPPUNIT_ASSERT_MESSAGE(label, stored && history);
+    std::map<std::uint64_t, int> counts;
+    RowSet replayed;
+    for (auto it = history.value().rbegin(); it != history.value().rend(); ++it) {
+        ++counts[it->id.value];
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(label, replayed.revision.value + 1, it->revision.value);
+        applyEdit(replayed, *it);
+        CPPUNIT_ASSERT_MESSAGE(label, toTables(replayed).has_value());
+    }
+    CPPUNIT_ASSERT_MESSAGE(label + ": the history replayed is not the configuration", replayed == stored.value().rows);
+    for (const auto it : accepted) {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(label + ": an accepted edit is not in force once", 1, counts[it]);
+    }
+    for (const auto &[id, kind] : refused) {
+        const bool isHonest = kind == ErrorKind::Unclear ? counts[id] <= 1 : counts[id] == 0;
+        CPPUNIT_ASSERT_MESSAGE(label + ": a refused edit is in force, " + std::string(base::errorKindName(kind)), isHonest);
+    }
+}
+
+struct Outcomes
+{
+    std::map<std::uint64_t, ErrorKind> refused;
+    std::set<std::uint64_t> accepted;
+
+    void add(std::uint64_t id, const Acceptance &acceptance)
+    {
+        if (acceptance.outcome()) {
+            accepted.insert(id);
+        } else {
+            refused[id] = acceptance.outcome().error().kind;
+        }
+    }
+};
+
+void applyEdits(Platform &platform, Outcomes &outcomes, std::uint64_t firstId, int count, const std::string &pool)
+{
+    for (int i = 0; i < count; ++i) {
+        Acceptance acceptance(poolEdit(firstId + i, pool, firstId + i), Small);
+        platform.finish(acceptance);
+        outcomes.add(firstId + i, acceptance);
+    }
+}
+
+// How a fault goes on, and what others do while it lasts.
+struct FaultCase
+{
+    StoreFault fault;
+    int calls; // that fail from the step on
+    int otherEdits; // by others right after the fault
+};
+
+constexpr FaultCase FaultCases[] = {
+    {StoreFault::Down, 1, 0},        {StoreFault::Down, 1'000, 0},     {StoreFault::AnswerLost, 1, 0},      {StoreFault::AnswerLost, 2, 0},
+    {StoreFault::AnswerLost, 1, 1},  {StoreFault::AnswerLost, 1, 12},  {StoreFault::RequestLost, 1, 0},     {StoreFault::RequestLost, 3, 0},
+    {StoreFault::RequestLost, 1, 1}, {StoreFault::RequestLost, 1, 12}, {StoreFault::RequestLost, 1'000, 0}, {StoreFault::AnswerLost, 1'000, 0},
+};
+
+} // namespace
+
+class AcceptanceTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(AcceptanceTest);
+    CPPUNIT_TEST(testEveryFaultAtEveryStep);
+    CPPUNIT_TEST(testLateWrite);
+    CPPUNIT_TEST(testSameRowIsRefusedNamingBothRevisions);
+    CPPUNIT_TEST(testRouteAndPoolAreCheckedTogether);
+    CPPUNIT_TEST(testRepeatedEditIsAcceptedOnce);
+    CPPUNIT_TEST(testUnchangedTablesMakeNoRevision);
+    CPPUNIT_TEST(testInterleavingsOfTwoOperators);
+    CPPUNIT_TEST(testRacingOperators);
+    CPPUNIT_TEST(testFieldsOfNewerVersionSurviveEditsAndCompaction);
+    CPPUNIT_TEST(testStoredTextsAreBounded);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void testEveryFaultAtEveryStep()
+    {
+        std::set<AcceptanceStep> met;
+        int cases = 0;
+        for (const auto step : AllAcceptanceSteps) {
+            for (const auto &it : FaultCases) {
+                cases += runFaultCase(step, it, met) ? 1 : 0;
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("a step was never met", std::size(AllAcceptanceSteps), met.size());
+        CPPUNIT_ASSERT_EQUAL(static_cast<int>(std::size(AllAcceptanceSteps) * std::size(FaultCases)), cases);
+    }
+
+    // A write that was said to be unclear takes effect only after others were accepted.
+    void testLateWrite()
+    {
+        for (int lateBy = 0; lateBy < 6; ++lateBy) {
+            Platform platform;
+            Outcomes outcomes;
+            applyEdits(platform, outcomes, 1, 2, "a");
+            Acceptance acceptance(poolEdit(50, "b", 7), Small);
+            std::optional<StoreRequest> late;
+            for (int calls = 0; acceptance.request() != nullptr; ++calls) {
+                if (acceptance.step() == AcceptanceStep::WriteHead && !late) {
+                    late = *acceptance.request();
+                    calls = 0;
+                    acceptance.onWritten(base::fail(ErrorKind::Unclear, "no answer"));
+                }
+                if (late && calls == lateBy) {
+                    (void)platform.memory.write(late->name, late->value, late->expected);
+                }
+                platform.step(acceptance, StoreFault::None);
+            }
+            (void)platform.memory.write(late->name, late->value, late->expected);
+            outcomes.add(50, acceptance);
+            CPPUNIT_ASSERT(outcomes.accepted.contains(50));
+            checkHistory(platform, outcomes.refused, outcomes.accepted, "late by " + std::to_string(lateBy));
+        }
+    }
+
+    void testSameRowIsRefusedNamingBothRevisions()
+    {
+        Platform platform;
+        HeadStore store(platform.memory);
+        CPPUNIT_ASSERT(store.apply(poolEdit(1, "a", 1)) && store.apply(poolEdit(2, "b", 1)) && store.apply(poolEdit(3, "a", 2)));
+        const auto refused = store.apply(poolEdit(4, "a", 3, base::Revision{1}));
+        CPPUNIT_ASSERT(!refused && refused.error().kind == ErrorKind::Conflict);
+        CPPUNIT_ASSERT_EQUAL(std::string("[pool a] was edited from revision 1 but is now at revision 3; get the row again and repeat the edit on it"),
+                             refused.error().message);
+        CPPUNIT_ASSERT(!store.apply(poolEdit(5, "c", 3, base::Revision{1})));
+        CPPUNIT_ASSERT(store.apply(poolEdit(6, "b", 3, base::Revision{2})));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, store.load().value().rows.revision.value);
+    }
+
+    // One operator removes a pool while another adds a route to it: only one may win.
+    void testRouteAndPoolAreCheckedTogether()
+    {
+        Platform platform;
+        HeadStore store(platform.memory);
+        CPPUNIT_ASSERT(store.apply(poolEdit(1, "a", 1)));
+        const Row route{{"route", "r"}, {}, {{"path", "/v1/completions", 0}, {"model", "m", 0}, {"pool", "a", 0}}, 0};
+        Acceptance adds({{2}, "alice", 1, {}, {{RowChange::Kind::Put, route, {}}}}, Small);
+        Acceptance removes({{3}, "bob", 1, {}, {{RowChange::Kind::Remove, Row{{"pool", "a"}, {}, {}, 0}, {}}}}, Small);
+        platform.step(adds, StoreFault::None);
+        platform.step(removes, StoreFault::None);
+        platform.finish(adds);
+        platform.finish(removes);
+        CPPUNIT_ASSERT(adds.outcome());
+        CPPUNIT_ASSERT(!removes.outcome() && removes.outcome().error().message.find("goes to pool 'a', which doesn't exist") != std::string::npos);
+    }
+
+    void testRepeatedEditIsAcceptedOnce()
+    {
+        Platform platform;
+        HeadStore store(platform.memory);
+        CPPUNIT_ASSERT(store.apply(poolEdit(1, "a", 1)) && store.apply(poolEdit(2, "a", 2)));
+        const auto again = store.apply(poolEdit(1, "a", 1));
+        CPPUNIT_ASSERT(again && again.value().revision.value == 1);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, store.load().value().rows.revision.value);
+    }
+
+    void testUnchangedTablesMakeNoRevision()
+    {
+        Platform platform;
+        HeadStore store(platform.memory);
+        CPPUNIT_ASSERT(store.apply(poolEdit(1, "a", 1)));
+        const auto same = store.apply(poolEdit(2, "a", 1));
+        CPPUNIT_ASSERT(same && same.value().changedRows == 0 && same.value().revision.value == 1);
+        const auto dry = store.dryRun(poolEdit(3, "a", 9));
+        CPPUNIT_ASSERT(dry && dry.value().changedRows == 1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, store.history(AllEdits).value().size());
+    }
+
+    // All orders of the first steps of two operators, each with every fault at each of
+    // its first steps; then both run to their ends.
+    void testInterleavingsOfTwoOperators()
+    {
+        constexpr unsigned Depth = 8;
+        constexpr unsigned FaultSteps = 5;
+        for (unsigned order = 0; order < (1U << Depth); ++order) {
+            for (unsigned faultStep = 0; faultStep < FaultSteps; ++faultStep) {
+                for (const auto fault : {StoreFault::Down, StoreFault::AnswerLost, StoreFault::RequestLost}) {
+                    for (const char *secondPool : {"a", "b"}) {
+                        runInterleaving(order, Depth, faultStep, fault, secondPool);
+                    }
+                }
+            }
+        }
+    }
+
+    void testRacingOperators()
+    {
+        base::Random random(::carawaylatch::testing::seed());
+        for (int round = 0; round < 40; ++round) {
+            Platform platform;
+            Outcomes outcomes;
+            std::uint64_t nextId = 1;
+            std::vector<std::pair<std::uint64_t, Acceptance>> running;
+            std::uint64_t lastRevision = 0;
+            for (int i = 0; i < 400; ++i) {
+                if (running.size() < 4) {
+                    const auto id = nextId++;
+                    running.emplace_back(id, Acceptance(poolEdit(id, std::string(1, static_cast<char>('a' + random.below(3))), id), Small));
+                }
+                const auto n = random.below(running.size());
+                auto &[id, acceptance] = running[n];
+                const auto fault = random.below(5) == 0 ? platform::AllStoreFaults[random.below(4)] : StoreFault::None;
+                platform.step(acceptance, fault);
+                if (acceptance.request() == nullptr) {
+                    outcomes.add(id, acceptance);
+                    running.erase(running.begin() + static_cast<std::ptrdiff_t>(n));
+                }
+                const auto head = platform.memory.read(HeadName);
+                const auto revision = head ? parseHead(head.value().value).value().revision.value : 0;
+                CPPUNIT_ASSERT_MESSAGE("the revision went back", revision >= lastRevision);
+                lastRevision = revision;
+            }
+            for (auto &[id, acceptance] : running) {
+                platform.finish(acceptance);
+                outcomes.add(id, acceptance);
+            }
+            CPPUNIT_ASSERT(outcomes.accepted.size() > 20);
+            checkHistory(platform, outcomes.refused, outcomes.accepted, "round " + std::to_string(round));
+        }
+    }
+
+    void testFieldsOfNewerVersionSurviveEditsAndCompaction()
+    {
+        Platform platform;
+        auto newer = poolEdit(1, "new", 1);
+        newer.changes[0].row.fields.push_back({"colour", "green and blue", 0});
+        newer.changes.push_back({RowChange::Kind::Put, Row{{"quota", "q"}, {}, {{"share", "3", 0}}, 0}, {}});
+        Acceptance first(newer, Small);
+        platform.finish(first);
+        Outcomes outcomes;
+        applyEdits(platform, outcomes, 10, 20, "a");
+        HeadStore store(platform.memory);
+        const auto stored = store.load().value();
+        CPPUNIT_ASSERT(stored.head.snapshotRevision.value > 1);
+        const auto *row = stored.rows.find({"pool", "new"});
+        CPPUNIT_ASSERT(row != nullptr && row->fields == newer.changes[0].row.fields);
+        CPPUNIT_ASSERT(stored.rows.find({"quota", "q"}) != nullptr);
+    }
+
+    void testStoredTextsAreBounded()
+    {
+        Platform platform;
+        auto wide = poolEdit(1, "a", 1);
+        for (int i = 0; i < 30'000; ++i) {
+            wide.changes[0].row.fields.push_back({"member", "engine-" + std::to_string(i) + " 10.0.0.1:8000 dakar-a", 0});
+        }
+        HeadStore store(platform.memory);
+        CPPUNIT_ASSERT(!store.apply(wide));
+        auto odd = poolEdit(2, "a", 1);
+        odd.author = "two\nlines";
+        CPPUNIT_ASSERT(!store.apply(odd));
+        CPPUNIT_ASSERT(!platform.memory.read(HeadName));
+    }
+
+private:
+    // Brings an acceptance to a step, lets the fault happen there, and judges.
+    bool runFaultCase(AcceptanceStep step, const FaultCase &fault, std::set<AcceptanceStep> &met)
+    {
+        std::ostringstream label;
+        label << "step " << static_cast<int>(step) << " fault " << static_cast<int>(fault.fault) << " calls " << fault.calls << " others " << fault.otherEdits;
+        Platform platform;
+        Outcomes outcomes;
+        // 9 edits leave a snapshot, and a head that is compacted by the next edit.
+        const bool isCompacting = step >= AcceptanceStep::WriteSnapshot && step != AcceptanceStep::WriteHead;
+        applyEdits(platform, outcomes, 1, isCompacting ? 10 : 9, "a");
+        Acceptance acceptance(poolEdit(50, "b", 7), Small);
+        int left = fault.calls;
+        bool isMet = false;
+        while (acceptance.request() != nullptr) {
+            provoke(platform, acceptance, step, outcomes);
+            isMet = isMet || acceptance.step() == step;
+            const bool fails = isMet && left > 0;
+            platform.step(acceptance, fails ? fault.fault : StoreFault::None);
+            if (fails && left-- == fault.calls) {
+                applyEdits(platform, outcomes, 100, fault.otherEdits, "c");
+            }
+        }
+        if (isMet) {
+            met.insert(step);
+        }
+        outcomes.add(50, acceptance);
+        checkHistory(platform, outcomes.refused, outcomes.accepted, label.str());
+        return isMet;
+    }
+
+    // Loses the head's answer where the wanted step comes only after that.
+    static void provoke(Platform &platform, Acceptance &acceptance, AcceptanceStep step, Outcomes &outcomes)
+    {
+        const bool isAfterLoss = step == AcceptanceStep::ReadBack || step == AcceptanceStep::ReadHistory;
+        if (isAfterLoss && acceptance.step() == AcceptanceStep::WriteHead) {
+            platform.step(acceptance, StoreFault::AnswerLost);
+            applyEdits(platform, outcomes, 200, step == AcceptanceStep::ReadHistory ? 14 : 0, "d");
+        }
+        while (step == AcceptanceStep::ReadHistory && acceptance.step() == AcceptanceStep::ReadBack) {
+            platform.step(acceptance, StoreFault::None);
+        }
+    }
+
+    static void runInterleaving(unsigned order, unsigned depth, unsigned faultStep, StoreFault fault, const std::string &secondPool)
+    {
+        Platform platform;
+        Outcomes outcomes;
+        applyEdits(platform, outcomes, 1, 1, "a");
+        Acceptance operators[] = {Acceptance(poolEdit(50, "a", 50), Small), Acceptance(poolEdit(51, secondPool, 51), Small)};
+        unsigned firstSteps = 0;
+        for (unsigned i = 0; i < depth; ++i) {
+            const unsigned n = (order >> i) & 1U;
+            if (operators[n].request() != nullptr) {
+                const bool fails = n == 0 && firstSteps++ == faultStep;
+                platform.step(operators[n], fails ? fault : StoreFault::None);
+            }
+        }
+        for (unsigned n = 0; n < 2; ++n) {
+            platform.finish(operators[n]);
+            outcomes.add(50 + n, operators[n]);
+        }
+        std::ostringstream label;
+        label << "order " << order << " fault " << static_cast<int>(fault) << " at " << faultStep << " pool " << secondPool;
+        checkHistory(platform, outcomes.refused, outcomes.accepted, label.str());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AcceptanceTest);
+
+} // namespace carawaylatch::config::testing
--- /dev/null
+++ b/carawaylatch/config/testing/storesteps.h
@@ -0,0 +1,51 @@
+// Executes an acceptance step by step against a store, with a fault at chosen steps.
+#pragma once
+
+#include <optional>
+
+#include "carawaylatch/config/acceptance.h"
+#include "carawaylatch/config/tablefile.h"
+#include "carawaylatch/platform/faultystore.h"
+#include "carawaylatch/platform/memorystore.h"
+
+namespace carawaylatch::config::testing
+{
+
+// A platform whose every call may be made to fail.
+struct Platform
+{
+    platform::MemoryStore memory;
+    platform::FaultyStore faulty{memory};
+
+    // Executes the next step of an acceptance under a fault.
+    void step(Acceptance &acceptance, platform::StoreFault fault)
+    {
+        const StoreRequest request = *acceptance.request();
+        faulty.inject(fault, fault == platform::StoreFault::None ? 0 : 1);
+        if (request.kind == StoreRequest::Kind::Read) {
+            acceptance.onRead(faulty.read(request.name));
+        } else if (request.kind == StoreRequest::Kind::Write) {
+            acceptance.onWritten(faulty.write(request.name, request.value, request.expected));
+        } else {
+            const auto removed = faulty.remove(request.name, request.expected);
+            acceptance.onWritten(removed ? base::Result<platform::Version>(platform::Version{}) : base::Result<platform::Version>(removed.error()));
+        }
+        faulty.inject(platform::StoreFault::None, 0);
+    }
+
+    void finish(Acceptance &acceptance)
+    {
+        while (acceptance.request() != nullptr) {
+            step(acceptance, platform::StoreFault::None);
+        }
+    }
+};
+
+// Returns an edit of one pool, whose weights version tells edits apart.
+inline Edit poolEdit(std::uint64_t id, const std::string &pool, std::uint64_t weights, std::optional<base::Revision> expected = {})
+{
+    Row row{{"pool", pool}, {}, {{"model", "m", 0}, {"weights_version", std::to_string(weights), 0}}, 0};
+    return {{id}, "alice", 1, {}, {{RowChange::Kind::Put, std::move(row), expected}}};
+}
+
+} // namespace carawaylatch::config::testing
