--- /dev/null
+++ b/carawaylatch/prefix/cacheindex.cpp
@@ -0,0 +1,437 @@
+// A set-associative table of (block, holder) entries.
+//
+// An entry is 16 bytes: block key, time of the last touch, slot and life of the
+// holder. Entries stand in buckets of eight, two cache lines each. The holders of
+// one block are spread over HolderGroups buckets by slot, so that a block that many
+// upstreams hold doesn't fill a bucket alone, and a lookup of all holders reads
+// that many buckets. The table never grows: a full bucket gives up an entry that
+// is void, else the one touched longest ago. Node-based concurrent maps were
+// weighed: two pointers, a lock and the allocator's share for each entry pass the
+// 32 bytes before the entry itself is counted.
+//
+// Lives. Each slot has a life number; voiding a slot raises it, so that all
+// entries of the old life stop counting at once and are overwritten in passing.
+// Recording reads the life before the incarnation, and adopt() clears the
+// incarnation before it raises the life; an entry is therefore never recorded for
+// an old incarnation under a new life.
+//
+// Holes. Engines evict the end of a chain before its start, so a block that is
+// known to be held vouches for up to MaxHole unknown ones before it. Without this
+// one lost event in the middle of a chain would hide all that follows.
+//
+// Ageing. The age at which evictions strike entries is averaged for each upstream;
+// an entry older than LifetimeSlack times that no longer counts. The slack is there
+// because touches by other routers cause no event.
+#include "carawaylatch/prefix/cacheindex.h"
+
+#include <tbb/spin_rw_mutex.h>
+
+#include <algorithm>
+#include <array>
+#include <bit>
+
+namespace carawaylatch::prefix
+{
+
+namespace
+{
+
+constexpr std::size_t BucketEntries = 8;
+constexpr std::size_t HolderGroups = 4;
+static_assert(BucketEntries * HolderGroups == CacheIndex::MaxHoldersPerBlock);
+constexpr std::size_t Stripes = 4096;
+constexpr std::uint64_t GroupStep = 0x9E3779B97F4A7C15ULL;
+constexpr std::uint32_t MaxHole = 3; // blocks
+constexpr std::int64_t EventLagMs = 250; // an eviction younger than this contradicts a newer touch
+constexpr std::uint32_t LifetimeSlack = 3;
+constexpr double LifetimeWeight = 0.05; // of one eviction in the average
+constexpr double AnswerWeight = 0.1; // of one answer in the confidence
+constexpr double MinConfidence = 0.25;
+constexpr std::uint32_t MinLifetimeMs = 500;
+
+struct Entry
+{
+    std::uint64_t key = 0; // zero: free
+    std::uint32_t touched = 0; // milliseconds, modulo 2^32
+    std::uint16_t slot = 0;
+    std::uint16_t life = 0;
+};
+static_assert(sizeof(Entry) == 16);
+
+struct alignas(64) Bucket
+{
+    std::array<Entry, BucketEntries> entries;
+};
+
+struct alignas(64) Upstream
+{
+    std::atomic<std::uint64_t> incarnation{0}; // zero: nothing may be recorded
+    std::atomic<std::uint16_t> life{0};
+    std::atomic<std::uint32_t> lifetimeMs{0};
+    std::atomic<float> confidence{1};
+    std::atomic<std::uint64_t> nextEvent{0};
+    std::atomic<bool> hasMeasuredLifetime{false};
+    base::UpstreamId id; // written and read by the control thread
+};
+
+std::uint32_t milliseconds32(base::TimePoint time)
+{
+    return static_cast<std::uint32_t>(std::chrono::duration_cast<base::milliseconds>(time.time_since_epoch()).count());
+}
+
+// Age of a touch; a touch slightly ahead of `now` has age zero.
+std::uint32_t ageMs(std::uint32_t now, std::uint32_t touched)
+{
+    constexpr std::uint32_t MaxAhead = 60'000;
+    const std::uint32_t age = now - touched;
+    return touched - now < MaxAhead ? 0 : age;
+}
+
+std::uint64_t storedKey(std::uint64_t block)
+{
+    return block == 0 ? 1 : block;
+}
+
+} // namespace
+
+struct CacheIndex::Tables
+{
+    std::vector<Bucket> buckets; // a power of two
+    std::vector<Upstream> upstreams; // by slot
+    std::array<tbb::spin_rw_mutex, Stripes> locks;
+
+    explicit Tables(const CacheIndexOptions &options)
+        : buckets(std::bit_floor(std::max<std::size_t>(options.maxBytes / sizeof(Bucket), 1)))
+        , upstreams(std::min(options.maxUpstreams, upstreams::MaxSlots))
+    {
+        for (auto &it : upstreams) {
+            it.lifetimeMs = static_cast<std::uint32_t>(base::toMilliseconds(options.initialLifetime));
+        }
+    }
+
+    [[nodiscard]] std::size_t bucketOf(std::uint64_t key, std::size_t group) const
+    {
+        return ((key + group * GroupStep) >> 16U) & (buckets.size() - 1);
+    }
+
+    [[nodiscard]] bool isLive(const Entry &entry, std::uint32_t now) const
+    {
+        if (entry.key == 0) {
+            return false;
+        }
+        const Upstream &upstream = upstreams[entry.slot];
+        return entry.life == upstream.life.load(std::memory_order_relaxed)
+               && ageMs(now, entry.touched) <= upstream.lifetimeMs.load(std::memory_order_relaxed) * std::uint64_t{LifetimeSlack};
+    }
+
+    void insert(const Entry &entry, std::uint32_t now)
+    {
+        const std::size_t index = bucketOf(entry.key, entry.slot % HolderGroups);
+        const tbb::spin_rw_mutex::scoped_lock lock(locks[index % Stripes], true);
+        Entry *victim = nullptr;
+        std::uint64_t victimAge = 0;
+        for (auto &it : buckets[index].entries) {
+            if (it.key == entry.key && it.slot == entry.slot) {
+                it = entry;
+                return;
+            }
+            const std::uint64_t age = isLive(it, now) ? ageMs(now, it.touched) : UINT64_MAX;
+            if (victim == nullptr || age > victimAge) {
+                victim = &it;
+                victimAge = age;
+            }
+        }
+        *victim = entry;
+    }
+
+    // Removes the entry and returns its age, or -1 if it was not there or was touched just now.
+    std::int64_t evict(std::uint64_t key, upstreams::Slot slot, std::uint32_t now)
+    {
+        const std::size_t index = bucketOf(key, slot.index % HolderGroups);
+        const tbb::spin_rw_mutex::scoped_lock lock(locks[index % Stripes], true);
+        for (auto &it : buckets[index].entries) {
+            if (it.key == key && it.slot == slot.index && isLive(it, now)) {
+                const std::int64_t age = ageMs(now, it.touched);
+                if (age < EventLagMs) {
+                    return -1;
+                }
+                it = Entry{};
+                return age;
+            }
+        }
+        return -1;
+    }
+
+    template <typename Visit>
+    void forHolders(std::uint64_t block, std::size_t group, std::uint32_t now, const Visit &visit)
+    {
+        const std::uint64_t key = storedKey(block);
+        const std::size_t index = bucketOf(key, group);
+        const tbb::spin_rw_mutex::scoped_lock lock(locks[index % Stripes], false);
+        for (const auto &it : buckets[index].entries) {
+            if (it.key == key && isLive(it, now)) {
+                visit(upstreams::Slot{it.slot});
+            }
+        }
+    }
+
+    template <typename Visit>
+    void forLive(std::uint32_t now, const Visit &visit)
+    {
+        for (std::size_t i = 0; i < buckets.size(); ++i) {
+            const tbb::spin_rw_mutex::scoped_lock lock(locks[i % Stripes], false);
+            for (const auto &it : buckets[i].entries) {
+                if (isLive(it, now)) {
+                    visit(it);
+                }
+            }
+        }
+    }
+
+    // Reads the life under which `incarnation` may be recorded; false if it is not the current one.
+    [[nodiscard]] bool readLife(upstreams::Slot slot, base::Incarnation incarnation, std::uint16_t &life) const
+    {
+        if (slot.index >= upstreams.size() || incarnation.value == 0) {
+            return false;
+        }
+        life = upstreams[slot.index].life.load();
+        return upstreams[slot.index].incarnation.load() == incarnation.value;
+    }
+
+    void learnLifetime(Upstream &upstream, std::int64_t age)
+    {
+        const double old = upstream.lifetimeMs.load(std::memory_order_relaxed);
+        const bool isFirst = !upstream.hasMeasuredLifetime.exchange(true);
+        const double renewed = isFirst ? static_cast<double>(age) : old + LifetimeWeight * (static_cast<double>(age) - old);
+        upstream.lifetimeMs.store(std::max(MinLifetimeMs, static_cast<std::uint32_t>(renewed)), std::memory_order_relaxed);
+    }
+};
+
+CacheIndex::CacheIndex(const CacheIndexOptions &options)
+    : m_tables(std::make_unique<Tables>(options))
+{
+}
+
+CacheIndex::~CacheIndex() = default;
+
+void CacheIndex::adopt(upstreams::Slot slot, const base::UpstreamId &id, base::Incarnation incarnation)
+{
+    if (slot.index >= m_tables->upstreams.size()) {
+        return;
+    }
+    Upstream &upstream = m_tables->upstreams[slot.index];
+    if (incarnation.value != 0 && upstream.incarnation.load() == incarnation.value && upstream.id == id) {
+        return;
+    }
+    forget(slot);
+    upstream.id = id;
+    upstream.incarnation.store(incarnation.value);
+}
+
+void CacheIndex::forget(upstreams::Slot slot)
+{
+    if (slot.index >= m_tables->upstreams.size()) {
+        return;
+    }
+    Upstream &upstream = m_tables->upstreams[slot.index];
+    upstream.incarnation.store(0);
+    const auto life = static_cast<std::uint16_t>(upstream.life.load() + 1);
+    upstream.life.store(life);
+    upstream.confidence.store(1);
+    upstream.nextEvent.store(0);
+    upstream.hasMeasuredLifetime.store(false);
+    if (life == 0) {
+        // The number wrapped: entries of its first use must not come back.
+        for (std::size_t i = 0; i < m_tables->buckets.size(); ++i) {
+            const tbb::spin_rw_mutex::scoped_lock lock(m_tables->locks[i % Stripes], true);
+            for (auto &it : m_tables->buckets[i].entries) {
+                it = it.slot == slot.index ? Entry{} : it;
+            }
+        }
+    }
+}
+
+void CacheIndex::recordPlacement(upstreams::Slot slot, base::Incarnation incarnation, std::span<const std::uint64_t> chain, base::TimePoint now)
+{
+    std::uint16_t life = 0;
+    if (!m_tables->readLife(slot, incarnation, life)) {
+        return;
+    }
+    const std::uint32_t touched = milliseconds32(now);
+    for (const std::uint64_t block : chain) {
+        m_tables->insert(Entry{storedKey(block), touched, slot.index, life}, touched);
+    }
+}
+
+void CacheIndex::recordAnswer(const CacheAnswer &answer, base::TimePoint now)
+{
+    std::uint16_t life = 0;
+    if (!m_tables->readLife(answer.slot, answer.incarnation, life)) {
+        return;
+    }
+    recordPlacement(answer.slot, answer.incarnation, answer.chain, now);
+    if (answer.predictedBlocks == 0) {
+        return;
+    }
+    auto &confidence = m_tables->upstreams[answer.slot.index].confidence;
+    const double confirmed = std::min(1.0, static_cast<double>(answer.cachedBlocks) / answer.predictedBlocks);
+    const double old = confidence.load(std::memory_order_relaxed);
+    confidence.store(static_cast<float>(std::max(MinConfidence, old + AnswerWeight * (confirmed - old))), std::memory_order_relaxed);
+}
+
+std::uint64_t CacheIndex::applyEvents(upstreams::Slot slot, const CacheEvents &events, base::TimePoint now)
+{
+    std::uint16_t life = 0;
+    if (!m_tables->readLife(slot, events.incarnation, life)) {
+        return 0;
+    }
+    Upstream &upstream = m_tables->upstreams[slot.index];
+    const std::uint32_t touched = milliseconds32(now);
+    std::uint64_t expected = upstream.nextEvent.load(std::memory_order_relaxed);
+    std::uint64_t lost = 0;
+    for (const auto &event : events.events) {
+        lost += expected != 0 && event.sequence > expected ? event.sequence - expected : 0;
+        expected = std::max(expected, event.sequence + 1);
+        if (event.operation == CacheOperation::Stored) {
+            m_tables->insert(Entry{storedKey(event.block), touched, slot.index, life}, touched);
+        } else if (const std::int64_t age = m_tables->evict(storedKey(event.block), slot, touched); age >= 0) {
+            m_tables->learnLifetime(upstream, age);
+        }
+    }
+    lost += expected != 0 && events.next > expected ? events.next - expected : 0;
+    upstream.nextEvent.store(std::max(expected, events.next), std::memory_order_relaxed);
+    if (lost > 0) {
+        const double kept = static_cast<double>(events.events.size()) / static_cast<double>(events.events.size() + lost);
+        const double old = upstream.confidence.load(std::memory_order_relaxed);
+        upstream.confidence.store(static_cast<float>(std::max(MinConfidence, old - AnswerWeight * (1 - kept))), std::memory_order_relaxed);
+    }
+    return lost;
+}
+
+std::uint64_t CacheIndex::nextEvent(upstreams::Slot slot) const
+{
+    return slot.index < m_tables->upstreams.size() ? m_tables->upstreams[slot.index].nextEvent.load(std::memory_order_relaxed) : 0;
+}
+
+void CacheIndex::findHolders(std::span<const std::uint64_t> chain, base::TimePoint now, std::vector<Holder> &holders) const
+{
+    // Sparse set: position of a slot in `holders`, valid only if the row there names the slot.
+    thread_local std::vector<std::uint16_t> positions(upstreams::MaxSlots);
+    holders.clear();
+    const std::uint32_t time = milliseconds32(now);
+    std::uint32_t deepest = 0;
+    for (std::uint32_t i = 0; i < chain.size() && i <= deepest + MaxHole; ++i) {
+        for (std::size_t group = 0; group < HolderGroups; ++group) {
+            m_tables->forHolders(chain[i], group, time, [&](upstreams::Slot slot) {
+                const std::uint16_t position = positions[slot.index];
+                if (position < holders.size() && holders[position].slot == slot) {
+                    Holder &holder = holders[position];
+                    holder.blocks = i <= holder.blocks + MaxHole ? i + 1 : holder.blocks;
+                    deepest = std::max(deepest, holder.blocks);
+                } else if (i <= MaxHole) {
+                    positions[slot.index] = static_cast<std::uint16_t>(holders.size());
+                    holders.push_back(Holder{slot, i + 1});
+                    deepest = std::max(deepest, i + 1);
+                }
+            });
+        }
+    }
+    std::sort(holders.begin(), holders.end(), [](const Holder &left, const Holder &right) {
+        return left.slot < right.slot;
+    });
+}
+
+std::uint32_t CacheIndex::heldBlocks(upstreams::Slot slot, std::span<const std::uint64_t> chain, base::TimePoint now) const
+{
+    const std::uint32_t time = milliseconds32(now);
+    std::uint32_t blocks = 0;
+    for (std::uint32_t i = 0; i < chain.size() && i <= blocks + MaxHole; ++i) {
+        m_tables->forHolders(chain[i], slot.index % HolderGroups, time, [&](upstreams::Slot holder) {
+            blocks = holder == slot ? i + 1 : blocks;
+        });
+    }
+    return blocks;
+}
+
+double CacheIndex::confidence(upstreams::Slot slot) const
+{
+    return slot.index < m_tables->upstreams.size() ? m_tables->upstreams[slot.index].confidence.load(std::memory_order_relaxed) : 0;
+}
+
+base::Duration CacheIndex::lifetime(upstreams::Slot slot) const
+{
+    return base::milliseconds{slot.index < m_tables->upstreams.size() ? m_tables->upstreams[slot.index].lifetimeMs.load(std::memory_order_relaxed) : 0};
+}
+
+HotPlacements CacheIndex::exportHot(std::size_t maxEntries, base::TimePoint now) const
+{
+    // First pass: how old the maxEntries youngest are, to a quarter of a second.
+    constexpr std::uint32_t StepMs = 250;
+    constexpr std::size_t Steps = 1024;
+    std::array<std::size_t, Steps> counts{};
+    const std::uint32_t time = milliseconds32(now);
+    m_tables->forLive(time, [&](const Entry &entry) {
+        ++counts[std::min<std::size_t>(ageMs(time, entry.touched) / StepMs, Steps - 1)];
+    });
+    std::size_t step = 0;
+    for (std::size_t n = 0; step < Steps && n + counts[step] <= maxEntries; ++step) {
+        n += counts[step];
+    }
+    std::vector<std::vector<HotBlock>> blocks(m_tables->upstreams.size());
+    std::size_t left = maxEntries;
+    m_tables->forLive(time, [&](const Entry &entry) {
+        const std::uint32_t age = ageMs(time, entry.touched);
+        if (left > 0 && age / StepMs <= step) {
+            blocks[entry.slot].push_back(HotBlock{entry.key, age});
+            --left;
+        }
+    });
+    HotPlacements placements;
+    for (std::size_t i = 0; i < blocks.size(); ++i) {
+        const Upstream &upstream = m_tables->upstreams[i];
+        if (!blocks[i].empty()) {
+            placements.upstreams.push_back(
+                HotUpstream{upstream.id, {upstream.incarnation.load()}, upstream.lifetimeMs.load(std::memory_order_relaxed), std::move(blocks[i])});
+        }
+    }
+    return placements;
+}
+
+void CacheIndex::importHot(const HotPlacements &placements, base::TimePoint now)
+{
+    const std::uint32_t time = milliseconds32(now);
+    for (const auto &hot : placements.upstreams) {
+        const auto it = std::find_if(m_tables->upstreams.begin(), m_tables->upstreams.end(), [&](const Upstream &upstream) {
+            return upstream.id == hot.upstream && upstream.incarnation.load() == hot.incarnation.value;
+        });
+        if (it == m_tables->upstreams.end() || hot.incarnation.value == 0) {
+            continue;
+        }
+        const auto slot = static_cast<std::uint16_t>(it - m_tables->upstreams.begin());
+        const std::uint16_t life = it->life.load();
+        if (!it->hasMeasuredLifetime.load() && hot.lifetimeMilliseconds > 0) {
+            it->lifetimeMs.store(std::max(MinLifetimeMs, hot.lifetimeMilliseconds));
+        }
+        for (const auto &block : hot.blocks) {
+            if (m_tables->isLive(Entry{storedKey(block.key), time - block.ageMilliseconds, slot, life}, time)) {
+                m_tables->insert(Entry{storedKey(block.key), time - block.ageMilliseconds, slot, life}, time);
+            }
+        }
+    }
+}
+
+std::size_t CacheIndex::size(base::TimePoint now) const
+{
+    std::size_t n = 0;
+    m_tables->forLive(milliseconds32(now), [&n](const Entry &) {
+        ++n;
+    });
+    return n;
+}
+
+std::size_t CacheIndex::bytes() const
+{
+    return m_tables->buckets.size() * sizeof(Bucket) + m_tables->upstreams.size() * sizeof(Upstream) + sizeof(Tables);
+}
+
+} // namespace carawaylatch::prefix
--- a/carawaylatch/prefix/cacheindex.h
+++ b/carawaylatch/prefix/cacheindex.h
@@ -11,10 +11,8 @@
 // longest ago is dropped; of one block at most MaxHoldersPerBlock holders are kept.
 #pragma once
 
-#include <atomic>
 #include <cstdint>
 #include <memory>
-#include <mutex>
 #include <span>
 #include <vector>
 
@@ -53,11 +51,11 @@
     std::vector<CacheEvent> events;
 };
 
-// An upstream that holds the start of a chain.
+// An upstream that is believed to hold the start of a chain.
 struct Holder
 {
     upstreams::Slot slot;
-    std::uint32_t blocks = 0; // leading blocks of the chain, without a hole
+    std::uint32_t blocks = 0; // leading blocks of the chain
 };
 
 // What one answer said about the cache.
@@ -109,8 +107,8 @@
     // Takes a peer's entries for lives that this router knows too; others are ignored.
     void importHot(const HotPlacements &placements, base::TimePoint now);
 
-    // Live entries; counts the whole table.
-    [[nodiscard]] std::size_t size() const;
+    // Counts the live entries of the whole table.
+    [[nodiscard]] std::size_t size(base::TimePoint now) const;
     // Bytes that the table of entries and the table of upstreams occupy.
     [[nodiscard]] std::size_t bytes() const;
 
--- a/carawaylatch/prefix/heat.h
+++ b/carawaylatch/prefix/heat.h
@@ -6,14 +6,15 @@
 // branches and a level ends.
 //
 // The home level of a request is the shortest level whose heat fits in one
-// upstream's share. A level that is too hot is split: its children get homes of
-// their own. A last level that is too hot has 2, 4, ... replicas. Both shrink back
-// only when the heat has fallen to half, so that a level at the edge doesn't flap.
+// upstream's share. A level that is too hot has 2, 4, ... replicas, and its children
+// are split over these. Replicas go only when the heat has fallen to half of what
+// called for them, so that a level at the edge doesn't flap.
 //
 // Bounded: a fixed number of counters; a new key takes the place of the coldest in
 // its bucket. Any thread may call any function.
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <memory>
 #include <span>
@@ -30,13 +31,21 @@
     base::Duration halfLife = base::seconds{10};
 };
 
-// Where a chain's home is decided.
+// A level of nesting on a chain, from the shortest to the home level.
 struct HomeLevel
 {
-    std::uint64_t key = 0; // block key that ends the level; zero for a chain without blocks
-    std::uint32_t blocks = 0; // length of the level
-    std::uint32_t replicas = 1; // first upstreams in rendezvous order that share the level
-    double heat = 0; // tokens per second
+    std::uint64_t key = 0; // block key that ends the level
+    std::uint32_t blocks = 0; // length of the level from the chain's start
+    std::uint32_t replicas = 1; // upstreams that share the level, a power of two
+};
+
+// Levels of one chain. All but the last are too hot for one upstream: each narrows
+// the set of upstreams to its replicas, the last one names the home.
+struct HomePath
+{
+    static constexpr std::size_t MaxLevels = 8;
+    std::array<HomeLevel, MaxLevels> levels;
+    std::size_t size = 0;
 };
 
 class HeatTable
@@ -47,11 +56,11 @@
     HeatTable(const HeatTable &) = delete;
     HeatTable &operator=(const HeatTable &) = delete;
 
-    // Adds one request of `tokens` prompt tokens.
-    void record(std::span<const std::uint64_t> chain, std::uint32_t tokens, base::TimePoint now);
-    // Returns the home level, where one upstream bears `share` tokens per second of this
-    // router's traffic and at most `maxReplicas` upstreams are there.
-    [[nodiscard]] HomeLevel home(std::span<const std::uint64_t> chain, double share, std::uint32_t maxReplicas, base::TimePoint now) const;
+    // Adds one request of `tokens` prompt tokens to its pool, named by `pool`, and to
+    // its blocks. One upstream's share is the pool's heat over `upstreams`.
+    void record(std::uint64_t pool, std::span<const std::uint64_t> chain, std::uint32_t tokens, std::uint32_t upstreams, base::TimePoint now);
+    // Returns the levels that decide where the chain's home is; empty for an empty chain.
+    [[nodiscard]] HomePath path(std::span<const std::uint64_t> chain, base::TimePoint now) const;
     // Returns a key's heat in tokens per second.
     [[nodiscard]] double heat(std::uint64_t key, base::TimePoint now) const;
 
--- /dev/null
+++ b/carawaylatch/routing/scoring.h
@@ -0,0 +1,74 @@
+// What all strategies share: which upstreams may be chosen, what is known of each,
+// and the choice of the least score. A strategy adds two steps of its own: which
+// upstreams to look at, and the score of each.
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <vector>
+
+#include "carawaylatch/routing/estimate.h"
+#include "carawaylatch/routing/strategy.h"
+
+namespace carawaylatch::routing
+{
+
+// Inputs of one decision.
+struct Decision
+{
+    const PlacementRequest &request;
+    const upstreams::UpstreamView &view;
+    const upstreams::PoolView &pool;
+};
+
+// An upstream under consideration.
+struct Option
+{
+    std::uint32_t index = 0; // in view.upstreams
+    std::uint32_t heldBlocks = 0;
+    std::uint32_t missingTokens = 0;
+    QueueEstimate queue;
+    base::Duration prefill{};
+    base::Duration penalty{};
+    double score = 0; // least wins
+};
+
+class ScoringStrategy : public RoutingStrategy
+{
+public:
+    [[nodiscard]] base::Result<Placement> place(const PlacementRequest &request, const upstreams::UpstreamView &view) const override;
+    [[nodiscard]] base::Result<Explanation> explain(const PlacementRequest &request, const upstreams::UpstreamView &view) const override;
+
+protected:
+    ScoringStrategy(const RoutingKnowledge &knowledge, std::uint64_t seed);
+
+    // Returns the upstreams to look at, as indexes into view.upstreams; may name one twice.
+    [[nodiscard]] virtual std::vector<std::uint32_t> prefilter(const Decision &decision) const = 0;
+    // Sets the score of each option.
+    virtual void score(const Decision &decision, std::vector<Option> &options) const = 0;
+    // Returns how many routers' work the queue estimate assumes.
+    [[nodiscard]] virtual std::uint32_t assumedRouters() const;
+    // Returns the home set that explain() shows.
+    [[nodiscard]] virtual Explanation describe(const Decision &decision) const;
+
+    [[nodiscard]] const RoutingKnowledge &knowledge() const;
+    // Returns a random number; the sequence repeats under the seed.
+    [[nodiscard]] std::uint64_t draw() const;
+    // Returns up to n random eligible upstreams, perhaps one twice; all if there are no more than n.
+    [[nodiscard]] std::vector<std::uint32_t> sample(const Decision &decision, std::size_t n) const;
+    // Adds the pool's upstreams that hold the start of the request's chain.
+    void addHolders(const Decision &decision, std::vector<std::uint32_t> &indexes) const;
+    // Returns the key that spreads a request without blocks.
+    [[nodiscard]] static std::uint64_t spreadKey(const Decision &decision);
+
+private:
+    [[nodiscard]] std::vector<Option> options(const Decision &decision) const;
+    [[nodiscard]] Option makeOption(const Decision &decision, std::uint32_t index) const;
+    void addHeldBlocks(const Decision &decision, std::vector<Option> &options) const;
+
+    RoutingKnowledge m_knowledge;
+    std::uint64_t m_seed;
+    mutable std::atomic<std::uint64_t> m_draws{0};
+};
+
+} // namespace carawaylatch::routing
--- a/carawaylatch/upstreams/leavingmarks.h
+++ b/carawaylatch/upstreams/leavingmarks.h
@@ -51,6 +51,10 @@
     [[nodiscard]] std::vector<LeavingMark> all() const;
     // Drops marks of an upstream whose incarnation is not `current`, beyond the newest few.
     void prune(const base::UpstreamId &id, base::Incarnation current);
+    // Drops all marks of an upstream that is no longer configured.
+    void drop(const base::UpstreamId &id);
+    // Returns the number of upstreams with marks.
+    [[nodiscard]] std::size_t upstreams() const;
 
 private:
     struct Row
--- a/carawaylatch/upstreams/registry.h
+++ b/carawaylatch/upstreams/registry.h
@@ -13,8 +13,10 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <variant>
@@ -57,7 +59,12 @@
     LeavingMark mark;
 };
 
-using RegistryAction = std::variant<AdoptIncarnation, AnnounceMark>;
+// Ask a peer for all its marks, then call importMarks and onMarksSynchronised.
+struct RequestMarks
+{
+};
+
+using RegistryAction = std::variant<AdoptIncarnation, AnnounceMark, RequestMarks>;
 
 class Registry
 {
@@ -77,22 +84,25 @@
     void onUndrain(const base::UpstreamId &id, base::TimePoint now);
     // The platform's lagging list; only "leaving" is taken from it.
     void onPlatformList(std::span<const platform::VmRecord> vms, base::TimePoint now);
-    // Marks from a peer or a snapshot; also ends the wait after a freeze.
+    // Marks from a peer or a snapshot, some or all.
     void importMarks(std::span<const LeavingMark> marks, base::TimePoint now);
+    // A peer answered RequestMarks in full; ends the wait after a freeze.
+    void onMarksSynchronised(base::TimePoint now);
     [[nodiscard]] std::vector<LeavingMark> exportMarks() const;
-    // Advances health and ejection and notices that the process was frozen.
+    // Advances health and ejection, notices that the process was frozen, and builds
+    // the view anew if a state changed or ViewPeriod is over. Called after each batch
+    // of events and at least every ViewPeriod.
     void onTick(base::TimePoint now);
 
     // Returns what has to be done since the last call, in order.
     [[nodiscard]] std::vector<RegistryAction> takeActions();
-    // Returns the current snapshot; built anew only if something changed or it is due.
+    // Returns the snapshot that the last onTick() left.
     [[nodiscard]] std::shared_ptr<const UpstreamView> view() const;
 
 private:
     struct Entry
     {
         UpstreamStatus status;
-        bool isConfigured = false;
         // When the last report arrived; unlike confirmedAt it ignores the report's age.
         base::TimePoint heardAt;
         std::uint32_t misses = 0; // failed polls in a row
@@ -100,24 +110,31 @@
         std::uint32_t ejections = 0; // in a row; lengthens the pause
         base::TimePoint ejectedUntil;
         bool saidLeaving = false; // by its own word, this incarnation
+        bool isListedLeaving = false; // by the platform's last list, whatever the incarnation
         std::vector<base::Incarnation> past; // newest last, at most MaxPastIncarnations
     };
 
     void adopt(Entry &entry, const LoadReport &report);
     void eject(Entry &entry, base::TimePoint now);
-    void mark(Entry &entry, LeavingSource source);
+    void mark(const Entry &entry, base::Incarnation incarnation);
+    void onListed(Entry &entry, platform::VmRecord::State state);
+    void remove(const base::UpstreamId &id);
+    void addMember(const config::PoolMember &member);
     [[nodiscard]] UpstreamState stateOf(const Entry &entry, base::TimePoint now) const;
     [[nodiscard]] bool mayEject(const Entry &entry, base::TimePoint now) const;
-    Slot takeSlot();
+    [[nodiscard]] std::optional<Slot> takeSlot();
+    void refreshStates(base::TimePoint now);
     void rebuild(base::TimePoint now);
     [[nodiscard]] PoolView buildPool(const config::Pool &pool, const UpstreamView &view) const;
 
     std::map<base::UpstreamId, Entry> m_entries;
     std::vector<config::Pool> m_pools;
     LeavingMarks m_marks;
-    std::vector<Slot> m_freeSlots;
+    std::deque<Slot> m_freeSlots; // oldest first, so that a slot rests before it is used again
     std::uint16_t m_nextSlot = 0;
     std::vector<RegistryAction> m_actions;
+    bool m_isDirty = true; // a state changed since the view was built
+    bool m_hasNewLoad = false; // only figures changed
     base::TimePoint m_lastTick;
     base::TimePoint m_usableFrom;
     std::shared_ptr<const UpstreamView> m_view = std::make_shared<const UpstreamView>();
--- a/carawaylatch/upstreams/upstreamview.h
+++ b/carawaylatch/upstreams/upstreamview.h
@@ -36,7 +36,7 @@
     Live,
     Loading, // answers, but loads weights
     Suspect, // missed reports; takes no new work
-    Dead, // missed reports for long; its cache knowledge is void when it returns
+    Dead, // missed reports for long
     Ejected, // too many failed attempts; comes back after a pause
     Leaving, // a leaving mark names its incarnation
 };
@@ -57,6 +57,12 @@
     base::TimePoint loadAt; // when its figures were true
     base::TimePoint confirmedAt; // the latest time at which the upstream was live by its own word
     base::TimePoint ejectedUntil; // only in state Ejected
+
+    // Tells whether the upstream may be given new work now.
+    [[nodiscard]] bool takesWork(base::TimePoint now) const
+    {
+        return state == UpstreamState::Live && now - confirmedAt <= MaxConfirmationAge;
+    }
 };
 
 struct PoolView
@@ -66,11 +72,14 @@
     base::ModelId model;
     std::string adapter;
     std::uint32_t blockBytes = 0;
+    bool hasKvStore = false; // a KV cache store stands beside the pool
+    std::uint64_t key = 0; // hash64 of the name, the pool's key in the heat table
     // The weights version that requests use now: the configured one as soon as
     // half of the pool's live upstreams hold it, the most common one before.
     base::WeightsVersion servingVersion;
-    std::vector<std::uint32_t> members; // indexes into UpstreamView::upstreams
-    std::vector<std::uint32_t> eligible; // members that may take new work when the view was built
+    std::vector<std::uint32_t> members; // indexes into UpstreamView::upstreams, ascending
+    // Members that may take new work when the view was built, ordered by nodeHash.
+    std::vector<std::uint32_t> eligible;
 };
 
 struct UpstreamView
@@ -81,6 +90,8 @@
     base::TimePoint usableFrom;
     std::vector<UpstreamStatus> upstreams; // ordered by id
     std::vector<PoolView> pools; // ordered by name
+    std::vector<std::uint32_t> bySlot; // index of the upstream in a slot, or NoUpstream
+    static constexpr std::uint32_t NoUpstream = 0xFFFFFFFF;
 
     // Returns the pool, or nothing.
     [[nodiscard]] const PoolView *pool(const base::PoolName &name) const;
@@ -88,6 +99,8 @@
     [[nodiscard]] const UpstreamStatus *find(const base::UpstreamId &id) const;
     // Tells whether the view may be used for decisions at all.
     [[nodiscard]] bool isUsable(base::TimePoint now) const;
+    // Returns the upstream in a slot, or nothing.
+    [[nodiscard]] const UpstreamStatus *find(Slot slot) const;
     // Tells whether an attempt may be sent to this life of the upstream now.
     [[nodiscard]] bool mayStart(const base::UpstreamId &id, base::Incarnation incarnation, base::TimePoint now) const;
 };
