--- a/carawaylatch/routing/scoring.cpp
+++ b/carawaylatch/routing/scoring.cpp
@@ -157,7 +157,7 @@
 
 base::Result<Placement> ScoringStrategy::place(const PlacementRequest &request, const upstreams::UpstreamView &view) const
 {
-    BOOST_OUTCOME_TRY(auto pool, findPool(request, view));
+    BOOST_OUTCOME_TRY(pool, findPool(request, view));
     const Decision decision{request, view, *pool};
     std::vector<Option> all = options(decision);
     if (all.empty()) {
@@ -169,7 +169,7 @@
 
 base::Result<Explanation> ScoringStrategy::explain(const PlacementRequest &request, const upstreams::UpstreamView &view) const
 {
-    BOOST_OUTCOME_TRY(auto pool, findPool(request, view));
+    BOOST_OUTCOME_TRY(pool, findPool(request, view));
     const Decision decision{request, view, *pool};
     std::vector<Option> all = options(decision);
     score(decision, all);
