--- a/carawaylatch/prefix/cacheindex.cpp
+++ b/carawaylatch/prefix/cacheindex.cpp
@@ -150,7 +150,8 @@
         const std::size_t index = bucketOf(key, slot.index % HolderGroups);
         const tbb::spin_rw_mutex::scoped_lock lock(locks[index % Stripes], true);
         for (auto &it : buckets[index].entries) {
-            if (it.key == key && it.slot == slot.index && isLive(it, now)) {
+            // Aged entries too: the measured lifetime may grow and make them count again.
+            if (it.key == key && it.slot == slot.index && it.life == upstreams[slot.index].life.load(std::memory_order_relaxed)) {
                 const std::int64_t age = ageMs(now, it.touched);
                 if (age < EventLagMs) {
                     return -1;
@@ -377,13 +378,19 @@
     for (std::size_t n = 0; step < Steps && n + counts[step] <= maxEntries; ++step) {
         n += counts[step];
     }
+    // Second pass: all that are younger than that step, and as many of the step as still fit.
     std::vector<std::vector<HotBlock>> blocks(m_tables->upstreams.size());
-    std::size_t left = maxEntries;
+    std::size_t younger = 0;
+    for (std::size_t i = 0; i < step; ++i) {
+        younger += counts[i];
+    }
+    std::size_t left = maxEntries - younger;
     m_tables->forLive(time, [&](const Entry &entry) {
         const std::uint32_t age = ageMs(time, entry.touched);
-        if (left > 0 && age / StepMs <= step) {
+        const std::size_t entryStep = std::min<std::size_t>(age / StepMs, Steps - 1);
+        if (entryStep < step || (entryStep == step && left > 0)) {
+            left -= entryStep == step ? 1 : 0;
             blocks[entry.slot].push_back(HotBlock{entry.key, age});
-            --left;
         }
     });
     HotPlacements placements;
--- a/carawaylatch/prefix/heat.cpp
+++ b/carawaylatch/prefix/heat.cpp
@@ -28,6 +28,7 @@
 constexpr std::size_t MaxHeatBlocks = 128;
 constexpr double BranchRatio = 0.7;
 constexpr std::uint8_t MaxSpread = 6; // up to 64 replicas
+constexpr float MinRequests = 4; // before a level may grow: fewer say nothing about its rate
 constexpr double MaxHalfLives = 60; // older counters are zero
 
 struct Counter
@@ -105,7 +106,8 @@
         counter.sum = static_cast<float>(sumAt(counter, now) + tokens);
         counter.touched = now;
         const double heat = rate(counter.sum);
-        while (share > 0 && counter.spread < MaxSpread && heat > share * static_cast<double>(1U << counter.spread)) {
+        const bool isKnown = counter.sum >= MinRequests * tokens;
+        while (share > 0 && isKnown && counter.spread < MaxSpread && heat > share * static_cast<double>(1U << counter.spread)) {
             ++counter.spread;
         }
         while (counter.spread > 0 && heat < share * static_cast<double>(1U << counter.spread) / 4) {
--- a/carawaylatch/routing/rendezvous.cpp
+++ b/carawaylatch/routing/rendezvous.cpp
@@ -1,10 +1,15 @@
-// Highest-random-weight hashing (Thaler and Ravishankar 1998) for pools of today's
-// size; for large pools multi-probe consistent hashing (Appleton and O'Reilly
-// 2015): of several probes the one that lands closest before an upstream wins,
-// which evens out the arcs of a ring with one point for each upstream.
+// Highest-random-weight hashing (Thaler and Ravishankar 1998) in two steps.
+//
+// Ranking 10,000 upstreams for each decision would cost most of its time budget,
+// so the pool is cut into groups by hash. The key first chooses a group by weighted
+// rendezvous, the weight being the group's size, then ranks that group's members.
+// Each upstream owns an equal part of the keys, and one that comes or goes moves
+// only the keys that its group gains or loses. A pool of fewer than two groups'
+// size is one group, and the order is plain rendezvous.
 #include "carawaylatch/routing/rendezvous.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "carawaylatch/base/hash.h"
 
@@ -14,9 +19,6 @@
 namespace
 {
 
-constexpr std::uint64_t ProbesPerHome = 5;
-constexpr std::uint64_t MaxProbes = 1000; // ends the search where few distinct upstreams remain
-
 // Keeps the first n of the set in the key's order.
 void narrow(const upstreams::UpstreamView &view, std::uint64_t key, std::size_t n, std::vector<std::uint32_t> &set)
 {
@@ -28,43 +30,37 @@
     set.resize(kept);
 }
 
-// Returns the eligible upstream that follows a point of the ring.
-std::size_t successor(const upstreams::UpstreamView &view, const upstreams::PoolView &pool, std::uint64_t point)
+// Returns the key's group by weighted rendezvous: the greatest size / -ln(u).
+std::size_t chooseGroup(const upstreams::PoolView &pool, std::uint64_t key)
 {
-    const auto it = std::lower_bound(pool.eligible.begin(), pool.eligible.end(), point, [&view](std::uint32_t index, std::uint64_t wanted) {
-        return view.upstreams[index].nodeHash < wanted;
-    });
-    return it == pool.eligible.end() ? 0 : static_cast<std::size_t>(it - pool.eligible.begin());
+    constexpr double Scale = 1.0 / 18446744073709551616.0; // 2^-64
+    std::size_t chosen = 0;
+    double greatest = -1;
+    std::uint32_t begin = 0;
+    for (std::size_t i = 0; i < pool.groupEnds.size(); ++i) {
+        const double u = (static_cast<double>(base::combineHashes(key, i)) + 0.5) * Scale;
+        const double weight = (pool.groupEnds[i] - begin) / -std::log(u);
+        if (weight > greatest) {
+            greatest = weight;
+            chosen = i;
+        }
+        begin = pool.groupEnds[i];
+    }
+    return chosen;
 }
 
 } // namespace
 
 std::vector<std::uint32_t> homeOrder(const upstreams::UpstreamView &view, const upstreams::PoolView &pool, std::uint64_t key, std::size_t n)
 {
-    if (pool.eligible.size() <= ExactLimit) {
-        std::vector<std::uint32_t> set = pool.eligible;
-        narrow(view, key, n, set);
-        return set;
-    }
-    std::vector<std::uint32_t> homes;
-    const std::size_t wanted = std::min(n, ExactLimit);
-    for (std::uint64_t probe = 0; homes.size() < wanted && probe < MaxProbes; probe += ProbesPerHome) {
-        std::uint32_t best = 0;
-        std::uint64_t shortest = UINT64_MAX;
-        for (std::uint64_t i = 0; i < ProbesPerHome; ++i) {
-            const std::uint64_t point = base::combineHashes(key, probe + i);
-            const std::uint32_t index = pool.eligible[successor(view, pool, point)];
-            const std::uint64_t distance = view.upstreams[index].nodeHash - point;
-            if (distance < shortest) {
-                shortest = distance;
-                best = index;
-            }
-        }
-        if (std::find(homes.begin(), homes.end(), best) == homes.end()) {
-            homes.push_back(best);
-        }
+    if (pool.eligible.empty()) {
+        return {};
     }
-    return homes;
+    const std::size_t group = pool.groupEnds.size() == 1 ? 0 : chooseGroup(pool, key);
+    const auto begin = static_cast<std::ptrdiff_t>(group == 0 ? 0 : pool.groupEnds[group - 1]);
+    std::vector<std::uint32_t> set(pool.eligible.begin() + begin, pool.eligible.begin() + static_cast<std::ptrdiff_t>(pool.groupEnds[group]));
+    narrow(view, key, n, set);
+    return set;
 }
 
 std::vector<std::uint32_t> homeSet(const upstreams::UpstreamView &view, const upstreams::PoolView &pool, const prefix::HomePath &path)
--- a/carawaylatch/upstreams/registry.cpp
+++ b/carawaylatch/upstreams/registry.cpp
@@ -446,9 +446,7 @@
             result.eligible.push_back(it);
         }
     }
-    std::sort(result.eligible.begin(), result.eligible.end(), [&view](std::uint32_t left, std::uint32_t right) {
-        return view.upstreams[left].nodeHash < view.upstreams[right].nodeHash;
-    });
+    result.arrange(view.upstreams);
     return result;
 }
 
--- a/carawaylatch/upstreams/upstreamview.cpp
+++ b/carawaylatch/upstreams/upstreamview.cpp
@@ -2,6 +2,8 @@
 #include "carawaylatch/upstreams/upstreamview.h"
 
 #include <algorithm>
+#include <bit>
+#include <numeric>
 
 namespace carawaylatch::upstreams
 {
@@ -27,6 +29,20 @@
     return "unknown";
 }
 
+void PoolView::arrange(const std::vector<UpstreamStatus> &upstreams)
+{
+    std::sort(eligible.begin(), eligible.end(), [&upstreams](std::uint32_t left, std::uint32_t right) {
+        return upstreams[left].nodeHash < upstreams[right].nodeHash;
+    });
+    const std::size_t groups = std::bit_floor(std::max<std::size_t>(eligible.size() / HomeGroupSize, 1));
+    const auto bits = static_cast<unsigned>(std::countr_zero(groups));
+    groupEnds.assign(groups, 0);
+    for (const std::uint32_t it : eligible) {
+        ++groupEnds[bits == 0 ? 0 : upstreams[it].nodeHash >> (64U - bits)];
+    }
+    std::partial_sum(groupEnds.begin(), groupEnds.end(), groupEnds.begin());
+}
+
 const PoolView *UpstreamView::pool(const base::PoolName &name) const
 {
     const auto it = std::lower_bound(pools.begin(), pools.end(), name, [](const PoolView &pool, const base::PoolName &wanted) {
