--- a/carawaylatch/admission/fairqueue.h
+++ b/carawaylatch/admission/fairqueue.h
@@ -15,8 +15,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <span>
-#include <vector>
 
 #include "carawaylatch/base/error.h"
 #include "carawaylatch/base/ids.h"
@@ -51,8 +49,8 @@
     FairQueue(FairQueue &&) noexcept;
     FairQueue &operator=(FairQueue &&) noexcept;
 
-    // Weight of a customer, above zero; 1 where none is set.
-    void setWeight(const base::CustomerId &customer, double weight);
+    // Replaces all weights; 1 where none above zero is set.
+    void setWeights(std::map<base::CustomerId, double> weights);
     // LimitExceeded when the customer's part is full, Overloaded when all is.
     [[nodiscard]] base::Result<void> push(const QueueEntry &entry);
     // Removes and returns the next entry among customers that may start now.
@@ -60,13 +58,15 @@
     [[nodiscard]] std::optional<QueueEntry> pop(base::TimePoint now, const Eligible &eligible);
     // Removes an entry; false if it is not there.
     bool remove(std::uint64_t id);
-    // Visits all entries, in no stated order.
+    // Visits all entries: interactive before batch, each customer's in their order.
     void forEach(const std::function<void(const QueueEntry &)> &visit) const;
 
     [[nodiscard]] std::size_t size() const;
     [[nodiscard]] std::uint64_t queuedTokens() const;
     [[nodiscard]] std::size_t depth(const base::CustomerId &customer) const;
-    [[nodiscard]] std::vector<base::CustomerId> waitingCustomers() const;
+    [[nodiscard]] double weight(const base::CustomerId &customer) const;
+    // Returns the sum of weights of customers that have an entry.
+    [[nodiscard]] double waitingWeight() const;
 
 private:
     class Ring;
--- a/carawaylatch/admission/gate.h
+++ b/carawaylatch/admission/gate.h
@@ -122,7 +122,10 @@
     [[nodiscard]] ShareTable answer(const DemandReport &report, base::TimePoint now);
     void apply(const ShareTable &table, base::TimePoint now);
 
+    // Returns figures of the tables' customers that sent requests.
     [[nodiscard]] std::vector<AdmissionFigures> figures() const;
+    // Returns how many requests were refused for an unknown customer.
+    [[nodiscard]] std::uint64_t unknownCustomers() const;
     [[nodiscard]] std::uint32_t inFlight() const;
     [[nodiscard]] std::uint32_t inFlight(const base::CustomerId &customer) const;
     [[nodiscard]] std::uint32_t waiting() const;
--- a/carawaylatch/admission/limiter.h
+++ b/carawaylatch/admission/limiter.h
@@ -50,11 +50,13 @@
 
     // Takes one request out of the customer's rate, or says when to come back.
     [[nodiscard]] base::Result<void> takeRate(const base::CustomerId &customer, base::TimePoint now);
+    // Says whether tryStart() would succeed now.
+    [[nodiscard]] bool mayStart(const base::CustomerId &customer, base::TimePoint now) const;
     // Counts a request in flight; false if the router's part is used up now.
     [[nodiscard]] bool tryStart(const base::CustomerId &customer, base::TimePoint now);
-    void finish(const base::CustomerId &customer, base::TimePoint now);
+    void finish(const base::CustomerId &customer);
     // Tells how many requests of the customer wait for tryStart().
-    void noteWaiting(const base::CustomerId &customer, std::uint32_t waiting, base::TimePoint now);
+    void noteWaiting(const base::CustomerId &customer, std::uint32_t waiting);
 
     // Exchange with peers: send report(peer) to a peer, give what comes to
     // answer(), send that back, give it to apply().
--- /dev/null
+++ b/carawaylatch/admission/overload.cpp
@@ -0,0 +1,83 @@
+// The drain rate is an exponentially decayed sum of tokens times ln 2 / halfLife:
+// its value for a steady rate r is r once a few half-lives have passed. Before
+// that the sum is divided by the time there was, so that the first seconds do not
+// look slow. When nothing leaves, the rate decays and the expected wait grows, so
+// a stalled router begins to refuse within a half-life.
+#include "carawaylatch/admission/overload.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace carawaylatch::admission
+{
+
+namespace
+{
+constexpr double ShortestSpanSeconds = 0.1; // below this a rate would be noise
+constexpr double LongestWaitSeconds = 3600;
+} // namespace
+
+DrainRate::DrainRate(base::Duration halfLife)
+    : m_halfLife(halfLife)
+{
+}
+
+void DrainRate::add(std::uint64_t tokens, base::TimePoint now)
+{
+    if (!m_first) {
+        m_first = now;
+        m_last = now;
+    }
+    m_sum = m_sum * std::exp2(-base::toSeconds(now - m_last) / base::toSeconds(m_halfLife)) + static_cast<double>(tokens);
+    m_last = now;
+}
+
+std::optional<double> DrainRate::perSecond(base::TimePoint now) const
+{
+    if (!m_first) {
+        return std::nullopt;
+    }
+    const double halfLife = base::toSeconds(m_halfLife);
+    const double sum = m_sum * std::exp2(-base::toSeconds(now - m_last) / halfLife);
+    // The decayed length of the time that was observed.
+    const double span = std::max(ShortestSpanSeconds, base::toSeconds(now - *m_first));
+    return sum / ((1 - std::exp2(-span / halfLife)) * halfLife / std::log(2.0));
+}
+
+OverloadPolicy::OverloadPolicy(const OverloadOptions &options)
+    : m_options(options)
+    , m_random(options.seed)
+{
+}
+
+std::optional<base::Duration> OverloadPolicy::expectedWait(double tokensAhead, base::TimePoint now) const
+{
+    const auto rate = m_drain.perSecond(now);
+    return rate ? std::optional(waitAt(*rate, tokensAhead)) : std::nullopt;
+}
+
+base::Duration OverloadPolicy::waitAt(double tokensPerSecond, double tokens)
+{
+    return base::fromSeconds(tokensPerSecond > 0 ? std::min(LongestWaitSeconds, tokens / tokensPerSecond) : LongestWaitSeconds);
+}
+
+base::Result<void> OverloadPolicy::check(base::Duration expectedWait, base::TimePoint deadline, base::TimePoint now)
+{
+    if (now + expectedWait < deadline) {
+        return base::ok();
+    }
+    return base::fail(base::ErrorKind::Overloaded, "the expected wait passes the deadline; try again later or set a later deadline", retryAfter(expectedWait));
+}
+
+base::Duration OverloadPolicy::retryAfter(base::Duration expectedWait)
+{
+    const double bounded = base::toSeconds(std::clamp(expectedWait, m_options.minRetryAfter, m_options.maxRetryAfter));
+    return base::fromSeconds(bounded * (1 + m_options.jitter * m_random.unit()));
+}
+
+void OverloadPolicy::noteLeft(std::uint64_t tokens, base::TimePoint now)
+{
+    m_drain.add(tokens, now);
+}
+
+} // namespace carawaylatch::admission
--- a/carawaylatch/admission/overload.h
+++ b/carawaylatch/admission/overload.h
@@ -46,7 +46,9 @@
     explicit OverloadPolicy(const OverloadOptions &options = {});
 
     // Returns the wait of work behind `tokensAhead`, nothing while it is unknown.
-    [[nodiscard]] std::optional<base::Duration> expectedWait(std::uint64_t tokensAhead, base::TimePoint now) const;
+    [[nodiscard]] std::optional<base::Duration> expectedWait(double tokensAhead, base::TimePoint now) const;
+    // Returns the time that so much work takes at a rate, an hour at most.
+    [[nodiscard]] static base::Duration waitAt(double tokensPerSecond, double tokens);
     // Passes or refuses (Overloaded) a request that would wait that long.
     [[nodiscard]] base::Result<void> check(base::Duration expectedWait, base::TimePoint deadline, base::TimePoint now);
     // Returns when to come back, given the wait that caused the refusal.
--- /dev/null
+++ b/carawaylatch/admission/shareledger.cpp
@@ -0,0 +1,388 @@
+// The arithmetic of loans; the header has the rules and the bound.
+//
+// Lender: committed(borrower) = the greatest of what the borrower last said it
+// holds and of every table that it did not confirm. Own use is bounded by own part
+// less all that is committed, and a new loan takes only what is neither committed
+// nor in use, so the two never overlap.
+//
+// Borrower: `amount` may be used for new requests until `ends`; `peak` is what
+// requests in flight may still stand on. A report says max(amount, what other
+// parts can't account for) and lowers peak to it, so what was reported as free is
+// not used again without a new table.
+//
+// How much is asked of whom: every lender that gives keeps its loan as long as the
+// sum is not above what is missing, and what is still missing is asked of each.
+// Loans in excess are scaled down in the next reports. So loans settle instead of
+// swinging between lenders. A lender serves its own need first and divides the
+// rest by what the borrowers want.
+#include "carawaylatch/admission/shareledger.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace carawaylatch::admission
+{
+
+namespace
+{
+
+constexpr std::uint32_t KeptShare = 4; // a fourth of the own part is never lent
+constexpr int DriftShare = 50; // clocks may differ in rate by one part in this
+
+std::uint32_t saturatingSubtract(std::uint64_t from, std::uint64_t n)
+{
+    return from > n ? static_cast<std::uint32_t>(from - n) : 0;
+}
+
+} // namespace
+
+ShareLedger::ShareLedger(const ShareLedgerOptions &options, base::TimePoint now)
+    : m_options(options)
+    , m_recoveryEnds(now + options.loanTerm + options.loanTerm / DriftShare + options.longestRequest)
+{
+}
+
+void ShareLedger::setOwnPart(const ShareKey &key, std::uint32_t units)
+{
+    Book &book = m_books[key];
+    book.kind = BookKind::Configured;
+    book.own = units;
+}
+
+void ShareLedger::forget(const ShareKey &key)
+{
+    const auto it = m_books.find(key);
+    if (it != m_books.end()) {
+        it->second.kind = BookKind::Unknown;
+        it->second.own = 0;
+        it->second.used = 0;
+        it->second.needed = 0;
+    }
+}
+
+void ShareLedger::noteUse(const ShareKey &key, std::uint32_t used, std::uint32_t needed)
+{
+    const auto it = m_books.find(key);
+    if (it != m_books.end() && it->second.kind == BookKind::Configured) {
+        it->second.used = used;
+        it->second.needed = needed;
+    }
+}
+
+std::uint32_t ShareLedger::usable(const ShareKey &key, base::TimePoint now) const
+{
+    const auto it = m_books.find(key);
+    return it == m_books.end() ? 0 : ownUsable(it->second, now) + borrowedUsable(it->second, now);
+}
+
+std::uint32_t ShareLedger::missing(const ShareKey &key, base::TimePoint now) const
+{
+    const auto it = m_books.find(key);
+    return it == m_books.end() ? 0 : missingIn(it->second, now);
+}
+
+DemandReport ShareLedger::report(const base::RouterId &to, base::TimePoint now)
+{
+    DemandReport report{.from = m_options.router, .incarnation = m_options.incarnation, .sequence = ++m_lastReport, .tableIncarnation = {}, .entries = {}};
+    if (m_peers.size() >= MaxPeers && !m_peers.contains(to)) {
+        return report;
+    }
+    dropUnknownBooks(now);
+    Peer &peer = m_peers[to];
+    report.tableIncarnation = peer.tableIncarnation;
+    report.tableSequence = peer.tableSequence;
+    peer.sentReports.emplace(report.sequence, now);
+    if (peer.sentReports.size() > MaxUnconfirmed) {
+        peer.sentReports.erase(peer.sentReports.begin());
+    }
+    for (auto &[key, book] : m_books) {
+        if (const auto held = heldFrom(key, book, to, now); held > 0) {
+            report.entries.push_back({key.customer, key.resource, wantedFrom(book, to, missingIn(book, now), now), held});
+        }
+    }
+    // What is only wanted fills the rest, starting where the last report ended.
+    auto it = m_resumeAt ? m_books.lower_bound(*m_resumeAt) : m_books.begin();
+    m_resumeAt.reset();
+    for (std::size_t i = 0; i < m_books.size(); ++i, ++it) {
+        it = it == m_books.end() ? m_books.begin() : it;
+        const auto lacking = it->second.kind == BookKind::Configured ? missingIn(it->second, now) : 0;
+        if (lacking == 0 || heldFrom(it->first, it->second, to, now) > 0) {
+            continue;
+        }
+        if (report.entries.size() >= MaxEntries) {
+            m_resumeAt = it->first;
+            break;
+        }
+        report.entries.push_back({it->first.customer, it->first.resource, wantedFrom(it->second, to, lacking, now), 0});
+    }
+    return report;
+}
+
+ShareTable ShareLedger::answer(const DemandReport &report, base::TimePoint now)
+{
+    ShareTable table{.from = m_options.router,
+                     .incarnation = m_options.incarnation,
+                     .sequence = 0,
+                     .to = report.from,
+                     .toIncarnation = report.incarnation,
+                     .reportSequence = report.sequence,
+                     .entries = {}};
+    const bool isKnown = m_peers.contains(report.from);
+    if (report.entries.size() > MaxEntries || report.from == m_options.router || (!isKnown && m_peers.size() >= MaxPeers)) {
+        return table;
+    }
+    Peer &peer = m_peers[report.from];
+    if (peer.incarnation == report.incarnation && report.sequence <= peer.lastReport) {
+        return table; // late or repeated; sequence 0 is not applied
+    }
+    takeReport(report, now);
+    table.sequence = ++m_lastTable;
+    for (auto &[key, book] : m_books) {
+        const auto it = book.lent.find(report.from);
+        if (it == book.lent.end()) {
+            continue;
+        }
+        Lent &lent = it->second;
+        const std::uint32_t amount = lent.wanted > 0 && !isRecovering(now) ? amountFor(book, report.from, now) : 0;
+        if (amount > 0) {
+            table.entries.push_back({key.customer, key.resource, amount});
+            lent.unconfirmed.push_back({table.sequence, amount});
+        }
+        if (lent.unconfirmed.size() > MaxUnconfirmed) {
+            const SentAmount all{table.sequence, committed(lent, now)};
+            lent.unconfirmed.assign(1, all);
+        }
+        lent.ends = now + m_options.loanTerm + m_options.loanTerm / DriftShare + drainTime(key.resource);
+        if (lent.held == 0 && lent.unconfirmed.empty()) {
+            book.lent.erase(it);
+        }
+    }
+    return table;
+}
+
+void ShareLedger::takeReport(const DemandReport &report, base::TimePoint now)
+{
+    Peer &peer = m_peers[report.from];
+    const bool isNewLife = peer.incarnation != report.incarnation;
+    peer.incarnation = report.incarnation;
+    peer.lastReport = report.sequence;
+    const std::uint64_t confirmed = report.tableIncarnation == m_options.incarnation ? report.tableSequence : 0;
+    for (auto &[key, book] : m_books) {
+        const auto it = book.lent.find(report.from);
+        if (it == book.lent.end()) {
+            continue;
+        }
+        Lent &lent = it->second;
+        // A new life knows no table that was sent to the former one.
+        const bool isOver = isNewLife || now >= lent.ends;
+        std::erase_if(lent.unconfirmed, [&](const SentAmount &sent) {
+            return isOver || sent.sequence <= confirmed;
+        });
+        lent.held = 0;
+        lent.wanted = 0;
+    }
+    bool isWhole = true;
+    for (const DemandEntry &it : report.entries) {
+        const ShareKey key{it.customer, it.resource};
+        const bool isKnown = m_books.contains(key);
+        if (!isKnown && (it.held == 0 || m_books.size() >= MaxBooks)) {
+            isWhole = isWhole && it.held == 0;
+            continue;
+        }
+        if (it.held > 0 || it.wanted > 0) {
+            Lent &lent = m_books[key].lent[report.from];
+            lent.held = it.held;
+            lent.wanted = it.wanted;
+            lent.ends = now + m_options.loanTerm + m_options.loanTerm / DriftShare + drainTime(it.resource);
+        }
+    }
+    if (confirmed > 0 && isWhole) {
+        m_reported.insert(report.from);
+    }
+}
+
+void ShareLedger::dropUnknownBooks(base::TimePoint now)
+{
+    std::erase_if(m_books, [now](const auto &it) {
+        const Book &book = it.second;
+        return book.kind == BookKind::Unknown && book.borrowed.empty() && committedToAll(book, now) == 0;
+    });
+}
+
+void ShareLedger::apply(const ShareTable &table, base::TimePoint now)
+{
+    const auto found = m_peers.find(table.from);
+    const bool isForThis = table.to == m_options.router && table.toIncarnation == m_options.incarnation && table.sequence > 0;
+    if (!isForThis || found == m_peers.end() || table.entries.size() > MaxEntries) {
+        return;
+    }
+    Peer &peer = found->second;
+    const auto sent = peer.sentReports.find(table.reportSequence);
+    const bool isNewLife = peer.tableIncarnation != table.incarnation;
+    if (sent == peer.sentReports.end() || (!isNewLife && table.sequence <= peer.tableSequence)) {
+        return;
+    }
+    const base::TimePoint ends = sent->second + m_options.loanTerm;
+    if (isNewLife) {
+        peer.sentReports.clear(); // an answer of the former life is not applied any more
+    } else {
+        peer.sentReports.erase(peer.sentReports.begin(), std::next(sent));
+    }
+    peer.tableIncarnation = table.incarnation;
+    peer.tableSequence = table.sequence;
+    for (auto &[key, book] : m_books) {
+        if (const auto it = book.borrowed.find(table.from); it != book.borrowed.end()) {
+            it->second.peak = peakOf(key, it->second, now);
+            it->second.amount = 0;
+            it->second.ends = ends;
+        }
+    }
+    for (const ShareEntry &it : table.entries) {
+        const ShareKey key{it.customer, it.resource};
+        const auto book = m_books.find(key);
+        if (book == m_books.end() || (!book->second.borrowed.contains(table.from) && heldKeys(table.from, now) >= MaxEntries)) {
+            continue;
+        }
+        Borrowed &borrowed = book->second.borrowed[table.from];
+        borrowed.amount = it.amount;
+        borrowed.peak = std::max(borrowed.peak, it.amount);
+        borrowed.ends = ends;
+    }
+}
+
+std::size_t ShareLedger::memoryBytes() const
+{
+    constexpr std::size_t NodeBytes = 48; // of a map, beside the value
+    std::size_t bytes = m_peers.size() * (sizeof(Peer) + NodeBytes + MaxUnconfirmed * NodeBytes);
+    for (const auto &[key, book] : m_books) {
+        bytes += sizeof(key) + sizeof(book) + NodeBytes;
+        bytes += book.lent.size() * (sizeof(Lent) + sizeof(base::RouterId) + NodeBytes + MaxUnconfirmed * sizeof(SentAmount));
+        bytes += book.borrowed.size() * (sizeof(Borrowed) + sizeof(base::RouterId) + NodeBytes);
+    }
+    return bytes;
+}
+
+std::uint32_t ShareLedger::committed(const Lent &lent, base::TimePoint now)
+{
+    if (now >= lent.ends) {
+        return 0;
+    }
+    std::uint32_t units = lent.held;
+    for (const SentAmount &it : lent.unconfirmed) {
+        units = std::max(units, it.amount);
+    }
+    return units;
+}
+
+std::uint32_t ShareLedger::committedToAll(const Book &book, base::TimePoint now)
+{
+    std::uint32_t units = 0;
+    for (const auto &[router, lent] : book.lent) {
+        units += committed(lent, now);
+    }
+    return units;
+}
+
+// Returns the part that is never lent: all that a restarted lender may use before
+// it knows its loans. A single unit may be lent whole.
+std::uint32_t ShareLedger::keptPart(std::uint32_t own)
+{
+    return own < 2 ? 0 : (own + KeptShare - 1) / KeptShare;
+}
+
+base::Duration ShareLedger::drainTime(Resource resource) const
+{
+    return resource == Resource::Concurrency ? m_options.longestRequest : base::Duration::zero();
+}
+
+bool ShareLedger::isRecovering(base::TimePoint now) const
+{
+    return now < m_recoveryEnds && m_reported.size() + 1 < m_options.fleetSize;
+}
+
+std::uint32_t ShareLedger::ownUsable(const Book &book, base::TimePoint now) const
+{
+    const std::uint32_t unlent = saturatingSubtract(book.own, committedToAll(book, now));
+    return isRecovering(now) ? std::min(unlent, keptPart(book.own)) : unlent;
+}
+
+std::uint32_t ShareLedger::borrowedUsable(const Book &book, base::TimePoint now)
+{
+    std::uint32_t units = 0;
+    for (const auto &[router, borrowed] : book.borrowed) {
+        units += now < borrowed.ends ? borrowed.amount : 0;
+    }
+    return units;
+}
+
+std::uint32_t ShareLedger::peakOf(const ShareKey &key, const Borrowed &borrowed, base::TimePoint now) const
+{
+    if (key.resource == Resource::Rate) {
+        return now < borrowed.ends ? borrowed.amount : 0;
+    }
+    return now < borrowed.ends + m_options.longestRequest ? borrowed.peak : 0;
+}
+
+std::uint32_t ShareLedger::missingIn(const Book &book, base::TimePoint now) const
+{
+    return saturatingSubtract(book.needed, ownUsable(book, now));
+}
+
+std::uint32_t ShareLedger::heldFrom(const ShareKey &key, Book &book, const base::RouterId &lender, base::TimePoint now)
+{
+    const auto it = book.borrowed.find(lender);
+    if (it == book.borrowed.end()) {
+        return 0;
+    }
+    std::uint64_t accounted = ownUsable(book, now);
+    for (const auto &[router, borrowed] : book.borrowed) {
+        accounted += router == lender ? 0 : peakOf(key, borrowed, now);
+    }
+    Borrowed &borrowed = it->second;
+    const std::uint32_t amount = now < borrowed.ends ? borrowed.amount : 0;
+    const std::uint32_t unaccounted = key.resource == Resource::Concurrency ? saturatingSubtract(book.used, accounted) : 0;
+    borrowed.peak = std::max(amount, std::min(peakOf(key, borrowed, now), unaccounted));
+    const std::uint32_t held = borrowed.peak;
+    if (held == 0) {
+        book.borrowed.erase(it);
+    }
+    return held;
+}
+
+std::uint32_t ShareLedger::wantedFrom(const Book &book, const base::RouterId &lender, std::uint32_t missing, base::TimePoint now)
+{
+    const std::uint64_t sum = borrowedUsable(book, now);
+    const auto it = book.borrowed.find(lender);
+    const std::uint64_t amount = it != book.borrowed.end() && now < it->second.ends ? it->second.amount : 0;
+    if (sum > missing) {
+        return static_cast<std::uint32_t>(amount * missing / sum);
+    }
+    return static_cast<std::uint32_t>(amount + missing - sum);
+}
+
+std::uint32_t ShareLedger::amountFor(const Book &book, const base::RouterId &borrower, base::TimePoint now) const
+{
+    const std::uint32_t ownUse = std::max(std::min(book.used, ownUsable(book, now)), std::min(book.needed, book.own));
+    const std::uint32_t pool = saturatingSubtract(book.own, std::max(keptPart(book.own), ownUse));
+    std::uint64_t wantedByAll = 0;
+    std::uint64_t committedToOthers = 0;
+    for (const auto &[router, lent] : book.lent) {
+        wantedByAll += now < lent.ends ? lent.wanted : 0;
+        committedToOthers += router == borrower ? 0 : committed(lent, now);
+    }
+    const std::uint64_t wanted = book.lent.at(borrower).wanted;
+    const std::uint64_t target = wantedByAll <= pool ? wanted : (pool * wanted + wantedByAll - 1) / wantedByAll;
+    return static_cast<std::uint32_t>(std::min<std::uint64_t>(target, saturatingSubtract(pool, committedToOthers)));
+}
+
+std::size_t ShareLedger::heldKeys(const base::RouterId &lender, base::TimePoint now) const
+{
+    std::size_t n = 0;
+    for (const auto &[key, book] : m_books) {
+        const auto it = book.borrowed.find(lender);
+        n += it != book.borrowed.end() && peakOf(key, it->second, now) > 0 ? 1 : 0;
+    }
+    return n;
+}
+
+} // namespace carawaylatch::admission
--- a/carawaylatch/admission/shares.h
+++ b/carawaylatch/admission/shares.h
@@ -28,10 +28,11 @@
 {
     base::CustomerId customer;
     Resource resource = Resource::Concurrency;
-    std::uint32_t wanted = 0; // units that the sender would use from the receiver
-    std::uint32_t held = 0; // units of the receiver's that the sender still uses
+    std::uint32_t wanted = 0; // units of the receiver's that the sender would use
+    std::uint32_t held = 0; // units of the receiver's that the sender uses or may use
 };
 
+// What is not named is not held and not wanted.
 struct DemandReport
 {
     base::RouterId from;
--- a/carawaylatch/relay/attemptplan.h
+++ b/carawaylatch/relay/attemptplan.h
@@ -73,8 +73,8 @@
     std::optional<TokenUsage> usage; // known when finished
 };
 
-// Chooses upstreams for one request and learns from its attempts. Called with no
-// lock held; calls of one request may come from two threads, at different times.
+// Chooses upstreams for one request and learns from its attempts. Calls of one
+// request come one at a time, from different threads, and must not block long.
 class Placer
 {
 public:
--- a/carawaylatch/relay/engineconnection.h
+++ b/carawaylatch/relay/engineconnection.h
@@ -84,6 +84,10 @@
 {
 public:
     virtual ~EngineListener() = default;
+    // Optional: the whole request left. Where it is not reported, a head implies it.
+    virtual void onSent()
+    {
+    }
     virtual void onHead(const EngineHead &head) = 0;
     virtual void onToken(const TokenEvent &token) = 0;
     virtual void onDone(const DoneEvent &done) = 0;
--- /dev/null
+++ b/carawaylatch/relay/openrequest.cpp
@@ -0,0 +1,481 @@
+// The life of one request, seen from its calling thread: take the next piece of
+// work (place, run), carry it out, until the assembler says Finish or Abort; then
+// write the end, and wait for a hedge that is still being cancelled.
+//
+// Writes to the caller are made by the thread of the attempt that won. There is
+// one winner at a time and a new one starts only after the old one's run broke,
+// so writes never overlap; the end waits for a write that is under way.
+//
+// A cancellation may reach the connection before the attempt does. It is noted
+// here, an attempt that is cancelled before it ran does not run, and the watcher
+// repeats the cancellation until the run is over.
+#include "carawaylatch/relay/openrequest.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace carawaylatch::relay
+{
+
+using base::ErrorKind;
+
+// Passes an attempt's events on.
+class AttemptListener : public EngineListener
+{
+public:
+    AttemptListener(OpenRequest &request, base::AttemptId attempt)
+        : m_request(request)
+        , m_attempt(attempt)
+    {
+    }
+
+    void onSent() override
+    {
+        m_request.handle([this](base::TimePoint now, Actions &out) {
+            m_request.m_assembler.sent(m_attempt, now, out);
+        });
+    }
+    void onHead(const EngineHead &head) override
+    {
+        m_request.handle([&](base::TimePoint now, Actions &out) {
+            m_request.m_assembler.head(m_attempt, head, now, out);
+        });
+    }
+    void onToken(const TokenEvent &token) override
+    {
+        m_request.handle([&](base::TimePoint now, Actions &out) {
+            m_request.m_assembler.token(m_attempt, token, now, out);
+        });
+    }
+    void onDone(const DoneEvent &done) override
+    {
+        m_hasEnded = true;
+        m_request.handle([&](base::TimePoint now, Actions &out) {
+            m_request.m_assembler.done(m_attempt, done, now, out);
+            if (!out.empty() && out.back().kind == ActionKind::Finish) {
+                m_request.m_done = done;
+            }
+        });
+    }
+    void onBroken(BreakKind kind, const base::Error &error) override
+    {
+        m_hasEnded = true;
+        m_request.handle([&](base::TimePoint now, Actions &out) {
+            m_request.m_assembler.broken(m_attempt, kind, error, now, out);
+        });
+    }
+
+    // The run is over; without onDone or onBroken that is a break too.
+    void onReturned()
+    {
+        if (!m_hasEnded) {
+            onBroken(BreakKind::Lost, base::fail(ErrorKind::Truncated, "the connection ended without a last event; try again later"));
+        }
+    }
+
+private:
+    OpenRequest &m_request;
+    const base::AttemptId m_attempt;
+    bool m_hasEnded = false;
+};
+
+namespace
+{
+
+StreamOptions streamOptions(const RelayOptions &options, const RelayRequest &request)
+{
+    StreamOptions stream;
+    stream.idempotency = request.idempotency;
+    stream.firstTokenDeadline = request.firstTokenDeadline;
+    stream.deadline = request.deadline;
+    stream.retryAfter = options.retryAfter;
+    stream.idleTimeout = options.idleTimeout;
+    stream.maxStarts = options.maxStarts;
+    if (request.maxTokens > 0) {
+        stream.maxTokens = request.maxTokens;
+    }
+    return stream;
+}
+
+bool contains(const std::vector<base::AttemptId> &ids, base::AttemptId id)
+{
+    return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
+} // namespace
+
+OpenRequest::OpenRequest(RelayParts &parts, const RelayRequest &request, Placer &placer, CallerSink &sink)
+    : m_parts(parts)
+    , m_request(request)
+    , m_placer(placer)
+    , m_sink(sink)
+    , m_started(parts.clock.now())
+    , m_assembler(streamOptions(parts.options, request), m_started)
+{
+}
+
+RelayReport OpenRequest::run()
+{
+    m_parts.budgets.noteRequest(m_request.pool, m_started);
+    if (m_request.hedging == config::Hedging::On) {
+        if (const auto delay = m_parts.delays.delay(m_request.pool)) {
+            const std::lock_guard lock(m_mutex);
+            m_hedgeAt = m_started + *delay;
+        }
+    }
+    handle([this](base::TimePoint now, Actions &out) {
+        m_assembler.start(now, out);
+    });
+    while (const auto work = nextWork()) {
+        if (work->kind == ActionKind::Place) {
+            place(work->purpose);
+        } else {
+            runAttempt(*work);
+        }
+    }
+    endAnswer();
+    std::unique_lock lock(m_mutex);
+    m_changed.wait(lock, [this] {
+        return m_hedgesRunning == 0;
+    });
+    m_report.tokens = m_assembler.delivered();
+    m_report.starts = m_assembler.starts();
+    return m_report;
+}
+
+// Says whether the first work can be taken; m_mutex is held. A hedge's stream is
+// resumed by the calling thread, after the hedge's own run returned.
+bool OpenRequest::hasReadyWork() const
+{
+    return !m_work.empty() && (m_work.front().kind != ActionKind::Resume || !contains(m_running, m_work.front().attempt));
+}
+
+// Returns the next work of the calling thread, nothing once the answer ended.
+std::optional<Action> OpenRequest::nextWork()
+{
+    std::unique_lock lock(m_mutex);
+    m_changed.wait(lock, [this] {
+        return !m_work.empty() || (m_end && m_writing == Writing::No);
+    });
+    if (m_end) {
+        m_changed.wait(lock, [this] {
+            return m_writing == Writing::No;
+        });
+        return std::nullopt;
+    }
+    const Action work = std::move(m_work.front());
+    m_work.erase(m_work.begin());
+    return work;
+}
+
+void OpenRequest::watchIfOpen()
+{
+    const std::lock_guard lock(m_watchMutex);
+    if (!m_isClosed) {
+        watch();
+    }
+}
+
+void OpenRequest::close()
+{
+    const std::lock_guard lock(m_watchMutex);
+    m_isClosed = true;
+}
+
+void OpenRequest::watch()
+{
+    const bool isGone = m_sink.state() == CallerState::Gone;
+    handle([&](base::TimePoint now, Actions &out) {
+        if (isGone) {
+            m_assembler.callerGone(now, out);
+        }
+        if (m_writing == Writing::No) {
+            m_assembler.tick(now, out);
+            m_assembler.idle(now, out);
+        }
+        if (m_hedgeAt && now >= *m_hedgeAt) {
+            m_hedgeAt.reset();
+            m_assembler.hedgeDue(now, out);
+        }
+        for (const base::AttemptId id : m_cancelled) {
+            if (contains(m_running, id)) {
+                out.push_back({.kind = ActionKind::Cancel, .attempt = id});
+            }
+        }
+    });
+}
+
+// Gives one event to the assembler and carries its actions out.
+void OpenRequest::handle(const Event &event)
+{
+    Actions actions;
+    std::vector<AttemptOutcome> outcomes;
+    {
+        const std::lock_guard lock(m_mutex);
+        event(m_parts.clock.now(), actions);
+        outcomes = m_assembler.takeOutcomes();
+        sort(actions);
+    }
+    m_changed.notify_all();
+    perform(actions);
+    report(outcomes);
+}
+
+// Notes actions that other threads carry out or wait for; m_mutex is held.
+void OpenRequest::sort(const Actions &actions)
+{
+    for (const Action &it : actions) {
+        switch (it.kind) {
+        case ActionKind::Begin:
+        case ActionKind::Deliver:
+            m_writing = Writing::Yes;
+            break;
+        case ActionKind::Finish:
+        case ActionKind::Abort:
+            m_end = it;
+            break;
+        case ActionKind::Cancel:
+            if (!contains(m_cancelled, it.attempt)) {
+                m_cancelled.push_back(it.attempt);
+            }
+            break;
+        case ActionKind::Resume:
+            ++m_report.resumes;
+            m_work.push_back(it);
+            break;
+        case ActionKind::Place:
+        case ActionKind::Start:
+            if (it.purpose != AttemptPurpose::Hedge) {
+                m_work.push_back(it);
+            }
+            break;
+        case ActionKind::FirstToken:
+            break;
+        }
+        if (it.kind == ActionKind::Start) {
+            m_report.hedges += it.purpose == AttemptPurpose::Hedge ? 1 : 0;
+            m_report.continuations += it.purpose == AttemptPurpose::Continue ? 1 : 0;
+        }
+    }
+}
+
+void OpenRequest::perform(const Actions &actions)
+{
+    for (const Action &it : actions) {
+        if (it.kind == ActionKind::Cancel) {
+            m_parts.connection.cancel(it.attempt);
+        } else if (it.kind == ActionKind::FirstToken) {
+            noteFirstToken(it);
+        }
+    }
+    performWrites(actions);
+    for (const Action &it : actions) {
+        if (it.purpose != AttemptPurpose::Hedge) {
+            continue;
+        }
+        if (it.kind == ActionKind::Place) {
+            startHedge();
+        } else if (it.kind == ActionKind::Start) {
+            runAttempt(it); // on the hedge's own thread, see startHedge()
+        }
+    }
+}
+
+void OpenRequest::performWrites(const Actions &actions)
+{
+    CallerState state = CallerState::Present;
+    bool hasWritten = false;
+    for (const Action &it : actions) {
+        if (state == CallerState::Gone) {
+            break;
+        }
+        if (it.kind == ActionKind::Begin) {
+            state = m_sink.begin(planOf(it.attempt));
+            hasWritten = true;
+        } else if (it.kind == ActionKind::Deliver) {
+            state = m_sink.token(it.index, it.text);
+            hasWritten = true;
+        }
+    }
+    if (!hasWritten) {
+        return;
+    }
+    {
+        const std::lock_guard lock(m_mutex);
+        m_writing = Writing::No;
+        m_assembler.written(m_parts.clock.now());
+    }
+    m_changed.notify_all();
+    if (state == CallerState::Gone) {
+        handle([this](base::TimePoint now, Actions &out) {
+            m_assembler.callerGone(now, out);
+        });
+    }
+}
+
+AttemptPlan OpenRequest::planOf(base::AttemptId attempt) const
+{
+    const std::lock_guard lock(m_mutex);
+    return *m_assembler.plan(attempt);
+}
+
+void OpenRequest::report(const std::vector<AttemptOutcome> &outcomes)
+{
+    const std::lock_guard placerLock(m_placerMutex);
+    for (const AttemptOutcome &it : outcomes) {
+        if (it.result == AttemptResult::Stale) {
+            const std::lock_guard lock(m_mutex);
+            ++m_report.staleAnswers;
+        }
+        m_placer.ended(it);
+    }
+}
+
+void OpenRequest::noteFirstToken(const Action &action)
+{
+    const AttemptPlan plan = planOf(action.attempt);
+    {
+        const std::lock_guard lock(m_mutex);
+        if (!m_report.firstToken) {
+            m_report.firstToken = m_parts.clock.now() - m_started;
+            m_report.upstream = plan.upstream;
+            // From the request's start: a hedge that won stands above the delay
+            // after which it was sent, so hedging does not lower its own delay.
+            m_parts.delays.add(m_request.pool, *m_report.firstToken);
+        }
+    }
+    const std::lock_guard placerLock(m_placerMutex);
+    m_placer.firstToken(plan, action.elapsed);
+}
+
+void OpenRequest::place(AttemptPurpose purpose)
+{
+    const auto plan = askPlacer(purpose);
+    handle([&](base::TimePoint now, Actions &out) {
+        if (plan) {
+            m_assembler.placed(m_parts.ids.next(), plan.value(), purpose, now, out);
+        } else {
+            m_assembler.notPlaced(purpose, plan.error(), now, out);
+        }
+    });
+}
+
+base::Result<AttemptPlan> OpenRequest::askPlacer(AttemptPurpose purpose)
+{
+    const auto now = m_parts.clock.now();
+    std::vector<ExcludedUpstream> excluded;
+    PlacementRequest placement{.purpose = purpose, .weightsVersion = std::nullopt, .excluded = {}, .delivered = 0, .now = now};
+    bool isFirst = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        excluded = m_assembler.excluded(purpose);
+        placement.excluded = excluded;
+        placement.weightsVersion = m_assembler.weightsVersion();
+        placement.delivered = m_assembler.delivered();
+        isFirst = m_assembler.starts() == 0;
+    }
+    if (purpose == AttemptPurpose::Continue) {
+        m_parts.budgets.charge(m_request.pool, now);
+    } else if (!isFirst && !m_parts.budgets.tryTake(m_request.pool, now)) {
+        return base::fail(ErrorKind::Overloaded, "the retry budget of the pool is used up; try again later", m_parts.options.retryAfter);
+    }
+    const std::lock_guard placerLock(m_placerMutex);
+    return m_placer.place(placement);
+}
+
+// Takes a free thread first: a hedge that can't run at once is not placed.
+void OpenRequest::startHedge()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        ++m_hedgesRunning;
+    }
+    const auto end = [self = shared_from_this()] {
+        const std::lock_guard lock(self->m_mutex);
+        --self->m_hedgesRunning;
+        self->m_changed.notify_all();
+    };
+    const bool isTaken = m_parts.tryRunHedge([self = shared_from_this(), end] {
+        self->place(AttemptPurpose::Hedge);
+        end();
+    });
+    if (!isTaken) {
+        handle([this](base::TimePoint now, Actions &out) {
+            m_assembler.notPlaced(AttemptPurpose::Hedge, base::fail(ErrorKind::Overloaded, "no thread is free for a hedge"), now, out);
+        });
+        end();
+    }
+}
+
+void OpenRequest::runAttempt(const Action &action)
+{
+    std::string generated;
+    EngineRequest request;
+    {
+        const std::lock_guard lock(m_mutex);
+        if (contains(m_cancelled, action.attempt)) {
+            return;
+        }
+        m_running.push_back(action.attempt);
+        request = engineRequest(action, generated);
+    }
+    AttemptListener listener(*this, action.attempt);
+    m_parts.connection.run(request, listener);
+    {
+        const std::lock_guard lock(m_mutex);
+        m_running.erase(std::find(m_running.begin(), m_running.end(), action.attempt));
+    }
+    m_changed.notify_all();
+    listener.onReturned();
+}
+
+// Describes a run; `generated` keeps the text that the description points to.
+EngineRequest OpenRequest::engineRequest(const Action &action, std::string &generated) const
+{
+    const AttemptPlan &plan = *m_assembler.plan(action.attempt);
+    const auto now = m_parts.clock.now();
+    EngineRequest request{.attempt = action.attempt,
+                          .requestId = m_request.requestId,
+                          .upstream = plan.upstream,
+                          .endpoint = plan.endpoint,
+                          .model = m_request.model,
+                          .salt = plan.salt,
+                          .trafficClass = m_request.trafficClass,
+                          .prompt = m_request.prompt,
+                          .maxTokens = m_request.maxTokens,
+                          .continuation = std::nullopt,
+                          .resumeFrom = std::nullopt,
+                          .timeout = m_request.firstTokenDeadline - now};
+    if (m_assembler.delivered() > 0) {
+        request.timeout = std::min(m_parts.options.idleTimeout, m_request.deadline - now);
+    }
+    if (action.kind == ActionKind::Resume) {
+        request.resumeFrom = action.index;
+    } else if (action.purpose == AttemptPurpose::Continue) {
+        generated = m_assembler.deliveredText();
+        request.continuation = Continuation{.firstIndex = action.index, .generated = generated};
+    }
+    return request;
+}
+
+void OpenRequest::endAnswer()
+{
+    Action end;
+    {
+        const std::lock_guard lock(m_mutex);
+        end = *m_end;
+        if (end.kind == ActionKind::Finish) {
+            m_report.done = m_done;
+        } else {
+            m_report.error = end.error;
+        }
+    }
+    if (end.kind == ActionKind::Finish) {
+        m_sink.finish(*m_report.done);
+    } else {
+        m_sink.abort(*m_report.error);
+    }
+}
+
+} // namespace carawaylatch::relay
--- /dev/null
+++ b/carawaylatch/relay/retrybudget.cpp
@@ -0,0 +1,98 @@
+// A ring of one-second slots counts requests and what was taken for retries and
+// hedges; a slot is cleared when its second comes round again. Taking is allowed
+// while taken < reserve + share x requests over the whole ring. A sum over ten
+// slots costs less than keeping running totals right across skipped seconds.
+#include "carawaylatch/relay/retrybudget.h"
+
+namespace carawaylatch::relay
+{
+
+RetryVerdict mayRetry(config::Idempotency idempotency, BreakKind kind, std::uint64_t delivered)
+{
+    if (delivered > 0) {
+        return RetryVerdict::AlreadyDelivered;
+    }
+    const bool isUnsent = kind == BreakKind::NotSent || kind == BreakKind::Refused;
+    if (idempotency == config::Idempotency::AtMostOnce && !isUnsent) {
+        return RetryVerdict::MayHaveRun;
+    }
+    return RetryVerdict::Allowed;
+}
+
+RetryBudget::RetryBudget(RetryBudgetOptions options)
+    : m_options(options)
+{
+}
+
+RetryBudget::Slot &RetryBudget::slotAt(base::TimePoint now)
+{
+    const auto second = std::chrono::duration_cast<base::seconds>(now.time_since_epoch()).count();
+    Slot &slot = m_slots[static_cast<std::size_t>(second) % WindowSlots];
+    if (slot.second != second) {
+        slot = Slot{.second = second};
+    }
+    return slot;
+}
+
+void RetryBudget::noteRequest(base::TimePoint now)
+{
+    ++slotAt(now).requests;
+}
+
+void RetryBudget::charge(base::TimePoint now)
+{
+    ++slotAt(now).taken;
+}
+
+bool RetryBudget::tryTake(base::TimePoint now)
+{
+    Slot &current = slotAt(now);
+    std::uint64_t requests = 0;
+    std::uint64_t taken = 0;
+    for (const Slot &slot : m_slots) {
+        if (slot.second >= 0 && slot.second > current.second - static_cast<std::int64_t>(WindowSlots)) {
+            requests += slot.requests;
+            taken += slot.taken;
+        }
+    }
+    if (static_cast<double>(taken) + 1 > m_options.reserve + m_options.share * static_cast<double>(requests)) {
+        return false;
+    }
+    ++current.taken;
+    return true;
+}
+
+RetryBudgets::RetryBudgets(RetryBudgetOptions options)
+    : m_options(options)
+{
+}
+
+RetryBudget &RetryBudgets::budgetOf(const base::PoolName &pool)
+{
+    const auto it = m_budgets.find(pool);
+    if (it != m_budgets.end()) {
+        return it->second;
+    }
+    const bool isFull = m_budgets.size() >= MaxPools;
+    return m_budgets.try_emplace(isFull ? base::PoolName{} : pool, m_options).first->second;
+}
+
+void RetryBudgets::noteRequest(const base::PoolName &pool, base::TimePoint now)
+{
+    const std::lock_guard lock(m_mutex);
+    budgetOf(pool).noteRequest(now);
+}
+
+void RetryBudgets::charge(const base::PoolName &pool, base::TimePoint now)
+{
+    const std::lock_guard lock(m_mutex);
+    budgetOf(pool).charge(now);
+}
+
+bool RetryBudgets::tryTake(const base::PoolName &pool, base::TimePoint now)
+{
+    const std::lock_guard lock(m_mutex);
+    return budgetOf(pool).tryTake(now);
+}
+
+} // namespace carawaylatch::relay
--- a/carawaylatch/relay/retrybudget.h
+++ b/carawaylatch/relay/retrybudget.h
@@ -3,6 +3,8 @@
 // Two rules, both needed: the call must bear it (mayRetry), and the pool's
 // budget must have room (RetryBudget): retries and hedges together stay under a
 // share of recent requests, so that a failing pool is not buried under retries.
+// Continuations of streams that a caller already holds a part of are counted but
+// not refused: their number is bounded by the open streams and maxStarts.
 #pragma once
 
 #include <array>
@@ -39,6 +41,8 @@
 public:
     explicit RetryBudget(RetryBudgetOptions options = {});
     void noteRequest(base::TimePoint now);
+    // Counts a continuation, which a delivered part makes necessary.
+    void charge(base::TimePoint now);
     // Takes one retry or hedge out of the budget; false if it is used up.
     [[nodiscard]] bool tryTake(base::TimePoint now);
 
@@ -64,6 +68,7 @@
     static constexpr std::size_t MaxPools = 1024;
     explicit RetryBudgets(RetryBudgetOptions options = {});
     void noteRequest(const base::PoolName &pool, base::TimePoint now);
+    void charge(const base::PoolName &pool, base::TimePoint now);
     [[nodiscard]] bool tryTake(const base::PoolName &pool, base::TimePoint now);
 
 private:
--- /dev/null
+++ b/carawaylatch/relay/streamassembler.cpp
@@ -0,0 +1,497 @@
+// The request has one position, m_delivered: the index of the next token that the
+// caller gets. Attempts are compared with it, never with each other. A token
+// below it is a duplicate, one above it shows a gap, and only the winner's token
+// at it is delivered; so order and exactly-once follow from one comparison.
+//
+// Before an attempt may win, its echo has to equal its plan in all four parts.
+// The list of upstreams lags and answers may cross; this check is the last one
+// and needs nothing but the answer itself.
+//
+// When a run ends early there are three ways on, tried in this order:
+//   resume        same attempt, same incarnation, from m_delivered; it costs the
+//                 engine nothing, so it comes first whenever the connection broke
+//                 after the request left
+//   continuation  another engine, same weights version and salt, prompt plus the
+//                 text delivered; for calls that may be repeated
+//   retry         a fresh attempt, while nothing was delivered
+// Resumes are bounded for each attempt and runs for the request; the deadline
+// ends all of them. What is left is Abort, with the reason.
+//
+// A hedge is a second attempt while nothing was delivered. The first token
+// decides, and the other attempt is cancelled; its later events find it ended.
+#include "carawaylatch/relay/streamassembler.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "carawaylatch/relay/retrybudget.h"
+
+namespace carawaylatch::relay
+{
+
+using base::ErrorKind;
+
+std::string_view attemptStateName(AttemptState state)
+{
+    switch (state) {
+    case AttemptState::Queued:
+        return "queued";
+    case AttemptState::Connecting:
+        return "connecting";
+    case AttemptState::Sent:
+        return "sent";
+    case AttemptState::FirstByte:
+        return "first_byte";
+    case AttemptState::Streaming:
+        return "streaming";
+    case AttemptState::Done:
+        return "done";
+    case AttemptState::Failed:
+        return "failed";
+    }
+    return "unknown";
+}
+
+StreamAssembler::StreamAssembler(const StreamOptions &options, base::TimePoint now)
+    : m_options(options)
+    , m_lastProgress(now)
+    , m_lastError(base::fail(ErrorKind::Unavailable, "no attempt was made; try again later", options.retryAfter))
+{
+    m_attempts.reserve(2);
+}
+
+void StreamAssembler::start(base::TimePoint now, Actions &out)
+{
+    if (!m_over && m_starts == 0 && !deadlinePassed(now, out)) {
+        requestPlace(now, out);
+    }
+}
+
+void StreamAssembler::placed(base::AttemptId attempt, const AttemptPlan &plan, AttemptPurpose purpose, base::TimePoint now, Actions &out)
+{
+    const bool isAsked = purpose == AttemptPurpose::Hedge ? m_placingHedge : m_placing == purpose;
+    if (!isAsked || find(attempt) != nullptr) {
+        return;
+    }
+    if (purpose == AttemptPurpose::Hedge) {
+        m_placingHedge = false;
+    } else {
+        m_placing.reset();
+    }
+    Attempt candidate{.id = attempt, .plan = plan, .purpose = purpose, .state = AttemptState::Connecting, .started = now};
+    if (m_over || deadlinePassed(now, out)) {
+        end(candidate, AttemptResult::Cancelled, std::nullopt);
+        return;
+    }
+    if (!isAcceptable(plan, purpose)) {
+        end(candidate, AttemptResult::Cancelled, std::nullopt);
+        notPlaced(purpose, base::fail(ErrorKind::Unavailable, "the placement offered an upstream that may not go on; try again later", m_options.retryAfter),
+                  now, out);
+        return;
+    }
+    const bool isTooLate = (m_origin && purpose != AttemptPurpose::Continue) || m_starts >= m_options.maxStarts;
+    if (isTooLate) {
+        end(candidate, AttemptResult::Cancelled, std::nullopt);
+        if (!anyLive()) {
+            requestPlace(now, out);
+        }
+        return;
+    }
+    if (purpose == AttemptPurpose::Continue) {
+        m_winner = attempt;
+    }
+    ++m_starts;
+    m_lastProgress = now;
+    m_attempts.push_back(std::move(candidate));
+    out.push_back({.kind = ActionKind::Start, .attempt = attempt, .purpose = purpose, .index = m_delivered});
+}
+
+void StreamAssembler::notPlaced(AttemptPurpose purpose, const base::Error &error, base::TimePoint now, Actions &out)
+{
+    if (m_over || deadlinePassed(now, out)) {
+        return;
+    }
+    if (purpose == AttemptPurpose::Hedge) {
+        m_placingHedge = false;
+    } else {
+        m_placing.reset();
+        m_lastError = error;
+    }
+    settle(out);
+}
+
+void StreamAssembler::sent(base::AttemptId attempt, base::TimePoint now, Actions &out)
+{
+    Attempt *it = findLive(attempt);
+    if (it == nullptr || deadlinePassed(now, out)) {
+        return;
+    }
+    it->mayHaveRun = true;
+    if (it->state == AttemptState::Connecting) {
+        it->state = AttemptState::Sent;
+    }
+}
+
+void StreamAssembler::head(base::AttemptId attempt, const EngineHead &echo, base::TimePoint now, Actions &out)
+{
+    Attempt *it = findLive(attempt);
+    if (it == nullptr || deadlinePassed(now, out)) {
+        return;
+    }
+    it->mayHaveRun = true;
+    it->head = echo;
+    const AttemptPlan &plan = it->plan;
+    const bool isExpected =
+        echo.attempt == attempt && echo.incarnation == plan.incarnation && echo.weightsVersion == plan.weightsVersion && echo.salt == plan.salt;
+    if (!isExpected) {
+        recover(*it, BreakKind::Malformed,
+                base::fail(ErrorKind::StaleState, "the engine's echo differs from the placement; try again later", m_options.retryAfter), Recovery::Elsewhere,
+                now, out);
+        return;
+    }
+    if (it->state == AttemptState::Connecting || it->state == AttemptState::Sent) {
+        it->state = AttemptState::FirstByte;
+    }
+}
+
+void StreamAssembler::token(base::AttemptId attempt, const TokenEvent &event, base::TimePoint now, Actions &out)
+{
+    Attempt *it = findLive(attempt);
+    if (it == nullptr || deadlinePassed(now, out)) {
+        return;
+    }
+    const bool isVerified = it->state == AttemptState::FirstByte || it->state == AttemptState::Streaming;
+    const bool isTooMuch =
+        event.text.size() > m_options.maxTokenBytes || m_delivered >= m_options.maxTokens || m_text.size() + event.text.size() > m_options.maxTextBytes;
+    if (isVerified && event.index < m_delivered) {
+        return; // a duplicate
+    }
+    if (!isVerified || event.index > m_delivered || isTooMuch) {
+        recover(*it, BreakKind::Malformed,
+                base::fail(ErrorKind::Truncated, "the engine's tokens came without a head, with a gap or past a bound; try again later", m_options.retryAfter),
+                Recovery::Elsewhere, now, out);
+        return;
+    }
+    if (it->state == AttemptState::FirstByte) {
+        it->state = AttemptState::Streaming;
+    }
+    win(*it, now, out);
+    it->resumes = 0;
+    ++it->tokens;
+    m_lastProgress = now;
+    m_text += event.text;
+    out.push_back({.kind = ActionKind::Deliver, .attempt = attempt, .index = m_delivered, .text = event.text});
+    ++m_delivered;
+}
+
+void StreamAssembler::done(base::AttemptId attempt, const DoneEvent &event, base::TimePoint now, Actions &out)
+{
+    Attempt *it = findLive(attempt);
+    if (it == nullptr) {
+        return;
+    }
+    const bool isVerified = it->state == AttemptState::FirstByte || it->state == AttemptState::Streaming;
+    if (!isVerified || event.count != m_delivered) {
+        if (!deadlinePassed(now, out)) {
+            recover(*it, BreakKind::Malformed,
+                    base::fail(ErrorKind::Truncated, "the engine's count differs from the tokens that came; try again later", m_options.retryAfter),
+                    Recovery::Elsewhere, now, out);
+        }
+        return;
+    }
+    win(*it, now, out);
+    end(*it, AttemptResult::Finished, std::nullopt);
+    m_outcomes.back().usage = event.usage;
+    m_over = true;
+    out.push_back({.kind = ActionKind::Finish, .attempt = attempt, .index = m_delivered});
+}
+
+void StreamAssembler::broken(base::AttemptId attempt, BreakKind kind, const base::Error &error, base::TimePoint now, Actions &out)
+{
+    Attempt *it = findLive(attempt);
+    if (it == nullptr || deadlinePassed(now, out)) {
+        return;
+    }
+    recover(*it, kind, error, Recovery::ResumeFirst, now, out);
+}
+
+void StreamAssembler::callerGone(base::TimePoint, Actions &out)
+{
+    if (!m_over) {
+        abort(base::fail(ErrorKind::Cancelled, "the caller left; its work was cancelled"), out);
+    }
+}
+
+void StreamAssembler::written(base::TimePoint now)
+{
+    m_lastProgress = now;
+}
+
+void StreamAssembler::idle(base::TimePoint now, Actions &out)
+{
+    Attempt *it = findLive(m_winner);
+    if (it == nullptr || now - m_lastProgress < m_options.idleTimeout || deadlinePassed(now, out)) {
+        return;
+    }
+    recover(*it, BreakKind::Lost, base::fail(ErrorKind::Truncated, "the engine fell silent; try again later", m_options.retryAfter), Recovery::Elsewhere, now,
+            out);
+}
+
+void StreamAssembler::tick(base::TimePoint now, Actions &out)
+{
+    if (!m_over) {
+        (void)deadlinePassed(now, out);
+    }
+}
+
+void StreamAssembler::hedgeDue(base::TimePoint now, Actions &out)
+{
+    const bool isAllowed =
+        !m_over && !m_hedged && m_winner.value == 0 && anyLive() && m_starts < m_options.maxStarts && m_options.idempotency == config::Idempotency::Idempotent;
+    if (!isAllowed || deadlinePassed(now, out)) {
+        return;
+    }
+    m_hedged = true;
+    m_placingHedge = true;
+    out.push_back({.kind = ActionKind::Place, .purpose = AttemptPurpose::Hedge});
+}
+
+bool StreamAssembler::isOver() const
+{
+    return m_over;
+}
+
+std::uint64_t StreamAssembler::delivered() const
+{
+    return m_delivered;
+}
+
+std::string_view StreamAssembler::deliveredText() const
+{
+    return m_text;
+}
+
+std::optional<base::WeightsVersion> StreamAssembler::weightsVersion() const
+{
+    return m_origin ? std::optional(m_origin->weightsVersion) : std::nullopt;
+}
+
+std::vector<ExcludedUpstream> StreamAssembler::excluded(AttemptPurpose purpose) const
+{
+    std::vector<ExcludedUpstream> upstreams;
+    for (const Attempt &it : m_attempts) {
+        if (!isLive(it) || purpose == AttemptPurpose::Hedge) {
+            upstreams.push_back({it.plan.upstream, it.plan.incarnation});
+        }
+    }
+    return upstreams;
+}
+
+AttemptState StreamAssembler::state(base::AttemptId attempt) const
+{
+    const Attempt *it = find(attempt);
+    return it == nullptr ? AttemptState::Failed : it->state;
+}
+
+const AttemptPlan *StreamAssembler::plan(base::AttemptId attempt) const
+{
+    const Attempt *it = find(attempt);
+    return it == nullptr ? nullptr : &it->plan;
+}
+
+std::vector<AttemptOutcome> StreamAssembler::takeOutcomes()
+{
+    return std::exchange(m_outcomes, {});
+}
+
+std::uint32_t StreamAssembler::starts() const
+{
+    return m_starts;
+}
+
+const StreamAssembler::Attempt *StreamAssembler::find(base::AttemptId id) const
+{
+    const auto it = std::find_if(m_attempts.begin(), m_attempts.end(), [id](const Attempt &attempt) {
+        return attempt.id == id;
+    });
+    return it == m_attempts.end() ? nullptr : &*it;
+}
+
+StreamAssembler::Attempt *StreamAssembler::findLive(base::AttemptId id)
+{
+    for (Attempt &it : m_attempts) {
+        if (it.id == id) {
+            return !m_over && isLive(it) ? &it : nullptr;
+        }
+    }
+    return nullptr;
+}
+
+bool StreamAssembler::isLive(const Attempt &attempt)
+{
+    return attempt.state != AttemptState::Done && attempt.state != AttemptState::Failed;
+}
+
+bool StreamAssembler::anyLive() const
+{
+    return std::any_of(m_attempts.begin(), m_attempts.end(), isLive);
+}
+
+bool StreamAssembler::deadlinePassed(base::TimePoint now, Actions &out)
+{
+    const bool isFirstLate = m_delivered == 0 && now >= m_options.firstTokenDeadline;
+    if (!isFirstLate && now < m_options.deadline) {
+        return false;
+    }
+    abort(base::fail(ErrorKind::Overloaded, "the deadline passed before the answer was there; try again later or set a later deadline", m_options.retryAfter),
+          out);
+    return true;
+}
+
+bool StreamAssembler::isAcceptable(const AttemptPlan &plan, AttemptPurpose purpose) const
+{
+    if (m_origin && (plan.weightsVersion != m_origin->weightsVersion || plan.salt != m_origin->salt)) {
+        return false;
+    }
+    const auto avoid = excluded(purpose);
+    return std::find(avoid.begin(), avoid.end(), ExcludedUpstream{plan.upstream, plan.incarnation}) == avoid.end();
+}
+
+AttemptPurpose StreamAssembler::neededPurpose() const
+{
+    return m_delivered > 0 ? AttemptPurpose::Continue : AttemptPurpose::Fresh;
+}
+
+void StreamAssembler::requestPlace(base::TimePoint, Actions &out)
+{
+    if (m_placing) {
+        return;
+    }
+    if (m_starts >= m_options.maxStarts) {
+        settle(out);
+        return;
+    }
+    m_placing = neededPurpose();
+    out.push_back({.kind = ActionKind::Place, .purpose = *m_placing});
+}
+
+void StreamAssembler::recover(Attempt &attempt, BreakKind kind, const base::Error &error, Recovery recovery, base::TimePoint now, Actions &out)
+{
+    m_lastError = error;
+    const bool wasSent = kind == BreakKind::Lost || kind == BreakKind::Malformed || kind == BreakKind::Cancelled;
+    attempt.mayHaveRun = attempt.mayHaveRun || wasSent;
+    if (recovery == Recovery::ResumeFirst && tryResume(attempt, kind, out)) {
+        return;
+    }
+    if (recovery == Recovery::Elsewhere) {
+        out.push_back({.kind = ActionKind::Cancel, .attempt = attempt.id});
+    }
+    const bool isStale = error.kind == ErrorKind::StaleState;
+    end(attempt, isStale ? AttemptResult::Stale : AttemptResult::Broken, kind);
+    if (anyLive() || m_placing) {
+        return; // another attempt may still answer
+    }
+    // What counts for a repeat is whether any run of this attempt may have begun.
+    const BreakKind effective = attempt.mayHaveRun ? BreakKind::Lost : kind;
+    const auto verdict = mayRetry(m_options.idempotency, effective, m_delivered);
+    const bool mayContinue = verdict == RetryVerdict::AlreadyDelivered && m_options.idempotency == config::Idempotency::Idempotent;
+    if (verdict == RetryVerdict::Allowed || mayContinue) {
+        requestPlace(now, out);
+        return;
+    }
+    abort(error, out);
+}
+
+bool StreamAssembler::tryResume(Attempt &attempt, BreakKind kind, Actions &out)
+{
+    const bool isHeldByEngine = kind == BreakKind::Lost || kind == BreakKind::Malformed;
+    const bool isAlone = std::count_if(m_attempts.begin(), m_attempts.end(), isLive) == 1;
+    if (!isHeldByEngine || !isAlone || attempt.resumes >= m_options.maxResumes || m_starts >= m_options.maxStarts) {
+        return false;
+    }
+    ++attempt.resumes;
+    ++m_starts;
+    attempt.state = AttemptState::Connecting; // the echo is checked anew
+    out.push_back({.kind = ActionKind::Resume, .attempt = attempt.id, .purpose = attempt.purpose, .index = m_delivered});
+    return true;
+}
+
+void StreamAssembler::win(Attempt &attempt, base::TimePoint now, Actions &out)
+{
+    const bool isFirst = !m_origin;
+    if (isFirst) {
+        m_winner = attempt.id;
+        m_origin = attempt.plan;
+        cancelOthers(&attempt, out);
+    }
+    if (!attempt.firstToken) {
+        attempt.firstToken = now - attempt.started;
+        out.push_back({.kind = ActionKind::FirstToken, .attempt = attempt.id, .purpose = attempt.purpose, .elapsed = *attempt.firstToken});
+    }
+    if (isFirst) {
+        out.push_back({.kind = ActionKind::Begin, .attempt = attempt.id});
+    }
+}
+
+void StreamAssembler::end(Attempt &attempt, AttemptResult result, std::optional<BreakKind> kind)
+{
+    attempt.state = result == AttemptResult::Finished ? AttemptState::Done : AttemptState::Failed;
+    m_outcomes.push_back({.attempt = attempt.id,
+                          .plan = attempt.plan,
+                          .purpose = attempt.purpose,
+                          .result = result,
+                          .breakKind = kind,
+                          .head = attempt.head,
+                          .firstToken = attempt.firstToken,
+                          .tokens = attempt.tokens,
+                          .usage = std::nullopt});
+}
+
+void StreamAssembler::cancelOthers(const Attempt *keep, Actions &out)
+{
+    for (Attempt &it : m_attempts) {
+        if (&it != keep && isLive(it)) {
+            out.push_back({.kind = ActionKind::Cancel, .attempt = it.id});
+            end(it, AttemptResult::Cancelled, std::nullopt);
+        }
+    }
+}
+
+void StreamAssembler::settle(Actions &out)
+{
+    if (!anyLive() && !m_placing && !m_placingHedge) {
+        abort(m_lastError, out);
+    }
+}
+
+void StreamAssembler::abort(base::Error error, Actions &out)
+{
+    m_over = true;
+    cancelOthers(nullptr, out);
+    out.push_back({.kind = ActionKind::Abort, .index = m_delivered, .error = finalError(std::move(error))});
+}
+
+base::Error StreamAssembler::finalError(base::Error error) const
+{
+    if (error.kind == ErrorKind::Cancelled) {
+        return error;
+    }
+    const bool mayHaveRun = std::any_of(m_attempts.begin(), m_attempts.end(), [](const Attempt &it) {
+        return it.mayHaveRun;
+    });
+    if (mayHaveRun && m_options.idempotency == config::Idempotency::AtMostOnce) {
+        return base::fail(ErrorKind::Unclear, "the call may have run: " + error.message + "; don't repeat it unseen");
+    }
+    if (m_delivered > 0) {
+        error.kind = ErrorKind::Truncated;
+    } else if (mayHaveRun && error.kind == ErrorKind::Unavailable) {
+        error.kind = ErrorKind::Truncated; // Unavailable would say that nothing took effect
+    }
+    if (error.retryAfter <= base::Duration::zero()) {
+        error.retryAfter = m_options.retryAfter;
+    }
+    return error;
+}
+
+} // namespace carawaylatch::relay
--- a/carawaylatch/relay/streamassembler.h
+++ b/carawaylatch/relay/streamassembler.h
@@ -57,6 +57,7 @@
     Start, // run attempt `attempt`; `index` is its first token
     Resume, // take up attempt `attempt` again from token `index`
     Cancel, // end attempt `attempt` and the engine's work for it
+    FirstToken, // attempt `attempt` gave its first token `elapsed` after its start
     Begin, // the answer's head may go to the caller
     Deliver, // give `text`, token `index`, to the caller
     Finish, // the answer is whole: `index` tokens
@@ -65,12 +66,13 @@
 
 struct Action
 {
-    ActionKind kind;
-    base::AttemptId attempt;
+    ActionKind kind = ActionKind::Abort;
+    base::AttemptId attempt{};
     AttemptPurpose purpose = AttemptPurpose::Fresh;
     std::uint64_t index = 0;
-    std::string_view text; // valid until the event that caused it is gone
-    std::optional<base::Error> error;
+    std::string_view text{}; // valid until the event that caused it is gone
+    base::Duration elapsed{};
+    std::optional<base::Error> error{};
 };
 using Actions = std::vector<Action>;
 
@@ -80,6 +82,7 @@
     base::TimePoint firstTokenDeadline;
     base::TimePoint deadline; // for the whole answer
     base::Duration retryAfter = base::seconds{1}; // said where no better figure is known
+    base::Duration idleTimeout = base::seconds{10}; // between two tokens
     std::uint32_t maxStarts = 6; // runs of all attempts together, resumes included
     std::uint32_t maxResumes = 2; // of one attempt without a new token in between
     std::uint64_t maxTokens = 1'000'000; // more are a malformed answer
@@ -102,6 +105,11 @@
     void done(base::AttemptId attempt, const DoneEvent &event, base::TimePoint now, Actions &out);
     void broken(base::AttemptId attempt, BreakKind kind, const base::Error &error, base::TimePoint now, Actions &out);
     void callerGone(base::TimePoint now, Actions &out);
+    // The caller took what was delivered; silence of the engine counts from here.
+    void written(base::TimePoint now);
+    // Breaks an attempt that gave no token for the idle timeout. Not to be called
+    // while a write to the caller is blocked: then the silence is not the engine's.
+    void idle(base::TimePoint now, Actions &out);
     // Checks both deadlines; harmless when none has passed.
     void tick(base::TimePoint now, Actions &out);
     // The hedge delay is over: a second attempt is wanted if none has a token yet.
@@ -117,12 +125,66 @@
     [[nodiscard]] std::vector<ExcludedUpstream> excluded(AttemptPurpose purpose) const;
     // Returns the state of an attempt; Failed for an unknown one.
     [[nodiscard]] AttemptState state(base::AttemptId attempt) const;
+    // Returns the plan of a placed attempt, or null; valid until the next event.
+    [[nodiscard]] const AttemptPlan *plan(base::AttemptId attempt) const;
     // Returns outcomes of attempts that ended since the last call.
     [[nodiscard]] std::vector<AttemptOutcome> takeOutcomes();
     [[nodiscard]] std::uint32_t starts() const;
 
 private:
-    struct Attempt;
+    struct Attempt
+    {
+        base::AttemptId id;
+        AttemptPlan plan;
+        AttemptPurpose purpose = AttemptPurpose::Fresh;
+        AttemptState state = AttemptState::Connecting;
+        base::TimePoint started;
+        std::optional<EngineHead> head{};
+        std::optional<base::Duration> firstToken{};
+        std::uint64_t tokens = 0;
+        std::uint32_t resumes = 0; // since the last new token
+        bool mayHaveRun = false; // never turns false again
+    };
+    // What follows when a run ends early.
+    enum class Recovery {
+        ResumeFirst, // the connection is gone, the engine may hold the stream
+        Elsewhere, // the run has to be cancelled, the stream is not to be trusted
+    };
+
+    Attempt *findLive(base::AttemptId id);
+    const Attempt *find(base::AttemptId id) const;
+    static bool isLive(const Attempt &attempt);
+    bool anyLive() const;
+    bool deadlinePassed(base::TimePoint now, Actions &out);
+    bool isAcceptable(const AttemptPlan &plan, AttemptPurpose purpose) const;
+    AttemptPurpose neededPurpose() const;
+    void requestPlace(base::TimePoint now, Actions &out);
+    void recover(Attempt &attempt, BreakKind kind, const base::Error &error, Recovery recovery, base::TimePoint now, Actions &out);
+    bool tryResume(Attempt &attempt, BreakKind kind, Actions &out);
+    void win(Attempt &attempt, base::TimePoint now, Actions &out);
+    void end(Attempt &attempt, AttemptResult result, std::optional<BreakKind> kind);
+    void cancelOthers(const Attempt *keep, Actions &out);
+    void settle(Actions &out);
+    void abort(base::Error error, Actions &out);
+    base::Error finalError(base::Error error) const;
+
+    StreamOptions m_options;
+    // At most maxStarts; ended attempts stay, so that late events are recognised.
+    std::vector<Attempt> m_attempts;
+    std::vector<AttemptOutcome> m_outcomes;
+    // The attempt whose tokens are delivered. Set before the first token is
+    // delivered and changed only by a continuation.
+    base::AttemptId m_winner;
+    std::optional<AttemptPurpose> m_placing; // Fresh or Continue asked for, not answered
+    bool m_placingHedge = false;
+    bool m_hedged = false; // a hedge was asked for; there is one at most
+    bool m_over = false; // Finish or Abort went out
+    std::uint32_t m_starts = 0; // at most maxStarts
+    std::uint64_t m_delivered = 0; // the next index to deliver
+    std::string m_text; // of tokens 0 to m_delivered - 1
+    std::optional<AttemptPlan> m_origin; // plan of the first token; fixes version and salt
+    base::TimePoint m_lastProgress;
+    base::Error m_lastError;
 };
 
 } // namespace carawaylatch::relay
--- /dev/null
+++ b/carawaylatch/relay/testing/streammodel.h
@@ -0,0 +1,88 @@
+// What a caller sees of a StreamAssembler, checked step by step.
+//
+// The model keeps its own books: which attempts echoed their plan since their
+// last run began, what the caller has, and whether the end came. It answers one
+// question after each event: did the actions keep the promise?
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "carawaylatch/relay/streamassembler.h"
+
+namespace carawaylatch::relay::testing
+{
+
+inline constexpr std::uint64_t AnswerTokens = 2;
+inline constexpr base::TimePoint Start = base::TimePoint{base::hours{1}};
+inline constexpr base::TimePoint FirstTokenDeadline = Start + base::seconds{10};
+inline constexpr base::TimePoint Deadline = Start + base::seconds{60};
+
+// Plan of upstream `u`; attempts run on upstreams of their own number.
+[[nodiscard]] AttemptPlan planOn(std::uint64_t u, std::uint64_t version = 7);
+// The echo that fits a plan.
+[[nodiscard]] EngineHead echoOf(base::AttemptId attempt, const AttemptPlan &plan);
+[[nodiscard]] std::string tokenText(std::uint64_t index);
+[[nodiscard]] StreamOptions options(config::Idempotency idempotency = config::Idempotency::Idempotent);
+
+class StreamModel
+{
+public:
+    explicit StreamModel(const StreamOptions &options = testing::options());
+
+    // Each applies one event and checks the actions.
+    void start();
+    void placed(std::uint64_t id, AttemptPurpose purpose, std::uint64_t version = 7);
+    // The placement offers the upstream of attempt 1 once more, as attempt 50.
+    void offerUsed();
+    void notPlaced(AttemptPurpose purpose);
+    void sent(std::uint64_t id);
+    void head(std::uint64_t id, const EngineHead &echo);
+    void head(std::uint64_t id);
+    void token(std::uint64_t id, std::uint64_t index, std::size_t padding = 0);
+    void done(std::uint64_t id, std::uint64_t count);
+    void broken(std::uint64_t id, BreakKind kind);
+    void callerGone();
+    void tickAt(base::TimePoint time);
+    void idle();
+    void hedgeDue();
+    // Answers everything that is asked with a healthy engine until the end comes.
+    void finishHealthy();
+
+    [[nodiscard]] const std::string &violation() const; // empty if none
+    [[nodiscard]] const std::string &lastActions() const; // such as "cancel:1 place:fresh"
+    [[nodiscard]] bool isOver() const;
+    [[nodiscard]] bool isWhole() const;
+    [[nodiscard]] const std::optional<base::Error> &error() const;
+    [[nodiscard]] const StreamAssembler &assembler() const;
+
+private:
+    struct Run
+    {
+        AttemptPlan plan;
+        bool isVerified = false; // echoed its plan since the run began
+        bool isCancelled = false;
+        std::uint64_t next = 0; // the next token that a healthy engine would send
+    };
+
+    void place(std::uint64_t id, const AttemptPlan &plan, AttemptPurpose purpose);
+    void check(const Actions &actions);
+    void checkOne(const Action &action);
+    void require(bool holds, const char *rule);
+
+    StreamAssembler m_assembler;
+    base::TimePoint m_now = Start;
+    std::map<std::uint64_t, Run> m_runs;
+    std::uint64_t m_lastId = 100; // of attempts that finishHealthy() starts
+    std::optional<AttemptPurpose> m_asked;
+    bool m_hedgeAsked = false;
+    std::optional<base::WeightsVersion> m_version;
+    bool m_hasBegun = false;
+    std::uint64_t m_received = 0;
+    std::optional<std::uint64_t> m_finished;
+    std::optional<base::Error> m_error;
+    std::string m_lastActions;
+    std::string m_violation;
+};
+
+} // namespace carawaylatch::relay::testing
