--- a/carawaylatch/fleet/fleetdriver.h
+++ b/carawaylatch/fleet/fleetdriver.h
@@ -2,12 +2,13 @@
 // platform and the engines. Call step() from a platform worker thread, about
 // twice a second; it blocks for the calls it makes.
 //
-//     FleetDriver driver(identity, store, engines, clock, settings);
-//     timer: driver.step(snapshot->pools);
+//     FleetDriver driver(identity, store, engineControl, clock);
+//     driver.step(snapshot->pools);
 #pragma once
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -26,6 +27,8 @@
 {
     LeaseSettings lease;
     WeightsSettings weights;
+    base::Duration slotLapse = base::minutes{5}; // longer than any load of weights
+    std::size_t maxReportsPerStep = 64; // engines asked in one step
 };
 
 struct FleetIdentity
@@ -37,12 +40,12 @@
 
 struct FleetCounters
 {
-    std::uint64_t orders = 0;
-    std::uint64_t refusedAsOld = 0;
-    std::uint64_t failedOrders = 0;
-    std::uint64_t waitingForSlot = 0;
+    std::uint64_t orders = 0; // given, including those whose answer was lost
+    std::uint64_t refusedAsOld = 0; // an engine knew a greater fencing number
+    std::uint64_t failedOrders = 0; // not sent or refused for another reason
+    std::uint64_t waitedForSlot = 0;
     bool isHolder = false;
-    std::uint64_t fence = 0;
+    base::FenceToken fence;
 };
 
 class FleetDriver
@@ -53,22 +56,27 @@
     void step(std::span<const config::Pool> pools);
     // For status pages; call from the thread that calls step().
     [[nodiscard]] const FleetCounters &counters() const;
+    [[nodiscard]] ChangeStep changeStep(const base::UpstreamId &engine) const;
 
 private:
     void driveLease();
-    [[nodiscard]] std::vector<ObservedEngine> readEngines(std::span<const config::Pool> pools);
+    void readEngines(std::span<const config::Pool> pools);
     void giveOrder(const PlannedOrder &planned);
-    void releaseSlots(std::span<const config::Pool> pools);
+    void adoptSlots(std::span<const config::Pool> pools);
+    void releaseSlots();
 
     FleetIdentity m_identity;
+    std::string m_leaseName;
     platform::ObjectStore &m_store;
-    EngineControl &m_engines;
+    EngineControl &m_engineControl;
     const base::Clock &m_clock;
     FleetSettings m_settings;
     Lease m_lease;
     WeightsController m_controller;
     LoadSlots m_slots;
-    std::map<base::UpstreamId, std::string> m_heldSlots; // slot object of each engine that loads
+    std::vector<ObservedEngine> m_observed; // by id; engines of the domain's pools
+    std::size_t m_nextReport = 0;
+    std::map<base::UpstreamId, std::uint32_t> m_loading; // engines that hold one of so many slots
     FleetCounters m_counters;
 };
 
--- a/carawaylatch/fleet/lease.h
+++ b/carawaylatch/fleet/lease.h
@@ -3,17 +3,21 @@
 // Nobody compares wall clocks. An observer times the lease by its own monotonic
 // clock from the moment it first saw the object's present version; a whole
 // length without a change means that the holder has stopped believing, as that
-// one counts from before its last renewal was sent and stops at two thirds. The
-// margin bears clocks whose rates differ by up to a third, and any pause: a
+// one counts from before its last write was sent and stops at two thirds. The
+// margin bears clocks whose rates differ by up to a half, and any pause: a
 // paused holder asks mayAct(now) before each act. The fencing number is the
 // object's version, which grows with every write.
 //
 // The machine does no I/O: poll() says what to do next, on...() report results.
+//
+//     LeaseAction action = lease.poll(now);
+//     if (action.kind == LeaseActionKind::Read) lease.onRead(clock.now(), store.read(name));
 #pragma once
 
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "carawaylatch/base/error.h"
 #include "carawaylatch/base/ids.h"
@@ -26,7 +30,7 @@
 struct LeaseSettings
 {
     base::Duration length = base::seconds{15}; // equal on all routers
-    base::Duration readInterval = base::seconds{1}; // of an observer
+    base::Duration readInterval = base::seconds{1}; // of an observer, and between failed renewals
 };
 
 struct LeaseHolder
@@ -39,18 +43,19 @@
 };
 
 [[nodiscard]] std::string encodeLease(const LeaseHolder &holder);
-[[nodiscard]] base::Result<LeaseHolder> decodeLease(std::string_view bytes);
+// Returns the holder, or InvalidArgument for a value that no router wrote.
+[[nodiscard]] base::Result<LeaseHolder> decodeLease(std::string_view value);
 
 enum class LeaseStep {
     Observing, // another holds it, or nobody yet known
     Acquiring, // write under way
-    Settling, // reading back after an unclear write
+    Settling, // reading back after an unclear or refused write
     Holding,
     Renewing, // write under way; still holding by the former one
 };
 
 enum class LeaseActionKind {
-    None, // nothing until `next`
+    None, // nothing to do, or the former call is under way
     Read,
     Write,
 };
@@ -58,9 +63,31 @@
 struct LeaseAction
 {
     LeaseActionKind kind = LeaseActionKind::None;
-    LeaseHolder value; // with Write
+    std::string value; // with Write
     platform::Version expected; // with Write
-    base::TimePoint next; // with None
+};
+
+// All that a lease remembers.
+struct LeaseState
+{
+    LeaseStep step = LeaseStep::Observing;
+    bool isCallUnderWay = false;
+    // The version last seen of another holder, and since when; zero: object absent.
+    std::optional<platform::Version> seen;
+    base::TimePoint seenAt;
+    // True if the object seen was written by this very incarnation.
+    bool isSeenOurs = false;
+    base::TimePoint nextCall;
+    // The last write: its id, when it was sent and what it was conditional on.
+    std::uint64_t writeId = 0;
+    base::TimePoint sentAt;
+    platform::Version expected;
+    // The version last confirmed as ours; zero: not holding. Belief ends at believeUntil.
+    platform::Version held;
+    base::TimePoint believeUntil;
+    base::TimePoint heldSince;
+
+    bool operator==(const LeaseState &) const = default;
 };
 
 class Lease
@@ -78,30 +105,21 @@
     [[nodiscard]] bool mayAct(base::TimePoint now) const;
     // Fencing number of the present holding; nothing if mayAct() is false.
     [[nodiscard]] std::optional<base::FenceToken> fence(base::TimePoint now) const;
-    // Time since this router became holder without a break; orders of a former
-    // holder can be in flight for a while after that.
-    [[nodiscard]] std::optional<base::Duration> heldFor(base::TimePoint now) const;
-    [[nodiscard]] LeaseStep step() const;
+    // Time since this router learned that it holds, without a break since. Orders
+    // of a former holder can be in flight for a while after that.
+    [[nodiscard]] base::Duration heldFor(base::TimePoint now) const;
+    [[nodiscard]] const LeaseState &state() const;
 
 private:
-    void observe(base::TimePoint now, platform::Version version);
-    void confirm(base::TimePoint sentAt, base::TimePoint now, platform::Version version);
+    [[nodiscard]] bool isFree(base::TimePoint now) const;
+    LeaseAction startRead(base::TimePoint now);
+    LeaseAction startWrite(base::TimePoint now, LeaseStep step, platform::Version expected);
+    void confirm(base::TimePoint now, platform::Version version);
+    void observe(base::TimePoint now, platform::Version version, bool isOurs);
 
-    LeaseHolder m_self;
+    LeaseHolder m_self; // writeId is that of the last write
     LeaseSettings m_settings;
-    LeaseStep m_step = LeaseStep::Observing;
-    // The version last seen, and since when by this clock. Zero: object absent.
-    std::optional<platform::Version> m_seen;
-    base::TimePoint m_seenAt;
-    base::TimePoint m_nextRead;
-    // Start of the call under way.
-    base::TimePoint m_sentAt;
-    platform::Version m_expected;
-    // Holding: fence, and belief lasts until m_believeUntil.
-    platform::Version m_held;
-    base::TimePoint m_believeUntil;
-    base::TimePoint m_heldSince;
-    bool m_isCallUnderWay = false;
+    LeaseState m_state;
 };
 
 } // namespace carawaylatch::fleet
--- /dev/null
+++ b/carawaylatch/fleet/loadslots.cpp
@@ -0,0 +1,94 @@
+// Slot objects. The search looks at all slots before it takes one, so that an
+// engine whose slot was taken by a former holder of the lease, or by a write
+// whose answer was lost, is found again and never holds two.
+#include "carawaylatch/fleet/loadslots.h"
+
+#include <optional>
+
+namespace carawaylatch::fleet
+{
+
+using base::ErrorKind;
+
+namespace
+{
+
+std::string slotName(std::uint32_t slot)
+{
+    return "fleet/slots/" + std::to_string(slot);
+}
+
+} // namespace
+
+LoadSlots::LoadSlots(platform::ObjectStore &store, base::Duration lapse)
+    : m_store(store)
+    , m_lapse(lapse)
+{
+}
+
+bool LoadSlots::hasLapsed(base::TimePoint now, const platform::Object &slot)
+{
+    const auto [it, isNew] = m_seen.try_emplace(slot.name, Seen{slot.version, now});
+    if (!isNew && it->second.version != slot.version) {
+        it->second = Seen{slot.version, now};
+    }
+    return now - it->second.since >= m_lapse;
+}
+
+base::Result<void> LoadSlots::take(base::TimePoint now, std::uint32_t slots, const base::UpstreamId &engine)
+{
+    struct Free
+    {
+        std::string name;
+        platform::Version version;
+    };
+    std::optional<Free> free;
+    for (std::uint32_t i = 0; i < slots; ++i) {
+        const std::string name = slotName(i);
+        const auto object = m_store.read(name);
+        if (!object && object.error().kind != ErrorKind::NotFound) {
+            return object.error();
+        }
+        if (object && object.value().value == engine.value()) {
+            return base::ok();
+        }
+        if (!free && (!object || hasLapsed(now, object.value()))) {
+            free = Free{name, object ? object.value().version : platform::Version{}};
+        }
+    }
+    if (!free) {
+        return base::fail(ErrorKind::Overloaded, "all slots for loads of weights are taken; wait for a load to end", base::seconds{1});
+    }
+    const auto written = m_store.write(free->name, engine.value(), free->version);
+    if (!written) {
+        return written.error();
+    }
+    return base::ok();
+}
+
+base::Result<void> LoadSlots::release(std::uint32_t slots, const base::UpstreamId &engine)
+{
+    for (std::uint32_t i = 0; i < slots; ++i) {
+        const auto object = m_store.read(slotName(i));
+        if (!object && object.error().kind != ErrorKind::NotFound) {
+            return object.error();
+        }
+        if (object && object.value().value == engine.value()) {
+            BOOST_OUTCOME_TRYV(m_store.remove(slotName(i), object.value().version));
+        }
+    }
+    return base::ok();
+}
+
+std::vector<base::UpstreamId> LoadSlots::holders(std::uint32_t slots)
+{
+    std::vector<base::UpstreamId> engines;
+    for (std::uint32_t i = 0; i < slots; ++i) {
+        if (const auto object = m_store.read(slotName(i))) {
+            engines.emplace_back(object.value().value);
+        }
+    }
+    return engines;
+}
+
+} // namespace carawaylatch::fleet
--- a/carawaylatch/fleet/loadslots.h
+++ b/carawaylatch/fleet/loadslots.h
@@ -1,14 +1,17 @@
-// Slots for loads of weights: at most N at once over all failure domains.
+// Slots for loads of weights: at most N at once over all pools and domains, as
+// many as the weight store bears.
 //
-// Slot i of N is the object "fleet/slots/POOL/i", whose value names the engine
-// that loads. A slot is taken by creating it, and given back by removing it at
-// the version seen. A slot whose holder vanished is taken over after it was seen
-// unchanged for `lapse` by this router's own clock, long past any load.
+// Slot i of N is the object "fleet/slots/i", whose value names the engine that
+// loads. A slot is taken by creating it, and given back by removing it at the
+// version seen. A slot whose holder vanished is taken over after it was seen
+// unchanged for `lapse` by this router's own clock, which must be longer than any
+// load.
 #pragma once
 
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "carawaylatch/base/error.h"
 #include "carawaylatch/base/ids.h"
@@ -23,10 +26,13 @@
 public:
     LoadSlots(platform::ObjectStore &store, base::Duration lapse);
 
-    // Takes a slot for the engine, or finds the one it has. Overloaded: all taken.
-    [[nodiscard]] base::Result<std::string> take(base::TimePoint now, const base::PoolName &pool, std::uint32_t slots, const base::UpstreamId &engine);
-    // Gives the engine's slot back; false if it must be tried again.
-    [[nodiscard]] bool release(const std::string &slot, const base::UpstreamId &engine);
+    // Takes one of the first `slots` slots for the engine, or finds the one it
+    // has. Overloaded: all are taken. Unclear: ask again to find out.
+    [[nodiscard]] base::Result<void> take(base::TimePoint now, std::uint32_t slots, const base::UpstreamId &engine);
+    // Gives back every slot of the engine; an error means to try again.
+    [[nodiscard]] base::Result<void> release(std::uint32_t slots, const base::UpstreamId &engine);
+    // Returns the engines that hold slots; unreadable slots are left out.
+    [[nodiscard]] std::vector<base::UpstreamId> holders(std::uint32_t slots);
 
 private:
     struct Seen
@@ -38,7 +44,7 @@
 
     platform::ObjectStore &m_store;
     base::Duration m_lapse;
-    std::map<std::string, Seen> m_seen; // one entry a slot object
+    std::map<std::string, Seen> m_seen; // one entry a slot
 };
 
 } // namespace carawaylatch::fleet
--- a/carawaylatch/fleet/weightscontroller.h
+++ b/carawaylatch/fleet/weightscontroller.h
@@ -1,24 +1,23 @@
 // Brings the engines of one failure domain to what their pools ask for.
 //
 // One controller a domain holds the lease. Each round it compares what engines
-// report with their pool's version, adapter and role, and orders the differences:
+// report with their pool's version and adapter, and orders the differences:
 //
-//   - absolute orders, so a repeat is harmless;
-//   - an engine that is changing counts as away; never more than a share of a
-//     pool's engines of the domain are away at once (one if the share is less);
-//   - each load holds one of Pool::maxLoads slots, shared by all domains;
-//   - engines that check fencing may be ordered at once; for those that do not,
-//     a new holder waits until its predecessor's last order has landed, then
-//     trusts only reports taken after that.
+//   - orders are absolute, so a repeat is harmless;
+//   - an engine that is changing, not reached or leaving counts as away; never
+//     more than maxAwayShare of a pool's engines of the domain are away by the
+//     controller's doing (at least one, or nothing could ever change);
+//   - each load of weights needs a slot (loadslots.h);
+//   - engines that check fencing may be ordered at once; for those that do not, a
+//     new holder waits until its predecessor's last order has landed, and trusts
+//     only reports taken after that.
 //
 // No I/O: reports in, orders out. FleetDriver carries them out.
 #pragma once
 
-#include <cstdint>
 #include <map>
 #include <optional>
 #include <span>
-#include <string>
 #include <vector>
 
 #include "carawaylatch/base/time.h"
@@ -30,10 +29,10 @@
 
 struct WeightsSettings
 {
-    double maxAwayShare = 0.34; // of a pool's engines in the domain, changing at once
-    base::Duration longestInFlight = base::seconds{10}; // an order can land so late
-    base::Duration loadTimeout = base::seconds{60}; // an order is repeated after it
-    base::Duration staleAfter = base::seconds{5}; // older reports count as no report
+    double maxAwayShare = 0.34; // of a pool's engines in the domain
+    base::Duration longestInFlight = base::seconds{10}; // an order lands within it or never
+    base::Duration loadTimeout = base::seconds{60}; // an order without effect is repeated after it
+    base::Duration staleAfter = base::seconds{15}; // older reports count as none
 };
 
 // An engine's last report as the controller knows it.
@@ -46,19 +45,26 @@
 
 struct PlannedOrder
 {
-    base::PoolName pool;
     base::UpstreamId upstream;
     base::Endpoint endpoint;
     EngineOrder order;
-    bool needsSlot = false; // a load of weights
+    std::uint32_t slots = 0; // needs one of so many slots; zero: needs none
 };
 
 enum class ChangeStep {
+    Unreached, // no fresh report
     Settled, // reports what the pool asks for
-    Wanted, // differs; not ordered yet
-    Ordered, // ordered; not yet seen
+    Wanted, // differs and is not ordered
+    Ordered, // ordered; its effect not yet seen
     Loading, // reports that it loads
-    Unreached, // no fresh report
+    Leaving, // gets no orders
+};
+
+// How the holder came to the lease.
+struct Tenure
+{
+    base::FenceToken fence;
+    base::TimePoint since;
 };
 
 class WeightsController
@@ -66,13 +72,13 @@
 public:
     WeightsController(base::FailureDomain domain, WeightsSettings settings);
 
-    // Returns the orders to give now. `held` is the time this holder has held the lease.
-    [[nodiscard]] std::vector<PlannedOrder> plan(base::TimePoint now, base::FenceToken fence, base::Duration held, std::span<const config::Pool> pools,
+    // Takes reports in and returns the orders to give now, most needed first.
+    [[nodiscard]] std::vector<PlannedOrder> plan(base::TimePoint now, const Tenure &tenure, std::span<const config::Pool> pools,
                                                  std::span<const ObservedEngine> engines);
-    // The order was given (or may have been); the engine counts as away until its report says otherwise.
-    void onOrdered(base::TimePoint now, const PlannedOrder &order);
-    // Nothing was sent, or the engine refused it.
-    void onNotOrdered(const PlannedOrder &order);
+    // Call before the order is sent; the engine is away until a report says otherwise.
+    void onOrdered(base::TimePoint now, const base::UpstreamId &upstream);
+    // The order certainly was not obeyed.
+    void onNotOrdered(const base::UpstreamId &upstream);
     // Forgets all: the lease was lost.
     void reset();
 
@@ -82,13 +88,16 @@
     struct Engine
     {
         ChangeStep step = ChangeStep::Unreached;
-        base::TimePoint orderedAt;
+        std::optional<base::TimePoint> orderedAt; // of an order whose effect was not yet seen
+        bool isEmpty = false; // holds no weights, so a load takes no capacity away
     };
-    void observe(base::TimePoint now, const config::Pool &pool, const ObservedEngine &engine);
+    [[nodiscard]] ChangeStep classify(base::TimePoint now, const config::Pool &pool, const ObservedEngine &observed, Engine &engine) const;
+    void planPool(base::TimePoint now, const Tenure &tenure, const config::Pool &pool, std::span<const ObservedEngine> engines,
+                  std::vector<PlannedOrder> &orders);
 
     base::FailureDomain m_domain;
     WeightsSettings m_settings;
-    std::map<base::UpstreamId, Engine> m_engines; // only members of the domain
+    std::map<base::UpstreamId, Engine> m_engines; // members of the domain's pools
 };
 
 } // namespace carawaylatch::fleet
--- a/carawaylatch/orders/claimjournal.cpp
+++ b/carawaylatch/orders/claimjournal.cpp
@@ -35,7 +35,7 @@
 std::size_t entryBytes(const OrderId &order, const OrderRecord &record)
 {
     return EntryOverheadBytes + order.customer.value().size() + order.key.size() + record.claimant.router.value().size() + record.answer.contentType.size()
-        + record.answer.body.size();
+           + record.answer.body.size();
 }
 
 OrderRecord fitForJournal(OrderRecord record)
--- /dev/null
+++ b/carawaylatch/orders/duplicates.cpp
@@ -0,0 +1,56 @@
+// Answers from a duty. An outcome that the platform does not have yet is given as
+// it is. NotRun is repeated only while our claim certainly stands: once a call
+// that reopens it may have taken effect, a newer request may run the order.
+#include "carawaylatch/orders/duplicates.h"
+
+#include <utility>
+
+namespace carawaylatch::orders
+{
+
+using base::ErrorKind;
+
+OrderAnswer refusal(OrderAnswerKind kind, base::Error error)
+{
+    OrderAnswer answer;
+    answer.kind = kind;
+    answer.attempt = AttemptFate::NotRun;
+    answer.error = std::move(error);
+    return answer;
+}
+
+OrderAnswer otherRequestRefusal()
+{
+    return refusal(OrderAnswerKind::Refused, base::fail(ErrorKind::InvalidArgument, "the key was used for another request; use a new key for a new order"));
+}
+
+OrderAnswer comeBackRefusal(base::Duration retryAfter)
+{
+    constexpr auto Message = "this request did not run the order, another may; send it again with the same key after retry_after_ms";
+    return refusal(OrderAnswerKind::Unknown, base::fail(ErrorKind::Unavailable, Message, retryAfter));
+}
+
+OrderAnswer answerDuplicate(const OrderDuty &duty, DutyPhase phase, std::uint64_t requestDigest, const GuardSettings &settings)
+{
+    const OrderRecord &record = duty.record();
+    if (record.requestDigest != requestDigest) {
+        return otherRequestRefusal();
+    }
+    if (record.state == RecordState::Done && !record.isAnswerDropped) {
+        OrderAnswer answer;
+        answer.kind = OrderAnswerKind::Done;
+        answer.answer = record.answer;
+        return answer;
+    }
+    if (duty.kind() == DutyKind::RecordOutcome) {
+        constexpr auto Message = "the order was sent and its answer is not known; ask the service whether the order exists before sending it under a new key";
+        return refusal(OrderAnswerKind::Unknown, base::fail(ErrorKind::Unclear, Message));
+    }
+    if (duty.holdsClaim() && phase == DutyPhase::Resting) {
+        constexpr auto Message = "the order was not run; send it again with the same key after retry_after_ms";
+        return refusal(OrderAnswerKind::NotRun, base::fail(ErrorKind::NotRun, Message, settings.retryAfter));
+    }
+    return comeBackRefusal(settings.retryAfter);
+}
+
+} // namespace carawaylatch::orders
--- a/carawaylatch/orders/orderdesk.cpp
+++ b/carawaylatch/orders/orderdesk.cpp
@@ -17,6 +17,7 @@
 #include <utility>
 
 #include "carawaylatch/base/hash.h"
+#include "carawaylatch/orders/duplicates.h"
 
 namespace carawaylatch::orders
 {
@@ -26,29 +27,6 @@
 namespace
 {
 
-OrderAnswer refusal(OrderAnswerKind kind, base::Error error)
-{
-    OrderAnswer answer;
-    answer.kind = kind;
-    answer.attempt = AttemptFate::NotRun;
-    answer.error = std::move(error);
-    return answer;
-}
-
-OrderAnswer otherRequestRefusal()
-{
-    return refusal(OrderAnswerKind::Refused, base::fail(ErrorKind::InvalidArgument, "the key was used for another request; use a new key for a new order"));
-}
-
-// For a duplicate of an order that was given up unrun, once others may run it.
-OrderAnswer comeBackRefusal(base::Duration retryAfter)
-{
-    return refusal(OrderAnswerKind::Unknown, base::fail(ErrorKind::Unavailable,
-                                                        "this request did not run the order, another may; send it again with the same key after "
-                                                        "retry_after_ms",
-                                                        retryAfter));
-}
-
 std::optional<base::Error> checkKey(const OrderRequest &request)
 {
     if (request.key.empty()) {
@@ -200,27 +178,7 @@
     if (it == m_duties.end()) {
         return std::nullopt;
     }
-    const Duty &duty = it->second;
-    const OrderRecord &record = duty.machine.record();
-    if (record.requestDigest != digest) {
-        return otherRequestRefusal();
-    }
-    if (record.state == RecordState::Done && !record.isAnswerDropped) {
-        OrderAnswer answer;
-        answer.kind = OrderAnswerKind::Done;
-        answer.answer = record.answer;
-        return answer;
-    }
-    if (duty.machine.kind() == DutyKind::RecordOutcome) {
-        return refusal(OrderAnswerKind::Unknown, base::fail(ErrorKind::Unclear,
-                                                            "the order was sent and its answer is not known; ask the service whether the order exists "
-                                                            "before sending it under a new key"));
-    }
-    if (duty.machine.holdsClaim() && !duty.isUnderWay) {
-        return refusal(OrderAnswerKind::NotRun, base::fail(ErrorKind::NotRun, "the order was not run; send it again with the same key after retry_after_ms",
-                                                           m_settings.guard.retryAfter));
-    }
-    return comeBackRefusal(m_settings.guard.retryAfter);
+    return answerDuplicate(it->second.machine, it->second.isUnderWay ? DutyPhase::UnderWay : DutyPhase::Resting, digest, m_settings.guard);
 }
 
 OrderAction OrderDesk::drive(Try &attempt)
--- a/carawaylatch/orders/orderdesk.h
+++ b/carawaylatch/orders/orderdesk.h
@@ -89,7 +89,8 @@
 class OrderDesk
 {
 public:
-    OrderDesk(base::RouterId router, base::Incarnation incarnation, ClaimStore &store, const RouterLiveness &liveness, const base::Clock &clock, DeskSettings settings = {});
+    OrderDesk(base::RouterId router, base::Incarnation incarnation, ClaimStore &store, const RouterLiveness &liveness, const base::Clock &clock,
+              DeskSettings settings = {});
     ~OrderDesk();
     OrderDesk(const OrderDesk &) = delete;
     OrderDesk &operator=(const OrderDesk &) = delete;
--- a/carawaylatch/orders/orderguard.cpp
+++ b/carawaylatch/orders/orderguard.cpp
@@ -211,8 +211,9 @@
         if (seen == ReopenedSeen::Before) {
             return claim(now, found.version);
         }
-        return refuse(OrderAnswerKind::Unknown, AttemptFate::NotRun,
-                      base::fail(ErrorKind::Unavailable, text("an earlier attempt gave the order up without running it", SameKeyRemedy), m_settings.firstPause));
+        return refuse(
+            OrderAnswerKind::Unknown, AttemptFate::NotRun,
+            base::fail(ErrorKind::Unavailable, text("an earlier attempt gave the order up without running it", SameKeyRemedy), m_settings.firstPause));
     case RecordState::Claimed:
         break;
     }
@@ -237,7 +238,8 @@
         return action;
     }
     const auto kind = life == ClaimantLife::Live ? OrderAnswerKind::Running : OrderAnswerKind::Unknown;
-    return refuse(kind, AttemptFate::NotRun, base::fail(ErrorKind::Conflict, text("another attempt of the order has not ended", SameKeyRemedy), m_settings.retryAfter));
+    return refuse(kind, AttemptFate::NotRun,
+                  base::fail(ErrorKind::Conflict, text("another attempt of the order has not ended", SameKeyRemedy), m_settings.retryAfter));
 }
 
 OrderAction OrderGuard::send(base::TimePoint now)
@@ -355,7 +357,8 @@
 OrderAction OrderGuard::misfit()
 {
     const auto fate = m_state.sends > 0 ? AttemptFate::MayHaveRun : AttemptFate::NotRun;
-    return refuse(OrderAnswerKind::Unknown, fate, base::fail(ErrorKind::Internal, text("the order guard got an event that does not fit its step", AskServiceRemedy)));
+    return refuse(OrderAnswerKind::Unknown, fate,
+                  base::fail(ErrorKind::Internal, text("the order guard got an event that does not fit its step", AskServiceRemedy)));
 }
 
 } // namespace carawaylatch::orders
--- /dev/null
+++ b/carawaylatch/orders/testing/orderworld.h
@@ -0,0 +1,112 @@
+// A small world around order guards for exhaustive exploration: two routers with
+// restarts, a platform that loses answers and delays writes, a pruner, and a
+// service whose journal is the judge.
+//
+// The parts under test are the real OrderGuard, OrderDuty and answerDuplicate;
+// this file adds what surrounds them. Invariants, at every state:
+//   - the service ran the order at most once;
+//   - no request that had been received when NotRun was said has run or runs;
+//   - no request that was told that it ran nothing has run or runs;
+//   - each Done answer and each Done record is the answer of the run.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "carawaylatch/orders/duplicates.h"
+#include "carawaylatch/orders/orderguard.h"
+#include "testing/explorer.h"
+
+namespace carawaylatch::orders::testing
+{
+
+enum class RequestPhase {
+    Coming, // not received yet
+    Active, // its guard runs
+    WaitsForFirst, // another request of the router runs the guard
+    Answered,
+    Dead, // its router crashed
+};
+
+struct WorldRequest
+{
+    int router = 0;
+    RequestPhase phase = RequestPhase::Coming;
+    std::optional<OrderGuard> guard;
+    OrderAction action; // to be carried out, in phase Active
+    platform::Version seenAtArrival; // reopened version that the router had seen; zero: none
+    std::optional<OrderAnswer> answer;
+};
+
+struct WorldRouter
+{
+    std::uint64_t incarnation = 1;
+    platform::Version seenReopened;
+    std::optional<OrderDuty> duty;
+};
+
+struct DelayedWrite
+{
+    OrderRecord record;
+    platform::Version expected;
+};
+
+struct WorldLimits
+{
+    int faults = 2; // lost, delayed, refused or unreachable calls
+    int crashes = 1;
+    int prunes = 0;
+    bool isLivenessWrong = false; // membership takes the dead for live and the live for dead
+};
+
+class OrderWorld
+{
+public:
+    // One request for the same order for each entry, which names its router (0 or 1).
+    OrderWorld(const std::vector<int> &routers, WorldLimits limits);
+
+    [[nodiscard]] std::string key() const;
+    [[nodiscard]] std::vector<carawaylatch::testing::Choice<OrderWorld>> choices() const;
+    [[nodiscard]] std::string violation() const;
+    [[nodiscard]] bool hasRun() const;
+
+private:
+    using Choices = std::vector<carawaylatch::testing::Choice<OrderWorld>>;
+
+    void addArrivals(Choices &choices) const;
+    void addRequestSteps(Choices &choices) const;
+    void addWrite(Choices &choices, std::size_t request) const;
+    void addSend(Choices &choices, std::size_t request) const;
+    void addDutySteps(Choices &choices) const;
+    void addPlatformSteps(Choices &choices) const;
+    void addCrashes(Choices &choices) const;
+
+    void arrive(std::size_t request);
+    void follow(std::size_t request, OrderAction action);
+    void say(std::size_t request, const OrderAnswer &answer);
+    void run(std::size_t request);
+    void crash(int router);
+    void finishDuty(int router);
+    [[nodiscard]] std::optional<std::size_t> activeAt(int router) const;
+    [[nodiscard]] ClaimantLife lifeOf(const Claimant &claimant) const;
+    [[nodiscard]] base::Result<VersionedRecord> readRecord() const;
+    base::Result<platform::Version> writeRecord(const OrderRecord &record, platform::Version expected);
+    [[nodiscard]] OrderAction read(std::size_t request, const base::Result<VersionedRecord> &result);
+    void landRun(std::size_t index);
+
+    std::vector<WorldRequest> m_requests;
+    WorldRouter m_routers[2];
+    WorldLimits m_left;
+    std::optional<VersionedRecord> m_record;
+    std::uint64_t m_lastVersion = 0;
+    bool m_isClosed = false;
+    std::vector<DelayedWrite> m_delayed;
+    std::vector<std::size_t> m_delayedRuns; // requests that the service may still run
+    std::vector<std::size_t> m_runs; // the service's journal
+    std::uint32_t m_received = 0; // bit of each request received
+    std::uint32_t m_mustNotRun = 0; // bit of each request that some answer has ruled out
+};
+
+} // namespace carawaylatch::orders::testing
