Load tool: workloads, stream verifier and judgement of orders

The verifier knows each token of the stand-in engine's answer from the prompt, so quiet cuts, gaps, repeats and foreign tokens are all seen from the caller's side. Orders are judged against the services' journals.

--- /dev/null
+++ b/tools/load/caller.cpp
@@ -0,0 +1,213 @@
+// Calls over cpp-httplib.
+//
+// A streamed body goes through the event splitter into the verifier as it
+// arrives; the times of the tokens are taken there. Of a refused call the body
+// is kept and its error read. httplib reports a body that ended early as a read
+// error, which is what tells an aborted transfer from a clean end.
+#include "tools/load/caller.h"
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+namespace carawaylatch::load
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr int StatusOk = 200;
+constexpr std::size_t MaxErrorBytes = 64'000;
+
+struct ErrorBody
+{
+    std::string code;
+    std::optional<base::Duration> retryAfter;
+};
+
+ErrorBody parseErrorBody(const std::string &body)
+{
+    ErrorBody error{.code = "no_error_body", .retryAfter = {}};
+    const auto value = json::parse(body, nullptr, false);
+    if (value.is_object() && value.contains("error") && value["error"].is_object()) {
+        const auto &fields = value["error"];
+        error.code = fields.value("code", fields.value("type", std::string("unnamed")));
+        if (fields.contains("retry_after_ms") && fields["retry_after_ms"].is_number()) {
+            error.retryAfter = base::milliseconds{fields["retry_after_ms"].get<std::int64_t>()};
+        }
+    }
+    return error;
+}
+
+base::TimePoint now()
+{
+    return base::SteadyClock().now();
+}
+
+// Takes the body of one streamed answer.
+class StreamReceiver
+{
+public:
+    explicit StreamReceiver(std::string_view prompt)
+        : m_verifier(prompt)
+        , m_sentAt(now())
+    {
+    }
+
+    void receive(int status, std::string_view bytes)
+    {
+        if (status != StatusOk) {
+            m_errorBody.append(bytes.substr(0, MaxErrorBytes - std::min(MaxErrorBytes, m_errorBody.size())));
+            return;
+        }
+        m_splitter.feed(bytes, [this](std::string_view payload) {
+            addEvent(parseStreamEvent(payload));
+        });
+    }
+
+    [[nodiscard]] CompletionResult result(int status, TransferEnd end) const
+    {
+        CompletionResult result;
+        result.status = status;
+        if (status != StatusOk && status != 0) {
+            const auto error = parseErrorBody(m_errorBody);
+            result.end = CallEnd::Refused;
+            result.errorCode = error.code;
+            result.retryAfter = error.retryAfter;
+            return result;
+        }
+        result.end = CallEnd::Streamed;
+        result.verdict = m_verifier.finish(end);
+        result.errorCode = m_verifier.errorCode();
+        result.usage = m_verifier.usage();
+        result.firstToken = m_firstToken;
+        result.gaps = m_gaps;
+        return result;
+    }
+
+private:
+    void addEvent(const StreamEvent &event)
+    {
+        if (event.kind == StreamEvent::Kind::Token) {
+            const auto at = now();
+            if (m_lastToken) {
+                m_gaps.push_back(at - *m_lastToken);
+            } else {
+                m_firstToken = at - m_sentAt;
+            }
+            m_lastToken = at;
+        }
+        m_verifier.add(event);
+    }
+
+    StreamVerifier m_verifier;
+    EventSplitter m_splitter;
+    std::string m_errorBody;
+    base::TimePoint m_sentAt;
+    std::optional<base::TimePoint> m_lastToken;
+    base::Duration m_firstToken{};
+    std::vector<base::Duration> m_gaps;
+};
+
+httplib::Headers headersOf(const std::string &bearerKey)
+{
+    return {{"Authorization", "Bearer " + bearerKey}, {"Content-Type", "application/json"}};
+}
+
+// Says whether a service's answer names another order than the one sent.
+bool isForeignOrder(const std::string &body, const std::string &orderKey)
+{
+    const auto value = json::parse(body, nullptr, false);
+    if (!value.is_object() || !value.contains("order") || !value["order"].is_string()) {
+        return false;
+    }
+    const auto order = value["order"].get<std::string>();
+    return !order.empty() && !order.ends_with(orderKey);
+}
+
+} // namespace
+
+class Caller::Clients
+{
+public:
+    explicit Clients(const CallerOptions &options)
+    {
+        for (const auto &it : options.targets) {
+            auto client = std::make_unique<httplib::Client>(it.address, it.port);
+            client->set_keep_alive(true);
+            client->set_tcp_nodelay(true);
+            client->set_connection_timeout(base::seconds{2});
+            client->set_read_timeout(std::chrono::duration_cast<base::seconds>(options.timeout));
+            clients.push_back(std::move(client));
+        }
+    }
+
+    std::vector<std::unique_ptr<httplib::Client>> clients;
+};
+
+Caller::Caller(const CallerOptions &options)
+    : m_clients(std::make_unique<Clients>(options))
+{
+}
+
+Caller::~Caller() = default;
+
+CompletionResult Caller::complete(std::size_t target, const CompletionCall &call)
+{
+    httplib::Request request;
+    request.method = "POST";
+    request.path = "/v1/completions";
+    request.headers = headersOf(call.key);
+    request.headers.emplace("X-Traffic-Class", call.trafficClass == base::TrafficClass::Interactive ? "interactive" : "batch");
+    request.headers.emplace("X-Request-Id", call.requestId);
+    if (call.deadline > base::Duration{}) {
+        request.headers.emplace("X-Deadline-Ms", std::to_string(base::toMilliseconds(call.deadline)));
+    }
+    request.body = json{{"model", call.model}, {"prompt", call.prompt}, {"max_tokens", call.maxTokens}, {"stream", true}}.dump();
+    StreamReceiver receiver(call.prompt);
+    int status = 0;
+    request.response_handler = [&status](const httplib::Response &response) {
+        status = response.status;
+        return true;
+    };
+    request.content_receiver = [&](const char *data, std::size_t n, std::uint64_t, std::uint64_t) {
+        receiver.receive(status, std::string_view(data, n));
+        return true;
+    };
+    const auto answer = m_clients->clients.at(target)->send(request);
+    if (!answer && answer.error() == httplib::Error::Connection) {
+        return {};
+    }
+    return receiver.result(status, answer ? TransferEnd::Clean : TransferEnd::Broken);
+}
+
+OrderAnswer Caller::order(std::size_t target, const OrderCall &call)
+{
+    OrderAnswer answer;
+    answer.key = call.orderKey;
+    answer.target = target;
+    answer.sentAt = now();
+    auto headers = headersOf(call.bearerKey);
+    headers.erase("Content-Type");
+    headers.emplace("Idempotency-Key", call.orderKey);
+    const auto response = m_clients->clients.at(target)->Post(("/v1/services/" + call.route + "/orders").c_str(), headers, call.body, "application/json");
+    answer.answeredAt = now();
+    if (!response) {
+        answer.outcome = response.error() == httplib::Error::Connection ? "not_reached" : "unclear";
+        return answer;
+    }
+    answer.status = response->status;
+    answer.isReplayed = response->get_header_value("X-Order-Replayed") == "true";
+    answer.outcome = response->get_header_value("X-Order-Outcome");
+    if (answer.status != StatusOk) {
+        answer.errorCode = parseErrorBody(response->body).code;
+    }
+    if (answer.outcome.empty()) {
+        answer.outcome = "refused";
+    }
+    answer.isForeign = answer.outcome == "done" && isForeignOrder(response->body, call.orderKey);
+    return answer;
+}
+
+} // namespace carawaylatch::load
--- /dev/null
+++ b/tools/load/report.h
@@ -0,0 +1,55 @@
+// The result of a run, as text for people and JSON for programs.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "carawaylatch/base/time.h"
+#include "tools/load/judge.h"
+
+namespace carawaylatch::load
+{
+
+// Exact times of one class.
+struct ClassTimes
+{
+    std::vector<base::Duration> firstToken;
+    std::vector<base::Duration> gaps;
+};
+
+constexpr std::size_t ClassCount = 2; // indexed by base::TrafficClass
+constexpr std::size_t VerdictCount = 9; // indexed by StreamVerdict
+
+struct Report
+{
+    std::string workload;
+    std::uint64_t seed = 0;
+    std::uint64_t requests = 0;
+    std::uint64_t notReached = 0; // calls that found no router at last
+    std::uint64_t retries = 0;
+    std::array<std::uint64_t, VerdictCount> verdicts{};
+    std::map<std::string, std::uint64_t> refusals; // final ones, by code
+    std::map<std::string, std::uint64_t> explicitErrors; // by code
+    std::uint64_t promptTokens = 0;
+    std::uint64_t cachedTokens = 0;
+    std::uint64_t completionTokens = 0;
+    std::array<ClassTimes, ClassCount> times;
+    base::Duration elapsed{};
+    std::vector<OrderAnswer> orders;
+    std::uint64_t judgedServices = 0;
+    Judgement judgement;
+
+    void merge(Report &&other);
+    [[nodiscard]] std::uint64_t brokenPromises() const;
+};
+
+// Returns the value below which `share` of the values lie; zero without any. Sorts the values.
+[[nodiscard]] base::Duration quantile(std::vector<base::Duration> &values, double share);
+
+[[nodiscard]] std::string renderText(Report &report);
+[[nodiscard]] std::string renderJson(Report &report);
+
+} // namespace carawaylatch::load
--- /dev/null
+++ b/tools/load/streamverifier.cpp
@@ -0,0 +1,116 @@
+// The verdict on a stream.
+//
+// The first broken promise is kept, since what follows it is often only its
+// consequence. Without one, the end decides: [DONE] after the last event is
+// complete, an error event is an explicit failure, a broken transfer is seen by
+// the caller's HTTP library, and a clean end with none of these is the quiet cut
+// that must never happen.
+#include "tools/load/streamverifier.h"
+
+#include <array>
+#include <cstdio>
+
+#include "carawaylatch/base/hash.h"
+
+namespace carawaylatch::load
+{
+
+namespace
+{
+
+constexpr std::size_t TokenDigits = 8;
+
+} // namespace
+
+std::string_view streamVerdictName(StreamVerdict verdict)
+{
+    static constexpr std::array<std::string_view, 9> Names{
+        "complete", "explicit_error", "aborted", "cut_quietly", "gap", "repeated", "foreign_token", "wrong_count", "malformed",
+    };
+    return Names.at(static_cast<std::size_t>(verdict));
+}
+
+bool breaksPromise(StreamVerdict verdict)
+{
+    return verdict >= StreamVerdict::CutQuietly;
+}
+
+std::string expectedToken(std::string_view prompt, std::uint64_t index)
+{
+    std::array<char, 17> buf{};
+    std::snprintf(buf.data(), buf.size(), "%016llx", static_cast<unsigned long long>(base::hash64(prompt, index)));
+    return " " + std::string(buf.data(), TokenDigits);
+}
+
+StreamVerifier::StreamVerifier(std::string_view prompt)
+    : m_prompt(prompt)
+{
+}
+
+void StreamVerifier::note(StreamVerdict verdict)
+{
+    if (m_fault == StreamVerdict::Complete) {
+        m_fault = verdict;
+    }
+}
+
+void StreamVerifier::addToken(const StreamEvent &event)
+{
+    if (m_sawLast || event.index < m_nextIndex) {
+        note(StreamVerdict::Repeated);
+        return;
+    }
+    if (event.index > m_nextIndex) {
+        note(StreamVerdict::Gap);
+    }
+    if (event.text != expectedToken(m_prompt, event.index)) {
+        note(StreamVerdict::ForeignToken);
+    }
+    m_nextIndex = event.index + 1;
+}
+
+void StreamVerifier::addLast(const StreamEvent &event)
+{
+    m_usage = event.usage;
+    if (m_sawLast || event.tokenCount != m_nextIndex) {
+        note(StreamVerdict::WrongCount);
+    }
+    m_sawLast = true;
+}
+
+void StreamVerifier::add(const StreamEvent &event)
+{
+    switch (event.kind) {
+    case StreamEvent::Kind::Token:
+        addToken(event);
+        break;
+    case StreamEvent::Kind::Last:
+        addLast(event);
+        break;
+    case StreamEvent::Kind::Error:
+        m_errorCode = event.text;
+        break;
+    case StreamEvent::Kind::Done:
+        m_sawDone = true;
+        break;
+    case StreamEvent::Kind::Malformed:
+        note(StreamVerdict::Malformed);
+        break;
+    }
+}
+
+StreamVerdict StreamVerifier::finish(TransferEnd end) const
+{
+    if (m_fault != StreamVerdict::Complete) {
+        return m_fault;
+    }
+    if (!m_errorCode.empty()) {
+        return StreamVerdict::ExplicitError;
+    }
+    if (m_sawLast && m_sawDone) {
+        return StreamVerdict::Complete;
+    }
+    return end == TransferEnd::Broken ? StreamVerdict::Aborted : StreamVerdict::CutQuietly;
+}
+
+} // namespace carawaylatch::load
--- /dev/null
+++ b/tools/load/streamverifier.h
@@ -0,0 +1,78 @@
+// Judges one streamed answer from the caller's side.
+//
+// The stand-in engine makes token i of a prompt as " " and the first eight hex
+// digits of hash64(prompt, i), so a caller that knows its prompt can tell whether
+// each token belongs to its own request. The verifier takes events in the order
+// of arrival and how the transfer ended; its verdict never depends on timing.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "tools/load/answerevents.h"
+
+namespace carawaylatch::load
+{
+
+enum class StreamVerdict {
+    Complete,
+    ExplicitError, // the router said that it failed
+    Aborted, // the transfer broke where the caller could see it
+    // All below break a promise.
+    CutQuietly, // a clean end without [DONE]
+    Gap, // a token index was left out
+    Repeated, // a token index came twice or out of order
+    ForeignToken, // a token of another prompt
+    WrongCount, // the last event's count differs from the tokens delivered
+    Malformed,
+};
+
+[[nodiscard]] std::string_view streamVerdictName(StreamVerdict verdict);
+[[nodiscard]] bool breaksPromise(StreamVerdict verdict);
+
+// Returns the text of token `index` of the stand-in engine's answer to a prompt.
+[[nodiscard]] std::string expectedToken(std::string_view prompt, std::uint64_t index);
+
+enum class TransferEnd {
+    Clean, // the whole body arrived
+    Broken, // the connection closed inside the body
+};
+
+class StreamVerifier
+{
+public:
+    // `prompt` outlives the verifier.
+    explicit StreamVerifier(std::string_view prompt);
+    void add(const StreamEvent &event);
+    [[nodiscard]] StreamVerdict finish(TransferEnd end) const;
+
+    [[nodiscard]] std::uint64_t tokens() const
+    {
+        return m_nextIndex;
+    }
+    [[nodiscard]] const StreamUsage &usage() const
+    {
+        return m_usage;
+    }
+    // Returns the code of the explicit error, empty without one.
+    [[nodiscard]] const std::string &errorCode() const
+    {
+        return m_errorCode;
+    }
+
+private:
+    void addToken(const StreamEvent &event);
+    void addLast(const StreamEvent &event);
+    void note(StreamVerdict verdict);
+
+    std::string_view m_prompt;
+    std::uint64_t m_nextIndex = 0;
+    StreamUsage m_usage;
+    std::string m_errorCode;
+    StreamVerdict m_fault = StreamVerdict::Complete; // the first broken promise
+    bool m_sawLast = false;
+    bool m_sawDone = false;
+};
+
+} // namespace carawaylatch::load
--- /dev/null
+++ b/tools/load/testing/streamverifiertest.cpp
@@ -0,0 +1,195 @@
+// The load tool's judgement: each broken promise in a stream or an order is seen.
+#include "tools/load/streamverifier.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+#include <vector>
+
+#include "tools/load/judge.h"
+#include "tools/load/workload.h"
+
+namespace carawaylatch::load::testing
+{
+
+namespace
+{
+
+const std::string Prompt = "template contract clause";
+
+std::string tokenPayload(std::uint64_t index, const std::string &text)
+{
+    return R"({"choices":[{"index":0,"text":")" + text + R"(","finish_reason":null}],"token_index":)" + std::to_string(index) + "}";
+}
+
+std::string token(std::uint64_t index)
+{
+    return tokenPayload(index, expectedToken(Prompt, index));
+}
+
+std::string last(std::uint64_t count)
+{
+    return R"({"choices":[{"index":0,"text":"","finish_reason":"stop"}],"token_count":)" + std::to_string(count)
+           + R"(,"usage":{"prompt_tokens":6,"completion_tokens":2,"prompt_tokens_details":{"cached_tokens":4}}})";
+}
+
+const std::string ErrorPayload = R"({"error":{"type":"unavailable","code":"upstream_lost","message":"m"}})";
+
+struct Row
+{
+    std::string name;
+    std::vector<std::string> payloads;
+    TransferEnd end;
+    StreamVerdict verdict;
+};
+
+std::vector<Row> rows()
+{
+    using V = StreamVerdict;
+    const auto clean = TransferEnd::Clean;
+    const auto broken = TransferEnd::Broken;
+    return {
+        {"whole", {token(0), token(1), last(2), "[DONE]"}, clean, V::Complete},
+        {"no token", {last(0), "[DONE]"}, clean, V::Complete},
+        {"clean end without last event", {token(0), token(1)}, clean, V::CutQuietly},
+        {"clean end without [DONE]", {token(0), last(1)}, clean, V::CutQuietly},
+        {"[DONE] without last event", {token(0), "[DONE]"}, clean, V::CutQuietly},
+        {"nothing at all", {}, clean, V::CutQuietly},
+        {"broken transfer", {token(0)}, broken, V::Aborted},
+        {"explicit error", {token(0), ErrorPayload}, broken, V::ExplicitError},
+        {"error, then a clean end", {ErrorPayload}, clean, V::ExplicitError},
+        {"gap", {token(0), token(2), last(3), "[DONE]"}, clean, V::Gap},
+        {"first token missing", {token(1), last(2), "[DONE]"}, clean, V::Gap},
+        {"repeated token", {token(0), token(0), last(2), "[DONE]"}, clean, V::Repeated},
+        {"token after the last event", {token(0), last(1), token(1), "[DONE]"}, clean, V::Repeated},
+        {"token of another prompt", {token(0), tokenPayload(1, expectedToken("other", 1)), last(2), "[DONE]"}, clean, V::ForeignToken},
+        {"token of another index", {tokenPayload(0, expectedToken(Prompt, 1)), last(1), "[DONE]"}, clean, V::ForeignToken},
+        {"count too high", {token(0), last(2), "[DONE]"}, clean, V::WrongCount},
+        {"two last events", {token(0), last(1), last(1), "[DONE]"}, clean, V::WrongCount},
+        {"fault before an explicit error", {token(1), ErrorPayload}, broken, V::Gap},
+        {"not JSON", {"{", token(0), last(1), "[DONE]"}, clean, V::Malformed},
+        {"token without index", {R"({"choices":[{"text":"a"}]})"}, clean, V::Malformed},
+    };
+}
+
+OrderAnswer answer(const std::string &key, const std::string &outcome, int sentAt, int answeredAt)
+{
+    OrderAnswer result;
+    result.key = key;
+    result.outcome = outcome;
+    result.sentAt = base::TimePoint{base::seconds{sentAt}};
+    result.answeredAt = base::TimePoint{base::seconds{answeredAt}};
+    return result;
+}
+
+struct OrderRow
+{
+    std::string name;
+    std::vector<OrderAnswer> answers;
+    std::uint64_t runs;
+    std::uint64_t twice;
+    std::uint64_t falseNotRun;
+    std::uint64_t withoutRun;
+    std::uint64_t ambiguous;
+};
+
+std::vector<OrderRow> orderRows()
+{
+    return {
+        {"done once", {answer("k", "done", 1, 2), answer("k", "done", 3, 4)}, 1, 0, 0, 0, 0},
+        {"ran twice", {answer("k", "done", 1, 2)}, 2, 1, 0, 0, 0},
+        {"ran twice behind unknown", {answer("k", "unknown", 1, 2)}, 2, 1, 0, 0, 0},
+        {"unknown and ran", {answer("k", "unknown", 1, 2)}, 1, 0, 0, 0, 0},
+        {"true not run", {answer("k", "not_run", 1, 2)}, 0, 0, 0, 0, 0},
+        {"false not run", {answer("k", "not_run", 1, 2)}, 1, 0, 1, 0, 0},
+        {"not run after done", {answer("k", "done", 1, 2), answer("k", "not_run", 3, 4)}, 1, 0, 1, 0, 0},
+        {"sent again after not run", {answer("k", "not_run", 1, 2), answer("k", "done", 3, 4)}, 1, 0, 0, 0, 1},
+        {"open beside not run", {answer("k", "not_run", 1, 2), answer("k", "done", 1, 3)}, 1, 0, 0, 0, 1},
+        {"done without run", {answer("k", "done", 1, 2)}, 0, 0, 0, 1, 0},
+    };
+}
+
+} // namespace
+
+class StreamVerifierTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(StreamVerifierTest);
+    CPPUNIT_TEST(testVerdicts);
+    CPPUNIT_TEST(testSplitterTakesAnyPieces);
+    CPPUNIT_TEST(testUsage);
+    CPPUNIT_TEST(testOrders);
+    CPPUNIT_TEST(testWorkloadRepeatsUnderASeed);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void testVerdicts()
+    {
+        for (const auto &row : rows()) {
+            StreamVerifier verifier(Prompt);
+            for (const auto &it : row.payloads) {
+                verifier.add(parseStreamEvent(it));
+            }
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, std::string(streamVerdictName(row.verdict)), std::string(streamVerdictName(verifier.finish(row.end))));
+        }
+    }
+
+    void testSplitterTakesAnyPieces()
+    {
+        const std::string bytes = ": comment\n\ndata: one\r\n\r\ndata:two\n\nevent: x\ndata: [DONE]\n\ndata: unfinished";
+        const std::vector<std::string> expected{"one", "two", "[DONE]"};
+        for (std::size_t piece = 1; piece <= bytes.size(); ++piece) {
+            EventSplitter splitter;
+            std::vector<std::string> payloads;
+            for (std::size_t at = 0; at < bytes.size(); at += piece) {
+                splitter.feed(std::string_view(bytes).substr(at, piece), [&](std::string_view it) {
+                    payloads.emplace_back(it);
+                });
+            }
+            CPPUNIT_ASSERT_MESSAGE("pieces of " + std::to_string(piece), payloads == expected);
+        }
+    }
+
+    void testUsage()
+    {
+        StreamVerifier verifier(Prompt);
+        verifier.add(parseStreamEvent(last(0)));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{6}, verifier.usage().promptTokens);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, verifier.usage().cachedTokens);
+    }
+
+    void testOrders()
+    {
+        for (const auto &row : orderRows()) {
+            std::vector<JournalEntry> journal{{"other-key", "1", "/"}};
+            for (std::uint64_t i = 0; i < row.runs; ++i) {
+                journal.push_back({i == 0 ? "customer/k" : "k", std::to_string(i), "/"});
+            }
+            const auto judgement = judgeOrders(row.answers, journal);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.twice, std::uint64_t{judgement.ranTwice.size()});
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.falseNotRun, std::uint64_t{judgement.notRunButRan.size()});
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.withoutRun, std::uint64_t{judgement.doneWithoutRun.size()});
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.ambiguous, judgement.ambiguous);
+        }
+    }
+
+    void testWorkloadRepeatsUnderASeed()
+    {
+        for (const auto kind : {WorkloadKind::Groupement, WorkloadKind::Brasa}) {
+            Workload first(kind, 8, 40, 7);
+            Workload second(kind, 8, 40, 7);
+            Workload other(kind, 8, 40, 8);
+            int differing = 0;
+            for (int i = 0; i < 40; ++i) {
+                const auto request = first.next();
+                CPPUNIT_ASSERT(request.prompt == second.next().prompt);
+                CPPUNIT_ASSERT(request.customer < 8 && request.maxTokens > 0);
+                differing += request.prompt == other.next().prompt ? 0 : 1;
+            }
+            CPPUNIT_ASSERT_EQUAL(40, differing);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StreamVerifierTest);
+
+} // namespace carawaylatch::load::testing
--- /dev/null
+++ b/tools/load/workload.h
@@ -0,0 +1,58 @@
+// The two workloads as sequences of requests, from a seed.
+//
+// Groupement: a common template, then a supplier's contract, then a clause; the
+// templates are shared by all customers, contracts belong to one. Brasa: a
+// panel's fault history that grows, then a short question. Customers, templates,
+// contracts and panels are drawn from skewed distributions, and the hot ones
+// change once, at half of the run.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "carawaylatch/base/error.h"
+#include "carawaylatch/base/hash.h"
+#include "carawaylatch/base/ids.h"
+
+namespace carawaylatch::load
+{
+
+enum class WorkloadKind {
+    Groupement,
+    Brasa,
+};
+
+[[nodiscard]] base::Result<WorkloadKind> parseWorkload(std::string_view name);
+
+struct LoadRequest
+{
+    std::size_t customer = 0; // index among the customers of the run
+    base::TrafficClass trafficClass = base::TrafficClass::Interactive;
+    std::string prompt;
+    std::uint32_t maxTokens = 0;
+};
+
+// Generates request i of a run; not safe for use from two threads.
+class Workload
+{
+public:
+    // `requests` is the length of the run; the hot prefixes change after half of it.
+    Workload(WorkloadKind kind, std::size_t customers, std::size_t requests, std::uint64_t seed);
+    [[nodiscard]] LoadRequest next();
+
+private:
+    [[nodiscard]] std::size_t drawSkewed(std::size_t n);
+    [[nodiscard]] LoadRequest nextGroupement();
+    [[nodiscard]] LoadRequest nextBrasa();
+
+    WorkloadKind m_kind;
+    std::size_t m_customers;
+    std::size_t m_requests;
+    std::uint64_t m_seed;
+    std::size_t m_made = 0;
+    base::Random m_random;
+};
+
+} // namespace carawaylatch::load
