--- a/tools/common/commandline.cpp
+++ b/tools/common/commandline.cpp
@@ -63,7 +63,6 @@
 {
     switch (kind) {
     case ErrorKind::InvalidArgument:
-    case ErrorKind::NotFound:
         return ExitCode::WrongUsage;
     case ErrorKind::Unavailable:
     case ErrorKind::Unclear:
@@ -101,7 +100,9 @@
     for (const auto &[name, flag] : absl::GetAllFlags()) {
         if (flag->Filename().find(folder) != std::string::npos) {
             const auto initial = flag->DefaultValue();
-            lines[std::string(name)] = flag->Help() + (initial.empty() ? "" : " (default " + initial + ")");
+            std::string shown(name);
+            std::replace(shown.begin(), shown.end(), '_', '-');
+            lines[shown] = flag->Help() + (initial.empty() ? "" : " (default " + initial + ")");
         }
     }
     std::string text;
--- /dev/null
+++ b/tools/ctl/applycommand.cpp
@@ -0,0 +1,159 @@
+// apply: has the platform accept an edit and waits for the answer.
+//
+// The edit carries an id, so that a lost answer is settled by reading back
+// inside HeadStore. With --wait the command also asks the router until it and
+// all live routers that it knows have the revision in force.
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <ostream>
+#include <thread>
+
+#include "tools/ctl/command.h"
+#include "tools/ctl/rowdiff.h"
+#include "tools/ctl/tablefiles.h"
+
+namespace carawaylatch::ctl
+{
+
+namespace
+{
+
+constexpr base::Duration PollInterval = base::milliseconds{100};
+
+std::int64_t wallMilliseconds()
+{
+    return std::chrono::duration_cast<base::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
+// Returns how many of the router and its live peers have the revision in force, and of how many.
+struct Spread
+{
+    std::size_t inForce = 0;
+    std::size_t routers = 0;
+};
+
+base::Result<Spread> readSpread(RouterClient &router, base::Revision revision)
+{
+    BOOST_OUTCOME_TRY(text, router.status());
+    const auto json = nlohmann::json::parse(text, nullptr, false);
+    if (!json.is_object() || !json.contains("router") || !json.contains("peers")) {
+        return base::fail(base::ErrorKind::Internal, "the router's status can't be read; use tools and routers of the same version");
+    }
+    Spread spread;
+    const auto count = [&](const nlohmann::json &row) {
+        ++spread.routers;
+        spread.inForce += row.value("revision", std::uint64_t{0}) >= revision.value ? 1 : 0;
+    };
+    count(json["router"]);
+    for (const auto &it : json["peers"]) {
+        if (it.value("state", "") == "live") {
+            count(it);
+        }
+    }
+    return spread;
+}
+
+base::Result<Spread> waitForRouters(CommandContext &context, base::Revision revision)
+{
+    const base::SteadyClock clock;
+    const auto end = clock.now() + context.options.wait;
+    for (;;) {
+        BOOST_OUTCOME_TRY(spread, readSpread(context.router, revision));
+        if (spread.inForce == spread.routers) {
+            return spread;
+        }
+        if (clock.now() >= end) {
+            return base::fail(base::ErrorKind::Overloaded, "accepted as revision " + std::to_string(revision.value) + ", in force at "
+                                                               + std::to_string(spread.inForce) + " of " + std::to_string(spread.routers)
+                                                               + " routers when the wait ended; 'status' shows which lag");
+        }
+        std::this_thread::sleep_for(PollInterval);
+    }
+}
+
+class ApplyCommand : public Command
+{
+public:
+    std::string_view name() const override
+    {
+        return "apply";
+    }
+    std::string_view words() const override
+    {
+        return "FILE...";
+    }
+    std::string_view help() const override
+    {
+        return "accept the rows of files; --dry-run, --whole, --remove, --author, --wait-seconds";
+    }
+    std::size_t minWords() const override
+    {
+        return 0;
+    }
+    std::size_t maxWords() const override
+    {
+        return MaxFiles;
+    }
+
+    base::Result<void> run(CommandContext &context) const override
+    {
+        if (context.words.empty() && context.options.removals.empty()) {
+            return base::fail(base::ErrorKind::InvalidArgument, "nothing to apply; name a file or use --remove");
+        }
+        config::HeadStore store(context.objects);
+        BOOST_OUTCOME_TRY(stored, store.load());
+        BOOST_OUTCOME_TRY(changes, changesFor(context, stored.rows));
+        base::Random random(context.options.editSeed);
+        config::Edit edit;
+        edit.id = config::makeEditId(random);
+        edit.author = context.options.author;
+        edit.madeAt = wallMilliseconds();
+        edit.changes = changes;
+        const bool isDryRun = context.options.applyMode == ApplyMode::DryRun;
+        BOOST_OUTCOME_TRY(accepted, isDryRun ? store.dryRun(edit) : store.apply(edit));
+        const bool isNew = accepted.changedRows > 0 && !isDryRun;
+        Spread spread;
+        if (isNew && context.options.wait > base::Duration{}) {
+            BOOST_OUTCOME_TRY(reached, waitForRouters(context, accepted.revision));
+            spread = reached;
+        }
+        print(context, stored.rows, edit, accepted, spread);
+        return base::ok();
+    }
+
+private:
+    static void print(CommandContext &context, const config::RowSet &before, const config::Edit &edit, const config::Accepted &accepted, const Spread &spread)
+    {
+        const bool isDryRun = context.options.applyMode == ApplyMode::DryRun;
+        if (context.options.output == OutputForm::Json) {
+            const nlohmann::ordered_json json{{"accepted", !isDryRun},
+                                              {"revision", accepted.revision.value},
+                                              {"changed_rows", accepted.changedRows},
+                                              {"changes", changesJson(before, edit.changes)}};
+            context.out << json.dump(2) << '\n';
+            return;
+        }
+        context.out << renderChanges(before, edit.changes);
+        if (accepted.changedRows == 0) {
+            context.out << "nothing to change; revision " << accepted.revision.value << " is as asked\n";
+        } else if (isDryRun) {
+            context.out << "dry run: valid, " << accepted.changedRows << " rows would change; nothing was written\n";
+        } else {
+            context.out << "accepted as revision " << accepted.revision.value << ", " << accepted.changedRows << " rows changed\n";
+        }
+        if (spread.routers > 0) {
+            context.out << "in force at " << spread.inForce << " of " << spread.routers << " routers\n";
+        }
+    }
+};
+
+} // namespace
+
+const Command &applyCommand()
+{
+    static const ApplyCommand command;
+    return command;
+}
+
+} // namespace carawaylatch::ctl
--- /dev/null
+++ b/tools/ctl/command.cpp
@@ -0,0 +1,39 @@
+// The table of commands and the way from a word to one of them.
+#include "tools/ctl/command.h"
+
+#include <algorithm>
+#include <array>
+
+namespace carawaylatch::ctl
+{
+
+std::span<const Command *const> allCommands()
+{
+    static const std::array<const Command *, 13> commands{
+        &checkCommand(),  &applyCommand(),   &getCommand(),    &diffCommand(),   &historyCommand(),  &drainCommand(),  &undrainCommand(),
+        &statusCommand(), &explainCommand(), &digestCommand(), &eventsCommand(), &settingsCommand(), &tablesCommand(),
+    };
+    return commands;
+}
+
+base::Result<void> runCommand(CommandContext &context)
+{
+    if (context.words.empty()) {
+        return base::fail(base::ErrorKind::InvalidArgument, "no command; --help lists all commands");
+    }
+    const auto name = context.words.front();
+    const auto commands = allCommands();
+    const auto it = std::find_if(commands.begin(), commands.end(), [&](const Command *command) {
+        return command->name() == name;
+    });
+    if (it == commands.end()) {
+        return base::fail(base::ErrorKind::InvalidArgument, "unknown command '" + name + "'; --help lists all commands");
+    }
+    context.words.erase(context.words.begin());
+    if (context.words.size() < (*it)->minWords() || context.words.size() > (*it)->maxWords()) {
+        return base::fail(base::ErrorKind::InvalidArgument, "write: carawaylatchctl " + name + " " + std::string((*it)->words()));
+    }
+    return (*it)->run(context);
+}
+
+} // namespace carawaylatch::ctl
--- /dev/null
+++ b/tools/ctl/command.h
@@ -0,0 +1,99 @@
+// The commands of carawaylatchctl: one small object each, listed in one table.
+//
+// A command takes its words, talks to the platform or to a router through the
+// interfaces of its context and writes its result to the context's stream. An
+// error carries the remedy; its kind decides the exit code.
+#pragma once
+
+#include <iosfwd>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "carawaylatch/base/error.h"
+#include "carawaylatch/base/time.h"
+#include "carawaylatch/platform/objectstore.h"
+#include "tools/ctl/routerclient.h"
+
+namespace carawaylatch::ctl
+{
+
+// Most files that one command takes.
+constexpr std::size_t MaxFiles = 100;
+
+enum class OutputForm {
+    Text,
+    Json,
+};
+
+enum class ApplyMode {
+    Accept,
+    DryRun, // check against the present configuration and write nothing
+};
+
+enum class TableScope {
+    NamedRows, // rows that the files don't name stay
+    Whole, // rows that the files don't name are removed
+};
+
+// Flags of the command line that commands read.
+struct CommandOptions
+{
+    OutputForm output = OutputForm::Text;
+    ApplyMode applyMode = ApplyMode::Accept;
+    TableScope scope = TableScope::NamedRows;
+    std::string author;
+    std::vector<std::string> removals; // rows to remove, such as "route contracts"
+    base::Duration wait{}; // for routers to have an edit in force; zero doesn't wait
+    std::uint64_t editSeed = 0; // differs in every process
+    std::size_t historyLimit = 20;
+    std::string customerKey; // of explain
+    std::string model; // of explain
+    std::string promptFile; // of explain
+    std::string trafficClass; // of explain
+};
+
+struct CommandContext
+{
+    const CommandOptions &options;
+    std::vector<std::string> words; // after the command's name
+    platform::ObjectStore &objects;
+    RouterClient &router;
+    std::ostream &out;
+};
+
+class Command
+{
+public:
+    virtual ~Command() = default;
+    [[nodiscard]] virtual std::string_view name() const = 0;
+    [[nodiscard]] virtual std::string_view words() const = 0; // such as "FILE..."
+    [[nodiscard]] virtual std::string_view help() const = 0; // one line
+    [[nodiscard]] virtual std::size_t minWords() const = 0;
+    [[nodiscard]] virtual std::size_t maxWords() const = 0;
+    [[nodiscard]] virtual base::Result<void> run(CommandContext &context) const = 0;
+};
+
+// Returns all commands in the order of the help text.
+[[nodiscard]] std::span<const Command *const> allCommands();
+
+// Runs the command that the first word names; checks the number of words first.
+[[nodiscard]] base::Result<void> runCommand(CommandContext &context);
+
+// The commands; each stands in a file of its name.
+[[nodiscard]] const Command &checkCommand();
+[[nodiscard]] const Command &applyCommand();
+[[nodiscard]] const Command &getCommand();
+[[nodiscard]] const Command &diffCommand();
+[[nodiscard]] const Command &historyCommand();
+[[nodiscard]] const Command &drainCommand();
+[[nodiscard]] const Command &undrainCommand();
+[[nodiscard]] const Command &statusCommand();
+[[nodiscard]] const Command &explainCommand();
+[[nodiscard]] const Command &digestCommand();
+[[nodiscard]] const Command &eventsCommand();
+[[nodiscard]] const Command &settingsCommand();
+[[nodiscard]] const Command &tablesCommand();
+
+} // namespace carawaylatch::ctl
--- /dev/null
+++ b/tools/ctl/diffcommand.cpp
@@ -0,0 +1,63 @@
+// diff: shows what applying files would change.
+#include <nlohmann/json.hpp>
+
+#include <ostream>
+
+#include "tools/ctl/command.h"
+#include "tools/ctl/rowdiff.h"
+#include "tools/ctl/tablefiles.h"
+
+namespace carawaylatch::ctl
+{
+
+namespace
+{
+
+class DiffCommand : public Command
+{
+public:
+    std::string_view name() const override
+    {
+        return "diff";
+    }
+    std::string_view words() const override
+    {
+        return "FILE...";
+    }
+    std::string_view help() const override
+    {
+        return "show what applying files would change";
+    }
+    std::size_t minWords() const override
+    {
+        return 1;
+    }
+    std::size_t maxWords() const override
+    {
+        return MaxFiles;
+    }
+
+    base::Result<void> run(CommandContext &context) const override
+    {
+        config::HeadStore store(context.objects);
+        BOOST_OUTCOME_TRY(stored, store.load());
+        BOOST_OUTCOME_TRY(changes, changesFor(context, stored.rows));
+        if (context.options.output == OutputForm::Json) {
+            const nlohmann::ordered_json json{{"revision", stored.rows.revision.value}, {"changes", changesJson(stored.rows, changes)}};
+            context.out << json.dump(2) << '\n';
+            return base::ok();
+        }
+        context.out << renderChanges(stored.rows, changes) << changes.size() << " rows differ from revision " << stored.rows.revision.value << '\n';
+        return base::ok();
+    }
+};
+
+} // namespace
+
+const Command &diffCommand()
+{
+    static const DiffCommand command;
+    return command;
+}
+
+} // namespace carawaylatch::ctl
--- /dev/null
+++ b/tools/ctl/pagecommands.cpp
@@ -0,0 +1,122 @@
+// Commands that print pages of the manual and help to write tables: events,
+// settings, tables, digest. The pages come from the code that they describe.
+#include <array>
+#include <cstdio>
+#include <ostream>
+
+#include "carawaylatch/base/hash.h"
+#include "carawaylatch/base/logevents.h"
+#include "carawaylatch/config/settings.h"
+#include "carawaylatch/config/tablefile.h"
+#include "tools/ctl/command.h"
+
+namespace carawaylatch::ctl
+{
+
+namespace
+{
+
+// Prints a page that the library renders.
+class PageCommand : public Command
+{
+public:
+    PageCommand(std::string_view name, std::string_view help, std::string (*render)())
+        : m_name(name)
+        , m_help(help)
+        , m_render(render)
+    {
+    }
+
+    std::string_view name() const override
+    {
+        return m_name;
+    }
+    std::string_view words() const override
+    {
+        return "";
+    }
+    std::string_view help() const override
+    {
+        return m_help;
+    }
+    std::size_t minWords() const override
+    {
+        return 0;
+    }
+    std::size_t maxWords() const override
+    {
+        return 0;
+    }
+
+    base::Result<void> run(CommandContext &context) const override
+    {
+        context.out << m_render();
+        return base::ok();
+    }
+
+private:
+    std::string_view m_name;
+    std::string_view m_help;
+    std::string (*m_render)();
+};
+
+class DigestCommand : public Command
+{
+public:
+    std::string_view name() const override
+    {
+        return "digest";
+    }
+    std::string_view words() const override
+    {
+        return "KEY";
+    }
+    std::string_view help() const override
+    {
+        return "print the key_digest of a customer's bearer key";
+    }
+    std::size_t minWords() const override
+    {
+        return 1;
+    }
+    std::size_t maxWords() const override
+    {
+        return 1;
+    }
+
+    base::Result<void> run(CommandContext &context) const override
+    {
+        std::array<char, 17> buf{};
+        std::snprintf(buf.data(), buf.size(), "%016llx", static_cast<unsigned long long>(base::hash64(context.words.front())));
+        context.out << buf.data() << '\n';
+        return base::ok();
+    }
+};
+
+} // namespace
+
+const Command &digestCommand()
+{
+    static const DigestCommand command;
+    return command;
+}
+
+const Command &eventsCommand()
+{
+    static const PageCommand command("events", "print the catalogue of log events (docs/EVENTS.md)", base::renderLogEventCatalogue);
+    return command;
+}
+
+const Command &settingsCommand()
+{
+    static const PageCommand command("settings", "print the settings of a router (docs/SETTINGS.md)", config::renderSettingsPage);
+    return command;
+}
+
+const Command &tablesCommand()
+{
+    static const PageCommand command("tables", "print the fields of the tables (docs/TABLES.md)", config::renderTablesPage);
+    return command;
+}
+
+} // namespace carawaylatch::ctl
--- /dev/null
+++ b/tools/ctl/routerclient.cpp
@@ -0,0 +1,101 @@
+// Calls to a router's operators' port over cpp-httplib.
+//
+// Draining only ever sets a mark, so a call whose answer was lost may be
+// repeated; the message says so. A status that the router answers with an error
+// body is passed on in the router's own words.
+#include "tools/ctl/routerclient.h"
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include "carawaylatch/base/time.h"
+
+namespace carawaylatch::ctl
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr int StatusOk = 200;
+constexpr int StatusUnauthorized = 401;
+constexpr int StatusUnavailable = 503;
+
+std::string errorMessage(const std::string &body)
+{
+    const auto value = json::parse(body, nullptr, false);
+    if (value.is_object() && value.contains("error") && value["error"].is_object()) {
+        return value["error"].value("message", std::string("no message"));
+    }
+    return body.empty() ? "no message" : body.substr(0, 200);
+}
+
+base::ErrorKind kindOf(int status)
+{
+    if (status == StatusUnauthorized) {
+        return base::ErrorKind::Unauthenticated;
+    }
+    return status == StatusUnavailable ? base::ErrorKind::Overloaded : base::ErrorKind::Forbidden;
+}
+
+class HttpRouterClient : public RouterClient
+{
+public:
+    explicit HttpRouterClient(const base::Endpoint &router)
+        : m_where(router.address + ":" + std::to_string(router.port))
+        , m_client(router.address, router.port)
+    {
+        m_client.set_connection_timeout(base::seconds{2});
+        m_client.set_read_timeout(base::seconds{10});
+    }
+
+    base::Result<std::string> status() override
+    {
+        return result(m_client.Get("/v1/status"));
+    }
+
+    base::Result<std::string> drain(std::string_view upstream) override
+    {
+        return result(m_client.Post("/v1/drain", json{{"upstream", upstream}}.dump(), "application/json"));
+    }
+
+    base::Result<std::string> undrain(std::string_view upstream) override
+    {
+        return result(m_client.Post("/v1/undrain", json{{"upstream", upstream}}.dump(), "application/json"));
+    }
+
+    base::Result<std::string> explain(const ExplainCall &call) override
+    {
+        httplib::Headers headers{{"Authorization", "Bearer " + call.customerKey}};
+        if (!call.trafficClass.empty()) {
+            headers.emplace("X-Traffic-Class", call.trafficClass);
+        }
+        return result(m_client.Post("/v1/explain", headers, call.body, "application/json"));
+    }
+
+private:
+    base::Result<std::string> result(const httplib::Result &answer) const
+    {
+        if (!answer) {
+            return base::fail(base::ErrorKind::Unavailable, "router " + m_where + " was not reached (" + httplib::to_string(answer.error())
+                                                                + "); check --router, which takes the operators' port, and try again");
+        }
+        if (answer->status != StatusOk) {
+            return base::fail(kindOf(answer->status), "router " + m_where + ": " + errorMessage(answer->body));
+        }
+        return answer->body;
+    }
+
+    std::string m_where;
+    httplib::Client m_client;
+};
+
+} // namespace
+
+std::unique_ptr<RouterClient> makeHttpRouterClient(const base::Endpoint &router)
+{
+    return std::make_unique<HttpRouterClient>(router);
+}
+
+} // namespace carawaylatch::ctl
--- /dev/null
+++ b/tools/ctl/routerclient.h
@@ -0,0 +1,36 @@
+// The operators' port of a router, as commands use it.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "carawaylatch/base/error.h"
+#include "carawaylatch/base/ids.h"
+
+namespace carawaylatch::ctl
+{
+
+// A call of POST /v1/explain: a caller's request.
+struct ExplainCall
+{
+    std::string customerKey;
+    std::string trafficClass; // empty for the default
+    std::string body; // as a caller would send it
+};
+
+class RouterClient
+{
+public:
+    virtual ~RouterClient() = default;
+    // Return the answer's JSON. Unavailable: the router was not reached.
+    [[nodiscard]] virtual base::Result<std::string> status() = 0;
+    [[nodiscard]] virtual base::Result<std::string> drain(std::string_view upstream) = 0;
+    [[nodiscard]] virtual base::Result<std::string> undrain(std::string_view upstream) = 0;
+    [[nodiscard]] virtual base::Result<std::string> explain(const ExplainCall &call) = 0;
+};
+
+// Returns a client of one router over HTTP.
+[[nodiscard]] std::unique_ptr<RouterClient> makeHttpRouterClient(const base::Endpoint &router);
+
+} // namespace carawaylatch::ctl
--- /dev/null
+++ b/tools/ctl/statuscommand.cpp
@@ -0,0 +1,148 @@
+// status: what one router knows of itself, its upstreams, peers and customers.
+#include <nlohmann/json.hpp>
+
+#include <ostream>
+
+#include "carawaylatch/telemetry/htmltext.h"
+#include "tools/ctl/command.h"
+#include "tools/ctl/texttable.h"
+
+namespace carawaylatch::ctl
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+// One column: heading and the field of the row that it shows.
+struct StatusColumn
+{
+    const char *heading;
+    const char *field;
+};
+
+std::string cellText(const json &value)
+{
+    if (value.is_string()) {
+        return value.get<std::string>();
+    }
+    if (value.is_number_float()) {
+        return telemetry::countText(value.get<double>());
+    }
+    return value.is_null() ? "-" : value.dump();
+}
+
+void printRows(std::ostream &out, const char *title, const json &report, const char *list, const std::vector<StatusColumn> &columns)
+{
+    if (!report.contains(list) || report[list].empty()) {
+        return;
+    }
+    std::vector<std::string> headings;
+    for (const auto &it : columns) {
+        headings.emplace_back(it.heading);
+    }
+    TextTable table(headings);
+    for (const auto &row : report[list]) {
+        std::vector<std::string> cells;
+        for (const auto &it : columns) {
+            cells.push_back(cellText(row.value(it.field, json())));
+        }
+        table.add(cells);
+    }
+    out << '\n' << title << '\n' << table.render();
+}
+
+void printRouter(std::ostream &out, const json &report)
+{
+    const auto &router = report.at("router");
+    out << cellText(router.at("id")) << " in " << cellText(router.at("failure_domain")) << ", " << (router.at("ready").get<bool>() ? "ready" : "NOT READY");
+    if (const auto reason = router.value("reason", ""); !reason.empty()) {
+        out << ": " << reason;
+    }
+    out << "\nrevision " << router.at("revision") << ", up " << telemetry::uptimeText(base::milliseconds{router.at("uptime_ms").get<std::int64_t>()})
+        << ", incarnation " << cellText(router.at("incarnation")) << ", version " << cellText(router.at("version")) << '\n';
+    const auto &totals = report.at("totals");
+    out << "requests " << totals.at("requests") << ", refused " << totals.at("refused") << ", failed " << totals.at("failed") << ", open streams "
+        << totals.at("open_streams") << ", hit rate " << telemetry::percentText(totals.at("hit_rate").get<double>()) << ", first token p99 "
+        << totals.at("first_token_interactive").at("p99_ms") << " ms, orders with unknown outcome " << totals.at("orders_unknown") << '\n';
+}
+
+void printStatus(std::ostream &out, const json &report)
+{
+    printRouter(out, report);
+    printRows(out, "ROUTERS", report, "peers",
+              {{"router", "id"}, {"domain", "failure_domain"}, {"state", "state"}, {"revision", "revision"}, {"heard ms ago", "last_heard_ms"}});
+    printRows(out, "UPSTREAMS", report, "upstreams",
+              {{"upstream", "id"},
+               {"pool", "pool"},
+               {"domain", "failure_domain"},
+               {"state", "state"},
+               {"weights", "weights_version"},
+               {"running", "running"},
+               {"waiting", "waiting"},
+               {"own", "in_flight"},
+               {"confidence", "confidence"},
+               {"age ms", "report_age_ms"},
+               {"incarnation", "incarnation"}});
+    printRows(out, "POOLS", report, "pools",
+              {{"pool", "name"}, {"kind", "kind"}, {"model", "model"}, {"weights", "weights_version"}, {"members", "members"}, {"serving", "serving"}});
+    printRows(out, "ROUTES", report, "routes", {{"route", "name"}, {"path", "path"}, {"model", "model"}, {"pool", "pool"}, {"idempotent", "idempotent"}});
+    printRows(out, "CUSTOMERS", report, "customers",
+              {{"customer", "id"},
+               {"requests/s", "requests_per_second"},
+               {"limit here", "rate_share_per_second"},
+               {"running", "running"},
+               {"limit here", "concurrency_share"},
+               {"waiting", "waiting"}});
+}
+
+class StatusCommand : public Command
+{
+public:
+    std::string_view name() const override
+    {
+        return "status";
+    }
+    std::string_view words() const override
+    {
+        return "";
+    }
+    std::string_view help() const override
+    {
+        return "what a router knows of itself, its upstreams, peers and customers";
+    }
+    std::size_t minWords() const override
+    {
+        return 0;
+    }
+    std::size_t maxWords() const override
+    {
+        return 0;
+    }
+
+    base::Result<void> run(CommandContext &context) const override
+    {
+        BOOST_OUTCOME_TRY(text, context.router.status());
+        if (context.options.output == OutputForm::Json) {
+            context.out << text << '\n';
+            return base::ok();
+        }
+        try {
+            printStatus(context.out, json::parse(text));
+        } catch (const json::exception &) {
+            return base::fail(base::ErrorKind::Internal, "the router's status can't be read; use tools and routers of the same version");
+        }
+        return base::ok();
+    }
+};
+
+} // namespace
+
+const Command &statusCommand()
+{
+    static const StatusCommand command;
+    return command;
+}
+
+} // namespace carawaylatch::ctl
