Router: controllers, duties, operators' port, daemon

Cause: the parts need one composition with a control thread, traffic threads and loops for what blocks. Change: controllers for upstreams, configuration, members and handover over one event loop; platform duties on loops of their own; OperatorDesk; carawaylatchd.

--- a/carawaylatch/base/controlloop.cpp
+++ b/carawaylatch/base/eventloop.cpp
@@ -1,5 +1,5 @@
 // A queue, a condition variable and a thread that sleeps until the next deadline.
-#include "carawaylatch/base/controlloop.h"
+#include "carawaylatch/base/eventloop.h"
 
 #include <time.h>
 
@@ -11,24 +11,24 @@
 namespace carawaylatch::base
 {
 
-ControlLoop::ControlLoop(const Clock &clock)
+EventLoop::EventLoop(const Clock &clock)
     : m_clock(clock)
 {
 }
 
-ControlLoop::~ControlLoop()
+EventLoop::~EventLoop()
 {
     stop();
 }
 
-void ControlLoop::start()
+void EventLoop::start()
 {
     m_thread = std::thread([this] {
         loop();
     });
 }
 
-void ControlLoop::stop()
+void EventLoop::stop()
 {
     {
         const std::lock_guard lock(m_mutex);
@@ -41,7 +41,7 @@
     }
 }
 
-void ControlLoop::post(Task task)
+void EventLoop::post(Task task)
 {
     const std::lock_guard lock(m_mutex);
     if (!m_isStopped) {
@@ -50,7 +50,7 @@
     }
 }
 
-bool ControlLoop::run(const Task &task)
+bool EventLoop::run(const Task &task)
 {
     const auto done = std::make_shared<std::promise<void>>();
     auto future = done->get_future();
@@ -67,17 +67,17 @@
     return true;
 }
 
-TimerService &ControlLoop::timers()
+TimerService &EventLoop::timers()
 {
     return m_timers;
 }
 
-Duration ControlLoop::processorTime() const
+Duration EventLoop::processorTime() const
 {
     return std::chrono::nanoseconds{m_processorNanoseconds.load()};
 }
 
-void ControlLoop::loop()
+void EventLoop::loop()
 {
     while (true) {
         std::deque<Task> tasks = takeTasks();
@@ -95,7 +95,7 @@
     }
 }
 
-std::deque<ControlLoop::Task> ControlLoop::takeTasks()
+std::deque<EventLoop::Task> EventLoop::takeTasks()
 {
     const TimePoint now = m_clock.now();
     const Duration sleep = std::clamp<Duration>(m_timers.nextDeadline().value_or(now + LongestSleep) - now, Duration{}, LongestSleep);
@@ -106,7 +106,7 @@
     return std::exchange(m_tasks, {});
 }
 
-void ControlLoop::noteProcessorTime()
+void EventLoop::noteProcessorTime()
 {
     timespec used{};
     clock_gettime(CLOCK_THREAD_CPUTIME_ID, &used);
--- a/carawaylatch/base/controlloop.h
+++ b/carawaylatch/base/eventloop.h
@@ -1,8 +1,9 @@
-// The control thread: it owns all control state and runs what others post to it.
+// A thread that runs what others post to it, and timers.
 //
 // Tasks run one at a time in order of posting; timers of the loop's timer
-// service run between them. Neither may block: what waits for a platform, a peer
-// or an upstream runs on another thread and posts its result.
+// service run between them. The router has one such loop for all control state,
+// whose tasks never block, and others for calls that do: to the platform and to
+// upstreams. These post their results to the control loop.
 #pragma once
 
 #include <atomic>
@@ -19,28 +20,28 @@
 namespace carawaylatch::base
 {
 
-class ControlLoop
+class EventLoop
 {
 public:
     using Task = std::function<void(TimePoint now)>;
 
     // `clock` must outlive the loop.
-    explicit ControlLoop(const Clock &clock);
-    ~ControlLoop();
-    ControlLoop(const ControlLoop &) = delete;
-    ControlLoop &operator=(const ControlLoop &) = delete;
+    explicit EventLoop(const Clock &clock);
+    ~EventLoop();
+    EventLoop(const EventLoop &) = delete;
+    EventLoop &operator=(const EventLoop &) = delete;
 
     void start();
     // Ends the thread after the task that runs now; later tasks are dropped.
     void stop();
-    // Runs a task on the control thread. Safe from any thread.
+    // Runs a task on the loop's thread. Safe from any thread.
     void post(Task task);
     // Posts a task and waits until it has run; false if the loop has stopped.
-    // Not to be called from the control thread.
+    // Not to be called from the loop's thread.
     bool run(const Task &task);
-    // For the control thread and before start().
+    // For the loop's thread and before start().
     [[nodiscard]] TimerService &timers();
-    // Processor time that the control thread has used.
+    // Processor time that the loop's thread has used.
     [[nodiscard]] Duration processorTime() const;
 
 private:
@@ -51,7 +52,7 @@
     static constexpr Duration LongestSleep = seconds{1};
 
     const Clock &m_clock;
-    TimerService m_timers; // control thread
+    TimerService m_timers; // the loop's thread
     std::mutex m_mutex;
     std::condition_variable m_posted;
     std::deque<Task> m_tasks; // guarded by m_mutex
--- a/carawaylatch/http/callersserver.cpp
+++ b/carawaylatch/http/callersserver.cpp
@@ -8,14 +8,12 @@
 
 #include <httplib.h>
 
-#include <algorithm>
 #include <atomic>
-#include <cctype>
-#include <charconv>
 #include <random>
 
 #include "carawaylatch/base/hash.h"
 #include "carawaylatch/http/callerjson.h"
+#include "carawaylatch/http/callerrequest.h"
 #include "carawaylatch/http/httpserver.h"
 #include "carawaylatch/http/streambridge.h"
 #include "carawaylatch/http/wirejson.h"
@@ -29,59 +27,6 @@
 constexpr const char *JsonType = "application/json";
 constexpr const char *StreamType = "text/event-stream";
 constexpr base::Duration LookInterval = base::milliseconds{50}; // between two looks at a quiet caller's socket
-constexpr std::uint64_t MaxDeadlineMilliseconds = 3'600'000;
-constexpr std::size_t MaxRequestIdLength = 128;
-
-void answerError(httplib::Response &response, const base::Error &error)
-{
-    response.status = httpStatus(error.kind);
-    if (error.retryAfter > base::Duration{}) {
-        const auto wait = std::chrono::ceil<base::seconds>(error.retryAfter);
-        response.set_header("Retry-After", std::to_string(wait.count()));
-    }
-    response.set_content(encodeError(error), JsonType);
-}
-
-std::string bearerKey(const httplib::Request &request)
-{
-    constexpr std::string_view Scheme = "Bearer ";
-    const std::string value = request.get_header_value("Authorization");
-    return value.starts_with(Scheme) ? value.substr(Scheme.size()) : std::string();
-}
-
-bool isPlainId(std::string_view text)
-{
-    return !text.empty() && text.size() <= MaxRequestIdLength && std::all_of(text.begin(), text.end(), [](char it) {
-        return std::isalnum(static_cast<unsigned char>(it)) != 0 || it == '-' || it == '_' || it == '.';
-    });
-}
-
-base::Result<base::TrafficClass> trafficClassOf(const httplib::Request &request)
-{
-    const std::string name = request.get_header_value("X-Traffic-Class");
-    if (name.empty() || name == "interactive") {
-        return base::TrafficClass::Interactive;
-    }
-    if (name == "batch") {
-        return base::TrafficClass::Batch;
-    }
-    return base::fail(base::ErrorKind::InvalidArgument, "X-Traffic-Class is '" + name + "'; write interactive or batch");
-}
-
-base::Result<std::optional<base::Duration>> deadlineOf(const httplib::Request &request)
-{
-    if (!request.has_header("X-Deadline-Ms")) {
-        return std::optional<base::Duration>();
-    }
-    const std::string text = request.get_header_value("X-Deadline-Ms");
-    std::uint64_t milliseconds = 0;
-    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), milliseconds);
-    if (ec != std::errc{} || end != text.data() + text.size() || milliseconds == 0 || milliseconds > MaxDeadlineMilliseconds) {
-        return base::fail(base::ErrorKind::InvalidArgument,
-                          "X-Deadline-Ms is '" + text + "'; write whole milliseconds from 1 to " + std::to_string(MaxDeadlineMilliseconds));
-    }
-    return std::optional<base::Duration>(base::milliseconds{milliseconds});
-}
 
 } // namespace
 
@@ -179,18 +124,13 @@
     // Reads what every request carries; sets the answer's request id.
     base::Result<CallerHead> headOf(const httplib::Request &request, httplib::Response &response)
     {
-        CallerHead head;
-        head.requestId = request.get_header_value("X-Request-Id");
-        if (!isPlainId(head.requestId)) {
-            head.requestId = toHex(base::combineHashes(m_idSeed, ++m_requests));
+        auto head = readCallerHead(request);
+        if (head && head.value().requestId.empty()) {
+            head.value().requestId = toHex(base::combineHashes(m_idSeed, ++m_requests));
+        }
+        if (head) {
+            response.set_header("X-Request-Id", head.value().requestId);
         }
-        response.set_header("X-Request-Id", head.requestId);
-        head.bearerKey = bearerKey(request);
-        head.path = request.path;
-        BOOST_OUTCOME_TRY(trafficClass, trafficClassOf(request));
-        BOOST_OUTCOME_TRY(deadline, deadlineOf(request));
-        head.trafficClass = trafficClass;
-        head.deadline = deadline;
         return head;
     }
 
--- /dev/null
+++ b/carawaylatch/router/controlstate.cpp
@@ -0,0 +1,54 @@
+// A snapshot is some pointers and a text: cheap to copy for each change.
+#include "carawaylatch/router/controlstate.h"
+
+#include <utility>
+
+namespace carawaylatch::router
+{
+
+ControlState::ControlState(Published &published)
+    : m_published(published)
+    , m_snapshot(*published.load())
+{
+}
+
+void ControlState::setTables(std::shared_ptr<const config::Tables> tables)
+{
+    m_snapshot.tables = std::move(tables);
+    publish();
+}
+
+void ControlState::setUpstreams(std::shared_ptr<const upstreams::UpstreamView> view)
+{
+    if (view != m_snapshot.upstreams) {
+        m_snapshot.upstreams = std::move(view);
+        publish();
+    }
+}
+
+void ControlState::setMembers(std::shared_ptr<const membership::MembershipView> view)
+{
+    if (view != m_snapshot.members) {
+        m_snapshot.members = std::move(view);
+        publish();
+    }
+}
+
+void ControlState::setServing(Serving serving, std::string notReadyBecause)
+{
+    m_snapshot.serving = serving;
+    m_snapshot.notReadyBecause = std::move(notReadyBecause);
+    publish();
+}
+
+const ControlSnapshot &ControlState::snapshot() const
+{
+    return m_snapshot;
+}
+
+void ControlState::publish()
+{
+    m_published.store(std::make_shared<const ControlSnapshot>(m_snapshot));
+}
+
+} // namespace carawaylatch::router
--- /dev/null
+++ b/carawaylatch/router/handovercontroller.h
@@ -0,0 +1,80 @@
+// Controller of start and stop: warm start, snapshots for others, graceful
+// shutdown.
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <optional>
+
+#include "carawaylatch/handover/shutdown.h"
+#include "carawaylatch/handover/snapshotserver.h"
+#include "carawaylatch/handover/warmstart.h"
+#include "carawaylatch/router/configcontroller.h"
+#include "carawaylatch/router/controlstate.h"
+#include "carawaylatch/router/membercontroller.h"
+#include "carawaylatch/router/peerbus.h"
+#include "carawaylatch/router/upstreamcontroller.h"
+
+namespace carawaylatch::router
+{
+
+// The other controllers, whose state a snapshot is made of.
+struct HandoverSources
+{
+    ConfigController &config;
+    MemberController &members;
+    UpstreamController &upstreams;
+};
+
+// What the shutdown needs from the rest of the router; called on the control thread.
+struct ShutdownHooks
+{
+    std::function<std::size_t()> openRequests;
+    std::function<void()> refuseRequests; // waiting ones too
+    std::function<void()> cutStreams;
+    std::function<void()> exit;
+};
+
+class HandoverController
+{
+public:
+    // `platformLoop` runs blocking calls to the platform. All outlive the controller.
+    HandoverController(const ControlParts &parts, ControlState &state, PeerBus &bus, base::EventLoop &platformLoop, const HandoverSources &sources,
+                       ShutdownHooks hooks);
+
+    void start(base::TimePoint now);
+    // Revision in force or answering upstreams may have changed.
+    void onState(base::TimePoint now);
+    // A signal to stop; the second one cuts open streams.
+    void onSignal(base::TimePoint now);
+
+private:
+    void advance(base::TimePoint now);
+    void carryOutStart(base::TimePoint now);
+    void load(const handover::Snapshot &snapshot, base::TimePoint now);
+    void importPlacements(base::TimePoint now);
+    void readPlatform();
+    void updateServing();
+    void carryOutStop(base::TimePoint now);
+    void handOver();
+    [[nodiscard]] handover::Snapshot makeSnapshot(base::TimePoint now) const;
+    void storeSnapshot(base::TimePoint now);
+    [[nodiscard]] bool writesSnapshots() const;
+
+    const ControlParts &m_parts;
+    ControlState &m_state;
+    PeerBus &m_bus;
+    base::EventLoop &m_platformLoop;
+    HandoverSources m_sources;
+    const ShutdownHooks m_hooks;
+    handover::WarmStart m_start;
+    handover::SnapshotServer m_server;
+    handover::Shutdown m_stop;
+    // Placements of lives that this router doesn't know yet; tried again until m_importUntil.
+    prefix::HotPlacements m_placements;
+    base::TimePoint m_importUntil;
+    base::TimerService::Subscription m_tick;
+    base::TimerService::Subscription m_snapshots;
+};
+
+} // namespace carawaylatch::router
--- /dev/null
+++ b/carawaylatch/router/membercontroller.h
@@ -0,0 +1,57 @@
+// Controller of membership: the member list, its probes, and the exchange of
+// customers' limits that travels beside them.
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "carawaylatch/admission/gate.h"
+#include "carawaylatch/config/distributor.h"
+#include "carawaylatch/membership/memberlist.h"
+#include "carawaylatch/router/controlstate.h"
+#include "carawaylatch/router/peerbus.h"
+
+namespace carawaylatch::router
+{
+
+// Control thread, but for liveness().
+class MemberController
+{
+public:
+    using ViewHandler = std::function<void(const membership::MembershipView &view, base::TimePoint now)>;
+    using RevisionHandler = std::function<void(const base::RouterId &peer, base::Revision revision, base::TimePoint now)>;
+
+    // All outlive the controller.
+    MemberController(const ControlParts &parts, ControlState &state, PeerBus &bus, admission::Gate &gate, const base::Endpoint &peerEndpoint,
+                     ViewHandler onView, RevisionHandler onRevision);
+
+    void start(base::TimePoint now);
+    void onPlatformList(std::span<const platform::VmRecord> vms, base::TimePoint now);
+    void onRecords(std::span<const membership::MemberRecord> records, base::TimePoint now);
+    void setRevision(base::Revision revision);
+    void leave(base::TimePoint now);
+    void depart(base::TimePoint now);
+    [[nodiscard]] std::vector<membership::MemberRecord> records() const;
+    // Live routers but this one, those of the own failure domain first.
+    [[nodiscard]] std::vector<config::DistributionPeer> peers() const;
+
+private:
+    template <typename Message>
+    void subscribe();
+    void advance(base::TimePoint now);
+    void exchangeShares(base::TimePoint now);
+    [[nodiscard]] base::Endpoint endpointOf(const base::RouterId &router) const;
+
+    const ControlParts &m_parts;
+    ControlState &m_state;
+    PeerBus &m_bus;
+    admission::Gate &m_gate;
+    const ViewHandler m_onView;
+    const RevisionHandler m_onRevision;
+    membership::MemberList m_members;
+    std::size_t m_nextShare = 0; // index into peers() of the next report
+    base::TimerService::Subscription m_tick;
+    base::TimerService::Subscription m_shares;
+};
+
+} // namespace carawaylatch::router
--- /dev/null
+++ b/carawaylatch/router/operatordesk.h
@@ -0,0 +1,62 @@
+// What the operators' port asks of the router.
+#pragma once
+
+#include <mutex>
+
+#include "carawaylatch/base/eventloop.h"
+#include "carawaylatch/http/operatorsserver.h"
+#include "carawaylatch/router/statusbuilder.h"
+#include "carawaylatch/router/trafficplane.h"
+#include "carawaylatch/router/upstreamcontroller.h"
+#include "carawaylatch/telemetry/dashboardseries.h"
+
+namespace carawaylatch::router
+{
+
+// Parts that outlive the desk.
+struct OperatorParts
+{
+    const config::Settings &settings;
+    base::Incarnation incarnation;
+    const base::Clock &clock;
+    base::EventLoop &loop;
+    const Published &published;
+    const Knowledge &knowledge;
+    const admission::Gate &gate;
+    telemetry::Metrics &metrics;
+    TrafficPlane &traffic;
+    UpstreamController &upstreams;
+};
+
+class OperatorDesk : public http::OperatorHandler
+{
+public:
+    explicit OperatorDesk(const OperatorParts &parts);
+
+    [[nodiscard]] std::string notReadyBecause() override;
+    [[nodiscard]] std::string metricsText() override;
+    [[nodiscard]] std::string statusJson() override;
+    [[nodiscard]] std::string dashboard() override;
+    [[nodiscard]] base::Result<std::string> explainJson(const http::CompletionCall &call) override;
+    [[nodiscard]] base::Result<void> drain(const base::UpstreamId &upstream) override;
+    [[nodiscard]] base::Result<void> undrain(const base::UpstreamId &upstream) override;
+
+    // Takes a sample for the page's charts and notes what control costs; called
+    // every few seconds.
+    void sample(base::TimePoint now);
+
+private:
+    [[nodiscard]] telemetry::StatusReport report();
+    [[nodiscard]] base::Result<void> known(const base::UpstreamId &upstream) const;
+
+    const OperatorParts m_parts;
+    const base::TimePoint m_startedAt;
+    std::mutex m_mutex;
+    // All below are guarded by m_mutex.
+    telemetry::DashboardSeries m_series;
+    base::TimePoint m_sampledAt;
+    base::Duration m_sampledProcessorTime{};
+    double m_controlCoreShare = 0;
+};
+
+} // namespace carawaylatch::router
--- /dev/null
+++ b/carawaylatch/router/platformduties.cpp
@@ -0,0 +1,121 @@
+// Three loops: one for the platform's list and snapshots, one for orders, whose
+// outcomes must not wait behind anything, one for the fleet, which waits for engines.
+#include "carawaylatch/router/platformduties.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "carawaylatch/base/logevents.h"
+
+namespace carawaylatch::router
+{
+
+namespace
+{
+
+constexpr base::Duration ListInterval = base::seconds{1};
+constexpr base::Duration DeskInterval = base::milliseconds{100};
+constexpr base::Duration RetentionInterval = base::seconds{2};
+constexpr base::Duration FleetInterval = base::milliseconds{500};
+constexpr std::string_view RetentionDuty = "retention";
+
+fleet::FleetSettings fleetSettings(const config::Settings &settings)
+{
+    fleet::FleetSettings fleet;
+    fleet.lease.length = settings.timings.lease;
+    return fleet;
+}
+
+} // namespace
+
+PlatformDuties::PlatformDuties(const ControlParts &parts, orders::OrderDesk &desk, fleet::EngineControl &engines, ListHandler onList)
+    : m_parts(parts)
+    , m_desk(desk)
+    , m_onList(std::move(onList))
+    , m_pruner(parts.objects, {})
+    , m_fleet({parts.settings.router.id, parts.incarnation, parts.settings.router.failureDomain}, parts.objects, engines, parts.clock,
+              fleetSettings(parts.settings))
+    , m_platformLoop(parts.clock)
+    , m_orderLoop(parts.clock)
+    , m_fleetLoop(parts.clock)
+{
+}
+
+PlatformDuties::~PlatformDuties()
+{
+    stop();
+}
+
+void PlatformDuties::start(base::TimePoint now)
+{
+    m_timers.push_back(m_platformLoop.timers().every(now, ListInterval, [this](base::TimePoint) {
+        readList();
+    }));
+    m_timers.push_back(m_orderLoop.timers().every(now, DeskInterval, [this](base::TimePoint) {
+        m_desk.step();
+    }));
+    m_timers.push_back(m_orderLoop.timers().every(now, RetentionInterval, [this](base::TimePoint at) {
+        stepRetention(at);
+    }));
+    m_timers.push_back(m_fleetLoop.timers().every(now, FleetInterval, [this](base::TimePoint) {
+        stepFleet();
+    }));
+    m_platformLoop.start();
+    m_orderLoop.start();
+    m_fleetLoop.start();
+}
+
+void PlatformDuties::stop()
+{
+    m_platformLoop.stop();
+    m_orderLoop.stop();
+    m_fleetLoop.stop();
+    m_timers.clear();
+}
+
+base::EventLoop &PlatformDuties::platformLoop()
+{
+    return m_platformLoop;
+}
+
+void PlatformDuties::readList()
+{
+    const auto vms = m_parts.objects.vms();
+    if (!vms && !m_isListFailing) {
+        base::logEvent(base::LogEvent::PlatformListFailed, {{"problem", vms.error().message}});
+    }
+    m_isListFailing = !vms;
+    if (vms) {
+        m_parts.loop.post([this, list = vms.value()](base::TimePoint now) {
+            m_onList(list, now);
+        });
+    }
+}
+
+void PlatformDuties::stepFleet()
+{
+    const auto snapshot = m_parts.published.load();
+    if (snapshot->tables && snapshot->serving == Serving::Yes) {
+        m_fleet.step(snapshot->tables->pools);
+    }
+}
+
+void PlatformDuties::stepRetention(base::TimePoint now)
+{
+    if (isFirst(RetentionDuty)) {
+        m_pruner.step(now);
+        m_desk.setEpoch(m_pruner.epoch());
+    }
+}
+
+bool PlatformDuties::isFirst(std::string_view duty) const
+{
+    const auto snapshot = m_parts.published.load();
+    if (!snapshot->members) {
+        return false;
+    }
+    const auto ranked = snapshot->members->ranked(duty, m_parts.settings.router.failureDomain);
+    return !ranked.empty() && ranked.front() == m_parts.settings.router.id;
+}
+
+} // namespace carawaylatch::router
--- /dev/null
+++ b/carawaylatch/router/platformduties.h
@@ -0,0 +1,50 @@
+// Work that waits for the platform or for engines, on loops of its own: the VM
+// list, the order desk's duties, pruning of order records, orders to engines.
+#pragma once
+
+#include <functional>
+#include <vector>
+
+#include "carawaylatch/base/eventloop.h"
+#include "carawaylatch/fleet/fleetdriver.h"
+#include "carawaylatch/orders/orderdesk.h"
+#include "carawaylatch/orders/retention.h"
+#include "carawaylatch/router/controlstate.h"
+
+namespace carawaylatch::router
+{
+
+class PlatformDuties
+{
+public:
+    using ListHandler = std::function<void(const std::vector<platform::VmRecord> &vms, base::TimePoint now)>;
+
+    // All outlive the duties; `onList` is called on the control thread.
+    PlatformDuties(const ControlParts &parts, orders::OrderDesk &desk, fleet::EngineControl &engines, ListHandler onList);
+    ~PlatformDuties();
+
+    void start(base::TimePoint now);
+    void stop();
+    // The loop for other calls to the platform.
+    [[nodiscard]] base::EventLoop &platformLoop();
+
+private:
+    void readList();
+    void stepFleet();
+    void stepRetention(base::TimePoint now);
+    [[nodiscard]] bool isFirst(std::string_view duty) const;
+
+    const ControlParts &m_parts;
+    orders::OrderDesk &m_desk;
+    const ListHandler m_onList;
+    orders::RecordPruner m_pruner; // order loop
+    fleet::FleetDriver m_fleet; // fleet loop
+    bool m_isListFailing = false; // platform loop
+    std::vector<base::TimerService::Subscription> m_timers;
+    // Calls of different purposes don't wait for each other.
+    base::EventLoop m_platformLoop;
+    base::EventLoop m_orderLoop;
+    base::EventLoop m_fleetLoop;
+};
+
+} // namespace carawaylatch::router
--- /dev/null
+++ b/carawaylatch/router/statusbuilder.cpp
@@ -0,0 +1,151 @@
+// One function for each list of the report.
+#include "carawaylatch/router/statusbuilder.h"
+
+#include <algorithm>
+
+#include "carawaylatch/telemetry/processcost.h"
+
+namespace carawaylatch::router
+{
+
+namespace
+{
+
+telemetry::UpstreamState stateOf(const upstreams::UpstreamStatus &status)
+{
+    switch (status.state) {
+    case upstreams::UpstreamState::Live:
+        return telemetry::UpstreamState::Live;
+    case upstreams::UpstreamState::Loading:
+        return telemetry::UpstreamState::Loading;
+    case upstreams::UpstreamState::Leaving:
+        return telemetry::UpstreamState::Leaving;
+    case upstreams::UpstreamState::Suspect:
+    case upstreams::UpstreamState::Ejected:
+        return telemetry::UpstreamState::Suspected;
+    case upstreams::UpstreamState::Unknown:
+    case upstreams::UpstreamState::Dead:
+        break;
+    }
+    return telemetry::UpstreamState::Unreachable;
+}
+
+telemetry::PeerState stateOf(membership::MemberState state)
+{
+    switch (state) {
+    case membership::MemberState::Alive:
+        return telemetry::PeerState::Live;
+    case membership::MemberState::Suspect:
+        return telemetry::PeerState::Suspected;
+    case membership::MemberState::Leaving:
+        return telemetry::PeerState::Leaving;
+    case membership::MemberState::Dead:
+        break;
+    }
+    return telemetry::PeerState::Gone;
+}
+
+void addPeers(telemetry::StatusReport &report, const ControlSnapshot &snapshot)
+{
+    if (!snapshot.members) {
+        return;
+    }
+    for (const auto &it : snapshot.members->members) {
+        if (it.record.id != snapshot.members->self) {
+            report.peers.push_back({it.record.id, it.record.domain, it.record.incarnation, stateOf(it.record.state), it.revision, {}});
+        }
+    }
+}
+
+telemetry::UpstreamStatus upstreamRow(const upstreams::UpstreamStatus &status, const base::PoolName &pool, const Knowledge &knowledge, base::TimePoint now)
+{
+    telemetry::UpstreamStatus row;
+    row.id = status.id;
+    row.pool = pool;
+    row.domain = status.domain;
+    row.endpoint = status.endpoint;
+    row.state = stateOf(status);
+    row.incarnation = status.incarnation;
+    row.weightsVersion = status.load.weightsVersion;
+    row.running = status.load.running;
+    row.waiting = status.load.waiting;
+    row.queuedTokens = status.load.queuedTokens;
+    row.usedBlocks = status.load.usedBlocks;
+    row.capacityBlocks = status.load.capacityBlocks;
+    row.inFlight = knowledge.inflight.counts(status.slot, now, now).requests;
+    row.confidence = knowledge.caches.confidence(status.slot);
+    row.reportAge = status.incarnation.value == 0 ? base::Duration{} : now - status.loadAt;
+    return row;
+}
+
+void addPools(telemetry::StatusReport &report, const ControlSnapshot &snapshot, const Knowledge &knowledge, base::TimePoint now)
+{
+    for (const auto &pool : snapshot.tables->pools) {
+        telemetry::PoolStatus row;
+        row.name = pool.name;
+        row.kind = pool.kind;
+        row.model = pool.model;
+        row.weightsVersion = pool.weightsVersion;
+        row.members = static_cast<std::uint32_t>(pool.members.size());
+        if (const auto *view = snapshot.upstreams->pool(pool.name)) {
+            row.serving = static_cast<std::uint32_t>(view->eligible.size());
+        }
+        report.pools.push_back(row);
+        for (const auto &it : pool.members) {
+            if (const auto *status = snapshot.upstreams->find(it.id)) {
+                report.upstreams.push_back(upstreamRow(*status, pool.name, knowledge, now));
+            }
+        }
+    }
+}
+
+void addRoutes(telemetry::StatusReport &report, const config::Tables &tables)
+{
+    for (const auto &it : tables.routes) {
+        report.routes.push_back({it.name, it.path, it.model, it.pool, it.idempotency});
+    }
+}
+
+void addCustomers(telemetry::StatusReport &report, const config::Tables &tables, const admission::Gate &gate, base::TimePoint now)
+{
+    const auto figures = gate.figures();
+    for (const auto &customer : tables.customers) {
+        telemetry::CustomerStatus row;
+        row.id = customer.id;
+        row.running = gate.inFlight(customer.id);
+        for (const auto &it : figures) {
+            row.waiting += it.customer == customer.id ? it.waiting : 0;
+        }
+        if (customer.concurrency > 0) {
+            row.concurrencyShare = gate.share(customer.id, admission::Resource::Concurrency, now);
+        }
+        if (customer.requestsPerSecond > 0) {
+            row.rateShare = static_cast<double>(gate.share(customer.id, admission::Resource::Rate, now)) / admission::RateUnitsPerRequest;
+        }
+        report.customers.push_back(row);
+    }
+}
+
+} // namespace
+
+telemetry::StatusReport buildStatus(const StatusSources &sources, base::TimePoint now)
+{
+    const auto snapshot = sources.published.load();
+    telemetry::StatusReport report;
+    report.router = sources.self;
+    report.router.readiness = snapshot->serving == Serving::Yes ? telemetry::Readiness::Ready : telemetry::Readiness::NotReady;
+    report.router.reason = snapshot->notReadyBecause;
+    addPeers(report, *snapshot);
+    if (snapshot->tables) {
+        report.router.revision = snapshot->tables->revision;
+        addPools(report, *snapshot, sources.knowledge, now);
+        addRoutes(report, *snapshot->tables);
+        addCustomers(report, *snapshot->tables, sources.gate, now);
+    }
+    report.totals = sources.metrics.totals();
+    report.controlCoreShare = sources.controlCoreShare;
+    report.residentBytes = telemetry::readProcessCost().residentBytes;
+    return report;
+}
+
+} // namespace carawaylatch::router
--- a/carawaylatch/router/trafficplane.h
+++ b/carawaylatch/router/trafficplane.h
@@ -32,7 +32,7 @@
     base::Duration serviceTimeout; // of an idempotent call to a service
 };
 
-class TrafficPlane : public http::CallerHandler, private WaitEstimator
+class TrafficPlane : public http::CallerHandler, public WaitEstimator
 {
 public:
     explicit TrafficPlane(const TrafficParts &parts);
@@ -42,6 +42,7 @@
     [[nodiscard]] http::ServiceReply callService(const http::ServiceCall &call) override;
     [[nodiscard]] base::Result<std::vector<base::ModelId>> models(const http::CallerHead &head) override;
 
+    [[nodiscard]] base::Duration expectedFirstToken(const RequestContext &context) const override;
     // Says where a request would go and why, without running it.
     [[nodiscard]] base::Result<telemetry::ExplainReport> explain(const http::CompletionCall &call);
     // Requests in flight, waiting ones included.
@@ -51,7 +52,6 @@
     // Counts a request while it is open.
     class OpenRequest;
 
-    [[nodiscard]] base::Duration expectedFirstToken(const RequestContext &context) const override;
     [[nodiscard]] RequestContext contextOf(const http::CallerHead &head) const;
     void account(const RequestContext &context, const relay::RelayReport &report, std::uint64_t wastedTokens);
     void accountRefusal(const RequestContext &context, const base::Error &error);
--- /dev/null
+++ b/carawaylatch/router/upstreamcontroller.cpp
@@ -0,0 +1,238 @@
+// A leaving mark goes to all routers in the same moment in which it is first
+// heard of; a receiver to which it is new passes it on, so that a cut between two
+// routers doesn't hide it while any path remains. Marks are also asked for in full
+// after a freeze, and lost ones come with the next exchange.
+#include "carawaylatch/router/upstreamcontroller.h"
+
+#include <algorithm>
+#include <variant>
+
+#include "carawaylatch/base/logevents.h"
+
+namespace carawaylatch::router
+{
+
+namespace
+{
+
+constexpr base::Duration TickInterval = base::milliseconds{100};
+constexpr std::uint32_t MinCapacity = 4; // requests in flight while no upstream is known
+
+telemetry::UpstreamState metricState(upstreams::UpstreamState state)
+{
+    switch (state) {
+    case upstreams::UpstreamState::Live:
+        return telemetry::UpstreamState::Live;
+    case upstreams::UpstreamState::Loading:
+        return telemetry::UpstreamState::Loading;
+    case upstreams::UpstreamState::Leaving:
+        return telemetry::UpstreamState::Leaving;
+    case upstreams::UpstreamState::Suspect:
+    case upstreams::UpstreamState::Ejected:
+        return telemetry::UpstreamState::Suspected;
+    case upstreams::UpstreamState::Unknown:
+    case upstreams::UpstreamState::Dead:
+        break;
+    }
+    return telemetry::UpstreamState::Unreachable;
+}
+
+} // namespace
+
+UpstreamController::UpstreamController(const ControlParts &parts, ControlState &state, PeerBus &bus, http::UpstreamClient &client, admission::Gate &gate,
+                                       telemetry::Metrics &metrics)
+    : m_parts(parts)
+    , m_state(state)
+    , m_bus(bus)
+    , m_gate(gate)
+    , m_metrics(metrics)
+    , m_poller(client, parts.knowledge.caches, parts.settings.timings.loadPoll, [this](const auto &id, const auto &report) {
+        m_parts.loop.post([this, id, report](base::TimePoint now) {
+            onReport(id, report, now);
+        });
+    })
+{
+    m_bus.subscribe<peer::MarksMessage>([this](const auto &, const peer::MarksMessage &message, base::TimePoint now) {
+        importMarks(message.marks, now);
+        m_registry.onMarksSynchronised(now);
+        advance(now);
+    });
+    m_bus.subscribe<peer::MarksRequest>([this](const peer::PeerIdentity &sender, const auto &, base::TimePoint) {
+        m_bus.send(sender.id, peer::MarksMessage{m_registry.exportMarks()});
+    });
+}
+
+void UpstreamController::start(base::TimePoint now)
+{
+    m_tick = m_parts.loop.timers().every(now, TickInterval, [this](base::TimePoint at) {
+        advance(at);
+    });
+    m_poller.start();
+}
+
+void UpstreamController::stop()
+{
+    m_poller.stop();
+}
+
+void UpstreamController::configure(const config::Tables &tables, base::TimePoint now)
+{
+    m_registry.configure(tables, now);
+    advance(now);
+    retarget(tables);
+}
+
+void UpstreamController::onAttempt(const AttemptNotice &notice, base::TimePoint now)
+{
+    m_registry.onAttempt(notice.upstream, notice.incarnation, notice.outcome, now);
+    if (notice.outcome != upstreams::AttemptOutcome::Succeeded) {
+        advance(now);
+    }
+}
+
+void UpstreamController::onLeaving(const base::UpstreamId &id, upstreams::LeavingSource source, base::TimePoint now)
+{
+    m_registry.onLeaving(id, {}, source, now);
+    advance(now);
+}
+
+void UpstreamController::onUndrain(const base::UpstreamId &id, base::TimePoint now)
+{
+    m_registry.onUndrain(id, now);
+    advance(now);
+}
+
+void UpstreamController::onPlatformList(std::span<const platform::VmRecord> vms, base::TimePoint now)
+{
+    m_registry.onPlatformList(vms, now);
+    advance(now);
+}
+
+void UpstreamController::importMarks(std::span<const upstreams::LeavingMark> marks, base::TimePoint now)
+{
+    m_registry.importMarks(marks, now);
+    advance(now);
+}
+
+std::vector<upstreams::LeavingMark> UpstreamController::exportMarks() const
+{
+    return m_registry.exportMarks();
+}
+
+std::size_t UpstreamController::answeringCount(base::TimePoint now) const
+{
+    const auto view = m_registry.view();
+    return static_cast<std::size_t>(std::count_if(view->upstreams.begin(), view->upstreams.end(), [now](const upstreams::UpstreamStatus &it) {
+        return it.takesWork(now);
+    }));
+}
+
+void UpstreamController::onReport(const base::UpstreamId &id, const base::Result<upstreams::LoadReport> &report, base::TimePoint now)
+{
+    if (!report) {
+        m_registry.onUnreachable(id, now);
+        advance(now);
+        return;
+    }
+    m_registry.onLoadReport(id, report.value(), now);
+    const auto *status = m_registry.view()->find(id);
+    if (status != nullptr && status->incarnation == report.value().incarnation) {
+        m_parts.knowledge.inflight.onLoadReport(status->slot, report.value());
+    }
+    advance(now);
+}
+
+void UpstreamController::advance(base::TimePoint now)
+{
+    m_registry.onTick(now);
+    for (const auto &it : m_registry.takeActions()) {
+        carryOut(it);
+    }
+    const auto view = m_registry.view();
+    if (view != m_state.snapshot().upstreams) {
+        updateCapacity(*view);
+        m_state.setUpstreams(view);
+    }
+}
+
+void UpstreamController::carryOut(const upstreams::RegistryAction &action)
+{
+    if (const auto *adopted = std::get_if<upstreams::AdoptIncarnation>(&action)) {
+        auto &caches = m_parts.knowledge.caches;
+        m_parts.knowledge.inflight.onIncarnation(adopted->slot);
+        if (adopted->incarnation.value == 0) {
+            caches.forget(adopted->slot);
+        } else {
+            caches.adopt(adopted->slot, adopted->upstream, adopted->incarnation);
+        }
+        base::logEvent(base::LogEvent::UpstreamAdopted, {{"upstream", adopted->upstream.value()}, {"incarnation", std::to_string(adopted->incarnation.value)}});
+    } else if (const auto *announced = std::get_if<upstreams::AnnounceMark>(&action)) {
+        announce(announced->mark);
+    } else {
+        const auto others = otherRouters();
+        if (others.empty()) {
+            m_registry.onMarksSynchronised(m_parts.clock.now());
+        }
+        for (const auto &it : others) {
+            m_bus.send(it, peer::MarksRequest{});
+        }
+    }
+}
+
+void UpstreamController::announce(const upstreams::LeavingMark &mark)
+{
+    base::logEvent(mark.isLeaving() ? base::LogEvent::UpstreamLeaving : base::LogEvent::UpstreamReturned,
+                   {{"upstream", mark.upstream.value()}, {"incarnation", std::to_string(mark.incarnation.value)}});
+    for (const auto &it : otherRouters()) {
+        m_bus.send(it, peer::MarksMessage{{mark}});
+    }
+}
+
+void UpstreamController::retarget(const config::Tables &tables)
+{
+    std::vector<PollTarget> targets;
+    const auto view = m_registry.view();
+    for (const auto &pool : tables.pools) {
+        for (const auto &it : pool.members) {
+            if (const auto *status = view->find(it.id)) {
+                targets.push_back({it.id, status->slot, it.endpoint, pool.kind});
+            }
+        }
+    }
+    std::sort(targets.begin(), targets.end(), [](const PollTarget &a, const PollTarget &b) {
+        return a.id < b.id;
+    });
+    const auto last = std::unique(targets.begin(), targets.end(), [](const PollTarget &a, const PollTarget &b) {
+        return a.id == b.id;
+    });
+    targets.erase(last, targets.end());
+    m_poller.setTargets(std::move(targets));
+}
+
+void UpstreamController::updateCapacity(const upstreams::UpstreamView &view)
+{
+    std::uint32_t capacity = 0;
+    for (const auto &it : view.upstreams) {
+        if (it.state == upstreams::UpstreamState::Live) {
+            capacity += m_parts.knowledge.inflight.limit(it.slot);
+        }
+        m_metrics.setUpstreamState(it.id, metricState(it.state));
+    }
+    m_gate.setCapacity(std::max(MinCapacity, capacity));
+}
+
+std::vector<base::RouterId> UpstreamController::otherRouters() const
+{
+    std::vector<base::RouterId> others;
+    const auto &members = m_state.snapshot().members;
+    if (members) {
+        for (const auto &it : members->members) {
+            if (it.record.id != members->self) {
+                others.push_back(it.record.id);
+            }
+        }
+    }
+    return others;
+}
+
+} // namespace carawaylatch::router
--- /dev/null
+++ b/carawaylatch/router/upstreamcontroller.h
@@ -0,0 +1,62 @@
+// Controller of upstreams: the registry, its poller, and leaving marks between
+// routers.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <vector>
+
+#include "carawaylatch/admission/gate.h"
+#include "carawaylatch/http/upstreamclient.h"
+#include "carawaylatch/router/controlstate.h"
+#include "carawaylatch/router/peerbus.h"
+#include "carawaylatch/router/routeplacer.h"
+#include "carawaylatch/router/upstreampoller.h"
+#include "carawaylatch/telemetry/metrics.h"
+#include "carawaylatch/upstreams/registry.h"
+
+namespace carawaylatch::router
+{
+
+// Control thread, but for the poller's threads.
+class UpstreamController
+{
+public:
+    // All outlive the controller.
+    UpstreamController(const ControlParts &parts, ControlState &state, PeerBus &bus, http::UpstreamClient &client, admission::Gate &gate,
+                       telemetry::Metrics &metrics);
+
+    void start(base::TimePoint now);
+    void stop();
+    void configure(const config::Tables &tables, base::TimePoint now);
+    void onAttempt(const AttemptNotice &notice, base::TimePoint now);
+    void onLeaving(const base::UpstreamId &id, upstreams::LeavingSource source, base::TimePoint now);
+    void onUndrain(const base::UpstreamId &id, base::TimePoint now);
+    void onPlatformList(std::span<const platform::VmRecord> vms, base::TimePoint now);
+    void importMarks(std::span<const upstreams::LeavingMark> marks, base::TimePoint now);
+    [[nodiscard]] std::vector<upstreams::LeavingMark> exportMarks() const;
+    // Upstreams that answered lately.
+    [[nodiscard]] std::size_t answeringCount(base::TimePoint now) const;
+
+private:
+    void onReport(const base::UpstreamId &id, const base::Result<upstreams::LoadReport> &report, base::TimePoint now);
+    void advance(base::TimePoint now);
+    void carryOut(const upstreams::RegistryAction &action);
+    void announce(const upstreams::LeavingMark &mark);
+    void retarget(const config::Tables &tables);
+    void updateCapacity(const upstreams::UpstreamView &view);
+    [[nodiscard]] std::vector<base::RouterId> otherRouters() const;
+
+    const ControlParts &m_parts;
+    ControlState &m_state;
+    PeerBus &m_bus;
+    admission::Gate &m_gate;
+    telemetry::Metrics &m_metrics;
+    upstreams::Registry m_registry;
+    UpstreamPoller m_poller;
+    std::shared_ptr<const config::Tables> m_tables;
+    base::TimerService::Subscription m_tick;
+};
+
+} // namespace carawaylatch::router
--- /dev/null
+++ b/carawaylatch/router/upstreampoller.cpp
@@ -0,0 +1,77 @@
+// One load report and one page of cache events for each upstream and interval.
+#include "carawaylatch/router/upstreampoller.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace carawaylatch::router
+{
+
+namespace
+{
+constexpr base::Duration StopCheck = base::milliseconds{50}; // longest sleep without a look at the stop token
+}
+
+UpstreamPoller::UpstreamPoller(http::UpstreamClient &client, prefix::CacheIndex &caches, base::Duration interval, ReportHandler onReport)
+    : m_client(client)
+    , m_caches(caches)
+    , m_interval(interval)
+    , m_onReport(std::move(onReport))
+    , m_targets(std::make_shared<const std::vector<PollTarget>>())
+{
+}
+
+UpstreamPoller::~UpstreamPoller()
+{
+    stop();
+}
+
+void UpstreamPoller::start()
+{
+    for (std::size_t part = 0; part < Threads; ++part) {
+        m_threads.emplace_back([this, part](const std::stop_token &stop) {
+            pollPart(part, stop);
+        });
+    }
+}
+
+void UpstreamPoller::stop()
+{
+    m_threads.clear();
+}
+
+void UpstreamPoller::setTargets(std::vector<PollTarget> targets)
+{
+    m_targets.store(std::make_shared<const std::vector<PollTarget>>(std::move(targets)));
+}
+
+void UpstreamPoller::pollPart(std::size_t part, const std::stop_token &stop)
+{
+    const base::SteadyClock clock;
+    base::TimePoint next = clock.now();
+    while (!stop.stop_requested()) {
+        const auto targets = m_targets.load();
+        for (std::size_t i = part; i < targets->size() && !stop.stop_requested(); i += Threads) {
+            poll((*targets)[i]);
+        }
+        next = std::max(next + m_interval, clock.now());
+        while (!stop.stop_requested() && clock.now() < next) {
+            std::this_thread::sleep_for(std::min<base::Duration>(StopCheck, next - clock.now()));
+        }
+    }
+}
+
+void UpstreamPoller::poll(const PollTarget &target)
+{
+    const auto report = m_client.loadReport(target.endpoint);
+    m_onReport(target.id, report);
+    if (!report || target.kind != config::UpstreamKind::Engine) {
+        return;
+    }
+    const auto events = m_client.cacheEvents(target.endpoint, m_caches.nextEvent(target.slot));
+    if (events) {
+        static_cast<void>(m_caches.applyEvents(target.slot, events.value(), base::SteadyClock().now()));
+    }
+}
+
+} // namespace carawaylatch::router
