--- /dev/null
+++ b/bench/policybench/engine.cpp
@@ -0,0 +1,204 @@
+// The engine's queue, cache and journal. Scheduled callbacks carry the life that
+// scheduled them and do nothing in a later one.
+#include "bench/policybench/engine.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace carawaylatch::bench
+{
+
+namespace
+{
+constexpr std::size_t JournalEvents = 4096;
+} // namespace
+
+Engine::Engine(EventQueue &queue, std::uint32_t number, std::uint32_t domain)
+    : m_queue(queue)
+    , m_number(number)
+    , m_domain(domain)
+{
+    start();
+}
+
+base::UpstreamId Engine::id() const
+{
+    return base::UpstreamId{"engine-" + std::to_string(m_number)};
+}
+
+std::uint32_t Engine::domain() const
+{
+    return m_domain;
+}
+
+bool Engine::isAlive() const
+{
+    return m_isAlive;
+}
+
+void Engine::crash()
+{
+    m_isAlive = false;
+    auto running = std::exchange(m_running, {});
+    auto waiting = std::exchange(m_interactive, {});
+    for (auto &it : std::exchange(m_batch, {})) {
+        waiting.push_back(std::move(it));
+    }
+    m_blocks.clear();
+    m_positions.clear();
+    m_journal.clear();
+    m_isPrefilling = false;
+    for (const auto &it : running) {
+        it->onFailed(WorkFailure::Lost);
+    }
+    for (const auto &it : waiting) {
+        it.work.onFailed(WorkFailure::Lost);
+    }
+}
+
+void Engine::start()
+{
+    m_isAlive = true;
+    m_nextEvent = 1;
+    ++m_incarnation;
+}
+
+void Engine::submit(Work work)
+{
+    if (!m_isAlive) {
+        work.onFailed(WorkFailure::NotSent);
+        return;
+    }
+    const std::uint32_t missing = work.request->promptTokens - heldBlocks(work.request->chain) * BlockTokens;
+    auto &waiting = work.request->trafficClass == base::TrafficClass::Interactive ? m_interactive : m_batch;
+    waiting.push_back(Queued{std::move(work), missing});
+    startNext();
+}
+
+void Engine::startNext()
+{
+    auto &waiting = m_interactive.empty() ? m_batch : m_interactive;
+    if (m_isPrefilling || waiting.empty() || m_running.size() >= Slots) {
+        return;
+    }
+    const auto work = std::make_shared<Work>(std::move(waiting.front().work));
+    waiting.pop_front();
+    m_running.push_back(work);
+    const auto &chain = work->request->chain;
+    const std::uint32_t cached = heldBlocks(chain);
+    for (std::size_t i = cached; i-- > 0;) {
+        m_blocks.splice(m_blocks.begin(), m_blocks, m_positions[chain[i]]);
+    }
+    const std::uint32_t missing = work->request->promptTokens - cached * BlockTokens;
+    const base::Duration time = PrefillOverhead + base::fromSeconds(missing / PrefillTokensPerSecond);
+    m_isPrefilling = true;
+    m_prefillEnd = m_queue.now() + time;
+    m_queue.after(time, [this, work, cached, life = m_incarnation] {
+        if (m_isAlive && life == m_incarnation) {
+            onPrefilled(work, cached);
+        }
+    });
+}
+
+void Engine::onPrefilled(const std::shared_ptr<Work> &work, std::uint32_t cachedBlocks)
+{
+    m_isPrefilling = false;
+    store(work->request->chain);
+    work->onFirstToken(cachedBlocks);
+    const double decode = DecodeMsPerToken * work->request->outputTokens / 1000;
+    m_queue.after(base::fromSeconds(decode), [this, work, life = m_incarnation] {
+        if (m_isAlive && life == m_incarnation) {
+            onGenerated(work);
+        }
+    });
+    startNext();
+}
+
+void Engine::onGenerated(const std::shared_ptr<Work> &work)
+{
+    m_running.erase(std::find(m_running.begin(), m_running.end(), work));
+    work->onDone();
+    startNext();
+}
+
+void Engine::store(const std::vector<std::uint64_t> &chain)
+{
+    for (std::size_t i = chain.size(); i-- > 0;) {
+        const auto it = m_positions.find(chain[i]);
+        if (it != m_positions.end()) {
+            m_blocks.splice(m_blocks.begin(), m_blocks, it->second);
+            continue;
+        }
+        m_blocks.push_front(chain[i]);
+        m_positions[chain[i]] = m_blocks.begin();
+        journal(prefix::CacheOperation::Stored, chain[i]);
+    }
+    while (m_blocks.size() > CapacityBlocks) {
+        journal(prefix::CacheOperation::Evicted, m_blocks.back());
+        m_positions.erase(m_blocks.back());
+        m_blocks.pop_back();
+    }
+}
+
+void Engine::journal(prefix::CacheOperation operation, std::uint64_t block)
+{
+    m_journal.push_back(Event{m_queue.now(), {m_nextEvent++, operation, block}});
+    if (m_journal.size() > JournalEvents) {
+        m_journal.pop_front();
+    }
+}
+
+upstreams::LoadReport Engine::report() const
+{
+    upstreams::LoadReport report;
+    report.incarnation = {m_incarnation};
+    report.model = base::ModelId{"m"};
+    report.weightsVersion = {1};
+    report.running = static_cast<std::uint32_t>(m_running.size());
+    report.waiting = static_cast<std::uint32_t>(m_interactive.size() + m_batch.size());
+    report.queuedTokens = static_cast<std::uint64_t>(queuedTokens(base::TrafficClass::Batch));
+    report.usedBlocks = m_blocks.size();
+    report.capacityBlocks = CapacityBlocks;
+    report.prefillTokensPerSecond = PrefillTokensPerSecond;
+    report.decodeMsPerToken = DecodeMsPerToken;
+    return report;
+}
+
+prefix::CacheEvents Engine::events(std::uint64_t since, base::Duration lag) const
+{
+    prefix::CacheEvents result{{m_incarnation}, std::max<std::uint64_t>(since, 1), {}};
+    const auto first = std::lower_bound(m_journal.begin(), m_journal.end(), since, [](const Event &event, std::uint64_t sequence) {
+        return event.event.sequence < sequence;
+    });
+    for (auto it = first; it != m_journal.end() && it->at + lag <= m_queue.now(); ++it) {
+        result.events.push_back(it->event);
+        result.next = it->event.sequence + 1;
+    }
+    return result;
+}
+
+std::uint32_t Engine::heldBlocks(const std::vector<std::uint64_t> &chain) const
+{
+    std::uint32_t n = 0;
+    while (n < chain.size() && m_positions.contains(chain[n])) {
+        ++n;
+    }
+    return n;
+}
+
+double Engine::queuedTokens(base::TrafficClass trafficClass) const
+{
+    double tokens = m_isPrefilling ? base::toSeconds(m_prefillEnd - m_queue.now()) * PrefillTokensPerSecond : 0;
+    for (const auto &it : m_interactive) {
+        tokens += it.missingTokens;
+    }
+    if (trafficClass == base::TrafficClass::Batch) {
+        for (const auto &it : m_batch) {
+            tokens += it.missingTokens;
+        }
+    }
+    return tokens;
+}
+
+} // namespace carawaylatch::bench
--- /dev/null
+++ b/bench/policybench/engine.h
@@ -0,0 +1,100 @@
+// A small fake of a model engine in virtual time.
+//
+// Prompts are computed one after the other at a fixed rate, interactive ones
+// first; answers are generated side by side up to a number of slots. Computed
+// blocks are cached with least-recently-used eviction, the end of a chain before
+// its start. The engine keeps the journal of cache events that routers poll.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <list>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+#include "bench/policybench/eventqueue.h"
+#include "bench/policybench/workload.h"
+#include "carawaylatch/prefix/cacheindex.h"
+#include "carawaylatch/upstreams/loadreport.h"
+
+namespace carawaylatch::bench
+{
+
+enum class WorkFailure {
+    NotSent,
+    Lost,
+};
+
+// One request at an engine.
+struct Work
+{
+    const Request *request = nullptr; // outlives the work
+    std::function<void(std::uint32_t cachedBlocks)> onFirstToken;
+    std::function<void()> onDone;
+    std::function<void(WorkFailure)> onFailed;
+};
+
+class Engine
+{
+public:
+    static constexpr double PrefillTokensPerSecond = 20'000;
+    static constexpr std::size_t CapacityBlocks = 250;
+    static constexpr std::uint32_t Slots = 24; // answers generated at the same time
+    static constexpr double DecodeMsPerToken = 20;
+    static constexpr base::Duration PrefillOverhead = base::milliseconds{8};
+
+    Engine(EventQueue &queue, std::uint32_t number, std::uint32_t domain);
+
+    [[nodiscard]] base::UpstreamId id() const;
+    [[nodiscard]] std::uint32_t domain() const;
+    [[nodiscard]] bool isAlive() const;
+    // Ends the life: everything in flight and cached is lost.
+    void crash();
+    // Begins a new life, empty.
+    void start();
+
+    void submit(Work work);
+    [[nodiscard]] upstreams::LoadReport report() const;
+    // Events of this life from `since` on, without those of the last `lag`.
+    [[nodiscard]] prefix::CacheEvents events(std::uint64_t since, base::Duration lag) const;
+    // Leading blocks of the chain in the cache.
+    [[nodiscard]] std::uint32_t heldBlocks(const std::vector<std::uint64_t> &chain) const;
+    // Prompt tokens to compute before a request that is submitted now.
+    [[nodiscard]] double queuedTokens(base::TrafficClass trafficClass) const;
+
+private:
+    struct Queued
+    {
+        Work work;
+        std::uint32_t missingTokens = 0; // when it was submitted
+    };
+    struct Event
+    {
+        base::TimePoint at;
+        prefix::CacheEvent event;
+    };
+
+    void startNext();
+    void onPrefilled(const std::shared_ptr<Work> &work, std::uint32_t cachedBlocks);
+    void onGenerated(const std::shared_ptr<Work> &work);
+    void store(const std::vector<std::uint64_t> &chain);
+    void journal(prefix::CacheOperation operation, std::uint64_t block);
+
+    EventQueue &m_queue;
+    std::uint32_t m_number;
+    std::uint32_t m_domain;
+    std::uint64_t m_incarnation = 0;
+    bool m_isAlive = false;
+    std::deque<Queued> m_interactive;
+    std::deque<Queued> m_batch;
+    std::list<std::uint64_t> m_blocks; // most recently used first
+    std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> m_positions;
+    std::vector<std::shared_ptr<Work>> m_running; // computing or generating
+    bool m_isPrefilling = false;
+    base::TimePoint m_prefillEnd;
+    std::deque<Event> m_journal;
+    std::uint64_t m_nextEvent = 1;
+};
+
+} // namespace carawaylatch::bench
--- /dev/null
+++ b/bench/policybench/oracle.h
@@ -0,0 +1,48 @@
+// Bounds of what a policy could reach: strategies that see every engine's cache
+// and queue as it is, with no lag and no loss. Only the bench can have them.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "bench/policybench/engine.h"
+#include "carawaylatch/routing/strategy.h"
+
+namespace carawaylatch::bench
+{
+
+enum class OracleGoal {
+    FirstToken, // least exact time to first token
+    HitRate, // most blocks in a cache, then least wait; leaves engines whose wait passes the deadline
+};
+
+class OracleStrategy : public routing::RoutingStrategy
+{
+public:
+    using Reaches = std::function<bool(std::uint32_t domain)>;
+
+    OracleStrategy(std::vector<std::unique_ptr<Engine>> &engines, Reaches reaches, OracleGoal goal);
+
+    [[nodiscard]] base::Result<routing::Placement> place(const routing::PlacementRequest &request, const upstreams::UpstreamView &view) const override;
+    [[nodiscard]] base::Result<routing::Explanation> explain(const routing::PlacementRequest &request, const upstreams::UpstreamView &view) const override;
+
+private:
+    struct Sight
+    {
+        std::size_t engine = 0;
+        std::uint32_t held = 0;
+        double wait = 0; // seconds
+        double prefill = 0; // seconds
+    };
+    [[nodiscard]] bool isBetter(const Sight &left, const Sight &right, double deadline) const;
+
+    std::vector<std::unique_ptr<Engine>> &m_engines;
+    Reaches m_reaches;
+    OracleGoal m_goal;
+};
+
+constexpr std::string_view OracleFirstToken = "oracle-first-token";
+constexpr std::string_view OracleHitRate = "oracle-hit-rate";
+
+} // namespace carawaylatch::bench
--- /dev/null
+++ b/bench/policybench/scenario.h
@@ -0,0 +1,26 @@
+// The faults of a run; any may be combined.
+#pragma once
+
+#include <string_view>
+#include <vector>
+
+namespace carawaylatch::bench
+{
+
+struct Scenario
+{
+    std::string_view name;
+    bool shiftsHotPrefixes = false;
+    bool crashesEngine = false;
+    bool losesEvents = false; // an eighth
+    bool delaysReports = false; // by 2 s
+    bool restartsRouter = false;
+    bool cutsDomain = false;
+    bool overloads = false;
+    bool isPair = false;
+};
+
+// Calm, each fault alone, and pairs of faults.
+[[nodiscard]] const std::vector<Scenario> &scenarios();
+
+} // namespace carawaylatch::bench
--- /dev/null
+++ b/bench/policybench/simulation.cpp
@@ -0,0 +1,222 @@
+// The course of a run. The first part warms the caches and is not measured;
+// passing faults strike in the middle, lasting ones hold throughout.
+#include "bench/policybench/simulation.h"
+
+#include <algorithm>
+#include <deque>
+#include <memory>
+
+#include "bench/policybench/engine.h"
+#include "bench/policybench/router.h"
+
+namespace carawaylatch::bench
+{
+
+namespace
+{
+
+constexpr base::Duration WarmUp = base::seconds{30};
+constexpr base::Duration FaultAt = base::seconds{60};
+constexpr base::Duration CrashLasts = base::seconds{4};
+constexpr base::Duration RouterDown = base::seconds{1};
+constexpr base::Duration CutLasts = base::seconds{30};
+constexpr base::Duration ArrivalsEnd = base::seconds{150};
+constexpr base::Duration RunEnd = base::seconds{200}; // all deadlines have passed
+constexpr std::uint32_t Routers = 4;
+constexpr std::uint32_t RestartedRouter = 1;
+
+class Simulation
+{
+public:
+    explicit Simulation(const Run &run);
+    Figures result();
+
+private:
+    void scheduleFaults();
+    void scheduleSession();
+    void scheduleRequest(const Session &session);
+    void onOutcome(const Outcome &outcome, base::TimePoint arrived);
+    [[nodiscard]] double rate() const;
+
+    const Run &m_run;
+    EventQueue m_queue;
+    base::TimePoint m_start;
+    WorkloadSource m_source;
+    base::Random m_network;
+    std::vector<std::unique_ptr<Engine>> m_engines;
+    bool m_isCut = false;
+    std::uint32_t m_downRouter = Routers; // none
+    std::vector<std::unique_ptr<Router>> m_routers;
+    std::deque<Request> m_requests; // addresses stay valid
+    std::vector<Outcome> m_outcomes;
+};
+
+Simulation::Simulation(const Run &run)
+    : m_run(run)
+    , m_start(m_queue.now())
+    , m_source(*run.workload, run.seed)
+    , m_network(run.seed + 1)
+{
+    for (std::uint32_t i = 0; i < run.workload->engines; ++i) {
+        m_engines.push_back(std::make_unique<Engine>(m_queue, i, i % run.workload->domains));
+    }
+    const Fleet fleet{m_queue, m_engines, *run.scenario, m_network, m_isCut, run.workload->domains};
+    for (std::uint32_t i = 0; i < Routers; ++i) {
+        m_routers.push_back(std::make_unique<Router>(fleet, i, run.strategy, run.seed * 100 + i));
+    }
+    scheduleFaults();
+    m_queue.after(base::seconds{1}, [this] {
+        scheduleSession();
+    });
+}
+
+double Simulation::rate() const
+{
+    return m_run.workload->requestsPerSecond * (m_run.scenario->overloads ? m_run.workload->overload : 1);
+}
+
+void Simulation::scheduleFaults()
+{
+    const auto &scenario = *m_run.scenario;
+    if (scenario.shiftsHotPrefixes) {
+        m_queue.after(FaultAt, [this] {
+            m_source.shiftHotPrefixes();
+        });
+    }
+    if (scenario.crashesEngine) {
+        m_queue.after(FaultAt, [this] {
+            m_engines[0]->crash();
+        });
+        m_queue.after(FaultAt + CrashLasts, [this] {
+            m_engines[0]->start();
+        });
+    }
+    if (scenario.restartsRouter) {
+        m_queue.after(FaultAt, [this] {
+            m_downRouter = RestartedRouter;
+        });
+        m_queue.after(FaultAt + RouterDown, [this] {
+            m_routers[RestartedRouter]->restart(*m_routers[0]);
+            m_downRouter = Routers;
+        });
+    }
+    if (scenario.cutsDomain) {
+        m_queue.after(FaultAt, [this] {
+            m_isCut = true;
+        });
+        m_queue.after(FaultAt + CutLasts, [this] {
+            m_isCut = false;
+        });
+    }
+}
+
+void Simulation::scheduleSession()
+{
+    if (m_queue.now() - m_start > ArrivalsEnd) {
+        return;
+    }
+    scheduleRequest(m_source.nextSession());
+    const double sessionsPerSecond = rate() / m_run.workload->sessionRequests;
+    m_queue.after(m_source.exponential(base::fromSeconds(1 / sessionsPerSecond)), [this] {
+        scheduleSession();
+    });
+}
+
+void Simulation::scheduleRequest(const Session &session)
+{
+    m_requests.push_back(m_source.nextRequest(session));
+    // The balancer passes over a router that is down.
+    auto router = static_cast<std::uint32_t>(m_source.random().below(Routers));
+    router = router == m_downRouter ? (router + 1) % Routers : router;
+    m_routers[router]->handle(m_requests.back(), [this, arrived = m_queue.now()](const Outcome &outcome) {
+        onOutcome(outcome, arrived);
+    });
+    if (session.requests > 1) {
+        Session rest = session;
+        --rest.requests;
+        m_queue.after(m_source.exponential(m_run.workload->thinkTime), [this, rest] {
+            if (m_queue.now() - m_start <= ArrivalsEnd) {
+                scheduleRequest(rest);
+            }
+        });
+    }
+}
+
+void Simulation::onOutcome(const Outcome &outcome, base::TimePoint arrived)
+{
+    if (arrived - m_start >= WarmUp) {
+        m_outcomes.push_back(outcome);
+    }
+}
+
+double percentile(std::vector<double> &values, double share)
+{
+    if (values.empty()) {
+        return 0;
+    }
+    std::sort(values.begin(), values.end());
+    const auto rank = static_cast<std::size_t>(share * static_cast<double>(values.size()));
+    return values[std::min(rank, values.size() - 1)];
+}
+
+double jainIndex(const std::vector<double> &values)
+{
+    double sum = 0;
+    double squares = 0;
+    for (const double it : values) {
+        sum += it;
+        squares += it * it;
+    }
+    return squares > 0 ? sum * sum / (static_cast<double>(values.size()) * squares) : 0;
+}
+
+Figures Simulation::result()
+{
+    m_queue.runUntil(m_start + RunEnd);
+    Figures figures;
+    std::vector<double> interactive;
+    std::vector<double> batch;
+    std::vector<double> inTime(m_run.workload->customers.size());
+    std::vector<double> asked(m_run.workload->customers.size());
+    double prompt = 0;
+    double cached = 0;
+    double wasted = 0;
+    for (const auto &it : m_outcomes) {
+        const Request &request = *it.request;
+        asked[request.customer] += 1;
+        figures.refused += it.isRefused ? 1 : 0;
+        if (!it.hasFirstToken) {
+            continue;
+        }
+        (request.trafficClass == base::TrafficClass::Interactive ? interactive : batch).push_back(base::toSeconds(it.firstToken) * 1000);
+        inTime[request.customer] += it.firstToken <= request.deadline ? 1 : 0;
+        figures.goodput += it.firstToken <= request.deadline ? 1 : 0;
+        prompt += request.promptTokens;
+        cached += it.cachedBlocks * BlockTokens;
+        wasted += it.heldSomewhere > it.cachedBlocks ? (it.heldSomewhere - it.cachedBlocks) * BlockTokens : 0;
+    }
+    const auto n = static_cast<double>(std::max<std::size_t>(m_outcomes.size(), 1));
+    for (std::size_t i = 0; i < asked.size(); ++i) {
+        inTime[i] = asked[i] > 0 ? inTime[i] / asked[i] : 1;
+    }
+    figures.requests = m_outcomes.size();
+    figures.hitRate = prompt > 0 ? cached / prompt : 0;
+    figures.waste = prompt > 0 ? wasted / prompt : 0;
+    figures.refused /= n;
+    figures.goodput /= n;
+    figures.fairness = jainIndex(inTime);
+    figures.p50Interactive = percentile(interactive, 0.50);
+    figures.p99Interactive = percentile(interactive, 0.99);
+    figures.p50Batch = percentile(batch, 0.50);
+    figures.p99Batch = percentile(batch, 0.99);
+    return figures;
+}
+
+} // namespace
+
+Figures simulate(const Run &run)
+{
+    return Simulation(run).result();
+}
+
+} // namespace carawaylatch::bench
