--- /dev/null
+++ b/carawaylatch/relay/testing/relaydrivertest.cpp
@@ -0,0 +1,343 @@
+// The driver with real threads and a scripted engine. Virtual time: the clock
+// stands, and watch() is called by the test.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "carawaylatch/relay/hedgepool.h"
+#include "carawaylatch/relay/relaydriver.h"
+#include "carawaylatch/relay/testing/fakeengine.h"
+
+namespace carawaylatch::relay::testing
+{
+
+namespace
+{
+
+const base::PoolName Pool("p");
+
+// A clock that the test moves while other threads read it.
+class SharedClock : public base::Clock
+{
+public:
+    [[nodiscard]] base::TimePoint now() const override
+    {
+        return base::TimePoint{m_now.load()};
+    }
+    void advance(base::Duration duration)
+    {
+        m_now = m_now.load() + duration;
+    }
+
+private:
+    std::atomic<base::Duration> m_now = base::Duration{base::hours{1}};
+};
+
+// A driver with its parts; the watcher runs only when the test calls it.
+struct Fixture
+{
+    FakeEngine engine;
+    SharedClock clock;
+    AttemptIds ids{base::RouterId("r1"), {1}};
+    RetryBudgets budgets;
+    HedgeDelays delays;
+    RelayDriver driver{engine, clock, ids, budgets, delays, {.watchInterval = {}, .hedgeThreads = 2}};
+    FakePlacer placer{4};
+    FakeCaller caller;
+
+    RelayRequest request(config::Hedging hedging = config::Hedging::Off)
+    {
+        return {.requestId = "r",
+                .pool = Pool,
+                .model = base::ModelId("m"),
+                .trafficClass = base::TrafficClass::Interactive,
+                .prompt = "prompt",
+                .maxTokens = 100,
+                .idempotency = config::Idempotency::Idempotent,
+                .hedging = hedging,
+                .firstTokenDeadline = clock.now() + base::seconds{10},
+                .deadline = clock.now() + base::seconds{60}};
+    }
+    RelayReport run()
+    {
+        return driver.run(request(), placer, caller);
+    }
+    void fillDelays()
+    {
+        for (int i = 0; i < 100; ++i) {
+            delays.add(Pool, base::milliseconds{100});
+        }
+    }
+};
+
+// Runs a request on another thread while the test acts.
+template <typename Act>
+RelayReport runWhile(Fixture &fixture, const RelayRequest &request, Act act)
+{
+    RelayReport report;
+    std::thread thread([&] {
+        report = fixture.driver.run(request, fixture.placer, fixture.caller);
+    });
+    act();
+    thread.join();
+    return report;
+}
+
+} // namespace
+
+class RelayDriverTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RelayDriverTest);
+    CPPUNIT_TEST(testEveryFaultOnEveryRun);
+    CPPUNIT_TEST(testAllUpstreamsGone);
+    CPPUNIT_TEST(testContinuationCarriesText);
+    CPPUNIT_TEST(testCallerLeavesMidStream);
+    CPPUNIT_TEST(testCallerLeavesWhileWaiting);
+    CPPUNIT_TEST(testDeadlineAnswersAtOnce);
+    CPPUNIT_TEST(testSilentEngineIsLeft);
+    CPPUNIT_TEST(testHedgeWins);
+    CPPUNIT_TEST(testHedgeLosesAndIsCancelled);
+    CPPUNIT_TEST(testRetryBudget);
+    CPPUNIT_TEST(testConcurrentStreams);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Pairs of faults: the first run has one, the second another, then all is well.
+    void testEveryFaultOnEveryRun()
+    {
+        for (const Fault first : AllFaults) {
+            for (const Fault second : AllFaults) {
+                if (isHanging(first) || isHanging(second)) {
+                    continue; // these need the watcher; below
+                }
+                Fixture fixture;
+                for (const char *upstream : {"e1", "e2"}) {
+                    fixture.engine.script(upstream, {upstream == std::string("e1") ? first : second, second});
+                }
+                const RelayReport report = fixture.run();
+                const std::string where = "faults " + std::to_string(static_cast<int>(first)) + ", " + std::to_string(static_cast<int>(second));
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(where, std::string(), fixture.caller.violation);
+                CPPUNIT_ASSERT_MESSAGE(where, fixture.caller.done.has_value());
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(where, FakeTokens, report.tokens);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(where, fixture.placer.placed.size(), fixture.placer.outcomes.size());
+            }
+        }
+    }
+
+    void testAllUpstreamsGone()
+    {
+        Fixture fixture;
+        for (const char *it : {"e1", "e2", "e3", "e4"}) {
+            fixture.engine.script(it, {Fault::NotSent});
+        }
+        const RelayReport report = fixture.run();
+        CPPUNIT_ASSERT(fixture.caller.error->kind == base::ErrorKind::Overloaded);
+        CPPUNIT_ASSERT(fixture.caller.error->retryAfter == base::milliseconds{250});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, report.tokens);
+    }
+
+    void testContinuationCarriesText()
+    {
+        Fixture fixture;
+        fixture.engine.script("e1", {Fault::LostMidStream, Fault::Refused});
+        const RelayReport report = fixture.run();
+        const auto requests = fixture.engine.requests();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, requests.size());
+        CPPUNIT_ASSERT(requests[1].attempt == requests[0].attempt && requests[1].resumeFrom == std::optional<std::uint64_t>(2));
+        CPPUNIT_ASSERT(requests[2].attempt != requests[0].attempt && requests[2].continuation->firstIndex == 2);
+        CPPUNIT_ASSERT_EQUAL(1U, report.resumes);
+        CPPUNIT_ASSERT_EQUAL(1U, report.continuations);
+        CPPUNIT_ASSERT_EQUAL(fakeAnswer(), fixture.caller.text);
+    }
+
+    void testCallerLeavesMidStream()
+    {
+        Fixture fixture;
+        fixture.caller.leavesAfter = 2;
+        const RelayReport report = fixture.run();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, fixture.caller.tokens);
+        CPPUNIT_ASSERT(report.error->kind == base::ErrorKind::Cancelled);
+        CPPUNIT_ASSERT(fixture.engine.wasCancelled(fixture.engine.requests()[0].attempt));
+    }
+
+    void testCallerLeavesWhileWaiting()
+    {
+        Fixture fixture;
+        fixture.engine.script("e1", {Fault::Hang});
+        const RelayReport report = runWhile(fixture, fixture.request(), [&] {
+            fixture.engine.awaitHanging(1);
+            fixture.caller.isGone = true;
+            fixture.driver.watch();
+        });
+        CPPUNIT_ASSERT(report.error->kind == base::ErrorKind::Cancelled);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.engine.requests().size());
+    }
+
+    void testDeadlineAnswersAtOnce()
+    {
+        for (const Fault fault : {Fault::Hang, Fault::LateAfterCancel}) {
+            Fixture fixture;
+            fixture.engine.script("e1", {fault});
+            const RelayReport report = runWhile(fixture, fixture.request(), [&] {
+                fixture.engine.awaitHanging(1);
+                fixture.clock.advance(base::seconds{10});
+                fixture.driver.watch();
+            });
+            CPPUNIT_ASSERT(report.error->kind == base::ErrorKind::Overloaded);
+            CPPUNIT_ASSERT(report.error->retryAfter > base::Duration::zero());
+            CPPUNIT_ASSERT_EQUAL(std::string(), fixture.caller.text);
+            CPPUNIT_ASSERT(fixture.placer.outcomes.at(0).result == AttemptResult::Cancelled);
+        }
+    }
+
+    void testSilentEngineIsLeft()
+    {
+        Fixture fixture;
+        fixture.engine.script("e1", {Fault::HangMidStream});
+        const RelayReport report = runWhile(fixture, fixture.request(), [&] {
+            fixture.engine.awaitHanging(1);
+            fixture.driver.watch();
+            fixture.clock.advance(base::seconds{10});
+            fixture.driver.watch();
+        });
+        CPPUNIT_ASSERT_EQUAL(fakeAnswer(), fixture.caller.text);
+        CPPUNIT_ASSERT_EQUAL(std::string(), fixture.caller.violation);
+        CPPUNIT_ASSERT_EQUAL(1U, report.continuations);
+    }
+
+    void testHedgeWins()
+    {
+        for (const Fault hedgeFault : AllFaults) {
+            if (isHanging(hedgeFault)) {
+                continue;
+            }
+            Fixture fixture;
+            fixture.fillDelays();
+            fixture.engine.script("e1", {Fault::LateAfterCancel});
+            fixture.engine.script("e2", {hedgeFault, hedgeFault});
+            const std::string where = "hedge with fault " + std::to_string(static_cast<int>(hedgeFault));
+            const RelayReport report = runWhile(fixture, fixture.request(config::Hedging::On), [&] {
+                fixture.engine.awaitHanging(1);
+                fixture.clock.advance(base::milliseconds{200});
+                fixture.driver.watch();
+                while (fixture.driver.openRequests() > 0 && fixture.clock.now() < base::TimePoint{base::hours{2}}) {
+                    // A hedge that failed leaves the first attempt; the deadline ends it.
+                    std::this_thread::yield();
+                    if (isUseless(hedgeFault)) {
+                        fixture.clock.advance(base::seconds{11});
+                        fixture.driver.watch();
+                    }
+                }
+            });
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(where, std::string(), fixture.caller.violation);
+            CPPUNIT_ASSERT_MESSAGE(where, fixture.caller.done.has_value() != fixture.caller.error.has_value());
+            CPPUNIT_ASSERT_MESSAGE(where, fixture.caller.done.has_value() || isUseless(hedgeFault));
+            CPPUNIT_ASSERT_MESSAGE(where, report.hedges <= 1);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(where, fixture.placer.placed.size(), fixture.placer.outcomes.size());
+        }
+    }
+
+    void testHedgeLosesAndIsCancelled()
+    {
+        Fixture fixture;
+        fixture.fillDelays();
+        fixture.engine.script("e1", {Fault::Hang});
+        fixture.engine.script("e2", {Fault::Hang});
+        const RelayReport report = runWhile(fixture, fixture.request(config::Hedging::On), [&] {
+            fixture.engine.awaitHanging(1);
+            fixture.clock.advance(base::milliseconds{200});
+            fixture.driver.watch();
+            fixture.engine.awaitHanging(2);
+            fixture.caller.isGone = true;
+            fixture.driver.watch();
+        });
+        CPPUNIT_ASSERT_EQUAL(1U, report.hedges);
+        for (const EngineRequest &it : fixture.engine.requests()) {
+            CPPUNIT_ASSERT(fixture.engine.wasCancelled(it.attempt));
+        }
+    }
+
+    void testRetryBudget()
+    {
+        RetryBudget budget({.share = 0.1, .reserve = 2});
+        const auto start = base::TimePoint{base::hours{1}};
+        for (int i = 0; i < 100; ++i) {
+            budget.noteRequest(start);
+        }
+        int taken = 0;
+        while (budget.tryTake(start) && taken < 100) {
+            ++taken;
+        }
+        CPPUNIT_ASSERT_EQUAL(12, taken); // the reserve and a tenth of 100
+        CPPUNIT_ASSERT(!budget.tryTake(start + base::seconds{9}));
+        CPPUNIT_ASSERT(budget.tryTake(start + base::seconds{10})); // the window moved on
+
+        Fixture fixture;
+        RetryBudgets empty({.share = 0, .reserve = 0});
+        RelayDriver driver(fixture.engine, fixture.clock, fixture.ids, empty, fixture.delays, {.watchInterval = {}, .hedgeThreads = 0});
+        fixture.engine.script("e1", {Fault::NotSent});
+        const RelayReport refused = driver.run(fixture.request(), fixture.placer, fixture.caller);
+        CPPUNIT_ASSERT(refused.error->kind == base::ErrorKind::Overloaded);
+        // A stream that broke off goes on without asking the budget.
+        FakeCaller second;
+        fixture.engine.script("e1", {Fault::Gap});
+        CPPUNIT_ASSERT(driver.run(fixture.request(), fixture.placer, second).done.has_value());
+    }
+
+    // Many threads on one driver with its own watcher; for the thread sanitizer.
+    void testConcurrentStreams()
+    {
+        FakeEngine engine;
+        const base::SteadyClock clock;
+        AttemptIds ids(base::RouterId("r1"), {1});
+        RetryBudgets budgets({.share = 1, .reserve = 1000});
+        HedgeDelays delays;
+        for (int i = 0; i < 100; ++i) {
+            delays.add(Pool, base::milliseconds{1});
+        }
+        engine.script("e1", std::deque<Fault>(AllFaults.begin(), AllFaults.end() - 3));
+        RelayDriver driver(engine, clock, ids, budgets, delays, {.watchInterval = base::milliseconds{1}, .hedgeThreads = 4});
+        std::vector<std::thread> threads;
+        std::atomic<int> whole = 0;
+        for (int i = 0; i < 8; ++i) {
+            threads.emplace_back([&] {
+                for (int n = 0; n < 20; ++n) {
+                    FakePlacer placer(4);
+                    FakeCaller caller;
+                    RelayRequest request;
+                    request.pool = Pool;
+                    request.prompt = "p";
+                    request.maxTokens = 100;
+                    request.hedging = config::Hedging::On;
+                    request.firstTokenDeadline = clock.now() + base::minutes{5};
+                    request.deadline = clock.now() + base::minutes{5};
+                    (void)driver.run(request, placer, caller);
+                    whole += caller.done && caller.violation.empty() ? 1 : 0;
+                }
+            });
+        }
+        for (std::thread &it : threads) {
+            it.join();
+        }
+        CPPUNIT_ASSERT_EQUAL(160, whole.load());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, driver.openRequests());
+    }
+
+private:
+    static bool isHanging(Fault fault)
+    {
+        return fault == Fault::Hang || fault == Fault::HangMidStream || fault == Fault::LateAfterCancel;
+    }
+    // A hedge with such a fault gives no token, so the first attempt decides.
+    static bool isUseless(Fault fault)
+    {
+        return fault == Fault::NotSent || fault == Fault::Refused || fault == Fault::LostBeforeHead || fault == Fault::CrossedHead
+               || fault == Fault::OldIncarnation || fault == Fault::OldVersion || fault == Fault::OtherSalt;
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RelayDriverTest);
+
+} // namespace carawaylatch::relay::testing
