--- a/carawaylatch/admission/gate.h
+++ b/carawaylatch/admission/gate.h
@@ -52,9 +52,9 @@
 
 struct GateOptions
 {
-    LimiterOptions limits;
-    FairQueueOptions queue;
-    OverloadOptions overload;
+    LimiterOptions limits{};
+    FairQueueOptions queue{};
+    OverloadOptions overload{};
     std::uint32_t capacity = 256; // requests in flight on this router
     base::Duration sweepInterval = base::milliseconds{20}; // between two looks at waiting requests
 };
--- a/carawaylatch/admission/limiter.h
+++ b/carawaylatch/admission/limiter.h
@@ -32,7 +32,7 @@
     std::uint32_t fleetSize = 1; // routers that share each limit; never more may serve
     // Position in the fleet, 0 to fleetSize - 1, no two routers the same. Without
     // it a limit below the fleet size gives each router one unit.
-    std::optional<std::uint32_t> slot;
+    std::optional<std::uint32_t> slot{};
     base::Duration loanTerm = base::seconds{3};
     base::Duration longestRequest = base::seconds{60}; // no request is in flight longer
 };
--- /dev/null
+++ b/carawaylatch/admission/testing/gatetest.cpp
@@ -0,0 +1,285 @@
+// The gate with real threads; time stands still unless the test moves it.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <atomic>
+#include <functional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "carawaylatch/admission/gate.h"
+
+namespace carawaylatch::admission::testing
+{
+
+namespace
+{
+
+const base::CustomerId Acme("acme");
+const base::CustomerId Bolt("bolt");
+
+// A clock that the test moves while other threads read it.
+class SharedClock : public base::Clock
+{
+public:
+    [[nodiscard]] base::TimePoint now() const override
+    {
+        return base::TimePoint{m_now.load()};
+    }
+    void advance(base::Duration duration)
+    {
+        m_now = m_now.load() + duration;
+    }
+
+private:
+    std::atomic<base::Duration> m_now = base::Duration{base::hours{1}};
+};
+
+config::Tables tables(std::uint32_t concurrency, double perSecond = 0)
+{
+    config::Tables tables;
+    for (const base::CustomerId &it : {Acme, Bolt}) {
+        tables.customers.push_back({.id = it, .keyDigest = {}, .weight = 1, .requestsPerSecond = perSecond, .concurrency = concurrency});
+    }
+    return tables;
+}
+
+struct Fixture
+{
+    SharedClock clock;
+    Gate gate;
+
+    explicit Fixture(std::uint32_t concurrency, std::uint32_t capacity = 100, double perSecond = 0)
+        : gate({.limits = {.router = base::RouterId("r"), .incarnation = {1}}, .capacity = capacity, .sweepInterval = base::milliseconds{1}}, clock)
+    {
+        gate.configure(tables(concurrency, perSecond), clock.now());
+    }
+    AdmissionRequest request(const base::CustomerId &customer = Acme) const
+    {
+        return {.customer = customer,
+                .trafficClass = base::TrafficClass::Interactive,
+                .tokens = 1000,
+                .deadline = clock.now() + base::seconds{10},
+                .expectedWait = {},
+                .callerGone = {}};
+    }
+    base::Result<Ticket> enter(const base::CustomerId &customer = Acme)
+    {
+        return gate.enter(request(customer), clock.now());
+    }
+    void awaitWaiting(std::uint32_t n) const
+    {
+        while (gate.waiting() != n) {
+            std::this_thread::yield();
+        }
+    }
+    std::uint64_t refused(Refusal refusal) const
+    {
+        std::uint64_t n = 0;
+        for (const AdmissionFigures &it : gate.figures()) {
+            n += it.refused[static_cast<std::size_t>(refusal)];
+        }
+        return n;
+    }
+};
+
+} // namespace
+
+class GateTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(GateTest);
+    CPPUNIT_TEST(testRefusalsOfWaiting);
+    CPPUNIT_TEST(testRefusalsAtTheDoor);
+    CPPUNIT_TEST(testTurnComes);
+    CPPUNIT_TEST(testConfigurationKeepsTickets);
+    CPPUNIT_TEST(testLimitOfOneLeavesRoomForOthers);
+    CPPUNIT_TEST(testSlowDrainRefusesBeforeTheDeadline);
+    CPPUNIT_TEST(testManyThreads);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // A waiting request: each event that ends its wait, and what it is told.
+    void testRefusalsOfWaiting()
+    {
+        struct Row
+        {
+            const char *name;
+            std::function<void(Fixture &, std::atomic<bool> &)> act;
+            base::ErrorKind kind;
+            Refusal refusal;
+        };
+        const std::vector<Row> rows = {
+            {"caller leaves",
+             [](Fixture &, std::atomic<bool> &gone) {
+                 gone = true;
+             },
+             base::ErrorKind::Cancelled, Refusal::CallerGone},
+            {"router stops",
+             [](Fixture &f, std::atomic<bool> &) {
+                 f.gate.stop();
+             },
+             base::ErrorKind::Unavailable, Refusal::Stopping},
+            {"half of its time is over and nothing left",
+             [](Fixture &f, std::atomic<bool> &) {
+                 f.clock.advance(base::seconds{5});
+             },
+             base::ErrorKind::Overloaded, Refusal::Overload},
+        };
+        for (const Row &row : rows) {
+            Fixture fixture(1);
+            auto ticket = fixture.enter();
+            CPPUNIT_ASSERT(ticket.has_value());
+            std::atomic<bool> gone = false;
+            base::Error error;
+            std::thread thread([&] {
+                AdmissionRequest request = fixture.request();
+                request.callerGone = [&] {
+                    return gone.load();
+                };
+                auto entered = fixture.gate.enter(request, fixture.clock.now());
+                CPPUNIT_ASSERT(!entered);
+                error = entered.error();
+            });
+            fixture.awaitWaiting(1);
+            row.act(fixture, gone);
+            thread.join();
+            CPPUNIT_ASSERT_MESSAGE(row.name, error.kind == row.kind);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, std::uint64_t{1}, fixture.refused(row.refusal));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, 0U, fixture.gate.waiting());
+        }
+    }
+
+    void testRefusalsAtTheDoor()
+    {
+        Fixture fixture(0, 100, 2);
+        CPPUNIT_ASSERT(fixture.enter(base::CustomerId("nobody")).error().kind == base::ErrorKind::Forbidden);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, fixture.gate.unknownCustomers());
+        CPPUNIT_ASSERT(fixture.enter().has_value());
+        const auto limited = fixture.enter();
+        CPPUNIT_ASSERT(limited.error().kind == base::ErrorKind::LimitExceeded);
+        CPPUNIT_ASSERT(limited.error().retryAfter >= base::milliseconds{500});
+        AdmissionRequest late = fixture.request(Bolt);
+        late.expectedWait = base::seconds{10};
+        const auto refused = fixture.gate.enter(late, fixture.clock.now());
+        CPPUNIT_ASSERT(refused.error().kind == base::ErrorKind::Overloaded && refused.error().retryAfter >= base::seconds{10});
+        fixture.gate.stop();
+        CPPUNIT_ASSERT(fixture.enter(Bolt).error().kind == base::ErrorKind::Unavailable);
+    }
+
+    void testTurnComes()
+    {
+        Fixture fixture(0, 1);
+        auto first = fixture.enter();
+        base::Duration waited{};
+        std::thread thread([&] {
+            auto second = fixture.enter(Bolt);
+            CPPUNIT_ASSERT(second.has_value());
+            waited = second.value().waited();
+        });
+        fixture.awaitWaiting(1);
+        fixture.clock.advance(base::seconds{1});
+        first.value().release();
+        thread.join();
+        CPPUNIT_ASSERT(waited == base::seconds{1});
+        CPPUNIT_ASSERT_EQUAL(0U, fixture.gate.inFlight());
+    }
+
+    void testConfigurationKeepsTickets()
+    {
+        Fixture fixture(2);
+        auto first = fixture.enter();
+        auto second = fixture.enter();
+        CPPUNIT_ASSERT_EQUAL(2U, fixture.gate.inFlight(Acme));
+        base::ErrorKind kind{};
+        std::thread thread([&] {
+            kind = fixture.enter().error().kind;
+        });
+        fixture.awaitWaiting(1);
+        fixture.gate.configure(tables(1), fixture.clock.now());
+        CPPUNIT_ASSERT_EQUAL(2U, fixture.gate.inFlight(Acme));
+        first.value().release(); // one is still in flight, the limit is one
+        CPPUNIT_ASSERT_EQUAL(1U, fixture.gate.waiting());
+        fixture.gate.configure({}, fixture.clock.now()); // both customers go
+        thread.join();
+        CPPUNIT_ASSERT(kind == base::ErrorKind::Forbidden);
+        CPPUNIT_ASSERT_EQUAL(1U, fixture.gate.inFlight(Acme));
+        second.value().release();
+        CPPUNIT_ASSERT_EQUAL(0U, fixture.gate.inFlight());
+        fixture.gate.configure(tables(1), fixture.clock.now());
+        CPPUNIT_ASSERT(fixture.enter().has_value());
+    }
+
+    void testLimitOfOneLeavesRoomForOthers()
+    {
+        Fixture fixture(1);
+        auto held = fixture.enter(Acme);
+        std::thread thread([&] {
+            CPPUNIT_ASSERT(fixture.enter(Acme).has_value());
+        });
+        fixture.awaitWaiting(1);
+        CPPUNIT_ASSERT(fixture.enter(Bolt).has_value()); // passes the one that waits for its own limit
+        held.value().release();
+        thread.join();
+    }
+
+    // The drain was fast and stops: a waiting request is refused when the expected
+    // wait grows past its deadline, not when the deadline comes.
+    void testSlowDrainRefusesBeforeTheDeadline()
+    {
+        Fixture fixture(0, 1);
+        for (int i = 0; i < 20; ++i) {
+            auto ticket = fixture.enter();
+            fixture.clock.advance(base::milliseconds{500}); // 2000 tokens a second
+        }
+        auto held = fixture.enter();
+        const auto start = fixture.clock.now();
+        base::TimePoint refusedAt;
+        base::Error error;
+        std::thread thread([&] {
+            AdmissionRequest request = fixture.request();
+            request.deadline = start + base::seconds{30};
+            error = fixture.gate.enter(request, start).error();
+            refusedAt = fixture.clock.now();
+        });
+        fixture.awaitWaiting(1);
+        while (fixture.gate.waiting() == 1) {
+            fixture.clock.advance(base::milliseconds{100});
+            std::this_thread::sleep_for(base::milliseconds{2});
+        }
+        thread.join();
+        CPPUNIT_ASSERT(error.kind == base::ErrorKind::Overloaded && error.retryAfter > base::Duration::zero());
+        CPPUNIT_ASSERT(refusedAt < start + base::seconds{30});
+    }
+
+    // Many threads with churning tables; for the thread sanitizer. All places come back.
+    void testManyThreads()
+    {
+        Fixture fixture(2, 3);
+        std::atomic<std::uint32_t> most = 0;
+        std::atomic<int> admitted = 0;
+        std::vector<std::thread> threads;
+        for (int i = 0; i < 8; ++i) {
+            threads.emplace_back([&, i] {
+                for (int n = 0; n < 100; ++n) {
+                    auto ticket = fixture.enter(i % 2 == 0 ? Acme : Bolt);
+                    most = std::max(most.load(), fixture.gate.inFlight());
+                    admitted += ticket.has_value() ? 1 : 0;
+                }
+            });
+        }
+        for (int n = 0; n < 50; ++n) {
+            fixture.gate.configure(tables(1 + n % 3), fixture.clock.now());
+            fixture.gate.apply(fixture.gate.answer(fixture.gate.report(base::RouterId("x"), fixture.clock.now()), fixture.clock.now()), fixture.clock.now());
+        }
+        for (std::thread &it : threads) {
+            it.join();
+        }
+        CPPUNIT_ASSERT_EQUAL(800, admitted.load());
+        CPPUNIT_ASSERT(most.load() <= 3);
+        CPPUNIT_ASSERT_EQUAL(0U, fixture.gate.inFlight());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GateTest);
+
+} // namespace carawaylatch::admission::testing
