--- a/carawaylatch/admission/testing/fairqueuetest.cpp
+++ b/carawaylatch/admission/testing/fairqueuetest.cpp
@@ -21,7 +21,7 @@
 constexpr auto Interactive = base::TrafficClass::Interactive;
 constexpr auto Batch = base::TrafficClass::Batch;
 
-const auto all = [](const base::CustomerId &) {
+const auto All = [](const base::CustomerId &) {
     return true;
 };
 
@@ -66,7 +66,7 @@
         std::map<std::string, double> served;
         double sum = 0;
         while (sum < 2'000'000) {
-            const auto it = queue.pop(Start, all);
+            const auto it = queue.pop(Start, All);
             served[it->customer.value()] += static_cast<double>(it->tokens);
             sum += static_cast<double>(it->tokens);
         }
@@ -82,10 +82,10 @@
         for (std::uint64_t i = 1; i <= 1000; ++i) {
             CPPUNIT_ASSERT(queue.push(entry(i, "flood", 4000)));
         }
-        (void)queue.pop(Start, all);
+        (void)queue.pop(Start, All);
         CPPUNIT_ASSERT(queue.push(entry(5000, "small", 4000)));
         int before = 0;
-        while (queue.pop(Start, all)->id != 5000) {
+        while (queue.pop(Start, All)->id != 5000) {
             ++before;
         }
         CPPUNIT_ASSERT(before <= 2);
@@ -105,11 +105,11 @@
             CPPUNIT_ASSERT(queue.push(entry(i, "a", 1000, Batch)));
             CPPUNIT_ASSERT(queue.push(entry(100 + i, "b", 1000, Interactive)));
         }
-        CPPUNIT_ASSERT(queue.pop(Start + base::seconds{4}, all)->trafficClass == Interactive);
+        CPPUNIT_ASSERT(queue.pop(Start + base::seconds{4}, All)->trafficClass == Interactive);
         const auto late = Start + base::seconds{5};
         for (int i = 0; i < 4; ++i) { // every second turn, no more
-            CPPUNIT_ASSERT(queue.pop(late, all)->trafficClass == Batch);
-            CPPUNIT_ASSERT(queue.pop(late, all)->trafficClass == Interactive);
+            CPPUNIT_ASSERT(queue.pop(late, All)->trafficClass == Batch);
+            CPPUNIT_ASSERT(queue.pop(late, All)->trafficClass == Interactive);
         }
         const auto onlyB = [](const base::CustomerId &it) {
             return it.value() == "b";
--- a/carawaylatch/admission/testing/gatetest.cpp
+++ b/carawaylatch/admission/testing/gatetest.cpp
@@ -258,6 +258,7 @@
         std::atomic<std::uint32_t> most = 0;
         std::atomic<int> admitted = 0;
         std::vector<std::thread> threads;
+        threads.reserve(8);
         for (int i = 0; i < 8; ++i) {
             threads.emplace_back([&, i] {
                 for (int n = 0; n < 100; ++n) {
--- a/carawaylatch/admission/testing/limitertest.cpp
+++ b/carawaylatch/admission/testing/limitertest.cpp
@@ -372,6 +372,7 @@
     void testOnlyActiveCustomersAreReported()
     {
         std::vector<config::Customer> customers;
+        customers.reserve(640);
         for (int i = 0; i < 640; ++i) {
             customers.push_back({.id = base::CustomerId("c" + std::to_string(i)), .keyDigest = {}, .weight = 1, .requestsPerSecond = 100, .concurrency = 100});
         }
--- a/carawaylatch/relay/streamassembler.cpp
+++ b/carawaylatch/relay/streamassembler.cpp
@@ -483,10 +483,9 @@
     if (mayHaveRun && m_options.idempotency == config::Idempotency::AtMostOnce) {
         return base::fail(ErrorKind::Unclear, "the call may have run: " + error.message + "; don't repeat it unseen");
     }
-    if (m_delivered > 0) {
+    // Unavailable would say that nothing took effect.
+    if (m_delivered > 0 || (mayHaveRun && error.kind == ErrorKind::Unavailable)) {
         error.kind = ErrorKind::Truncated;
-    } else if (mayHaveRun && error.kind == ErrorKind::Unavailable) {
-        error.kind = ErrorKind::Truncated; // Unavailable would say that nothing took effect
     }
     if (error.retryAfter <= base::Duration::zero()) {
         error.retryAfter = m_options.retryAfter;
--- a/carawaylatch/relay/testing/relaydrivertest.cpp
+++ b/carawaylatch/relay/testing/relaydrivertest.cpp
@@ -300,6 +300,7 @@
         engine.script("e1", std::deque<Fault>(AllFaults.begin(), AllFaults.end() - 3));
         RelayDriver driver(engine, clock, ids, budgets, delays, {.watchInterval = base::milliseconds{1}, .hedgeThreads = 4});
         std::vector<std::thread> threads;
+        threads.reserve(8);
         std::atomic<int> whole = 0;
         for (int i = 0; i < 8; ++i) {
             threads.emplace_back([&] {
--- a/carawaylatch/relay/testing/streamassemblertest.cpp
+++ b/carawaylatch/relay/testing/streamassemblertest.cpp
@@ -6,9 +6,11 @@
 // must end with the whole answer or an explicit error.
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <array>
 #include <functional>
 #include <iostream>
+#include <iterator>
 #include <string>
 #include <vector>
 
@@ -77,170 +79,332 @@
     std::array<const char *, StateCount> expected;
 };
 
+using Columns = std::array<const char *, StateCount>;
+const Columns Nothing = {"", "", "", "", "", "", ""};
+const Columns Resumed = {"", "resume:1", "resume:1", "resume:1", "resume:1", "", ""};
+const Columns Replaced = {"", "place:fresh", "place:fresh", "place:fresh", "place:continue", "", ""};
+const Columns CancelledAndReplaced = {"", "cancel:1 place:fresh", "cancel:1 place:fresh", "cancel:1 place:fresh", "cancel:1 place:continue", "", ""};
+
 // Columns: queued, connecting, sent, first byte, streaming, done, failed.
-const std::vector<FaultRow> &faultTable()
+const std::vector<FaultRow> FaultTable = {
+    {"break before the request left",
+     [](StreamModel &m) {
+         m.broken(1, BreakKind::NotSent);
+     },
+     Replaced},
+    {"refused",
+     [](StreamModel &m) {
+         m.broken(1, BreakKind::Refused);
+     },
+     Replaced},
+    {"break after the request left",
+     [](StreamModel &m) {
+         m.broken(1, BreakKind::Lost);
+     },
+     Resumed},
+    {"malformed answer",
+     [](StreamModel &m) {
+         m.broken(1, BreakKind::Malformed);
+     },
+     Resumed},
+    {"cancelled by the connection",
+     [](StreamModel &m) {
+         m.broken(1, BreakKind::Cancelled);
+     },
+     Replaced},
+    {"engine gone: break, then refused resume",
+     [](StreamModel &m) {
+         m.broken(1, BreakKind::Lost);
+         m.broken(1, BreakKind::Refused);
+     },
+     Replaced},
+    {"engine restarted empty: break, then another incarnation",
+     [](StreamModel &m) {
+         m.broken(1, BreakKind::Lost);
+         m.head(1, wrongHead([](EngineHead &echo) {
+                    echo.incarnation.value = 9;
+                }));
+     },
+     CancelledAndReplaced},
+    {"echo of another attempt",
+     [](StreamModel &m) {
+         m.head(1, wrongHead([](EngineHead &echo) {
+                    echo.attempt.value = 9;
+                }));
+     },
+     CancelledAndReplaced},
+    {"echo of another incarnation",
+     [](StreamModel &m) {
+         m.head(1, wrongHead([](EngineHead &echo) {
+                    echo.incarnation.value = 9;
+                }));
+     },
+     CancelledAndReplaced},
+    {"echo of other weights",
+     [](StreamModel &m) {
+         m.head(1, wrongHead([](EngineHead &echo) {
+                    echo.weightsVersion.value = 6;
+                }));
+     },
+     CancelledAndReplaced},
+    {"echo of another salt",
+     [](StreamModel &m) {
+         m.head(1, wrongHead([](EngineHead &echo) {
+                    echo.salt.value = 9;
+                }));
+     },
+     CancelledAndReplaced},
+    {"head twice",
+     [](StreamModel &m) {
+         m.head(1);
+         m.head(1);
+     },
+     Nothing},
+    {"token twice",
+     [](StreamModel &m) {
+         m.token(1, 0);
+         m.token(1, 0);
+     },
+     // Without a head the first of them breaks the attempt.
+     Nothing},
+    {"token before the head, or the next token",
+     [](StreamModel &m) {
+         m.token(1, m.assembler().delivered());
+     },
+     {"", "cancel:1 place:fresh", "cancel:1 place:fresh", "deliver:0", "deliver:1", "", ""}},
+    {"gap in the indexes",
+     [](StreamModel &m) {
+         m.token(1, m.assembler().delivered() + 1);
+     },
+     CancelledAndReplaced},
+    {"token past its bound",
+     [](StreamModel &m) {
+         m.token(1, m.assembler().delivered(), 100);
+     },
+     CancelledAndReplaced},
+    {"last event counts more than came",
+     [](StreamModel &m) {
+         m.done(1, 5);
+     },
+     CancelledAndReplaced},
+    {"last event counts less than came",
+     [](StreamModel &m) {
+         m.done(1, 0);
+     },
+     {"", "cancel:1 place:fresh", "cancel:1 place:fresh", NotApplicable, "cancel:1 place:continue", "", ""}},
+    {"answer of an unknown attempt",
+     [](StreamModel &m) {
+         m.head(77, echoOf({77}, planOn(77)));
+         m.token(77, m.assembler().delivered());
+         m.done(77, m.assembler().delivered());
+     },
+     Nothing},
+    {"caller gone",
+     [](StreamModel &m) {
+         m.callerGone();
+     },
+     {"abort:cancelled", "cancel:1 abort:cancelled", "cancel:1 abort:cancelled", "cancel:1 abort:cancelled", "cancel:1 abort:cancelled", "",
+      "cancel:2 abort:cancelled"}},
+    {"deadline of the first token",
+     [](StreamModel &m) {
+         m.tickAt(FirstTokenDeadline);
+     },
+     {"abort:overloaded", "cancel:1 abort:overloaded", "cancel:1 abort:overloaded", "cancel:1 abort:overloaded", "", "", ""}},
+    {"deadline of the answer",
+     [](StreamModel &m) {
+         m.tickAt(Deadline);
+     },
+     {"abort:overloaded", "cancel:1 abort:overloaded", "cancel:1 abort:overloaded", "cancel:1 abort:overloaded", "cancel:1 abort:truncated", "",
+      "cancel:2 abort:truncated"}},
+    {"engine silent",
+     [](StreamModel &m) {
+         m.idle();
+     },
+     {"", "", "", "", "cancel:1 place:continue", "", "cancel:2 place:continue"}},
+    {"hedge delay over",
+     [](StreamModel &m) {
+         m.hedgeDue();
+     },
+     {"", "place:hedge", "place:hedge", "place:hedge", "", "", ""}},
+    {"all upstreams gone",
+     [](StreamModel &m) {
+         m.broken(1, BreakKind::NotSent);
+         m.broken(2, BreakKind::NotSent);
+         m.notPlaced(m.assembler().delivered() > 0 ? AttemptPurpose::Continue : AttemptPurpose::Fresh);
+     },
+     {"abort:overloaded", "abort:overloaded", "abort:overloaded", "abort:overloaded", "abort:truncated", "", "abort:truncated"}},
+    {"placement offers a used upstream",
+     [](StreamModel &m) {
+         m.broken(1, BreakKind::NotSent);
+         m.offerUsed();
+     },
+     {"start:50", "abort:unavailable", "abort:truncated", "abort:truncated", "abort:truncated", "", ""}},
+    {"placement offers other weights",
+     [](StreamModel &m) {
+         m.broken(1, BreakKind::NotSent);
+         m.placed(50, m.assembler().delivered() > 0 ? AttemptPurpose::Continue : AttemptPurpose::Fresh, 8);
+     },
+     {"start:50", "start:50", "start:50", "start:50", "abort:truncated", "", ""}},
+};
+
+using Step = std::function<void(StreamModel &)>;
+struct NamedStep
 {
-    static const std::vector<FaultRow> rows = {
-        {"break before the request left",
-         [](StreamModel &m) {
-             m.broken(1, BreakKind::NotSent);
-         },
-         {"", "place:fresh", "place:fresh", "place:fresh", "place:continue", "", ""}},
-        {"refused",
-         [](StreamModel &m) {
-             m.broken(1, BreakKind::Refused);
-         },
-         {"", "place:fresh", "place:fresh", "place:fresh", "place:continue", "", ""}},
-        {"break after the request left",
-         [](StreamModel &m) {
-             m.broken(1, BreakKind::Lost);
-         },
-         {"", "resume:1", "resume:1", "resume:1", "resume:1", "", ""}},
-        {"malformed answer",
-         [](StreamModel &m) {
-             m.broken(1, BreakKind::Malformed);
-         },
-         {"", "resume:1", "resume:1", "resume:1", "resume:1", "", ""}},
-        {"cancelled by the connection",
-         [](StreamModel &m) {
-             m.broken(1, BreakKind::Cancelled);
-         },
-         {"", "place:fresh", "place:fresh", "place:fresh", "place:continue", "", ""}},
-        {"engine gone: break, then refused resume",
-         [](StreamModel &m) {
-             m.broken(1, BreakKind::Lost);
-             m.broken(1, BreakKind::Refused);
-         },
-         {"", "place:fresh", "place:fresh", "place:fresh", "place:continue", "", ""}},
-        {"engine restarted empty: break, then another incarnation",
-         [](StreamModel &m) {
-             m.broken(1, BreakKind::Lost);
-             m.head(1, wrongHead([](EngineHead &echo) {
-                        echo.incarnation.value = 9;
-                    }));
-         },
-         {"", "cancel:1 place:fresh", "cancel:1 place:fresh", "cancel:1 place:fresh", "cancel:1 place:continue", "", ""}},
-        {"echo of another attempt",
-         [](StreamModel &m) {
-             m.head(1, wrongHead([](EngineHead &echo) {
-                        echo.attempt.value = 9;
-                    }));
-         },
-         {"", "cancel:1 place:fresh", "cancel:1 place:fresh", "cancel:1 place:fresh", "cancel:1 place:continue", "", ""}},
-        {"echo of another incarnation",
-         [](StreamModel &m) {
-             m.head(1, wrongHead([](EngineHead &echo) {
-                        echo.incarnation.value = 9;
-                    }));
-         },
-         {"", "cancel:1 place:fresh", "cancel:1 place:fresh", "cancel:1 place:fresh", "cancel:1 place:continue", "", ""}},
-        {"echo of other weights",
-         [](StreamModel &m) {
-             m.head(1, wrongHead([](EngineHead &echo) {
-                        echo.weightsVersion.value = 6;
-                    }));
-         },
-         {"", "cancel:1 place:fresh", "cancel:1 place:fresh", "cancel:1 place:fresh", "cancel:1 place:continue", "", ""}},
-        {"echo of another salt",
-         [](StreamModel &m) {
-             m.head(1, wrongHead([](EngineHead &echo) {
-                        echo.salt.value = 9;
-                    }));
-         },
-         {"", "cancel:1 place:fresh", "cancel:1 place:fresh", "cancel:1 place:fresh", "cancel:1 place:continue", "", ""}},
-        {"head twice",
+    std::string name;
+    Step apply;
+};
+
+// States from which all orders of events are tried.
+std::vector<Step> prefixes()
+{
+    std::vector<Step> all = {
+        [](StreamModel &m) { // resuming with one token delivered
+            bringTo(m, AttemptState::Streaming);
+            m.broken(1, BreakKind::Lost);
+        },
+        [](StreamModel &m) { // continued elsewhere
+            bringTo(m, AttemptState::Streaming);
+            m.broken(1, BreakKind::Refused);
+            m.placed(2, AttemptPurpose::Continue);
+        },
+        [](StreamModel &m) { // two attempts, both with a head
+            bringTo(m, AttemptState::FirstByte);
+            m.hedgeDue();
+            m.placed(2, AttemptPurpose::Hedge);
+            m.head(2);
+        },
+        [](StreamModel &m) { // both placements under way
+            bringTo(m, AttemptState::Sent);
+            m.hedgeDue();
+            m.broken(1, BreakKind::Refused);
+        },
+    };
+    std::transform(AllAttemptStates.begin(), AllAttemptStates.end(), std::back_inserter(all), [](AttemptState state) -> Step {
+        return [state](StreamModel &m) {
+            bringTo(m, state);
+        };
+    });
+    return all;
+}
+
+std::vector<NamedStep> requestEvents()
+{
+    return {
+        {"start",
          [](StreamModel &m) {
-             m.head(1);
-             m.head(1);
-         },
-         {"", "", "", "", "", "", ""}},
-        {"token twice",
+             m.start();
+         }},
+        {"placed fresh",
          [](StreamModel &m) {
-             m.token(1, 0);
-             m.token(1, 0);
-         },
-         // Without a head the first of them breaks the attempt.
-         {"", "", "", "", "", "", ""}},
-        {"token before the head, or the next token",
+             m.placed(2, AttemptPurpose::Fresh);
+         }},
+        {"placed continue",
          [](StreamModel &m) {
-             m.token(1, m.assembler().delivered());
-         },
-         {"", "cancel:1 place:fresh", "cancel:1 place:fresh", "deliver:0", "deliver:1", "", ""}},
-        {"gap in the indexes",
+             m.placed(3, AttemptPurpose::Continue);
+         }},
+        {"placed continue of other weights",
          [](StreamModel &m) {
-             m.token(1, m.assembler().delivered() + 1);
-         },
-         {"", "cancel:1 place:fresh", "cancel:1 place:fresh", "cancel:1 place:fresh", "cancel:1 place:continue", "", ""}},
-        {"token past its bound",
+             m.placed(4, AttemptPurpose::Continue, 8);
+         }},
+        {"placed hedge",
          [](StreamModel &m) {
-             m.token(1, m.assembler().delivered(), 100);
-         },
-         {"", "cancel:1 place:fresh", "cancel:1 place:fresh", "cancel:1 place:fresh", "cancel:1 place:continue", "", ""}},
-        {"last event counts more than came",
+             m.placed(2, AttemptPurpose::Hedge);
+         }},
+        {"placed used",
          [](StreamModel &m) {
-             m.done(1, 5);
-         },
-         {"", "cancel:1 place:fresh", "cancel:1 place:fresh", "cancel:1 place:fresh", "cancel:1 place:continue", "", ""}},
-        {"last event counts less than came",
+             m.offerUsed();
+         }},
+        {"not placed",
          [](StreamModel &m) {
-             m.done(1, 0);
-         },
-         {"", "cancel:1 place:fresh", "cancel:1 place:fresh", NotApplicable, "cancel:1 place:continue", "", ""}},
-        {"answer of an unknown attempt",
+             m.notPlaced(AttemptPurpose::Fresh);
+         }},
+        {"no hedge",
          [](StreamModel &m) {
-             m.head(77, echoOf({77}, planOn(77)));
-             m.token(77, m.assembler().delivered());
-             m.done(77, m.assembler().delivered());
-         },
-         {"", "", "", "", "", "", ""}},
+             m.notPlaced(AttemptPurpose::Hedge);
+         }},
         {"caller gone",
          [](StreamModel &m) {
              m.callerGone();
-         },
-         {"abort:cancelled", "cancel:1 abort:cancelled", "cancel:1 abort:cancelled", "cancel:1 abort:cancelled", "cancel:1 abort:cancelled", "",
-          "cancel:2 abort:cancelled"}},
-        {"deadline of the first token",
+         }},
+        {"first token late",
          [](StreamModel &m) {
              m.tickAt(FirstTokenDeadline);
-         },
-         {"abort:overloaded", "cancel:1 abort:overloaded", "cancel:1 abort:overloaded", "cancel:1 abort:overloaded", "", "", ""}},
-        {"deadline of the answer",
+         }},
+        {"deadline",
          [](StreamModel &m) {
              m.tickAt(Deadline);
-         },
-         {"abort:overloaded", "cancel:1 abort:overloaded", "cancel:1 abort:overloaded", "cancel:1 abort:overloaded", "cancel:1 abort:truncated", "",
-          "cancel:2 abort:truncated"}},
-        {"engine silent",
+         }},
+        {"idle",
          [](StreamModel &m) {
              m.idle();
-         },
-         {"", "", "", "", "cancel:1 place:continue", "", "cancel:2 place:continue"}},
-        {"hedge delay over",
+         }},
+        {"hedge due",
          [](StreamModel &m) {
              m.hedgeDue();
-         },
-         {"", "place:hedge", "place:hedge", "place:hedge", "", "", ""}},
-        {"all upstreams gone",
-         [](StreamModel &m) {
-             m.broken(1, BreakKind::NotSent);
-             m.broken(2, BreakKind::NotSent);
-             m.notPlaced(m.assembler().delivered() > 0 ? AttemptPurpose::Continue : AttemptPurpose::Fresh);
-         },
-         {"abort:overloaded", "abort:overloaded", "abort:overloaded", "abort:overloaded", "abort:truncated", "", "abort:truncated"}},
-        {"placement offers a used upstream",
-         [](StreamModel &m) {
-             m.broken(1, BreakKind::NotSent);
-             m.offerUsed();
-         },
-         {"start:50", "abort:unavailable", "abort:truncated", "abort:truncated", "abort:truncated", "", ""}},
-        {"placement offers other weights",
-         [](StreamModel &m) {
-             m.broken(1, BreakKind::NotSent);
-             m.placed(50, m.assembler().delivered() > 0 ? AttemptPurpose::Continue : AttemptPurpose::Fresh, 8);
-         },
-         {"start:50", "start:50", "start:50", "start:50", "abort:truncated", "", ""}},
+         }},
+    };
+}
+
+std::vector<NamedStep> attemptEvents(std::uint64_t id)
+{
+    return {
+        {"sent",
+         [id](StreamModel &m) {
+             m.sent(id);
+         }},
+        {"head",
+         [id](StreamModel &m) {
+             m.head(id);
+         }},
+        {"crossed head",
+         [id](StreamModel &m) {
+             m.head(id, echoOf({3 - id}, planOn(id)));
+         }},
+        {"stale head",
+         [id](StreamModel &m) {
+             m.head(id, echoOf({id}, planOn(id, 6)));
+         }},
+        {"token 0",
+         [id](StreamModel &m) {
+             m.token(id, 0);
+         }},
+        {"token 1",
+         [id](StreamModel &m) {
+             m.token(id, 1);
+         }},
+        {"done",
+         [id](StreamModel &m) {
+             m.done(id, AnswerTokens);
+         }},
+        {"wrong count",
+         [id](StreamModel &m) {
+             m.done(id, 5);
+         }},
+        {"not sent",
+         [id](StreamModel &m) {
+             m.broken(id, BreakKind::NotSent);
+         }},
+        {"refused",
+         [id](StreamModel &m) {
+             m.broken(id, BreakKind::Refused);
+         }},
+        {"lost",
+         [id](StreamModel &m) {
+             m.broken(id, BreakKind::Lost);
+         }},
     };
-    return rows;
+}
+
+std::vector<NamedStep> allEvents()
+{
+    std::vector<NamedStep> all = requestEvents();
+    for (const std::uint64_t id : {1, 2}) {
+        for (NamedStep &it : attemptEvents(id)) {
+            it.name += " of " + std::to_string(id);
+            all.push_back(std::move(it));
+        }
+    }
+    return all;
 }
 
 } // namespace
@@ -257,7 +421,7 @@
 public:
     void testFaultTable()
     {
-        for (const FaultRow &row : faultTable()) {
+        for (const FaultRow &row : FaultTable) {
             for (std::size_t i = 0; i < StateCount; ++i) {
                 const std::string where = std::string(row.name) + " at " + std::string(attemptStateName(AllAttemptStates[i]));
                 StreamModel model;
@@ -342,148 +506,9 @@
     }
 
 private:
-    using Step = std::function<void(StreamModel &)>;
-    struct NamedStep
-    {
-        std::string name;
-        Step apply;
-    };
-
-    static const std::vector<Step> &prefixes()
-    {
-        static const std::vector<Step> steps = [] {
-            std::vector<Step> all;
-            for (const AttemptState state : AllAttemptStates) {
-                all.emplace_back([state](StreamModel &m) {
-                    bringTo(m, state);
-                });
-            }
-            all.emplace_back([](StreamModel &m) { // resuming with one token delivered
-                bringTo(m, AttemptState::Streaming);
-                m.broken(1, BreakKind::Lost);
-            });
-            all.emplace_back([](StreamModel &m) { // continued elsewhere
-                bringTo(m, AttemptState::Streaming);
-                m.broken(1, BreakKind::Refused);
-                m.placed(2, AttemptPurpose::Continue);
-            });
-            all.emplace_back([](StreamModel &m) { // two attempts, both with a head
-                bringTo(m, AttemptState::FirstByte);
-                m.hedgeDue();
-                m.placed(2, AttemptPurpose::Hedge);
-                m.head(2);
-            });
-            all.emplace_back([](StreamModel &m) { // both placements under way
-                bringTo(m, AttemptState::Sent);
-                m.hedgeDue();
-                m.broken(1, BreakKind::Refused);
-            });
-            return all;
-        }();
-        return steps;
-    }
-
-    static const std::vector<NamedStep> &events()
-    {
-        static const std::vector<NamedStep> steps = [] {
-            std::vector<NamedStep> all = {
-                {"start",
-                 [](StreamModel &m) {
-                     m.start();
-                 }},
-                {"placed fresh",
-                 [](StreamModel &m) {
-                     m.placed(2, AttemptPurpose::Fresh);
-                 }},
-                {"placed continue",
-                 [](StreamModel &m) {
-                     m.placed(3, AttemptPurpose::Continue);
-                 }},
-                {"placed continue of other weights",
-                 [](StreamModel &m) {
-                     m.placed(4, AttemptPurpose::Continue, 8);
-                 }},
-                {"placed hedge",
-                 [](StreamModel &m) {
-                     m.placed(2, AttemptPurpose::Hedge);
-                 }},
-                {"placed used",
-                 [](StreamModel &m) {
-                     m.offerUsed();
-                 }},
-                {"not placed",
-                 [](StreamModel &m) {
-                     m.notPlaced(AttemptPurpose::Fresh);
-                 }},
-                {"no hedge",
-                 [](StreamModel &m) {
-                     m.notPlaced(AttemptPurpose::Hedge);
-                 }},
-                {"caller gone",
-                 [](StreamModel &m) {
-                     m.callerGone();
-                 }},
-                {"first token late",
-                 [](StreamModel &m) {
-                     m.tickAt(FirstTokenDeadline);
-                 }},
-                {"deadline",
-                 [](StreamModel &m) {
-                     m.tickAt(Deadline);
-                 }},
-                {"idle",
-                 [](StreamModel &m) {
-                     m.idle();
-                 }},
-                {"hedge due",
-                 [](StreamModel &m) {
-                     m.hedgeDue();
-                 }},
-            };
-            for (const std::uint64_t id : {1, 2}) {
-                const std::string of = " of " + std::to_string(id);
-                all.push_back({"sent" + of, [id](StreamModel &m) {
-                                   m.sent(id);
-                               }});
-                all.push_back({"head" + of, [id](StreamModel &m) {
-                                   m.head(id);
-                               }});
-                all.push_back({"crossed head" + of, [id](StreamModel &m) {
-                                   m.head(id, echoOf({3 - id}, planOn(id)));
-                               }});
-                all.push_back({"stale head" + of, [id](StreamModel &m) {
-                                   m.head(id, echoOf({id}, planOn(id, 6)));
-                               }});
-                all.push_back({"token 0" + of, [id](StreamModel &m) {
-                                   m.token(id, 0);
-                               }});
-                all.push_back({"token 1" + of, [id](StreamModel &m) {
-                                   m.token(id, 1);
-                               }});
-                all.push_back({"done" + of, [id](StreamModel &m) {
-                                   m.done(id, AnswerTokens);
-                               }});
-                all.push_back({"wrong count" + of, [id](StreamModel &m) {
-                                   m.done(id, 5);
-                               }});
-                all.push_back({"not sent" + of, [id](StreamModel &m) {
-                                   m.broken(id, BreakKind::NotSent);
-                               }});
-                all.push_back({"refused" + of, [id](StreamModel &m) {
-                                   m.broken(id, BreakKind::Refused);
-                               }});
-                all.push_back({"lost" + of, [id](StreamModel &m) {
-                                   m.broken(id, BreakKind::Lost);
-                               }});
-            }
-            return all;
-        }();
-        return steps;
-    }
-
     void explore(const StreamModel &from, int depth, const std::string &path, std::size_t &visited)
     {
-        for (const NamedStep &it : events()) {
+        for (const NamedStep &it : m_events) {
             StreamModel model = from;
             it.apply(model);
             ++visited;
@@ -498,6 +523,8 @@
             }
         }
     }
+
+    const std::vector<NamedStep> m_events = allEvents();
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StreamAssemblerTest);
