--- a/carawaylatch/orders/orderguard.h
+++ b/carawaylatch/orders/orderguard.h
@@ -66,8 +66,9 @@
     Sending, // the service has the order, or is about to
     Recording, // outcome write under way
     Waiting, // another attempt holds the claim; read again after a pause
-    Answered,
+    Answered, // stays last
 };
+constexpr std::size_t OrderStepCount = static_cast<std::size_t>(OrderStep::Answered) + 1;
 
 enum class OrderActionKind {
     ReadRecord,
--- /dev/null
+++ b/carawaylatch/orders/testing/fakes.h
@@ -0,0 +1,123 @@
+// Fakes around orders: a service that keeps a journal of what it ran, a chooser
+// over a list, and a liveness table.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "carawaylatch/orders/orderdesk.h"
+
+namespace carawaylatch::orders::testing
+{
+
+enum class ServiceFault {
+    None,
+    Refused, // nothing ran
+    NotSent, // nothing ran
+    AnswerLost, // ran
+    RequestLost, // did not run, and the caller can't tell
+    Crossed, // ran; the answer is that of another attempt
+};
+
+constexpr ServiceFault AllServiceFaults[] = {ServiceFault::None,       ServiceFault::Refused,     ServiceFault::NotSent,
+                                             ServiceFault::AnswerLost, ServiceFault::RequestLost, ServiceFault::Crossed};
+
+// Runs orders in memory. Safe for use from any thread.
+class FakeService : public ServiceConnection
+{
+public:
+    // Decides each call's fate; called without a lock.
+    std::function<ServiceFault(const ServiceRequest &)> fate;
+    // Runs before the call's fate is decided, to interleave other work.
+    std::function<void()> before;
+
+    [[nodiscard]] base::Result<ServiceAnswer> call(const ServiceRequest &request) override
+    {
+        if (before) {
+            before();
+        }
+        const ServiceFault fault = fate ? fate(request) : ServiceFault::None;
+        if (fault == ServiceFault::Refused) {
+            return base::fail(base::ErrorKind::Overloaded, "service is busy");
+        }
+        if (fault == ServiceFault::NotSent) {
+            return base::fail(base::ErrorKind::Unavailable, "service was not reached");
+        }
+        if (fault != ServiceFault::RequestLost) {
+            const std::lock_guard lock(m_mutex);
+            ++m_runs[request.orderKey];
+            m_ran.insert(request.attempt);
+        }
+        if (fault == ServiceFault::AnswerLost || fault == ServiceFault::RequestLost) {
+            return base::fail(base::ErrorKind::Truncated, "connection broke");
+        }
+        ServiceAnswer answer{201, "text/plain", "booked " + request.orderKey + " " + std::to_string(request.attempt.value), request.attempt, {}};
+        answer.attempt.value += fault == ServiceFault::Crossed ? 1 : 0;
+        return answer;
+    }
+
+    [[nodiscard]] int runs(const std::string &orderKey) const
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto it = m_runs.find(orderKey);
+        return it == m_runs.end() ? 0 : it->second;
+    }
+    [[nodiscard]] int mostRuns() const
+    {
+        const std::lock_guard lock(m_mutex);
+        int most = 0;
+        for (const auto &it : m_runs) {
+            most = std::max(most, it.second);
+        }
+        return most;
+    }
+
+private:
+    mutable std::mutex m_mutex;
+    std::map<std::string, int> m_runs; // by order key
+    std::set<base::AttemptId> m_ran;
+};
+
+class FakeChooser : public UpstreamChooser
+{
+public:
+    std::size_t services = 1;
+
+    [[nodiscard]] base::Result<ChosenUpstream> choose(const std::vector<base::UpstreamId> &refused) override
+    {
+        if (refused.size() >= services) {
+            return base::fail(base::ErrorKind::Overloaded, "no service can take the order", base::seconds{2});
+        }
+        return ChosenUpstream{base::UpstreamId("service-" + std::to_string(refused.size())), base::Endpoint{"127.0.0.1", 1}};
+    }
+};
+
+class FakeLiveness : public RouterLiveness
+{
+public:
+    ClaimantLife all = ClaimantLife::Live;
+
+    [[nodiscard]] ClaimantLife life(const base::RouterId & /*router*/, base::Incarnation /*incarnation*/) const override
+    {
+        return all;
+    }
+};
+
+inline OrderRequest makeRequest(const base::Clock &clock, const std::string &key, std::string_view body = "ten tonnes")
+{
+    OrderRequest request;
+    request.customer = base::CustomerId("acme");
+    request.key = key;
+    request.service.method = "POST";
+    request.service.path = "/book";
+    request.service.contentType = "text/plain";
+    request.service.body = body;
+    request.deadline = clock.now() + base::seconds{30};
+    return request;
+}
+
+} // namespace carawaylatch::orders::testing
--- /dev/null
+++ b/carawaylatch/orders/testing/orderdesktest.cpp
@@ -0,0 +1,287 @@
+// OrderDesk over a platform in memory: replays, releases, duties, bounds, and
+// two desks under threads and random faults with the service's journal as judge.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <atomic>
+#include <future>
+#include <memory>
+#include <thread>
+#include <vector>
+
+#include "carawaylatch/base/hash.h"
+#include "carawaylatch/orders/claimjournal.h"
+#include "carawaylatch/orders/orderdesk.h"
+#include "carawaylatch/orders/testing/fakes.h"
+#include "carawaylatch/platform/faultystore.h"
+#include "carawaylatch/platform/memorystore.h"
+#include "testing/seed.h"
+
+namespace carawaylatch::orders::testing
+{
+
+using base::ErrorKind;
+using platform::StoreFault;
+
+namespace
+{
+
+constexpr std::size_t Bound = 4; // of each table, in the test of bounds
+
+} // namespace
+
+class OrderDeskTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(OrderDeskTest);
+    CPPUNIT_TEST(testReplaysAtBothRouters);
+    CPPUNIT_TEST(testNotRunThenSameKeyRuns);
+    CPPUNIT_TEST(testPlatformDownBeforeClaim);
+    CPPUNIT_TEST(testOutcomeReachesPlatformLater);
+    CPPUNIT_TEST(testUnclearClaimIsReopened);
+    CPPUNIT_TEST(testRefusals);
+    CPPUNIT_TEST(testTriesAnotherServiceOnlyAfterRefusal);
+    CPPUNIT_TEST(testDuplicatesWaitForFirst);
+    CPPUNIT_TEST(testBounds);
+    CPPUNIT_TEST(testStormOfFaultsAndDuplicates);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        m_settings.sleep = [this](base::Duration pause) {
+            m_clock.advance(pause);
+        };
+        makeDesks(m_clock);
+    }
+
+    void testReplaysAtBothRouters()
+    {
+        const auto first = runAt(*m_one, "k");
+        CPPUNIT_ASSERT(first.kind == OrderAnswerKind::Done && first.attempt == AttemptFate::Ran);
+        for (OrderDesk *desk : {m_one.get(), m_two.get()}) {
+            const auto again = runAt(*desk, "k");
+            CPPUNIT_ASSERT(again.kind == OrderAnswerKind::Done && again.attempt == AttemptFate::NotRun);
+            CPPUNIT_ASSERT(again.answer == first.answer);
+        }
+        CPPUNIT_ASSERT_EQUAL(1, m_service.runs("acme/k"));
+        CPPUNIT_ASSERT(m_one->counters().done == 1 && m_one->counters().replayed == 1);
+    }
+
+    // A refused order: NotRun, closed for duplicates, reopened, and then run.
+    void testNotRunThenSameKeyRuns()
+    {
+        m_service.fate = [](const ServiceRequest &) {
+            return ServiceFault::Refused;
+        };
+        const auto refused = runAt(*m_one, "k");
+        CPPUNIT_ASSERT(refused.kind == OrderAnswerKind::NotRun && refused.error.retryAfter >= base::seconds{1});
+        m_service.fate = nullptr;
+        CPPUNIT_ASSERT(runAt(*m_one, "k").kind == OrderAnswerKind::NotRun);
+        CPPUNIT_ASSERT(runAt(*m_two, "k").kind == OrderAnswerKind::Running);
+        CPPUNIT_ASSERT_EQUAL(0, m_service.runs("acme/k"));
+
+        m_clock.advance(refused.error.retryAfter);
+        m_one->step();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_one->counters().duties);
+        const auto bounced = runAt(*m_two, "k");
+        CPPUNIT_ASSERT(bounced.kind == OrderAnswerKind::Unknown && bounced.attempt == AttemptFate::NotRun);
+        CPPUNIT_ASSERT(runAt(*m_two, "k").kind == OrderAnswerKind::Done);
+        CPPUNIT_ASSERT(runAt(*m_one, "k").kind == OrderAnswerKind::Done);
+        CPPUNIT_ASSERT_EQUAL(1, m_service.runs("acme/k"));
+    }
+
+    void testPlatformDownBeforeClaim()
+    {
+        m_faulty.inject(StoreFault::Down);
+        const base::TimePoint start = m_clock.now();
+        const auto answer = runAt(*m_one, "k");
+        CPPUNIT_ASSERT(answer.kind == OrderAnswerKind::Unknown && answer.attempt == AttemptFate::NotRun);
+        CPPUNIT_ASSERT(answer.error.kind == ErrorKind::Unavailable && answer.error.retryAfter > base::Duration{});
+        CPPUNIT_ASSERT_MESSAGE("refused at once", m_clock.now() == start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_one->counters().duties);
+        m_faulty.inject(StoreFault::None);
+        CPPUNIT_ASSERT(runAt(*m_two, "k").kind == OrderAnswerKind::Done);
+    }
+
+    void testOutcomeReachesPlatformLater()
+    {
+        for (const StoreFault fault : {StoreFault::Down, StoreFault::AnswerLost, StoreFault::RequestLost}) {
+            const std::string key = "k" + std::to_string(static_cast<int>(fault));
+            m_service.before = [this, fault] {
+                m_faulty.inject(fault);
+            };
+            const auto answer = runAt(*m_one, key);
+            m_service.before = nullptr;
+            CPPUNIT_ASSERT(answer.kind == OrderAnswerKind::Done);
+            m_one->step();
+            CPPUNIT_ASSERT(runAt(*m_one, key).answer == answer.answer);
+            m_faulty.inject(StoreFault::None);
+            m_clock.advance(base::seconds{2});
+            m_one->step();
+            CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_one->counters().duties);
+            CPPUNIT_ASSERT(runAt(*m_two, key).answer == answer.answer);
+            CPPUNIT_ASSERT_EQUAL(1, m_service.runs("acme/" + key));
+        }
+    }
+
+    // The claim took effect, its answer was lost and the platform went down.
+    void testUnclearClaimIsReopened()
+    {
+        for (const StoreFault fault : {StoreFault::AnswerLost, StoreFault::RequestLost}) {
+            const std::string key = "k" + std::to_string(static_cast<int>(fault));
+            m_faulty.inject(fault);
+            const auto answer = runAt(*m_one, key);
+            CPPUNIT_ASSERT(answer.kind == OrderAnswerKind::Unknown && answer.attempt == AttemptFate::NotRun);
+            CPPUNIT_ASSERT(runAt(*m_one, key).kind == OrderAnswerKind::Unknown);
+            m_faulty.inject(StoreFault::None);
+            CPPUNIT_ASSERT(m_one->flush());
+            CPPUNIT_ASSERT(runAt(*m_one, key).kind == OrderAnswerKind::Done);
+            CPPUNIT_ASSERT_EQUAL(1, m_service.runs("acme/" + key));
+        }
+    }
+
+    void testRefusals()
+    {
+        CPPUNIT_ASSERT(runAt(*m_one, "").kind == OrderAnswerKind::Refused);
+        CPPUNIT_ASSERT(runAt(*m_one, std::string(MaxKeyBytes + 1, 'k')).kind == OrderAnswerKind::Refused);
+        CPPUNIT_ASSERT(runAt(*m_one, "k").kind == OrderAnswerKind::Done);
+        for (OrderDesk *desk : {m_one.get(), m_two.get()}) {
+            const auto other = desk->run(makeRequest(m_clock, "k", "eleven tonnes"), m_service, m_chooser);
+            CPPUNIT_ASSERT(other.kind == OrderAnswerKind::Refused && other.error.kind == ErrorKind::InvalidArgument);
+        }
+        CPPUNIT_ASSERT_EQUAL(1, m_service.mostRuns());
+    }
+
+    void testTriesAnotherServiceOnlyAfterRefusal()
+    {
+        m_chooser.services = 2;
+        for (const ServiceFault fault : AllServiceFaults) {
+            const std::string key = "k" + std::to_string(static_cast<int>(fault));
+            std::atomic<int> calls = 0;
+            m_service.fate = [&calls, fault](const ServiceRequest &) {
+                return calls++ == 0 ? fault : ServiceFault::None;
+            };
+            const auto answer = runAt(*m_one, key);
+            const bool isProvablyUnrun = fault == ServiceFault::Refused || fault == ServiceFault::NotSent;
+            CPPUNIT_ASSERT_EQUAL(isProvablyUnrun ? 2 : 1, calls.load());
+            CPPUNIT_ASSERT(answer.kind == (isProvablyUnrun || fault == ServiceFault::None ? OrderAnswerKind::Done : OrderAnswerKind::Unknown));
+            CPPUNIT_ASSERT(runAt(*m_two, key).kind == answer.kind);
+            CPPUNIT_ASSERT(m_service.runs("acme/" + key) <= 1);
+        }
+    }
+
+    void testDuplicatesWaitForFirst()
+    {
+        std::promise<void> entered;
+        std::promise<void> release;
+        m_service.before = [&entered, &release] {
+            entered.set_value();
+            release.get_future().wait();
+        };
+        auto first = std::async(std::launch::async, [this] {
+            return runAt(*m_one, "k");
+        });
+        entered.get_future().wait();
+        CPPUNIT_ASSERT(m_one->run(makeRequest(m_clock, "k", "other"), m_service, m_chooser).kind == OrderAnswerKind::Refused);
+        OrderRequest hurried = makeRequest(m_clock, "k");
+        hurried.deadline = m_clock.now();
+        CPPUNIT_ASSERT(m_one->run(hurried, m_service, m_chooser).kind == OrderAnswerKind::Running);
+        auto second = std::async(std::launch::async, [this] {
+            return runAt(*m_one, "k");
+        });
+        release.set_value();
+        const auto answer = first.get();
+        CPPUNIT_ASSERT(answer.kind == OrderAnswerKind::Done);
+        CPPUNIT_ASSERT(second.get().answer == answer.answer);
+        CPPUNIT_ASSERT_EQUAL(1, m_service.runs("acme/k"));
+    }
+
+    void testBounds()
+    {
+        m_settings.maxDuties = Bound;
+        makeDesks(m_clock);
+        m_service.before = [this] {
+            m_faulty.inject(StoreFault::Down);
+        };
+        for (std::size_t i = 0; i < Bound; ++i) {
+            m_faulty.inject(StoreFault::None);
+            CPPUNIT_ASSERT(runAt(*m_one, std::to_string(i)).kind == OrderAnswerKind::Done);
+        }
+        const auto refused = runAt(*m_one, "one more");
+        CPPUNIT_ASSERT(refused.error.kind == ErrorKind::Overloaded && refused.attempt == AttemptFate::NotRun);
+        CPPUNIT_ASSERT_EQUAL(Bound, m_one->counters().duties);
+    }
+
+    // Threads at two desks use few keys under random faults of platform and service.
+    void testStormOfFaultsAndDuplicates()
+    {
+        constexpr int Threads = 6;
+        constexpr int OrdersOfThread = 200;
+        constexpr std::uint64_t Keys = 60;
+        const base::SteadyClock clock;
+        m_settings.sleep = nullptr;
+        m_settings.dutyRetry = {};
+        m_settings.guard.firstPause = base::microseconds{50};
+        m_settings.guard.longestWait = base::milliseconds{1};
+        m_settings.guard.retryAfter = base::microseconds{100};
+        makeDesks(clock);
+        std::atomic<std::uint64_t> draws = 0;
+        m_service.fate = [&draws](const ServiceRequest &) {
+            base::Random random(base::combineHashes(carawaylatch::testing::seed(), ++draws));
+            return random.below(3) == 0 ? AllServiceFaults[random.below(std::size(AllServiceFaults))] : ServiceFault::None;
+        };
+        std::atomic<int> finished = 0;
+        std::atomic<int> falseAnswers = 0;
+        std::vector<std::thread> threads;
+        for (int i = 0; i < Threads; ++i) {
+            threads.emplace_back([&, i] {
+                base::Random random(carawaylatch::testing::seed() + static_cast<std::uint64_t>(i));
+                for (int n = 0; n < OrdersOfThread; ++n) {
+                    const std::string key = std::to_string(random.below(Keys));
+                    m_faulty.inject(platform::AllStoreFaults[random.below(4)], random.below(4), random.below(4));
+                    OrderDesk &desk = i % 2 == 0 ? *m_one : *m_two;
+                    const auto answer = desk.run(makeRequest(clock, key), m_service, m_chooser);
+                    const bool isDone = answer.kind == OrderAnswerKind::Done;
+                    falseAnswers += isDone && m_service.runs("acme/" + key) != 1 ? 1 : 0;
+                }
+                ++finished;
+            });
+        }
+        while (finished < Threads) {
+            m_one->step();
+            m_two->step();
+        }
+        for (std::thread &it : threads) {
+            it.join();
+        }
+        m_faulty.inject(StoreFault::None);
+        CPPUNIT_ASSERT(m_one->flush() && m_two->flush());
+        CPPUNIT_ASSERT_EQUAL(1, m_service.mostRuns());
+        CPPUNIT_ASSERT_EQUAL(0, falseAnswers.load());
+    }
+
+private:
+    void makeDesks(const base::Clock &clock)
+    {
+        m_one = std::make_unique<OrderDesk>(base::RouterId("r1"), base::Incarnation{11}, m_store, m_liveness, clock, m_settings);
+        m_two = std::make_unique<OrderDesk>(base::RouterId("r2"), base::Incarnation{22}, m_store, m_liveness, clock, m_settings);
+    }
+    OrderAnswer runAt(OrderDesk &desk, const std::string &key)
+    {
+        return desk.run(makeRequest(m_clock, key), m_service, m_chooser);
+    }
+
+    platform::MemoryStore m_platform;
+    platform::FaultyStore m_faulty{m_platform};
+    SingleClaimStore m_store{m_faulty};
+    FakeLiveness m_liveness;
+    FakeService m_service;
+    FakeChooser m_chooser;
+    base::ManualClock m_clock;
+    DeskSettings m_settings;
+    std::unique_ptr<OrderDesk> m_one;
+    std::unique_ptr<OrderDesk> m_two;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(OrderDeskTest);
+
+} // namespace carawaylatch::orders::testing
--- /dev/null
+++ b/carawaylatch/orders/testing/retentiontest.cpp
@@ -0,0 +1,205 @@
+// Retention: epochs by monotonic time, pruning, and duplicates after it, also when
+// the pruner acts in the middle of a claim.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <functional>
+
+#include "carawaylatch/orders/orderdesk.h"
+#include "carawaylatch/orders/retention.h"
+#include "carawaylatch/orders/testing/fakes.h"
+#include "carawaylatch/platform/faultystore.h"
+#include "carawaylatch/platform/memorystore.h"
+
+namespace carawaylatch::orders::testing
+{
+
+using platform::StoreFault;
+
+namespace
+{
+
+// Runs a hook before the n-th call.
+class HookedStore : public platform::FaultyStore
+{
+public:
+    using FaultyStore::FaultyStore;
+    std::function<void()> hook;
+    int callsUntilHook = -1;
+
+    base::Result<platform::Object> read(std::string_view name) override
+    {
+        tick();
+        return FaultyStore::read(name);
+    }
+    base::Result<platform::Version> write(std::string_view name, std::string_view value, platform::Version expected) override
+    {
+        tick();
+        return FaultyStore::write(name, value, expected);
+    }
+
+private:
+    void tick()
+    {
+        if (callsUntilHook >= 0 && callsUntilHook-- == 0) {
+            hook();
+        }
+    }
+};
+
+} // namespace
+
+class RetentionTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RetentionTest);
+    CPPUNIT_TEST(testEpochNeedsWholeLengthSeen);
+    CPPUNIT_TEST(testDuplicateAfterPruning);
+    CPPUNIT_TEST(testPrunerBetweenAnyTwoCallsOfDuplicate);
+    CPPUNIT_TEST(testPrunerBetweenClaimAndItsCheck);
+    CPPUNIT_TEST(testFaultsOfPruner);
+    CPPUNIT_TEST(testClosedSetIsBounded);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void testEpochNeedsWholeLengthSeen()
+    {
+        RecordPruner one(m_platform, m_settings);
+        RecordPruner two(m_platform, m_settings);
+        base::TimePoint now{base::hours{1}};
+        one.step(now);
+        one.step(now);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, one.epoch());
+        two.step(now + m_settings.epoch / 2);
+        one.step(now + m_settings.epoch);
+        two.step(now + m_settings.epoch);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, two.epoch());
+        two.step(now + m_settings.epoch * 3 / 2);
+        two.step(now + m_settings.epoch * 3 / 2);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, two.epoch());
+    }
+
+    void testDuplicateAfterPruning()
+    {
+        CPPUNIT_ASSERT(order().kind == OrderAnswerKind::Done);
+        passEpochs(m_settings.keepEpochs);
+        CPPUNIT_ASSERT_MESSAGE("kept for the whole retention", order().kind == OrderAnswerKind::Done);
+        passEpochs(3);
+        CPPUNIT_ASSERT(m_platform.list("order/").value().written.empty());
+        const auto late = order();
+        CPPUNIT_ASSERT(late.kind == OrderAnswerKind::Unknown && late.attempt == AttemptFate::NotRun);
+        CPPUNIT_ASSERT_EQUAL(1, m_service.runs("acme/k"));
+    }
+
+    // A duplicate meets the pruner before its claim, and between claim and reading.
+    void testPrunerBetweenAnyTwoCallsOfDuplicate()
+    {
+        for (const int call : {0, 1}) {
+            platform::MemoryStore memory;
+            const int runs = m_service.runs("acme/k");
+            CPPUNIT_ASSERT(orderOver(memory).kind == OrderAnswerKind::Done);
+            CPPUNIT_ASSERT(orderWhilePruned(memory, call).kind == OrderAnswerKind::Unknown);
+            CPPUNIT_ASSERT(orderOver(memory).kind == OrderAnswerKind::Unknown);
+            CPPUNIT_ASSERT_EQUAL(runs + 1, m_service.runs("acme/k"));
+        }
+    }
+
+    // A claim of a router that was paused for the whole retention is pruned before
+    // it is confirmed.
+    void testPrunerBetweenClaimAndItsCheck()
+    {
+        platform::MemoryStore memory;
+        CPPUNIT_ASSERT(orderWhilePruned(memory, 1).kind == OrderAnswerKind::Unknown);
+        CPPUNIT_ASSERT(orderOver(memory).kind == OrderAnswerKind::Unknown);
+        CPPUNIT_ASSERT_EQUAL(0, m_service.runs("acme/k"));
+    }
+
+    void testFaultsOfPruner()
+    {
+        for (const StoreFault fault : platform::AllStoreFaults) {
+            for (std::uint64_t skip = 0; skip < 5; ++skip) {
+                platform::MemoryStore memory;
+                (void)orderOver(memory);
+                const int runs = m_service.runs("acme/k");
+                platform::FaultyStore faulty(memory);
+                RecordPruner pruner(faulty, m_settings);
+                passEpochs(pruner, m_settings.keepEpochs + 1);
+                for (int i = 0; i < 2 * static_cast<int>(ClosedRanges); ++i) {
+                    faulty.inject(fault, 1, skip);
+                    pruner.step(m_now);
+                }
+                (void)orderOver(memory);
+                CPPUNIT_ASSERT_EQUAL(runs, m_service.runs("acme/k"));
+            }
+        }
+    }
+
+    void testClosedSetIsBounded()
+    {
+        std::vector<std::uint64_t> digests(MaxClosedPerRange);
+        for (std::size_t i = 0; i < digests.size(); ++i) {
+            digests[i] = i * 3;
+        }
+        ClosedSet closed;
+        CPPUNIT_ASSERT(closed.add(digests));
+        const std::uint64_t known[] = {3};
+        const std::uint64_t fresh[] = {4};
+        CPPUNIT_ASSERT(closed.add(known) && !closed.add(fresh));
+        CPPUNIT_ASSERT(closed.contains(3) && !closed.contains(4));
+        CPPUNIT_ASSERT(closed.encode().size() <= platform::MaxValueBytes);
+        CPPUNIT_ASSERT(ClosedSet::decode(closed.encode()).value().contains(3));
+    }
+
+private:
+    OrderAnswer order()
+    {
+        return orderOver(m_platform);
+    }
+    OrderAnswer orderOver(platform::ObjectStore &store)
+    {
+        SingleClaimStore claims(store);
+        OrderDesk desk(base::RouterId("r1"), base::Incarnation{++m_incarnation}, claims, m_liveness, m_clock);
+        desk.setEpoch(m_pruner.epoch());
+        return desk.run(makeRequest(m_clock, "k"), m_service, m_chooser);
+    }
+    // Prunes everything before the given call of an order.
+    OrderAnswer orderWhilePruned(platform::MemoryStore &memory, int call)
+    {
+        HookedStore hooked(memory);
+        hooked.callsUntilHook = call;
+        hooked.hook = [this, &memory] {
+            RecordPruner pruner(memory, m_settings);
+            passEpochs(pruner, 2 * m_settings.keepEpochs);
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, pruner.counters().pruned);
+        };
+        return orderOver(hooked);
+    }
+    void passEpochs(std::uint64_t epochs)
+    {
+        passEpochs(m_pruner, epochs);
+    }
+    // Each epoch one step advances, one reads; then a whole round of all ranges.
+    void passEpochs(RecordPruner &pruner, std::uint64_t epochs)
+    {
+        for (std::uint64_t i = 0; i < epochs; ++i) {
+            m_now += m_settings.epoch;
+            pruner.step(m_now);
+            pruner.step(m_now);
+        }
+        for (std::uint32_t i = 0; i < ClosedRanges; ++i) {
+            pruner.step(m_now);
+        }
+    }
+
+    platform::MemoryStore m_platform;
+    RetentionSettings m_settings{base::hours{1}, 5, 200};
+    RecordPruner m_pruner{m_platform, m_settings};
+    FakeLiveness m_liveness;
+    FakeService m_service;
+    FakeChooser m_chooser;
+    base::ManualClock m_clock;
+    base::TimePoint m_now{base::hours{1}};
+    std::uint64_t m_incarnation = 0;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RetentionTest);
+
+} // namespace carawaylatch::orders::testing
