--- /dev/null
+++ b/carawaylatch/membership/memberlist.cpp
@@ -0,0 +1,379 @@
+// Events of the member list: what arrives, and what follows from it.
+//
+// News travel as records on probes and answers, each record on a few times the
+// logarithm of the number of members messages, as in SWIM. Every message names
+// its sender's own record and, if the receiver is thought suspect or dead, the
+// receiver's, so that a router hears at once what it has to refute.
+//
+// Tables that still differ after news have settled are compared page by page.
+// Dead members don't count there: how long they are remembered differs from
+// router to router, and old ones must not come back by comparison. Who is told a
+// record that its own supersedes says so again, so that a death gets everywhere.
+#include "carawaylatch/membership/memberlist.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace carawaylatch::membership
+{
+
+using base::TimePoint;
+
+namespace
+{
+
+std::uint64_t recordHash(const MemberRecord &record)
+{
+    if (record.state == MemberState::Dead) {
+        return 0;
+    }
+    const auto version = base::combineHashes(record.life, static_cast<std::uint64_t>(record.state));
+    return base::combineHashes(base::hash64(record.id.value()), version);
+}
+
+MemberAddress recordAddress(const MemberRecord &record)
+{
+    return {record.id, record.endpoint};
+}
+
+} // namespace
+
+MemberList::MemberList(MemberListOptions options, MemberRecord self, TimePoint now)
+    : m_options(options)
+    , m_self(std::move(self))
+    , m_random(base::combineHashes(options.seed, base::hash64(m_self.id.value())))
+    , m_digest{recordHash(m_self), 1}
+    , m_nextHeartbeat(now + options.heartbeat * static_cast<std::int64_t>(m_random.below(16)) / 16)
+    , m_nextReshuffle(now + options.reshuffle)
+    , m_nextReconnect(now)
+    , m_syncAskedAt(now - options.repair)
+    , m_lastNewsAt(now)
+    , m_lastTick(now)
+{
+    announce(m_self.id);
+}
+
+void MemberList::onSeeds(std::span<const base::Endpoint> seeds)
+{
+    m_seeds.clear();
+    for (const auto &it : seeds) {
+        if (it != m_self.endpoint && m_seeds.size() < m_options.maxMembers) {
+            m_seeds.insert(it);
+        }
+    }
+}
+
+void MemberList::onRecords(std::span<const MemberRecord> records, TimePoint now)
+{
+    for (const auto &it : records) {
+        merge(it, Spread::No, now);
+    }
+}
+
+void MemberList::onMessage(const MemberMessage &message, TimePoint now)
+{
+    if (m_isDeparted) {
+        return;
+    }
+    std::visit(
+        [&](const auto &it) {
+            absorb(it.gossip, now);
+            handle(it, now);
+        },
+        message);
+}
+
+void MemberList::handle(const Probe &message, TimePoint now)
+{
+    const auto from = recordAddress(message.gossip.self);
+    send(from, ProbeAck{message.number, m_self.id, makeGossip(from.id)});
+    syncWith(message.gossip, now);
+}
+
+void MemberList::handle(const ProbeAck &message, TimePoint now)
+{
+    m_pending.erase(message.number);
+    if (const auto it = m_relayed.find(message.number); it != m_relayed.end()) {
+        send(it->second.asker, ProbeAck{it->second.number, message.subject, makeGossip(it->second.asker.id)});
+        m_relayed.erase(it);
+    }
+    syncWith(message.gossip, now);
+}
+
+void MemberList::handle(const IndirectProbe &message, TimePoint now)
+{
+    if (m_relayed.size() >= m_options.maxMembers) {
+        return;
+    }
+    const auto number = ++m_lastNumber;
+    m_relayed[number] = {message.number, recordAddress(message.gossip.self), now};
+    send(recordAddress(message.target), Probe{number, makeGossip(message.target.id)});
+}
+
+void MemberList::handle(const TableRequest &message, TimePoint)
+{
+    TablePage page;
+    auto it = m_members.upper_bound(message.cursor);
+    for (; it != m_members.end() && page.records.size() < m_options.pageRecords; ++it) {
+        if (it->second.record.state != MemberState::Dead) {
+            page.records.push_back(it->second.record);
+        }
+    }
+    if (it != m_members.end() && !page.records.empty()) {
+        page.cursor = page.records.back().id;
+    }
+    const auto from = recordAddress(message.gossip.self);
+    page.gossip = makeGossip(from.id);
+    send(from, std::move(page));
+}
+
+void MemberList::handle(const TablePage &message, TimePoint now)
+{
+    const auto spread = isJoining(message.gossip.digest) ? Spread::No : Spread::Yes;
+    for (const auto &it : message.records) {
+        merge(it, spread, now);
+    }
+    pushUnknown(message);
+    m_syncCursor = message.cursor;
+    if (!m_syncCursor.isEmpty() && isJoining(message.gossip.digest)) {
+        askPage(recordAddress(message.gossip.self), now);
+    }
+}
+
+// Spreads what a page's sender should have had in it.
+void MemberList::pushUnknown(const TablePage &page)
+{
+    auto it = m_members.upper_bound(m_syncCursor);
+    for (; it != m_members.end() && (page.cursor.isEmpty() || it->first <= page.cursor); ++it) {
+        const auto held = std::find_if(page.records.begin(), page.records.end(), [&](const MemberRecord &record) {
+            return record.id == it->first;
+        });
+        const bool isKnownThere = held != page.records.end() || it->first == page.gossip.self.id;
+        if (!isKnownThere && it->second.record.state != MemberState::Dead) {
+            announce(it->first);
+        }
+    }
+}
+
+void MemberList::absorb(const Gossip &gossip, TimePoint now)
+{
+    merge(gossip.self, Spread::Yes, now);
+    for (const auto &it : gossip.updates) {
+        merge(it, Spread::Yes, now);
+    }
+    if (const auto it = m_members.find(gossip.self.id); it != m_members.end()) {
+        if (it->second.revision < gossip.revision) {
+            it->second.revision = gossip.revision;
+            m_view.reset();
+        }
+        m_actions.emplace_back(RevisionSeen{gossip.self.id, gossip.revision});
+    }
+}
+
+void MemberList::merge(const MemberRecord &record, Spread spread, TimePoint now)
+{
+    if (record.id == m_self.id) {
+        mergeSelf(record, now);
+        return;
+    }
+    const auto it = m_members.find(record.id);
+    if (it != m_members.end()) {
+        if (supersedes(record, it->second.record)) {
+            store(it->second, record, spread, now);
+        } else if (supersedes(it->second.record, record)) {
+            announce(record.id);
+        }
+        return;
+    }
+    if (record.state == MemberState::Dead || record.id.isEmpty()) {
+        return; // nothing to forget
+    }
+    if (m_members.size() >= m_options.maxMembers) {
+        forgetDead(now);
+    }
+    if (m_members.size() < m_options.maxMembers) {
+        auto &member = m_members[record.id];
+        member.record.state = MemberState::Dead;
+        store(member, record, spread, now);
+    }
+}
+
+// Hears what others say of this router, and goes beyond it if it is not so.
+void MemberList::mergeSelf(const MemberRecord &record, TimePoint now)
+{
+    const bool isOwn = record.incarnation == m_self.incarnation && record.life == m_self.life;
+    const bool isFalse = record.life > m_self.life || (record.life == m_self.life && (!isOwn || record.state > m_self.state));
+    if (!isFalse || m_isDeparted) {
+        return;
+    }
+    m_digest.hash ^= recordHash(m_self);
+    m_self.life = record.life + 1;
+    m_digest.hash ^= recordHash(m_self);
+    m_lastNewsAt = now;
+    m_view.reset();
+    announce(m_self.id);
+}
+
+void MemberList::store(Member &member, const MemberRecord &record, Spread spread, TimePoint now)
+{
+    const bool wasGone = member.record.state == MemberState::Dead;
+    const bool isGone = record.state == MemberState::Dead;
+    m_digest.hash ^= recordHash(member.record) ^ recordHash(record);
+    m_digest.count += (wasGone ? 1U : 0U) - (isGone ? 1U : 0U);
+    member.record = record;
+    member.since = now;
+    m_isProbedStale = m_isProbedStale || wasGone != isGone;
+    m_lastNewsAt = now;
+    m_view.reset();
+    m_actions.emplace_back(MemberChanged{record});
+    if (spread == Spread::Yes) {
+        announce(record.id);
+    }
+}
+
+void MemberList::setState(Member &member, MemberState state, TimePoint now)
+{
+    auto record = member.record;
+    record.state = state;
+    store(member, record, Spread::Yes, now);
+}
+
+// Compares tables where digests differ: at once while this router joins, else only
+// after news have settled, since news under way make digests differ all the time.
+void MemberList::syncWith(const Gossip &gossip, TimePoint now)
+{
+    const auto own = digest();
+    if (gossip.digest == own) {
+        return;
+    }
+    const bool isDue = isJoining(gossip.digest) || now >= m_lastNewsAt + m_options.quiet;
+    if (isDue && now >= m_syncAskedAt + m_options.repair) {
+        askPage(recordAddress(gossip.self), now);
+    }
+}
+
+void MemberList::askPage(const MemberAddress &from, TimePoint now)
+{
+    m_syncAskedAt = now;
+    send(from, TableRequest{m_syncCursor, makeGossip(from.id)});
+}
+
+bool MemberList::isJoining(const MemberDigest &other) const
+{
+    return digest().count * 2 < other.count;
+}
+
+void MemberList::setRevision(base::Revision revision)
+{
+    m_revision = revision;
+    m_view.reset();
+}
+
+void MemberList::leave(TimePoint now)
+{
+    if (m_self.state == MemberState::Alive) {
+        m_digest.hash ^= recordHash(m_self);
+        m_self.state = MemberState::Leaving;
+        m_digest.hash ^= recordHash(m_self);
+        m_lastNewsAt = now;
+        m_view.reset();
+        announce(m_self.id);
+    }
+}
+
+void MemberList::depart(TimePoint now)
+{
+    if (m_isDeparted) {
+        return;
+    }
+    m_digest.hash ^= recordHash(m_self);
+    m_self.state = MemberState::Dead;
+    m_lastNewsAt = now;
+    announce(m_self.id);
+    for (const auto &it : m_probed) {
+        if (const auto *record = find(it); record != nullptr) {
+            send(recordAddress(*record), Probe{++m_lastNumber, makeGossip(it)});
+        }
+    }
+    m_isDeparted = true;
+}
+
+std::vector<MemberAction> MemberList::takeActions()
+{
+    return std::exchange(m_actions, {});
+}
+
+const MemberRecord &MemberList::self() const
+{
+    return m_self;
+}
+
+std::vector<base::RouterId> MemberList::probed() const
+{
+    return m_probed;
+}
+
+std::vector<MemberRecord> MemberList::records() const
+{
+    std::vector<MemberRecord> records{m_self};
+    for (const auto &it : m_members) {
+        records.push_back(it.second.record);
+    }
+    return records;
+}
+
+MemberDigest MemberList::digest() const
+{
+    return m_digest;
+}
+
+std::shared_ptr<const MembershipView> MemberList::view() const
+{
+    if (m_view == nullptr) {
+        auto view = std::make_shared<MembershipView>();
+        view->self = m_self.id;
+        bool isSelfIn = false;
+        const auto addSelf = [&] {
+            view->members.push_back({m_self, m_revision});
+            isSelfIn = true;
+        };
+        for (const auto &[id, member] : m_members) {
+            if (!isSelfIn && m_self.id < id) {
+                addSelf();
+            }
+            if (member.record.state != MemberState::Dead) {
+                view->members.push_back({member.record, member.revision});
+            }
+        }
+        if (!isSelfIn) {
+            addSelf();
+        }
+        m_view = std::move(view);
+    }
+    return m_view;
+}
+
+const MemberRecord *MemberList::find(const base::RouterId &id) const
+{
+    if (id == m_self.id) {
+        return &m_self;
+    }
+    const auto it = m_members.find(id);
+    return it == m_members.end() ? nullptr : &it->second.record;
+}
+
+// Begins to tell others of a record, or begins again.
+void MemberList::announce(const base::RouterId &id)
+{
+    const auto [it, isNew] = m_sent.insert_or_assign(id, 0);
+    if (isNew) {
+        m_updates.push_front(id);
+    }
+}
+
+void MemberList::send(const MemberAddress &to, MemberMessage message)
+{
+    m_actions.emplace_back(SendMember{to, std::move(message)});
+}
+
+} // namespace carawaylatch::membership
--- a/carawaylatch/membership/memberlist.h
+++ b/carawaylatch/membership/memberlist.h
@@ -39,16 +39,18 @@
 struct MemberListOptions
 {
     base::Duration heartbeat = base::milliseconds{500}; // one probe each
-    base::Duration probeTimeout = base::milliseconds{200}; // until others are asked
-    base::Duration suspicion = base::seconds{2}; // until a suspect is dead
+    base::Duration probeTimeout = base::milliseconds{200}; // until others are asked; below heartbeat
+    base::Duration suspicion = base::seconds{2}; // until a suspect is dead; grows with the logarithm of the members
     base::Duration reshuffle = base::seconds{10}; // until one of the probed is exchanged
     base::Duration reconnect = base::seconds{2}; // between probes of a dead member or seed
-    base::Duration deadRetention = base::hours{24}; // then a dead member is forgotten
+    base::Duration deadRetention = base::hours{2}; // then a dead member is forgotten
+    base::Duration repair = base::seconds{1}; // between pages asked for while tables differ
+    base::Duration quiet = base::seconds{10}; // without news until differing tables are compared
     std::uint32_t ringProbes = 2; // next routers in hash order
     std::uint32_t randomProbes = 6;
     std::uint32_t indirectProbes = 3; // routers asked to probe another
     std::uint32_t maxUpdates = 12; // records on one message
-    std::uint32_t pageRecords = 100; // records on one page of the table
+    std::uint32_t pageRecords = 40; // records on one page of the table
     std::size_t maxMembers = 8'192; // beyond it the longest dead are forgotten, then news of new ones dropped
     std::uint64_t seed = 1; // of random choices
 };
@@ -157,10 +159,10 @@
         MemberAddress asker;
         base::TimePoint sentAt;
     };
-    struct Update
-    {
-        base::RouterId id;
-        std::uint32_t sent = 0; // how often
+    // Whether a record taken over is told to others.
+    enum class Spread {
+        Yes,
+        No,
     };
 
     void handle(const Probe &message, base::TimePoint now);
@@ -169,9 +171,9 @@
     void handle(const TableRequest &message, base::TimePoint now);
     void handle(const TablePage &message, base::TimePoint now);
     void absorb(const Gossip &gossip, base::TimePoint now);
-    void merge(const MemberRecord &record, base::TimePoint now);
-    void mergeSelf(const MemberRecord &record);
-    void store(Member &member, const MemberRecord &record, base::TimePoint now);
+    void merge(const MemberRecord &record, Spread spread, base::TimePoint now);
+    void mergeSelf(const MemberRecord &record, base::TimePoint now);
+    void store(Member &member, const MemberRecord &record, Spread spread, base::TimePoint now);
     void setState(Member &member, MemberState state, base::TimePoint now);
     void announce(const base::RouterId &id);
     void send(const MemberAddress &to, MemberMessage message);
@@ -186,14 +188,22 @@
     void chooseProbed();
     void exchangeProbed();
     void syncWith(const Gossip &gossip, base::TimePoint now);
-    [[nodiscard]] std::vector<base::RouterId> others(MemberState last) const;
+    void askPage(const MemberAddress &from, base::TimePoint now);
+    [[nodiscard]] bool isJoining(const MemberDigest &other) const;
+    void pushUnknown(const TablePage &page);
+    [[nodiscard]] const MemberRecord *find(const base::RouterId &id) const;
+    void resumeAfterFreeze(base::TimePoint now);
+    [[nodiscard]] base::Duration suspicionTime() const;
+    void askOthers(std::uint64_t number, const MemberRecord &target);
+    [[nodiscard]] MemberAddress addressOf(const base::RouterId &id) const;
+    [[nodiscard]] bool isProbeable(const base::RouterId &id) const;
 
     MemberListOptions m_options;
     MemberRecord m_self;
     base::Revision m_revision;
     base::Random m_random;
     std::map<base::RouterId, Member> m_members; // without this router; at most maxMembers
-    std::uint64_t m_hash = 0; // of all records, this router's included; see MemberDigest
+    MemberDigest m_digest; // of all records but dead ones, this router's included
     std::set<base::Endpoint> m_seeds; // that are no members
     std::vector<base::RouterId> m_probed;
     std::size_t m_nextProbed = 0;
@@ -201,11 +211,16 @@
     std::map<std::uint64_t, Pending> m_pending; // by number; ends within two heartbeats
     std::map<std::uint64_t, Relayed> m_relayed; // by own number; ends within two heartbeats
     std::uint64_t m_lastNumber = 0;
-    std::deque<Update> m_updates; // at most one for each member, least sent first
+    std::deque<base::RouterId> m_updates; // whose records go on messages next, the keys of m_sent
+    std::map<base::RouterId, std::uint32_t> m_sent; // how often each was sent
     base::TimePoint m_nextHeartbeat;
     base::TimePoint m_nextReshuffle;
     base::TimePoint m_nextReconnect;
-    std::optional<base::TimePoint> m_syncAskedAt; // a page is under way
+    base::RouterId m_syncCursor; // last id of the page compared last
+    base::TimePoint m_syncAskedAt; // when a page was asked for last
+    base::TimePoint m_lastNewsAt; // when a record changed last
+    base::TimePoint m_lastTick;
+    bool m_isDeparted = false;
     std::vector<MemberAction> m_actions;
     mutable std::shared_ptr<const MembershipView> m_view; // nullptr if a change made it old
 };
--- /dev/null
+++ b/carawaylatch/membership/probing.cpp
@@ -0,0 +1,276 @@
+// Timed part of the member list: probes, suspicion, whom to probe, and what
+// rides on a message.
+//
+// The probed set is small and changes slowly, so that connections are few and
+// stay open: the next routers on a ring in hash order, by which every router is
+// watched by as many others, and some random ones, by which news reach everybody
+// in a logarithmic number of steps. One random one is exchanged now and then.
+// With few routers the set is all of them.
+//
+// A process that was frozen finds all its timers run out. It starts them anew
+// instead of declaring everybody else dead.
+#include "carawaylatch/membership/memberlist.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace carawaylatch::membership
+{
+
+using base::TimePoint;
+
+namespace
+{
+
+constexpr std::int64_t FrozenHeartbeats = 4; // ticks further apart mean that the process stood still
+constexpr std::uint32_t RetransmitFactor = 3; // messages that carry a record, for each doubling of members
+
+} // namespace
+
+void MemberList::onTick(TimePoint now)
+{
+    if (m_isDeparted) {
+        return;
+    }
+    if (now > m_lastTick + m_options.heartbeat * FrozenHeartbeats) {
+        resumeAfterFreeze(now);
+    }
+    m_lastTick = now;
+    expireProbes(now);
+    expireSuspects(now);
+    if (m_isProbedStale) {
+        chooseProbed();
+    }
+    if (now >= m_nextReshuffle) {
+        m_nextReshuffle = now + m_options.reshuffle;
+        exchangeProbed();
+        forgetDead(now);
+    }
+    if (now >= m_nextReconnect) {
+        m_nextReconnect = now + m_options.reconnect;
+        reconnectNext(now);
+    }
+    if (now >= m_nextHeartbeat) {
+        m_nextHeartbeat = std::max(m_nextHeartbeat + m_options.heartbeat, now);
+        probeNext(now);
+    }
+}
+
+TimePoint MemberList::nextDeadline() const
+{
+    auto next = std::min({m_nextHeartbeat, m_nextReshuffle, m_nextReconnect});
+    for (const auto &it : m_pending) {
+        next = std::min(next, it.second.sentAt + (it.second.isIndirect ? m_options.heartbeat : m_options.probeTimeout));
+    }
+    return next;
+}
+
+void MemberList::resumeAfterFreeze(TimePoint now)
+{
+    m_pending.clear();
+    m_relayed.clear();
+    m_nextHeartbeat = now;
+    for (auto &it : m_members) {
+        if (it.second.record.state == MemberState::Suspect) {
+            it.second.since = now;
+        }
+    }
+}
+
+void MemberList::probeNext(TimePoint now)
+{
+    for (std::size_t i = 0; i < m_probed.size(); ++i) {
+        const auto &id = m_probed[m_nextProbed++ % m_probed.size()];
+        if (isProbeable(id)) {
+            probe(addressOf(id), now);
+            return;
+        }
+    }
+}
+
+void MemberList::probe(const MemberAddress &target, TimePoint now)
+{
+    const auto number = ++m_lastNumber;
+    m_pending[number] = {target, now, false};
+    send(target, Probe{number, makeGossip(target.id)});
+}
+
+// Tries a dead member or a seed, so that a cut is noticed to be healed.
+void MemberList::reconnectNext(TimePoint now)
+{
+    for (const auto &it : m_members) {
+        if (it.second.record.state != MemberState::Dead) {
+            m_seeds.erase(it.second.record.endpoint);
+        }
+    }
+    std::vector<MemberAddress> candidates;
+    for (const auto &it : m_seeds) {
+        candidates.push_back({{}, it});
+    }
+    for (const auto &it : m_members) {
+        if (it.second.record.state == MemberState::Dead) {
+            candidates.push_back({it.first, it.second.record.endpoint});
+        }
+    }
+    if (!candidates.empty()) {
+        probe(candidates[m_random.below(candidates.size())], now);
+    }
+}
+
+void MemberList::expireProbes(TimePoint now)
+{
+    std::erase_if(m_relayed, [&](const auto &it) {
+        return now >= it.second.sentAt + 2 * m_options.heartbeat;
+    });
+    for (auto it = m_pending.begin(); it != m_pending.end();) {
+        auto &[number, pending] = *it;
+        const auto member = m_members.find(pending.target.id);
+        const bool isWatched = member != m_members.end() && member->second.record.state != MemberState::Dead;
+        if (now >= pending.sentAt + m_options.heartbeat) {
+            if (isWatched && member->second.record.state != MemberState::Suspect) {
+                setState(member->second, member->second.record.state == MemberState::Leaving ? MemberState::Dead : MemberState::Suspect, now);
+            }
+            it = m_pending.erase(it);
+            continue;
+        }
+        if (isWatched && !pending.isIndirect && now >= pending.sentAt + m_options.probeTimeout) {
+            pending.isIndirect = true;
+            askOthers(number, member->second.record);
+        }
+        ++it;
+    }
+}
+
+void MemberList::askOthers(std::uint64_t number, const MemberRecord &target)
+{
+    std::uint32_t asked = 0;
+    const auto start = m_random.below(std::max<std::size_t>(m_probed.size(), 1));
+    for (std::size_t i = 0; i < m_probed.size() && asked < m_options.indirectProbes; ++i) {
+        const auto &id = m_probed[(start + i) % m_probed.size()];
+        if (id != target.id && isProbeable(id)) {
+            ++asked;
+            send(addressOf(id), IndirectProbe{number, target, makeGossip(id)});
+        }
+    }
+}
+
+base::Duration MemberList::suspicionTime() const
+{
+    const double factor = std::max(1.0, std::log10(static_cast<double>(m_members.size() + 1)));
+    return base::fromSeconds(base::toSeconds(m_options.suspicion) * factor);
+}
+
+void MemberList::expireSuspects(TimePoint now)
+{
+    const auto limit = suspicionTime();
+    for (auto &it : m_members) {
+        if (it.second.record.state == MemberState::Suspect && now >= it.second.since + limit) {
+            setState(it.second, MemberState::Dead, now);
+        }
+    }
+}
+
+void MemberList::forgetDead(TimePoint now)
+{
+    std::erase_if(m_members, [&](const auto &it) {
+        return it.second.record.state == MemberState::Dead && now >= it.second.since + m_options.deadRetention;
+    });
+    while (m_members.size() >= m_options.maxMembers) {
+        auto oldest = m_members.end();
+        for (auto it = m_members.begin(); it != m_members.end(); ++it) {
+            const bool isDead = it->second.record.state == MemberState::Dead;
+            if (isDead && (oldest == m_members.end() || it->second.since < oldest->second.since)) {
+                oldest = it;
+            }
+        }
+        if (oldest == m_members.end()) {
+            return;
+        }
+        m_members.erase(oldest);
+    }
+}
+
+bool MemberList::isProbeable(const base::RouterId &id) const
+{
+    const auto it = m_members.find(id);
+    return it != m_members.end() && it->second.record.state != MemberState::Dead;
+}
+
+MemberAddress MemberList::addressOf(const base::RouterId &id) const
+{
+    return {id, m_members.at(id).record.endpoint};
+}
+
+// Chooses the ring's next anew and keeps the random ones that still live.
+void MemberList::chooseProbed()
+{
+    m_isProbedStale = false;
+    const auto ownHash = base::hash64(m_self.id.value());
+    std::vector<std::pair<std::uint64_t, base::RouterId>> ring; // by distance from this router
+    for (const auto &it : m_members) {
+        if (it.second.record.state != MemberState::Dead) {
+            ring.emplace_back(base::hash64(it.first.value()) - ownHash, it.first);
+        }
+    }
+    const auto ringCount = std::min<std::size_t>(ring.size(), m_options.ringProbes);
+    const auto wanted = std::min<std::size_t>(ring.size(), m_options.ringProbes + m_options.randomProbes);
+    std::partial_sort(ring.begin(), ring.begin() + static_cast<std::ptrdiff_t>(ringCount), ring.end());
+    std::vector<base::RouterId> chosen;
+    for (std::size_t i = 0; i < ringCount; ++i) {
+        chosen.push_back(ring[i].second);
+    }
+    const auto add = [&](const base::RouterId &id) {
+        if (chosen.size() < wanted && std::find(chosen.begin(), chosen.end(), id) == chosen.end()) {
+            chosen.push_back(id);
+        }
+    };
+    for (const auto &it : m_probed) {
+        if (isProbeable(it)) {
+            add(it);
+        }
+    }
+    while (chosen.size() < wanted) {
+        add(ring[m_random.below(ring.size())].second);
+    }
+    m_probed = std::move(chosen);
+}
+
+void MemberList::exchangeProbed()
+{
+    if (m_probed.size() > m_options.ringProbes && m_probed.size() < m_members.size()) {
+        const auto random = m_probed.size() - m_options.ringProbes;
+        m_probed.erase(m_probed.begin() + static_cast<std::ptrdiff_t>(m_options.ringProbes + m_random.below(random)));
+        chooseProbed();
+    }
+}
+
+std::uint32_t MemberList::retransmissions() const
+{
+    return RetransmitFactor * static_cast<std::uint32_t>(std::ceil(std::log2(static_cast<double>(m_members.size() + 2))));
+}
+
+Gossip MemberList::makeGossip(const base::RouterId &to)
+{
+    Gossip gossip{m_self, m_revision, digest(), {}};
+    const auto receiver = m_members.find(to);
+    if (receiver != m_members.end() && receiver->second.record.state != MemberState::Alive) {
+        gossip.updates.push_back(receiver->second.record);
+    }
+    const auto limit = retransmissions();
+    for (auto n = std::min<std::size_t>(m_options.maxUpdates, m_updates.size()); n > 0; --n) {
+        auto id = std::move(m_updates.front());
+        m_updates.pop_front();
+        const auto *record = find(id);
+        if (record == nullptr || ++m_sent[id] > limit) {
+            m_sent.erase(id);
+            continue;
+        }
+        if (record != &m_self) {
+            gossip.updates.push_back(*record);
+        }
+        m_updates.push_back(std::move(id));
+    }
+    return gossip;
+}
+
+} // namespace carawaylatch::membership
