--- /dev/null
+++ b/carawaylatch/fleet/fleetdriver.h
@@ -0,0 +1,83 @@
+// Runs the lease and the weights controller of one failure domain against the
+// platform and the engines. Call step() from a platform worker thread, about
+// twice a second; it blocks for the calls it makes.
+//
+//     FleetDriver driver(identity, store, engineControl, clock);
+//     driver.step(snapshot->pools);
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "carawaylatch/base/ids.h"
+#include "carawaylatch/config/tables.h"
+#include "carawaylatch/fleet/enginecontrol.h"
+#include "carawaylatch/fleet/lease.h"
+#include "carawaylatch/fleet/loadslots.h"
+#include "carawaylatch/fleet/weightscontroller.h"
+
+namespace carawaylatch::fleet
+{
+
+struct FleetSettings
+{
+    LeaseSettings lease;
+    WeightsSettings weights;
+    base::Duration slotLapse = base::minutes{5}; // longer than any load of weights
+    std::size_t maxReportsPerStep = 64; // engines asked in one step
+};
+
+struct FleetIdentity
+{
+    base::RouterId router;
+    base::Incarnation incarnation;
+    base::FailureDomain domain;
+};
+
+struct FleetCounters
+{
+    std::uint64_t orders = 0; // given, including those whose answer was lost
+    std::uint64_t refusedAsOld = 0; // an engine knew a greater fencing number
+    std::uint64_t failedOrders = 0; // not sent or refused for another reason
+    std::uint64_t waitedForSlot = 0;
+    bool isHolder = false;
+    base::FenceToken fence;
+};
+
+class FleetDriver
+{
+public:
+    FleetDriver(FleetIdentity identity, platform::ObjectStore &store, EngineControl &engines, const base::Clock &clock, FleetSettings settings = {});
+
+    void step(std::span<const config::Pool> pools);
+    // For status pages; call from the thread that calls step().
+    [[nodiscard]] const FleetCounters &counters() const;
+    [[nodiscard]] ChangeStep changeStep(const base::UpstreamId &engine) const;
+
+private:
+    void driveLease();
+    void readEngines(std::span<const config::Pool> pools);
+    void giveOrder(const PlannedOrder &planned);
+    void adoptSlots(std::span<const config::Pool> pools);
+    void releaseSlots();
+
+    FleetIdentity m_identity;
+    std::string m_leaseName;
+    platform::ObjectStore &m_store;
+    EngineControl &m_engineControl;
+    const base::Clock &m_clock;
+    FleetSettings m_settings;
+    Lease m_lease;
+    WeightsController m_controller;
+    LoadSlots m_slots;
+    std::vector<ObservedEngine> m_observed; // by id; engines of the domain's pools
+    std::size_t m_nextReport = 0;
+    std::map<base::UpstreamId, std::uint32_t> m_loading; // engines that hold one of so many slots
+    FleetCounters m_counters;
+};
+
+} // namespace carawaylatch::fleet
