--- /dev/null
+++ b/carawaylatch/peer/gate.h
@@ -0,0 +1,35 @@
+// The way of a message into bytes and back, the same for every transport: encode
+// and seal; check size, seal, version and sequence, decode.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "carawaylatch/peer/codec.h"
+#include "carawaylatch/peer/message.h"
+#include "carawaylatch/peer/seal.h"
+#include "carawaylatch/peer/transport.h"
+
+namespace carawaylatch::peer
+{
+
+// Not thread-safe.
+class Gate
+{
+public:
+    Gate(PeerIdentity self, std::string key);
+    // Returns a message's sealed bytes; numbers it.
+    [[nodiscard]] std::string wrap(const PeerMessage &message);
+    // Returns the message, or why it is refused.
+    [[nodiscard]] std::variant<PeerEnvelope, PeerRefusal> unwrap(std::string_view sealed);
+
+private:
+    PeerIdentity m_self;
+    Seal m_seal;
+    ReplayGuard m_replays;
+    std::uint64_t m_sequence = 0;
+};
+
+} // namespace carawaylatch::peer
--- /dev/null
+++ b/carawaylatch/peer/seal.cpp
@@ -0,0 +1,82 @@
+// HMAC-SHA256 by libcrypto and a sliding window of sequence numbers.
+//
+// The window is the one of IPsec (RFC 4303, section 3.4.3): the greatest number
+// admitted and a bit for each of the numbers just below it. One window stands for
+// one life of a sender, since a new life counts from the start.
+#include "carawaylatch/peer/seal.h"
+
+#include <openssl/crypto.h>
+#include <openssl/hmac.h>
+
+#include <algorithm>
+#include <array>
+
+namespace carawaylatch::peer
+{
+
+namespace
+{
+
+constexpr std::size_t SealBytes = 32; // of SHA-256
+
+using Digest = std::array<unsigned char, SealBytes>;
+
+Digest digestOf(const std::string &key, std::string_view bytes)
+{
+    Digest digest{};
+    unsigned int size = SealBytes;
+    HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()), reinterpret_cast<const unsigned char *>(bytes.data()), bytes.size(), digest.data(), &size);
+    return digest;
+}
+
+} // namespace
+
+Seal::Seal(std::string key)
+    : m_key(std::move(key))
+{
+}
+
+std::string Seal::close(std::string bytes) const
+{
+    const auto digest = digestOf(m_key, bytes);
+    bytes.append(reinterpret_cast<const char *>(digest.data()), digest.size());
+    return bytes;
+}
+
+base::Result<std::string_view> Seal::open(std::string_view sealed) const
+{
+    if (sealed.size() >= SealBytes) {
+        const auto bytes = sealed.substr(0, sealed.size() - SealBytes);
+        const auto digest = digestOf(m_key, bytes);
+        if (CRYPTO_memcmp(digest.data(), sealed.data() + bytes.size(), SealBytes) == 0) {
+            return bytes;
+        }
+    }
+    return base::fail(base::ErrorKind::Unauthenticated, "a message is not sealed with this fleet's key; give all routers the same key in [peers]");
+}
+
+bool ReplayGuard::admit(const PeerIdentity &sender, std::uint64_t sequence)
+{
+    const std::pair key(sender.id, sender.incarnation);
+    if (!m_windows.contains(key) && m_windows.size() >= MaxSenders) {
+        m_windows.erase(std::min_element(m_windows.begin(), m_windows.end(), [](const auto &first, const auto &second) {
+            return first.second.use < second.second.use;
+        }));
+    }
+    auto &window = m_windows[key];
+    window.use = ++m_uses;
+    if (sequence > window.greatest) {
+        const auto shift = sequence - window.greatest;
+        window.seen = (shift >= WindowBits ? 0 : window.seen << shift) | 1U;
+        window.greatest = sequence;
+        return true;
+    }
+    const auto behind = window.greatest - sequence;
+    if (behind >= WindowBits || sequence == 0 || ((window.seen >> behind) & 1U) != 0) {
+        return false;
+    }
+    window.seen |= std::uint64_t{1} << behind;
+    return true;
+}
+
+} // namespace carawaylatch::peer
--- a/carawaylatch/peer/seal.h
+++ b/carawaylatch/peer/seal.h
@@ -45,7 +45,6 @@
 private:
     struct Window
     {
-        base::Incarnation incarnation;
         std::uint64_t greatest = 0;
         std::uint64_t seen = 0; // bit i: greatest - i was admitted
         std::uint64_t use = 0; // order of last use
--- /dev/null
+++ b/carawaylatch/peer/transport.cpp
@@ -0,0 +1,45 @@
+// Names of refusals, and the gate that every transport passes bytes through.
+#include "carawaylatch/peer/transport.h"
+
+#include "carawaylatch/peer/gate.h"
+
+namespace carawaylatch::peer
+{
+
+std::string_view peerRefusalName(PeerRefusal refusal)
+{
+    static constexpr std::array<std::string_view, PeerRefusalCount> RefusalNames{"wrong_key", "wrong_version", "too_large", "malformed", "replayed"};
+    return RefusalNames.at(static_cast<std::size_t>(refusal));
+}
+
+Gate::Gate(PeerIdentity self, std::string key)
+    : m_self(std::move(self))
+    , m_seal(std::move(key))
+{
+}
+
+std::string Gate::wrap(const PeerMessage &message)
+{
+    return m_seal.close(encodeEnvelope({m_self, ++m_sequence, message}));
+}
+
+std::variant<PeerEnvelope, PeerRefusal> Gate::unwrap(std::string_view sealed)
+{
+    if (sealed.size() > MaxMessageBytes) {
+        return PeerRefusal::TooLarge;
+    }
+    const auto bytes = m_seal.open(sealed);
+    if (!bytes) {
+        return PeerRefusal::WrongKey;
+    }
+    auto envelope = decodeEnvelope(bytes.value());
+    if (!envelope) {
+        return envelope.error().kind == base::ErrorKind::StaleState ? PeerRefusal::WrongVersion : PeerRefusal::Malformed;
+    }
+    if (!m_replays.admit(envelope.value().sender, envelope.value().sequence)) {
+        return PeerRefusal::Replayed;
+    }
+    return std::move(envelope.value());
+}
+
+} // namespace carawaylatch::peer
