--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -69,7 +69,9 @@
     }
     const auto callers = router.callersEndpoint();
     const auto operators = router.operatorsEndpoint();
-    std::cout << "listening callers=" << callers.address << ':' << callers.port << " operators=" << operators.address << ':' << operators.port << std::endl;
+    const auto peers = router.peersEndpoint();
+    std::cout << "listening callers=" << callers.address << ':' << callers.port << " operators=" << operators.address << ':' << operators.port
+              << " peers=" << peers.address << ':' << peers.port << std::endl;
     const std::jthread listener([&router, signals](const std::stop_token &stop) {
         forwardSignals(router, signals, stop);
     });
--- a/tools/ctl/pagecommands.cpp
+++ b/tools/ctl/pagecommands.cpp
@@ -1,11 +1,9 @@
 // Commands that print pages of the manual and help to write tables: events,
 // settings, tables, digest. The pages come from the code that they describe.
-#include <array>
-#include <cstdio>
 #include <ostream>
 
-#include "carawaylatch/base/hash.h"
 #include "carawaylatch/base/logevents.h"
+#include "carawaylatch/config/keydigest.h"
 #include "carawaylatch/config/settings.h"
 #include "carawaylatch/config/tablefile.h"
 #include "tools/ctl/command.h"
@@ -86,9 +84,7 @@
 
     base::Result<void> run(CommandContext &context) const override
     {
-        std::array<char, 17> buf{};
-        std::snprintf(buf.data(), buf.size(), "%016llx", static_cast<unsigned long long>(base::hash64(context.words.front())));
-        context.out << buf.data() << '\n';
+        context.out << config::keyDigest(context.words.front()) << '\n';
         return base::ok();
     }
 };
