--- /dev/null
+++ b/carawaylatch/handover/shutdown.cpp
@@ -0,0 +1,113 @@
+// Steps of a planned stop.
+//
+// Running -> NotReady on the first signal; -> Refusing after the balancer's lag;
+// -> Finishing once the hot state is with a peer or its time is over; -> Departing
+// when no stream is open; -> Exited when peers were told or the time is over. A
+// second signal cuts the open streams at any step and shortens the waits; it
+// never skips the steps that tell others.
+#include "carawaylatch/handover/shutdown.h"
+
+#include <utility>
+
+namespace carawaylatch::handover
+{
+
+using base::TimePoint;
+
+Shutdown::Shutdown(ShutdownOptions options)
+    : m_options(options)
+{
+}
+
+void Shutdown::onEvent(ShutdownEvent event, std::size_t openStreams, TimePoint now)
+{
+    switch (event) {
+    case ShutdownEvent::Signal:
+        if (m_step == ShutdownStep::Running) {
+            enter(ShutdownStep::NotReady, now);
+        } else if (!m_isCut && m_step != ShutdownStep::Departing && m_step != ShutdownStep::Exited) {
+            m_isCut = true;
+            m_actions.push_back(ShutdownAction::CutStreams);
+        }
+        break;
+    case ShutdownEvent::HandedOver:
+        m_isHandedOver = m_isHandedOver || m_step == ShutdownStep::Refusing;
+        break;
+    case ShutdownEvent::Departed:
+        m_isDeparted = m_isDeparted || m_step == ShutdownStep::Departing;
+        break;
+    case ShutdownEvent::Tick:
+    case ShutdownEvent::StreamsChanged:
+        break;
+    }
+    advance(openStreams, now);
+}
+
+void Shutdown::enter(ShutdownStep step, TimePoint now)
+{
+    m_step = step;
+    m_since = now;
+    switch (step) {
+    case ShutdownStep::NotReady:
+        m_actions.push_back(ShutdownAction::BecomeNotReady);
+        break;
+    case ShutdownStep::Refusing:
+        m_actions.push_back(ShutdownAction::RefuseRequests);
+        m_actions.push_back(ShutdownAction::HandOver);
+        break;
+    case ShutdownStep::Departing:
+        m_actions.push_back(ShutdownAction::Depart);
+        break;
+    case ShutdownStep::Exited:
+        m_actions.push_back(ShutdownAction::Exit);
+        break;
+    case ShutdownStep::Running:
+    case ShutdownStep::Finishing:
+        break;
+    }
+}
+
+void Shutdown::advance(std::size_t openStreams, TimePoint now)
+{
+    if (m_step == ShutdownStep::NotReady && (m_isCut || now >= m_since + m_options.drainLag)) {
+        enter(ShutdownStep::Refusing, now);
+    }
+    if (m_step == ShutdownStep::Refusing && (m_isCut || m_isHandedOver || now >= m_since + m_options.handOver)) {
+        enter(ShutdownStep::Finishing, now);
+    }
+    if (m_step == ShutdownStep::Finishing && openStreams == 0) {
+        enter(ShutdownStep::Departing, now);
+    }
+    if (m_step == ShutdownStep::Departing && (m_isDeparted || now >= m_since + m_options.depart)) {
+        enter(ShutdownStep::Exited, now);
+    }
+}
+
+std::vector<ShutdownAction> Shutdown::takeActions()
+{
+    return std::exchange(m_actions, {});
+}
+
+ShutdownStep Shutdown::step() const
+{
+    return m_step;
+}
+
+std::optional<TimePoint> Shutdown::nextDeadline() const
+{
+    switch (m_step) {
+    case ShutdownStep::NotReady:
+        return m_since + m_options.drainLag;
+    case ShutdownStep::Refusing:
+        return m_since + m_options.handOver;
+    case ShutdownStep::Departing:
+        return m_since + m_options.depart;
+    case ShutdownStep::Running:
+    case ShutdownStep::Finishing:
+    case ShutdownStep::Exited:
+        break;
+    }
+    return {};
+}
+
+} // namespace carawaylatch::handover
--- /dev/null
+++ b/carawaylatch/handover/snapshot.cpp
@@ -0,0 +1,178 @@
+// Size and merging of snapshots.
+//
+// The estimate counts the encoding's upper bounds: 13 bytes for a block (8 of key,
+// 5 of age), 20 for a level, the text of rows as it is. What is dropped first is
+// what the receiver can do without: placements that were touched longest ago,
+// then the coolest levels. Rows, marks and floors are never dropped.
+#include "carawaylatch/handover/snapshot.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+#include "carawaylatch/config/head.h"
+
+namespace carawaylatch::handover
+{
+
+namespace
+{
+
+constexpr std::size_t BlockBytes = 14;
+constexpr std::size_t LevelBytes = 16;
+constexpr std::size_t MemberBytes = 180;
+constexpr std::size_t NamedBytes = 90; // a life, a mark, or what stands around an upstream's blocks
+constexpr std::size_t FloorBytes = 220;
+
+std::size_t blockCount(const Snapshot &snapshot)
+{
+    std::size_t count = 0;
+    for (const auto &it : snapshot.placements.upstreams) {
+        count += it.blocks.size();
+    }
+    return count;
+}
+
+// Keeps the `count` blocks that were touched last.
+void keepBlocks(prefix::HotPlacements &placements, std::size_t count)
+{
+    std::vector<std::uint32_t> ages;
+    for (const auto &it : placements.upstreams) {
+        for (const auto &block : it.blocks) {
+            ages.push_back(block.ageMilliseconds);
+        }
+    }
+    if (ages.size() <= count) {
+        return;
+    }
+    std::nth_element(ages.begin(), ages.begin() + static_cast<std::ptrdiff_t>(count), ages.end());
+    const auto limit = ages[count];
+    for (auto &it : placements.upstreams) {
+        std::erase_if(it.blocks, [limit](const prefix::HotBlock &block) {
+            return block.ageMilliseconds >= limit;
+        });
+    }
+}
+
+void keepLevels(prefix::HotLevels &levels, std::size_t count)
+{
+    std::sort(levels.levels.begin(), levels.levels.end(), [](const prefix::HotLevel &first, const prefix::HotLevel &second) {
+        return first.heat > second.heat;
+    });
+    levels.levels.resize(std::min(count, levels.levels.size()));
+}
+
+template <typename T, typename Key, typename Newer>
+void mergeBy(std::vector<T> &into, const std::vector<T> &from, Key key, Newer isNewer)
+{
+    std::map<decltype(key(from.front())), std::size_t> positions;
+    for (std::size_t i = 0; i < into.size(); ++i) {
+        positions[key(into[i])] = i;
+    }
+    for (const auto &it : from) {
+        const auto [position, isNew] = positions.try_emplace(key(it), into.size());
+        if (isNew) {
+            into.push_back(it);
+        } else if (isNewer(it, into[position->second])) {
+            into[position->second] = it;
+        }
+    }
+}
+
+void mergePlacements(prefix::HotPlacements &into, const prefix::HotPlacements &from)
+{
+    for (const auto &it : from.upstreams) {
+        const auto same = std::find_if(into.upstreams.begin(), into.upstreams.end(), [&](const prefix::HotUpstream &other) {
+            return other.upstream == it.upstream && other.incarnation == it.incarnation;
+        });
+        if (same == into.upstreams.end()) {
+            into.upstreams.push_back(it);
+        } else {
+            mergeBy(
+                same->blocks, it.blocks,
+                [](const prefix::HotBlock &block) {
+                    return block.key;
+                },
+                [](const prefix::HotBlock &block, const prefix::HotBlock &other) {
+                    return block.ageMilliseconds < other.ageMilliseconds;
+                });
+        }
+    }
+}
+
+} // namespace
+
+std::size_t estimateBytes(const Snapshot &snapshot)
+{
+    std::size_t bytes = 100 + (snapshot.rows.revision.value != 0 ? config::formatSnapshot(snapshot.rows).size() : 0);
+    bytes += snapshot.members.size() * MemberBytes;
+    bytes += (snapshot.lives.size() + snapshot.marks.size() + snapshot.placements.upstreams.size()) * NamedBytes;
+    bytes += snapshot.floors.size() * FloorBytes;
+    bytes += blockCount(snapshot) * BlockBytes + snapshot.levels.levels.size() * LevelBytes;
+    return bytes;
+}
+
+void shrinkSnapshot(Snapshot &snapshot, std::size_t maxBytes)
+{
+    const auto bytes = estimateBytes(snapshot);
+    if (bytes <= maxBytes) {
+        return;
+    }
+    const auto blockBytes = blockCount(snapshot) * BlockBytes;
+    const auto levelBytes = snapshot.levels.levels.size() * LevelBytes;
+    const auto fixed = bytes - blockBytes - levelBytes;
+    const auto left = maxBytes > fixed ? maxBytes - fixed : 0;
+    const auto forLevels = std::min(levelBytes, left / 4);
+    keepLevels(snapshot.levels, forLevels / LevelBytes);
+    keepBlocks(snapshot.placements, (left - forLevels) / BlockBytes);
+}
+
+void mergeSnapshot(Snapshot &into, const Snapshot &from)
+{
+    if (from.rows.revision > into.rows.revision) {
+        into.rows = from.rows;
+    }
+    mergeBy(
+        into.members, from.members,
+        [](const membership::MemberRecord &it) {
+            return it.id;
+        },
+        [](const membership::MemberRecord &it, const membership::MemberRecord &other) {
+            return membership::supersedes(it, other);
+        });
+    mergeBy(
+        into.marks, from.marks,
+        [](const upstreams::LeavingMark &it) {
+            return std::pair(it.upstream, it.incarnation);
+        },
+        [](const upstreams::LeavingMark &it, const upstreams::LeavingMark &other) {
+            return it.generation > other.generation;
+        });
+    mergeBy(
+        into.floors, from.floors,
+        [](const FencingFloor &it) {
+            return it.scope;
+        },
+        [](const FencingFloor &it, const FencingFloor &other) {
+            return it.token > other.token;
+        });
+    mergeBy(
+        into.lives, from.lives,
+        [](const UpstreamLife &it) {
+            return std::pair(it.upstream, it.incarnation);
+        },
+        [](const UpstreamLife &, const UpstreamLife &) {
+            return false;
+        });
+    mergeBy(
+        into.levels.levels, from.levels.levels,
+        [](const prefix::HotLevel &it) {
+            return it.key;
+        },
+        [](const prefix::HotLevel &it, const prefix::HotLevel &other) {
+            return it.heat > other.heat;
+        });
+    mergePlacements(into.placements, from.placements);
+}
+
+} // namespace carawaylatch::handover
--- /dev/null
+++ b/carawaylatch/handover/snapshotserver.cpp
@@ -0,0 +1,64 @@
+// Cuts encoded snapshots into parts. A request keeps the encoding that its first
+// part came from, as long as that one is held; then it is told to begin anew by a
+// part with another digest.
+#include "carawaylatch/handover/snapshotserver.h"
+
+#include <algorithm>
+
+#include "carawaylatch/base/hash.h"
+
+namespace carawaylatch::handover
+{
+
+namespace
+{
+
+constexpr std::size_t MaxEncoded = 2;
+constexpr std::size_t MaxRequests = 256;
+
+} // namespace
+
+SnapshotServer::SnapshotServer(Source source, base::Duration lifetime)
+    : m_source(std::move(source))
+    , m_lifetime(lifetime)
+{
+}
+
+const SnapshotServer::Encoded &SnapshotServer::current(base::TimePoint now)
+{
+    if (m_encoded.empty() || now >= m_encoded.back().madeAt + m_lifetime) {
+        auto bytes = m_source();
+        const auto digest = base::hash64(bytes);
+        m_encoded.push_back({std::move(bytes), digest, now});
+        while (m_encoded.size() > MaxEncoded) {
+            m_encoded.pop_front();
+        }
+    }
+    return m_encoded.back();
+}
+
+SnapshotPart SnapshotServer::answer(const SnapshotRequest &request, base::TimePoint now)
+{
+    const auto given = std::find_if(m_requests.begin(), m_requests.end(), [&](const auto &it) {
+        return it.first == request.request;
+    });
+    const auto held = std::find_if(m_encoded.begin(), m_encoded.end(), [&](const Encoded &it) {
+        return given != m_requests.end() && it.digest == given->second;
+    });
+    const bool isStarted = request.part > 0 && held != m_encoded.end();
+    const Encoded &encoded = isStarted ? *held : current(now);
+    if (!isStarted) {
+        m_requests.emplace_back(request.request, encoded.digest);
+        while (m_requests.size() > MaxRequests) {
+            m_requests.pop_front();
+        }
+    }
+    const auto parts = static_cast<std::uint32_t>((encoded.bytes.size() + SnapshotPartBytes - 1) / SnapshotPartBytes);
+    SnapshotPart part{request.request, request.part, parts, encoded.digest, {}};
+    if (request.part < parts) {
+        part.bytes = encoded.bytes.substr(request.part * SnapshotPartBytes, SnapshotPartBytes);
+    }
+    return part;
+}
+
+} // namespace carawaylatch::handover
--- /dev/null
+++ b/carawaylatch/handover/testing/shutdowntest.cpp
@@ -0,0 +1,148 @@
+// The planned stop: all sequences of events up to a depth, with invariants at each.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <string>
+
+#include "carawaylatch/base/hash.h"
+#include "carawaylatch/handover/shutdown.h"
+#include "testing/seed.h"
+
+namespace carawaylatch::handover::testing
+{
+
+using base::TimePoint;
+
+namespace
+{
+
+constexpr ShutdownOptions Options{base::seconds{2}, base::seconds{2}, base::milliseconds{500}};
+
+constexpr std::size_t EventCount = std::size(AllShutdownEvents);
+constexpr std::size_t Choices = EventCount * 2 * 2; // with or without streams, with or without time passing
+
+// What the outside has seen so far.
+struct Observed
+{
+    std::vector<ShutdownAction> actions;
+    int signals = 0;
+
+    [[nodiscard]] bool has(ShutdownAction action) const
+    {
+        return std::find(actions.begin(), actions.end(), action) != actions.end();
+    }
+};
+
+void check(bool isTrue, const std::string &path, const char *text)
+{
+    CPPUNIT_ASSERT_MESSAGE(std::string(text) + " after " + path, isTrue);
+}
+
+// Judges the actions of one event.
+void judge(Observed &seen, const std::vector<ShutdownAction> &actions, std::size_t streams, TimePoint now, TimePoint notReadySince, const std::string &path)
+{
+    for (const auto it : actions) {
+        check(!seen.has(it), path, "an action came twice");
+        seen.actions.push_back(it);
+        switch (it) {
+        case ShutdownAction::BecomeNotReady:
+            check(seen.signals == 1, path, "the stop began without a signal");
+            break;
+        case ShutdownAction::RefuseRequests:
+            check(seen.has(ShutdownAction::BecomeNotReady), path, "requests refused while ready");
+            check(seen.signals > 1 || now >= notReadySince + Options.drainLag, path, "requests refused within the balancer's lag");
+            break;
+        case ShutdownAction::HandOver:
+            check(seen.has(ShutdownAction::RefuseRequests), path, "state handed over while requests are taken");
+            break;
+        case ShutdownAction::CutStreams:
+            check(seen.signals > 1, path, "streams cut without a second signal");
+            break;
+        case ShutdownAction::Depart:
+            check(streams == 0 && seen.has(ShutdownAction::HandOver), path, "departed with open streams");
+            break;
+        case ShutdownAction::Exit:
+            check(seen.has(ShutdownAction::Depart), path, "exit without telling peers");
+            break;
+        }
+    }
+}
+
+} // namespace
+
+class ShutdownTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ShutdownTest);
+    CPPUNIT_TEST(testAllSequences);
+    CPPUNIT_TEST(testStreamsAreWaitedForWithoutLimit);
+    CPPUNIT_TEST(testSecondSignalCuts);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // All sequences of four events, then some of nine.
+    void testAllSequences()
+    {
+        constexpr std::size_t AllOfFour = Choices * Choices * Choices * Choices;
+        for (std::size_t n = 0; n < AllOfFour; ++n) {
+            runSequence(n, 4);
+        }
+        base::Random random(::carawaylatch::testing::seed());
+        for (int i = 0; i < 50'000; ++i) {
+            runSequence(random.next(), 9);
+        }
+    }
+
+    void testStreamsAreWaitedForWithoutLimit()
+    {
+        Shutdown shutdown(Options);
+        TimePoint now{base::hours{1}};
+        shutdown.onEvent(ShutdownEvent::Signal, 1, now);
+        for (int i = 0; i < 10'000; ++i) {
+            now += base::seconds{1};
+            shutdown.onEvent(ShutdownEvent::Tick, 1, now);
+        }
+        CPPUNIT_ASSERT(shutdown.step() == ShutdownStep::Finishing && !shutdown.nextDeadline());
+        shutdown.onEvent(ShutdownEvent::StreamsChanged, 0, now);
+        CPPUNIT_ASSERT(shutdown.step() == ShutdownStep::Departing);
+        shutdown.onEvent(ShutdownEvent::Departed, 0, now);
+        CPPUNIT_ASSERT(shutdown.step() == ShutdownStep::Exited);
+    }
+
+    void testSecondSignalCuts()
+    {
+        Shutdown shutdown(Options);
+        const TimePoint now{base::hours{1}};
+        shutdown.onEvent(ShutdownEvent::Signal, 4, now);
+        shutdown.onEvent(ShutdownEvent::Signal, 4, now);
+        const auto actions = shutdown.takeActions();
+        CPPUNIT_ASSERT(std::find(actions.begin(), actions.end(), ShutdownAction::CutStreams) != actions.end());
+        CPPUNIT_ASSERT(shutdown.step() == ShutdownStep::Finishing);
+    }
+
+private:
+    static void runSequence(std::size_t n, int depth)
+    {
+        Shutdown shutdown(Options);
+        Observed seen;
+        TimePoint now{base::hours{1}};
+        TimePoint notReadySince;
+        std::string path;
+        for (int i = 0; i < depth; ++i, n /= Choices) {
+            const auto choice = n % Choices;
+            const auto event = AllShutdownEvents[choice % EventCount];
+            const std::size_t streams = choice / EventCount % 2 * 3;
+            now += choice / EventCount / 2 == 0 ? base::milliseconds{0} : base::milliseconds{2'100};
+            seen.signals += event == ShutdownEvent::Signal ? 1 : 0;
+            path += std::to_string(choice) + ' ';
+            shutdown.onEvent(event, streams, now);
+            if (notReadySince == TimePoint{} && shutdown.step() != ShutdownStep::Running) {
+                notReadySince = now;
+            }
+            judge(seen, shutdown.takeActions(), streams, now, notReadySince, path);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ShutdownTest);
+
+} // namespace carawaylatch::handover::testing
--- /dev/null
+++ b/carawaylatch/handover/warmstart.cpp
@@ -0,0 +1,307 @@
+// Steps of a start: members, own domain, other domains, platform.
+//
+// Two peers are asked at a time and their snapshots merged, so that one stale or
+// young peer does no harm: of two configurations the greater revision counts, of
+// two placements both. The step ends with the first complete snapshot once all
+// asked have answered or failed, or when its time is over. The platform is asked
+// in any case until a configuration is in force, because after a herd of restarts
+// all peers are empty; and its snapshot is loaded only if no peer gave hot state.
+//
+// Readiness is not a step: it is asked for at any time and follows from what is
+// held. It never falls back because a peer or the platform went away.
+#include "carawaylatch/handover/warmstart.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace carawaylatch::handover
+{
+
+using base::TimePoint;
+
+namespace
+{
+
+constexpr std::uint32_t MaxRepeats = 2; // of one part
+constexpr std::uint32_t MaxParts = MaxSnapshotBytes / SnapshotPartBytes + 1;
+
+bool isEmpty(const Snapshot &snapshot)
+{
+    return snapshot.rows.revision.value == 0 && snapshot.placements.upstreams.empty() && snapshot.levels.levels.empty() && snapshot.marks.empty()
+           && snapshot.floors.empty() && snapshot.lives.empty();
+}
+
+bool hasHotState(const Snapshot &snapshot)
+{
+    return !snapshot.placements.upstreams.empty() || !snapshot.levels.levels.empty();
+}
+
+} // namespace
+
+std::string notReadyText(NotReadyReason reason, std::string_view platformError)
+{
+    switch (reason) {
+    case NotReadyReason::None:
+        return {};
+    case NotReadyReason::NoConfiguration:
+        return "no configuration: no peer has one"
+               + (platformError.empty() ? std::string(" and the platform has not answered yet") : "; platform: " + std::string(platformError))
+               + "; check [platform] and [peers] in the settings, or apply the first tables";
+    case NotReadyReason::BehindPeers:
+        return "other routers hold a newer configuration, which is being fetched; wait, or check the peers' ports";
+    case NotReadyReason::NoUpstream:
+        return "no upstream answers; check the pools' members and that their VMs run";
+    case NotReadyReason::Stopping:
+        return "a planned stop is under way";
+    }
+    return {};
+}
+
+WarmStart::WarmStart(WarmStartOptions options, Decode decode, TimePoint now)
+    : m_options(std::move(options))
+    , m_decode(std::move(decode))
+    , m_random(m_options.seed)
+    , m_stepUntil(now + m_options.findPeers)
+{
+}
+
+void WarmStart::onPeers(std::span<const config::DistributionPeer> peers, TimePoint now)
+{
+    m_peers.assign(peers.begin(), peers.end());
+    if (m_step == WarmStartStep::FindPeers && !m_peers.empty()) {
+        enter(WarmStartStep::AskOwnDomain, now);
+    }
+    askMore(now);
+}
+
+void WarmStart::enter(WarmStartStep step, TimePoint now)
+{
+    m_step = step;
+    m_transfers.clear();
+    switch (step) {
+    case WarmStartStep::FindPeers:
+        break;
+    case WarmStartStep::AskOwnDomain:
+        m_stepUntil = now + m_options.askDomain;
+        break;
+    case WarmStartStep::AskOthers:
+        m_stepUntil = now + m_options.askOthers;
+        break;
+    case WarmStartStep::AskPlatform:
+        m_stepUntil = now;
+        break;
+    case WarmStartStep::Done:
+        m_stepUntil = TimePoint::max();
+        m_catchUpUntil = now + m_options.catchUp;
+        break;
+    }
+    askMore(now);
+    if ((step == WarmStartStep::AskOwnDomain || step == WarmStartStep::AskOthers) && m_transfers.empty()) {
+        advance(now);
+    } else if (step == WarmStartStep::AskPlatform) {
+        onTick(now);
+    }
+}
+
+bool WarmStart::mayAsk(const config::DistributionPeer &peer) const
+{
+    const bool isOwn = peer.domain == m_options.domain;
+    return !m_asked.contains(peer.id) && (m_step == WarmStartStep::AskOwnDomain ? isOwn : m_step == WarmStartStep::AskOthers && !isOwn);
+}
+
+void WarmStart::askMore(TimePoint now)
+{
+    for (const auto &it : m_peers) {
+        if (m_transfers.size() < m_options.askAtOnce && mayAsk(it)) {
+            m_asked.insert(it.id);
+            auto &transfer = m_transfers[it.id];
+            transfer.request = m_random.next();
+            ask(it.id, transfer, now);
+        }
+    }
+}
+
+void WarmStart::ask(const base::RouterId &peer, Transfer &transfer, TimePoint now)
+{
+    transfer.askedAt = now;
+    m_actions.emplace_back(AskPeer{peer, {transfer.request, transfer.nextPart}});
+}
+
+void WarmStart::onPart(const base::RouterId &from, const SnapshotPart &part, TimePoint now)
+{
+    const auto it = m_transfers.find(from);
+    if (it == m_transfers.end() || it->second.request != part.request || it->second.nextPart != part.part) {
+        return; // late or doubled
+    }
+    auto &transfer = it->second;
+    const bool isFirst = part.part == 0;
+    const bool isOther = !isFirst && (part.digest != transfer.digest || part.parts != transfer.parts);
+    if (part.parts == 0 || part.parts > MaxParts || isOther || part.bytes.size() > SnapshotPartBytes) {
+        drop(from, now);
+        return;
+    }
+    transfer.parts = part.parts;
+    transfer.digest = part.digest;
+    transfer.bytes += part.bytes;
+    transfer.repeats = 0;
+    if (++transfer.nextPart < transfer.parts) {
+        ask(from, transfer, now);
+    } else {
+        complete(from, now);
+    }
+}
+
+void WarmStart::drop(const base::RouterId &peer, TimePoint now)
+{
+    m_transfers.erase(peer);
+    askMore(now);
+    if (m_transfers.empty()) {
+        advance(now);
+    }
+}
+
+void WarmStart::complete(const base::RouterId &peer, TimePoint now)
+{
+    const auto transfer = std::move(m_transfers.extract(peer).mapped());
+    if (base::hash64(transfer.bytes) == transfer.digest) {
+        if (const auto snapshot = m_decode(transfer.bytes); snapshot) {
+            mergeSnapshot(m_snapshot, snapshot.value());
+        }
+    }
+    if (m_transfers.empty()) {
+        advance(now);
+    }
+}
+
+// Ends a step: loads what was found, or goes on to the next.
+void WarmStart::advance(TimePoint now)
+{
+    if (!isEmpty(m_snapshot)) {
+        m_hasHotState = m_hasHotState || hasHotState(m_snapshot);
+        m_revision = std::max(m_revision, m_snapshot.rows.revision);
+        m_actions.emplace_back(LoadSnapshot{std::exchange(m_snapshot, {})});
+    }
+    if (m_hasHotState && m_revision.value != 0) {
+        enter(WarmStartStep::Done, now);
+    } else if (m_step == WarmStartStep::FindPeers || m_step == WarmStartStep::AskOthers) {
+        enter(m_step == WarmStartStep::FindPeers ? WarmStartStep::AskOwnDomain : WarmStartStep::AskPlatform, now);
+    } else if (m_step == WarmStartStep::AskOwnDomain) {
+        enter(WarmStartStep::AskOthers, now);
+    }
+}
+
+void WarmStart::onPlatform(const base::Result<Snapshot> &result, TimePoint now)
+{
+    m_hasAskedPlatform = false;
+    m_stepUntil = now + m_options.platformRetry;
+    if (!result) {
+        m_platformError = result.error().message;
+        return;
+    }
+    m_platformError = result.value().rows.revision.value == 0 ? "it holds no tables yet" : "";
+    if (m_step != WarmStartStep::AskPlatform) {
+        return;
+    }
+    auto snapshot = result.value();
+    if (!isEmpty(snapshot)) {
+        m_revision = std::max(m_revision, snapshot.rows.revision);
+        m_actions.emplace_back(LoadSnapshot{std::move(snapshot)});
+    }
+    if (m_revision.value != 0) {
+        enter(WarmStartStep::Done, now);
+    }
+}
+
+void WarmStart::onState(base::Revision revision, std::size_t answeringUpstreams)
+{
+    m_revision = std::max(m_revision, revision);
+    m_answeringUpstreams = answeringUpstreams;
+    if (m_step == WarmStartStep::Done && m_revision >= m_seen) {
+        m_seen = {};
+    }
+}
+
+void WarmStart::onSeenRevision(base::Revision revision)
+{
+    if (m_step != WarmStartStep::Done) {
+        m_seen = std::max(m_seen, revision);
+    }
+}
+
+void WarmStart::onStopping()
+{
+    m_isStopping = true;
+}
+
+void WarmStart::onTick(TimePoint now)
+{
+    std::vector<base::RouterId> silent;
+    for (auto &[peer, transfer] : m_transfers) {
+        if (now >= transfer.askedAt + m_options.partTimeout) {
+            if (++transfer.repeats > MaxRepeats) {
+                silent.push_back(peer);
+            } else {
+                ask(peer, transfer, now);
+            }
+        }
+    }
+    for (const auto &it : silent) {
+        drop(it, now);
+    }
+    if (m_step == WarmStartStep::Done || now < m_stepUntil) {
+        m_seen = m_step == WarmStartStep::Done && now >= m_catchUpUntil ? base::Revision{} : m_seen;
+        return;
+    }
+    if (m_step == WarmStartStep::AskPlatform) {
+        if (!m_hasAskedPlatform) {
+            m_hasAskedPlatform = true;
+            m_stepUntil = now + m_options.platformRetry;
+            m_actions.emplace_back(ReadPlatform{});
+        }
+        if (m_revision.value != 0 && !m_platformError.empty()) {
+            enter(WarmStartStep::Done, now); // a peer's configuration came meanwhile
+        }
+    } else {
+        advance(now);
+    }
+}
+
+std::vector<WarmStartAction> WarmStart::takeActions()
+{
+    return std::exchange(m_actions, {});
+}
+
+WarmStartStep WarmStart::step() const
+{
+    return m_step;
+}
+
+NotReadyReason WarmStart::readiness() const
+{
+    if (m_isStopping) {
+        return NotReadyReason::Stopping;
+    }
+    if (m_revision.value == 0) {
+        return NotReadyReason::NoConfiguration;
+    }
+    if (m_revision < m_seen) {
+        return NotReadyReason::BehindPeers;
+    }
+    return m_answeringUpstreams == 0 ? NotReadyReason::NoUpstream : NotReadyReason::None;
+}
+
+std::string WarmStart::notReadyBecause() const
+{
+    return notReadyText(readiness(), m_platformError);
+}
+
+TimePoint WarmStart::nextDeadline() const
+{
+    auto next = m_step == WarmStartStep::Done && m_seen.value != 0 ? m_catchUpUntil : m_stepUntil;
+    for (const auto &it : m_transfers) {
+        next = std::min(next, it.second.askedAt + m_options.partTimeout);
+    }
+    return next;
+}
+
+} // namespace carawaylatch::handover
--- a/carawaylatch/handover/warmstart.h
+++ b/carawaylatch/handover/warmstart.h
@@ -51,6 +51,7 @@
     base::Duration askOthers = base::seconds{1};
     base::Duration platformRetry = base::seconds{1};
     base::Duration partTimeout = base::milliseconds{400}; // until a part is asked for again
+    base::Duration catchUp = base::seconds{2}; // longest wait for a greater revision that was seen
     std::uint32_t askAtOnce = 2; // peers asked together
     std::uint64_t seed = 1; // of request numbers
 };
@@ -78,6 +79,7 @@
 enum class NotReadyReason {
     None, // ready
     NoConfiguration, // no peer and no platform gave one
+    BehindPeers, // a live router has shown a greater revision since this one started
     NoUpstream, // none answers
     Stopping,
 };
@@ -100,6 +102,8 @@
     void onPlatform(const base::Result<Snapshot> &result, base::TimePoint now);
     // Revision in force and number of upstreams that answer, whenever they change.
     void onState(base::Revision revision, std::size_t answeringUpstreams);
+    // The greatest revision that live routers show, whenever it grows.
+    void onSeenRevision(base::Revision revision);
     void onStopping();
     void onTick(base::TimePoint now);
 
@@ -144,6 +148,8 @@
     bool m_hasAskedPlatform = false; // an answer is due
     std::string m_platformError;
     base::Revision m_revision;
+    base::Revision m_seen; // the revision to reach before the first readiness; fixed once done
+    base::TimePoint m_catchUpUntil;
     std::size_t m_answeringUpstreams = 0;
     bool m_isStopping = false;
     std::vector<WarmStartAction> m_actions;
