Adaptive: computed tokens weigh more the longer everyone waits

Cause: under overload adaptive collapsed. Waits at the holders of a prefix sent requests elsewhere, each computing its whole prompt and displacing other prefixes; hits fell and waits grew.

Change: prefill is weighed by 1 + 8 per second of typical wait over the pool, the charge for displacement falls from 0.5 to 0.25 of the copied prefill.

--- a/carawaylatch/routing/adaptive.cpp
+++ b/carawaylatch/routing/adaptive.cpp
@@ -1,10 +1,16 @@
 // Cost model.
 //
-//   score = wait + prefill of missing tokens + displacement
+//   score = wait + pressure * prefill of missing tokens + displacement
 //
 // wait: estimateQueue(), which counts other routers' work too.
 // prefill: the tokens that the index doesn't expect there, the expected ones
 // weighed with the confidence in that upstream's entries.
+// pressure: a token computed anywhere delays those who come behind it. The longer
+// the typical wait, the more a saved token is worth, so that under overload requests
+// stay where their prefix is. Without this, waits drive requests away from their
+// caches, the copies displace other prefixes, hits fall and waits grow further. A
+// pressure by each upstream's own wait doesn't do: moments without a queue then
+// invite copies all the time.
 // displacement: a copy of a prefix outside its home pushes other blocks out of a
 // full cache, and someone has to compute these again. It is charged as a part of
 // the prefill of the blocks that the copy would add. A request goes elsewhere than
@@ -31,10 +37,37 @@
 constexpr std::size_t ScanLimit = 32; // pools up to this size are looked at whole
 constexpr std::size_t LoadSamples = 8;
 // Share of a copy's prefill that is charged for the blocks it displaces.
-constexpr double Displacement = 0.5;
+constexpr double Displacement = 0.25;
+// Extra weight of computed tokens for each second of typical wait.
+constexpr double PressurePerSecond = 8;
+// Waits above this many medians and seconds are cut off in the typical wait.
+constexpr double OutlierRatio = 2;
+constexpr double OutlierSeconds = 0.5;
 // Waits closer than this are taken as equal, since estimates are no finer.
 constexpr double WaitNoise = 0.05;
 
+// Typical wait over the options in seconds: the mean, with outliers cut off so that
+// one upstream with a long queue doesn't make the others look busy.
+double typicalWait(const std::vector<Option> &options)
+{
+    if (options.empty()) {
+        return 0;
+    }
+    std::vector<double> waits;
+    waits.reserve(options.size());
+    for (const auto &it : options) {
+        waits.push_back(base::toSeconds(it.queue.wait));
+    }
+    const auto middle = waits.begin() + static_cast<std::ptrdiff_t>(waits.size() / 2);
+    std::nth_element(waits.begin(), middle, waits.end());
+    const double most = OutlierRatio * *middle + OutlierSeconds;
+    double sum = 0;
+    for (const double it : waits) {
+        sum += std::min(it, most);
+    }
+    return sum / static_cast<double>(waits.size());
+}
+
 } // namespace
 
 AdaptiveStrategy::AdaptiveStrategy(const RoutingKnowledge &knowledge, std::uint64_t seed)
@@ -72,6 +105,7 @@
 {
     const std::vector<std::uint32_t> home = homes(decision);
     const auto &request = decision.request;
+    const double pressure = 1 + PressurePerSecond * typicalWait(options);
     for (auto &it : options) {
         const auto &status = decision.view.upstreams[it.index];
         const double held = static_cast<double>(request.promptTokens - it.missingTokens) * knowledge().caches->confidence(status.slot);
@@ -81,7 +115,7 @@
         const double copied = isHome || !isFull ? 0 : missing;
         it.penalty = prefillTime(copied * Displacement, it.queue);
         const double noise = 1 + WaitNoise * static_cast<double>(draw() % 1024) / 1024;
-        it.score = base::toSeconds(it.queue.wait) * noise + base::toSeconds(prefillTime(missing, it.queue)) + base::toSeconds(it.penalty);
+        it.score = base::toSeconds(it.queue.wait) * noise + pressure * base::toSeconds(prefillTime(missing, it.queue)) + base::toSeconds(it.penalty);
     }
 }
 
