--- a/carawaylatch/fleet/fleetdriver.cpp
+++ b/carawaylatch/fleet/fleetdriver.cpp
@@ -56,6 +56,7 @@
     for (const PlannedOrder &planned : m_controller.plan(now, tenure, pools, m_observed)) {
         giveOrder(planned);
     }
+    m_counters.heldBack = m_controller.heldBack();
     releaseSlots();
 }
 
--- a/carawaylatch/fleet/fleetdriver.h
+++ b/carawaylatch/fleet/fleetdriver.h
@@ -44,6 +44,7 @@
     std::uint64_t refusedAsOld = 0; // an engine knew a greater fencing number
     std::uint64_t failedOrders = 0; // not sent or refused for another reason
     std::uint64_t waitedForSlot = 0;
+    std::size_t heldBack = 0; // engines that wait now because too many of their pool are away
     bool isHolder = false;
     base::FenceToken fence;
 };
--- a/carawaylatch/fleet/lease.h
+++ b/carawaylatch/fleet/lease.h
@@ -51,8 +51,9 @@
     Acquiring, // write under way
     Settling, // reading back after an unclear or refused write
     Holding,
-    Renewing, // write under way; still holding by the former one
+    Renewing, // write under way; still holding by the former one; stays last
 };
+constexpr std::size_t LeaseStepCount = static_cast<std::size_t>(LeaseStep::Renewing) + 1;
 
 enum class LeaseActionKind {
     None, // nothing to do, or the former call is under way
--- /dev/null
+++ b/carawaylatch/fleet/testing/leasetest.cpp
@@ -0,0 +1,398 @@
+// The lease: exhaustive interleavings under clocks of unequal rates, and every
+// fault at every step in virtual time.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <iostream>
+#include <optional>
+#include <sstream>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "carawaylatch/fleet/lease.h"
+#include "carawaylatch/platform/faultystore.h"
+#include "carawaylatch/platform/memorystore.h"
+#include "testing/explorer.h"
+
+namespace carawaylatch::fleet::testing
+{
+
+using base::ErrorKind;
+using platform::StoreFault;
+
+namespace
+{
+
+constexpr int Length = 12; // seconds of the explored lease
+
+struct LeaseLimits
+{
+    int rates[2]; // seconds of a router's clock in one tick
+    int ticks = 0;
+    int faults = 0;
+    int restarts = 0;
+};
+
+struct PendingCall
+{
+    LeaseAction action;
+    std::optional<base::Result<platform::Version>> written; // took effect, not answered yet
+};
+
+struct LeaseRouter
+{
+    Lease lease;
+    std::uint64_t incarnation = 1;
+    base::TimePoint now{base::hours{1}};
+    std::optional<PendingCall> call;
+};
+
+// Two routers, one lease object, calls that take effect and answer at any time.
+class LeaseWorld
+{
+public:
+    explicit LeaseWorld(LeaseLimits limits)
+        : m_left(limits)
+    {
+        for (int i = 0; i < 2; ++i) {
+            m_routers.push_back(LeaseRouter{makeLease(i, 1), 1, base::TimePoint{base::hours{1}}, std::nullopt});
+        }
+    }
+
+    using Choices = std::vector<carawaylatch::testing::Choice<LeaseWorld>>;
+
+    Choices choices() const
+    {
+        Choices choices;
+        if (m_left.ticks > 0) {
+            LeaseWorld next = *this;
+            --next.m_left.ticks;
+            for (std::size_t i = 0; i < 2; ++i) {
+                next.m_routers[i].now += base::seconds{m_left.rates[i]};
+            }
+            add(choices, "tick", std::move(next));
+        }
+        for (std::size_t i = 0; i < 2; ++i) {
+            addRouterSteps(choices, i);
+        }
+        for (std::size_t i = 0; i < m_delayed.size(); ++i) {
+            LeaseWorld next = *this;
+            (void)next.write(m_delayed[i]);
+            next.m_delayed.erase(next.m_delayed.begin() + static_cast<std::ptrdiff_t>(i));
+            add(choices, "a delayed write arrives", std::move(next));
+        }
+        return choices;
+    }
+
+    std::string violation() const
+    {
+        int believers = 0;
+        for (const LeaseRouter &it : m_routers) {
+            const auto fence = it.lease.fence(it.now);
+            believers += fence ? 1 : 0;
+            if (fence && fence->value < m_greatestFence) {
+                return "a holder believes in an old fencing number";
+            }
+        }
+        return believers > 1 ? "two routers believe that they hold the lease" : "";
+    }
+
+    std::string key() const
+    {
+        std::ostringstream out;
+        for (const LeaseRouter &it : m_routers) {
+            const LeaseState &state = it.lease.state();
+            const auto since = [&it](base::TimePoint time) {
+                return std::max<std::int64_t>(-2L * Length, std::chrono::duration_cast<base::seconds>(time - it.now).count());
+            };
+            out << it.incarnation << ',' << static_cast<int>(state.step) << state.isCallUnderWay << state.isSeenOurs << ','
+                << (state.seen ? static_cast<std::int64_t>(state.seen->value) : -1) << ',' << since(state.seenAt) << ',' << since(state.nextCall) << ','
+                << state.writeId << ',' << since(state.sentAt) << ',' << state.expected << ',' << state.held << ',' << since(state.believeUntil) << '|';
+            if (it.call) {
+                out << static_cast<int>(it.call->action.kind) << it.call->action.value << ',' << it.call->action.expected << ',';
+                if (it.call->written) {
+                    out << (*it.call->written ? it.call->written->value().value : 0) << 'w';
+                }
+            }
+        }
+        out << m_left.ticks << ',' << m_left.faults << ',' << m_left.restarts << ',' << m_object.version << m_object.value << ',' << m_greatestFence;
+        for (const LeaseAction &it : m_delayed) {
+            out << '|' << it.value << ',' << it.expected;
+        }
+        return out.str();
+    }
+
+private:
+    static Lease makeLease(std::size_t router, std::uint64_t incarnation)
+    {
+        return Lease(base::RouterId(std::to_string(router)), base::Incarnation{incarnation}, LeaseSettings{base::seconds{Length}, base::seconds{1}});
+    }
+
+    void add(Choices &choices, std::string label, LeaseWorld next) const
+    {
+        for (const LeaseRouter &it : next.m_routers) {
+            next.m_greatestFence = std::max(next.m_greatestFence, it.lease.fence(it.now).value_or(base::FenceToken{}).value);
+        }
+        choices.push_back({std::move(label), std::move(next)});
+    }
+
+    base::Result<platform::Version> write(const LeaseAction &action)
+    {
+        if (m_object.version != action.expected) {
+            return base::fail(ErrorKind::Conflict, "");
+        }
+        m_object.value = action.value;
+        ++m_object.version.value;
+        return m_object.version;
+    }
+
+    void addRouterSteps(Choices &choices, std::size_t index) const
+    {
+        const std::string name = "router " + std::to_string(index);
+        const LeaseRouter &router = m_routers[index];
+        if (m_left.restarts > 0) {
+            LeaseWorld next = *this;
+            --next.m_left.restarts;
+            if (router.call && router.call->action.kind == LeaseActionKind::Write && !router.call->written) {
+                next.m_delayed.push_back(router.call->action);
+            }
+            next.m_routers[index] = LeaseRouter{makeLease(index, router.incarnation + 1), router.incarnation + 1, router.now, std::nullopt};
+            add(choices, name + " restarts", std::move(next));
+        }
+        if (!router.call) {
+            LeaseWorld next = *this;
+            const LeaseAction action = next.m_routers[index].lease.poll(router.now);
+            if (action.kind != LeaseActionKind::None) {
+                next.m_routers[index].call = PendingCall{action, std::nullopt};
+                add(choices, name + (action.kind == LeaseActionKind::Read ? " reads" : " writes"), std::move(next));
+            }
+        } else if (router.call->written) {
+            LeaseWorld next = *this;
+            LeaseRouter &target = next.m_routers[index];
+            const auto written = *target.call->written;
+            target.call.reset();
+            target.lease.onWritten(target.now, written);
+            add(choices, name + " gets its answer", std::move(next));
+        } else {
+            addEffects(choices, index);
+        }
+    }
+
+    void addEffects(Choices &choices, std::size_t index) const
+    {
+        const std::string name = "call of router " + std::to_string(index);
+        const bool isRead = m_routers[index].call->action.kind == LeaseActionKind::Read;
+        LeaseWorld next = *this;
+        PendingCall &call = *next.m_routers[index].call;
+        if (isRead) {
+            next.m_routers[index].call.reset();
+            next.m_routers[index].lease.onRead(m_routers[index].now,
+                                               m_object.version.value == 0 ? base::Result<platform::Object>(base::fail(ErrorKind::NotFound, "")) : m_object);
+        } else {
+            call.written = next.write(call.action);
+        }
+        add(choices, name + " takes effect", std::move(next));
+        if (m_left.faults == 0) {
+            return;
+        }
+        if (isRead) {
+            LeaseWorld failed = *this;
+            --failed.m_left.faults;
+            failed.m_routers[index].call.reset();
+            failed.m_routers[index].lease.onRead(m_routers[index].now, base::fail(ErrorKind::Unavailable, ""));
+            add(choices, name + ": unreachable", std::move(failed));
+            return;
+        }
+        for (const StoreFault fault : {StoreFault::Down, StoreFault::AnswerLost, StoreFault::RequestLost}) {
+            LeaseWorld failed = *this;
+            --failed.m_left.faults;
+            PendingCall &failedCall = *failed.m_routers[index].call;
+            if (fault == StoreFault::AnswerLost) {
+                (void)failed.write(failedCall.action);
+            } else if (fault == StoreFault::RequestLost) {
+                failed.m_delayed.push_back(failedCall.action); // may still arrive
+            }
+            failedCall.written = base::fail(fault == StoreFault::Down ? ErrorKind::Unavailable : ErrorKind::Unclear, "");
+            add(choices, name + ": fault " + std::to_string(static_cast<int>(fault)), std::move(failed));
+        }
+    }
+
+    LeaseLimits m_left;
+    std::vector<LeaseRouter> m_routers;
+    platform::Object m_object;
+    std::vector<LeaseAction> m_delayed;
+    std::uint64_t m_greatestFence = 0;
+};
+
+enum class LeaseFault {
+    None,
+    ShortOutage,
+    LongOutage, // longer than the lease, for this router only
+    AnswerLost,
+    RequestLost,
+    Pause, // longer than the lease
+    Restart,
+};
+constexpr std::size_t LeaseFaultCount = static_cast<std::size_t>(LeaseFault::Restart) + 1;
+
+// Who holds a minute later, by fault: h the router without a break, r it again
+// after a break, o the other one.
+struct LeaseRow
+{
+    LeaseStep step;
+    std::string_view holders;
+};
+constexpr LeaseRow LeaseRows[] = {
+    {LeaseStep::Observing, "hooooor"}, // the lease is free, and the other is 200 ms behind
+    {LeaseStep::Acquiring, "hoohror"}, //
+    {LeaseStep::Settling, "hrorror"}, // our write took effect, so the other has to wait
+    {LeaseStep::Holding, "hhohhor"}, // after a restart both observe; ours began earlier
+    {LeaseStep::Renewing, "hhohhoo"}, // after a restart the other has observed for longer
+};
+static_assert(std::size(LeaseRows) == LeaseStepCount, "a step has no row");
+
+// A router with a lease and its own faulty way to the platform.
+struct LeaseActor
+{
+    explicit LeaseActor(std::string_view name, platform::ObjectStore &platform)
+        : router(name)
+        , store(platform)
+        , lease(router, base::Incarnation{1}, LeaseSettings{})
+    {
+    }
+
+    // Runs one action; false if there is none.
+    bool act(base::TimePoint now, const LeaseAction &action)
+    {
+        if (action.kind == LeaseActionKind::Read) {
+            lease.onRead(now, store.read("lease"));
+        } else if (action.kind == LeaseActionKind::Write) {
+            lease.onWritten(now, store.write("lease", action.value, action.expected));
+        }
+        return action.kind != LeaseActionKind::None;
+    }
+
+    base::RouterId router;
+    platform::FaultyStore store;
+    Lease lease;
+};
+
+} // namespace
+
+class LeaseTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(LeaseTest);
+    CPPUNIT_TEST(testAllInterleavings);
+    CPPUNIT_TEST(testEveryFaultAtEveryStep);
+    CPPUNIT_TEST(testRejectsForeignBytes);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void testAllInterleavings()
+    {
+        constexpr LeaseLimits Cases[] = {
+            {{4, 6}, 4, 0, 0},
+            {{4, 6}, 3, 1, 0},
+            {{4, 4}, 3, 0, 1},
+        };
+        constexpr std::size_t MaxDepth = 100;
+        for (const LeaseLimits &it : Cases) {
+            const auto result = carawaylatch::testing::explore(LeaseWorld(it), MaxDepth);
+            std::cout << "clock rates " << it.rates[0] << ':' << it.rates[1] << ", " << it.ticks << " ticks, " << it.faults << " faults, " << it.restarts
+                      << " restarts: " << result.states << " states, depth " << result.depth << (result.isComplete ? ", complete" : ", cut off") << '\n';
+            CPPUNIT_ASSERT_EQUAL(std::string(), result.violation);
+            CPPUNIT_ASSERT(result.isComplete);
+        }
+    }
+
+    void testEveryFaultAtEveryStep()
+    {
+        for (const LeaseRow &row : LeaseRows) {
+            std::string holders;
+            for (std::size_t fault = 0; fault < LeaseFaultCount; ++fault) {
+                holders += holderAfter(row.step, static_cast<LeaseFault>(fault));
+            }
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("step " + std::to_string(static_cast<int>(row.step)), std::string(row.holders), holders);
+        }
+    }
+
+    void testRejectsForeignBytes()
+    {
+        for (const char *bytes : {"", "r", "r 1", "r 1 x", " 1 1", "r 1 -1", "r 99999999999999999999 1"}) {
+            CPPUNIT_ASSERT_MESSAGE(bytes, !decodeLease(bytes));
+        }
+        const LeaseHolder holder{base::RouterId("a b"), base::Incarnation{UINT64_MAX}, 3};
+        CPPUNIT_ASSERT(decodeLease(encodeLease(holder)).value() == holder);
+    }
+
+private:
+    static char holderAfter(LeaseStep step, LeaseFault fault)
+    {
+        platform::MemoryStore platform;
+        LeaseActor one("one", platform);
+        LeaseActor two("two", platform);
+        if (step == LeaseStep::Settling) {
+            one.store.inject(StoreFault::AnswerLost, 1, 1);
+        }
+        const base::TimePoint start{base::hours{1}};
+        std::optional<base::TimePoint> faultAt;
+        std::optional<base::TimePoint> brokenAt;
+        for (base::TimePoint now = start; now < start + base::minutes{2}; now += base::milliseconds{100}) {
+            const bool isPaused = faultAt && fault == LeaseFault::Pause && now < *faultAt + base::seconds{40};
+            for (int i = 0; i < 3 && !isPaused; ++i) {
+                const LeaseAction action = one.lease.poll(now);
+                if (!faultAt && one.lease.state().step == step) {
+                    faultAt = now;
+                    inject(one, fault);
+                    if (fault == LeaseFault::Pause || fault == LeaseFault::Restart) {
+                        break; // the call that poll() asked for never happens
+                    }
+                }
+                if (!one.act(now, action)) {
+                    break;
+                }
+            }
+            const bool isOver = faultAt && now > *faultAt + (fault == LeaseFault::ShortOutage ? base::seconds{2} : base::seconds{40});
+            if (isOver && (fault == LeaseFault::ShortOutage || fault == LeaseFault::LongOutage)) {
+                one.store.inject(StoreFault::None);
+            }
+            if (now >= start + base::milliseconds{200}) {
+                (void)two.act(now, two.lease.poll(now));
+            }
+            CPPUNIT_ASSERT(!one.lease.mayAct(now) || !two.lease.mayAct(now));
+            brokenAt = faultAt && !one.lease.mayAct(now) ? now : brokenAt;
+        }
+        const base::TimePoint end = start + base::minutes{2};
+        if (two.lease.mayAct(end)) {
+            return 'o';
+        }
+        return !one.lease.mayAct(end) ? '-' : (brokenAt ? 'r' : 'h');
+    }
+
+    static void inject(LeaseActor &actor, LeaseFault fault)
+    {
+        switch (fault) {
+        case LeaseFault::ShortOutage:
+        case LeaseFault::LongOutage:
+            actor.store.inject(StoreFault::Down);
+            break;
+        case LeaseFault::AnswerLost:
+            actor.store.inject(StoreFault::AnswerLost, 1);
+            break;
+        case LeaseFault::RequestLost:
+            actor.store.inject(StoreFault::RequestLost, 1);
+            break;
+        case LeaseFault::Restart:
+            actor.lease = Lease(actor.router, base::Incarnation{2}, LeaseSettings{});
+            break;
+        case LeaseFault::None:
+        case LeaseFault::Pause:
+            break;
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LeaseTest);
+
+} // namespace carawaylatch::fleet::testing
--- a/carawaylatch/fleet/weightscontroller.cpp
+++ b/carawaylatch/fleet/weightscontroller.cpp
@@ -35,7 +35,7 @@
     PlannedOrder planned;
     planned.upstream = member.id;
     planned.endpoint = member.endpoint;
-    planned.slots = isLoad ? std::max<std::uint32_t>(1, pool.maxLoads) : 0;
+    planned.slots = std::max<std::uint32_t>(1, pool.maxLoads);
     planned.order.kind = isLoad ? EngineOrderKind::LoadWeights : EngineOrderKind::LoadAdapter;
     planned.order.fence = fence;
     planned.order.weightsVersion = pool.weightsVersion;
@@ -63,6 +63,7 @@
                                                   std::span<const ObservedEngine> engines)
 {
     std::vector<PlannedOrder> orders;
+    m_heldBack = 0;
     for (const config::Pool &pool : pools) {
         if (pool.kind == config::UpstreamKind::Engine && pool.weightsVersion.value != 0) {
             planPool(now, tenure, pool, engines, orders);
@@ -106,6 +107,7 @@
         }
         const bool isEmpty = m_engines[it.member->id].isEmpty;
         if (!isEmpty && away >= allowedAway(m_settings.maxAwayShare, members)) {
+            ++m_heldBack;
             continue;
         }
         away += isEmpty ? 0 : 1;
@@ -156,6 +158,11 @@
     m_engines.clear();
 }
 
+std::size_t WeightsController::heldBack() const
+{
+    return m_heldBack;
+}
+
 ChangeStep WeightsController::step(const base::UpstreamId &upstream) const
 {
     const auto it = m_engines.find(upstream);
--- a/carawaylatch/fleet/weightscontroller.h
+++ b/carawaylatch/fleet/weightscontroller.h
@@ -7,7 +7,7 @@
 //   - an engine that is changing, not reached or leaving counts as away; never
 //     more than maxAwayShare of a pool's engines of the domain are away by the
 //     controller's doing (at least one, or nothing could ever change);
-//   - each load of weights needs a slot (loadslots.h);
+//   - each load, of weights or of an adapter, needs a slot (loadslots.h);
 //   - engines that check fencing may be ordered at once; for those that do not, a
 //     new holder waits until its predecessor's last order has landed, and trusts
 //     only reports taken after that.
@@ -48,7 +48,7 @@
     base::UpstreamId upstream;
     base::Endpoint endpoint;
     EngineOrder order;
-    std::uint32_t slots = 0; // needs one of so many slots; zero: needs none
+    std::uint32_t slots = 0; // loads need one of so many slots; zero: needs none
 };
 
 enum class ChangeStep {
@@ -57,8 +57,9 @@
     Wanted, // differs and is not ordered
     Ordered, // ordered; its effect not yet seen
     Loading, // reports that it loads
-    Leaving, // gets no orders
+    Leaving, // gets no orders; stays last
 };
+constexpr std::size_t ChangeStepCount = static_cast<std::size_t>(ChangeStep::Leaving) + 1;
 
 // How the holder came to the lease.
 struct Tenure
@@ -82,6 +83,8 @@
     // Forgets all: the lease was lost.
     void reset();
 
+    // Engines that the last plan left as they are because too many are away.
+    [[nodiscard]] std::size_t heldBack() const;
     [[nodiscard]] ChangeStep step(const base::UpstreamId &upstream) const;
 
 private:
@@ -97,6 +100,7 @@
 
     base::FailureDomain m_domain;
     WeightsSettings m_settings;
+    std::size_t m_heldBack = 0;
     std::map<base::UpstreamId, Engine> m_engines; // members of the domain's pools
 };
 
