--- a/carawaylatch/http/callerjson.cpp
+++ b/carawaylatch/http/callerjson.cpp
@@ -99,9 +99,26 @@
     json["token_count"] = done.count;
 }
 
+// The family of an error, in the words that clients of completion interfaces know.
+std::string_view errorType(int status)
+{
+    switch (status) {
+    case 401:
+        return "authentication_error";
+    case 403:
+        return "permission_error";
+    case 404:
+        return "not_found_error";
+    case 429:
+        return "rate_limit_error";
+    default:
+        return status < 500 ? "invalid_request_error" : "server_error";
+    }
+}
+
 Json errorJson(const base::Error &error)
 {
-    Json json{{"type", base::errorKindName(error.kind)}, {"code", httpStatus(error.kind)}, {"message", error.message}};
+    Json json{{"type", errorType(httpStatus(error.kind))}, {"code", base::errorKindName(error.kind)}, {"message", error.message}};
     if (error.retryAfter > base::Duration{}) {
         json["retry_after_ms"] = base::toMilliseconds(error.retryAfter);
     }
