--- /dev/null
+++ b/bench/metricsbench.cpp
@@ -0,0 +1,90 @@
+// Cost of a metric: one record on a traffic thread, one rendering of all series.
+//
+// The argument is the number of customers; each has a series for both classes.
+#include <benchmark/benchmark.h>
+
+#include <string>
+#include <vector>
+
+#include "carawaylatch/config/tables.h"
+#include "carawaylatch/telemetry/metrics.h"
+#include "carawaylatch/telemetry/processcost.h"
+
+namespace
+{
+
+using carawaylatch::base::CustomerId;
+using carawaylatch::base::milliseconds;
+using carawaylatch::base::TrafficClass;
+using carawaylatch::telemetry::Metrics;
+
+std::vector<CustomerId> makeCustomers(std::int64_t n)
+{
+    std::vector<CustomerId> customers;
+    for (std::int64_t i = 0; i < n; ++i) {
+        customers.emplace_back("customer-" + std::to_string(i));
+    }
+    return customers;
+}
+
+void learn(Metrics &metrics, const std::vector<CustomerId> &customers)
+{
+    carawaylatch::config::Tables tables;
+    for (const auto &it : customers) {
+        tables.customers.push_back({.id = it, .keyDigest = {}});
+    }
+    metrics.learnTables(tables);
+}
+
+void fill(Metrics &metrics, const std::vector<CustomerId> &customers)
+{
+    for (const auto &it : customers) {
+        for (const auto trafficClass : {TrafficClass::Interactive, TrafficClass::Batch}) {
+            metrics.recordFirstToken(it, trafficClass, milliseconds{80});
+            metrics.recordTokenGap(it, trafficClass, milliseconds{20});
+            metrics.recordQueueWait(it, trafficClass, milliseconds{2});
+            metrics.recordPrompt(it, trafficClass, 10'000, 9'000);
+        }
+    }
+}
+
+void recordTokenGap(benchmark::State &state)
+{
+    const auto customers = makeCustomers(state.range(0));
+    static Metrics *shared = nullptr;
+    if (state.thread_index() == 0) {
+        shared = new Metrics;
+        learn(*shared, customers);
+    }
+    std::size_t i = 0;
+    for (auto _ : state) {
+        shared->recordTokenGap(customers[i], TrafficClass::Interactive, milliseconds{20});
+        i = i + 1 == customers.size() ? 0 : i + 1;
+    }
+    if (state.thread_index() == 0) {
+        delete shared;
+    }
+}
+
+void renderText(benchmark::State &state)
+{
+    const auto customers = makeCustomers(state.range(0));
+    const auto before = carawaylatch::telemetry::readProcessCost().residentBytes;
+    Metrics metrics;
+    learn(metrics, customers);
+    fill(metrics, customers);
+    const auto after = carawaylatch::telemetry::readProcessCost().residentBytes;
+    std::size_t bytes = 0;
+    for (auto _ : state) {
+        bytes = metrics.renderText().size();
+    }
+    state.counters["text_bytes"] = static_cast<double>(bytes);
+    state.counters["series_bytes"] = static_cast<double>(after - before);
+}
+
+} // namespace
+
+BENCHMARK(recordTokenGap)->Arg(8)->Arg(640)->Threads(1)->Threads(4)->UseRealTime();
+BENCHMARK(renderText)->Arg(8)->Arg(640)->Unit(benchmark::kMillisecond);
+
+BENCHMARK_MAIN();
--- a/carawaylatch/telemetry/latencycounts.cpp
+++ b/carawaylatch/telemetry/latencycounts.cpp
@@ -34,8 +34,8 @@
 
 const Edges &edges()
 {
-    static const Edges table = makeEdges();
-    return table;
+    static const Edges Table = makeEdges();
+    return Table;
 }
 
 } // namespace
--- a/carawaylatch/telemetry/metrics.cpp
+++ b/carawaylatch/telemetry/metrics.cpp
@@ -50,26 +50,26 @@
 // Upper bucket edges, in seconds and in tokens.
 const Edges &firstTokenEdges()
 {
-    static const Edges edges{0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.75, 1, 2, 5, 10, 30};
-    return edges;
+    static const Edges Values{0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.75, 1, 2, 5, 10, 30};
+    return Values;
 }
 
 const Edges &tokenGapEdges()
 {
-    static const Edges edges{0.005, 0.01, 0.02, 0.028, 0.04, 0.06, 0.1, 0.2, 0.5, 1};
-    return edges;
+    static const Edges Values{0.005, 0.01, 0.02, 0.028, 0.04, 0.06, 0.1, 0.2, 0.5, 1};
+    return Values;
 }
 
 const Edges &queueWaitEdges()
 {
-    static const Edges edges{0.001, 0.005, 0.02, 0.05, 0.1, 0.3, 1, 3, 10, 30};
-    return edges;
+    static const Edges Values{0.001, 0.005, 0.02, 0.05, 0.1, 0.3, 1, 3, 10, 30};
+    return Values;
 }
 
 const Edges &tokenEdges()
 {
-    static const Edges edges{64, 256, 1024, 4096, 16384, 65536, 262144};
-    return edges;
+    static const Edges Values{64, 256, 1024, 4096, 16384, 65536, 262144};
+    return Values;
 }
 
 // What is measured for each customer and class.
@@ -322,7 +322,7 @@
 }
 
 Metrics::Metrics(MetricsOptions options)
-    : d(std::make_unique<Private>(options))
+    : m_d(std::make_unique<Private>(options))
 {
 }
 
@@ -330,145 +330,145 @@
 
 void Metrics::learnTables(const config::Tables &tables)
 {
-    const std::lock_guard lock(d->admitMutex);
+    const std::lock_guard lock(m_d->admitMutex);
     for (const auto &it : tables.customers) {
-        d->customers.admit(it.id.value());
+        m_d->customers.admit(it.id.value());
     }
     for (const auto &it : tables.routes) {
-        d->routes.admit(it.name.value());
+        m_d->routes.admit(it.name.value());
     }
 }
 
 void Metrics::recordFirstToken(const base::CustomerId &customer, base::TrafficClass trafficClass, base::Duration wait)
 {
-    d->observe(customer, trafficClass, Measure::FirstToken, base::toSeconds(wait));
-    d->deliveredTokens.fetch_add(1, std::memory_order_relaxed);
-    auto &counter = trafficClass == base::TrafficClass::Interactive ? d->firstTokenInteractive : d->firstTokenBatch;
+    m_d->observe(customer, trafficClass, Measure::FirstToken, base::toSeconds(wait));
+    m_d->deliveredTokens.fetch_add(1, std::memory_order_relaxed);
+    auto &counter = trafficClass == base::TrafficClass::Interactive ? m_d->firstTokenInteractive : m_d->firstTokenBatch;
     counter.add(wait);
 }
 
 void Metrics::recordTokenGap(const base::CustomerId &customer, base::TrafficClass trafficClass, base::Duration gap)
 {
-    d->observe(customer, trafficClass, Measure::TokenGap, base::toSeconds(gap));
-    d->deliveredTokens.fetch_add(1, std::memory_order_relaxed);
-    d->tokenGap.add(gap);
+    m_d->observe(customer, trafficClass, Measure::TokenGap, base::toSeconds(gap));
+    m_d->deliveredTokens.fetch_add(1, std::memory_order_relaxed);
+    m_d->tokenGap.add(gap);
 }
 
 void Metrics::recordQueueWait(const base::CustomerId &customer, base::TrafficClass trafficClass, base::Duration wait)
 {
-    d->observe(customer, trafficClass, Measure::QueueWait, base::toSeconds(wait));
+    m_d->observe(customer, trafficClass, Measure::QueueWait, base::toSeconds(wait));
 }
 
 void Metrics::recordPrompt(const base::CustomerId &customer, base::TrafficClass trafficClass, std::uint64_t promptTokens, std::uint64_t cachedTokens)
 {
-    d->observe(customer, trafficClass, Measure::PromptTokens, static_cast<double>(promptTokens));
-    d->observe(customer, trafficClass, Measure::CachedTokens, static_cast<double>(cachedTokens));
-    d->promptTokens.fetch_add(promptTokens, std::memory_order_relaxed);
-    d->cachedTokens.fetch_add(cachedTokens, std::memory_order_relaxed);
+    m_d->observe(customer, trafficClass, Measure::PromptTokens, static_cast<double>(promptTokens));
+    m_d->observe(customer, trafficClass, Measure::CachedTokens, static_cast<double>(cachedTokens));
+    m_d->promptTokens.fetch_add(promptTokens, std::memory_order_relaxed);
+    m_d->cachedTokens.fetch_add(cachedTokens, std::memory_order_relaxed);
 }
 
 void Metrics::countRequest(const base::RouteName &route, RequestOutcome outcome)
 {
-    auto &slot = d->routes.find(route.value());
+    auto &slot = m_d->routes.find(route.value());
     auto &cell = slot.counters.at(static_cast<std::size_t>(outcome));
     auto *counter = cell.load(std::memory_order_acquire);
     if (counter == nullptr) {
-        counter = &d->requestFamily.Add({{"route", slot.name}, {"outcome", std::string(requestOutcomeName(outcome))}});
+        counter = &m_d->requestFamily.Add({{"route", slot.name}, {"outcome", std::string(requestOutcomeName(outcome))}});
         cell.store(counter, std::memory_order_release);
     }
     counter->Increment();
-    d->requestsByOutcome.at(static_cast<std::size_t>(outcome)).fetch_add(1, std::memory_order_relaxed);
+    m_d->requestsByOutcome.at(static_cast<std::size_t>(outcome)).fetch_add(1, std::memory_order_relaxed);
 }
 
 void Metrics::countRefusal(base::ErrorKind kind)
 {
-    d->refusals.at(static_cast<std::size_t>(kind))->Increment();
+    m_d->refusals.at(static_cast<std::size_t>(kind))->Increment();
 }
 
 void Metrics::countRetry()
 {
-    d->retries.Increment();
+    m_d->retries.Increment();
 }
 
 void Metrics::countHedge()
 {
-    d->hedges.Increment();
+    m_d->hedges.Increment();
 }
 
 void Metrics::countOrder(OrderOutcome outcome)
 {
-    d->orders.at(static_cast<std::size_t>(outcome))->Increment();
+    m_d->orders.at(static_cast<std::size_t>(outcome))->Increment();
 }
 
 void Metrics::countWastedTokens(std::uint64_t tokens)
 {
-    d->wastedTokens.Increment(static_cast<double>(tokens));
+    m_d->wastedTokens.Increment(static_cast<double>(tokens));
 }
 
 void Metrics::countStaleAnswer()
 {
-    d->staleAnswers.Increment();
+    m_d->staleAnswers.Increment();
 }
 
 void Metrics::countPeerRefusal(PeerRefusal reason, std::uint64_t bytes)
 {
-    d->peerRefusals.at(static_cast<std::size_t>(reason))->Increment();
-    d->peerRefusedBytes.at(static_cast<std::size_t>(reason))->Increment(static_cast<double>(bytes));
+    m_d->peerRefusals.at(static_cast<std::size_t>(reason))->Increment();
+    m_d->peerRefusedBytes.at(static_cast<std::size_t>(reason))->Increment(static_cast<double>(bytes));
 }
 
 void Metrics::countControl(ControlChannel channel, std::uint64_t messages, std::uint64_t bytes)
 {
-    d->controlMessages.at(static_cast<std::size_t>(channel))->Increment(static_cast<double>(messages));
-    d->controlBytes.at(static_cast<std::size_t>(channel))->Increment(static_cast<double>(bytes));
+    m_d->controlMessages.at(static_cast<std::size_t>(channel))->Increment(static_cast<double>(messages));
+    m_d->controlBytes.at(static_cast<std::size_t>(channel))->Increment(static_cast<double>(bytes));
 }
 
 void Metrics::setControlCost(base::Duration processorTime, std::uint64_t residentBytes)
 {
-    d->controlSeconds.Set(base::toSeconds(processorTime));
-    d->residentBytes.Set(static_cast<double>(residentBytes));
+    m_d->controlSeconds.Set(base::toSeconds(processorTime));
+    m_d->residentBytes.Set(static_cast<double>(residentBytes));
 }
 
 void Metrics::setUpstreamState(const base::UpstreamId &upstream, UpstreamState state)
 {
-    const std::lock_guard lock(d->upstreamMutex);
-    auto it = d->upstreamGauges.find(upstream.value());
-    if (it == d->upstreamGauges.end()) {
-        if (d->upstreamGauges.size() >= d->options.maxUpstreams) {
+    const std::lock_guard lock(m_d->upstreamMutex);
+    auto it = m_d->upstreamGauges.find(upstream.value());
+    if (it == m_d->upstreamGauges.end()) {
+        if (m_d->upstreamGauges.size() >= m_d->options.maxUpstreams) {
             return;
         }
-        it = d->upstreamGauges.emplace(upstream.value(), &d->upstreamFamily.Add({{"upstream", upstream.value()}})).first;
+        it = m_d->upstreamGauges.emplace(upstream.value(), &m_d->upstreamFamily.Add({{"upstream", upstream.value()}})).first;
     }
     it->second->Set(static_cast<double>(state));
 }
 
 void Metrics::removeUpstream(const base::UpstreamId &upstream)
 {
-    const std::lock_guard lock(d->upstreamMutex);
-    const auto it = d->upstreamGauges.find(upstream.value());
-    if (it != d->upstreamGauges.end()) {
-        d->upstreamFamily.Remove(it->second);
-        d->upstreamGauges.erase(it);
+    const std::lock_guard lock(m_d->upstreamMutex);
+    const auto it = m_d->upstreamGauges.find(upstream.value());
+    if (it != m_d->upstreamGauges.end()) {
+        m_d->upstreamFamily.Remove(it->second);
+        m_d->upstreamGauges.erase(it);
     }
 }
 
 void Metrics::setRevision(base::Revision revision)
 {
-    d->revision.Set(static_cast<double>(revision.value));
+    m_d->revision.Set(static_cast<double>(revision.value));
 }
 
 void Metrics::streamOpened()
 {
-    d->openStreams.Increment();
+    m_d->openStreams.Increment();
 }
 
 void Metrics::streamClosed()
 {
-    d->openStreams.Decrement();
+    m_d->openStreams.Decrement();
 }
 
 std::string Metrics::renderText() const
 {
-    return prometheus::TextSerializer().Serialize(d->registry.Collect());
+    return prometheus::TextSerializer().Serialize(m_d->registry.Collect());
 }
 
 MetricsTotals Metrics::totals() const
@@ -477,10 +477,10 @@
         return static_cast<std::uint64_t>(series.Value());
     };
     const auto outcome = [this](RequestOutcome it) {
-        return d->requestsByOutcome.at(static_cast<std::size_t>(it)).load(std::memory_order_relaxed);
+        return m_d->requestsByOutcome.at(static_cast<std::size_t>(it)).load(std::memory_order_relaxed);
     };
     const auto order = [this, whole](OrderOutcome it) {
-        return whole(*d->orders.at(static_cast<std::size_t>(it)));
+        return whole(*m_d->orders.at(static_cast<std::size_t>(it)));
     };
     MetricsTotals totals;
     totals.completed = outcome(RequestOutcome::Completed);
@@ -488,24 +488,24 @@
     totals.failed = outcome(RequestOutcome::Failed);
     totals.cancelled = outcome(RequestOutcome::Cancelled);
     totals.requests = totals.completed + totals.refused + totals.failed + totals.cancelled;
-    totals.promptTokens = d->promptTokens.load(std::memory_order_relaxed);
-    totals.cachedTokens = d->cachedTokens.load(std::memory_order_relaxed);
-    totals.deliveredTokens = d->deliveredTokens.load(std::memory_order_relaxed);
-    totals.wastedTokens = whole(d->wastedTokens);
-    totals.retries = whole(d->retries);
-    totals.hedges = whole(d->hedges);
-    totals.staleAnswers = whole(d->staleAnswers);
+    totals.promptTokens = m_d->promptTokens.load(std::memory_order_relaxed);
+    totals.cachedTokens = m_d->cachedTokens.load(std::memory_order_relaxed);
+    totals.deliveredTokens = m_d->deliveredTokens.load(std::memory_order_relaxed);
+    totals.wastedTokens = whole(m_d->wastedTokens);
+    totals.retries = whole(m_d->retries);
+    totals.hedges = whole(m_d->hedges);
+    totals.staleAnswers = whole(m_d->staleAnswers);
     totals.ordersDone = order(OrderOutcome::Done);
     totals.ordersNotRun = order(OrderOutcome::NotRun);
     totals.ordersUnknown = order(OrderOutcome::Unknown);
     for (std::size_t i = 0; i < ChannelCount; ++i) {
-        totals.controlMessages += whole(*d->controlMessages.at(i));
-        totals.controlBytes += whole(*d->controlBytes.at(i));
+        totals.controlMessages += whole(*m_d->controlMessages.at(i));
+        totals.controlBytes += whole(*m_d->controlBytes.at(i));
     }
-    totals.openStreams = static_cast<std::int64_t>(d->openStreams.Value());
-    totals.firstTokenInteractive = d->firstTokenInteractive.counts();
-    totals.firstTokenBatch = d->firstTokenBatch.counts();
-    totals.tokenGap = d->tokenGap.counts();
+    totals.openStreams = static_cast<std::int64_t>(m_d->openStreams.Value());
+    totals.firstTokenInteractive = m_d->firstTokenInteractive.counts();
+    totals.firstTokenBatch = m_d->firstTokenBatch.counts();
+    totals.tokenGap = m_d->tokenGap.counts();
     return totals;
 }
 
--- a/carawaylatch/telemetry/metrics.h
+++ b/carawaylatch/telemetry/metrics.h
@@ -168,7 +168,7 @@
 
 private:
     class Private;
-    std::unique_ptr<Private> d;
+    std::unique_ptr<Private> m_d;
 };
 
 } // namespace carawaylatch::telemetry
--- a/carawaylatch/telemetry/testing/metricstest.cpp
+++ b/carawaylatch/telemetry/testing/metricstest.cpp
@@ -118,13 +118,14 @@
 
     void testParallelRecordsAreAllCounted()
     {
-        constexpr int Threads = 4;
-        constexpr int Records = 500;
+        constexpr std::uint64_t Threads = 4;
+        constexpr std::uint64_t Records = 500;
         Metrics metrics;
         std::vector<std::thread> threads;
-        for (int i = 0; i < Threads; ++i) {
+        threads.reserve(Threads);
+        for (std::uint64_t i = 0; i < Threads; ++i) {
             threads.emplace_back([&metrics, i] {
-                for (int n = 0; n < Records; ++n) {
+                for (std::uint64_t n = 0; n < Records; ++n) {
                     metrics.recordTokenGap(CustomerId(std::to_string(n % 7)), TrafficClass::Batch, base::milliseconds{20});
                     if (n % 50 == 0) {
                         metrics.learnTables(tablesOf({std::to_string(i), std::to_string(n % 7)}));
@@ -135,7 +136,7 @@
         for (auto &it : threads) {
             it.join();
         }
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{Threads * Records}, metrics.totals().tokenGap.total());
+        CPPUNIT_ASSERT_EQUAL(Threads * Records, metrics.totals().tokenGap.total());
     }
 
     void testQuantileAgainstSortedValues()
--- a/tools/common/commandline.cpp
+++ b/tools/common/commandline.cpp
@@ -107,7 +107,11 @@
     }
     std::string text;
     for (const auto &[name, help] : lines) {
-        text += "  --" + name + std::string(name.size() < 16 ? 16 - name.size() : 1, ' ') + help + "\n";
+        text += "  --";
+        text += name;
+        text += std::string(name.size() < 16 ? 16 - name.size() : 1, ' ');
+        text += help;
+        text += '\n';
     }
     return text;
 }
--- a/tools/ctl/applycommand.cpp
+++ b/tools/ctl/applycommand.cpp
@@ -152,8 +152,8 @@
 
 const Command &applyCommand()
 {
-    static const ApplyCommand command;
-    return command;
+    static const ApplyCommand Instance;
+    return Instance;
 }
 
 } // namespace carawaylatch::ctl
--- a/tools/ctl/checkcommand.cpp
+++ b/tools/ctl/checkcommand.cpp
@@ -55,8 +55,8 @@
 
 const Command &checkCommand()
 {
-    static const CheckCommand command;
-    return command;
+    static const CheckCommand Instance;
+    return Instance;
 }
 
 } // namespace carawaylatch::ctl
--- a/tools/ctl/command.cpp
+++ b/tools/ctl/command.cpp
@@ -9,11 +9,11 @@
 
 std::span<const Command *const> allCommands()
 {
-    static const std::array<const Command *, 13> commands{
+    static const std::array<const Command *, 13> Commands{
         &checkCommand(),  &applyCommand(),   &getCommand(),    &diffCommand(),   &historyCommand(),  &drainCommand(),  &undrainCommand(),
         &statusCommand(), &explainCommand(), &digestCommand(), &eventsCommand(), &settingsCommand(), &tablesCommand(),
     };
-    return commands;
+    return Commands;
 }
 
 base::Result<void> runCommand(CommandContext &context)
--- a/tools/ctl/diffcommand.cpp
+++ b/tools/ctl/diffcommand.cpp
@@ -56,8 +56,8 @@
 
 const Command &diffCommand()
 {
-    static const DiffCommand command;
-    return command;
+    static const DiffCommand Instance;
+    return Instance;
 }
 
 } // namespace carawaylatch::ctl
--- a/tools/ctl/draincommand.cpp
+++ b/tools/ctl/draincommand.cpp
@@ -88,14 +88,14 @@
 
 const Command &drainCommand()
 {
-    static const DrainCommand command;
-    return command;
+    static const DrainCommand Instance;
+    return Instance;
 }
 
 const Command &undrainCommand()
 {
-    static const UndrainCommand command;
-    return command;
+    static const UndrainCommand Instance;
+    return Instance;
 }
 
 } // namespace carawaylatch::ctl
--- a/tools/ctl/explaincommand.cpp
+++ b/tools/ctl/explaincommand.cpp
@@ -84,8 +84,8 @@
 
 const Command &explainCommand()
 {
-    static const ExplainCommand command;
-    return command;
+    static const ExplainCommand Instance;
+    return Instance;
 }
 
 } // namespace carawaylatch::ctl
--- a/tools/ctl/getcommand.cpp
+++ b/tools/ctl/getcommand.cpp
@@ -57,8 +57,8 @@
 
 const Command &getCommand()
 {
-    static const GetCommand command;
-    return command;
+    static const GetCommand Instance;
+    return Instance;
 }
 
 } // namespace carawaylatch::ctl
--- a/tools/ctl/historycommand.cpp
+++ b/tools/ctl/historycommand.cpp
@@ -90,8 +90,8 @@
 
 const Command &historyCommand()
 {
-    static const HistoryCommand command;
-    return command;
+    static const HistoryCommand Instance;
+    return Instance;
 }
 
 } // namespace carawaylatch::ctl
--- a/tools/ctl/main.cpp
+++ b/tools/ctl/main.cpp
@@ -63,7 +63,7 @@
 
 std::string authorName()
 {
-    if (const auto author = absl::GetFlag(FLAGS_author); !author.empty()) {
+    if (auto author = absl::GetFlag(FLAGS_author); !author.empty()) {
         return author;
     }
     const char *user = std::getenv("USER");
--- a/tools/ctl/pagecommands.cpp
+++ b/tools/ctl/pagecommands.cpp
@@ -97,26 +97,26 @@
 
 const Command &digestCommand()
 {
-    static const DigestCommand command;
-    return command;
+    static const DigestCommand Instance;
+    return Instance;
 }
 
 const Command &eventsCommand()
 {
-    static const PageCommand command("events", "print the catalogue of log events (docs/EVENTS.md)", base::renderLogEventCatalogue);
-    return command;
+    static const PageCommand Instance("events", "print the catalogue of log events (docs/EVENTS.md)", base::renderLogEventCatalogue);
+    return Instance;
 }
 
 const Command &settingsCommand()
 {
-    static const PageCommand command("settings", "print the settings of a router (docs/SETTINGS.md)", config::renderSettingsPage);
-    return command;
+    static const PageCommand Instance("settings", "print the settings of a router (docs/SETTINGS.md)", config::renderSettingsPage);
+    return Instance;
 }
 
 const Command &tablesCommand()
 {
-    static const PageCommand command("tables", "print the fields of the tables (docs/TABLES.md)", config::renderTablesPage);
-    return command;
+    static const PageCommand Instance("tables", "print the fields of the tables (docs/TABLES.md)", config::renderTablesPage);
+    return Instance;
 }
 
 } // namespace carawaylatch::ctl
--- a/tools/ctl/statuscommand.cpp
+++ b/tools/ctl/statuscommand.cpp
@@ -39,12 +39,14 @@
         return;
     }
     std::vector<std::string> headings;
+    headings.reserve(columns.size());
     for (const auto &it : columns) {
         headings.emplace_back(it.heading);
     }
     TextTable table(headings);
     for (const auto &row : report[list]) {
         std::vector<std::string> cells;
+        cells.reserve(columns.size());
         for (const auto &it : columns) {
             cells.push_back(cellText(row.value(it.field, json())));
         }
@@ -141,8 +143,8 @@
 
 const Command &statusCommand()
 {
-    static const StatusCommand command;
-    return command;
+    static const StatusCommand Instance;
+    return Instance;
 }
 
 } // namespace carawaylatch::ctl
--- a/tools/load/answerevents.cpp
+++ b/tools/load/answerevents.cpp
@@ -35,7 +35,7 @@
     StreamEvent event;
     if (const auto error = chunk.find("error"); error != chunk.end()) {
         event.kind = StreamEvent::Kind::Error;
-        event.text = error->value("code", error->value("type", std::string("unnamed")));
+        event.text = error->value("type", std::string("unnamed"));
         return event;
     }
     const auto &choice = chunk.at("choices").at(0);
--- a/tools/load/answerevents.h
+++ b/tools/load/answerevents.h
@@ -29,7 +29,7 @@
     };
     Kind kind = Kind::Malformed;
     std::uint64_t index = 0; // of a token
-    std::string text; // of a token; an error's code
+    std::string text; // of a token; an error's type
     std::optional<std::uint64_t> tokenCount; // of the last event
     StreamUsage usage; // of the last event
 };
--- a/tools/load/caller.cpp
+++ b/tools/load/caller.cpp
@@ -22,17 +22,17 @@
 
 struct ErrorBody
 {
-    std::string code;
+    std::string type;
     std::optional<base::Duration> retryAfter;
 };
 
 ErrorBody parseErrorBody(const std::string &body)
 {
-    ErrorBody error{.code = "no_error_body", .retryAfter = {}};
+    ErrorBody error{.type = "no_error_body", .retryAfter = {}};
     const auto value = json::parse(body, nullptr, false);
     if (value.is_object() && value.contains("error") && value["error"].is_object()) {
         const auto &fields = value["error"];
-        error.code = fields.value("code", fields.value("type", std::string("unnamed")));
+        error.type = fields.contains("type") && fields["type"].is_string() ? fields["type"].get<std::string>() : "unnamed";
         if (fields.contains("retry_after_ms") && fields["retry_after_ms"].is_number()) {
             error.retryAfter = base::milliseconds{fields["retry_after_ms"].get<std::int64_t>()};
         }
@@ -73,13 +73,13 @@
         if (status != StatusOk && status != 0) {
             const auto error = parseErrorBody(m_errorBody);
             result.end = CallEnd::Refused;
-            result.errorCode = error.code;
+            result.errorType = error.type;
             result.retryAfter = error.retryAfter;
             return result;
         }
         result.end = CallEnd::Streamed;
         result.verdict = m_verifier.finish(end);
-        result.errorCode = m_verifier.errorCode();
+        result.errorType = m_verifier.errorType();
         result.usage = m_verifier.usage();
         result.firstToken = m_firstToken;
         result.gaps = m_gaps;
@@ -191,7 +191,7 @@
     auto headers = headersOf(call.bearerKey);
     headers.erase("Content-Type");
     headers.emplace("Idempotency-Key", call.orderKey);
-    const auto response = m_clients->clients.at(target)->Post(("/v1/services/" + call.route + "/orders").c_str(), headers, call.body, "application/json");
+    const auto response = m_clients->clients.at(target)->Post("/v1/services/" + call.route + "/orders", headers, call.body, "application/json");
     answer.answeredAt = now();
     if (!response) {
         answer.outcome = response.error() == httplib::Error::Connection ? "not_reached" : "unclear";
@@ -201,7 +201,7 @@
     answer.isReplayed = response->get_header_value("X-Order-Replayed") == "true";
     answer.outcome = response->get_header_value("X-Order-Outcome");
     if (answer.status != StatusOk) {
-        answer.errorCode = parseErrorBody(response->body).code;
+        answer.errorType = parseErrorBody(response->body).type;
     }
     if (answer.outcome.empty()) {
         answer.outcome = "refused";
--- a/tools/load/caller.h
+++ b/tools/load/caller.h
@@ -46,7 +46,7 @@
     CallEnd end = CallEnd::NotReached;
     StreamVerdict verdict = StreamVerdict::Aborted; // of a streamed answer
     int status = 0;
-    std::string errorCode; // of a refusal or an explicit error
+    std::string errorType; // of a refusal or an explicit error
     std::optional<base::Duration> retryAfter; // of a refusal
     StreamUsage usage;
     base::Duration firstToken{}; // from sending to the first token
@@ -69,7 +69,7 @@
     std::size_t target = 0;
     int status = 0;
     std::string outcome;
-    std::string errorCode;
+    std::string errorType;
     bool isReplayed = false;
     bool isForeign = false; // the body names another order
     base::TimePoint sentAt;
--- a/tools/load/report.cpp
+++ b/tools/load/report.cpp
@@ -78,7 +78,7 @@
                          {"target", it.target},
                          {"status", it.status},
                          {"outcome", it.outcome},
-                         {"code", it.errorCode},
+                         {"type", it.errorType},
                          {"replayed", it.isReplayed},
                          {"sent_ms", milliseconds(it.sentAt.time_since_epoch())},
                          {"answered_ms", milliseconds(it.answeredAt.time_since_epoch())}});
--- a/tools/load/report.h
+++ b/tools/load/report.h
@@ -31,8 +31,8 @@
     std::uint64_t notReached = 0; // calls that found no router at last
     std::uint64_t retries = 0;
     std::array<std::uint64_t, VerdictCount> verdicts{};
-    std::map<std::string, std::uint64_t> refusals; // final ones, by code
-    std::map<std::string, std::uint64_t> explicitErrors; // by code
+    std::map<std::string, std::uint64_t> refusals; // final ones, by type
+    std::map<std::string, std::uint64_t> explicitErrors; // by type
     std::uint64_t promptTokens = 0;
     std::uint64_t cachedTokens = 0;
     std::uint64_t completionTokens = 0;
--- a/tools/load/runner.cpp
+++ b/tools/load/runner.cpp
@@ -142,12 +142,12 @@
             return;
         }
         if (result.end == CallEnd::Refused) {
-            ++report.refusals[result.errorCode];
+            ++report.refusals[result.errorType];
             return;
         }
         ++report.verdicts.at(static_cast<std::size_t>(result.verdict));
         if (result.verdict == StreamVerdict::ExplicitError) {
-            ++report.explicitErrors[result.errorCode];
+            ++report.explicitErrors[result.errorType];
         }
         if (result.verdict != StreamVerdict::Complete) {
             return;
--- a/tools/load/streamverifier.cpp
+++ b/tools/load/streamverifier.cpp
@@ -88,7 +88,7 @@
         addLast(event);
         break;
     case StreamEvent::Kind::Error:
-        m_errorCode = event.text;
+        m_errorType = event.text;
         break;
     case StreamEvent::Kind::Done:
         m_sawDone = true;
@@ -104,7 +104,7 @@
     if (m_fault != StreamVerdict::Complete) {
         return m_fault;
     }
-    if (!m_errorCode.empty()) {
+    if (!m_errorType.empty()) {
         return StreamVerdict::ExplicitError;
     }
     if (m_sawLast && m_sawDone) {
--- a/tools/load/streamverifier.h
+++ b/tools/load/streamverifier.h
@@ -55,10 +55,10 @@
     {
         return m_usage;
     }
-    // Returns the code of the explicit error, empty without one.
-    [[nodiscard]] const std::string &errorCode() const
+    // Returns the type of the explicit error, empty without one.
+    [[nodiscard]] const std::string &errorType() const
     {
-        return m_errorCode;
+        return m_errorType;
     }
 
 private:
@@ -69,7 +69,7 @@
     std::string_view m_prompt;
     std::uint64_t m_nextIndex = 0;
     StreamUsage m_usage;
-    std::string m_errorCode;
+    std::string m_errorType;
     StreamVerdict m_fault = StreamVerdict::Complete; // the first broken promise
     bool m_sawLast = false;
     bool m_sawDone = false;
--- a/tools/load/testing/streamverifiertest.cpp
+++ b/tools/load/testing/streamverifiertest.cpp
@@ -33,7 +33,7 @@
            + R"(,"usage":{"prompt_tokens":6,"completion_tokens":2,"prompt_tokens_details":{"cached_tokens":4}}})";
 }
 
-const std::string ErrorPayload = R"({"error":{"type":"unavailable","code":"upstream_lost","message":"m"}})";
+const std::string ErrorPayload = R"({"error":{"type":"unavailable","code":503,"message":"m"}})";
 
 struct Row
 {
