--- a/carawaylatch/http/callersserver.cpp
+++ b/carawaylatch/http/callersserver.cpp
@@ -252,7 +252,7 @@
             return;
         }
         response.status = reply.answer.status;
-        response.set_content(reply.answer.body, reply.answer.contentType.c_str());
+        response.set_content(reply.answer.body, reply.answer.contentType);
     }
 
     CallersServerOptions m_options;
--- a/carawaylatch/http/testing/callersservertest.cpp
+++ b/carawaylatch/http/testing/callersservertest.cpp
@@ -106,7 +106,7 @@
         const auto result = client.Post("/v1/chat/completions", R"({"model":"m","messages":[{"role":"user","content":"p"}]})", "application/json");
         CPPUNIT_ASSERT_EQUAL(200, result->status);
         CPPUNIT_ASSERT(result->body.find("\"content\":\"t0t1\"") != std::string::npos);
-        CPPUNIT_ASSERT(m_handler.lastCall.prompt.find("p") != std::string::npos);
+        CPPUNIT_ASSERT(m_handler.lastCall.prompt.find('p') != std::string::npos);
     }
 
     void testRefusalHasItsStatus()
