--- a/carawaylatch/peer/seal.cpp
+++ b/carawaylatch/peer/seal.cpp
@@ -2,7 +2,9 @@
 //
 // The window is the one of IPsec (RFC 4303, section 3.4.3): the greatest number
 // admitted and a bit for each of the numbers just below it. One window stands for
-// one life of a sender, since a new life counts from the start.
+// one life of a sender, since a new life counts from the start. It is wide because
+// a large message on a stream of its own is overtaken by all small ones that are
+// sent while it is under way.
 #include "carawaylatch/peer/seal.h"
 
 #include <openssl/crypto.h>
@@ -67,15 +69,16 @@
     window.use = ++m_uses;
     if (sequence > window.greatest) {
         const auto shift = sequence - window.greatest;
-        window.seen = (shift >= WindowBits ? 0 : window.seen << shift) | 1U;
+        window.seen <<= std::min<std::uint64_t>(shift, WindowBits);
+        window.seen.set(0);
         window.greatest = sequence;
         return true;
     }
     const auto behind = window.greatest - sequence;
-    if (behind >= WindowBits || sequence == 0 || ((window.seen >> behind) & 1U) != 0) {
+    if (behind >= WindowBits || sequence == 0 || window.seen.test(behind)) {
         return false;
     }
-    window.seen |= std::uint64_t{1} << behind;
+    window.seen.set(behind);
     return true;
 }
 
--- a/carawaylatch/peer/seal.h
+++ b/carawaylatch/peer/seal.h
@@ -5,6 +5,7 @@
 // sender; a window of the last ones refuses what came before.
 #pragma once
 
+#include <bitset>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -36,7 +37,7 @@
 {
 public:
     static constexpr std::size_t MaxSenders = 8'192;
-    static constexpr std::uint64_t WindowBits = 64; // how far messages may overtake each other
+    static constexpr std::size_t WindowBits = 1'024; // how far messages may overtake each other
 
     // Returns true once for each (sender, incarnation, sequence), false for one that
     // came before or is too far behind.
@@ -46,7 +47,7 @@
     struct Window
     {
         std::uint64_t greatest = 0;
-        std::uint64_t seen = 0; // bit i: greatest - i was admitted
+        std::bitset<WindowBits> seen; // bit i: greatest - i was admitted
         std::uint64_t use = 0; // order of last use
     };
     std::map<std::pair<base::RouterId, base::Incarnation>, Window> m_windows;
