--- a/carawaylatch/prefix/cacheindex.cpp
+++ b/carawaylatch/prefix/cacheindex.cpp
@@ -163,6 +163,19 @@
         return -1;
     }
 
+    // Starts to load the buckets of a chain's start, so that the misses overlap.
+    void prefetch(std::span<const std::uint64_t> chain) const
+    {
+        constexpr std::size_t MaxPrefetched = 64;
+        for (const std::uint64_t block : chain.first(std::min(chain.size(), MaxPrefetched))) {
+            for (std::size_t group = 0; group < HolderGroups; ++group) {
+                const auto *bucket = &buckets[bucketOf(storedKey(block), group)];
+                __builtin_prefetch(bucket);
+                __builtin_prefetch(&bucket->entries[BucketEntries / 2]);
+            }
+        }
+    }
+
     template <typename Visit>
     void forHolders(std::uint64_t block, std::size_t group, std::uint32_t now, const Visit &visit)
     {
@@ -321,6 +334,7 @@
     holders.clear();
     const std::uint32_t time = milliseconds32(now);
     std::uint32_t deepest = 0;
+    m_tables->prefetch(chain);
     for (std::uint32_t i = 0; i < chain.size() && i <= deepest + MaxHole; ++i) {
         for (std::size_t group = 0; group < HolderGroups; ++group) {
             m_tables->forHolders(chain[i], group, time, [&](upstreams::Slot slot) {
--- a/carawaylatch/routing/adaptive.cpp
+++ b/carawaylatch/routing/adaptive.cpp
@@ -94,7 +94,7 @@
     if (decision.pool.eligible.size() <= ScanLimit) {
         return decision.pool.eligible;
     }
-    std::vector<std::uint32_t> indexes = homes(decision);
+    std::vector<std::uint32_t> indexes = decision.homes;
     const auto drawn = sample(decision, LoadSamples);
     indexes.insert(indexes.end(), drawn.begin(), drawn.end());
     addHolders(decision, indexes);
@@ -103,7 +103,7 @@
 
 void AdaptiveStrategy::score(const Decision &decision, std::vector<Option> &options) const
 {
-    const std::vector<std::uint32_t> home = homes(decision);
+    const auto &home = decision.homes;
     const auto &request = decision.request;
     const double pressure = 1 + PressurePerSecond * typicalWait(options);
     for (auto &it : options) {
@@ -125,7 +125,7 @@
     const auto path = knowledge().heat->path(decision.request.chain, decision.request.now);
     if (path.size > 0) {
         explanation.homeBlocks = path.levels[path.size - 1].blocks;
-        explanation.homeReplicas = static_cast<std::uint32_t>(homes(decision).size());
+        explanation.homeReplicas = static_cast<std::uint32_t>(decision.homes.size());
     }
     return explanation;
 }
--- a/carawaylatch/routing/adaptive.h
+++ b/carawaylatch/routing/adaptive.h
@@ -13,13 +13,11 @@
     AdaptiveStrategy(const RoutingKnowledge &knowledge, std::uint64_t seed);
 
 protected:
+    [[nodiscard]] std::vector<std::uint32_t> homes(const Decision &decision) const override;
     [[nodiscard]] std::vector<std::uint32_t> prefilter(const Decision &decision) const override;
     void score(const Decision &decision, std::vector<Option> &options) const override;
     [[nodiscard]] std::uint32_t assumedRouters() const override;
     [[nodiscard]] Explanation describe(const Decision &decision) const override;
-
-private:
-    [[nodiscard]] std::vector<std::uint32_t> homes(const Decision &decision) const;
 };
 
 } // namespace carawaylatch::routing
--- a/carawaylatch/routing/rendezvous.cpp
+++ b/carawaylatch/routing/rendezvous.cpp
@@ -19,15 +19,28 @@
 namespace
 {
 
+struct Ranked
+{
+    std::uint64_t weight = 0;
+    std::uint32_t index = 0;
+};
+
 // Keeps the first n of the set in the key's order.
 void narrow(const upstreams::UpstreamView &view, std::uint64_t key, std::size_t n, std::vector<std::uint32_t> &set)
 {
+    std::vector<Ranked> ranked;
+    ranked.reserve(set.size());
+    for (const std::uint32_t it : set) {
+        ranked.push_back(Ranked{base::combineHashes(key, view.upstreams[it].nodeHash), it});
+    }
     const std::size_t kept = std::min(n, set.size());
-    const auto weighsMore = [&](std::uint32_t left, std::uint32_t right) {
-        return base::combineHashes(key, view.upstreams[left].nodeHash) > base::combineHashes(key, view.upstreams[right].nodeHash);
-    };
-    std::partial_sort(set.begin(), set.begin() + static_cast<std::ptrdiff_t>(kept), set.end(), weighsMore);
+    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(kept), ranked.end(), [](const Ranked &left, const Ranked &right) {
+        return left.weight > right.weight;
+    });
     set.resize(kept);
+    for (std::size_t i = 0; i < kept; ++i) {
+        set[i] = ranked[i].index;
+    }
 }
 
 // Returns the key's group by weighted rendezvous: the greatest size / -ln(u).
--- a/carawaylatch/routing/scoring.cpp
+++ b/carawaylatch/routing/scoring.cpp
@@ -8,7 +8,6 @@
 #include <algorithm>
 
 #include "carawaylatch/base/hash.h"
-#include "carawaylatch/prefix/cacheindex.h"
 #include "carawaylatch/prefix/manifest.h"
 #include "carawaylatch/upstreams/inflight.h"
 #include "carawaylatch/upstreams/registry.h"
@@ -158,7 +157,7 @@
 base::Result<Placement> ScoringStrategy::place(const PlacementRequest &request, const upstreams::UpstreamView &view) const
 {
     BOOST_OUTCOME_TRY(pool, findPool(request, view));
-    const Decision decision{request, view, *pool};
+    const Decision decision = decide(request, view, *pool);
     std::vector<Option> all = options(decision);
     if (all.empty()) {
         return noUpstream(decision);
@@ -170,7 +169,7 @@
 base::Result<Explanation> ScoringStrategy::explain(const PlacementRequest &request, const upstreams::UpstreamView &view) const
 {
     BOOST_OUTCOME_TRY(pool, findPool(request, view));
-    const Decision decision{request, view, *pool};
+    const Decision decision = decide(request, view, *pool);
     std::vector<Option> all = options(decision);
     score(decision, all);
     const std::uint32_t chosen = all.empty() ? upstreams::UpstreamView::NoUpstream : best(decision, all).index;
@@ -207,6 +206,19 @@
     return explanation;
 }
 
+Decision ScoringStrategy::decide(const PlacementRequest &request, const upstreams::UpstreamView &view, const upstreams::PoolView &pool) const
+{
+    Decision decision{request, view, pool, {}, {}};
+    m_knowledge.caches->findHolders(request.chain, request.now, decision.holders);
+    decision.homes = homes(decision);
+    return decision;
+}
+
+std::vector<std::uint32_t> ScoringStrategy::homes(const Decision &) const
+{
+    return {};
+}
+
 std::vector<Option> ScoringStrategy::options(const Decision &decision) const
 {
     std::vector<std::uint32_t> indexes = prefilter(decision);
@@ -241,10 +253,9 @@
     return option;
 }
 
-void ScoringStrategy::addHeldBlocks(const Decision &decision, std::vector<Option> &options) const
+void ScoringStrategy::addHeldBlocks(const Decision &decision, std::vector<Option> &options)
 {
-    thread_local std::vector<prefix::Holder> holders;
-    m_knowledge.caches->findHolders(decision.request.chain, decision.request.now, holders);
+    const auto &holders = decision.holders;
     for (auto &option : options) {
         const upstreams::Slot slot = decision.view.upstreams[option.index].slot;
         const auto it = std::lower_bound(holders.begin(), holders.end(), slot, [](const prefix::Holder &holder, upstreams::Slot wanted) {
@@ -292,19 +303,15 @@
     return drawn;
 }
 
-void ScoringStrategy::addHolders(const Decision &decision, std::vector<std::uint32_t> &indexes) const
+void ScoringStrategy::addHolders(const Decision &decision, std::vector<std::uint32_t> &indexes)
 {
-    thread_local std::vector<prefix::Holder> holders;
-    m_knowledge.caches->findHolders(decision.request.chain, decision.request.now, holders);
-    for (const auto &it : holders) {
+    for (const auto &it : decision.holders) {
         const auto *status = decision.view.find(it.slot);
-        if (status == nullptr) {
-            continue;
-        }
-        const auto index = static_cast<std::uint32_t>(status - decision.view.upstreams.data());
-        if (std::binary_search(decision.pool.members.begin(), decision.pool.members.end(), index)
-            && status->load.weightsVersion == decision.pool.servingVersion) {
-            indexes.push_back(index);
+        if (status != nullptr) {
+            const auto index = static_cast<std::uint32_t>(status - decision.view.upstreams.data());
+            if (decision.pool.isEligible[index]) {
+                indexes.push_back(index);
+            }
         }
     }
 }
--- a/carawaylatch/routing/scoring.h
+++ b/carawaylatch/routing/scoring.h
@@ -7,18 +7,21 @@
 #include <cstdint>
 #include <vector>
 
+#include "carawaylatch/prefix/cacheindex.h"
 #include "carawaylatch/routing/estimate.h"
 #include "carawaylatch/routing/strategy.h"
 
 namespace carawaylatch::routing
 {
 
-// Inputs of one decision.
+// Inputs of one decision and what is looked up once for it.
 struct Decision
 {
     const PlacementRequest &request;
     const upstreams::UpstreamView &view;
     const upstreams::PoolView &pool;
+    std::vector<prefix::Holder> holders; // of the request's chain, ordered by slot
+    std::vector<std::uint32_t> homes; // where the strategy wants the chain to be, if anywhere
 };
 
 // An upstream under consideration.
@@ -42,6 +45,8 @@
 protected:
     ScoringStrategy(const RoutingKnowledge &knowledge, std::uint64_t seed);
 
+    // Returns where the chain should be, as indexes into view.upstreams.
+    [[nodiscard]] virtual std::vector<std::uint32_t> homes(const Decision &decision) const;
     // Returns the upstreams to look at, as indexes into view.upstreams; may name one twice.
     [[nodiscard]] virtual std::vector<std::uint32_t> prefilter(const Decision &decision) const = 0;
     // Sets the score of each option.
@@ -57,14 +62,15 @@
     // Returns up to n random eligible upstreams, perhaps one twice; all if there are no more than n.
     [[nodiscard]] std::vector<std::uint32_t> sample(const Decision &decision, std::size_t n) const;
     // Adds the pool's upstreams that hold the start of the request's chain.
-    void addHolders(const Decision &decision, std::vector<std::uint32_t> &indexes) const;
+    static void addHolders(const Decision &decision, std::vector<std::uint32_t> &indexes);
     // Returns the key that spreads a request without blocks.
     [[nodiscard]] static std::uint64_t spreadKey(const Decision &decision);
 
 private:
+    [[nodiscard]] Decision decide(const PlacementRequest &request, const upstreams::UpstreamView &view, const upstreams::PoolView &pool) const;
     [[nodiscard]] std::vector<Option> options(const Decision &decision) const;
     [[nodiscard]] Option makeOption(const Decision &decision, std::uint32_t index) const;
-    void addHeldBlocks(const Decision &decision, std::vector<Option> &options) const;
+    static void addHeldBlocks(const Decision &decision, std::vector<Option> &options);
 
     RoutingKnowledge m_knowledge;
     std::uint64_t m_seed;
--- a/carawaylatch/upstreams/upstreamview.cpp
+++ b/carawaylatch/upstreams/upstreamview.cpp
@@ -37,7 +37,9 @@
     const std::size_t groups = std::bit_floor(std::max<std::size_t>(eligible.size() / HomeGroupSize, 1));
     const auto bits = static_cast<unsigned>(std::countr_zero(groups));
     groupEnds.assign(groups, 0);
+    isEligible.assign(upstreams.size(), false);
     for (const std::uint32_t it : eligible) {
+        isEligible[it] = true;
         ++groupEnds[bits == 0 ? 0 : upstreams[it].nodeHash >> (64U - bits)];
     }
     std::partial_sum(groupEnds.begin(), groupEnds.end(), groupEnds.begin());
--- a/carawaylatch/upstreams/upstreamview.h
+++ b/carawaylatch/upstreams/upstreamview.h
@@ -80,13 +80,14 @@
     std::vector<std::uint32_t> members; // indexes into UpstreamView::upstreams, ascending
     // Members that may take new work when the view was built, ordered by nodeHash.
     std::vector<std::uint32_t> eligible;
+    std::vector<bool> isEligible; // by index into UpstreamView::upstreams
     // Groups of about HomeGroupSize eligible upstreams by the first bits of nodeHash:
     // group i ends before eligible[groupEnds[i]]. Finding a home costs a look at each
     // group and at the members of one.
     std::vector<std::uint32_t> groupEnds;
     static constexpr std::size_t HomeGroupSize = 64;
 
-    // Sorts `eligible` and fills `groupEnds`.
+    // Sorts `eligible` and fills `isEligible` and `groupEnds`.
     void arrange(const std::vector<UpstreamStatus> &upstreams);
 };
 
