--- /dev/null
+++ b/carawaylatch/fleet/lease.h
@@ -0,0 +1,126 @@
+// A lease over one platform object: at most one believing holder at a time.
+//
+// Nobody compares wall clocks. An observer times the lease by its own monotonic
+// clock from the moment it first saw the object's present version; a whole
+// length without a change means that the holder has stopped believing, as that
+// one counts from before its last write was sent and stops at two thirds. The
+// margin bears clocks whose rates differ by up to a half, and any pause: a
+// paused holder asks mayAct(now) before each act. The fencing number is the
+// object's version, which grows with every write.
+//
+// The machine does no I/O: poll() says what to do next, on...() report results.
+//
+//     LeaseAction action = lease.poll(now);
+//     if (action.kind == LeaseActionKind::Read) lease.onRead(clock.now(), store.read(name));
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "carawaylatch/base/error.h"
+#include "carawaylatch/base/ids.h"
+#include "carawaylatch/base/time.h"
+#include "carawaylatch/platform/objectstore.h"
+
+namespace carawaylatch::fleet
+{
+
+struct LeaseSettings
+{
+    base::Duration length = base::seconds{15}; // equal on all routers
+    base::Duration readInterval = base::seconds{1}; // of an observer, and between failed renewals
+};
+
+struct LeaseHolder
+{
+    base::RouterId router;
+    base::Incarnation incarnation;
+    std::uint64_t writeId = 0; // tells this router's own writes apart when reading back
+
+    bool operator==(const LeaseHolder &) const = default;
+};
+
+[[nodiscard]] std::string encodeLease(const LeaseHolder &holder);
+// Returns the holder, or InvalidArgument for a value that no router wrote.
+[[nodiscard]] base::Result<LeaseHolder> decodeLease(std::string_view value);
+
+enum class LeaseStep {
+    Observing, // another holds it, or nobody yet known
+    Acquiring, // write under way
+    Settling, // reading back after an unclear or refused write
+    Holding,
+    Renewing, // write under way; still holding by the former one; stays last
+};
+constexpr std::size_t LeaseStepCount = static_cast<std::size_t>(LeaseStep::Renewing) + 1;
+
+enum class LeaseActionKind {
+    None, // nothing to do, or the former call is under way
+    Read,
+    Write,
+};
+
+struct LeaseAction
+{
+    LeaseActionKind kind = LeaseActionKind::None;
+    std::string value; // with Write
+    platform::Version expected; // with Write
+};
+
+// All that a lease remembers.
+struct LeaseState
+{
+    LeaseStep step = LeaseStep::Observing;
+    bool isCallUnderWay = false;
+    // The version last seen of another holder, and since when; zero: object absent.
+    std::optional<platform::Version> seen;
+    base::TimePoint seenAt;
+    // True if the object seen was written by this very incarnation.
+    bool isSeenOurs = false;
+    base::TimePoint nextCall;
+    // The last write: its id, when it was sent and what it was conditional on.
+    std::uint64_t writeId = 0;
+    base::TimePoint sentAt;
+    platform::Version expected;
+    // The version last confirmed as ours; zero: not holding. Belief ends at believeUntil.
+    platform::Version held;
+    base::TimePoint believeUntil;
+    base::TimePoint heldSince;
+
+    bool operator==(const LeaseState &) const = default;
+};
+
+class Lease
+{
+public:
+    Lease(base::RouterId router, base::Incarnation incarnation, LeaseSettings settings);
+
+    // Returns what to do now; at most one call is under way.
+    [[nodiscard]] LeaseAction poll(base::TimePoint now);
+    // NotFound counts as an answer: the lease is free.
+    void onRead(base::TimePoint now, const base::Result<platform::Object> &result);
+    void onWritten(base::TimePoint now, const base::Result<platform::Version> &result);
+
+    // True while this router may act as holder; ask right before each act.
+    [[nodiscard]] bool mayAct(base::TimePoint now) const;
+    // Fencing number of the present holding; nothing if mayAct() is false.
+    [[nodiscard]] std::optional<base::FenceToken> fence(base::TimePoint now) const;
+    // Time since this router learned that it holds, without a break since. Orders
+    // of a former holder can be in flight for a while after that.
+    [[nodiscard]] base::Duration heldFor(base::TimePoint now) const;
+    [[nodiscard]] const LeaseState &state() const;
+
+private:
+    [[nodiscard]] bool isFree(base::TimePoint now) const;
+    LeaseAction startRead(base::TimePoint now);
+    LeaseAction startWrite(base::TimePoint now, LeaseStep step, platform::Version expected);
+    void confirm(base::TimePoint now, platform::Version version);
+    void observe(base::TimePoint now, platform::Version version, bool isOurs);
+
+    LeaseHolder m_self; // writeId is that of the last write
+    LeaseSettings m_settings;
+    LeaseState m_state;
+};
+
+} // namespace carawaylatch::fleet
--- /dev/null
+++ b/carawaylatch/fleet/loadslots.h
@@ -0,0 +1,50 @@
+// Slots for loads of weights: at most N at once over all pools and domains, as
+// many as the weight store bears.
+//
+// Slot i of N is the object "fleet/slots/i", whose value names the engine that
+// loads. A slot is taken by creating it, and given back by removing it at the
+// version seen. A slot whose holder vanished is taken over after it was seen
+// unchanged for `lapse` by this router's own clock, which must be longer than any
+// load.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "carawaylatch/base/error.h"
+#include "carawaylatch/base/ids.h"
+#include "carawaylatch/base/time.h"
+#include "carawaylatch/platform/objectstore.h"
+
+namespace carawaylatch::fleet
+{
+
+class LoadSlots
+{
+public:
+    LoadSlots(platform::ObjectStore &store, base::Duration lapse);
+
+    // Takes one of the first `slots` slots for the engine, or finds the one it
+    // has. Overloaded: all are taken. Unclear: ask again to find out.
+    [[nodiscard]] base::Result<void> take(base::TimePoint now, std::uint32_t slots, const base::UpstreamId &engine);
+    // Gives back every slot of the engine; an error means to try again.
+    [[nodiscard]] base::Result<void> release(std::uint32_t slots, const base::UpstreamId &engine);
+    // Returns the engines that hold slots; unreadable slots are left out.
+    [[nodiscard]] std::vector<base::UpstreamId> holders(std::uint32_t slots);
+
+private:
+    struct Seen
+    {
+        platform::Version version;
+        base::TimePoint since;
+    };
+    [[nodiscard]] bool hasLapsed(base::TimePoint now, const platform::Object &slot);
+
+    platform::ObjectStore &m_store;
+    base::Duration m_lapse;
+    std::map<std::string, Seen> m_seen; // one entry a slot
+};
+
+} // namespace carawaylatch::fleet
