--- /dev/null
+++ b/bench/admissionbench.cpp
@@ -0,0 +1,183 @@
+// Cost of admission and of the relay, for 8 to 640 customers.
+//
+//   EnterLeave/C            one request through the gate, no waiting, C customers
+//   EnterLeaveThreads/C     the same from eight threads
+//   QueuePushPop/C          one entry through a fair queue with C backlogged customers
+//   ReportAnswerApply/C     one exchange of shares, C active customers; bytes of messages
+//   Token                   one token through the assembler
+//   OpenStream/T            an open stream after T tokens; bytes held
+#include <benchmark/benchmark.h>
+
+#include <malloc.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "carawaylatch/admission/gate.h"
+#include "carawaylatch/relay/streamassembler.h"
+
+namespace
+{
+
+using namespace carawaylatch;
+
+constexpr base::TimePoint Start = base::TimePoint{base::hours{1}};
+constexpr std::int64_t CustomersToday = 8;
+constexpr std::int64_t CustomersDesigned = 640;
+
+base::CustomerId customerName(std::int64_t i)
+{
+    return base::CustomerId("customer-" + std::to_string(i));
+}
+
+config::Tables tables(std::int64_t customers)
+{
+    config::Tables tables;
+    for (std::int64_t i = 0; i < customers; ++i) {
+        tables.customers.push_back({.id = customerName(i), .keyDigest = {}, .weight = 1, .requestsPerSecond = 1e6, .concurrency = 1000});
+    }
+    return tables;
+}
+
+admission::LimiterOptions limits(const std::string &router)
+{
+    return {.router = base::RouterId(router), .incarnation = {1}, .fleetSize = 4, .slot = 0};
+}
+
+std::unique_ptr<admission::Gate> makeGate(std::int64_t customers, const base::Clock &clock)
+{
+    admission::GateOptions options;
+    options.limits = limits("a");
+    auto gate = std::make_unique<admission::Gate>(options, clock);
+    gate->configure(tables(customers), clock.now());
+    return gate;
+}
+
+void enterLeave(benchmark::State &state)
+{
+    static std::unique_ptr<admission::Gate> gate;
+    static const base::SteadyClock clock;
+    if (state.thread_index() == 0) {
+        gate = makeGate(state.range(0), clock);
+    }
+    std::int64_t n = state.thread_index();
+    for (auto _ : state) {
+        const auto now = clock.now();
+        auto ticket = gate->enter({.customer = customerName(n++ % state.range(0)), .tokens = 1000, .deadline = now + base::seconds{10}, .callerGone = {}}, now);
+        benchmark::DoNotOptimize(ticket);
+    }
+}
+BENCHMARK(enterLeave)->Name("EnterLeave")->RangeMultiplier(3)->Range(CustomersToday, CustomersDesigned);
+BENCHMARK(enterLeave)->Name("EnterLeaveThreads")->Arg(CustomersToday)->Arg(CustomersDesigned)->Threads(8)->UseRealTime();
+
+void queuePushPop(benchmark::State &state)
+{
+    admission::FairQueue queue;
+    std::uint64_t id = 0;
+    const auto push = [&](std::int64_t customer) {
+        return queue.push(
+            {.id = ++id, .customer = customerName(customer), .tokens = 1000 + id % 5000, .enqueued = Start, .deadline = Start + base::seconds{10}});
+    };
+    for (std::int64_t i = 0; i < 4 * state.range(0); ++i) {
+        (void)push(i % state.range(0));
+    }
+    const auto all = [](const base::CustomerId &) {
+        return true;
+    };
+    for (auto _ : state) {
+        const auto entry = queue.pop(Start, all);
+        (void)push(static_cast<std::int64_t>(entry->id) % state.range(0));
+    }
+}
+BENCHMARK(queuePushPop)->Name("QueuePushPop")->RangeMultiplier(3)->Range(CustomersToday, CustomersDesigned);
+
+// Bytes on the wire: names, and eight bytes for the numbers of an entry.
+template <typename Message>
+std::size_t messageBytes(const Message &message)
+{
+    constexpr std::size_t HeadBytes = 64;
+    std::size_t bytes = HeadBytes;
+    for (const auto &it : message.entries) {
+        bytes += it.customer.value().size() + 8;
+    }
+    return bytes;
+}
+
+void reportAnswerApply(benchmark::State &state)
+{
+    admission::Limiter lender(limits("lender"), Start);
+    admission::Limiter borrower(limits("borrower"), Start);
+    const config::Tables all = tables(state.range(0));
+    lender.configure(all.customers, Start);
+    borrower.configure(all.customers, Start);
+    for (const config::Customer &it : all.customers) {
+        borrower.noteWaiting(it.id, 300);
+    }
+    std::size_t bytes = 0;
+    for (auto _ : state) {
+        const auto report = borrower.report(base::RouterId("lender"), Start);
+        const auto table = lender.answer(report, Start);
+        borrower.apply(table, Start);
+        bytes = messageBytes(report) + messageBytes(table);
+    }
+    state.counters["bytes"] = static_cast<double>(bytes);
+    state.counters["stateBytes"] = static_cast<double>(lender.memoryBytes() + borrower.memoryBytes()) / 2;
+}
+BENCHMARK(reportAnswerApply)->Name("ReportAnswerApply")->RangeMultiplier(3)->Range(CustomersToday, CustomersDesigned);
+
+// Brings a stream to its first token.
+std::unique_ptr<relay::StreamAssembler> openStream(relay::Actions &out)
+{
+    relay::StreamOptions options;
+    options.firstTokenDeadline = Start + base::hours{1};
+    options.deadline = Start + base::hours{1};
+    options.maxTokens = ~0ULL;
+    options.maxTextBytes = ~0ULL;
+    auto stream = std::make_unique<relay::StreamAssembler>(options, Start);
+    const relay::AttemptPlan plan{
+        .upstream = base::UpstreamId("engine-1"), .endpoint = {"127.0.0.1", 9000}, .incarnation = {1}, .weightsVersion = {1}, .salt = {1}};
+    stream->start(Start, out);
+    stream->placed({1}, plan, relay::AttemptPurpose::Fresh, Start, out);
+    stream->head({1}, {{1}, {1}, {1}, {1}}, Start, out);
+    out.clear();
+    return stream;
+}
+
+void token(benchmark::State &state)
+{
+    relay::Actions out;
+    auto stream = openStream(out);
+    std::uint64_t n = 0;
+    for (auto _ : state) {
+        stream->token({1}, {n++, "word"}, Start, out);
+        out.clear();
+    }
+}
+BENCHMARK(token)->Name("Token");
+
+void openStreams(benchmark::State &state)
+{
+    constexpr std::size_t Streams = 290;
+    relay::Actions out;
+    double bytes = 0;
+    for (auto _ : state) {
+        const auto before = mallinfo2().uordblks;
+        std::vector<std::unique_ptr<relay::StreamAssembler>> streams;
+        streams.reserve(Streams);
+        for (std::size_t i = 0; i < Streams; ++i) {
+            streams.push_back(openStream(out));
+            for (std::int64_t n = 0; n < state.range(0); ++n) {
+                streams.back()->token({1}, {static_cast<std::uint64_t>(n), "word"}, Start, out);
+                out.clear();
+            }
+        }
+        bytes = static_cast<double>(mallinfo2().uordblks - before) / Streams;
+    }
+    state.counters["bytesEach"] = bytes;
+}
+BENCHMARK(openStreams)->Name("OpenStream")->Arg(1)->Arg(250)->Arg(1000)->Unit(benchmark::kMillisecond);
+
+} // namespace
+
+BENCHMARK_MAIN();
--- a/carawaylatch/admission/gate.cpp
+++ b/carawaylatch/admission/gate.cpp
@@ -328,6 +328,9 @@
 void Gate::configure(const config::Tables &tables, base::TimePoint now)
 {
     const std::lock_guard lock(m_impl->mutex);
+    for (const config::Route &it : tables.routes) {
+        m_impl->limiter.raiseLongestRequest(it.deadline);
+    }
     m_impl->limiter.configure(tables.customers, now);
     std::map<base::CustomerId, double> weights;
     for (const config::Customer &it : tables.customers) {
--- a/carawaylatch/admission/limiter.cpp
+++ b/carawaylatch/admission/limiter.cpp
@@ -143,6 +143,11 @@
 Limiter::Limiter(Limiter &&) noexcept = default;
 Limiter &Limiter::operator=(Limiter &&) noexcept = default;
 
+void Limiter::raiseLongestRequest(base::Duration longest)
+{
+    m_impl->ledger.raiseLongestRequest(longest);
+}
+
 void Limiter::configure(std::span<const config::Customer> customers, base::TimePoint now)
 {
     std::map<base::CustomerId, CustomerState> next;
--- a/carawaylatch/admission/limiter.h
+++ b/carawaylatch/admission/limiter.h
@@ -34,7 +34,7 @@
     // it a limit below the fleet size gives each router one unit.
     std::optional<std::uint32_t> slot{};
     base::Duration loanTerm = base::seconds{3};
-    base::Duration longestRequest = base::seconds{60}; // no request is in flight longer
+    base::Duration longestRequest = base::seconds{30}; // no request is in flight longer
 };
 
 class Limiter
@@ -45,6 +45,8 @@
     Limiter(Limiter &&) noexcept;
     Limiter &operator=(Limiter &&) noexcept;
 
+    // No request is in flight longer than this; never gets shorter.
+    void raiseLongestRequest(base::Duration longest);
     // Takes over the customers' limits; requests in flight keep their count.
     void configure(std::span<const config::Customer> customers, base::TimePoint now);
 
--- a/carawaylatch/admission/shareledger.cpp
+++ b/carawaylatch/admission/shareledger.cpp
@@ -38,10 +38,15 @@
 
 ShareLedger::ShareLedger(const ShareLedgerOptions &options, base::TimePoint now)
     : m_options(options)
-    , m_recoveryEnds(now + options.loanTerm + options.loanTerm / DriftShare + options.longestRequest)
+    , m_started(now)
 {
 }
 
+void ShareLedger::raiseLongestRequest(base::Duration longest)
+{
+    m_options.longestRequest = std::max(m_options.longestRequest, longest);
+}
+
 void ShareLedger::setOwnPart(const ShareKey &key, std::uint32_t units)
 {
     Book &book = m_books[key];
@@ -152,7 +157,7 @@
             const SentAmount all{table.sequence, committed(lent, now)};
             lent.unconfirmed.assign(1, all);
         }
-        lent.ends = now + m_options.loanTerm + m_options.loanTerm / DriftShare + drainTime(key.resource);
+        lent.ends = now + lentTime(key.resource);
         if (lent.held == 0 && lent.unconfirmed.empty()) {
             book.lent.erase(it);
         }
@@ -193,7 +198,7 @@
             Lent &lent = m_books[key].lent[report.from];
             lent.held = it.held;
             lent.wanted = it.wanted;
-            lent.ends = now + m_options.loanTerm + m_options.loanTerm / DriftShare + drainTime(it.resource);
+            lent.ends = now + lentTime(it.resource);
         }
     }
     if (confirmed > 0 && isWhole) {
@@ -219,8 +224,8 @@
     Peer &peer = found->second;
     const auto sent = peer.sentReports.find(table.reportSequence);
     const bool isNewLife = peer.tableIncarnation != table.incarnation;
-    if (sent == peer.sentReports.end() || (!isNewLife && table.sequence <= peer.tableSequence)) {
-        return;
+    if (sent == peer.sentReports.end()) {
+        return; // not asked for, or a later report was answered already
     }
     const base::TimePoint ends = sent->second + m_options.loanTerm;
     if (isNewLife) {
@@ -237,12 +242,14 @@
             it->second.ends = ends;
         }
     }
+    std::size_t held = heldKeys(table.from, now);
     for (const ShareEntry &it : table.entries) {
-        const ShareKey key{it.customer, it.resource};
-        const auto book = m_books.find(key);
-        if (book == m_books.end() || (!book->second.borrowed.contains(table.from) && heldKeys(table.from, now) >= MaxEntries)) {
-            continue;
+        const auto book = m_books.find({it.customer, it.resource});
+        const bool isNew = book != m_books.end() && !book->second.borrowed.contains(table.from);
+        if (book == m_books.end() || (isNew && held >= MaxEntries)) {
+            continue; // what a report could not name is not borrowed
         }
+        held += isNew ? 1 : 0;
         Borrowed &borrowed = book->second.borrowed[table.from];
         borrowed.amount = it.amount;
         borrowed.peak = std::max(borrowed.peak, it.amount);
@@ -295,9 +302,15 @@
     return resource == Resource::Concurrency ? m_options.longestRequest : base::Duration::zero();
 }
 
+// Returns how long after a report its sender may hold what it names or is lent.
+base::Duration ShareLedger::lentTime(Resource resource) const
+{
+    return m_options.loanTerm + m_options.loanTerm / DriftShare + drainTime(resource);
+}
+
 bool ShareLedger::isRecovering(base::TimePoint now) const
 {
-    return now < m_recoveryEnds && m_reported.size() + 1 < m_options.fleetSize;
+    return now < m_started + lentTime(Resource::Concurrency) && m_reported.size() + 1 < m_options.fleetSize;
 }
 
 std::uint32_t ShareLedger::ownUsable(const Book &book, base::TimePoint now) const
--- a/carawaylatch/admission/shareledger.h
+++ b/carawaylatch/admission/shareledger.h
@@ -58,6 +58,8 @@
 public:
     ShareLedger(const ShareLedgerOptions &options, base::TimePoint now);
 
+    // No request is in flight longer; never gets shorter.
+    void raiseLongestRequest(base::Duration longest);
     // Sets this router's own part of a limit; it may be zero.
     void setOwnPart(const ShareKey &key, std::uint32_t units);
     // The limit is gone; its book goes too once nothing is lent or borrowed.
@@ -126,6 +128,7 @@
     static std::uint32_t committedToAll(const Book &book, base::TimePoint now);
     static std::uint32_t keptPart(std::uint32_t own);
     base::Duration drainTime(Resource resource) const;
+    base::Duration lentTime(Resource resource) const;
     bool isRecovering(base::TimePoint now) const;
     std::uint32_t ownUsable(const Book &book, base::TimePoint now) const;
     static std::uint32_t borrowedUsable(const Book &book, base::TimePoint now);
@@ -138,8 +141,8 @@
     std::uint32_t amountFor(const Book &book, const base::RouterId &borrower, base::TimePoint now) const;
     std::size_t heldKeys(const base::RouterId &lender, base::TimePoint now) const;
 
-    const ShareLedgerOptions m_options;
-    const base::TimePoint m_recoveryEnds;
+    ShareLedgerOptions m_options;
+    const base::TimePoint m_started;
     std::set<base::RouterId> m_reported; // since the start, while recovering
     std::map<ShareKey, Book> m_books;
     std::map<base::RouterId, Peer> m_peers; // at most MaxPeers; no loans past that
--- a/carawaylatch/admission/testing/limitertest.cpp
+++ b/carawaylatch/admission/testing/limitertest.cpp
@@ -48,6 +48,7 @@
         , m_concurrency(concurrency)
         , m_perSecond(perSecond)
         , m_routers(routers)
+        , m_calm(1 + 15 * m_random.below(3))
     {
         for (std::size_t i = 0; i < routers; ++i) {
             m_routers[i].clockOffset = base::seconds{m_random.below(1000)};
@@ -60,7 +61,7 @@
     {
         m_now += Step;
         m_trouble = trouble;
-        if (trouble == Trouble::Generated) {
+        if (trouble == Trouble::Generated && m_random.below(m_calm) == 0) {
             makeTrouble();
         }
         for (std::size_t i = 0; i < m_routers.size(); ++i) {
@@ -264,6 +265,7 @@
     std::uint32_t m_concurrency;
     double m_perSecond;
     std::vector<Router> m_routers;
+    const std::uint64_t m_calm; // steps between two troubles, on average
     std::vector<Message> m_messages;
     std::uint64_t m_incarnations = 0;
     double m_restarts = 0;
--- a/carawaylatch/relay/testing/fakeengine.cpp
+++ b/carawaylatch/relay/testing/fakeengine.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <utility>
 
 namespace carawaylatch::relay::testing
 {
@@ -18,6 +19,8 @@
 constexpr std::uint64_t FakeIncarnation = 40;
 constexpr std::uint64_t FakeSalt = 5;
 constexpr std::uint64_t TokensBeforeFault = 2;
+// A run that is never cancelled ends all the same, so that its test fails.
+constexpr base::Duration LongestHang = base::seconds{10};
 
 } // namespace
 
@@ -124,7 +127,7 @@
     std::unique_lock lock(m_mutex);
     ++m_hanging;
     m_changed.notify_all();
-    m_changed.wait(lock, [&] {
+    m_changed.wait_for(lock, LongestHang, [&] {
         return m_cancelled.contains(attempt);
     });
     --m_hanging;
@@ -140,7 +143,7 @@
 void FakeEngine::awaitHanging(std::size_t n)
 {
     std::unique_lock lock(m_mutex);
-    m_changed.wait(lock, [&] {
+    m_changed.wait_for(lock, LongestHang, [&] {
         return m_hanging >= n;
     });
 }
@@ -185,8 +188,29 @@
     outcomes.push_back(outcome);
 }
 
+// Checks that calls come one at a time.
+class FakeCaller::Call
+{
+public:
+    explicit Call(FakeCaller &caller)
+        : m_caller(caller)
+    {
+        m_caller.require(!m_caller.m_isInCall.exchange(true), "calls come one at a time");
+    }
+    ~Call()
+    {
+        m_caller.m_isInCall = false;
+    }
+    Call(const Call &) = delete;
+    Call &operator=(const Call &) = delete;
+
+private:
+    FakeCaller &m_caller;
+};
+
 CallerState FakeCaller::begin(const AttemptPlan &)
 {
+    const Call call(*this);
     require(!m_hasBegun && !done && !error, "begin comes once, first");
     m_hasBegun = true;
     return state();
@@ -194,21 +218,27 @@
 
 CallerState FakeCaller::token(std::uint64_t index, std::string_view tokenText)
 {
+    const Call call(*this);
     require(m_hasBegun && !done && !error, "tokens come between begin and the end");
     require(index == tokens && tokenText == tokenOf(index), "tokens come in order, once");
     ++tokens;
     text += tokenText;
+    if (const auto act = std::exchange(onFirstToken, {})) {
+        act();
+    }
     return leavesAfter && tokens >= *leavesAfter ? CallerState::Gone : CallerState::Present;
 }
 
 void FakeCaller::finish(const DoneEvent &event)
 {
+    const Call call(*this);
     require(m_hasBegun && !done && !error && text == fakeAnswer(), "only a whole answer finishes, once");
     done = event;
 }
 
 void FakeCaller::abort(const base::Error &reason)
 {
+    const Call call(*this);
     require(!done && !error && !reason.message.empty(), "an abort comes once and says why");
     error = reason;
 }
--- a/carawaylatch/relay/testing/fakeengine.h
+++ b/carawaylatch/relay/testing/fakeengine.h
@@ -10,6 +10,7 @@
 #include <condition_variable>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <set>
@@ -106,6 +107,7 @@
     CallerState state() const override;
 
     std::optional<std::uint64_t> leavesAfter; // tokens
+    std::function<void()> onFirstToken; // called once, from token(); may block
     std::atomic<bool> isGone = false;
     std::string text;
     std::uint64_t tokens = 0;
@@ -114,6 +116,8 @@
     std::string violation; // empty if the calls kept their order
 
 private:
+    class Call;
+    std::atomic<bool> m_isInCall = false;
     void require(bool holds, const char *rule);
     bool m_hasBegun = false;
 };
--- a/carawaylatch/relay/testing/relaydrivertest.cpp
+++ b/carawaylatch/relay/testing/relaydrivertest.cpp
@@ -2,6 +2,8 @@
 // stands, and watch() is called by the test.
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <atomic>
+#include <future>
 #include <string>
 #include <thread>
 #include <vector>
@@ -99,6 +101,7 @@
     CPPUNIT_TEST(testSilentEngineIsLeft);
     CPPUNIT_TEST(testHedgeWins);
     CPPUNIT_TEST(testHedgeLosesAndIsCancelled);
+    CPPUNIT_TEST(testEndWaitsForAWrite);
     CPPUNIT_TEST(testRetryBudget);
     CPPUNIT_TEST(testConcurrentStreams);
     CPPUNIT_TEST_SUITE_END();
@@ -259,6 +262,33 @@
         }
     }
 
+    // The caller leaves while a hedge's thread is in a blocked write: the calling
+    // thread ends the answer only after the write.
+    void testEndWaitsForAWrite()
+    {
+        Fixture fixture;
+        fixture.fillDelays();
+        fixture.engine.script("e1", {Fault::Hang});
+        std::promise<void> isWriting;
+        std::promise<void> mayGoOn;
+        fixture.caller.onFirstToken = [&] {
+            isWriting.set_value();
+            mayGoOn.get_future().wait();
+        };
+        const RelayReport report = runWhile(fixture, fixture.request(config::Hedging::On), [&] {
+            fixture.engine.awaitHanging(1);
+            fixture.clock.advance(base::milliseconds{200});
+            fixture.driver.watch();
+            isWriting.get_future().wait();
+            fixture.caller.isGone = true;
+            fixture.driver.watch();
+            std::this_thread::sleep_for(base::milliseconds{20}); // room for a wrong abort
+            mayGoOn.set_value();
+        });
+        CPPUNIT_ASSERT_EQUAL(std::string(), fixture.caller.violation);
+        CPPUNIT_ASSERT(report.error->kind == base::ErrorKind::Cancelled);
+    }
+
     void testRetryBudget()
     {
         RetryBudget budget({.share = 0.1, .reserve = 2});
--- a/carawaylatch/relay/testing/streamassemblertest.cpp
+++ b/carawaylatch/relay/testing/streamassemblertest.cpp
@@ -487,9 +487,16 @@
         CPPUNIT_ASSERT_EQUAL(std::string("abort:unclear"), model.lastActions());
     }
 
-    // Every run may break for ever: the number of runs is bounded all the same.
+    // Every run may break for ever: the number of runs is bounded all the same,
+    // and an engine that never brings a token gets two resumes.
     void testBounds()
     {
+        StreamModel silent;
+        bringTo(silent, AttemptState::Streaming);
+        for (const char *expected : {"resume:1", "resume:1", "place:continue"}) {
+            silent.broken(1, BreakKind::Lost);
+            CPPUNIT_ASSERT_EQUAL(std::string(expected), silent.lastActions());
+        }
         for (const BreakKind kind : {BreakKind::NotSent, BreakKind::Refused, BreakKind::Lost, BreakKind::Malformed, BreakKind::Cancelled}) {
             StreamModel model;
             model.start();
