--- a/carawaylatch/admission/testing/fairqueuetest.cpp
+++ b/carawaylatch/admission/testing/fairqueuetest.cpp
@@ -89,6 +89,20 @@
             ++before;
         }
         CPPUNIT_ASSERT(before <= 2);
+        // A customer that leaves the ring does not cost another one its visit.
+        FairQueue ring;
+        for (std::uint64_t id = 0; id < 12; ++id) {
+            CPPUNIT_ASSERT(ring.push(entry(id, std::string(1, static_cast<char>('a' + id % 3)), 2000)));
+        }
+        std::string order;
+        for (int i = 0; i < 5; ++i) {
+            order += ring.pop(Start, All)->customer.value();
+        }
+        CPPUNIT_ASSERT(ring.remove(6) && ring.remove(9)); // the rest of a
+        for (int i = 0; i < 3; ++i) {
+            order += ring.pop(Start, All)->customer.value();
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string("aabbccbb"), order);
         // One that may not start is passed over and keeps its place.
         CPPUNIT_ASSERT(queue.push(entry(5001, "small", 4000)));
         const auto onlySmall = [](const base::CustomerId &it) {
--- a/carawaylatch/admission/testing/gatetest.cpp
+++ b/carawaylatch/admission/testing/gatetest.cpp
@@ -222,33 +222,37 @@
         thread.join();
     }
 
-    // The drain was fast and stops: a waiting request is refused when the expected
-    // wait grows past its deadline, not when the deadline comes.
+    // The drain was fast and stops, for all or for this customer only: a waiting
+    // request is refused when the expected wait grows past its deadline, not when
+    // the deadline comes.
     void testSlowDrainRefusesBeforeTheDeadline()
     {
-        Fixture fixture(0, 1);
-        for (int i = 0; i < 20; ++i) {
-            auto ticket = fixture.enter();
-            fixture.clock.advance(base::milliseconds{500}); // 2000 tokens a second
-        }
-        auto held = fixture.enter();
-        const auto start = fixture.clock.now();
-        base::TimePoint refusedAt;
-        base::Error error;
-        std::thread thread([&] {
-            AdmissionRequest request = fixture.request();
-            request.deadline = start + base::seconds{30};
-            error = fixture.gate.enter(request, start).error();
-            refusedAt = fixture.clock.now();
-        });
-        fixture.awaitWaiting(1);
-        while (fixture.gate.waiting() == 1) {
-            fixture.clock.advance(base::milliseconds{100});
-            std::this_thread::sleep_for(base::milliseconds{2});
+        for (const bool othersGoOn : {false, true}) {
+            Fixture fixture(1, othersGoOn ? 100 : 1);
+            for (int i = 0; i < 20; ++i) {
+                auto ticket = fixture.enter(othersGoOn ? Bolt : Acme);
+                fixture.clock.advance(base::milliseconds{500}); // 2000 tokens a second
+            }
+            auto held = fixture.enter();
+            const auto start = fixture.clock.now();
+            base::TimePoint refusedAt;
+            base::Error error;
+            std::thread thread([&] {
+                AdmissionRequest request = fixture.request();
+                request.deadline = start + base::seconds{30};
+                error = fixture.gate.enter(request, start).error();
+                refusedAt = fixture.clock.now();
+            });
+            fixture.awaitWaiting(1);
+            while (fixture.gate.waiting() == 1) {
+                fixture.clock.advance(base::milliseconds{100});
+                std::this_thread::sleep_for(base::milliseconds{2});
+                CPPUNIT_ASSERT(!othersGoOn || fixture.enter(Bolt).has_value());
+            }
+            thread.join();
+            CPPUNIT_ASSERT(error.kind == base::ErrorKind::Overloaded && error.retryAfter > base::Duration::zero());
+            CPPUNIT_ASSERT(refusedAt < start + base::seconds{29});
         }
-        thread.join();
-        CPPUNIT_ASSERT(error.kind == base::ErrorKind::Overloaded && error.retryAfter > base::Duration::zero());
-        CPPUNIT_ASSERT(refusedAt < start + base::seconds{30});
     }
 
     // Many threads with churning tables; for the thread sanitizer. All places come back.
