Retention: every router learns the epoch; records without one are stamped

The wiring set the desk's epoch on the pruning router alone, so that records of all others carried epoch zero and were old at once: their answers would have been pruned within one round. No second run could follow (the key was closed), but a duplicate got Unknown where it should get the answer. Observers now read the epoch six times in an epoch, and the pruner stamps records that carry none.

--- /dev/null
+++ b/bench/orderwrites.cpp
@@ -0,0 +1,266 @@
+// Platform calls of orders: counted with the real parts for one order after the
+// other, and in virtual time for group commit under load.
+//
+// The second part is a discrete-event model of JournalClaimStore: routers with a
+// committer for each range, a platform with fixed latencies, orders that claim,
+// run for a while and record. A committer whose cached image is old loses its
+// conditional write, reads and writes again, as the real one does.
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <cstdio>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <string>
+#include <vector>
+
+#include "carawaylatch/base/hash.h"
+#include "carawaylatch/orders/claimjournal.h"
+#include "carawaylatch/orders/orderdesk.h"
+#include "carawaylatch/platform/memorystore.h"
+
+namespace
+{
+
+using namespace carawaylatch;
+
+// Counts calls to a platform in memory.
+class CountingStore : public platform::MemoryStore
+{
+public:
+    std::uint64_t reads = 0;
+    std::uint64_t writes = 0;
+
+    base::Result<platform::Object> read(std::string_view name) override
+    {
+        ++reads;
+        return MemoryStore::read(name);
+    }
+    base::Result<platform::Version> write(std::string_view name, std::string_view value, platform::Version expected) override
+    {
+        ++writes;
+        return MemoryStore::write(name, value, expected);
+    }
+};
+
+class CountedParts : public orders::ServiceConnection, public orders::UpstreamChooser, public orders::RouterLiveness
+{
+public:
+    orders::ClaimantLife life(const base::RouterId & /*router*/, base::Incarnation /*incarnation*/) const override
+    {
+        return orders::ClaimantLife::Live;
+    }
+    base::Result<orders::ServiceAnswer> call(const orders::ServiceRequest &request) override
+    {
+        return orders::ServiceAnswer{201, "application/json", std::string(200, 'b'), request.attempt, {}};
+    }
+    base::Result<orders::ChosenUpstream> choose(const std::vector<base::UpstreamId> & /*refused*/) override
+    {
+        return orders::ChosenUpstream{base::UpstreamId("desk-1"), base::Endpoint{"127.0.0.1", 1}};
+    }
+};
+
+void countOrders(const char *name, CountingStore &store, orders::ClaimStore &claims)
+{
+    constexpr std::uint64_t Orders = 500;
+    const base::SteadyClock clock;
+    CountedParts parts;
+    orders::OrderDesk desk(base::RouterId("r1"), {1}, claims, parts, clock);
+    for (const char *kind : {"new", "duplicate"}) {
+        const std::uint64_t reads = store.reads;
+        const std::uint64_t writes = store.writes;
+        for (std::uint64_t n = 0; n < Orders; ++n) {
+            orders::OrderRequest request;
+            request.customer = base::CustomerId("acme");
+            request.key = "booking-" + std::to_string(n);
+            request.service.body = "{\"tonnes\":10}";
+            request.deadline = clock.now() + base::seconds{30};
+            (void)desk.run(request, parts, parts);
+        }
+        std::printf("| %s | %s | %.2f | %.2f |\n", name, kind, static_cast<double>(store.writes - writes) / Orders,
+                    static_cast<double>(store.reads - reads) / Orders);
+    }
+}
+
+struct Load
+{
+    std::uint32_t routers = 1;
+    std::uint32_t ranges = 1;
+    double ordersPerSecond = 0; // over all routers
+};
+
+// The model; times in seconds.
+class GroupCommitModel
+{
+public:
+    explicit GroupCommitModel(Load load)
+        : m_load(load)
+        , m_committers(static_cast<std::size_t>(load.routers) * load.ranges)
+        , m_versions(load.ranges)
+    {
+    }
+
+    void run()
+    {
+        at(0, [this] {
+            arrive();
+        });
+        while (!m_events.empty()) {
+            const Event event = m_events.top();
+            m_events.pop();
+            m_now = event.time;
+            event.action();
+        }
+    }
+
+    void print() const
+    {
+        const double orders = static_cast<double>(m_orders);
+        std::printf("| %u | %u | %.0f | %.2f | %.1f | %.0f | %.0f | %.1f | %.1f |\n", m_load.routers, m_load.ranges, m_load.ordersPerSecond,
+                    static_cast<double>(m_writes) / orders, 2 * orders / static_cast<double>(std::max<std::uint64_t>(1, m_writes - m_conflicts)),
+                    static_cast<double>(m_writes) / Seconds, static_cast<double>(m_reads) / Seconds, 1e3 * percentile(0.5), 1e3 * percentile(0.99));
+    }
+
+private:
+    static constexpr double Seconds = 20;
+    static constexpr double CallLatency = 0.005; // of a read or write; it takes effect half way
+    static constexpr double RunTime = 0.05; // of an order at the service
+
+    struct Event
+    {
+        double time;
+        std::function<void()> action;
+        bool operator<(const Event &other) const
+        {
+            return time > other.time;
+        }
+    };
+    struct Record
+    {
+        double since;
+        bool isClaim;
+    };
+    struct Committer
+    {
+        std::deque<Record> waiting;
+        bool isBusy = false;
+        std::uint64_t version = 0; // of the cached image
+    };
+
+    void at(double time, std::function<void()> action)
+    {
+        m_events.push(Event{time, std::move(action)});
+    }
+
+    void arrive()
+    {
+        if (m_now >= Seconds) {
+            return;
+        }
+        ++m_orders;
+        submit(m_random.below(m_committers.size()), true);
+        at(m_now - std::log1p(-m_random.unit()) / m_load.ordersPerSecond, [this] {
+            arrive();
+        });
+    }
+
+    void submit(std::size_t index, bool isClaim)
+    {
+        m_committers[index].waiting.push_back(Record{m_now, isClaim});
+        if (!m_committers[index].isBusy) {
+            write(index, std::exchange(m_committers[index].waiting, {}));
+        }
+    }
+
+    void write(std::size_t index, std::deque<Record> batch)
+    {
+        Committer &committer = m_committers[index];
+        committer.isBusy = true;
+        ++m_writes;
+        at(m_now + CallLatency / 2, [this, index, batch = std::move(batch)]() mutable {
+            std::uint64_t &version = m_versions[index % m_load.ranges];
+            const bool isCurrent = version == m_committers[index].version;
+            m_committers[index].version = isCurrent ? ++version : 0;
+            at(m_now + CallLatency / 2, [this, index, isCurrent, done = std::move(batch)]() mutable {
+                isCurrent ? finish(index, done) : readAgain(index, std::move(done));
+            });
+        });
+    }
+
+    void readAgain(std::size_t index, std::deque<Record> batch)
+    {
+        ++m_conflicts;
+        ++m_reads;
+        at(m_now + CallLatency / 2, [this, index] {
+            m_committers[index].version = m_versions[index % m_load.ranges];
+        });
+        at(m_now + CallLatency, [this, index, again = std::move(batch)]() mutable {
+            write(index, std::move(again));
+        });
+    }
+
+    void finish(std::size_t index, const std::deque<Record> &batch)
+    {
+        for (const Record &it : batch) {
+            if (it.isClaim) {
+                m_claimTimes.push_back(m_now - it.since);
+                at(m_now + RunTime, [this, index] {
+                    submit(index, false);
+                });
+            }
+        }
+        Committer &committer = m_committers[index];
+        committer.isBusy = false;
+        if (!committer.waiting.empty()) {
+            write(index, std::exchange(committer.waiting, {}));
+        }
+    }
+
+    [[nodiscard]] double percentile(double share) const
+    {
+        std::vector<double> sorted = m_claimTimes;
+        std::sort(sorted.begin(), sorted.end());
+        return sorted.empty() ? 0 : sorted[static_cast<std::size_t>(share * static_cast<double>(sorted.size() - 1))];
+    }
+
+    Load m_load;
+    double m_now = 0;
+    std::priority_queue<Event> m_events;
+    std::vector<Committer> m_committers; // of router r and range g at r * ranges + g
+    std::vector<std::uint64_t> m_versions;
+    base::Random m_random{1};
+    std::uint64_t m_orders = 0;
+    std::uint64_t m_writes = 0;
+    std::uint64_t m_reads = 0;
+    std::uint64_t m_conflicts = 0;
+    std::vector<double> m_claimTimes;
+};
+
+} // namespace
+
+int main()
+{
+    std::printf("| store | order | writes | reads |\n|---|---|---|---|\n");
+    CountingStore single;
+    orders::SingleClaimStore singleClaims(single);
+    countOrders("single object", single, singleClaims);
+    CountingStore journal;
+    orders::JournalClaimStore journalClaims(journal, orders::JournalSettings{});
+    countOrders("journal", journal, journalClaims);
+
+    std::printf("\n| routers | ranges | orders/s | writes an order | records a write | writes/s | reads/s | claim p50 ms | claim p99 ms |\n"
+                "|---|---|---|---|---|---|---|---|---|\n");
+    for (const std::uint32_t routers : {1U, 4U, 16U}) {
+        for (const std::uint32_t ranges : {1U, 16U}) {
+            for (const double rate : {10.0, 100.0, 1000.0, 1500.0}) {
+                GroupCommitModel model(Load{routers, ranges, rate});
+                model.run();
+                model.print();
+            }
+        }
+    }
+    return 0;
+}
--- a/carawaylatch/orders/retention.cpp
+++ b/carawaylatch/orders/retention.cpp
@@ -157,8 +157,12 @@
     return m_counters;
 }
 
-void RecordPruner::step(base::TimePoint now)
+void RecordPruner::step(base::TimePoint now, PrunerRole role)
 {
+    if (role == PrunerRole::Observer) {
+        observeEpoch(now);
+        return;
+    }
     readEpoch(now);
     if (m_counters.epoch > m_settings.keepEpochs) {
         pruneRange(m_nextRange);
@@ -166,6 +170,22 @@
     }
 }
 
+void RecordPruner::observeEpoch(base::TimePoint now)
+{
+    constexpr int ObservationsOfEpoch = 6;
+    if (m_counters.epoch != 0 && now < m_nextObservation) {
+        return;
+    }
+    m_nextObservation = now + m_settings.epoch / ObservationsOfEpoch;
+    const auto object = m_store.read(EpochObject);
+    if (!object) {
+        return;
+    }
+    if (const auto epoch = parseEpoch(object.value().value)) {
+        m_counters.epoch = epoch.value();
+    }
+}
+
 void RecordPruner::readEpoch(base::TimePoint now)
 {
     const auto object = m_store.read(EpochObject);
@@ -200,7 +220,9 @@
     for (const platform::Object &it : listed.value().written) {
         const auto record = decodeRecord(it.value);
         const auto order = OrderId::fromPath(std::string_view(it.name).substr(prefix.size()));
-        if (record && order && record.value().epoch + m_settings.keepEpochs < m_counters.epoch && old.size() < m_settings.maxPrunedPerStep) {
+        if (record && record.value().epoch == 0) {
+            stamp(it, record.value());
+        } else if (record && order && record.value().epoch + m_settings.keepEpochs < m_counters.epoch && old.size() < m_settings.maxPrunedPerStep) {
             old.push_back(&it);
             digests.push_back(order.value().hash());
         }
@@ -214,6 +236,14 @@
     }
 }
 
+// Gives a record its epoch. The state stays; a claimant that loses a conditional
+// write to this reads back and finds its claim.
+void RecordPruner::stamp(const platform::Object &object, OrderRecord record)
+{
+    record.epoch = m_counters.epoch;
+    (void)m_store.write(object.name, encodeRecord(record), object.version);
+}
+
 // Returns true only if all digests are certainly in the closed object.
 bool RecordPruner::closeKeys(std::uint32_t range, std::span<const std::uint64_t> digests)
 {
--- a/carawaylatch/orders/retention.h
+++ b/carawaylatch/orders/retention.h
@@ -3,7 +3,8 @@
 // Age is counted in epochs: the object "orders/epoch" holds a number that any
 // router advances once it has seen it unchanged for a whole epoch by its own
 // monotonic clock. A record carries the epoch of its last write and is kept for
-// at least `keepEpochs` whole epochs after it.
+// at least `keepEpochs` whole epochs after it. A record of a router that did not
+// know the epoch yet carries zero; the pruner stamps it with the present one.
 //
 // Before a record is removed its key goes into the closed set, kept in one
 // object for each hash range, as an eight-byte digest that is never dropped.
@@ -70,6 +71,11 @@
 // Returns ok if the key is open, StaleState if it is closed, or the platform's error.
 [[nodiscard]] base::Result<void> checkOpen(platform::ObjectStore &store, const OrderId &order);
 
+enum class PrunerRole {
+    Observer, // learns the epoch now and then, for its own records
+    Pruner, // also advances the epoch and prunes
+};
+
 struct RetentionCounters
 {
     std::uint64_t epoch = 0;
@@ -77,22 +83,25 @@
     std::uint64_t full = 0; // records kept because their closed range is full
 };
 
-// Advances the epoch and prunes records of SingleClaimStore. Safe to run on any
-// number of routers at once; one (the lease holder) is enough.
+// Advances the epoch and prunes records of SingleClaimStore. Every router runs one;
+// any number may be in the role of Pruner at once, and one is enough.
 class RecordPruner
 {
 public:
     RecordPruner(platform::ObjectStore &store, RetentionSettings settings);
 
-    // One round: reads the epoch, advances it if due, prunes the next hash range.
-    // Costs one read and one list, and writes only if there is something to prune.
-    void step(base::TimePoint now);
+    // One round. A pruner reads the epoch, advances it if due and prunes the next
+    // hash range: one read and one list, and writes only where there is something to
+    // do. An observer reads the epoch a few times in an epoch.
+    void step(base::TimePoint now, PrunerRole role = PrunerRole::Pruner);
     // The epoch last read, for OrderDesk::setEpoch().
     [[nodiscard]] std::uint64_t epoch() const;
     [[nodiscard]] const RetentionCounters &counters() const;
 
 private:
+    void observeEpoch(base::TimePoint now);
     void readEpoch(base::TimePoint now);
+    void stamp(const platform::Object &object, OrderRecord record);
     void pruneRange(std::uint32_t range);
     [[nodiscard]] bool closeKeys(std::uint32_t range, std::span<const std::uint64_t> digests);
 
@@ -102,6 +111,7 @@
     // The epoch object's version last seen, and since when.
     std::optional<platform::Version> m_seen;
     base::TimePoint m_seenAt;
+    base::TimePoint m_nextObservation;
     RetentionCounters m_counters;
 };
 
--- a/carawaylatch/orders/testing/retentiontest.cpp
+++ b/carawaylatch/orders/testing/retentiontest.cpp
@@ -20,6 +20,8 @@
     CPPUNIT_TEST(testDuplicateAfterPruning);
     CPPUNIT_TEST(testPrunerBetweenAnyTwoCallsOfDuplicate);
     CPPUNIT_TEST(testPrunerBetweenClaimAndItsCheck);
+    CPPUNIT_TEST(testStampWhileOrderRuns);
+    CPPUNIT_TEST(testObserverLearnsEpochWithFewReads);
     CPPUNIT_TEST(testFaultsOfPruner);
     CPPUNIT_TEST(testClosedSetIsBounded);
     CPPUNIT_TEST_SUITE_END();
@@ -44,6 +46,7 @@
 
     void testDuplicateAfterPruning()
     {
+        passEpochs(1);
         CPPUNIT_ASSERT(order().kind == OrderAnswerKind::Done);
         passEpochs(m_settings.keepEpochs);
         CPPUNIT_ASSERT_MESSAGE("kept for the whole retention", order().kind == OrderAnswerKind::Done);
@@ -77,6 +80,34 @@
         CPPUNIT_ASSERT_EQUAL(0, m_service.runs("acme/k"));
     }
 
+    // A claim without an epoch is stamped while its order runs.
+    void testStampWhileOrderRuns()
+    {
+        passEpochs(m_settings.keepEpochs + 1);
+        SingleClaimStore claims(m_platform);
+        OrderDesk desk(base::RouterId("r1"), base::Incarnation{77}, claims, m_liveness, m_clock);
+        m_service.before = [this] {
+            passEpochs(0);
+        };
+        CPPUNIT_ASSERT(desk.run(makeRequest(m_clock, "k"), m_service, m_chooser).kind == OrderAnswerKind::Done);
+        m_service.before = nullptr;
+        CPPUNIT_ASSERT(desk.flush());
+        CPPUNIT_ASSERT(order().kind == OrderAnswerKind::Done);
+        CPPUNIT_ASSERT_EQUAL(1, m_service.runs("acme/k"));
+    }
+
+    void testObserverLearnsEpochWithFewReads()
+    {
+        passEpochs(3);
+        platform::FaultyStore counted(m_platform);
+        RecordPruner observer(counted, m_settings);
+        for (base::TimePoint now = m_now; now < m_now + m_settings.epoch; now += base::seconds{2}) {
+            observer.step(now, PrunerRole::Observer);
+        }
+        CPPUNIT_ASSERT_EQUAL(m_pruner.epoch(), observer.epoch());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{6}, counted.callCount());
+    }
+
     void testFaultsOfPruner()
     {
         for (const StoreFault fault : platform::AllStoreFaults) {
@@ -132,6 +163,7 @@
         hooked.callsUntilHook = call;
         hooked.hook = [this, &memory] {
             RecordPruner pruner(memory, m_settings);
+            passEpochs(pruner, 2 * m_settings.keepEpochs); // stamps what has no epoch
             passEpochs(pruner, 2 * m_settings.keepEpochs);
             CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, pruner.counters().pruned);
         };
