--- /dev/null
+++ b/carawaylatch/http/callersserver.cpp
@@ -0,0 +1,292 @@
+// Requests of callers on httplib, a thread for each.
+//
+// A streamed request has a second thread from a pool that relays it, since the
+// status has to be known before httplib pulls the body (see streambridge.h). A
+// caller that leaves is noticed by the writing thread: by a failed write, or by
+// looking at the socket while there is nothing to write.
+#include "carawaylatch/http/callersserver.h"
+
+#include <httplib.h>
+
+#include <atomic>
+#include <random>
+
+#include "carawaylatch/base/hash.h"
+#include "carawaylatch/http/callerjson.h"
+#include "carawaylatch/http/callerrequest.h"
+#include "carawaylatch/http/httpserver.h"
+#include "carawaylatch/http/streambridge.h"
+#include "carawaylatch/http/wirejson.h"
+
+namespace carawaylatch::http
+{
+
+namespace
+{
+
+constexpr const char *JsonType = "application/json";
+constexpr const char *StreamType = "text/event-stream";
+constexpr base::Duration LookInterval = base::milliseconds{50}; // between two looks at a quiet caller's socket
+
+} // namespace
+
+class CallersServer::Impl
+{
+public:
+    Impl(const CallersServerOptions &options, CallerHandler &handler)
+        : m_options(options)
+        , m_handler(handler)
+        , m_relayThreads(options.maxStreams)
+        , m_idSeed((static_cast<std::uint64_t>(std::random_device{}()) << 32U) ^ std::random_device{}())
+        , m_server(options.endpoint, options.maxStreams)
+    {
+        configureServer();
+        addHandlers();
+    }
+
+    bool start()
+    {
+        return m_server.start();
+    }
+
+    void stop()
+    {
+        m_server.stop();
+        if (!m_isStopped) {
+            m_isStopped = true;
+            m_relayThreads.shutdown();
+        }
+    }
+
+    [[nodiscard]] const base::Endpoint &endpoint() const
+    {
+        return m_server.endpoint();
+    }
+
+private:
+    void configureServer()
+    {
+        auto &server = m_server.server();
+        server.set_payload_max_length(m_options.maxBodyBytes);
+        server.set_error_handler([this](const httplib::Request &, httplib::Response &response) {
+            explainStatus(response);
+        });
+        server.set_exception_handler([](const httplib::Request &, httplib::Response &response, const std::exception_ptr &) {
+            answerError(response, base::fail(base::ErrorKind::Internal, "the router failed on this request; report its request id"));
+        });
+    }
+
+    // Gives the statuses that httplib sets by itself a body in the usual form.
+    void explainStatus(httplib::Response &response) const
+    {
+        if (!response.body.empty()) {
+            return;
+        }
+        const int status = response.status;
+        std::string message = "no such path; see /v1/completions, /v1/chat/completions, /v1/models and /v1/services/ROUTE";
+        base::ErrorKind kind = base::ErrorKind::NotFound;
+        if (status == 413) {
+            kind = base::ErrorKind::InvalidArgument;
+            message = "the body is over " + std::to_string(m_options.maxBodyBytes) + " bytes; send a shorter prompt";
+        } else if (status == 400) {
+            kind = base::ErrorKind::InvalidArgument;
+            message = "the request is not valid HTTP, or its head or body was cut off; send it whole, with header lines under 8 KB";
+        } else if (status != 404) {
+            return;
+        }
+        response.set_content(encodeError(base::fail(kind, message)), JsonType);
+        response.status = status;
+    }
+
+    void addHandlers()
+    {
+        auto &server = m_server.server();
+        server.Post("/v1/completions", [this](const httplib::Request &request, httplib::Response &response) {
+            complete(request, response, CompletionForm::Text);
+        });
+        server.Post("/v1/chat/completions", [this](const httplib::Request &request, httplib::Response &response) {
+            complete(request, response, CompletionForm::Chat);
+        });
+        server.Get("/v1/models", [this](const httplib::Request &request, httplib::Response &response) {
+            listModels(request, response);
+        });
+        const auto service = [this](const httplib::Request &request, httplib::Response &response) {
+            callService(request, response);
+        };
+        constexpr const char *ServicePath = "/v1/services/.+";
+        server.Get(ServicePath, service);
+        server.Post(ServicePath, service);
+        server.Put(ServicePath, service);
+        server.Patch(ServicePath, service);
+        server.Delete(ServicePath, service);
+    }
+
+    // Reads what every request carries; sets the answer's request id.
+    base::Result<CallerHead> headOf(const httplib::Request &request, httplib::Response &response)
+    {
+        auto head = readCallerHead(request);
+        if (head && head.value().requestId.empty()) {
+            head.value().requestId = toHex(base::combineHashes(m_idSeed, ++m_requests));
+        }
+        if (head) {
+            response.set_header("X-Request-Id", head.value().requestId);
+        }
+        return head;
+    }
+
+    void complete(const httplib::Request &request, httplib::Response &response, CompletionForm form)
+    {
+        auto head = headOf(request, response);
+        if (!head) {
+            answerError(response, head.error());
+            return;
+        }
+        auto body = decodeCompletion(request.body, form);
+        if (!body) {
+            answerError(response, body.error());
+            return;
+        }
+        const AnswerIdentity identity{head.value().requestId, body.value().model, form};
+        auto call = std::make_shared<CompletionCall>();
+        call->head = std::move(head).value();
+        call->model = body.value().model;
+        call->maxTokens = body.value().maxTokens;
+        call->prompt = std::move(body.value().prompt);
+        if (body.value().streaming == Streaming::On) {
+            stream(std::move(call), identity, response);
+        } else {
+            answerWhole(*call, identity, response);
+        }
+    }
+
+    void answerWhole(const CompletionCall &call, const AnswerIdentity &identity, httplib::Response &response)
+    {
+        relay::CollectingSink sink;
+        m_handler.complete(call, sink);
+        if (sink.done()) {
+            response.set_content(encodeAnswer(identity, sink.text(), *sink.done()), JsonType);
+        } else {
+            answerError(response, sink.error().value_or(base::fail(base::ErrorKind::Internal, "the router gave no answer; report the request id")));
+        }
+    }
+
+    void stream(std::shared_ptr<CompletionCall> call, const AnswerIdentity &identity, httplib::Response &response)
+    {
+        auto bridge = std::make_shared<StreamBridge>(identity);
+        m_relayThreads.enqueue([this, call = std::move(call), bridge] {
+            m_handler.complete(*call, *bridge);
+        });
+        if (bridge->waitForOpening() == StreamBridge::Opening::Refused) {
+            answerError(response, bridge->error());
+            return;
+        }
+        response.set_header("Cache-Control", "no-store");
+        response.set_chunked_content_provider(
+            StreamType,
+            [bridge](std::size_t, httplib::DataSink &sink) {
+                return writeSome(*bridge, sink);
+            },
+            [bridge](bool isWhole) {
+                if (!isWhole) {
+                    bridge->callerLeft();
+                }
+            });
+    }
+
+    // Writes what is buffered; false breaks the transfer off, so that a caller
+    // never takes a part for the whole.
+    static bool writeSome(StreamBridge &bridge, httplib::DataSink &sink)
+    {
+        auto phase = StreamBridge::Phase::Open;
+        const std::string bytes = bridge.take(LookInterval, phase);
+        const bool isWritten = bytes.empty() ? sink.is_writable() : sink.write(bytes.data(), bytes.size());
+        if (!isWritten) {
+            bridge.callerLeft();
+            return false;
+        }
+        if (phase == StreamBridge::Phase::Whole) {
+            sink.done();
+        }
+        return phase != StreamBridge::Phase::Broken;
+    }
+
+    void listModels(const httplib::Request &request, httplib::Response &response)
+    {
+        const auto head = headOf(request, response);
+        if (!head) {
+            answerError(response, head.error());
+            return;
+        }
+        const auto models = m_handler.models(head.value());
+        models ? response.set_content(encodeModels(models.value()), JsonType) : answerError(response, models.error());
+    }
+
+    void callService(const httplib::Request &request, httplib::Response &response)
+    {
+        auto head = headOf(request, response);
+        if (!head) {
+            answerError(response, head.error());
+            return;
+        }
+        ServiceCall call;
+        call.head = std::move(head).value();
+        call.head.path = request.target;
+        call.method = request.method;
+        call.contentType = request.get_header_value("Content-Type");
+        call.body = request.body;
+        call.idempotencyKey = request.get_header_value("Idempotency-Key");
+        answerService(m_handler.callService(call), response);
+    }
+
+    static void answerService(const ServiceReply &reply, httplib::Response &response)
+    {
+        static constexpr std::string_view OutcomeNames[] = {"", "done", "not_run", "unknown", "running"};
+        if (reply.outcome != OrderOutcome::None) {
+            response.set_header("X-Order-Outcome", std::string(OutcomeNames[static_cast<std::size_t>(reply.outcome)]));
+        }
+        if (reply.isReplayed) {
+            response.set_header("X-Order-Replayed", "true");
+        }
+        if (reply.error) {
+            answerError(response, *reply.error);
+            return;
+        }
+        response.status = reply.answer.status;
+        response.set_content(reply.answer.body, reply.answer.contentType.c_str());
+    }
+
+    CallersServerOptions m_options;
+    CallerHandler &m_handler;
+    httplib::ThreadPool m_relayThreads;
+    const std::uint64_t m_idSeed;
+    std::atomic<std::uint64_t> m_requests = 0;
+    bool m_isStopped = false;
+    HttpServer m_server;
+};
+
+CallersServer::CallersServer(const CallersServerOptions &options, CallerHandler &handler)
+    : m_impl(std::make_unique<Impl>(options, handler))
+{
+}
+
+CallersServer::~CallersServer()
+{
+    stop();
+}
+
+bool CallersServer::start()
+{
+    return m_impl->start();
+}
+
+void CallersServer::stop()
+{
+    m_impl->stop();
+}
+
+const base::Endpoint &CallersServer::endpoint() const
+{
+    return m_impl->endpoint();
+}
+
+} // namespace carawaylatch::http
