--- /dev/null
+++ b/examples/orderguard.cpp
@@ -0,0 +1,81 @@
+// Embeds the order guard alone: a booking that runs at most once.
+//
+// The program brings three things: an object store (here in memory; in earnest
+// platform::HttpObjectStore or an own implementation), a connection to the
+// service, and a word on which of its own processes live. The same key, sent
+// twice, runs once and is answered twice.
+#include <iostream>
+
+#include <carawaylatch/base/incarnation.h>
+#include <carawaylatch/orders/orderdesk.h>
+#include <carawaylatch/platform/memorystore.h>
+
+using namespace carawaylatch;
+
+namespace
+{
+
+// The service that books trucks; counts what it ran.
+class BookingService : public orders::ServiceConnection
+{
+public:
+    base::Result<orders::ServiceAnswer> call(const orders::ServiceRequest &request) override
+    {
+        ++runs;
+        return orders::ServiceAnswer{200, "text/plain", "booked for " + std::string(request.body), request.attempt, {1}};
+    }
+
+    int runs = 0;
+};
+
+class OneService : public orders::UpstreamChooser
+{
+public:
+    base::Result<orders::ChosenUpstream> choose(const std::vector<base::UpstreamId> &refused) override
+    {
+        if (!refused.empty()) {
+            return base::fail(base::ErrorKind::Unavailable, "the service refused; try again later", base::seconds{1});
+        }
+        return orders::ChosenUpstream{base::UpstreamId("desk-1"), {"10.0.0.9", 8000}};
+    }
+};
+
+// This process is the only one.
+class OneProcess : public orders::RouterLiveness
+{
+public:
+    orders::ClaimantLife life(const base::RouterId &, base::Incarnation) const override
+    {
+        return orders::ClaimantLife::Unsure;
+    }
+};
+
+} // namespace
+
+int main()
+{
+    platform::MemoryStore objects;
+    orders::SingleClaimStore claims(objects);
+    const OneProcess liveness;
+    const base::SteadyClock clock;
+    orders::OrderDesk desk(base::RouterId("booking-1"), base::newIncarnation(), claims, liveness, clock);
+
+    BookingService service;
+    OneService chooser;
+    int done = 0;
+    for (int i = 0; i < 2; ++i) {
+        orders::OrderRequest request;
+        request.customer = base::CustomerId("acme");
+        request.key = "truck-4711";
+        request.service.method = "POST";
+        request.service.path = "/trucks";
+        request.service.body = "truck DK-4711";
+        request.deadline = clock.now() + base::seconds{5};
+        const auto answer = desk.run(request, service, chooser);
+        done += answer.kind == orders::OrderAnswerKind::Done ? 1 : 0;
+        std::cout << "answer " << i + 1 << ": " << answer.answer.body << answer.error.message << '\n';
+    }
+    static_cast<void>(desk.flush());
+    std::cout << "the service ran " << service.runs << " time for " << done << " answers\n";
+    return service.runs == 1 && done == 2 ? 0 : 1;
+}
--- /dev/null
+++ b/examples/placement.cpp
@@ -0,0 +1,105 @@
+// Embeds the placement strategy alone: three engines, two customers, no network.
+//
+// A program that already talks to engines gives the registry their load reports
+// and asks the strategy where a prompt goes. Cached prefixes pull a request to
+// their holder; another customer's request for the same text doesn't follow.
+#include <atomic>
+#include <iostream>
+#include <string>
+
+#include <carawaylatch/prefix/cacheindex.h>
+#include <carawaylatch/prefix/chain.h>
+#include <carawaylatch/prefix/heat.h>
+#include <carawaylatch/prefix/namespace.h>
+#include <carawaylatch/routing/strategy.h>
+#include <carawaylatch/upstreams/inflight.h>
+#include <carawaylatch/upstreams/registry.h>
+
+using namespace carawaylatch;
+
+namespace
+{
+
+constexpr std::uint32_t BlockBytes = 4000;
+
+config::Tables threeEngines()
+{
+    config::Pool pool;
+    pool.name = base::PoolName("readers");
+    pool.model = base::ModelId("clause-1");
+    pool.weightsVersion = {1};
+    pool.blockBytes = BlockBytes;
+    for (const auto *it : {"engine-1", "engine-2", "engine-3"}) {
+        pool.members.push_back({base::UpstreamId(it), {"10.0.0.1", 8000}, base::FailureDomain("dakar-a")});
+    }
+    config::Tables tables;
+    tables.pools.push_back(pool);
+    return tables;
+}
+
+// All that a placement needs to know.
+class Placer
+{
+public:
+    Placer()
+        : m_strategy(routing::makeStrategy("adaptive", {&m_caches, &m_heat, &m_inflight, &m_routers}, 1).value())
+    {
+        m_registry.configure(threeEngines(), m_now);
+        for (const auto &it : threeEngines().pools.front().members) {
+            upstreams::LoadReport report;
+            report.incarnation = {7};
+            report.model = base::ModelId("clause-1");
+            report.weightsVersion = {1};
+            report.prefillTokensPerSecond = 10'000;
+            report.capacityBlocks = 1000;
+            m_registry.onLoadReport(it.id, report, m_now);
+        }
+        m_now += upstreams::ViewPeriod;
+        m_registry.onTick(m_now);
+        for (const auto &it : m_registry.takeActions()) {
+            if (const auto *adopt = std::get_if<upstreams::AdoptIncarnation>(&it)) {
+                m_caches.adopt(adopt->slot, adopt->upstream, adopt->incarnation);
+            }
+        }
+    }
+
+    routing::Placement place(const std::string &customer, const std::string &prompt)
+    {
+        const auto salt = prefix::cacheSalt(base::CustomerId(customer), base::ModelId("clause-1"), {1}, "");
+        const auto chain = prefix::blockChain(prompt, salt, BlockBytes);
+        routing::PlacementRequest request;
+        request.now = m_now;
+        request.pool = base::PoolName("readers");
+        request.chain = chain;
+        request.promptTokens = prefix::promptTokens(prompt);
+        auto placement = m_strategy->place(request, *m_registry.view()).value();
+        m_caches.recordPlacement(placement.slot, placement.incarnation, chain, m_now);
+        return placement;
+    }
+
+private:
+    base::TimePoint m_now{base::hours{1}}; // a real program reads base::SteadyClock
+    upstreams::Registry m_registry;
+    prefix::CacheIndex m_caches;
+    prefix::HeatTable m_heat;
+    upstreams::InflightTable m_inflight;
+    std::atomic<std::uint32_t> m_routers{1};
+    std::unique_ptr<routing::RoutingStrategy> m_strategy;
+};
+
+} // namespace
+
+int main()
+{
+    Placer placer;
+    const std::string contract(40'000, 'c');
+    const auto first = placer.place("acme", contract + "clause 1");
+    const auto second = placer.place("acme", contract + "clause 2");
+    const auto rival = placer.place("rival", contract + "clause 1");
+    std::cout << "first:  " << first.upstream << ", " << first.missingTokens << " tokens to compute\n"
+              << "second: " << second.upstream << ", " << second.missingTokens << " tokens to compute\n"
+              << "rival:  " << rival.upstream << ", " << rival.missingTokens << " tokens to compute\n";
+    const bool holds = second.upstream == first.upstream && second.missingTokens < first.missingTokens && rival.missingTokens == first.missingTokens;
+    std::cout << (holds ? "the prefix was found, and only by its customer\n" : "unexpected placement\n");
+    return holds ? 0 : 1;
+}
