Install check: examples and manual build and run against the installed tree

cause of the first failure: the placement example iterated over a member of a temporary; the check found it (segmentation fault).

--- a/examples/orderguard.cpp
+++ b/examples/orderguard.cpp
@@ -10,7 +10,9 @@
 #include <carawaylatch/orders/orderdesk.h>
 #include <carawaylatch/platform/memorystore.h>
 
-using namespace carawaylatch;
+namespace base = carawaylatch::base;
+namespace orders = carawaylatch::orders;
+namespace platform = carawaylatch::platform;
 
 namespace
 {
--- a/examples/placement.cpp
+++ b/examples/placement.cpp
@@ -15,7 +15,11 @@
 #include <carawaylatch/upstreams/inflight.h>
 #include <carawaylatch/upstreams/registry.h>
 
-using namespace carawaylatch;
+namespace base = carawaylatch::base;
+namespace config = carawaylatch::config;
+namespace prefix = carawaylatch::prefix;
+namespace routing = carawaylatch::routing;
+namespace upstreams = carawaylatch::upstreams;
 
 namespace
 {
@@ -44,8 +48,9 @@
     Placer()
         : m_strategy(routing::makeStrategy("adaptive", {&m_caches, &m_heat, &m_inflight, &m_routers}, 1).value())
     {
-        m_registry.configure(threeEngines(), m_now);
-        for (const auto &it : threeEngines().pools.front().members) {
+        const auto tables = threeEngines();
+        m_registry.configure(tables, m_now);
+        for (const auto &it : tables.pools.front().members) {
             upstreams::LoadReport report;
             report.incarnation = {7};
             report.model = base::ModelId("clause-1");
--- a/scripts/check.d/install.sh
+++ b/scripts/check.d/install.sh
@@ -18,6 +18,11 @@
 # --define-prefix moves the paths of the file to the temporary folder.
 # shellcheck disable=SC2046
 g++ -o "$folder/placement" examples/placement.cpp $(pkg-config --define-prefix --static --cflags --libs carawaylatch)
+echo '#include <carawaylatch/router.h>
+int main() { return carawaylatch::parseSettings("", "none") ? 1 : 0; }' >"$folder/manual.cpp"
+# shellcheck disable=SC2046
+g++ -o "$folder/manual" "$folder/manual.cpp" $(pkg-config --define-prefix --static --cflags --libs carawaylatch)
+"$folder/manual"
 echo "-- placement, by pkg-config"
 "$folder/placement"
 "$folder/usr/bin/carawaylatchctl" --version
