--- a/carawaylatch/telemetry/metrics.cpp
+++ b/carawaylatch/telemetry/metrics.cpp
@@ -41,7 +41,7 @@
 constexpr std::size_t ClassCount = 2;
 constexpr std::size_t OutcomeCount = 4;
 constexpr std::size_t OrderOutcomeCount = 4;
-constexpr std::size_t PeerRefusalCount = 4;
+constexpr std::size_t PeerRefusalCount = 5;
 constexpr std::size_t ChannelCount = 3;
 constexpr std::size_t ErrorKindCount = static_cast<std::size_t>(base::ErrorKind::Internal) + 1;
 
@@ -199,7 +199,7 @@
 
 std::string_view peerRefusalName(PeerRefusal reason)
 {
-    static constexpr std::array<std::string_view, PeerRefusalCount> Names{"wrong_key", "wrong_version", "too_large", "malformed"};
+    static constexpr std::array<std::string_view, PeerRefusalCount> Names{"wrong_key", "wrong_version", "too_large", "malformed", "replayed"};
     return Names.at(static_cast<std::size_t>(reason));
 }
 
--- a/carawaylatch/telemetry/metrics.h
+++ b/carawaylatch/telemetry/metrics.h
@@ -67,6 +67,7 @@
     WrongVersion,
     TooLarge,
     Malformed,
+    Replayed,
 };
 
 // What the router spends control messages on.
