--- a/carawaylatch/telemetry/dashboard.cpp
+++ b/carawaylatch/telemetry/dashboard.cpp
@@ -32,14 +32,14 @@
 .tile,figure,.scroll{background:var(--card);border:1px solid var(--line);border-radius:8px}
 .tile{padding:8px 12px}.tile b{display:block;font-size:1.3rem}.tile span{color:var(--soft);font-size:.85rem}
 .charts{display:grid;grid-template-columns:repeat(auto-fit,minmax(300px,1fr));gap:10px}
-figure{margin:0;padding:10px 12px}figcaption{margin-bottom:6px}
+figure{margin:0;padding:10px 12px;min-width:0}figcaption{margin-bottom:6px}
 .key{white-space:nowrap;font-weight:600;margin-left:.4rem}.key.a{color:var(--a)}.key.b{color:var(--b)}
 .plot{display:flex;gap:6px;height:120px}.plot svg{flex:1;min-width:0;height:100%}
 .axis{display:flex;flex-direction:column;justify-content:space-between;text-align:right;min-width:3.4rem;font-size:.75rem;color:var(--soft);line-height:1}
 .span{display:flex;justify-content:space-between;padding-left:3.8rem;font-size:.75rem;color:var(--soft)}
 .line{fill:none;stroke-width:2;vector-effect:non-scaling-stroke}.line.a{stroke:var(--a)}.line.b{stroke:var(--b)}
 .grid{fill:none;stroke:var(--line);vector-effect:non-scaling-stroke}
-@media(min-width:800px){.tiles{grid-template-columns:repeat(5,1fr)}.charts{grid-template-columns:repeat(2,1fr)}}
+@media(min-width:800px){.tiles{grid-template-columns:repeat(5,minmax(0,1fr))}.charts{grid-template-columns:repeat(2,minmax(0,1fr))}}
 .scroll{overflow-x:auto}table{border-collapse:collapse;width:100%;font-variant-numeric:tabular-nums}
 th,td{padding:5px 10px;text-align:right;white-space:nowrap;border-bottom:1px solid var(--line)}
 th{font-weight:600;color:var(--soft);font-size:.85rem}tr:last-child td{border-bottom:0}
