--- a/carawaylatch/membership/member.cpp
+++ b/carawaylatch/membership/member.cpp
@@ -18,7 +18,10 @@
 
 bool supersedes(const MemberRecord &record, const MemberRecord &other)
 {
-    return record.life != other.life ? record.life > other.life : record.state > other.state;
+    if (record.life != other.life) {
+        return record.life > other.life;
+    }
+    return record.revival != other.revival ? record.revival > other.revival : record.state > other.state;
 }
 
 std::size_t MembershipView::liveCount() const
--- a/carawaylatch/membership/member.h
+++ b/carawaylatch/membership/member.h
@@ -21,9 +21,11 @@
 // Returns the state's name as it stands in logs and status pages, such as "suspect".
 [[nodiscard]] std::string_view memberStateName(MemberState state);
 
-// Orders what is said of one router. Only the router itself raises its life, at
-// every start and to refute a false suspicion; of two records of one router that
-// of the greater life counts, and of one life the later state in MemberState.
+// What is said of one router. Only the router itself raises its life: at every
+// start, to refute a false suspicion and when it leaves. Others raise the revival,
+// when a router that they held for dead speaks to them. Of two records of one
+// router that of the greater life counts, then of the greater revival, then of the
+// later state in MemberState.
 struct MemberRecord
 {
     base::RouterId id;
@@ -31,6 +33,7 @@
     base::Endpoint endpoint; // of the router's peer port
     base::Incarnation incarnation; // of the process
     std::uint64_t life = 0;
+    std::uint32_t revival = 0;
     MemberState state = MemberState::Alive;
 
     bool operator==(const MemberRecord &) const = default;
--- a/carawaylatch/membership/memberlist.cpp
+++ b/carawaylatch/membership/memberlist.cpp
@@ -5,6 +5,11 @@
 // its sender's own record and, if the receiver is thought suspect or dead, the
 // receiver's, so that a router hears at once what it has to refute.
 //
+// A death is a judgement of those on one side of a cut. When a router that was held
+// for dead speaks, its hearer revives it, and if others died with it reads that
+// router's table and revives those that are alive there, page by page, so that
+// thousands of members need not be told one by one that they are thought dead.
+//
 // Tables that still differ after news have settled are compared page by page.
 // Dead members don't count there: how long they are remembered differs from
 // router to router, and old ones must not come back by comparison. Who is told a
@@ -36,6 +41,9 @@
     return {record.id, record.endpoint};
 }
 
+constexpr base::Duration CutMargin = base::seconds{30}; // deaths so long before a peer's may come of the same cut
+constexpr std::ptrdiff_t MinCutDeaths = 2; // one death alone is no cut
+
 } // namespace
 
 MemberList::MemberList(MemberListOptions options, MemberRecord self, TimePoint now)
@@ -86,7 +94,7 @@
 void MemberList::handle(const Probe &message, TimePoint now)
 {
     const auto from = recordAddress(message.gossip.self);
-    send(from, ProbeAck{message.number, m_self.id, makeGossip(from.id)});
+    send(from, ProbeAck{message.number, m_self.id, makeAnswer(message.gossip)});
     syncWith(message.gossip, now);
 }
 
@@ -123,12 +131,16 @@
         page.cursor = page.records.back().id;
     }
     const auto from = recordAddress(message.gossip.self);
-    page.gossip = makeGossip(from.id);
+    page.gossip = makeAnswer(message.gossip);
     send(from, std::move(page));
 }
 
 void MemberList::handle(const TablePage &message, TimePoint now)
 {
+    if (m_healing && m_healing->peer == message.gossip.self.id) {
+        healByPage(message, now);
+        return;
+    }
     const auto spread = isJoining(message.gossip.digest) ? Spread::No : Spread::Yes;
     for (const auto &it : message.records) {
         merge(it, spread, now);
@@ -140,6 +152,60 @@
     }
 }
 
+void MemberList::revive(Member &member, MemberState state, Spread spread, TimePoint now)
+{
+    auto record = member.record;
+    ++record.revival;
+    record.state = state;
+    store(member, record, spread, now);
+}
+
+// Begins to read the table of a router that was dead to this one, if others died with it.
+void MemberList::startHealing(const base::RouterId &peer, TimePoint deadSince, TimePoint now)
+{
+    const auto from = deadSince - CutMargin;
+    const auto deaths = 1 + std::count_if(m_members.begin(), m_members.end(), [from](const auto &it) {
+                            return it.second.record.state == MemberState::Dead && it.second.since >= from;
+                        });
+    if (!m_healing && deaths >= MinCutDeaths) {
+        m_healing = Healing{peer, from, {}, now - m_options.repair, 0};
+    }
+}
+
+void MemberList::continueHealing(TimePoint now)
+{
+    constexpr std::uint32_t MaxUnanswered = 3;
+    if (!m_healing || now < m_healing->askedAt + m_options.repair) {
+        return;
+    }
+    const auto *peer = find(m_healing->peer);
+    if (peer == nullptr || peer->state == MemberState::Dead || ++m_healing->unanswered > MaxUnanswered) {
+        m_healing.reset(); // the next router that speaks begins anew
+        return;
+    }
+    m_healing->askedAt = now;
+    send(recordAddress(*peer), TableRequest{m_healing->cursor, makeGossip(peer->id)});
+}
+
+void MemberList::healByPage(const TablePage &page, TimePoint now)
+{
+    m_healing->unanswered = 0;
+    m_healing->cursor = page.cursor;
+    for (const auto &it : page.records) {
+        const auto held = m_members.find(it.id);
+        const bool isDoubtful = held != m_members.end() && held->second.record.state == MemberState::Dead && held->second.record.life == it.life
+                                && held->second.since >= m_healing->deadSince;
+        if (isDoubtful && it.state != MemberState::Dead) {
+            revive(held->second, it.state, Spread::No, now);
+        } else {
+            merge(it, Spread::No, now);
+        }
+    }
+    if (page.cursor.isEmpty()) {
+        m_healing.reset();
+    }
+}
+
 // Spreads what a page's sender should have had in it.
 void MemberList::pushUnknown(const TablePage &page)
 {
@@ -157,6 +223,14 @@
 
 void MemberList::absorb(const Gossip &gossip, TimePoint now)
 {
+    if (const auto it = m_members.find(gossip.self.id); it != m_members.end()) {
+        const auto &held = it->second.record;
+        if (held.state == MemberState::Dead && gossip.self.life == held.life && gossip.self.state != MemberState::Dead) {
+            const auto deadSince = it->second.since;
+            revive(it->second, gossip.self.state, Spread::Yes, now);
+            startHealing(gossip.self.id, deadSince, now);
+        }
+    }
     merge(gossip.self, Spread::Yes, now);
     for (const auto &it : gossip.updates) {
         merge(it, Spread::Yes, now);
@@ -178,9 +252,12 @@
     }
     const auto it = m_members.find(record.id);
     if (it != m_members.end()) {
-        if (supersedes(record, it->second.record)) {
+        const auto &held = it->second.record;
+        if (record.life == held.life && record.state == held.state) {
+            it->second.record.revival = std::max(record.revival, held.revival);
+        } else if (supersedes(record, held)) {
             store(it->second, record, spread, now);
-        } else if (supersedes(it->second.record, record)) {
+        } else if (supersedes(it->second.record, record) && it->second.record.state != record.state && !m_healing) {
             announce(record.id);
         }
         return;
@@ -218,6 +295,11 @@
 {
     const bool wasGone = member.record.state == MemberState::Dead;
     const bool isGone = record.state == MemberState::Dead;
+    if (record.state == MemberState::Suspect) {
+        m_suspects.insert(record.id);
+    } else {
+        m_suspects.erase(record.id);
+    }
     m_digest.hash ^= recordHash(member.record) ^ recordHash(record);
     m_digest.count += (wasGone ? 1U : 0U) - (isGone ? 1U : 0U);
     member.record = record;
@@ -274,6 +356,7 @@
     if (m_self.state == MemberState::Alive) {
         m_digest.hash ^= recordHash(m_self);
         m_self.state = MemberState::Leaving;
+        ++m_self.life;
         m_digest.hash ^= recordHash(m_self);
         m_lastNewsAt = now;
         m_view.reset();
@@ -288,6 +371,7 @@
     }
     m_digest.hash ^= recordHash(m_self);
     m_self.state = MemberState::Dead;
+    ++m_self.life;
     m_lastNewsAt = now;
     announce(m_self.id);
     for (const auto &it : m_probed) {
@@ -313,6 +397,12 @@
     return m_probed;
 }
 
+std::optional<MemberState> MemberList::stateOf(const base::RouterId &id) const
+{
+    const auto *record = find(id);
+    return record == nullptr ? std::optional<MemberState>{} : record->state;
+}
+
 std::vector<MemberRecord> MemberList::records() const
 {
     std::vector<MemberRecord> records{m_self};
--- a/carawaylatch/membership/memberlist.h
+++ b/carawaylatch/membership/memberlist.h
@@ -49,7 +49,7 @@
     std::uint32_t ringProbes = 2; // next routers in hash order
     std::uint32_t randomProbes = 6;
     std::uint32_t indirectProbes = 3; // routers asked to probe another
-    std::uint32_t maxUpdates = 12; // records on one message
+    std::uint32_t maxUpdates = 8; // records on one message
     std::uint32_t pageRecords = 40; // records on one page of the table
     std::size_t maxMembers = 8'192; // beyond it the longest dead are forgotten, then news of new ones dropped
     std::uint64_t seed = 1; // of random choices
@@ -134,6 +134,8 @@
     [[nodiscard]] const MemberRecord &self() const;
     // Members that this router probes now.
     [[nodiscard]] std::vector<base::RouterId> probed() const;
+    // How another router is seen; nothing if it is unknown.
+    [[nodiscard]] std::optional<MemberState> stateOf(const base::RouterId &id) const;
     // All records, dead ones included.
     [[nodiscard]] std::vector<MemberRecord> records() const;
     [[nodiscard]] MemberDigest digest() const;
@@ -178,6 +180,7 @@
     void announce(const base::RouterId &id);
     void send(const MemberAddress &to, MemberMessage message);
     [[nodiscard]] Gossip makeGossip(const base::RouterId &to);
+    [[nodiscard]] Gossip makeAnswer(const Gossip &received);
     [[nodiscard]] std::uint32_t retransmissions() const;
     void probeNext(base::TimePoint now);
     void probe(const MemberAddress &target, base::TimePoint now);
@@ -191,6 +194,10 @@
     void askPage(const MemberAddress &from, base::TimePoint now);
     [[nodiscard]] bool isJoining(const MemberDigest &other) const;
     void pushUnknown(const TablePage &page);
+    void revive(Member &member, MemberState state, Spread spread, base::TimePoint now);
+    void startHealing(const base::RouterId &peer, base::TimePoint deadSince, base::TimePoint now);
+    void healByPage(const TablePage &page, base::TimePoint now);
+    void continueHealing(base::TimePoint now);
     [[nodiscard]] const MemberRecord *find(const base::RouterId &id) const;
     void resumeAfterFreeze(base::TimePoint now);
     [[nodiscard]] base::Duration suspicionTime() const;
@@ -216,6 +223,17 @@
     base::TimePoint m_nextHeartbeat;
     base::TimePoint m_nextReshuffle;
     base::TimePoint m_nextReconnect;
+    std::set<base::RouterId> m_suspects; // members in that state
+    // A cut that heals: the table of a peer from its other side is read page by page.
+    struct Healing
+    {
+        base::RouterId peer;
+        base::TimePoint deadSince; // deaths from here on came of the cut
+        base::RouterId cursor; // last id of the page read last
+        base::TimePoint askedAt;
+        std::uint32_t unanswered = 0; // requests for one page
+    };
+    std::optional<Healing> m_healing;
     base::RouterId m_syncCursor; // last id of the page compared last
     base::TimePoint m_syncAskedAt; // when a page was asked for last
     base::TimePoint m_lastNewsAt; // when a record changed last
--- a/carawaylatch/membership/probing.cpp
+++ b/carawaylatch/membership/probing.cpp
@@ -23,7 +23,7 @@
 {
 
 constexpr std::int64_t FrozenHeartbeats = 4; // ticks further apart mean that the process stood still
-constexpr std::uint32_t RetransmitFactor = 3; // messages that carry a record, for each doubling of members
+constexpr std::uint32_t RetransmitFactor = 2; // messages that carry a record, for each doubling of members
 
 } // namespace
 
@@ -38,6 +38,7 @@
     m_lastTick = now;
     expireProbes(now);
     expireSuspects(now);
+    continueHealing(now);
     if (m_isProbedStale) {
         chooseProbed();
     }
@@ -70,10 +71,8 @@
     m_pending.clear();
     m_relayed.clear();
     m_nextHeartbeat = now;
-    for (auto &it : m_members) {
-        if (it.second.record.state == MemberState::Suspect) {
-            it.second.since = now;
-        }
+    for (const auto &it : m_suspects) {
+        m_members.at(it).since = now;
     }
 }
 
@@ -163,9 +162,10 @@
 void MemberList::expireSuspects(TimePoint now)
 {
     const auto limit = suspicionTime();
-    for (auto &it : m_members) {
-        if (it.second.record.state == MemberState::Suspect && now >= it.second.since + limit) {
-            setState(it.second, MemberState::Dead, now);
+    for (auto it = m_suspects.begin(); it != m_suspects.end();) {
+        auto &member = m_members.at(*it++);
+        if (now >= member.since + limit) {
+            setState(member, MemberState::Dead, now);
         }
     }
 }
@@ -249,11 +249,22 @@
     return RetransmitFactor * static_cast<std::uint32_t>(std::ceil(std::log2(static_cast<double>(m_members.size() + 2))));
 }
 
+// Answers a message; a sender whose life is behind what is known of it is told.
+Gossip MemberList::makeAnswer(const Gossip &received)
+{
+    auto gossip = makeGossip(received.self.id);
+    const auto *held = find(received.self.id);
+    if (held != nullptr && held->life > received.self.life) {
+        gossip.updates.push_back(*held);
+    }
+    return gossip;
+}
+
 Gossip MemberList::makeGossip(const base::RouterId &to)
 {
     Gossip gossip{m_self, m_revision, digest(), {}};
     const auto receiver = m_members.find(to);
-    if (receiver != m_members.end() && receiver->second.record.state != MemberState::Alive) {
+    if (receiver != m_members.end() && receiver->second.record.state == MemberState::Suspect) {
         gossip.updates.push_back(receiver->second.record);
     }
     const auto limit = retransmissions();
--- a/carawaylatch/membership/testing/memberlisttest.cpp
+++ b/carawaylatch/membership/testing/memberlisttest.cpp
@@ -61,7 +61,7 @@
         auto &node = m_nodes[n];
         node.domain = n % Domains;
         node.isUp = true;
-        MemberRecord self{idOf(n), base::FailureDomain("d" + std::to_string(node.domain)), endpointOf(n), {++m_incarnations}, life, MemberState::Alive};
+        MemberRecord self{idOf(n), base::FailureDomain("d" + std::to_string(node.domain)), endpointOf(n), {++m_incarnations}, life, 0, MemberState::Alive};
         MemberListOptions options;
         options.seed = ::carawaylatch::testing::seed();
         node.list = std::make_unique<MemberList>(options, self, m_network.now());
@@ -307,7 +307,7 @@
                 const auto *message = std::get_if<SendMember>(&it);
                 const auto *ack = message != nullptr ? std::get_if<ProbeAck>(&message->message) : nullptr;
                 if (ack != nullptr) {
-                    CPPUNIT_ASSERT(ack->gossip.updates.size() <= options.maxUpdates + 1);
+                    CPPUNIT_ASSERT(ack->gossip.updates.size() <= options.maxUpdates + 2);
                     CPPUNIT_ASSERT_EQUAL(std::uint64_t{n + 1}, ack->gossip.revision.value);
                 }
             }
@@ -333,8 +333,10 @@
                 first.state = states[i];
                 second.state = states[j];
                 CPPUNIT_ASSERT_EQUAL(i > j, supersedes(first, second));
-                first.life = 1;
+                first.revival = 1;
                 CPPUNIT_ASSERT(supersedes(first, second) && !supersedes(second, first));
+                second.life = 1;
+                CPPUNIT_ASSERT(supersedes(second, first) && !supersedes(first, second));
             }
         }
     }
@@ -344,10 +346,10 @@
         MemberListOptions options;
         options.maxMembers = 10;
         const base::TimePoint now{base::hours{1}};
-        MemberList list(options, {Fleet::idOf(0), base::FailureDomain("d"), Fleet::endpointOf(0), {1}, 1, MemberState::Alive}, now);
+        MemberList list(options, {Fleet::idOf(0), base::FailureDomain("d"), Fleet::endpointOf(0), {1}, 1, 0, MemberState::Alive}, now);
         for (std::uint32_t i = 1; i < 50; ++i) {
             const auto state = i == 3 ? MemberState::Dead : MemberState::Alive;
-            MemberRecord record{Fleet::idOf(i), base::FailureDomain("d"), Fleet::endpointOf(i), {1}, 1, MemberState::Alive};
+            MemberRecord record{Fleet::idOf(i), base::FailureDomain("d"), Fleet::endpointOf(i), {1}, 1, 0, MemberState::Alive};
             list.onRecords({&record, 1}, now);
             record.state = state;
             list.onRecords({&record, 1}, now);
--- a/carawaylatch/peer/testing/samples.h
+++ b/carawaylatch/peer/testing/samples.h
@@ -50,6 +50,7 @@
                 {"10.0.0.1", 7000},
                 {m_random.next()},
                 m_random.next(),
+                7,
                 state};
     }
     membership::Gossip gossip()
--- a/carawaylatch/peer/wirevalues.cpp
+++ b/carawaylatch/peer/wirevalues.cpp
@@ -82,6 +82,7 @@
     out.set_port(value.endpoint.port);
     out.set_incarnation(value.incarnation.value);
     out.set_life(value.life);
+    out.set_revival(value.revival);
     out.set_state(static_cast<std::uint32_t>(value.state));
 }
 
@@ -94,8 +95,8 @@
     }
     BOOST_OUTCOME_TRY(id, nameFromWire<base::RouterId>(in.id()));
     BOOST_OUTCOME_TRY(domain, nameFromWire<base::FailureDomain>(in.domain()));
-    return membership::MemberRecord{
-        id, domain, {in.address(), static_cast<std::uint16_t>(in.port())}, {in.incarnation()}, in.life(), static_cast<membership::MemberState>(in.state())};
+    return membership::MemberRecord{id,        domain,       {in.address(), static_cast<std::uint16_t>(in.port())}, {in.incarnation()},
+                                    in.life(), in.revival(), static_cast<membership::MemberState>(in.state())};
 }
 
 void toWire(const membership::Gossip &value, wire::Gossip &out)
