Token gaps and control traffic reach the metrics

The traffic plane recorded no time between tokens, and nothing called the counters of control messages. Ruled out: the series itself (its test counts). change: a meter between relay and caller's sink records the gaps; the operators' sample brings the counters up to what transport and object store count.

--- a/carawaylatch/router/operatordesk.h
+++ b/carawaylatch/router/operatordesk.h
@@ -5,6 +5,8 @@
 
 #include "carawaylatch/base/eventloop.h"
 #include "carawaylatch/http/operatorsserver.h"
+#include "carawaylatch/peer/transport.h"
+#include "carawaylatch/platform/httpobjectstore.h"
 #include "carawaylatch/router/statusbuilder.h"
 #include "carawaylatch/router/trafficplane.h"
 #include "carawaylatch/router/upstreamcontroller.h"
@@ -26,6 +28,8 @@
     telemetry::Metrics &metrics;
     TrafficPlane &traffic;
     UpstreamController &upstreams;
+    const peer::PeerTransport &transport;
+    const platform::HttpObjectStore &objects;
 };
 
 class OperatorDesk : public http::OperatorHandler
@@ -46,6 +50,7 @@
     void sample(base::TimePoint now);
 
 private:
+    void noteControlTraffic();
     [[nodiscard]] telemetry::StatusReport report();
     [[nodiscard]] base::Result<void> known(const base::UpstreamId &upstream) const;
 
--- a/carawaylatch/router/router.cpp
+++ b/carawaylatch/router/router.cpp
@@ -268,7 +268,7 @@
              })
     , handover(router.m_controlParts, router.m_state, router.m_bus, duties.platformLoop(), {config, members, upstreams}, router.shutdownHooks())
     , desk({router.m_settings, router.m_incarnation, router.m_clock, router.m_loop, router.m_published, router.m_knowledge, router.m_gate, router.m_metrics,
-            *router.m_traffic, upstreams})
+            *router.m_traffic, upstreams, router.m_transport, router.m_objects})
 {
 }
 
--- a/carawaylatch/router/trafficplane.cpp
+++ b/carawaylatch/router/trafficplane.cpp
@@ -6,6 +6,7 @@
 
 #include "carawaylatch/prefix/chain.h"
 #include "carawaylatch/router/servicechooser.h"
+#include "carawaylatch/router/tokenmeter.h"
 
 namespace carawaylatch::router
 {
@@ -157,7 +158,8 @@
     request.hedging = context.route->hedging;
     request.firstTokenDeadline = context.deadline;
     request.deadline = context.deadline;
-    const relay::RelayReport report = m_parts.relay.run(request, placer, sink);
+    TokenMeter meter(sink, m_parts.metrics, context.customer->id, call.head.trafficClass, m_parts.placing.clock);
+    const relay::RelayReport report = m_parts.relay.run(request, placer, meter);
     account(context, report, placer.wastedTokens());
 }
 
--- a/carawaylatch/telemetry/metrics.cpp
+++ b/carawaylatch/telemetry/metrics.cpp
@@ -171,6 +171,14 @@
     return counters;
 }
 
+void advance(prometheus::Counter &counter, std::uint64_t total)
+{
+    const auto now = static_cast<double>(total);
+    if (now > counter.Value()) {
+        counter.Increment(now - counter.Value());
+    }
+}
+
 struct MeasureFamily
 {
     prometheus::Family<prometheus::Histogram> *family;
@@ -422,6 +430,17 @@
     m_d->controlBytes.at(static_cast<std::size_t>(channel))->Increment(static_cast<double>(bytes));
 }
 
+void Metrics::advancePeerRefusals(PeerRefusal reason, std::uint64_t messages)
+{
+    advance(*m_d->peerRefusals.at(static_cast<std::size_t>(reason)), messages);
+}
+
+void Metrics::advanceControl(ControlChannel channel, std::uint64_t messages, std::uint64_t bytes)
+{
+    advance(*m_d->controlMessages.at(static_cast<std::size_t>(channel)), messages);
+    advance(*m_d->controlBytes.at(static_cast<std::size_t>(channel)), bytes);
+}
+
 void Metrics::setControlCost(base::Duration processorTime, std::uint64_t residentBytes)
 {
     m_d->controlSeconds.Set(base::toSeconds(processorTime));
--- a/carawaylatch/telemetry/metrics.h
+++ b/carawaylatch/telemetry/metrics.h
@@ -153,6 +153,10 @@
     // Adds control messages and their bytes, sent or received.
     void countControl(ControlChannel channel, std::uint64_t messages, std::uint64_t bytes);
 
+    // Bring counters up to totals that a transport counts itself; a smaller total changes nothing.
+    void advancePeerRefusals(PeerRefusal reason, std::uint64_t messages);
+    void advanceControl(ControlChannel channel, std::uint64_t messages, std::uint64_t bytes);
+
     // Gauges. Safe for use from any thread.
     // Sets the processor time spent on control since the start and the memory that the process holds.
     void setControlCost(base::Duration processorTime, std::uint64_t residentBytes);
--- a/carawaylatch/telemetry/testing/metricstest.cpp
+++ b/carawaylatch/telemetry/testing/metricstest.cpp
@@ -103,6 +103,9 @@
         metrics.countWastedTokens(12);
         metrics.countControl(ControlChannel::Peer, 2, 300);
         metrics.countControl(ControlChannel::Platform, 1, 50);
+        metrics.advanceControl(ControlChannel::Peer, 2, 300);
+        metrics.advancePeerRefusals(PeerRefusal::Replayed, 5);
+        metrics.advancePeerRefusals(PeerRefusal::Replayed, 4);
         metrics.streamOpened();
         const auto totals = metrics.totals();
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, totals.requests);
@@ -113,6 +116,7 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, totals.controlMessages);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{350}, totals.controlBytes);
         CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, totals.openStreams);
+        CPPUNIT_ASSERT(metrics.renderText().find("carawaylatch_peer_refused_messages_total{reason=\"replayed\"} 5") != std::string::npos);
         CPPUNIT_ASSERT(metrics.renderText().find("carawaylatch_refusals_total{kind=\"overloaded\"} 1") != std::string::npos);
     }
 
