--- a/carawaylatch/router/trafficplane.cpp
+++ b/carawaylatch/router/trafficplane.cpp
@@ -328,7 +328,7 @@
     request.method = call.method;
     request.path = call.head.path.substr(context.route->path.size());
     if (!request.path.starts_with('/')) {
-        request.path.insert(0, "/");
+        request.path.insert(request.path.begin(), '/');
     }
     request.contentType = call.contentType;
     request.body = call.body;
