--- a/bench/policybench/router.cpp
+++ b/bench/policybench/router.cpp
@@ -54,7 +54,7 @@
     makeState();
     // Polls of the routers and engines don't coincide.
     for (std::size_t i = 0; i < m_fleet.engines.size(); ++i) {
-        const base::Duration offset = base::milliseconds{1 + (i * 7 + number * 13) % 90};
+        const base::Duration offset = base::milliseconds{1 + (i * 7 + std::size_t{number} * 13) % 90};
         m_fleet.queue.every(offset, upstreams::PollPeriod, [this, i] {
             pollLoad(i);
         });
@@ -107,10 +107,9 @@
 void Router::restart(const Router &peer)
 {
     makeState();
-    for (std::size_t i = 0; i < m_fleet.engines.size(); ++i) {
-        const Engine &engine = *m_fleet.engines[i];
-        if (engine.isAlive() && reaches(engine.domain())) {
-            m_state->registry.onLoadReport(engine.id(), engine.report(), m_fleet.queue.now());
+    for (const auto &engine : m_fleet.engines) {
+        if (engine->isAlive() && reaches(engine->domain())) {
+            m_state->registry.onLoadReport(engine->id(), engine->report(), m_fleet.queue.now());
         }
     }
     tick();
--- a/bench/policybench/scenario.cpp
+++ b/bench/policybench/scenario.cpp
@@ -6,7 +6,7 @@
 
 const std::vector<Scenario> &scenarios()
 {
-    static const std::vector<Scenario> all{
+    static const std::vector<Scenario> All{
         {.name = "calm"},
         {.name = "shift", .shiftsHotPrefixes = true},
         {.name = "crash", .crashesEngine = true},
@@ -20,7 +20,7 @@
         {.name = "domain-cut+router-restart", .restartsRouter = true, .cutsDomain = true, .isPair = true},
         {.name = "overload+crash", .crashesEngine = true, .overloads = true, .isPair = true},
     };
-    return all;
+    return All;
 }
 
 } // namespace carawaylatch::bench
--- a/bench/policybench/workload.cpp
+++ b/bench/policybench/workload.cpp
@@ -33,16 +33,16 @@
 
 const Workload &groupement()
 {
-    static const Workload workload{"groupement",     9, 3, 10, 9, SkewedCustomers, 4, 12, 12, 1.0, 8, 6, 2, 8, base::milliseconds{2500}, 0.7, base::seconds{10},
-                                   base::seconds{40}};
-    return workload;
+    static const Workload Sizes{"groupement",     9, 3, 10, 9, SkewedCustomers, 4, 12, 12, 1.0, 8, 6, 2, 8, base::milliseconds{2500}, 0.7, base::seconds{10},
+                                base::seconds{40}};
+    return Sizes;
 }
 
 const Workload &brasaSinal()
 {
-    static const Workload workload{
-        "brasa-sinal", 18, 3, 18, 7.5, SkewedCustomers, 2, 4, 40, 1.1, 12, 4, 4, 5, base::milliseconds{3000}, 0.85, base::seconds{5}, base::seconds{20}};
-    return workload;
+    static const Workload Sizes{"brasa-sinal",    18, 3, 18, 7.5, SkewedCustomers, 2, 4, 40, 1.1, 12, 4, 4, 5, base::milliseconds{3000}, 0.85, base::seconds{5},
+                                base::seconds{20}};
+    return Sizes;
 }
 
 WorkloadSource::WorkloadSource(const Workload &workload, std::uint64_t seed)
--- a/carawaylatch/prefix/cacheindex.cpp
+++ b/carawaylatch/prefix/cacheindex.cpp
@@ -45,7 +45,7 @@
 constexpr std::int64_t EventLagMs = 250; // an eviction younger than this contradicts a newer touch
 constexpr std::uint32_t LifetimeSlack = 3;
 constexpr double LifetimeWeight = 0.05; // of one eviction in the average
-constexpr double AnswerWeight = 0.1; // of one answer in the confidence
+constexpr double AnswerWeight = 0.1; // of one answer in the averages
 constexpr double MinConfidence = 0.25;
 constexpr std::uint32_t MinLifetimeMs = 500;
 
@@ -69,6 +69,8 @@
     std::atomic<std::uint16_t> life{0};
     std::atomic<std::uint32_t> lifetimeMs{0};
     std::atomic<float> confidence{1};
+    std::atomic<float> predictedMissing{1}; // blocks of an answer, averaged
+    std::atomic<float> actualMissing{1};
     std::atomic<std::uint64_t> nextEvent{0};
     std::atomic<bool> hasMeasuredLifetime{false};
     base::UpstreamId id; // written and read by the control thread
@@ -87,6 +89,12 @@
     return touched - now < MaxAhead ? 0 : age;
 }
 
+void average(std::atomic<float> &value, double sample)
+{
+    const double old = value.load(std::memory_order_relaxed);
+    value.store(static_cast<float>(old + AnswerWeight * (sample - old)), std::memory_order_relaxed);
+}
+
 std::uint64_t storedKey(std::uint64_t block)
 {
     return block == 0 ? 1 : block;
@@ -284,6 +292,9 @@
         return;
     }
     recordPlacement(answer.slot, answer.incarnation, answer.chain, now);
+    const auto total = static_cast<double>(answer.chain.size()) + 1; // the last, incomplete block is always computed
+    average(m_tables->upstreams[answer.slot.index].predictedMissing, std::max(1.0, total - answer.predictedBlocks));
+    average(m_tables->upstreams[answer.slot.index].actualMissing, std::max(1.0, total - answer.cachedBlocks));
     if (answer.predictedBlocks == 0) {
         return;
     }
@@ -373,6 +384,16 @@
     return slot.index < m_tables->upstreams.size() ? m_tables->upstreams[slot.index].confidence.load(std::memory_order_relaxed) : 0;
 }
 
+double CacheIndex::workRatio(upstreams::Slot slot) const
+{
+    if (slot.index >= m_tables->upstreams.size()) {
+        return 1;
+    }
+    const Upstream &upstream = m_tables->upstreams[slot.index];
+    const double ratio = upstream.actualMissing.load(std::memory_order_relaxed) / upstream.predictedMissing.load(std::memory_order_relaxed);
+    return std::clamp(ratio, 1.0, MaxWorkRatio);
+}
+
 base::Duration CacheIndex::lifetime(upstreams::Slot slot) const
 {
     return base::milliseconds{slot.index < m_tables->upstreams.size() ? m_tables->upstreams[slot.index].lifetimeMs.load(std::memory_order_relaxed) : 0};
--- a/carawaylatch/prefix/cacheindex.h
+++ b/carawaylatch/prefix/cacheindex.h
@@ -99,6 +99,10 @@
     [[nodiscard]] std::uint32_t heldBlocks(upstreams::Slot slot, std::span<const std::uint64_t> chain, base::TimePoint now) const;
     // Share, in [0, 1], of predicted blocks that answers of the upstream confirm.
     [[nodiscard]] double confidence(upstreams::Slot slot) const;
+    // How much more prompt work answers of the upstream turned out to need than was
+    // predicted when they were placed: 1 where predictions hold, at most MaxWorkRatio.
+    [[nodiscard]] double workRatio(upstreams::Slot slot) const;
+    static constexpr double MaxWorkRatio = 3;
     // The time after which the upstream evicts a block that nobody uses.
     [[nodiscard]] base::Duration lifetime(upstreams::Slot slot) const;
 
--- a/carawaylatch/prefix/testing/cacheindextest.cpp
+++ b/carawaylatch/prefix/testing/cacheindextest.cpp
@@ -153,7 +153,7 @@
         for (std::uint16_t i = 0; i < 3; ++i) {
             const base::UpstreamId id{"e" + std::to_string(i)};
             index.adopt(Slot{i}, id, {10});
-            index.recordPlacement(Slot{i}, {10}, chainOf(i * 4U), m_now - base::seconds{i});
+            index.recordPlacement(Slot{i}, {10}, chainOf(std::uint64_t{i} * 4), m_now - base::seconds{i});
             // The peer has other slots, and knows another life of e2.
             peer.adopt(Slot{static_cast<std::uint16_t>(7 - i)}, id, {i == 2 ? 11U : 10U});
         }
--- a/carawaylatch/routing/adaptive.cpp
+++ b/carawaylatch/routing/adaptive.cpp
@@ -80,6 +80,11 @@
     return knowledge().routers->load(std::memory_order_relaxed);
 }
 
+double AdaptiveStrategy::workRatio(upstreams::Slot slot) const
+{
+    return knowledge().caches->workRatio(slot);
+}
+
 std::vector<std::uint32_t> AdaptiveStrategy::homes(const Decision &decision) const
 {
     const auto &request = decision.request;
--- a/carawaylatch/routing/adaptive.h
+++ b/carawaylatch/routing/adaptive.h
@@ -17,6 +17,7 @@
     [[nodiscard]] std::vector<std::uint32_t> prefilter(const Decision &decision) const override;
     void score(const Decision &decision, std::vector<Option> &options) const override;
     [[nodiscard]] std::uint32_t assumedRouters() const override;
+    [[nodiscard]] double workRatio(upstreams::Slot slot) const override;
     [[nodiscard]] Explanation describe(const Decision &decision) const override;
 };
 
--- a/carawaylatch/routing/estimate.cpp
+++ b/carawaylatch/routing/estimate.cpp
@@ -9,6 +9,10 @@
 // read "idle" from sending there together. Own requests that still wait for their
 // first token are there for certain, whatever the report says.
 //
+// Both parts count prompt tokens that were missing when a request was sent. Under
+// pressure some of its prefix is evicted before its turn comes, so the sum is
+// multiplied by what answers needed over what was predicted.
+//
 // Reports don't tell classes apart. Interactive requests pass batch work, so the
 // part of the queue that is batch, taken from this router's own waiting requests,
 // doesn't count for them; else a long batch queue would refuse all interactive ones.
@@ -32,7 +36,7 @@
     const double routers = std::max(1U, question.routers);
     const auto ownWaiting = static_cast<double>(own.tokensBeforeFirst);
     const double corrected = static_cast<double>(status.load.queuedTokens) + static_cast<double>(own.tokensSince) * routers - queue.tokensPerSecond * age;
-    queue.tokens = std::max(corrected, ownWaiting);
+    queue.tokens = std::max(corrected, ownWaiting) * question.workRatio;
     if (question.trafficClass == base::TrafficClass::Interactive && ownWaiting > 0) {
         queue.tokens *= 1 - static_cast<double>(std::min(own.batchBeforeFirst, own.tokensBeforeFirst)) / ownWaiting;
     }
--- a/carawaylatch/routing/estimate.h
+++ b/carawaylatch/routing/estimate.h
@@ -23,6 +23,7 @@
 {
     base::TrafficClass trafficClass = base::TrafficClass::Interactive;
     std::uint32_t routers = 1; // that are taken to send as much as this one does
+    double workRatio = 1; // prompt work that answers needed over what was predicted
     base::TimePoint now;
 };
 
--- a/carawaylatch/routing/scoring.cpp
+++ b/carawaylatch/routing/scoring.cpp
@@ -247,7 +247,8 @@
     const base::TimePoint now = decision.request.now;
     Option option;
     option.index = index;
-    option.queue = estimateQueue(status, m_knowledge.inflight->counts(status.slot, status.loadAt, now), {decision.request.trafficClass, assumedRouters(), now});
+    option.queue = estimateQueue(status, m_knowledge.inflight->counts(status.slot, status.loadAt, now),
+                                 {decision.request.trafficClass, assumedRouters(), workRatio(status.slot), now});
     option.missingTokens = decision.request.promptTokens;
     option.prefill = prefillTime(option.missingTokens, option.queue);
     return option;
@@ -270,6 +271,11 @@
     }
 }
 
+double ScoringStrategy::workRatio(upstreams::Slot) const
+{
+    return 1;
+}
+
 std::uint32_t ScoringStrategy::assumedRouters() const
 {
     return 1;
--- a/carawaylatch/routing/scoring.h
+++ b/carawaylatch/routing/scoring.h
@@ -53,6 +53,8 @@
     virtual void score(const Decision &decision, std::vector<Option> &options) const = 0;
     // Returns how many routers' work the queue estimate assumes.
     [[nodiscard]] virtual std::uint32_t assumedRouters() const;
+    // Returns what the queue estimate multiplies queued work by.
+    [[nodiscard]] virtual double workRatio(upstreams::Slot slot) const;
     // Returns the home set that explain() shows.
     [[nodiscard]] virtual Explanation describe(const Decision &decision) const;
 
