Healing of cuts without a flood of refutations

After a cut of one of twelve domains for 60 s, the deaths that each side had declared were told to the other side too, and every router had to refute its own: with 283 routers tables were equal again after 52.5 s at 7.6 KB/s a router, and dumps showed 8674 pairs of one side that held each other for dead meanwhile. Now a router that hears one it held for dead revives it, reads that one's table page by page, and tells nobody of deaths for 20 s. Ruled out: only raising lives more slowly, which leaves the flood.

--- a/bench/membership.cpp
+++ b/bench/membership.cpp
@@ -35,6 +35,7 @@
 constexpr std::uint32_t Domains = 12;
 constexpr std::size_t SealBytes = 32;
 constexpr base::Duration TickInterval = base::milliseconds{50};
+constexpr base::Duration CutDuration = base::seconds{60};
 constexpr base::Duration Longest = base::seconds{180};
 
 class Fleet
@@ -171,35 +172,51 @@
     std::uint64_t m_bytes = 0;
 };
 
-void measure(std::uint32_t size)
+struct Steady
 {
-    Fleet fleet(size);
+    double messages = 0; // sent by a router in a second
+    double bytes = 0; // sent and received
+    double cpu = 0; // microseconds in a second
+};
+
+// What a router sends it receives elsewhere: sent and received are twice the sum over all.
+double rateOf(std::uint64_t bytes, std::uint32_t size, double duration)
+{
+    return 2.0 * static_cast<double>(bytes) / size / std::max(duration, 0.1);
+}
+
+Steady measureSteady(Fleet &fleet, std::uint32_t size)
+{
+    constexpr double Duration = 30;
     fleet.network().runFor(base::seconds{20});
-    constexpr double SteadySeconds = 30;
     (void)fleet.takeBytes();
     const auto messages = fleet.network().messages();
     const auto start = std::clock();
-    fleet.network().runFor(base::fromSeconds(SteadySeconds));
-    const double cpu = static_cast<double>(std::clock() - start) / CLOCKS_PER_SEC * 1e6 / size / SteadySeconds;
-    const double steadyMessages = static_cast<double>(fleet.network().messages() - messages) / size / SteadySeconds;
-    // What a router sends it receives elsewhere, so both together are twice the sum over all.
-    const double steadyBytes = 2.0 * static_cast<double>(fleet.takeBytes()) / size / SteadySeconds;
-
-    fleet.kill(size - 1);
-    const double dead = fleet.runUntilSeen(size - 1, MemberState::Dead);
-    const double crashBytes = 2.0 * static_cast<double>(fleet.takeBytes()) / size / std::max(dead, 0.1);
-
-    Fleet cut(size);
-    cut.network().runFor(base::seconds{20});
-    cut.cutDomain(0);
-    (void)cut.takeBytes();
-    cut.network().runFor(base::seconds{60});
-    const double cutBytes = 2.0 * static_cast<double>(cut.takeBytes()) / size / 60;
-    cut.network().heal();
-    const double heal = cut.runUntilEqual();
-    const double healBytes = 2.0 * static_cast<double>(cut.takeBytes()) / size / std::max(heal, 0.1);
-    std::printf("| %u | %.1f | %.0f | %.0f | %.1f | %.0f | %.0f | %.1f | %.0f |\n", size, steadyMessages, steadyBytes, cpu, dead, crashBytes, cutBytes, heal,
-                healBytes);
+    fleet.network().runFor(base::fromSeconds(Duration));
+    const double cpu = static_cast<double>(std::clock() - start) / CLOCKS_PER_SEC;
+    return {static_cast<double>(fleet.network().messages() - messages) / size / Duration, rateOf(fleet.takeBytes(), size, Duration),
+            cpu * 1e6 / size / Duration};
+}
+
+void measure(std::uint32_t size)
+{
+    {
+        Fleet fleet(size);
+        const auto steady = measureSteady(fleet, size);
+        fleet.kill(size - 1);
+        const double dead = fleet.runUntilSeen(size - 1, MemberState::Dead);
+        std::printf("| %u | %.1f | %.0f | %.0f | %.1f | %.0f |", size, steady.messages, steady.bytes, steady.cpu, dead, rateOf(fleet.takeBytes(), size, dead));
+        std::fflush(stdout);
+    }
+    Fleet fleet(size);
+    fleet.network().runFor(base::seconds{20});
+    fleet.cutDomain(0);
+    (void)fleet.takeBytes();
+    fleet.network().runFor(CutDuration);
+    const double cutRate = rateOf(fleet.takeBytes(), size, base::toSeconds(CutDuration));
+    fleet.network().heal();
+    const double heal = fleet.runUntilEqual();
+    std::printf(" %.0f | %.1f | %.0f |\n", cutRate, heal, rateOf(fleet.takeBytes(), size, heal));
     std::fflush(stdout);
 }
 
--- a/carawaylatch/membership/memberlist.cpp
+++ b/carawaylatch/membership/memberlist.cpp
@@ -9,6 +9,9 @@
 // for dead speaks, its hearer revives it, and if others died with it reads that
 // router's table and revives those that are alive there, page by page, so that
 // thousands of members need not be told one by one that they are thought dead.
+// For a while after that it tells nobody of deaths, and the first probe across a
+// cut carries no news, so that the judgements of one side don't spread on the
+// other, where each of them would have to be refuted.
 //
 // Tables that still differ after news have settled are compared page by page.
 // Dead members don't count there: how long they are remembered differs from
@@ -42,6 +45,7 @@
 }
 
 constexpr base::Duration CutMargin = base::seconds{30}; // deaths so long before a peer's may come of the same cut
+constexpr base::Duration Quarantine = base::seconds{20};
 constexpr std::ptrdiff_t MinCutDeaths = 2; // one death alone is no cut
 
 } // namespace
@@ -169,9 +173,29 @@
                         });
     if (!m_healing && deaths >= MinCutDeaths) {
         m_healing = Healing{peer, from, {}, now - m_options.repair, 0};
+        m_quarantineUntil = now + Quarantine;
+        withdrawDeaths();
     }
 }
 
+bool MemberList::isQuarantined(MemberState state, TimePoint now) const
+{
+    return now < m_quarantineUntil && (state == MemberState::Suspect || state == MemberState::Dead);
+}
+
+// Tells nobody any more of deaths and suspicions that are still under way.
+void MemberList::withdrawDeaths()
+{
+    std::erase_if(m_updates, [this](const base::RouterId &id) {
+        const auto *record = find(id);
+        const bool isDoubtful = record != nullptr && (record->state == MemberState::Suspect || record->state == MemberState::Dead);
+        if (isDoubtful) {
+            m_sent.erase(id);
+        }
+        return isDoubtful;
+    });
+}
+
 void MemberList::continueHealing(TimePoint now)
 {
     constexpr std::uint32_t MaxUnanswered = 3;
@@ -257,7 +281,7 @@
             it->second.record.revival = std::max(record.revival, held.revival);
         } else if (supersedes(record, held)) {
             store(it->second, record, spread, now);
-        } else if (supersedes(it->second.record, record) && it->second.record.state != record.state && !m_healing) {
+        } else if (supersedes(it->second.record, record) && it->second.record.state != record.state && !isQuarantined(it->second.record.state, now)) {
             announce(record.id);
         }
         return;
@@ -308,7 +332,7 @@
     m_lastNewsAt = now;
     m_view.reset();
     m_actions.emplace_back(MemberChanged{record});
-    if (spread == Spread::Yes) {
+    if (spread == Spread::Yes && !isQuarantined(record.state, now)) {
         announce(record.id);
     }
 }
--- a/carawaylatch/membership/memberlist.h
+++ b/carawaylatch/membership/memberlist.h
@@ -178,12 +178,14 @@
     void store(Member &member, const MemberRecord &record, Spread spread, base::TimePoint now);
     void setState(Member &member, MemberState state, base::TimePoint now);
     void announce(const base::RouterId &id);
+    [[nodiscard]] bool isQuarantined(MemberState state, base::TimePoint now) const;
+    void withdrawDeaths();
     void send(const MemberAddress &to, MemberMessage message);
     [[nodiscard]] Gossip makeGossip(const base::RouterId &to);
     [[nodiscard]] Gossip makeAnswer(const Gossip &received);
     [[nodiscard]] std::uint32_t retransmissions() const;
     void probeNext(base::TimePoint now);
-    void probe(const MemberAddress &target, base::TimePoint now);
+    void probe(const MemberAddress &target, Gossip gossip, base::TimePoint now);
     void reconnectNext(base::TimePoint now);
     void expireProbes(base::TimePoint now);
     void expireSuspects(base::TimePoint now);
@@ -234,6 +236,7 @@
         std::uint32_t unanswered = 0; // requests for one page
     };
     std::optional<Healing> m_healing;
+    base::TimePoint m_quarantineUntil; // deaths are not told to others: they may come of a cut
     base::RouterId m_syncCursor; // last id of the page compared last
     base::TimePoint m_syncAskedAt; // when a page was asked for last
     base::TimePoint m_lastNewsAt; // when a record changed last
--- a/carawaylatch/membership/probing.cpp
+++ b/carawaylatch/membership/probing.cpp
@@ -81,17 +81,17 @@
     for (std::size_t i = 0; i < m_probed.size(); ++i) {
         const auto &id = m_probed[m_nextProbed++ % m_probed.size()];
         if (isProbeable(id)) {
-            probe(addressOf(id), now);
+            probe(addressOf(id), makeGossip(id), now);
             return;
         }
     }
 }
 
-void MemberList::probe(const MemberAddress &target, TimePoint now)
+void MemberList::probe(const MemberAddress &target, Gossip gossip, TimePoint now)
 {
     const auto number = ++m_lastNumber;
     m_pending[number] = {target, now, false};
-    send(target, Probe{number, makeGossip(target.id)});
+    send(target, Probe{number, std::move(gossip)});
 }
 
 // Tries a dead member or a seed, so that a cut is noticed to be healed.
@@ -112,7 +112,7 @@
         }
     }
     if (!candidates.empty()) {
-        probe(candidates[m_random.below(candidates.size())], now);
+        probe(candidates[m_random.below(candidates.size())], {m_self, m_revision, digest(), {}}, now);
     }
 }
 
