Faults at exact steps of the whole path, in one process

Cause: the parts are proved alone; their wiring had only been seen by the demo. Change: a small fleet in one process (platform, engines, service, two routers over sockets). Orders with a fault at each platform call (24 cases), streams with nine faults at each of six tokens (54 cases), an outage with a restart in it, a planned stop under a long stream, a drain seen by the other router, new weights. Found on the way: the stand-in dropped the new fault fields; a test waited for a text that pretty-printed JSON never holds. Conclusion: the wiring keeps orders, streams, configuration and stops.

--- a/carawaylatch/platform/testing/objectstoretest.cpp
+++ b/carawaylatch/platform/testing/objectstoretest.cpp
@@ -174,7 +174,7 @@
             standin::Platform platform({});
             CPPUNIT_ASSERT(platform.start());
             HttpObjectStore store(platform.endpoint(), base::FailureDomain("dakar-a"), CallTimeout);
-            platform.injectFault(it.httpMode, 1, "");
+            platform.injectFault({it.httpMode, 1, {}, {}, 0});
             CPPUNIT_ASSERT_MESSAGE(it.name, store.write("x", "1", {}).error().kind == it.writeError);
             CPPUNIT_ASSERT_EQUAL_MESSAGE(it.name, it.tookEffect, platform.store().read("x").has_value());
             CPPUNIT_ASSERT_MESSAGE(it.name, store.write("y", "1", {}).has_value());
@@ -188,10 +188,10 @@
         CPPUNIT_ASSERT(platform.start());
         HttpObjectStore cutOff(platform.endpoint(), base::FailureDomain("dakar-a"), CallTimeout);
         HttpObjectStore connected(platform.endpoint(), base::FailureDomain("dakar-b"), CallTimeout);
-        platform.injectFault("down", 0, "dakar-a");
+        platform.injectFault({"down", 0, "dakar-a", {}, 0});
         CPPUNIT_ASSERT(cutOff.write("x", "1", {}).error().kind == ErrorKind::Unavailable);
         CPPUNIT_ASSERT(connected.write("x", "1", {}).has_value());
-        platform.injectFault("up", 0, "dakar-a");
+        platform.injectFault({"up", 0, "dakar-a", {}, 0});
         CPPUNIT_ASSERT_EQUAL(std::string("1"), cutOff.read("x").value().value);
     }
 
--- /dev/null
+++ b/carawaylatch/router/testing/faultyengine.h
@@ -0,0 +1,52 @@
+// An engine whose answers are wrong in one stated way from one token on.
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <string>
+
+#include "carawaylatch/base/ids.h"
+#include "carawaylatch/http/httpserver.h"
+
+namespace carawaylatch::router::testing
+{
+
+enum class StreamFault {
+    BreaksOff,
+    WrongAttempt,
+    WrongIncarnation,
+    WrongWeights,
+    WrongSalt,
+    RepeatsToken,
+    SkipsToken,
+    WrongCount,
+    CrossedAnswer, // the text of another request, under that request's attempt
+};
+constexpr StreamFault AllStreamFaults[] = {StreamFault::BreaksOff,    StreamFault::WrongAttempt, StreamFault::WrongIncarnation,
+                                           StreamFault::WrongWeights, StreamFault::WrongSalt,    StreamFault::RepeatsToken,
+                                           StreamFault::SkipsToken,   StreamFault::WrongCount,   StreamFault::CrossedAnswer};
+
+// Answers of six tokens.
+class FaultyEngine
+{
+public:
+    static constexpr std::uint32_t Tokens = 6;
+
+    FaultyEngine();
+
+    void setFault(StreamFault fault, std::uint32_t step);
+    [[nodiscard]] const base::Endpoint &endpoint() const;
+    // How many requests it was given.
+    [[nodiscard]] int asked() const;
+
+private:
+    [[nodiscard]] std::string events(StreamFault fault, const std::string &prompt) const;
+
+    const base::Incarnation m_incarnation;
+    std::atomic<StreamFault> m_fault = StreamFault::BreaksOff;
+    std::atomic<std::uint32_t> m_step = 0;
+    std::atomic<int> m_asked = 0;
+    http::HttpServer m_server;
+};
+
+} // namespace carawaylatch::router::testing
--- /dev/null
+++ b/carawaylatch/router/testing/routerfaulttest.cpp
@@ -0,0 +1,159 @@
+// Faults at exact steps of the whole path: platform calls of an order, tokens and
+// echoes of a stream, stop and restart of routers, new weights.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <iostream>
+#include <thread>
+
+#include "carawaylatch/router/testing/faultyengine.h"
+#include "carawaylatch/router/testing/smallfleet.h"
+
+namespace carawaylatch::router::testing
+{
+
+constexpr std::uint32_t Tokens = FaultyEngine::Tokens;
+
+class RouterFaultTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RouterFaultTest);
+    CPPUNIT_TEST(testOrdersAtEveryPlatformCall);
+    CPPUNIT_TEST(testStreamsAtEveryStep);
+    CPPUNIT_TEST(testConfigurationThroughOutageAndRestart);
+    CPPUNIT_TEST(testPlannedStopFinishesStreams);
+    CPPUNIT_TEST(testDrainReachesTheOtherRouter);
+    CPPUNIT_TEST(testNewWeightsAreOrderedAndServed);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // An order at one router with one fault at its k-th platform call, a duplicate at
+    // the other router, and one more at the first.
+    void testOrdersAtEveryPlatformCall()
+    {
+        constexpr std::uint64_t Calls = 6;
+        SmallFleet fleet(1);
+        int cases = 0;
+        for (const char *mode : {"down", "lose_answers"}) {
+            for (std::uint64_t skip = 0; skip < Calls; ++skip) {
+                for (const std::uint64_t count : {1, 3}) {
+                    fleet.platform().injectFault({mode, count, {}, "order", skip});
+                    checkOrder(fleet, std::string(mode) + "-" + std::to_string(skip) + "-" + std::to_string(count));
+                    ++cases;
+                }
+            }
+        }
+        std::cout << " orders: " << cases << " cases";
+    }
+
+    // A refusal or an open break is honest; what looks whole must be whole and the
+    // caller's own.
+    void testStreamsAtEveryStep()
+    {
+        FaultyEngine faulty;
+        SmallFleet fleet(1, {faulty.endpoint()});
+        int cases = 0;
+        int whole = 0;
+        for (const StreamFault fault : AllStreamFaults) {
+            for (std::uint32_t step = 0; step < Tokens; ++step) {
+                faulty.setFault(fault, step);
+                const std::string prompt = "prompt " + std::to_string(static_cast<int>(fault)) + " " + std::to_string(step);
+                const auto answer = fleet.complete(step % 2, prompt, Tokens);
+                const std::string expected = expectedText(prompt, Tokens);
+                const std::string name = prompt + ": " + answer.body;
+                if (answer.isWholeStream()) {
+                    CPPUNIT_ASSERT_EQUAL_MESSAGE(name, expected, answer.streamedText());
+                    ++whole;
+                } else {
+                    CPPUNIT_ASSERT_MESSAGE(name, expected.starts_with(answer.streamedText()));
+                    CPPUNIT_ASSERT_MESSAGE(name, answer.body.find("\"error\"") != std::string::npos);
+                }
+                ++cases;
+            }
+        }
+        CPPUNIT_ASSERT(faulty.asked() > 0);
+        std::cout << " streams: " << cases << " cases, " << whole << " whole, faulty engine asked " << faulty.asked() << " times";
+    }
+
+    void testConfigurationThroughOutageAndRestart()
+    {
+        SmallFleet fleet(1);
+        fleet.awaitStatus(0, "\"revision\":1");
+        fleet.platform().injectFault({"down", 0, {}, {}, 0});
+        fleet.stopRouter(1);
+        fleet.startRouter(1);
+        fleet.awaitReady(1);
+        fleet.awaitStatus(1, "\"revision\":1");
+        CPPUNIT_ASSERT(fleet.complete(1, "during the outage", Tokens).isWholeStream());
+        CPPUNIT_ASSERT_EQUAL(std::string("unknown"), fleet.order(1, "outage").orderOutcome);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.runsOf("outage"));
+        fleet.platform().injectFault({"up", 0, {}, {}, 0});
+        fleet.applyTables(2);
+        fleet.awaitStatus(0, "\"revision\":2");
+        fleet.awaitStatus(1, "\"revision\":2");
+    }
+
+    void testPlannedStopFinishesStreams()
+    {
+        SmallFleet fleet(1);
+        constexpr std::uint32_t LongAnswer = 400;
+        CallerAnswer answer;
+        std::jthread caller([&] {
+            answer = fleet.complete(0, "a long answer", LongAnswer);
+        });
+        while (fleet.engine(0).model().counters().jobs == 0) {
+            std::this_thread::yield();
+        }
+        fleet.stopRouter(0);
+        caller.join();
+        CPPUNIT_ASSERT(answer.isWholeStream());
+        CPPUNIT_ASSERT_EQUAL(expectedText("a long answer", LongAnswer), answer.streamedText());
+    }
+
+    void testDrainReachesTheOtherRouter()
+    {
+        SmallFleet fleet(2);
+        fleet.drain(0, "engine-0");
+        fleet.awaitStatus(1, "\"state\":\"leaving\"");
+        const auto before = fleet.engine(0).model().counters().jobs;
+        for (int i = 0; i < 10; ++i) {
+            CPPUNIT_ASSERT(fleet.complete(static_cast<std::size_t>(i) % 2, "after the drain " + std::to_string(i), 1).isWholeStream());
+        }
+        CPPUNIT_ASSERT_EQUAL(before, fleet.engine(0).model().counters().jobs);
+    }
+
+    void testNewWeightsAreOrderedAndServed()
+    {
+        SmallFleet fleet(2);
+        fleet.applyTables(2);
+        for (std::size_t i = 0; i < 2; ++i) {
+            while (fleet.engine(i).model().loadReport().weights.value != 2) {
+                std::this_thread::yield();
+            }
+        }
+        // Refusals are allowed while no engine serves; a whole answer must come in the end.
+        while (!fleet.complete(0, "new weights", Tokens).isWholeStream()) {
+            std::this_thread::yield();
+        }
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, fleet.engine(0).model().counters().wrongHits);
+    }
+
+private:
+    static void checkOrder(SmallFleet &fleet, const std::string &key)
+    {
+        bool wasDone = false;
+        for (const std::size_t router : {0, 1, 0}) {
+            const auto answer = fleet.order(router, key);
+            const std::size_t runs = fleet.runsOf(key);
+            const std::string name = key + " at router " + std::to_string(router) + ": " + answer.orderOutcome + " " + answer.body;
+            CPPUNIT_ASSERT_MESSAGE(name, !answer.orderOutcome.empty());
+            CPPUNIT_ASSERT_MESSAGE(name, runs <= 1);
+            CPPUNIT_ASSERT_MESSAGE(name, answer.orderOutcome != "not_run" || runs == 0);
+            CPPUNIT_ASSERT_MESSAGE(name, answer.orderOutcome != "done" || runs == 1);
+            CPPUNIT_ASSERT_MESSAGE(name, !wasDone || answer.orderOutcome != "not_run");
+            wasDone |= answer.orderOutcome == "done";
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RouterFaultTest);
+
+} // namespace carawaylatch::router::testing
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -25,9 +25,13 @@
     local dir=$1
     shift
     cmake -G Ninja -S . -B "$dir" -DCMAKE_CXX_COMPILER_LAUNCHER=ccache "$@" >"$dir.cmake.log" 2>&1 || { cat "$dir.cmake.log"; return 1; }
-    cmake --build "$dir" 2>&1 | grep -E 'error|warning|FAILED|ninja:' ; return "${PIPESTATUS[0]}"
+    cmake --build "$dir" 2>&1 | grep -E 'error|warning|FAILED|ninja:'
+    return "${PIPESTATUS[0]}"
 }
 # Benches and tools are built once, without sanitizers.
+build_tests() {
+    build "$@" -DCARAWAYLATCH_TESTS_ONLY=ON
+}
 tests() {
     ctest --test-dir "$1" --output-on-failure -j "$(nproc)" "${@:2}"
 }
@@ -35,9 +39,9 @@
 step "build" build build
 step "lint" scripts/lint.sh
 step "tests" tests build
-step "build with address and undefined-behaviour sanitizers" build build-asan -DCARAWAYLATCH_SANITIZE=address,undefined -DCMAKE_BUILD_TYPE=Debug
+step "build with address and undefined-behaviour sanitizers" build_tests build-asan -DCARAWAYLATCH_SANITIZE=address,undefined -DCMAKE_BUILD_TYPE=Debug
 step "tests with address and undefined-behaviour sanitizers" tests build-asan
-step "build with thread sanitizer" build build-tsan -DCARAWAYLATCH_SANITIZE=thread -DCMAKE_BUILD_TYPE=Debug
+step "build with thread sanitizer" build_tests build-tsan -DCARAWAYLATCH_SANITIZE=thread -DCMAKE_BUILD_TYPE=Debug
 step "tests with thread sanitizer" tests build-tsan -R "^($THREADED_MODULES)$"
 for script in scripts/check.d/*.sh; do
     [ -e "$script" ] && step "$(basename "$script" .sh)" bash "$script"
--- a/standin/platform.h
+++ b/standin/platform.h
@@ -2,7 +2,9 @@
 // lags, and faults by an administrator's call (docs/design/wire.md).
 #pragma once
 
+#include <cstdint>
 #include <memory>
+#include <string>
 
 #include "carawaylatch/http/httpserver.h"
 #include "carawaylatch/platform/memorystore.h"
@@ -16,6 +18,15 @@
     base::Duration listLag = base::seconds{2};
 };
 
+struct PlatformFault
+{
+    std::string mode; // up, down, slow or lose_answers
+    std::uint64_t count = 0; // calls that meet it; zero for all
+    std::string domain; // callers that meet it; empty for all
+    std::string prefix; // objects that it concerns; empty for every call
+    std::uint64_t skip = 0; // calls that pass unharmed first
+};
+
 class Platform
 {
 public:
@@ -25,8 +36,8 @@
     [[nodiscard]] bool start();
     void stop();
     [[nodiscard]] const base::Endpoint &endpoint() const;
-    // As POST /admin/faults: mode up, down, slow or lose_answers; count 0 for all calls; domain "" for all callers.
-    void injectFault(std::string_view mode, std::uint64_t count, std::string_view domain);
+    // As POST /admin/faults.
+    void injectFault(const PlatformFault &fault);
     // The store behind the API, for tests that look at it directly.
     [[nodiscard]] platform::MemoryStore &store();
 
