--- a/carawaylatch/upstreams/testing/registrytest.cpp
+++ b/carawaylatch/upstreams/testing/registrytest.cpp
@@ -123,14 +123,19 @@
     {
         // Cut off from list and peers, and reports stop or come 2 s late: the age of
         // the last word that it is live ends new work within the bound.
-        m_registry.onLoadReport(Id, report(1, ReportedState::Live, base::seconds{2}), m_now);
         const base::TimePoint lastLive = m_now;
+        for (int i = 0; i < 8; ++i) {
+            m_now += ViewPeriod;
+            m_registry.onTick(m_now);
+        }
+        m_registry.onLoadReport(Id, report(1, ReportedState::Live, m_now - lastLive), m_now);
         base::TimePoint lastStart = m_now;
         for (int i = 0; i < 20; ++i) {
             m_now += ViewPeriod;
             m_registry.onTick(m_now);
             lastStart = m_registry.view()->mayStart(Id, {1}, m_now) ? m_now : lastStart;
         }
+        CPPUNIT_ASSERT(lastStart > lastLive + base::seconds{2});
         CPPUNIT_ASSERT(lastStart - lastLive < LeavingBound);
     }
 
