--- a/carawaylatch/routing/adaptive.cpp
+++ b/carawaylatch/routing/adaptive.cpp
@@ -39,7 +39,7 @@
 // Share of a copy's prefill that is charged for the blocks it displaces.
 constexpr double Displacement = 0.25;
 // Extra weight of computed tokens for each second of typical wait.
-constexpr double PressurePerSecond = 8;
+constexpr double PressurePerSecond = 32;
 // Waits above this many medians and seconds are cut off in the typical wait.
 constexpr double OutlierRatio = 2;
 constexpr double OutlierSeconds = 0.5;
