--- a/carawaylatch/orders/testing/retentiontest.cpp
+++ b/carawaylatch/orders/testing/retentiontest.cpp
@@ -2,8 +2,6 @@
 // the pruner acts in the middle of a claim.
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <functional>
-
 #include "carawaylatch/orders/orderdesk.h"
 #include "carawaylatch/orders/retention.h"
 #include "carawaylatch/orders/testing/fakes.h"
@@ -15,39 +13,6 @@
 
 using platform::StoreFault;
 
-namespace
-{
-
-// Runs a hook before the n-th call.
-class HookedStore : public platform::FaultyStore
-{
-public:
-    using FaultyStore::FaultyStore;
-    std::function<void()> hook;
-    int callsUntilHook = -1;
-
-    base::Result<platform::Object> read(std::string_view name) override
-    {
-        tick();
-        return FaultyStore::read(name);
-    }
-    base::Result<platform::Version> write(std::string_view name, std::string_view value, platform::Version expected) override
-    {
-        tick();
-        return FaultyStore::write(name, value, expected);
-    }
-
-private:
-    void tick()
-    {
-        if (callsUntilHook >= 0 && callsUntilHook-- == 0) {
-            hook();
-        }
-    }
-};
-
-} // namespace
-
 class RetentionTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(RetentionTest);
@@ -55,6 +20,8 @@
     CPPUNIT_TEST(testDuplicateAfterPruning);
     CPPUNIT_TEST(testPrunerBetweenAnyTwoCallsOfDuplicate);
     CPPUNIT_TEST(testPrunerBetweenClaimAndItsCheck);
+    CPPUNIT_TEST(testStampWhileOrderRuns);
+    CPPUNIT_TEST(testObserverLearnsEpochWithFewReads);
     CPPUNIT_TEST(testFaultsOfPruner);
     CPPUNIT_TEST(testClosedSetIsBounded);
     CPPUNIT_TEST_SUITE_END();
@@ -79,6 +46,7 @@
 
     void testDuplicateAfterPruning()
     {
+        passEpochs(1);
         CPPUNIT_ASSERT(order().kind == OrderAnswerKind::Done);
         passEpochs(m_settings.keepEpochs);
         CPPUNIT_ASSERT_MESSAGE("kept for the whole retention", order().kind == OrderAnswerKind::Done);
@@ -112,8 +80,37 @@
         CPPUNIT_ASSERT_EQUAL(0, m_service.runs("acme/k"));
     }
 
+    // A claim without an epoch is stamped while its order runs.
+    void testStampWhileOrderRuns()
+    {
+        passEpochs(m_settings.keepEpochs + 1);
+        SingleClaimStore claims(m_platform);
+        OrderDesk desk(base::RouterId("r1"), base::Incarnation{77}, claims, m_liveness, m_clock);
+        m_service.before = [this] {
+            passEpochs(0);
+        };
+        CPPUNIT_ASSERT(desk.run(makeRequest(m_clock, "k"), m_service, m_chooser).kind == OrderAnswerKind::Done);
+        m_service.before = nullptr;
+        CPPUNIT_ASSERT(desk.flush());
+        CPPUNIT_ASSERT(order().kind == OrderAnswerKind::Done);
+        CPPUNIT_ASSERT_EQUAL(1, m_service.runs("acme/k"));
+    }
+
+    void testObserverLearnsEpochWithFewReads()
+    {
+        passEpochs(3);
+        platform::FaultyStore counted(m_platform);
+        RecordPruner observer(counted, m_settings);
+        for (base::TimePoint now = m_now; now < m_now + m_settings.epoch; now += base::seconds{2}) {
+            observer.step(now, PrunerRole::Observer);
+        }
+        CPPUNIT_ASSERT_EQUAL(m_pruner.epoch(), observer.epoch());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{6}, counted.callCount());
+    }
+
     void testFaultsOfPruner()
     {
+        passEpochs(2);
         for (const StoreFault fault : platform::AllStoreFaults) {
             for (std::uint64_t skip = 0; skip < 5; ++skip) {
                 platform::MemoryStore memory;
@@ -121,7 +118,8 @@
                 const int runs = m_service.runs("acme/k");
                 platform::FaultyStore faulty(memory);
                 RecordPruner pruner(faulty, m_settings);
-                passEpochs(pruner, m_settings.keepEpochs + 1);
+                advanceEpochs(pruner, 2 * m_settings.keepEpochs);
+                CPPUNIT_ASSERT_MESSAGE("not pruned before the faults", pruner.counters().pruned == 0);
                 for (int i = 0; i < 2 * static_cast<int>(ClosedRanges); ++i) {
                     faulty.inject(fault, 1, skip);
                     pruner.step(m_now);
@@ -167,6 +165,7 @@
         hooked.callsUntilHook = call;
         hooked.hook = [this, &memory] {
             RecordPruner pruner(memory, m_settings);
+            passEpochs(pruner, 2 * m_settings.keepEpochs); // stamps what has no epoch
             passEpochs(pruner, 2 * m_settings.keepEpochs);
             CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, pruner.counters().pruned);
         };
@@ -176,14 +175,19 @@
     {
         passEpochs(m_pruner, epochs);
     }
-    // Each epoch one step advances, one reads; then a whole round of all ranges.
-    void passEpochs(RecordPruner &pruner, std::uint64_t epochs)
+    // Each epoch one step advances, one reads.
+    void advanceEpochs(RecordPruner &pruner, std::uint64_t epochs)
     {
         for (std::uint64_t i = 0; i < epochs; ++i) {
             m_now += m_settings.epoch;
             pruner.step(m_now);
             pruner.step(m_now);
         }
+    }
+    // Epochs, then a whole round of all ranges.
+    void passEpochs(RecordPruner &pruner, std::uint64_t epochs)
+    {
+        advanceEpochs(pruner, epochs);
         for (std::uint32_t i = 0; i < ClosedRanges; ++i) {
             pruner.step(m_now);
         }
--- a/carawaylatch/telemetry/metrics.cpp
+++ b/carawaylatch/telemetry/metrics.cpp
@@ -41,7 +41,7 @@
 constexpr std::size_t ClassCount = 2;
 constexpr std::size_t OutcomeCount = 4;
 constexpr std::size_t OrderOutcomeCount = 4;
-constexpr std::size_t PeerRefusalCount = 4;
+constexpr std::size_t PeerRefusalCount = 5;
 constexpr std::size_t ChannelCount = 3;
 constexpr std::size_t ErrorKindCount = static_cast<std::size_t>(base::ErrorKind::Internal) + 1;
 
@@ -171,6 +171,14 @@
     return counters;
 }
 
+void advance(prometheus::Counter &counter, std::uint64_t total)
+{
+    const auto now = static_cast<double>(total);
+    if (now > counter.Value()) {
+        counter.Increment(now - counter.Value());
+    }
+}
+
 struct MeasureFamily
 {
     prometheus::Family<prometheus::Histogram> *family;
@@ -199,7 +207,7 @@
 
 std::string_view peerRefusalName(PeerRefusal reason)
 {
-    static constexpr std::array<std::string_view, PeerRefusalCount> Names{"wrong_key", "wrong_version", "too_large", "malformed"};
+    static constexpr std::array<std::string_view, PeerRefusalCount> Names{"wrong_key", "wrong_version", "too_large", "malformed", "replayed"};
     return Names.at(static_cast<std::size_t>(reason));
 }
 
@@ -422,6 +430,17 @@
     m_d->controlBytes.at(static_cast<std::size_t>(channel))->Increment(static_cast<double>(bytes));
 }
 
+void Metrics::advancePeerRefusals(PeerRefusal reason, std::uint64_t messages)
+{
+    advance(*m_d->peerRefusals.at(static_cast<std::size_t>(reason)), messages);
+}
+
+void Metrics::advanceControl(ControlChannel channel, std::uint64_t messages, std::uint64_t bytes)
+{
+    advance(*m_d->controlMessages.at(static_cast<std::size_t>(channel)), messages);
+    advance(*m_d->controlBytes.at(static_cast<std::size_t>(channel)), bytes);
+}
+
 void Metrics::setControlCost(base::Duration processorTime, std::uint64_t residentBytes)
 {
     m_d->controlSeconds.Set(base::toSeconds(processorTime));
