--- a/carawaylatch/relay/openrequest.cpp
+++ b/carawaylatch/relay/openrequest.cpp
@@ -156,7 +156,7 @@
 {
     std::unique_lock lock(m_mutex);
     m_changed.wait(lock, [this] {
-        return !m_work.empty() || (m_end && m_writing == Writing::No);
+        return hasReadyWork() || m_end;
     });
     if (m_end) {
         m_changed.wait(lock, [this] {
