Stream tests as tables of steps

Cause: the same lambdas stood in the fault table and in the interleavings and made the test longer than its subject.

--- a/carawaylatch/relay/testing/streamassemblertest.cpp
+++ b/carawaylatch/relay/testing/streamassemblertest.cpp
@@ -26,55 +26,60 @@
 constexpr const char *NotApplicable = "not applicable";
 constexpr std::size_t StateCount = AllAttemptStates.size();
 
-// Brings attempt 1 into a state. Streaming has delivered token 0.
-void bringTo(StreamModel &model, AttemptState state)
+using M = StreamModel;
+using Step = std::function<void(M &)>;
+using Steps = std::vector<Step>;
+
+// Makes a step of an event of the model: `step(&M::broken, 1, BreakKind::Lost)`.
+template <typename... Params, typename... Args>
+Step step(void (M::*event)(Params...), Args... args)
 {
-    const std::vector<std::function<void()>> steps = {
-        [&] {
-            model.start();
-        },
-        [&] {
-            model.placed(1, AttemptPurpose::Fresh);
-        },
-        [&] {
-            model.sent(1);
-        },
-        [&] {
-            model.head(1);
-        },
-        [&] {
-            model.token(1, 0);
-        },
-        [&] {
-            model.token(1, 1);
-            model.done(1, 2);
-        },
+    return [=](M &model) {
+        (model.*event)(args...);
     };
-    if (state == AttemptState::Failed) {
-        // Attempt 1 lost against attempt 2, which streams.
-        bringTo(model, AttemptState::FirstByte);
-        model.hedgeDue();
-        model.placed(2, AttemptPurpose::Hedge);
-        model.head(2);
-        model.token(2, 0);
-        return;
+}
+
+void applyAll(M &model, const Steps &steps)
+{
+    for (const Step &it : steps) {
+        it(model);
     }
-    for (std::size_t i = 0; i <= static_cast<std::size_t>(state); ++i) {
-        steps[i]();
+}
+
+// Brings attempt 1 into a state. Streaming has delivered token 0; in Failed it
+// lost against attempt 2, which streams.
+Steps stepsTo(AttemptState state)
+{
+    const std::array<Step, 4> first = {step(&M::start), step(&M::placed, 1, AttemptPurpose::Fresh, 7), step(&M::sent, 1), step(&M::head, 1)};
+    const std::size_t n = std::min(first.size(), static_cast<std::size_t>(state) + 1);
+    Steps steps(first.begin(), first.begin() + static_cast<std::ptrdiff_t>(n));
+    if (state == AttemptState::Streaming || state == AttemptState::Done) {
+        steps.push_back(step(&M::token, 1, 0));
     }
+    if (state == AttemptState::Done) {
+        steps.insert(steps.end(), {step(&M::token, 1, 1), step(&M::done, 1, 2)});
+    }
+    if (state == AttemptState::Failed) {
+        steps.insert(steps.end(), {step(&M::hedgeDue), step(&M::placed, 2, AttemptPurpose::Hedge, 7), step(&M::head, 2), step(&M::token, 2, 0)});
+    }
+    return steps;
 }
 
-EngineHead wrongHead(void (*spoil)(EngineHead &))
+// Attempt 1 answers with an echo that differs from its plan in one part.
+EngineHead echoWith(std::uint64_t attempt, std::uint64_t incarnation, std::uint64_t version, std::uint64_t salt)
 {
-    EngineHead echo = echoOf({1}, planOn(1));
-    spoil(echo);
-    return echo;
+    const EngineHead right = echoOf({1}, planOn(1));
+    return {{right.attempt.value + attempt}, {right.incarnation.value + incarnation}, {right.weightsVersion.value + version}, {right.salt.value + salt}};
 }
+const Step OtherAttempt = step(&M::echo, 1, echoWith(1, 0, 0, 0));
+const Step OtherIncarnation = step(&M::echo, 1, echoWith(0, 1, 0, 0));
+const Step OtherVersion = step(&M::echo, 1, echoWith(0, 0, 1, 0));
+const Step OtherSalt = step(&M::echo, 1, echoWith(0, 0, 0, 1));
 
 struct FaultRow
 {
     const char *name;
-    std::function<void(StreamModel &)> inject;
+    Steps inject;
     // Actions caused in each state, in the order of AllAttemptStates; "" is none.
     std::array<const char *, StateCount> expected;
 };
@@ -87,322 +92,112 @@
 
 // Columns: queued, connecting, sent, first byte, streaming, done, failed.
 const std::vector<FaultRow> FaultTable = {
-    {"break before the request left",
-     [](StreamModel &m) {
-         m.broken(1, BreakKind::NotSent);
-     },
-     Replaced},
-    {"refused",
-     [](StreamModel &m) {
-         m.broken(1, BreakKind::Refused);
-     },
-     Replaced},
-    {"break after the request left",
-     [](StreamModel &m) {
-         m.broken(1, BreakKind::Lost);
-     },
-     Resumed},
-    {"malformed answer",
-     [](StreamModel &m) {
-         m.broken(1, BreakKind::Malformed);
-     },
-     Resumed},
-    {"cancelled by the connection",
-     [](StreamModel &m) {
-         m.broken(1, BreakKind::Cancelled);
-     },
-     Replaced},
-    {"engine gone: break, then refused resume",
-     [](StreamModel &m) {
-         m.broken(1, BreakKind::Lost);
-         m.broken(1, BreakKind::Refused);
-     },
-     Replaced},
-    {"engine restarted empty: break, then another incarnation",
-     [](StreamModel &m) {
-         m.broken(1, BreakKind::Lost);
-         m.head(1, wrongHead([](EngineHead &echo) {
-                    echo.incarnation.value = 9;
-                }));
-     },
-     CancelledAndReplaced},
-    {"echo of another attempt",
-     [](StreamModel &m) {
-         m.head(1, wrongHead([](EngineHead &echo) {
-                    echo.attempt.value = 9;
-                }));
-     },
-     CancelledAndReplaced},
-    {"echo of another incarnation",
-     [](StreamModel &m) {
-         m.head(1, wrongHead([](EngineHead &echo) {
-                    echo.incarnation.value = 9;
-                }));
-     },
-     CancelledAndReplaced},
-    {"echo of other weights",
-     [](StreamModel &m) {
-         m.head(1, wrongHead([](EngineHead &echo) {
-                    echo.weightsVersion.value = 6;
-                }));
-     },
-     CancelledAndReplaced},
-    {"echo of another salt",
-     [](StreamModel &m) {
-         m.head(1, wrongHead([](EngineHead &echo) {
-                    echo.salt.value = 9;
-                }));
-     },
-     CancelledAndReplaced},
-    {"head twice",
-     [](StreamModel &m) {
-         m.head(1);
-         m.head(1);
-     },
-     Nothing},
-    {"token twice",
-     [](StreamModel &m) {
-         m.token(1, 0);
-         m.token(1, 0);
-     },
-     // Without a head the first of them breaks the attempt.
-     Nothing},
+    {"break before the request left", {step(&M::broken, 1, BreakKind::NotSent)}, Replaced},
+    {"refused", {step(&M::broken, 1, BreakKind::Refused)}, Replaced},
+    {"break after the request left", {step(&M::broken, 1, BreakKind::Lost)}, Resumed},
+    {"malformed answer", {step(&M::broken, 1, BreakKind::Malformed)}, Resumed},
+    {"cancelled by the connection", {step(&M::broken, 1, BreakKind::Cancelled)}, Replaced},
+    {"engine gone: break, then refused resume", {step(&M::broken, 1, BreakKind::Lost), step(&M::broken, 1, BreakKind::Refused)}, Replaced},
+    {"engine restarted empty: break, then another incarnation", {step(&M::broken, 1, BreakKind::Lost), OtherIncarnation}, CancelledAndReplaced},
+    {"echo of another attempt", {OtherAttempt}, CancelledAndReplaced},
+    {"echo of another incarnation", {OtherIncarnation}, CancelledAndReplaced},
+    {"echo of other weights", {OtherVersion}, CancelledAndReplaced},
+    {"echo of another salt", {OtherSalt}, CancelledAndReplaced},
+    {"head twice", {step(&M::head, 1), step(&M::head, 1)}, Nothing},
+    // Without a head the first of them breaks the attempt.
+    {"token twice", {step(&M::token, 1, 0), step(&M::token, 1, 0)}, Nothing},
     {"token before the head, or the next token",
-     [](StreamModel &m) {
-         m.token(1, m.assembler().delivered());
-     },
+     {step(&M::tokenAhead, 1, 0, 0)},
      {"", "cancel:1 place:fresh", "cancel:1 place:fresh", "deliver:0", "deliver:1", "", ""}},
-    {"gap in the indexes",
-     [](StreamModel &m) {
-         m.token(1, m.assembler().delivered() + 1);
-     },
-     CancelledAndReplaced},
-    {"token past its bound",
-     [](StreamModel &m) {
-         m.token(1, m.assembler().delivered(), 100);
-     },
-     CancelledAndReplaced},
-    {"last event counts more than came",
-     [](StreamModel &m) {
-         m.done(1, 5);
-     },
-     CancelledAndReplaced},
+    {"gap in the indexes", {step(&M::tokenAhead, 1, 1, 0)}, CancelledAndReplaced},
+    {"token past its bound", {step(&M::tokenAhead, 1, 0, 100)}, CancelledAndReplaced},
+    {"last event counts more than came", {step(&M::done, 1, 5)}, CancelledAndReplaced},
     {"last event counts less than came",
-     [](StreamModel &m) {
-         m.done(1, 0);
-     },
+     {step(&M::done, 1, 0)},
      {"", "cancel:1 place:fresh", "cancel:1 place:fresh", NotApplicable, "cancel:1 place:continue", "", ""}},
-    {"answer of an unknown attempt",
-     [](StreamModel &m) {
-         m.head(77, echoOf({77}, planOn(77)));
-         m.token(77, m.assembler().delivered());
-         m.done(77, m.assembler().delivered());
-     },
-     Nothing},
+    {"answer of an unknown attempt", {step(&M::head, 77), step(&M::tokenAhead, 77, 0, 0), step(&M::done, 77, 1)}, Nothing},
     {"caller gone",
-     [](StreamModel &m) {
-         m.callerGone();
-     },
+     {step(&M::callerGone)},
      {"abort:cancelled", "cancel:1 abort:cancelled", "cancel:1 abort:cancelled", "cancel:1 abort:cancelled", "cancel:1 abort:cancelled", "",
       "cancel:2 abort:cancelled"}},
     {"deadline of the first token",
-     [](StreamModel &m) {
-         m.tickAt(FirstTokenDeadline);
-     },
+     {step(&M::tickAt, FirstTokenDeadline)},
      {"abort:overloaded", "cancel:1 abort:overloaded", "cancel:1 abort:overloaded", "cancel:1 abort:overloaded", "", "", ""}},
     {"deadline of the answer",
-     [](StreamModel &m) {
-         m.tickAt(Deadline);
-     },
+     {step(&M::tickAt, Deadline)},
      {"abort:overloaded", "cancel:1 abort:overloaded", "cancel:1 abort:overloaded", "cancel:1 abort:overloaded", "cancel:1 abort:truncated", "",
       "cancel:2 abort:truncated"}},
-    {"engine silent",
-     [](StreamModel &m) {
-         m.idle();
-     },
-     {"", "", "", "", "cancel:1 place:continue", "", "cancel:2 place:continue"}},
-    {"hedge delay over",
-     [](StreamModel &m) {
-         m.hedgeDue();
-     },
-     {"", "place:hedge", "place:hedge", "place:hedge", "", "", ""}},
+    {"engine silent", {step(&M::idle)}, {"", "", "", "", "cancel:1 place:continue", "", "cancel:2 place:continue"}},
+    {"hedge delay over", {step(&M::hedgeDue)}, {"", "place:hedge", "place:hedge", "place:hedge", "", "", ""}},
     {"all upstreams gone",
-     [](StreamModel &m) {
-         m.broken(1, BreakKind::NotSent);
-         m.broken(2, BreakKind::NotSent);
-         m.notPlaced(m.assembler().delivered() > 0 ? AttemptPurpose::Continue : AttemptPurpose::Fresh);
-     },
+     {step(&M::broken, 1, BreakKind::NotSent), step(&M::broken, 2, BreakKind::NotSent), step(&M::nothingOffered)},
      {"abort:overloaded", "abort:overloaded", "abort:overloaded", "abort:overloaded", "abort:truncated", "", "abort:truncated"}},
     {"placement offers a used upstream",
-     [](StreamModel &m) {
-         m.broken(1, BreakKind::NotSent);
-         m.offerUsed();
-     },
+     {step(&M::broken, 1, BreakKind::NotSent), step(&M::offerUsed)},
      {"start:50", "abort:unavailable", "abort:truncated", "abort:truncated", "abort:truncated", "", ""}},
     {"placement offers other weights",
-     [](StreamModel &m) {
-         m.broken(1, BreakKind::NotSent);
-         m.placed(50, m.assembler().delivered() > 0 ? AttemptPurpose::Continue : AttemptPurpose::Fresh, 8);
-     },
+     {step(&M::broken, 1, BreakKind::NotSent), step(&M::offerOtherWeights)},
      {"start:50", "start:50", "start:50", "start:50", "abort:truncated", "", ""}},
 };
 
-using Step = std::function<void(StreamModel &)>;
-struct NamedStep
+// States from which all orders of events are tried: each state of an attempt, a
+// resume, a continuation, a hedge with two heads, two placements under way.
+std::vector<Steps> prefixes()
 {
-    std::string name;
-    Step apply;
-};
-
-// States from which all orders of events are tried.
-std::vector<Step> prefixes()
-{
-    std::vector<Step> all = {
-        [](StreamModel &m) { // resuming with one token delivered
-            bringTo(m, AttemptState::Streaming);
-            m.broken(1, BreakKind::Lost);
-        },
-        [](StreamModel &m) { // continued elsewhere
-            bringTo(m, AttemptState::Streaming);
-            m.broken(1, BreakKind::Refused);
-            m.placed(2, AttemptPurpose::Continue);
-        },
-        [](StreamModel &m) { // two attempts, both with a head
-            bringTo(m, AttemptState::FirstByte);
-            m.hedgeDue();
-            m.placed(2, AttemptPurpose::Hedge);
-            m.head(2);
-        },
-        [](StreamModel &m) { // both placements under way
-            bringTo(m, AttemptState::Sent);
-            m.hedgeDue();
-            m.broken(1, BreakKind::Refused);
-        },
+    const auto after = [](AttemptState state, const Steps &more) {
+        Steps steps = stepsTo(state);
+        steps.insert(steps.end(), more.begin(), more.end());
+        return steps;
     };
-    std::transform(AllAttemptStates.begin(), AllAttemptStates.end(), std::back_inserter(all), [](AttemptState state) -> Step {
-        return [state](StreamModel &m) {
-            bringTo(m, state);
-        };
-    });
-    return all;
-}
-
-std::vector<NamedStep> requestEvents()
-{
-    return {
-        {"start",
-         [](StreamModel &m) {
-             m.start();
-         }},
-        {"placed fresh",
-         [](StreamModel &m) {
-             m.placed(2, AttemptPurpose::Fresh);
-         }},
-        {"placed continue",
-         [](StreamModel &m) {
-             m.placed(3, AttemptPurpose::Continue);
-         }},
-        {"placed continue of other weights",
-         [](StreamModel &m) {
-             m.placed(4, AttemptPurpose::Continue, 8);
-         }},
-        {"placed hedge",
-         [](StreamModel &m) {
-             m.placed(2, AttemptPurpose::Hedge);
-         }},
-        {"placed used",
-         [](StreamModel &m) {
-             m.offerUsed();
-         }},
-        {"not placed",
-         [](StreamModel &m) {
-             m.notPlaced(AttemptPurpose::Fresh);
-         }},
-        {"no hedge",
-         [](StreamModel &m) {
-             m.notPlaced(AttemptPurpose::Hedge);
-         }},
-        {"caller gone",
-         [](StreamModel &m) {
-             m.callerGone();
-         }},
-        {"first token late",
-         [](StreamModel &m) {
-             m.tickAt(FirstTokenDeadline);
-         }},
-        {"deadline",
-         [](StreamModel &m) {
-             m.tickAt(Deadline);
-         }},
-        {"idle",
-         [](StreamModel &m) {
-             m.idle();
-         }},
-        {"hedge due",
-         [](StreamModel &m) {
-             m.hedgeDue();
-         }},
+    std::vector<Steps> all = {
+        after(AttemptState::Streaming, {step(&M::broken, 1, BreakKind::Lost)}),
+        after(AttemptState::Streaming, {step(&M::broken, 1, BreakKind::Refused), step(&M::placed, 2, AttemptPurpose::Continue, 7)}),
+        after(AttemptState::FirstByte, {step(&M::hedgeDue), step(&M::placed, 2, AttemptPurpose::Hedge, 7), step(&M::head, 2)}),
+        after(AttemptState::Sent, {step(&M::hedgeDue), step(&M::broken, 1, BreakKind::Refused)}),
     };
+    std::transform(AllAttemptStates.begin(), AllAttemptStates.end(), std::back_inserter(all), stepsTo);
+    return all;
 }
 
-std::vector<NamedStep> attemptEvents(std::uint64_t id)
+struct NamedStep
 {
-    return {
-        {"sent",
-         [id](StreamModel &m) {
-             m.sent(id);
-         }},
-        {"head",
-         [id](StreamModel &m) {
-             m.head(id);
-         }},
-        {"crossed head",
-         [id](StreamModel &m) {
-             m.head(id, echoOf({3 - id}, planOn(id)));
-         }},
-        {"stale head",
-         [id](StreamModel &m) {
-             m.head(id, echoOf({id}, planOn(id, 6)));
-         }},
-        {"token 0",
-         [id](StreamModel &m) {
-             m.token(id, 0);
-         }},
-        {"token 1",
-         [id](StreamModel &m) {
-             m.token(id, 1);
-         }},
-        {"done",
-         [id](StreamModel &m) {
-             m.done(id, AnswerTokens);
-         }},
-        {"wrong count",
-         [id](StreamModel &m) {
-             m.done(id, 5);
-         }},
-        {"not sent",
-         [id](StreamModel &m) {
-             m.broken(id, BreakKind::NotSent);
-         }},
-        {"refused",
-         [id](StreamModel &m) {
-             m.broken(id, BreakKind::Refused);
-         }},
-        {"lost",
-         [id](StreamModel &m) {
-             m.broken(id, BreakKind::Lost);
-         }},
-    };
-}
+    std::string name;
+    Step apply;
+};
 
 std::vector<NamedStep> allEvents()
 {
-    std::vector<NamedStep> all = requestEvents();
+    std::vector<NamedStep> all = {
+        {"start", step(&M::start)},
+        {"placed fresh", step(&M::placed, 2, AttemptPurpose::Fresh, 7)},
+        {"placed continue", step(&M::placed, 3, AttemptPurpose::Continue, 7)},
+        {"placed continue of other weights", step(&M::placed, 4, AttemptPurpose::Continue, 8)},
+        {"placed hedge", step(&M::placed, 2, AttemptPurpose::Hedge, 7)},
+        {"placed used", step(&M::offerUsed)},
+        {"not placed", step(&M::notPlaced, AttemptPurpose::Fresh)},
+        {"no hedge", step(&M::notPlaced, AttemptPurpose::Hedge)},
+        {"caller gone", step(&M::callerGone)},
+        {"first token late", step(&M::tickAt, FirstTokenDeadline)},
+        {"deadline", step(&M::tickAt, Deadline)},
+        {"idle", step(&M::idle)},
+        {"hedge due", step(&M::hedgeDue)},
+    };
     for (const std::uint64_t id : {1, 2}) {
-        for (NamedStep &it : attemptEvents(id)) {
-            it.name += " of " + std::to_string(id);
-            all.push_back(std::move(it));
-        }
+        const std::string of = " of " + std::to_string(id);
+        const std::vector<NamedStep> ofAttempt = {
+            {"sent" + of, step(&M::sent, id)},
+            {"head" + of, step(&M::head, id)},
+            {"crossed head" + of, step(&M::echo, id, echoOf({3 - id}, planOn(id)))},
+            {"stale head" + of, step(&M::echo, id, echoOf({id}, planOn(id, 6)))},
+            {"token 0" + of, step(&M::token, id, 0)},
+            {"token 1" + of, step(&M::token, id, 1)},
+            {"done" + of, step(&M::done, id, AnswerTokens)},
+            {"wrong count" + of, step(&M::done, id, 5)},
+            {"not sent" + of, step(&M::broken, id, BreakKind::NotSent)},
+            {"refused" + of, step(&M::broken, id, BreakKind::Refused)},
+            {"lost" + of, step(&M::broken, id, BreakKind::Lost)},
+        };
+        all.insert(all.end(), ofAttempt.begin(), ofAttempt.end());
     }
     return all;
 }
@@ -425,14 +220,14 @@
             for (std::size_t i = 0; i < StateCount; ++i) {
                 const std::string where = std::string(row.name) + " at " + std::string(attemptStateName(AllAttemptStates[i]));
                 StreamModel model;
-                bringTo(model, AllAttemptStates[i]);
+                applyAll(model, stepsTo(AllAttemptStates[i]));
                 const bool isStateReached = i == 0 || model.assembler().state({1}) == AllAttemptStates[i];
                 CPPUNIT_ASSERT_MESSAGE(where + ": state not reached", isStateReached);
                 CPPUNIT_ASSERT_MESSAGE(where + ": no entry", row.expected[i] != nullptr);
                 if (row.expected[i] == NotApplicable) {
                     continue;
                 }
-                row.inject(model);
+                applyAll(model, row.inject);
                 CPPUNIT_ASSERT_EQUAL_MESSAGE(where, std::string(row.expected[i]), model.lastActions());
                 model.finishHealthy();
                 CPPUNIT_ASSERT_EQUAL_MESSAGE(where, std::string(), model.violation());
@@ -447,9 +242,9 @@
     {
         static constexpr int Depth = 3;
         std::size_t visited = 0;
-        for (const auto &prefix : prefixes()) {
+        for (const Steps &prefix : prefixes()) {
             StreamModel model;
-            prefix(model);
+            applyAll(model, prefix);
             CPPUNIT_ASSERT_EQUAL(std::string(), model.violation());
             explore(model, Depth, "", visited);
         }
@@ -474,14 +269,14 @@
         };
         for (const Row &row : rows) {
             StreamModel model(options(config::Idempotency::AtMostOnce));
-            bringTo(model, row.state);
+            applyAll(model, stepsTo(row.state));
             model.hedgeDue();
             CPPUNIT_ASSERT_EQUAL(std::string(), model.lastActions());
             model.broken(1, row.kind);
             CPPUNIT_ASSERT_EQUAL(std::string(row.expected), model.lastActions());
         }
         StreamModel model(options(config::Idempotency::AtMostOnce));
-        bringTo(model, AttemptState::Connecting);
+        applyAll(model, stepsTo(AttemptState::Connecting));
         model.broken(1, BreakKind::Lost);
         model.broken(1, BreakKind::NotSent); // the resume did not reach the engine
         CPPUNIT_ASSERT_EQUAL(std::string("abort:unclear"), model.lastActions());
@@ -492,7 +287,7 @@
     void testBounds()
     {
         StreamModel silent;
-        bringTo(silent, AttemptState::Streaming);
+        applyAll(silent, stepsTo(AttemptState::Streaming));
         for (const char *expected : {"resume:1", "resume:1", "place:continue"}) {
             silent.broken(1, BreakKind::Lost);
             CPPUNIT_ASSERT_EQUAL(std::string(expected), silent.lastActions());
@@ -501,7 +296,7 @@
             StreamModel model;
             model.start();
             for (std::uint64_t id = 1; id < 100 && !model.isOver(); ++id) {
-                model.placed(id, AttemptPurpose::Fresh);
+                model.placed(id, AttemptPurpose::Fresh, 7);
                 for (int i = 0; i < 10; ++i) {
                     model.broken(id, kind);
                 }
--- a/carawaylatch/relay/testing/streammodel.cpp
+++ b/carawaylatch/relay/testing/streammodel.cpp
@@ -81,9 +81,7 @@
 
 void StreamModel::start()
 {
-    Actions out;
-    m_assembler.start(m_now, out);
-    check(out);
+    give(&StreamAssembler::start);
 }
 
 void StreamModel::placed(std::uint64_t id, AttemptPurpose purpose, std::uint64_t version)
@@ -91,9 +89,24 @@
     place(id, planOn(id, version), purpose);
 }
 
+AttemptPurpose StreamModel::needed() const
+{
+    return m_received > 0 ? AttemptPurpose::Continue : AttemptPurpose::Fresh;
+}
+
 void StreamModel::offerUsed()
 {
-    place(50, planOn(1), m_received > 0 ? AttemptPurpose::Continue : AttemptPurpose::Fresh);
+    place(50, planOn(1), needed());
+}
+
+void StreamModel::offerOtherWeights()
+{
+    place(50, planOn(50, 8), needed());
+}
+
+void StreamModel::nothingOffered()
+{
+    notPlaced(needed());
 }
 
 void StreamModel::place(std::uint64_t id, const AttemptPlan &plan, AttemptPurpose purpose)
@@ -106,9 +119,7 @@
     } else if (m_asked == purpose) {
         m_asked.reset();
     }
-    Actions out;
-    m_assembler.placed({id}, plan, purpose, m_now, out);
-    check(out);
+    give(&StreamAssembler::placed, base::AttemptId{id}, plan, purpose);
 }
 
 void StreamModel::notPlaced(AttemptPurpose purpose)
@@ -118,71 +129,60 @@
     } else {
         m_asked.reset();
     }
-    Actions out;
-    m_assembler.notPlaced(purpose, base::fail(base::ErrorKind::Overloaded, "no upstream"), m_now, out);
-    check(out);
+    give(&StreamAssembler::notPlaced, purpose, base::fail(base::ErrorKind::Overloaded, "no upstream"));
 }
 
 void StreamModel::sent(std::uint64_t id)
 {
-    Actions out;
-    m_assembler.sent({id}, m_now, out);
-    check(out);
+    give(&StreamAssembler::sent, base::AttemptId{id});
 }
 
-void StreamModel::head(std::uint64_t id, const EngineHead &echo)
+void StreamModel::echo(std::uint64_t id, const EngineHead &echo)
 {
-    Actions out;
     if (const auto it = m_runs.find(id); it != m_runs.end()) {
         const EngineHead expected = echoOf({id}, it->second.plan);
         it->second.isVerified = echo.attempt == expected.attempt && echo.incarnation == expected.incarnation && echo.weightsVersion == expected.weightsVersion
                                 && echo.salt == expected.salt;
     }
-    m_assembler.head({id}, echo, m_now, out);
-    check(out);
+    give(&StreamAssembler::head, base::AttemptId{id}, echo);
 }
 
 void StreamModel::head(std::uint64_t id)
 {
     const auto it = m_runs.find(id);
-    head(id, echoOf({id}, it == m_runs.end() ? planOn(id) : it->second.plan));
+    echo(id, echoOf({id}, it == m_runs.end() ? planOn(id) : it->second.plan));
 }
 
-void StreamModel::token(std::uint64_t id, std::uint64_t index, std::size_t padding)
+void StreamModel::token(std::uint64_t id, std::uint64_t index)
 {
-    Actions out;
-    const TokenEvent event{index, tokenText(index) + std::string(padding, ' ')};
-    m_assembler.token({id}, event, m_now, out);
-    check(out);
+    give(&StreamAssembler::token, base::AttemptId{id}, TokenEvent{index, tokenText(index)});
+}
+
+void StreamModel::tokenAhead(std::uint64_t id, std::uint64_t ahead, std::size_t padding)
+{
+    const std::uint64_t index = m_received + ahead;
+    give(&StreamAssembler::token, base::AttemptId{id}, TokenEvent{index, tokenText(index) + std::string(padding, ' ')});
 }
 
 void StreamModel::done(std::uint64_t id, std::uint64_t count)
 {
-    Actions out;
-    m_assembler.done({id}, {.count = count, .finishReason = "stop", .usage = {}}, m_now, out);
-    check(out);
+    give(&StreamAssembler::done, base::AttemptId{id}, DoneEvent{.count = count, .finishReason = "stop", .usage = {}});
 }
 
 void StreamModel::broken(std::uint64_t id, BreakKind kind)
 {
-    Actions out;
-    m_assembler.broken({id}, kind, base::fail(base::ErrorKind::Unavailable, "broken"), m_now, out);
-    check(out);
+    give(&StreamAssembler::broken, base::AttemptId{id}, kind, base::fail(base::ErrorKind::Unavailable, "broken"));
 }
 
 void StreamModel::callerGone()
 {
-    Actions out;
-    m_assembler.callerGone(m_now, out);
-    check(out);
+    give(&StreamAssembler::callerGone);
 }
 
 void StreamModel::tickAt(base::TimePoint time)
 {
     m_now = time;
-    Actions out;
-    m_assembler.tick(m_now, out);
-    check(out);
+    give(&StreamAssembler::tick);
 }
 
 void StreamModel::idle()
@@ -197,9 +197,7 @@
 
 void StreamModel::hedgeDue()
 {
-    Actions out;
-    m_assembler.hedgeDue(m_now, out);
-    check(out);
+    give(&StreamAssembler::hedgeDue);
 }
 
 void StreamModel::finishHealthy()
@@ -208,7 +206,7 @@
         if (m_hedgeAsked) {
             notPlaced(AttemptPurpose::Hedge);
         } else if (m_asked) {
-            placed(++m_lastId, *m_asked);
+            placed(++m_lastId, *m_asked, 7);
         } else {
             const auto live = std::find_if(m_runs.rbegin(), m_runs.rend(), [&](const auto &it) {
                 return m_assembler.state({it.first}) != AttemptState::Failed && m_assembler.state({it.first}) != AttemptState::Done;
--- a/carawaylatch/relay/testing/streammodel.h
+++ b/carawaylatch/relay/testing/streammodel.h
@@ -32,14 +32,19 @@
 
     // Each applies one event and checks the actions.
     void start();
-    void placed(std::uint64_t id, AttemptPurpose purpose, std::uint64_t version = 7);
+    void placed(std::uint64_t id, AttemptPurpose purpose, std::uint64_t version);
     // The placement offers the upstream of attempt 1 once more, as attempt 50.
     void offerUsed();
+    // The placement offers an upstream of weights version 8, as attempt 50.
+    void offerOtherWeights();
+    void nothingOffered();
     void notPlaced(AttemptPurpose purpose);
     void sent(std::uint64_t id);
-    void head(std::uint64_t id, const EngineHead &echo);
-    void head(std::uint64_t id);
-    void token(std::uint64_t id, std::uint64_t index, std::size_t padding = 0);
+    void echo(std::uint64_t id, const EngineHead &echo);
+    void head(std::uint64_t id); // the right echo
+    void token(std::uint64_t id, std::uint64_t index);
+    // A token so far past the next one, longer by some bytes.
+    void tokenAhead(std::uint64_t id, std::uint64_t ahead, std::size_t padding);
     void done(std::uint64_t id, std::uint64_t count);
     void broken(std::uint64_t id, BreakKind kind);
     void callerGone();
@@ -65,6 +70,15 @@
         std::uint64_t next = 0; // the next token that a healthy engine would send
     };
 
+    // Gives one event to the assembler and checks the actions.
+    template <typename... Params, typename... Args>
+    void give(void (StreamAssembler::*event)(Params...), const Args &...args)
+    {
+        Actions out;
+        (m_assembler.*event)(args..., m_now, out);
+        check(out);
+    }
+    [[nodiscard]] AttemptPurpose needed() const;
     void place(std::uint64_t id, const AttemptPlan &plan, AttemptPurpose purpose);
     void check(const Actions &actions);
     void checkOne(const Action &action);
