--- a/carawaylatch/router/routeplacer.cpp
+++ b/carawaylatch/router/routeplacer.cpp
@@ -63,7 +63,7 @@
         return base::fail(base::ErrorKind::Unavailable, placement.upstream.value() + " takes no new work; try again", ViewRetry);
     }
     Placed placed{placement.slot, placement.incarnation, placement.predictedBlocks, bestHeld(now), {}};
-    placed.ticket = m_parts.knowledge.inflight.begin(placement.slot, placement.missingTokens, now);
+    placed.ticket = m_parts.knowledge.inflight.begin(placement.slot, placement.missingTokens, now, m_context.head.trafficClass);
     m_parts.knowledge.caches.recordPlacement(placement.slot, placement.incarnation, m_chain, now);
     m_parts.knowledge.heat.record(base::hash64(m_context.pool->name.value()), m_chain, prefix::promptTokens(m_context.prompt),
                                   static_cast<std::uint32_t>(std::max<std::size_t>(1, pool->eligible.size())), now);
--- a/carawaylatch/router/router.cpp
+++ b/carawaylatch/router/router.cpp
@@ -42,6 +42,7 @@
     options.limits.incarnation = incarnation;
     options.limits.fleetSize = settings.admission.configuredRouters;
     options.overload.seed = settings.routing.seed;
+    options.queue.maxEntries = settings.admission.maxQueue;
     return options;
 }
 
--- a/carawaylatch/router/servicechooser.cpp
+++ b/carawaylatch/router/servicechooser.cpp
@@ -34,7 +34,7 @@
     if (!view->mayStart(placement.upstream, placement.incarnation, now)) {
         return base::fail(base::ErrorKind::Unavailable, placement.upstream.value() + " takes no new work; try again", base::seconds{1});
     }
-    m_ticket = m_parts.knowledge.inflight.begin(placement.slot, CallTokens, now);
+    m_ticket = m_parts.knowledge.inflight.begin(placement.slot, CallTokens, now, m_context.head.trafficClass);
     return orders::ChosenUpstream{placement.upstream, placement.endpoint};
 }
 
--- a/carawaylatch/router/upstreamcontroller.cpp
+++ b/carawaylatch/router/upstreamcontroller.cpp
@@ -1,7 +1,9 @@
-// A leaving mark goes to all routers in the same moment in which it is first
-// heard of; a receiver to which it is new passes it on, so that a cut between two
-// routers doesn't hide it while any path remains. Marks are also asked for in full
-// after a freeze, and lost ones come with the next exchange.
+// A leaving mark spreads as a rumour: whoever hears of it first sends it to
+// FanOut other routers at once and, against losses and cuts, to FanOut others
+// every SpreadInterval for SpreadPeriod. A fleet of up to FanOut + 1 routers so
+// hears it in one step; in a fleet of n, a few steps of FanOut each reach all but
+// a share of about exp(-FanOut) in each round, and no router sends more than
+// FanOut messages a round. After a freeze marks are asked for in full.
 #include "carawaylatch/router/upstreamcontroller.h"
 
 #include <algorithm>
@@ -16,6 +18,10 @@
 {
 
 constexpr base::Duration TickInterval = base::milliseconds{100};
+constexpr std::size_t FanOut = 8; // routers told in one round
+constexpr base::Duration SpreadInterval = base::milliseconds{500};
+constexpr base::Duration SpreadPeriod = base::seconds{3};
+constexpr std::size_t MaxRecentMarks = 256; // beyond it the oldest is repeated no more
 constexpr std::uint32_t MinCapacity = 4; // requests in flight while no upstream is known
 
 telemetry::UpstreamState metricState(upstreams::UpstreamState state)
@@ -46,11 +52,13 @@
     , m_bus(bus)
     , m_gate(gate)
     , m_metrics(metrics)
-    , m_poller(client, parts.knowledge.caches, parts.settings.timings.loadPoll, [this](const auto &id, const auto &report) {
-        m_parts.loop.post([this, id, report](base::TimePoint now) {
-            onReport(id, report, now);
-        });
-    })
+    , m_poller(client, parts.knowledge.caches, parts.settings.timings.loadPoll,
+               [this](const auto &id, const auto &report) {
+                   m_parts.loop.post([this, id, report](base::TimePoint now) {
+                       onReport(id, report, now);
+                   });
+               })
+    , m_random(base::combineHashes(parts.settings.routing.seed, parts.incarnation.value))
 {
     m_bus.subscribe<peer::MarksMessage>([this](const auto &, const peer::MarksMessage &message, base::TimePoint now) {
         importMarks(message.marks, now);
@@ -67,6 +75,9 @@
     m_tick = m_parts.loop.timers().every(now, TickInterval, [this](base::TimePoint at) {
         advance(at);
     });
+    m_spread = m_parts.loop.timers().every(now, SpreadInterval, [this](base::TimePoint at) {
+        spreadRecent(at);
+    });
     m_poller.start();
 }
 
@@ -146,7 +157,7 @@
 {
     m_registry.onTick(now);
     for (const auto &it : m_registry.takeActions()) {
-        carryOut(it);
+        carryOut(it, now);
     }
     const auto view = m_registry.view();
     if (view != m_state.snapshot().upstreams) {
@@ -155,7 +166,7 @@
     }
 }
 
-void UpstreamController::carryOut(const upstreams::RegistryAction &action)
+void UpstreamController::carryOut(const upstreams::RegistryAction &action, base::TimePoint now)
 {
     if (const auto *adopted = std::get_if<upstreams::AdoptIncarnation>(&action)) {
         auto &caches = m_parts.knowledge.caches;
@@ -167,7 +178,7 @@
         }
         base::logEvent(base::LogEvent::UpstreamAdopted, {{"upstream", adopted->upstream.value()}, {"incarnation", std::to_string(adopted->incarnation.value)}});
     } else if (const auto *announced = std::get_if<upstreams::AnnounceMark>(&action)) {
-        announce(announced->mark);
+        announce(announced->mark, now);
     } else {
         const auto others = otherRouters();
         if (others.empty()) {
@@ -179,12 +190,37 @@
     }
 }
 
-void UpstreamController::announce(const upstreams::LeavingMark &mark)
+void UpstreamController::announce(const upstreams::LeavingMark &mark, base::TimePoint now)
 {
     base::logEvent(mark.isLeaving() ? base::LogEvent::UpstreamLeaving : base::LogEvent::UpstreamReturned,
                    {{"upstream", mark.upstream.value()}, {"incarnation", std::to_string(mark.incarnation.value)}});
-    for (const auto &it : otherRouters()) {
-        m_bus.send(it, peer::MarksMessage{{mark}});
+    m_recentMarks.push_back({mark, now});
+    if (m_recentMarks.size() > MaxRecentMarks) {
+        m_recentMarks.pop_front();
+    }
+    spread({&mark, 1});
+}
+
+void UpstreamController::spreadRecent(base::TimePoint now)
+{
+    while (!m_recentMarks.empty() && now - m_recentMarks.front().heardAt > SpreadPeriod) {
+        m_recentMarks.pop_front();
+    }
+    std::vector<upstreams::LeavingMark> marks;
+    for (const auto &it : m_recentMarks) {
+        marks.push_back(it.mark);
+    }
+    if (!marks.empty()) {
+        spread(marks);
+    }
+}
+
+void UpstreamController::spread(std::span<const upstreams::LeavingMark> marks)
+{
+    auto others = otherRouters();
+    for (std::size_t i = 0; i < std::min(FanOut, others.size()); ++i) {
+        std::swap(others[i], others[i + m_random.below(others.size() - i)]);
+        m_bus.send(others[i], peer::MarksMessage{{marks.begin(), marks.end()}});
     }
 }
 
--- a/carawaylatch/router/upstreamcontroller.h
+++ b/carawaylatch/router/upstreamcontroller.h
@@ -3,11 +3,13 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <memory>
 #include <span>
 #include <vector>
 
 #include "carawaylatch/admission/gate.h"
+#include "carawaylatch/base/hash.h"
 #include "carawaylatch/http/upstreamclient.h"
 #include "carawaylatch/router/controlstate.h"
 #include "carawaylatch/router/peerbus.h"
@@ -42,8 +44,10 @@
 private:
     void onReport(const base::UpstreamId &id, const base::Result<upstreams::LoadReport> &report, base::TimePoint now);
     void advance(base::TimePoint now);
-    void carryOut(const upstreams::RegistryAction &action);
-    void announce(const upstreams::LeavingMark &mark);
+    void carryOut(const upstreams::RegistryAction &action, base::TimePoint now);
+    void announce(const upstreams::LeavingMark &mark, base::TimePoint now);
+    void spreadRecent(base::TimePoint now);
+    void spread(std::span<const upstreams::LeavingMark> marks);
     void retarget(const config::Tables &tables);
     void updateCapacity(const upstreams::UpstreamView &view);
     [[nodiscard]] std::vector<base::RouterId> otherRouters() const;
@@ -55,8 +59,16 @@
     telemetry::Metrics &m_metrics;
     upstreams::Registry m_registry;
     UpstreamPoller m_poller;
-    std::shared_ptr<const config::Tables> m_tables;
+    // A mark that is still being repeated.
+    struct RecentMark
+    {
+        upstreams::LeavingMark mark;
+        base::TimePoint heardAt;
+    };
+    std::deque<RecentMark> m_recentMarks; // oldest first, at most MaxRecentMarks
+    base::Random m_random; // chooses receivers
     base::TimerService::Subscription m_tick;
+    base::TimerService::Subscription m_spread;
 };
 
 } // namespace carawaylatch::router
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -4,6 +4,8 @@
 # promise did not hold.
 cd "$(dirname "$0")/.."
 BUILD=${BUILD:-build}
+CAPACITY_BLOCKS=1200
+PREFILL_RATE=40000
 source scripts/lib/fleet.sh
 source scripts/lib/groupement.sh
 failed=0
@@ -37,7 +39,8 @@
 }
 
 say "starting a platform, 9 engines, 3 services and 4 routers in 3 failure domains"
-groupement_start || exit 1
+groupement_start >"$FLEET/apply.txt" || exit 1
+tail -1 "$FLEET/apply.txt" | sed 's/^/        /'
 say "all routers hold the tables and are ready"
 
 say "one streamed answer through router-0:"
--- a/standin/platform.cpp
+++ b/standin/platform.cpp
@@ -118,11 +118,8 @@
         static const std::map<std::string, FaultMode> Modes{
             {"up", FaultMode::Up}, {"down", FaultMode::Down}, {"slow", FaultMode::Slow}, {"lose_answers", FaultMode::LoseAnswers}};
         const std::uint64_t count = json.value("count", std::uint64_t{0});
-        const Fault fault{Modes.at(json.at("mode").get<std::string>()),
-                          base::milliseconds{json.value("delay_ms", 0)},
-                          count == 0 ? UINT64_MAX : count,
-                          json.value("skip", std::uint64_t{0}),
-                          json.value("prefix", "")};
+        const Fault fault{Modes.at(json.at("mode").get<std::string>()), base::milliseconds{json.value("delay_ms", 0)}, count == 0 ? UINT64_MAX : count,
+                          json.value("skip", std::uint64_t{0}), json.value("prefix", "")};
         const std::lock_guard lock(m_mutex);
         m_faults[json.value("failure_domain", "")] = fault;
     }
