--- a/bench/policybench.cpp
+++ b/bench/policybench.cpp
@@ -5,7 +5,7 @@
 // Drives the real decision code against small fake engines in virtual time, prints
 // the table and the targets, and with --out writes policy.csv, policy.md and
 // policy.svg there. --quick runs one seed of calm and two faults. Ends with a
-// failure if a run lost a request, not if a target is missed: targets are for
+// failure if a run measured no request, not if a target is missed: targets are for
 // people to judge.
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
