--- a/bench/admissionbench.cpp
+++ b/bench/admissionbench.cpp
@@ -17,12 +17,14 @@
 #include "carawaylatch/admission/gate.h"
 #include "carawaylatch/relay/streamassembler.h"
 
-namespace
+namespace carawaylatch::bench
 {
 
-using namespace carawaylatch;
+namespace
+{
 
 constexpr base::TimePoint Start = base::TimePoint{base::hours{1}};
+const base::SteadyClock Clock;
 constexpr std::int64_t CustomersToday = 8;
 constexpr std::int64_t CustomersDesigned = 640;
 
@@ -45,25 +47,24 @@
     return {.router = base::RouterId(router), .incarnation = {1}, .fleetSize = 4, .slot = 0};
 }
 
-std::unique_ptr<admission::Gate> makeGate(std::int64_t customers, const base::Clock &clock)
+std::unique_ptr<admission::Gate> makeGate(std::int64_t customers)
 {
     admission::GateOptions options;
     options.limits = limits("a");
-    auto gate = std::make_unique<admission::Gate>(options, clock);
-    gate->configure(tables(customers), clock.now());
+    auto gate = std::make_unique<admission::Gate>(options, Clock);
+    gate->configure(tables(customers), Clock.now());
     return gate;
 }
 
 void enterLeave(benchmark::State &state)
 {
     static std::unique_ptr<admission::Gate> gate;
-    static const base::SteadyClock clock;
     if (state.thread_index() == 0) {
-        gate = makeGate(state.range(0), clock);
+        gate = makeGate(state.range(0));
     }
     std::int64_t n = state.thread_index();
     for (auto _ : state) {
-        const auto now = clock.now();
+        const auto now = Clock.now();
         auto ticket = gate->enter({.customer = customerName(n++ % state.range(0)), .tokens = 1000, .deadline = now + base::seconds{10}, .callerGone = {}}, now);
         benchmark::DoNotOptimize(ticket);
     }
@@ -180,4 +181,6 @@
 
 } // namespace
 
+} // namespace carawaylatch::bench
+
 BENCHMARK_MAIN();
