--- a/bench/distribution.cpp
+++ b/bench/distribution.cpp
@@ -27,11 +27,13 @@
 ABSL_FLAG(std::vector<std::string>, sizes, std::vector<std::string>({"4", "64", "283", "3400"}), "numbers of routers");
 ABSL_FLAG(std::uint64_t, seed, 20261203, "seed of all random choices");
 
+namespace carawaylatch::bench
+{
+
 namespace
 {
 
-using namespace carawaylatch;
-using testing::VirtualNetwork;
+using ::carawaylatch::testing::VirtualNetwork;
 
 constexpr std::uint32_t Domains = 12;
 constexpr std::size_t SealBytes = 32;
@@ -259,6 +261,8 @@
 
 } // namespace
 
+} // namespace carawaylatch::bench
+
 int main(int argc, char **argv)
 {
     absl::SetProgramUsageMessage("compares the distribution of configurations by tree and by gossip");
@@ -267,9 +271,9 @@
                 "per edit and router |\n");
     std::printf("|---|---|---|---|---|---|---|---|---|---|\n");
     for (const auto &size : absl::GetFlag(FLAGS_sizes)) {
-        for (const auto &scenario : Scenarios) {
-            measure(static_cast<std::uint32_t>(std::stoul(size)), scenario, Spreading::Tree);
-            measure(static_cast<std::uint32_t>(std::stoul(size)), scenario, Spreading::Gossip);
+        for (const auto &scenario : carawaylatch::bench::Scenarios) {
+            carawaylatch::bench::measure(static_cast<std::uint32_t>(std::stoul(size)), scenario, carawaylatch::bench::Spreading::Tree);
+            carawaylatch::bench::measure(static_cast<std::uint32_t>(std::stoul(size)), scenario, carawaylatch::bench::Spreading::Gossip);
         }
     }
     return 0;
--- a/bench/membership.cpp
+++ b/bench/membership.cpp
@@ -25,12 +25,14 @@
 ABSL_FLAG(std::vector<std::string>, sizes, std::vector<std::string>({"4", "64", "283", "1000"}), "numbers of routers");
 ABSL_FLAG(std::uint64_t, seed, 20261203, "seed of all random choices");
 
+namespace carawaylatch::bench
+{
+
 namespace
 {
 
-using namespace carawaylatch;
+using ::carawaylatch::testing::VirtualNetwork;
 using membership::MemberState;
-using testing::VirtualNetwork;
 
 constexpr std::uint32_t Domains = 12;
 constexpr std::size_t SealBytes = 32;
@@ -222,6 +224,8 @@
 
 } // namespace
 
+} // namespace carawaylatch::bench
+
 int main(int argc, char **argv)
 {
     absl::SetProgramUsageMessage("measures the member list in virtual time");
@@ -230,7 +234,7 @@
         "| routers | messages/s | bytes/s | CPU us/s | crash known to all after s | bytes/s then | bytes/s in the cut | healed after s | bytes/s then |\n");
     std::printf("|---|---|---|---|---|---|---|---|---|\n");
     for (const auto &size : absl::GetFlag(FLAGS_sizes)) {
-        measure(static_cast<std::uint32_t>(std::stoul(size)));
+        carawaylatch::bench::measure(static_cast<std::uint32_t>(std::stoul(size)));
     }
     return 0;
 }
--- a/carawaylatch/config/settings.cpp
+++ b/carawaylatch/config/settings.cpp
@@ -400,6 +400,7 @@
 {
     const Settings defaults;
     std::vector<SettingsKey> keys;
+    keys.reserve(Rows.size());
     for (const auto &it : Rows) {
         keys.push_back({it.section, it.name, it.form, it.presence == Optional ? it.format(defaults) : std::string{}, rangeText(it), it.meaning});
     }
@@ -414,8 +415,7 @@
         << "comments. A long value goes on in the next line, which then begins with a space. Unknown, repeated or wrong keys stop\n"
         << "the start with exit code 2 and a message that names file, line and key.\n";
     std::string_view section;
-    for (std::size_t i = 0; i < Rows.size(); ++i) {
-        const auto &it = Rows.at(i);
+    for (const auto &it : Rows) {
         if (it.section != section) {
             section = it.section;
             out << "\n## [" << section << "]\n\n| key | form | default | range | meaning |\n|---|---|---|---|---|\n";
--- a/carawaylatch/config/tablefile.cpp
+++ b/carawaylatch/config/tablefile.cpp
@@ -266,6 +266,7 @@
 std::vector<FieldSummary> summarize(const Fields &fields)
 {
     std::vector<FieldSummary> summaries;
+    summaries.reserve(fields.size());
     for (const auto &it : fields) {
         summaries.push_back({it.key, it.form, it.meaning, it.repetition});
     }
--- a/carawaylatch/config/testing/acceptancetest.cpp
+++ b/carawaylatch/config/testing/acceptancetest.cpp
@@ -39,6 +39,11 @@
     for (auto it = history.value().rbegin(); it != history.value().rend(); ++it) {
         ++counts[it->id.value];
         CPPUNIT_ASSERT_EQUAL_MESSAGE(label, replayed.revision.value + 1, it->revision.value);
+        for (const auto &change : it->changes) {
+            const auto *row = replayed.find(change.row.key);
+            CPPUNIT_ASSERT_MESSAGE(label + ": an edit went over one that it did not know",
+                                   change.expected == (row != nullptr ? row->revision : base::Revision{}));
+        }
         applyEdit(replayed, *it);
         CPPUNIT_ASSERT_MESSAGE(label, toTables(replayed).has_value());
     }
--- a/carawaylatch/membership/member.cpp
+++ b/carawaylatch/membership/member.cpp
@@ -42,6 +42,7 @@
     }
     std::sort(weighted.begin(), weighted.end(), std::greater<>{});
     std::vector<base::RouterId> ids;
+    ids.reserve(weighted.size());
     for (auto &it : weighted) {
         ids.push_back(std::move(it.second));
     }
--- a/carawaylatch/membership/testing/memberlisttest.cpp
+++ b/carawaylatch/membership/testing/memberlisttest.cpp
@@ -189,6 +189,8 @@
     CPPUNIT_TEST(testCutAndHeal);
     CPPUNIT_TEST(testLossesDontKill);
     CPPUNIT_TEST(testFrozenRouterComesBackAndAccusesNobody);
+    CPPUNIT_TEST(testFreezeStartsSuspicionAnew);
+    CPPUNIT_TEST(testDeadRouterThatSpeaksIsRevived);
     CPPUNIT_TEST(testPlannedStop);
     CPPUNIT_TEST(testRestartWithClockSetBack);
     CPPUNIT_TEST(testMessagesAndConnectionsAreBounded);
@@ -263,6 +265,45 @@
         fleet.assertAll(MemberState::Alive, fleet.all(), "after the freeze");
     }
 
+    // After a cut nobody has to refute its death: speaking is enough.
+    void testDeadRouterThatSpeaksIsRevived()
+    {
+        const base::TimePoint now{base::hours{1}};
+        MemberList list({}, {Fleet::idOf(0), base::FailureDomain("d"), Fleet::endpointOf(0), {1}, 1, 0, MemberState::Alive}, now);
+        MemberRecord record{Fleet::idOf(1), base::FailureDomain("d"), Fleet::endpointOf(1), {1}, 5, 0, MemberState::Alive};
+        const auto alive = record;
+        list.onRecords({&record, 1}, now);
+        record.state = MemberState::Dead;
+        list.onRecords({&record, 1}, now);
+        CPPUNIT_ASSERT(list.stateOf(alive.id) == MemberState::Dead);
+        list.onMessage(Probe{1, {alive, {}, {}, {}}}, now);
+        CPPUNIT_ASSERT(list.stateOf(alive.id) == MemberState::Alive);
+        auto older = alive;
+        older.life = 4;
+        list.onRecords({&record, 1}, now);
+        CPPUNIT_ASSERT_MESSAGE("the death before the revival is old news", list.stateOf(alive.id) == MemberState::Alive);
+        list.onMessage(Probe{2, {older, {}, {}, {}}}, now);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, list.records().at(1).life);
+    }
+
+    // A suspicion that ran out while the process stood still has not been answered yet.
+    void testFreezeStartsSuspicionAnew()
+    {
+        base::TimePoint now{base::hours{1}};
+        MemberList list({}, {Fleet::idOf(0), base::FailureDomain("d"), Fleet::endpointOf(0), {1}, 1, 0, MemberState::Alive}, now);
+        MemberRecord record{Fleet::idOf(1), base::FailureDomain("d"), Fleet::endpointOf(1), {1}, 1, 0, MemberState::Suspect};
+        list.onRecords({&record, 1}, now);
+        list.onTick(now);
+        now += seconds{30};
+        list.onTick(now);
+        CPPUNIT_ASSERT(list.stateOf(Fleet::idOf(1)) == MemberState::Suspect);
+        for (int i = 0; i < 60; ++i) {
+            now += base::milliseconds{50};
+            list.onTick(now);
+        }
+        CPPUNIT_ASSERT_MESSAGE("the suspicion ends in the usual time", list.stateOf(Fleet::idOf(1)) == MemberState::Dead);
+    }
+
     void testPlannedStop()
     {
         Fleet fleet(8);
--- a/carawaylatch/peer/http2session.cpp
+++ b/carawaylatch/peer/http2session.cpp
@@ -8,7 +8,6 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
-#include <cstring>
 #include <utility>
 
 namespace carawaylatch::peer
@@ -112,7 +111,7 @@
         }
         auto &stream = it->second;
         const auto n = std::min(size, stream.body.size() - stream.sent);
-        std::memcpy(buf, stream.body.data() + stream.sent, n);
+        std::copy_n(stream.body.data() + stream.sent, n, buf);
         stream.sent += n;
         if (stream.sent == stream.body.size()) {
             *flags |= NGHTTP2_DATA_FLAG_EOF;
