--- a/carawaylatch/orders/testing/orderexplorertest.cpp
+++ b/carawaylatch/orders/testing/orderexplorertest.cpp
@@ -21,14 +21,16 @@
 };
 
 const WorldCase WorldCases[] = {
-    {"two routers, three faults, a restart", {0, 1}, {3, 1, 0, false}},
-    {"one router, duplicates, three faults, a restart", {0, 0}, {3, 1, 0, false}},
-    {"third request at the first router, two faults", {0, 1, 0}, {2, 0, 0, false}},
-    {"third request at the first router, a fault and a restart", {0, 1, 0}, {1, 1, 0, false}},
-    {"third request at the second router, two faults", {0, 1, 1}, {2, 0, 0, false}},
-    {"four requests, a fault", {0, 1, 0, 1}, {1, 0, 0, false}},
-    {"pruning, two faults, a restart", {0, 1}, {2, 1, 1, false}},
-    {"wrong liveness, two faults, a restart", {0, 1}, {2, 1, 0, true}},
+    {"two routers, three faults, a restart", {0, 1}, {3, 1, 0, 0, false}},
+    {"one router, duplicates, three faults, a restart", {0, 0}, {3, 1, 0, 0, false}},
+    {"third request at the first router, two faults", {0, 1, 0}, {2, 0, 0, 0, false}},
+    {"third request at the first router, a fault and a restart", {0, 1, 0}, {1, 1, 0, 0, false}},
+    {"third request at the second router, two faults", {0, 1, 1}, {2, 0, 0, 0, false}},
+    {"four requests, a fault", {0, 1, 0, 1}, {1, 0, 0, 0, false}},
+    {"pruning, two faults, a restart", {0, 1}, {2, 1, 1, 0, false}},
+    {"stamping, two faults, a restart", {0, 1}, {2, 1, 0, 1, false}},
+    {"third request, stamping, a fault", {0, 1, 1}, {1, 0, 0, 1, false}},
+    {"wrong liveness, two faults, a restart", {0, 1}, {2, 1, 0, 0, true}},
 };
 
 } // namespace
--- a/carawaylatch/orders/testing/orderworld.cpp
+++ b/carawaylatch/orders/testing/orderworld.cpp
@@ -89,7 +89,7 @@
         out << it.incarnation << ',' << it.seenReopened << ',';
         append(out, it.duty);
     }
-    out << m_left.faults << ',' << m_left.crashes << ',' << m_left.prunes << ',' << m_lastVersion << ',' << m_isClosed << '|';
+    out << m_left.faults << ',' << m_left.crashes << ',' << m_left.prunes << ',' << m_left.stamps << ',' << m_lastVersion << ',' << m_isClosed << '|';
     if (m_record) {
         out << m_record->version << ',';
         append(out, m_record->record);
@@ -437,6 +437,12 @@
         next.m_delayedRuns.erase(next.m_delayedRuns.begin() + static_cast<std::ptrdiff_t>(i));
         choices.push_back({"a delayed order reaches the service", std::move(next)});
     }
+    if (m_left.stamps > 0 && m_record) {
+        OrderWorld next = *this;
+        --next.m_left.stamps;
+        next.m_record->version.value = ++next.m_lastVersion;
+        choices.push_back({"the record is stamped", std::move(next)});
+    }
     if (m_left.prunes > 0 && m_record && !m_isClosed) {
         OrderWorld next = *this;
         next.m_isClosed = true;
--- a/carawaylatch/orders/testing/orderworld.h
+++ b/carawaylatch/orders/testing/orderworld.h
@@ -58,6 +58,7 @@
     int faults = 2; // lost, delayed, refused or unreachable calls
     int crashes = 1;
     int prunes = 0;
+    int stamps = 0; // rewrites of a record by the pruner that change its version alone
     bool isLivenessWrong = false; // membership takes the dead for live and the live for dead
 };
 
