--- a/bench/ordersbench.cpp
+++ b/bench/ordersbench.cpp
@@ -11,7 +11,9 @@
 namespace
 {
 
-using namespace carawaylatch;
+namespace base = carawaylatch::base;
+namespace orders = carawaylatch::orders;
+namespace platform = carawaylatch::platform;
 
 class BenchService : public orders::ServiceConnection
 {
--- a/bench/orderwrites.cpp
+++ b/bench/orderwrites.cpp
@@ -25,7 +25,9 @@
 namespace
 {
 
-using namespace carawaylatch;
+namespace base = carawaylatch::base;
+namespace orders = carawaylatch::orders;
+namespace platform = carawaylatch::platform;
 
 // Counts calls to a platform in memory.
 class CountingStore : public platform::MemoryStore
