--- a/carawaylatch/router/platformduties.cpp
+++ b/carawaylatch/router/platformduties.cpp
@@ -1,3 +1,8 @@
+// Of each failure domain only the first few routers by rank read the VM list and
+// stand for the fleet's lease, so that the platform's read rate doesn't grow with
+// the fleet: seeds and leaving marks reach the others from peers. A router that
+// knows no other is the first of its domain.
+//
 // Three loops: one for the platform's list and snapshots, one for orders, whose
 // outcomes must not wait behind anything, one for the fleet, which waits for engines.
 #include "carawaylatch/router/platformduties.h"
@@ -18,6 +23,10 @@
 constexpr base::Duration RetentionInterval = base::seconds{2};
 constexpr base::Duration FleetInterval = base::milliseconds{500};
 constexpr std::string_view RetentionDuty = "retention";
+constexpr std::string_view ListDuty = "vm-list";
+constexpr std::string_view FleetDuty = "fleet";
+constexpr std::size_t ListReaders = 3; // routers of a domain
+constexpr std::size_t LeaseCandidates = 3; // routers of a domain
 
 fleet::FleetSettings fleetSettings(const config::Settings &settings)
 {
@@ -80,6 +89,9 @@
 
 void PlatformDuties::readList()
 {
+    if (!isAmongFirst(ListDuty, ListReaders)) {
+        return;
+    }
     const auto vms = m_parts.objects.vms();
     if (!vms && !m_isListFailing) {
         base::logEvent(base::LogEvent::PlatformListFailed, {{"problem", vms.error().message}});
@@ -95,25 +107,26 @@
 void PlatformDuties::stepFleet()
 {
     const auto snapshot = m_parts.published.load();
-    if (snapshot->tables && snapshot->serving == Serving::Yes) {
+    if (snapshot->tables && snapshot->serving == Serving::Yes && isAmongFirst(FleetDuty, LeaseCandidates)) {
         m_fleet.step(snapshot->tables->pools);
     }
 }
 
 void PlatformDuties::stepRetention(base::TimePoint now)
 {
-    m_pruner.step(now, isFirst(RetentionDuty) ? orders::PrunerRole::Pruner : orders::PrunerRole::Observer);
+    m_pruner.step(now, isAmongFirst(RetentionDuty, 1) ? orders::PrunerRole::Pruner : orders::PrunerRole::Observer);
     m_desk.setEpoch(m_pruner.epoch());
 }
 
-bool PlatformDuties::isFirst(std::string_view duty) const
+bool PlatformDuties::isAmongFirst(std::string_view duty, std::size_t n) const
 {
     const auto snapshot = m_parts.published.load();
     if (!snapshot->members) {
-        return false;
+        return true;
     }
     const auto ranked = snapshot->members->ranked(duty, m_parts.settings.router.failureDomain);
-    return !ranked.empty() && ranked.front() == m_parts.settings.router.id;
+    const auto end = ranked.begin() + static_cast<std::ptrdiff_t>(std::min(n, ranked.size()));
+    return std::find(ranked.begin(), end, m_parts.settings.router.id) != end;
 }
 
 } // namespace carawaylatch::router
--- a/carawaylatch/router/platformduties.h
+++ b/carawaylatch/router/platformduties.h
@@ -32,7 +32,8 @@
     void readList();
     void stepFleet();
     void stepRetention(base::TimePoint now);
-    [[nodiscard]] bool isFirst(std::string_view duty) const;
+    // Tells whether this router is among the first n of its domain for a duty.
+    [[nodiscard]] bool isAmongFirst(std::string_view duty, std::size_t n) const;
 
     const ControlParts &m_parts;
     orders::OrderDesk &m_desk;
--- a/carawaylatch/router/router.cpp
+++ b/carawaylatch/router/router.cpp
@@ -5,6 +5,7 @@
 #include <condition_variable>
 #include <mutex>
 #include <optional>
+#include <thread>
 #include <utility>
 
 #include "carawaylatch/base/incarnation.h"
@@ -33,6 +34,8 @@
 constexpr base::Duration ConnectTimeout = base::milliseconds{500};
 constexpr base::Duration PollTimeout = base::milliseconds{500};
 constexpr base::Duration SampleInterval = base::seconds{2};
+constexpr base::Duration LongestFlush = base::seconds{10};
+constexpr base::Duration FlushPause = base::milliseconds{200};
 constexpr std::uint32_t PercentScale = 100;
 
 admission::GateOptions gateOptions(const config::Settings &settings, base::Incarnation incarnation)
@@ -146,6 +149,7 @@
     void onList(const std::vector<platform::VmRecord> &vms, base::TimePoint now);
     [[nodiscard]] ShutdownHooks shutdownHooks();
     void noteStopped(StopKind kind);
+    void flushOrders();
     void stopParts();
 
     const config::Settings m_settings;
@@ -412,10 +416,20 @@
     return *kind;
 }
 
+// Outcomes that only this process knows must reach the platform before it ends; an
+// outage that outlasts the bound leaves them unknown.
+void Router::Impl::flushOrders()
+{
+    const base::TimePoint until = m_clock.now() + LongestFlush;
+    while (!m_orderDesk.flush() && m_clock.now() < until) {
+        std::this_thread::sleep_for(FlushPause);
+    }
+}
+
 void Router::Impl::stopParts()
 {
     m_callers.stop();
-    static_cast<void>(m_orderDesk.flush());
+    flushOrders();
     m_operators.stop();
     m_objects.stop();
     if (m_controllers) {
--- a/scripts/measure-control.sh
+++ b/scripts/measure/control.sh
@@ -5,7 +5,7 @@
 #
 #   scripts/measure-control.sh [ROUTERS:ENGINES ...]
 set -u
-cd "$(dirname "$0")/.."
+cd "$(dirname "$0")/../.."
 BUILD=${BUILD:-build}
 SETTLE=${SETTLE:-10} # seconds after readiness before the interval
 INTERVAL=${INTERVAL:-20} # seconds
--- a/tools/load/main.cpp
+++ b/tools/load/main.cpp
@@ -20,6 +20,7 @@
 ABSL_FLAG(std::uint64_t, requests, 200, "streamed requests to send");
 ABSL_FLAG(std::uint32_t, concurrency, 8, "requests in flight");
 ABSL_FLAG(std::uint64_t, seed, 1, "seed of prompts, draws and duplicates");
+ABSL_FLAG(std::uint64_t, draw_seed, 0, "seed of which prompts are drawn, for runs over the same texts; 0 for --seed");
 ABSL_FLAG(std::uint64_t, orders, 0, "orders to send beside the requests");
 ABSL_FLAG(std::string, order_route, "", "service route that takes the orders");
 ABSL_FLAG(std::string, judge, "", "service stand-ins whose journals judge the orders, ADDR:PORT,...");
@@ -60,6 +61,7 @@
     }
     options.model = absl::GetFlag(FLAGS_model);
     options.seed = absl::GetFlag(FLAGS_seed);
+    options.drawSeed = absl::GetFlag(FLAGS_draw_seed) == 0 ? options.seed : absl::GetFlag(FLAGS_draw_seed);
     options.requests = absl::GetFlag(FLAGS_requests);
     options.concurrency = absl::GetFlag(FLAGS_concurrency);
     options.orders = absl::GetFlag(FLAGS_orders);
--- a/tools/load/runner.cpp
+++ b/tools/load/runner.cpp
@@ -36,7 +36,7 @@
 public:
     explicit Run(const RunOptions &options)
         : m_options(options)
-        , m_workload(options.workload, options.keys.size(), options.requests, options.seed)
+        , m_workload(options.workload, options.keys.size(), options.requests, options.seed, options.drawSeed)
     {
     }
 
--- a/tools/load/runner.h
+++ b/tools/load/runner.h
@@ -19,6 +19,7 @@
     std::string model;
     WorkloadKind workload = WorkloadKind::Groupement;
     std::uint64_t seed = 1;
+    std::uint64_t drawSeed = 1; // which prompts are drawn; equal texts for equal seeds
     std::size_t requests = 0;
     std::size_t concurrency = 1;
     std::size_t orders = 0;
--- a/tools/load/testing/streamverifiertest.cpp
+++ b/tools/load/testing/streamverifiertest.cpp
@@ -175,9 +175,9 @@
     void testWorkloadRepeatsUnderASeed()
     {
         for (const auto kind : {WorkloadKind::Groupement, WorkloadKind::Brasa}) {
-            Workload first(kind, 8, 40, 7);
-            Workload second(kind, 8, 40, 7);
-            Workload other(kind, 8, 40, 8);
+            Workload first(kind, 8, 40, 7, 7);
+            Workload second(kind, 8, 40, 7, 7);
+            Workload other(kind, 8, 40, 8, 8);
             int differing = 0;
             for (int i = 0; i < 40; ++i) {
                 const auto request = first.next();
--- a/tools/load/workload.cpp
+++ b/tools/load/workload.cpp
@@ -66,12 +66,12 @@
     return base::fail(base::ErrorKind::InvalidArgument, "--workload: unknown workload '" + std::string(name) + "'; write groupement or brasa");
 }
 
-Workload::Workload(WorkloadKind kind, std::size_t customers, std::size_t requests, std::uint64_t seed)
+Workload::Workload(WorkloadKind kind, std::size_t customers, std::size_t requests, std::uint64_t seed, std::uint64_t drawSeed)
     : m_kind(kind)
     , m_customers(std::max<std::size_t>(customers, 1))
     , m_requests(requests)
     , m_seed(seed)
-    , m_random(seed)
+    , m_random(drawSeed)
 {
 }
 
--- a/tools/load/workload.h
+++ b/tools/load/workload.h
@@ -39,7 +39,8 @@
 {
 public:
     // `requests` is the length of the run; the hot prefixes change after half of it.
-    Workload(WorkloadKind kind, std::size_t customers, std::size_t requests, std::uint64_t seed);
+    // `seed` gives the texts, `drawSeed` which of them are drawn.
+    Workload(WorkloadKind kind, std::size_t customers, std::size_t requests, std::uint64_t seed, std::uint64_t drawSeed);
     [[nodiscard]] LoadRequest next();
 
 private:
