One mapping of upstream states for operators; one clock for threaded tests

Cause: duplicates showed the same mapping in the status report and in the metrics, and the same clock in two test files. Change: router/shownstate.h, testing/sharedclock.h.

--- a/carawaylatch/admission/testing/gatetest.cpp
+++ b/carawaylatch/admission/testing/gatetest.cpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "carawaylatch/admission/gate.h"
+#include "testing/sharedclock.h"
 
 namespace carawaylatch::admission::testing
 {
@@ -18,22 +19,7 @@
 const base::CustomerId Acme("acme");
 const base::CustomerId Bolt("bolt");
 
-// A clock that the test moves while other threads read it.
-class SharedClock : public base::Clock
-{
-public:
-    [[nodiscard]] base::TimePoint now() const override
-    {
-        return base::TimePoint{m_now.load()};
-    }
-    void advance(base::Duration duration)
-    {
-        m_now = m_now.load() + duration;
-    }
-
-private:
-    std::atomic<base::Duration> m_now = base::Duration{base::hours{1}};
-};
+using carawaylatch::testing::SharedClock;
 
 config::Tables tables(std::uint32_t concurrency, double perSecond = 0)
 {
--- a/carawaylatch/relay/testing/relaydrivertest.cpp
+++ b/carawaylatch/relay/testing/relaydrivertest.cpp
@@ -11,6 +11,7 @@
 #include "carawaylatch/relay/hedgepool.h"
 #include "carawaylatch/relay/relaydriver.h"
 #include "carawaylatch/relay/testing/fakeengine.h"
+#include "testing/sharedclock.h"
 
 namespace carawaylatch::relay::testing
 {
@@ -20,22 +21,7 @@
 
 const base::PoolName Pool("p");
 
-// A clock that the test moves while other threads read it.
-class SharedClock : public base::Clock
-{
-public:
-    [[nodiscard]] base::TimePoint now() const override
-    {
-        return base::TimePoint{m_now.load()};
-    }
-    void advance(base::Duration duration)
-    {
-        m_now = m_now.load() + duration;
-    }
-
-private:
-    std::atomic<base::Duration> m_now = base::Duration{base::hours{1}};
-};
+using carawaylatch::testing::SharedClock;
 
 // A driver with its parts; the watcher runs only when the test calls it.
 struct Fixture
--- /dev/null
+++ b/carawaylatch/router/shownstate.cpp
@@ -0,0 +1,26 @@
+// Operators see five states; why an upstream takes no work is in the log.
+#include "carawaylatch/router/shownstate.h"
+
+namespace carawaylatch::router
+{
+
+telemetry::UpstreamState shownState(upstreams::UpstreamState state)
+{
+    switch (state) {
+    case upstreams::UpstreamState::Live:
+        return telemetry::UpstreamState::Live;
+    case upstreams::UpstreamState::Loading:
+        return telemetry::UpstreamState::Loading;
+    case upstreams::UpstreamState::Leaving:
+        return telemetry::UpstreamState::Leaving;
+    case upstreams::UpstreamState::Suspect:
+    case upstreams::UpstreamState::Ejected:
+        return telemetry::UpstreamState::Suspected;
+    case upstreams::UpstreamState::Unknown:
+    case upstreams::UpstreamState::Dead:
+        break;
+    }
+    return telemetry::UpstreamState::Unreachable;
+}
+
+} // namespace carawaylatch::router
--- a/carawaylatch/router/statusbuilder.cpp
+++ b/carawaylatch/router/statusbuilder.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 
+#include "carawaylatch/router/shownstate.h"
 #include "carawaylatch/telemetry/processcost.h"
 
 namespace carawaylatch::router
@@ -11,25 +12,6 @@
 namespace
 {
 
-telemetry::UpstreamState stateOf(const upstreams::UpstreamStatus &status)
-{
-    switch (status.state) {
-    case upstreams::UpstreamState::Live:
-        return telemetry::UpstreamState::Live;
-    case upstreams::UpstreamState::Loading:
-        return telemetry::UpstreamState::Loading;
-    case upstreams::UpstreamState::Leaving:
-        return telemetry::UpstreamState::Leaving;
-    case upstreams::UpstreamState::Suspect:
-    case upstreams::UpstreamState::Ejected:
-        return telemetry::UpstreamState::Suspected;
-    case upstreams::UpstreamState::Unknown:
-    case upstreams::UpstreamState::Dead:
-        break;
-    }
-    return telemetry::UpstreamState::Unreachable;
-}
-
 telemetry::PeerState stateOf(membership::MemberState state)
 {
     switch (state) {
@@ -64,7 +46,7 @@
     row.pool = pool;
     row.domain = status.domain;
     row.endpoint = status.endpoint;
-    row.state = stateOf(status);
+    row.state = shownState(status.state);
     row.incarnation = status.incarnation;
     row.weightsVersion = status.load.weightsVersion;
     row.running = status.load.running;
--- a/carawaylatch/router/upstreamcontroller.cpp
+++ b/carawaylatch/router/upstreamcontroller.cpp
@@ -10,6 +10,7 @@
 #include <variant>
 
 #include "carawaylatch/base/logevents.h"
+#include "carawaylatch/router/shownstate.h"
 
 namespace carawaylatch::router
 {
@@ -24,25 +25,6 @@
 constexpr std::size_t MaxRecentMarks = 256; // beyond it the oldest is repeated no more
 constexpr std::uint32_t MinCapacity = 4; // requests in flight while no upstream is known
 
-telemetry::UpstreamState metricState(upstreams::UpstreamState state)
-{
-    switch (state) {
-    case upstreams::UpstreamState::Live:
-        return telemetry::UpstreamState::Live;
-    case upstreams::UpstreamState::Loading:
-        return telemetry::UpstreamState::Loading;
-    case upstreams::UpstreamState::Leaving:
-        return telemetry::UpstreamState::Leaving;
-    case upstreams::UpstreamState::Suspect:
-    case upstreams::UpstreamState::Ejected:
-        return telemetry::UpstreamState::Suspected;
-    case upstreams::UpstreamState::Unknown:
-    case upstreams::UpstreamState::Dead:
-        break;
-    }
-    return telemetry::UpstreamState::Unreachable;
-}
-
 } // namespace
 
 UpstreamController::UpstreamController(const ControlParts &parts, ControlState &state, PeerBus &bus, http::UpstreamClient &client, admission::Gate &gate,
@@ -252,7 +234,7 @@
         if (it.state == upstreams::UpstreamState::Live) {
             capacity += m_parts.knowledge.inflight.limit(it.slot);
         }
-        m_metrics.setUpstreamState(it.id, metricState(it.state));
+        m_metrics.setUpstreamState(it.id, shownState(it.state));
     }
     m_gate.setCapacity(std::max(MinCapacity, capacity));
 }
