Readiness waits for revisions that peers show; customers' rates in the status

Cause: a router that restarted beside a lagging peer could call itself ready with an older revision than others show; the status listed rates and ages that were never filled. Change: the greatest revision in the members' view goes to the warm start; rates come from the gate's figures; last_heard_ms is gone until something measures it. Conclusion: /readyz says no while the router is behind its peers.

--- a/carawaylatch/router/handovercontroller.cpp
+++ b/carawaylatch/router/handovercontroller.cpp
@@ -42,6 +42,15 @@
     return options;
 }
 
+base::Revision greatestRevision(const membership::MembershipView &members)
+{
+    base::Revision greatest;
+    for (const auto &it : members.members) {
+        greatest = std::max(greatest, it.revision);
+    }
+    return greatest;
+}
+
 std::string storedName(const base::FailureDomain &domain)
 {
     return std::string(handover::StoredSnapshotPrefix) + domain.value();
@@ -118,6 +127,9 @@
 void HandoverController::onState(base::TimePoint now)
 {
     m_start.onPeers(m_sources.members.peers(), now);
+    if (const auto &members = m_state.snapshot().members) {
+        m_start.onSeenRevision(greatestRevision(*members));
+    }
     m_start.onState(m_sources.config.revision(), m_sources.upstreams.answeringCount(now));
     advance(now);
 }
--- a/carawaylatch/router/operatordesk.h
+++ b/carawaylatch/router/operatordesk.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <mutex>
+#include <vector>
 
 #include "carawaylatch/base/eventloop.h"
 #include "carawaylatch/http/operatorsserver.h"
@@ -62,6 +63,7 @@
     base::TimePoint m_sampledAt;
     base::Duration m_sampledProcessorTime{};
     double m_controlCoreShare = 0;
+    std::vector<CustomerRate> m_rates;
 };
 
 } // namespace carawaylatch::router
--- a/carawaylatch/router/statusbuilder.cpp
+++ b/carawaylatch/router/statusbuilder.cpp
@@ -34,7 +34,7 @@
     }
     for (const auto &it : snapshot.members->members) {
         if (it.record.id != snapshot.members->self) {
-            report.peers.push_back({it.record.id, it.record.domain, it.record.incarnation, stateOf(it.record.state), it.revision, {}});
+            report.peers.push_back({it.record.id, it.record.domain, it.record.incarnation, stateOf(it.record.state), it.revision});
         }
     }
 }
@@ -88,13 +88,25 @@
     }
 }
 
-void addCustomers(telemetry::StatusReport &report, const config::Tables &tables, const admission::Gate &gate, base::TimePoint now)
+const CustomerRate *findRate(std::span<const CustomerRate> rates, const base::CustomerId &customer)
+{
+    const auto it = std::find_if(rates.begin(), rates.end(), [&](const CustomerRate &rate) {
+        return rate.customer == customer;
+    });
+    return it == rates.end() ? nullptr : &*it;
+}
+
+void addCustomers(telemetry::StatusReport &report, const config::Tables &tables, const admission::Gate &gate, std::span<const CustomerRate> rates,
+                  base::TimePoint now)
 {
     const auto figures = gate.figures();
     for (const auto &customer : tables.customers) {
         telemetry::CustomerStatus row;
         row.id = customer.id;
         row.running = gate.inFlight(customer.id);
+        if (const auto *rate = findRate(rates, customer.id)) {
+            row.requestsPerSecond = rate->perSecond;
+        }
         for (const auto &it : figures) {
             row.waiting += it.customer == customer.id ? it.waiting : 0;
         }
@@ -110,6 +122,23 @@
 
 } // namespace
 
+std::vector<CustomerRate> customerRates(const admission::Gate &gate, std::span<const CustomerRate> earlier, base::Duration interval)
+{
+    std::vector<CustomerRate> rates;
+    for (const auto &it : gate.figures()) {
+        if (rates.empty() || rates.back().customer != it.customer) {
+            rates.push_back({it.customer, 0, 0});
+        }
+        rates.back().admitted += it.admitted;
+    }
+    for (auto &it : rates) {
+        const auto *before = findRate(earlier, it.customer);
+        const std::uint64_t since = it.admitted - (before == nullptr ? 0 : before->admitted);
+        it.perSecond = interval > base::Duration{} ? static_cast<double>(since) / base::toSeconds(interval) : 0;
+    }
+    return rates;
+}
+
 telemetry::StatusReport buildStatus(const StatusSources &sources, base::TimePoint now)
 {
     const auto snapshot = sources.published.load();
@@ -122,7 +151,7 @@
         report.router.revision = snapshot->tables->revision;
         addPools(report, *snapshot, sources.knowledge, now);
         addRoutes(report, *snapshot->tables);
-        addCustomers(report, *snapshot->tables, sources.gate, now);
+        addCustomers(report, *snapshot->tables, sources.gate, sources.rates, now);
     }
     report.totals = sources.metrics.totals();
     report.controlCoreShare = sources.controlCoreShare;
--- a/carawaylatch/router/statusbuilder.h
+++ b/carawaylatch/router/statusbuilder.h
@@ -1,6 +1,10 @@
 // Makes the status report out of the router's snapshots.
 #pragma once
 
+#include <cstdint>
+#include <span>
+#include <vector>
+
 #include "carawaylatch/admission/gate.h"
 #include "carawaylatch/router/knowledge.h"
 #include "carawaylatch/router/published.h"
@@ -10,6 +14,17 @@
 namespace carawaylatch::router
 {
 
+// How often a customer's requests were admitted at this router.
+struct CustomerRate
+{
+    base::CustomerId customer;
+    std::uint64_t admitted = 0; // since the start
+    double perSecond = 0; // over the last sampling interval
+};
+
+// Returns the rates over an interval that began with `earlier`.
+[[nodiscard]] std::vector<CustomerRate> customerRates(const admission::Gate &gate, std::span<const CustomerRate> earlier, base::Duration interval);
+
 // Parts that the report is made of.
 struct StatusSources
 {
@@ -19,6 +34,7 @@
     const telemetry::Metrics &metrics;
     telemetry::RouterStatus self; // without what the snapshot holds
     double controlCoreShare = 0;
+    std::vector<CustomerRate> rates;
 };
 
 // Safe from any thread.
--- a/carawaylatch/telemetry/dashboard.cpp
+++ b/carawaylatch/telemetry/dashboard.cpp
@@ -174,10 +174,6 @@
           [](const PeerStatus &row) {
               return std::to_string(row.revision.value);
           }},
-        C{"last heard", C::Kind::Number,
-          [](const PeerStatus &row) {
-              return durationText(row.lastHeard) + " ago";
-          }},
         C{"failure domain", C::Kind::Text,
           [](const PeerStatus &row) {
               return escapeHtml(row.domain.value());
--- a/carawaylatch/telemetry/statusreport.cpp
+++ b/carawaylatch/telemetry/statusreport.cpp
@@ -49,8 +49,7 @@
             {"failure_domain", peer.domain.value()},
             {"incarnation", hex16(peer.incarnation.value)},
             {"state", peerStateName(peer.state)},
-            {"revision", peer.revision.value},
-            {"last_heard_ms", base::toMilliseconds(peer.lastHeard)}};
+            {"revision", peer.revision.value}};
 }
 
 ordered_json upstreamJson(const UpstreamStatus &upstream)
--- a/carawaylatch/telemetry/statusreport.h
+++ b/carawaylatch/telemetry/statusreport.h
@@ -51,7 +51,6 @@
     base::Incarnation incarnation{};
     PeerState state = PeerState::Live;
     base::Revision revision{}; // as of its last heartbeat
-    base::Duration lastHeard{}; // age of its last message
 };
 
 struct UpstreamStatus
--- a/tools/ctl/statuscommand.cpp
+++ b/tools/ctl/statuscommand.cpp
@@ -73,8 +73,7 @@
 void printStatus(std::ostream &out, const json &report)
 {
     printRouter(out, report);
-    printRows(out, "ROUTERS", report, "peers",
-              {{"router", "id"}, {"domain", "failure_domain"}, {"state", "state"}, {"revision", "revision"}, {"heard ms ago", "last_heard_ms"}});
+    printRows(out, "ROUTERS", report, "peers", {{"router", "id"}, {"domain", "failure_domain"}, {"state", "state"}, {"revision", "revision"}});
     printRows(out, "UPSTREAMS", report, "upstreams",
               {{"upstream", "id"},
                {"pool", "pool"},
