Commands as rows of a table; key digests of 128 bits

Cause: twelve command classes repeated twenty lines each of one-line functions; a digest of 64 bits is short for bearer keys. Conclusion: same help, same exit codes.

--- a/carawaylatch/config/keydigest.h
+++ b/carawaylatch/config/keydigest.h
@@ -8,7 +8,7 @@
 {
 
 // Hex digits of a digest.
-constexpr std::size_t KeyDigestDigits = 16;
+constexpr std::size_t KeyDigestDigits = 32;
 
 // Returns the first KeyDigestDigits hex digits of the key's SHA-256.
 [[nodiscard]] std::string keyDigest(std::string_view key);
--- a/carawaylatch/config/tablefile.cpp
+++ b/carawaylatch/config/tablefile.cpp
@@ -14,6 +14,7 @@
 #include <sstream>
 
 #include "carawaylatch/config/inidocument.h"
+#include "carawaylatch/config/keydigest.h"
 #include "carawaylatch/config/rowtext.h"
 #include "carawaylatch/config/tablecheck.h"
 #include "carawaylatch/config/valuetext.h"
@@ -91,9 +92,8 @@
 
 Result<void> storeDigest(std::string &member, std::string_view text)
 {
-    constexpr std::size_t DigestDigits = 16;
-    if (text.size() != DigestDigits || text.find_first_not_of("0123456789abcdef") != std::string_view::npos) {
-        return invalid("a key digest is 16 lower-case hex digits; `carawaylatchctl digest` prints the one of a key");
+    if (text.size() != KeyDigestDigits || text.find_first_not_of("0123456789abcdef") != std::string_view::npos) {
+        return invalid("a key digest is 32 lower-case hex digits; `carawaylatchctl digest` prints the one of a key");
     }
     member = text;
     return ok();
@@ -143,7 +143,7 @@
 }
 
 const std::array CustomerFields{
-    Field<Customer>{"key_digest", "16 hex digits", "Digest of the customer's bearer key; must be given.",
+    Field<Customer>{"key_digest", "32 hex digits", "Digest of the customer's bearer key; must be given.",
                     [](Customer &it, std::string_view text) {
                         return storeDigest(it.keyDigest, text);
                     }},
--- a/carawaylatch/config/tablefile.h
+++ b/carawaylatch/config/tablefile.h
@@ -1,7 +1,7 @@
 // The operators' tables as INI text and as rows.
 //
 //     [customer acme]
-//     key_digest = 0123456789abcdef
+//     key_digest = 0123456789abcdef0123456789abcdef
 //
 //     [pool readers]
 //     model = clause-7b
--- a/carawaylatch/config/tables.h
+++ b/carawaylatch/config/tables.h
@@ -18,7 +18,7 @@
 struct Customer
 {
     base::CustomerId id;
-    std::string keyDigest; // 16 hex digits: hash64 of the bearer key
+    std::string keyDigest; // see keydigest.h
     double weight = 1.0; // share in fair queueing, above zero
     double requestsPerSecond = 0; // over all routers; zero for no limit
     std::uint32_t concurrency = 0; // over all routers; zero for no limit
--- a/carawaylatch/config/testing/tablefiletest.cpp
+++ b/carawaylatch/config/testing/tablefiletest.cpp
@@ -15,7 +15,7 @@
 {
 
 // 18 lines; mistakes are appended or replace a part.
-const std::string Good = "[customer acme]\nkey_digest = 0123456789abcdef\n"
+const std::string Good = "[customer acme]\nkey_digest = 0123456789abcdef0123456789abcdef\n"
                          "[pool readers]\nmodel = clause-7b\nweights_version = 3\nmember = e1 10.0.0.1:8000 dakar-a\nmember = e2 10.0.0.2:8000 dakar-b\n"
                          "[pool desk]\nkind = service\nmember = s1 10.0.0.3:8000 dakar-a\n"
                          "[route contracts]\npath = /v1/completions\nmodel = clause-7b\npool = readers\n"
@@ -44,10 +44,10 @@
     {"[pool a]\nmodel = m\nmember = e7 10.0.0.7:0 x\n", "is not an endpoint"},
     {"[pool a]\nmodel = m\nmax_loads = 0\n", "write a number from 1 to 1000"},
     {"[customer b]\n", "t.ini:19: [customer b] has no key 'key_digest'"},
-    {"[customer b]\nkey_digest = XYZ\n", "16 lower-case hex digits"},
-    {"[customer b]\nkey_digest = 0123456789abcdef\n", "has the key of customer acme"},
-    {"[customer b]\nkey_digest = 0123456789abcde0\nweight = 0\n", "a weight is above 0"},
-    {"[customer b]\nkey_digest = 0123456789abcde0\nweight = nan\n", "'nan' is not a number"},
+    {"[customer b]\nkey_digest = XYZ\n", "32 lower-case hex digits"},
+    {"[customer b]\nkey_digest = 0123456789abcdef0123456789abcdef\n", "has the key of customer acme"},
+    {"[customer b]\nkey_digest = 0123456789abcdef0123456789abcde0\nweight = 0\n", "a weight is above 0"},
+    {"[customer b]\nkey_digest = 0123456789abcdef0123456789abcde0\nweight = nan\n", "'nan' is not a number"},
     {"[route r]\npath = /v1/completions\nmodel = clause-7b\npool = nowhere\n", "t.ini:19: route r goes to pool 'nowhere', which doesn't exist"},
     {"[route r]\npath = /v1/completions\nmodel = other\npool = readers\n", "names model 'other' but pool readers serves 'clause-7b'"},
     {"[route r]\npath = /v1/completions\npool = desk\n", "is of another kind"},
--- a/scripts/measure/control.sh
+++ b/scripts/measure/control.sh
@@ -32,7 +32,7 @@
     domains=(dakar-a dakar-b dakar-c)
     fleet_standin platform 127.0.0.2 platform
     {
-        printf '[customer desk]\nkey_digest = 0123456789abcdef\nrequests_per_second = 200\n\n[pool readers]\nmodel = clause-1\nweights_version = 1\n'
+        printf '[customer desk]\nkey_digest = 0123456789abcdef0123456789abcdef\nrequests_per_second = 200\n\n[pool readers]\nmodel = clause-1\nweights_version = 1\n'
         for ((i = 0; i < $2; ++i)); do
             fleet_standin "engine-$i" "127.0.1.$((i + 1))" engine >&2
             printf 'member = engine-%s %s %s\n' "$i" "${ADDRESS[engine-$i]}" "${domains[$((i % 3))]}"
--- a/tools/ctl/applycommand.cpp
+++ b/tools/ctl/applycommand.cpp
@@ -72,87 +72,62 @@
     }
 }
 
-class ApplyCommand : public Command
+void print(CommandContext &context, const config::RowSet &before, const config::Edit &edit, const config::Accepted &accepted, const Spread &spread)
 {
-public:
-    std::string_view name() const override
-    {
-        return "apply";
+    const bool isDryRun = context.options.applyMode == ApplyMode::DryRun;
+    if (context.options.output == OutputForm::Json) {
+        const nlohmann::ordered_json json{{"accepted", !isDryRun},
+                                          {"revision", accepted.revision.value},
+                                          {"changed_rows", accepted.changedRows},
+                                          {"changes", changesJson(before, edit.changes)}};
+        context.out << json.dump(2) << '\n';
+        return;
     }
-    std::string_view words() const override
-    {
-        return "FILE...";
+    context.out << renderChanges(before, edit.changes);
+    if (accepted.changedRows == 0) {
+        context.out << "nothing to change; revision " << accepted.revision.value << " is as asked\n";
+    } else if (isDryRun) {
+        context.out << "dry run: valid, " << accepted.changedRows << " rows would change; nothing was written\n";
+    } else {
+        context.out << "accepted as revision " << accepted.revision.value << ", " << accepted.changedRows << " rows changed\n";
     }
-    std::string_view help() const override
-    {
-        return "accept the rows of files; --dry-run, --whole, --remove, --author, --wait-seconds";
-    }
-    std::size_t minWords() const override
-    {
-        return 0;
-    }
-    std::size_t maxWords() const override
-    {
-        return MaxFiles;
+    if (spread.routers > 0) {
+        context.out << "in force at " << spread.inForce << " of " << spread.routers << " routers\n";
     }
+}
 
-    base::Result<void> run(CommandContext &context) const override
-    {
-        if (context.words.empty() && context.options.removals.empty()) {
-            return base::fail(base::ErrorKind::InvalidArgument, "nothing to apply; name a file or use --remove");
-        }
-        config::HeadStore store(context.objects);
-        BOOST_OUTCOME_TRY(stored, store.load());
-        BOOST_OUTCOME_TRY(changes, changesFor(context, stored.rows));
-        base::Random random(context.options.editSeed);
-        config::Edit edit;
-        edit.id = config::makeEditId(random);
-        edit.author = context.options.author;
-        edit.madeAt = wallMilliseconds();
-        edit.changes = changes;
-        const bool isDryRun = context.options.applyMode == ApplyMode::DryRun;
-        BOOST_OUTCOME_TRY(accepted, isDryRun ? store.dryRun(edit) : store.apply(edit));
-        const bool isNew = accepted.changedRows > 0 && !isDryRun;
-        Spread spread;
-        if (isNew && context.options.wait > base::Duration{}) {
-            BOOST_OUTCOME_TRY(reached, waitForRouters(context, accepted.revision));
-            spread = reached;
-        }
-        print(context, stored.rows, edit, accepted, spread);
-        return base::ok();
+base::Result<void> runApply(CommandContext &context)
+{
+    if (context.words.empty() && context.options.removals.empty()) {
+        return base::fail(base::ErrorKind::InvalidArgument, "nothing to apply; name a file or use --remove");
     }
-
-private:
-    static void print(CommandContext &context, const config::RowSet &before, const config::Edit &edit, const config::Accepted &accepted, const Spread &spread)
-    {
-        const bool isDryRun = context.options.applyMode == ApplyMode::DryRun;
-        if (context.options.output == OutputForm::Json) {
-            const nlohmann::ordered_json json{{"accepted", !isDryRun},
-                                              {"revision", accepted.revision.value},
-                                              {"changed_rows", accepted.changedRows},
-                                              {"changes", changesJson(before, edit.changes)}};
-            context.out << json.dump(2) << '\n';
-            return;
-        }
-        context.out << renderChanges(before, edit.changes);
-        if (accepted.changedRows == 0) {
-            context.out << "nothing to change; revision " << accepted.revision.value << " is as asked\n";
-        } else if (isDryRun) {
-            context.out << "dry run: valid, " << accepted.changedRows << " rows would change; nothing was written\n";
-        } else {
-            context.out << "accepted as revision " << accepted.revision.value << ", " << accepted.changedRows << " rows changed\n";
-        }
-        if (spread.routers > 0) {
-            context.out << "in force at " << spread.inForce << " of " << spread.routers << " routers\n";
-        }
+    config::HeadStore store(context.objects);
+    BOOST_OUTCOME_TRY(stored, store.load());
+    BOOST_OUTCOME_TRY(changes, changesFor(context, stored.rows));
+    base::Random random(context.options.editSeed);
+    config::Edit edit;
+    edit.id = config::makeEditId(random);
+    edit.author = context.options.author;
+    edit.madeAt = wallMilliseconds();
+    edit.changes = changes;
+    const bool isDryRun = context.options.applyMode == ApplyMode::DryRun;
+    BOOST_OUTCOME_TRY(accepted, isDryRun ? store.dryRun(edit) : store.apply(edit));
+    const bool isNew = accepted.changedRows > 0 && !isDryRun;
+    Spread spread;
+    if (isNew && context.options.wait > base::Duration{}) {
+        BOOST_OUTCOME_TRY(reached, waitForRouters(context, accepted.revision));
+        spread = reached;
     }
-};
+    print(context, stored.rows, edit, accepted, spread);
+    return base::ok();
+}
 
 } // namespace
 
 const Command &applyCommand()
 {
-    static const ApplyCommand Instance;
+    static const Command Instance{"apply", "FILE...", "accept the rows of files; --dry-run, --whole, --remove, --author, --wait-seconds",
+                                  0,       MaxFiles,  runApply};
     return Instance;
 }
 
--- a/tools/ctl/command.cpp
+++ b/tools/ctl/command.cpp
@@ -24,14 +24,14 @@
     const auto name = context.words.front();
     const auto commands = allCommands();
     const auto it = std::find_if(commands.begin(), commands.end(), [&](const Command *command) {
-        return command->name() == name;
+        return command->name == name;
     });
     if (it == commands.end()) {
         return base::fail(base::ErrorKind::InvalidArgument, "unknown command '" + name + "'; --help lists all commands");
     }
     context.words.erase(context.words.begin());
-    if (context.words.size() < (*it)->minWords() || context.words.size() > (*it)->maxWords()) {
-        return base::fail(base::ErrorKind::InvalidArgument, "write: carawaylatchctl " + name + " " + std::string((*it)->words()));
+    if (context.words.size() < (*it)->minWords || context.words.size() > (*it)->maxWords) {
+        return base::fail(base::ErrorKind::InvalidArgument, "write: carawaylatchctl " + name + " " + std::string((*it)->words));
     }
     return (*it)->run(context);
 }
--- a/tools/ctl/command.h
+++ b/tools/ctl/command.h
@@ -1,4 +1,4 @@
-// The commands of carawaylatchctl: one small object each, listed in one table.
+// The commands of carawaylatchctl: a row each in one table, a file each.
 //
 // A command takes its words, talks to the platform or to a router through the
 // interfaces of its context and writes its result to the context's stream. An
@@ -63,16 +63,14 @@
     std::ostream &out;
 };
 
-class Command
+struct Command
 {
-public:
-    virtual ~Command() = default;
-    [[nodiscard]] virtual std::string_view name() const = 0;
-    [[nodiscard]] virtual std::string_view words() const = 0; // such as "FILE..."
-    [[nodiscard]] virtual std::string_view help() const = 0; // one line
-    [[nodiscard]] virtual std::size_t minWords() const = 0;
-    [[nodiscard]] virtual std::size_t maxWords() const = 0;
-    [[nodiscard]] virtual base::Result<void> run(CommandContext &context) const = 0;
+    std::string_view name;
+    std::string_view words; // such as "FILE..."
+    std::string_view help; // one line
+    std::size_t minWords = 0;
+    std::size_t maxWords = 0;
+    base::Result<void> (*run)(CommandContext &context) = nullptr;
 };
 
 // Returns all commands in the order of the help text.
--- a/tools/ctl/diffcommand.cpp
+++ b/tools/ctl/diffcommand.cpp
@@ -13,50 +13,25 @@
 namespace
 {
 
-class DiffCommand : public Command
+base::Result<void> runDiff(CommandContext &context)
 {
-public:
-    std::string_view name() const override
-    {
-        return "diff";
-    }
-    std::string_view words() const override
-    {
-        return "FILE...";
-    }
-    std::string_view help() const override
-    {
-        return "show what applying files would change";
-    }
-    std::size_t minWords() const override
-    {
-        return 1;
-    }
-    std::size_t maxWords() const override
-    {
-        return MaxFiles;
-    }
-
-    base::Result<void> run(CommandContext &context) const override
-    {
-        config::HeadStore store(context.objects);
-        BOOST_OUTCOME_TRY(stored, store.load());
-        BOOST_OUTCOME_TRY(changes, changesFor(context, stored.rows));
-        if (context.options.output == OutputForm::Json) {
-            const nlohmann::ordered_json json{{"revision", stored.rows.revision.value}, {"changes", changesJson(stored.rows, changes)}};
-            context.out << json.dump(2) << '\n';
-            return base::ok();
-        }
-        context.out << renderChanges(stored.rows, changes) << changes.size() << " rows differ from revision " << stored.rows.revision.value << '\n';
+    config::HeadStore store(context.objects);
+    BOOST_OUTCOME_TRY(stored, store.load());
+    BOOST_OUTCOME_TRY(changes, changesFor(context, stored.rows));
+    if (context.options.output == OutputForm::Json) {
+        const nlohmann::ordered_json json{{"revision", stored.rows.revision.value}, {"changes", changesJson(stored.rows, changes)}};
+        context.out << json.dump(2) << '\n';
         return base::ok();
     }
-};
+    context.out << renderChanges(stored.rows, changes) << changes.size() << " rows differ from revision " << stored.rows.revision.value << '\n';
+    return base::ok();
+}
 
 } // namespace
 
 const Command &diffCommand()
 {
-    static const DiffCommand Instance;
+    static const Command Instance{"diff", "FILE...", "show what applying files would change", 1, MaxFiles, runDiff};
     return Instance;
 }
 
--- a/tools/ctl/draincommand.cpp
+++ b/tools/ctl/draincommand.cpp
@@ -24,77 +24,27 @@
     return base::ok();
 }
 
-class DrainCommand : public Command
+base::Result<void> runDrain(CommandContext &context)
 {
-public:
-    std::string_view name() const override
-    {
-        return "drain";
-    }
-    std::string_view words() const override
-    {
-        return "UPSTREAM";
-    }
-    std::string_view help() const override
-    {
-        return "send an upstream no new work; what it runs is finished";
-    }
-    std::size_t minWords() const override
-    {
-        return 1;
-    }
-    std::size_t maxWords() const override
-    {
-        return 1;
-    }
-
-    base::Result<void> run(CommandContext &context) const override
-    {
-        return print(context, context.router.drain(context.words.front()), " is leaving: no new work within 3 seconds; what it runs is finished");
-    }
-};
+    return print(context, context.router.drain(context.words.front()), " is leaving: no new work within 3 seconds; what it runs is finished");
+}
 
-class UndrainCommand : public Command
+base::Result<void> runUndrain(CommandContext &context)
 {
-public:
-    std::string_view name() const override
-    {
-        return "undrain";
-    }
-    std::string_view words() const override
-    {
-        return "UPSTREAM";
-    }
-    std::string_view help() const override
-    {
-        return "let a drained upstream take work again";
-    }
-    std::size_t minWords() const override
-    {
-        return 1;
-    }
-    std::size_t maxWords() const override
-    {
-        return 1;
-    }
-
-    base::Result<void> run(CommandContext &context) const override
-    {
-        return print(context, context.router.undrain(context.words.front()), " takes work again");
-    }
-};
+    return print(context, context.router.undrain(context.words.front()), " takes work again");
+}
 
 } // namespace
 
 const Command &drainCommand()
 {
-    static const DrainCommand Instance;
+    static const Command Instance{"drain", "UPSTREAM", "send an upstream no new work; what it runs is finished", 1, 1, runDrain};
     return Instance;
 }
 
 const Command &undrainCommand()
 {
-    static const UndrainCommand Instance;
+    static const Command Instance{"undrain", "UPSTREAM", "let a drained upstream take work again", 1, 1, runUndrain};
     return Instance;
 }
 
--- a/tools/ctl/explaincommand.cpp
+++ b/tools/ctl/explaincommand.cpp
@@ -33,58 +33,33 @@
     out << table.render();
 }
 
-class ExplainCommand : public Command
+base::Result<void> runExplain(CommandContext &context)
 {
-public:
-    std::string_view name() const override
-    {
-        return "explain";
+    const auto &options = context.options;
+    if (options.customerKey.empty() || options.model.empty() || options.promptFile.empty()) {
+        return base::fail(base::ErrorKind::InvalidArgument, "explain needs --customer-key KEY, --model NAME and --prompt-file FILE");
     }
-    std::string_view words() const override
-    {
-        return "";
-    }
-    std::string_view help() const override
-    {
-        return "why a request would go where; --customer-key, --model, --prompt-file, --traffic-class";
-    }
-    std::size_t minWords() const override
-    {
-        return 0;
-    }
-    std::size_t maxWords() const override
-    {
-        return 0;
-    }
-
-    base::Result<void> run(CommandContext &context) const override
-    {
-        const auto &options = context.options;
-        if (options.customerKey.empty() || options.model.empty() || options.promptFile.empty()) {
-            return base::fail(base::ErrorKind::InvalidArgument, "explain needs --customer-key KEY, --model NAME and --prompt-file FILE");
-        }
-        BOOST_OUTCOME_TRY(prompt, readFile(options.promptFile));
-        const json body{{"model", options.model}, {"prompt", prompt}, {"max_tokens", 1}, {"stream", true}};
-        const ExplainCall call{options.customerKey, options.trafficClass, body.dump(-1, ' ', false, json::error_handler_t::replace)};
-        BOOST_OUTCOME_TRY(text, context.router.explain(call));
-        if (options.output == OutputForm::Json) {
-            context.out << text << '\n';
-            return base::ok();
-        }
-        try {
-            printExplanation(context.out, json::parse(text));
-        } catch (const json::exception &) {
-            return base::fail(base::ErrorKind::Internal, "the router's explanation can't be read; use tools and routers of the same version");
-        }
+    BOOST_OUTCOME_TRY(prompt, readFile(options.promptFile));
+    const json body{{"model", options.model}, {"prompt", prompt}, {"max_tokens", 1}, {"stream", true}};
+    const ExplainCall call{options.customerKey, options.trafficClass, body.dump(-1, ' ', false, json::error_handler_t::replace)};
+    BOOST_OUTCOME_TRY(text, context.router.explain(call));
+    if (options.output == OutputForm::Json) {
+        context.out << text << '\n';
         return base::ok();
     }
-};
+    try {
+        printExplanation(context.out, json::parse(text));
+    } catch (const json::exception &) {
+        return base::fail(base::ErrorKind::Internal, "the router's explanation can't be read; use tools and routers of the same version");
+    }
+    return base::ok();
+}
 
 } // namespace
 
 const Command &explainCommand()
 {
-    static const ExplainCommand Instance;
+    static const Command Instance{"explain", "", "why a request would go where; --customer-key, --model, --prompt-file, --traffic-class", 0, 0, runExplain};
     return Instance;
 }
 
--- a/tools/ctl/historycommand.cpp
+++ b/tools/ctl/historycommand.cpp
@@ -40,57 +40,32 @@
     return {{"revision", edit.revision.value}, {"author", edit.author}, {"made_at", wallTimeText(edit.madeAt)}, {"changes", std::move(changes)}};
 }
 
-class HistoryCommand : public Command
+base::Result<void> runHistory(CommandContext &context)
 {
-public:
-    std::string_view name() const override
-    {
-        return "history";
-    }
-    std::string_view words() const override
-    {
-        return "";
-    }
-    std::string_view help() const override
-    {
-        return "who changed what and when, newest first; --limit";
-    }
-    std::size_t minWords() const override
-    {
-        return 0;
-    }
-    std::size_t maxWords() const override
-    {
-        return 0;
-    }
-
-    base::Result<void> run(CommandContext &context) const override
-    {
-        config::HeadStore store(context.objects);
-        BOOST_OUTCOME_TRY(edits, store.history(context.options.historyLimit));
-        if (context.options.output == OutputForm::Json) {
-            auto array = nlohmann::ordered_json::array();
-            for (const auto &it : edits) {
-                array.push_back(editJson(it));
-            }
-            context.out << array.dump(2) << '\n';
-            return base::ok();
-        }
-        for (const auto &edit : edits) {
-            context.out << "revision " << edit.revision.value << "  " << wallTimeText(edit.madeAt) << " UTC  " << edit.author << '\n';
-            for (const auto &it : edit.changes) {
-                context.out << "  " << changeText(it) << '\n';
-            }
+    config::HeadStore store(context.objects);
+    BOOST_OUTCOME_TRY(edits, store.history(context.options.historyLimit));
+    if (context.options.output == OutputForm::Json) {
+        auto array = nlohmann::ordered_json::array();
+        for (const auto &it : edits) {
+            array.push_back(editJson(it));
         }
+        context.out << array.dump(2) << '\n';
         return base::ok();
     }
-};
+    for (const auto &edit : edits) {
+        context.out << "revision " << edit.revision.value << "  " << wallTimeText(edit.madeAt) << " UTC  " << edit.author << '\n';
+        for (const auto &it : edit.changes) {
+            context.out << "  " << changeText(it) << '\n';
+        }
+    }
+    return base::ok();
+}
 
 } // namespace
 
 const Command &historyCommand()
 {
-    static const HistoryCommand Instance;
+    static const Command Instance{"history", "", "who changed what and when, newest first; --limit", 0, 0, runHistory};
     return Instance;
 }
 
--- a/tools/ctl/main.cpp
+++ b/tools/ctl/main.cpp
@@ -49,8 +49,8 @@
 {
     std::cout << "carawaylatchctl [flags] COMMAND: checks, applies and shows the configuration of carawaylatch\n\n";
     for (const auto *it : allCommands()) {
-        const std::string usage = std::string(it->name()) + " " + std::string(it->words());
-        std::cout << "  " << usage << std::string(usage.size() < 18 ? 18 - usage.size() : 1, ' ') << it->help() << '\n';
+        const std::string usage = std::string(it->name) + " " + std::string(it->words);
+        std::cout << "  " << usage << std::string(usage.size() < 18 ? 18 - usage.size() : 1, ' ') << it->help << '\n';
     }
     std::cout << '\n' << tools::flagsHelp("tools/ctl/");
 }
--- a/tools/ctl/pagecommands.cpp
+++ b/tools/ctl/pagecommands.cpp
@@ -15,103 +15,42 @@
 {
 
 // Prints a page that the library renders.
-class PageCommand : public Command
+template <std::string (*Render)()>
+base::Result<void> printPage(CommandContext &context)
 {
-public:
-    PageCommand(std::string_view name, std::string_view help, std::string (*render)())
-        : m_name(name)
-        , m_help(help)
-        , m_render(render)
-    {
-    }
-
-    std::string_view name() const override
-    {
-        return m_name;
-    }
-    std::string_view words() const override
-    {
-        return "";
-    }
-    std::string_view help() const override
-    {
-        return m_help;
-    }
-    std::size_t minWords() const override
-    {
-        return 0;
-    }
-    std::size_t maxWords() const override
-    {
-        return 0;
-    }
-
-    base::Result<void> run(CommandContext &context) const override
-    {
-        context.out << m_render();
-        return base::ok();
-    }
-
-private:
-    std::string_view m_name;
-    std::string_view m_help;
-    std::string (*m_render)();
-};
+    context.out << Render();
+    return base::ok();
+}
 
-class DigestCommand : public Command
+base::Result<void> runDigest(CommandContext &context)
 {
-public:
-    std::string_view name() const override
-    {
-        return "digest";
-    }
-    std::string_view words() const override
-    {
-        return "KEY";
-    }
-    std::string_view help() const override
-    {
-        return "print the key_digest of a customer's bearer key";
-    }
-    std::size_t minWords() const override
-    {
-        return 1;
-    }
-    std::size_t maxWords() const override
-    {
-        return 1;
-    }
-
-    base::Result<void> run(CommandContext &context) const override
-    {
-        context.out << config::keyDigest(context.words.front()) << '\n';
-        return base::ok();
-    }
-};
+    context.out << config::keyDigest(context.words.front()) << '\n';
+    return base::ok();
+}
 
 } // namespace
 
 const Command &digestCommand()
 {
-    static const DigestCommand Instance;
+    static const Command Instance{"digest", "KEY", "print the key_digest of a customer's bearer key", 1, 1, runDigest};
     return Instance;
 }
 
 const Command &eventsCommand()
 {
-    static const PageCommand Instance("events", "print the catalogue of log events (docs/EVENTS.md)", base::renderLogEventCatalogue);
+    static const Command Instance{"events", "", "print the catalogue of log events (docs/EVENTS.md)", 0, 0, printPage<base::renderLogEventCatalogue>};
     return Instance;
 }
 
 const Command &settingsCommand()
 {
-    static const PageCommand Instance("settings", "print the settings of a router (docs/SETTINGS.md)", config::renderSettingsPage);
+    static const Command Instance{"settings", "", "print the settings of a router (docs/SETTINGS.md)", 0, 0, printPage<config::renderSettingsPage>};
     return Instance;
 }
 
 const Command &tablesCommand()
 {
-    static const PageCommand Instance("tables", "print the fields of the tables (docs/TABLES.md)", config::renderTablesPage);
+    static const Command Instance{"tables", "", "print the fields of the tables (docs/TABLES.md)", 0, 0, printPage<config::renderTablesPage>};
     return Instance;
 }
 
--- a/tools/ctl/statuscommand.cpp
+++ b/tools/ctl/statuscommand.cpp
@@ -98,51 +98,26 @@
                {"waiting", "waiting"}});
 }
 
-class StatusCommand : public Command
+base::Result<void> runStatus(CommandContext &context)
 {
-public:
-    std::string_view name() const override
-    {
-        return "status";
-    }
-    std::string_view words() const override
-    {
-        return "";
-    }
-    std::string_view help() const override
-    {
-        return "what a router knows of itself, its upstreams, peers and customers";
-    }
-    std::size_t minWords() const override
-    {
-        return 0;
-    }
-    std::size_t maxWords() const override
-    {
-        return 0;
-    }
-
-    base::Result<void> run(CommandContext &context) const override
-    {
-        BOOST_OUTCOME_TRY(text, context.router.status());
-        if (context.options.output == OutputForm::Json) {
-            context.out << text << '\n';
-            return base::ok();
-        }
-        try {
-            printStatus(context.out, json::parse(text));
-        } catch (const json::exception &) {
-            return base::fail(base::ErrorKind::Internal, "the router's status can't be read; use tools and routers of the same version");
-        }
+    BOOST_OUTCOME_TRY(text, context.router.status());
+    if (context.options.output == OutputForm::Json) {
+        context.out << text << '\n';
         return base::ok();
     }
-};
+    try {
+        printStatus(context.out, json::parse(text));
+    } catch (const json::exception &) {
+        return base::fail(base::ErrorKind::Internal, "the router's status can't be read; use tools and routers of the same version");
+    }
+    return base::ok();
+}
 
 } // namespace
 
 const Command &statusCommand()
 {
-    static const StatusCommand Instance;
+    static const Command Instance{"status", "", "what a router knows of itself, its upstreams, peers and customers", 0, 0, runStatus};
     return Instance;
 }
 
--- a/tools/ctl/testing/ctltest.cpp
+++ b/tools/ctl/testing/ctltest.cpp
@@ -28,7 +28,7 @@
 
 using tools::ExitCode;
 
-const std::string Customer = "[customer acme]\nkey_digest = 0123456789abcdef\n";
+const std::string Customer = "[customer acme]\nkey_digest = 0123456789abcdef0123456789abcdef\n";
 const std::string Pool = "[pool readers]\nmodel = clause-7b\nweights_version = 3\nmember = engine-1 10.0.0.1:8000 dakar-a\n";
 const std::string Route = "[route contracts]\npath = /v1/completions\nmodel = clause-7b\npool = readers\n";
 
@@ -245,7 +245,7 @@
         CPPUNIT_ASSERT_EQUAL(0, run({"apply", file("all.ini")}));
         m_options.output = OutputForm::Json;
         for (const auto *command : allCommands()) {
-            CPPUNIT_ASSERT_MESSAGE(std::string(command->name()), !command->help().empty());
+            CPPUNIT_ASSERT_MESSAGE(std::string(command->name), !command->help.empty());
         }
         const std::vector<std::vector<std::string>> calls{
             {"check", file("all.ini")}, {"get"},   {"diff", file("all.ini")}, {"history"}, {"apply", file("all.ini")}, {"drain", "engine-1"},
