--- a/carawaylatch/router/published.h
+++ b/carawaylatch/router/published.h
@@ -1,10 +1,10 @@
 // What the control thread publishes to traffic threads: immutable, taken whole.
 #pragma once
 
-#include <atomic>
 #include <memory>
 #include <string>
 
+#include "carawaylatch/base/snapshotpointer.h"
 #include "carawaylatch/config/tables.h"
 #include "carawaylatch/membership/memberlist.h"
 #include "carawaylatch/upstreams/upstreamview.h"
@@ -30,21 +30,14 @@
 };
 
 // The newest snapshot. Written by the control thread, read by all.
-class Published
+class Published : public base::SnapshotPointer<ControlSnapshot>
 {
 public:
-    [[nodiscard]] std::shared_ptr<const ControlSnapshot> load() const
+    Published()
+        : SnapshotPointer(std::make_shared<const ControlSnapshot>(
+            ControlSnapshot{nullptr, std::make_shared<const upstreams::UpstreamView>(), nullptr, Serving::NotYet, "starting"}))
     {
-        return m_snapshot.load(std::memory_order_acquire);
     }
-    void store(std::shared_ptr<const ControlSnapshot> snapshot)
-    {
-        m_snapshot.store(std::move(snapshot), std::memory_order_release);
-    }
-
-private:
-    std::atomic<std::shared_ptr<const ControlSnapshot>> m_snapshot = std::make_shared<const ControlSnapshot>(
-        ControlSnapshot{nullptr, std::make_shared<const upstreams::UpstreamView>(), nullptr, Serving::NotYet, "starting"});
 };
 
 } // namespace carawaylatch::router
--- a/carawaylatch/router/upstreampoller.h
+++ b/carawaylatch/router/upstreampoller.h
@@ -4,13 +4,13 @@
 // the reports of its part, by at most the call's timeout.
 #pragma once
 
-#include <atomic>
 #include <functional>
 #include <memory>
 #include <thread>
 #include <vector>
 
 #include "carawaylatch/base/error.h"
+#include "carawaylatch/base/snapshotpointer.h"
 #include "carawaylatch/base/time.h"
 #include "carawaylatch/config/tables.h"
 #include "carawaylatch/http/upstreamclient.h"
@@ -51,7 +51,7 @@
     prefix::CacheIndex &m_caches;
     const base::Duration m_interval;
     const ReportHandler m_onReport;
-    std::atomic<std::shared_ptr<const std::vector<PollTarget>>> m_targets;
+    base::SnapshotPointer<std::vector<PollTarget>> m_targets;
     std::vector<std::jthread> m_threads;
 };
 
--- a/testing/testmain.cpp
+++ b/testing/testmain.cpp
@@ -14,6 +14,7 @@
 #include <cppunit/TextOutputter.h>
 
 #include <cstdlib>
+#include <ctime>
 #include <fstream>
 #include <iostream>
 #include <memory>
@@ -83,6 +84,10 @@
 
 int main(int argc, char **argv)
 {
+    // Log lines carry local time. With a zone set before any thread starts, the C
+    // library never replaces its zone while threads log.
+    setenv("TZ", "UTC", 1);
+    tzset();
     std::set<std::string> knownRed;
     const std::unique_ptr<CppUnit::Test> allTests(CppUnit::TestFactoryRegistry::getRegistry().makeTest());
     CppUnit::Test *test = allTests.get();
