Streams at every step: each fault meets a fresh fleet and must be met

Cause: with the echo check of the stream assembler taken out on a scratch copy, testStreamsAtEveryStep still passed: the faulty engine was ejected after the first faults and never asked in the later ones, and its text was right even where its echo was wrong. Ruled out: asserting on the count of refusals, which depends on load. Change: a fleet for each fault, an assertion that the fault was met, foreign text behind each wrong echo. The case of a crossed answer is the wrong attempt's. Conclusion: the test now fails when the guard is missing.

--- a/carawaylatch/router/testing/faultyengine.cpp
+++ b/carawaylatch/router/testing/faultyengine.cpp
@@ -14,6 +14,17 @@
 
 using Json = nlohmann::json;
 
+namespace
+{
+
+bool hasWrongEcho(StreamFault fault)
+{
+    return fault == StreamFault::WrongAttempt || fault == StreamFault::WrongIncarnation || fault == StreamFault::WrongWeights
+           || fault == StreamFault::WrongSalt;
+}
+
+} // namespace
+
 FaultyEngine::FaultyEngine()
     : m_incarnation(base::newIncarnation())
     , m_server({"127.0.0.1", 0})
@@ -39,7 +50,7 @@
         const Json body = Json::parse(request.body);
         const std::uint64_t attempt = http::fromHex(request.get_header_value("X-Attempt-Id"));
         const std::uint64_t salt = http::fromHex(body.at("cache_salt").get<std::string>());
-        response.set_header("X-Attempt-Id", http::toHex(attempt + off(StreamFault::WrongAttempt) + off(StreamFault::CrossedAnswer)));
+        response.set_header("X-Attempt-Id", http::toHex(attempt + off(StreamFault::WrongAttempt)));
         response.set_header("X-Incarnation", http::toHex(m_incarnation.value + off(StreamFault::WrongIncarnation)));
         response.set_header("X-Weights-Version", std::to_string(1 + off(StreamFault::WrongWeights)));
         response.set_header("X-Cache-Salt", http::toHex(salt + off(StreamFault::WrongSalt)));
@@ -75,7 +86,7 @@
         if (i == step && fault == StreamFault::SkipsToken) {
             continue;
         }
-        const std::string text = fault == StreamFault::CrossedAnswer ? " foreign" : standin::tokenText(prompt, i);
+        const std::string text = hasWrongEcho(fault) ? " foreign" : standin::tokenText(prompt, i);
         const std::string event = "data: " + Json{{"index", i}, {"text", text}}.dump() + "\n\n";
         out += event;
         if (i == step && fault == StreamFault::RepeatsToken) {
--- a/carawaylatch/router/testing/faultyengine.h
+++ b/carawaylatch/router/testing/faultyengine.h
@@ -11,20 +11,20 @@
 namespace carawaylatch::router::testing
 {
 
+// With a wrong echo the text is foreign too, as it would be from another request,
+// a dead engine, older weights or another namespace.
 enum class StreamFault {
     BreaksOff,
-    WrongAttempt,
+    WrongAttempt, // a crossed answer
     WrongIncarnation,
     WrongWeights,
     WrongSalt,
     RepeatsToken,
     SkipsToken,
     WrongCount,
-    CrossedAnswer, // the text of another request, under that request's attempt
 };
-constexpr StreamFault AllStreamFaults[] = {StreamFault::BreaksOff,    StreamFault::WrongAttempt, StreamFault::WrongIncarnation,
-                                           StreamFault::WrongWeights, StreamFault::WrongSalt,    StreamFault::RepeatsToken,
-                                           StreamFault::SkipsToken,   StreamFault::WrongCount,   StreamFault::CrossedAnswer};
+constexpr StreamFault AllStreamFaults[] = {StreamFault::BreaksOff, StreamFault::WrongAttempt, StreamFault::WrongIncarnation, StreamFault::WrongWeights,
+                                           StreamFault::WrongSalt, StreamFault::RepeatsToken, StreamFault::SkipsToken,       StreamFault::WrongCount};
 
 // Answers of six tokens.
 class FaultyEngine
--- a/carawaylatch/router/testing/routerfaulttest.cpp
+++ b/carawaylatch/router/testing/routerfaulttest.cpp
@@ -45,32 +45,23 @@
     }
 
     // A refusal or an open break is honest; what looks whole must be whole and the
-    // caller's own.
+    // caller's own. Each fault has a fleet of its own, since an engine that failed
+    // before is ejected and would not be asked again.
     void testStreamsAtEveryStep()
     {
-        FaultyEngine faulty;
-        SmallFleet fleet(1, {faulty.endpoint()});
         int cases = 0;
         int whole = 0;
         for (const StreamFault fault : AllStreamFaults) {
+            FaultyEngine faulty;
+            SmallFleet fleet(1, {faulty.endpoint()});
             for (std::uint32_t step = 0; step < Tokens; ++step) {
                 faulty.setFault(fault, step);
-                const std::string prompt = "prompt " + std::to_string(static_cast<int>(fault)) + " " + std::to_string(step);
-                const auto answer = fleet.complete(step % 2, prompt, Tokens);
-                const std::string expected = expectedText(prompt, Tokens);
-                const std::string name = prompt + ": " + answer.body;
-                if (answer.isWholeStream()) {
-                    CPPUNIT_ASSERT_EQUAL_MESSAGE(name, expected, answer.streamedText());
-                    ++whole;
-                } else {
-                    CPPUNIT_ASSERT_MESSAGE(name, expected.starts_with(answer.streamedText()));
-                    CPPUNIT_ASSERT_MESSAGE(name, answer.body.find("\"error\"") != std::string::npos);
-                }
+                whole += checkStream(fleet, "prompt " + std::to_string(static_cast<int>(fault)) + " " + std::to_string(step), step % 2) ? 1 : 0;
                 ++cases;
             }
+            CPPUNIT_ASSERT_MESSAGE("fault " + std::to_string(static_cast<int>(fault)) + " was never met", faulty.asked() > 0);
         }
-        CPPUNIT_ASSERT(faulty.asked() > 0);
-        std::cout << " streams: " << cases << " cases, " << whole << " whole, faulty engine asked " << faulty.asked() << " times";
+        std::cout << " streams: " << cases << " cases, " << whole << " whole";
     }
 
     void testConfigurationThroughOutageAndRestart()
@@ -137,6 +128,21 @@
     }
 
 private:
+    // Returns whether the stream was whole.
+    static bool checkStream(SmallFleet &fleet, const std::string &prompt, std::size_t router)
+    {
+        const auto answer = fleet.complete(router, prompt, Tokens);
+        const std::string expected = expectedText(prompt, Tokens);
+        const std::string name = prompt + ": " + answer.body;
+        if (answer.isWholeStream()) {
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(name, expected, answer.streamedText());
+            return true;
+        }
+        CPPUNIT_ASSERT_MESSAGE(name, expected.starts_with(answer.streamedText()));
+        CPPUNIT_ASSERT_MESSAGE(name, answer.body.find("\"error\"") != std::string::npos);
+        return false;
+    }
+
     static void checkOrder(SmallFleet &fleet, const std::string &key)
     {
         bool wasDone = false;
