--- a/carawaylatch/config/settings.cpp
+++ b/carawaylatch/config/settings.cpp
@@ -300,7 +300,6 @@
     row<&S::routing, &S::Routing::strategy>("routing", "strategy", Optional, Strategies, "How an upstream is chosen."),
     row<&S::routing, &S::Routing::seed>("routing", "seed", Optional, {}, "Seed of random choices."),
     row<&S::routing, &S::Routing::indexBytes>("routing", "index_bytes", Optional, {1'000'000, 200'000'000, {}}, "Bound of the prefix index in bytes."),
-    row<&S::routing, &S::Routing::scoringThreads>("routing", "scoring_threads", Optional, {1, 256, {}}, "Threads that hash prompts and score upstreams."),
     row<&S::admission, &S::Admission::configuredRouters>("admission", "configured_routers", Optional, {1, 10'000, {}},
                                                          "Routers in the fleet; shares of limits are split by it while peers are cut off."),
     row<&S::admission, &S::Admission::maxQueue>("admission", "max_queue", Optional, {1, 100'000, {}}, "Waiting requests of all customers together."),
--- a/carawaylatch/config/settings.h
+++ b/carawaylatch/config/settings.h
@@ -66,7 +66,6 @@
         std::string strategy = "adaptive";
         std::uint64_t seed = 1; // of random choices
         std::uint64_t indexBytes = 64'000'000; // bound of the prefix index
-        std::uint32_t scoringThreads = 2; // oneTBB arena
     };
     struct Admission
     {
