Faults with real processes: every kind happens in each run

Change: the eight kinds come once each in a drawn order, then at random; they go on until all eight have happened.

--- a/scripts/check.d/faults.sh
+++ b/scripts/check.d/faults.sh
@@ -20,10 +20,18 @@
     sleep "$2"
     fleet_kill "$1" CONT
 }
-# One fault; leaves at least two routers and six engines at work.
+# Every kind of fault once in a drawn order, then kinds at random.
+KINDS=$(for kind in 0 1 2 3 4 5 6 7; do echo "$RANDOM $kind"; done | sort -n | cut -d' ' -f2 | tr '\n' ' ')
+next_kind() { # sets KIND
+    KIND=${KINDS%% *}
+    KINDS=${KINDS#* }
+    [ -n "$KIND" ] || KIND=$((RANDOM % 8))
+}
+# One fault of kind KIND, ended before the next one.
 one_fault() {
     local router="router-$((RANDOM % 4))" engine="engine-$((RANDOM % 9))"
-    case $((RANDOM % 8)) in
+    next_kind
+    case $KIND in
     0) echo "kill $router" && fleet_kill "$router" KILL && sleep 0.5 && fleet_restart_router "$router" ;;
     1) echo "freeze $router 2 s" && freeze "$router" 2 ;;
     2) echo "planned stop of $router" && fleet_kill "$router" TERM && fleet_wait_end "$router" && fleet_restart_router "$router" ;;
@@ -39,10 +47,10 @@
 }
 
 "$BUILD/carawaylatch-load" --target="$(groupement_targets)" --key="$(groupement_keys)" --workload=groupement --requests=200 --concurrency=10 \
-    --pause_ms=300 --seed="$SEED" --orders=200 --order_route=bookings --judge="${ADDRESS[desk-0]},${ADDRESS[desk-1]},${ADDRESS[desk-2]}" >"$FLEET/load.txt" 2>&1 &
+    --pause_ms=500 --seed="$SEED" --orders=200 --order_route=bookings --judge="${ADDRESS[desk-0]},${ADDRESS[desk-1]},${ADDRESS[desk-2]}" >"$FLEET/load.txt" 2>&1 &
 loader=$!
 faults=0
-while kill -0 $loader 2>/dev/null && [ $faults -lt 12 ]; do
+while [ $faults -lt 8 ] || { kill -0 $loader 2>/dev/null && [ $faults -lt 12 ]; }; do
     one_fault || break
     faults=$((faults + 1))
 done
