One rule for duties by rank

Cause: whether this router is among the first of its domain for a duty was worked out in the handover controller and again in the platform duties. Ruled out: one default for a router without a view of members; the two callers differ there on purpose and keep their own. Change: MembershipView::isSelfAmongFirst serves both; behaviour is the same. Sanitizer builds were not run on this commit. Conclusion: the rule stands once.

--- a/carawaylatch/membership/member.cpp
+++ b/carawaylatch/membership/member.cpp
@@ -49,4 +49,11 @@
     return ids;
 }
 
+bool MembershipView::isSelfAmongFirst(std::size_t n, std::string_view duty, const base::FailureDomain &domain) const
+{
+    const auto order = ranked(duty, domain);
+    const auto end = order.begin() + static_cast<std::ptrdiff_t>(std::min(n, order.size()));
+    return std::find(order.begin(), end, self) != end;
+}
+
 } // namespace carawaylatch::membership
--- a/carawaylatch/membership/memberlist.h
+++ b/carawaylatch/membership/memberlist.h
@@ -106,6 +106,8 @@
     // Returns the routers of a failure domain that take duties, by rank: in rendezvous
     // order for a duty's name, so that all routers with the same view agree.
     [[nodiscard]] std::vector<base::RouterId> ranked(std::string_view duty, const base::FailureDomain &domain) const;
+    // Tells whether this router is among the first n of a failure domain for a duty.
+    [[nodiscard]] bool isSelfAmongFirst(std::size_t n, std::string_view duty, const base::FailureDomain &domain) const;
 };
 
 class MemberList
--- a/carawaylatch/router/handovercontroller.cpp
+++ b/carawaylatch/router/handovercontroller.cpp
@@ -310,11 +310,7 @@
 bool HandoverController::writesSnapshots() const
 {
     const auto &snapshot = m_state.snapshot();
-    if (snapshot.serving != Serving::Yes || !snapshot.members) {
-        return false;
-    }
-    const auto ranked = snapshot.members->ranked(SnapshotDuty, m_parts.settings.router.failureDomain);
-    return !ranked.empty() && ranked.front() == m_parts.settings.router.id;
+    return snapshot.serving == Serving::Yes && snapshot.members && snapshot.members->isSelfAmongFirst(1, SnapshotDuty, m_parts.settings.router.failureDomain);
 }
 
 } // namespace carawaylatch::router
--- a/carawaylatch/router/handovercontroller.h
+++ b/carawaylatch/router/handovercontroller.h
@@ -4,7 +4,6 @@
 
 #include <cstddef>
 #include <functional>
-#include <optional>
 
 #include "carawaylatch/handover/shutdown.h"
 #include "carawaylatch/handover/snapshotserver.h"
--- a/carawaylatch/router/platformduties.cpp
+++ b/carawaylatch/router/platformduties.cpp
@@ -7,7 +7,6 @@
 // outcomes must not wait behind anything, one for the fleet, which waits for engines.
 #include "carawaylatch/router/platformduties.h"
 
-#include <algorithm>
 #include <utility>
 
 #include "carawaylatch/base/logevents.h"
@@ -121,12 +120,7 @@
 bool PlatformDuties::isAmongFirst(std::string_view duty, std::size_t n) const
 {
     const auto snapshot = m_parts.published.load();
-    if (!snapshot->members) {
-        return true;
-    }
-    const auto ranked = snapshot->members->ranked(duty, m_parts.settings.router.failureDomain);
-    const auto end = ranked.begin() + static_cast<std::ptrdiff_t>(std::min(n, ranked.size()));
-    return std::find(ranked.begin(), end, m_parts.settings.router.id) != end;
+    return !snapshot->members || snapshot->members->isSelfAmongFirst(n, duty, m_parts.settings.router.failureDomain);
 }
 
 } // namespace carawaylatch::router
