--- a/bench/ordersbench.cpp
+++ b/bench/ordersbench.cpp
@@ -6,14 +6,14 @@
 
 #include "carawaylatch/orders/claimjournal.h"
 #include "carawaylatch/orders/orderdesk.h"
-#include "carawaylatch/platform/memorystore.h"
+#include "carawaylatch/store/memorystore.h"
 
 namespace
 {
 
 namespace base = carawaylatch::base;
 namespace orders = carawaylatch::orders;
-namespace platform = carawaylatch::platform;
+namespace store = carawaylatch::store;
 
 class BenchService : public orders::ServiceConnection
 {
@@ -61,16 +61,16 @@
     for (auto _ : state) {
         orders::OrderGuard guard(request, {});
         (void)guard.onStart(now);
-        (void)guard.onWritten(now, platform::Version{1});
+        (void)guard.onWritten(now, store::Version{1});
         (void)guard.onSent(now, orders::ServiceAnswer{201, {}, {}, {1}, {}});
-        benchmark::DoNotOptimize(guard.onWritten(now, platform::Version{2}));
+        benchmark::DoNotOptimize(guard.onWritten(now, store::Version{2}));
     }
 }
 BENCHMARK(guardAlone);
 
 void orderOverMemory(benchmark::State &state)
 {
-    platform::MemoryStore store;
+    store::MemoryStore store;
     orders::SingleClaimStore claims(store);
     const BenchLiveness liveness;
     const base::SteadyClock clock;
--- a/bench/orderwrites.cpp
+++ b/bench/orderwrites.cpp
@@ -20,28 +20,28 @@
 #include "carawaylatch/base/hash.h"
 #include "carawaylatch/orders/claimjournal.h"
 #include "carawaylatch/orders/orderdesk.h"
-#include "carawaylatch/platform/memorystore.h"
+#include "carawaylatch/store/memorystore.h"
 
 namespace
 {
 
 namespace base = carawaylatch::base;
 namespace orders = carawaylatch::orders;
-namespace platform = carawaylatch::platform;
+namespace store = carawaylatch::store;
 
 // Counts calls to a platform in memory.
-class CountingStore : public platform::MemoryStore
+class CountingStore : public store::MemoryStore
 {
 public:
     std::uint64_t reads = 0;
     std::uint64_t writes = 0;
 
-    base::Result<platform::Object> read(std::string_view name) override
+    base::Result<store::Object> read(std::string_view name) override
     {
         ++reads;
         return MemoryStore::read(name);
     }
-    base::Result<platform::Version> write(std::string_view name, std::string_view value, platform::Version expected) override
+    base::Result<store::Version> write(std::string_view name, std::string_view value, store::Version expected) override
     {
         ++writes;
         return MemoryStore::write(name, value, expected);
--- a/carawaylatch/base/logevents.cpp
+++ b/carawaylatch/base/logevents.cpp
@@ -1,9 +1,7 @@
-// The event catalogue and its way to glog. Values with spaces or quotes are
+// The event catalogue and the form of a line. Values with spaces or quotes are
 // quoted, so that a line splits into fields without guessing.
 #include "carawaylatch/base/logevents.h"
 
-#include <glog/logging.h>
-
 #include <algorithm>
 #include <array>
 #include <sstream>
@@ -60,27 +58,28 @@
     return out.str();
 }
 
-void logEvent(LogEvent event, std::initializer_list<LogField> fields)
+std::string formatLogEvent(LogEvent event, std::initializer_list<LogField> fields, std::string_view seconds)
 {
     const auto it = std::find_if(Catalogue.begin(), Catalogue.end(), [event](const LogEventInfo &info) {
         return info.event == event;
     });
-    std::ostringstream line;
-    line << 'E' << static_cast<int>(event) << ' ' << it->name;
-    for (const auto &field : fields) {
-        line << ' ' << field.name << '=' << quoted(field.value);
+    std::string line = "E" + std::to_string(static_cast<int>(event)) + ' ';
+    line += it->name;
+    if (!seconds.empty()) {
+        line.append(" t=").append(seconds);
     }
-    switch (it->level) {
-    case LogLevel::Info:
-        LOG(INFO) << line.str();
-        break;
-    case LogLevel::Warning:
-        LOG(WARNING) << line.str();
-        break;
-    case LogLevel::Error:
-        LOG(ERROR) << line.str();
-        break;
+    for (const auto &field : fields) {
+        line.append(" ").append(field.name).append("=").append(quoted(field.value));
     }
+    return line;
+}
+
+LogLevel logEventLevel(LogEvent event)
+{
+    const auto it = std::find_if(Catalogue.begin(), Catalogue.end(), [event](const LogEventInfo &info) {
+        return info.event == event;
+    });
+    return it->level;
 }
 
 } // namespace carawaylatch::base
--- a/carawaylatch/base/logevents.h
+++ b/carawaylatch/base/logevents.h
@@ -51,7 +51,12 @@
 // Returns the catalogue as the Markdown page docs/EVENTS.md.
 [[nodiscard]] std::string renderLogEventCatalogue();
 
-// Writes one event to the log. Safe for use from any thread.
+// Returns an event's line without its end; `seconds` is a time stamp and may be empty.
+[[nodiscard]] std::string formatLogEvent(LogEvent event, std::initializer_list<LogField> fields, std::string_view seconds = {});
+
+[[nodiscard]] LogLevel logEventLevel(LogEvent event);
+
+// Writes one event to the log through glog. Safe for use from any thread.
 void logEvent(LogEvent event, std::initializer_list<LogField> fields);
 
 } // namespace carawaylatch::base
--- a/carawaylatch/config/acceptance.cpp
+++ b/carawaylatch/config/acceptance.cpp
@@ -85,7 +85,7 @@
     m_request = StoreRequest{StoreRequest::Kind::Read, std::move(name), {}, {}};
 }
 
-void Acceptance::write(AcceptanceStep step, std::string name, std::string value, platform::Version expected)
+void Acceptance::write(AcceptanceStep step, std::string name, std::string value, store::Version expected)
 {
     m_step = step;
     m_request = StoreRequest{StoreRequest::Kind::Write, std::move(name), std::move(value), expected};
@@ -125,7 +125,7 @@
     return ++m_races <= m_options.maxRaces;
 }
 
-void Acceptance::onRead(const Result<platform::Object> &result)
+void Acceptance::onRead(const Result<store::Object> &result)
 {
     switch (m_step) {
     case AcceptanceStep::ReadHead:
@@ -152,7 +152,7 @@
     }
 }
 
-void Acceptance::onWritten(const Result<platform::Version> &result)
+void Acceptance::onWritten(const Result<store::Version> &result)
 {
     switch (m_step) {
     case AcceptanceStep::WriteSnapshot:
@@ -170,7 +170,7 @@
     }
 }
 
-void Acceptance::onHead(const Result<platform::Object> &result)
+void Acceptance::onHead(const Result<store::Object> &result)
 {
     m_head = {};
     m_headVersion = {};
@@ -196,7 +196,7 @@
     decide(materialize(m_snapshot, m_head));
 }
 
-void Acceptance::onSnapshot(const Result<platform::Object> &result)
+void Acceptance::onSnapshot(const Result<store::Object> &result)
 {
     if (!result && result.error().kind == ErrorKind::NotFound && spendRace()) {
         restart(); // replaced by a compaction since the head was read
@@ -306,7 +306,7 @@
     write(AcceptanceStep::WriteSnapshot, m_nextHead.snapshotName, std::move(text), {});
 }
 
-void Acceptance::onCompactionWritten(const Result<platform::Version> &result)
+void Acceptance::onCompactionWritten(const Result<store::Version> &result)
 {
     const bool isWritten = result || result.error().kind == ErrorKind::Conflict;
     if (!isWritten) {
@@ -342,7 +342,7 @@
     write(AcceptanceStep::WriteHead, std::string(HeadName), std::move(text), m_headVersion);
 }
 
-void Acceptance::onHeadWritten(const Result<platform::Version> &result)
+void Acceptance::onHeadWritten(const Result<store::Version> &result)
 {
     if (result) {
         finish(Accepted{m_edit.revision, m_next, m_edit.changes.size()});
@@ -372,7 +372,7 @@
                       RetryAfter));
 }
 
-void Acceptance::onReadBack(const Result<platform::Object> &result)
+void Acceptance::onReadBack(const Result<store::Object> &result)
 {
     if (!result && result.error().kind == ErrorKind::NotFound) {
         settle({});
@@ -418,7 +418,7 @@
     read(AcceptanceStep::ReadHistory, historyName(*part));
 }
 
-void Acceptance::onHistory(const Result<platform::Object> &result)
+void Acceptance::onHistory(const Result<store::Object> &result)
 {
     if (!result) {
         retryReadBack(result.error());
--- a/carawaylatch/config/acceptance.h
+++ b/carawaylatch/config/acceptance.h
@@ -20,7 +20,7 @@
 
 #include "carawaylatch/base/error.h"
 #include "carawaylatch/config/head.h"
-#include "carawaylatch/platform/objectstore.h"
+#include "carawaylatch/store/objectstore.h"
 
 namespace carawaylatch::config
 {
@@ -53,7 +53,7 @@
     Kind kind = Kind::Read;
     std::string name;
     std::string value;
-    platform::Version expected;
+    store::Version expected;
 };
 
 enum class DryRun {
@@ -86,29 +86,29 @@
     [[nodiscard]] const StoreRequest *request() const;
     [[nodiscard]] AcceptanceStep step() const;
     // Reports the result of a Read.
-    void onRead(const base::Result<platform::Object> &result);
+    void onRead(const base::Result<store::Object> &result);
     // Reports the result of a Write or Remove; of a Remove the version is ignored.
-    void onWritten(const base::Result<platform::Version> &result);
+    void onWritten(const base::Result<store::Version> &result);
     // Returns the result once done. Unavailable: the edit is not in force and was not
     // accepted. Unclear: it may be; ask the history for its id.
     [[nodiscard]] const base::Result<Accepted> &outcome() const;
 
 private:
     void read(AcceptanceStep step, std::string name);
-    void write(AcceptanceStep step, std::string name, std::string value, platform::Version expected);
+    void write(AcceptanceStep step, std::string name, std::string value, store::Version expected);
     void finish(base::Result<Accepted> outcome);
     void restart();
-    void onHead(const base::Result<platform::Object> &result);
-    void onSnapshot(const base::Result<platform::Object> &result);
-    void onReadBack(const base::Result<platform::Object> &result);
-    void onHistory(const base::Result<platform::Object> &result);
-    void onHeadWritten(const base::Result<platform::Version> &result);
+    void onHead(const base::Result<store::Object> &result);
+    void onSnapshot(const base::Result<store::Object> &result);
+    void onReadBack(const base::Result<store::Object> &result);
+    void onHistory(const base::Result<store::Object> &result);
+    void onHeadWritten(const base::Result<store::Version> &result);
     void decide(RowSet current);
     void fixExpectations(const RowSet &current);
     [[nodiscard]] base::Result<void> checkConflicts(const RowSet &current) const;
     void compactOrWrite();
     void startCompaction();
-    void onCompactionWritten(const base::Result<platform::Version> &result);
+    void onCompactionWritten(const base::Result<store::Version> &result);
     void writeHead();
     void removeNext();
     void settle(const Head &head);
@@ -123,7 +123,7 @@
     std::optional<base::Result<Accepted>> m_outcome; // set before RemoveOld already
 
     Head m_head; // as read last
-    platform::Version m_headVersion; // of m_head in the store
+    store::Version m_headVersion; // of m_head in the store
     RowSet m_snapshot; // of m_head.snapshotName
     std::string m_snapshotName; // whose content m_snapshot is
     RowSet m_next; // the configuration with the edit
--- a/carawaylatch/config/headstore.cpp
+++ b/carawaylatch/config/headstore.cpp
@@ -50,7 +50,7 @@
     return {id == 0 ? 1 : id};
 }
 
-HeadStore::HeadStore(platform::ObjectStore &objects, AcceptanceOptions options, Pause pause)
+HeadStore::HeadStore(store::ObjectStore &objects, AcceptanceOptions options, Pause pause)
     : m_objects(objects)
     , m_options(options)
     , m_pause(pause ? std::move(pause) : Pause(sleepFor))
@@ -93,7 +93,7 @@
         } else {
             const auto result = m_objects.remove(request.name, request.expected);
             isDone = true;
-            acceptance.onWritten(result ? Result<platform::Version>(platform::Version{}) : Result<platform::Version>(result.error()));
+            acceptance.onWritten(result ? Result<store::Version>(store::Version{}) : Result<store::Version>(result.error()));
         }
         if (!isDone && acceptance.request() != nullptr) {
             m_pause(pause);
--- a/carawaylatch/config/headstore.h
+++ b/carawaylatch/config/headstore.h
@@ -17,7 +17,7 @@
 #include "carawaylatch/base/hash.h"
 #include "carawaylatch/config/acceptance.h"
 #include "carawaylatch/config/head.h"
-#include "carawaylatch/platform/objectstore.h"
+#include "carawaylatch/store/objectstore.h"
 
 namespace carawaylatch::config
 {
@@ -26,7 +26,7 @@
 struct StoredConfig
 {
     Head head;
-    platform::Version version; // of the head object, to watch from
+    store::Version version; // of the head object, to watch from
     RowSet rows;
 };
 
@@ -50,7 +50,7 @@
     using Pause = std::function<void(base::Duration)>;
 
     // `objects` must outlive this.
-    explicit HeadStore(platform::ObjectStore &objects, AcceptanceOptions options = {}, Pause pause = {});
+    explicit HeadStore(store::ObjectStore &objects, AcceptanceOptions options = {}, Pause pause = {});
 
     // Accepts an edit or says why not; see Acceptance::outcome() for what an error means.
     [[nodiscard]] base::Result<Accepted> apply(Edit edit);
@@ -66,7 +66,7 @@
     void execute(Acceptance &acceptance);
     [[nodiscard]] base::Result<RowSet> readSnapshot(const std::string &name);
 
-    platform::ObjectStore &m_objects;
+    store::ObjectStore &m_objects;
     AcceptanceOptions m_options;
     Pause m_pause;
     std::string m_snapshotName; // whose content m_snapshot is; a name never means two contents
--- a/carawaylatch/config/testing/acceptancetest.cpp
+++ b/carawaylatch/config/testing/acceptancetest.cpp
@@ -19,7 +19,7 @@
 {
 
 using base::ErrorKind;
-using platform::StoreFault;
+using store::StoreFault;
 
 namespace
 {
@@ -239,7 +239,7 @@
                 }
                 const auto n = random.below(running.size());
                 auto &[id, acceptance] = running[n];
-                const auto fault = random.below(5) == 0 ? platform::AllStoreFaults[random.below(4)] : StoreFault::None;
+                const auto fault = random.below(5) == 0 ? store::AllStoreFaults[random.below(4)] : StoreFault::None;
                 platform.step(acceptance, fault);
                 if (acceptance.request() == nullptr) {
                     outcomes.add(id, acceptance);
--- a/carawaylatch/config/testing/storesteps.h
+++ b/carawaylatch/config/testing/storesteps.h
@@ -5,8 +5,8 @@
 
 #include "carawaylatch/config/acceptance.h"
 #include "carawaylatch/config/tablefile.h"
-#include "carawaylatch/platform/faultystore.h"
-#include "carawaylatch/platform/memorystore.h"
+#include "carawaylatch/store/faultystore.h"
+#include "carawaylatch/store/memorystore.h"
 
 namespace carawaylatch::config::testing
 {
@@ -14,29 +14,29 @@
 // A platform whose every call may be made to fail.
 struct Platform
 {
-    platform::MemoryStore memory;
-    platform::FaultyStore faulty{memory};
+    store::MemoryStore memory;
+    store::FaultyStore faulty{memory};
 
     // Executes the next step of an acceptance under a fault.
-    void step(Acceptance &acceptance, platform::StoreFault fault)
+    void step(Acceptance &acceptance, store::StoreFault fault)
     {
         const StoreRequest request = *acceptance.request();
-        faulty.inject(fault, fault == platform::StoreFault::None ? 0 : 1);
+        faulty.inject(fault, fault == store::StoreFault::None ? 0 : 1);
         if (request.kind == StoreRequest::Kind::Read) {
             acceptance.onRead(faulty.read(request.name));
         } else if (request.kind == StoreRequest::Kind::Write) {
             acceptance.onWritten(faulty.write(request.name, request.value, request.expected));
         } else {
             const auto removed = faulty.remove(request.name, request.expected);
-            acceptance.onWritten(removed ? base::Result<platform::Version>(platform::Version{}) : base::Result<platform::Version>(removed.error()));
+            acceptance.onWritten(removed ? base::Result<store::Version>(store::Version{}) : base::Result<store::Version>(removed.error()));
         }
-        faulty.inject(platform::StoreFault::None, 0);
+        faulty.inject(store::StoreFault::None, 0);
     }
 
     void finish(Acceptance &acceptance)
     {
         while (acceptance.request() != nullptr) {
-            step(acceptance, platform::StoreFault::None);
+            step(acceptance, store::StoreFault::None);
         }
     }
 };
--- a/carawaylatch/fleet/fleetdriver.cpp
+++ b/carawaylatch/fleet/fleetdriver.cpp
@@ -13,7 +13,7 @@
 
 using base::ErrorKind;
 
-FleetDriver::FleetDriver(FleetIdentity identity, platform::ObjectStore &store, EngineControl &engines, const base::Clock &clock, FleetSettings settings)
+FleetDriver::FleetDriver(FleetIdentity identity, store::ObjectStore &store, EngineControl &engines, const base::Clock &clock, FleetSettings settings)
     : m_identity(std::move(identity))
     , m_leaseName("fleet/lease/" + m_identity.domain.value())
     , m_store(store)
--- a/carawaylatch/fleet/fleetdriver.h
+++ b/carawaylatch/fleet/fleetdriver.h
@@ -52,7 +52,7 @@
 class FleetDriver
 {
 public:
-    FleetDriver(FleetIdentity identity, platform::ObjectStore &store, EngineControl &engines, const base::Clock &clock, FleetSettings settings = {});
+    FleetDriver(FleetIdentity identity, store::ObjectStore &store, EngineControl &engines, const base::Clock &clock, FleetSettings settings = {});
 
     void step(std::span<const config::Pool> pools);
     // For status pages; call from the thread that calls step().
@@ -69,7 +69,7 @@
 
     FleetIdentity m_identity;
     std::string m_leaseName;
-    platform::ObjectStore &m_store;
+    store::ObjectStore &m_store;
     EngineControl &m_engineControl;
     const base::Clock &m_clock;
     FleetSettings m_settings;
--- a/carawaylatch/fleet/lease.cpp
+++ b/carawaylatch/fleet/lease.cpp
@@ -88,6 +88,11 @@
     return base::FenceToken{m_state.held.value};
 }
 
+bool Lease::isContinued() const
+{
+    return !m_state.wasOthers;
+}
+
 base::Duration Lease::heldFor(base::TimePoint now) const
 {
     return mayAct(now) ? now - m_state.heldSince : base::Duration{};
@@ -123,7 +128,7 @@
     return LeaseAction{LeaseActionKind::Read, {}, {}};
 }
 
-LeaseAction Lease::startWrite(base::TimePoint now, LeaseStep step, platform::Version expected)
+LeaseAction Lease::startWrite(base::TimePoint now, LeaseStep step, store::Version expected)
 {
     m_state.isCallUnderWay = true;
     m_state.step = step;
@@ -133,7 +138,7 @@
     return LeaseAction{LeaseActionKind::Write, encodeLease(m_self), expected};
 }
 
-void Lease::onWritten(base::TimePoint now, const base::Result<platform::Version> &result)
+void Lease::onWritten(base::TimePoint now, const base::Result<store::Version> &result)
 {
     m_state.isCallUnderWay = false;
     if (result) {
@@ -149,7 +154,7 @@
     m_state.nextCall = now;
 }
 
-void Lease::onRead(base::TimePoint now, const base::Result<platform::Object> &result)
+void Lease::onRead(base::TimePoint now, const base::Result<store::Object> &result)
 {
     m_state.isCallUnderWay = false;
     if (!result) {
@@ -158,19 +163,21 @@
         }
         return; // not read: stay and read again after the interval
     }
-    const platform::Object &object = result.value();
+    const store::Object &object = result.value();
     const auto holder = decodeLease(object.value);
-    const bool isOurs = holder && holder.value().router == m_self.router && holder.value().incarnation == m_self.incarnation;
+    const bool isOurRouter = holder && holder.value().router == m_self.router;
+    const bool isOurs = isOurRouter && holder.value().incarnation == m_self.incarnation;
     if (isOurs && holder.value().writeId == m_self.writeId) {
         confirm(now, object.version);
     } else if (isOurs && object.version == m_state.held) {
         m_state.step = LeaseStep::Holding; // the renewal has not taken effect; write again
     } else {
-        observe(now, object.version, isOurs);
+        m_state.wasOthers = m_state.wasOthers || !isOurRouter;
+        observe(now, object.version, isOurs || (isOurRouter && m_settings.isRouterSingle));
     }
 }
 
-void Lease::confirm(base::TimePoint now, platform::Version version)
+void Lease::confirm(base::TimePoint now, store::Version version)
 {
     const bool isUnbroken = m_state.held.value != 0 && (m_state.expected == m_state.held || version == m_state.held);
     if (!isUnbroken) {
@@ -183,7 +190,7 @@
     m_state.seen.reset();
 }
 
-void Lease::observe(base::TimePoint now, platform::Version version, bool isOurs)
+void Lease::observe(base::TimePoint now, store::Version version, bool isOurs)
 {
     m_state.step = LeaseStep::Observing;
     m_state.held = {};
--- a/carawaylatch/fleet/lease.h
+++ b/carawaylatch/fleet/lease.h
@@ -22,7 +22,7 @@
 #include "carawaylatch/base/error.h"
 #include "carawaylatch/base/ids.h"
 #include "carawaylatch/base/time.h"
-#include "carawaylatch/platform/objectstore.h"
+#include "carawaylatch/store/objectstore.h"
 
 namespace carawaylatch::fleet
 {
@@ -31,6 +31,9 @@
 {
     base::Duration length = base::seconds{15}; // equal on all routers
     base::Duration readInterval = base::seconds{1}; // of an observer, and between failed renewals
+    // True if a router's id names at most one live process at any time. A lease of
+    // an earlier life of this router is then free at once.
+    bool isRouterSingle = false;
 };
 
 struct LeaseHolder
@@ -65,7 +68,7 @@
 {
     LeaseActionKind kind = LeaseActionKind::None;
     std::string value; // with Write
-    platform::Version expected; // with Write
+    store::Version expected; // with Write
 };
 
 // All that a lease remembers.
@@ -74,19 +77,22 @@
     LeaseStep step = LeaseStep::Observing;
     bool isCallUnderWay = false;
     // The version last seen of another holder, and since when; zero: object absent.
-    std::optional<platform::Version> seen;
+    std::optional<store::Version> seen;
     base::TimePoint seenAt;
-    // True if the object seen was written by this very incarnation.
+    // True if the object seen was written by this very incarnation, or by an earlier
+    // one where the settings say that it is no more.
     bool isSeenOurs = false;
     base::TimePoint nextCall;
     // The last write: its id, when it was sent and what it was conditional on.
     std::uint64_t writeId = 0;
     base::TimePoint sentAt;
-    platform::Version expected;
+    store::Version expected;
     // The version last confirmed as ours; zero: not holding. Belief ends at believeUntil.
-    platform::Version held;
+    store::Version held;
     base::TimePoint believeUntil;
     base::TimePoint heldSince;
+    // Another router was seen to hold since the last holding of this one.
+    bool wasOthers = false;
 
     bool operator==(const LeaseState &) const = default;
 };
@@ -99,13 +105,16 @@
     // Returns what to do now; at most one call is under way.
     [[nodiscard]] LeaseAction poll(base::TimePoint now);
     // NotFound counts as an answer: the lease is free.
-    void onRead(base::TimePoint now, const base::Result<platform::Object> &result);
-    void onWritten(base::TimePoint now, const base::Result<platform::Version> &result);
+    void onRead(base::TimePoint now, const base::Result<store::Object> &result);
+    void onWritten(base::TimePoint now, const base::Result<store::Version> &result);
 
     // True while this router may act as holder; ask right before each act.
     [[nodiscard]] bool mayAct(base::TimePoint now) const;
     // Fencing number of the present holding; nothing if mayAct() is false.
     [[nodiscard]] std::optional<base::FenceToken> fence(base::TimePoint now) const;
+    // True if no other router held the lease before the present holding, as far as
+    // this one saw: the lease was never taken, or it was taken by this router.
+    [[nodiscard]] bool isContinued() const;
     // Time since this router learned that it holds, without a break since. Orders
     // of a former holder can be in flight for a while after that.
     [[nodiscard]] base::Duration heldFor(base::TimePoint now) const;
@@ -114,9 +123,9 @@
 private:
     [[nodiscard]] bool isFree(base::TimePoint now) const;
     LeaseAction startRead(base::TimePoint now);
-    LeaseAction startWrite(base::TimePoint now, LeaseStep step, platform::Version expected);
-    void confirm(base::TimePoint now, platform::Version version);
-    void observe(base::TimePoint now, platform::Version version, bool isOurs);
+    LeaseAction startWrite(base::TimePoint now, LeaseStep step, store::Version expected);
+    void confirm(base::TimePoint now, store::Version version);
+    void observe(base::TimePoint now, store::Version version, bool isOurs);
 
     LeaseHolder m_self; // writeId is that of the last write
     LeaseSettings m_settings;
--- a/carawaylatch/fleet/loadslots.cpp
+++ b/carawaylatch/fleet/loadslots.cpp
@@ -20,13 +20,13 @@
 
 } // namespace
 
-LoadSlots::LoadSlots(platform::ObjectStore &store, base::Duration lapse)
+LoadSlots::LoadSlots(store::ObjectStore &store, base::Duration lapse)
     : m_store(store)
     , m_lapse(lapse)
 {
 }
 
-bool LoadSlots::hasLapsed(base::TimePoint now, const platform::Object &slot)
+bool LoadSlots::hasLapsed(base::TimePoint now, const store::Object &slot)
 {
     const auto [it, isNew] = m_seen.try_emplace(slot.name, Seen{slot.version, now});
     if (!isNew && it->second.version != slot.version) {
@@ -40,7 +40,7 @@
     struct Free
     {
         std::string name;
-        platform::Version version;
+        store::Version version;
     };
     std::optional<Free> free;
     for (std::uint32_t i = 0; i < slots; ++i) {
@@ -53,7 +53,7 @@
             return base::ok();
         }
         if (!free && (!object || hasLapsed(now, object.value()))) {
-            free = Free{name, object ? object.value().version : platform::Version{}};
+            free = Free{name, object ? object.value().version : store::Version{}};
         }
     }
     if (!free) {
--- a/carawaylatch/fleet/loadslots.h
+++ b/carawaylatch/fleet/loadslots.h
@@ -16,7 +16,7 @@
 #include "carawaylatch/base/error.h"
 #include "carawaylatch/base/ids.h"
 #include "carawaylatch/base/time.h"
-#include "carawaylatch/platform/objectstore.h"
+#include "carawaylatch/store/objectstore.h"
 
 namespace carawaylatch::fleet
 {
@@ -24,7 +24,7 @@
 class LoadSlots
 {
 public:
-    LoadSlots(platform::ObjectStore &store, base::Duration lapse);
+    LoadSlots(store::ObjectStore &store, base::Duration lapse);
 
     // Takes one of the first `slots` slots for the engine, or finds the one it
     // has. Overloaded: all are taken. Unclear: ask again to find out.
@@ -37,12 +37,12 @@
 private:
     struct Seen
     {
-        platform::Version version;
+        store::Version version;
         base::TimePoint since;
     };
-    [[nodiscard]] bool hasLapsed(base::TimePoint now, const platform::Object &slot);
+    [[nodiscard]] bool hasLapsed(base::TimePoint now, const store::Object &slot);
 
-    platform::ObjectStore &m_store;
+    store::ObjectStore &m_store;
     base::Duration m_lapse;
     std::map<std::string, Seen> m_seen; // one entry a slot
 };
--- a/carawaylatch/fleet/testing/fleettest.cpp
+++ b/carawaylatch/fleet/testing/fleettest.cpp
@@ -12,14 +12,14 @@
 #include <vector>
 
 #include "carawaylatch/fleet/fleetdriver.h"
-#include "carawaylatch/platform/faultystore.h"
-#include "carawaylatch/platform/memorystore.h"
+#include "carawaylatch/store/faultystore.h"
+#include "carawaylatch/store/memorystore.h"
 
 namespace carawaylatch::fleet::testing
 {
 
 using base::ErrorKind;
-using platform::StoreFault;
+using store::StoreFault;
 
 namespace
 {
@@ -206,7 +206,7 @@
 
     void addRouter(std::string_view domain, const std::string &name)
     {
-        stores.push_back(std::make_unique<platform::FaultyStore>(platform));
+        stores.push_back(std::make_unique<store::FaultyStore>(platform));
         const FleetIdentity identity{base::RouterId(name), base::Incarnation{++incarnation}, base::FailureDomain(domain)};
         drivers.push_back(std::make_unique<FleetDriver>(identity, *stores.back(), fleet, clock));
     }
@@ -258,10 +258,10 @@
     }
 
     base::ManualClock clock;
-    platform::MemoryStore platform;
+    store::MemoryStore platform;
     FakeFleet fleet{clock};
     std::vector<config::Pool> pools;
-    std::vector<std::unique_ptr<platform::FaultyStore>> stores;
+    std::vector<std::unique_ptr<store::FaultyStore>> stores;
     std::vector<std::unique_ptr<FleetDriver>> drivers;
     std::uint64_t incarnation = 0;
 };
@@ -381,7 +381,7 @@
 
     void testSlotOfVanishedHolderLapses()
     {
-        platform::MemoryStore platform;
+        store::MemoryStore platform;
         LoadSlots slots(platform, base::minutes{5});
         const base::TimePoint now{base::hours{1}};
         const base::UpstreamId engines[] = {base::UpstreamId("a"), base::UpstreamId("b"), base::UpstreamId("c")};
--- a/carawaylatch/fleet/testing/leasetest.cpp
+++ b/carawaylatch/fleet/testing/leasetest.cpp
@@ -11,15 +11,15 @@
 #include <vector>
 
 #include "carawaylatch/fleet/lease.h"
-#include "carawaylatch/platform/faultystore.h"
-#include "carawaylatch/platform/memorystore.h"
+#include "carawaylatch/store/faultystore.h"
+#include "carawaylatch/store/memorystore.h"
 #include "testing/explorer.h"
 
 namespace carawaylatch::fleet::testing
 {
 
 using base::ErrorKind;
-using platform::StoreFault;
+using store::StoreFault;
 
 namespace
 {
@@ -37,7 +37,7 @@
 struct PendingCall
 {
     LeaseAction action;
-    std::optional<base::Result<platform::Version>> written; // took effect, not answered yet
+    std::optional<base::Result<store::Version>> written; // took effect, not answered yet
 };
 
 struct LeaseRouter
@@ -137,7 +137,7 @@
         choices.push_back({std::move(label), std::move(next)});
     }
 
-    base::Result<platform::Version> write(const LeaseAction &action)
+    base::Result<store::Version> write(const LeaseAction &action)
     {
         if (m_object.version != action.expected) {
             return base::fail(ErrorKind::Conflict, "");
@@ -188,7 +188,7 @@
         if (isRead) {
             next.m_routers[index].call.reset();
             next.m_routers[index].lease.onRead(m_routers[index].now,
-                                               m_object.version.value == 0 ? base::Result<platform::Object>(base::fail(ErrorKind::NotFound, "")) : m_object);
+                                               m_object.version.value == 0 ? base::Result<store::Object>(base::fail(ErrorKind::NotFound, "")) : m_object);
         } else {
             call.written = next.write(call.action);
         }
@@ -220,7 +220,7 @@
 
     LeaseLimits m_left;
     std::vector<LeaseRouter> m_routers;
-    platform::Object m_object;
+    store::Object m_object;
     std::vector<LeaseAction> m_delayed;
     std::uint64_t m_greatestFence = 0;
 };
@@ -255,7 +255,7 @@
 // A router with a lease and its own faulty way to the platform.
 struct LeaseActor
 {
-    explicit LeaseActor(std::string_view name, platform::ObjectStore &platform)
+    explicit LeaseActor(std::string_view name, store::ObjectStore &platform)
         : router(name)
         , store(platform)
         , lease(router, base::Incarnation{1}, LeaseSettings{})
@@ -274,7 +274,7 @@
     }
 
     base::RouterId router;
-    platform::FaultyStore store;
+    store::FaultyStore store;
     Lease lease;
 };
 
@@ -329,7 +329,7 @@
 private:
     static char holderAfter(LeaseStep step, LeaseFault fault)
     {
-        platform::MemoryStore platform;
+        store::MemoryStore platform;
         LeaseActor one("one", platform);
         LeaseActor two("two", platform);
         if (step == LeaseStep::Settling) {
--- /dev/null
+++ b/carawaylatch/gateway/controlplane.cpp
@@ -0,0 +1,344 @@
+// Coroutines of the control thread.
+//
+// A watch that fails is started again from the revision that was read last; only
+// lost history makes a new list necessary. A confirmation of the configuration
+// counts from when the call that gave it was sent.
+#include "carawaylatch/gateway/controlplane.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <exception>
+#include <utility>
+
+#include "carawaylatch/base/incarnation.h"
+
+namespace carawaylatch::gateway
+{
+
+namespace
+{
+
+constexpr base::Duration DutyInterval = base::milliseconds{50}; // looks at lease and rollout; no call by itself
+constexpr base::Duration StatusInterval = base::milliseconds{120}; // between questions to an engine that changes
+constexpr base::Duration OrderPause = base::milliseconds{400}; // after an order that was not taken; half of a load
+constexpr base::Duration OutOfReachLife = base::milliseconds{2500}; // after the store's return, entries may still be missing
+
+// A coroutine that ends by an exception is a fault of this program: end the process, it is started again.
+void rethrow(const std::exception_ptr &error)
+{
+    if (error) {
+        std::rethrow_exception(error);
+    }
+}
+
+} // namespace
+
+ControlPlane::ControlPlane(boost::asio::io_context &loop, const base::Clock &clock, const ControlSettings &settings, ObjectClientFactory &clients,
+                           EngineClient &engines, const FleetDecoder &decoder, telemetry::DecisionLog &log, TableAge &tableAge, Publish publish)
+    : m_loop(loop)
+    , m_clock(clock)
+    , m_settings(settings)
+    , m_clients(clients)
+    , m_engines(engines)
+    , m_log(log)
+    , m_tableAge(tableAge)
+    , m_publish(std::move(publish))
+    , m_state(decoder, log)
+    , m_lease(settings.router, base::newIncarnation(), settings.lease)
+    , m_rollout(settings.rollout)
+    , m_random(base::hash64(settings.router.value()))
+{
+}
+
+void ControlPlane::start()
+{
+    for (const ObjectKind kind : {ObjectKind::Tables, ObjectKind::Upstreams, ObjectKind::Weights, ObjectKind::Duties}) {
+        boost::asio::co_spawn(m_loop, watchKind(kind), rethrow);
+    }
+    boost::asio::co_spawn(m_loop, runDuties(), rethrow);
+}
+
+void ControlPlane::beginStop()
+{
+    m_isStopping = true;
+}
+
+void ControlPlane::onWeightsSeen(const base::UpstreamId &upstream, base::WeightsVersion weights)
+{
+    m_state.onWeightsSeen(upstream, weights);
+    publishIfChanged();
+}
+
+Awaitable<void> ControlPlane::pause(base::Duration duration)
+{
+    boost::asio::steady_timer timer(m_loop);
+    timer.expires_after(duration);
+    co_await timer.async_wait(boost::asio::use_awaitable);
+}
+
+void ControlPlane::publishIfChanged()
+{
+    if (m_state.takeChanged()) {
+        m_publish(m_state.view());
+    }
+}
+
+Awaitable<base::Result<std::uint64_t>> ControlPlane::listAll(ObjectClient &client, ObjectKind kind, bool wasOutOfReach)
+{
+    std::vector<StoredObject> objects;
+    std::uint64_t asOf = 0;
+    std::string after;
+    while (true) {
+        auto page = co_await client.list(kind, after);
+        if (!page) {
+            co_return page.error();
+        }
+        // Changes after the first page are seen by a watch that goes on from its revision.
+        asOf = asOf == 0 ? page.value().asOf : asOf;
+        for (StoredObject &object : page.value().objects) {
+            after = object.name;
+            objects.push_back(std::move(object));
+        }
+        if (!page.value().hasMore || objects.empty()) {
+            break;
+        }
+    }
+    m_state.onList(kind, objects, wasOutOfReach, m_clock.now());
+    co_return asOf;
+}
+
+Awaitable<void> ControlPlane::watchKind(ObjectKind kind)
+{
+    const auto client = m_clients.makeClient();
+    std::uint64_t since = 0; // zero: list first
+    base::Duration pauseNext = m_settings.retryPause;
+    std::optional<base::TimePoint> lostAt; // first of the calls that failed in a row
+    base::TimePoint backAt{}; // first success after calls that failed
+    while (true) {
+        const base::Duration sentAt = TableAge::bootTime();
+        const base::TimePoint callAt = m_clock.now();
+        const bool wasOutOfReach = lostAt || callAt - backAt < OutOfReachLife;
+        base::Result<std::uint64_t> result = std::uint64_t{0};
+        if (since == 0) {
+            result = co_await listAll(*client, kind, wasOutOfReach && backAt != base::TimePoint{});
+        } else {
+            auto changes = co_await client->watch(kind, since, m_settings.watchWait);
+            if (changes) {
+                for (const StoredObject &object : changes.value().objects) {
+                    m_state.onChange(kind, object, wasOutOfReach, m_clock.now());
+                }
+                result = std::max(changes.value().asOf, since);
+            } else {
+                result = changes.error();
+            }
+        }
+        const base::TimePoint now = m_clock.now();
+        if (result) {
+            since = result.value();
+            pauseNext = m_settings.retryPause;
+            if (lostAt) {
+                m_log.write(base::LogEvent::StoreRegained,
+                            {{"kind", std::string(objectKindName(kind))}, {"lost_ms", std::to_string(base::toMilliseconds(now - *lostAt))}});
+                lostAt.reset();
+                backAt = now;
+            }
+            if (backAt == base::TimePoint{}) {
+                backAt = now - OutOfReachLife;
+            }
+            if (kind == ObjectKind::Tables) {
+                m_tableAge.confirm(sentAt);
+            }
+            publishIfChanged();
+            continue;
+        }
+        if (result.error().kind == base::ErrorKind::StaleState) {
+            m_log.write(base::LogEvent::HistoryLost, {{"kind", std::string(objectKindName(kind))}});
+            since = 0;
+            continue;
+        }
+        if (!lostAt) {
+            lostAt = now;
+            m_log.write(base::LogEvent::StoreLost,
+                        {{"kind", std::string(objectKindName(kind))},
+                         {"problem", result.error().message},
+                         {"age_ms", std::to_string(base::toMilliseconds(m_tableAge.age()))}});
+        }
+        // Spread, so that routers don't all come back at the same moment.
+        const base::Duration wait = base::fromSeconds(base::toSeconds(pauseNext) * (0.5 + m_random.unit()));
+        pauseNext = std::min<base::Duration>(pauseNext * 2, m_settings.maxRetryPause);
+        co_await pause(wait);
+    }
+}
+
+Awaitable<void> ControlPlane::runDuties()
+{
+    const auto client = m_clients.makeClient();
+    while (true) {
+        co_await pause(DutyInterval);
+        m_state.onTick(m_clock.now());
+        publishIfChanged();
+        if (!m_isRegistered) {
+            co_await registerRouter(*client);
+        }
+        co_await stepLease(*client);
+        noteHolding();
+        if (m_lease.mayAct(m_clock.now()) && !m_isStopping) {
+            co_await stepRollout(*client);
+        }
+    }
+}
+
+// Other routers count the objects to know their part of shared budgets.
+Awaitable<void> ControlPlane::registerRouter(ObjectClient &client)
+{
+    const std::string name = std::string(RouterPrefix) + m_settings.router.value();
+    const auto result = co_await client.write(ObjectKind::Duties, name, "router", 0);
+    m_isRegistered = result.has_value() || result.error().kind == base::ErrorKind::Conflict;
+    if (!m_isRegistered) {
+        co_await pause(m_settings.maxRetryPause);
+    }
+}
+
+Awaitable<void> ControlPlane::stepLease(ObjectClient &client)
+{
+    if (m_isStopping) {
+        co_return; // ends by itself
+    }
+    const fleet::LeaseAction action = m_lease.poll(m_clock.now());
+    if (action.kind == fleet::LeaseActionKind::Read) {
+        const bool isObserving = m_lease.state().step == fleet::LeaseStep::Observing;
+        const StoredObject *seen = m_state.duty(LeaseName);
+        if (isObserving && seen != nullptr) {
+            // The watch keeps it; an outdated one only makes a conditional write fail.
+            m_lease.onRead(m_clock.now(), store::Object{seen->name, seen->text, store::Version{seen->revision}});
+            co_return;
+        }
+        auto result = co_await client.read(ObjectKind::Duties, std::string(LeaseName));
+        if (result) {
+            m_lease.onRead(m_clock.now(), store::Object{result.value().name, result.value().text, store::Version{result.value().revision}});
+        } else {
+            m_lease.onRead(m_clock.now(), result.error());
+        }
+        co_return;
+    }
+    if (action.kind == fleet::LeaseActionKind::Write) {
+        auto result = co_await client.write(ObjectKind::Duties, std::string(LeaseName), action.value, action.expected.value);
+        if (result) {
+            m_lease.onWritten(m_clock.now(), store::Version{result.value()});
+        } else {
+            m_lease.onWritten(m_clock.now(), result.error());
+        }
+    }
+}
+
+void ControlPlane::noteHolding()
+{
+    const base::TimePoint now = m_clock.now();
+    const bool isHolding = m_lease.mayAct(now);
+    if (isHolding == m_isHolding) {
+        return;
+    }
+    m_isHolding = isHolding;
+    if (isHolding) {
+        m_log.write(base::LogEvent::FleetLeaseGained, {{"domain", "fleet"}, {"fence", std::to_string(m_lease.fence(now)->value)}});
+    } else {
+        m_log.write(base::LogEvent::FleetLeaseLost, {{"domain", "fleet"}});
+        m_rollout.reset();
+        m_publishedChanging.clear();
+    }
+}
+
+Awaitable<bool> ControlPlane::publishChanging(ObjectClient &client)
+{
+    const std::string text = m_rollout.changing().encode();
+    const StoredObject *seen = m_state.duty(ChangingName);
+    const std::string &current = !m_publishedChanging.empty() ? m_publishedChanging : (seen != nullptr ? seen->text : m_publishedChanging);
+    if (text == current) {
+        co_return true;
+    }
+    const auto written = co_await client.write(ObjectKind::Duties, std::string(ChangingName), text, seen != nullptr ? seen->revision : 0);
+    if (!written) {
+        m_publishedChanging.clear();
+        co_return false;
+    }
+    m_publishedChanging = text;
+    m_state.onChange(ObjectKind::Duties, StoredObject{std::string(ChangingName), text, written.value(), false}, false, m_clock.now());
+    publishIfChanged();
+    co_return true;
+}
+
+Awaitable<void> ControlPlane::stepRollout(ObjectClient &client)
+{
+    const base::TimePoint now = m_clock.now();
+    const auto fence = m_lease.fence(now);
+    if (!fence) {
+        co_return;
+    }
+    const base::TimePoint heldSince = now - m_lease.heldFor(now);
+    // Nobody else gave orders before: nothing has to land first.
+    const fleet::Tenure tenure{*fence, m_lease.isContinued() ? heldSince - m_settings.rollout.settleTime : heldSince};
+    auto orders = m_rollout.plan(now, tenure, m_state);
+    const bool isPublished = co_await publishChanging(client);
+    for (WeightsOrder &order : orders) {
+        if (!isPublished || !m_lease.mayAct(m_clock.now())) {
+            m_rollout.onRefused(order.engine);
+            continue;
+        }
+        order.holder = m_settings.router.value();
+        order.fence = *m_lease.fence(m_clock.now());
+        m_log.write(base::LogEvent::EngineOrdered,
+                    {{"engine", order.engine.value()},
+                     {"weights_version", std::to_string(order.version.value)},
+                     {"adapter", ""},
+                     {"fence", std::to_string(order.fence.value)}});
+        m_rollout.onOrdered(m_clock.now(), order.engine);
+        boost::asio::co_spawn(m_loop, giveOrder(order), rethrow);
+    }
+    for (const WeightsOrder &order : m_rollout.pending()) {
+        if (!m_asked.contains(order.engine)) {
+            m_asked.insert(order.engine);
+            boost::asio::co_spawn(m_loop, askStatus(order), rethrow);
+        }
+    }
+}
+
+Awaitable<void> ControlPlane::giveOrder(WeightsOrder order)
+{
+    const auto result = co_await m_engines.order(order);
+    std::string problem;
+    if (!result) {
+        problem = result.error().message;
+    } else if (result.value() == OrderAnswer::Busy) {
+        problem = "busy with another order, or its count of orders differs";
+    }
+    if (!problem.empty()) {
+        m_log.write(base::LogEvent::EngineOrderFailed, {{"engine", order.engine.value()}, {"problem", problem}});
+    }
+    const bool isSurelyRefused = result ? result.value() == OrderAnswer::Busy : result.error().kind == base::ErrorKind::Unavailable;
+    if (isSurelyRefused) {
+        co_await pause(OrderPause);
+        m_rollout.onRefused(order.engine);
+    }
+}
+
+Awaitable<void> ControlPlane::askStatus(WeightsOrder order)
+{
+    co_await pause(StatusInterval);
+    const base::TimePoint askedAt = m_clock.now();
+    const auto result = co_await m_engines.status(order.engine, order.endpoint, order.model);
+    if (result) {
+        m_rollout.onStatus(askedAt, order.engine, result.value());
+        if (result.value().weights >= order.version) {
+            m_log.write(base::LogEvent::EngineChanged,
+                        {{"engine", order.engine.value()}, {"model", order.model.value()}, {"version", std::to_string(result.value().weights.value)}, {"elapsed_ms", ""}});
+            m_state.onWeightsSeen(order.engine, result.value().weights);
+            publishIfChanged();
+        }
+    }
+    m_asked.erase(order.engine);
+}
+
+} // namespace carawaylatch::gateway
--- /dev/null
+++ b/carawaylatch/gateway/controlplane.h
@@ -0,0 +1,89 @@
+// The control thread: reads the store, holds the lease, changes weights.
+//
+// One coroutine watches each kind of object, one drives the lease and the
+// rollout. All state is touched by the control thread's loop alone. Snapshots go
+// out through `publish`, called on the control thread.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "carawaylatch/base/hash.h"
+#include "carawaylatch/base/ids.h"
+#include "carawaylatch/base/time.h"
+#include "carawaylatch/fleet/lease.h"
+#include "carawaylatch/gateway/decoder.h"
+#include "carawaylatch/gateway/engineclient.h"
+#include "carawaylatch/gateway/fleetstate.h"
+#include "carawaylatch/gateway/objectclient.h"
+#include "carawaylatch/gateway/rollout.h"
+#include "carawaylatch/gateway/tableage.h"
+#include "carawaylatch/telemetry/decisionlog.h"
+
+namespace carawaylatch::gateway
+{
+
+struct ControlSettings
+{
+    base::RouterId router; // names one VM
+    fleet::LeaseSettings lease;
+    RolloutSettings rollout;
+    base::Duration watchWait = base::milliseconds{1200}; // of one watch; bounds the age of the configuration
+    base::Duration retryPause = base::milliseconds{150}; // after a failed call; doubles up to maxRetryPause
+    base::Duration maxRetryPause = base::milliseconds{1000};
+};
+
+class ControlPlane
+{
+public:
+    using Publish = std::function<void(std::shared_ptr<const proxy::FleetView>)>;
+
+    // All references outlive the plane.
+    ControlPlane(boost::asio::io_context &loop, const base::Clock &clock, const ControlSettings &settings, ObjectClientFactory &clients, EngineClient &engines,
+                 const FleetDecoder &decoder, telemetry::DecisionLog &log, TableAge &tableAge, Publish publish);
+
+    void start();
+    // Gives the lease up at its end; no new orders.
+    void beginStop();
+    // From the control thread.
+    void onWeightsSeen(const base::UpstreamId &upstream, base::WeightsVersion weights);
+
+private:
+    [[nodiscard]] Awaitable<void> watchKind(ObjectKind kind);
+    [[nodiscard]] Awaitable<base::Result<std::uint64_t>> listAll(ObjectClient &client, ObjectKind kind, bool wasOutOfReach);
+    [[nodiscard]] Awaitable<void> runDuties();
+    [[nodiscard]] Awaitable<void> stepLease(ObjectClient &client);
+    [[nodiscard]] Awaitable<void> stepRollout(ObjectClient &client);
+    [[nodiscard]] Awaitable<bool> publishChanging(ObjectClient &client);
+    [[nodiscard]] Awaitable<void> registerRouter(ObjectClient &client);
+    [[nodiscard]] Awaitable<void> giveOrder(WeightsOrder order);
+    [[nodiscard]] Awaitable<void> askStatus(WeightsOrder order);
+    [[nodiscard]] Awaitable<void> pause(base::Duration duration);
+    void publishIfChanged();
+    void noteHolding();
+
+    boost::asio::io_context &m_loop;
+    const base::Clock &m_clock;
+    const ControlSettings m_settings;
+    ObjectClientFactory &m_clients;
+    EngineClient &m_engines;
+    telemetry::DecisionLog &m_log;
+    TableAge &m_tableAge;
+    Publish m_publish;
+    FleetState m_state;
+    fleet::Lease m_lease;
+    Rollout m_rollout;
+    base::Random m_random;
+    std::set<base::UpstreamId> m_asked; // status calls under way
+    std::string m_publishedChanging; // text of the object as this router wrote it last
+    bool m_isHolding = false;
+    bool m_isRegistered = false;
+    bool m_isStopping = false;
+};
+
+} // namespace carawaylatch::gateway
--- /dev/null
+++ b/carawaylatch/gateway/engineclient.h
@@ -0,0 +1,51 @@
+// Orders to engines and their reports, from the control thread.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "carawaylatch/base/error.h"
+#include "carawaylatch/base/ids.h"
+#include "carawaylatch/base/time.h"
+#include "carawaylatch/gateway/objectclient.h"
+
+namespace carawaylatch::gateway
+{
+
+struct WeightsOrder
+{
+    base::UpstreamId engine;
+    base::Endpoint endpoint;
+    base::ModelId model;
+    base::WeightsVersion version;
+    std::string holder; // of the lease; one name for each VM
+    base::FenceToken fence;
+    std::optional<std::uint64_t> expectedOrders; // orders that the engine has accepted so far; void if it differs
+};
+
+struct EngineStatus
+{
+    base::WeightsVersion weights; // of the model asked for; zero if it has none
+    bool isChanging = false;
+    std::uint64_t acceptedOrders = 0;
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+};
+
+enum class OrderAnswer {
+    Accepted, // is carried out
+    AlreadyHolds,
+    Busy, // another order is in progress, or the number of accepted orders differs
+};
+
+class EngineClient
+{
+public:
+    virtual ~EngineClient() = default;
+    // StaleState: the fence is too low. Unavailable: not sent. Any other error: it may be obeyed, also later.
+    [[nodiscard]] virtual Awaitable<base::Result<OrderAnswer>> order(WeightsOrder order) = 0;
+    [[nodiscard]] virtual Awaitable<base::Result<EngineStatus>> status(base::UpstreamId engine, base::Endpoint endpoint, base::ModelId model) = 0;
+};
+
+} // namespace carawaylatch::gateway
--- /dev/null
+++ b/carawaylatch/gateway/gateway.cpp
@@ -0,0 +1,183 @@
+// Start, stop and reload.
+//
+// A planned stop: not ready at once; requests go on being served while the
+// balancer still sends new connections; then idle connections close and the
+// process ends with the last request, or shortly before the platform ends it.
+#include "carawaylatch/gateway/gateway.h"
+
+#include <boost/asio/post.hpp>
+
+#include <csignal>
+#include <fstream>
+#include <sstream>
+#include <thread>
+#include <utility>
+
+namespace carawaylatch::gateway
+{
+
+namespace
+{
+
+// The balancer asks once a second and gives up after two misses.
+constexpr base::Duration BalancerLag = base::milliseconds{3200};
+constexpr base::Duration StopInterval = base::milliseconds{50}; // between looks at requests under way
+constexpr base::Duration EndReserve = base::milliseconds{300}; // before the end of the grace period
+constexpr base::Duration SettingsInterval = base::seconds{1}; // between looks at the settings file
+
+std::string endpointText(const base::Endpoint &endpoint)
+{
+    return endpoint.address + ':' + std::to_string(endpoint.port);
+}
+
+std::string readText(const std::string &path)
+{
+    std::ifstream in(path, std::ios::binary);
+    std::ostringstream text;
+    text << in.rdbuf();
+    return text.str();
+}
+
+} // namespace
+
+Gateway::Gateway(std::string settingsPath, GatewaySettings settings, const base::Clock &clock, telemetry::DecisionLog &log, const MakeGatewayParts &makeParts)
+    : m_settingsPath(std::move(settingsPath))
+    , m_settings(std::move(settings))
+    , m_clock(clock)
+    , m_log(log)
+    , m_controlLoop(1)
+    , m_trafficLoop(1)
+    , m_parts(makeParts(m_controlLoop, m_settings))
+    , m_signals(m_trafficLoop)
+    , m_settingsText(readText(m_settingsPath))
+{
+    m_traffic = std::make_unique<proxy::TrafficPlane>(m_trafficLoop, m_clock, m_settings.traffic(), *m_parts.dialect, *this, m_log, [this] {
+        return m_tableAge.age();
+    });
+    m_control = std::make_unique<ControlPlane>(m_controlLoop, m_clock, m_settings.control(), *m_parts.clients, *m_parts.engines, *m_parts.decoder, m_log,
+                                               m_tableAge, [this](std::shared_ptr<const proxy::FleetView> view) {
+                                                   boost::asio::post(m_trafficLoop, [this, view = std::move(view)]() mutable {
+                                                       m_traffic->adopt(std::move(view));
+                                                   });
+                                               });
+}
+
+Gateway::~Gateway() = default;
+
+base::Result<void> Gateway::start()
+{
+    boost::system::error_code ec;
+    for (const int signal : {SIGTERM, SIGINT, SIGHUP}) {
+        m_signals.add(signal, ec);
+        if (ec) {
+            return base::fail(base::ErrorKind::Unavailable, "signals can't be received (" + ec.message() + "); start the process without a filter on them");
+        }
+    }
+    if (const auto listening = m_traffic->listen(); !listening) {
+        return listening;
+    }
+    m_log.write(base::LogEvent::GatewayStarted,
+                {{"router", m_settings.id},
+                 {"domain", m_settings.failureDomain},
+                 {"callers", endpointText(m_settings.callers)},
+                 {"operators", endpointText(m_settings.operators)},
+                 {"store", endpointText(m_settings.store)}});
+    awaitSignal();
+    watchSettings();
+    m_control->start();
+    return base::ok();
+}
+
+int Gateway::run()
+{
+    std::thread control([this] {
+        m_controlLoop.run();
+    });
+    m_trafficLoop.run();
+    m_controlLoop.stop();
+    control.join();
+    m_log.flush();
+    return 0;
+}
+
+void Gateway::onWeightsSeen(const base::UpstreamId &upstream, base::WeightsVersion weights)
+{
+    boost::asio::post(m_controlLoop, [this, upstream, weights] {
+        m_control->onWeightsSeen(upstream, weights);
+    });
+}
+
+void Gateway::awaitSignal()
+{
+    m_signals.async_wait([this](const boost::system::error_code &ec, int signal) {
+        if (ec) {
+            return;
+        }
+        if (signal == SIGHUP) {
+            reload("signal");
+        } else {
+            beginStop();
+        }
+        awaitSignal();
+    });
+}
+
+void Gateway::beginStop()
+{
+    if (m_traffic->isStopping()) {
+        return;
+    }
+    m_stopBegan = m_clock.now();
+    m_log.write(base::LogEvent::GatewayStopping, {{"inflight", std::to_string(m_traffic->inflight())}});
+    m_traffic->beginStop();
+    boost::asio::post(m_controlLoop, [this] {
+        m_control->beginStop();
+    });
+    m_stopTimer = m_traffic->timers().every(m_clock.now(), StopInterval, [this](base::TimePoint) {
+        continueStop();
+    });
+}
+
+void Gateway::continueStop()
+{
+    const base::Duration waited = m_clock.now() - m_stopBegan;
+    const base::Duration grace = base::fromSeconds(m_settings.graceSeconds) - EndReserve;
+    if (waited < std::min<base::Duration>(BalancerLag, grace)) {
+        return;
+    }
+    const std::size_t inflight = m_traffic->closeIdle();
+    if (inflight > 0 && waited < grace) {
+        return;
+    }
+    m_log.write(base::LogEvent::GatewayStopped, {{"cut", std::to_string(inflight)}, {"waited_ms", std::to_string(base::toMilliseconds(waited))}});
+    m_log.flush();
+    m_trafficLoop.stop();
+}
+
+void Gateway::watchSettings()
+{
+    m_settingsTimer = m_traffic->timers().every(m_clock.now(), SettingsInterval, [this](base::TimePoint) {
+        if (readText(m_settingsPath) != m_settingsText) {
+            reload("file");
+        }
+    });
+}
+
+void Gateway::reload(const std::string &cause)
+{
+    m_settingsText = readText(m_settingsPath);
+    auto settings = parseGatewaySettings(m_settingsText, m_settingsPath);
+    if (!settings) {
+        m_log.write(base::LogEvent::SettingsRejected, {{"path", m_settingsPath}, {"problem", settings.error().message}});
+        return;
+    }
+    // Addresses and the id hold for the life of the process.
+    settings.value().callers = m_settings.callers;
+    settings.value().operators = m_settings.operators;
+    settings.value().id = m_settings.id;
+    m_settings = std::move(settings.value());
+    m_traffic->applySettings(m_settings.traffic());
+    m_log.write(base::LogEvent::SettingsReloaded, {{"path", m_settingsPath}, {"cause", cause}});
+}
+
+} // namespace carawaylatch::gateway
--- /dev/null
+++ b/carawaylatch/gateway/gateway.h
@@ -0,0 +1,73 @@
+// One gateway process: a control thread, a traffic thread, signals.
+//
+//     Gateway gateway(path, settings, log, makeParts);
+//     BOOST_OUTCOME_TRY(gateway.start());
+//     return gateway.run();        // until SIGTERM has been carried out
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include "carawaylatch/base/error.h"
+#include "carawaylatch/base/time.h"
+#include "carawaylatch/gateway/controlplane.h"
+#include "carawaylatch/gateway/gatewaysettings.h"
+#include "carawaylatch/gateway/tableage.h"
+#include "carawaylatch/proxy/trafficplane.h"
+#include "carawaylatch/telemetry/decisionlog.h"
+
+namespace carawaylatch::gateway
+{
+
+// What an adapter provides; made for the control thread's loop.
+struct GatewayParts
+{
+    std::unique_ptr<ObjectClientFactory> clients;
+    std::unique_ptr<EngineClient> engines;
+    std::unique_ptr<FleetDecoder> decoder;
+    std::unique_ptr<proxy::Dialect> dialect;
+};
+using MakeGatewayParts = std::function<GatewayParts(boost::asio::io_context &controlLoop, const GatewaySettings &settings)>;
+
+class Gateway : public proxy::TrafficObserver
+{
+public:
+    Gateway(std::string settingsPath, GatewaySettings settings, const base::Clock &clock, telemetry::DecisionLog &log, const MakeGatewayParts &makeParts);
+    ~Gateway() override;
+
+    // Binds the addresses. Unavailable if one is taken.
+    [[nodiscard]] base::Result<void> start();
+    // Serves until a stop signal has been carried out; returns the exit code.
+    int run();
+
+    void onWeightsSeen(const base::UpstreamId &upstream, base::WeightsVersion weights) override;
+
+private:
+    void awaitSignal();
+    void beginStop();
+    void continueStop();
+    void watchSettings();
+    void reload(const std::string &cause);
+
+    const std::string m_settingsPath;
+    GatewaySettings m_settings;
+    const base::Clock &m_clock;
+    telemetry::DecisionLog &m_log;
+    TableAge m_tableAge;
+    boost::asio::io_context m_controlLoop;
+    boost::asio::io_context m_trafficLoop;
+    GatewayParts m_parts;
+    std::unique_ptr<proxy::TrafficPlane> m_traffic;
+    std::unique_ptr<ControlPlane> m_control;
+    boost::asio::signal_set m_signals; // on the traffic thread
+    base::TimerService::Subscription m_stopTimer;
+    base::TimerService::Subscription m_settingsTimer;
+    base::TimePoint m_stopBegan;
+    std::string m_settingsText; // as last read
+};
+
+} // namespace carawaylatch::gateway
--- /dev/null
+++ b/carawaylatch/gateway/gatewaysettings.cpp
@@ -0,0 +1,196 @@
+// The table of keys, and what the settings come to for each plane.
+#include "carawaylatch/gateway/gatewaysettings.h"
+
+#include <algorithm>
+#include <array>
+#include <fstream>
+#include <set>
+#include <sstream>
+
+#include "carawaylatch/config/inidocument.h"
+#include "carawaylatch/config/valuetext.h"
+
+namespace carawaylatch::gateway
+{
+
+namespace
+{
+
+using Key = GatewaySettingsKey;
+using S = GatewaySettings;
+
+constexpr std::array<Key, 14> Keys{
+    Key{"gateway", "id", "name", "names this VM; one process at a time has it", true, &S::id},
+    Key{"gateway", "failure_domain", "name", "failure domain of this VM", true, &S::failureDomain},
+    Key{"gateway", "callers", "endpoint", "where callers connect", true, nullptr, &S::callers},
+    Key{"gateway", "operators", "endpoint", "where readiness and metrics are asked for", true, nullptr, &S::operators},
+    Key{"gateway", "memory_mb", "number", "megabytes that the process may use; an eighth of it holds request bodies", false, nullptr, nullptr, &S::memoryMegabytes},
+    Key{"gateway", "grace_seconds", "number", "seconds from the stop signal to the end of the process", false, nullptr, nullptr, &S::graceSeconds},
+    Key{"store", "address", "endpoint", "the object store", true, nullptr, &S::store},
+    Key{"store", "timeout_ms", "number", "milliseconds for one call, without a watch's wait", false, nullptr, nullptr, &S::storeTimeoutMs},
+    Key{"store", "watch_ms", "number", "milliseconds that one watch waits; bounds the age of the configuration", false, nullptr, nullptr, &S::watchWaitMs},
+    Key{"retries", "share", "number", "requests sent again, for each request of a pool, over all routers", false, nullptr, nullptr, &S::retryShare},
+    Key{"retries", "reserve", "number", "requests sent again in ten seconds beside the share, over all routers", false, nullptr, nullptr, &S::retryReserve},
+    Key{"configuration", "max_age_ms", "number", "milliseconds after which an unconfirmed configuration serves no request with a key; 0: no limit", false, nullptr, nullptr, &S::maxAgeMs},
+    Key{"weights", "change_within_ms", "number", "milliseconds from a version's naming to the last request on older weights", false, nullptr, nullptr, &S::changeWithinMs},
+    Key{"weights", "lease_ms", "number", "milliseconds between the last order of one holder and the first of another", false, nullptr, nullptr, &S::leaseMs},
+};
+
+base::Duration fromMilliseconds(double count)
+{
+    return base::fromSeconds(count / 1000);
+}
+
+base::Error wrongValue(std::string_view fileName, const config::IniEntry &entry, const std::string &problem)
+{
+    return base::fail(base::ErrorKind::InvalidArgument, config::linePrefix(fileName, entry.line) + entry.key + ": " + problem);
+}
+
+base::Result<void> assign(GatewaySettings &settings, const Key &key, const config::IniEntry &entry, std::string_view fileName)
+{
+    if (key.text != nullptr) {
+        const auto name = config::parseName(entry.value);
+        if (!name) {
+            return wrongValue(fileName, entry, name.error().message);
+        }
+        settings.*key.text = name.value();
+    } else if (key.endpoint != nullptr) {
+        const auto endpoint = config::parseEndpoint(entry.value);
+        if (!endpoint) {
+            return wrongValue(fileName, entry, endpoint.error().message);
+        }
+        settings.*key.endpoint = endpoint.value();
+    } else {
+        const auto number = config::parseFraction(entry.value);
+        if (!number) {
+            return wrongValue(fileName, entry, number.error().message);
+        }
+        settings.*key.number = number.value();
+    }
+    return base::ok();
+}
+
+base::Result<void> checkRanges(const GatewaySettings &settings, std::string_view fileName)
+{
+    const auto tooSmall = [fileName](std::string_view key, std::string_view least) {
+        return base::fail(base::ErrorKind::InvalidArgument, std::string(fileName) + ": " + std::string(key) + " must be " + std::string(least) + " or more");
+    };
+    if (settings.memoryMegabytes < 32) {
+        return tooSmall("memory_mb", "32");
+    }
+    if (settings.graceSeconds < 1) {
+        return tooSmall("grace_seconds", "1");
+    }
+    if (settings.storeTimeoutMs < 10 || settings.watchWaitMs < 10) {
+        return tooSmall("timeout_ms and watch_ms", "10");
+    }
+    if (settings.leaseMs < 100 || settings.changeWithinMs < 100) {
+        return tooSmall("lease_ms and change_within_ms", "100");
+    }
+    return base::ok();
+}
+
+} // namespace
+
+std::span<const GatewaySettingsKey> gatewaySettingsKeys()
+{
+    return Keys;
+}
+
+std::string renderGatewaySettingsPage()
+{
+    std::ostringstream out;
+    out << "# Settings of the gateway\n\nRendered from carawaylatch/gateway/gatewaysettings.cpp; a test compares the two.\n"
+        << "The file is read at the start, on SIGHUP and when it changes; a wrong file changes nothing.\n\n"
+        << "| section | key | form | needed | meaning |\n|---|---|---|---|---|\n";
+    for (const Key &key : Keys) {
+        out << "| " << key.section << " | " << key.name << " | " << key.form << " | " << (key.isRequired ? "yes" : "no") << " | " << key.meaning << " |\n";
+    }
+    return out.str();
+}
+
+base::Result<GatewaySettings> parseGatewaySettings(std::string_view text, std::string_view fileName)
+{
+    auto document = config::parseIni(text, fileName);
+    if (!document) {
+        return document.error();
+    }
+    GatewaySettings settings;
+    std::set<std::string> seen;
+    for (const config::IniSection &section : document.value().sections) {
+        for (const config::IniEntry &entry : section.entries) {
+            const auto key = std::find_if(Keys.begin(), Keys.end(), [&](const Key &it) {
+                return it.section == section.name && it.name == entry.key;
+            });
+            if (key == Keys.end()) {
+                return wrongValue(fileName, entry, "no such key in [" + section.name + "]; docs/SETTINGS-gateway.md lists all");
+            }
+            if (!seen.insert(section.name + '.' + entry.key).second) {
+                return wrongValue(fileName, entry, "stands twice; remove one");
+            }
+            if (const auto assigned = assign(settings, *key, entry, fileName); !assigned) {
+                return assigned.error();
+            }
+        }
+    }
+    for (const Key &key : Keys) {
+        if (key.isRequired && !seen.contains(std::string(key.section) + '.' + std::string(key.name))) {
+            return base::fail(base::ErrorKind::InvalidArgument,
+                              std::string(fileName) + ": [" + std::string(key.section) + "] " + std::string(key.name) + " is missing; set it");
+        }
+    }
+    if (const auto checked = checkRanges(settings, fileName); !checked) {
+        return checked.error();
+    }
+    return settings;
+}
+
+base::Result<GatewaySettings> loadGatewaySettings(const std::string &path)
+{
+    std::ifstream in(path, std::ios::binary);
+    if (!in) {
+        return base::fail(base::ErrorKind::NotFound, path + ": can't be read; name a readable file");
+    }
+    std::ostringstream text;
+    text << in.rdbuf();
+    return parseGatewaySettings(text.str(), path);
+}
+
+proxy::TrafficSettings GatewaySettings::traffic() const
+{
+    // A request that is let in runs a moment later, and a confirmation is as old as
+    // the watch that gave it: both stay within the rest.
+    constexpr double UsedAgeShare = 0.72;
+    // Above the age that a watch in good order reaches, so that readiness doesn't flap.
+    constexpr double ReadyAgeShare = 0.62;
+    constexpr double MaxBodiesShare = 0.125; // of the process's memory
+    constexpr double OldWeightsShare = 0.8; // the last requests on older weights begin within it
+    proxy::TrafficSettings out;
+    out.domain = base::FailureDomain(failureDomain);
+    out.callers = callers;
+    out.operators = operators;
+    out.retryShare = retryShare;
+    out.retryReserve = static_cast<std::uint32_t>(retryReserve);
+    out.maxTableAge = fromMilliseconds(maxAgeMs * UsedAgeShare);
+    out.readyTableAge = fromMilliseconds(maxAgeMs * ReadyAgeShare);
+    out.maxBodyBytesHeld = static_cast<std::uint64_t>(memoryMegabytes * 1e6 * MaxBodiesShare);
+    out.placement.oldWeightsLimit = fromMilliseconds(changeWithinMs * OldWeightsShare);
+    return out;
+}
+
+ControlSettings GatewaySettings::control() const
+{
+    // The lease's own length. Its holder believes for two thirds of it at most, so a
+    // successor that waits for settleTime acts leaseMs after its predecessor's last order.
+    constexpr double LeaseShare = 0.6;
+    ControlSettings out;
+    out.router = base::RouterId(id);
+    out.lease.length = fromMilliseconds(leaseMs * LeaseShare);
+    out.lease.readInterval = fromMilliseconds(leaseMs * LeaseShare / 6);
+    out.lease.isRouterSingle = true;
+    out.rollout.settleTime = fromMilliseconds(leaseMs);
+    out.watchWait = fromMilliseconds(watchWaitMs);
+    return out;
+}
+
+} // namespace carawaylatch::gateway
--- a/carawaylatch/orders/claimjournal.cpp
+++ b/carawaylatch/orders/claimjournal.cpp
@@ -64,7 +64,7 @@
         BOOST_OUTCOME_TRY(record, fromWire(it.record()));
         const OrderId order{base::CustomerId(it.customer()), it.key()};
         image.m_bytes += entryBytes(order, record);
-        image.m_records[order] = VersionedRecord{std::move(record), platform::Version{it.version()}};
+        image.m_records[order] = VersionedRecord{std::move(record), store::Version{it.version()}};
     }
     return image;
 }
@@ -95,10 +95,10 @@
     return base::fail(ErrorKind::NotFound, "no record of the order; claim it first");
 }
 
-base::Result<platform::Version> JournalImage::apply(const OrderId &order, const OrderRecord &record, platform::Version expected)
+base::Result<store::Version> JournalImage::apply(const OrderId &order, const OrderRecord &record, store::Version expected)
 {
     const auto found = m_records.find(order);
-    const platform::Version present = found == m_records.end() ? platform::Version{} : found->second.version;
+    const store::Version present = found == m_records.end() ? store::Version{} : found->second.version;
     if (present != expected) {
         return base::fail(ErrorKind::Conflict, "the order's record was changed by another; read it again");
     }
@@ -111,7 +111,7 @@
         return base::fail(ErrorKind::Overloaded, "the order journal is full; wait for pruning or shorten the retention", base::seconds{10});
     }
     m_bytes += after - before;
-    const platform::Version version{++m_lastVersion};
+    const store::Version version{++m_lastVersion};
     m_records[order] = VersionedRecord{record, version};
     return version;
 }
@@ -146,8 +146,8 @@
 {
     const OrderId &order;
     OrderRecord record;
-    platform::Version expected;
-    std::optional<base::Result<platform::Version>> result;
+    store::Version expected;
+    std::optional<base::Result<store::Version>> result;
     bool isDone = false; // guarded by the range's mutex
 };
 
@@ -160,7 +160,7 @@
     std::optional<Loaded> cached; // the leader's alone while isWriting
 };
 
-JournalClaimStore::JournalClaimStore(platform::ObjectStore &store, JournalSettings settings)
+JournalClaimStore::JournalClaimStore(store::ObjectStore &store, JournalSettings settings)
     : m_store(store)
     , m_settings(settings)
 {
@@ -195,7 +195,7 @@
     return loaded.image.find(order);
 }
 
-base::Result<platform::Version> JournalClaimStore::write(const OrderId &order, const OrderRecord &record, platform::Version expected)
+base::Result<store::Version> JournalClaimStore::write(const OrderId &order, const OrderRecord &record, store::Version expected)
 {
     const std::uint32_t index = rangeIndex(order);
     Range &range = *m_ranges[index];
--- a/carawaylatch/orders/claimjournal.h
+++ b/carawaylatch/orders/claimjournal.h
@@ -43,7 +43,7 @@
     // Returns the record, NotFound, or StaleState if the key is closed.
     [[nodiscard]] base::Result<VersionedRecord> find(const OrderId &order) const;
     // Compare-and-set of one record: Conflict, StaleState, or Overloaded if the journal is full.
-    [[nodiscard]] base::Result<platform::Version> apply(const OrderId &order, const OrderRecord &record, platform::Version expected);
+    [[nodiscard]] base::Result<store::Version> apply(const OrderId &order, const OrderRecord &record, store::Version expected);
     // Closes keys and drops records written before the epoch; returns how many.
     std::size_t prune(std::uint64_t beforeEpoch);
     [[nodiscard]] std::size_t size() const;
@@ -72,11 +72,11 @@
 class JournalClaimStore : public ClaimStore
 {
 public:
-    JournalClaimStore(platform::ObjectStore &store, JournalSettings settings);
+    JournalClaimStore(store::ObjectStore &store, JournalSettings settings);
     ~JournalClaimStore() override;
 
     [[nodiscard]] base::Result<VersionedRecord> read(const OrderId &order) override;
-    [[nodiscard]] base::Result<platform::Version> write(const OrderId &order, const OrderRecord &record, platform::Version expected) override;
+    [[nodiscard]] base::Result<store::Version> write(const OrderId &order, const OrderRecord &record, store::Version expected) override;
     // Prunes one range in one conditional write; returns the records dropped.
     [[nodiscard]] base::Result<std::size_t> prune(std::uint32_t range, std::uint64_t beforeEpoch);
     [[nodiscard]] JournalCounters counters() const;
@@ -87,7 +87,7 @@
     struct Loaded
     {
         JournalImage image;
-        platform::Version version;
+        store::Version version;
     };
 
     [[nodiscard]] std::uint32_t rangeIndex(const OrderId &order) const;
@@ -95,7 +95,7 @@
     void commit(std::uint32_t index, std::span<Call *const> batch);
     [[nodiscard]] bool tryCommit(std::uint32_t index, std::span<Call *const> batch, bool &isUnclear);
 
-    platform::ObjectStore &m_store;
+    store::ObjectStore &m_store;
     const JournalSettings m_settings;
     std::vector<std::unique_ptr<Range>> m_ranges;
     mutable std::mutex m_counterMutex;
--- a/carawaylatch/orders/claimstore.cpp
+++ b/carawaylatch/orders/claimstore.cpp
@@ -14,7 +14,7 @@
 
 using base::ErrorKind;
 
-SingleClaimStore::SingleClaimStore(platform::ObjectStore &store)
+SingleClaimStore::SingleClaimStore(store::ObjectStore &store)
     : m_store(store)
 {
 }
@@ -36,7 +36,7 @@
     return VersionedRecord{std::move(record), object.value().version};
 }
 
-base::Result<platform::Version> SingleClaimStore::write(const OrderId &order, const OrderRecord &record, platform::Version expected)
+base::Result<store::Version> SingleClaimStore::write(const OrderId &order, const OrderRecord &record, store::Version expected)
 {
     BOOST_OUTCOME_TRY(version, m_store.write(recordObjectName(order), encodeRecord(record), expected));
     if (record.state != RecordState::Claimed) {
--- a/carawaylatch/orders/claimstore.h
+++ b/carawaylatch/orders/claimstore.h
@@ -16,7 +16,7 @@
 #pragma once
 
 #include "carawaylatch/orders/orderrecord.h"
-#include "carawaylatch/platform/objectstore.h"
+#include "carawaylatch/store/objectstore.h"
 
 namespace carawaylatch::orders
 {
@@ -24,7 +24,7 @@
 struct VersionedRecord
 {
     OrderRecord record;
-    platform::Version version; // never zero
+    store::Version version; // never zero
 };
 
 class ClaimStore
@@ -34,19 +34,19 @@
     // Returns the order's record.
     [[nodiscard]] virtual base::Result<VersionedRecord> read(const OrderId &order) = 0;
     // Writes the record if its version is still `expected`; zero creates it.
-    [[nodiscard]] virtual base::Result<platform::Version> write(const OrderId &order, const OrderRecord &record, platform::Version expected) = 0;
+    [[nodiscard]] virtual base::Result<store::Version> write(const OrderId &order, const OrderRecord &record, store::Version expected) = 0;
 };
 
 // One platform object for each order, below "order/". Two writes an order.
 class SingleClaimStore : public ClaimStore
 {
 public:
-    explicit SingleClaimStore(platform::ObjectStore &store);
+    explicit SingleClaimStore(store::ObjectStore &store);
     [[nodiscard]] base::Result<VersionedRecord> read(const OrderId &order) override;
-    [[nodiscard]] base::Result<platform::Version> write(const OrderId &order, const OrderRecord &record, platform::Version expected) override;
+    [[nodiscard]] base::Result<store::Version> write(const OrderId &order, const OrderRecord &record, store::Version expected) override;
 
 private:
-    platform::ObjectStore &m_store;
+    store::ObjectStore &m_store;
 };
 
 } // namespace carawaylatch::orders
--- a/carawaylatch/orders/orderdesk.cpp
+++ b/carawaylatch/orders/orderdesk.cpp
@@ -258,7 +258,7 @@
     return m_liveness.life(claimant.router, claimant.incarnation);
 }
 
-ReopenedSeen OrderDesk::reopenedSeen(const OrderId &order, platform::Version version, std::uint64_t arrival)
+ReopenedSeen OrderDesk::reopenedSeen(const OrderId &order, store::Version version, std::uint64_t arrival)
 {
     const std::lock_guard lock(m_mutex);
     const auto it = m_seenReopened.find(order);
@@ -270,7 +270,7 @@
 }
 
 // The caller holds m_mutex.
-void OrderDesk::noteReopened(const OrderId &order, platform::Version version)
+void OrderDesk::noteReopened(const OrderId &order, store::Version version)
 {
     if (!m_seenReopened.contains(order)) {
         if (m_seenOrder.size() >= m_settings.maxSeenReopened) {
--- a/carawaylatch/orders/orderdesk.h
+++ b/carawaylatch/orders/orderdesk.h
@@ -121,8 +121,8 @@
     [[nodiscard]] OrderAction readRecord(Try &attempt);
     [[nodiscard]] OrderAction sendOnce(Try &attempt);
     [[nodiscard]] ClaimantLife lifeOf(const Claimant &claimant) const;
-    [[nodiscard]] ReopenedSeen reopenedSeen(const OrderId &order, platform::Version version, std::uint64_t arrival);
-    void noteReopened(const OrderId &order, platform::Version version);
+    [[nodiscard]] ReopenedSeen reopenedSeen(const OrderId &order, store::Version version, std::uint64_t arrival);
+    void noteReopened(const OrderId &order, store::Version version);
     void workOff(DutyTiming timing);
     void carryOut(const OrderId &order, OrderDuty &machine);
     void count(const OrderAnswer &answer);
@@ -138,7 +138,7 @@
     // A reopened record as this router first saw it.
     struct Seen
     {
-        platform::Version version;
+        store::Version version;
         std::uint64_t afterArrival = 0; // requests received before that
     };
     mutable std::mutex m_mutex; // guards all below
--- a/carawaylatch/orders/orderduty.cpp
+++ b/carawaylatch/orders/orderduty.cpp
@@ -16,14 +16,14 @@
 namespace carawaylatch::orders
 {
 
-OrderDuty::OrderDuty(DutyKind kind, OrderRecord record, platform::Version claim)
+OrderDuty::OrderDuty(DutyKind kind, OrderRecord record, store::Version claim)
     : m_kind(kind)
     , m_record(std::move(record))
 {
     m_state.expected = claim;
 }
 
-OrderDuty OrderDuty::reopenUnclear(OrderRecord record, platform::Version expected)
+OrderDuty OrderDuty::reopenUnclear(OrderRecord record, store::Version expected)
 {
     OrderDuty duty(DutyKind::Reopen, std::move(record), expected);
     duty.m_unclearOver = expected;
@@ -36,7 +36,7 @@
     m_state.step = DutyStep::Finished;
 }
 
-void OrderDuty::onWritten(const base::Result<platform::Version> &result)
+void OrderDuty::onWritten(const base::Result<store::Version> &result)
 {
     if (result) {
         m_state.mayHaveWritten = true;
@@ -67,7 +67,7 @@
 {
     if (!result) {
         const auto kind = result.error().kind;
-        if (kind == base::ErrorKind::NotFound && m_unclearOver == platform::Version{}) {
+        if (kind == base::ErrorKind::NotFound && m_unclearOver == store::Version{}) {
             m_state.expected = {};
             m_state.step = DutyStep::Writing;
         } else if (kind == base::ErrorKind::NotFound || kind == base::ErrorKind::StaleState) {
--- a/carawaylatch/orders/orderduty.h
+++ b/carawaylatch/orders/orderduty.h
@@ -27,11 +27,11 @@
 struct DutyState
 {
     DutyStep step = DutyStep::Writing;
-    platform::Version expected; // of the next or present write
+    store::Version expected; // of the next or present write
     // True once a write may have taken effect; a reopened order may then run elsewhere.
     bool mayHaveWritten = false;
     // Set when a Reopen finished: the version of the reopened record.
-    std::optional<platform::Version> reopened;
+    std::optional<store::Version> reopened;
 
     bool operator==(const DutyState &) const = default;
 };
@@ -40,14 +40,14 @@
 {
 public:
     // `claim` is the version of our confirmed claim.
-    OrderDuty(DutyKind kind, OrderRecord record, platform::Version claim);
+    OrderDuty(DutyKind kind, OrderRecord record, store::Version claim);
     // For a claim write over `expected` that stayed unclear: Reopen, or finish if
     // it is seen that the write can never take effect.
-    [[nodiscard]] static OrderDuty reopenUnclear(OrderRecord record, platform::Version expected);
+    [[nodiscard]] static OrderDuty reopenUnclear(OrderRecord record, store::Version expected);
 
     // Reports the result of the call that state().step names. A call that was not
     // answered leaves the step as it must be tried again.
-    void onWritten(const base::Result<platform::Version> &result);
+    void onWritten(const base::Result<store::Version> &result);
     void onRead(const base::Result<VersionedRecord> &result);
 
     [[nodiscard]] DutyKind kind() const;
@@ -63,7 +63,7 @@
     OrderRecord m_record; // what to write
     DutyState m_state;
     // Version that a still unclear claim write was conditional on.
-    std::optional<platform::Version> m_unclearOver;
+    std::optional<store::Version> m_unclearOver;
 };
 
 } // namespace carawaylatch::orders
--- a/carawaylatch/orders/orderguard.cpp
+++ b/carawaylatch/orders/orderguard.cpp
@@ -77,7 +77,7 @@
     return claim(now, {});
 }
 
-OrderAction OrderGuard::claim(base::TimePoint now, platform::Version expected)
+OrderAction OrderGuard::claim(base::TimePoint now, store::Version expected)
 {
     if (isPastDeadline(now) || ++m_state.tries > m_settings.maxSettlingTries) {
         return settleAgain(now, base::fail(ErrorKind::Overloaded, "no time left to claim the order"));
@@ -99,7 +99,7 @@
     return action;
 }
 
-OrderAction OrderGuard::onWritten(base::TimePoint now, const base::Result<platform::Version> &result)
+OrderAction OrderGuard::onWritten(base::TimePoint now, const base::Result<store::Version> &result)
 {
     if (m_state.step == OrderStep::Claiming) {
         return onClaimWritten(now, result);
@@ -110,7 +110,7 @@
     return misfit();
 }
 
-OrderAction OrderGuard::onClaimWritten(base::TimePoint now, const base::Result<platform::Version> &result)
+OrderAction OrderGuard::onClaimWritten(base::TimePoint now, const base::Result<store::Version> &result)
 {
     if (result) {
         return confirmClaim(now, result.value());
@@ -129,7 +129,7 @@
     }
 }
 
-OrderAction OrderGuard::confirmClaim(base::TimePoint now, platform::Version version)
+OrderAction OrderGuard::confirmClaim(base::TimePoint now, store::Version version)
 {
     m_state.claim = version;
     m_state.mayHaveClaimed = false;
@@ -296,7 +296,7 @@
     return action;
 }
 
-OrderAction OrderGuard::onOutcomeWritten(const base::Result<platform::Version> &result)
+OrderAction OrderGuard::onOutcomeWritten(const base::Result<store::Version> &result)
 {
     if (result) {
         return answerOutcome(std::nullopt);
--- a/carawaylatch/orders/orderguard.h
+++ b/carawaylatch/orders/orderguard.h
@@ -83,7 +83,7 @@
 {
     OrderActionKind kind = OrderActionKind::Answer;
     OrderRecord record; // with WriteRecord and with duties
-    platform::Version expected; // with WriteRecord
+    store::Version expected; // with WriteRecord
     base::Duration pause{};
     OrderAnswer answer;
     std::optional<OrderDuty> duty; // with Answer: what the platform must still learn
@@ -118,9 +118,9 @@
 {
     OrderStep step = OrderStep::Idle;
     // Version of our own claim; set only while it is confirmed.
-    std::optional<platform::Version> claim;
+    std::optional<store::Version> claim;
     // Expected version of the last claim write.
-    platform::Version expected;
+    store::Version expected;
     // True while a claim write of ours may be in the platform or reach it later.
     bool mayHaveClaimed = false;
     // True from a send until it provably did not run; no send happens while it is true.
@@ -143,7 +143,7 @@
     [[nodiscard]] OrderAction onStart(base::TimePoint now);
     // `seen` counts for a reopened record, `life` for one claimed by another.
     [[nodiscard]] OrderAction onRead(base::TimePoint now, const base::Result<VersionedRecord> &result, ReopenedSeen seen, ClaimantLife life);
-    [[nodiscard]] OrderAction onWritten(base::TimePoint now, const base::Result<platform::Version> &result);
+    [[nodiscard]] OrderAction onWritten(base::TimePoint now, const base::Result<store::Version> &result);
     [[nodiscard]] OrderAction onSent(base::TimePoint now, const base::Result<ServiceAnswer> &result);
     // No upstream can take the order; nothing was sent by this try.
     [[nodiscard]] OrderAction onNoUpstream(base::TimePoint now, const base::Error &error);
@@ -155,13 +155,13 @@
     [[nodiscard]] OrderRecord record(RecordState state) const;
     [[nodiscard]] bool isPastDeadline(base::TimePoint now) const;
 
-    OrderAction claim(base::TimePoint now, platform::Version expected);
-    OrderAction onClaimWritten(base::TimePoint now, const base::Result<platform::Version> &result);
-    OrderAction onOutcomeWritten(const base::Result<platform::Version> &result);
+    OrderAction claim(base::TimePoint now, store::Version expected);
+    OrderAction onClaimWritten(base::TimePoint now, const base::Result<store::Version> &result);
+    OrderAction onOutcomeWritten(const base::Result<store::Version> &result);
     OrderAction onReadFailed(base::TimePoint now, const base::Error &error);
     OrderAction onForeignRecord(base::TimePoint now, const VersionedRecord &found, ReopenedSeen seen, ClaimantLife life);
     OrderAction onForeignClaim(base::TimePoint now, ClaimantLife life);
-    OrderAction confirmClaim(base::TimePoint now, platform::Version version);
+    OrderAction confirmClaim(base::TimePoint now, store::Version version);
     OrderAction read(OrderStep step);
     OrderAction settleAgain(base::TimePoint now, const base::Error &error);
     OrderAction send(base::TimePoint now);
--- a/carawaylatch/orders/retention.cpp
+++ b/carawaylatch/orders/retention.cpp
@@ -127,7 +127,7 @@
                                              "and use a new key for a new order");
 }
 
-base::Result<void> checkOpen(platform::ObjectStore &store, const OrderId &order)
+base::Result<void> checkOpen(store::ObjectStore &store, const OrderId &order)
 {
     const auto object = store.read(closedObjectName(order));
     if (!object) {
@@ -143,7 +143,7 @@
     return base::ok();
 }
 
-RecordPruner::RecordPruner(platform::ObjectStore &store, RetentionSettings settings)
+RecordPruner::RecordPruner(store::ObjectStore &store, RetentionSettings settings)
     : m_store(store)
     , m_settings(settings)
 {
@@ -217,9 +217,9 @@
     if (!listed) {
         return;
     }
-    std::vector<const platform::Object *> old;
+    std::vector<const store::Object *> old;
     std::vector<std::uint64_t> digests;
-    for (const platform::Object &it : listed.value().written) {
+    for (const store::Object &it : listed.value().written) {
         const auto record = decodeRecord(it.value);
         const auto order = OrderId::fromPath(std::string_view(it.name).substr(prefix.size()));
         if (record && record.value().epoch == 0) {
@@ -232,7 +232,7 @@
     if (old.empty() || !closeKeys(range, digests)) {
         return;
     }
-    for (const platform::Object *it : old) {
+    for (const store::Object *it : old) {
         const auto removed = m_store.remove(it->name, it->version);
         m_counters.pruned += removed ? 1 : 0;
     }
@@ -240,7 +240,7 @@
 
 // Gives a record its epoch. The state stays; a claimant that loses a conditional
 // write to this reads back and finds its claim.
-void RecordPruner::stamp(const platform::Object &object, OrderRecord record)
+void RecordPruner::stamp(const store::Object &object, OrderRecord record)
 {
     record.epoch = m_counters.epoch;
     (void)m_store.write(object.name, encodeRecord(record), object.version);
@@ -251,7 +251,7 @@
 {
     const std::string name = rangeName(ClosedPrefix, range);
     ClosedSet closed;
-    platform::Version version;
+    store::Version version;
     if (const auto object = m_store.read(name)) {
         auto decoded = ClosedSet::decode(object.value().value);
         if (!decoded) {
--- a/carawaylatch/orders/retention.h
+++ b/carawaylatch/orders/retention.h
@@ -28,7 +28,7 @@
 #include "carawaylatch/base/error.h"
 #include "carawaylatch/base/time.h"
 #include "carawaylatch/orders/orderrecord.h"
-#include "carawaylatch/platform/objectstore.h"
+#include "carawaylatch/store/objectstore.h"
 
 namespace carawaylatch::orders
 {
@@ -69,7 +69,7 @@
 // Returns the StaleState error of a closed key.
 [[nodiscard]] base::Error closedError();
 // Returns ok if the key is open, StaleState if it is closed, or the platform's error.
-[[nodiscard]] base::Result<void> checkOpen(platform::ObjectStore &store, const OrderId &order);
+[[nodiscard]] base::Result<void> checkOpen(store::ObjectStore &store, const OrderId &order);
 
 enum class PrunerRole {
     Observer, // learns the epoch now and then, for its own records
@@ -88,7 +88,7 @@
 class RecordPruner
 {
 public:
-    RecordPruner(platform::ObjectStore &store, RetentionSettings settings);
+    RecordPruner(store::ObjectStore &store, RetentionSettings settings);
 
     // One round. A pruner reads the epoch, advances it if due and prunes the next
     // hash range: one read and one list, and writes only where there is something to
@@ -101,15 +101,15 @@
 private:
     void observeEpoch(base::TimePoint now);
     void readEpoch(base::TimePoint now);
-    void stamp(const platform::Object &object, OrderRecord record);
+    void stamp(const store::Object &object, OrderRecord record);
     void pruneRange(std::uint32_t range);
     [[nodiscard]] bool closeKeys(std::uint32_t range, std::span<const std::uint64_t> digests);
 
-    platform::ObjectStore &m_store;
+    store::ObjectStore &m_store;
     RetentionSettings m_settings;
     std::uint32_t m_nextRange = 0;
     // The epoch object's version last seen, and since when.
-    std::optional<platform::Version> m_seen;
+    std::optional<store::Version> m_seen;
     base::TimePoint m_seenAt;
     base::TimePoint m_nextObservation;
     RetentionCounters m_counters;
--- a/carawaylatch/orders/testing/claimstoretest.cpp
+++ b/carawaylatch/orders/testing/claimstoretest.cpp
@@ -11,16 +11,16 @@
 #include "carawaylatch/base/hash.h"
 #include "carawaylatch/orders/claimjournal.h"
 #include "carawaylatch/orders/retention.h"
-#include "carawaylatch/platform/faultystore.h"
-#include "carawaylatch/platform/memorystore.h"
+#include "carawaylatch/store/faultystore.h"
+#include "carawaylatch/store/memorystore.h"
 #include "testing/seed.h"
 
 namespace carawaylatch::orders::testing
 {
 
 using base::ErrorKind;
-using platform::StoreFault;
-using platform::Version;
+using store::StoreFault;
+using store::Version;
 
 namespace
 {
@@ -50,8 +50,8 @@
 // A store under test with its platform and its faults.
 struct Bed
 {
-    platform::MemoryStore platform;
-    platform::FaultyStore faulty{platform};
+    store::MemoryStore platform;
+    store::FaultyStore faulty{platform};
     std::unique_ptr<ClaimStore> store;
     std::function<void(const OrderId &, std::uint64_t epoch)> pruneBefore;
 };
@@ -123,7 +123,7 @@
     void testFaults()
     {
         for (const MakeBed make : AllBeds) {
-            for (const StoreFault fault : platform::AllStoreFaults) {
+            for (const StoreFault fault : store::AllStoreFaults) {
                 for (const std::uint64_t skip : {0U, 1U, 2U}) {
                     for (const std::uint64_t calls : {std::uint64_t{1}, UINT64_MAX}) {
                         const auto bed = make();
@@ -176,7 +176,7 @@
     // Two routers with a journal each on one platform: a cached image must not decide.
     void testTwoStoresOnOnePlatform()
     {
-        platform::MemoryStore platform;
+        store::MemoryStore platform;
         JournalClaimStore one(platform, JournalSettings{1, 500, 20});
         JournalClaimStore two(platform, JournalSettings{1, 500, 20});
         const auto first = one.write(orderId(1), record(1), {});
@@ -201,7 +201,7 @@
                 const auto it = model.find(n);
                 const Version present = it == model.end() ? Version{} : it->second.version;
                 const Version expected = random.below(4) == 0 ? Version{random.below(50)} : present;
-                bed->faulty.inject(platform::AllStoreFaults[random.below(4)], 1 + random.below(2), random.below(3));
+                bed->faulty.inject(store::AllStoreFaults[random.below(4)], 1 + random.below(2), random.below(3));
                 const OrderRecord value = record(static_cast<std::uint64_t>(step) + 1, static_cast<RecordState>(random.below(4)));
                 const auto written = bed->store->write(orderId(n), value, expected);
                 bed->faulty.inject(StoreFault::None);
--- a/carawaylatch/orders/testing/fakes.h
+++ b/carawaylatch/orders/testing/fakes.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "carawaylatch/orders/orderdesk.h"
-#include "carawaylatch/platform/faultystore.h"
+#include "carawaylatch/store/faultystore.h"
 
 namespace carawaylatch::orders::testing
 {
@@ -109,19 +109,19 @@
 };
 
 // Runs a hook before the n-th call.
-class HookedStore : public platform::FaultyStore
+class HookedStore : public store::FaultyStore
 {
 public:
     using FaultyStore::FaultyStore;
     std::function<void()> hook;
     int callsUntilHook = -1;
 
-    base::Result<platform::Object> read(std::string_view name) override
+    base::Result<store::Object> read(std::string_view name) override
     {
         tick();
         return FaultyStore::read(name);
     }
-    base::Result<platform::Version> write(std::string_view name, std::string_view value, platform::Version expected) override
+    base::Result<store::Version> write(std::string_view name, std::string_view value, store::Version expected) override
     {
         tick();
         return FaultyStore::write(name, value, expected);
--- a/carawaylatch/orders/testing/orderdesktest.cpp
+++ b/carawaylatch/orders/testing/orderdesktest.cpp
@@ -12,15 +12,15 @@
 #include "carawaylatch/orders/claimjournal.h"
 #include "carawaylatch/orders/orderdesk.h"
 #include "carawaylatch/orders/testing/fakes.h"
-#include "carawaylatch/platform/faultystore.h"
-#include "carawaylatch/platform/memorystore.h"
+#include "carawaylatch/store/faultystore.h"
+#include "carawaylatch/store/memorystore.h"
 #include "testing/seed.h"
 
 namespace carawaylatch::orders::testing
 {
 
 using base::ErrorKind;
-using platform::StoreFault;
+using store::StoreFault;
 
 namespace
 {
@@ -258,7 +258,7 @@
                 base::Random random(carawaylatch::testing::seed() + static_cast<std::uint64_t>(i));
                 for (int n = 0; n < OrdersOfThread; ++n) {
                     const std::string key = std::to_string(random.below(Keys));
-                    m_faulty.inject(platform::AllStoreFaults[random.below(4)], random.below(4), random.below(4));
+                    m_faulty.inject(store::AllStoreFaults[random.below(4)], random.below(4), random.below(4));
                     OrderDesk &desk = i % 2 == 0 ? *m_one : *m_two;
                     const auto answer = desk.run(makeRequest(clock, key), m_service, m_chooser);
                     const bool isDone = answer.kind == OrderAnswerKind::Done;
@@ -291,8 +291,8 @@
         return desk.run(makeRequest(m_clock, key), m_service, m_chooser);
     }
 
-    platform::MemoryStore m_platform;
-    platform::FaultyStore m_faulty{m_platform};
+    store::MemoryStore m_platform;
+    store::FaultyStore m_faulty{m_platform};
     SingleClaimStore m_store{m_faulty};
     FakeLiveness m_liveness;
     FakeService m_service;
--- a/carawaylatch/orders/testing/orderguardtest.cpp
+++ b/carawaylatch/orders/testing/orderguardtest.cpp
@@ -7,14 +7,14 @@
 #include <string_view>
 
 #include "carawaylatch/orders/orderguard.h"
-#include "carawaylatch/platform/faultystore.h"
-#include "carawaylatch/platform/memorystore.h"
+#include "carawaylatch/store/faultystore.h"
+#include "carawaylatch/store/memorystore.h"
 
 namespace carawaylatch::orders::testing
 {
 
 using base::ErrorKind;
-using platform::StoreFault;
+using store::StoreFault;
 
 namespace
 {
@@ -173,8 +173,8 @@
         return guard.onSent(m_now, ServiceAnswer{200, {}, "ok", echo, {}});
     }
 
-    platform::MemoryStore m_platform;
-    platform::FaultyStore m_faulty{m_platform};
+    store::MemoryStore m_platform;
+    store::FaultyStore m_faulty{m_platform};
     SingleClaimStore m_store{m_faulty};
     OrderStep m_target;
     GuardFault m_fault = GuardFault::None;
--- a/carawaylatch/orders/testing/orderworld.cpp
+++ b/carawaylatch/orders/testing/orderworld.cpp
@@ -239,12 +239,12 @@
     return *m_record;
 }
 
-base::Result<platform::Version> OrderWorld::writeRecord(const OrderRecord &record, platform::Version expected)
+base::Result<store::Version> OrderWorld::writeRecord(const OrderRecord &record, store::Version expected)
 {
-    if ((m_record ? m_record->version : platform::Version{}) != expected) {
+    if ((m_record ? m_record->version : store::Version{}) != expected) {
         return error(ErrorKind::Conflict);
     }
-    m_record = VersionedRecord{record, platform::Version{++m_lastVersion}};
+    m_record = VersionedRecord{record, store::Version{++m_lastVersion}};
     if (m_isClosed && record.state == RecordState::Claimed) {
         return error(ErrorKind::StaleState);
     }
--- a/carawaylatch/orders/testing/orderworld.h
+++ b/carawaylatch/orders/testing/orderworld.h
@@ -36,21 +36,21 @@
     RequestPhase phase = RequestPhase::Coming;
     std::optional<OrderGuard> guard;
     OrderAction action; // to be carried out, in phase Active
-    platform::Version seenAtArrival; // reopened version that the router had seen; zero: none
+    store::Version seenAtArrival; // reopened version that the router had seen; zero: none
     std::optional<OrderAnswer> answer;
 };
 
 struct WorldRouter
 {
     std::uint64_t incarnation = 1;
-    platform::Version seenReopened;
+    store::Version seenReopened;
     std::optional<OrderDuty> duty;
 };
 
 struct DelayedWrite
 {
     OrderRecord record;
-    platform::Version expected;
+    store::Version expected;
 };
 
 struct WorldLimits
@@ -93,7 +93,7 @@
     [[nodiscard]] std::optional<std::size_t> activeAt(int router) const;
     [[nodiscard]] ClaimantLife lifeOf(const Claimant &claimant) const;
     [[nodiscard]] base::Result<VersionedRecord> readRecord() const;
-    base::Result<platform::Version> writeRecord(const OrderRecord &record, platform::Version expected);
+    base::Result<store::Version> writeRecord(const OrderRecord &record, store::Version expected);
     [[nodiscard]] OrderAction read(std::size_t request, const base::Result<VersionedRecord> &result);
     void landRun(std::size_t index);
 
--- a/carawaylatch/orders/testing/retentiontest.cpp
+++ b/carawaylatch/orders/testing/retentiontest.cpp
@@ -5,13 +5,13 @@
 #include "carawaylatch/orders/orderdesk.h"
 #include "carawaylatch/orders/retention.h"
 #include "carawaylatch/orders/testing/fakes.h"
-#include "carawaylatch/platform/faultystore.h"
-#include "carawaylatch/platform/memorystore.h"
+#include "carawaylatch/store/faultystore.h"
+#include "carawaylatch/store/memorystore.h"
 
 namespace carawaylatch::orders::testing
 {
 
-using platform::StoreFault;
+using store::StoreFault;
 
 class RetentionTest : public CppUnit::TestFixture
 {
@@ -61,7 +61,7 @@
     void testPrunerBetweenAnyTwoCallsOfDuplicate()
     {
         for (const int call : {0, 1}) {
-            platform::MemoryStore memory;
+            store::MemoryStore memory;
             const int runs = m_service.runs("acme/k");
             CPPUNIT_ASSERT(orderOver(memory).kind == OrderAnswerKind::Done);
             CPPUNIT_ASSERT(orderWhilePruned(memory, call).kind == OrderAnswerKind::Unknown);
@@ -74,7 +74,7 @@
     // it is confirmed.
     void testPrunerBetweenClaimAndItsCheck()
     {
-        platform::MemoryStore memory;
+        store::MemoryStore memory;
         CPPUNIT_ASSERT(orderWhilePruned(memory, 1).kind == OrderAnswerKind::Unknown);
         CPPUNIT_ASSERT(orderOver(memory).kind == OrderAnswerKind::Unknown);
         CPPUNIT_ASSERT_EQUAL(0, m_service.runs("acme/k"));
@@ -99,7 +99,7 @@
     void testObserverLearnsEpochWithFewReads()
     {
         passEpochs(3);
-        platform::FaultyStore counted(m_platform);
+        store::FaultyStore counted(m_platform);
         RecordPruner observer(counted, m_settings);
         for (base::TimePoint now = m_now; now < m_now + m_settings.epoch; now += base::seconds{2}) {
             observer.step(now, PrunerRole::Observer);
@@ -111,12 +111,12 @@
     void testFaultsOfPruner()
     {
         passEpochs(2);
-        for (const StoreFault fault : platform::AllStoreFaults) {
+        for (const StoreFault fault : store::AllStoreFaults) {
             for (std::uint64_t skip = 0; skip < 5; ++skip) {
-                platform::MemoryStore memory;
+                store::MemoryStore memory;
                 (void)orderOver(memory);
                 const int runs = m_service.runs("acme/k");
-                platform::FaultyStore faulty(memory);
+                store::FaultyStore faulty(memory);
                 RecordPruner pruner(faulty, m_settings);
                 advanceEpochs(pruner, 2 * m_settings.keepEpochs);
                 CPPUNIT_ASSERT_MESSAGE("not pruned before the faults", pruner.counters().pruned == 0);
@@ -142,7 +142,7 @@
         const std::uint64_t fresh[] = {4};
         CPPUNIT_ASSERT(closed.add(known) && !closed.add(fresh));
         CPPUNIT_ASSERT(closed.contains(3) && !closed.contains(4));
-        CPPUNIT_ASSERT(closed.encode().size() <= platform::MaxValueBytes);
+        CPPUNIT_ASSERT(closed.encode().size() <= store::MaxValueBytes);
         CPPUNIT_ASSERT(ClosedSet::decode(closed.encode()).value().contains(3));
     }
 
@@ -151,7 +151,7 @@
     {
         return orderOver(m_platform);
     }
-    OrderAnswer orderOver(platform::ObjectStore &store)
+    OrderAnswer orderOver(store::ObjectStore &store)
     {
         SingleClaimStore claims(store);
         OrderDesk desk(base::RouterId("r1"), base::Incarnation{++m_incarnation}, claims, m_liveness, m_clock);
@@ -159,7 +159,7 @@
         return desk.run(makeRequest(m_clock, "k"), m_service, m_chooser);
     }
     // Prunes everything before the given call of an order.
-    OrderAnswer orderWhilePruned(platform::MemoryStore &memory, int call)
+    OrderAnswer orderWhilePruned(store::MemoryStore &memory, int call)
     {
         HookedStore hooked(memory);
         hooked.callsUntilHook = call;
@@ -193,7 +193,7 @@
         }
     }
 
-    platform::MemoryStore m_platform;
+    store::MemoryStore m_platform;
     RetentionSettings m_settings{base::hours{1}, 5, 200};
     RecordPruner m_pruner{m_platform, m_settings};
     FakeLiveness m_liveness;
--- /dev/null
+++ b/carawaylatch/proxy/attemptrules.cpp
@@ -0,0 +1,56 @@
+// The table of attemptrules.h, written as one question after the other.
+#include "carawaylatch/proxy/attemptrules.h"
+
+namespace carawaylatch::proxy
+{
+
+namespace
+{
+
+bool mayTryAgain(const Route &route, AttemptEnd end, const AttemptHistory &history)
+{
+    if (!history.hasTimeLeft) {
+        return false;
+    }
+    if (end == AttemptEnd::NotSent) {
+        return history.unsent < MaxUnsentAttempts;
+    }
+    if (end != AttemptEnd::NotExecuted && !route.isRepeatable()) {
+        return false;
+    }
+    // Upstreams that did not run the request don't count against the route's attempts.
+    const bool hasAttempt = history.sent - history.unexecuted < route.maxAttempts;
+    return hasAttempt && history.unexecuted <= MaxUnexecutedAttempts && history.hasBudget;
+}
+
+// True if no attempt ran or will run.
+bool isSurelyUnrun(const AttemptHistory &history)
+{
+    return history.sent == history.unexecuted;
+}
+
+} // namespace
+
+NextStep nextStep(const Route &route, AttemptEnd end, const AttemptHistory &history)
+{
+    if (end == AttemptEnd::Answered) {
+        return NextStep::PassOn;
+    }
+    if (history.isAnswering) {
+        return mayTryAgain(route, end, history) && route.kind == CallKind::Stream && route.isResumable ? NextStep::TryAgain : NextStep::BreakOff;
+    }
+    if (mayTryAgain(route, end, history)) {
+        return NextStep::TryAgain;
+    }
+    if (end == AttemptEnd::ServerError) {
+        return NextStep::PassOn;
+    }
+    return isSurelyUnrun(history) ? NextStep::SayNotRun : NextStep::SayUnknown;
+}
+
+bool promisesNotRun(unsigned status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+} // namespace carawaylatch::proxy
--- /dev/null
+++ b/carawaylatch/proxy/eventscanner.cpp
@@ -0,0 +1,105 @@
+// An event ends with an empty line. Its id is the value of its "id" field, a
+// whole number that grows by one with each event.
+#include "carawaylatch/proxy/eventscanner.h"
+
+#include <charconv>
+
+namespace carawaylatch::proxy
+{
+
+namespace
+{
+
+constexpr std::string_view EventEnd = "\n\n";
+
+std::optional<std::uint64_t> eventId(std::string_view event)
+{
+    constexpr std::string_view IdField = "id:";
+    std::size_t begin = 0;
+    while (begin < event.size()) {
+        const std::size_t end = std::min(event.find('\n', begin), event.size());
+        std::string_view line = event.substr(begin, end - begin);
+        begin = end + 1;
+        if (!line.starts_with(IdField)) {
+            continue;
+        }
+        line.remove_prefix(IdField.size());
+        while (!line.empty() && line.front() == ' ') {
+            line.remove_prefix(1);
+        }
+        std::uint64_t id = 0;
+        const auto [last, ec] = std::from_chars(line.data(), line.data() + line.size(), id);
+        if (ec == std::errc{} && last != line.data()) {
+            return id;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+EventScanner::EventScanner(std::optional<std::uint64_t> lastEventId)
+    : m_lastEventId(lastEventId)
+    , m_isResumed(lastEventId.has_value())
+{
+}
+
+bool EventScanner::isNew(std::string_view event)
+{
+    const auto id = eventId(event);
+    if (!id) {
+        return true; // a comment or an event without an id passes as it is
+    }
+    if (m_lastEventId && *id <= *m_lastEventId) {
+        return false;
+    }
+    if (m_isResumed && m_lastEventId && *id != *m_lastEventId + 1) {
+        m_hasGap = true;
+    }
+    m_isResumed = false;
+    m_lastEventId = id;
+    return true;
+}
+
+std::string EventScanner::feed(std::string_view bytes)
+{
+    m_partial.append(bytes);
+    std::string whole;
+    std::size_t begin = 0;
+    while (true) {
+        const std::size_t end = m_partial.find(EventEnd, begin);
+        if (end == std::string::npos) {
+            break;
+        }
+        const std::string_view event = std::string_view(m_partial).substr(begin, end + EventEnd.size() - begin);
+        if (isNew(event) && !m_hasGap) {
+            whole.append(event);
+        }
+        begin = end + EventEnd.size();
+    }
+    m_partial.erase(0, begin);
+    return whole;
+}
+
+void EventScanner::restart()
+{
+    m_partial.clear();
+    m_isResumed = true;
+}
+
+std::optional<std::uint64_t> EventScanner::lastEventId() const
+{
+    return m_lastEventId;
+}
+
+bool EventScanner::isAtBoundary() const
+{
+    return m_partial.empty();
+}
+
+bool EventScanner::hasGap() const
+{
+    return m_hasGap;
+}
+
+} // namespace carawaylatch::proxy
--- /dev/null
+++ b/carawaylatch/proxy/exchange.h
@@ -0,0 +1,121 @@
+// One request of a caller, from its last byte to the end of its answer.
+//
+// The steps: check (route, key), place or wait, connect, send, answer. Each
+// failed attempt is put to nextStep(); the exchange only carries out what the
+// tables and state machines decide. It ends exactly once, with one log line.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "carawaylatch/base/timerservice.h"
+#include "carawaylatch/proxy/attemptrules.h"
+#include "carawaylatch/proxy/callerconnection.h"
+#include "carawaylatch/proxy/eventscanner.h"
+#include "carawaylatch/proxy/fleet.h"
+#include "carawaylatch/proxy/placement.h"
+#include "carawaylatch/proxy/upstreambook.h"
+#include "carawaylatch/proxy/upstreamconnection.h"
+#include "carawaylatch/proxy/waitqueue.h"
+
+namespace carawaylatch::proxy
+{
+
+class Exchange : public std::enable_shared_from_this<Exchange>, public AnswerListener
+{
+public:
+    Exchange(TrafficPlane &plane, std::shared_ptr<CallerConnection> caller, HttpRequestHead head, std::string body, base::TimePoint begun);
+
+    void start();
+    // The caller has left.
+    void cancel();
+    // The caller has taken all bytes that were queued for it.
+    void onCallerDrained();
+    // Places the request if there is room; false if it goes on waiting.
+    bool tryToPlace();
+    [[nodiscard]] const base::PoolName &pool() const;
+
+    void onAnswerHead(const HttpResponseHead &head, const UpstreamAnswer &answer) override;
+    void onAnswerBytes(std::string bytes) override;
+    void onAnswerEnd() override;
+    void onBroken(std::string_view problem) override;
+
+private:
+    // The attempt under way.
+    struct Attempt
+    {
+        std::shared_ptr<UpstreamConnection> connection;
+        UpstreamRecord *record = nullptr;
+        AttemptWeight weight;
+        base::TimePoint begunAt;
+        bool isSent = false;
+        bool hasStarted = false;
+        bool isHome = false;
+        HttpResponseHead head;
+        UpstreamAnswer answer;
+        std::string body; // of an answer that is passed on whole
+    };
+
+    [[nodiscard]] bool check();
+    void choosePool();
+    [[nodiscard]] bool isAuthorised();
+    void placeOrWait();
+    void waitForRoom();
+    void begin(const PlacementResult &placement);
+    void connected(std::string_view problem);
+    void send();
+    [[nodiscard]] AttemptPlan planAttempt() const;
+    void endAttempt(AttemptEnd end, std::string_view problem);
+    void releaseAttempt(AttemptEnd end);
+    [[nodiscard]] AttemptEnd classifyAnswer() const;
+    void passOn();
+    void beginStream();
+    void forwardStream(std::string_view bytes);
+    void onTimeout();
+    void refuse(std::string_view reason, base::Duration retryAfter);
+    void answerOwn(unsigned status, std::string_view reason, base::Duration retryAfter);
+    void breakOff(std::string_view reason);
+    void finish(unsigned status, std::string_view outcome, std::string_view reason);
+    void leaveQueue();
+    [[nodiscard]] base::Duration timeLeft(base::TimePoint now) const;
+    [[nodiscard]] bool mayBeSentTwice() const;
+
+    // An answer that does not stream is held back up to this size, so that one which
+    // breaks can be tried again or becomes an error; a longer one is passed on as it comes.
+    static constexpr std::size_t MaxHeldBytes = 262'144;
+    // Bytes that a slow caller may leave in this process before the upstream is no longer read.
+    static constexpr std::size_t MaxQueuedBytes = 262'144;
+
+    TrafficPlane &m_plane;
+    std::shared_ptr<CallerConnection> m_caller; // until the end
+    HttpRequestHead m_head;
+    std::shared_ptr<const std::string> m_body;
+    const base::TimePoint m_begun;
+    CallerRequest m_request;
+    std::shared_ptr<const FleetView> m_view; // the one that route and key were checked against
+    const Route *m_route = nullptr; // lives as long as m_view
+    const Customer *m_customer = nullptr; // likewise; nothing on public routes
+    base::PoolName m_pool;
+    std::uint64_t m_promptKey = 0;
+    std::uint32_t m_sharedTokens = 0;
+    std::uint32_t m_urgency = 0;
+    std::vector<base::UpstreamId> m_tried;
+    AttemptHistory m_history;
+    std::optional<Attempt> m_attempt;
+    std::optional<WaitQueue::Key> m_queueKey; // while waiting
+    base::TimerService::Subscription m_deadlineTimer;
+    base::TimerService::Subscription m_queueTimer;
+    EventScanner m_scanner;
+    std::optional<base::TimePoint> m_sentAt; // of the first attempt that was sent
+    std::optional<base::TimePoint> m_firstAt; // first byte of the answer
+    base::UpstreamId m_lastUpstream;
+    bool m_isStreaming = false; // the answer's head went to the caller
+    bool m_isPassingOn = false; // m_isStreaming, and not a resumable stream
+    bool m_isEnded = false;
+};
+
+} // namespace carawaylatch::proxy
--- /dev/null
+++ b/carawaylatch/proxy/fleet.cpp
@@ -0,0 +1,36 @@
+// Lookup in a route table. Tables hold tens of routes, so a scan is as fast as an index.
+#include "carawaylatch/proxy/fleet.h"
+
+#include <algorithm>
+
+namespace carawaylatch::proxy
+{
+
+const Route *RouteTable::match(std::string_view host, std::string_view target) const
+{
+    const std::string_view path = target.substr(0, target.find_first_of("?#"));
+    const Route *best = nullptr;
+    for (const Route &route : routes) {
+        const bool isMatch = route.host == host && path.starts_with(route.pathPrefix);
+        if (isMatch && (best == nullptr || route.pathPrefix.size() > best->pathPrefix.size())) {
+            best = &route;
+        }
+    }
+    return best;
+}
+
+const Customer *RouteTable::customerOf(const std::string &key) const
+{
+    const auto it = keys.find(key);
+    return it == keys.end() ? nullptr : &customers[it->second];
+}
+
+const Pool *RouteTable::pool(const base::PoolName &name) const
+{
+    const auto it = std::find_if(pools.begin(), pools.end(), [&name](const Pool &pool) {
+        return pool.name == name;
+    });
+    return it == pools.end() ? nullptr : &*it;
+}
+
+} // namespace carawaylatch::proxy
--- /dev/null
+++ b/carawaylatch/proxy/httpmessage.cpp
@@ -0,0 +1,126 @@
+// Field rules of HTTP/1.1 (RFC 9110 and RFC 9112) that a forwarding process needs.
+#include "carawaylatch/proxy/httpmessage.h"
+
+#include <algorithm>
+#include <array>
+
+namespace carawaylatch::proxy
+{
+
+namespace
+{
+
+// Fields of one connection, and those of framing, which each hop sets itself.
+constexpr std::array<std::string_view, 10> ConnectionFields{"connection", "keep-alive", "proxy-connection", "proxy-authenticate", "proxy-authorization",
+                                                            "te",         "trailer",    "transfer-encoding", "upgrade",           "content-length"};
+
+char lower(char c)
+{
+    return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+}
+
+std::string_view trimmed(std::string_view text)
+{
+    while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
+        text.remove_prefix(1);
+    }
+    while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) {
+        text.remove_suffix(1);
+    }
+    return text;
+}
+
+// True if a Connection field lists the name as one of its options.
+bool isNamedByConnection(const HttpFields &fields, std::string_view name)
+{
+    for (const HttpField &field : fields) {
+        if (!equalsIgnoringCase(field.name, "connection")) {
+            continue;
+        }
+        std::string_view rest = field.value;
+        while (!rest.empty()) {
+            const std::size_t comma = rest.find(',');
+            if (equalsIgnoringCase(trimmed(rest.substr(0, comma)), name)) {
+                return true;
+            }
+            rest = comma == std::string_view::npos ? std::string_view{} : rest.substr(comma + 1);
+        }
+    }
+    return false;
+}
+
+} // namespace
+
+bool equalsIgnoringCase(std::string_view left, std::string_view right)
+{
+    return std::equal(left.begin(), left.end(), right.begin(), right.end(), [](char a, char b) {
+        return lower(a) == lower(b);
+    });
+}
+
+const std::string *findField(const HttpFields &fields, std::string_view name)
+{
+    const auto it = std::find_if(fields.begin(), fields.end(), [name](const HttpField &field) {
+        return equalsIgnoringCase(field.name, name);
+    });
+    return it == fields.end() ? nullptr : &it->value;
+}
+
+std::size_t countFields(const HttpFields &fields, std::string_view name)
+{
+    return static_cast<std::size_t>(std::count_if(fields.begin(), fields.end(), [name](const HttpField &field) {
+        return equalsIgnoringCase(field.name, name);
+    }));
+}
+
+HttpFields forwardableFields(const HttpFields &fields)
+{
+    HttpFields out;
+    out.reserve(fields.size());
+    for (const HttpField &field : fields) {
+        const bool isConnectionField = std::any_of(ConnectionFields.begin(), ConnectionFields.end(), [&field](std::string_view name) {
+            return equalsIgnoringCase(field.name, name);
+        });
+        if (!isConnectionField && !isNamedByConnection(fields, field.name)) {
+            out.push_back(field);
+        }
+    }
+    return out;
+}
+
+void appendField(std::string &out, std::string_view name, std::string_view value)
+{
+    out.append(name).append(": ").append(value).append("\r\n");
+}
+
+std::string_view reasonPhrase(unsigned status)
+{
+    switch (status) {
+    case 200:
+        return "OK";
+    case 400:
+        return "Bad Request";
+    case 401:
+        return "Unauthorized";
+    case 404:
+        return "Not Found";
+    case 408:
+        return "Request Timeout";
+    case 413:
+        return "Content Too Large";
+    case 429:
+        return "Too Many Requests";
+    case 431:
+        return "Request Header Fields Too Large";
+    case 502:
+        return "Bad Gateway";
+    case 503:
+        return "Service Unavailable";
+    case 504:
+        return "Gateway Timeout";
+    default:
+        return "Unknown";
+    }
+}
+
+} // namespace carawaylatch::proxy
--- /dev/null
+++ b/carawaylatch/proxy/httpparser.h
@@ -0,0 +1,77 @@
+// Incremental parsers of HTTP/1.1 messages (over Boost.Beast's basic_parser).
+//
+// One parser reads one message. feed() takes bytes as they arrive and returns how
+// many it used; the caller keeps the rest and offers it again with more. After
+// the message is complete no further byte is used, so bytes that follow belong
+// to the next message.
+//
+//     BOOST_OUTCOME_TRY(const std::size_t used, parser.feed(input));
+//     if (parser.isComplete()) ...
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "carawaylatch/base/error.h"
+#include "carawaylatch/proxy/httpmessage.h"
+
+namespace carawaylatch::proxy
+{
+
+struct ParserLimits
+{
+    std::uint32_t headBytes = 16'384; // longest head; LimitExceeded beyond it
+    std::uint64_t bodyBytes = 4'194'304; // longest body; LimitExceeded beyond it
+};
+
+class HttpRequestParser
+{
+public:
+    explicit HttpRequestParser(const ParserLimits &limits);
+    HttpRequestParser(HttpRequestParser &&) noexcept;
+    HttpRequestParser &operator=(HttpRequestParser &&) noexcept;
+    ~HttpRequestParser();
+
+    // Errors: InvalidArgument (not a request), LimitExceeded (head or body too long).
+    [[nodiscard]] base::Result<std::size_t> feed(std::string_view bytes);
+    [[nodiscard]] bool isHeadDone() const;
+    [[nodiscard]] bool isComplete() const;
+    // True if the error came from the body, so that the head can be answered for.
+    [[nodiscard]] bool keepsAlive() const;
+    [[nodiscard]] HttpRequestHead &head();
+    // The body as far as it has arrived.
+    [[nodiscard]] std::string &body();
+
+private:
+    class Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+
+class HttpResponseParser
+{
+public:
+    // A response to HEAD has no body whatever its head says.
+    explicit HttpResponseParser(bool isHeadRequest = false);
+    HttpResponseParser(HttpResponseParser &&) noexcept;
+    HttpResponseParser &operator=(HttpResponseParser &&) noexcept;
+    ~HttpResponseParser();
+
+    [[nodiscard]] base::Result<std::size_t> feed(std::string_view bytes);
+    // The peer ended the connection in order. Returns Truncated if the message was not complete.
+    [[nodiscard]] base::Result<void> feedEnd();
+    [[nodiscard]] bool isHeadDone() const;
+    [[nodiscard]] bool isComplete() const;
+    [[nodiscard]] bool keepsAlive() const;
+    [[nodiscard]] const HttpResponseHead &head() const;
+    // Body bytes that arrived since the last call.
+    [[nodiscard]] std::string takeBody();
+
+private:
+    class Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+
+} // namespace carawaylatch::proxy
--- /dev/null
+++ b/carawaylatch/proxy/placement.cpp
@@ -0,0 +1,170 @@
+// Costs and eligibility of placement.h. One pass over the pool's members.
+#include "carawaylatch/proxy/placement.h"
+
+#include <algorithm>
+#include <limits>
+
+#include "carawaylatch/base/hash.h"
+
+namespace carawaylatch::proxy
+{
+
+namespace
+{
+
+// Share of an engine's memory that requests under way may take; the rest keeps shared parts.
+constexpr double UsableMemoryShare = 0.9;
+
+// What is the same for all candidates of one query.
+struct Scene
+{
+    const PlacementQuery &query;
+    const FleetView &view;
+    const PlacementTuning &tuning;
+    const Pool *pool = nullptr;
+    const WeightsTarget *target = nullptr; // nothing if no version is named
+    const UpstreamRecord *home = nullptr; // first in rendezvous order
+};
+
+bool hasOldWeights(const Scene &scene, const UpstreamRecord &record)
+{
+    return scene.target != nullptr && record.weights < scene.target->version;
+}
+
+bool isUsable(const Scene &scene, const UpstreamRecord &record)
+{
+    const auto &excluded = scene.query.excluded;
+    const bool isChanging = hasOldWeights(scene, record) && scene.view.reloading.contains(record.upstream.id);
+    return record.upstream.phase == UpstreamPhase::Ready && !isChanging && std::find(excluded.begin(), excluded.end(), record.upstream.id) == excluded.end();
+}
+
+bool areWeightsAllowed(const Scene &scene, const UpstreamRecord &record)
+{
+    return !hasOldWeights(scene, record) || scene.query.now - scene.target->seenAt < scene.tuning.oldWeightsLimit;
+}
+
+bool hasRoom(const Scene &scene, const UpstreamRecord &record)
+{
+    const double load = record.load(scene.query.now);
+    const double slots = record.upstream.slots > 0 ? record.upstream.slots : std::numeric_limits<double>::max();
+    if (!scene.pool->engine) {
+        return load < slots * scene.tuning.serviceQueueFactor;
+    }
+    if (load >= slots) {
+        return false;
+    }
+    const auto memory = static_cast<double>(scene.pool->engine->cacheTokens);
+    if (memory == 0 || record.inflight == 0) {
+        return true;
+    }
+    // Others' requests are taken to be as large as this router's own.
+    const double perRequest = static_cast<double>(record.inflightTokens) / record.inflight;
+    return load * perRequest + scene.query.memoryTokens <= memory * UsableMemoryShare;
+}
+
+bool holdsSharedParts(const Scene &scene, const UpstreamRecord &record, const UpstreamBook &book)
+{
+    return scene.query.promptKey == 0 || scene.home == &record || book.isPlaced(scene.query.promptKey, record.upstream.id);
+}
+
+double costOf(const Scene &scene, const UpstreamRecord &record, const UpstreamBook &book)
+{
+    const PlacementTuning &tuning = scene.tuning;
+    double cost = record.failureShare * record.failureShare * tuning.failureMilliseconds;
+    if (record.upstream.domain != scene.query.domain) {
+        cost += tuning.otherDomainMilliseconds;
+    }
+    if (!scene.pool->engine) {
+        const double slots = std::max<std::uint32_t>(record.upstream.slots, 1);
+        return cost + tuning.millisecondsPerRequest * record.load(scene.query.now) / slots * 6;
+    }
+    // Each router sees its own part of the queued work; the parts are about equal.
+    const double queued = static_cast<double>(record.unreadTokens) * scene.view.routers;
+    cost += queued * tuning.millisecondsPerToken;
+    cost += record.load(scene.query.now) * 1.0;
+    if (!holdsSharedParts(scene, record, book)) {
+        cost += scene.query.sharedTokens * tuning.millisecondsPerToken;
+    }
+    if (hasOldWeights(scene, record)) {
+        cost += tuning.oldWeightsMilliseconds;
+    }
+    return cost;
+}
+
+const UpstreamRecord *homeOf(const PlacementQuery &query, const std::vector<UpstreamRecord *> &members)
+{
+    const UpstreamRecord *home = nullptr;
+    std::uint64_t best = 0;
+    for (const UpstreamRecord *record : members) {
+        const std::uint64_t weight = base::rendezvousWeight(query.promptKey, record->upstream.id.value());
+        if (home == nullptr || weight > best) {
+            home = record;
+            best = weight;
+        }
+    }
+    return home;
+}
+
+} // namespace
+
+std::uint64_t sharedPromptKey(std::span<const PromptPart> parts)
+{
+    if (parts.size() < 2) {
+        return 0;
+    }
+    std::uint64_t key = 1;
+    for (const PromptPart &part : parts.first(parts.size() - 1)) {
+        key = base::combineHashes(key, part.id);
+    }
+    return key;
+}
+
+std::uint32_t sharedPromptTokens(std::span<const PromptPart> parts)
+{
+    std::uint32_t tokens = 0;
+    for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
+        tokens += parts[i].tokens;
+    }
+    return tokens;
+}
+
+PlacementResult place(const PlacementQuery &query, const FleetView &view, UpstreamBook &book, const PlacementTuning &tuning)
+{
+    Scene scene{query, view, tuning};
+    scene.pool = view.table->pool(query.pool);
+    if (scene.pool == nullptr) {
+        return {};
+    }
+    if (const auto it = view.targets.find(query.model); it != view.targets.end()) {
+        scene.target = &it->second;
+    }
+    const auto &members = book.members(query.pool);
+    if (query.promptKey != 0) {
+        scene.home = homeOf(query, members);
+    }
+    PlacementResult result;
+    bool isAvoided = false; // the best so far is one to be avoided
+    for (UpstreamRecord *record : members) {
+        if (!isUsable(scene, *record) || !areWeightsAllowed(scene, *record)) {
+            continue;
+        }
+        if (!hasRoom(scene, *record)) {
+            result.verdict = result.record == nullptr ? PlacementVerdict::Full : result.verdict;
+            continue;
+        }
+        const bool isToAvoid = query.now < record->avoidUntil;
+        const double cost = costOf(scene, *record, book);
+        const bool isBetter = result.record == nullptr || (isAvoided && !isToAvoid) || (isAvoided == isToAvoid && cost < result.cost);
+        if (isBetter) {
+            result = PlacementResult{PlacementVerdict::Chosen, record, holdsSharedParts(scene, *record, book), cost};
+            isAvoided = isToAvoid;
+        }
+    }
+    if (isAvoided) {
+        // All that have room failed a moment ago: the request waits for one to come back.
+        return PlacementResult{PlacementVerdict::Full, nullptr, false, 0};
+    }
+    return result;
+}
+
+} // namespace carawaylatch::proxy
--- /dev/null
+++ b/carawaylatch/proxy/socket.cpp
@@ -0,0 +1,36 @@
+// A cut path sends no reset. TCP_USER_TIMEOUT bounds unacknowledged bytes and
+// keep-alive probes find a dead peer on a connection that only reads.
+#include "carawaylatch/proxy/socket.h"
+
+#include <netinet/tcp.h>
+
+#include <algorithm>
+
+namespace carawaylatch::proxy
+{
+
+namespace
+{
+
+using IntegerOption = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+using IdleOption = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+using IntervalOption = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+using CountOption = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+
+} // namespace
+
+void setSocketOptions(Tcp::socket &socket, base::Duration silence)
+{
+    // A socket without one of the options still works; the request's own timer bounds it.
+    boost::system::error_code ignored;
+    const int milliseconds = static_cast<int>(base::toMilliseconds(silence));
+    const int seconds = std::max(1, milliseconds / 2000);
+    socket.set_option(Tcp::no_delay(true), ignored);
+    socket.set_option(IntegerOption(milliseconds), ignored);
+    socket.set_option(boost::asio::socket_base::keep_alive(true), ignored);
+    socket.set_option(IdleOption(seconds), ignored);
+    socket.set_option(IntervalOption(seconds), ignored);
+    socket.set_option(CountOption(2), ignored);
+}
+
+} // namespace carawaylatch::proxy
--- /dev/null
+++ b/carawaylatch/proxy/socket.h
@@ -0,0 +1,17 @@
+// Socket options that both sides of the plane use.
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include "carawaylatch/base/time.h"
+
+namespace carawaylatch::proxy
+{
+
+using Tcp = boost::asio::ip::tcp;
+
+// Sends small writes at once, and ends a connection whose peer has acknowledged
+// nothing for `silence`, whether bytes are under way or it is idle.
+void setSocketOptions(Tcp::socket &socket, base::Duration silence);
+
+} // namespace carawaylatch::proxy
--- /dev/null
+++ b/carawaylatch/proxy/trafficplane.cpp
@@ -0,0 +1,466 @@
+// Wiring of the traffic thread. One steady timer drives the timer service; it is
+// armed for the earliest deadline, rounded up to TimerGrain so that a busy loop
+// is not woken for each of many deadlines that lie close together.
+#include "carawaylatch/proxy/trafficplane.h"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <utility>
+
+#include "carawaylatch/proxy/exchange.h"
+
+namespace carawaylatch::proxy
+{
+
+namespace
+{
+
+constexpr base::Duration TimerGrain = base::milliseconds{2}; // far below every timeout of a request
+constexpr base::Duration TickInterval = base::milliseconds{50}; // waiting requests are looked at, and the log flushed
+constexpr int Backlog = 1024; // connections that wait to be accepted; a herd of callers comes at once
+constexpr std::size_t MaxKeptConnections = 64; // idle ones to one upstream
+
+Reply plainReply(unsigned status, std::string body)
+{
+    return Reply{status, {}, {{"Content-Type", "text/plain; version=0.0.4"}}, std::move(body)};
+}
+
+} // namespace
+
+struct TrafficPlane::Listener
+{
+    explicit Listener(boost::asio::io_context &loop)
+        : acceptor(loop)
+        , next(loop)
+        , pause(loop)
+    {
+    }
+    Tcp::acceptor acceptor;
+    Tcp::socket next;
+    boost::asio::steady_timer pause;
+};
+
+TrafficPlane::TrafficPlane(boost::asio::io_context &loop, const base::Clock &clock, const TrafficSettings &settings, const Dialect &dialect,
+                           TrafficObserver &observer, telemetry::DecisionLog &log, std::function<base::Duration()> tableAge)
+    : m_loop(loop)
+    , m_clock(clock)
+    , m_settings(settings)
+    , m_dialect(dialect)
+    , m_observer(observer)
+    , m_log(log)
+    , m_tableAge(std::move(tableAge))
+    , m_timer(loop)
+    , m_view(std::make_shared<const FleetView>())
+    , m_callersListener(std::make_unique<Listener>(loop))
+    , m_operatorsListener(std::make_unique<Listener>(loop))
+    , m_random(static_cast<std::uint64_t>(clock.now().time_since_epoch().count()))
+{
+    m_tick = m_timers.every(now(), TickInterval, [this](base::TimePoint) {
+        placeWaiting();
+        noteReadiness(unreadyReason());
+        m_log.flush();
+    });
+    armTimer();
+}
+
+TrafficPlane::~TrafficPlane() = default;
+
+base::Result<void> TrafficPlane::listen()
+{
+    if (const auto result = listenOn(*m_callersListener, m_settings.callers); !result) {
+        return result;
+    }
+    return listenOn(*m_operatorsListener, m_settings.operators);
+}
+
+base::Result<void> TrafficPlane::listenOn(Listener &listener, const base::Endpoint &endpoint)
+{
+    boost::system::error_code ec;
+    const auto address = boost::asio::ip::make_address(endpoint.address, ec);
+    const Tcp::endpoint local(address, endpoint.port);
+    if (!ec) {
+        listener.acceptor.open(local.protocol(), ec);
+    }
+    if (!ec) {
+        listener.acceptor.set_option(boost::asio::socket_base::reuse_address(true), ec);
+    }
+    if (!ec) {
+        listener.acceptor.bind(local, ec);
+    }
+    if (!ec) {
+        listener.acceptor.listen(Backlog, ec);
+    }
+    if (ec) {
+        return base::fail(base::ErrorKind::Unavailable,
+                          "can't listen on " + endpoint.address + ':' + std::to_string(endpoint.port) + " (" + ec.message() + "); set a free address");
+    }
+    accept(listener);
+    return base::ok();
+}
+
+void TrafficPlane::accept(Listener &listener)
+{
+    listener.next = Tcp::socket(m_loop);
+    listener.acceptor.async_accept(listener.next, [this, &listener](const boost::system::error_code &ec) {
+        if (!ec) {
+            const auto connection = std::make_shared<CallerConnection>(*this, std::move(listener.next));
+            m_callers.insert(connection);
+            connection->start();
+            accept(listener);
+            return;
+        }
+        if (ec == boost::asio::error::operation_aborted) {
+            return;
+        }
+        // Out of descriptors, as a rule: those that end make room.
+        constexpr base::Duration AcceptPause = base::milliseconds{20};
+        listener.pause.expires_after(AcceptPause);
+        listener.pause.async_wait([this, &listener](const boost::system::error_code &error) {
+            if (!error) {
+                accept(listener);
+            }
+        });
+    });
+}
+
+void TrafficPlane::adopt(std::shared_ptr<const FleetView> view)
+{
+    m_view = std::move(view);
+    m_book.adopt(*m_view, now());
+    std::erase_if(m_kept, [this](const auto &it) {
+        return m_book.find(it.first) == nullptr;
+    });
+    applyBudgets();
+    scheduleQueues();
+}
+
+// A router takes its part of the fleet's budget, counted with one router more than
+// are known, so that one which was just added does not exceed it.
+void TrafficPlane::applyBudgets()
+{
+    constexpr double UsedShare = 0.85; // of the budget; the rest covers requests counted late
+    const relay::RetryBudgetOptions options{m_settings.retryShare * UsedShare,
+                                            static_cast<std::uint32_t>(m_settings.retryReserve * UsedShare / (m_view->routers + 1))};
+    if (!m_view->table) {
+        return;
+    }
+    for (const Pool &pool : m_view->table->pools) {
+        m_budgets.try_emplace(pool.name).first->second.setOptions(options);
+    }
+}
+
+void TrafficPlane::applySettings(const TrafficSettings &settings)
+{
+    m_settings = settings;
+    applyBudgets();
+}
+
+void TrafficPlane::beginStop()
+{
+    m_isStopping = true;
+    noteReadiness(unreadyReason());
+}
+
+std::size_t TrafficPlane::closeIdle()
+{
+    const std::vector<std::shared_ptr<CallerConnection>> callers(m_callers.begin(), m_callers.end());
+    for (const auto &caller : callers) {
+        caller->closeWhenIdle();
+    }
+    return m_inflight;
+}
+
+std::size_t TrafficPlane::inflight() const
+{
+    return m_inflight;
+}
+
+bool TrafficPlane::isStopping() const
+{
+    return m_isStopping;
+}
+
+base::TimePoint TrafficPlane::now() const
+{
+    return m_clock.now();
+}
+
+base::TimerService &TrafficPlane::timers()
+{
+    // A subscription may be the earliest deadline: look after the caller has made it.
+    if (!m_isArmPosted) {
+        m_isArmPosted = true;
+        boost::asio::post(m_loop, [this] {
+            m_isArmPosted = false;
+            armTimer();
+        });
+    }
+    return m_timers;
+}
+
+void TrafficPlane::armTimer()
+{
+    const auto deadline = m_timers.nextDeadline();
+    if (!deadline) {
+        return;
+    }
+    if (*deadline >= m_armedFor) {
+        return; // the timer under way comes first
+    }
+    m_armedFor = *deadline;
+    const base::Duration wait = std::max<base::Duration>(*deadline - now(), base::Duration{}) + TimerGrain;
+    m_timer.expires_after(wait);
+    m_timer.async_wait([this](const boost::system::error_code &ec) {
+        if (!ec) {
+            onTimer();
+        }
+    });
+}
+
+void TrafficPlane::onTimer()
+{
+    m_armedFor = base::TimePoint::max();
+    m_timers.advance(now());
+    armTimer();
+}
+
+boost::asio::io_context &TrafficPlane::executor()
+{
+    return m_loop;
+}
+
+const Dialect &TrafficPlane::dialect() const
+{
+    return m_dialect;
+}
+
+const TrafficSettings &TrafficPlane::settings() const
+{
+    return m_settings;
+}
+
+std::shared_ptr<const FleetView> TrafficPlane::view() const
+{
+    return m_view;
+}
+
+UpstreamBook &TrafficPlane::book()
+{
+    return m_book;
+}
+
+TrafficCounts &TrafficPlane::counts()
+{
+    return m_counts;
+}
+
+telemetry::DecisionLog &TrafficPlane::log()
+{
+    return m_log;
+}
+
+TrafficObserver &TrafficPlane::observer()
+{
+    return m_observer;
+}
+
+base::Random &TrafficPlane::random()
+{
+    return m_random;
+}
+
+ParserLimits TrafficPlane::parserLimits() const
+{
+    if (!m_view->table) {
+        return {};
+    }
+    return ParserLimits{m_view->table->limits.maxHeadBytes, m_view->table->limits.maxBodyBytes};
+}
+
+CallerLimitsView TrafficPlane::callerLimits() const
+{
+    const CallerLimits limits = m_view->table ? m_view->table->limits : CallerLimits{};
+    return CallerLimitsView{limits.headTimeout, limits.idleTimeout, limits.idleTimeout};
+}
+
+base::Duration TrafficPlane::tableAge() const
+{
+    return m_tableAge();
+}
+
+relay::RetryBudget &TrafficPlane::budget(const base::PoolName &pool)
+{
+    return m_budgets.try_emplace(pool).first->second;
+}
+
+WaitQueue &TrafficPlane::queue(const base::PoolName &pool)
+{
+    return m_queues[pool];
+}
+
+void TrafficPlane::scheduleQueues()
+{
+    const bool isNeeded = std::any_of(m_queues.begin(), m_queues.end(), [](const auto &it) {
+        return !it.second.isEmpty();
+    });
+    if (m_isPlacing || !isNeeded) {
+        return;
+    }
+    m_isPlacing = true;
+    boost::asio::post(m_loop, [this] {
+        placeWaiting();
+    });
+}
+
+void TrafficPlane::placeWaiting()
+{
+    m_isPlacing = false;
+    for (auto &[pool, queue] : m_queues) {
+        while (const auto exchange = queue.front()) {
+            if (!exchange->tryToPlace()) {
+                break;
+            }
+        }
+    }
+}
+
+void TrafficPlane::noteRejected(std::string_view id, std::string_view host, std::string_view reason, unsigned status)
+{
+    ++m_counts.rejected;
+    m_log.write(base::LogEvent::RequestRejected,
+                {{"id", std::string(id)},
+                 {"host", std::string(host)},
+                 {"reason", std::string(reason)},
+                 {"status", std::to_string(status)},
+                 {"table", std::to_string(m_view->table ? m_view->table->version : 0)}});
+}
+
+void TrafficPlane::began()
+{
+    ++m_inflight;
+    ++m_counts.requests;
+}
+
+void TrafficPlane::ended()
+{
+    --m_inflight;
+}
+
+void TrafficPlane::forget(const std::shared_ptr<CallerConnection> &connection)
+{
+    m_callers.erase(connection);
+}
+
+std::string_view TrafficPlane::unreadyReason() const
+{
+    if (m_isStopping) {
+        return "stopping";
+    }
+    if (!m_view->table) {
+        return "no_configuration";
+    }
+    if (m_view->upstreams.empty()) {
+        return "no_upstreams";
+    }
+    if (m_settings.readyTableAge > base::Duration{} && tableAge() > m_settings.readyTableAge) {
+        return "configuration_not_confirmed";
+    }
+    return {};
+}
+
+void TrafficPlane::noteReadiness(std::string_view reason)
+{
+    if (reason == m_unreadyReason) {
+        return;
+    }
+    m_unreadyReason = reason;
+    const std::string age = std::to_string(base::toMilliseconds(tableAge()));
+    if (reason.empty()) {
+        m_log.write(base::LogEvent::GatewayReady,
+                    {{"table", std::to_string(m_view->table->version)}, {"upstreams", std::to_string(m_view->upstreams.size())}, {"age_ms", age}});
+    } else {
+        m_log.write(base::LogEvent::GatewayNotReady, {{"reason", std::string(reason)}, {"age_ms", age}});
+    }
+}
+
+bool TrafficPlane::answerOwnPath(CallerConnection &connection, const HttpRequestHead &head)
+{
+    constexpr std::string_view MetricsPath = "/metrics";
+    if (head.target == m_dialect.readinessPath()) {
+        const std::string_view reason = unreadyReason();
+        noteReadiness(reason);
+        connection.reply(plainReply(reason.empty() ? 200 : 503, std::string(reason.empty() ? "ready" : reason) + '\n'));
+        return true;
+    }
+    if (head.target == MetricsPath && findField(head.fields, m_dialect.requestIdField()) == nullptr) {
+        connection.reply(plainReply(200, metricsText()));
+        return true;
+    }
+    return false;
+}
+
+std::string TrafficPlane::metricsText() const
+{
+    const std::pair<std::string_view, std::uint64_t> counts[] = {
+        {"requests_total", m_counts.requests},       {"served_total", m_counts.served},
+        {"refused_total", m_counts.refused},         {"failed_total", m_counts.failed},
+        {"cancelled_total", m_counts.cancelled},     {"rejected_total", m_counts.rejected},
+        {"attempts_total", m_counts.attempts},       {"connections_total", m_counts.connections},
+        {"upstream_reads_total", m_counts.reads},    {"streams_resumed_total", m_counts.resumed},
+        {"inflight", m_inflight},                    {"log_lines_dropped_total", m_log.dropped()},
+        {"upstreams", m_view->upstreams.size()},     {"table_version", m_view->table ? m_view->table->version : 0},
+        {"table_age_ms", static_cast<std::uint64_t>(base::toMilliseconds(tableAge()))},
+    };
+    std::string out;
+    for (const auto &[name, value] : counts) {
+        out.append("carawaylatch_gateway_").append(name).append(" ").append(std::to_string(value)).append("\n");
+    }
+    for (const auto &[pool, queue] : m_queues) {
+        out.append("carawaylatch_gateway_waiting{pool=\"").append(pool.value()).append("\"} ").append(std::to_string(queue.size())).append("\n");
+    }
+    return out;
+}
+
+std::shared_ptr<UpstreamConnection> TrafficPlane::takeKept(const Upstream &upstream, bool isRepeatable)
+{
+    const auto it = m_kept.find(upstream.id);
+    if (it == m_kept.end()) {
+        return nullptr;
+    }
+    auto &kept = it->second;
+    while (!kept.empty()) {
+        auto connection = std::move(kept.back());
+        kept.pop_back();
+        const bool isSameLife = connection->bornMs() == upstream.bornMs;
+        if (isSameLife && (isRepeatable || now() < connection->keptUntil())) {
+            return connection;
+        }
+        connection->close();
+    }
+    return nullptr;
+}
+
+void TrafficPlane::keep(std::shared_ptr<UpstreamConnection> connection)
+{
+    auto &kept = m_kept[connection->upstream()];
+    kept.push_back(std::move(connection));
+    if (kept.size() > MaxKeptConnections) {
+        const auto oldest = kept.front();
+        kept.pop_front();
+        oldest->close();
+    }
+}
+
+void TrafficPlane::dropKept(const UpstreamConnection &connection)
+{
+    const auto it = m_kept.find(connection.upstream());
+    if (it == m_kept.end()) {
+        return;
+    }
+    std::erase_if(it->second, [&connection](const auto &kept) {
+        return kept.get() == &connection;
+    });
+}
+
+} // namespace carawaylatch::proxy
--- /dev/null
+++ b/carawaylatch/proxy/trafficplane.h
@@ -0,0 +1,176 @@
+// The traffic thread: accepts callers, keeps connections to upstreams, and holds
+// the state that exchanges share.
+//
+// Everything here runs on one thread with one event loop. The control thread
+// posts snapshots through adopt(); what traffic learns goes back through
+// TrafficObserver, called on the traffic thread.
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "carawaylatch/base/hash.h"
+#include "carawaylatch/base/timerservice.h"
+#include "carawaylatch/proxy/callerconnection.h"
+#include "carawaylatch/proxy/dialect.h"
+#include "carawaylatch/proxy/fleet.h"
+#include "carawaylatch/proxy/placement.h"
+#include "carawaylatch/proxy/socket.h"
+#include "carawaylatch/proxy/upstreambook.h"
+#include "carawaylatch/proxy/upstreamconnection.h"
+#include "carawaylatch/proxy/waitqueue.h"
+#include "carawaylatch/relay/retrybudget.h"
+#include "carawaylatch/telemetry/decisionlog.h"
+
+namespace carawaylatch::proxy
+{
+
+struct TrafficSettings
+{
+    base::FailureDomain domain;
+    base::Endpoint callers; // where callers connect
+    base::Endpoint operators; // where readiness and metrics are asked for
+    double retryShare = 0.2; // sends beyond the first, for each request of a pool, over all routers
+    std::uint32_t retryReserve = 50; // such sends in ten seconds beside the share, over all routers
+    base::Duration maxTableAge{}; // requests with a key are refused beyond it; zero: no limit
+    base::Duration readyTableAge = base::seconds{3}; // not ready beyond it
+    base::Duration connectTimeout = base::milliseconds{400}; // several round trips between failure domains
+    std::uint64_t maxBodyBytesHeld = 32'000'000; // request bodies in memory; beyond it callers are refused
+    PlacementTuning placement;
+};
+
+struct CallerLimitsView
+{
+    base::Duration headTimeout{};
+    base::Duration bodyTimeout{};
+    base::Duration idleTimeout{};
+};
+
+// Counts since the start, read by the metrics page.
+struct TrafficCounts
+{
+    std::uint64_t requests = 0;
+    std::uint64_t served = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t failed = 0;
+    std::uint64_t cancelled = 0;
+    std::uint64_t rejected = 0;
+    std::uint64_t attempts = 0;
+    std::uint64_t connections = 0; // made to upstreams
+    std::uint64_t reads = 0; // wake-ups of the loop with bytes of upstreams
+    std::uint64_t foreignAnswers = 0;
+    std::uint64_t resumed = 0;
+};
+
+// What traffic tells the control thread.
+class TrafficObserver
+{
+public:
+    virtual ~TrafficObserver() = default;
+    // An answer told the weights of an upstream.
+    virtual void onWeightsSeen(const base::UpstreamId &upstream, base::WeightsVersion weights) = 0;
+};
+
+class TrafficPlane
+{
+public:
+    // All references outlive the plane. `tableConfirmedAt` tells when the
+    // configuration was last confirmed, on a clock that counts suspension.
+    TrafficPlane(boost::asio::io_context &loop, const base::Clock &clock, const TrafficSettings &settings, const Dialect &dialect, TrafficObserver &observer,
+                 telemetry::DecisionLog &log, std::function<base::Duration()> tableAge);
+    ~TrafficPlane();
+
+    // Binds both addresses. Unavailable if one is taken.
+    [[nodiscard]] base::Result<void> listen();
+    void adopt(std::shared_ptr<const FleetView> view);
+    void applySettings(const TrafficSettings &settings);
+    // Not ready from now on; connections close after the request under way.
+    void beginStop();
+    // Closes what is idle; returns the number of requests under way.
+    std::size_t closeIdle();
+    [[nodiscard]] std::size_t inflight() const;
+    [[nodiscard]] bool isStopping() const;
+
+    // For connections and exchanges.
+    [[nodiscard]] base::TimePoint now() const;
+    [[nodiscard]] base::TimerService &timers();
+    [[nodiscard]] boost::asio::io_context &executor();
+    [[nodiscard]] const Dialect &dialect() const;
+    [[nodiscard]] const TrafficSettings &settings() const;
+    [[nodiscard]] std::shared_ptr<const FleetView> view() const;
+    [[nodiscard]] UpstreamBook &book();
+    [[nodiscard]] TrafficCounts &counts();
+    [[nodiscard]] telemetry::DecisionLog &log();
+    [[nodiscard]] TrafficObserver &observer();
+    [[nodiscard]] base::Random &random();
+    [[nodiscard]] ParserLimits parserLimits() const;
+    [[nodiscard]] CallerLimitsView callerLimits() const;
+    [[nodiscard]] base::Duration tableAge() const;
+    [[nodiscard]] relay::RetryBudget &budget(const base::PoolName &pool);
+    [[nodiscard]] WaitQueue &queue(const base::PoolName &pool);
+    // Requests that wait at a pool are placed after this call returns.
+    void scheduleQueues();
+    void noteRejected(std::string_view id, std::string_view host, std::string_view reason, unsigned status);
+    void began();
+    void ended();
+    void forget(const std::shared_ptr<CallerConnection> &connection);
+    // Answers readiness and metrics on the operators' port; false for a caller's request.
+    bool answerOwnPath(CallerConnection &connection, const HttpRequestHead &head);
+
+    // Returns a kept connection, or nothing. A request that may run only once takes
+    // none that the upstream may be about to close.
+    [[nodiscard]] std::shared_ptr<UpstreamConnection> takeKept(const Upstream &upstream, bool isRepeatable);
+    void keep(std::shared_ptr<UpstreamConnection> connection);
+    void dropKept(const UpstreamConnection &connection);
+
+private:
+    struct Listener;
+    [[nodiscard]] base::Result<void> listenOn(Listener &listener, const base::Endpoint &endpoint);
+    void accept(Listener &listener);
+    void armTimer();
+    void onTimer();
+    void placeWaiting();
+    [[nodiscard]] std::string_view unreadyReason() const;
+    void noteReadiness(std::string_view reason);
+    [[nodiscard]] std::string metricsText() const;
+    void applyBudgets();
+
+    boost::asio::io_context &m_loop;
+    const base::Clock &m_clock;
+    TrafficSettings m_settings;
+    const Dialect &m_dialect;
+    TrafficObserver &m_observer;
+    telemetry::DecisionLog &m_log;
+    std::function<base::Duration()> m_tableAge;
+    base::TimerService m_timers;
+    boost::asio::steady_timer m_timer;
+    base::TimePoint m_armedFor = base::TimePoint::max(); // deadline of the timer under way
+    bool m_isArmPosted = false;
+    std::shared_ptr<const FleetView> m_view;
+    UpstreamBook m_book;
+    std::map<base::PoolName, relay::RetryBudget> m_budgets;
+    std::map<base::PoolName, WaitQueue> m_queues;
+    std::map<base::UpstreamId, std::deque<std::shared_ptr<UpstreamConnection>>> m_kept; // newest last
+    std::set<std::shared_ptr<CallerConnection>> m_callers;
+    std::unique_ptr<Listener> m_callersListener;
+    std::unique_ptr<Listener> m_operatorsListener;
+    base::TimerService::Subscription m_tick;
+    base::Random m_random;
+    TrafficCounts m_counts;
+    std::size_t m_inflight = 0;
+    bool m_isStopping = false;
+    bool m_isPlacing = false;
+    std::string m_unreadyReason = "starting"; // as last logged; empty: ready
+};
+
+} // namespace carawaylatch::proxy
--- /dev/null
+++ b/carawaylatch/proxy/upstreambook.h
@@ -0,0 +1,80 @@
+// What this router has seen of each upstream: requests under way, load that
+// answers told, failures, and where prompt state was placed.
+//
+// A state machine of the traffic thread without I/O. Snapshots of the fleet come
+// in through adopt(), attempts through began(), started() and ended().
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+#include "carawaylatch/base/ids.h"
+#include "carawaylatch/base/time.h"
+#include "carawaylatch/proxy/attemptrules.h"
+#include "carawaylatch/proxy/dialect.h"
+#include "carawaylatch/proxy/fleet.h"
+
+namespace carawaylatch::proxy
+{
+
+struct UpstreamRecord
+{
+    Upstream upstream;
+    bool isListed = false; // in the present snapshot
+    std::uint32_t inflight = 0; // requests of this router that have not ended
+    std::uint64_t inflightTokens = 0; // memory that these may take
+    std::uint64_t unreadTokens = 0; // prompt tokens of those without a first event
+    // Requests of others at the time of the last sample; trusted for SampleLife.
+    std::uint32_t othersLoad = 0;
+    base::TimePoint sampledAt;
+    base::WeightsVersion weights; // newest version known of its model; zero: unknown
+    double failureShare = 0; // of recent attempts, weighted towards the newest
+    std::uint32_t failuresInRow = 0; // connections that could not be made
+    base::TimePoint avoidUntil; // gets nothing before, unless nothing else is left
+
+    static constexpr base::Duration SampleLife = base::seconds{1}; // answers come many times a second under load
+
+    // Requests at the upstream, own and others'.
+    [[nodiscard]] double load(base::TimePoint now) const;
+};
+
+// How much one attempt weighs on its upstream.
+struct AttemptWeight
+{
+    std::uint64_t memoryTokens = 0; // prompt and longest answer
+    std::uint64_t unreadTokens = 0; // prompt tokens that it has to read
+};
+
+class UpstreamBook
+{
+public:
+    void adopt(const FleetView &view, base::TimePoint now);
+
+    [[nodiscard]] UpstreamRecord *find(const base::UpstreamId &id);
+    // Listed upstreams of a pool, in order of id.
+    [[nodiscard]] const std::vector<UpstreamRecord *> &members(const base::PoolName &pool) const;
+
+    void began(UpstreamRecord &record, const AttemptWeight &weight);
+    // The first event or the head of the answer has arrived.
+    void started(UpstreamRecord &record, const AttemptWeight &weight);
+    void ended(UpstreamRecord &record, const AttemptWeight &weight, bool hasStarted, AttemptEnd end, base::TimePoint now);
+    void sampled(UpstreamRecord &record, const LoadSample &sample, base::TimePoint now);
+
+    // Where the state of a prompt's shared parts was placed last.
+    void placed(std::uint64_t promptKey, const base::UpstreamId &upstream);
+    [[nodiscard]] bool isPlaced(std::uint64_t promptKey, const base::UpstreamId &upstream) const;
+
+private:
+    static constexpr std::size_t MaxPlacements = 8192; // about half a megabyte; all are forgotten beyond it
+    static constexpr std::size_t PlacementsKept = 2; // upstreams remembered for each prompt
+
+    std::map<base::UpstreamId, UpstreamRecord> m_records; // nodes keep their address
+    std::map<base::PoolName, std::vector<UpstreamRecord *>> m_members;
+    std::vector<UpstreamRecord *> m_noMembers;
+    std::unordered_map<std::uint64_t, std::array<base::UpstreamId, PlacementsKept>> m_placements; // newest first
+};
+
+} // namespace carawaylatch::proxy
--- /dev/null
+++ b/carawaylatch/proxy/upstreamconnection.cpp
@@ -0,0 +1,273 @@
+// Framing decides what an answer is; the echoed request id decides whose it is.
+#include "carawaylatch/proxy/upstreamconnection.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+
+#include <utility>
+
+#include "carawaylatch/proxy/trafficplane.h"
+
+namespace carawaylatch::proxy
+{
+
+namespace
+{
+
+// An upstream that acknowledges nothing for so long is cut off: above the pauses of a busy path.
+constexpr base::Duration UpstreamSilence = base::milliseconds{1500};
+// An idle connection is sure to be open this long where the upstream tells no time.
+constexpr base::Duration UntoldKeepAlive = base::milliseconds{800};
+// Share of the told idle time that is used, so that a request doesn't cross the close.
+constexpr double UsedKeepAliveShare = 0.7;
+
+} // namespace
+
+UpstreamConnection::UpstreamConnection(TrafficPlane &plane, base::UpstreamId upstream, std::uint64_t bornMs)
+    : m_plane(plane)
+    , m_upstream(std::move(upstream))
+    , m_bornMs(bornMs)
+    , m_socket(plane.executor())
+{
+}
+
+const base::UpstreamId &UpstreamConnection::upstream() const
+{
+    return m_upstream;
+}
+
+std::uint64_t UpstreamConnection::bornMs() const
+{
+    return m_bornMs;
+}
+
+bool UpstreamConnection::isReused() const
+{
+    return m_isReused;
+}
+
+base::TimePoint UpstreamConnection::keptUntil() const
+{
+    return m_keptUntil;
+}
+
+void UpstreamConnection::connect(const base::Endpoint &endpoint, base::Duration timeout, std::function<void(std::string_view)> done)
+{
+    boost::system::error_code ec;
+    const auto address = boost::asio::ip::make_address(endpoint.address, ec);
+    if (ec) {
+        boost::asio::post(m_plane.executor(), [done = std::move(done)] {
+            done("the endpoint is not an IP address");
+        });
+        return;
+    }
+    const auto callback = std::make_shared<std::function<void(std::string_view)>>(std::move(done));
+    m_connectTimer = m_plane.timers().after(m_plane.now(), timeout, [weak = weak_from_this(), callback](base::TimePoint) {
+        if (const auto self = weak.lock(); self && !self->m_isClosed) {
+            self->close();
+            (*callback)("no connection in time");
+        }
+    });
+    m_socket.async_connect(Tcp::endpoint(address, endpoint.port), [self = shared_from_this(), callback](const boost::system::error_code &error) {
+        if (self->m_isClosed) {
+            return;
+        }
+        self->m_connectTimer.cancel();
+        if (error) {
+            self->close();
+            (*callback)(error.message());
+            return;
+        }
+        setSocketOptions(self->m_socket, UpstreamSilence);
+        (*callback)({});
+    });
+}
+
+void UpstreamConnection::send(std::string head, std::shared_ptr<const std::string> body, std::string requestId, bool isHeadRequest,
+                              std::weak_ptr<AnswerListener> listener)
+{
+    m_head = std::move(head);
+    m_body = std::move(body);
+    m_requestId = std::move(requestId);
+    m_isHeadRequest = isHeadRequest;
+    m_listener = std::move(listener);
+    m_parser.emplace(isHeadRequest);
+    m_hasSeenHead = false;
+    m_isForeign = false;
+    m_foreignAnswers = 0;
+    m_isPaused = false;
+    m_isWriting = true;
+    const std::array<boost::asio::const_buffer, 2> buffers{boost::asio::buffer(m_head), boost::asio::buffer(*m_body)};
+    boost::asio::async_write(m_socket, buffers, [self = shared_from_this()](const boost::system::error_code &ec, std::size_t) {
+        self->m_isWriting = false;
+        self->m_body.reset();
+        if (ec && !self->m_isClosed && self->m_parser && !self->m_hasSeenHead && !self->m_isReading) {
+            self->fail(ec.message());
+        }
+        // Otherwise the read under way tells: an upstream may answer and close before it has read all.
+    });
+    read();
+}
+
+void UpstreamConnection::pauseReading()
+{
+    m_isPaused = true;
+}
+
+void UpstreamConnection::resumeReading()
+{
+    if (m_isPaused) {
+        m_isPaused = false;
+        read();
+    }
+}
+
+void UpstreamConnection::close()
+{
+    if (m_isClosed) {
+        return;
+    }
+    m_isClosed = true;
+    m_connectTimer.cancel();
+    m_listener.reset();
+    boost::system::error_code ignored;
+    m_socket.close(ignored);
+    m_plane.dropKept(*this);
+}
+
+std::shared_ptr<AnswerListener> UpstreamConnection::listener() const
+{
+    return m_listener.lock();
+}
+
+void UpstreamConnection::read()
+{
+    if (m_isReading || m_isClosed || m_isPaused) {
+        return;
+    }
+    m_isReading = true;
+    m_socket.async_read_some(boost::asio::buffer(m_chunk), [self = shared_from_this()](const boost::system::error_code &ec, std::size_t n) {
+        self->m_isReading = false;
+        if (self->m_isClosed) {
+            return;
+        }
+        if (!ec) {
+            self->onRead(n);
+            return;
+        }
+        if (ec == boost::asio::error::eof && self->m_parser && self->m_hasSeenHead && self->m_parser->feedEnd() && !self->m_isForeign) {
+            self->finishAnswer();
+            return;
+        }
+        self->fail(ec.message());
+    });
+}
+
+void UpstreamConnection::onRead(std::size_t n)
+{
+    if (!m_parser) {
+        close(); // bytes that no request waits for
+        return;
+    }
+    m_input.append(m_chunk.data(), n);
+    consumeInput();
+    if (m_parser || !m_isClosed) {
+        read();
+    }
+}
+
+void UpstreamConnection::consumeInput()
+{
+    while (m_parser && !m_input.empty() && !m_isClosed) {
+        const auto used = m_parser->feed(m_input);
+        if (!used) {
+            fail(used.error().message);
+            return;
+        }
+        m_input.erase(0, used.value());
+        if (m_parser->isHeadDone() && !m_hasSeenHead && !m_isForeign) {
+            consumeHead();
+        }
+        if (m_isClosed || !m_parser) {
+            return;
+        }
+        std::string bytes = m_parser->takeBody();
+        if (!bytes.empty() && !m_isForeign) {
+            if (const auto it = listener()) {
+                it->onAnswerBytes(std::move(bytes));
+            }
+        }
+        if (m_isClosed || !m_parser) {
+            return;
+        }
+        if (!m_parser->isComplete()) {
+            return; // more bytes are needed
+        }
+        if (m_isForeign || (m_parser->head().status < 200 && !m_hasSeenHead)) {
+            m_isForeign = false;
+            m_parser.emplace(m_isHeadRequest);
+            continue;
+        }
+        finishAnswer();
+        return;
+    }
+}
+
+void UpstreamConnection::consumeHead()
+{
+    const HttpResponseHead &head = m_parser->head();
+    if (head.status < 200) {
+        return; // an interim answer; the final one follows
+    }
+    const UpstreamAnswer answer = m_plane.dialect().readAnswer(head);
+    const bool isOther = !answer.requestId.empty() && answer.requestId != m_requestId;
+    // Without an id only the first answer of a connection is surely ours.
+    const bool isDoubtful = answer.requestId.empty() && (m_isReused || m_foreignAnswers > 0);
+    if (isOther || isDoubtful) {
+        if (++m_foreignAnswers > MaxForeignAnswers) {
+            fail("answers of other requests");
+            return;
+        }
+        m_isForeign = true;
+        return;
+    }
+    m_hasSeenHead = true;
+    if (answer.keepAlive) {
+        m_keepAlive = *answer.keepAlive;
+    }
+    if (const auto it = listener()) {
+        it->onAnswerHead(head, answer);
+    }
+}
+
+void UpstreamConnection::finishAnswer()
+{
+    const bool isKept = m_parser->keepsAlive() && !m_isWriting && m_input.empty() && m_foreignAnswers == 0;
+    const auto it = listener();
+    m_parser.reset();
+    m_listener.reset();
+    m_isReused = true;
+    const base::Duration kept = m_keepAlive > base::Duration{} ? base::fromSeconds(base::toSeconds(m_keepAlive) * UsedKeepAliveShare) : UntoldKeepAlive;
+    m_keptUntil = m_plane.now() + kept;
+    if (isKept) {
+        m_isPaused = false;
+        m_plane.keep(shared_from_this());
+    } else {
+        close();
+    }
+    if (it) {
+        it->onAnswerEnd();
+    }
+}
+
+void UpstreamConnection::fail(std::string_view problem)
+{
+    const auto it = m_parser ? listener() : nullptr;
+    m_parser.reset();
+    close();
+    if (it) {
+        it->onBroken(problem);
+    }
+}
+
+} // namespace carawaylatch::proxy
--- /dev/null
+++ b/carawaylatch/proxy/waitqueue.cpp
@@ -0,0 +1,64 @@
+// Order and estimate of waitqueue.h.
+#include "carawaylatch/proxy/waitqueue.h"
+
+#include <cmath>
+#include <iterator>
+
+namespace carawaylatch::proxy
+{
+
+void EndRate::note(base::TimePoint now)
+{
+    m_weight = perSecond(now) * TimeConstantSeconds + 1;
+    m_updatedAt = now;
+}
+
+double EndRate::perSecond(base::TimePoint now) const
+{
+    return m_weight * std::exp(-base::toSeconds(now - m_updatedAt) / TimeConstantSeconds) / TimeConstantSeconds;
+}
+
+std::optional<base::Duration> WaitQueue::expectedWait(std::uint32_t urgency, base::TimePoint now) const
+{
+    constexpr double LeastRate = 0.2; // ends a second; below it nothing can be said of the wait
+    const double rate = m_ends.perSecond(now);
+    if (rate < LeastRate) {
+        return std::nullopt;
+    }
+    const auto ahead = std::distance(m_waiting.begin(), m_waiting.lower_bound({urgency + 1, 0}));
+    return base::fromSeconds((static_cast<double>(ahead) + 1) / rate);
+}
+
+WaitQueue::Key WaitQueue::add(std::uint32_t urgency, std::shared_ptr<Exchange> exchange)
+{
+    const Key key{urgency, ++m_arrivals};
+    m_waiting.emplace(key, std::move(exchange));
+    return key;
+}
+
+void WaitQueue::remove(const Key &key)
+{
+    m_waiting.erase(key);
+}
+
+std::shared_ptr<Exchange> WaitQueue::front() const
+{
+    return m_waiting.empty() ? nullptr : m_waiting.begin()->second;
+}
+
+bool WaitQueue::isEmpty() const
+{
+    return m_waiting.empty();
+}
+
+std::size_t WaitQueue::size() const
+{
+    return m_waiting.size();
+}
+
+EndRate &WaitQueue::ends()
+{
+    return m_ends;
+}
+
+} // namespace carawaylatch::proxy
--- a/carawaylatch/relay/retrybudget.cpp
+++ b/carawaylatch/relay/retrybudget.cpp
@@ -24,6 +24,11 @@
 {
 }
 
+void RetryBudget::setOptions(RetryBudgetOptions options)
+{
+    m_options = options;
+}
+
 RetryBudget::Slot &RetryBudget::slotAt(base::TimePoint now)
 {
     const auto second = std::chrono::duration_cast<base::seconds>(now.time_since_epoch()).count();
--- a/carawaylatch/relay/retrybudget.h
+++ b/carawaylatch/relay/retrybudget.h
@@ -40,6 +40,8 @@
 {
 public:
     explicit RetryBudget(RetryBudgetOptions options = {});
+    // Takes new options; what was counted stays.
+    void setOptions(RetryBudgetOptions options);
     void noteRequest(base::TimePoint now);
     // Counts a continuation, which a delivered part makes necessary.
     void charge(base::TimePoint now);
--- a/carawaylatch/router.h
+++ b/carawaylatch/router.h
@@ -56,7 +56,7 @@
 //     carawaylatch/config/headstore.h      tables with one point of acceptance
 //     carawaylatch/fleet/lease.h           leases with fencing numbers
 //     carawaylatch/membership/memberlist.h who is alive
-//     carawaylatch/platform/objectstore.h  the interface that an embedder implements
+//     carawaylatch/store/objectstore.h  the interface that an embedder implements
 //
 // examples/placement.cpp embeds the strategy alone, examples/orderguard.cpp the
 // order desk alone. To build against an installed tree:
--- a/carawaylatch/router/controlstate.h
+++ b/carawaylatch/router/controlstate.h
@@ -9,7 +9,7 @@
 #include "carawaylatch/base/eventloop.h"
 #include "carawaylatch/base/ids.h"
 #include "carawaylatch/config/settings.h"
-#include "carawaylatch/platform/objectstore.h"
+#include "carawaylatch/store/objectstore.h"
 #include "carawaylatch/router/knowledge.h"
 #include "carawaylatch/router/published.h"
 
@@ -23,7 +23,7 @@
     const base::Clock &clock;
     const base::Incarnation incarnation;
     base::EventLoop &loop;
-    platform::ObjectStore &objects;
+    store::ObjectStore &objects;
     Knowledge &knowledge;
     Published &published;
 };
--- a/carawaylatch/router/handovercontroller.cpp
+++ b/carawaylatch/router/handovercontroller.cpp
@@ -57,7 +57,7 @@
 }
 
 // Reads what the platform holds: the configuration must be there, hot state may be.
-base::Result<handover::Snapshot> readStored(platform::ObjectStore &objects, const base::FailureDomain &domain)
+base::Result<handover::Snapshot> readStored(store::ObjectStore &objects, const base::FailureDomain &domain)
 {
     BOOST_OUTCOME_TRY(stored, config::HeadStore(objects).load());
     handover::Snapshot snapshot;
@@ -70,14 +70,14 @@
     return snapshot;
 }
 
-base::Result<void> writeStored(platform::ObjectStore &objects, const base::FailureDomain &domain, const handover::Snapshot &snapshot)
+base::Result<void> writeStored(store::ObjectStore &objects, const base::FailureDomain &domain, const handover::Snapshot &snapshot)
 {
     const std::string name = storedName(domain);
     const auto present = objects.read(name);
     if (!present && present.error().kind != base::ErrorKind::NotFound) {
         return present.error();
     }
-    const auto version = present ? present.value().version : platform::Version{};
+    const auto version = present ? present.value().version : store::Version{};
     BOOST_OUTCOME_TRYV(objects.write(name, peer::encodeSnapshot(snapshot), version));
     return base::ok();
 }
--- a/carawaylatch/router/membercontroller.cpp
+++ b/carawaylatch/router/membercontroller.cpp
@@ -92,11 +92,11 @@
     });
 }
 
-void MemberController::onPlatformList(std::span<const platform::VmRecord> vms, base::TimePoint now)
+void MemberController::onPlatformList(std::span<const store::VmRecord> vms, base::TimePoint now)
 {
     std::vector<base::Endpoint> seeds;
     for (const auto &it : vms) {
-        if (it.role == platform::VmRecord::Role::Router && it.endpoint != m_members.self().endpoint) {
+        if (it.role == store::VmRecord::Role::Router && it.endpoint != m_members.self().endpoint) {
             seeds.push_back(it.endpoint);
         }
     }
--- a/carawaylatch/router/membercontroller.h
+++ b/carawaylatch/router/membercontroller.h
@@ -26,7 +26,7 @@
                      ViewHandler onView, RevisionHandler onRevision);
 
     void start(base::TimePoint now);
-    void onPlatformList(std::span<const platform::VmRecord> vms, base::TimePoint now);
+    void onPlatformList(std::span<const store::VmRecord> vms, base::TimePoint now);
     void onRecords(std::span<const membership::MemberRecord> records, base::TimePoint now);
     void setRevision(base::Revision revision);
     void leave(base::TimePoint now);
--- a/carawaylatch/router/operatordesk.h
+++ b/carawaylatch/router/operatordesk.h
@@ -7,7 +7,7 @@
 #include "carawaylatch/base/eventloop.h"
 #include "carawaylatch/http/operatorsserver.h"
 #include "carawaylatch/peer/transport.h"
-#include "carawaylatch/platform/httpobjectstore.h"
+#include "carawaylatch/store/httpobjectstore.h"
 #include "carawaylatch/router/statusbuilder.h"
 #include "carawaylatch/router/trafficplane.h"
 #include "carawaylatch/router/upstreamcontroller.h"
@@ -30,7 +30,7 @@
     TrafficPlane &traffic;
     UpstreamController &upstreams;
     const peer::PeerTransport &transport;
-    const platform::HttpObjectStore &objects;
+    const store::HttpObjectStore &objects;
 };
 
 class OperatorDesk : public http::OperatorHandler
--- a/carawaylatch/router/platformduties.h
+++ b/carawaylatch/router/platformduties.h
@@ -17,7 +17,7 @@
 class PlatformDuties
 {
 public:
-    using ListHandler = std::function<void(const std::vector<platform::VmRecord> &vms, base::TimePoint now)>;
+    using ListHandler = std::function<void(const std::vector<store::VmRecord> &vms, base::TimePoint now)>;
 
     // All outlive the duties; `onList` is called on the control thread.
     PlatformDuties(const ControlParts &parts, orders::OrderDesk &desk, fleet::EngineControl &engines, ListHandler onList);
--- a/carawaylatch/router/router.cpp
+++ b/carawaylatch/router/router.cpp
@@ -16,7 +16,7 @@
 #include "carawaylatch/http/serviceclient.h"
 #include "carawaylatch/http/upstreamclient.h"
 #include "carawaylatch/peer/http2transport.h"
-#include "carawaylatch/platform/httpobjectstore.h"
+#include "carawaylatch/store/httpobjectstore.h"
 #include "carawaylatch/router/configcontroller.h"
 #include "carawaylatch/router/handovercontroller.h"
 #include "carawaylatch/router/membercontroller.h"
@@ -146,7 +146,7 @@
 
     void startControllers();
     void applyTables(const std::shared_ptr<const config::Tables> &tables, base::TimePoint now);
-    void onList(const std::vector<platform::VmRecord> &vms, base::TimePoint now);
+    void onList(const std::vector<store::VmRecord> &vms, base::TimePoint now);
     [[nodiscard]] ShutdownHooks shutdownHooks();
     void noteStopped(StopKind kind);
     void flushOrders();
@@ -159,7 +159,7 @@
     Published m_published;
     telemetry::Metrics m_metrics;
     Knowledge m_knowledge;
-    platform::HttpObjectStore m_objects;
+    store::HttpObjectStore m_objects;
     const ControlParts m_controlParts;
     ControlState m_state{m_published};
     http::UpstreamClient m_upstreamClient{PollTimeout};
@@ -364,7 +364,7 @@
     m_controllers->members.setRevision(tables->revision);
 }
 
-void Router::Impl::onList(const std::vector<platform::VmRecord> &vms, base::TimePoint now)
+void Router::Impl::onList(const std::vector<store::VmRecord> &vms, base::TimePoint now)
 {
     m_controllers->upstreams.onPlatformList(vms, now);
     m_controllers->members.onPlatformList(vms, now);
--- a/carawaylatch/router/upstreamcontroller.cpp
+++ b/carawaylatch/router/upstreamcontroller.cpp
@@ -95,7 +95,7 @@
     advance(now);
 }
 
-void UpstreamController::onPlatformList(std::span<const platform::VmRecord> vms, base::TimePoint now)
+void UpstreamController::onPlatformList(std::span<const store::VmRecord> vms, base::TimePoint now)
 {
     m_registry.onPlatformList(vms, now);
     advance(now);
--- a/carawaylatch/router/upstreamcontroller.h
+++ b/carawaylatch/router/upstreamcontroller.h
@@ -35,7 +35,7 @@
     void onAttempt(const AttemptNotice &notice, base::TimePoint now);
     void onLeaving(const base::UpstreamId &id, upstreams::LeavingSource source, base::TimePoint now);
     void onUndrain(const base::UpstreamId &id, base::TimePoint now);
-    void onPlatformList(std::span<const platform::VmRecord> vms, base::TimePoint now);
+    void onPlatformList(std::span<const store::VmRecord> vms, base::TimePoint now);
     void importMarks(std::span<const upstreams::LeavingMark> marks, base::TimePoint now);
     [[nodiscard]] std::vector<upstreams::LeavingMark> exportMarks() const;
     // Upstreams that answered lately.
--- a/carawaylatch/platform/faultystore.cpp
+++ b/carawaylatch/store/faultystore.cpp
@@ -1,9 +1,9 @@
 // Faults around a store. Reads have no effect to lose, so that for them every
 // fault is an outage; for writes the lost request and the lost answer look the
 // same to the caller, which is what makes them hard.
-#include "carawaylatch/platform/faultystore.h"
+#include "carawaylatch/store/faultystore.h"
 
-namespace carawaylatch::platform
+namespace carawaylatch::store
 {
 
 namespace
@@ -123,4 +123,4 @@
     });
 }
 
-} // namespace carawaylatch::platform
+} // namespace carawaylatch::store
--- a/carawaylatch/platform/faultystore.h
+++ b/carawaylatch/store/faultystore.h
@@ -7,9 +7,9 @@
 #include <cstdint>
 #include <mutex>
 
-#include "carawaylatch/platform/objectstore.h"
+#include "carawaylatch/store/objectstore.h"
 
-namespace carawaylatch::platform
+namespace carawaylatch::store
 {
 
 enum class StoreFault {
@@ -51,4 +51,4 @@
     std::uint64_t m_calls = 0;
 };
 
-} // namespace carawaylatch::platform
+} // namespace carawaylatch::store
--- a/carawaylatch/platform/httpobjectstore.cpp
+++ b/carawaylatch/store/httpobjectstore.cpp
@@ -4,7 +4,7 @@
 // never made carried nothing: Unavailable. Anything later may have reached the
 // platform; for a write that is Unclear. A 503 is the platform's own word that
 // nothing took effect.
-#include "carawaylatch/platform/httpobjectstore.h"
+#include "carawaylatch/store/httpobjectstore.h"
 
 #include <httplib.h>
 
@@ -13,9 +13,9 @@
 #include <set>
 #include <utility>
 
-#include "carawaylatch/platform/objectjson.h"
+#include "carawaylatch/store/objectjson.h"
 
-namespace carawaylatch::platform
+namespace carawaylatch::store
 {
 
 namespace
@@ -256,4 +256,4 @@
     return {m_reads, m_writes, m_connections->failures()};
 }
 
-} // namespace carawaylatch::platform
+} // namespace carawaylatch::store
--- a/carawaylatch/platform/httpobjectstore.h
+++ b/carawaylatch/store/httpobjectstore.h
@@ -9,9 +9,9 @@
 #include <cstdint>
 #include <memory>
 
-#include "carawaylatch/platform/objectstore.h"
+#include "carawaylatch/store/objectstore.h"
 
-namespace carawaylatch::platform
+namespace carawaylatch::store
 {
 
 // Calls made since the start, for the metrics of what control costs.
@@ -48,4 +48,4 @@
     std::atomic<std::uint64_t> m_writes = 0;
 };
 
-} // namespace carawaylatch::platform
+} // namespace carawaylatch::store
--- a/carawaylatch/platform/memorystore.cpp
+++ b/carawaylatch/store/memorystore.cpp
@@ -1,10 +1,10 @@
 // One version counter over the whole store gives every write its place in a
 // total order; a watch is the part of that order behind a point.
-#include "carawaylatch/platform/memorystore.h"
+#include "carawaylatch/store/memorystore.h"
 
 #include <utility>
 
-namespace carawaylatch::platform
+namespace carawaylatch::store
 {
 
 namespace
@@ -128,4 +128,4 @@
     }
 }
 
-} // namespace carawaylatch::platform
+} // namespace carawaylatch::store
--- a/carawaylatch/platform/memorystore.h
+++ b/carawaylatch/store/memorystore.h
@@ -14,9 +14,9 @@
 #include <string_view>
 #include <vector>
 
-#include "carawaylatch/platform/objectstore.h"
+#include "carawaylatch/store/objectstore.h"
 
-namespace carawaylatch::platform
+namespace carawaylatch::store
 {
 
 class MemoryStore : public ObjectStore
@@ -48,4 +48,4 @@
     std::vector<VmRecord> m_vms;
 };
 
-} // namespace carawaylatch::platform
+} // namespace carawaylatch::store
--- a/carawaylatch/platform/objectjson.cpp
+++ b/carawaylatch/store/objectjson.cpp
@@ -1,11 +1,11 @@
 // JSON by nlohmann, base64 by libcrypto. The library's exceptions end in
 // decode(), which turns them into InvalidArgument.
-#include "carawaylatch/platform/objectjson.h"
+#include "carawaylatch/store/objectjson.h"
 
 #include <nlohmann/json.hpp>
 #include <openssl/evp.h>
 
-namespace carawaylatch::platform
+namespace carawaylatch::store
 {
 
 namespace
@@ -141,4 +141,4 @@
     });
 }
 
-} // namespace carawaylatch::platform
+} // namespace carawaylatch::store
--- a/carawaylatch/platform/objectjson.h
+++ b/carawaylatch/store/objectjson.h
@@ -6,9 +6,9 @@
 #include <string_view>
 #include <vector>
 
-#include "carawaylatch/platform/objectstore.h"
+#include "carawaylatch/store/objectstore.h"
 
-namespace carawaylatch::platform
+namespace carawaylatch::store
 {
 
 [[nodiscard]] std::string encodeObject(const Object &object);
@@ -22,4 +22,4 @@
 [[nodiscard]] base::Result<Version> decodeVersion(std::string_view text);
 [[nodiscard]] base::Result<std::vector<VmRecord>> decodeVms(std::string_view text);
 
-} // namespace carawaylatch::platform
+} // namespace carawaylatch::store
--- a/carawaylatch/platform/objectstore.h
+++ b/carawaylatch/store/objectstore.h
@@ -19,7 +19,7 @@
 #include "carawaylatch/base/error.h"
 #include "carawaylatch/base/ids.h"
 
-namespace carawaylatch::platform
+namespace carawaylatch::store
 {
 
 // Version of an object or of the store; zero stands for "does not exist".
@@ -79,4 +79,4 @@
     [[nodiscard]] virtual base::Result<std::vector<VmRecord>> vms() = 0;
 };
 
-} // namespace carawaylatch::platform
+} // namespace carawaylatch::store
--- a/carawaylatch/platform/testing/objectstoretest.cpp
+++ b/carawaylatch/store/testing/objectstoretest.cpp
@@ -4,13 +4,13 @@
 
 #include <thread>
 
-#include "carawaylatch/platform/faultystore.h"
-#include "carawaylatch/platform/httpobjectstore.h"
-#include "carawaylatch/platform/memorystore.h"
-#include "carawaylatch/platform/objectjson.h"
+#include "carawaylatch/store/faultystore.h"
+#include "carawaylatch/store/httpobjectstore.h"
+#include "carawaylatch/store/memorystore.h"
+#include "carawaylatch/store/objectjson.h"
 #include "standin/platform.h"
 
-namespace carawaylatch::platform::testing
+namespace carawaylatch::store::testing
 {
 
 using base::ErrorKind;
@@ -219,4 +219,4 @@
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ObjectStoreFaultTest);
 
-} // namespace carawaylatch::platform::testing
+} // namespace carawaylatch::store::testing
--- a/carawaylatch/upstreams/registry.cpp
+++ b/carawaylatch/upstreams/registry.cpp
@@ -255,10 +255,10 @@
     }
 }
 
-void Registry::onPlatformList(std::span<const platform::VmRecord> vms, base::TimePoint now)
+void Registry::onPlatformList(std::span<const store::VmRecord> vms, base::TimePoint now)
 {
     for (const auto &vm : vms) {
-        if (vm.role != platform::VmRecord::Role::Upstream) {
+        if (vm.role != store::VmRecord::Role::Upstream) {
             continue;
         }
         const auto it = m_entries.find(base::UpstreamId{vm.name});
@@ -271,9 +271,9 @@
     }
 }
 
-void Registry::onListed(Entry &entry, platform::VmRecord::State state)
+void Registry::onListed(Entry &entry, store::VmRecord::State state)
 {
-    const bool isLeaving = state == platform::VmRecord::State::Leaving;
+    const bool isLeaving = state == store::VmRecord::State::Leaving;
     if (isLeaving && !entry.isListedLeaving && entry.status.incarnation.value != 0) {
         mark(entry, entry.status.incarnation);
     }
--- a/carawaylatch/upstreams/registry.h
+++ b/carawaylatch/upstreams/registry.h
@@ -26,7 +26,7 @@
 #include "carawaylatch/base/ids.h"
 #include "carawaylatch/base/time.h"
 #include "carawaylatch/config/tables.h"
-#include "carawaylatch/platform/objectstore.h"
+#include "carawaylatch/store/objectstore.h"
 #include "carawaylatch/upstreams/leavingmarks.h"
 #include "carawaylatch/upstreams/loadreport.h"
 #include "carawaylatch/upstreams/upstreamview.h"
@@ -83,7 +83,7 @@
     // An operator takes a drain back; has no effect on an upstream that says itself that it leaves.
     void onUndrain(const base::UpstreamId &id, base::TimePoint now);
     // The platform's lagging list; only "leaving" is taken from it.
-    void onPlatformList(std::span<const platform::VmRecord> vms, base::TimePoint now);
+    void onPlatformList(std::span<const store::VmRecord> vms, base::TimePoint now);
     // Marks from a peer or a snapshot, some or all.
     void importMarks(std::span<const LeavingMark> marks, base::TimePoint now);
     // A peer answered RequestMarks in full; ends the wait after a freeze.
@@ -117,7 +117,7 @@
     void adopt(Entry &entry, const LoadReport &report);
     void eject(Entry &entry, base::TimePoint now);
     void mark(const Entry &entry, base::Incarnation incarnation);
-    void onListed(Entry &entry, platform::VmRecord::State state);
+    void onListed(Entry &entry, store::VmRecord::State state);
     void remove(const base::UpstreamId &id);
     void addMember(const config::PoolMember &member);
     [[nodiscard]] UpstreamState stateOf(const Entry &entry, base::TimePoint now) const;
--- a/carawaylatch/upstreams/testing/registrytest.cpp
+++ b/carawaylatch/upstreams/testing/registrytest.cpp
@@ -76,7 +76,7 @@
         const Row rows[] = {
             {"list",
              [](Registry &registry, base::TimePoint now) {
-                 const platform::VmRecord vm{"e0", platform::VmRecord::Role::Upstream, platform::VmRecord::State::Leaving, {}, {}};
+                 const store::VmRecord vm{"e0", store::VmRecord::Role::Upstream, store::VmRecord::State::Leaving, {}, {}};
                  registry.onPlatformList(std::span{&vm, 1}, now);
              }},
             {"report",
@@ -193,12 +193,12 @@
 
     void testListCoversNewLifeOnlyWhileItSaysSo()
     {
-        platform::VmRecord vm{"e0", platform::VmRecord::Role::Upstream, platform::VmRecord::State::Leaving, {}, {}};
+        store::VmRecord vm{"e0", store::VmRecord::Role::Upstream, store::VmRecord::State::Leaving, {}, {}};
         m_registry.onPlatformList(std::span{&vm, 1}, m_now);
         m_registry.onLoadReport(Id, report(2), m_now);
         m_registry.onTick(m_now);
         CPPUNIT_ASSERT(!m_registry.view()->mayStart(Id, {2}, m_now));
-        vm.state = platform::VmRecord::State::Live;
+        vm.state = store::VmRecord::State::Live;
         m_registry.onPlatformList(std::span{&vm, 1}, m_now);
         CPPUNIT_ASSERT(m_registry.view()->mayStart(Id, {2}, m_now));
         // The mark of the former life stands.
--- /dev/null
+++ b/cmake/gateway.cmake
@@ -0,0 +1,11 @@
+# The gateway program alone: only the modules that it uses, so that a clean build
+# needs neither TBB, protobuf, nghttp2, prometheus-cpp nor glog.
+file(GLOB GATEWAY_SOURCES CONFIGURE_DEPENDS carawaylatch/proxy/*.cpp carawaylatch/gateway/*.cpp platform/*.cpp)
+add_executable(carawaylatch-gateway daemon/gateway/main.cpp ${GATEWAY_SOURCES}
+    carawaylatch/base/error.cpp carawaylatch/base/hash.cpp carawaylatch/base/incarnation.cpp carawaylatch/base/logevents.cpp
+    carawaylatch/base/time.cpp carawaylatch/base/timerservice.cpp
+    carawaylatch/config/inidocument.cpp carawaylatch/config/valuetext.cpp
+    carawaylatch/fleet/lease.cpp carawaylatch/fleet/weightscontroller.cpp
+    carawaylatch/relay/retrybudget.cpp carawaylatch/telemetry/decisionlog.cpp)
+target_include_directories(carawaylatch-gateway PRIVATE ${CMAKE_SOURCE_DIR})
+target_link_libraries(carawaylatch-gateway PRIVATE Threads::Threads PkgConfig::INIH absl::flags absl::flags_parse absl::flags_usage)
--- a/examples/orderguard.cpp
+++ b/examples/orderguard.cpp
@@ -1,18 +1,18 @@
 // Embeds the order guard alone: a booking that runs at most once.
 //
 // The program brings three things: an object store (here in memory; in earnest
-// platform::HttpObjectStore or an own implementation), a connection to the
+// store::HttpObjectStore or an own implementation), a connection to the
 // service, and a word on which of its own processes live. The same key, sent
 // twice, runs once and is answered twice.
 #include <iostream>
 
 #include <carawaylatch/base/incarnation.h>
 #include <carawaylatch/orders/orderdesk.h>
-#include <carawaylatch/platform/memorystore.h>
+#include <carawaylatch/store/memorystore.h>
 
 namespace base = carawaylatch::base;
 namespace orders = carawaylatch::orders;
-namespace platform = carawaylatch::platform;
+namespace store = carawaylatch::store;
 
 namespace
 {
@@ -56,7 +56,7 @@
 
 int main()
 {
-    platform::MemoryStore objects;
+    store::MemoryStore objects;
     orders::SingleClaimStore claims(objects);
     const OneProcess liveness;
     const base::SteadyClock clock;
--- a/standin/platform.cpp
+++ b/standin/platform.cpp
@@ -16,7 +16,7 @@
 #include <mutex>
 #include <thread>
 
-#include "carawaylatch/platform/objectjson.h"
+#include "carawaylatch/store/objectjson.h"
 
 namespace carawaylatch::standin
 {
@@ -83,7 +83,7 @@
 }
 
 // The expected version of a conditional call; a call without condition never holds.
-platform::Version expectedVersion(const httplib::Request &request)
+store::Version expectedVersion(const httplib::Request &request)
 {
     if (request.has_header("If-None-Match")) {
         return {};
@@ -108,7 +108,7 @@
     {
         return m_program;
     }
-    platform::MemoryStore &store()
+    store::MemoryStore &store()
     {
         return m_store;
     }
@@ -132,27 +132,27 @@
         auto &server = m_program.server();
         server.Get("/v1/objects/(.+)", faulty(m_reads, [this](const auto &request, auto &response) {
                        const auto object = m_store.read(std::string(request.matches[1]));
-                       object ? response.set_content(platform::encodeObject(object.value()), JsonType) : answerError(response, object.error());
+                       object ? response.set_content(store::encodeObject(object.value()), JsonType) : answerError(response, object.error());
                    }));
         server.Put("/v1/objects/(.+)", faulty(m_writes, [this](const auto &request, auto &response) {
                        const auto version = m_store.write(std::string(request.matches[1]), request.body, expectedVersion(request));
-                       version ? response.set_content(platform::encodeVersion(version.value()), JsonType) : answerError(response, version.error());
+                       version ? response.set_content(store::encodeVersion(version.value()), JsonType) : answerError(response, version.error());
                    }));
         server.Delete("/v1/objects/(.+)", faulty(m_writes, [this](const auto &request, auto &response) {
                           const auto done = m_store.remove(std::string(request.matches[1]), expectedVersion(request));
                           done ? response.set_content("{}", JsonType) : answerError(response, done.error());
                       }));
         server.Get("/v1/list", faulty(m_reads, [this](const auto &request, auto &response) {
-                       response.set_content(platform::encodeChanges(m_store.list(request.get_param_value("prefix")).value()), JsonType);
+                       response.set_content(store::encodeChanges(m_store.list(request.get_param_value("prefix")).value()), JsonType);
                    }));
         server.Get("/v1/watch", faulty(m_watches, [this](const auto &request, auto &response) {
                        const base::Duration wait = std::min<base::Duration>(MaxWatchWait, base::milliseconds{numberOf(request.get_param_value("wait_ms"))});
-                       const platform::Version since{numberOf(request.get_param_value("since"))};
+                       const store::Version since{numberOf(request.get_param_value("since"))};
                        const auto changes = m_store.watch(request.get_param_value("prefix"), since, wait);
-                       changes ? response.set_content(platform::encodeChanges(changes.value()), JsonType) : answerError(response, changes.error());
+                       changes ? response.set_content(store::encodeChanges(changes.value()), JsonType) : answerError(response, changes.error());
                    }));
         server.Get("/v1/vms", faulty(m_reads, [this](const auto &, auto &response) {
-                       response.set_content(platform::encodeVms(m_store.vms().value()), JsonType);
+                       response.set_content(store::encodeVms(m_store.vms().value()), JsonType);
                    }));
     }
 
@@ -164,7 +164,7 @@
             response.set_content("{}", JsonType);
         });
         server.Post("/admin/vms", [this](const httplib::Request &request, httplib::Response &response) {
-            auto vms = platform::decodeVms(request.body);
+            auto vms = store::decodeVms(request.body);
             if (!vms) {
                 answerError(response, vms.error());
                 return;
@@ -226,7 +226,7 @@
         });
     }
 
-    void showLater(std::vector<platform::VmRecord> vms)
+    void showLater(std::vector<store::VmRecord> vms)
     {
         const std::lock_guard lock(m_mutex);
         m_showing.emplace_back([this, vms = std::move(vms)](const std::stop_token &stop) mutable {
@@ -239,7 +239,7 @@
     }
 
     const base::Duration m_listLag;
-    platform::MemoryStore m_store;
+    store::MemoryStore m_store;
     std::atomic<std::uint64_t> m_reads = 0;
     std::atomic<std::uint64_t> m_writes = 0;
     std::atomic<std::uint64_t> m_watches = 0;
@@ -279,7 +279,7 @@
     m_impl->setFault({{"mode", fault.mode}, {"count", fault.count}, {"skip", fault.skip}, {"prefix", fault.prefix}, {"failure_domain", fault.domain}});
 }
 
-platform::MemoryStore &Platform::store()
+store::MemoryStore &Platform::store()
 {
     return m_impl->store();
 }
--- a/standin/platform.h
+++ b/standin/platform.h
@@ -7,7 +7,7 @@
 #include <string>
 
 #include "carawaylatch/http/httpserver.h"
-#include "carawaylatch/platform/memorystore.h"
+#include "carawaylatch/store/memorystore.h"
 
 namespace carawaylatch::standin
 {
@@ -39,7 +39,7 @@
     // As POST /admin/faults.
     void injectFault(const PlatformFault &fault);
     // The store behind the API, for tests that look at it directly.
-    [[nodiscard]] platform::MemoryStore &store();
+    [[nodiscard]] store::MemoryStore &store();
 
 private:
     class Impl;
--- a/tools/ctl/command.h
+++ b/tools/ctl/command.h
@@ -13,7 +13,7 @@
 
 #include "carawaylatch/base/error.h"
 #include "carawaylatch/base/time.h"
-#include "carawaylatch/platform/objectstore.h"
+#include "carawaylatch/store/objectstore.h"
 #include "tools/ctl/routerclient.h"
 
 namespace carawaylatch::ctl
@@ -58,7 +58,7 @@
 {
     const CommandOptions &options;
     std::vector<std::string> words; // after the command's name
-    platform::ObjectStore &objects;
+    store::ObjectStore &objects;
     RouterClient &router;
     std::ostream &out;
 };
--- a/tools/ctl/main.cpp
+++ b/tools/ctl/main.cpp
@@ -11,7 +11,7 @@
 
 #include "carawaylatch/base/hash.h"
 #include "carawaylatch/config/valuetext.h"
-#include "carawaylatch/platform/httpobjectstore.h"
+#include "carawaylatch/store/httpobjectstore.h"
 #include "tools/common/commandline.h"
 #include "tools/ctl/command.h"
 
@@ -100,7 +100,7 @@
     BOOST_OUTCOME_TRY(options, optionsFromFlags());
     BOOST_OUTCOME_TRY(platform, tools::parseEndpointFlag("platform", absl::GetFlag(FLAGS_platform)));
     BOOST_OUTCOME_TRY(router, tools::parseEndpointFlag("router", absl::GetFlag(FLAGS_router)));
-    platform::HttpObjectStore objects(platform, base::FailureDomain(absl::GetFlag(FLAGS_failure_domain)), base::milliseconds{absl::GetFlag(FLAGS_timeout_ms)});
+    store::HttpObjectStore objects(platform, base::FailureDomain(absl::GetFlag(FLAGS_failure_domain)), base::milliseconds{absl::GetFlag(FLAGS_timeout_ms)});
     const auto client = makeHttpRouterClient(router);
     CommandContext context{options, std::move(words), objects, *client, std::cout};
     return runCommand(context);
--- a/tools/ctl/testing/ctltest.cpp
+++ b/tools/ctl/testing/ctltest.cpp
@@ -14,8 +14,8 @@
 #include <unistd.h>
 
 #include "carawaylatch/config/headstore.h"
-#include "carawaylatch/platform/faultystore.h"
-#include "carawaylatch/platform/memorystore.h"
+#include "carawaylatch/store/faultystore.h"
+#include "carawaylatch/store/memorystore.h"
 #include "carawaylatch/telemetry/explainreport.h"
 #include "carawaylatch/telemetry/statusreport.h"
 #include "tools/common/commandline.h"
@@ -274,9 +274,9 @@
     {
         std::ostringstream out;
         ++m_options.editSeed;
-        platform::FaultyStore down(m_objects);
+        store::FaultyStore down(m_objects);
         if (m_isPlatformDown) {
-            down.inject(platform::StoreFault::Down);
+            down.inject(store::StoreFault::Down);
         }
         CommandContext context{m_options, std::move(words), down, m_router, out};
         const auto done = runCommand(context);
@@ -301,7 +301,7 @@
 
     std::string m_folder;
     CommandOptions m_options;
-    platform::MemoryStore m_objects;
+    store::MemoryStore m_objects;
     bool m_isPlatformDown = false;
     FakeRouter m_router;
     std::string m_text;
