Weights change in stages: drain, load while the tail of runs goes on

Ruled out: the lease (held from -9.8 s by one router), order loss (none lost). Change: engines drain at most 0.7 s out of service, then load with runs going on; at most two (a fifth) load at once; a newer version replaces the one under way.

--- a/carawaylatch/gateway/controlplane.cpp
+++ b/carawaylatch/gateway/controlplane.cpp
@@ -23,7 +23,6 @@
 
 constexpr base::Duration DutyInterval = base::milliseconds{50}; // looks at lease and rollout; no call by itself
 constexpr base::Duration StatusInterval = base::milliseconds{120}; // between questions to an engine that changes
-constexpr base::Duration OrderPause = base::milliseconds{400}; // after an order that was not taken; half of a load
 constexpr base::Duration OutOfReachLife = base::milliseconds{2500}; // after the store's return, entries may still be missing
 
 // A coroutine that ends by an exception is a fault of this program: end the process, it is started again.
@@ -247,27 +246,27 @@
     } else {
         m_log.write(base::LogEvent::FleetLeaseLost, {{"domain", "fleet"}});
         m_rollout.reset();
-        m_publishedChanging.clear();
     }
 }
 
-Awaitable<bool> ControlPlane::publishChanging(ObjectClient &client)
+// Engines that leave service are published at once; what has changed goes along, as
+// routers also learn it from answers and entries.
+Awaitable<void> ControlPlane::publishChanging(ObjectClient &client)
 {
-    const std::string text = m_rollout.changing().encode();
+    const ChangingEngines changing = m_rollout.changing();
     const StoredObject *seen = m_state.duty(ChangingName);
-    const std::string &current = !m_publishedChanging.empty() ? m_publishedChanging : (seen != nullptr ? seen->text : m_publishedChanging);
-    if (text == current) {
-        co_return true;
+    const ChangingEngines published = ChangingEngines::decode(seen != nullptr ? seen->text : std::string_view{});
+    const bool isIncluded = std::includes(published.engines.begin(), published.engines.end(), changing.engines.begin(), changing.engines.end());
+    if (isIncluded && (!changing.engines.empty() || published.engines.empty())) {
+        co_return;
     }
+    const std::string text = changing.encode();
     const auto written = co_await client.write(ObjectKind::Duties, std::string(ChangingName), text, seen != nullptr ? seen->revision : 0);
     if (!written) {
-        m_publishedChanging.clear();
-        co_return false;
+        co_return; // tried again at the next look
     }
-    m_publishedChanging = text;
     m_state.onChange(ObjectKind::Duties, StoredObject{std::string(ChangingName), text, written.value(), false}, false, m_clock.now());
     publishIfChanged();
-    co_return true;
 }
 
 Awaitable<void> ControlPlane::stepRollout(ObjectClient &client)
@@ -281,10 +280,10 @@
     // Nobody else gave orders before: nothing has to land first.
     const fleet::Tenure tenure{*fence, m_lease.isContinued() ? heldSince - m_settings.rollout.settleTime : heldSince};
     auto orders = m_rollout.plan(now, tenure, m_state);
-    const bool isPublished = co_await publishChanging(client);
+    co_await publishChanging(client);
     for (WeightsOrder &order : orders) {
-        if (!isPublished || !m_lease.mayAct(m_clock.now())) {
-            m_rollout.onRefused(order.engine);
+        if (!m_lease.mayAct(m_clock.now())) {
+            m_rollout.onRefused(m_clock.now(), order.engine);
             continue;
         }
         order.holder = m_settings.router.value();
@@ -294,10 +293,9 @@
                      {"weights_version", std::to_string(order.version.value)},
                      {"adapter", ""},
                      {"fence", std::to_string(order.fence.value)}});
-        m_rollout.onOrdered(m_clock.now(), order.engine);
         boost::asio::co_spawn(m_loop, giveOrder(order), rethrow);
     }
-    for (const WeightsOrder &order : m_rollout.pending()) {
+    for (const WeightsOrder &order : m_rollout.watched()) {
         if (!m_asked.contains(order.engine)) {
             m_asked.insert(order.engine);
             boost::asio::co_spawn(m_loop, askStatus(order), rethrow);
@@ -319,8 +317,7 @@
     }
     const bool isSurelyRefused = result ? result.value() == OrderAnswer::Busy : result.error().kind == base::ErrorKind::Unavailable;
     if (isSurelyRefused) {
-        co_await pause(OrderPause);
-        m_rollout.onRefused(order.engine);
+        m_rollout.onRefused(m_clock.now(), order.engine);
     }
 }
 
@@ -331,9 +328,11 @@
     const auto result = co_await m_engines.status(order.engine, order.endpoint, order.model);
     if (result) {
         m_rollout.onStatus(askedAt, order.engine, result.value());
-        if (result.value().weights >= order.version) {
+        const auto upstream = m_state.upstreams().find(order.engine);
+        const bool isNews = upstream != m_state.upstreams().end() && upstream->second.models.contains(order.model) && upstream->second.models.at(order.model) < result.value().weights;
+        if (isNews) {
             m_log.write(base::LogEvent::EngineChanged,
-                        {{"engine", order.engine.value()}, {"model", order.model.value()}, {"version", std::to_string(result.value().weights.value)}, {"elapsed_ms", ""}});
+                        {{"engine", order.engine.value()}, {"model", order.model.value()}, {"version", std::to_string(result.value().weights.value)}});
             m_state.onWeightsSeen(order.engine, result.value().weights);
             publishIfChanged();
         }
--- a/carawaylatch/gateway/controlplane.h
+++ b/carawaylatch/gateway/controlplane.h
@@ -59,7 +59,7 @@
     [[nodiscard]] Awaitable<void> runDuties();
     [[nodiscard]] Awaitable<void> stepLease(ObjectClient &client);
     [[nodiscard]] Awaitable<void> stepRollout(ObjectClient &client);
-    [[nodiscard]] Awaitable<bool> publishChanging(ObjectClient &client);
+    [[nodiscard]] Awaitable<void> publishChanging(ObjectClient &client);
     [[nodiscard]] Awaitable<void> registerRouter(ObjectClient &client);
     [[nodiscard]] Awaitable<void> giveOrder(WeightsOrder order);
     [[nodiscard]] Awaitable<void> askStatus(WeightsOrder order);
@@ -80,7 +80,6 @@
     Rollout m_rollout;
     base::Random m_random;
     std::set<base::UpstreamId> m_asked; // status calls under way
-    std::string m_publishedChanging; // text of the object as this router wrote it last
     bool m_isHolding = false;
     bool m_isRegistered = false;
     bool m_isStopping = false;
--- a/carawaylatch/gateway/engineclient.h
+++ b/carawaylatch/gateway/engineclient.h
@@ -13,6 +13,12 @@
 namespace carawaylatch::gateway
 {
 
+// What becomes of the runs that are under way when new weights are loaded.
+enum class RunsUnderWay {
+    Finish, // the load waits for them
+    Continue, // they go on with the new weights
+};
+
 struct WeightsOrder
 {
     base::UpstreamId engine;
@@ -21,6 +27,7 @@
     base::WeightsVersion version;
     std::string holder; // of the lease; one name for each VM
     base::FenceToken fence;
+    RunsUnderWay runs = RunsUnderWay::Finish;
     std::optional<std::uint64_t> expectedOrders; // orders that the engine has accepted so far; void if it differs
 };
 
--- a/carawaylatch/gateway/rollout.cpp
+++ b/carawaylatch/gateway/rollout.cpp
@@ -2,6 +2,7 @@
 #include "carawaylatch/gateway/rollout.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace carawaylatch::gateway
@@ -16,111 +17,180 @@
 fleet::WeightsSettings controllerSettings(const RolloutSettings &settings)
 {
     fleet::WeightsSettings out;
-    out.maxAwayShare = settings.changingShare;
+    out.maxAwayShare = settings.awayShare;
     out.longestInFlight = settings.settleTime;
-    out.loadTimeout = settings.orderTimeout;
+    // An order is repeated by this part; to the controller the engine is away until then.
+    out.loadTimeout = base::hours{1};
     return out;
 }
 
+// The weights of an upstream's model and the version named for it; nothing if none is.
+struct ModelState
+{
+    base::ModelId model;
+    base::WeightsVersion weights;
+    base::WeightsVersion target;
+};
+
+std::optional<ModelState> modelState(const proxy::Upstream &upstream, const FleetState &state)
+{
+    if (upstream.models.empty()) {
+        return std::nullopt;
+    }
+    const auto &[model, weights] = *upstream.models.begin();
+    const auto target = state.targets().find(model);
+    if (target == state.targets().end()) {
+        return std::nullopt;
+    }
+    return ModelState{model, weights, target->second.version};
+}
+
 } // namespace
 
+// The fleet in the controller's terms.
+struct Rollout::Fleet
+{
+    std::vector<config::Pool> pools;
+    std::vector<fleet::ObservedEngine> engines;
+};
+
 Rollout::Rollout(RolloutSettings settings)
     : m_settings(settings)
     , m_controller(WholeFleet, controllerSettings(settings))
 {
 }
 
-std::vector<WeightsOrder> Rollout::plan(base::TimePoint now, const fleet::Tenure &tenure, const FleetState &state)
+// Forgets changes that are done, or whose engine is gone or leaves.
+void Rollout::dropSettled(const FleetState &state)
+{
+    std::erase_if(m_changes, [this, &state](const auto &it) {
+        const auto &[id, change] = it;
+        const auto upstream = state.upstreams().find(id);
+        const auto model = upstream != state.upstreams().end() ? modelState(upstream->second, state) : std::nullopt;
+        if (!model || upstream->second.phase != proxy::UpstreamPhase::Ready) {
+            m_controller.onNotOrdered(id);
+            return true;
+        }
+        if (model->weights < change.order.version) {
+            return false;
+        }
+        m_changed[id] = model->weights;
+        m_controller.onNotOrdered(id); // a newer version may be named already
+        return true;
+    });
+    std::erase_if(m_changed, [&state](const auto &it) {
+        const auto upstream = state.upstreams().find(it.first);
+        const auto model = upstream != state.upstreams().end() ? modelState(upstream->second, state) : std::nullopt;
+        return !model || it.second < model->target;
+    });
+}
+
+Rollout::Fleet Rollout::observe(base::TimePoint now, const FleetState &state)
 {
     std::map<std::pair<base::PoolName, base::ModelId>, config::Pool> pools;
-    std::vector<fleet::ObservedEngine> observed;
+    Fleet out;
     for (const auto &[id, upstream] : state.upstreams()) {
-        if (upstream.models.empty()) {
+        const auto model = modelState(upstream, state);
+        if (!model) {
             continue;
         }
-        const auto &[model, weights] = *upstream.models.begin();
-        const auto target = state.targets().find(model);
-        if (target == state.targets().end()) {
-            continue;
-        }
-        config::Pool &pool = pools[{upstream.pool, model}];
+        config::Pool &pool = pools[{upstream.pool, model->model}];
         pool.name = upstream.pool;
-        pool.model = model;
-        pool.weightsVersion = target->second.version;
+        pool.model = model->model;
+        pool.weightsVersion = model->target;
         pool.members.push_back(config::PoolMember{id, upstream.endpoint, WholeFleet});
-
         fleet::EngineReport report;
-        report.weightsVersion = weights;
+        report.weightsVersion = model->weights;
         report.state = upstream.phase == proxy::UpstreamPhase::Ready ? fleet::EngineState::Live : fleet::EngineState::Leaving;
-        // What entries say is as of now, unless an order is out: then only an answer given since counts.
-        base::TimePoint takenAt = now;
-        const auto pending = m_pending.find(id);
-        if (pending != m_pending.end()) {
-            const bool hasChanged = weights >= target->second.version;
-            takenAt = hasChanged ? now : pending->second.orderedAt;
-            if (hasChanged) {
-                m_changed[id] = weights;
-                m_pending.erase(pending);
-            }
-        }
-        observed.push_back(fleet::ObservedEngine{id, report, takenAt});
+        out.engines.push_back(fleet::ObservedEngine{id, report, now});
     }
-    std::erase_if(m_pending, [&state](const auto &it) {
-        return !state.upstreams().contains(it.first);
-    });
-    std::erase_if(m_changed, [&state](const auto &it) {
-        const auto upstream = state.upstreams().find(it.first);
-        return upstream == state.upstreams().end() || upstream->second.models.empty()
-            || upstream->second.models.begin()->second < state.targets().at(upstream->second.models.begin()->first).version;
-    });
-    std::vector<config::Pool> list;
     for (auto &[key, pool] : pools) {
-        list.push_back(std::move(pool));
+        out.pools.push_back(std::move(pool));
+    }
+    return out;
+}
+
+void Rollout::startDraining(base::TimePoint now, const fleet::Tenure &tenure, const Fleet &fleet, const FleetState &state)
+{
+    for (const fleet::PlannedOrder &planned : m_controller.plan(now, tenure, fleet.pools, fleet.engines)) {
+        Change change;
+        change.order.engine = planned.upstream;
+        change.order.endpoint = planned.endpoint;
+        change.order.model = state.upstreams().at(planned.upstream).models.begin()->first;
+        change.order.version = planned.order.weightsVersion;
+        change.drainingSince = now;
+        change.nextOrderAt = now;
+        m_changes.insert_or_assign(planned.upstream, std::move(change));
+        m_changed.erase(planned.upstream);
+        m_controller.onOrdered(now, planned.upstream);
+    }
+}
+
+bool Rollout::isDrained(base::TimePoint now, const Change &change) const
+{
+    const bool isEmpty = change.status && change.status->running + change.status->waiting == 0;
+    return isEmpty || now - change.drainingSince >= m_settings.longestDrain;
+}
+
+std::vector<WeightsOrder> Rollout::plan(base::TimePoint now, const fleet::Tenure &tenure, const FleetState &state)
+{
+    dropSettled(state);
+    const Fleet fleet = observe(now, state);
+    startDraining(now, tenure, fleet, state);
+    // A version that was named meanwhile is loaded at once, not after the one before.
+    for (auto &[id, change] : m_changes) {
+        if (!change.orderedAt) {
+            change.order.version = state.targets().at(change.order.model).version;
+        }
     }
+    const auto loading = std::count_if(m_changes.begin(), m_changes.end(), [](const auto &it) {
+        return it.second.orderedAt.has_value();
+    });
+    const auto share = static_cast<std::int64_t>(std::floor(m_settings.loadingShare * static_cast<double>(fleet.engines.size())));
+    std::int64_t room = std::max<std::int64_t>(m_settings.minLoading, share) - loading;
     std::vector<WeightsOrder> orders;
-    for (const fleet::PlannedOrder &planned : m_controller.plan(now, tenure, list, observed)) {
-        const proxy::Upstream &upstream = state.upstreams().at(planned.upstream);
-        WeightsOrder order;
-        order.engine = planned.upstream;
-        order.endpoint = planned.endpoint;
-        order.model = upstream.models.begin()->first;
-        order.version = planned.order.weightsVersion;
-        order.fence = planned.order.fence;
-        if (const auto known = m_known.find(planned.upstream); known != m_known.end()) {
-            order.expectedOrders = known->second.status.acceptedOrders;
+    for (auto &[id, change] : m_changes) {
+        const bool isRepeated = change.orderedAt && now - *change.orderedAt >= m_settings.orderTimeout;
+        const bool isFirst = !change.orderedAt && room > 0 && isDrained(now, change);
+        if ((!isRepeated && !isFirst) || now < change.nextOrderAt) {
+            continue;
+        }
+        room -= isFirst ? 1 : 0;
+        change.orderedAt = now;
+        WeightsOrder order = change.order;
+        order.runs = RunsUnderWay::Continue;
+        order.fence = tenure.fence;
+        if (change.status) {
+            order.expectedOrders = change.status->acceptedOrders;
         }
         orders.push_back(std::move(order));
     }
-    for (const WeightsOrder &order : orders) {
-        m_pending[order.engine] = Pending{order, now};
-        m_changed.erase(order.engine);
-    }
     return orders;
 }
 
-void Rollout::onOrdered(base::TimePoint now, const base::UpstreamId &engine)
+void Rollout::onRefused(base::TimePoint now, const base::UpstreamId &engine)
 {
-    m_controller.onOrdered(now, engine);
-    if (const auto it = m_pending.find(engine); it != m_pending.end()) {
-        it->second.orderedAt = now;
+    constexpr base::Duration OrderPause = base::milliseconds{300}; // about half of a load
+    const auto it = m_changes.find(engine);
+    if (it != m_changes.end()) {
+        it->second.orderedAt.reset();
+        it->second.nextOrderAt = now + OrderPause;
     }
 }
 
-void Rollout::onRefused(const base::UpstreamId &engine)
-{
-    m_controller.onNotOrdered(engine);
-}
-
 void Rollout::onStatus(base::TimePoint askedAt, const base::UpstreamId &engine, const EngineStatus &status)
 {
-    m_known[engine] = Known{status, askedAt};
+    const auto it = m_changes.find(engine);
+    if (it != m_changes.end() && askedAt >= it->second.drainingSince) {
+        it->second.status = status;
+    }
 }
 
-std::vector<WeightsOrder> Rollout::pending() const
+std::vector<WeightsOrder> Rollout::watched() const
 {
     std::vector<WeightsOrder> out;
-    for (const auto &[engine, pending] : m_pending) {
-        out.push_back(pending.order);
+    for (const auto &[engine, change] : m_changes) {
+        out.push_back(change.order);
     }
     return out;
 }
@@ -128,7 +198,7 @@
 ChangingEngines Rollout::changing() const
 {
     ChangingEngines out;
-    for (const auto &[engine, pending] : m_pending) {
+    for (const auto &[engine, change] : m_changes) {
         out.engines.insert(engine);
     }
     out.changed = m_changed;
@@ -138,8 +208,7 @@
 void Rollout::reset()
 {
     m_controller.reset();
-    m_pending.clear();
-    m_known.clear();
+    m_changes.clear();
     m_changed.clear();
 }
 
--- a/carawaylatch/gateway/rollout.h
+++ b/carawaylatch/gateway/rollout.h
@@ -1,10 +1,18 @@
 // Brings the engines of the fleet to the weights that are named, while this
 // router holds the lease.
 //
-// fleet::WeightsController decides which engines may change next; this part feeds
-// it with what is known of each engine, orders its candidates by what is lost
-// least, and keeps the list of changing engines that other routers read. No I/O:
-// the control plane writes the list first, then gives the orders.
+// The load it answers: new weights every few seconds while requests go on. An
+// engine goes through three stages:
+//
+//   draining   routers send it nothing new; its runs end
+//   ordered    it was told to load
+//   settled    it has the weights
+//
+// fleet::WeightsController decides which engines leave service next; this part
+// feeds it with what is known, bounds the loads at the same time by what the
+// weight store bears, and cuts the draining short: a run that is still under way
+// then goes on with the new weights, which spoils less than a fleet that stays on
+// the old ones. No I/O.
 #pragma once
 
 #include <cstdint>
@@ -23,11 +31,16 @@
 
 struct RolloutSettings
 {
-    // Engines of a pool that change at the same time. Their runs end while others
-    // load, so it is above the loads that the weight store bears at once.
-    double changingShare = 0.34;
+    // Engines of a pool that are out of service at the same time: those that load and
+    // as many that drain meanwhile.
+    double awayShare = 0.45;
+    // Loads at the same time that the weight store bears, as the deployments' sheets
+    // tell: 2 of 9 engines, 3 of 18, 18 of 90.
+    double loadingShare = 0.2;
+    std::uint32_t minLoading = 2;
+    base::Duration longestDrain = base::milliseconds{700}; // most runs take less
     base::Duration settleTime = base::seconds{3}; // after taking over from another holder
-    base::Duration orderTimeout = base::seconds{4}; // an order without effect is given again
+    base::Duration orderTimeout = base::seconds{3}; // an order without effect is given again; loads take a fifth of it
 };
 
 class Rollout
@@ -35,36 +48,38 @@
 public:
     explicit Rollout(RolloutSettings settings);
 
-    // Engines to order now, with the orders that each had accepted where known.
+    // Moves engines through the stages; returns the orders to give now.
     [[nodiscard]] std::vector<WeightsOrder> plan(base::TimePoint now, const fleet::Tenure &tenure, const FleetState &state);
-    void onOrdered(base::TimePoint now, const base::UpstreamId &engine);
-    // The order surely was not taken.
-    void onRefused(const base::UpstreamId &engine);
+    // The order surely was not taken: it is given again.
+    void onRefused(base::TimePoint now, const base::UpstreamId &engine);
     void onStatus(base::TimePoint askedAt, const base::UpstreamId &engine, const EngineStatus &status);
-    // Engines whose status should be asked for: ordered, and not seen to have changed.
-    [[nodiscard]] std::vector<WeightsOrder> pending() const;
+    // Engines whose status should be asked for.
+    [[nodiscard]] std::vector<WeightsOrder> watched() const;
     // What other routers should know.
     [[nodiscard]] ChangingEngines changing() const;
     // The lease was lost.
     void reset();
 
 private:
-    struct Pending
+    struct Change
     {
         WeightsOrder order;
-        base::TimePoint orderedAt;
-    };
-    struct Known
-    {
-        EngineStatus status;
-        base::TimePoint askedAt;
+        base::TimePoint drainingSince;
+        std::optional<base::TimePoint> orderedAt; // nothing while draining
+        std::optional<EngineStatus> status; // asked for since the draining began
+        base::TimePoint nextOrderAt; // not ordered before
     };
+    struct Fleet;
+
+    [[nodiscard]] Fleet observe(base::TimePoint now, const FleetState &state);
+    void dropSettled(const FleetState &state);
+    void startDraining(base::TimePoint now, const fleet::Tenure &tenure, const Fleet &fleet, const FleetState &state);
+    [[nodiscard]] bool isDrained(base::TimePoint now, const Change &change) const;
 
     RolloutSettings m_settings;
     fleet::WeightsController m_controller;
-    std::map<base::UpstreamId, Pending> m_pending;
-    std::map<base::UpstreamId, Known> m_known; // by asking the engine
-    std::map<base::UpstreamId, base::WeightsVersion> m_changed; // of the present versions
+    std::map<base::UpstreamId, Change> m_changes;
+    std::map<base::UpstreamId, base::WeightsVersion> m_changed; // settled since this router holds the lease
 };
 
 } // namespace carawaylatch::gateway
