--- a/carawaylatch/fleet/lease.cpp
+++ b/carawaylatch/fleet/lease.cpp
@@ -54,6 +54,11 @@
     return holder.router.value() + ' ' + std::to_string(holder.incarnation.value) + ' ' + std::to_string(holder.writeId);
 }
 
+std::string encodeReleasedLease()
+{
+    return "released";
+}
+
 base::Result<LeaseHolder> decodeLease(std::string_view value)
 {
     const auto writeId = takeLastNumber(value);
@@ -173,7 +178,8 @@
         m_state.step = LeaseStep::Holding; // the renewal has not taken effect; write again
     } else {
         m_state.wasOthers = m_state.wasOthers || !isOurRouter;
-        observe(now, object.version, isOurs || (isOurRouter && m_settings.isRouterSingle));
+        const bool isReleased = object.value == encodeReleasedLease();
+        observe(now, object.version, isOurs || isReleased || (isOurRouter && m_settings.isRouterSingle));
     }
 }
 
--- a/carawaylatch/fleet/lease.h
+++ b/carawaylatch/fleet/lease.h
@@ -46,6 +46,8 @@
 };
 
 [[nodiscard]] std::string encodeLease(const LeaseHolder &holder);
+// The value of a lease that its holder gave up; it is free at once.
+[[nodiscard]] std::string encodeReleasedLease();
 // Returns the holder, or InvalidArgument for a value that no router wrote.
 [[nodiscard]] base::Result<LeaseHolder> decodeLease(std::string_view value);
 
@@ -79,8 +81,9 @@
     // The version last seen of another holder, and since when; zero: object absent.
     std::optional<store::Version> seen;
     base::TimePoint seenAt;
-    // True if the object seen was written by this very incarnation, or by an earlier
-    // one where the settings say that it is no more.
+    // True if nobody can believe in the object seen: it was written by this very
+    // incarnation, by an earlier one where the settings say that it is no more, or
+    // by a holder that gave the lease up.
     bool isSeenOurs = false;
     base::TimePoint nextCall;
     // The last write: its id, when it was sent and what it was conditional on.
--- a/carawaylatch/gateway/controlplane.cpp
+++ b/carawaylatch/gateway/controlplane.cpp
@@ -23,6 +23,7 @@
 
 constexpr base::Duration DutyInterval = base::milliseconds{50}; // looks at lease and rollout; no call by itself
 constexpr base::Duration StatusInterval = base::milliseconds{120}; // between questions to an engine that changes
+constexpr base::Duration UpstreamsPause = base::milliseconds{200}; // entries change together; a drain leaves ten times as long
 constexpr base::Duration OutOfReachLife = base::milliseconds{2500}; // after the store's return, entries may still be missing
 
 // A coroutine that ends by an exception is a fault of this program: end the process, it is started again.
@@ -109,9 +110,26 @@
     co_return asOf;
 }
 
+// The watch of the configuration is short, so it notices first that the store is
+// out of reach. The other watches may hang on calls that are never answered.
+void ControlPlane::interruptWatches()
+{
+    for (const auto &[kind, client] : m_watches) {
+        if (kind != ObjectKind::Tables) {
+            client->interrupt();
+        }
+    }
+}
+
+base::Duration ControlPlane::watchWait(ObjectKind kind) const
+{
+    return kind == ObjectKind::Tables ? m_settings.watchWait : m_settings.longWatchWait;
+}
+
 Awaitable<void> ControlPlane::watchKind(ObjectKind kind)
 {
     const auto client = m_clients.makeClient();
+    m_watches[kind] = client.get();
     std::uint64_t since = 0; // zero: list first
     base::Duration pauseNext = m_settings.retryPause;
     std::optional<base::TimePoint> lostAt; // first of the calls that failed in a row
@@ -121,15 +139,17 @@
         const base::TimePoint callAt = m_clock.now();
         const bool wasOutOfReach = lostAt || callAt - backAt < OutOfReachLife;
         base::Result<std::uint64_t> result = std::uint64_t{0};
+        bool hasChanges = false;
         if (since == 0) {
             result = co_await listAll(*client, kind, wasOutOfReach && backAt != base::TimePoint{});
         } else {
-            auto changes = co_await client->watch(kind, since, m_settings.watchWait);
+            auto changes = co_await client->watch(kind, since, watchWait(kind));
             if (changes) {
                 for (const StoredObject &object : changes.value().objects) {
                     m_state.onChange(kind, object, wasOutOfReach, m_clock.now());
                 }
                 result = std::max(changes.value().asOf, since);
+                hasChanges = !changes.value().objects.empty();
             } else {
                 result = changes.error();
             }
@@ -143,6 +163,9 @@
                             {{"kind", std::string(objectKindName(kind))}, {"lost_ms", std::to_string(base::toMilliseconds(now - *lostAt))}});
                 lostAt.reset();
                 backAt = now;
+                if (kind == ObjectKind::Tables) {
+                    interruptWatches();
+                }
             }
             if (backAt == base::TimePoint{}) {
                 backAt = now - OutOfReachLife;
@@ -151,6 +174,9 @@
                 m_tableAge.confirm(sentAt);
             }
             publishIfChanged();
+            if (hasChanges && kind == ObjectKind::Upstreams) {
+                co_await pause(UpstreamsPause);
+            }
             continue;
         }
         if (result.error().kind == base::ErrorKind::StaleState) {
@@ -182,9 +208,13 @@
         if (!m_isRegistered) {
             co_await registerRouter(*client);
         }
+        if (m_isStopping) {
+            co_await releaseLease(*client);
+            co_return;
+        }
         co_await stepLease(*client);
-        noteHolding();
-        if (m_lease.mayAct(m_clock.now()) && !m_isStopping) {
+        co_await noteHolding(*client);
+        if (m_lease.mayAct(m_clock.now())) {
             co_await stepRollout(*client);
         }
     }
@@ -203,19 +233,12 @@
 
 Awaitable<void> ControlPlane::stepLease(ObjectClient &client)
 {
-    if (m_isStopping) {
-        co_return; // ends by itself
-    }
     const fleet::LeaseAction action = m_lease.poll(m_clock.now());
     if (action.kind == fleet::LeaseActionKind::Read) {
         const bool isObserving = m_lease.state().step == fleet::LeaseStep::Observing;
-        const StoredObject *seen = m_state.duty(LeaseName);
-        if (isObserving && seen != nullptr) {
-            // The watch keeps it; an outdated one only makes a conditional write fail.
-            m_lease.onRead(m_clock.now(), store::Object{seen->name, seen->text, store::Version{seen->revision}});
-            co_return;
-        }
-        auto result = co_await client.read(ObjectKind::Duties, std::string(LeaseName));
+        // An outdated lease only makes an observer's conditional write fail.
+        const Freshness freshness = isObserving ? Freshness::MayBeStale : Freshness::Newest;
+        auto result = co_await client.read(ObjectKind::Leases, std::string(LeaseName), freshness);
         if (result) {
             m_lease.onRead(m_clock.now(), store::Object{result.value().name, result.value().text, store::Version{result.value().revision}});
         } else {
@@ -224,7 +247,7 @@
         co_return;
     }
     if (action.kind == fleet::LeaseActionKind::Write) {
-        auto result = co_await client.write(ObjectKind::Duties, std::string(LeaseName), action.value, action.expected.value);
+        auto result = co_await client.write(ObjectKind::Leases, std::string(LeaseName), action.value, action.expected.value);
         if (result) {
             m_lease.onWritten(m_clock.now(), store::Version{result.value()});
         } else {
@@ -233,40 +256,71 @@
     }
 }
 
-void ControlPlane::noteHolding()
+// A new holder first reads which engines its predecessor may have ordered.
+Awaitable<void> ControlPlane::noteHolding(ObjectClient &client)
 {
-    const base::TimePoint now = m_clock.now();
-    const bool isHolding = m_lease.mayAct(now);
+    const bool isHolding = m_lease.mayAct(m_clock.now());
     if (isHolding == m_isHolding) {
-        return;
+        co_return;
     }
-    m_isHolding = isHolding;
     if (isHolding) {
+        auto changing = co_await client.read(ObjectKind::Duties, std::string(ChangingName), Freshness::Newest);
+        if (!changing && changing.error().kind != base::ErrorKind::NotFound) {
+            co_return; // tried again at the next look
+        }
+        const base::TimePoint now = m_clock.now();
+        if (!m_lease.mayAct(now)) {
+            co_return;
+        }
+        if (changing) {
+            m_state.onChange(ObjectKind::Duties, changing.value(), false, now);
+            if (!m_lease.isContinued()) {
+                m_rollout.takeOver(now, ChangingEngines::decode(changing.value().text));
+            }
+        }
+        m_isHolding = true;
         m_log.write(base::LogEvent::FleetLeaseGained, {{"domain", "fleet"}, {"fence", std::to_string(m_lease.fence(now)->value)}});
     } else {
+        m_isHolding = false;
         m_log.write(base::LogEvent::FleetLeaseLost, {{"domain", "fleet"}});
         m_rollout.reset();
     }
 }
 
+// The lease object goes back to a state that nobody holds: observers take it at once.
+Awaitable<void> ControlPlane::releaseLease(ObjectClient &client)
+{
+    const auto fence = m_lease.fence(m_clock.now());
+    if (!fence) {
+        co_return;
+    }
+    m_isHolding = false;
+    m_log.write(base::LogEvent::FleetLeaseLost, {{"domain", "fleet"}});
+    const auto released = co_await client.write(ObjectKind::Leases, std::string(LeaseName), fleet::encodeReleasedLease(), fence->value);
+    if (!released) {
+        m_log.write(base::LogEvent::StoreLost, {{"kind", "leases"}, {"problem", released.error().message}, {"age_ms", "0"}});
+    }
+}
+
 // Engines that leave service are published at once; what has changed goes along, as
 // routers also learn it from answers and entries.
-Awaitable<void> ControlPlane::publishChanging(ObjectClient &client)
+Awaitable<bool> ControlPlane::publishChanging(ObjectClient &client)
 {
     const ChangingEngines changing = m_rollout.changing();
     const StoredObject *seen = m_state.duty(ChangingName);
     const ChangingEngines published = ChangingEngines::decode(seen != nullptr ? seen->text : std::string_view{});
     const bool isIncluded = std::includes(published.engines.begin(), published.engines.end(), changing.engines.begin(), changing.engines.end());
     if (isIncluded && (!changing.engines.empty() || published.engines.empty())) {
-        co_return;
+        co_return true;
     }
     const std::string text = changing.encode();
     const auto written = co_await client.write(ObjectKind::Duties, std::string(ChangingName), text, seen != nullptr ? seen->revision : 0);
     if (!written) {
-        co_return; // tried again at the next look
+        co_return false; // tried again at the next look
     }
     m_state.onChange(ObjectKind::Duties, StoredObject{std::string(ChangingName), text, written.value(), false}, false, m_clock.now());
     publishIfChanged();
+    co_return true;
 }
 
 Awaitable<void> ControlPlane::stepRollout(ObjectClient &client)
@@ -276,13 +330,11 @@
     if (!fence) {
         co_return;
     }
-    const base::TimePoint heldSince = now - m_lease.heldFor(now);
-    // Nobody else gave orders before: nothing has to land first.
-    const fleet::Tenure tenure{*fence, m_lease.isContinued() ? heldSince - m_settings.rollout.settleTime : heldSince};
+    const fleet::Tenure tenure{*fence, now - m_lease.heldFor(now)};
     auto orders = m_rollout.plan(now, tenure, m_state);
-    co_await publishChanging(client);
+    const bool isPublished = co_await publishChanging(client);
     for (WeightsOrder &order : orders) {
-        if (!m_lease.mayAct(m_clock.now())) {
+        if (!isPublished || !m_lease.mayAct(m_clock.now())) {
             m_rollout.onRefused(m_clock.now(), order.engine);
             continue;
         }
--- a/carawaylatch/gateway/controlplane.h
+++ b/carawaylatch/gateway/controlplane.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -33,7 +34,8 @@
     base::RouterId router; // names one VM
     fleet::LeaseSettings lease;
     RolloutSettings rollout;
-    base::Duration watchWait = base::milliseconds{1200}; // of one watch; bounds the age of the configuration
+    base::Duration watchWait = base::milliseconds{1200}; // of one watch of the configuration; bounds its age
+    base::Duration longWatchWait = base::milliseconds{4000}; // of the other watches; each call costs
     base::Duration retryPause = base::milliseconds{150}; // after a failed call; doubles up to maxRetryPause
     base::Duration maxRetryPause = base::milliseconds{1000};
 };
@@ -48,7 +50,7 @@
                  const FleetDecoder &decoder, telemetry::DecisionLog &log, TableAge &tableAge, Publish publish);
 
     void start();
-    // Gives the lease up at its end; no new orders.
+    // Gives the lease up, so that another router can take it at once; no new orders.
     void beginStop();
     // From the control thread.
     void onWeightsSeen(const base::UpstreamId &upstream, base::WeightsVersion weights);
@@ -59,13 +61,16 @@
     [[nodiscard]] Awaitable<void> runDuties();
     [[nodiscard]] Awaitable<void> stepLease(ObjectClient &client);
     [[nodiscard]] Awaitable<void> stepRollout(ObjectClient &client);
-    [[nodiscard]] Awaitable<void> publishChanging(ObjectClient &client);
+    [[nodiscard]] Awaitable<bool> publishChanging(ObjectClient &client);
     [[nodiscard]] Awaitable<void> registerRouter(ObjectClient &client);
     [[nodiscard]] Awaitable<void> giveOrder(WeightsOrder order);
     [[nodiscard]] Awaitable<void> askStatus(WeightsOrder order);
     [[nodiscard]] Awaitable<void> pause(base::Duration duration);
     void publishIfChanged();
-    void noteHolding();
+    [[nodiscard]] Awaitable<void> noteHolding(ObjectClient &client);
+    [[nodiscard]] Awaitable<void> releaseLease(ObjectClient &client);
+    [[nodiscard]] base::Duration watchWait(ObjectKind kind) const;
+    void interruptWatches();
 
     boost::asio::io_context &m_loop;
     const base::Clock &m_clock;
@@ -79,6 +84,7 @@
     fleet::Lease m_lease;
     Rollout m_rollout;
     base::Random m_random;
+    std::map<ObjectKind, ObjectClient *> m_watches; // clients of the watches
     std::set<base::UpstreamId> m_asked; // status calls under way
     bool m_isHolding = false;
     bool m_isRegistered = false;
--- a/carawaylatch/gateway/fleetstate.cpp
+++ b/carawaylatch/gateway/fleetstate.cpp
@@ -19,6 +19,8 @@
         return "upstreams";
     case ObjectKind::Duties:
         return "duties";
+    case ObjectKind::Leases:
+        return "leases";
     }
     return "";
 }
@@ -65,7 +67,11 @@
     std::set<std::string, std::less<>> names;
     for (const StoredObject &object : objects) {
         names.insert(object.name);
-        onChange(kind, object, wasOutOfReach, now);
+        if (kind == ObjectKind::Weights) {
+            applyWeights(object, true, now);
+        } else {
+            onChange(kind, object, wasOutOfReach, now);
+        }
     }
     if (kind == ObjectKind::Duties) {
         const auto erased = std::erase_if(m_duties, [&names](const auto &it) {
@@ -104,7 +110,7 @@
         applyTable(object);
         break;
     case ObjectKind::Weights:
-        applyWeights(object, now);
+        applyWeights(object, false, now);
         break;
     case ObjectKind::Upstreams:
         applyUpstream(object, wasOutOfReach, now);
@@ -112,6 +118,8 @@
     case ObjectKind::Duties:
         applyDuty(object);
         break;
+    case ObjectKind::Leases:
+        break; // no part of the fleet
     }
 }
 
@@ -138,7 +146,7 @@
                  {"customers", std::to_string(m_table->customers.size())}});
 }
 
-void FleetState::applyWeights(const StoredObject &object, base::TimePoint now)
+void FleetState::applyWeights(const StoredObject &object, bool isListed, base::TimePoint now)
 {
     if (object.isRemoved) {
         return;
@@ -153,7 +161,8 @@
     if (version <= target.version) {
         return;
     }
-    target = proxy::WeightsTarget{version, now};
+    // A version that is found rather than announced may have been named long ago.
+    target = proxy::WeightsTarget{version, isListed ? base::TimePoint{} : now};
     m_isChanged = true;
     m_log.write(base::LogEvent::WeightsNamed, {{"model", model.value()}, {"version", std::to_string(version.value)}});
 }
@@ -236,8 +245,7 @@
     if (it != m_duties.end() && it->second.revision >= object.revision) {
         return;
     }
-    const bool isShown = object.name != LeaseName; // the lease is no part of the snapshot
-    m_isChanged = m_isChanged || isShown;
+    m_isChanged = true;
     if (object.isRemoved) {
         m_duties.erase(object.name);
     } else {
--- a/carawaylatch/gateway/fleetstate.h
+++ b/carawaylatch/gateway/fleetstate.h
@@ -71,7 +71,7 @@
     void applyTable(const StoredObject &object);
     void applyUpstream(const StoredObject &object, bool wasOutOfReach, base::TimePoint now);
     void loseUpstream(const base::UpstreamId &id, bool wasOutOfReach, base::TimePoint now);
-    void applyWeights(const StoredObject &object, base::TimePoint now);
+    void applyWeights(const StoredObject &object, bool isListed, base::TimePoint now);
     void applyDuty(const StoredObject &object);
     void removeUpstream(const base::UpstreamId &id);
     void logUpstream(const proxy::Upstream &upstream, std::string_view phase);
--- a/carawaylatch/gateway/gateway.cpp
+++ b/carawaylatch/gateway/gateway.cpp
@@ -130,9 +130,6 @@
     m_stopBegan = m_clock.now();
     m_log.write(base::LogEvent::GatewayStopping, {{"inflight", std::to_string(m_traffic->inflight())}});
     m_traffic->beginStop();
-    boost::asio::post(m_controlLoop, [this] {
-        m_control->beginStop();
-    });
     m_stopTimer = m_traffic->timers().every(m_clock.now(), StopInterval, [this](base::TimePoint) {
         continueStop();
     });
@@ -145,6 +142,13 @@
     if (waited < std::min<base::Duration>(BalancerLag, grace)) {
         return;
     }
+    if (!m_isLeaving) {
+        m_isLeaving = true;
+        m_traffic->closeListener();
+        boost::asio::post(m_controlLoop, [this] {
+            m_control->beginStop();
+        });
+    }
     const std::size_t inflight = m_traffic->closeIdle();
     if (inflight > 0 && waited < grace) {
         return;
--- a/carawaylatch/gateway/gateway.h
+++ b/carawaylatch/gateway/gateway.h
@@ -67,6 +67,7 @@
     base::TimerService::Subscription m_stopTimer;
     base::TimerService::Subscription m_settingsTimer;
     base::TimePoint m_stopBegan;
+    bool m_isLeaving = false; // the balancer sends nothing any more
     std::string m_settingsText; // as last read
 };
 
--- a/carawaylatch/gateway/objectclient.h
+++ b/carawaylatch/gateway/objectclient.h
@@ -33,9 +33,9 @@
     Tables, // the configuration
     Weights, // versions of weights that are named
     Upstreams, // entries that upstreams write of themselves
-    Duties, // this project's own: lease, engines that change, routers
+    Duties, // this project's own: engines that change, routers
+    Leases, // this project's own; changes every second, so nobody watches it
 };
-constexpr std::size_t ObjectKindCount = static_cast<std::size_t>(ObjectKind::Duties) + 1;
 [[nodiscard]] std::string_view objectKindName(ObjectKind kind);
 
 struct StoredObject
@@ -53,6 +53,11 @@
     bool hasMore = false;
 };
 
+enum class Freshness {
+    Newest,
+    MayBeStale,
+};
+
 class ObjectClient
 {
 public:
@@ -62,7 +67,10 @@
     [[nodiscard]] virtual Awaitable<base::Result<ObjectPage>> list(ObjectKind kind, std::string after) = 0;
     // Changes after `since`, or none after `wait`.
     [[nodiscard]] virtual Awaitable<base::Result<ObjectPage>> watch(ObjectKind kind, std::uint64_t since, base::Duration wait) = 0;
-    [[nodiscard]] virtual Awaitable<base::Result<StoredObject>> read(ObjectKind kind, std::string name) = 0;
+    // With MayBeStale the object may be seconds old, which costs the store a tenth.
+    [[nodiscard]] virtual Awaitable<base::Result<StoredObject>> read(ObjectKind kind, std::string name, Freshness freshness) = 0;
+    // Ends the call under way with an error; it goes on from a new connection.
+    virtual void interrupt() = 0;
     // Writes if the object's revision is still `expected`; zero creates it. Returns the new revision.
     [[nodiscard]] virtual Awaitable<base::Result<std::uint64_t>> write(ObjectKind kind, std::string name, std::string text, std::uint64_t expected) = 0;
 };
--- a/carawaylatch/gateway/rollout.cpp
+++ b/carawaylatch/gateway/rollout.cpp
@@ -18,7 +18,7 @@
 {
     fleet::WeightsSettings out;
     out.maxAwayShare = settings.awayShare;
-    out.longestInFlight = settings.settleTime;
+    out.longestInFlight = base::Duration{}; // kept for each engine, see takeOver()
     // An order is repeated by this part; to the controller the engine is away until then.
     out.loadTimeout = base::hours{1};
     return out;
@@ -91,7 +91,8 @@
     Fleet out;
     for (const auto &[id, upstream] : state.upstreams()) {
         const auto model = modelState(upstream, state);
-        if (!model) {
+        const auto untouched = m_untouchedUntil.find(id);
+        if (!model || (untouched != m_untouchedUntil.end() && now < untouched->second)) {
             continue;
         }
         config::Pool &pool = pools[{upstream.pool, model->model}];
@@ -205,8 +206,19 @@
     return out;
 }
 
+void Rollout::takeOver(base::TimePoint now, const ChangingEngines &inherited)
+{
+    for (const auto &engine : inherited.engines) {
+        m_untouchedUntil[engine] = now + m_settings.settleTime;
+    }
+    for (const auto &[engine, weights] : inherited.changed) {
+        m_untouchedUntil[engine] = now + m_settings.settleTime;
+    }
+}
+
 void Rollout::reset()
 {
+    m_untouchedUntil.clear();
     m_controller.reset();
     m_changes.clear();
     m_changed.clear();
--- a/carawaylatch/gateway/rollout.h
+++ b/carawaylatch/gateway/rollout.h
@@ -57,6 +57,9 @@
     [[nodiscard]] std::vector<WeightsOrder> watched() const;
     // What other routers should know.
     [[nodiscard]] ChangingEngines changing() const;
+    // Another router held the lease before and may have ordered these engines a moment
+    // ago: they get no order of this one before the settle time is over.
+    void takeOver(base::TimePoint now, const ChangingEngines &inherited);
     // The lease was lost.
     void reset();
 
@@ -79,6 +82,7 @@
     RolloutSettings m_settings;
     fleet::WeightsController m_controller;
     std::map<base::UpstreamId, Change> m_changes;
+    std::map<base::UpstreamId, base::TimePoint> m_untouchedUntil; // engines of a predecessor
     std::map<base::UpstreamId, base::WeightsVersion> m_changed; // settled since this router holds the lease
 };
 
--- a/carawaylatch/proxy/exchange.cpp
+++ b/carawaylatch/proxy/exchange.cpp
@@ -21,6 +21,7 @@
 // would be late in any case, and another router or a moment later serves the caller better.
 constexpr double QueuePatienceShare = 0.6;
 // A caller's own deadline passes before the router answers for it.
+constexpr std::uint32_t MinSharedTokensStored = 512; // shorter parts are read faster than they are fetched
 constexpr base::Duration DeadlineGrace = base::milliseconds{60};
 
 std::string seconds(base::Duration duration)
@@ -254,10 +255,10 @@
 {
     Attempt &attempt = m_attempt.emplace();
     attempt.record = placement.record;
-    attempt.isHome = placement.isHome;
+    attempt.holdsParts = placement.holdsParts;
     attempt.begunAt = m_plane.now();
     attempt.weight.memoryTokens = m_request.promptTokens + m_request.maxAnswerTokens;
-    attempt.weight.unreadTokens = placement.isHome ? m_request.promptTokens - std::min(m_sharedTokens, m_request.promptTokens) : m_request.promptTokens;
+    attempt.weight.unreadTokens = placement.holdsParts ? m_request.promptTokens - std::min(m_sharedTokens, m_request.promptTokens) : m_request.promptTokens;
     m_lastUpstream = placement.record->upstream.id;
     m_tried.push_back(m_lastUpstream);
     m_plane.book().began(*attempt.record, attempt.weight);
@@ -303,6 +304,13 @@
     }
     plan.weights = m_attempt->record->weights;
     const std::string owner = m_customer != nullptr && m_customer->isIsolated ? m_customer->id.value() : std::string();
+    if (m_sharedTokens >= MinSharedTokensStored && !m_view->table->cacheStores.empty() && plan.weights.value != 0) {
+        const base::Endpoint &store = m_view->table->cacheStores.front().endpoint;
+        plan.saveTo = store;
+        if (!m_attempt->holdsParts) {
+            plan.fetchFrom = store;
+        }
+    }
     plan.cacheNamespace = m_request.model.value() + '.' + std::to_string(plan.weights.value) + '.' + owner;
     return plan;
 }
@@ -324,7 +332,7 @@
         m_sentAt = m_plane.now();
     }
     if (m_promptKey != 0) {
-        m_plane.book().placed(m_promptKey, attempt.record->upstream.id);
+        m_plane.book().placed(promptStateKey(m_promptKey, attempt.record->weights), attempt.record->upstream.id);
     }
     m_scanner.restart();
     attempt.connection->send(std::move(head), m_body, m_request.id, m_head.method == "HEAD", weak_from_this());
--- a/carawaylatch/proxy/exchange.h
+++ b/carawaylatch/proxy/exchange.h
@@ -54,7 +54,7 @@
         base::TimePoint begunAt;
         bool isSent = false;
         bool hasStarted = false;
-        bool isHome = false;
+        bool holdsParts = false; // of the prompt, as placed
         HttpResponseHead head;
         UpstreamAnswer answer;
         std::string body; // of an answer that is passed on whole
--- a/carawaylatch/proxy/placement.cpp
+++ b/carawaylatch/proxy/placement.cpp
@@ -64,7 +64,7 @@
 
 bool holdsSharedParts(const Scene &scene, const UpstreamRecord &record, const UpstreamBook &book)
 {
-    return scene.query.promptKey == 0 || scene.home == &record || book.isPlaced(scene.query.promptKey, record.upstream.id);
+    return scene.query.promptKey == 0 || book.isPlaced(promptStateKey(scene.query.promptKey, record.weights), record.upstream.id);
 }
 
 double costOf(const Scene &scene, const UpstreamRecord &record, const UpstreamBook &book)
@@ -83,7 +83,8 @@
     cost += queued * tuning.millisecondsPerToken;
     cost += record.load(scene.query.now) * 1.0;
     if (!holdsSharedParts(scene, record, book)) {
-        cost += scene.query.sharedTokens * tuning.millisecondsPerToken;
+        const double homeShare = scene.home == &record ? tuning.homeShare : 1.0;
+        cost += scene.query.sharedTokens * tuning.millisecondsPerToken * homeShare;
     }
     if (hasOldWeights(scene, record)) {
         cost += tuning.oldWeightsMilliseconds;
@@ -95,9 +96,12 @@
 {
     const UpstreamRecord *home = nullptr;
     std::uint64_t best = 0;
+    bool isHomeNear = false;
     for (const UpstreamRecord *record : members) {
+        const bool isNear = record->upstream.domain == query.domain;
         const std::uint64_t weight = base::rendezvousWeight(query.promptKey, record->upstream.id.value());
-        if (home == nullptr || weight > best) {
+        if (home == nullptr || (isNear && !isHomeNear) || (isNear == isHomeNear && weight > best)) {
+            isHomeNear = isNear;
             home = record;
             best = weight;
         }
@@ -107,6 +111,11 @@
 
 } // namespace
 
+std::uint64_t promptStateKey(std::uint64_t promptKey, base::WeightsVersion weights)
+{
+    return base::combineHashes(promptKey, weights.value);
+}
+
 std::uint64_t sharedPromptKey(std::span<const PromptPart> parts)
 {
     if (parts.size() < 2) {
--- a/carawaylatch/proxy/placement.h
+++ b/carawaylatch/proxy/placement.h
@@ -25,6 +25,7 @@
 {
     double millisecondsPerToken = 0.022; // reading a prompt; a first estimate for engines of this size
     double millisecondsPerRequest = 20; // a request ahead of this one at a plain service
+    double homeShare = 0.3; // of the cost of reading shared parts at their home when they were not placed there yet
     double otherDomainMilliseconds = 12; // transfers between failure domains cost operators more than callers
     double oldWeightsMilliseconds = 60; // answers of old weights are worth less
     double failureMilliseconds = 1500; // expected loss of a failed attempt
@@ -55,13 +56,15 @@
 {
     PlacementVerdict verdict = PlacementVerdict::NoUpstream;
     UpstreamRecord *record = nullptr; // with Chosen
-    bool isHome = false; // the shared parts are expected in its memory
+    bool holdsParts = false; // the shared parts are expected in its memory
     double cost = 0; // milliseconds
 };
 
 [[nodiscard]] PlacementResult place(const PlacementQuery &query, const FleetView &view, UpstreamBook &book, const PlacementTuning &tuning);
 
 // Hash of a prompt's shared parts (all but the last), zero if there are none.
+// Key of a prompt's state as one version of weights makes it.
+[[nodiscard]] std::uint64_t promptStateKey(std::uint64_t promptKey, base::WeightsVersion weights);
 [[nodiscard]] std::uint64_t sharedPromptKey(std::span<const PromptPart> parts);
 // Tokens of a prompt's shared parts.
 [[nodiscard]] std::uint32_t sharedPromptTokens(std::span<const PromptPart> parts);
--- a/carawaylatch/proxy/trafficplane.cpp
+++ b/carawaylatch/proxy/trafficplane.cpp
@@ -162,6 +162,12 @@
     noteReadiness(unreadyReason());
 }
 
+void TrafficPlane::closeListener()
+{
+    boost::system::error_code ignored;
+    m_callersListener->acceptor.close(ignored);
+}
+
 std::size_t TrafficPlane::closeIdle()
 {
     const std::vector<std::shared_ptr<CallerConnection>> callers(m_callers.begin(), m_callers.end());
--- a/carawaylatch/proxy/trafficplane.h
+++ b/carawaylatch/proxy/trafficplane.h
@@ -96,6 +96,8 @@
     void applySettings(const TrafficSettings &settings);
     // Not ready from now on; connections close after the request under way.
     void beginStop();
+    // New connections of callers are refused from now on.
+    void closeListener();
     // Closes what is idle; returns the number of requests under way.
     std::size_t closeIdle();
     [[nodiscard]] std::size_t inflight() const;
