Oldest allowed weights follow each naming; a leaving gateway refuses at once

LOST: requests taken 3.07 s and later after SIGTERM were cut at the end of the grace period. Successors left nearly all engines alone for 3 s. Ruled out: restarted routers' times (they take listed versions as long named). Change: WeightsTarget keeps its namings; from 2.85 s after SIGTERM new requests are refused with a short Retry-After; a holder publishes only engines that it ordered within the settle time.

--- a/carawaylatch/gateway/fleetstate.cpp
+++ b/carawaylatch/gateway/fleetstate.cpp
@@ -162,7 +162,7 @@
         return;
     }
     // A version that is found rather than announced may have been named long ago.
-    target = proxy::WeightsTarget{version, isListed ? base::TimePoint{} : now};
+    target.name(version, isListed ? base::TimePoint{} : now);
     m_isChanged = true;
     m_log.write(base::LogEvent::WeightsNamed, {{"model", model.value()}, {"version", std::to_string(version.value)}});
 }
--- a/carawaylatch/gateway/gateway.cpp
+++ b/carawaylatch/gateway/gateway.cpp
@@ -20,7 +20,7 @@
 {
 
 // The balancer asks once a second and gives up after two misses.
-constexpr base::Duration BalancerLag = base::milliseconds{3200};
+constexpr base::Duration BalancerLag = base::milliseconds{2850};
 constexpr base::Duration StopInterval = base::milliseconds{50}; // between looks at requests under way
 constexpr base::Duration EndReserve = base::milliseconds{300}; // before the end of the grace period
 constexpr base::Duration SettingsInterval = base::seconds{1}; // between looks at the settings file
@@ -144,7 +144,7 @@
     }
     if (!m_isLeaving) {
         m_isLeaving = true;
-        m_traffic->closeListener();
+        m_traffic->beginLeaving();
         boost::asio::post(m_controlLoop, [this] {
             m_control->beginStop();
         });
--- a/carawaylatch/gateway/rollout.cpp
+++ b/carawaylatch/gateway/rollout.cpp
@@ -61,7 +61,7 @@
 }
 
 // Forgets changes that are done, or whose engine is gone or leaves.
-void Rollout::dropSettled(const FleetState &state)
+void Rollout::dropSettled(base::TimePoint now, const FleetState &state)
 {
     std::erase_if(m_changes, [this, &state](const auto &it) {
         const auto &[id, change] = it;
@@ -74,14 +74,14 @@
         if (model->weights < change.order.version) {
             return false;
         }
-        m_changed[id] = model->weights;
+        if (change.orderedAt) {
+            m_settled[id] = Settled{model->weights, *change.orderedAt};
+        }
         m_controller.onNotOrdered(id); // a newer version may be named already
         return true;
     });
-    std::erase_if(m_changed, [&state](const auto &it) {
-        const auto upstream = state.upstreams().find(it.first);
-        const auto model = upstream != state.upstreams().end() ? modelState(upstream->second, state) : std::nullopt;
-        return !model || it.second < model->target;
+    std::erase_if(m_settled, [this, now](const auto &it) {
+        return now - it.second.orderedAt >= m_settings.settleTime;
     });
 }
 
@@ -122,7 +122,6 @@
         change.drainingSince = now;
         change.nextOrderAt = now;
         m_changes.insert_or_assign(planned.upstream, std::move(change));
-        m_changed.erase(planned.upstream);
         m_controller.onOrdered(now, planned.upstream);
     }
 }
@@ -135,7 +134,7 @@
 
 std::vector<WeightsOrder> Rollout::plan(base::TimePoint now, const fleet::Tenure &tenure, const FleetState &state)
 {
-    dropSettled(state);
+    dropSettled(now, state);
     const Fleet fleet = observe(now, state);
     startDraining(now, tenure, fleet, state);
     // A version that was named meanwhile is loaded at once, not after the one before.
@@ -202,7 +201,9 @@
     for (const auto &[engine, change] : m_changes) {
         out.engines.insert(engine);
     }
-    out.changed = m_changed;
+    for (const auto &[engine, settled] : m_settled) {
+        out.changed.emplace(engine, settled.weights);
+    }
     return out;
 }
 
@@ -221,7 +222,7 @@
     m_untouchedUntil.clear();
     m_controller.reset();
     m_changes.clear();
-    m_changed.clear();
+    m_settled.clear();
 }
 
 } // namespace carawaylatch::gateway
--- a/carawaylatch/gateway/rollout.h
+++ b/carawaylatch/gateway/rollout.h
@@ -75,7 +75,7 @@
     struct Fleet;
 
     [[nodiscard]] Fleet observe(base::TimePoint now, const FleetState &state);
-    void dropSettled(const FleetState &state);
+    void dropSettled(base::TimePoint now, const FleetState &state);
     void startDraining(base::TimePoint now, const fleet::Tenure &tenure, const Fleet &fleet, const FleetState &state);
     [[nodiscard]] bool isDrained(base::TimePoint now, const Change &change) const;
 
@@ -83,7 +83,12 @@
     fleet::WeightsController m_controller;
     std::map<base::UpstreamId, Change> m_changes;
     std::map<base::UpstreamId, base::TimePoint> m_untouchedUntil; // engines of a predecessor
-    std::map<base::UpstreamId, base::WeightsVersion> m_changed; // settled since this router holds the lease
+    struct Settled
+    {
+        base::WeightsVersion weights;
+        base::TimePoint orderedAt;
+    };
+    std::map<base::UpstreamId, Settled> m_settled; // ordered within the settle time
 };
 
 } // namespace carawaylatch::gateway
--- a/carawaylatch/proxy/exchange.cpp
+++ b/carawaylatch/proxy/exchange.cpp
@@ -16,6 +16,7 @@
 
 // Refused callers come back after this long where nothing better is known.
 constexpr base::Duration DefaultRetryAfter = base::milliseconds{400};
+constexpr base::Duration OtherRouterRetryAfter = base::milliseconds{50}; // another router has room now
 constexpr base::Duration MaxRetryAfter = base::seconds{2};
 // Share of the target latency that a request may wait for room. Beyond it the answer
 // would be late in any case, and another router or a moment later serves the caller better.
@@ -110,6 +111,10 @@
 // Route, key and id. Answers and returns false where the request can't go on.
 bool Exchange::check()
 {
+    if (m_plane.isLeaving()) {
+        refuse("stopping", OtherRouterRetryAfter);
+        return false;
+    }
     if (!m_view->table) {
         refuse("no_table", DefaultRetryAfter);
         return false;
--- a/carawaylatch/proxy/fleet.cpp
+++ b/carawaylatch/proxy/fleet.cpp
@@ -19,6 +19,26 @@
     return best;
 }
 
+void WeightsTarget::name(base::WeightsVersion newest, base::TimePoint seenAt)
+{
+    version = newest;
+    namings.push_back({newest, seenAt});
+    if (namings.size() > MaxNamings) {
+        namings.erase(namings.begin());
+    }
+}
+
+base::WeightsVersion WeightsTarget::oldestAllowed(base::TimePoint now, base::Duration limit) const
+{
+    base::WeightsVersion oldest;
+    for (const Naming &naming : namings) {
+        if (now - naming.seenAt >= limit) {
+            oldest = std::max(oldest, naming.version);
+        }
+    }
+    return oldest;
+}
+
 const Customer *RouteTable::customerOf(const std::string &key) const
 {
     const auto it = keys.find(key);
--- a/carawaylatch/proxy/fleet.h
+++ b/carawaylatch/proxy/fleet.h
@@ -132,8 +132,20 @@
 // The weights that a model is to have.
 struct WeightsTarget
 {
-    base::WeightsVersion version;
-    base::TimePoint seenAt; // when this router learned of it
+    struct Naming
+    {
+        base::WeightsVersion version;
+        base::TimePoint seenAt; // when this router learned of it
+    };
+    static constexpr std::size_t MaxNamings = 16; // more are not named within any bound of time
+
+    base::WeightsVersion version; // the newest
+    std::vector<Naming> namings; // oldest first, the last one is the newest version's
+
+    void name(base::WeightsVersion newest, base::TimePoint seenAt);
+    // The oldest version that may still be used when each version must be in use
+    // everywhere within `limit` of its naming; zero: any.
+    [[nodiscard]] base::WeightsVersion oldestAllowed(base::TimePoint now, base::Duration limit) const;
 };
 
 struct FleetView
--- a/carawaylatch/proxy/placement.cpp
+++ b/carawaylatch/proxy/placement.cpp
@@ -23,6 +23,7 @@
     const PlacementTuning &tuning;
     const Pool *pool = nullptr;
     const WeightsTarget *target = nullptr; // nothing if no version is named
+    base::WeightsVersion oldestWeights; // that may still be used
     const UpstreamRecord *home = nullptr; // first in rendezvous order
 };
 
@@ -40,7 +41,7 @@
 
 bool areWeightsAllowed(const Scene &scene, const UpstreamRecord &record)
 {
-    return !hasOldWeights(scene, record) || scene.query.now - scene.target->seenAt < scene.tuning.oldWeightsLimit;
+    return scene.target == nullptr || record.weights >= scene.oldestWeights;
 }
 
 bool hasRoom(const Scene &scene, const UpstreamRecord &record)
@@ -146,6 +147,7 @@
     }
     if (const auto it = view.targets.find(query.model); it != view.targets.end()) {
         scene.target = &it->second;
+        scene.oldestWeights = scene.target->oldestAllowed(query.now, tuning.oldWeightsLimit);
     }
     const auto &members = book.members(query.pool);
     if (query.promptKey != 0) {
--- a/carawaylatch/proxy/trafficplane.cpp
+++ b/carawaylatch/proxy/trafficplane.cpp
@@ -162,8 +162,14 @@
     noteReadiness(unreadyReason());
 }
 
-void TrafficPlane::closeListener()
+bool TrafficPlane::isLeaving() const
 {
+    return m_isLeaving;
+}
+
+void TrafficPlane::beginLeaving()
+{
+    m_isLeaving = true;
     boost::system::error_code ignored;
     m_callersListener->acceptor.close(ignored);
 }
--- a/carawaylatch/proxy/trafficplane.h
+++ b/carawaylatch/proxy/trafficplane.h
@@ -96,8 +96,9 @@
     void applySettings(const TrafficSettings &settings);
     // Not ready from now on; connections close after the request under way.
     void beginStop();
-    // New connections of callers are refused from now on.
-    void closeListener();
+    // The balancer sends no more: new connections and new requests are refused from now on.
+    void beginLeaving();
+    [[nodiscard]] bool isLeaving() const;
     // Closes what is idle; returns the number of requests under way.
     std::size_t closeIdle();
     [[nodiscard]] std::size_t inflight() const;
@@ -171,6 +172,7 @@
     TrafficCounts m_counts;
     std::size_t m_inflight = 0;
     bool m_isStopping = false;
+    bool m_isLeaving = false;
     bool m_isPlacing = false;
     std::string m_unreadyReason = "starting"; // as last logged; empty: ready
 };
