--- a/carawaylatch/gateway/controlplane.cpp
+++ b/carawaylatch/gateway/controlplane.cpp
@@ -186,10 +186,9 @@
         }
         if (!lostAt) {
             lostAt = now;
-            m_log.write(base::LogEvent::StoreLost,
-                        {{"kind", std::string(objectKindName(kind))},
-                         {"problem", result.error().message},
-                         {"age_ms", std::to_string(base::toMilliseconds(m_tableAge.age()))}});
+            m_log.write(base::LogEvent::StoreLost, {{"kind", std::string(objectKindName(kind))},
+                                                    {"problem", result.error().message},
+                                                    {"age_ms", std::to_string(base::toMilliseconds(m_tableAge.age()))}});
         }
         // Spread, so that routers don't all come back at the same moment.
         const base::Duration wait = base::fromSeconds(base::toSeconds(pauseNext) * (0.5 + m_random.unit()));
@@ -340,11 +339,10 @@
         }
         order.holder = m_settings.router.value();
         order.fence = *m_lease.fence(m_clock.now());
-        m_log.write(base::LogEvent::EngineOrdered,
-                    {{"engine", order.engine.value()},
-                     {"weights_version", std::to_string(order.version.value)},
-                     {"adapter", ""},
-                     {"fence", std::to_string(order.fence.value)}});
+        m_log.write(base::LogEvent::EngineOrdered, {{"engine", order.engine.value()},
+                                                    {"weights_version", std::to_string(order.version.value)},
+                                                    {"adapter", ""},
+                                                    {"fence", std::to_string(order.fence.value)}});
         boost::asio::co_spawn(m_loop, giveOrder(order), rethrow);
     }
     for (const WeightsOrder &order : m_rollout.watched()) {
@@ -381,7 +379,8 @@
     if (result) {
         m_rollout.onStatus(askedAt, order.engine, result.value());
         const auto upstream = m_state.upstreams().find(order.engine);
-        const bool isNews = upstream != m_state.upstreams().end() && upstream->second.models.contains(order.model) && upstream->second.models.at(order.model) < result.value().weights;
+        const bool isNews = upstream != m_state.upstreams().end() && upstream->second.models.contains(order.model)
+                            && upstream->second.models.at(order.model) < result.value().weights;
         if (isNews) {
             m_log.write(base::LogEvent::EngineChanged,
                         {{"engine", order.engine.value()}, {"model", order.model.value()}, {"version", std::to_string(result.value().weights.value)}});
--- a/carawaylatch/gateway/fleetstate.cpp
+++ b/carawaylatch/gateway/fleetstate.cpp
@@ -139,11 +139,10 @@
     }
     m_table = std::make_shared<const proxy::RouteTable>(std::move(table.value()));
     m_isChanged = true;
-    m_log.write(base::LogEvent::TableInForce,
-                {{"version", std::to_string(m_table->version)},
-                 {"routes", std::to_string(m_table->routes.size())},
-                 {"pools", std::to_string(m_table->pools.size())},
-                 {"customers", std::to_string(m_table->customers.size())}});
+    m_log.write(base::LogEvent::TableInForce, {{"version", std::to_string(m_table->version)},
+                                               {"routes", std::to_string(m_table->routes.size())},
+                                               {"pools", std::to_string(m_table->pools.size())},
+                                               {"customers", std::to_string(m_table->customers.size())}});
 }
 
 void FleetState::applyWeights(const StoredObject &object, bool isListed, base::TimePoint now)
@@ -170,7 +169,7 @@
 bool FleetState::isSame(const proxy::Upstream &left, const proxy::Upstream &right)
 {
     return left.pool == right.pool && left.endpoint == right.endpoint && left.domain == right.domain && left.slots == right.slots && left.phase == right.phase
-        && left.bornMs == right.bornMs && left.models == right.models;
+           && left.bornMs == right.bornMs && left.models == right.models;
 }
 
 void FleetState::applyUpstream(const StoredObject &object, bool wasOutOfReach, base::TimePoint now)
@@ -231,12 +230,11 @@
 void FleetState::logUpstream(const proxy::Upstream &upstream, std::string_view phase)
 {
     const auto weights = upstream.models.empty() ? std::uint64_t{0} : upstream.models.begin()->second.value;
-    m_log.write(base::LogEvent::UpstreamChanged,
-                {{"upstream", upstream.id.value()},
-                 {"pool", upstream.pool.value()},
-                 {"phase", std::string(phase)},
-                 {"weights", std::to_string(weights)},
-                 {"endpoint", upstream.endpoint.address + ':' + std::to_string(upstream.endpoint.port)}});
+    m_log.write(base::LogEvent::UpstreamChanged, {{"upstream", upstream.id.value()},
+                                                  {"pool", upstream.pool.value()},
+                                                  {"phase", std::string(phase)},
+                                                  {"weights", std::to_string(weights)},
+                                                  {"endpoint", upstream.endpoint.address + ':' + std::to_string(upstream.endpoint.port)}});
 }
 
 void FleetState::applyDuty(const StoredObject &object)
--- a/carawaylatch/gateway/gateway.cpp
+++ b/carawaylatch/gateway/gateway.cpp
@@ -76,12 +76,11 @@
     if (const auto listening = m_traffic->listen(); !listening) {
         return listening;
     }
-    m_log.write(base::LogEvent::GatewayStarted,
-                {{"router", m_settings.id},
-                 {"domain", m_settings.failureDomain},
-                 {"callers", endpointText(m_settings.callers)},
-                 {"operators", endpointText(m_settings.operators)},
-                 {"store", endpointText(m_settings.store)}});
+    m_log.write(base::LogEvent::GatewayStarted, {{"router", m_settings.id},
+                                                 {"domain", m_settings.failureDomain},
+                                                 {"callers", endpointText(m_settings.callers)},
+                                                 {"operators", endpointText(m_settings.operators)},
+                                                 {"store", endpointText(m_settings.store)}});
     awaitSignal();
     watchSettings();
     m_control->start();
--- /dev/null
+++ b/carawaylatch/gateway/testing/fakes.h
@@ -0,0 +1,97 @@
+// Small parts that the gateway's tests share.
+#pragma once
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <charconv>
+#include <string>
+
+#include "carawaylatch/gateway/decoder.h"
+#include "carawaylatch/telemetry/decisionlog.h"
+
+namespace carawaylatch::gateway::testing
+{
+
+// Reads "POOL PHASE BORN WEIGHTS" for upstreams, a number for tables, "MODEL N" for weights.
+class WordDecoder : public FleetDecoder
+{
+public:
+    base::Result<proxy::RouteTable> decodeTable(std::string_view text) const override
+    {
+        const auto version = number(text);
+        if (version == 0) {
+            return base::fail(base::ErrorKind::InvalidArgument, "no table");
+        }
+        proxy::RouteTable table;
+        table.version = version;
+        return table;
+    }
+    base::Result<proxy::Upstream> decodeUpstream(std::string_view name, std::string_view text) const override
+    {
+        const auto words = split(text);
+        if (words.size() != 4) {
+            return base::fail(base::ErrorKind::InvalidArgument, "no upstream");
+        }
+        proxy::Upstream upstream;
+        upstream.id = base::UpstreamId(name);
+        upstream.pool = base::PoolName(words[0]);
+        upstream.endpoint = base::Endpoint{"127.0.0.1", 1};
+        upstream.phase = words[1] == "ready" ? proxy::UpstreamPhase::Ready : proxy::UpstreamPhase::Draining;
+        upstream.bornMs = number(words[2]);
+        upstream.models[base::ModelId("m")] = base::WeightsVersion{number(words[3])};
+        return upstream;
+    }
+    base::Result<std::pair<base::ModelId, base::WeightsVersion>> decodeWeights(std::string_view text) const override
+    {
+        const auto words = split(text);
+        if (words.size() != 2) {
+            return base::fail(base::ErrorKind::InvalidArgument, "no weights");
+        }
+        return std::pair{base::ModelId(words[0]), base::WeightsVersion{number(words[1])}};
+    }
+
+private:
+    static std::vector<std::string_view> split(std::string_view text)
+    {
+        std::vector<std::string_view> words;
+        while (!text.empty()) {
+            const std::size_t space = text.find(' ');
+            words.push_back(text.substr(0, space));
+            text = space == std::string_view::npos ? std::string_view{} : text.substr(space + 1);
+        }
+        return words;
+    }
+    static std::uint64_t number(std::string_view text)
+    {
+        std::uint64_t value = 0;
+        std::from_chars(text.data(), text.data() + text.size(), value);
+        return value;
+    }
+};
+
+// A log whose lines go nowhere.
+class NullLog
+{
+public:
+    NullLog()
+        : m_descriptor(::open("/dev/null", O_WRONLY | O_CLOEXEC))
+        , log(m_descriptor, 65'536, m_clock)
+    {
+    }
+    ~NullLog()
+    {
+        ::close(m_descriptor);
+    }
+    NullLog(const NullLog &) = delete;
+    NullLog &operator=(const NullLog &) = delete;
+
+private:
+    base::ManualClock m_clock;
+    int m_descriptor;
+
+public:
+    telemetry::DecisionLog log;
+};
+
+} // namespace carawaylatch::gateway::testing
--- /dev/null
+++ b/carawaylatch/gateway/testing/fleetstatetest.cpp
@@ -0,0 +1,179 @@
+// The control thread's knowledge of the fleet, in virtual time.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+#include <vector>
+
+#include "carawaylatch/gateway/fleetstate.h"
+#include "carawaylatch/gateway/testing/fakes.h"
+
+namespace carawaylatch::gateway::testing
+{
+
+namespace
+{
+
+const base::TimePoint Start{base::hours{1}};
+
+StoredObject object(const std::string &name, const std::string &text, std::uint64_t revision = 1)
+{
+    return StoredObject{name, text, revision, false};
+}
+
+StoredObject removal(const std::string &name)
+{
+    return StoredObject{name, {}, 99, true};
+}
+
+} // namespace
+
+class FleetStateTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(FleetStateTest);
+    CPPUNIT_TEST(testTablesNeverGoBack);
+    CPPUNIT_TEST(testUnreadableTableChangesNothing);
+    CPPUNIT_TEST(testDrainingIsFinalForALife);
+    CPPUNIT_TEST(testUnreadableEntryNamesNoUpstream);
+    CPPUNIT_TEST(testEntryOfAnEarlierLifeIsIgnored);
+    CPPUNIT_TEST(testLapsedEntriesStayForAWhile);
+    CPPUNIT_TEST(testListedVersionCountsAsLongNamed);
+    CPPUNIT_TEST(testEngineKnowsItsWeightsBest);
+    CPPUNIT_TEST(testRoutersAreCounted);
+    CPPUNIT_TEST(testChangingEnginesSurviveTheirText);
+    CPPUNIT_TEST_SUITE_END();
+
+    WordDecoder m_decoder;
+    std::unique_ptr<NullLog> m_log;
+    std::unique_ptr<FleetState> m_state;
+
+    void change(ObjectKind kind, const StoredObject &object)
+    {
+        m_state->onChange(kind, object, false, Start);
+    }
+    bool has(const std::string &id)
+    {
+        return m_state->upstreams().contains(base::UpstreamId(id));
+    }
+
+public:
+    void setUp() override
+    {
+        m_log = std::make_unique<NullLog>();
+        m_state = std::make_unique<FleetState>(m_decoder, m_log->log);
+    }
+
+    void testTablesNeverGoBack()
+    {
+        change(ObjectKind::Tables, object("main", "7"));
+        change(ObjectKind::Tables, object("main", "5", 2));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, m_state->view()->table->version);
+        m_state->onList(ObjectKind::Tables, {object("main", "6", 3)}, false, Start);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, m_state->view()->table->version);
+        change(ObjectKind::Tables, removal("main"));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, m_state->view()->table->version);
+    }
+
+    void testUnreadableTableChangesNothing()
+    {
+        CPPUNIT_ASSERT(m_state->view()->table == nullptr);
+        change(ObjectKind::Tables, object("main", "?"));
+        CPPUNIT_ASSERT(m_state->view()->table == nullptr);
+        change(ObjectKind::Tables, object("main", "7", 2));
+        change(ObjectKind::Tables, object("main", "?", 3));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, m_state->view()->table->version);
+    }
+
+    void testDrainingIsFinalForALife()
+    {
+        change(ObjectKind::Upstreams, object("e", "p ready 10 1"));
+        change(ObjectKind::Upstreams, object("e", "p draining 10 1", 2));
+        change(ObjectKind::Upstreams, object("e", "p ready 10 1", 3));
+        CPPUNIT_ASSERT(m_state->view()->upstreams.front().phase == proxy::UpstreamPhase::Draining);
+        change(ObjectKind::Upstreams, object("e", "p ready 11 1", 4));
+        CPPUNIT_ASSERT(m_state->view()->upstreams.front().phase == proxy::UpstreamPhase::Ready);
+    }
+
+    void testUnreadableEntryNamesNoUpstream()
+    {
+        change(ObjectKind::Upstreams, object("e", "p ready 10 1"));
+        change(ObjectKind::Upstreams, object("f", "p ready 10 1"));
+        change(ObjectKind::Upstreams, object("e", "??", 2));
+        CPPUNIT_ASSERT(!has("e"));
+        CPPUNIT_ASSERT(has("f"));
+    }
+
+    void testEntryOfAnEarlierLifeIsIgnored()
+    {
+        change(ObjectKind::Upstreams, object("e", "p ready 20 3"));
+        change(ObjectKind::Upstreams, object("e", "p draining 10 1", 2));
+        CPPUNIT_ASSERT(m_state->view()->upstreams.front().phase == proxy::UpstreamPhase::Ready);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{20}, m_state->view()->upstreams.front().bornMs);
+    }
+
+    // After the store was out of reach, a missing entry may have lapsed: it stays in
+    // use for a while, unless the upstream was leaving.
+    void testLapsedEntriesStayForAWhile()
+    {
+        change(ObjectKind::Upstreams, object("ready", "p ready 10 1"));
+        change(ObjectKind::Upstreams, object("leaving", "p draining 10 1"));
+        change(ObjectKind::Upstreams, object("removed", "p ready 10 1"));
+        m_state->onChange(ObjectKind::Upstreams, removal("removed"), true, Start);
+        m_state->onList(ObjectKind::Upstreams, {}, true, Start);
+        CPPUNIT_ASSERT(has("ready"));
+        CPPUNIT_ASSERT(has("removed"));
+        CPPUNIT_ASSERT(!has("leaving"));
+        CPPUNIT_ASSERT(!m_state->onTick(Start + FleetState::LapsedEntryLife - base::milliseconds{1}));
+        change(ObjectKind::Upstreams, object("ready", "p ready 10 1", 2));
+        CPPUNIT_ASSERT(m_state->onTick(Start + FleetState::LapsedEntryLife));
+        CPPUNIT_ASSERT(has("ready"));
+        CPPUNIT_ASSERT(!has("removed"));
+        m_state->onList(ObjectKind::Upstreams, {}, false, Start);
+        CPPUNIT_ASSERT_MESSAGE("with the store in reach, missing is gone", !has("ready"));
+    }
+
+    // A restarted router took a version that it found for new, and used older weights too long.
+    void testListedVersionCountsAsLongNamed()
+    {
+        m_state->onList(ObjectKind::Weights, {object("m", "m 3")}, false, Start);
+        const auto limit = base::seconds{6};
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, m_state->targets().at(base::ModelId("m")).oldestAllowed(Start, limit).value);
+        change(ObjectKind::Weights, object("m", "m 4", 2));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, m_state->targets().at(base::ModelId("m")).oldestAllowed(Start, limit).value);
+        change(ObjectKind::Weights, object("m", "m 2", 3));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, m_state->targets().at(base::ModelId("m")).version.value);
+    }
+
+    void testEngineKnowsItsWeightsBest()
+    {
+        change(ObjectKind::Upstreams, object("e", "p ready 10 1"));
+        m_state->onWeightsSeen(base::UpstreamId("e"), base::WeightsVersion{2});
+        change(ObjectKind::Upstreams, object("e", "p ready 10 1", 2));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, m_state->upstreams().at(base::UpstreamId("e")).models.begin()->second.value);
+        change(ObjectKind::Upstreams, object("e", "p ready 11 1", 3));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("a new life starts with what it says", std::uint64_t{1},
+                                     m_state->upstreams().at(base::UpstreamId("e")).models.begin()->second.value);
+    }
+
+    void testRoutersAreCounted()
+    {
+        CPPUNIT_ASSERT_EQUAL(1U, m_state->view()->routers);
+        change(ObjectKind::Duties, object("router.a", "router"));
+        change(ObjectKind::Duties, object("router.b", "router"));
+        CPPUNIT_ASSERT_EQUAL(2U, m_state->view()->routers);
+    }
+
+    void testChangingEnginesSurviveTheirText()
+    {
+        ChangingEngines changing;
+        changing.engines = {base::UpstreamId("a"), base::UpstreamId("b")};
+        changing.changed = {{base::UpstreamId("c"), base::WeightsVersion{7}}};
+        const ChangingEngines read = ChangingEngines::decode(changing.encode());
+        CPPUNIT_ASSERT(read.engines == changing.engines);
+        CPPUNIT_ASSERT(read.changed == changing.changed);
+        CPPUNIT_ASSERT(ChangingEngines::decode("").engines.empty());
+        CPPUNIT_ASSERT(ChangingEngines::decode("  = =x a=").engines.empty());
+    }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(FleetStateTest);
+
+} // namespace carawaylatch::gateway::testing
--- /dev/null
+++ b/carawaylatch/gateway/testing/gatewaysettingstest.cpp
@@ -0,0 +1,98 @@
+// Settings of the gateway: every key, every kind of mistake, and the page.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <fstream>
+#include <sstream>
+#include <string>
+
+#include "carawaylatch/gateway/gatewaysettings.h"
+
+namespace carawaylatch::gateway::testing
+{
+
+class GatewaySettingsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(GatewaySettingsTest);
+    CPPUNIT_TEST(testAllKeys);
+    CPPUNIT_TEST(testMistakesNameTheirKey);
+    CPPUNIT_TEST(testMissingKeys);
+    CPPUNIT_TEST(testBoundsFollow);
+    CPPUNIT_TEST(testPageIsUpToDate);
+    CPPUNIT_TEST_SUITE_END();
+
+    static std::string text(const std::string &more = {})
+    {
+        return "[gateway]\nid = vm-1\nfailure_domain = a\ncallers = 127.0.0.1:1\noperators = 127.0.0.1:2\ngrace_seconds = 8.0\n"
+               "[store]\naddress = 127.0.0.1:3\n[configuration]\nmax_age_ms = 5000\n"
+               + more;
+    }
+
+public:
+    void testAllKeys()
+    {
+        const auto settings = parseGatewaySettings(text("[retries]\nshare = 0.25\nreserve = 54\n[weights]\nlease_ms = 2000\n"), "f");
+        CPPUNIT_ASSERT(settings.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::string("vm-1"), settings.value().id);
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t{3}, settings.value().store.port);
+        CPPUNIT_ASSERT_EQUAL(0.25, settings.value().retryShare);
+        CPPUNIT_ASSERT_EQUAL(2000.0, settings.value().leaseMs);
+    }
+
+    void testMistakesNameTheirKey()
+    {
+        const std::pair<std::string, std::string> mistakes[] = {
+            {"[retries]\nshare = much\n", "share"},
+            {"[retries]\nshares = 1\n", "shares"},
+            {"[retry]\nshare = 1\n", "share"},
+            {"[store]\ntimeout_ms = 1\n", "timeout_ms"},
+            {"[gateway]\nid = x\n", "id"},
+            {"[weights]\nlease_ms = 5\n", "lease_ms"},
+            {"[gateway]\nmemory_mb = 1\n", "memory_mb"},
+            {"[store]\nwatch_ms = -3\n", "watch_ms"},
+        };
+        for (const auto &[more, key] : mistakes) {
+            const auto settings = parseGatewaySettings(text(more), "f");
+            CPPUNIT_ASSERT_MESSAGE(more, !settings.has_value());
+            CPPUNIT_ASSERT_MESSAGE(settings.error().message, settings.error().message.find(key) != std::string::npos);
+        }
+    }
+
+    void testMissingKeys()
+    {
+        for (const GatewaySettingsKey &key : gatewaySettingsKeys()) {
+            if (!key.isRequired) {
+                continue;
+            }
+            std::string without = text();
+            const std::size_t section = without.find("[" + std::string(key.section) + "]");
+            const std::size_t begin = without.find("\n" + std::string(key.name) + " =", section) + 1;
+            without.erase(begin, without.find('\n', begin) - begin + 1);
+            const auto settings = parseGatewaySettings(without, "f");
+            CPPUNIT_ASSERT(!settings.has_value());
+            CPPUNIT_ASSERT(settings.error().message.find(key.name) != std::string::npos);
+        }
+    }
+
+    // Requests with a key end before the bound, readiness before that, a watch in good order before both.
+    void testBoundsFollow()
+    {
+        const GatewaySettings settings = parseGatewaySettings(text(), "f").value();
+        const proxy::TrafficSettings traffic = settings.traffic();
+        const ControlSettings control = settings.control();
+        CPPUNIT_ASSERT(traffic.maxTableAge < base::seconds{5});
+        CPPUNIT_ASSERT(traffic.readyTableAge < traffic.maxTableAge);
+        CPPUNIT_ASSERT(control.watchWait * 2 < traffic.readyTableAge);
+        CPPUNIT_ASSERT(control.rollout.settleTime >= base::fromSeconds(settings.leaseMs / 1000));
+    }
+
+    void testPageIsUpToDate()
+    {
+        std::ifstream in(std::string(CARAWAYLATCH_SOURCE_DIR) + "/docs/SETTINGS-gateway.md");
+        std::ostringstream page;
+        page << in.rdbuf();
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("run carawaylatch-gateway --settings_page >docs/SETTINGS-gateway.md", renderGatewaySettingsPage(), page.str());
+    }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(GatewaySettingsTest);
+
+} // namespace carawaylatch::gateway::testing
--- /dev/null
+++ b/carawaylatch/gateway/testing/rollouttest.cpp
@@ -0,0 +1,202 @@
+// The rollout of weights in virtual time, against engines that load.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <map>
+#include <string>
+
+#include "carawaylatch/gateway/rollout.h"
+#include "carawaylatch/gateway/testing/fakes.h"
+
+namespace carawaylatch::gateway::testing
+{
+
+namespace
+{
+
+const base::TimePoint Start{base::hours{1}};
+constexpr base::Duration Step = base::milliseconds{50};
+
+} // namespace
+
+class RolloutTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RolloutTest);
+    CPPUNIT_TEST(testWholeFleetChangesWithinBounds);
+    CPPUNIT_TEST(testNewerVersionReplacesTheOneUnderWay);
+    CPPUNIT_TEST(testLostOrderIsGivenAgain);
+    CPPUNIT_TEST(testRefusedOrderIsGivenAgainAfterAPause);
+    CPPUNIT_TEST(testPredecessorsEnginesAreLeftAlone);
+    CPPUNIT_TEST(testEngineThatLeavesIsForgotten);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr int Engines = 9;
+    static constexpr base::Duration LoadTime = base::milliseconds{570};
+
+    WordDecoder m_decoder;
+    std::unique_ptr<NullLog> m_log;
+    std::unique_ptr<FleetState> m_state;
+    std::unique_ptr<Rollout> m_rollout;
+    std::map<base::UpstreamId, std::pair<base::TimePoint, base::WeightsVersion>> m_loads;
+    base::TimePoint m_now = Start;
+    std::size_t m_mostLoads = 0;
+    std::size_t m_mostAway = 0;
+    int m_orders = 0;
+    bool m_dropsOrders = false;
+
+    static base::UpstreamId engine(int i)
+    {
+        return base::UpstreamId("e" + std::to_string(i));
+    }
+
+    void step()
+    {
+        m_now += Step;
+        for (auto it = m_loads.begin(); it != m_loads.end();) {
+            if (m_now - it->second.first >= LoadTime) {
+                m_state->onWeightsSeen(it->first, it->second.second);
+                it = m_loads.erase(it);
+            } else {
+                ++it;
+            }
+        }
+        for (const WeightsOrder &order : m_rollout->plan(m_now, fleet::Tenure{base::FenceToken{5}, Start}, *m_state)) {
+            ++m_orders;
+            if (!m_dropsOrders) {
+                m_loads[order.engine] = {m_now, order.version};
+            }
+        }
+        m_mostLoads = std::max(m_mostLoads, m_loads.size());
+        m_mostAway = std::max(m_mostAway, m_rollout->changing().engines.size());
+    }
+
+    bool isSettled(std::uint64_t version) const
+    {
+        return std::all_of(m_state->upstreams().begin(), m_state->upstreams().end(), [version](const auto &it) {
+            return it.second.models.begin()->second.value == version;
+        });
+    }
+
+    base::Duration runUntilSettled(std::uint64_t version)
+    {
+        const base::TimePoint begun = m_now;
+        while (!isSettled(version) && m_now - begun < base::seconds{60}) {
+            step();
+        }
+        return m_now - begun;
+    }
+
+    void name(std::uint64_t version)
+    {
+        m_state->onChange(ObjectKind::Weights, StoredObject{"m", "m " + std::to_string(version), version, false}, false, m_now);
+    }
+
+public:
+    void setUp() override
+    {
+        m_log = std::make_unique<NullLog>();
+        m_state = std::make_unique<FleetState>(m_decoder, m_log->log);
+        m_rollout = std::make_unique<Rollout>(RolloutSettings{});
+        for (int i = 0; i < Engines; ++i) {
+            m_state->onChange(ObjectKind::Upstreams, StoredObject{engine(i).value(), "p ready 1 1", 1, false}, false, Start);
+        }
+        m_loads.clear();
+        m_now = Start;
+        m_mostLoads = m_mostAway = 0;
+        m_orders = 0;
+        m_dropsOrders = false;
+    }
+
+    // New weights must be everywhere within 8 s, with two loads at once and half of the engines in service.
+    void testWholeFleetChangesWithinBounds()
+    {
+        step();
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("nothing is named", 0, m_orders);
+        name(2);
+        const base::Duration took = runUntilSettled(2);
+        CPPUNIT_ASSERT(took < base::seconds{8});
+        CPPUNIT_ASSERT_EQUAL(Engines, m_orders);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_mostLoads);
+        CPPUNIT_ASSERT(m_mostAway <= Engines / 2);
+        step();
+        CPPUNIT_ASSERT(m_rollout->changing().engines.empty());
+    }
+
+    // Engines that loaded a replaced version waited for the time limit of their order.
+    void testNewerVersionReplacesTheOneUnderWay()
+    {
+        name(2);
+        while (m_loads.empty()) {
+            step();
+        }
+        name(3);
+        CPPUNIT_ASSERT(runUntilSettled(3) < base::seconds{8});
+        CPPUNIT_ASSERT(m_orders <= Engines + 2);
+    }
+
+    void testLostOrderIsGivenAgain()
+    {
+        name(2);
+        m_dropsOrders = true;
+        while (m_orders == 0) {
+            step();
+        }
+        m_dropsOrders = false;
+        CPPUNIT_ASSERT(runUntilSettled(2) < RolloutSettings{}.orderTimeout + base::seconds{8});
+    }
+
+    void testRefusedOrderIsGivenAgainAfterAPause()
+    {
+        name(2);
+        m_dropsOrders = true;
+        while (m_orders == 0) {
+            step();
+        }
+        m_dropsOrders = false; // engines that are ordered from now on load
+        m_rollout->onRefused(m_now, engine(0));
+        step();
+        CPPUNIT_ASSERT(!m_loads.contains(engine(0)));
+        for (int i = 0; i < 60 && !m_loads.contains(engine(0)); ++i) {
+            step();
+        }
+        CPPUNIT_ASSERT(m_loads.contains(engine(0)));
+    }
+
+    // Orders of two holders to one engine keep the lease's time between them.
+    void testPredecessorsEnginesAreLeftAlone()
+    {
+        ChangingEngines inherited;
+        inherited.engines = {engine(0)};
+        inherited.changed = {{engine(1), base::WeightsVersion{1}}};
+        m_rollout->takeOver(m_now, inherited);
+        name(2);
+        std::set<base::UpstreamId> early;
+        while (m_now - Start < RolloutSettings{}.settleTime - Step) {
+            step();
+            for (const auto &[id, load] : m_loads) {
+                early.insert(id);
+            }
+        }
+        CPPUNIT_ASSERT(!early.contains(engine(0)));
+        CPPUNIT_ASSERT(!early.contains(engine(1)));
+        CPPUNIT_ASSERT(early.size() > 2);
+        CPPUNIT_ASSERT(runUntilSettled(2) < base::seconds{8});
+    }
+
+    void testEngineThatLeavesIsForgotten()
+    {
+        name(2);
+        step();
+        const base::UpstreamId leaving = *m_rollout->changing().engines.begin();
+        m_state->onChange(ObjectKind::Upstreams, StoredObject{leaving.value(), "p draining 1 1", 2, false}, false, m_now);
+        step();
+        CPPUNIT_ASSERT(!m_rollout->changing().engines.contains(leaving));
+        for (int i = 0; i < 200; ++i) {
+            step();
+        }
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("all others change, and it gets no order", Engines - 1, m_orders);
+    }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(RolloutTest);
+
+} // namespace carawaylatch::gateway::testing
--- a/carawaylatch/proxy/attemptrules.cpp
+++ b/carawaylatch/proxy/attemptrules.cpp
@@ -9,15 +9,14 @@
 
 bool mayTryAgain(const Route &route, AttemptEnd end, const AttemptHistory &history)
 {
-    if (!history.hasTimeLeft) {
+    // An attempt that is not known as unexecuted may have run.
+    const bool mayHaveRun = history.sent > history.unexecuted;
+    if (!history.hasTimeLeft || (mayHaveRun && !route.isRepeatable())) {
         return false;
     }
     if (end == AttemptEnd::NotSent) {
         return history.unsent < MaxUnsentAttempts;
     }
-    if (end != AttemptEnd::NotExecuted && !route.isRepeatable()) {
-        return false;
-    }
     // Upstreams that did not run the request don't count against the route's attempts.
     const bool hasAttempt = history.sent - history.unexecuted < route.maxAttempts;
     return hasAttempt && history.unexecuted <= MaxUnexecutedAttempts && history.hasBudget;
--- a/carawaylatch/proxy/callerconnection.cpp
+++ b/carawaylatch/proxy/callerconnection.cpp
@@ -310,6 +310,11 @@
     close();
 }
 
+void CallerConnection::cancel()
+{
+    onCallerGone();
+}
+
 void CallerConnection::closeWhenIdle()
 {
     m_closesAfterReply = true;
--- a/carawaylatch/proxy/callerconnection.h
+++ b/carawaylatch/proxy/callerconnection.h
@@ -47,6 +47,8 @@
     void endBody();
     // Closes so that an answer under way can't look complete.
     void abort();
+    // Closes at once and cancels the request under way.
+    void cancel();
     // Closes if no request is under way; otherwise after the present one.
     void closeWhenIdle();
     [[nodiscard]] bool isIdle() const;
--- a/carawaylatch/proxy/exchange.cpp
+++ b/carawaylatch/proxy/exchange.cpp
@@ -618,23 +618,22 @@
     counts.rejected += outcome == "rejected" ? 1 : 0;
     counts.failed += outcome == "failed" || outcome == "broken_off" || outcome == "upstream_error" ? 1 : 0;
     const base::TimePoint now = m_plane.now();
-    m_plane.log().write(base::LogEvent::RequestEnded,
-                        {{"id", m_request.id},
-                         {"route", m_route != nullptr ? m_route->name.value() : std::string("-")},
-                         {"pool", m_pool.value()},
-                         {"upstream", m_lastUpstream.value()},
-                         {"attempts", std::to_string(m_tried.size())},
-                         {"sent", std::to_string(m_history.sent)},
-                         {"unexecuted", std::to_string(m_history.unexecuted)},
-                         {"status", std::to_string(status)},
-                         {"outcome", std::string(outcome)},
-                         {"reason", std::string(reason)},
-                         {"queued_ms", milliseconds(m_sentAt.value_or(now) - m_begun)},
-                         {"first_ms", m_firstAt ? milliseconds(*m_firstAt - m_begun) : std::string("-")},
-                         {"total_ms", milliseconds(now - m_begun)},
-                         {"table", std::to_string(m_view->table ? m_view->table->version : 0)},
-                         {"view", std::to_string(m_plane.view()->sequence)},
-                         {"age_ms", milliseconds(m_plane.tableAge())}});
+    m_plane.log().write(base::LogEvent::RequestEnded, {{"id", m_request.id},
+                                                       {"route", m_route != nullptr ? m_route->name.value() : std::string("-")},
+                                                       {"pool", m_pool.value()},
+                                                       {"upstream", m_lastUpstream.value()},
+                                                       {"attempts", std::to_string(m_tried.size())},
+                                                       {"sent", std::to_string(m_history.sent)},
+                                                       {"unexecuted", std::to_string(m_history.unexecuted)},
+                                                       {"status", std::to_string(status)},
+                                                       {"outcome", std::string(outcome)},
+                                                       {"reason", std::string(reason)},
+                                                       {"queued_ms", milliseconds(m_sentAt.value_or(now) - m_begun)},
+                                                       {"first_ms", m_firstAt ? milliseconds(*m_firstAt - m_begun) : std::string("-")},
+                                                       {"total_ms", milliseconds(now - m_begun)},
+                                                       {"table", std::to_string(m_view->table ? m_view->table->version : 0)},
+                                                       {"view", std::to_string(m_plane.view()->sequence)},
+                                                       {"age_ms", milliseconds(m_plane.tableAge())}});
     m_caller.reset();
     m_plane.ended();
 }
--- a/carawaylatch/proxy/httpmessage.cpp
+++ b/carawaylatch/proxy/httpmessage.cpp
@@ -11,8 +11,9 @@
 {
 
 // Fields of one connection, and those of framing, which each hop sets itself.
-constexpr std::array<std::string_view, 10> ConnectionFields{"connection", "keep-alive", "proxy-connection", "proxy-authenticate", "proxy-authorization",
-                                                            "te",         "trailer",    "transfer-encoding", "upgrade",           "content-length"};
+constexpr std::array<std::string_view, 10> ConnectionFields{
+    "connection", "keep-alive",        "proxy-connection", "proxy-authenticate", "proxy-authorization", "te",
+    "trailer",    "transfer-encoding", "upgrade",          "content-length"};
 
 char lower(char c)
 {
--- /dev/null
+++ b/carawaylatch/proxy/testing/decisionstest.cpp
@@ -0,0 +1,411 @@
+// Decisions of the traffic plane: attempt rules, events, routes, placement, queue.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <set>
+#include <string>
+#include <vector>
+
+#include "carawaylatch/proxy/attemptrules.h"
+#include "carawaylatch/proxy/eventscanner.h"
+#include "carawaylatch/proxy/fleet.h"
+#include "carawaylatch/proxy/placement.h"
+#include "carawaylatch/proxy/upstreambook.h"
+#include "carawaylatch/proxy/waitqueue.h"
+
+namespace carawaylatch::proxy::testing
+{
+
+namespace
+{
+
+const base::TimePoint Start{base::hours{1}};
+
+Route routeOf(CallKind kind, bool isResumable, std::uint32_t attempts)
+{
+    Route route;
+    route.kind = kind;
+    route.isResumable = isResumable;
+    route.maxAttempts = attempts;
+    return route;
+}
+
+} // namespace
+
+// Every kind of call, every end of an attempt, every history of up to four sends.
+class AttemptRulesTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(AttemptRulesTest);
+    CPPUNIT_TEST(testPromisesOverAllHistories);
+    CPPUNIT_TEST(testNamedCases);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void testPromisesOverAllHistories()
+    {
+        const std::vector<Route> routes{routeOf(CallKind::AtMostOnce, false, 3), routeOf(CallKind::Stream, false, 3), routeOf(CallKind::Stream, true, 2),
+                                        routeOf(CallKind::Idempotent, false, 2)};
+        int cases = 0;
+        for (const Route &route : routes) {
+            for (std::size_t i = 0; i < AttemptEndCount; ++i) {
+                const auto end = static_cast<AttemptEnd>(i);
+                for (std::uint32_t bits = 0; bits < 4 * 4 * 8; ++bits) {
+                    AttemptHistory history;
+                    history.sent = bits % 4;
+                    history.unexecuted = (bits / 4) % 4;
+                    history.isAnswering = (bits & 16U) != 0;
+                    history.hasTimeLeft = (bits & 32U) != 0;
+                    history.hasBudget = (bits & 64U) != 0;
+                    const bool isPossible = history.unexecuted <= history.sent && (end != AttemptEnd::NotExecuted || history.unexecuted > 0)
+                                            && (end == AttemptEnd::NotSent || history.sent > 0) && !(history.isAnswering && history.sent == history.unexecuted);
+                    if (isPossible) {
+                        checkPromises(route, end, history);
+                        ++cases;
+                    }
+                }
+            }
+        }
+        CPPUNIT_ASSERT(cases > 500);
+    }
+
+    void checkPromises(const Route &route, AttemptEnd end, const AttemptHistory &history)
+    {
+        const NextStep step = nextStep(route, end, history);
+        const bool mayHaveRun = history.sent > history.unexecuted;
+        if (step == NextStep::TryAgain) {
+            CPPUNIT_ASSERT_MESSAGE("a call that must not repeat is never sent again after it may have run", route.isRepeatable() || !mayHaveRun);
+            CPPUNIT_ASSERT(history.hasTimeLeft);
+            CPPUNIT_ASSERT(end == AttemptEnd::NotSent || history.hasBudget);
+            CPPUNIT_ASSERT(end == AttemptEnd::NotSent || history.sent - history.unexecuted < route.maxAttempts);
+        }
+        if (step == NextStep::SayNotRun) {
+            CPPUNIT_ASSERT_MESSAGE("'not run' is true", !mayHaveRun);
+        }
+        if (history.isAnswering) {
+            CPPUNIT_ASSERT_MESSAGE("an answer under way is never replaced by another one",
+                                   step == NextStep::PassOn || step == NextStep::BreakOff || step == NextStep::TryAgain);
+            CPPUNIT_ASSERT(step != NextStep::PassOn || end == AttemptEnd::Answered);
+        }
+    }
+
+    void testNamedCases()
+    {
+        const Route once = routeOf(CallKind::AtMostOnce, false, 1);
+        CPPUNIT_ASSERT(nextStep(once, AttemptEnd::Broken, {.sent = 1}) == NextStep::SayUnknown);
+        CPPUNIT_ASSERT(nextStep(once, AttemptEnd::NotExecuted, {.sent = 1, .unexecuted = 1}) == NextStep::TryAgain);
+        CPPUNIT_ASSERT(nextStep(once, AttemptEnd::NotSent, {.unsent = 1}) == NextStep::TryAgain);
+        CPPUNIT_ASSERT(nextStep(once, AttemptEnd::NotSent, {.unsent = MaxUnsentAttempts}) == NextStep::SayNotRun);
+        const Route safe = routeOf(CallKind::Idempotent, false, 2);
+        CPPUNIT_ASSERT(nextStep(safe, AttemptEnd::ServerError, {.sent = 1}) == NextStep::TryAgain);
+        CPPUNIT_ASSERT(nextStep(safe, AttemptEnd::ServerError, {.sent = 2}) == NextStep::PassOn);
+        const Route resumable = routeOf(CallKind::Stream, true, 2);
+        CPPUNIT_ASSERT(nextStep(resumable, AttemptEnd::Broken, {.sent = 1, .isAnswering = true}) == NextStep::TryAgain);
+        CPPUNIT_ASSERT(nextStep(resumable, AttemptEnd::Broken, {.sent = 2, .isAnswering = true}) == NextStep::BreakOff);
+        const Route stream = routeOf(CallKind::Stream, false, 2);
+        CPPUNIT_ASSERT(nextStep(stream, AttemptEnd::Broken, {.sent = 1, .isAnswering = true}) == NextStep::BreakOff);
+    }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(AttemptRulesTest);
+
+class EventScannerTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(EventScannerTest);
+    CPPUNIT_TEST(testEveryCut);
+    CPPUNIT_TEST(testEveryBreakAndResume);
+    CPPUNIT_TEST(testGapIsFound);
+    CPPUNIT_TEST_SUITE_END();
+
+    static std::string events(int from, int to)
+    {
+        std::string text;
+        for (int i = from; i <= to; ++i) {
+            text += "id: " + std::to_string(i) + "\ndata: piece " + std::to_string(i) + "\n\n";
+        }
+        return text;
+    }
+
+public:
+    void testEveryCut()
+    {
+        const std::string text = events(1, 4);
+        for (std::size_t cut = 0; cut <= text.size(); ++cut) {
+            EventScanner scanner;
+            const std::string first = scanner.feed(text.substr(0, cut));
+            CPPUNIT_ASSERT(first.empty() || first.ends_with("\n\n"));
+            CPPUNIT_ASSERT_EQUAL(text, first + scanner.feed(text.substr(cut)));
+            CPPUNIT_ASSERT(scanner.isAtBoundary());
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, *scanner.lastEventId());
+        }
+    }
+
+    // A break at any byte, then a second upstream that starts at or before the next event.
+    void testEveryBreakAndResume()
+    {
+        const std::string text = events(1, 5);
+        for (std::size_t cut = 0; cut < text.size(); ++cut) {
+            for (int overlap = 0; overlap < 3; ++overlap) {
+                EventScanner scanner;
+                std::string out = scanner.feed(text.substr(0, cut));
+                scanner.restart();
+                const int next = static_cast<int>(scanner.lastEventId().value_or(0)) + 1;
+                out += scanner.feed(events(std::max(1, next - overlap), 5));
+                CPPUNIT_ASSERT_EQUAL(text, out);
+                CPPUNIT_ASSERT(!scanner.hasGap());
+            }
+        }
+    }
+
+    void testGapIsFound()
+    {
+        EventScanner scanner;
+        CPPUNIT_ASSERT_EQUAL(events(1, 2), scanner.feed(events(1, 2)));
+        scanner.restart();
+        CPPUNIT_ASSERT_EQUAL(std::string(), scanner.feed(events(4, 5)));
+        CPPUNIT_ASSERT(scanner.hasGap());
+    }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(EventScannerTest);
+
+class RouteTableTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RouteTableTest);
+    CPPUNIT_TEST(testLongestPrefixOfTheHost);
+    CPPUNIT_TEST(testOldestAllowedFollowsEachNaming);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void testLongestPrefixOfTheHost()
+    {
+        RouteTable table;
+        const std::vector<std::pair<std::string, std::string>> rows{{"a", "/"}, {"a", "/x/"}, {"a", "/x/y/"}, {"b", "/x/"}};
+        for (const auto &[host, prefix] : rows) {
+            Route route;
+            route.host = host;
+            route.pathPrefix = prefix;
+            table.routes.push_back(route);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string("/x/y/"), table.match("a", "/x/y/z?q=/")->pathPrefix);
+        CPPUNIT_ASSERT_EQUAL(std::string("/x/"), table.match("a", "/x/yy")->pathPrefix);
+        CPPUNIT_ASSERT_EQUAL(std::string("/"), table.match("a", "/x?/y/")->pathPrefix);
+        CPPUNIT_ASSERT(table.match("b", "/y/") == nullptr);
+        CPPUNIT_ASSERT(table.match("c", "/x/") == nullptr);
+    }
+
+    // With the newest naming alone, versions in quick succession let the oldest weights run on.
+    void testOldestAllowedFollowsEachNaming()
+    {
+        const base::Duration limit = base::seconds{6};
+        WeightsTarget target;
+        target.name(base::WeightsVersion{2}, Start);
+        target.name(base::WeightsVersion{3}, Start + base::seconds{4});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, target.oldestAllowed(Start + base::seconds{5}, limit).value);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, target.oldestAllowed(Start + base::seconds{6}, limit).value);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, target.oldestAllowed(Start + base::seconds{10}, limit).value);
+    }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(RouteTableTest);
+
+// A pool of three engines in three domains, and one of two plain services.
+class PlacementTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PlacementTest);
+    CPPUNIT_TEST(testSamePromptGoesToTheSameEngine);
+    CPPUNIT_TEST(testLeavingAndChangingEnginesGetNothing);
+    CPPUNIT_TEST(testOldWeightsEndInTime);
+    CPPUNIT_TEST(testNewWeightsArePreferred);
+    CPPUNIT_TEST(testHotPromptSpreads);
+    CPPUNIT_TEST(testServicesFillUp);
+    CPPUNIT_TEST(testEngineMemoryIsCounted);
+    CPPUNIT_TEST(testFailedUpstreamIsAvoidedThenTriedAgain);
+    CPPUNIT_TEST_SUITE_END();
+
+    FleetView m_view;
+    UpstreamBook m_book;
+    PlacementTuning m_tuning;
+
+    void addUpstream(const std::string &id, const std::string &pool, const std::string &domain, std::uint32_t slots, std::uint64_t weights)
+    {
+        Upstream upstream;
+        upstream.id = base::UpstreamId(id);
+        upstream.pool = base::PoolName(pool);
+        upstream.domain = base::FailureDomain(domain);
+        upstream.endpoint = base::Endpoint{"127.0.0.1", 1};
+        upstream.slots = slots;
+        if (weights != 0) {
+            upstream.models[base::ModelId("m")] = base::WeightsVersion{weights};
+        }
+        m_view.upstreams.push_back(upstream);
+    }
+
+    PlacementQuery query(std::uint64_t prompt, base::TimePoint now = Start)
+    {
+        PlacementQuery out;
+        out.now = now;
+        out.pool = base::PoolName("engines");
+        out.model = base::ModelId("m");
+        out.promptKey = prompt;
+        out.sharedTokens = 6000;
+        out.promptTokens = 9000;
+        out.memoryTokens = 9100;
+        out.domain = base::FailureDomain("a");
+        return out;
+    }
+
+    PlacementQuery serviceQuery()
+    {
+        PlacementQuery out;
+        out.now = Start;
+        out.pool = base::PoolName("services");
+        out.domain = base::FailureDomain("a");
+        return out;
+    }
+
+    PlacementResult placeNow(const PlacementQuery &query)
+    {
+        return place(query, m_view, m_book, m_tuning);
+    }
+
+public:
+    void setUp() override
+    {
+        auto table = std::make_shared<RouteTable>();
+        table->pools.push_back(Pool{base::PoolName("engines"), 100, EngineShape{100'000, 16}});
+        table->pools.push_back(Pool{base::PoolName("services"), 100, std::nullopt});
+        m_view = FleetView{};
+        m_view.table = table;
+        addUpstream("e1", "engines", "a", 16, 1);
+        addUpstream("e2", "engines", "b", 16, 1);
+        addUpstream("e3", "engines", "c", 16, 1);
+        addUpstream("s1", "services", "a", 2, 0);
+        addUpstream("s2", "services", "b", 2, 0);
+        m_book = UpstreamBook{};
+        m_book.adopt(m_view, Start);
+    }
+
+    void testSamePromptGoesToTheSameEngine()
+    {
+        for (std::uint64_t prompt = 1; prompt < 50; ++prompt) {
+            CPPUNIT_ASSERT(placeNow(query(prompt)).record == placeNow(query(prompt)).record);
+        }
+    }
+
+    void testLeavingAndChangingEnginesGetNothing()
+    {
+        m_view.upstreams[0].phase = UpstreamPhase::Draining;
+        m_view.targets[base::ModelId("m")].name(base::WeightsVersion{2}, Start);
+        m_view.reloading.insert(base::UpstreamId("e2"));
+        m_book.adopt(m_view, Start);
+        for (std::uint64_t prompt = 1; prompt < 50; ++prompt) {
+            CPPUNIT_ASSERT_EQUAL(std::string("e3"), placeNow(query(prompt)).record->upstream.id.value());
+        }
+        // An engine that has the named weights is back, whatever the list of changing ones says.
+        m_view.upstreams[1].models[base::ModelId("m")] = base::WeightsVersion{2};
+        m_book.adopt(m_view, Start);
+        CPPUNIT_ASSERT_EQUAL(std::string("e2"), placeNow(query(1)).record->upstream.id.value());
+    }
+
+    void testOldWeightsEndInTime()
+    {
+        m_view.targets[base::ModelId("m")].name(base::WeightsVersion{2}, Start);
+        CPPUNIT_ASSERT(placeNow(query(1, Start + m_tuning.oldWeightsLimit - base::milliseconds{1})).verdict == PlacementVerdict::Chosen);
+        CPPUNIT_ASSERT(placeNow(query(1, Start + m_tuning.oldWeightsLimit)).verdict == PlacementVerdict::NoUpstream);
+    }
+
+    void testNewWeightsArePreferred()
+    {
+        m_view.targets[base::ModelId("m")].name(base::WeightsVersion{2}, Start);
+        m_view.upstreams[2].models[base::ModelId("m")] = base::WeightsVersion{2};
+        m_book.adopt(m_view, Start);
+        PlacementQuery plain = query(0);
+        plain.sharedTokens = 0;
+        CPPUNIT_ASSERT_EQUAL(std::string("e3"), placeNow(plain).record->upstream.id.value());
+    }
+
+    void testHotPromptSpreads()
+    {
+        std::set<std::string> used;
+        for (int i = 0; i < 12; ++i) {
+            const auto placement = placeNow(query(7));
+            CPPUNIT_ASSERT(placement.verdict == PlacementVerdict::Chosen);
+            used.insert(placement.record->upstream.id.value());
+            m_book.began(*placement.record, AttemptWeight{9100, 9000});
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, used.size());
+    }
+
+    void testServicesFillUp()
+    {
+        int placed = 0;
+        while (placeNow(serviceQuery()).verdict == PlacementVerdict::Chosen) {
+            m_book.began(*placeNow(serviceQuery()).record, {});
+            ++placed;
+        }
+        CPPUNIT_ASSERT_EQUAL(static_cast<int>(2 * 2 * m_tuning.serviceQueueFactor), placed);
+        CPPUNIT_ASSERT(placeNow(serviceQuery()).verdict == PlacementVerdict::Full);
+    }
+
+    void testEngineMemoryIsCounted()
+    {
+        int placed = 0;
+        for (; placeNow(query(0)).verdict == PlacementVerdict::Chosen; ++placed) {
+            m_book.began(*placeNow(query(0)).record, AttemptWeight{9100, 0});
+        }
+        CPPUNIT_ASSERT_MESSAGE("nine prompts of 9,100 tokens fit into 90% of 100,000", placed == 3 * 9);
+    }
+
+    void testFailedUpstreamIsAvoidedThenTriedAgain()
+    {
+        UpstreamRecord *record = m_book.find(base::UpstreamId("s1"));
+        m_book.began(*record, {});
+        m_book.ended(*record, {}, false, AttemptEnd::NotSent, Start);
+        CPPUNIT_ASSERT_EQUAL(std::string("s2"), placeNow(serviceQuery()).record->upstream.id.value());
+        PlacementQuery later = serviceQuery();
+        later.now = record->avoidUntil;
+        for (int i = 0; i < 3; ++i) {
+            m_book.began(*m_book.find(base::UpstreamId("s2")), {});
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string("s1"), placeNow(later).record->upstream.id.value());
+    }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(PlacementTest);
+
+class WaitQueueTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(WaitQueueTest);
+    CPPUNIT_TEST(testUrgentFirstThenOldest);
+    CPPUNIT_TEST(testExpectedWait);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void testUrgentFirstThenOldest()
+    {
+        WaitQueue queue;
+        const auto late = queue.add(4, nullptr);
+        const auto first = queue.add(1, nullptr);
+        const auto second = queue.add(1, nullptr);
+        CPPUNIT_ASSERT(first < second);
+        CPPUNIT_ASSERT(second < late);
+        queue.remove(first);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, queue.size());
+    }
+
+    // Ten ends a second: nine ahead and itself take a second, whatever waits behind.
+    void testExpectedWait()
+    {
+        WaitQueue queue;
+        CPPUNIT_ASSERT(!queue.expectedWait(1, Start));
+        base::TimePoint now = Start;
+        for (int i = 0; i < 50; ++i) {
+            now += base::milliseconds{100};
+            queue.ends().note(now);
+        }
+        for (int i = 0; i < 9; ++i) {
+            queue.add(1, nullptr);
+            queue.add(2, nullptr);
+        }
+        const double wait = base::toSeconds(*queue.expectedWait(1, now));
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, wait, 0.1);
+    }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(WaitQueueTest);
+
+} // namespace carawaylatch::proxy::testing
--- a/carawaylatch/proxy/trafficplane.cpp
+++ b/carawaylatch/proxy/trafficplane.cpp
@@ -99,6 +99,13 @@
     return base::ok();
 }
 
+base::Endpoint TrafficPlane::callersEndpoint() const
+{
+    boost::system::error_code ec;
+    const auto local = m_callersListener->acceptor.local_endpoint(ec);
+    return ec ? m_settings.callers : base::Endpoint{local.address().to_string(), local.port()};
+}
+
 void TrafficPlane::accept(Listener &listener)
 {
     listener.next = Tcp::socket(m_loop);
@@ -128,8 +135,8 @@
 {
     m_view = std::move(view);
     m_book.adopt(*m_view, now());
-    std::erase_if(m_kept, [this](const auto &it) {
-        return m_book.find(it.first) == nullptr;
+    closeKept([this](const base::UpstreamId &upstream) {
+        return m_book.find(upstream) == nullptr;
     });
     applyBudgets();
     scheduleQueues();
@@ -183,6 +190,34 @@
     return m_inflight;
 }
 
+void TrafficPlane::closeAll()
+{
+    boost::system::error_code ignored;
+    m_callersListener->acceptor.close(ignored);
+    m_operatorsListener->acceptor.close(ignored);
+    m_timer.cancel();
+    const std::vector<std::shared_ptr<CallerConnection>> callers(m_callers.begin(), m_callers.end());
+    for (const auto &caller : callers) {
+        caller->cancel();
+    }
+    closeKept([](const base::UpstreamId &) {
+        return true;
+    });
+}
+
+void TrafficPlane::closeKept(const std::function<bool(const base::UpstreamId &)> &isChosen)
+{
+    std::vector<std::shared_ptr<UpstreamConnection>> chosen;
+    for (const auto &[upstream, kept] : m_kept) {
+        if (isChosen(upstream)) {
+            chosen.insert(chosen.end(), kept.begin(), kept.end());
+        }
+    }
+    for (const auto &connection : chosen) {
+        connection->close(); // which takes it out of m_kept
+    }
+}
+
 std::size_t TrafficPlane::inflight() const
 {
     return m_inflight;
@@ -340,12 +375,11 @@
 void TrafficPlane::noteRejected(std::string_view id, std::string_view host, std::string_view reason, unsigned status)
 {
     ++m_counts.rejected;
-    m_log.write(base::LogEvent::RequestRejected,
-                {{"id", std::string(id)},
-                 {"host", std::string(host)},
-                 {"reason", std::string(reason)},
-                 {"status", std::to_string(status)},
-                 {"table", std::to_string(m_view->table ? m_view->table->version : 0)}});
+    m_log.write(base::LogEvent::RequestRejected, {{"id", std::string(id)},
+                                                  {"host", std::string(host)},
+                                                  {"reason", std::string(reason)},
+                                                  {"status", std::to_string(status)},
+                                                  {"table", std::to_string(m_view->table ? m_view->table->version : 0)}});
 }
 
 void TrafficPlane::began()
@@ -415,13 +449,20 @@
 std::string TrafficPlane::metricsText() const
 {
     const std::pair<std::string_view, std::uint64_t> counts[] = {
-        {"requests_total", m_counts.requests},       {"served_total", m_counts.served},
-        {"refused_total", m_counts.refused},         {"failed_total", m_counts.failed},
-        {"cancelled_total", m_counts.cancelled},     {"rejected_total", m_counts.rejected},
-        {"attempts_total", m_counts.attempts},       {"connections_total", m_counts.connections},
-        {"upstream_reads_total", m_counts.reads},    {"streams_resumed_total", m_counts.resumed},
-        {"inflight", m_inflight},                    {"log_lines_dropped_total", m_log.dropped()},
-        {"upstreams", m_view->upstreams.size()},     {"table_version", m_view->table ? m_view->table->version : 0},
+        {"requests_total", m_counts.requests},
+        {"served_total", m_counts.served},
+        {"refused_total", m_counts.refused},
+        {"failed_total", m_counts.failed},
+        {"cancelled_total", m_counts.cancelled},
+        {"rejected_total", m_counts.rejected},
+        {"attempts_total", m_counts.attempts},
+        {"connections_total", m_counts.connections},
+        {"upstream_reads_total", m_counts.reads},
+        {"streams_resumed_total", m_counts.resumed},
+        {"inflight", m_inflight},
+        {"log_lines_dropped_total", m_log.dropped()},
+        {"upstreams", m_view->upstreams.size()},
+        {"table_version", m_view->table ? m_view->table->version : 0},
         {"table_age_ms", static_cast<std::uint64_t>(base::toMilliseconds(tableAge()))},
     };
     std::string out;
@@ -473,6 +514,9 @@
     std::erase_if(it->second, [&connection](const auto &kept) {
         return kept.get() == &connection;
     });
+    if (it->second.empty()) {
+        m_kept.erase(it);
+    }
 }
 
 } // namespace carawaylatch::proxy
--- a/carawaylatch/proxy/trafficplane.h
+++ b/carawaylatch/proxy/trafficplane.h
@@ -92,6 +92,8 @@
 
     // Binds both addresses. Unavailable if one is taken.
     [[nodiscard]] base::Result<void> listen();
+    // Where callers connect; tells the port where the settings leave it to the system.
+    [[nodiscard]] base::Endpoint callersEndpoint() const;
     void adopt(std::shared_ptr<const FleetView> view);
     void applySettings(const TrafficSettings &settings);
     // Not ready from now on; connections close after the request under way.
@@ -101,6 +103,9 @@
     [[nodiscard]] bool isLeaving() const;
     // Closes what is idle; returns the number of requests under way.
     std::size_t closeIdle();
+    // Ends every connection and listener. The loop has to run on until its handlers
+    // are done, before the plane is destroyed.
+    void closeAll();
     [[nodiscard]] std::size_t inflight() const;
     [[nodiscard]] bool isStopping() const;
 
@@ -147,6 +152,7 @@
     void noteReadiness(std::string_view reason);
     [[nodiscard]] std::string metricsText() const;
     void applyBudgets();
+    void closeKept(const std::function<bool(const base::UpstreamId &)> &isChosen);
 
     boost::asio::io_context &m_loop;
     const base::Clock &m_clock;
--- a/carawaylatch/proxy/upstreamconnection.cpp
+++ b/carawaylatch/proxy/upstreamconnection.cpp
@@ -220,10 +220,12 @@
         return; // an interim answer; the final one follows
     }
     const UpstreamAnswer answer = m_plane.dialect().readAnswer(head);
-    const bool isOther = !answer.requestId.empty() && answer.requestId != m_requestId;
     // Without an id only the first answer of a connection is surely ours.
-    const bool isDoubtful = answer.requestId.empty() && (m_isReused || m_foreignAnswers > 0);
-    if (isOther || isDoubtful) {
+    if (answer.requestId.empty() && (m_isReused || m_foreignAnswers > 0)) {
+        fail("an answer that names no request");
+        return;
+    }
+    if (!answer.requestId.empty() && answer.requestId != m_requestId) {
         if (++m_foreignAnswers > MaxForeignAnswers) {
             fail("answers of other requests");
             return;
--- a/carawaylatch/proxy/upstreamconnection.h
+++ b/carawaylatch/proxy/upstreamconnection.h
@@ -3,7 +3,8 @@
 //
 // Bytes that no request waits for end the connection. An answer that names
 // another request is read and dropped, and the one that is due is awaited behind
-// it; such a connection isn't kept. All calls on the traffic thread.
+// it; such a connection isn't kept. An answer that names none is taken only as the
+// first of its connection. All calls on the traffic thread.
 #pragma once
 
 #include <array>
--- a/daemon/gateway/main.cpp
+++ b/daemon/gateway/main.cpp
@@ -20,6 +20,7 @@
 
 ABSL_FLAG(std::string, settings, "", "file of settings (INI); docs/SETTINGS-gateway.md lists all keys");
 ABSL_FLAG(bool, check, false, "check the settings and exit");
+ABSL_FLAG(bool, settings_page, false, "print docs/SETTINGS-gateway.md and exit");
 
 namespace
 {
@@ -41,6 +42,10 @@
 {
     absl::SetProgramUsageMessage("runs one router on the platform: carawaylatch-gateway [--settings FILE] [--check]");
     const auto words = absl::ParseCommandLine(argc, argv);
+    if (absl::GetFlag(FLAGS_settings_page)) {
+        std::cout << carawaylatch::gateway::renderGatewaySettingsPage();
+        return 0;
+    }
     const std::string path = settingsPath();
     if (words.size() != 1 || path.empty()) {
         std::cerr << "name the settings: carawaylatch-gateway --settings FILE\n";
