--- a/carawaylatch/proxy/exchange.cpp
+++ b/carawaylatch/proxy/exchange.cpp
@@ -311,9 +311,9 @@
     const std::string owner = m_customer != nullptr && m_customer->isIsolated ? m_customer->id.value() : std::string();
     if (m_sharedTokens >= MinSharedTokensStored && !m_view->table->cacheStores.empty() && plan.weights.value != 0) {
         const base::Endpoint &store = m_view->table->cacheStores.front().endpoint;
-        plan.saveTo = store;
+        plan.fetchFrom = store; // costs nothing where the engine keeps the parts itself
         if (!m_attempt->holdsParts) {
-            plan.fetchFrom = store;
+            plan.saveTo = store;
         }
     }
     plan.cacheNamespace = m_request.model.value() + '.' + std::to_string(plan.weights.value) + '.' + owner;
--- a/carawaylatch/proxy/placement.cpp
+++ b/carawaylatch/proxy/placement.cpp
@@ -101,7 +101,7 @@
     for (const UpstreamRecord *record : members) {
         const bool isNear = record->upstream.domain == query.domain;
         const std::uint64_t weight = base::rendezvousWeight(query.promptKey, record->upstream.id.value());
-        if (home == nullptr || (isNear && !isHomeNear) || (isNear == isHomeNear && weight > best)) {
+        if (home == nullptr || weight > best) {
             isHomeNear = isNear;
             home = record;
             best = weight;
