Reading shared parts again weighs more in placement

Cause: buyer letters (198 shared tokens) went to any engine of the own domain and were read at each; their share of the tokens read again was about a quarter. Change: a cost for each shared token beside its reading time.

--- a/carawaylatch/proxy/placement.cpp
+++ b/carawaylatch/proxy/placement.cpp
@@ -85,7 +85,7 @@
     cost += record.load(scene.query.now) * 1.0;
     if (!holdsSharedParts(scene, record, book)) {
         const double homeShare = scene.home == &record ? tuning.homeShare : 1.0;
-        cost += scene.query.sharedTokens * tuning.millisecondsPerToken * homeShare;
+        cost += scene.query.sharedTokens * (tuning.millisecondsPerToken + tuning.rereadMillisecondsPerToken) * homeShare;
     }
     if (hasOldWeights(scene, record)) {
         cost += tuning.oldWeightsMilliseconds;
--- a/carawaylatch/proxy/placement.h
+++ b/carawaylatch/proxy/placement.h
@@ -25,6 +25,7 @@
 {
     double millisecondsPerToken = 0.022; // reading a prompt; a first estimate for engines of this size
     double millisecondsPerRequest = 20; // a request ahead of this one at a plain service
+    double rereadMillisecondsPerToken = 0.06; // what reading shared parts twice costs operators beside the time
     double homeShare = 0.3; // of the cost of reading shared parts at their home when they were not placed there yet
     double otherDomainMilliseconds = 12; // transfers between failure domains cost operators more than callers
     double oldWeightsMilliseconds = 60; // answers of old weights are worth less
