Attempts that make no progress are given up; a silent cache store is left out

Cause: requests at dark or cut servers waited for the TCP time limit (3 s) or the caller's deadline; engines told to fetch from a dead store held each prompt up. Ruled out: shorter keep-alive probes (the least is a second, twice). Change: an upstream of which nothing was heard for longer than reading its prompts can take gets nothing new, and requests that may repeat go elsewhere; so do safe calls after twice their target latency and resumable streams that stop. The control plane probes the cache store once a second. Found by a test on the way: a stream whose first event had not come was taken for a stopped one.

--- a/carawaylatch/gateway/controlplane.cpp
+++ b/carawaylatch/gateway/controlplane.cpp
@@ -23,6 +23,7 @@
 
 constexpr base::Duration DutyInterval = base::milliseconds{50}; // looks at lease and rollout; no call by itself
 constexpr base::Duration StatusInterval = base::milliseconds{120}; // between questions to an engine that changes
+constexpr base::Duration CacheStoreInterval = base::seconds{1}; // each probe is priced; a dead store costs callers far more
 constexpr base::Duration UpstreamsPause = base::milliseconds{200}; // entries change together; a drain leaves ten times as long
 constexpr base::Duration OutOfReachLife = base::milliseconds{2500}; // after the store's return, entries may still be missing
 
@@ -59,6 +60,7 @@
         boost::asio::co_spawn(m_loop, watchKind(kind), rethrow);
     }
     boost::asio::co_spawn(m_loop, runDuties(), rethrow);
+    boost::asio::co_spawn(m_loop, watchCacheStores(), rethrow);
 }
 
 void ControlPlane::beginStop()
@@ -197,6 +199,20 @@
     }
 }
 
+// A dead store holds up every engine that is told to fetch from it.
+Awaitable<void> ControlPlane::watchCacheStores()
+{
+    while (true) {
+        co_await pause(CacheStoreInterval);
+        const auto stores = m_state.cacheStores();
+        for (const proxy::CacheStore &store : stores) {
+            const auto probed = co_await m_engines.probeCacheStore(store.endpoint);
+            m_state.onCacheStore(store.endpoint, probed.has_value());
+        }
+        publishIfChanged();
+    }
+}
+
 Awaitable<void> ControlPlane::runDuties()
 {
     const auto client = m_clients.makeClient();
--- a/carawaylatch/gateway/controlplane.h
+++ b/carawaylatch/gateway/controlplane.h
@@ -59,6 +59,7 @@
     [[nodiscard]] Awaitable<void> watchKind(ObjectKind kind);
     [[nodiscard]] Awaitable<base::Result<std::uint64_t>> listAll(ObjectClient &client, ObjectKind kind, bool wasOutOfReach);
     [[nodiscard]] Awaitable<void> runDuties();
+    [[nodiscard]] Awaitable<void> watchCacheStores();
     [[nodiscard]] Awaitable<void> stepLease(ObjectClient &client);
     [[nodiscard]] Awaitable<void> stepRollout(ObjectClient &client);
     [[nodiscard]] Awaitable<bool> publishChanging(ObjectClient &client);
--- a/carawaylatch/gateway/engineclient.h
+++ b/carawaylatch/gateway/engineclient.h
@@ -52,6 +52,8 @@
     virtual ~EngineClient() = default;
     // StaleState: the fence is too low. Unavailable: not sent. Any other error: it may be obeyed, also later.
     [[nodiscard]] virtual Awaitable<base::Result<OrderAnswer>> order(WeightsOrder order) = 0;
+    // Tells whether a store of kept prompt state answers.
+    [[nodiscard]] virtual Awaitable<base::Result<void>> probeCacheStore(base::Endpoint endpoint) = 0;
     [[nodiscard]] virtual Awaitable<base::Result<EngineStatus>> status(base::UpstreamId engine, base::Endpoint endpoint, base::ModelId model) = 0;
 };
 
--- a/carawaylatch/gateway/fleetstate.cpp
+++ b/carawaylatch/gateway/fleetstate.cpp
@@ -269,6 +269,21 @@
     }
 }
 
+void FleetState::onCacheStore(const base::Endpoint &endpoint, bool isAlive)
+{
+    const bool isNews = isAlive ? m_deadCacheStores.erase(endpoint) > 0 : m_deadCacheStores.insert(endpoint).second;
+    if (isNews) {
+        m_isChanged = true;
+        m_log.write(base::LogEvent::CacheStoreChanged,
+                    {{"endpoint", endpoint.address + ':' + std::to_string(endpoint.port)}, {"state", isAlive ? "answers" : "silent"}});
+    }
+}
+
+std::vector<proxy::CacheStore> FleetState::cacheStores() const
+{
+    return m_table ? m_table->cacheStores : std::vector<proxy::CacheStore>{};
+}
+
 bool FleetState::onTick(base::TimePoint now)
 {
     std::vector<base::UpstreamId> over;
@@ -296,6 +311,7 @@
         view->upstreams.push_back(upstream);
     }
     view->targets = m_targets;
+    view->deadCacheStores = m_deadCacheStores;
     if (const StoredObject *changing = duty(ChangingName)) {
         view->reloading = ChangingEngines::decode(changing->text).engines;
     }
--- a/carawaylatch/gateway/fleetstate.h
+++ b/carawaylatch/gateway/fleetstate.h
@@ -56,6 +56,7 @@
     void onChange(ObjectKind kind, const StoredObject &object, bool wasOutOfReach, base::TimePoint now);
     // An engine told its weights itself.
     void onWeightsSeen(const base::UpstreamId &upstream, base::WeightsVersion weights);
+    void onCacheStore(const base::Endpoint &endpoint, bool isAlive);
     // Drops entries whose time is over; true if the snapshot changes.
     bool onTick(base::TimePoint now);
 
@@ -66,6 +67,7 @@
     [[nodiscard]] const StoredObject *duty(std::string_view name) const;
     [[nodiscard]] const std::map<base::UpstreamId, proxy::Upstream> &upstreams() const;
     [[nodiscard]] const std::map<base::ModelId, proxy::WeightsTarget> &targets() const;
+    [[nodiscard]] std::vector<proxy::CacheStore> cacheStores() const;
 
 private:
     void applyTable(const StoredObject &object);
@@ -86,6 +88,7 @@
     std::map<base::ModelId, proxy::WeightsTarget> m_targets;
     std::map<std::string, StoredObject, std::less<>> m_duties;
     std::map<std::string, std::uint64_t> m_ignored; // name to the revision whose problem was logged
+    std::set<base::Endpoint> m_deadCacheStores;
     std::uint64_t m_sequence = 0;
     bool m_isChanged = true;
 };
--- a/carawaylatch/gateway/gateway.cpp
+++ b/carawaylatch/gateway/gateway.cpp
@@ -73,7 +73,7 @@
             return base::fail(base::ErrorKind::Unavailable, "signals can't be received (" + ec.message() + "); start the process without a filter on them");
         }
     }
-    if (const auto listening = m_traffic->listen(); !listening) {
+    if (auto listening = m_traffic->listen(); !listening) {
         return listening;
     }
     m_log.write(base::LogEvent::GatewayStarted, {{"router", m_settings.id},
--- a/carawaylatch/gateway/testing/fleetstatetest.cpp
+++ b/carawaylatch/gateway/testing/fleetstatetest.cpp
@@ -40,6 +40,7 @@
     CPPUNIT_TEST(testEngineKnowsItsWeightsBest);
     CPPUNIT_TEST(testRoutersAreCounted);
     CPPUNIT_TEST(testChangingEnginesSurviveTheirText);
+    CPPUNIT_TEST(testDeadCacheStoresAreInTheView);
     CPPUNIT_TEST_SUITE_END();
 
     WordDecoder m_decoder;
@@ -173,6 +174,19 @@
         CPPUNIT_ASSERT(ChangingEngines::decode("").engines.empty());
         CPPUNIT_ASSERT(ChangingEngines::decode("  = =x a=").engines.empty());
     }
+
+    void testDeadCacheStoresAreInTheView()
+    {
+        const base::Endpoint store{"127.0.0.1", 9};
+        static_cast<void>(m_state->takeChanged());
+        m_state->onCacheStore(store, true);
+        CPPUNIT_ASSERT(!m_state->takeChanged());
+        m_state->onCacheStore(store, false);
+        CPPUNIT_ASSERT(m_state->takeChanged());
+        CPPUNIT_ASSERT(m_state->view()->deadCacheStores.contains(store));
+        m_state->onCacheStore(store, true);
+        CPPUNIT_ASSERT(m_state->view()->deadCacheStores.empty());
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(FleetStateTest);
 
--- a/carawaylatch/proxy/callerconnection.cpp
+++ b/carawaylatch/proxy/callerconnection.cpp
@@ -156,7 +156,7 @@
         appendField(out, "Content-Length", std::to_string(reply.body.size()));
     }
     out.append("\r\n").append(reply.body);
-    write(std::move(out));
+    write(out);
     finishRequest();
 }
 
@@ -228,7 +228,7 @@
     read();
 }
 
-void CallerConnection::write(std::string bytes)
+void CallerConnection::write(std::string_view bytes)
 {
     m_queued.append(bytes);
     flush();
--- a/carawaylatch/proxy/callerconnection.h
+++ b/carawaylatch/proxy/callerconnection.h
@@ -63,7 +63,7 @@
     void rejectInput(const base::Error &error);
     void startExchange();
     void finishRequest();
-    void write(std::string bytes);
+    void write(std::string_view bytes);
     void flush();
     void armTimer();
     void onTimeout();
--- a/carawaylatch/proxy/exchange.cpp
+++ b/carawaylatch/proxy/exchange.cpp
@@ -22,6 +22,9 @@
 // would be late in any case, and another router or a moment later serves the caller better.
 constexpr double QueuePatienceShare = 0.6;
 // A caller's own deadline passes before the router answers for it.
+constexpr base::Duration ProgressInterval = base::milliseconds{100}; // between looks at an attempt's progress
+constexpr int LateAnswerFactor = 2; // of the target latency; a second server then still answers in time to be of use
+constexpr base::Duration LongestStreamPause = base::milliseconds{1200}; // twice a load of weights
 constexpr std::uint32_t MinSharedTokensStored = 512; // shorter parts are read faster than they are fetched
 constexpr base::Duration DeadlineGrace = base::milliseconds{60};
 
@@ -266,7 +269,10 @@
     attempt.weight.unreadTokens = placement.holdsParts ? m_request.promptTokens - std::min(m_sharedTokens, m_request.promptTokens) : m_request.promptTokens;
     m_lastUpstream = placement.record->upstream.id;
     m_tried.push_back(m_lastUpstream);
-    m_plane.book().began(*attempt.record, attempt.weight);
+    m_plane.book().began(*attempt.record, attempt.weight, attempt.begunAt);
+    if (m_route->isRepeatable()) {
+        watchProgress();
+    }
     const Upstream &upstream = attempt.record->upstream;
     attempt.connection = m_plane.takeKept(upstream, m_route->isRepeatable());
     if (attempt.connection) {
@@ -311,8 +317,11 @@
     const std::string owner = m_customer != nullptr && m_customer->isIsolated ? m_customer->id.value() : std::string();
     if (m_sharedTokens >= MinSharedTokensStored && !m_view->table->cacheStores.empty() && plan.weights.value != 0) {
         const base::Endpoint &store = m_view->table->cacheStores.front().endpoint;
-        plan.fetchFrom = store; // costs nothing where the engine keeps the parts itself
-        if (!m_attempt->holdsParts) {
+        const bool isAlive = !m_plane.view()->deadCacheStores.contains(store);
+        if (isAlive) {
+            plan.fetchFrom = store; // costs nothing where the engine keeps the parts itself
+        }
+        if (isAlive && !m_attempt->holdsParts) {
             plan.saveTo = store;
         }
     }
@@ -352,6 +361,7 @@
     const base::TimePoint now = m_plane.now();
     attempt.head = head;
     attempt.answer = answer;
+    m_plane.book().heard(*attempt.record, now);
     if (answer.load) {
         m_plane.book().sampled(*attempt.record, *answer.load, now);
     }
@@ -371,6 +381,7 @@
     }
     ++m_plane.counts().reads;
     Attempt &attempt = *m_attempt;
+    m_plane.book().heard(*attempt.record, m_plane.now());
     if (!attempt.hasStarted) {
         attempt.hasStarted = true;
         m_plane.book().started(*attempt.record, attempt.weight);
@@ -403,9 +414,13 @@
 
 void Exchange::forwardStream(std::string_view bytes)
 {
+    const base::TimePoint now = m_plane.now();
     if (!m_firstAt) {
-        m_firstAt = m_plane.now();
+        m_firstAt = now;
+    } else {
+        m_longestPause = std::max(m_longestPause, now - m_lastPieceAt);
     }
+    m_lastPieceAt = now;
     if (m_isPassingOn) {
         m_caller->sendPiece(bytes);
     } else {
@@ -465,8 +480,43 @@
     }
 }
 
+void Exchange::watchProgress()
+{
+    m_progressTimer = m_plane.timers().every(m_plane.now(), ProgressInterval, [weak = weak_from_this()](base::TimePoint now) {
+        const auto self = weak.lock();
+        if (!self || !self->m_attempt || !self->m_attempt->isSent) {
+            return;
+        }
+        const std::string_view reason = self->stallReason(now);
+        if (!reason.empty()) {
+            self->endAttempt(AttemptEnd::Broken, reason);
+        }
+    });
+}
+
+// Only a request that can go elsewhere is given up: another one has nothing to gain.
+std::string_view Exchange::stallReason(base::TimePoint now) const
+{
+    const Attempt &attempt = *m_attempt;
+    if (m_history.sent - m_history.unexecuted >= m_route->maxAttempts) {
+        return {};
+    }
+    if (attempt.record->isSilent(now, m_plane.settings().placement.millisecondsPerToken)) {
+        return "the upstream is silent";
+    }
+    const bool isLateAnswer = m_route->kind == CallKind::Idempotent && now - attempt.begunAt > m_route->targetLatency * LateAnswerFactor;
+    if (isLateAnswer) {
+        return "no answer in twice the target latency";
+    }
+    if (m_firstAt && now - std::max(m_lastPieceAt, attempt.begunAt) > LongestStreamPause) {
+        return "the stream has stopped";
+    }
+    return {};
+}
+
 void Exchange::releaseAttempt(AttemptEnd end)
 {
+    m_progressTimer.cancel();
     Attempt &attempt = *m_attempt;
     const base::TimePoint now = m_plane.now();
     m_plane.book().ended(*attempt.record, attempt.weight, attempt.hasStarted, end, now);
@@ -630,6 +680,7 @@
                                                        {"reason", std::string(reason)},
                                                        {"queued_ms", milliseconds(m_sentAt.value_or(now) - m_begun)},
                                                        {"first_ms", m_firstAt ? milliseconds(*m_firstAt - m_begun) : std::string("-")},
+                                                       {"pause_ms", milliseconds(m_longestPause)},
                                                        {"total_ms", milliseconds(now - m_begun)},
                                                        {"table", std::to_string(m_view->table ? m_view->table->version : 0)},
                                                        {"view", std::to_string(m_plane.view()->sequence)},
--- a/carawaylatch/proxy/exchange.h
+++ b/carawaylatch/proxy/exchange.h
@@ -25,6 +25,21 @@
 namespace carawaylatch::proxy
 {
 
+// One attempt of an exchange, from its placement to its end.
+struct Attempt
+{
+    std::shared_ptr<UpstreamConnection> connection;
+    UpstreamRecord *record = nullptr;
+    AttemptWeight weight;
+    base::TimePoint begunAt;
+    bool isSent = false;
+    bool hasStarted = false;
+    bool holdsParts = false; // of the prompt, as placed
+    HttpResponseHead head;
+    UpstreamAnswer answer;
+    std::string body; // of an answer that is passed on whole
+};
+
 class Exchange : public std::enable_shared_from_this<Exchange>, public AnswerListener
 {
 public:
@@ -45,21 +60,6 @@
     void onBroken(std::string_view problem) override;
 
 private:
-    // The attempt under way.
-    struct Attempt
-    {
-        std::shared_ptr<UpstreamConnection> connection;
-        UpstreamRecord *record = nullptr;
-        AttemptWeight weight;
-        base::TimePoint begunAt;
-        bool isSent = false;
-        bool hasStarted = false;
-        bool holdsParts = false; // of the prompt, as placed
-        HttpResponseHead head;
-        UpstreamAnswer answer;
-        std::string body; // of an answer that is passed on whole
-    };
-
     [[nodiscard]] bool check();
     void choosePool();
     [[nodiscard]] bool isAuthorised();
@@ -76,6 +76,9 @@
     void beginStream();
     void forwardStream(std::string_view bytes);
     void onTimeout();
+    // Gives an attempt up that makes no progress, where the request may go to another upstream.
+    void watchProgress();
+    [[nodiscard]] std::string_view stallReason(base::TimePoint now) const;
     void refuse(std::string_view reason, base::Duration retryAfter);
     void answerOwn(unsigned status, std::string_view reason, base::Duration retryAfter);
     void breakOff(std::string_view reason);
@@ -105,13 +108,16 @@
     std::uint32_t m_urgency = 0;
     std::vector<base::UpstreamId> m_tried;
     AttemptHistory m_history;
-    std::optional<Attempt> m_attempt;
+    std::optional<Attempt> m_attempt; // under way
     std::optional<WaitQueue::Key> m_queueKey; // while waiting
     base::TimerService::Subscription m_deadlineTimer;
     base::TimerService::Subscription m_queueTimer;
+    base::TimerService::Subscription m_progressTimer; // while an attempt of a repeatable request is under way
     EventScanner m_scanner;
     std::optional<base::TimePoint> m_sentAt; // of the first attempt that was sent
     std::optional<base::TimePoint> m_firstAt; // first byte of the answer
+    base::TimePoint m_lastPieceAt; // of a stream
+    base::Duration m_longestPause{}; // between two pieces of a stream
     base::UpstreamId m_lastUpstream;
     bool m_isStreaming = false; // the answer's head went to the caller
     bool m_isPassingOn = false; // m_isStreaming, and not a resumable stream
--- a/carawaylatch/proxy/fleet.h
+++ b/carawaylatch/proxy/fleet.h
@@ -154,6 +154,7 @@
     std::vector<Upstream> upstreams; // ordered by id
     std::map<base::ModelId, WeightsTarget> targets;
     std::set<base::UpstreamId> reloading; // changing weights, or about to: gets no new request
+    std::set<base::Endpoint> deadCacheStores; // did not answer of late
     std::uint32_t routers = 1; // that share budgets; at least one
     std::uint64_t sequence = 0; // of this snapshot in this process
 };
--- a/carawaylatch/proxy/placement.cpp
+++ b/carawaylatch/proxy/placement.cpp
@@ -163,7 +163,7 @@
             result.verdict = result.record == nullptr ? PlacementVerdict::Full : result.verdict;
             continue;
         }
-        const bool isToAvoid = query.now < record->avoidUntil;
+        const bool isToAvoid = query.now < record->avoidUntil || record->isSilent(query.now, tuning.millisecondsPerToken);
         const double cost = costOf(scene, *record, book);
         const bool isBetter = result.record == nullptr || (isAvoided && !isToAvoid) || (isAvoided == isToAvoid && cost < result.cost);
         if (isBetter) {
--- a/carawaylatch/proxy/testing/decisionstest.cpp
+++ b/carawaylatch/proxy/testing/decisionstest.cpp
@@ -216,6 +216,7 @@
     CPPUNIT_TEST(testServicesFillUp);
     CPPUNIT_TEST(testEngineMemoryIsCounted);
     CPPUNIT_TEST(testFailedUpstreamIsAvoidedThenTriedAgain);
+    CPPUNIT_TEST(testSilentUpstreamIsAvoided);
     CPPUNIT_TEST_SUITE_END();
 
     FleetView m_view;
@@ -327,7 +328,7 @@
             const auto placement = placeNow(query(7));
             CPPUNIT_ASSERT(placement.verdict == PlacementVerdict::Chosen);
             used.insert(placement.record->upstream.id.value());
-            m_book.began(*placement.record, AttemptWeight{9100, 9000});
+            m_book.began(*placement.record, AttemptWeight{9100, 9000}, Start);
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t{3}, used.size());
     }
@@ -336,7 +337,7 @@
     {
         int placed = 0;
         while (placeNow(serviceQuery()).verdict == PlacementVerdict::Chosen) {
-            m_book.began(*placeNow(serviceQuery()).record, {});
+            m_book.began(*placeNow(serviceQuery()).record, {}, Start);
             ++placed;
         }
         CPPUNIT_ASSERT_EQUAL(static_cast<int>(2 * 2 * m_tuning.serviceQueueFactor), placed);
@@ -347,7 +348,7 @@
     {
         int placed = 0;
         for (; placeNow(query(0)).verdict == PlacementVerdict::Chosen; ++placed) {
-            m_book.began(*placeNow(query(0)).record, AttemptWeight{9100, 0});
+            m_book.began(*placeNow(query(0)).record, AttemptWeight{9100, 0}, Start);
         }
         CPPUNIT_ASSERT_MESSAGE("nine prompts of 9,100 tokens fit into 90% of 100,000", placed == 3 * 9);
     }
@@ -355,16 +356,35 @@
     void testFailedUpstreamIsAvoidedThenTriedAgain()
     {
         UpstreamRecord *record = m_book.find(base::UpstreamId("s1"));
-        m_book.began(*record, {});
+        m_book.began(*record, {}, Start);
         m_book.ended(*record, {}, false, AttemptEnd::NotSent, Start);
         CPPUNIT_ASSERT_EQUAL(std::string("s2"), placeNow(serviceQuery()).record->upstream.id.value());
         PlacementQuery later = serviceQuery();
         later.now = record->avoidUntil;
         for (int i = 0; i < 3; ++i) {
-            m_book.began(*m_book.find(base::UpstreamId("s2")), {});
+            m_book.began(*m_book.find(base::UpstreamId("s2")), {}, Start);
         }
         CPPUNIT_ASSERT_EQUAL(std::string("s1"), placeNow(later).record->upstream.id.value());
     }
+
+    // Silence counts only while requests are under way, and reading a prompt is none.
+    void testSilentUpstreamIsAvoided()
+    {
+        UpstreamRecord *record = m_book.find(base::UpstreamId("e1"));
+        const base::TimePoint later = Start + base::milliseconds{900};
+        CPPUNIT_ASSERT(!record->isSilent(later, m_tuning.millisecondsPerToken));
+        m_book.began(*record, {}, Start);
+        CPPUNIT_ASSERT(record->isSilent(later, m_tuning.millisecondsPerToken));
+        m_book.heard(*record, Start + base::milliseconds{200});
+        CPPUNIT_ASSERT(!record->isSilent(later, m_tuning.millisecondsPerToken));
+        m_book.began(*record, AttemptWeight{40'000, 40'000}, Start);
+        CPPUNIT_ASSERT(!record->isSilent(Start + base::seconds{3}, m_tuning.millisecondsPerToken));
+        m_book.started(*record, AttemptWeight{40'000, 40'000});
+        CPPUNIT_ASSERT(record->isSilent(Start + base::seconds{3}, m_tuning.millisecondsPerToken));
+        for (std::uint64_t prompt = 1; prompt < 20; ++prompt) {
+            CPPUNIT_ASSERT(placeNow(query(prompt, Start + base::seconds{3})).record != record);
+        }
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(PlacementTest);
 
--- a/carawaylatch/proxy/trafficplane.cpp
+++ b/carawaylatch/proxy/trafficplane.cpp
@@ -68,7 +68,7 @@
 
 base::Result<void> TrafficPlane::listen()
 {
-    if (const auto result = listenOn(*m_callersListener, m_settings.callers); !result) {
+    if (auto result = listenOn(*m_callersListener, m_settings.callers); !result) {
         return result;
     }
     return listenOn(*m_operatorsListener, m_settings.operators);
--- a/carawaylatch/proxy/upstreambook.cpp
+++ b/carawaylatch/proxy/upstreambook.cpp
@@ -28,6 +28,16 @@
     return inflight + othersLoad * fading;
 }
 
+bool UpstreamRecord::isSilent(base::TimePoint now, double millisecondsPerToken) const
+{
+    // Above a load of weights, which holds an engine's runs up for about 600 ms.
+    constexpr base::Duration LongestPause = base::milliseconds{800};
+    // Prompts of other routers are read before and between this one's.
+    constexpr double ReadingMargin = 3;
+    const base::Duration reading = base::fromSeconds(static_cast<double>(unreadTokens) * millisecondsPerToken * ReadingMargin / 1000);
+    return inflight > 0 && now - quietSince > LongestPause + reading;
+}
+
 void UpstreamBook::adopt(const FleetView &view, base::TimePoint now)
 {
     for (auto &[id, record] : m_records) {
@@ -71,8 +81,16 @@
     return it == m_members.end() ? m_noMembers : it->second;
 }
 
-void UpstreamBook::began(UpstreamRecord &record, const AttemptWeight &weight)
+void UpstreamBook::heard(UpstreamRecord &record, base::TimePoint now)
 {
+    record.quietSince = now;
+}
+
+void UpstreamBook::began(UpstreamRecord &record, const AttemptWeight &weight, base::TimePoint now)
+{
+    if (record.inflight == 0) {
+        record.quietSince = now;
+    }
     ++record.inflight;
     record.inflightTokens += weight.memoryTokens;
     record.unreadTokens += weight.unreadTokens;
--- a/carawaylatch/proxy/upstreambook.h
+++ b/carawaylatch/proxy/upstreambook.h
@@ -34,11 +34,15 @@
     double failureShare = 0; // of recent attempts, weighted towards the newest
     std::uint32_t failuresInRow = 0; // connections that could not be made
     base::TimePoint avoidUntil; // gets nothing before, unless nothing else is left
+    base::TimePoint quietSince; // last byte heard, or when the first of the requests under way was sent
 
     static constexpr base::Duration SampleLife = base::seconds{1}; // answers come many times a second under load
 
     // Requests at the upstream, own and others'.
     [[nodiscard]] double load(base::TimePoint now) const;
+    // True if requests are under way and nothing was heard of any for longer than
+    // reading their prompts can take: the upstream or the path to it is dead.
+    [[nodiscard]] bool isSilent(base::TimePoint now, double millisecondsPerToken) const;
 };
 
 // How much one attempt weighs on its upstream.
@@ -57,7 +61,9 @@
     // Listed upstreams of a pool, in order of id.
     [[nodiscard]] const std::vector<UpstreamRecord *> &members(const base::PoolName &pool) const;
 
-    void began(UpstreamRecord &record, const AttemptWeight &weight);
+    void began(UpstreamRecord &record, const AttemptWeight &weight, base::TimePoint now);
+    // Bytes of an answer have arrived.
+    void heard(UpstreamRecord &record, base::TimePoint now);
     // The first event or the head of the answer has arrived.
     void started(UpstreamRecord &record, const AttemptWeight &weight);
     void ended(UpstreamRecord &record, const AttemptWeight &weight, bool hasStarted, AttemptEnd end, base::TimePoint now);
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -9,12 +9,15 @@
 mkdir -p "$cache"
 export build cache
 lint_one() {
+    # clang 14 knows coroutines but does not say so, and libstdc++ and Asio ask for the macros.
+    local coroutines=(--extra-arg=-D__cpp_impl_coroutine=201902L --extra-arg=-D__cpp_lib_coroutine=201902L
+        --extra-arg=-DBOOST_ASIO_HAS_CO_AWAIT=1 --extra-arg=-DBOOST_ASIO_HAS_STD_COROUTINE=1 --extra-arg=-Wno-builtin-macro-redefined --extra-arg=-Wno-macro-redefined)
     local key
     key=$( (cat .clang-tidy; clang-tidy --version; cat "$1"; g++ -std=c++20 -I. -MM "$1" 2>/dev/null | tr -d '\\' | tr ' ' '\n' | grep -v -e ':$' -e '^$' | sort -u | xargs cat) | sha256sum | cut -d' ' -f1)
     if [ -e "$cache/$key" ]; then
         return 0
     fi
-    if clang-tidy --quiet -p "$build" "$1" 2>"$cache/$$.err"; then
+    if clang-tidy --quiet -p "$build" "${coroutines[@]}" "$1" 2>"$cache/$$.err"; then
         touch "$cache/$key"
     else
         grep -E 'error:' "$cache/$$.err" || true
