Silence ends an attempt only where another server can take it

Change: a stalled attempt is given up only if the budget allows a send and another upstream has room. Test: fails before, passes now.

--- a/carawaylatch/proxy/exchange.cpp
+++ b/carawaylatch/proxy/exchange.cpp
@@ -188,7 +188,7 @@
     return m_begun + kept - now;
 }
 
-bool Exchange::tryToPlace()
+PlacementResult Exchange::findPlace() const
 {
     const auto view = m_plane.view();
     PlacementQuery query;
@@ -201,7 +201,12 @@
     query.memoryTokens = m_request.promptTokens + m_request.maxAnswerTokens;
     query.domain = m_plane.settings().domain;
     query.excluded = m_tried;
-    const PlacementResult placement = place(query, *view, m_plane.book(), m_plane.settings().placement);
+    return place(query, *view, m_plane.book(), m_plane.settings().placement);
+}
+
+bool Exchange::tryToPlace()
+{
+    const PlacementResult placement = findPlace();
     if (placement.verdict != PlacementVerdict::Chosen) {
         return false;
     }
@@ -488,7 +493,8 @@
             return;
         }
         const std::string_view reason = self->stallReason(now);
-        if (!reason.empty()) {
+        // Silence alone ends nothing: the attempt is given up only for a better one.
+        if (!reason.empty() && self->m_plane.budget(self->m_pool).mayTake(now) && self->findPlace().verdict == PlacementVerdict::Chosen) {
             self->endAttempt(AttemptEnd::Broken, reason);
         }
     });
--- a/carawaylatch/proxy/exchange.h
+++ b/carawaylatch/proxy/exchange.h
@@ -61,6 +61,7 @@
 
 private:
     [[nodiscard]] bool check();
+    [[nodiscard]] PlacementResult findPlace() const;
     void choosePool();
     [[nodiscard]] bool isAuthorised();
     void placeOrWait();
--- a/carawaylatch/relay/retrybudget.cpp
+++ b/carawaylatch/relay/retrybudget.cpp
@@ -49,9 +49,9 @@
     ++slotAt(now).taken;
 }
 
-bool RetryBudget::tryTake(base::TimePoint now)
+bool RetryBudget::mayTake(base::TimePoint now)
 {
-    Slot &current = slotAt(now);
+    const Slot &current = slotAt(now);
     std::uint64_t requests = 0;
     std::uint64_t taken = 0;
     for (const Slot &slot : m_slots) {
@@ -60,10 +60,15 @@
             taken += slot.taken;
         }
     }
-    if (static_cast<double>(taken) + 1 > m_options.reserve + m_options.share * static_cast<double>(requests)) {
+    return static_cast<double>(taken) + 1 <= m_options.reserve + m_options.share * static_cast<double>(requests);
+}
+
+bool RetryBudget::tryTake(base::TimePoint now)
+{
+    if (!mayTake(now)) {
         return false;
     }
-    ++current.taken;
+    ++slotAt(now).taken;
     return true;
 }
 
--- a/carawaylatch/relay/retrybudget.h
+++ b/carawaylatch/relay/retrybudget.h
@@ -47,6 +47,8 @@
     void charge(base::TimePoint now);
     // Takes one retry or hedge out of the budget; false if it is used up.
     [[nodiscard]] bool tryTake(base::TimePoint now);
+    // Tells whether tryTake() would succeed.
+    [[nodiscard]] bool mayTake(base::TimePoint now);
 
 private:
     static constexpr std::size_t WindowSlots = 10; // of one second each
