--- a/carawaylatch/gateway/gatewaysettings.cpp
+++ b/carawaylatch/gateway/gatewaysettings.cpp
@@ -163,11 +163,12 @@
 {
     // A request that is let in runs a moment later, and a confirmation is as old as
     // the watch that gave it: both stay within the rest.
-    constexpr double UsedAgeShare = 0.72;
+    constexpr double UsedAgeShare = 0.9;
     // Above the age that a watch in good order reaches, so that readiness doesn't flap.
     constexpr double ReadyAgeShare = 0.62;
     constexpr double MaxBodiesShare = 0.125; // of the process's memory
-    constexpr double OldWeightsShare = 0.8; // the last requests on older weights begin within it
+    constexpr double OldWeightsShare = 0.8; // the last requests on older weights are sent within it
+    constexpr double OldWeightsStartShare = 0.925; // and begin within this; the rest covers the way and late news
     proxy::TrafficSettings out;
     out.domain = base::FailureDomain(failureDomain);
     out.callers = callers;
@@ -178,6 +179,7 @@
     out.readyTableAge = fromMilliseconds(maxAgeMs * ReadyAgeShare);
     out.maxBodyBytesHeld = static_cast<std::uint64_t>(memoryMegabytes * 1e6 * MaxBodiesShare);
     out.placement.oldWeightsLimit = fromMilliseconds(changeWithinMs * OldWeightsShare);
+    out.placement.oldWeightsStart = fromMilliseconds(changeWithinMs * OldWeightsStartShare);
     return out;
 }
 
--- a/carawaylatch/proxy/exchange.cpp
+++ b/carawaylatch/proxy/exchange.cpp
@@ -354,6 +354,7 @@
         m_plane.book().placed(promptStateKey(m_promptKey, attempt.record->weights), attempt.record->upstream.id);
     }
     m_scanner.restart();
+    watchStart();
     attempt.connection->send(std::move(head), m_body, m_request.id, m_head.method == "HEAD", weak_from_this());
 }
 
@@ -485,6 +486,22 @@
     }
 }
 
+void Exchange::watchStart()
+{
+    const auto view = m_plane.view();
+    const auto target = view->targets.find(m_request.model);
+    const auto replacedAt = target != view->targets.end() ? target->second.replacedAt(m_attempt->record->weights) : std::nullopt;
+    if (!replacedAt) {
+        return;
+    }
+    m_startTimer = m_plane.timers().after(*replacedAt, m_plane.settings().placement.oldWeightsStart, [weak = weak_from_this()](base::TimePoint) {
+        const auto self = weak.lock();
+        if (self && self->m_attempt && !self->m_attempt->hasStarted) {
+            self->endAttempt(AttemptEnd::Broken, "not begun before its weights were too old");
+        }
+    });
+}
+
 void Exchange::watchProgress()
 {
     m_progressTimer = m_plane.timers().every(m_plane.now(), ProgressInterval, [weak = weak_from_this()](base::TimePoint now) {
@@ -523,6 +540,7 @@
 void Exchange::releaseAttempt(AttemptEnd end)
 {
     m_progressTimer.cancel();
+    m_startTimer.cancel();
     Attempt &attempt = *m_attempt;
     const base::TimePoint now = m_plane.now();
     m_plane.book().ended(*attempt.record, attempt.weight, attempt.hasStarted, end, now);
--- a/carawaylatch/proxy/exchange.h
+++ b/carawaylatch/proxy/exchange.h
@@ -79,6 +79,8 @@
     void onTimeout();
     // Gives an attempt up that makes no progress, where the request may go to another upstream.
     void watchProgress();
+    // Takes an attempt back that waits at an engine until its weights are too old.
+    void watchStart();
     [[nodiscard]] std::string_view stallReason(base::TimePoint now) const;
     void refuse(std::string_view reason, base::Duration retryAfter);
     void answerOwn(unsigned status, std::string_view reason, base::Duration retryAfter);
@@ -113,6 +115,7 @@
     std::optional<WaitQueue::Key> m_queueKey; // while waiting
     base::TimerService::Subscription m_deadlineTimer;
     base::TimerService::Subscription m_queueTimer;
+    base::TimerService::Subscription m_startTimer; // while an attempt on older weights has not begun
     base::TimerService::Subscription m_progressTimer; // while an attempt of a repeatable request is under way
     EventScanner m_scanner;
     std::optional<base::TimePoint> m_sentAt; // of the first attempt that was sent
--- a/carawaylatch/proxy/fleet.cpp
+++ b/carawaylatch/proxy/fleet.cpp
@@ -39,6 +39,14 @@
     return oldest;
 }
 
+std::optional<base::TimePoint> WeightsTarget::replacedAt(base::WeightsVersion weights) const
+{
+    const auto it = std::find_if(namings.begin(), namings.end(), [weights](const Naming &naming) {
+        return naming.version > weights;
+    });
+    return it == namings.end() ? std::nullopt : std::optional(it->seenAt);
+}
+
 const Customer *RouteTable::customerOf(const std::string &key) const
 {
     const auto it = keys.find(key);
--- a/carawaylatch/proxy/fleet.h
+++ b/carawaylatch/proxy/fleet.h
@@ -146,6 +146,8 @@
     // The oldest version that may still be used when each version must be in use
     // everywhere within `limit` of its naming; zero: any.
     [[nodiscard]] base::WeightsVersion oldestAllowed(base::TimePoint now, base::Duration limit) const;
+    // When the first version above these weights was named; nothing if they are the newest.
+    [[nodiscard]] std::optional<base::TimePoint> replacedAt(base::WeightsVersion weights) const;
 };
 
 struct FleetView
--- a/carawaylatch/proxy/placement.cpp
+++ b/carawaylatch/proxy/placement.cpp
@@ -51,7 +51,7 @@
     if (!scene.pool->engine) {
         return load < slots * scene.tuning.serviceQueueFactor;
     }
-    if (load >= slots) {
+    if (load >= slots || record.isBackedUp(scene.query.now)) {
         return false;
     }
     const auto memory = static_cast<double>(scene.pool->engine->cacheTokens);
--- a/carawaylatch/proxy/placement.h
+++ b/carawaylatch/proxy/placement.h
@@ -32,6 +32,7 @@
     double failureMilliseconds = 1500; // expected loss of a failed attempt
     std::uint32_t serviceQueueFactor = 2; // requests at a plain service for each of its slots
     base::Duration oldWeightsLimit = base::seconds{6}; // after a new version is named, older weights get no request
+    base::Duration oldWeightsStart = base::milliseconds{7400}; // by then a request on older weights has begun, or is taken back
 };
 
 struct PlacementQuery
--- a/carawaylatch/proxy/upstreambook.cpp
+++ b/carawaylatch/proxy/upstreambook.cpp
@@ -28,6 +28,13 @@
     return inflight + othersLoad * fading;
 }
 
+bool UpstreamRecord::isBackedUp(base::TimePoint now) const
+{
+    constexpr std::uint32_t MostWaiting = 1; // one that waits for the next step is no queue
+    constexpr base::Duration BackedUpLife = base::milliseconds{300}; // about the time in which an engine ends a request
+    return waiting > MostWaiting && now - sampledAt < BackedUpLife;
+}
+
 bool UpstreamRecord::isSilent(base::TimePoint now, double millisecondsPerToken) const
 {
     // Above a load of weights, which holds an engine's runs up for about 600 ms.
@@ -126,6 +133,7 @@
 {
     const std::uint32_t total = sample.running + sample.waiting;
     record.othersLoad = total > record.inflight ? total - record.inflight : 0;
+    record.waiting = sample.waiting;
     record.sampledAt = now;
 }
 
--- a/carawaylatch/proxy/upstreambook.h
+++ b/carawaylatch/proxy/upstreambook.h
@@ -29,6 +29,7 @@
     std::uint64_t unreadTokens = 0; // prompt tokens of those without a first event
     // Requests of others at the time of the last sample; trusted for SampleLife.
     std::uint32_t othersLoad = 0;
+    std::uint32_t waiting = 0; // requests that waited at the upstream then
     base::TimePoint sampledAt;
     base::WeightsVersion weights; // newest version known of its model; zero: unknown
     double failureShare = 0; // of recent attempts, weighted towards the newest
@@ -38,6 +39,8 @@
 
     static constexpr base::Duration SampleLife = base::seconds{1}; // answers come many times a second under load
 
+    // True if requests waited at the upstream a moment ago: one more would wait too.
+    [[nodiscard]] bool isBackedUp(base::TimePoint now) const;
     // Requests at the upstream, own and others'.
     [[nodiscard]] double load(base::TimePoint now) const;
     // True if requests are under way and nothing was heard of any for longer than
--- a/scripts/check.d/proof.sh
+++ b/scripts/check.d/proof.sh
@@ -7,7 +7,7 @@
 file=
 while read -r word; do
     case $word in
-    *test.cpp) file=$(find carawaylatch tools -path "*/$word" | head -1) ;;
+    *test.cpp) file=$(find ./carawaylatch ./platform ./tools -path "*/$word" | head -1) ;;
     '`test'*)
         name=$(tr -d '`' <<<"$word")
         count=$((count + 1))
