Metrics on an address of their own; latency histograms by kind of call

Cause: the platform fetches metrics at one fixed port, and there were counters only. Change: optional [gateway] metrics address, served beside the operators' one; histograms of the time to the first byte and to the end, by kind of call; includes in the order that the formatter wants after the rename of the store's folder.

--- a/carawaylatch/gateway/gateway.cpp
+++ b/carawaylatch/gateway/gateway.cpp
@@ -177,6 +177,7 @@
     // Addresses and the id hold for the life of the process.
     settings.value().callers = m_settings.callers;
     settings.value().operators = m_settings.operators;
+    settings.value().metrics = m_settings.metrics;
     settings.value().id = m_settings.id;
     m_settings = std::move(settings.value());
     m_traffic->applySettings(m_settings.traffic());
--- a/carawaylatch/gateway/gatewaysettings.cpp
+++ b/carawaylatch/gateway/gatewaysettings.cpp
@@ -19,11 +19,12 @@
 using Key = GatewaySettingsKey;
 using S = GatewaySettings;
 
-constexpr std::array<Key, 14> Keys{
+constexpr std::array<Key, 15> Keys{
     Key{"gateway", "id", "name", "names this VM; one process at a time has it", true, &S::id},
     Key{"gateway", "failure_domain", "name", "failure domain of this VM", true, &S::failureDomain},
     Key{"gateway", "callers", "endpoint", "where callers connect", true, nullptr, &S::callers},
     Key{"gateway", "operators", "endpoint", "where readiness and metrics are asked for", true, nullptr, &S::operators},
+    Key{"gateway", "metrics", "endpoint", "where metrics alone are asked for, beside the operators' address", false, nullptr, &S::metrics},
     Key{"gateway", "memory_mb", "number", "megabytes that the process may use; an eighth of it holds request bodies", false, nullptr, nullptr,
         &S::memoryMegabytes},
     Key{"gateway", "grace_seconds", "number", "seconds from the stop signal to the end of the process", false, nullptr, nullptr, &S::graceSeconds},
@@ -173,6 +174,7 @@
     out.domain = base::FailureDomain(failureDomain);
     out.callers = callers;
     out.operators = operators;
+    out.metrics = metrics;
     out.retryShare = retryShare;
     out.retryReserve = static_cast<std::uint32_t>(retryReserve);
     out.maxTableAge = fromMilliseconds(maxAgeMs * UsedAgeShare);
--- a/carawaylatch/proxy/exchange.cpp
+++ b/carawaylatch/proxy/exchange.cpp
@@ -687,7 +687,13 @@
     }
     m_attempt.reset();
     TrafficCounts &counts = m_plane.counts();
-    counts.served += outcome == "served" ? 1 : 0;
+    if (outcome == "served") {
+        const auto kind = static_cast<std::size_t>(m_route->kind);
+        const base::TimePoint end = m_plane.now();
+        ++counts.served;
+        ++counts.firstByte[kind].counts[telemetry::latencyBucket(m_firstAt.value_or(end) - m_begun)];
+        ++counts.total[kind].counts[telemetry::latencyBucket(end - m_begun)];
+    }
     counts.refused += outcome == "refused" ? 1 : 0;
     counts.rejected += outcome == "rejected" ? 1 : 0;
     counts.failed += outcome == "failed" || outcome == "broken_off" || outcome == "upstream_error" ? 1 : 0;
--- a/carawaylatch/proxy/fleet.cpp
+++ b/carawaylatch/proxy/fleet.cpp
@@ -6,6 +6,19 @@
 namespace carawaylatch::proxy
 {
 
+std::string_view callKindName(CallKind kind)
+{
+    switch (kind) {
+    case CallKind::Idempotent:
+        return "idempotent";
+    case CallKind::AtMostOnce:
+        return "at_most_once";
+    case CallKind::Stream:
+        return "stream";
+    }
+    return "";
+}
+
 const Route *RouteTable::match(std::string_view host, std::string_view target) const
 {
     const std::string_view path = target.substr(0, target.find_first_of("?#"));
--- a/carawaylatch/proxy/fleet.h
+++ b/carawaylatch/proxy/fleet.h
@@ -28,6 +28,8 @@
     AtMostOnce, // an upstream may get it once
     Stream, // a series of events; at most once unless the route allows resuming
 };
+constexpr std::size_t CallKindCount = static_cast<std::size_t>(CallKind::Stream) + 1;
+[[nodiscard]] std::string_view callKindName(CallKind kind);
 
 struct PoolShare
 {
--- a/carawaylatch/proxy/trafficplane.cpp
+++ b/carawaylatch/proxy/trafficplane.cpp
@@ -26,6 +26,24 @@
     return Reply{status, {}, {{"Content-Type", "text/plain; version=0.0.4"}}, std::move(body)};
 }
 
+// In the text form of Prometheus; the last bucket has no upper edge.
+void appendHistogram(std::string &out, std::string_view name, std::string_view kind, const telemetry::LatencyCounts &counts)
+{
+    constexpr std::size_t BucketStep = 4; // each bucket shown is twice the one before; finer ones stay in the process
+    const std::string start = "carawaylatch_gateway_" + std::string(name);
+    std::uint64_t below = 0;
+    for (std::size_t i = 0; i + 1 < counts.counts.size(); ++i) {
+        below += counts.counts[i];
+        if ((i + 1) % BucketStep == 0) {
+            const std::string edge = std::to_string(base::toSeconds(telemetry::latencyBucketEdge(i)));
+            out.append(start).append("_bucket{kind=\"").append(kind).append("\",le=\"").append(edge).append("\"} ").append(std::to_string(below)).append("\n");
+        }
+    }
+    const std::string total = std::to_string(counts.total());
+    out.append(start).append("_bucket{kind=\"").append(kind).append("\",le=\"+Inf\"} ").append(total).append("\n");
+    out.append(start).append("_count{kind=\"").append(kind).append("\"} ").append(total).append("\n");
+}
+
 } // namespace
 
 struct TrafficPlane::Listener
@@ -54,6 +72,7 @@
     , m_view(std::make_shared<const FleetView>())
     , m_callersListener(std::make_unique<Listener>(loop))
     , m_operatorsListener(std::make_unique<Listener>(loop))
+    , m_metricsListener(std::make_unique<Listener>(loop))
     , m_random(static_cast<std::uint64_t>(clock.now().time_since_epoch().count()))
 {
     m_tick = m_timers.every(now(), TickInterval, [this](base::TimePoint) {
@@ -71,7 +90,10 @@
     if (auto result = listenOn(*m_callersListener, m_settings.callers); !result) {
         return result;
     }
-    return listenOn(*m_operatorsListener, m_settings.operators);
+    if (auto result = listenOn(*m_operatorsListener, m_settings.operators); !result || m_settings.metrics.port == 0) {
+        return result;
+    }
+    return listenOn(*m_metricsListener, m_settings.metrics);
 }
 
 base::Result<void> TrafficPlane::listenOn(Listener &listener, const base::Endpoint &endpoint)
@@ -195,6 +217,7 @@
     boost::system::error_code ignored;
     m_callersListener->acceptor.close(ignored);
     m_operatorsListener->acceptor.close(ignored);
+    m_metricsListener->acceptor.close(ignored);
     m_timer.cancel();
     const std::vector<std::shared_ptr<CallerConnection>> callers(m_callers.begin(), m_callers.end());
     for (const auto &caller : callers) {
@@ -472,6 +495,11 @@
     for (const auto &[pool, queue] : m_queues) {
         out.append("carawaylatch_gateway_waiting{pool=\"").append(pool.value()).append("\"} ").append(std::to_string(queue.size())).append("\n");
     }
+    for (std::size_t i = 0; i < CallKindCount; ++i) {
+        const std::string_view kind = callKindName(static_cast<CallKind>(i));
+        appendHistogram(out, "first_byte_seconds", kind, m_counts.firstByte[i]);
+        appendHistogram(out, "total_seconds", kind, m_counts.total[i]);
+    }
     return out;
 }
 
--- a/carawaylatch/proxy/trafficplane.h
+++ b/carawaylatch/proxy/trafficplane.h
@@ -6,6 +6,7 @@
 // TrafficObserver, called on the traffic thread.
 #pragma once
 
+#include <array>
 #include <atomic>
 #include <cstdint>
 #include <deque>
@@ -31,6 +32,7 @@
 #include "carawaylatch/proxy/waitqueue.h"
 #include "carawaylatch/relay/retrybudget.h"
 #include "carawaylatch/telemetry/decisionlog.h"
+#include "carawaylatch/telemetry/latencycounts.h"
 
 namespace carawaylatch::proxy
 {
@@ -40,6 +42,7 @@
     base::FailureDomain domain;
     base::Endpoint callers; // where callers connect
     base::Endpoint operators; // where readiness and metrics are asked for
+    base::Endpoint metrics; // where metrics alone are asked for; port zero: nowhere
     double retryShare = 0.2; // sends beyond the first, for each request of a pool, over all routers
     std::uint32_t retryReserve = 50; // such sends in ten seconds beside the share, over all routers
     base::Duration maxTableAge{}; // requests with a key are refused beyond it; zero: no limit
@@ -70,6 +73,8 @@
     std::uint64_t reads = 0; // wake-ups of the loop with bytes of upstreams
     std::uint64_t foreignAnswers = 0;
     std::uint64_t resumed = 0;
+    std::array<telemetry::LatencyCounts, CallKindCount> firstByte{}; // of served requests, by CallKind
+    std::array<telemetry::LatencyCounts, CallKindCount> total{}; // likewise
 };
 
 // What traffic tells the control thread.
@@ -173,6 +178,7 @@
     std::set<std::shared_ptr<CallerConnection>> m_callers;
     std::unique_ptr<Listener> m_callersListener;
     std::unique_ptr<Listener> m_operatorsListener;
+    std::unique_ptr<Listener> m_metricsListener;
     base::TimerService::Subscription m_tick;
     base::Random m_random;
     TrafficCounts m_counts;
--- a/carawaylatch/router/controlstate.h
+++ b/carawaylatch/router/controlstate.h
@@ -9,9 +9,9 @@
 #include "carawaylatch/base/eventloop.h"
 #include "carawaylatch/base/ids.h"
 #include "carawaylatch/config/settings.h"
-#include "carawaylatch/store/objectstore.h"
 #include "carawaylatch/router/knowledge.h"
 #include "carawaylatch/router/published.h"
+#include "carawaylatch/store/objectstore.h"
 
 namespace carawaylatch::router
 {
--- a/carawaylatch/router/operatordesk.h
+++ b/carawaylatch/router/operatordesk.h
@@ -7,10 +7,10 @@
 #include "carawaylatch/base/eventloop.h"
 #include "carawaylatch/http/operatorsserver.h"
 #include "carawaylatch/peer/transport.h"
-#include "carawaylatch/store/httpobjectstore.h"
 #include "carawaylatch/router/statusbuilder.h"
 #include "carawaylatch/router/trafficplane.h"
 #include "carawaylatch/router/upstreamcontroller.h"
+#include "carawaylatch/store/httpobjectstore.h"
 #include "carawaylatch/telemetry/dashboardseries.h"
 
 namespace carawaylatch::router
--- a/carawaylatch/router/router.cpp
+++ b/carawaylatch/router/router.cpp
@@ -16,7 +16,6 @@
 #include "carawaylatch/http/serviceclient.h"
 #include "carawaylatch/http/upstreamclient.h"
 #include "carawaylatch/peer/http2transport.h"
-#include "carawaylatch/store/httpobjectstore.h"
 #include "carawaylatch/router/configcontroller.h"
 #include "carawaylatch/router/handovercontroller.h"
 #include "carawaylatch/router/membercontroller.h"
@@ -24,6 +23,7 @@
 #include "carawaylatch/router/platformduties.h"
 #include "carawaylatch/router/trafficplane.h"
 #include "carawaylatch/router/upstreamcontroller.h"
+#include "carawaylatch/store/httpobjectstore.h"
 
 namespace carawaylatch::router
 {
--- a/cmake/gateway.cmake
+++ b/cmake/gateway.cmake
@@ -6,6 +6,6 @@
     carawaylatch/base/time.cpp carawaylatch/base/timerservice.cpp
     carawaylatch/config/inidocument.cpp carawaylatch/config/valuetext.cpp
     carawaylatch/fleet/lease.cpp carawaylatch/fleet/weightscontroller.cpp
-    carawaylatch/relay/retrybudget.cpp carawaylatch/telemetry/decisionlog.cpp)
+    carawaylatch/relay/retrybudget.cpp carawaylatch/telemetry/decisionlog.cpp carawaylatch/telemetry/latencycounts.cpp)
 target_include_directories(carawaylatch-gateway PRIVATE ${CMAKE_SOURCE_DIR})
 target_link_libraries(carawaylatch-gateway PRIVATE Threads::Threads PkgConfig::INIH absl::flags absl::flags_parse absl::flags_usage)
