--- /dev/null
+++ b/bench/proxybench.cpp
@@ -0,0 +1,213 @@
+// Cost of the traffic plane on loopback: processor time and allocations of its
+// thread for a request and for a stream event.
+//
+// One thread runs the plane; callers and the scripted upstream run on another
+// one, so that only the plane's thread is measured.
+#include <benchmark/benchmark.h>
+
+#include <fcntl.h>
+#include <sys/resource.h>
+
+#include <atomic>
+#include <cstdlib>
+#include <future>
+#include <memory>
+#include <new>
+#include <string>
+#include <thread>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+#include "carawaylatch/proxy/trafficplane.h"
+#include "platform/dialect.h"
+#include "platform/testing/standinserver.h"
+
+namespace
+{
+
+std::atomic<std::uint64_t> allocations = 0; // of all threads; the plane's share is told apart by thread
+thread_local bool isCounted = false;
+
+} // namespace
+
+void *operator new(std::size_t size)
+{
+    if (isCounted) {
+        allocations.fetch_add(1, std::memory_order_relaxed);
+    }
+    if (void *memory = std::malloc(size)) {
+        return memory;
+    }
+    std::abort();
+}
+void operator delete(void *memory) noexcept
+{
+    std::free(memory);
+}
+void operator delete(void *memory, std::size_t /*size*/) noexcept
+{
+    std::free(memory);
+}
+
+namespace
+{
+
+namespace base = carawaylatch::base;
+namespace proxy = carawaylatch::proxy;
+using namespace platform::testing;
+
+class NoObserver : public proxy::TrafficObserver
+{
+public:
+    void onWeightsSeen(const base::UpstreamId & /*upstream*/, base::WeightsVersion /*weights*/) override
+    {
+    }
+};
+
+// The plane on its own thread, before one scripted upstream.
+class Bed
+{
+public:
+    explicit Bed(const StandinServer::Script &script)
+        : m_server(m_worldLoop, script)
+        , m_log(::open("/dev/null", O_WRONLY | O_CLOEXEC), 1'000'000, m_clock)
+    {
+        proxy::TrafficSettings settings;
+        settings.callers = {"127.0.0.1", 0};
+        settings.operators = {"127.0.0.1", 0};
+        m_plane = std::make_unique<proxy::TrafficPlane>(m_planeLoop, m_clock, settings, m_dialect, m_observer, m_log, [] {
+            return base::Duration{};
+        });
+        if (!m_plane->listen()) {
+            std::abort();
+        }
+        m_plane->adopt(view());
+        m_planeThread = std::thread([this] {
+            isCounted = true;
+            m_planeLoop.run();
+        });
+        m_worldThread = std::thread([this] {
+            m_worldLoop.run();
+        });
+    }
+    ~Bed()
+    {
+        m_planeLoop.stop();
+        m_worldLoop.stop();
+        m_planeThread.join();
+        m_worldThread.join();
+        m_plane->closeAll();
+        m_planeLoop.restart();
+        m_planeLoop.poll();
+    }
+    Bed(const Bed &) = delete;
+    Bed &operator=(const Bed &) = delete;
+
+    [[nodiscard]] base::Endpoint callers() const
+    {
+        return m_plane->callersEndpoint();
+    }
+    // Processor time of the plane's thread.
+    [[nodiscard]] double planeSeconds()
+    {
+        std::promise<double> seconds;
+        boost::asio::post(m_planeLoop, [&seconds] {
+            timespec time{};
+            clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+            seconds.set_value(static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_nsec) * 1e-9);
+        });
+        return seconds.get_future().get();
+    }
+
+private:
+    std::shared_ptr<const proxy::FleetView> view() const
+    {
+        auto table = std::make_shared<proxy::RouteTable>();
+        table->version = 1;
+        for (const auto &[prefix, kind] : {std::pair{"/call/", proxy::CallKind::Idempotent}, std::pair{"/stream/", proxy::CallKind::Stream}}) {
+            proxy::Route route;
+            route.host = "h";
+            route.pathPrefix = prefix;
+            route.kind = kind;
+            route.isPublic = true;
+            route.isResumable = true;
+            route.pools.push_back({base::PoolName("p"), 1});
+            table->routes.push_back(route);
+        }
+        table->pools.push_back(proxy::Pool{base::PoolName("p"), 100, std::nullopt});
+        auto out = std::make_shared<proxy::FleetView>();
+        out->table = table;
+        proxy::Upstream upstream;
+        upstream.id = base::UpstreamId("i-1");
+        upstream.pool = base::PoolName("p");
+        upstream.endpoint = m_server.endpoint();
+        upstream.slots = 64;
+        out->upstreams.push_back(upstream);
+        return out;
+    }
+
+    boost::asio::io_context m_planeLoop{1};
+    boost::asio::io_context m_worldLoop{1};
+    base::SteadyClock m_clock;
+    platform::HeaderDialect m_dialect;
+    NoObserver m_observer;
+    StandinServer m_server;
+    carawaylatch::telemetry::DecisionLog m_log;
+    std::unique_ptr<proxy::TrafficPlane> m_plane;
+    std::thread m_planeThread;
+    std::thread m_worldThread;
+};
+
+// Sends requests one after the other on one connection and reads each answer to `end`.
+void exchange(benchmark::State &state, Bed &bed, const std::string &request, const std::string &end, int eventsEach)
+{
+    boost::asio::io_context loop;
+    boost::asio::ip::tcp::socket socket(loop);
+    socket.connect({boost::asio::ip::make_address("127.0.0.1"), bed.callers().port});
+    socket.set_option(boost::asio::ip::tcp::no_delay(true));
+    std::string answer;
+    const double before = bed.planeSeconds();
+    const std::uint64_t allocatedBefore = allocations.load();
+    std::int64_t n = 0;
+    for (auto _ : state) {
+        boost::asio::write(socket, boost::asio::buffer(request));
+        answer.clear();
+        boost::asio::read_until(socket, boost::asio::dynamic_buffer(answer), end);
+        ++n;
+    }
+    const double each = static_cast<double>(n) * eventsEach;
+    state.counters["plane_us"] = (bed.planeSeconds() - before) * 1e6 / each;
+    state.counters["allocations"] = static_cast<double>(allocations.load() - allocatedBefore) / each;
+}
+
+void benchCall(benchmark::State &state)
+{
+    Bed bed([](const std::string &, const std::string &id) {
+        return ScriptedAnswer{{okAnswer(id, std::string(799, 'x') + '!')}};
+    });
+    exchange(state, bed, callerRequest("/call/", "a1", {}, std::string(static_cast<std::size_t>(state.range(0)), 'b')), "!", 1);
+}
+BENCHMARK(benchCall)->Arg(600)->Arg(18000)->UseRealTime();
+
+void benchStreamEvent(benchmark::State &state)
+{
+    constexpr int Events = 50;
+    Bed bed([](const std::string &, const std::string &id) {
+        ScriptedAnswer answer{{streamHead(id)}, base::microseconds{300}};
+        for (int i = 1; i <= Events; ++i) {
+            answer.pieces.push_back(chunk(event(i)));
+        }
+        answer.pieces.emplace_back(LastChunk);
+        return answer;
+    });
+    exchange(state, bed, callerRequest("/stream/", "a1"), "0\r\n\r\n", Events);
+}
+BENCHMARK(benchStreamEvent)->UseRealTime();
+
+} // namespace
+
+BENCHMARK_MAIN();
--- a/carawaylatch/base/time.cpp
+++ b/carawaylatch/base/time.cpp
@@ -1,6 +1,8 @@
 // Clocks and conversions between durations and plain numbers.
 #include "carawaylatch/base/time.h"
 
+#include <cstdio>
+
 #include <algorithm>
 
 namespace carawaylatch::base
@@ -21,6 +23,21 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(count));
 }
 
+std::string formatSeconds(Duration duration)
+{
+    char text[32];
+    std::snprintf(text, sizeof text, "%.3f", toSeconds(duration));
+    return text;
+}
+
+std::string formatMilliseconds(Duration duration)
+{
+    constexpr double MillisecondsInSecond = 1000;
+    char text[32];
+    std::snprintf(text, sizeof text, "%.1f", toSeconds(duration) * MillisecondsInSecond);
+    return text;
+}
+
 TimePoint SteadyClock::now() const
 {
     return std::chrono::steady_clock::now();
--- a/carawaylatch/base/time.h
+++ b/carawaylatch/base/time.h
@@ -8,6 +8,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <string>
 
 namespace carawaylatch::base
 {
@@ -30,6 +31,10 @@
 // Returns the duration nearest to a count of seconds.
 [[nodiscard]] Duration fromSeconds(double count);
 
+// Returns a duration as decimal text: seconds to a thousandth, milliseconds to a tenth.
+[[nodiscard]] std::string formatSeconds(Duration duration);
+[[nodiscard]] std::string formatMilliseconds(Duration duration);
+
 // A source of monotonic time.
 class Clock
 {
--- a/carawaylatch/proxy/attemptrules.cpp
+++ b/carawaylatch/proxy/attemptrules.cpp
@@ -47,6 +47,40 @@
     return isSurelyUnrun(history) ? NextStep::SayNotRun : NextStep::SayUnknown;
 }
 
+std::string_view attemptEndName(AttemptEnd end)
+{
+    switch (end) {
+    case AttemptEnd::NotSent:
+        return "not_sent";
+    case AttemptEnd::NotExecuted:
+        return "not_executed";
+    case AttemptEnd::Broken:
+        return "broken";
+    case AttemptEnd::ServerError:
+        return "server_error";
+    case AttemptEnd::Answered:
+        return "answered";
+    }
+    return "";
+}
+
+std::string_view nextStepName(NextStep step)
+{
+    switch (step) {
+    case NextStep::TryAgain:
+        return "try_again";
+    case NextStep::PassOn:
+        return "pass_on";
+    case NextStep::SayNotRun:
+        return "say_not_run";
+    case NextStep::SayUnknown:
+        return "say_unknown";
+    case NextStep::BreakOff:
+        return "break_off";
+    }
+    return "";
+}
+
 bool promisesNotRun(unsigned status)
 {
     return status == 408 || status == 421 || status == 429 || status == 503;
--- a/carawaylatch/proxy/attemptrules.h
+++ b/carawaylatch/proxy/attemptrules.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <cstdint>
+#include <string_view>
 
 #include "carawaylatch/proxy/fleet.h"
 
@@ -47,6 +48,10 @@
 
 [[nodiscard]] NextStep nextStep(const Route &route, AttemptEnd end, const AttemptHistory &history);
 
+// Names as they stand in logs, such as "not_sent" and "try_again".
+[[nodiscard]] std::string_view attemptEndName(AttemptEnd end);
+[[nodiscard]] std::string_view nextStepName(NextStep step);
+
 // True if the status promises callers that the request did not run.
 [[nodiscard]] bool promisesNotRun(unsigned status);
 
--- /dev/null
+++ b/carawaylatch/proxy/exchangeattempt.cpp
@@ -0,0 +1,373 @@
+// The attempt under way: connect, send, hear the answer, decide what follows.
+#include "carawaylatch/proxy/exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "carawaylatch/proxy/trafficplane.h"
+
+namespace carawaylatch::proxy
+{
+
+namespace
+{
+
+constexpr base::Duration ProgressInterval = base::milliseconds{100}; // between looks at an attempt's progress
+constexpr int LateAnswerFactor = 2; // of the target latency; a second server then still answers in time to be of use
+constexpr base::Duration LongestStreamPause = base::milliseconds{1200}; // twice a load of weights
+constexpr std::uint32_t MinSharedTokensStored = 512; // shorter parts are read faster than they are fetched
+
+} // namespace
+
+void Exchange::begin(const PlacementResult &placement)
+{
+    Attempt &attempt = m_attempt.emplace();
+    attempt.record = placement.record;
+    attempt.holdsParts = placement.holdsParts;
+    attempt.begunAt = m_plane.now();
+    attempt.weight.memoryTokens = m_request.promptTokens + m_request.maxAnswerTokens;
+    attempt.weight.unreadTokens = placement.holdsParts ? m_request.promptTokens - std::min(m_sharedTokens, m_request.promptTokens) : m_request.promptTokens;
+    m_lastUpstream = placement.record->upstream.id;
+    m_tried.push_back(m_lastUpstream);
+    m_plane.book().began(*attempt.record, attempt.weight, attempt.begunAt);
+    if (m_route->isRepeatable()) {
+        watchProgress();
+    }
+    const Upstream &upstream = attempt.record->upstream;
+    attempt.connection = m_plane.takeKept(upstream, m_route->isRepeatable());
+    if (attempt.connection) {
+        send();
+        return;
+    }
+    attempt.connection = std::make_shared<UpstreamConnection>(m_plane, upstream.id, upstream.bornMs);
+    ++m_plane.counts().connections;
+    attempt.connection->connect(upstream.endpoint, m_plane.settings().connectTimeout, [weak = weak_from_this()](std::string_view problem) {
+        if (const auto self = weak.lock()) {
+            self->connected(problem);
+        }
+    });
+}
+
+void Exchange::connected(std::string_view problem)
+{
+    if (!m_attempt || m_isEnded) {
+        return;
+    }
+    if (!problem.empty()) {
+        endAttempt(AttemptEnd::NotSent, problem);
+        return;
+    }
+    send();
+}
+
+AttemptPlan Exchange::planAttempt() const
+{
+    AttemptPlan plan;
+    plan.upstream = m_attempt->record->upstream.id;
+    plan.timeLeft = timeLeft(m_plane.now());
+    if (m_customer != nullptr) {
+        plan.customer = m_customer->id;
+    }
+    plan.urgency = m_urgency;
+    plan.lastEventId = m_scanner.lastEventId();
+    if (m_request.model.isEmpty()) {
+        return plan;
+    }
+    plan.weights = m_attempt->record->weights;
+    const std::string owner = m_customer != nullptr && m_customer->isIsolated ? m_customer->id.value() : std::string();
+    if (m_sharedTokens >= MinSharedTokensStored && !m_view->table->cacheStores.empty() && plan.weights.value != 0) {
+        const base::Endpoint &store = m_view->table->cacheStores.front().endpoint;
+        const bool isAlive = !m_plane.view()->deadCacheStores.contains(store);
+        if (isAlive) {
+            plan.fetchFrom = store; // costs nothing where the engine keeps the parts itself
+        }
+        if (isAlive && !m_attempt->holdsParts) {
+            plan.saveTo = store;
+        }
+    }
+    plan.cacheNamespace = m_request.model.value() + '.' + std::to_string(plan.weights.value) + '.' + owner;
+    return plan;
+}
+
+void Exchange::send()
+{
+    Attempt &attempt = *m_attempt;
+    const AttemptPlan plan = planAttempt();
+    std::string head = m_plane.dialect().writeAttempt(m_head, plan);
+    const bool hasBody = !m_body->empty() || findField(m_head.fields, "content-length") != nullptr || findField(m_head.fields, "transfer-encoding") != nullptr;
+    if (hasBody) {
+        appendField(head, "Content-Length", std::to_string(m_body->size()));
+    }
+    head.append("\r\n");
+    attempt.isSent = true;
+    ++m_history.sent;
+    ++m_plane.counts().attempts;
+    if (!m_sentAt) {
+        m_sentAt = m_plane.now();
+    }
+    if (m_promptKey != 0) {
+        m_plane.book().placed(promptStateKey(m_promptKey, attempt.record->weights), attempt.record->upstream.id);
+    }
+    m_scanner.restart();
+    watchStart();
+    attempt.connection->send(std::move(head), m_body, m_request.id, m_head.method == "HEAD", weak_from_this());
+}
+
+void Exchange::onAnswerHead(const HttpResponseHead &head, const UpstreamAnswer &answer)
+{
+    if (!m_attempt) {
+        return;
+    }
+    Attempt &attempt = *m_attempt;
+    const base::TimePoint now = m_plane.now();
+    attempt.head = head;
+    attempt.answer = answer;
+    m_plane.book().heard(*attempt.record, now);
+    if (answer.load) {
+        m_plane.book().sampled(*attempt.record, *answer.load, now);
+    }
+    if (answer.weights && *answer.weights != attempt.record->weights) {
+        attempt.record->weights = *answer.weights;
+        m_plane.observer().onWeightsSeen(attempt.record->upstream.id, *answer.weights);
+    }
+    if (m_route->kind == CallKind::Stream && classifyAnswer() == AttemptEnd::Answered && head.status < 300) {
+        beginStream();
+    }
+}
+
+void Exchange::onAnswerBytes(std::string bytes)
+{
+    if (!m_attempt) {
+        return;
+    }
+    ++m_plane.counts().reads;
+    Attempt &attempt = *m_attempt;
+    m_plane.book().heard(*attempt.record, m_plane.now());
+    if (!attempt.hasStarted) {
+        attempt.hasStarted = true;
+        m_plane.book().started(*attempt.record, attempt.weight);
+    }
+    if (m_isStreaming) {
+        forwardStream(bytes);
+        return;
+    }
+    attempt.body.append(bytes);
+    if (attempt.body.size() > MaxHeldBytes && classifyAnswer() == AttemptEnd::Answered) {
+        m_isPassingOn = true;
+        beginStream();
+        forwardStream(std::exchange(attempt.body, {}));
+    }
+}
+
+void Exchange::beginStream()
+{
+    Attempt &attempt = *m_attempt;
+    if (!m_route->isResumable) {
+        m_isPassingOn = true;
+    }
+    if (m_isStreaming) {
+        return; // goes on after a break; the caller keeps the first head
+    }
+    m_isStreaming = true;
+    m_history.isAnswering = true;
+    m_caller->beginBody(Reply{attempt.head.status, attempt.head.reason, forwardableFields(attempt.head.fields), {}});
+}
+
+void Exchange::forwardStream(std::string_view bytes)
+{
+    const base::TimePoint now = m_plane.now();
+    if (!m_firstAt) {
+        m_firstAt = now;
+    } else {
+        m_longestPause = std::max(m_longestPause, now - m_lastPieceAt);
+    }
+    m_lastPieceAt = now;
+    if (m_isPassingOn) {
+        m_caller->sendPiece(bytes);
+    } else {
+        const std::string events = m_scanner.feed(bytes);
+        if (m_scanner.hasGap()) {
+            breakOff("event_missing");
+            return;
+        }
+        m_caller->sendPiece(events);
+    }
+    if (m_caller->queuedBytes() > MaxQueuedBytes) {
+        m_attempt->connection->pauseReading();
+    }
+}
+
+void Exchange::onCallerDrained()
+{
+    if (m_attempt && m_attempt->connection) {
+        m_attempt->connection->resumeReading();
+    }
+}
+
+AttemptEnd Exchange::classifyAnswer() const
+{
+    const Attempt &attempt = *m_attempt;
+    if (attempt.answer.isNotExecuted) {
+        return AttemptEnd::NotExecuted;
+    }
+    const unsigned status = attempt.head.status;
+    if (status >= 500 || promisesNotRun(status)) {
+        return AttemptEnd::ServerError;
+    }
+    const bool isSuccess = status >= 200 && status < 300;
+    if (isSuccess && (!attempt.answer.isSigned || attempt.answer.isEncoded)) {
+        return AttemptEnd::Broken; // not the upstream's own answer
+    }
+    return AttemptEnd::Answered;
+}
+
+void Exchange::onAnswerEnd()
+{
+    if (!m_attempt) {
+        return;
+    }
+    const AttemptEnd end = classifyAnswer();
+    if (m_isStreaming && end == AttemptEnd::Answered && !m_isPassingOn && !m_scanner.isAtBoundary()) {
+        endAttempt(AttemptEnd::Broken, "the stream ended inside an event");
+        return;
+    }
+    endAttempt(end, {});
+}
+
+void Exchange::onBroken(std::string_view problem)
+{
+    if (m_attempt) {
+        endAttempt(AttemptEnd::Broken, problem);
+    }
+}
+
+void Exchange::watchStart()
+{
+    const auto view = m_plane.view();
+    const auto target = view->targets.find(m_request.model);
+    const auto replacedAt = target != view->targets.end() ? target->second.replacedAt(m_attempt->record->weights) : std::nullopt;
+    if (!replacedAt) {
+        return;
+    }
+    m_startTimer = m_plane.timers().after(*replacedAt, m_plane.settings().placement.oldWeightsStart, [weak = weak_from_this()](base::TimePoint) {
+        const auto self = weak.lock();
+        if (self && self->m_attempt && !self->m_attempt->hasStarted) {
+            self->endAttempt(AttemptEnd::Broken, "not begun before its weights were too old");
+        }
+    });
+}
+
+void Exchange::watchProgress()
+{
+    m_progressTimer = m_plane.timers().every(m_plane.now(), ProgressInterval, [weak = weak_from_this()](base::TimePoint now) {
+        const auto self = weak.lock();
+        if (!self || !self->m_attempt || !self->m_attempt->isSent) {
+            return;
+        }
+        const std::string_view reason = self->stallReason(now);
+        // Silence alone ends nothing: the attempt is given up only for a better one.
+        if (!reason.empty() && self->m_plane.budget(self->m_pool).mayTake(now) && self->findPlace().verdict == PlacementVerdict::Chosen) {
+            self->endAttempt(AttemptEnd::Broken, reason);
+        }
+    });
+}
+
+// Only a request that can go elsewhere is given up: another one has nothing to gain.
+std::string_view Exchange::stallReason(base::TimePoint now) const
+{
+    const Attempt &attempt = *m_attempt;
+    if (m_history.sent - m_history.unexecuted >= m_route->maxAttempts) {
+        return {};
+    }
+    if (attempt.record->isSilent(now, m_plane.settings().placement.millisecondsPerToken)) {
+        return "the upstream is silent";
+    }
+    const bool isLateAnswer = m_route->kind == CallKind::Idempotent && now - attempt.begunAt > m_route->targetLatency * LateAnswerFactor;
+    if (isLateAnswer) {
+        return "no answer in twice the target latency";
+    }
+    if (m_firstAt && now - std::max(m_lastPieceAt, attempt.begunAt) > LongestStreamPause) {
+        return "the stream has stopped";
+    }
+    return {};
+}
+
+void Exchange::releaseAttempt(AttemptEnd end)
+{
+    m_progressTimer.cancel();
+    m_startTimer.cancel();
+    Attempt &attempt = *m_attempt;
+    const base::TimePoint now = m_plane.now();
+    m_plane.book().ended(*attempt.record, attempt.weight, attempt.hasStarted, end, now);
+    m_plane.queue(m_pool).ends().note(now);
+    m_plane.scheduleQueues();
+}
+
+void Exchange::endAttempt(AttemptEnd end, std::string_view problem)
+{
+    const base::TimePoint now = m_plane.now();
+    releaseAttempt(end);
+    m_history.unsent += end == AttemptEnd::NotSent ? 1 : 0;
+    m_history.unexecuted += end == AttemptEnd::NotExecuted ? 1 : 0;
+    m_history.hasTimeLeft = timeLeft(now) > base::Duration{};
+    NextStep step = nextStep(*m_route, end, m_history);
+    if (step == NextStep::TryAgain && end != AttemptEnd::NotSent && !m_plane.budget(m_pool).tryTake(now)) {
+        m_history.hasBudget = false;
+        step = nextStep(*m_route, end, m_history);
+    }
+    if (end != AttemptEnd::Answered) {
+        m_plane.log().write(base::LogEvent::AttemptFailed,
+                            {{"id", m_request.id},
+                             {"upstream", m_lastUpstream.value()},
+                             {"end", std::string(attemptEndName(end))},
+                             {"next", std::string(nextStepName(step))},
+                             {"problem", problem.empty() ? "status " + std::to_string(m_attempt->head.status) : std::string(problem)},
+                             {"elapsed_ms", base::formatMilliseconds(now - m_attempt->begunAt)},
+                             {"load", std::to_string(m_attempt->record->inflight)}});
+    }
+    switch (step) {
+    case NextStep::TryAgain:
+        m_attempt->connection->close();
+        m_attempt.reset();
+        m_plane.counts().resumed += m_isStreaming ? 1 : 0;
+        placeOrWait();
+        break;
+    case NextStep::PassOn:
+        passOn();
+        break;
+    case NextStep::SayNotRun:
+        refuse(end == AttemptEnd::NotSent ? "not_reached" : "not_executed", DefaultRetryAfter);
+        break;
+    case NextStep::SayUnknown:
+        answerOwn(502, "answer_lost", {});
+        break;
+    case NextStep::BreakOff:
+        breakOff("answer_lost");
+        break;
+    }
+}
+
+void Exchange::passOn()
+{
+    Attempt &attempt = *m_attempt;
+    if (m_isStreaming) {
+        m_caller->endBody();
+        finish(attempt.head.status, "served", {});
+        return;
+    }
+    // A status that promises "not run" is passed on only where it is true or harmless.
+    if (promisesNotRun(attempt.head.status) && !m_route->isRepeatable()) {
+        answerOwn(502, "upstream_refused_without_promise", {});
+        return;
+    }
+    const unsigned status = attempt.head.status;
+    if (!m_firstAt) {
+        m_firstAt = m_plane.now();
+    }
+    const auto caller = m_caller;
+    const Reply reply{status, attempt.head.reason, forwardableFields(attempt.head.fields), std::move(attempt.body)};
+    finish(status, status < 500 ? "served" : "upstream_error", {});
+    caller->reply(reply);
+}
+
+} // namespace carawaylatch::proxy
--- a/carawaylatch/proxy/trafficplane.cpp
+++ b/carawaylatch/proxy/trafficplane.cpp
@@ -19,7 +19,7 @@
 constexpr base::Duration TimerGrain = base::milliseconds{2}; // far below every timeout of a request
 constexpr base::Duration TickInterval = base::milliseconds{50}; // waiting requests are looked at, and the log flushed
 constexpr int Backlog = 1024; // connections that wait to be accepted; a herd of callers comes at once
-constexpr std::size_t MaxKeptConnections = 64; // idle ones to one upstream
+constexpr std::size_t MaxKeptConnections = 64; // idle ones to one upstream, where it tells no bound
 
 Reply plainReply(unsigned status, std::string body)
 {
@@ -405,14 +405,21 @@
                                                   {"table", std::to_string(m_view->table ? m_view->table->version : 0)}});
 }
 
-void TrafficPlane::began()
+bool TrafficPlane::isMemoryFull() const
 {
+    return m_bodyBytes > m_settings.maxBodyBytesHeld;
+}
+
+void TrafficPlane::began(std::size_t bodyBytes)
+{
+    m_bodyBytes += bodyBytes;
     ++m_inflight;
     ++m_counts.requests;
 }
 
-void TrafficPlane::ended()
+void TrafficPlane::ended(std::size_t bodyBytes)
 {
+    m_bodyBytes -= bodyBytes;
     --m_inflight;
 }
 
@@ -482,6 +489,7 @@
         {"connections_total", m_counts.connections},
         {"upstream_reads_total", m_counts.reads},
         {"streams_resumed_total", m_counts.resumed},
+        {"foreign_answers_total", m_counts.foreignAnswers},
         {"inflight", m_inflight},
         {"log_lines_dropped_total", m_log.dropped()},
         {"upstreams", m_view->upstreams.size()},
@@ -526,13 +534,25 @@
 {
     auto &kept = m_kept[connection->upstream()];
     kept.push_back(std::move(connection));
-    if (kept.size() > MaxKeptConnections) {
+    if (kept.size() > maxKept(kept.back()->upstream())) {
         const auto oldest = kept.front();
         kept.pop_front();
         oldest->close();
     }
 }
 
+// A router's part of the connections that an upstream accepts from all of them, counted
+// with one router more than are known; requests under way have the other half.
+std::size_t TrafficPlane::maxKept(const base::UpstreamId &upstream)
+{
+    const UpstreamRecord *record = m_book.find(upstream);
+    const Pool *pool = record != nullptr && m_view->table ? m_view->table->pool(record->upstream.pool) : nullptr;
+    if (pool == nullptr || pool->maxConnections == 0) {
+        return MaxKeptConnections;
+    }
+    return std::max<std::size_t>(1, std::min<std::size_t>(MaxKeptConnections, pool->maxConnections / (m_view->routers + 1) / 2));
+}
+
 void TrafficPlane::dropKept(const UpstreamConnection &connection)
 {
     const auto it = m_kept.find(connection.upstream());
--- a/carawaylatch/proxy/trafficplane.h
+++ b/carawaylatch/proxy/trafficplane.h
@@ -134,8 +134,11 @@
     // Requests that wait at a pool are placed after this call returns.
     void scheduleQueues();
     void noteRejected(std::string_view id, std::string_view host, std::string_view reason, unsigned status);
-    void began();
-    void ended();
+    // An exchange begins or ends, with the bytes of its request's body.
+    void began(std::size_t bodyBytes);
+    void ended(std::size_t bodyBytes);
+    // True if request bodies take as much memory as they may.
+    [[nodiscard]] bool isMemoryFull() const;
     void forget(const std::shared_ptr<CallerConnection> &connection);
     // Answers readiness and metrics on the operators' port; false for a caller's request.
     bool answerOwnPath(CallerConnection &connection, const HttpRequestHead &head);
@@ -157,6 +160,7 @@
     void noteReadiness(std::string_view reason);
     [[nodiscard]] std::string metricsText() const;
     void applyBudgets();
+    [[nodiscard]] std::size_t maxKept(const base::UpstreamId &upstream);
     void closeKept(const std::function<bool(const base::UpstreamId &)> &isChosen);
 
     boost::asio::io_context &m_loop;
@@ -182,6 +186,7 @@
     base::TimerService::Subscription m_tick;
     base::Random m_random;
     TrafficCounts m_counts;
+    std::size_t m_bodyBytes = 0; // of requests under way
     std::size_t m_inflight = 0;
     bool m_isStopping = false;
     bool m_isLeaving = false;
--- a/carawaylatch/proxy/upstreamconnection.cpp
+++ b/carawaylatch/proxy/upstreamconnection.cpp
@@ -226,6 +226,7 @@
         return;
     }
     if (!answer.requestId.empty() && answer.requestId != m_requestId) {
+        ++m_plane.counts().foreignAnswers;
         if (++m_foreignAnswers > MaxForeignAnswers) {
             fail("answers of other requests");
             return;
--- a/carawaylatch/telemetry/decisionlog.cpp
+++ b/carawaylatch/telemetry/decisionlog.cpp
@@ -7,7 +7,6 @@
 
 #include <algorithm>
 #include <climits>
-#include <cstdio>
 
 namespace carawaylatch::telemetry
 {
@@ -22,8 +21,7 @@
 
 void DecisionLog::write(base::LogEvent event, std::initializer_list<base::LogField> fields)
 {
-    char seconds[32];
-    std::snprintf(seconds, sizeof seconds, "%.3f", base::toSeconds(m_clock.now() - m_start));
+    const std::string seconds = base::formatSeconds(m_clock.now() - m_start);
     const std::string line = base::formatLogEvent(event, fields, seconds) + '\n';
     const std::lock_guard lock(m_mutex);
     if (m_dropped > m_reportedDropped) {
