--- /dev/null
+++ b/carawaylatch/gateway/testing/fakestore.h
@@ -0,0 +1,200 @@
+// An object store in memory behind ObjectClient, with one fault at a chosen call.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "carawaylatch/gateway/objectclient.h"
+
+namespace carawaylatch::gateway::testing
+{
+
+enum class CallFault {
+    None,
+    Refused, // nothing was done
+    AnswerLost, // done, not answered
+    DoneLate, // not answered, done a while later if the condition still holds
+    HistoryGone, // of a watch; another call is refused
+    Slow, // done and answered after a while
+};
+constexpr CallFault AllCallFaults[] = {CallFault::Refused, CallFault::AnswerLost, CallFault::DoneLate, CallFault::HistoryGone, CallFault::Slow};
+
+// The objects and their history; shared by the clients of one world.
+class FakeStore
+{
+public:
+    explicit FakeStore(boost::asio::io_context &loop)
+        : m_loop(loop)
+    {
+    }
+
+    void put(ObjectKind kind, const std::string &name, const std::string &text)
+    {
+        StoredObject object{name, text, ++m_revision, false};
+        m_objects[kind][name] = object;
+        m_changes.emplace_back(kind, object);
+    }
+    [[nodiscard]] const std::map<std::string, StoredObject> &objects(ObjectKind kind)
+    {
+        return m_objects[kind];
+    }
+
+    // The fault hits the call of this number, counted over all clients from 1; zero: none.
+    int faultAt = 0;
+    CallFault fault = CallFault::None;
+    bool isDown = false; // every call is refused
+
+private:
+    friend class FakeClient;
+    boost::asio::io_context &m_loop;
+    std::uint64_t m_revision = 0;
+    int m_calls = 0;
+    std::map<ObjectKind, std::map<std::string, StoredObject>> m_objects;
+    std::vector<std::pair<ObjectKind, StoredObject>> m_changes;
+};
+
+class FakeClient : public ObjectClient
+{
+public:
+    FakeClient(FakeStore &store, const bool &isCut)
+        : m_store(store)
+        , m_isCut(isCut)
+    {
+    }
+
+    Awaitable<base::Result<ObjectPage>> list(ObjectKind kind, std::string after) override
+    {
+        const CallFault fault = co_await begin();
+        if (const auto error = errorOf(fault)) {
+            co_return *error;
+        }
+        ObjectPage page;
+        page.asOf = m_store.m_revision;
+        for (const auto &[name, object] : m_store.m_objects[kind]) {
+            if (name > after) {
+                page.objects.push_back(object);
+            }
+        }
+        co_return page;
+    }
+
+    Awaitable<base::Result<ObjectPage>> watch(ObjectKind kind, std::uint64_t since, base::Duration wait) override
+    {
+        const CallFault fault = co_await begin();
+        if (fault == CallFault::HistoryGone) {
+            co_return base::fail(base::ErrorKind::StaleState, "history gone");
+        }
+        if (const auto error = errorOf(fault)) {
+            co_return *error;
+        }
+        for (base::Duration waited{}; waited <= wait && !m_isInterrupted; waited += Step) {
+            ObjectPage page;
+            page.asOf = m_store.m_revision;
+            for (const auto &[changed, object] : m_store.m_changes) {
+                if (changed == kind && object.revision > since) {
+                    page.objects.push_back(object);
+                }
+            }
+            if (!page.objects.empty() || waited == wait) {
+                co_return page;
+            }
+            co_await pause(Step);
+        }
+        if (std::exchange(m_isInterrupted, false)) {
+            co_return base::fail(base::ErrorKind::Unclear, "interrupted");
+        }
+        ObjectPage page;
+        page.asOf = since;
+        co_return page;
+    }
+
+    Awaitable<base::Result<StoredObject>> read(ObjectKind kind, std::string name, Freshness /*freshness*/) override
+    {
+        const CallFault fault = co_await begin();
+        if (const auto error = errorOf(fault)) {
+            co_return *error;
+        }
+        const auto it = m_store.m_objects[kind].find(name);
+        if (it == m_store.m_objects[kind].end()) {
+            co_return base::fail(base::ErrorKind::NotFound, "no object");
+        }
+        co_return it->second;
+    }
+
+    Awaitable<base::Result<std::uint64_t>> write(ObjectKind kind, std::string name, std::string text, std::uint64_t expected) override
+    {
+        const CallFault fault = co_await begin();
+        if (fault == CallFault::AnswerLost) {
+            static_cast<void>(apply(kind, name, text, expected));
+        }
+        if (fault == CallFault::DoneLate) {
+            auto timer = std::make_shared<boost::asio::steady_timer>(m_store.m_loop, Late);
+            timer->async_wait([this, timer, kind, name, text, expected](const boost::system::error_code &) {
+                static_cast<void>(apply(kind, name, text, expected));
+            });
+        }
+        if (const auto error = errorOf(fault)) {
+            co_return *error;
+        }
+        co_return apply(kind, name, text, expected);
+    }
+
+    void interrupt() override
+    {
+        m_isInterrupted = true;
+    }
+
+private:
+    static constexpr base::Duration Step = base::milliseconds{5};
+    static constexpr base::Duration Late = base::milliseconds{150};
+
+    Awaitable<void> pause(base::Duration duration)
+    {
+        boost::asio::steady_timer timer(m_store.m_loop, duration);
+        co_await timer.async_wait(boost::asio::use_awaitable);
+    }
+    Awaitable<CallFault> begin()
+    {
+        const bool isHit = ++m_store.m_calls == m_store.faultAt;
+        const CallFault fault = m_store.isDown || m_isCut ? CallFault::Refused : (isHit ? m_store.fault : CallFault::None);
+        co_await pause(fault == CallFault::Slow ? Late : base::milliseconds{1});
+        co_return fault;
+    }
+    static std::optional<base::Error> errorOf(CallFault fault)
+    {
+        switch (fault) {
+        case CallFault::None:
+        case CallFault::Slow:
+            return std::nullopt;
+        case CallFault::Refused:
+        case CallFault::HistoryGone:
+            return base::fail(base::ErrorKind::Unavailable, "refused");
+        case CallFault::AnswerLost:
+        case CallFault::DoneLate:
+            return base::fail(base::ErrorKind::Unclear, "no answer");
+        }
+        return std::nullopt;
+    }
+    base::Result<std::uint64_t> apply(ObjectKind kind, const std::string &name, const std::string &text, std::uint64_t expected)
+    {
+        const auto it = m_store.m_objects[kind].find(name);
+        const std::uint64_t present = it == m_store.m_objects[kind].end() ? 0 : it->second.revision;
+        if (present != expected) {
+            return base::fail(base::ErrorKind::Conflict, "another revision");
+        }
+        m_store.put(kind, name, text);
+        return m_store.m_revision;
+    }
+
+    FakeStore &m_store;
+    const bool &m_isCut;
+    bool m_isInterrupted = false;
+};
+
+} // namespace carawaylatch::gateway::testing
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -8,7 +8,7 @@
 steps_failed=0
 : >build-check.log
 # Modules whose parts share state between threads.
-THREADED_MODULES='base|store|prefix|upstreams|admission|relay|peer|http|router|telemetry'
+THREADED_MODULES='base|store|proxy|gateway|prefix|upstreams|admission|relay|peer|http|router|telemetry'
 step() {
     local name=$1
     shift
