--- a/bench/proxybench.cpp
+++ b/bench/proxybench.cpp
@@ -58,7 +58,14 @@
 
 namespace base = carawaylatch::base;
 namespace proxy = carawaylatch::proxy;
-using namespace platform::testing;
+using platform::testing::callerRequest;
+using platform::testing::chunk;
+using platform::testing::event;
+using platform::testing::LastChunk;
+using platform::testing::okAnswer;
+using platform::testing::ScriptedAnswer;
+using platform::testing::StandinServer;
+using platform::testing::streamHead;
 
 class NoObserver : public proxy::TrafficObserver
 {
