--- a/carawaylatch/proxy/httpparser.cpp
+++ b/carawaylatch/proxy/httpparser.cpp
@@ -130,6 +130,10 @@
     {
         MessageReader::on_header_impl(ec);
         head.fields = std::move(fields);
+        // Two hops may choose between several hosts differently (RFC 9112, section 3.2).
+        if (!ec && countFields(head.fields, "host") > 1) {
+            ec = http::error::bad_field;
+        }
     }
 };
 
--- a/carawaylatch/proxy/testing/httpparsertest.cpp
+++ b/carawaylatch/proxy/testing/httpparsertest.cpp
@@ -90,6 +90,7 @@
             "Content-Length: -1\r\n",
             "Content-Length: 1x\r\n",
             "Bad Name: 1\r\n",
+            "Host: a\r\nHost: b\r\n",
         };
         for (const std::string &head : heads) {
             HttpRequestParser parser{ParserLimits{}};
