A new holder orders nothing before it has read its predecessor's list

Cause, found by reading: the rollout asked only whether the lease is held; while the read of the list failed it went on with no engine left alone, and two holders could order one engine within the lease time. A list that answers 410 was asked again without a pause. An order on its way outlives its giver's belief by its time limit. Change: the rollout waits for the read; 410 of a list counts as a failed call; a successor leaves its predecessor's engines alone for 1.2 of the lease time. Test testNewHolderOrdersNothingBeforeItHasReadTheList: failed before, passes now.

--- a/carawaylatch/fleet/lease.h
+++ b/carawaylatch/fleet/lease.h
@@ -94,7 +94,7 @@
     store::Version held;
     base::TimePoint believeUntil;
     base::TimePoint heldSince;
-    // Another router was seen to hold since the last holding of this one.
+    // Another router, or one that gave the lease up, was seen to have held it.
     bool wasOthers = false;
 
     bool operator==(const LeaseState &) const = default;
--- a/carawaylatch/gateway/controlplane.cpp
+++ b/carawaylatch/gateway/controlplane.cpp
@@ -181,7 +181,7 @@
             }
             continue;
         }
-        if (result.error().kind == base::ErrorKind::StaleState) {
+        if (result.error().kind == base::ErrorKind::StaleState && since != 0) {
             m_log.write(base::LogEvent::HistoryLost, {{"kind", std::string(objectKindName(kind))}});
             since = 0;
             continue;
@@ -229,7 +229,7 @@
         }
         co_await stepLease(*client);
         co_await noteHolding(*client);
-        if (m_lease.mayAct(m_clock.now())) {
+        if (m_isHolding && m_lease.mayAct(m_clock.now())) {
             co_await stepRollout(*client);
         }
     }
--- a/carawaylatch/gateway/gatewaysettings.cpp
+++ b/carawaylatch/gateway/gatewaysettings.cpp
@@ -187,15 +187,16 @@
 
 ControlSettings GatewaySettings::control() const
 {
-    // The lease's own length. Its holder believes for two thirds of it at most, so a
-    // successor that waits for settleTime acts leaseMs after its predecessor's last order.
-    constexpr double LeaseShare = 0.6;
+    constexpr double LeaseShare = 0.6; // the lease's own length; its holder believes for two thirds of it at most
+    // A successor leaves its predecessor's engines alone for so long: an order may take a
+    // while on its way after the predecessor has stopped believing.
+    constexpr double SettleShare = 1.2;
     ControlSettings out;
     out.router = base::RouterId(id);
     out.lease.length = fromMilliseconds(leaseMs * LeaseShare);
     out.lease.readInterval = fromMilliseconds(leaseMs * LeaseShare / 6);
     out.lease.isRouterSingle = true;
-    out.rollout.settleTime = fromMilliseconds(leaseMs);
+    out.rollout.settleTime = fromMilliseconds(leaseMs * SettleShare);
     out.watchWait = fromMilliseconds(watchWaitMs);
     return out;
 }
--- a/carawaylatch/gateway/testing/controlplanetest.cpp
+++ b/carawaylatch/gateway/testing/controlplanetest.cpp
@@ -192,6 +192,7 @@
     CPPUNIT_TEST_SUITE(ControlPlaneTest);
     CPPUNIT_TEST(testEveryFaultAtEveryCall);
     CPPUNIT_TEST(testHolderIsCutOff);
+    CPPUNIT_TEST(testNewHolderOrdersNothingBeforeItHasReadTheList);
     CPPUNIT_TEST(testHolderStops);
     CPPUNIT_TEST(testOutage);
     CPPUNIT_TEST_SUITE_END();
@@ -297,6 +298,35 @@
         assertNoViolation();
     }
 
+    // Without the list a new holder can't know which engines its predecessor has ordered.
+    void testNewHolderOrdersNothingBeforeItHasReadTheList()
+    {
+        World &world = addWorld();
+        world.addRouter("a");
+        world.addRouter("b");
+        world.store.put(ObjectKind::Weights, "m", "m 2");
+        CPPUNIT_ASSERT(runUntil(
+            [&world] {
+                return !world.engines.orders.empty();
+            },
+            base::seconds{5}));
+        const std::string holder = world.engines.orders.begin()->second.front().holder;
+        world.store.areDutyReadsRefused = true;
+        world.routers[holder == "a" ? 0 : 1]->clients.isCut = true;
+        world.store.put(ObjectKind::Weights, "m", "m 3");
+        m_loop.run_for(std::chrono::milliseconds{1000});
+        for (const auto &[engine, orders] : world.engines.orders) {
+            CPPUNIT_ASSERT(orders.back().holder == holder);
+        }
+        world.store.areDutyReadsRefused = false;
+        CPPUNIT_ASSERT(runUntil(
+            [&world] {
+                return world.isChanged(3);
+            },
+            base::seconds{10}));
+        assertNoViolation();
+    }
+
     // A holder that stops releases the lease: the other one takes it at once.
     void testHolderStops()
     {
--- a/carawaylatch/gateway/testing/fakestore.h
+++ b/carawaylatch/gateway/testing/fakestore.h
@@ -49,6 +49,7 @@
     int faultAt = 0;
     CallFault fault = CallFault::None;
     bool isDown = false; // every call is refused
+    bool areDutyReadsRefused = false; // reads of single objects of this project
 
 private:
     friend class FakeClient;
@@ -116,7 +117,10 @@
 
     Awaitable<base::Result<StoredObject>> read(ObjectKind kind, std::string name, Freshness /*freshness*/) override
     {
-        const CallFault fault = co_await begin();
+        CallFault fault = co_await begin();
+        if (m_store.areDutyReadsRefused && kind == ObjectKind::Duties) {
+            fault = CallFault::Refused;
+        }
         if (const auto error = errorOf(fault)) {
             co_return *error;
         }
