--- a/carawaylatch/gateway/testing/gatewaysettingstest.cpp
+++ b/carawaylatch/gateway/testing/gatewaysettingstest.cpp
@@ -1,6 +1,7 @@
 // Settings of the gateway: every key, every kind of mistake, and the page.
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <fstream>
 #include <sstream>
 #include <string>
@@ -17,6 +18,7 @@
     CPPUNIT_TEST(testMistakesNameTheirKey);
     CPPUNIT_TEST(testMissingKeys);
     CPPUNIT_TEST(testBoundsFollow);
+    CPPUNIT_TEST(testTemplateHasKnownKeys);
     CPPUNIT_TEST(testPageIsUpToDate);
     CPPUNIT_TEST_SUITE_END();
 
@@ -85,6 +87,32 @@
         CPPUNIT_ASSERT(control.rollout.settleTime >= base::fromSeconds(settings.leaseMs / 1000));
     }
 
+    // A key that the settings refuse would keep every process from starting.
+    void testTemplateHasKnownKeys()
+    {
+        std::ifstream in(std::string(CARAWAYLATCH_SOURCE_DIR) + "/deploy/gateway.ini");
+        std::string section;
+        std::string line;
+        int keys = 0;
+        while (std::getline(in, line)) {
+            // Tags of the template stand before a key, between braces.
+            while (line.starts_with("{{")) {
+                line.erase(0, line.find("}}") + 2);
+            }
+            if (line.starts_with("[")) {
+                section = line.substr(1, line.size() - 2);
+            } else if (!line.empty() && line.front() != '#') {
+                const std::string name = line.substr(0, line.find(" ="));
+                const auto known = gatewaySettingsKeys();
+                CPPUNIT_ASSERT_MESSAGE(section + '.' + name, std::any_of(known.begin(), known.end(), [&](const GatewaySettingsKey &key) {
+                                           return key.section == section && key.name == name;
+                                       }));
+                ++keys;
+            }
+        }
+        CPPUNIT_ASSERT(keys >= 10);
+    }
+
     void testPageIsUpToDate()
     {
         std::ifstream in(std::string(CARAWAYLATCH_SOURCE_DIR) + "/docs/SETTINGS-gateway.md");
--- a/carawaylatch/proxy/dialect.h
+++ b/carawaylatch/proxy/dialect.h
@@ -84,7 +84,7 @@
     [[nodiscard]] virtual UpstreamAnswer readAnswer(const HttpResponseHead &head) const = 0;
     // Name of the field with a request's id, for answers of the router itself.
     [[nodiscard]] virtual std::string_view requestIdField() const = 0;
-    // Path on which readiness is asked for, and that of the metrics.
+    // Path on which readiness is asked for.
     [[nodiscard]] virtual std::string_view readinessPath() const = 0;
 };
 
--- a/carawaylatch/proxy/httpparser.h
+++ b/carawaylatch/proxy/httpparser.h
@@ -39,7 +39,7 @@
     [[nodiscard]] base::Result<std::size_t> feed(std::string_view bytes);
     [[nodiscard]] bool isHeadDone() const;
     [[nodiscard]] bool isComplete() const;
-    // True if the error came from the body, so that the head can be answered for.
+    // True if the caller may send another request on the connection.
     [[nodiscard]] bool keepsAlive() const;
     [[nodiscard]] HttpRequestHead &head();
     // The body as far as it has arrived.
@@ -64,6 +64,7 @@
     [[nodiscard]] base::Result<void> feedEnd();
     [[nodiscard]] bool isHeadDone() const;
     [[nodiscard]] bool isComplete() const;
+    // True if the upstream keeps the connection open after this answer.
     [[nodiscard]] bool keepsAlive() const;
     [[nodiscard]] const HttpResponseHead &head() const;
     // Body bytes that arrived since the last call.
--- a/carawaylatch/proxy/trafficplane.h
+++ b/carawaylatch/proxy/trafficplane.h
@@ -89,8 +89,8 @@
 class TrafficPlane
 {
 public:
-    // All references outlive the plane. `tableConfirmedAt` tells when the
-    // configuration was last confirmed, on a clock that counts suspension.
+    // All references outlive the plane. `tableAge` tells how long ago the configuration
+    // was last confirmed, on a clock that counts suspension.
     TrafficPlane(boost::asio::io_context &loop, const base::Clock &clock, const TrafficSettings &settings, const Dialect &dialect, TrafficObserver &observer,
                  telemetry::DecisionLog &log, std::function<base::Duration()> tableAge);
     ~TrafficPlane();
