--- a/carawaylatch/gateway/testing/gatewaysettingstest.cpp
+++ b/carawaylatch/gateway/testing/gatewaysettingstest.cpp
@@ -104,7 +104,7 @@
             } else if (!line.empty() && line.front() != '#') {
                 const std::string name = line.substr(0, line.find(" ="));
                 const auto known = gatewaySettingsKeys();
-                CPPUNIT_ASSERT_MESSAGE(section + '.' + name, std::any_of(known.begin(), known.end(), [&](const GatewaySettingsKey &key) {
+                CPPUNIT_ASSERT_MESSAGE(name, std::any_of(known.begin(), known.end(), [&](const GatewaySettingsKey &key) {
                                            return key.section == section && key.name == name;
                                        }));
                 ++keys;
