--- a/carawaylatch/base/time.cpp
+++ b/carawaylatch/base/time.cpp
@@ -23,6 +23,11 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(count));
 }
 
+Duration fromMilliseconds(double count)
+{
+    return fromSeconds(count / 1000);
+}
+
 std::string formatSeconds(Duration duration)
 {
     char text[32];
--- a/carawaylatch/base/time.h
+++ b/carawaylatch/base/time.h
@@ -28,8 +28,9 @@
 // Returns a duration in seconds as a floating point number.
 [[nodiscard]] double toSeconds(Duration duration);
 
-// Returns the duration nearest to a count of seconds.
+// Returns the duration nearest to a count of seconds or milliseconds.
 [[nodiscard]] Duration fromSeconds(double count);
+[[nodiscard]] Duration fromMilliseconds(double count);
 
 // Returns a duration as decimal text: seconds to a thousandth, milliseconds to a tenth.
 [[nodiscard]] std::string formatSeconds(Duration duration);
--- a/carawaylatch/gateway/gatewaysettings.cpp
+++ b/carawaylatch/gateway/gatewaysettings.cpp
@@ -40,11 +40,6 @@
     Key{"weights", "lease_ms", "number", "milliseconds between the last order of one holder and the first of another", false, nullptr, nullptr, &S::leaseMs},
 };
 
-base::Duration fromMilliseconds(double count)
-{
-    return base::fromSeconds(count / 1000);
-}
-
 base::Error wrongValue(std::string_view fileName, const config::IniEntry &entry, const std::string &problem)
 {
     return base::fail(base::ErrorKind::InvalidArgument, config::linePrefix(fileName, entry.line) + entry.key + ": " + problem);
@@ -177,11 +172,11 @@
     out.metrics = metrics;
     out.retryShare = retryShare;
     out.retryReserve = static_cast<std::uint32_t>(retryReserve);
-    out.maxTableAge = fromMilliseconds(maxAgeMs * UsedAgeShare);
-    out.readyTableAge = fromMilliseconds(maxAgeMs * ReadyAgeShare);
+    out.maxTableAge = base::fromMilliseconds(maxAgeMs * UsedAgeShare);
+    out.readyTableAge = base::fromMilliseconds(maxAgeMs * ReadyAgeShare);
     out.maxBodyBytesHeld = static_cast<std::uint64_t>(memoryMegabytes * 1e6 * MaxBodiesShare);
-    out.placement.oldWeightsLimit = fromMilliseconds(changeWithinMs * OldWeightsShare);
-    out.placement.oldWeightsStart = fromMilliseconds(changeWithinMs * OldWeightsStartShare);
+    out.placement.oldWeightsLimit = base::fromMilliseconds(changeWithinMs * OldWeightsShare);
+    out.placement.oldWeightsStart = base::fromMilliseconds(changeWithinMs * OldWeightsStartShare);
     return out;
 }
 
@@ -193,11 +188,11 @@
     constexpr double SettleShare = 1.2;
     ControlSettings out;
     out.router = base::RouterId(id);
-    out.lease.length = fromMilliseconds(leaseMs * LeaseShare);
-    out.lease.readInterval = fromMilliseconds(leaseMs * LeaseShare / 6);
+    out.lease.length = base::fromMilliseconds(leaseMs * LeaseShare);
+    out.lease.readInterval = base::fromMilliseconds(leaseMs * LeaseShare / 6);
     out.lease.isRouterSingle = true;
-    out.rollout.settleTime = fromMilliseconds(leaseMs * SettleShare);
-    out.watchWait = fromMilliseconds(watchWaitMs);
+    out.rollout.settleTime = base::fromMilliseconds(leaseMs * SettleShare);
+    out.watchWait = base::fromMilliseconds(watchWaitMs);
     return out;
 }
 
--- a/carawaylatch/proxy/callerconnection.cpp
+++ b/carawaylatch/proxy/callerconnection.cpp
@@ -262,10 +262,10 @@
 
 void CallerConnection::armTimer()
 {
-    const CallerLimitsView limits = m_plane.callerLimits();
+    const CallerLimits limits = m_plane.callerLimits();
     base::Duration wait = limits.idleTimeout;
     if (m_parser) {
-        wait = m_parser->isHeadDone() ? limits.bodyTimeout : limits.headTimeout;
+        wait = m_parser->isHeadDone() ? limits.idleTimeout : limits.headTimeout;
     }
     m_timer = m_plane.timers().after(m_plane.now(), wait, [weak = weak_from_this()](base::TimePoint) {
         if (const auto self = weak.lock()) {
--- a/carawaylatch/proxy/exchange.cpp
+++ b/carawaylatch/proxy/exchange.cpp
@@ -146,7 +146,6 @@
     query.model = m_request.model;
     query.promptKey = m_promptKey;
     query.sharedTokens = m_sharedTokens;
-    query.promptTokens = m_request.promptTokens;
     query.memoryTokens = m_request.promptTokens + m_request.maxAnswerTokens;
     query.domain = m_plane.settings().domain;
     query.excluded = m_tried;
--- a/carawaylatch/proxy/httpmessage.cpp
+++ b/carawaylatch/proxy/httpmessage.cpp
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <array>
 
+#include "carawaylatch/config/valuetext.h"
+
 namespace carawaylatch::proxy
 {
 
@@ -20,17 +22,6 @@
     return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
 }
 
-std::string_view trimmed(std::string_view text)
-{
-    while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
-        text.remove_prefix(1);
-    }
-    while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) {
-        text.remove_suffix(1);
-    }
-    return text;
-}
-
 // True if a Connection field lists the name as one of its options.
 bool isNamedByConnection(const HttpFields &fields, std::string_view name)
 {
@@ -38,13 +29,12 @@
         if (!equalsIgnoringCase(field.name, "connection")) {
             continue;
         }
-        std::string_view rest = field.value;
-        while (!rest.empty()) {
-            const std::size_t comma = rest.find(',');
-            if (equalsIgnoringCase(trimmed(rest.substr(0, comma)), name)) {
-                return true;
-            }
-            rest = comma == std::string_view::npos ? std::string_view{} : rest.substr(comma + 1);
+        const auto options = config::splitList(field.value);
+        const bool isNamed = std::any_of(options.begin(), options.end(), [name](std::string_view option) {
+            return equalsIgnoringCase(option, name);
+        });
+        if (isNamed) {
+            return true;
         }
     }
     return false;
--- a/carawaylatch/proxy/placement.cpp
+++ b/carawaylatch/proxy/placement.cpp
@@ -77,12 +77,12 @@
     }
     if (!scene.pool->engine) {
         const double slots = std::max<std::uint32_t>(record.upstream.slots, 1);
-        return cost + tuning.millisecondsPerRequest * record.load(scene.query.now) / slots * 6;
+        return cost + tuning.fullServiceMilliseconds * record.load(scene.query.now) / slots;
     }
     // Each router sees its own part of the queued work; the parts are about equal.
     const double queued = static_cast<double>(record.unreadTokens) * scene.view.routers;
     cost += queued * tuning.millisecondsPerToken;
-    cost += record.load(scene.query.now) * 1.0;
+    cost += record.load(scene.query.now) * tuning.runningRequestMilliseconds;
     if (!holdsSharedParts(scene, record, book)) {
         const double homeShare = scene.home == &record ? tuning.homeShare : 1.0;
         cost += scene.query.sharedTokens * (tuning.millisecondsPerToken + tuning.rereadMillisecondsPerToken) * homeShare;
@@ -97,12 +97,9 @@
 {
     const UpstreamRecord *home = nullptr;
     std::uint64_t best = 0;
-    bool isHomeNear = false;
     for (const UpstreamRecord *record : members) {
-        const bool isNear = record->upstream.domain == query.domain;
         const std::uint64_t weight = base::rendezvousWeight(query.promptKey, record->upstream.id.value());
         if (home == nullptr || weight > best) {
-            isHomeNear = isNear;
             home = record;
             best = weight;
         }
--- a/carawaylatch/proxy/placement.h
+++ b/carawaylatch/proxy/placement.h
@@ -24,7 +24,8 @@
 struct PlacementTuning
 {
     double millisecondsPerToken = 0.022; // reading a prompt; a first estimate for engines of this size
-    double millisecondsPerRequest = 20; // a request ahead of this one at a plain service
+    double fullServiceMilliseconds = 120; // a plain service whose slots are all taken: two calls of the longer kind
+    double runningRequestMilliseconds = 1; // each request at an engine makes its steps longer
     double rereadMillisecondsPerToken = 0.06; // what reading shared parts twice costs operators beside the time
     double homeShare = 0.3; // of the cost of reading shared parts at their home when they were not placed there yet
     double otherDomainMilliseconds = 12; // transfers between failure domains cost operators more than callers
@@ -42,7 +43,6 @@
     base::ModelId model; // empty for plain services
     std::uint64_t promptKey = 0; // hash of the shared parts; zero without any
     std::uint32_t sharedTokens = 0;
-    std::uint32_t promptTokens = 0;
     std::uint32_t memoryTokens = 0; // prompt and longest answer
     base::FailureDomain domain; // of this router
     std::span<const base::UpstreamId> excluded; // tried before
--- a/carawaylatch/proxy/testing/decisionstest.cpp
+++ b/carawaylatch/proxy/testing/decisionstest.cpp
@@ -245,7 +245,6 @@
         out.model = base::ModelId("m");
         out.promptKey = prompt;
         out.sharedTokens = 6000;
-        out.promptTokens = 9000;
         out.memoryTokens = 9100;
         out.domain = base::FailureDomain("a");
         return out;
--- a/carawaylatch/proxy/trafficplane.cpp
+++ b/carawaylatch/proxy/trafficplane.cpp
@@ -342,16 +342,13 @@
 
 ParserLimits TrafficPlane::parserLimits() const
 {
-    if (!m_view->table) {
-        return {};
-    }
-    return ParserLimits{m_view->table->limits.maxHeadBytes, m_view->table->limits.maxBodyBytes};
+    const CallerLimits limits = callerLimits();
+    return ParserLimits{limits.maxHeadBytes, limits.maxBodyBytes};
 }
 
-CallerLimitsView TrafficPlane::callerLimits() const
+CallerLimits TrafficPlane::callerLimits() const
 {
-    const CallerLimits limits = m_view->table ? m_view->table->limits : CallerLimits{};
-    return CallerLimitsView{limits.headTimeout, limits.idleTimeout, limits.idleTimeout};
+    return m_view->table ? m_view->table->limits : CallerLimits{};
 }
 
 base::Duration TrafficPlane::tableAge() const
--- a/carawaylatch/proxy/trafficplane.h
+++ b/carawaylatch/proxy/trafficplane.h
@@ -52,13 +52,6 @@
     PlacementTuning placement;
 };
 
-struct CallerLimitsView
-{
-    base::Duration headTimeout{};
-    base::Duration bodyTimeout{};
-    base::Duration idleTimeout{};
-};
-
 // Counts since the start, read by the metrics page.
 struct TrafficCounts
 {
@@ -127,7 +120,7 @@
     [[nodiscard]] TrafficObserver &observer();
     [[nodiscard]] base::Random &random();
     [[nodiscard]] ParserLimits parserLimits() const;
-    [[nodiscard]] CallerLimitsView callerLimits() const;
+    [[nodiscard]] CallerLimits callerLimits() const;
     [[nodiscard]] base::Duration tableAge() const;
     [[nodiscard]] relay::RetryBudget &budget(const base::PoolName &pool);
     [[nodiscard]] WaitQueue &queue(const base::PoolName &pool);
