--- a/carawaylatch/proxy/exchangeattempt.cpp
+++ b/carawaylatch/proxy/exchangeattempt.cpp
@@ -75,14 +75,12 @@
     }
     plan.weights = m_attempt->record->weights;
     const std::string owner = m_customer != nullptr && m_customer->isIsolated ? m_customer->id.value() : std::string();
-    if (m_sharedTokens >= MinSharedTokensStored && !m_view->table->cacheStores.empty() && plan.weights.value != 0) {
-        const base::Endpoint &store = m_view->table->cacheStores.front().endpoint;
-        const bool isAlive = !m_plane.view()->deadCacheStores.contains(store);
-        if (isAlive) {
-            plan.fetchFrom = store; // costs nothing where the engine keeps the parts itself
-        }
-        if (isAlive && !m_attempt->holdsParts) {
-            plan.saveTo = store;
+    const auto view = m_plane.view();
+    const CacheStore *store = m_sharedTokens >= MinSharedTokensStored && plan.weights.value != 0 ? cacheStoreOf(m_promptKey, *view) : nullptr;
+    if (store != nullptr) {
+        plan.fetchFrom = store->endpoint; // costs nothing where the engine keeps the parts itself
+        if (!m_attempt->holdsParts) {
+            plan.saveTo = store->endpoint;
         }
     }
     plan.cacheNamespace = m_request.model.value() + '.' + std::to_string(plan.weights.value) + '.' + owner;
--- a/carawaylatch/proxy/placement.cpp
+++ b/carawaylatch/proxy/placement.cpp
@@ -109,6 +109,20 @@
 
 } // namespace
 
+const CacheStore *cacheStoreOf(std::uint64_t promptKey, const FleetView &view)
+{
+    const CacheStore *chosen = nullptr;
+    std::uint64_t best = 0;
+    for (const CacheStore &store : view.table->cacheStores) {
+        const std::uint64_t weight = base::rendezvousWeight(promptKey, store.endpoint.address);
+        if (!view.deadCacheStores.contains(store.endpoint) && (chosen == nullptr || weight > best)) {
+            chosen = &store;
+            best = weight;
+        }
+    }
+    return chosen;
+}
+
 std::uint64_t promptStateKey(std::uint64_t promptKey, base::WeightsVersion weights)
 {
     return base::combineHashes(promptKey, weights.value);
--- a/carawaylatch/proxy/testing/decisionstest.cpp
+++ b/carawaylatch/proxy/testing/decisionstest.cpp
@@ -1,6 +1,7 @@
 // Decisions of the traffic plane: attempt rules, events, routes, placement, queue.
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -217,6 +218,7 @@
     CPPUNIT_TEST(testEngineMemoryIsCounted);
     CPPUNIT_TEST(testFailedUpstreamIsAvoidedThenTriedAgain);
     CPPUNIT_TEST(testSilentUpstreamIsAvoided);
+    CPPUNIT_TEST(testPromptsAreSpreadOverCacheStores);
     CPPUNIT_TEST_SUITE_END();
 
     FleetView m_view;
@@ -384,6 +386,32 @@
             CPPUNIT_ASSERT(placeNow(query(prompt, Start + base::seconds{3})).record != record);
         }
     }
+
+    // Many prompts on three stores: each keeps a part, and the loss of one moves its part alone.
+    void testPromptsAreSpreadOverCacheStores()
+    {
+        CPPUNIT_ASSERT(cacheStoreOf(1, m_view) == nullptr);
+        auto table = std::make_shared<RouteTable>(*m_view.table);
+        for (const char *address : {"10.0.0.1", "10.0.0.2", "10.0.0.3"}) {
+            table->cacheStores.push_back({base::Endpoint{address, 80}, base::FailureDomain("a")});
+        }
+        m_view.table = table;
+        constexpr std::uint64_t Prompts = 900;
+        std::map<std::string, int> kept;
+        std::map<std::uint64_t, std::string> before;
+        for (std::uint64_t prompt = 1; prompt <= Prompts; ++prompt) {
+            before[prompt] = cacheStoreOf(prompt, m_view)->endpoint.address;
+            ++kept[before[prompt]];
+        }
+        for (const auto &[address, n] : kept) {
+            CPPUNIT_ASSERT_MESSAGE(address + " keeps " + std::to_string(n), n > 200 && n < 400);
+        }
+        m_view.deadCacheStores.insert(base::Endpoint{"10.0.0.2", 80});
+        for (std::uint64_t prompt = 1; prompt <= Prompts; ++prompt) {
+            const std::string now = cacheStoreOf(prompt, m_view)->endpoint.address;
+            CPPUNIT_ASSERT(now != "10.0.0.2" && (now == before[prompt] || before[prompt] == "10.0.0.2"));
+        }
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(PlacementTest);
 
