--- a/carawaylatch/gateway/controlplane.cpp
+++ b/carawaylatch/gateway/controlplane.cpp
@@ -235,11 +235,13 @@
     }
 }
 
-// Other routers count the objects to know their part of shared budgets.
+// Other routers count the objects to know their part of shared budgets, and read from
+// each where to send load reports.
 Awaitable<void> ControlPlane::registerRouter(ObjectClient &client)
 {
     const std::string name = std::string(RouterPrefix) + m_settings.router.value();
-    const auto result = co_await client.write(ObjectKind::Duties, name, "router", 0);
+    const std::string text = encodeRouter(m_settings.peers);
+    const auto result = co_await client.write(ObjectKind::Duties, name, text, 0);
     m_isRegistered = result.has_value() || result.error().kind == base::ErrorKind::Conflict;
     if (!m_isRegistered) {
         co_await pause(m_settings.maxRetryPause);
--- a/carawaylatch/gateway/controlplane.h
+++ b/carawaylatch/gateway/controlplane.h
@@ -32,6 +32,7 @@
 struct ControlSettings
 {
     base::RouterId router; // names one VM
+    base::Endpoint peers; // where it takes other routers' load reports; port zero: nowhere
     fleet::LeaseSettings lease;
     RolloutSettings rollout;
     base::Duration watchWait = base::milliseconds{1200}; // of one watch of the configuration; bounds its age
--- a/carawaylatch/gateway/fleetstate.cpp
+++ b/carawaylatch/gateway/fleetstate.cpp
@@ -5,6 +5,8 @@
 #include <charconv>
 #include <utility>
 
+#include "carawaylatch/config/valuetext.h"
+
 namespace carawaylatch::gateway
 {
 
@@ -56,6 +58,17 @@
     return out;
 }
 
+std::string encodeRouter(const base::Endpoint &peers)
+{
+    return peers.port == 0 ? std::string("router") : peers.address + ':' + std::to_string(peers.port);
+}
+
+std::optional<base::Endpoint> decodeRouter(std::string_view text)
+{
+    auto endpoint = config::parseEndpoint(text);
+    return endpoint ? std::optional(std::move(endpoint.value())) : std::nullopt;
+}
+
 FleetState::FleetState(const FleetDecoder &decoder, telemetry::DecisionLog &log)
     : m_decoder(decoder)
     , m_log(log)
@@ -315,10 +328,17 @@
     if (const StoredObject *changing = duty(ChangingName)) {
         view->reloading = ChangingEngines::decode(changing->text).engines;
     }
-    const auto routers = std::count_if(m_duties.begin(), m_duties.end(), [](const auto &it) {
-        return it.first.starts_with(RouterPrefix);
-    });
-    view->routers = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(routers));
+    std::uint32_t routers = 0;
+    for (const auto &[name, object] : m_duties) {
+        if (!name.starts_with(RouterPrefix)) {
+            continue;
+        }
+        ++routers;
+        if (auto endpoint = decodeRouter(object.text)) {
+            view->routerEndpoints.push_back(std::move(*endpoint));
+        }
+    }
+    view->routers = std::max(1U, routers);
     view->sequence = ++m_sequence;
     return view;
 }
--- a/carawaylatch/gateway/fleetstate.h
+++ b/carawaylatch/gateway/fleetstate.h
@@ -43,6 +43,10 @@
     [[nodiscard]] static ChangingEngines decode(std::string_view text);
 };
 
+// Text of a router's own object: where it takes load reports, or a plain word if it takes none.
+[[nodiscard]] std::string encodeRouter(const base::Endpoint &peers);
+[[nodiscard]] std::optional<base::Endpoint> decodeRouter(std::string_view text);
+
 class FleetState
 {
 public:
--- a/carawaylatch/gateway/gatewaysettings.cpp
+++ b/carawaylatch/gateway/gatewaysettings.cpp
@@ -19,12 +19,13 @@
 using Key = GatewaySettingsKey;
 using S = GatewaySettings;
 
-constexpr std::array<Key, 15> Keys{
+constexpr std::array<Key, 16> Keys{
     Key{"gateway", "id", "name", "names this VM; one process at a time has it", true, &S::id},
     Key{"gateway", "failure_domain", "name", "failure domain of this VM", true, &S::failureDomain},
     Key{"gateway", "callers", "endpoint", "where callers connect", true, nullptr, &S::callers},
     Key{"gateway", "operators", "endpoint", "where readiness and metrics are asked for", true, nullptr, &S::operators},
     Key{"gateway", "metrics", "endpoint", "where metrics alone are asked for, beside the operators' address", false, nullptr, &S::metrics},
+    Key{"gateway", "peers", "endpoint", "where other routers send reports of their load; without it none are exchanged", false, nullptr, &S::peers},
     Key{"gateway", "memory_mb", "number", "megabytes that the process may use; an eighth of it holds request bodies", false, nullptr, nullptr,
         &S::memoryMegabytes},
     Key{"gateway", "grace_seconds", "number", "seconds from the stop signal to the end of the process", false, nullptr, nullptr, &S::graceSeconds},
@@ -170,6 +171,8 @@
     out.callers = callers;
     out.operators = operators;
     out.metrics = metrics;
+    out.peers = peers;
+    out.routerId = id;
     out.retryShare = retryShare;
     out.retryReserve = static_cast<std::uint32_t>(retryReserve);
     out.maxTableAge = base::fromMilliseconds(maxAgeMs * UsedAgeShare);
@@ -188,6 +191,7 @@
     constexpr double SettleShare = 1.2;
     ControlSettings out;
     out.router = base::RouterId(id);
+    out.peers = peers;
     out.lease.length = base::fromMilliseconds(leaseMs * LeaseShare);
     out.lease.readInterval = base::fromMilliseconds(leaseMs * LeaseShare / 6);
     out.lease.isRouterSingle = true;
--- a/carawaylatch/gateway/gatewaysettings.h
+++ b/carawaylatch/gateway/gatewaysettings.h
@@ -25,6 +25,7 @@
     std::string failureDomain;
     base::Endpoint callers;
     base::Endpoint operators;
+    base::Endpoint peers;
     base::Endpoint metrics;
     base::Endpoint store;
     double memoryMegabytes = 256; // that the process may use
--- a/carawaylatch/proxy/exchangeattempt.cpp
+++ b/carawaylatch/proxy/exchangeattempt.cpp
@@ -104,7 +104,7 @@
         m_sentAt = m_plane.now();
     }
     if (m_promptKey != 0) {
-        m_plane.book().placed(promptStateKey(m_promptKey, attempt.record->weights), attempt.record->upstream.id);
+        m_plane.book().placed(promptStateKey(m_promptKey, attempt.record->weights), *attempt.record);
     }
     m_scanner.restart();
     watchStart();
--- a/carawaylatch/proxy/fleet.h
+++ b/carawaylatch/proxy/fleet.h
@@ -160,6 +160,7 @@
     std::set<base::UpstreamId> reloading; // changing weights, or about to: gets no new request
     std::set<base::Endpoint> deadCacheStores; // did not answer of late
     std::uint32_t routers = 1; // that share budgets; at least one
+    std::vector<base::Endpoint> routerEndpoints; // where routers take load reports; of all that ever started
     std::uint64_t sequence = 0; // of this snapshot in this process
 };
 
--- /dev/null
+++ b/carawaylatch/proxy/loadreport.cpp
@@ -0,0 +1,112 @@
+// Encoding of loadreport.h. Decoding compares the length with the counts before it
+// reads a row.
+#include "carawaylatch/proxy/loadreport.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace carawaylatch::proxy
+{
+
+namespace
+{
+
+constexpr std::uint8_t Version = 1;
+constexpr std::uint8_t WholeFlag = 1;
+constexpr std::size_t HeadBytes = 22;
+constexpr std::size_t WorkBytes = 18;
+constexpr std::size_t PlacementBytes = 16;
+
+template <typename T>
+void append(std::string &out, T value)
+{
+    for (std::size_t i = 0; i < sizeof(T); ++i) {
+        out.push_back(static_cast<char>((value >> (8 * i)) & 0xFFU));
+    }
+}
+
+// Takes an integer from the front; the caller has checked the length.
+template <typename T>
+T take(std::string_view &bytes)
+{
+    std::uint64_t value = 0;
+    for (std::size_t i = 0; i < sizeof(T); ++i) {
+        value |= static_cast<std::uint64_t>(static_cast<unsigned char>(bytes[i])) << (8 * i);
+    }
+    bytes.remove_prefix(sizeof(T));
+    return static_cast<T>(value);
+}
+
+base::Error noReport(const std::string &problem)
+{
+    return base::fail(base::ErrorKind::InvalidArgument, "not a load report: " + problem + "; check the version of the router that sent it");
+}
+
+} // namespace
+
+std::string encodeLoadReport(const LoadReport &report)
+{
+    const std::size_t works = std::min(report.work.size(), MaxReportRows);
+    const std::size_t placements = std::min(report.placements.size(), MaxReportRows);
+    std::string out;
+    out.reserve(HeadBytes + works * WorkBytes + placements * PlacementBytes);
+    append<std::uint8_t>(out, Version);
+    append<std::uint8_t>(out, report.isWhole ? WholeFlag : 0);
+    append<std::uint16_t>(out, static_cast<std::uint16_t>(works));
+    append<std::uint16_t>(out, static_cast<std::uint16_t>(placements));
+    append(out, report.sender);
+    append(out, report.life);
+    for (std::size_t i = 0; i < works; ++i) {
+        const UpstreamWork &it = report.work[i];
+        append(out, it.upstream);
+        append<std::uint16_t>(out, static_cast<std::uint16_t>(std::min<std::uint32_t>(it.requests, std::numeric_limits<std::uint16_t>::max())));
+        append(out, it.unreadTokens);
+        append(out, it.memoryTokens);
+    }
+    for (std::size_t i = 0; i < placements; ++i) {
+        append(out, report.placements[i].promptState);
+        append(out, report.placements[i].upstream);
+    }
+    return out;
+}
+
+base::Result<LoadReport> decodeLoadReport(std::string_view bytes)
+{
+    if (bytes.size() < HeadBytes) {
+        return noReport("shorter than its head");
+    }
+    if (take<std::uint8_t>(bytes) != Version) {
+        return noReport("another version");
+    }
+    LoadReport report;
+    report.isWhole = (take<std::uint8_t>(bytes) & WholeFlag) != 0;
+    const std::size_t works = take<std::uint16_t>(bytes);
+    const std::size_t placements = take<std::uint16_t>(bytes);
+    report.sender = take<std::uint64_t>(bytes);
+    report.life = take<std::uint64_t>(bytes);
+    if (works > MaxReportRows || placements > MaxReportRows) {
+        return noReport("more rows than a report holds");
+    }
+    if (bytes.size() != works * WorkBytes + placements * PlacementBytes) {
+        return noReport("its length differs from its counts");
+    }
+    report.work.reserve(works);
+    for (std::size_t i = 0; i < works; ++i) {
+        UpstreamWork it;
+        it.upstream = take<std::uint64_t>(bytes);
+        it.requests = take<std::uint16_t>(bytes);
+        it.unreadTokens = take<std::uint32_t>(bytes);
+        it.memoryTokens = take<std::uint32_t>(bytes);
+        report.work.push_back(it);
+    }
+    report.placements.reserve(placements);
+    for (std::size_t i = 0; i < placements; ++i) {
+        PromptPlacement it;
+        it.promptState = take<std::uint64_t>(bytes);
+        it.upstream = take<std::uint64_t>(bytes);
+        report.placements.push_back(it);
+    }
+    return report;
+}
+
+} // namespace carawaylatch::proxy
--- /dev/null
+++ b/carawaylatch/proxy/peerexchange.cpp
@@ -0,0 +1,412 @@
+// Connections of the exchange. peer::Http2Session is the protocol; here are the
+// sockets, one read and at most one write under way on each.
+#include "carawaylatch/proxy/peerexchange.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+#include <array>
+#include <optional>
+#include <utility>
+
+#include "carawaylatch/base/hash.h"
+#include "carawaylatch/base/incarnation.h"
+#include "carawaylatch/peer/http2session.h"
+
+namespace carawaylatch::proxy
+{
+
+namespace
+{
+
+constexpr base::Duration SignOfLifeInterval = base::milliseconds{400}; // a third of PeerWork::PeerLife
+constexpr base::Duration ConnectTimeout = base::milliseconds{700}; // several round trips; a lost opening packet takes a second
+constexpr base::Duration AnswerTimeout = base::seconds{1}; // a peer that is busy answers later than this only when it is of no use
+constexpr base::Duration FirstRetryPause = base::milliseconds{500}; // after a lost connection; doubles up to MaxRetryPause
+constexpr base::Duration MaxRetryPause = base::seconds{8}; // a router that was removed stays listed
+constexpr std::size_t MaxUnanswered = 16; // reports to one peer; beyond it they are left out and a whole one follows
+constexpr std::size_t MaxInbound = 2 * MaxReportPeers; // neighbours may see another ring for a while
+constexpr int Taken = 204;
+constexpr int Refused = 400;
+
+std::string endpointText(const base::Endpoint &endpoint)
+{
+    return endpoint.address + ':' + std::to_string(endpoint.port);
+}
+
+} // namespace
+
+std::vector<base::Endpoint> reportPeers(std::span<const base::Endpoint> routers, const base::Endpoint &self)
+{
+    std::set<base::Endpoint> ring(routers.begin(), routers.end());
+    ring.insert(self);
+    const std::vector<base::Endpoint> order(ring.begin(), ring.end());
+    const std::size_t size = order.size();
+    const auto at = static_cast<std::size_t>(std::lower_bound(order.begin(), order.end(), self) - order.begin());
+    std::vector<base::Endpoint> peers;
+    if (size - 1 <= MaxReportPeers) {
+        peers.assign(ring.begin(), ring.end());
+        std::erase(peers, self);
+        return peers;
+    }
+    for (std::size_t step = 1; step <= MaxReportPeers / 2; ++step) {
+        peers.push_back(order[(at + step) % size]);
+        peers.push_back(order[(at + size - step) % size]);
+    }
+    return peers;
+}
+
+// A peer's connection to this router.
+class PeerExchange::Inbound : public std::enable_shared_from_this<Inbound>
+{
+public:
+    Inbound(PeerExchange &exchange, Tcp::socket socket)
+        : m_exchange(&exchange)
+        , m_socket(std::move(socket))
+        , m_session(peer::Http2Session::Role::Server, MaxReportBytes)
+    {
+        setSocketOptions(m_socket, AnswerTimeout * 2);
+    }
+
+    void read()
+    {
+        m_socket.async_read_some(boost::asio::buffer(m_chunk), [self = shared_from_this()](const boost::system::error_code &ec, std::size_t n) {
+            if (ec || self->m_exchange == nullptr || !self->m_session.receive({self->m_chunk.data(), n})) {
+                self->close();
+                return;
+            }
+            for (const auto &request : self->m_session.takeRequests()) {
+                self->m_session.respond(request.stream, request.isTooLarge ? Refused : Taken);
+                self->m_exchange->onInbound(request.body);
+            }
+            self->write();
+            self->read();
+        });
+    }
+
+    void close()
+    {
+        boost::system::error_code ignored;
+        m_socket.close(ignored);
+        if (m_exchange != nullptr) {
+            std::exchange(m_exchange, nullptr)->m_inbound.erase(shared_from_this());
+        }
+    }
+
+private:
+    void write()
+    {
+        if (!m_output.empty()) {
+            return; // the end of the write under way looks again
+        }
+        m_output = m_session.takeOutput();
+        if (m_output.empty()) {
+            return;
+        }
+        boost::asio::async_write(m_socket, boost::asio::buffer(m_output), [self = shared_from_this()](const boost::system::error_code &ec, std::size_t) {
+            self->m_output.clear();
+            if (!ec && self->m_exchange != nullptr) {
+                self->write();
+            }
+        });
+    }
+
+    PeerExchange *m_exchange; // nullptr once closed
+    Tcp::socket m_socket;
+    peer::Http2Session m_session;
+    std::array<char, 4096> m_chunk{};
+    std::string m_output; // of the write under way
+};
+
+// This router's connection to a peer.
+class PeerExchange::Outbound : public std::enable_shared_from_this<Outbound>
+{
+public:
+    Outbound(PeerExchange &exchange, base::Endpoint endpoint)
+        : m_exchange(&exchange)
+        , m_endpoint(std::move(endpoint))
+        , m_socket(exchange.m_loop)
+    {
+    }
+
+    // Connects where it is time to, and gives a connection up that is silent.
+    void tick()
+    {
+        const base::TimePoint now = m_exchange->m_clock.now();
+        if (m_state == State::Idle && now >= m_retryAt) {
+            connect();
+        } else if (m_state == State::Connecting && now - m_waitingSince > ConnectTimeout) {
+            drop("no connection in time");
+        } else if (m_state == State::Open && m_unanswered > 0 && now - m_waitingSince > AnswerTimeout) {
+            drop("no answer in time");
+        }
+    }
+
+    // Sends a report; a peer that has no whole one yet, or takes too little, gets a whole one instead.
+    void send(const std::string &changes, const std::string &whole)
+    {
+        if (m_state != State::Open) {
+            return;
+        }
+        if (m_unanswered >= MaxUnanswered) {
+            m_needsWhole = true;
+            return;
+        }
+        const std::string &report = m_needsWhole ? whole : changes;
+        if (report.empty() || m_session->submit(report) <= 0) {
+            return;
+        }
+        m_needsWhole = false;
+        if (m_unanswered++ == 0) {
+            m_waitingSince = m_exchange->m_clock.now();
+        }
+        write();
+    }
+
+    void close()
+    {
+        m_exchange = nullptr;
+        reset();
+    }
+
+private:
+    enum class State {
+        Idle,
+        Connecting,
+        Open,
+    };
+
+    void connect()
+    {
+        boost::system::error_code ec;
+        const auto address = boost::asio::ip::make_address(m_endpoint.address, ec);
+        if (ec) {
+            m_retryAt = base::TimePoint::max(); // whoever wrote it, it is no address
+            return;
+        }
+        m_state = State::Connecting;
+        m_waitingSince = m_exchange->m_clock.now();
+        m_socket.async_connect(Tcp::endpoint(address, m_endpoint.port), [self = shared_from_this(), life = m_life](const boost::system::error_code &error) {
+            if (self->m_life != life || self->m_exchange == nullptr) {
+                return;
+            }
+            if (error) {
+                self->drop(error.message());
+                return;
+            }
+            self->open();
+        });
+    }
+
+    void open()
+    {
+        m_state = State::Open;
+        m_retryPause = FirstRetryPause;
+        m_session.emplace(peer::Http2Session::Role::Client, MaxReportBytes);
+        setSocketOptions(m_socket, AnswerTimeout * 2);
+        m_needsWhole = true;
+        if (std::exchange(m_isLost, false)) {
+            m_exchange->m_log.write(base::LogEvent::PeerRegained, {{"peer", endpointText(m_endpoint)}});
+        }
+        read();
+    }
+
+    void read()
+    {
+        m_socket.async_read_some(boost::asio::buffer(m_chunk), [self = shared_from_this(), life = m_life](const boost::system::error_code &ec, std::size_t n) {
+            if (self->m_life != life || self->m_exchange == nullptr) {
+                return;
+            }
+            if (ec || !self->m_session->receive({self->m_chunk.data(), n})) {
+                self->drop(ec ? ec.message() : "no answer of this protocol");
+                return;
+            }
+            const std::size_t answers = self->m_session->takeAnswers().size();
+            self->m_unanswered -= std::min(answers, self->m_unanswered);
+            self->m_waitingSince = self->m_exchange->m_clock.now();
+            self->write();
+            self->read();
+        });
+    }
+
+    void write()
+    {
+        if (!m_output.empty()) {
+            return; // the end of the write under way looks again
+        }
+        m_output = m_session->takeOutput();
+        if (m_output.empty()) {
+            return;
+        }
+        boost::asio::async_write(m_socket, boost::asio::buffer(m_output),
+                                 [self = shared_from_this(), life = m_life](const boost::system::error_code &ec, std::size_t) {
+                                     self->m_output.clear();
+                                     if (!ec && self->m_life == life && self->m_exchange != nullptr) {
+                                         self->write();
+                                     }
+                                 });
+    }
+
+    void drop(const std::string &problem)
+    {
+        reset();
+        m_retryAt = m_exchange->m_clock.now() + m_retryPause;
+        m_retryPause = std::min<base::Duration>(m_retryPause * 2, MaxRetryPause);
+        if (!std::exchange(m_isLost, true)) {
+            m_exchange->m_log.write(base::LogEvent::PeerLost, {{"peer", endpointText(m_endpoint)}, {"problem", problem}});
+        }
+    }
+
+    void reset()
+    {
+        ++m_life;
+        boost::system::error_code ignored;
+        m_socket.close(ignored);
+        m_state = State::Idle;
+        m_unanswered = 0;
+    }
+
+    PeerExchange *m_exchange; // nullptr once closed
+    const base::Endpoint m_endpoint;
+    Tcp::socket m_socket;
+    std::optional<peer::Http2Session> m_session; // of the present connection
+    std::array<char, 1024> m_chunk{};
+    std::string m_output; // of the write under way, which may be of a former connection
+    State m_state = State::Idle;
+    std::uint64_t m_life = 0; // of the connection; handlers of former ones do nothing
+    base::TimePoint m_waitingSince; // for the connection, or for an answer: since the last one or the first report without one
+    base::TimePoint m_retryAt;
+    base::Duration m_retryPause = FirstRetryPause;
+    std::size_t m_unanswered = 0; // reports; at most MaxUnanswered
+    bool m_needsWhole = true;
+    bool m_isLost = false; // as last logged
+};
+
+PeerExchange::PeerExchange(boost::asio::io_context &loop, const base::Clock &clock, base::Endpoint self, const std::string &id, LoadReportSource &source,
+                           telemetry::DecisionLog &log)
+    : m_loop(loop)
+    , m_clock(clock)
+    , m_self(std::move(self))
+    , m_source(source)
+    , m_log(log)
+    , m_sender(base::hash64(id))
+    , m_life(base::newIncarnation().value)
+    , m_acceptor(loop)
+    , m_next(loop)
+{
+}
+
+PeerExchange::~PeerExchange()
+{
+    closeAll();
+}
+
+base::Result<void> PeerExchange::listen()
+{
+    if (m_self.port == 0) {
+        return base::ok();
+    }
+    if (auto opened = openAcceptor(m_acceptor, m_self); !opened) {
+        return opened;
+    }
+    accept();
+    return base::ok();
+}
+
+void PeerExchange::accept()
+{
+    m_next = Tcp::socket(m_loop);
+    m_acceptor.async_accept(m_next, [this](const boost::system::error_code &ec) {
+        if (ec == boost::asio::error::operation_aborted) {
+            return;
+        }
+        if (!ec && m_inbound.size() < MaxInbound) {
+            const auto inbound = std::make_shared<Inbound>(*this, std::move(m_next));
+            m_inbound.insert(inbound);
+            inbound->read();
+        }
+        m_isAccepting = false; // the next tick accepts again, so that a lack of descriptors doesn't spin
+        if (!ec) {
+            accept();
+        }
+    });
+    m_isAccepting = true;
+}
+
+void PeerExchange::setRouters(std::span<const base::Endpoint> routers)
+{
+    if (m_self.port == 0) {
+        return;
+    }
+    const auto peers = reportPeers(routers, m_self);
+    std::erase_if(m_outbound, [&peers](const auto &it) {
+        const bool isGone = std::find(peers.begin(), peers.end(), it.first) == peers.end();
+        if (isGone) {
+            it.second->close();
+        }
+        return isGone;
+    });
+    for (const base::Endpoint &peer : peers) {
+        if (!m_outbound.contains(peer)) {
+            m_outbound.emplace(peer, std::make_shared<Outbound>(*this, peer));
+        }
+    }
+}
+
+void PeerExchange::tick()
+{
+    const base::TimePoint now = m_clock.now();
+    LoadReport changes = m_source.takeChanges(); // also with the exchange off: nobody else takes them
+    if (m_self.port == 0) {
+        return;
+    }
+    if (!m_isAccepting && m_acceptor.is_open()) {
+        accept();
+    }
+    const bool isDue = !changes.work.empty() || !changes.placements.empty() || now - m_reportedAt >= SignOfLifeInterval;
+    LoadReport whole = m_source.wholeReport();
+    whole.placements = changes.placements;
+    const std::string changesText = isDue ? encode(std::move(changes)) : std::string();
+    const std::string wholeText = encode(std::move(whole));
+    if (isDue) {
+        m_reportedAt = now;
+    }
+    for (const auto &[endpoint, outbound] : m_outbound) {
+        outbound->tick();
+        outbound->send(changesText, wholeText);
+    }
+}
+
+std::string PeerExchange::encode(LoadReport report) const
+{
+    report.sender = m_sender;
+    report.life = m_life;
+    return encodeLoadReport(report);
+}
+
+void PeerExchange::onInbound(std::string_view body)
+{
+    const auto report = decodeLoadReport(body);
+    if (report) {
+        m_source.onReport(report.value());
+    } else if (!std::exchange(m_hasBadReport, true)) {
+        m_log.write(base::LogEvent::PeerReportRefused, {{"problem", report.error().message}});
+    }
+}
+
+void PeerExchange::closeAll()
+{
+    boost::system::error_code ignored;
+    m_acceptor.close(ignored);
+    for (const auto &[endpoint, outbound] : m_outbound) {
+        outbound->close();
+    }
+    m_outbound.clear();
+    const auto inbound = std::exchange(m_inbound, {});
+    for (const auto &it : inbound) {
+        it->close();
+    }
+}
+
+} // namespace carawaylatch::proxy
--- a/carawaylatch/proxy/placement.cpp
+++ b/carawaylatch/proxy/placement.cpp
@@ -44,31 +44,26 @@
     return scene.target == nullptr || record.weights >= scene.oldestWeights;
 }
 
-bool hasRoom(const Scene &scene, const UpstreamRecord &record)
+bool hasRoom(const Scene &scene, const UpstreamRecord &record, const TotalWork &work)
 {
-    const double load = record.load(scene.query.now);
     const double slots = record.upstream.slots > 0 ? record.upstream.slots : std::numeric_limits<double>::max();
     if (!scene.pool->engine) {
-        return load < slots * scene.tuning.serviceQueueFactor;
+        return work.requests < slots * scene.tuning.serviceQueueFactor;
     }
-    if (load >= slots || record.isBackedUp(scene.query.now)) {
+    if (work.requests >= slots || record.isBackedUp(scene.query.now)) {
         return false;
     }
     const auto memory = static_cast<double>(scene.pool->engine->cacheTokens);
-    if (memory == 0 || record.inflight == 0) {
-        return true;
-    }
-    // Others' requests are taken to be as large as this router's own.
-    const double perRequest = static_cast<double>(record.inflightTokens) / record.inflight;
-    return load * perRequest + scene.query.memoryTokens <= memory * UsableMemoryShare;
+    // A request that is larger than the share runs alone.
+    return memory == 0 || work.memoryTokens == 0 || work.memoryTokens + scene.query.memoryTokens <= memory * UsableMemoryShare;
 }
 
 bool holdsSharedParts(const Scene &scene, const UpstreamRecord &record, const UpstreamBook &book)
 {
-    return scene.query.promptKey == 0 || book.isPlaced(promptStateKey(scene.query.promptKey, record.weights), record.upstream.id);
+    return scene.query.promptKey == 0 || book.isPlaced(promptStateKey(scene.query.promptKey, record.weights), record);
 }
 
-double costOf(const Scene &scene, const UpstreamRecord &record, const UpstreamBook &book)
+double costOf(const Scene &scene, const UpstreamRecord &record, const TotalWork &work, const UpstreamBook &book)
 {
     const PlacementTuning &tuning = scene.tuning;
     double cost = record.failureShare * record.failureShare * tuning.failureMilliseconds;
@@ -77,12 +72,10 @@
     }
     if (!scene.pool->engine) {
         const double slots = std::max<std::uint32_t>(record.upstream.slots, 1);
-        return cost + tuning.fullServiceMilliseconds * record.load(scene.query.now) / slots;
+        return cost + tuning.fullServiceMilliseconds * work.requests / slots;
     }
-    // Each router sees its own part of the queued work; the parts are about equal.
-    const double queued = static_cast<double>(record.unreadTokens) * scene.view.routers;
-    cost += queued * tuning.millisecondsPerToken;
-    cost += record.load(scene.query.now) * tuning.runningRequestMilliseconds;
+    cost += work.unreadTokens * tuning.millisecondsPerToken;
+    cost += work.requests * tuning.runningRequestMilliseconds;
     if (!holdsSharedParts(scene, record, book)) {
         const double homeShare = scene.home == &record ? tuning.homeShare : 1.0;
         cost += scene.query.sharedTokens * (tuning.millisecondsPerToken + tuning.rereadMillisecondsPerToken) * homeShare;
@@ -151,7 +144,7 @@
 
 PlacementResult place(const PlacementQuery &query, const FleetView &view, UpstreamBook &book, const PlacementTuning &tuning)
 {
-    Scene scene{query, view, tuning};
+    Scene scene{query, view, tuning, nullptr, nullptr, {}, nullptr};
     scene.pool = view.table->pool(query.pool);
     if (scene.pool == nullptr) {
         return {};
@@ -170,12 +163,13 @@
         if (!isUsable(scene, *record) || !areWeightsAllowed(scene, *record)) {
             continue;
         }
-        if (!hasRoom(scene, *record)) {
+        const TotalWork work = book.workAt(*record, view.routers, query.now);
+        if (!hasRoom(scene, *record, work)) {
             result.verdict = result.record == nullptr ? PlacementVerdict::Full : result.verdict;
             continue;
         }
         const bool isToAvoid = query.now < record->avoidUntil || record->isSilent(query.now, tuning.millisecondsPerToken);
-        const double cost = costOf(scene, *record, book);
+        const double cost = costOf(scene, *record, work, book);
         const bool isBetter = result.record == nullptr || (isAvoided && !isToAvoid) || (isAvoided == isToAvoid && cost < result.cost);
         if (isBetter) {
             result = PlacementResult{PlacementVerdict::Chosen, record, holdsSharedParts(scene, *record, book), cost};
--- a/carawaylatch/proxy/socket.cpp
+++ b/carawaylatch/proxy/socket.cpp
@@ -17,6 +17,8 @@
 using IntervalOption = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
 using CountOption = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
 
+constexpr int Backlog = 1024; // connections that wait to be accepted; a herd of callers comes at once
+
 } // namespace
 
 void setSocketOptions(Tcp::socket &socket, base::Duration silence)
@@ -33,4 +35,28 @@
     socket.set_option(CountOption(2), ignored);
 }
 
+base::Result<void> openAcceptor(Tcp::acceptor &acceptor, const base::Endpoint &endpoint)
+{
+    boost::system::error_code ec;
+    const auto address = boost::asio::ip::make_address(endpoint.address, ec);
+    const Tcp::endpoint local(address, endpoint.port);
+    if (!ec) {
+        acceptor.open(local.protocol(), ec);
+    }
+    if (!ec) {
+        acceptor.set_option(boost::asio::socket_base::reuse_address(true), ec);
+    }
+    if (!ec) {
+        acceptor.bind(local, ec);
+    }
+    if (!ec) {
+        acceptor.listen(Backlog, ec);
+    }
+    if (ec) {
+        return base::fail(base::ErrorKind::Unavailable,
+                          "can't listen on " + endpoint.address + ':' + std::to_string(endpoint.port) + " (" + ec.message() + "); set a free address");
+    }
+    return base::ok();
+}
+
 } // namespace carawaylatch::proxy
--- a/carawaylatch/proxy/socket.h
+++ b/carawaylatch/proxy/socket.h
@@ -3,6 +3,8 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include "carawaylatch/base/error.h"
+#include "carawaylatch/base/ids.h"
 #include "carawaylatch/base/time.h"
 
 namespace carawaylatch::proxy
@@ -14,4 +16,7 @@
 // nothing for `silence`, whether bytes are under way or it is idle.
 void setSocketOptions(Tcp::socket &socket, base::Duration silence);
 
+// Opens, binds and listens. Unavailable if the address is taken or none of this VM.
+[[nodiscard]] base::Result<void> openAcceptor(Tcp::acceptor &acceptor, const base::Endpoint &endpoint);
+
 } // namespace carawaylatch::proxy
--- a/carawaylatch/proxy/trafficplane.cpp
+++ b/carawaylatch/proxy/trafficplane.cpp
@@ -18,7 +18,6 @@
 
 constexpr base::Duration TimerGrain = base::milliseconds{2}; // far below every timeout of a request
 constexpr base::Duration TickInterval = base::milliseconds{50}; // waiting requests are looked at, and the log flushed
-constexpr int Backlog = 1024; // connections that wait to be accepted; a herd of callers comes at once
 constexpr std::size_t MaxKeptConnections = 64; // idle ones to one upstream, where it tells no bound
 
 Reply plainReply(unsigned status, std::string body)
@@ -73,6 +72,7 @@
     , m_callersListener(std::make_unique<Listener>(loop))
     , m_operatorsListener(std::make_unique<Listener>(loop))
     , m_metricsListener(std::make_unique<Listener>(loop))
+    , m_peers(loop, clock, settings.peers, settings.routerId, *this, log)
     , m_random(static_cast<std::uint64_t>(clock.now().time_since_epoch().count()))
 {
     m_tick = m_timers.every(now(), TickInterval, [this](base::TimePoint) {
@@ -80,6 +80,10 @@
         noteReadiness(unreadyReason());
         m_log.flush();
     });
+    m_reportTick = m_timers.every(now(), PeerExchange::ReportInterval, [this](base::TimePoint at) {
+        m_book.forgetSilentPeers(at);
+        m_peers.tick();
+    });
     armTimer();
 }
 
@@ -87,6 +91,9 @@
 
 base::Result<void> TrafficPlane::listen()
 {
+    if (auto result = m_peers.listen(); !result) {
+        return result;
+    }
     if (auto result = listenOn(*m_callersListener, m_settings.callers); !result) {
         return result;
     }
@@ -98,24 +105,8 @@
 
 base::Result<void> TrafficPlane::listenOn(Listener &listener, const base::Endpoint &endpoint)
 {
-    boost::system::error_code ec;
-    const auto address = boost::asio::ip::make_address(endpoint.address, ec);
-    const Tcp::endpoint local(address, endpoint.port);
-    if (!ec) {
-        listener.acceptor.open(local.protocol(), ec);
-    }
-    if (!ec) {
-        listener.acceptor.set_option(boost::asio::socket_base::reuse_address(true), ec);
-    }
-    if (!ec) {
-        listener.acceptor.bind(local, ec);
-    }
-    if (!ec) {
-        listener.acceptor.listen(Backlog, ec);
-    }
-    if (ec) {
-        return base::fail(base::ErrorKind::Unavailable,
-                          "can't listen on " + endpoint.address + ':' + std::to_string(endpoint.port) + " (" + ec.message() + "); set a free address");
+    if (auto opened = openAcceptor(listener.acceptor, endpoint); !opened) {
+        return opened;
     }
     accept(listener);
     return base::ok();
@@ -160,10 +151,28 @@
     closeKept([this](const base::UpstreamId &upstream) {
         return m_book.find(upstream) == nullptr;
     });
+    m_peers.setRouters(m_view->routerEndpoints);
     applyBudgets();
     scheduleQueues();
 }
 
+LoadReport TrafficPlane::takeChanges()
+{
+    return m_book.takeChanges();
+}
+
+LoadReport TrafficPlane::wholeReport() const
+{
+    return m_book.wholeReport();
+}
+
+void TrafficPlane::onReport(const LoadReport &report)
+{
+    if (m_book.heardOf(report, now())) {
+        scheduleQueues(); // there may be room at an upstream
+    }
+}
+
 // A router takes its part of the fleet's budget, counted with one router more than
 // are known, so that one which was just added does not exceed it.
 void TrafficPlane::applyBudgets()
@@ -218,6 +227,7 @@
     m_callersListener->acceptor.close(ignored);
     m_operatorsListener->acceptor.close(ignored);
     m_metricsListener->acceptor.close(ignored);
+    m_peers.closeAll();
     m_timer.cancel();
     const std::vector<std::shared_ptr<CallerConnection>> callers(m_callers.begin(), m_callers.end());
     for (const auto &caller : callers) {
@@ -488,6 +498,7 @@
         {"streams_resumed_total", m_counts.resumed},
         {"foreign_answers_total", m_counts.foreignAnswers},
         {"inflight", m_inflight},
+        {"peers", m_book.peers()},
         {"log_lines_dropped_total", m_log.dropped()},
         {"upstreams", m_view->upstreams.size()},
         {"table_version", m_view->table ? m_view->table->version : 0},
--- a/carawaylatch/proxy/trafficplane.h
+++ b/carawaylatch/proxy/trafficplane.h
@@ -25,6 +25,7 @@
 #include "carawaylatch/proxy/callerconnection.h"
 #include "carawaylatch/proxy/dialect.h"
 #include "carawaylatch/proxy/fleet.h"
+#include "carawaylatch/proxy/peerexchange.h"
 #include "carawaylatch/proxy/placement.h"
 #include "carawaylatch/proxy/socket.h"
 #include "carawaylatch/proxy/upstreambook.h"
@@ -43,6 +44,8 @@
     base::Endpoint callers; // where callers connect
     base::Endpoint operators; // where readiness and metrics are asked for
     base::Endpoint metrics; // where metrics alone are asked for; port zero: nowhere
+    base::Endpoint peers; // where other routers send load reports; port zero: none are exchanged
+    std::string routerId; // names this router in reports
     double retryShare = 0.2; // sends beyond the first, for each request of a pool, over all routers
     std::uint32_t retryReserve = 50; // such sends in ten seconds beside the share, over all routers
     base::Duration maxTableAge{}; // requests with a key are refused beyond it; zero: no limit
@@ -79,14 +82,14 @@
     virtual void onWeightsSeen(const base::UpstreamId &upstream, base::WeightsVersion weights) = 0;
 };
 
-class TrafficPlane
+class TrafficPlane : private LoadReportSource
 {
 public:
     // All references outlive the plane. `tableAge` tells how long ago the configuration
     // was last confirmed, on a clock that counts suspension.
     TrafficPlane(boost::asio::io_context &loop, const base::Clock &clock, const TrafficSettings &settings, const Dialect &dialect, TrafficObserver &observer,
                  telemetry::DecisionLog &log, std::function<base::Duration()> tableAge);
-    ~TrafficPlane();
+    ~TrafficPlane() override;
 
     // Binds both addresses. Unavailable if one is taken.
     [[nodiscard]] base::Result<void> listen();
@@ -144,6 +147,9 @@
 
 private:
     struct Listener;
+    [[nodiscard]] LoadReport takeChanges() override;
+    [[nodiscard]] LoadReport wholeReport() const override;
+    void onReport(const LoadReport &report) override;
     [[nodiscard]] base::Result<void> listenOn(Listener &listener, const base::Endpoint &endpoint);
     void accept(Listener &listener);
     void armTimer();
@@ -176,7 +182,9 @@
     std::unique_ptr<Listener> m_callersListener;
     std::unique_ptr<Listener> m_operatorsListener;
     std::unique_ptr<Listener> m_metricsListener;
+    PeerExchange m_peers;
     base::TimerService::Subscription m_tick;
+    base::TimerService::Subscription m_reportTick;
     base::Random m_random;
     TrafficCounts m_counts;
     std::size_t m_bodyBytes = 0; // of requests under way
--- a/carawaylatch/proxy/upstreambook.cpp
+++ b/carawaylatch/proxy/upstreambook.cpp
@@ -5,6 +5,10 @@
 #include "carawaylatch/proxy/upstreambook.h"
 
 #include <algorithm>
+#include <limits>
+#include <utility>
+
+#include "carawaylatch/base/hash.h"
 
 namespace carawaylatch::proxy
 {
@@ -19,6 +23,13 @@
 // A crashed upstream is tried again this often, which bounds how late its return is noticed.
 constexpr base::Duration MaxAvoidance = base::seconds{2};
 
+UpstreamWork workOf(const UpstreamRecord &record)
+{
+    constexpr std::uint64_t Most = std::numeric_limits<std::uint32_t>::max();
+    return {record.key, record.inflight, static_cast<std::uint32_t>(std::min(record.unreadTokens, Most)),
+            static_cast<std::uint32_t>(std::min(record.inflightTokens, Most))};
+}
+
 } // namespace
 
 double UpstreamRecord::load(base::TimePoint now) const
@@ -60,13 +71,14 @@
             record.weights = {};
         }
         record.upstream = upstream;
+        record.key = base::hash64(upstream.id.value());
         record.isListed = true;
         for (const auto &[model, weights] : upstream.models) {
             record.weights = std::max(record.weights, weights);
         }
     }
     std::erase_if(m_records, [](const auto &it) {
-        return !it.second.isListed && it.second.inflight == 0;
+        return !it.second.isListed && it.second.inflight == 0 && it.second.isReported;
     });
     m_members.clear();
     for (auto &[id, record] : m_records) {
@@ -101,11 +113,13 @@
     ++record.inflight;
     record.inflightTokens += weight.memoryTokens;
     record.unreadTokens += weight.unreadTokens;
+    changed(record);
 }
 
 void UpstreamBook::started(UpstreamRecord &record, const AttemptWeight &weight)
 {
     record.unreadTokens -= weight.unreadTokens;
+    changed(record);
 }
 
 void UpstreamBook::ended(UpstreamRecord &record, const AttemptWeight &weight, bool hasStarted, AttemptEnd end, base::TimePoint now)
@@ -115,6 +129,7 @@
     if (!hasStarted) {
         record.unreadTokens -= weight.unreadTokens;
     }
+    changed(record);
     if (end == AttemptEnd::NotExecuted) {
         return; // says nothing about health
     }
@@ -137,22 +152,105 @@
     record.sampledAt = now;
 }
 
-void UpstreamBook::placed(std::uint64_t promptKey, const base::UpstreamId &upstream)
+void UpstreamBook::placed(std::uint64_t promptState, const UpstreamRecord &record)
+{
+    if (!isPlaced(promptState, record) && m_newPlacements.size() < MaxReportRows) {
+        m_newPlacements.push_back({promptState, record.key});
+    }
+    remember(promptState, record.key);
+}
+
+void UpstreamBook::remember(std::uint64_t promptState, std::uint64_t upstream)
 {
     if (m_placements.size() >= MaxPlacements) {
         m_placements.clear();
     }
-    auto &placements = m_placements[promptKey];
-    if (placements.front() != upstream) {
-        std::rotate(placements.begin(), placements.end() - 1, placements.end());
-        placements.front() = upstream;
+    auto &placements = m_placements[promptState];
+    auto it = std::find(placements.begin(), placements.end(), upstream);
+    if (it == placements.end()) {
+        it = placements.end() - 1; // the oldest gives way
+    }
+    std::rotate(placements.begin(), it, it + 1);
+    placements.front() = upstream;
+}
+
+bool UpstreamBook::isPlaced(std::uint64_t promptState, const UpstreamRecord &record) const
+{
+    const auto it = m_placements.find(promptState);
+    return it != m_placements.end() && std::find(it->second.begin(), it->second.end(), record.key) != it->second.end();
+}
+
+bool UpstreamBook::heardOf(const LoadReport &report, base::TimePoint now)
+{
+    if (!m_peers.apply(report, now)) {
+        return false;
+    }
+    for (const PromptPlacement &placement : report.placements) {
+        remember(placement.promptState, placement.upstream);
+    }
+    return true;
+}
+
+std::size_t UpstreamBook::forgetSilentPeers(base::TimePoint now)
+{
+    return m_peers.expire(now);
+}
+
+std::size_t UpstreamBook::peers() const
+{
+    return m_peers.peers();
+}
+
+void UpstreamBook::changed(UpstreamRecord &record)
+{
+    if (record.isReported) {
+        record.isReported = false;
+        m_unreported.push_back(&record);
+    }
+}
+
+LoadReport UpstreamBook::takeChanges()
+{
+    LoadReport report;
+    while (!m_unreported.empty() && report.work.size() < MaxReportRows) {
+        UpstreamRecord &record = *m_unreported.back();
+        m_unreported.pop_back();
+        record.isReported = true;
+        report.work.push_back(workOf(record));
     }
+    report.placements = std::exchange(m_newPlacements, {});
+    return report;
 }
 
-bool UpstreamBook::isPlaced(std::uint64_t promptKey, const base::UpstreamId &upstream) const
+LoadReport UpstreamBook::wholeReport() const
 {
-    const auto it = m_placements.find(promptKey);
-    return it != m_placements.end() && std::find(it->second.begin(), it->second.end(), upstream) != it->second.end();
+    LoadReport report;
+    report.isWhole = true;
+    for (const auto &[id, record] : m_records) {
+        if (record.inflight > 0 && report.work.size() < MaxReportRows) {
+            report.work.push_back(workOf(record));
+        }
+    }
+    return report;
+}
+
+TotalWork UpstreamBook::workAt(const UpstreamRecord &record, std::uint32_t routers, base::TimePoint now) const
+{
+    TotalWork work;
+    const std::size_t others = routers > 0 ? routers - 1 : 0;
+    if (m_peers.peers() * 2 >= others) {
+        const UpstreamWork peers = m_peers.at(record.key);
+        work.requests = static_cast<double>(record.inflight) + peers.requests;
+        work.unreadTokens = static_cast<double>(record.unreadTokens) + peers.unreadTokens;
+        work.memoryTokens = static_cast<double>(record.inflightTokens) + peers.memoryTokens;
+        return work;
+    }
+    work.requests = record.load(now);
+    // Each router sees its own part of the queued work; the parts are about equal.
+    work.unreadTokens = static_cast<double>(record.unreadTokens) * routers;
+    // Others' requests are taken to be as large as this router's own.
+    work.memoryTokens = record.inflight == 0 ? 0 : work.requests * static_cast<double>(record.inflightTokens) / record.inflight;
+    return work;
 }
 
 } // namespace carawaylatch::proxy
--- a/carawaylatch/proxy/upstreambook.h
+++ b/carawaylatch/proxy/upstreambook.h
@@ -1,8 +1,9 @@
-// What this router has seen of each upstream: requests under way, load that
-// answers told, failures, and where prompt state was placed.
+// What this router knows of each upstream: requests under way, here and at other
+// routers, load that answers told, failures, and where prompt state was placed.
 //
 // A state machine of the traffic thread without I/O. Snapshots of the fleet come
-// in through adopt(), attempts through began(), started() and ended().
+// in through adopt(), attempts through began(), started() and ended(), reports of
+// other routers through heardOf(); own reports go out through takeChanges().
 #pragma once
 
 #include <array>
@@ -16,6 +17,8 @@
 #include "carawaylatch/proxy/attemptrules.h"
 #include "carawaylatch/proxy/dialect.h"
 #include "carawaylatch/proxy/fleet.h"
+#include "carawaylatch/proxy/loadreport.h"
+#include "carawaylatch/proxy/peerwork.h"
 
 namespace carawaylatch::proxy
 {
@@ -23,6 +26,8 @@
 struct UpstreamRecord
 {
     Upstream upstream;
+    std::uint64_t key = 0; // hash of the id, as reports name it
+    bool isReported = true; // the figures below are as other routers were told
     bool isListed = false; // in the present snapshot
     std::uint32_t inflight = 0; // requests of this router that have not ended
     std::uint64_t inflightTokens = 0; // memory that these may take
@@ -55,6 +60,14 @@
     std::uint64_t unreadTokens = 0; // prompt tokens that it has to read
 };
 
+// All routers' work at one upstream, as far as it is known.
+struct TotalWork
+{
+    double requests = 0;
+    double unreadTokens = 0;
+    double memoryTokens = 0;
+};
+
 class UpstreamBook
 {
 public:
@@ -72,18 +85,37 @@
     void ended(UpstreamRecord &record, const AttemptWeight &weight, bool hasStarted, AttemptEnd end, base::TimePoint now);
     void sampled(UpstreamRecord &record, const LoadSample &sample, base::TimePoint now);
 
-    // Where the state of a prompt's shared parts was placed last.
-    void placed(std::uint64_t promptKey, const base::UpstreamId &upstream);
-    [[nodiscard]] bool isPlaced(std::uint64_t promptKey, const base::UpstreamId &upstream) const;
+    // Where the state of a prompt's shared parts was placed last, by this router or another.
+    void placed(std::uint64_t promptState, const UpstreamRecord &record);
+    [[nodiscard]] bool isPlaced(std::uint64_t promptState, const UpstreamRecord &record) const;
+
+    // Takes another router's report. False if it could not be used.
+    bool heardOf(const LoadReport &report, base::TimePoint now);
+    // Forgets routers that are silent; returns how many.
+    std::size_t forgetSilentPeers(base::TimePoint now);
+    [[nodiscard]] std::size_t peers() const;
+    // Work and placements that changed since the last call; the rows' bound may leave some for the next.
+    [[nodiscard]] LoadReport takeChanges();
+    // All work under way here, without placements.
+    [[nodiscard]] LoadReport wholeReport() const;
+    // Work of all `routers` at an upstream: as they report it, or estimated from what
+    // is under way here and what answers told where most of them are not heard.
+    [[nodiscard]] TotalWork workAt(const UpstreamRecord &record, std::uint32_t routers, base::TimePoint now) const;
 
 private:
-    static constexpr std::size_t MaxPlacements = 8192; // about half a megabyte; all are forgotten beyond it
-    static constexpr std::size_t PlacementsKept = 2; // upstreams remembered for each prompt
+    static constexpr std::size_t MaxPlacements = 16'384; // about a megabyte; all are forgotten beyond it
+    static constexpr std::size_t PlacementsKept = 4; // upstreams remembered for each prompt
+
+    void changed(UpstreamRecord &record);
+    void remember(std::uint64_t promptState, std::uint64_t upstream);
 
     std::map<base::UpstreamId, UpstreamRecord> m_records; // nodes keep their address
     std::map<base::PoolName, std::vector<UpstreamRecord *>> m_members;
     std::vector<UpstreamRecord *> m_noMembers;
-    std::unordered_map<std::uint64_t, std::array<base::UpstreamId, PlacementsKept>> m_placements; // newest first
+    std::unordered_map<std::uint64_t, std::array<std::uint64_t, PlacementsKept>> m_placements; // by upstream's key, newest first
+    PeerWork m_peers;
+    std::vector<UpstreamRecord *> m_unreported; // exactly those with isReported false
+    std::vector<PromptPlacement> m_newPlacements; // not reported yet; at most MaxReportRows
 };
 
 } // namespace carawaylatch::proxy
