--- a/carawaylatch/proxy/exchangeattempt.cpp
+++ b/carawaylatch/proxy/exchangeattempt.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "carawaylatch/proxy/promptstate.h"
 #include "carawaylatch/proxy/trafficplane.h"
 
 namespace carawaylatch::proxy
@@ -15,7 +16,6 @@
 constexpr base::Duration ProgressInterval = base::milliseconds{100}; // between looks at an attempt's progress
 constexpr int LateAnswerFactor = 2; // of the target latency; a second server then still answers in time to be of use
 constexpr base::Duration LongestStreamPause = base::milliseconds{1200}; // twice a load of weights
-constexpr std::uint32_t MinSharedTokensStored = 512; // shorter parts are read faster than they are fetched
 
 } // namespace
 
@@ -75,14 +75,9 @@
     }
     plan.weights = m_attempt->record->weights;
     const std::string owner = m_customer != nullptr && m_customer->isIsolated ? m_customer->id.value() : std::string();
-    const auto view = m_plane.view();
-    const CacheStore *store = m_sharedTokens >= MinSharedTokensStored && plan.weights.value != 0 ? cacheStoreOf(m_promptKey, *view) : nullptr;
-    if (store != nullptr) {
-        plan.fetchFrom = store->endpoint; // costs nothing where the engine keeps the parts itself
-        if (!m_attempt->holdsParts) {
-            plan.saveTo = store->endpoint;
-        }
-    }
+    const PromptStatePlan state = planPromptState(m_promptKey, m_sharedTokens, *m_attempt->record, *m_plane.view(), m_plane.book(), m_plane.now());
+    plan.fetchFrom = state.fetchFrom;
+    plan.saveTo = state.saveTo;
     plan.cacheNamespace = m_request.model.value() + '.' + std::to_string(plan.weights.value) + '.' + owner;
     return plan;
 }
@@ -104,7 +99,7 @@
         m_sentAt = m_plane.now();
     }
     if (m_promptKey != 0) {
-        m_plane.book().placed(promptStateKey(m_promptKey, attempt.record->weights), *attempt.record);
+        m_plane.book().placed(promptStateKey(m_promptKey, attempt.record->weights), *attempt.record, m_plane.now());
     }
     m_scanner.restart();
     watchStart();
--- a/carawaylatch/proxy/loadreport.h
+++ b/carawaylatch/proxy/loadreport.h
@@ -14,6 +14,7 @@
 //     placement: prompt state u64, upstream u64
 #pragma once
 
+#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -39,6 +40,8 @@
 {
     std::uint64_t promptState = 0; // see promptStateKey()
     std::uint64_t upstream = 0; // hash of its id
+
+    auto operator<=>(const PromptPlacement &) const = default;
 };
 
 struct LoadReport
--- a/carawaylatch/proxy/placement.cpp
+++ b/carawaylatch/proxy/placement.cpp
@@ -5,6 +5,7 @@
 #include <limits>
 
 #include "carawaylatch/base/hash.h"
+#include "carawaylatch/proxy/promptstate.h"
 
 namespace carawaylatch::proxy
 {
@@ -60,7 +61,7 @@
 
 bool holdsSharedParts(const Scene &scene, const UpstreamRecord &record, const UpstreamBook &book)
 {
-    return scene.query.promptKey == 0 || book.isPlaced(promptStateKey(scene.query.promptKey, record.weights), record);
+    return scene.query.promptKey == 0 || book.placements().isPlaced(promptStateKey(scene.query.promptKey, record.weights), record.key);
 }
 
 double costOf(const Scene &scene, const UpstreamRecord &record, const TotalWork &work, const UpstreamBook &book)
@@ -102,46 +103,6 @@
 
 } // namespace
 
-const CacheStore *cacheStoreOf(std::uint64_t promptKey, const FleetView &view)
-{
-    const CacheStore *chosen = nullptr;
-    std::uint64_t best = 0;
-    for (const CacheStore &store : view.table->cacheStores) {
-        const std::uint64_t weight = base::rendezvousWeight(promptKey, store.endpoint.address);
-        if (!view.deadCacheStores.contains(store.endpoint) && (chosen == nullptr || weight > best)) {
-            chosen = &store;
-            best = weight;
-        }
-    }
-    return chosen;
-}
-
-std::uint64_t promptStateKey(std::uint64_t promptKey, base::WeightsVersion weights)
-{
-    return base::combineHashes(promptKey, weights.value);
-}
-
-std::uint64_t sharedPromptKey(std::span<const PromptPart> parts)
-{
-    if (parts.size() < 2) {
-        return 0;
-    }
-    std::uint64_t key = 1;
-    for (const PromptPart &part : parts.first(parts.size() - 1)) {
-        key = base::combineHashes(key, part.id);
-    }
-    return key;
-}
-
-std::uint32_t sharedPromptTokens(std::span<const PromptPart> parts)
-{
-    std::uint32_t tokens = 0;
-    for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
-        tokens += parts[i].tokens;
-    }
-    return tokens;
-}
-
 PlacementResult place(const PlacementQuery &query, const FleetView &view, UpstreamBook &book, const PlacementTuning &tuning)
 {
     Scene scene{query, view, tuning, nullptr, nullptr, {}, nullptr};
--- a/carawaylatch/proxy/placement.h
+++ b/carawaylatch/proxy/placement.h
@@ -64,16 +64,4 @@
 
 [[nodiscard]] PlacementResult place(const PlacementQuery &query, const FleetView &view, UpstreamBook &book, const PlacementTuning &tuning);
 
-// Returns the cache store that keeps a prompt's shared parts: the first in rendezvous
-// order of those that answer, so that routers agree and each store keeps and carries
-// its part. Nothing if none answers.
-[[nodiscard]] const CacheStore *cacheStoreOf(std::uint64_t promptKey, const FleetView &view);
-
-// Key of a prompt's state as one version of weights makes it.
-[[nodiscard]] std::uint64_t promptStateKey(std::uint64_t promptKey, base::WeightsVersion weights);
-// Hash of a prompt's shared parts (all but the last), zero if there are none.
-[[nodiscard]] std::uint64_t sharedPromptKey(std::span<const PromptPart> parts);
-// Tokens of a prompt's shared parts.
-[[nodiscard]] std::uint32_t sharedPromptTokens(std::span<const PromptPart> parts);
-
 } // namespace carawaylatch::proxy
--- /dev/null
+++ b/carawaylatch/proxy/promptplacements.h
@@ -0,0 +1,51 @@
+// Which upstreams were sent a prompt's shared parts, by this router or another.
+//
+// The load it answers: prompts that share long parts, on engines that read them
+// slowly and pass them on quickly. A state machine of the traffic thread without
+// I/O; bounded by MaxStates, beyond which all are forgotten.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <unordered_map>
+
+#include "carawaylatch/base/time.h"
+
+namespace carawaylatch::proxy
+{
+
+class PromptPlacements
+{
+public:
+    static constexpr std::size_t MaxStates = 16'384; // about two megabytes
+    static constexpr std::size_t PlacementsKept = 4; // upstreams remembered for each state
+    // A prompt that was sent this long ago has been read: twice the reading of a long one.
+    static constexpr base::Duration ReadingTime = base::milliseconds{350};
+    // Engines under load evict what was not used for a few seconds.
+    static constexpr base::Duration KeptTime = base::seconds{4};
+
+    // A prompt of this state (see promptStateKey()) was sent to the upstream of this key.
+    void placed(std::uint64_t promptState, std::uint64_t upstream, base::TimePoint now);
+    [[nodiscard]] bool isPlaced(std::uint64_t promptState, std::uint64_t upstream) const;
+    // True if any upstream was sent the prompt.
+    [[nodiscard]] bool isKnown(std::uint64_t promptState) const;
+    // The upstream among those that pass `isUsable` which was sent the prompt last and
+    // is likely to hold it now.
+    [[nodiscard]] std::optional<std::uint64_t> holder(std::uint64_t promptState, base::TimePoint now,
+                                                      const std::function<bool(std::uint64_t upstream)> &isUsable) const;
+
+private:
+    struct Placement
+    {
+        std::uint64_t upstream = 0; // its key; zero: none
+        base::TimePoint firstAt;
+        base::TimePoint lastAt;
+    };
+
+    std::unordered_map<std::uint64_t, std::array<Placement, PlacementsKept>> m_states; // latest first
+};
+
+} // namespace carawaylatch::proxy
--- /dev/null
+++ b/carawaylatch/proxy/promptstate.h
@@ -0,0 +1,46 @@
+// Names of prompt state, and where an engine gets it from.
+//
+// The load it answers: engines whose memory holds a few prompts' shared parts, and
+// links that carry them ten times as fast as an engine reads them. An engine that
+// has not read a prompt fetches it from another one that has of late; the links of
+// many engines carry more than those of the few cache stores, which are asked only
+// where no engine is known. What is read first is saved to a store once.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <span>
+
+#include "carawaylatch/base/ids.h"
+#include "carawaylatch/base/time.h"
+#include "carawaylatch/proxy/dialect.h"
+#include "carawaylatch/proxy/fleet.h"
+#include "carawaylatch/proxy/upstreambook.h"
+
+namespace carawaylatch::proxy
+{
+
+// Key of a prompt's state as one version of weights makes it.
+[[nodiscard]] std::uint64_t promptStateKey(std::uint64_t promptKey, base::WeightsVersion weights);
+// Hash of a prompt's shared parts (all but the last), zero if there are none.
+[[nodiscard]] std::uint64_t sharedPromptKey(std::span<const PromptPart> parts);
+// Tokens of a prompt's shared parts.
+[[nodiscard]] std::uint32_t sharedPromptTokens(std::span<const PromptPart> parts);
+
+// Returns the cache store that keeps a prompt's shared parts: the first in rendezvous
+// order of those that answer, so that routers agree and each store keeps and carries
+// its part. Nothing if none answers.
+[[nodiscard]] const CacheStore *cacheStoreOf(std::uint64_t promptKey, const FleetView &view);
+
+struct PromptStatePlan
+{
+    std::optional<base::Endpoint> fetchFrom; // costs nothing where the engine keeps the parts itself
+    std::optional<base::Endpoint> saveTo;
+};
+
+// Where the engine `taker` fetches the shared parts of a prompt and saves them, before
+// it is sent the prompt. Nothing for parts that are read faster than they are fetched.
+[[nodiscard]] PromptStatePlan planPromptState(std::uint64_t promptKey, std::uint32_t sharedTokens, const UpstreamRecord &taker, const FleetView &view,
+                                              const UpstreamBook &book, base::TimePoint now);
+
+} // namespace carawaylatch::proxy
--- a/carawaylatch/proxy/testing/decisionstest.cpp
+++ b/carawaylatch/proxy/testing/decisionstest.cpp
@@ -10,6 +10,8 @@
 #include "carawaylatch/proxy/eventscanner.h"
 #include "carawaylatch/proxy/fleet.h"
 #include "carawaylatch/proxy/placement.h"
+#include "carawaylatch/proxy/promptplacements.h"
+#include "carawaylatch/proxy/promptstate.h"
 #include "carawaylatch/proxy/upstreambook.h"
 #include "carawaylatch/proxy/waitqueue.h"
 
@@ -415,6 +417,98 @@
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(PlacementTest);
 
+class PromptPlacementsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PromptPlacementsTest);
+    CPPUNIT_TEST(testHolderHasReadAndKeepsIt);
+    CPPUNIT_TEST(testLatestHolderThatIsUsable);
+    CPPUNIT_TEST(testStatesAreBounded);
+    CPPUNIT_TEST(testPlanOfFetchAndSave);
+    CPPUNIT_TEST_SUITE_END();
+
+    static bool any(std::uint64_t /*upstream*/)
+    {
+        return true;
+    }
+
+public:
+    void testHolderHasReadAndKeepsIt()
+    {
+        PromptPlacements placements;
+        placements.placed(1, 7, Start);
+        const base::TimePoint read = Start + PromptPlacements::ReadingTime;
+        CPPUNIT_ASSERT_MESSAGE("still reading", !placements.holder(1, read - base::milliseconds{1}, any));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, *placements.holder(1, read, any));
+        CPPUNIT_ASSERT_MESSAGE("evicted", !placements.holder(1, Start + PromptPlacements::KeptTime, any));
+        placements.placed(1, 7, Start + base::seconds{3});
+        CPPUNIT_ASSERT_MESSAGE("used again", placements.holder(1, Start + PromptPlacements::KeptTime, any).has_value());
+        CPPUNIT_ASSERT(!placements.holder(2, read, any));
+    }
+
+    void testLatestHolderThatIsUsable()
+    {
+        PromptPlacements placements;
+        for (std::uint64_t upstream = 1; upstream <= PromptPlacements::PlacementsKept + 1; ++upstream) {
+            placements.placed(1, upstream, Start + base::milliseconds{static_cast<int>(upstream)});
+        }
+        const base::TimePoint later = Start + base::seconds{1};
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{PromptPlacements::PlacementsKept + 1}, *placements.holder(1, later, any));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, *placements.holder(1, later, [](std::uint64_t upstream) {
+            return upstream == 3;
+        }));
+        CPPUNIT_ASSERT_MESSAGE("the first gave way", !placements.isPlaced(1, 1) && placements.isPlaced(1, 2));
+    }
+
+    void testStatesAreBounded()
+    {
+        PromptPlacements placements;
+        for (std::uint64_t state = 1; state <= PromptPlacements::MaxStates + 1; ++state) {
+            placements.placed(state, 7, Start);
+        }
+        CPPUNIT_ASSERT(!placements.isKnown(1) && placements.isKnown(PromptPlacements::MaxStates + 1));
+    }
+
+    // Two engines and a store: read first, saved once, then passed on between the engines.
+    void testPlanOfFetchAndSave()
+    {
+        auto table = std::make_shared<RouteTable>();
+        const base::Endpoint store{"10.0.0.9", 80};
+        table->cacheStores.push_back({store, base::FailureDomain("a")});
+        FleetView view;
+        view.table = table;
+        for (const char *id : {"e1", "e2"}) {
+            Upstream upstream;
+            upstream.id = base::UpstreamId(id);
+            upstream.pool = base::PoolName("engines");
+            upstream.endpoint = base::Endpoint{std::string("10.0.0.") + id[1], 80};
+            upstream.models[base::ModelId("m")] = base::WeightsVersion{4};
+            view.upstreams.push_back(upstream);
+        }
+        UpstreamBook book;
+        book.adopt(view, Start);
+        UpstreamRecord &first = *book.find(base::UpstreamId("e1"));
+        UpstreamRecord &second = *book.find(base::UpstreamId("e2"));
+        const auto planFor = [&](const UpstreamRecord &taker, base::TimePoint now) {
+            return planPromptState(5, 6000, taker, view, book, now);
+        };
+        CPPUNIT_ASSERT(planFor(first, Start).fetchFrom == store && planFor(first, Start).saveTo == store);
+        book.placed(promptStateKey(5, base::WeightsVersion{4}), first, Start);
+        CPPUNIT_ASSERT_MESSAGE("not read yet", planFor(second, Start).fetchFrom == store && !planFor(second, Start).saveTo);
+        const base::TimePoint later = Start + base::seconds{1};
+        CPPUNIT_ASSERT(planFor(second, later).fetchFrom == first.upstream.endpoint);
+        CPPUNIT_ASSERT_MESSAGE("never from itself", planFor(first, later).fetchFrom == store);
+        first.avoidUntil = later + base::seconds{1};
+        CPPUNIT_ASSERT_MESSAGE("not from one that fails", planFor(second, later).fetchFrom == store);
+        first.avoidUntil = later;
+        second.weights = base::WeightsVersion{5};
+        CPPUNIT_ASSERT_MESSAGE("never what other weights made", planFor(second, later).fetchFrom == store && planFor(second, later).saveTo == store);
+        second.weights = {};
+        CPPUNIT_ASSERT_MESSAGE("nothing while the weights are unknown", !planFor(second, later).fetchFrom);
+        CPPUNIT_ASSERT_MESSAGE("short parts are read", !planPromptState(5, 100, first, view, book, later).fetchFrom);
+    }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(PromptPlacementsTest);
+
 class WaitQueueTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(WaitQueueTest);
--- a/carawaylatch/proxy/testing/peerstest.cpp
+++ b/carawaylatch/proxy/testing/peerstest.cpp
@@ -19,6 +19,7 @@
 #include "carawaylatch/proxy/peerexchange.h"
 #include "carawaylatch/proxy/peerwork.h"
 #include "carawaylatch/proxy/placement.h"
+#include "carawaylatch/proxy/promptstate.h"
 #include "carawaylatch/proxy/upstreambook.h"
 #include "testing/seed.h"
 
@@ -276,7 +277,7 @@
     {
         const base::UpstreamId home = placeAt(0, query(3))->upstream.id;
         const base::UpstreamId other(home.value() == "e1" ? "e2" : "e1");
-        m_books[0].placed(promptStateKey(3, base::WeightsVersion{1}), *m_books[0].find(other));
+        m_books[0].placed(promptStateKey(3, base::WeightsVersion{1}), *m_books[0].find(other), Start);
         report(0);
         CPPUNIT_ASSERT_EQUAL(other, placeAt(1, query(3))->upstream.id);
     }
@@ -342,8 +343,8 @@
         UpstreamRecord &record = *m_books[0].find(base::UpstreamId("e1"));
         m_books[0].began(record, AttemptWeight{9000, 5000}, Start);
         m_books[0].started(record, AttemptWeight{9000, 5000});
-        m_books[0].placed(7, record);
-        m_books[0].placed(7, record);
+        m_books[0].placed(7, record, Start);
+        m_books[0].placed(7, record, Start);
         const LoadReport changes = m_books[0].takeChanges();
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, changes.work.size());
         CPPUNIT_ASSERT_EQUAL(1U, changes.work[0].requests);
--- a/carawaylatch/proxy/upstreambook.cpp
+++ b/carawaylatch/proxy/upstreambook.cpp
@@ -81,8 +81,10 @@
         return !it.second.isListed && it.second.inflight == 0 && it.second.isReported;
     });
     m_members.clear();
+    m_byKey.clear();
     for (auto &[id, record] : m_records) {
         if (record.isListed) {
+            m_byKey.emplace(record.key, &record);
             m_members[record.upstream.pool].push_back(&record);
         }
     }
@@ -152,32 +154,28 @@
     record.sampledAt = now;
 }
 
-void UpstreamBook::placed(std::uint64_t promptState, const UpstreamRecord &record)
+void UpstreamBook::placed(std::uint64_t promptState, const UpstreamRecord &record, base::TimePoint now)
 {
-    if (!isPlaced(promptState, record) && m_newPlacements.size() < MaxReportRows) {
+    if (m_newPlacements.size() < MaxReportRows) {
         m_newPlacements.push_back({promptState, record.key});
     }
-    remember(promptState, record.key);
+    m_placements.placed(promptState, record.key, now);
 }
 
-void UpstreamBook::remember(std::uint64_t promptState, std::uint64_t upstream)
+const PromptPlacements &UpstreamBook::placements() const
 {
-    if (m_placements.size() >= MaxPlacements) {
-        m_placements.clear();
-    }
-    auto &placements = m_placements[promptState];
-    auto it = std::find(placements.begin(), placements.end(), upstream);
-    if (it == placements.end()) {
-        it = placements.end() - 1; // the oldest gives way
-    }
-    std::rotate(placements.begin(), it, it + 1);
-    placements.front() = upstream;
+    return m_placements;
 }
 
-bool UpstreamBook::isPlaced(std::uint64_t promptState, const UpstreamRecord &record) const
+const UpstreamRecord *UpstreamBook::holderOf(std::uint64_t promptState, const UpstreamRecord &taker, base::TimePoint now) const
 {
-    const auto it = m_placements.find(promptState);
-    return it != m_placements.end() && std::find(it->second.begin(), it->second.end(), record.key) != it->second.end();
+    const auto isUsable = [this, &taker, now](std::uint64_t key) {
+        const auto it = m_byKey.find(key);
+        return it != m_byKey.end() && it->second != &taker && it->second->upstream.pool == taker.upstream.pool
+               && it->second->upstream.phase == UpstreamPhase::Ready && now >= it->second->avoidUntil;
+    };
+    const auto key = m_placements.holder(promptState, now, isUsable);
+    return key ? m_byKey.at(*key) : nullptr;
 }
 
 bool UpstreamBook::heardOf(const LoadReport &report, base::TimePoint now)
@@ -186,7 +184,7 @@
         return false;
     }
     for (const PromptPlacement &placement : report.placements) {
-        remember(placement.promptState, placement.upstream);
+        m_placements.placed(placement.promptState, placement.upstream, now);
     }
     return true;
 }
@@ -218,7 +216,10 @@
         record.isReported = true;
         report.work.push_back(workOf(record));
     }
+    // A prompt that was sent twice since is named once.
     report.placements = std::exchange(m_newPlacements, {});
+    std::sort(report.placements.begin(), report.placements.end());
+    report.placements.erase(std::unique(report.placements.begin(), report.placements.end()), report.placements.end());
     return report;
 }
 
--- a/carawaylatch/proxy/upstreambook.h
+++ b/carawaylatch/proxy/upstreambook.h
@@ -6,7 +6,6 @@
 // other routers through heardOf(); own reports go out through takeChanges().
 #pragma once
 
-#include <array>
 #include <cstdint>
 #include <map>
 #include <unordered_map>
@@ -19,6 +18,7 @@
 #include "carawaylatch/proxy/fleet.h"
 #include "carawaylatch/proxy/loadreport.h"
 #include "carawaylatch/proxy/peerwork.h"
+#include "carawaylatch/proxy/promptplacements.h"
 
 namespace carawaylatch::proxy
 {
@@ -85,9 +85,12 @@
     void ended(UpstreamRecord &record, const AttemptWeight &weight, bool hasStarted, AttemptEnd end, base::TimePoint now);
     void sampled(UpstreamRecord &record, const LoadSample &sample, base::TimePoint now);
 
-    // Where the state of a prompt's shared parts was placed last, by this router or another.
-    void placed(std::uint64_t promptState, const UpstreamRecord &record);
-    [[nodiscard]] bool isPlaced(std::uint64_t promptState, const UpstreamRecord &record) const;
+    // A prompt of this state is sent to the upstream.
+    void placed(std::uint64_t promptState, const UpstreamRecord &record, base::TimePoint now);
+    // Placements by this router and others.
+    [[nodiscard]] const PromptPlacements &placements() const;
+    // An upstream of the same pool as `taker` that is likely to hold the state and can pass it on.
+    [[nodiscard]] const UpstreamRecord *holderOf(std::uint64_t promptState, const UpstreamRecord &taker, base::TimePoint now) const;
 
     // Takes another router's report. False if it could not be used.
     bool heardOf(const LoadReport &report, base::TimePoint now);
@@ -103,16 +106,13 @@
     [[nodiscard]] TotalWork workAt(const UpstreamRecord &record, std::uint32_t routers, base::TimePoint now) const;
 
 private:
-    static constexpr std::size_t MaxPlacements = 16'384; // about a megabyte; all are forgotten beyond it
-    static constexpr std::size_t PlacementsKept = 4; // upstreams remembered for each prompt
-
     void changed(UpstreamRecord &record);
-    void remember(std::uint64_t promptState, std::uint64_t upstream);
 
     std::map<base::UpstreamId, UpstreamRecord> m_records; // nodes keep their address
     std::map<base::PoolName, std::vector<UpstreamRecord *>> m_members;
     std::vector<UpstreamRecord *> m_noMembers;
-    std::unordered_map<std::uint64_t, std::array<std::uint64_t, PlacementsKept>> m_placements; // by upstream's key, newest first
+    std::unordered_map<std::uint64_t, const UpstreamRecord *> m_byKey; // listed ones
+    PromptPlacements m_placements;
     PeerWork m_peers;
     std::vector<UpstreamRecord *> m_unreported; // exactly those with isReported false
     std::vector<PromptPlacement> m_newPlacements; // not reported yet; at most MaxReportRows
