--- a/carawaylatch/gateway/controlplane.cpp
+++ b/carawaylatch/gateway/controlplane.cpp
@@ -24,7 +24,7 @@
 constexpr base::Duration DutyInterval = base::milliseconds{50}; // looks at lease and rollout; no call by itself
 constexpr base::Duration StatusInterval = base::milliseconds{120}; // between questions to an engine that changes
 constexpr base::Duration CacheStoreInterval = base::seconds{1}; // each probe is priced; a dead store costs callers far more
-constexpr base::Duration UpstreamsPause = base::milliseconds{200}; // entries change together; a drain leaves ten times as long
+constexpr base::Duration DutiesPause = base::milliseconds{200}; // engines that change are named in groups; a drain takes three times as long
 constexpr base::Duration OutOfReachLife = base::milliseconds{2500}; // after the store's return, entries may still be missing
 
 // A coroutine that ends by an exception is a fault of this program: end the process, it is started again.
@@ -128,6 +128,22 @@
     return kind == ObjectKind::Tables ? m_settings.watchWait : m_settings.longWatchWait;
 }
 
+// Changes that come together cost one call instead of one each.
+base::Duration ControlPlane::pauseAfterChanges(ObjectKind kind) const
+{
+    switch (kind) {
+    case ObjectKind::Upstreams:
+        return m_settings.upstreamsPause;
+    case ObjectKind::Duties:
+        return DutiesPause;
+    case ObjectKind::Tables:
+    case ObjectKind::Weights:
+    case ObjectKind::Leases:
+        break;
+    }
+    return {};
+}
+
 Awaitable<void> ControlPlane::watchKind(ObjectKind kind)
 {
     const auto client = m_clients.makeClient();
@@ -176,8 +192,8 @@
                 m_tableAge.confirm(sentAt);
             }
             publishIfChanged();
-            if (hasChanges && kind == ObjectKind::Upstreams) {
-                co_await pause(UpstreamsPause);
+            if (hasChanges) {
+                co_await pause(pauseAfterChanges(kind));
             }
             continue;
         }
--- a/carawaylatch/gateway/controlplane.h
+++ b/carawaylatch/gateway/controlplane.h
@@ -36,7 +36,8 @@
     fleet::LeaseSettings lease;
     RolloutSettings rollout;
     base::Duration watchWait = base::milliseconds{1200}; // of one watch of the configuration; bounds its age
-    base::Duration longWatchWait = base::milliseconds{4000}; // of the other watches; each call costs
+    base::Duration longWatchWait = base::milliseconds{3500}; // of the other watches; each call costs, and a silent connection shows after it
+    base::Duration upstreamsPause = base::milliseconds{400}; // entries change together; news of them waits no longer
     base::Duration retryPause = base::milliseconds{150}; // after a failed call; doubles up to maxRetryPause
     base::Duration maxRetryPause = base::milliseconds{1000};
 };
@@ -72,6 +73,7 @@
     [[nodiscard]] Awaitable<void> noteHolding(ObjectClient &client);
     [[nodiscard]] Awaitable<void> releaseLease(ObjectClient &client);
     [[nodiscard]] base::Duration watchWait(ObjectKind kind) const;
+    [[nodiscard]] base::Duration pauseAfterChanges(ObjectKind kind) const;
     void interruptWatches();
 
     boost::asio::io_context &m_loop;
--- a/carawaylatch/gateway/gatewaysettings.cpp
+++ b/carawaylatch/gateway/gatewaysettings.cpp
@@ -19,7 +19,7 @@
 using Key = GatewaySettingsKey;
 using S = GatewaySettings;
 
-constexpr std::array<Key, 16> Keys{
+constexpr std::array<Key, 17> Keys{
     Key{"gateway", "id", "name", "names this VM; one process at a time has it", true, &S::id},
     Key{"gateway", "failure_domain", "name", "failure domain of this VM", true, &S::failureDomain},
     Key{"gateway", "callers", "endpoint", "where callers connect", true, nullptr, &S::callers},
@@ -36,6 +36,8 @@
     Key{"retries", "reserve", "number", "requests sent again in ten seconds beside the share, over all routers", false, nullptr, nullptr, &S::retryReserve},
     Key{"configuration", "max_age_ms", "number", "milliseconds after which an unconfirmed configuration serves no request with a key; 0: no limit", false,
         nullptr, nullptr, &S::maxAgeMs},
+    Key{"upstreams", "leave_within_ms", "number", "milliseconds from the news that an upstream leaves to the last request that it is sent", false, nullptr,
+        nullptr, &S::leaveWithinMs},
     Key{"weights", "change_within_ms", "number", "milliseconds from a version's naming to the last request on older weights", false, nullptr, nullptr,
         &S::changeWithinMs},
     Key{"weights", "lease_ms", "number", "milliseconds between the last order of one holder and the first of another", false, nullptr, nullptr, &S::leaseMs},
@@ -84,6 +86,9 @@
     if (settings.storeTimeoutMs < 10 || settings.watchWaitMs < 10) {
         return tooSmall("timeout_ms and watch_ms", "10");
     }
+    if (settings.leaveWithinMs < 100) {
+        return tooSmall("leave_within_ms", "100");
+    }
     if (settings.leaseMs < 100 || settings.changeWithinMs < 100) {
         return tooSmall("lease_ms and change_within_ms", "100");
     }
@@ -189,7 +194,9 @@
     // A successor leaves its predecessor's engines alone for so long: an order may take a
     // while on its way after the predecessor has stopped believing.
     constexpr double SettleShare = 1.2;
+    constexpr double UpstreamsPauseShare = 0.2; // of the time to leave; the rest covers a slow call and requests on their way
     ControlSettings out;
+    out.upstreamsPause = base::fromMilliseconds(leaveWithinMs * UpstreamsPauseShare);
     out.router = base::RouterId(id);
     out.peers = peers;
     out.lease.length = base::fromMilliseconds(leaseMs * LeaseShare);
--- a/carawaylatch/gateway/gatewaysettings.h
+++ b/carawaylatch/gateway/gatewaysettings.h
@@ -32,6 +32,7 @@
     double graceSeconds = 8; // from the stop signal to the end of the process
     double storeTimeoutMs = 1000; // of one call, without a watch's wait
     double watchWaitMs = 1200; // of one watch
+    double leaveWithinMs = 2000; // from the news of an upstream's leaving to its last request
     double retryShare = 0.2;
     double retryReserve = 50;
     double maxAgeMs = 0; // of the configuration, for requests with a key; zero: no limit
--- a/carawaylatch/proxy/peerexchange.h
+++ b/carawaylatch/proxy/peerexchange.h
@@ -65,7 +65,7 @@
     void tick();
     void closeAll();
 
-    static constexpr base::Duration ReportInterval = base::milliseconds{100}; // about half the reading of a long prompt
+    static constexpr base::Duration ReportInterval = base::milliseconds{50}; // a third of the reading of a long prompt
 
 private:
     class Inbound;
--- a/carawaylatch/proxy/placement.cpp
+++ b/carawaylatch/proxy/placement.cpp
@@ -61,7 +61,7 @@
 
 bool holdsSharedParts(const Scene &scene, const UpstreamRecord &record, const UpstreamBook &book)
 {
-    return scene.query.promptKey == 0 || book.placements().isPlaced(promptStateKey(scene.query.promptKey, record.weights), record.key);
+    return scene.query.promptKey == 0 || book.placements().isPlaced(promptStateKey(scene.query.promptKey, record.weights), record.key, scene.query.now);
 }
 
 double costOf(const Scene &scene, const UpstreamRecord &record, const TotalWork &work, const UpstreamBook &book)
--- a/carawaylatch/proxy/promptplacements.cpp
+++ b/carawaylatch/proxy/promptplacements.cpp
@@ -23,11 +23,11 @@
     std::rotate(placements.begin(), it, it + 1);
 }
 
-bool PromptPlacements::isPlaced(std::uint64_t promptState, std::uint64_t upstream) const
+bool PromptPlacements::isPlaced(std::uint64_t promptState, std::uint64_t upstream, base::TimePoint now) const
 {
     const auto it = m_states.find(promptState);
-    return it != m_states.end() && std::any_of(it->second.begin(), it->second.end(), [upstream](const Placement &placement) {
-               return placement.upstream == upstream;
+    return it != m_states.end() && std::any_of(it->second.begin(), it->second.end(), [upstream, now](const Placement &placement) {
+               return placement.upstream == upstream && now - placement.lastAt < KeptTime;
            });
 }
 
--- a/carawaylatch/proxy/promptplacements.h
+++ b/carawaylatch/proxy/promptplacements.h
@@ -24,12 +24,13 @@
     static constexpr std::size_t PlacementsKept = 4; // upstreams remembered for each state
     // A prompt that was sent this long ago has been read: twice the reading of a long one.
     static constexpr base::Duration ReadingTime = base::milliseconds{350};
-    // Engines under load evict what was not used for a few seconds.
-    static constexpr base::Duration KeptTime = base::seconds{4};
+    // Engines under load evict what was not used for longer.
+    static constexpr base::Duration KeptTime = base::seconds{2};
 
     // A prompt of this state (see promptStateKey()) was sent to the upstream of this key.
     void placed(std::uint64_t promptState, std::uint64_t upstream, base::TimePoint now);
-    [[nodiscard]] bool isPlaced(std::uint64_t promptState, std::uint64_t upstream) const;
+    // True if the upstream was sent the prompt of late: it holds the parts, or reads them now.
+    [[nodiscard]] bool isPlaced(std::uint64_t promptState, std::uint64_t upstream, base::TimePoint now) const;
     // True if any upstream was sent the prompt.
     [[nodiscard]] bool isKnown(std::uint64_t promptState) const;
     // The upstream among those that pass `isUsable` which was sent the prompt last and
--- a/carawaylatch/proxy/testing/decisionstest.cpp
+++ b/carawaylatch/proxy/testing/decisionstest.cpp
@@ -440,7 +440,8 @@
         CPPUNIT_ASSERT_MESSAGE("still reading", !placements.holder(1, read - base::milliseconds{1}, any));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, *placements.holder(1, read, any));
         CPPUNIT_ASSERT_MESSAGE("evicted", !placements.holder(1, Start + PromptPlacements::KeptTime, any));
-        placements.placed(1, 7, Start + base::seconds{3});
+        CPPUNIT_ASSERT(placements.isPlaced(1, 7, Start) && !placements.isPlaced(1, 7, Start + PromptPlacements::KeptTime));
+        placements.placed(1, 7, Start + base::seconds{1});
         CPPUNIT_ASSERT_MESSAGE("used again", placements.holder(1, Start + PromptPlacements::KeptTime, any).has_value());
         CPPUNIT_ASSERT(!placements.holder(2, read, any));
     }
@@ -456,7 +457,7 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, *placements.holder(1, later, [](std::uint64_t upstream) {
             return upstream == 3;
         }));
-        CPPUNIT_ASSERT_MESSAGE("the first gave way", !placements.isPlaced(1, 1) && placements.isPlaced(1, 2));
+        CPPUNIT_ASSERT_MESSAGE("the first gave way", !placements.isPlaced(1, 1, later) && placements.isPlaced(1, 2, later));
     }
 
     void testStatesAreBounded()
