--- a/bench/proxybench.cpp
+++ b/bench/proxybench.cpp
@@ -1,5 +1,6 @@
-// Cost of the traffic plane on loopback: processor time and allocations of its
-// thread for a request and for a stream event.
+// Cost of the traffic plane: processor time and allocations of its thread for a
+// request and for a stream event on loopback, and what single steps cost without
+// sockets: placing a prompt, a load report of a peer, a line of the log.
 //
 // One thread runs the plane; callers and the scripted upstream run on another
 // one, so that only the plane's thread is measured.
@@ -22,7 +23,11 @@
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
+#include "carawaylatch/proxy/loadreport.h"
+#include "carawaylatch/proxy/peerwork.h"
+#include "carawaylatch/proxy/placement.h"
 #include "carawaylatch/proxy/trafficplane.h"
+#include "carawaylatch/proxy/upstreambook.h"
 #include "platform/dialect.h"
 #include "platform/testing/standinserver.h"
 
@@ -215,6 +220,102 @@
 }
 BENCHMARK(benchStreamEvent)->UseRealTime();
 
+// A pool of engines of one model, with peers' work at each.
+struct EnginePool
+{
+    explicit EnginePool(int engines)
+    {
+        auto table = std::make_shared<proxy::RouteTable>();
+        table->pools.push_back(proxy::Pool{base::PoolName("p"), 100, proxy::EngineShape{100'000, 16}});
+        view.table = table;
+        proxy::LoadReport report;
+        report.isWhole = true;
+        for (int i = 0; i < engines; ++i) {
+            proxy::Upstream upstream;
+            upstream.id = base::UpstreamId("i-" + std::to_string(1'000'000 + i));
+            upstream.pool = base::PoolName("p");
+            upstream.slots = 16;
+            upstream.models[base::ModelId("m")] = base::WeightsVersion{1};
+            view.upstreams.push_back(upstream);
+            report.work.push_back({base::hash64(upstream.id.value()), 2, 500, 18'000});
+        }
+        book.adopt(view, {});
+        static_cast<void>(book.heardOf(report, {}));
+    }
+    proxy::FleetView view;
+    proxy::UpstreamBook book;
+};
+
+void benchPlace(benchmark::State &state)
+{
+    EnginePool pool(static_cast<int>(state.range(0)));
+    const proxy::PlacementTuning tuning;
+    proxy::PlacementQuery query;
+    query.pool = base::PoolName("p");
+    query.model = base::ModelId("m");
+    query.sharedTokens = 6000;
+    query.memoryTokens = 9000;
+    for (auto _ : state) {
+        ++query.promptKey;
+        benchmark::DoNotOptimize(proxy::place(query, pool.view, pool.book, tuning));
+    }
+}
+BENCHMARK(benchPlace)->Arg(9)->Arg(90)->Arg(833);
+
+// A report of a peer that has begun and ended a few requests: bytes to sums.
+void benchReport(benchmark::State &state)
+{
+    proxy::LoadReport report;
+    report.isWhole = true;
+    proxy::PeerWork work;
+    work.apply(report, {});
+    report.isWhole = false;
+    for (std::uint64_t i = 0; i < static_cast<std::uint64_t>(state.range(0)); ++i) {
+        report.work.push_back({i, 1, 9000, 9000});
+        report.placements.push_back({i, i});
+    }
+    std::size_t bytes = 0;
+    for (auto _ : state) {
+        const std::string text = encodeLoadReport(report);
+        bytes = text.size();
+        benchmark::DoNotOptimize(work.apply(proxy::decodeLoadReport(text).value(), {}));
+    }
+    state.counters["bytes"] = static_cast<double>(bytes);
+}
+BENCHMARK(benchReport)->Arg(1)->Arg(5)->Arg(50);
+
+// The line that each request ends with, flushed as often as the plane does.
+void benchLogLine(benchmark::State &state)
+{
+    const base::SteadyClock clock;
+    carawaylatch::telemetry::DecisionLog log(::open("/dev/null", O_WRONLY | O_CLOEXEC), 1'000'000, clock);
+    constexpr int LinesForEachFlush = 10; // 50 ms at 200 requests a second
+    int lines = 0;
+    for (auto _ : state) {
+        log.write(base::LogEvent::RequestEnded, {{"id", "9c41d07be2a35f68"},
+                                                 {"route", "r-1"},
+                                                 {"pool", "p"},
+                                                 {"upstream", "i-7f3a91c2"},
+                                                 {"attempts", "1"},
+                                                 {"sent", "1"},
+                                                 {"unexecuted", "0"},
+                                                 {"status", "200"},
+                                                 {"outcome", "served"},
+                                                 {"reason", ""},
+                                                 {"queued_ms", "0.1"},
+                                                 {"first_ms", "203.4"},
+                                                 {"pause_ms", "58.1"},
+                                                 {"total_ms", "1203.9"},
+                                                 {"table", "7"},
+                                                 {"view", "212"},
+                                                 {"age_ms", "713.2"}});
+        if (++lines % LinesForEachFlush == 0) {
+            log.flush();
+        }
+    }
+}
+BENCHMARK(benchLogLine);
+
 } // namespace
 
 BENCHMARK_MAIN();
