--- a/carawaylatch/proxy/exchange.cpp
+++ b/carawaylatch/proxy/exchange.cpp
@@ -15,7 +15,6 @@
 {
 
 constexpr base::Duration OtherRouterRetryAfter = base::milliseconds{50}; // another router has room now
-constexpr base::Duration MaxRetryAfter = base::seconds{2};
 // Share of the target latency that a request may wait for room. Beyond it the answer
 // would be late in any case, and another router or a moment later serves the caller better.
 constexpr double QueuePatienceShare = 0.6;
@@ -183,12 +182,11 @@
     WaitQueue &queue = m_plane.queue(m_pool);
     const auto expected = queue.expectedWait(m_urgency, now);
     if (!m_isStreaming && (waited >= patience || (expected && *expected > patience - waited && queue.size() > 0))) {
-        const base::Duration pause = expected ? std::min<base::Duration>(*expected, MaxRetryAfter) : DefaultRetryAfter;
-        refuse("no_room", std::max(pause, DefaultRetryAfter));
+        refuse("no_room", queue.pauseOfRefused(m_urgency, now));
         return;
     }
     m_queueKey = queue.add(m_urgency, shared_from_this());
-    m_queueTimer = m_plane.timers().after(now, m_isStreaming ? left : patience - waited, [weak = weak_from_this()](base::TimePoint) {
+    m_queueTimer = m_plane.timers().after(now, m_isStreaming ? left : patience - waited, [weak = weak_from_this()](base::TimePoint at) {
         const auto self = weak.lock();
         if (!self || !self->m_queueKey) {
             return;
@@ -197,7 +195,7 @@
         if (self->m_isStreaming) {
             self->breakOff("no_room");
         } else if (self->m_history.sent == self->m_history.unexecuted) {
-            self->refuse("no_room", DefaultRetryAfter);
+            self->refuse("no_room", self->m_plane.queue(self->m_pool).pauseOfRefused(self->m_urgency, at));
         } else {
             self->answerOwn(502, "no_other_upstream", {});
         }
--- a/carawaylatch/proxy/testing/decisionstest.cpp
+++ b/carawaylatch/proxy/testing/decisionstest.cpp
@@ -515,6 +515,7 @@
     CPPUNIT_TEST_SUITE(WaitQueueTest);
     CPPUNIT_TEST(testUrgentFirstThenOldest);
     CPPUNIT_TEST(testExpectedWait);
+    CPPUNIT_TEST(testRefusedCallersComeBackOneByOne);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -547,6 +548,29 @@
         const double wait = base::toSeconds(*queue.expectedWait(1, now));
         CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, wait, 0.1);
     }
+
+    // Sixty callers refused within 60 ms by a pool that ends 20 requests a second: each
+    // returns an end later than the one before, none is sent away for longer than two seconds.
+    void testRefusedCallersComeBackOneByOne()
+    {
+        ReturnSchedule returns;
+        base::TimePoint before = Start;
+        for (int i = 0; i < 60; ++i) {
+            const base::TimePoint now = Start + base::milliseconds{i};
+            const base::Duration pause = returns.next(now, base::milliseconds{100}, 20);
+            CPPUNIT_ASSERT(pause >= ReturnSchedule::LeastPause && pause <= ReturnSchedule::MostPause);
+            const base::TimePoint at = now + pause;
+            if (i > 0 && pause < ReturnSchedule::MostPause) {
+                CPPUNIT_ASSERT(at - before >= base::milliseconds{49});
+            }
+            before = at;
+        }
+        CPPUNIT_ASSERT_MESSAGE("the schedule is full", before >= Start + ReturnSchedule::MostPause);
+        const base::TimePoint later = Start + base::seconds{10};
+        CPPUNIT_ASSERT_MESSAGE("later it is empty again", returns.next(later, std::nullopt, 20) == ReturnSchedule::LeastPause);
+        CPPUNIT_ASSERT_MESSAGE("nothing ends: nothing to wait for in turn", returns.next(later, std::nullopt, 0) == ReturnSchedule::LeastPause);
+        CPPUNIT_ASSERT(returns.next(later, base::seconds{1}, 0) == base::seconds{1});
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(WaitQueueTest);
 
--- a/carawaylatch/proxy/waitqueue.cpp
+++ b/carawaylatch/proxy/waitqueue.cpp
@@ -1,12 +1,20 @@
 // Order and estimate of waitqueue.h.
 #include "carawaylatch/proxy/waitqueue.h"
 
+#include <algorithm>
 #include <cmath>
 #include <iterator>
 
 namespace carawaylatch::proxy
 {
 
+namespace
+{
+
+constexpr double LeastRate = 0.2; // ends a second; below it nothing can be said of a wait
+
+} // namespace
+
 void EndRate::note(base::TimePoint now)
 {
     m_weight = perSecond(now) * TimeConstantSeconds + 1;
@@ -18,9 +26,19 @@
     return m_weight * std::exp(-base::toSeconds(now - m_updatedAt) / TimeConstantSeconds) / TimeConstantSeconds;
 }
 
+base::Duration ReturnSchedule::next(base::TimePoint now, std::optional<base::Duration> expectedWait, double endsPerSecond)
+{
+    base::TimePoint at = now + std::max(expectedWait.value_or(LeastPause), LeastPause);
+    if (endsPerSecond >= LeastRate) {
+        at = std::max(at, m_last + base::fromSeconds(1 / endsPerSecond));
+    }
+    at = std::min(at, now + MostPause);
+    m_last = at;
+    return at - now;
+}
+
 std::optional<base::Duration> WaitQueue::expectedWait(std::uint32_t urgency, base::TimePoint now) const
 {
-    constexpr double LeastRate = 0.2; // ends a second; below it nothing can be said of the wait
     const double rate = m_ends.perSecond(now);
     if (rate < LeastRate) {
         return std::nullopt;
@@ -61,4 +79,9 @@
     return m_ends;
 }
 
+base::Duration WaitQueue::pauseOfRefused(std::uint32_t urgency, base::TimePoint now)
+{
+    return m_returns.next(now, expectedWait(urgency, now), m_ends.perSecond(now));
+}
+
 } // namespace carawaylatch::proxy
--- a/carawaylatch/proxy/waitqueue.h
+++ b/carawaylatch/proxy/waitqueue.h
@@ -34,6 +34,25 @@
     base::TimePoint m_updatedAt;
 };
 
+// When callers that are refused should come back.
+//
+// The load it answers: many callers refused within a moment, who would all come
+// back together and be refused again. Each is told a time of its own, one end of a
+// request after that of the caller before it.
+class ReturnSchedule
+{
+public:
+    static constexpr base::Duration LeastPause = base::milliseconds{400}; // where nothing better is known
+    static constexpr base::Duration MostPause = base::seconds{2}; // callers give up on much longer ones
+
+    // Returns how long the next refused caller should stay away. `expectedWait` is how
+    // long room takes to appear, `endsPerSecond` the rate at which requests end; zero: unknown.
+    [[nodiscard]] base::Duration next(base::TimePoint now, std::optional<base::Duration> expectedWait, double endsPerSecond);
+
+private:
+    base::TimePoint m_last; // told to the caller before
+};
+
 class WaitQueue
 {
 public:
@@ -47,11 +66,14 @@
     [[nodiscard]] bool isEmpty() const;
     [[nodiscard]] std::size_t size() const;
     [[nodiscard]] EndRate &ends();
+    // How long a caller that is refused now should stay away.
+    [[nodiscard]] base::Duration pauseOfRefused(std::uint32_t urgency, base::TimePoint now);
 
 private:
     std::map<Key, std::shared_ptr<Exchange>> m_waiting;
     std::uint64_t m_arrivals = 0;
     EndRate m_ends;
+    ReturnSchedule m_returns;
 };
 
 } // namespace carawaylatch::proxy
