--- a/bench/proxybench.cpp
+++ b/bench/proxybench.cpp
@@ -78,6 +78,9 @@
     void onWeightsSeen(const base::UpstreamId & /*upstream*/, base::WeightsVersion /*weights*/) override
     {
     }
+    void onRouterGone(const base::Endpoint & /*peers*/) override
+    {
+    }
 };
 
 // The plane on its own thread, before one scripted upstream.
--- a/carawaylatch/gateway/controlplane.cpp
+++ b/carawaylatch/gateway/controlplane.cpp
@@ -236,9 +236,14 @@
         co_await pause(DutyInterval);
         m_state.onTick(m_clock.now());
         publishIfChanged();
+        const bool isOwnObjectSeen = m_state.duty(ownName()) != nullptr;
+        if (std::exchange(m_isOwnObjectSeen, isOwnObjectSeen) && !isOwnObjectSeen) {
+            m_isRegistered = false; // another router took this one for gone
+        }
         if (!m_isRegistered) {
             co_await registerRouter(*client);
         }
+        co_await removeGoneRouters(*client);
         if (m_isStopping) {
             co_await releaseLease(*client);
             co_return;
@@ -255,7 +260,7 @@
 // each where to send load reports.
 Awaitable<void> ControlPlane::registerRouter(ObjectClient &client)
 {
-    const std::string name = std::string(RouterPrefix) + m_settings.router.value();
+    const std::string name = ownName();
     const std::string text = encodeRouter(m_settings.peers);
     const auto result = co_await client.write(ObjectKind::Duties, name, text, 0);
     m_isRegistered = result.has_value() || result.error().kind == base::ErrorKind::Conflict;
@@ -264,6 +269,30 @@
     }
 }
 
+std::string ControlPlane::ownName() const
+{
+    return std::string(RouterPrefix) + m_settings.router.value();
+}
+
+void ControlPlane::onRouterGone(const base::Endpoint &peers)
+{
+    m_goneRouters.insert(peers);
+}
+
+// One try for each time that a router is told to be gone; it is told again if that fails.
+Awaitable<void> ControlPlane::removeGoneRouters(ObjectClient &client)
+{
+    for (const base::Endpoint &peers : std::exchange(m_goneRouters, {})) {
+        const StoredObject *object = m_state.routerAt(peers);
+        if (object == nullptr || object->name == ownName()) {
+            continue;
+        }
+        const std::string name = object->name;
+        const auto removed = co_await client.remove(ObjectKind::Duties, name, object->revision);
+        m_log.write(base::LogEvent::RouterForgotten, {{"name", name}, {"problem", removed ? "" : removed.error().message}});
+    }
+}
+
 Awaitable<void> ControlPlane::stepLease(ObjectClient &client)
 {
     const fleet::LeaseAction action = m_lease.poll(m_clock.now());
--- a/carawaylatch/gateway/controlplane.h
+++ b/carawaylatch/gateway/controlplane.h
@@ -56,6 +56,9 @@
     void beginStop();
     // From the control thread.
     void onWeightsSeen(const base::UpstreamId &upstream, base::WeightsVersion weights);
+    // From the control thread: the router that takes load reports there was not reached for
+    // long. Its object is removed; a router that is only cut off writes it again.
+    void onRouterGone(const base::Endpoint &peers);
 
 private:
     [[nodiscard]] Awaitable<void> watchKind(ObjectKind kind);
@@ -66,6 +69,8 @@
     [[nodiscard]] Awaitable<void> stepRollout(ObjectClient &client);
     [[nodiscard]] Awaitable<bool> publishChanging(ObjectClient &client);
     [[nodiscard]] Awaitable<void> registerRouter(ObjectClient &client);
+    [[nodiscard]] Awaitable<void> removeGoneRouters(ObjectClient &client);
+    [[nodiscard]] std::string ownName() const;
     [[nodiscard]] Awaitable<void> giveOrder(WeightsOrder order);
     [[nodiscard]] Awaitable<void> askStatus(WeightsOrder order);
     [[nodiscard]] Awaitable<void> pause(base::Duration duration);
@@ -91,7 +96,9 @@
     std::map<ObjectKind, ObjectClient *> m_watches; // clients of the watches
     std::set<base::UpstreamId> m_asked; // status calls under way
     bool m_isHolding = false;
+    std::set<base::Endpoint> m_goneRouters; // whose objects are still to be removed
     bool m_isRegistered = false;
+    bool m_isOwnObjectSeen = false; // in what was read of the store last
     bool m_isStopping = false;
 };
 
--- a/carawaylatch/gateway/fleetstate.cpp
+++ b/carawaylatch/gateway/fleetstate.cpp
@@ -253,7 +253,9 @@
 void FleetState::applyDuty(const StoredObject &object)
 {
     const auto it = m_duties.find(object.name);
-    if (it != m_duties.end() && it->second.revision >= object.revision) {
+    // A removal may bear the revision of the change before it.
+    const std::uint64_t known = it == m_duties.end() ? 0 : it->second.revision;
+    if (known > object.revision || (known == object.revision && !object.isRemoved)) {
         return;
     }
     m_isChanged = true;
@@ -349,6 +351,14 @@
     return it == m_duties.end() ? nullptr : &it->second;
 }
 
+const StoredObject *FleetState::routerAt(const base::Endpoint &peers) const
+{
+    const auto it = std::find_if(m_duties.begin(), m_duties.end(), [&peers](const auto &duty) {
+        return duty.first.starts_with(RouterPrefix) && decodeRouter(duty.second.text) == peers;
+    });
+    return it == m_duties.end() ? nullptr : &it->second;
+}
+
 const std::map<base::UpstreamId, proxy::Upstream> &FleetState::upstreams() const
 {
     return m_upstreams;
--- a/carawaylatch/gateway/fleetstate.h
+++ b/carawaylatch/gateway/fleetstate.h
@@ -69,6 +69,8 @@
     [[nodiscard]] std::shared_ptr<const proxy::FleetView> view();
     // An own object as last seen, or nothing.
     [[nodiscard]] const StoredObject *duty(std::string_view name) const;
+    // The object of the router that takes load reports there, or nothing.
+    [[nodiscard]] const StoredObject *routerAt(const base::Endpoint &peers) const;
     [[nodiscard]] const std::map<base::UpstreamId, proxy::Upstream> &upstreams() const;
     [[nodiscard]] const std::map<base::ModelId, proxy::WeightsTarget> &targets() const;
     [[nodiscard]] std::vector<proxy::CacheStore> cacheStores() const;
--- a/carawaylatch/gateway/gateway.cpp
+++ b/carawaylatch/gateway/gateway.cpp
@@ -106,6 +106,13 @@
     });
 }
 
+void Gateway::onRouterGone(const base::Endpoint &peers)
+{
+    boost::asio::post(m_controlLoop, [this, peers] {
+        m_control->onRouterGone(peers);
+    });
+}
+
 void Gateway::awaitSignal()
 {
     m_signals.async_wait([this](const boost::system::error_code &ec, int signal) {
--- a/carawaylatch/gateway/objectclient.h
+++ b/carawaylatch/gateway/objectclient.h
@@ -73,6 +73,8 @@
     virtual void interrupt() = 0;
     // Writes if the object's revision is still `expected`; zero creates it. Returns the new revision.
     [[nodiscard]] virtual Awaitable<base::Result<std::uint64_t>> write(ObjectKind kind, std::string name, std::string text, std::uint64_t expected) = 0;
+    // Removes the object if its revision is still `expected`.
+    [[nodiscard]] virtual Awaitable<base::Result<void>> remove(ObjectKind kind, std::string name, std::uint64_t expected) = 0;
 };
 
 class ObjectClientFactory
--- a/carawaylatch/gateway/testing/controlplanetest.cpp
+++ b/carawaylatch/gateway/testing/controlplanetest.cpp
@@ -3,6 +3,10 @@
 // run at once on one loop; times are a tenth of those in use.
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <utility> // boost/asio/awaitable.hpp 1.74 uses std::exchange without it
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 
 #include <chrono>
@@ -195,6 +199,8 @@
     CPPUNIT_TEST(testNewHolderOrdersNothingBeforeItHasReadTheList);
     CPPUNIT_TEST(testHolderStops);
     CPPUNIT_TEST(testOutage);
+    CPPUNIT_TEST(testGoneRouterIsForgotten);
+    CPPUNIT_TEST(testRouterThatWasForgottenComesBack);
     CPPUNIT_TEST_SUITE_END();
 
     base::SteadyClock m_clock;
@@ -398,6 +404,62 @@
             base::seconds{5}));
         assertNoViolation();
     }
+
+    void testGoneRouterIsForgotten()
+    {
+        World &world = addWorld();
+        const base::Endpoint gone{"10.0.0.9", 7};
+        world.store.put(ObjectKind::Duties, "router.gone", encodeRouter(gone));
+        world.addRouter("a");
+        world.addRouter("b");
+        const auto seesRouters = [&world](std::uint32_t routers) {
+            return std::all_of(world.routers.begin(), world.routers.end(), [routers](const auto &router) {
+                return router->last && router->last->routers == routers;
+            });
+        };
+        CPPUNIT_ASSERT(runUntil(
+            [&seesRouters] {
+                return seesRouters(3);
+            },
+            base::seconds{5}));
+        // Both find out; the second one's removal meets nothing.
+        world.routers[0]->plane.onRouterGone(gone);
+        world.routers[1]->plane.onRouterGone(gone);
+        world.routers[1]->plane.onRouterGone(base::Endpoint{"10.0.0.8", 7});
+        CPPUNIT_ASSERT(runUntil(
+            [&seesRouters] {
+                return seesRouters(2);
+            },
+            base::seconds{5}));
+        CPPUNIT_ASSERT(!world.store.objects(ObjectKind::Duties).contains("router.gone"));
+    }
+
+    // A router that was cut off from the others for long, but not from the store.
+    void testRouterThatWasForgottenComesBack()
+    {
+        World &world = addWorld();
+        world.addRouter("a");
+        world.addRouter("b");
+        const auto isRegistered = [&world] {
+            return world.store.objects(ObjectKind::Duties).contains("router.a") && world.routers[0]->last && world.routers[0]->last->routers == 2;
+        };
+        CPPUNIT_ASSERT(runUntil(isRegistered, base::seconds{5}));
+        const StoredObject object = world.store.objects(ObjectKind::Duties).at("router.a");
+        FakeClient client(world.store, world.routers[1]->clients.isCut);
+        bool isRemoved = false;
+        boost::asio::co_spawn(
+            *m_loop,
+            [&client, &object, &isRemoved]() -> Awaitable<void> {
+                isRemoved = (co_await client.remove(ObjectKind::Duties, object.name, object.revision)).has_value();
+            },
+            boost::asio::detached);
+        CPPUNIT_ASSERT(runUntil(
+            [&world, &isRemoved] {
+                return isRemoved && world.routers[1]->last->routers == 1;
+            },
+            base::seconds{5}));
+        CPPUNIT_ASSERT(runUntil(isRegistered, base::seconds{5}));
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(ControlPlaneTest);
 
--- a/carawaylatch/gateway/testing/fakestore.h
+++ b/carawaylatch/gateway/testing/fakestore.h
@@ -149,6 +149,26 @@
         co_return apply(kind, name, text, expected);
     }
 
+    Awaitable<base::Result<void>> remove(ObjectKind kind, std::string name, std::uint64_t expected) override
+    {
+        const CallFault fault = co_await begin();
+        const auto error = errorOf(fault);
+        if (error && fault != CallFault::AnswerLost) {
+            co_return *error;
+        }
+        auto &objects = m_store.m_objects[kind];
+        const auto it = objects.find(name);
+        if (it == objects.end() || it->second.revision != expected) {
+            co_return base::fail(base::ErrorKind::Conflict, "another revision");
+        }
+        m_store.m_changes.emplace_back(kind, StoredObject{name, {}, ++m_store.m_revision, true});
+        objects.erase(it);
+        if (error) {
+            co_return *error;
+        }
+        co_return base::ok();
+    }
+
     void interrupt() override
     {
         m_isInterrupted = true;
--- a/carawaylatch/gateway/testing/fleetstatetest.cpp
+++ b/carawaylatch/gateway/testing/fleetstatetest.cpp
@@ -159,8 +159,18 @@
     {
         CPPUNIT_ASSERT_EQUAL(1U, m_state->view()->routers);
         change(ObjectKind::Duties, object("router.a", "router"));
-        change(ObjectKind::Duties, object("router.b", "router"));
+        change(ObjectKind::Duties, object("router.b", "10.0.0.2:7340"));
         CPPUNIT_ASSERT_EQUAL(2U, m_state->view()->routers);
+        const base::Endpoint peers{"10.0.0.2", 7340};
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_state->view()->routerEndpoints.size());
+        CPPUNIT_ASSERT(m_state->view()->routerEndpoints[0] == peers);
+        CPPUNIT_ASSERT_EQUAL(std::string("router.b"), m_state->routerAt(peers)->name);
+        CPPUNIT_ASSERT(m_state->routerAt(base::Endpoint{"10.0.0.1", 7340}) == nullptr);
+        // A removal may bear the revision of the change before it; an older one changes nothing.
+        change(ObjectKind::Duties, StoredObject{"router.b", {}, 0, true});
+        CPPUNIT_ASSERT_EQUAL(2U, m_state->view()->routers);
+        change(ObjectKind::Duties, StoredObject{"router.b", {}, 1, true});
+        CPPUNIT_ASSERT_EQUAL(1U, m_state->view()->routers);
     }
 
     void testChangingEnginesSurviveTheirText()
--- a/carawaylatch/proxy/peerexchange.cpp
+++ b/carawaylatch/proxy/peerexchange.cpp
@@ -141,6 +141,10 @@
         } else if (m_state == State::Open && m_unanswered > 0 && now - m_waitingSince > AnswerTimeout) {
             drop("no answer in time");
         }
+        if (m_lostSince && now - *m_lostSince >= GoneTime) {
+            m_lostSince = now;
+            m_exchange->m_source.onPeerGone(m_endpoint);
+        }
     }
 
     // Sends a report; a peer that has no whole one yet, or takes too little, gets a whole one instead.
@@ -202,14 +206,21 @@
     void open()
     {
         m_state = State::Open;
-        m_retryPause = FirstRetryPause;
         m_session.emplace(peer::Http2Session::Role::Client, MaxReportBytes);
         setSocketOptions(m_socket, AnswerTimeout * 2);
         m_needsWhole = true;
-        if (std::exchange(m_isLost, false)) {
+        read();
+    }
+
+    // A connection alone says little: the system of a suspended peer still accepts.
+    void answered(std::size_t answers)
+    {
+        m_unanswered -= std::min(answers, m_unanswered);
+        m_waitingSince = m_exchange->m_clock.now();
+        m_retryPause = FirstRetryPause;
+        if (std::exchange(m_lostSince, std::nullopt)) {
             m_exchange->m_log.write(base::LogEvent::PeerRegained, {{"peer", endpointText(m_endpoint)}});
         }
-        read();
     }
 
     void read()
@@ -222,9 +233,9 @@
                 self->drop(ec ? ec.message() : "no answer of this protocol");
                 return;
             }
-            const std::size_t answers = self->m_session->takeAnswers().size();
-            self->m_unanswered -= std::min(answers, self->m_unanswered);
-            self->m_waitingSince = self->m_exchange->m_clock.now();
+            if (const std::size_t answers = self->m_session->takeAnswers().size(); answers > 0) {
+                self->answered(answers);
+            }
             self->write();
             self->read();
         });
@@ -253,7 +264,8 @@
         reset();
         m_retryAt = m_exchange->m_clock.now() + m_retryPause;
         m_retryPause = std::min<base::Duration>(m_retryPause * 2, MaxRetryPause);
-        if (!std::exchange(m_isLost, true)) {
+        if (!m_lostSince) {
+            m_lostSince = m_exchange->m_clock.now();
             m_exchange->m_log.write(base::LogEvent::PeerLost, {{"peer", endpointText(m_endpoint)}, {"problem", problem}});
         }
     }
@@ -280,7 +292,7 @@
     base::Duration m_retryPause = FirstRetryPause;
     std::size_t m_unanswered = 0; // reports; at most MaxUnanswered
     bool m_needsWhole = true;
-    bool m_isLost = false; // as last logged
+    std::optional<base::TimePoint> m_lostSince; // the first failure since the last answer
 };
 
 PeerExchange::PeerExchange(boost::asio::io_context &loop, const base::Clock &clock, base::Endpoint self, const std::string &id, LoadReportSource &source,
--- a/carawaylatch/proxy/peerexchange.h
+++ b/carawaylatch/proxy/peerexchange.h
@@ -44,6 +44,8 @@
     [[nodiscard]] virtual LoadReport takeChanges() = 0;
     [[nodiscard]] virtual LoadReport wholeReport() const = 0;
     virtual void onReport(const LoadReport &report) = 0;
+    // A router has answered nothing for GoneTime; told again after as long.
+    virtual void onPeerGone(const base::Endpoint &peer) = 0;
 };
 
 class PeerExchange
@@ -65,6 +67,8 @@
     void tick();
     void closeAll();
 
+    // Far beyond restarts and cuts between failure domains.
+    static constexpr base::Duration GoneTime = base::minutes{10};
     static constexpr base::Duration ReportInterval = base::milliseconds{50}; // a third of the reading of a long prompt
 
 private:
--- a/carawaylatch/proxy/testing/peerstest.cpp
+++ b/carawaylatch/proxy/testing/peerstest.cpp
@@ -380,6 +380,7 @@
     CPPUNIT_TEST(testRestartedPeerGetsTheWhole);
     CPPUNIT_TEST(testSilentPeerHoldsNothingUp);
     CPPUNIT_TEST(testBytesThatAreNoReport);
+    CPPUNIT_TEST(testPeerThatIsGone);
     CPPUNIT_TEST(testOffWithoutAddress);
     CPPUNIT_TEST_SUITE_END();
 
@@ -402,7 +403,12 @@
         }
         LoadReport next;
         LoadReport whole;
+        void onPeerGone(const base::Endpoint &peer) override
+        {
+            gone.push_back(peer);
+        }
         std::vector<LoadReport> received;
+        std::vector<base::Endpoint> gone;
     };
 
     boost::asio::io_context m_loop{1};
@@ -484,6 +490,7 @@
     {
         for (const int size : {1, 2, 3, 32, 33, 34, 50, 300}) {
             std::vector<base::Endpoint> routers;
+            routers.reserve(static_cast<std::size_t>(size));
             for (int i = 0; i < size; ++i) {
                 routers.push_back({"10.0." + std::to_string(i / 250) + '.' + std::to_string(i % 250), 7000});
             }
@@ -596,6 +603,34 @@
                                                                        std::chrono::milliseconds{5000}));
     }
 
+    // Nobody listens at the second address, and the third takes connections but answers
+    // nothing, as a suspended process does; time passes in steps of ten seconds.
+    void testPeerThatIsGone()
+    {
+        const Tcp::acceptor silent(m_loop, Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), m_routers[2].port));
+        base::ManualClock clock;
+        Source source;
+        PeerExchange exchange(m_loop, clock, m_routers[0], "r", source, *m_log);
+        CPPUNIT_ASSERT(exchange.listen().has_value());
+        exchange.setRouters(m_routers);
+        const base::Duration step = base::seconds{10};
+        const auto pass = [&](base::Duration time) {
+            for (base::Duration passed{}; passed < time; passed += step) {
+                exchange.tick();
+                m_loop.run_for(std::chrono::milliseconds{5});
+                clock.advance(step);
+            }
+        };
+        pass(PeerExchange::GoneTime);
+        CPPUNIT_ASSERT(source.gone.empty());
+        pass(step * 5); // the silent one counts from its first missing answer
+        const std::set<base::Endpoint> gone(source.gone.begin(), source.gone.end());
+        CPPUNIT_ASSERT(gone == std::set<base::Endpoint>(m_routers.begin() + 1, m_routers.end()));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("each told once", std::size_t{2}, source.gone.size());
+        pass(PeerExchange::GoneTime + step);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("and again", std::size_t{4}, source.gone.size());
+    }
+
     void testOffWithoutAddress()
     {
         addExchange(base::Endpoint{});
--- a/carawaylatch/proxy/trafficplane.cpp
+++ b/carawaylatch/proxy/trafficplane.cpp
@@ -173,6 +173,11 @@
     }
 }
 
+void TrafficPlane::onPeerGone(const base::Endpoint &peer)
+{
+    m_observer.onRouterGone(peer);
+}
+
 // A router takes its part of the fleet's budget, counted with one router more than
 // are known, so that one which was just added does not exceed it.
 void TrafficPlane::applyBudgets()
--- a/carawaylatch/proxy/trafficplane.h
+++ b/carawaylatch/proxy/trafficplane.h
@@ -80,6 +80,8 @@
     virtual ~TrafficObserver() = default;
     // An answer told the weights of an upstream.
     virtual void onWeightsSeen(const base::UpstreamId &upstream, base::WeightsVersion weights) = 0;
+    // Another router has not been reached for a long time.
+    virtual void onRouterGone(const base::Endpoint &peers) = 0;
 };
 
 class TrafficPlane : private LoadReportSource
@@ -150,6 +152,7 @@
     [[nodiscard]] LoadReport takeChanges() override;
     [[nodiscard]] LoadReport wholeReport() const override;
     void onReport(const LoadReport &report) override;
+    void onPeerGone(const base::Endpoint &peer) override;
     [[nodiscard]] base::Result<void> listenOn(Listener &listener, const base::Endpoint &endpoint);
     void accept(Listener &listener);
     void armTimer();
