--- a/carawaylatch/gateway/controlplane.cpp
+++ b/carawaylatch/gateway/controlplane.cpp
@@ -25,6 +25,7 @@
 constexpr base::Duration StatusInterval = base::milliseconds{120}; // between questions to an engine that changes
 constexpr base::Duration CacheStoreInterval = base::seconds{1}; // each probe is priced; a dead store costs callers far more
 constexpr base::Duration DutiesPause = base::milliseconds{200}; // engines that change are named in groups; a drain takes three times as long
+constexpr base::Duration PartialListLife = base::seconds{10}; // half of the history that a store keeps
 constexpr base::Duration OutOfReachLife = base::milliseconds{2500}; // after the store's return, entries may still be missing
 
 // A coroutine that ends by an exception is a fault of this program: end the process, it is started again.
@@ -88,28 +89,27 @@
     }
 }
 
-Awaitable<base::Result<std::uint64_t>> ControlPlane::listAll(ObjectClient &client, ObjectKind kind, bool wasOutOfReach)
+Awaitable<base::Result<std::uint64_t>> ControlPlane::listAll(ObjectClient &client, ObjectKind kind, bool wasOutOfReach, PartialList &partial)
 {
-    std::vector<StoredObject> objects;
-    std::uint64_t asOf = 0;
-    std::string after;
-    while (true) {
-        auto page = co_await client.list(kind, after);
+    if (m_clock.now() - partial.begunAt > PartialListLife) {
+        partial = PartialList{{}, {}, 0, m_clock.now()};
+    }
+    bool hasMore = true;
+    while (hasMore) {
+        auto page = co_await client.list(kind, partial.after);
         if (!page) {
             co_return page.error();
         }
-        // Changes after the first page are seen by a watch that goes on from its revision.
-        asOf = asOf == 0 ? page.value().asOf : asOf;
+        partial.asOf = partial.asOf == 0 ? page.value().asOf : partial.asOf;
+        hasMore = page.value().hasMore && !page.value().objects.empty();
         for (StoredObject &object : page.value().objects) {
-            after = object.name;
-            objects.push_back(std::move(object));
-        }
-        if (!page.value().hasMore || objects.empty()) {
-            break;
+            partial.after = object.name;
+            partial.objects.push_back(std::move(object));
         }
     }
-    m_state.onList(kind, objects, wasOutOfReach, m_clock.now());
-    co_return asOf;
+    const PartialList whole = std::exchange(partial, {});
+    m_state.onList(kind, whole.objects, wasOutOfReach, m_clock.now());
+    co_return whole.asOf;
 }
 
 // The watch of the configuration is short, so it notices first that the store is
@@ -149,6 +149,7 @@
     const auto client = m_clients.makeClient();
     m_watches[kind] = client.get();
     std::uint64_t since = 0; // zero: list first
+    PartialList partial;
     base::Duration pauseNext = m_settings.retryPause;
     std::optional<base::TimePoint> lostAt; // first of the calls that failed in a row
     base::TimePoint backAt{}; // first success after calls that failed
@@ -159,7 +160,11 @@
         base::Result<std::uint64_t> result = std::uint64_t{0};
         bool hasChanges = false;
         if (since == 0) {
-            result = co_await listAll(*client, kind, wasOutOfReach && backAt != base::TimePoint{});
+            const std::size_t read = partial.objects.size();
+            result = co_await listAll(*client, kind, wasOutOfReach && backAt != base::TimePoint{}, partial);
+            if (!result && partial.objects.size() > read) {
+                pauseNext = m_settings.retryPause; // the store serves, if not each call
+            }
         } else {
             auto changes = co_await client->watch(kind, since, watchWait(kind));
             if (changes) {
--- a/carawaylatch/gateway/controlplane.h
+++ b/carawaylatch/gateway/controlplane.h
@@ -61,8 +61,17 @@
     void onRouterGone(const base::Endpoint &peers);
 
 private:
+    // A list of which some pages were read. A busy store refuses calls, so a list of many
+    // pages goes on where it was refused; begun anew each time it would never end.
+    struct PartialList
+    {
+        std::vector<StoredObject> objects;
+        std::string after; // the last name read; empty: nothing yet
+        std::uint64_t asOf = 0; // of the first page; changes since are seen by a watch from there
+        base::TimePoint begunAt;
+    };
     [[nodiscard]] Awaitable<void> watchKind(ObjectKind kind);
-    [[nodiscard]] Awaitable<base::Result<std::uint64_t>> listAll(ObjectClient &client, ObjectKind kind, bool wasOutOfReach);
+    [[nodiscard]] Awaitable<base::Result<std::uint64_t>> listAll(ObjectClient &client, ObjectKind kind, bool wasOutOfReach, PartialList &partial);
     [[nodiscard]] Awaitable<void> runDuties();
     [[nodiscard]] Awaitable<void> watchCacheStores();
     [[nodiscard]] Awaitable<void> stepLease(ObjectClient &client);
--- a/carawaylatch/gateway/gateway.cpp
+++ b/carawaylatch/gateway/gateway.cpp
@@ -185,6 +185,7 @@
     settings.value().callers = m_settings.callers;
     settings.value().operators = m_settings.operators;
     settings.value().metrics = m_settings.metrics;
+    settings.value().peers = m_settings.peers;
     settings.value().id = m_settings.id;
     m_settings = std::move(settings.value());
     m_traffic->applySettings(m_settings.traffic());
--- a/carawaylatch/gateway/testing/controlplanetest.cpp
+++ b/carawaylatch/gateway/testing/controlplanetest.cpp
@@ -199,6 +199,7 @@
     CPPUNIT_TEST(testNewHolderOrdersNothingBeforeItHasReadTheList);
     CPPUNIT_TEST(testHolderStops);
     CPPUNIT_TEST(testOutage);
+    CPPUNIT_TEST(testLongListOfABusyStore);
     CPPUNIT_TEST(testGoneRouterIsForgotten);
     CPPUNIT_TEST(testRouterThatWasForgottenComesBack);
     CPPUNIT_TEST_SUITE_END();
@@ -405,6 +406,23 @@
         assertNoViolation();
     }
 
+    // Twenty pages from a store that refuses every third call, as when many routers start together.
+    void testLongListOfABusyStore()
+    {
+        constexpr int Upstreams = 40;
+        World &world = addWorld();
+        for (int i = 0; i < Upstreams; ++i) {
+            world.store.put(ObjectKind::Upstreams, "u" + std::to_string(100 + i), "p ready 1 1");
+        }
+        world.store.pageSize = 2;
+        world.store.refusedListEvery = 3;
+        world.addRouter("a");
+        const auto knowsAll = [&world] {
+            return world.routers[0]->last && world.routers[0]->last->upstreams.size() == Upstreams + Engines;
+        };
+        CPPUNIT_ASSERT(runUntil(knowsAll, base::seconds{5}));
+    }
+
     void testGoneRouterIsForgotten()
     {
         World &world = addWorld();
--- a/carawaylatch/gateway/testing/fakestore.h
+++ b/carawaylatch/gateway/testing/fakestore.h
@@ -49,6 +49,8 @@
     int faultAt = 0;
     CallFault fault = CallFault::None;
     bool isDown = false; // every call is refused
+    std::size_t pageSize = 0; // objects of one page of a list; zero: all
+    int refusedListEvery = 0; // every so many calls of a list are refused; zero: none
     bool areDutyReadsRefused = false; // reads of single objects of this project
 
 private:
@@ -56,6 +58,7 @@
     boost::asio::io_context &m_loop;
     std::uint64_t m_revision = 0;
     int m_calls = 0;
+    int m_listCalls = 0;
     std::map<ObjectKind, std::map<std::string, StoredObject>> m_objects;
     std::vector<std::pair<ObjectKind, StoredObject>> m_changes;
 };
@@ -75,9 +78,16 @@
         if (const auto error = errorOf(fault)) {
             co_return *error;
         }
+        if (m_store.refusedListEvery != 0 && ++m_store.m_listCalls % m_store.refusedListEvery == 0) {
+            co_return base::fail(base::ErrorKind::Unavailable, "too many calls");
+        }
         ObjectPage page;
         page.asOf = m_store.m_revision;
         for (const auto &[name, object] : m_store.m_objects[kind]) {
+            page.hasMore = m_store.pageSize != 0 && page.objects.size() == m_store.pageSize;
+            if (page.hasMore) {
+                break;
+            }
             if (name > after) {
                 page.objects.push_back(object);
             }
