--- a/carawaylatch/gateway/testing/controlplanetest.cpp
+++ b/carawaylatch/gateway/testing/controlplanetest.cpp
@@ -222,6 +222,24 @@
         m_worlds.push_back(std::make_unique<World>(*m_loop, m_clock, m_log.log));
         return *m_worlds.back();
     }
+    World &addWorldOfTwo()
+    {
+        World &world = addWorld();
+        world.addRouter("a");
+        world.addRouter("b");
+        return world;
+    }
+    // Names new weights; returns the router that gives the first order.
+    std::string firstHolder(World &world)
+    {
+        world.store.put(ObjectKind::Weights, "m", "m 2");
+        CPPUNIT_ASSERT(runUntil(
+            [&world] {
+                return !world.engines.orders.empty();
+            },
+            base::seconds{5}));
+        return world.engines.orders.begin()->second.front().holder;
+    }
     template <typename Condition>
     bool runUntil(Condition condition, base::Duration limit)
     {
@@ -301,16 +319,8 @@
 
     void testHolderIsCutOff()
     {
-        World &world = addWorld();
-        world.addRouter("a");
-        world.addRouter("b");
-        world.store.put(ObjectKind::Weights, "m", "m 2");
-        CPPUNIT_ASSERT(runUntil(
-            [&world] {
-                return !world.engines.orders.empty();
-            },
-            base::seconds{5}));
-        const std::string holder = world.engines.orders.begin()->second.front().holder;
+        World &world = addWorldOfTwo();
+        const std::string holder = firstHolder(world);
         world.routers[holder == "a" ? 0 : 1]->clients.isCut = true;
         world.store.put(ObjectKind::Weights, "m", "m 3");
         CPPUNIT_ASSERT(runUntil(
@@ -327,16 +337,8 @@
     // Without the list a new holder can't know which engines its predecessor has ordered.
     void testNewHolderOrdersNothingBeforeItHasReadTheList()
     {
-        World &world = addWorld();
-        world.addRouter("a");
-        world.addRouter("b");
-        world.store.put(ObjectKind::Weights, "m", "m 2");
-        CPPUNIT_ASSERT(runUntil(
-            [&world] {
-                return !world.engines.orders.empty();
-            },
-            base::seconds{5}));
-        const std::string holder = world.engines.orders.begin()->second.front().holder;
+        World &world = addWorldOfTwo();
+        const std::string holder = firstHolder(world);
         world.store.areDutyReadsRefused = true;
         world.routers[holder == "a" ? 0 : 1]->clients.isCut = true;
         world.store.put(ObjectKind::Weights, "m", "m 3");
@@ -356,9 +358,7 @@
     // A holder that stops releases the lease: the other one takes it at once.
     void testHolderStops()
     {
-        World &world = addWorld();
-        world.addRouter("a");
-        world.addRouter("b");
+        World &world = addWorldOfTwo();
         CPPUNIT_ASSERT(runUntil(
             [&world] {
                 return !world.store.objects(ObjectKind::Leases).empty();
@@ -384,9 +384,7 @@
     // Everything that was changed while the store was down is known soon after its return.
     void testOutage()
     {
-        World &world = addWorld();
-        world.addRouter("a");
-        world.addRouter("b");
+        World &world = addWorldOfTwo();
         CPPUNIT_ASSERT(runUntil(
             [&world] {
                 return hasTable(world, 1);
@@ -455,9 +453,7 @@
     // A router that was cut off from the others for long, but not from the store.
     void testRouterThatWasForgottenComesBack()
     {
-        World &world = addWorld();
-        world.addRouter("a");
-        world.addRouter("b");
+        World &world = addWorldOfTwo();
         const auto isRegistered = [&world] {
             return world.store.objects(ObjectKind::Duties).contains("router.a") && world.routers[0]->last && world.routers[0]->last->routers == 2;
         };
--- /dev/null
+++ b/carawaylatch/proxy/testing/peerexchangetest.cpp
@@ -0,0 +1,292 @@
+// The connections that carry load reports between routers.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include "carawaylatch/proxy/peerexchange.h"
+
+namespace carawaylatch::proxy::testing
+{
+
+// Exchanges on loopback addresses of their own, ticked by hand.
+class PeerExchangeTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PeerExchangeTest);
+    CPPUNIT_TEST(testRingIsMutualAndBounded);
+    CPPUNIT_TEST(testReportsArrive);
+    CPPUNIT_TEST(testRestartedPeerGetsTheWhole);
+    CPPUNIT_TEST(testSilentPeerHoldsNothingUp);
+    CPPUNIT_TEST(testBytesThatAreNoReport);
+    CPPUNIT_TEST(testPeerThatIsGone);
+    CPPUNIT_TEST(testOffWithoutAddress);
+    CPPUNIT_TEST_SUITE_END();
+
+    class Source : public LoadReportSource
+    {
+    public:
+        LoadReport takeChanges() override
+        {
+            return std::exchange(next, {});
+        }
+        LoadReport wholeReport() const override
+        {
+            LoadReport out = whole;
+            out.isWhole = true;
+            return out;
+        }
+        void onReport(const LoadReport &report) override
+        {
+            received.push_back(report);
+        }
+        LoadReport next;
+        LoadReport whole;
+        void onPeerGone(const base::Endpoint &peer) override
+        {
+            gone.push_back(peer);
+        }
+        std::vector<LoadReport> received;
+        std::vector<base::Endpoint> gone;
+    };
+
+    boost::asio::io_context m_loop{1};
+    base::SteadyClock m_clock;
+    int m_null = -1;
+    std::unique_ptr<telemetry::DecisionLog> m_log;
+    std::vector<std::unique_ptr<Source>> m_sources;
+    std::vector<std::unique_ptr<PeerExchange>> m_exchanges;
+    std::vector<base::Endpoint> m_routers;
+
+    static base::Endpoint freeEndpoint(boost::asio::io_context &loop)
+    {
+        Tcp::acceptor acceptor(loop, Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+        return {"127.0.0.1", acceptor.local_endpoint().port()};
+    }
+    void addExchange(const base::Endpoint &endpoint)
+    {
+        m_sources.push_back(std::make_unique<Source>());
+        m_exchanges.push_back(std::make_unique<PeerExchange>(m_loop, m_clock, endpoint, "r" + std::to_string(endpoint.port), *m_sources.back(), *m_log));
+        CPPUNIT_ASSERT(m_exchanges.back()->listen().has_value());
+    }
+    void connectAll()
+    {
+        for (const auto &exchange : m_exchanges) {
+            exchange->setRouters(m_routers);
+        }
+    }
+    // Ticks all exchanges until the condition holds; false after two seconds.
+    template <typename Condition>
+    bool tickUntil(Condition condition, std::chrono::milliseconds limit = std::chrono::milliseconds{2000})
+    {
+        const auto end = std::chrono::steady_clock::now() + limit;
+        while (std::chrono::steady_clock::now() < end) {
+            for (const auto &exchange : m_exchanges) {
+                if (exchange) {
+                    exchange->tick();
+                }
+            }
+            m_loop.run_for(std::chrono::milliseconds{10});
+            if (condition()) {
+                return true;
+            }
+        }
+        return false;
+    }
+    bool hasHeard(std::size_t at, std::uint64_t upstream)
+    {
+        for (const LoadReport &report : m_sources[at]->received) {
+            for (const UpstreamWork &work : report.work) {
+                if (work.upstream == upstream) {
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
+
+public:
+    void setUp() override
+    {
+        m_null = ::open("/dev/null", O_WRONLY | O_CLOEXEC);
+        m_log = std::make_unique<telemetry::DecisionLog>(m_null, 10'000, m_clock);
+        for (int i = 0; i < 3; ++i) {
+            m_routers.push_back(freeEndpoint(m_loop));
+        }
+    }
+    void tearDown() override
+    {
+        m_exchanges.clear();
+        m_loop.restart();
+        m_loop.run_for(std::chrono::milliseconds{50});
+        m_sources.clear();
+        m_routers.clear();
+        m_log.reset();
+        ::close(m_null);
+    }
+
+    void testRingIsMutualAndBounded()
+    {
+        for (const int size : {1, 2, 3, 32, 33, 34, 50, 300}) {
+            std::vector<base::Endpoint> routers;
+            routers.reserve(static_cast<std::size_t>(size));
+            for (int i = 0; i < size; ++i) {
+                routers.push_back({"10.0." + std::to_string(i / 250) + '.' + std::to_string(i % 250), 7000});
+            }
+            std::map<base::Endpoint, std::set<base::Endpoint>> peers;
+            for (const base::Endpoint &router : routers) {
+                const auto list = reportPeers(routers, router);
+                peers[router] = {list.begin(), list.end()};
+                CPPUNIT_ASSERT_EQUAL(std::min<std::size_t>(MaxReportPeers, routers.size() - 1), list.size());
+                CPPUNIT_ASSERT_EQUAL(list.size(), peers[router].size());
+                CPPUNIT_ASSERT(!peers[router].contains(router));
+            }
+            for (const auto &[router, list] : peers) {
+                for (const base::Endpoint &peer : list) {
+                    CPPUNIT_ASSERT(peers[peer].contains(router));
+                }
+            }
+        }
+        CPPUNIT_ASSERT(reportPeers({}, base::Endpoint{"10.0.0.1", 1}).empty());
+    }
+
+    void testReportsArrive()
+    {
+        for (const base::Endpoint &router : m_routers) {
+            addExchange(router);
+        }
+        m_sources[0]->whole.work = {{41, 1, 2, 3}};
+        connectAll();
+        CPPUNIT_ASSERT_MESSAGE("the whole comes first", tickUntil([this] {
+                                   return hasHeard(1, 41) && hasHeard(2, 41);
+                               }));
+        CPPUNIT_ASSERT(m_sources[1]->received.front().isWhole);
+        m_sources[0]->next.work = {{42, 1, 2, 3}};
+        CPPUNIT_ASSERT(tickUntil([this] {
+            return hasHeard(1, 42) && hasHeard(2, 42);
+        }));
+        CPPUNIT_ASSERT(!m_sources[1]->received.back().isWhole);
+        const std::size_t heard = m_sources[1]->received.size();
+        CPPUNIT_ASSERT_MESSAGE("a sign of life where nothing changes", tickUntil([this, heard] {
+                                   return m_sources[1]->received.size() > heard + 2;
+                               }));
+    }
+
+    void testRestartedPeerGetsTheWhole()
+    {
+        addExchange(m_routers[0]);
+        addExchange(m_routers[1]);
+        m_sources[0]->whole.work = {{41, 1, 2, 3}};
+        connectAll();
+        CPPUNIT_ASSERT(tickUntil([this] {
+            return hasHeard(1, 41);
+        }));
+        m_exchanges[1].reset();
+        m_sources[1]->received.clear();
+        CPPUNIT_ASSERT(!tickUntil(
+            [this] {
+                return hasHeard(1, 41);
+            },
+            std::chrono::milliseconds{100}));
+        m_exchanges[1] = std::make_unique<PeerExchange>(m_loop, m_clock, m_routers[1], "again", *m_sources[1], *m_log);
+        CPPUNIT_ASSERT(m_exchanges[1]->listen().has_value());
+        CPPUNIT_ASSERT(tickUntil(
+            [this] {
+                return hasHeard(1, 41);
+            },
+            std::chrono::milliseconds{5000}));
+    }
+
+    // A peer that takes connections and answers nothing; the other one goes on.
+    void testSilentPeerHoldsNothingUp()
+    {
+        Tcp::acceptor silent(m_loop, Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), m_routers[2].port));
+        addExchange(m_routers[0]);
+        addExchange(m_routers[1]);
+        connectAll();
+        CPPUNIT_ASSERT(tickUntil([this] {
+            return !m_sources[1]->received.empty();
+        }));
+        const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds{1500};
+        for (std::uint64_t upstream = 100; std::chrono::steady_clock::now() < end; ++upstream) {
+            m_sources[0]->next.work = {{upstream, 1, 2, 3}};
+            CPPUNIT_ASSERT(tickUntil([this, upstream] {
+                return hasHeard(1, upstream);
+            }));
+        }
+    }
+
+    void testBytesThatAreNoReport()
+    {
+        addExchange(m_routers[0]);
+        connectAll();
+        for (const std::string &bytes :
+             {std::string("GET / HTTP/1.1\r\n\r\n"), std::string(100'000, '\0'), std::string("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\nxxxxxxxxxxxx")}) {
+            Tcp::socket socket(m_loop);
+            socket.connect(Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), m_routers[0].port));
+            boost::system::error_code ignored;
+            socket.write_some(boost::asio::buffer(bytes), ignored);
+            CPPUNIT_ASSERT(!tickUntil(
+                [this] {
+                    return !m_sources[0]->received.empty();
+                },
+                std::chrono::milliseconds{50}));
+        }
+        addExchange(m_routers[1]);
+        connectAll();
+        m_sources[1]->whole.work = {{7, 1, 1, 1}};
+        CPPUNIT_ASSERT_MESSAGE("sound peers are heard afterwards", tickUntil(
+                                                                       [this] {
+                                                                           return hasHeard(0, 7);
+                                                                       },
+                                                                       std::chrono::milliseconds{5000}));
+    }
+
+    // Nobody listens at the second address, and the third takes connections but answers
+    // nothing, as a suspended process does; time passes in steps of ten seconds.
+    void testPeerThatIsGone()
+    {
+        const Tcp::acceptor silent(m_loop, Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), m_routers[2].port));
+        base::ManualClock clock;
+        Source source;
+        PeerExchange exchange(m_loop, clock, m_routers[0], "r", source, *m_log);
+        CPPUNIT_ASSERT(exchange.listen().has_value());
+        exchange.setRouters(m_routers);
+        const base::Duration step = base::seconds{10};
+        const auto pass = [&](base::Duration time) {
+            for (base::Duration passed{}; passed < time; passed += step) {
+                exchange.tick();
+                m_loop.run_for(std::chrono::milliseconds{5});
+                clock.advance(step);
+            }
+        };
+        pass(PeerExchange::GoneTime);
+        CPPUNIT_ASSERT(source.gone.empty());
+        pass(step * 5); // the silent one counts from its first missing answer
+        const std::set<base::Endpoint> gone(source.gone.begin(), source.gone.end());
+        CPPUNIT_ASSERT(gone == std::set<base::Endpoint>(m_routers.begin() + 1, m_routers.end()));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("each told once", std::size_t{2}, source.gone.size());
+        pass(PeerExchange::GoneTime + step);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("and again", std::size_t{4}, source.gone.size());
+    }
+
+    void testOffWithoutAddress()
+    {
+        addExchange(base::Endpoint{});
+        m_exchanges[0]->setRouters(m_routers);
+        m_sources[0]->next.work = {{7, 1, 1, 1}};
+        m_exchanges[0]->tick();
+        CPPUNIT_ASSERT_MESSAGE("changes are taken all the same", m_sources[0]->next.work.empty());
+    }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(PeerExchangeTest);
+
+} // namespace carawaylatch::proxy::testing
