--- a/carawaylatch/base/logevents.cpp
+++ b/carawaylatch/base/logevents.cpp
@@ -18,6 +18,14 @@
 #undef CARAWAYLATCH_EVENT
 };
 
+// Every event is in the catalogue, as both come from one list.
+const LogEventInfo &infoOf(LogEvent event)
+{
+    return *std::find_if(Catalogue.begin(), Catalogue.end(), [event](const LogEventInfo &info) {
+        return info.event == event;
+    });
+}
+
 std::string_view levelName(LogLevel level)
 {
     static constexpr std::array<std::string_view, 3> LevelNames{"info", "warning", "error"};
@@ -60,11 +68,8 @@
 
 std::string formatLogEvent(LogEvent event, std::initializer_list<LogField> fields, std::string_view seconds)
 {
-    const auto it = std::find_if(Catalogue.begin(), Catalogue.end(), [event](const LogEventInfo &info) {
-        return info.event == event;
-    });
     std::string line = "E" + std::to_string(static_cast<int>(event)) + ' ';
-    line += it->name;
+    line += infoOf(event).name;
     if (!seconds.empty()) {
         line.append(" t=").append(seconds);
     }
@@ -76,10 +81,7 @@
 
 LogLevel logEventLevel(LogEvent event)
 {
-    const auto it = std::find_if(Catalogue.begin(), Catalogue.end(), [event](const LogEventInfo &info) {
-        return info.event == event;
-    });
-    return it->level;
+    return infoOf(event).level;
 }
 
 } // namespace carawaylatch::base
--- a/carawaylatch/gateway/fleetstate.cpp
+++ b/carawaylatch/gateway/fleetstate.cpp
@@ -60,7 +60,7 @@
 
 std::string encodeRouter(const base::Endpoint &peers)
 {
-    return peers.port == 0 ? std::string("router") : peers.address + ':' + std::to_string(peers.port);
+    return peers.port == 0 ? std::string("router") : config::formatEndpoint(peers);
 }
 
 std::optional<base::Endpoint> decodeRouter(std::string_view text)
@@ -247,7 +247,7 @@
                                                   {"pool", upstream.pool.value()},
                                                   {"phase", std::string(phase)},
                                                   {"weights", std::to_string(weights)},
-                                                  {"endpoint", upstream.endpoint.address + ':' + std::to_string(upstream.endpoint.port)}});
+                                                  {"endpoint", config::formatEndpoint(upstream.endpoint)}});
 }
 
 void FleetState::applyDuty(const StoredObject &object)
@@ -289,8 +289,7 @@
     const bool isNews = isAlive ? m_deadCacheStores.erase(endpoint) > 0 : m_deadCacheStores.insert(endpoint).second;
     if (isNews) {
         m_isChanged = true;
-        m_log.write(base::LogEvent::CacheStoreChanged,
-                    {{"endpoint", endpoint.address + ':' + std::to_string(endpoint.port)}, {"state", isAlive ? "answers" : "silent"}});
+        m_log.write(base::LogEvent::CacheStoreChanged, {{"endpoint", config::formatEndpoint(endpoint)}, {"state", isAlive ? "answers" : "silent"}});
     }
 }
 
--- a/carawaylatch/gateway/gateway.cpp
+++ b/carawaylatch/gateway/gateway.cpp
@@ -13,6 +13,8 @@
 #include <thread>
 #include <utility>
 
+#include "carawaylatch/config/valuetext.h"
+
 namespace carawaylatch::gateway
 {
 
@@ -25,11 +27,6 @@
 constexpr base::Duration EndReserve = base::milliseconds{300}; // before the end of the grace period
 constexpr base::Duration SettingsInterval = base::seconds{1}; // between looks at the settings file
 
-std::string endpointText(const base::Endpoint &endpoint)
-{
-    return endpoint.address + ':' + std::to_string(endpoint.port);
-}
-
 std::string readText(const std::string &path)
 {
     std::ifstream in(path, std::ios::binary);
@@ -78,9 +75,9 @@
     }
     m_log.write(base::LogEvent::GatewayStarted, {{"router", m_settings.id},
                                                  {"domain", m_settings.failureDomain},
-                                                 {"callers", endpointText(m_settings.callers)},
-                                                 {"operators", endpointText(m_settings.operators)},
-                                                 {"store", endpointText(m_settings.store)}});
+                                                 {"callers", config::formatEndpoint(m_settings.callers)},
+                                                 {"operators", config::formatEndpoint(m_settings.operators)},
+                                                 {"store", config::formatEndpoint(m_settings.store)}});
     awaitSignal();
     watchSettings();
     m_control->start();
--- a/carawaylatch/proxy/exchange.cpp
+++ b/carawaylatch/proxy/exchange.cpp
@@ -64,11 +64,11 @@
         return false;
     }
     if (m_plane.isMemoryFull()) {
-        refuse("no_memory", DefaultRetryAfter);
+        refuse("no_memory", ReturnSchedule::LeastPause);
         return false;
     }
     if (!m_view->table) {
-        refuse("no_table", DefaultRetryAfter);
+        refuse("no_table", ReturnSchedule::LeastPause);
         return false;
     }
     m_route = m_view->table->match(m_request.host, m_head.target);
@@ -104,7 +104,7 @@
     }
     const base::Duration maxAge = m_plane.settings().maxTableAge;
     if (maxAge > base::Duration{} && m_plane.tableAge() > maxAge) {
-        refuse("table_not_confirmed", DefaultRetryAfter);
+        refuse("table_not_confirmed", ReturnSchedule::LeastPause);
         return false;
     }
     m_customer = m_view->table->customerOf(m_request.key);
@@ -223,7 +223,7 @@
     if (m_isStreaming) {
         breakOff("timeout");
     } else if (m_history.sent == m_history.unexecuted && !(m_attempt && m_attempt->isSent)) {
-        refuse("timeout", DefaultRetryAfter);
+        refuse("timeout", ReturnSchedule::LeastPause);
     } else {
         answerOwn(504, "timeout", {});
     }
--- a/carawaylatch/proxy/exchange.h
+++ b/carawaylatch/proxy/exchange.h
@@ -88,10 +88,7 @@
     void finish(unsigned status, std::string_view outcome, std::string_view reason);
     void leaveQueue();
     [[nodiscard]] base::Duration timeLeft(base::TimePoint now) const;
-    [[nodiscard]] bool mayBeSentTwice() const;
 
-    // Refused callers come back after this long where nothing better is known.
-    static constexpr base::Duration DefaultRetryAfter = base::milliseconds{400};
     // An answer that does not stream is held back up to this size, so that one which
     // breaks can be tried again or becomes an error; a longer one is passed on as it comes.
     static constexpr std::size_t MaxHeldBytes = 262'144;
--- a/carawaylatch/proxy/exchangeattempt.cpp
+++ b/carawaylatch/proxy/exchangeattempt.cpp
@@ -329,7 +329,7 @@
         passOn();
         break;
     case NextStep::SayNotRun:
-        refuse(end == AttemptEnd::NotSent ? "not_reached" : "not_executed", DefaultRetryAfter);
+        refuse(end == AttemptEnd::NotSent ? "not_reached" : "not_executed", ReturnSchedule::LeastPause);
         break;
     case NextStep::SayUnknown:
         answerOwn(502, "answer_lost", {});
--- a/carawaylatch/proxy/peerexchange.cpp
+++ b/carawaylatch/proxy/peerexchange.cpp
@@ -12,6 +12,7 @@
 
 #include "carawaylatch/base/hash.h"
 #include "carawaylatch/base/incarnation.h"
+#include "carawaylatch/config/valuetext.h"
 #include "carawaylatch/peer/http2session.h"
 
 namespace carawaylatch::proxy
@@ -30,11 +31,6 @@
 constexpr int Taken = 204;
 constexpr int Refused = 400;
 
-std::string endpointText(const base::Endpoint &endpoint)
-{
-    return endpoint.address + ':' + std::to_string(endpoint.port);
-}
-
 } // namespace
 
 std::vector<base::Endpoint> reportPeers(std::span<const base::Endpoint> routers, const base::Endpoint &self)
@@ -147,8 +143,14 @@
         }
     }
 
-    // Sends a report; a peer that has no whole one yet, or takes too little, gets a whole one instead.
-    void send(const std::string &changes, const std::string &whole)
+    // True if changes alone say nothing to the peer: it has no whole report of this connection, or missed some.
+    [[nodiscard]] bool needsWhole() const
+    {
+        return m_state == State::Open && m_needsWhole;
+    }
+
+    // Sends a report, or leaves it out where the peer takes too little.
+    void send(const std::string &report)
     {
         if (m_state != State::Open) {
             return;
@@ -157,7 +159,6 @@
             m_needsWhole = true;
             return;
         }
-        const std::string &report = m_needsWhole ? whole : changes;
         if (report.empty() || m_session->submit(report) <= 0) {
             return;
         }
@@ -219,7 +220,7 @@
         m_waitingSince = m_exchange->m_clock.now();
         m_retryPause = FirstRetryPause;
         if (std::exchange(m_lostSince, std::nullopt)) {
-            m_exchange->m_log.write(base::LogEvent::PeerRegained, {{"peer", endpointText(m_endpoint)}});
+            m_exchange->m_log.write(base::LogEvent::PeerRegained, {{"peer", config::formatEndpoint(m_endpoint)}});
         }
     }
 
@@ -266,7 +267,7 @@
         m_retryPause = std::min<base::Duration>(m_retryPause * 2, MaxRetryPause);
         if (!m_lostSince) {
             m_lostSince = m_exchange->m_clock.now();
-            m_exchange->m_log.write(base::LogEvent::PeerLost, {{"peer", endpointText(m_endpoint)}, {"problem", problem}});
+            m_exchange->m_log.write(base::LogEvent::PeerLost, {{"peer", config::formatEndpoint(m_endpoint)}, {"problem", problem}});
         }
     }
 
@@ -377,16 +378,19 @@
         accept();
     }
     const bool isDue = !changes.work.empty() || !changes.placements.empty() || now - m_reportedAt >= SignOfLifeInterval;
-    LoadReport whole = m_source.wholeReport();
-    whole.placements = changes.placements;
-    const std::string changesText = isDue ? encode(std::move(changes)) : std::string();
-    const std::string wholeText = encode(std::move(whole));
+    const std::string changesText = isDue ? encode(changes) : std::string();
     if (isDue) {
         m_reportedAt = now;
     }
+    std::string wholeText; // made for the first peer that needs it; most ticks have none
     for (const auto &[endpoint, outbound] : m_outbound) {
         outbound->tick();
-        outbound->send(changesText, wholeText);
+        if (outbound->needsWhole() && wholeText.empty()) {
+            LoadReport whole = m_source.wholeReport();
+            whole.placements = changes.placements;
+            wholeText = encode(std::move(whole));
+        }
+        outbound->send(outbound->needsWhole() ? wholeText : changesText);
     }
 }
 
--- a/carawaylatch/proxy/placement.cpp
+++ b/carawaylatch/proxy/placement.cpp
@@ -64,7 +64,7 @@
     return scene.query.promptKey == 0 || book.placements().isPlaced(promptStateKey(scene.query.promptKey, record.weights), record.key, scene.query.now);
 }
 
-double costOf(const Scene &scene, const UpstreamRecord &record, const TotalWork &work, const UpstreamBook &book)
+double costOf(const Scene &scene, const UpstreamRecord &record, const TotalWork &work, bool holdsParts)
 {
     const PlacementTuning &tuning = scene.tuning;
     double cost = record.failureShare * record.failureShare * tuning.failureMilliseconds;
@@ -77,7 +77,7 @@
     }
     cost += work.unreadTokens * tuning.millisecondsPerToken;
     cost += work.requests * tuning.runningRequestMilliseconds;
-    if (!holdsSharedParts(scene, record, book)) {
+    if (!holdsParts) {
         const double homeShare = scene.home == &record ? tuning.homeShare : 1.0;
         cost += scene.query.sharedTokens * (tuning.millisecondsPerToken + tuning.rereadMillisecondsPerToken) * homeShare;
     }
@@ -130,10 +130,11 @@
             continue;
         }
         const bool isToAvoid = query.now < record->avoidUntil || record->isSilent(query.now, tuning.millisecondsPerToken);
-        const double cost = costOf(scene, *record, work, book);
+        const bool holdsParts = holdsSharedParts(scene, *record, book);
+        const double cost = costOf(scene, *record, work, holdsParts);
         const bool isBetter = result.record == nullptr || (isAvoided && !isToAvoid) || (isAvoided == isToAvoid && cost < result.cost);
         if (isBetter) {
-            result = PlacementResult{PlacementVerdict::Chosen, record, holdsSharedParts(scene, *record, book), cost};
+            result = PlacementResult{PlacementVerdict::Chosen, record, holdsParts, cost};
             isAvoided = isToAvoid;
         }
     }
--- a/carawaylatch/proxy/socket.cpp
+++ b/carawaylatch/proxy/socket.cpp
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 
+#include "carawaylatch/config/valuetext.h"
+
 namespace carawaylatch::proxy
 {
 
@@ -53,8 +55,7 @@
         acceptor.listen(Backlog, ec);
     }
     if (ec) {
-        return base::fail(base::ErrorKind::Unavailable,
-                          "can't listen on " + endpoint.address + ':' + std::to_string(endpoint.port) + " (" + ec.message() + "); set a free address");
+        return base::fail(base::ErrorKind::Unavailable, "can't listen on " + config::formatEndpoint(endpoint) + " (" + ec.message() + "); set a free address");
     }
     return base::ok();
 }
--- a/carawaylatch/proxy/trafficplane.cpp
+++ b/carawaylatch/proxy/trafficplane.cpp
@@ -146,12 +146,15 @@
 
 void TrafficPlane::adopt(std::shared_ptr<const FleetView> view)
 {
+    const bool hasOtherRouters = view->routerEndpoints != m_view->routerEndpoints;
     m_view = std::move(view);
     m_book.adopt(*m_view, now());
     closeKept([this](const base::UpstreamId &upstream) {
         return m_book.find(upstream) == nullptr;
     });
-    m_peers.setRouters(m_view->routerEndpoints);
+    if (hasOtherRouters) {
+        m_peers.setRouters(m_view->routerEndpoints);
+    }
     applyBudgets();
     scheduleQueues();
 }
--- a/carawaylatch/telemetry/statusreport.cpp
+++ b/carawaylatch/telemetry/statusreport.cpp
@@ -11,6 +11,8 @@
 #include <array>
 #include <cstdio>
 
+#include "carawaylatch/config/valuetext.h"
+
 namespace carawaylatch::telemetry
 {
 
@@ -26,11 +28,6 @@
     return buf.data();
 }
 
-std::string endpointText(const base::Endpoint &endpoint)
-{
-    return endpoint.address + ":" + std::to_string(endpoint.port);
-}
-
 ordered_json routerJson(const RouterStatus &router)
 {
     return {{"id", router.id.value()},
@@ -57,7 +54,7 @@
     return {{"id", upstream.id.value()},
             {"pool", upstream.pool.value()},
             {"failure_domain", upstream.domain.value()},
-            {"endpoint", endpointText(upstream.endpoint)},
+            {"endpoint", config::formatEndpoint(upstream.endpoint)},
             {"state", upstreamStateName(upstream.state)},
             {"leaving", upstream.state == UpstreamState::Leaving},
             {"incarnation", hex16(upstream.incarnation.value)},
