Walk the prefix index with one lock a stripe, and skip unused stripes

Ruled out: moving the walk to another thread; the ids of upstreams that it reads belong to the control thread. Change: CacheIndex::forEachLive() takes each of the 4,096 locks once and skips stripes in which nothing was ever inserted.

--- a/carawaylatch/prefix/cacheindex.cpp
+++ b/carawaylatch/prefix/cacheindex.cpp
@@ -106,6 +106,7 @@
     std::vector<Bucket> buckets; // a power of two
     std::vector<Upstream> upstreams; // by slot
     std::array<tbb::spin_rw_mutex, LockStripes> locks;
+    std::array<bool, LockStripes> isStripeUsed{}; // an entry was ever inserted in the stripe; guarded by the stripe's lock
 
     explicit Tables(const CacheIndexOptions &options)
         : buckets(std::bit_floor(std::max<std::size_t>(options.maxBytes / sizeof(Bucket), 1)))
@@ -135,6 +136,7 @@
     {
         const std::size_t index = bucketOf(entry.key, entry.slot % HolderGroups);
         const tbb::spin_rw_mutex::scoped_lock lock(locks[index % LockStripes], true);
+        isStripeUsed[index % LockStripes] = true;
         Entry *victim = nullptr;
         std::uint64_t victimAge = 0;
         for (auto &it : buckets[index].entries) {
@@ -197,15 +199,28 @@
         }
     }
 
+    // Takes each lock once and skips stripes without entries, so that a walk over a large
+    // and mostly empty table does not stall the control thread.
     template <typename Visit>
     void forEachLive(std::uint32_t now, const Visit &visit)
     {
-        for (std::size_t i = 0; i < buckets.size(); ++i) {
-            const tbb::spin_rw_mutex::scoped_lock lock(locks[i % LockStripes], false);
-            for (const auto &it : buckets[i].entries) {
-                if (isLive(it, now)) {
-                    visit(it);
-                }
+        for (std::size_t stripe = 0; stripe < LockStripes; ++stripe) {
+            const tbb::spin_rw_mutex::scoped_lock lock(locks[stripe], false);
+            if (!isStripeUsed[stripe]) {
+                continue;
+            }
+            for (std::size_t i = stripe; i < buckets.size(); i += LockStripes) {
+                visitLive(buckets[i], now, visit);
+            }
+        }
+    }
+
+    template <typename Visit>
+    void visitLive(const Bucket &bucket, std::uint32_t now, const Visit &visit) const
+    {
+        for (const auto &it : bucket.entries) {
+            if (isLive(it, now)) {
+                visit(it);
             }
         }
     }
