A planned stop delivers what upstreams have answered, to the last byte

Cause: Gateway::continueStop() ended the loop once no exchange was in flight. An exchange ends when its last bytes are queued; they are lost if the write before them is pending, as for a slow caller or in the step between two handlers. Connections in the backlog and requests on fresh connections were reset, and a close with unread input made the system discard a response that the caller had not read yet. A response that a caller reads slowly was cut by the idle timeout. Ruled out: the interval of the look; any interval leaves the gap. Change: proxy::TrafficStop is the stop as steps, without the process around it. A stop ends when no caller's connection is open; the backlog is accepted; idle connections with unread input or opened just before stay; a connection sends its end and reads until the caller's (RFC 9112, 9.6). At the end of the grace period unfinished requests get 503 if they have not run, 504 else. Request bodies count against the body buffer while they are read; slow bodies and slow readers that make progress are not cut.

--- a/carawaylatch/gateway/gateway.cpp
+++ b/carawaylatch/gateway/gateway.cpp
@@ -2,7 +2,7 @@
 //
 // On a stop signal the gateway reports not ready at once, but serves requests while the
 // load balancer still sends new connections. Then it closes idle connections and exits
-// after the last request, or shortly before the platform kills the process.
+// after the last response, or shortly before the platform kills the process.
 #include "carawaylatch/gateway/gateway.h"
 
 #include <boost/asio/post.hpp>
@@ -24,7 +24,8 @@
 // The load balancer probes readiness once a second and stops sending after two failures.
 constexpr base::Duration LoadBalancerDelay = base::milliseconds{2850};
 constexpr base::Duration StopInterval = base::milliseconds{50}; // between checks for requests in flight
-constexpr base::Duration ShutdownReserve = base::milliseconds{300}; // the process exits so long before the end of the grace period
+constexpr base::Duration ExitReserve = base::milliseconds{100}; // the process exits so long before the end of the grace period
+constexpr base::Duration AnswerReserve = base::milliseconds{250}; // before it exits, for the responses of requests that are cut off
 constexpr base::Duration SettingsInterval = base::seconds{1}; // between checks of the settings file
 
 std::string readFile(const std::string &path)
@@ -132,33 +133,32 @@
     if (m_traffic->isStopping()) {
         return;
     }
-    m_stopStartedAt = m_clock.now();
+    const base::TimePoint now = m_clock.now();
     m_log.write(base::LogEvent::GatewayStopping, {{"inflight", std::to_string(m_traffic->inflight())}});
-    m_traffic->beginStop();
-    m_stopTimer = m_traffic->timers().every(m_clock.now(), StopInterval, [this](base::TimePoint) {
+    m_stop.emplace(*m_traffic, proxy::TrafficStopSettings{LoadBalancerDelay, base::fromSeconds(m_settings.graceSeconds) - ExitReserve, AnswerReserve}, now);
+    m_stopTimer = m_traffic->timers().every(now, StopInterval, [this](base::TimePoint) {
         continueStop();
     });
 }
 
 void Gateway::continueStop()
 {
-    const base::Duration waited = m_clock.now() - m_stopStartedAt;
-    const base::Duration grace = base::fromSeconds(m_settings.graceSeconds) - ShutdownReserve;
-    if (waited < std::min<base::Duration>(LoadBalancerDelay, grace)) {
+    const base::TimePoint now = m_clock.now();
+    const proxy::StopStep step = m_stop->poll(now);
+    if (step == proxy::StopStep::Serving) {
         return;
     }
     if (!m_isDraining) {
         m_isDraining = true;
-        m_traffic->beginLeaving();
         boost::asio::post(m_controlLoop, [this] {
             m_control->beginStop();
         });
     }
-    const std::size_t inflight = m_traffic->closeIdle();
-    if (inflight > 0 && waited < grace) {
+    if (step != proxy::StopStep::Complete) {
         return;
     }
-    m_log.write(base::LogEvent::GatewayStopped, {{"cut", std::to_string(inflight)}, {"waited_ms", std::to_string(base::toMilliseconds(waited))}});
+    m_log.write(base::LogEvent::GatewayStopped,
+                {{"cut", std::to_string(m_stop->cutRequests())}, {"waited_ms", std::to_string(base::toMilliseconds(m_stop->duration(now)))}});
     m_log.flush();
     m_trafficLoop.stop();
 }
--- a/carawaylatch/gateway/gateway.h
+++ b/carawaylatch/gateway/gateway.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
@@ -18,6 +19,7 @@
 #include "carawaylatch/gateway/gatewaysettings.h"
 #include "carawaylatch/gateway/tableage.h"
 #include "carawaylatch/proxy/trafficplane.h"
+#include "carawaylatch/proxy/trafficstop.h"
 #include "carawaylatch/telemetry/eventlog.h"
 
 namespace carawaylatch::gateway
@@ -68,7 +70,7 @@
     boost::asio::signal_set m_signals; // handled on the traffic thread
     base::TimerService::Subscription m_stopTimer;
     base::TimerService::Subscription m_settingsTimer;
-    base::TimePoint m_stopStartedAt;
+    std::optional<proxy::TrafficStop> m_stop;
     bool m_isDraining = false; // the load balancer sends no more connections
     std::string m_settingsText; // content of the file as last read
 };
--- a/carawaylatch/proxy/callerconnection.cpp
+++ b/carawaylatch/proxy/callerconnection.cpp
@@ -1,5 +1,6 @@
 // States of a caller's connection: idle, reading a request, waiting for its
-// exchange, writing the response. finishRequest() returns it to idle.
+// exchange, writing the response, lingering. finishRequest() returns it to idle, or
+// ends it once the response is written.
 #include "carawaylatch/proxy/callerconnection.h"
 
 #include <boost/asio/buffer.hpp>
@@ -19,12 +20,21 @@
 
 // A caller that acknowledges nothing for this long is disconnected; streams send data every few milliseconds.
 constexpr base::Duration CallerAckTimeout = base::seconds{5};
+// A connection that has sent its end waits this long for the caller's; several round trips.
+constexpr base::Duration LingerTimeout = base::milliseconds{500};
+// Input discarded meanwhile; a caller that sends more is not waiting for an end.
+constexpr std::size_t MaxDiscardedBytes = 1'048'576;
+// The first request of a connection follows its opening within this time.
+constexpr base::Duration FirstRequestDelay = base::milliseconds{300};
+// A body that arrives slowly but steadily may take this many idle timeouts.
+constexpr int MaxBodyTimeouts = 4;
 
 } // namespace
 
 CallerConnection::CallerConnection(TrafficPlane &plane, Tcp::socket socket)
     : m_plane(plane)
     , m_socket(std::move(socket))
+    , m_acceptedAt(plane.now())
 {
     setSocketOptions(m_socket, CallerAckTimeout);
 }
@@ -37,12 +47,12 @@
 
 bool CallerConnection::isIdle() const
 {
-    return !m_exchange && !m_parser && m_input.empty() && !m_isWriting;
+    return !m_exchange && !m_isReplying && !m_parser && m_input.empty() && !m_isWriting;
 }
 
 std::size_t CallerConnection::queuedBytes() const
 {
-    return m_writing.size() + m_queued.size();
+    return m_writing.size() - m_written + m_queued.size();
 }
 
 void CallerConnection::read()
@@ -66,14 +76,22 @@
     if (m_isClosed) {
         return;
     }
-    m_input.append(m_chunk.data(), n);
-    consumeInput();
+    if (m_isLingering) {
+        m_discarded += n;
+        if (m_discarded > MaxDiscardedBytes) {
+            close();
+            return;
+        }
+    } else {
+        m_input.append(m_chunk.data(), n);
+        consumeInput();
+    }
     read();
 }
 
 void CallerConnection::consumeInput()
 {
-    if (!m_exchange && !m_isReplying && !m_input.empty() && !m_isClosed) {
+    if (!m_exchange && !m_isReplying && !m_input.empty() && !m_isClosed && !m_isLingering && !isEnding()) {
         consumeRequest();
     }
 }
@@ -92,10 +110,17 @@
         return;
     }
     m_input.erase(0, used.value());
+    m_progressAt = m_plane.now();
     if (m_parser->isComplete()) {
         startExchange();
         return;
     }
+    setBufferedBody(m_parser->body().size());
+    if (m_plane.isBodyBufferFull()) {
+        m_plane.logRejected({}, {}, "no_memory", 503);
+        rejectRequest(Reply{503, {}, {{"Retry-After", base::formatSeconds(RetrySchedule::MinDelay)}}, "no_memory\n"});
+        return;
+    }
     if (!hadHead && m_parser->isHeadComplete()) {
         const std::string *expectation = findField(m_parser->head().fields, "expect");
         if (expectation != nullptr && equalsIgnoringCase(*expectation, "100-continue")) {
@@ -110,20 +135,36 @@
     const bool isTooLong = error.kind == base::ErrorKind::LimitExceeded;
     const unsigned status = !isTooLong ? 400 : (m_parser->isHeadComplete() ? 413 : 431);
     m_plane.logRejected({}, {}, error.message, status);
+    rejectRequest(Reply{status, {}, {}, error.message + '\n'});
+}
+
+// Replies to a request of which a part was not read. The connection can't be used any more.
+void CallerConnection::rejectRequest(const Reply &rejection)
+{
     m_parser.reset();
+    setBufferedBody(0);
     m_input.clear();
     m_closesAfterReply = true;
-    reply(Reply{status, {}, {}, error.message + '\n'});
+    reply(rejection);
+}
+
+// Counts the body bytes of the request that is being read.
+void CallerConnection::setBufferedBody(std::size_t bytes)
+{
+    m_plane.onBodyBuffered(m_bufferedBody, bytes);
+    m_bufferedBody = bytes;
 }
 
 void CallerConnection::startExchange()
 {
     m_timer.cancel();
-    m_closesAfterReply = m_closesAfterReply || !m_parser->keepsAlive() || m_plane.isStopping();
+    m_isLastByCaller = !m_parser->keepsAlive();
+    m_closesAfterReply = m_closesAfterReply || m_isLastByCaller || m_plane.isStopping();
     m_isChunked = m_parser->head().isHttp11;
     HttpRequestHead head = std::move(m_parser->head());
     std::string body = std::move(m_parser->body());
     m_parser.reset();
+    setBufferedBody(0);
     if (m_plane.handleLocalPath(*this, head)) {
         return;
     }
@@ -211,14 +252,14 @@
 void CallerConnection::finishRequest()
 {
     m_exchange.reset();
-    if (m_closesAfterReply) {
-        if (!m_isWriting) {
-            close();
-        }
+    m_hasResponded = true;
+    m_progressAt = m_plane.now();
+    if (m_closesAfterReply && !m_isWriting) {
+        closeGracefully();
         return;
     }
     armTimer();
-    if (!m_input.empty()) {
+    if (!m_input.empty() && !m_closesAfterReply) {
         // Posted, because a direct call would deepen the stack with each pipelined request.
         boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] {
             self->consumeInput();
@@ -239,27 +280,49 @@
     if (m_isWriting || m_isClosed || m_queued.empty()) {
         return;
     }
-    m_isWriting = true;
     m_writing = std::exchange(m_queued, {});
-    boost::asio::async_write(m_socket, boost::asio::buffer(m_writing), [self = shared_from_this()](const boost::system::error_code &ec, std::size_t) {
+    m_written = 0;
+    writeSome();
+}
+
+void CallerConnection::writeSome()
+{
+    m_isWriting = true;
+    const auto rest = boost::asio::buffer(m_writing) + m_written;
+    m_socket.async_write_some(rest, [self = shared_from_this()](const boost::system::error_code &ec, std::size_t n) {
         self->m_isWriting = false;
-        self->m_writing.clear();
         if (ec) {
             self->onDisconnect();
             return;
         }
-        self->flush();
-        if (self->m_isWriting) {
-            return;
-        }
-        if (self->m_exchange) {
-            self->m_exchange->onCallerDrained();
-        } else if (self->m_closesAfterReply && !self->m_isReplying) {
-            self->close();
-        }
+        self->m_written += n;
+        self->onWritten();
     });
 }
 
+void CallerConnection::onWritten()
+{
+    m_progressAt = m_plane.now();
+    if (m_isClosed) {
+        return;
+    }
+    if (m_written < m_writing.size()) {
+        writeSome();
+        return;
+    }
+    m_writing.clear();
+    m_written = 0;
+    flush();
+    if (m_isWriting) {
+        return;
+    }
+    if (m_exchange) {
+        m_exchange->onCallerDrained();
+    } else if (m_closesAfterReply && !m_isReplying) {
+        closeGracefully();
+    }
+}
+
 void CallerConnection::armTimer()
 {
     const CallerLimits limits = m_plane.callerLimits();
@@ -267,6 +330,11 @@
     if (m_parser) {
         wait = m_parser->isHeadComplete() ? limits.idleTimeout : limits.headTimeout;
     }
+    armTimer(wait);
+}
+
+void CallerConnection::armTimer(base::Duration wait)
+{
     m_timer = m_plane.timers().after(m_plane.now(), wait, [weak = weak_from_this()](base::TimePoint) {
         if (const auto self = weak.lock()) {
             self->onTimeout();
@@ -280,15 +348,31 @@
         return;
     }
     if (m_parser) {
-        m_parser.reset();
-        m_closesAfterReply = true;
-        m_plane.logRejected({}, {}, "the request did not arrive in time", 408);
-        reply(Reply{408, {}, {}, "the request did not arrive in time; send it again\n"});
+        onRequestTimeout();
+        return;
+    }
+    const base::Duration stalled = m_plane.now() - m_progressAt;
+    const base::Duration limit = m_plane.callerLimits().idleTimeout;
+    if (m_isWriting && !m_isLingering && stalled < limit) {
+        armTimer(limit - stalled); // the caller reads the response slowly
         return;
     }
     close();
 }
 
+void CallerConnection::onRequestTimeout()
+{
+    const base::TimePoint now = m_plane.now();
+    const base::Duration limit = m_plane.callerLimits().idleTimeout;
+    const base::Duration stalled = now - m_progressAt;
+    if (m_parser->isHeadComplete() && stalled < limit && now - m_requestStartedAt < limit * MaxBodyTimeouts) {
+        armTimer(limit - stalled); // the body arrives slowly
+        return;
+    }
+    m_plane.logRejected({}, {}, "the request did not arrive in time", 408);
+    rejectRequest(Reply{408, {}, {}, "the request did not arrive in time; send it again\n"});
+}
+
 void CallerConnection::onDisconnect()
 {
     const auto exchange = std::exchange(m_exchange, nullptr);
@@ -315,12 +399,61 @@
     onDisconnect();
 }
 
+// True if the caller may have sent a request that was not read yet.
+bool CallerConnection::mayHaveRequestUnderWay()
+{
+    boost::system::error_code ec;
+    if (m_socket.available(ec) > 0) {
+        return true;
+    }
+    return !m_hasResponded && m_plane.now() - m_acceptedAt < FirstRequestDelay;
+}
+
 void CallerConnection::closeWhenIdle()
 {
     m_closesAfterReply = true;
-    if (isIdle()) {
+    if (isIdle() && !mayHaveRequestUnderWay()) {
+        closeGracefully();
+    }
+}
+
+bool CallerConnection::endRequest()
+{
+    if (!m_exchange) {
+        return false;
+    }
+    const auto exchange = m_exchange;
+    exchange->end("stopping");
+    return true;
+}
+
+// True if the response that says so is being written or was written: nothing more is read.
+bool CallerConnection::isEnding() const
+{
+    return m_closesAfterReply && m_hasResponded;
+}
+
+void CallerConnection::closeGracefully()
+{
+    if (m_isClosed || m_isLingering) {
+        return;
+    }
+    if (m_isLastByCaller && m_input.empty()) {
+        close();
+        return;
+    }
+    m_isLingering = true;
+    m_parser.reset();
+    setBufferedBody(0);
+    m_input.clear();
+    boost::system::error_code ec;
+    m_socket.shutdown(Tcp::socket::shutdown_send, ec);
+    if (ec) {
         close();
+        return;
     }
+    armTimer(LingerTimeout);
+    read();
 }
 
 void CallerConnection::close()
@@ -330,6 +463,7 @@
     }
     m_isClosed = true;
     m_timer.cancel();
+    setBufferedBody(0);
     boost::system::error_code ignored;
     m_socket.close(ignored);
     m_plane.removeCaller(shared_from_this());
--- a/carawaylatch/proxy/callerconnection.h
+++ b/carawaylatch/proxy/callerconnection.h
@@ -4,6 +4,10 @@
 // is detected at once; pipelined bytes are buffered up to MaxPipelinedBytes.
 // Requests of one connection are processed one at a time. All calls on the traffic
 // thread.
+//
+// A connection ends in two steps: it sends its end, and then reads until the caller's.
+// A close with unread input would reset the connection, and the caller would lose what
+// it has not read yet of the last response (RFC 9112, section 9.6).
 #pragma once
 
 #include <array>
@@ -49,8 +53,11 @@
     void abort();
     // Closes at once and cancels the request in progress.
     void cancel();
-    // Closes now if no request is in progress, otherwise after the current one.
+    // Closes now if no request is in progress or may be under way, otherwise after the
+    // current one.
     void closeWhenIdle();
+    // Ends the request in progress with an explicit response; true if there was one.
+    bool endRequest();
     [[nodiscard]] bool isIdle() const;
     // Bytes not yet written to the socket.
     [[nodiscard]] std::size_t queuedBytes() const;
@@ -61,14 +68,23 @@
     void consumeInput();
     void consumeRequest();
     void rejectInput(const base::Error &error);
+    void rejectRequest(const Reply &rejection);
     void startExchange();
     void finishRequest();
     void write(std::string_view bytes);
     void flush();
+    void writeSome();
+    void onWritten();
     void armTimer();
+    void armTimer(base::Duration wait);
     void onTimeout();
+    void onRequestTimeout();
     void onDisconnect();
+    void closeGracefully();
     void close();
+    void setBufferedBody(std::size_t bytes);
+    [[nodiscard]] bool mayHaveRequestUnderWay();
+    [[nodiscard]] bool isEnding() const;
     [[nodiscard]] std::string headText(const Reply &reply) const;
 
     // Pipelined input that is buffered before reading stops.
@@ -81,12 +97,20 @@
     std::optional<HttpRequestParser> m_parser; // empty between requests
     std::shared_ptr<Exchange> m_exchange; // the request in progress
     std::string m_writing; // buffer of the pending write
+    std::size_t m_written = 0; // bytes of m_writing that were sent
     std::string m_queued; // to be written after m_writing
+    std::size_t m_bufferedBody = 0; // body bytes of m_parser, as counted by the plane
+    std::size_t m_discarded = 0; // bytes read since the connection sent its end
     base::TimerService::Subscription m_timer;
+    const base::TimePoint m_acceptedAt;
     base::TimePoint m_requestStartedAt; // first byte of the current request
+    base::TimePoint m_progressAt; // last bytes read of a request or written of a response
     bool m_isReading = false;
     bool m_isWriting = false;
     bool m_isClosed = false;
+    bool m_isLingering = false; // has sent its end and waits for the caller's
+    bool m_hasResponded = false; // at least once
+    bool m_isLastByCaller = false; // the caller sends nothing after its current request
     bool m_closesAfterReply = false; // requested by the caller or by shutdown
     bool m_isChunked = false; // the current response uses chunked transfer coding
     bool m_isReplying = false; // a streamed response has begun and is not complete
--- a/carawaylatch/proxy/exchange.cpp
+++ b/carawaylatch/proxy/exchange.cpp
@@ -50,7 +50,7 @@
     const base::Duration requestTimeout = std::min(m_route->timeout, m_request.callerTimeout.value_or(m_route->timeout) + DeadlineGrace);
     m_deadlineTimer = m_plane.timers().after(m_startedAt, requestTimeout, [weak = weak_from_this()](base::TimePoint) {
         if (const auto self = weak.lock()) {
-            self->onTimeout();
+            self->end("timeout");
         }
     });
     placeOrQueue();
@@ -211,7 +211,7 @@
     }
 }
 
-void Exchange::onTimeout()
+void Exchange::end(std::string_view reason)
 {
     if (m_isEnded) {
         return;
@@ -221,11 +221,11 @@
         releaseAttempt(m_isStreaming ? AttemptEnd::Answered : AttemptEnd::Broken);
     }
     if (m_isStreaming) {
-        abortReply("timeout");
+        abortReply(reason);
     } else if (m_history.sent == m_history.notExecuted && !(m_attempt && m_attempt->isSent)) {
-        refuse("timeout", RetrySchedule::MinDelay);
+        refuse(reason, RetrySchedule::MinDelay);
     } else {
-        replyLocally(504, "timeout", {});
+        replyLocally(504, reason, {});
     }
 }
 
--- a/carawaylatch/proxy/exchange.h
+++ b/carawaylatch/proxy/exchange.h
@@ -48,6 +48,8 @@
     void start();
     // The caller has disconnected.
     void cancel();
+    // Ends at once with an explicit response: refused if the request certainly has not run.
+    void end(std::string_view reason);
     // All bytes queued for the caller have been written.
     void onCallerDrained();
     // Starts an attempt if an upstream has capacity; returns false if none has.
@@ -76,7 +78,6 @@
     void forwardResponse();
     void beginStream();
     void forwardStream(std::string_view bytes);
-    void onTimeout();
     // Aborts an attempt that makes no progress if the request may be retried at another upstream.
     void watchProgress();
     // Aborts an attempt that an engine has not started before its weights are too old.
--- a/carawaylatch/proxy/trafficplane.cpp
+++ b/carawaylatch/proxy/trafficplane.cpp
@@ -124,9 +124,7 @@
     listener.next = Tcp::socket(m_loop);
     listener.acceptor.async_accept(listener.next, [this, &listener](const boost::system::error_code &ec) {
         if (!ec) {
-            const auto connection = std::make_shared<CallerConnection>(*this, std::move(listener.next));
-            m_callers.insert(connection);
-            connection->start();
+            addCaller(std::move(listener.next));
             accept(listener);
             return;
         }
@@ -144,6 +142,27 @@
     });
 }
 
+void TrafficPlane::addCaller(Tcp::socket socket)
+{
+    const auto connection = std::make_shared<CallerConnection>(*this, std::move(socket));
+    m_callers.insert(connection);
+    connection->start();
+}
+
+// Accepts the connections in the listener's backlog: closing the listener would reset them.
+void TrafficPlane::acceptWaiting(Listener &listener)
+{
+    boost::system::error_code ec;
+    listener.acceptor.non_blocking(true, ec);
+    while (!ec) {
+        Tcp::socket socket(m_loop);
+        listener.acceptor.accept(socket, ec);
+        if (!ec) {
+            addCaller(std::move(socket));
+        }
+    }
+}
+
 void TrafficPlane::adopt(std::shared_ptr<const FleetView> view)
 {
     const bool hasOtherRouters = view->routerEndpoints != m_view->routerEndpoints;
@@ -216,6 +235,7 @@
 void TrafficPlane::beginLeaving()
 {
     m_isLeaving = true;
+    acceptWaiting(*m_callersListener);
     boost::system::error_code ignored;
     m_callersListener->acceptor.close(ignored);
 }
@@ -226,7 +246,15 @@
     for (const auto &caller : callers) {
         caller->closeWhenIdle();
     }
-    return m_inflight;
+    return m_callers.size();
+}
+
+std::size_t TrafficPlane::endRequests()
+{
+    const std::vector<std::shared_ptr<CallerConnection>> callers(m_callers.begin(), m_callers.end());
+    return static_cast<std::size_t>(std::count_if(callers.begin(), callers.end(), [](const auto &caller) {
+        return caller->endRequest();
+    }));
 }
 
 void TrafficPlane::closeAll()
@@ -438,6 +466,11 @@
     --m_inflight;
 }
 
+void TrafficPlane::onBodyBuffered(std::size_t formerBytes, std::size_t bytes)
+{
+    m_bodyBytes = m_bodyBytes - formerBytes + bytes;
+}
+
 void TrafficPlane::removeCaller(const std::shared_ptr<CallerConnection> &connection)
 {
     m_callers.erase(connection);
--- a/carawaylatch/proxy/trafficplane.h
+++ b/carawaylatch/proxy/trafficplane.h
@@ -101,11 +101,15 @@
     void applySettings(const TrafficSettings &settings);
     // Reports not ready from now on; connections close after the request in progress.
     void beginStop();
-    // The load balancer no longer sends traffic: refuses new connections and requests from now on.
+    // The load balancer no longer sends traffic: refuses new requests from now on, and accepts
+    // no connections but those that are already waiting.
     void beginLeaving();
     [[nodiscard]] bool isLeaving() const;
-    // Closes idle connections; returns the number of requests in progress.
+    // Closes idle connections; returns the number of callers' connections that are still open,
+    // because a request is in progress or a response is not yet written.
     std::size_t closeIdle();
+    // Ends all requests in progress with an explicit response; returns their number.
+    std::size_t endRequests();
     // Closes all connections and listeners. The loop must run until their handlers have
     // completed before the plane is destroyed.
     void closeAll();
@@ -135,6 +139,8 @@
     // An exchange starts or ends; `bodyBytes` is the size of its request body.
     void onExchangeStarted(std::size_t bodyBytes);
     void onExchangeEnded(std::size_t bodyBytes);
+    // The part of a request body that was read but belongs to no exchange yet has changed.
+    void onBodyBuffered(std::size_t formerBytes, std::size_t bytes);
     // True if buffered request bodies exceed their memory limit.
     [[nodiscard]] bool isBodyBufferFull() const;
     void removeCaller(const std::shared_ptr<CallerConnection> &connection);
@@ -155,6 +161,8 @@
     void onPeerUnreachable(const base::Endpoint &peer) override;
     [[nodiscard]] base::Result<void> listenOn(Listener &listener, const base::Endpoint &endpoint);
     void accept(Listener &listener);
+    void acceptWaiting(Listener &listener);
+    void addCaller(Tcp::socket socket);
     void armTimer();
     void onTimer();
     void placeWaiting();
@@ -190,7 +198,7 @@
     base::TimerService::Subscription m_reportTick;
     base::Random m_random;
     TrafficCounts m_counts;
-    std::size_t m_bodyBytes = 0; // of requests in progress
+    std::size_t m_bodyBytes = 0; // of requests in progress or being read
     std::size_t m_inflight = 0;
     bool m_isStopping = false;
     bool m_isLeaving = false;
