Bound every reader of bytes from outside, and count events as the progress of a stream

Ruled out: heads of requests and responses, and reports of peers; they had bounds. Change: each reader has a bound that its error names, and the connection is closed there; the scanner examines a byte once. A request whose every upstream was tried ends at once, not at its deadline. Bytes that complete no event are no progress, so a stream of single bytes is moved. A stream without a length that ends inside an event is broken off. A connection is not reused for a request with the id of its last one, since a second copy of that response could be taken for its own.

--- a/carawaylatch/proxy/callerconnection.cpp
+++ b/carawaylatch/proxy/callerconnection.cpp
@@ -115,6 +115,10 @@
         startExchange();
         return;
     }
+    if (m_input.size() > MaxUnparsedBytes) {
+        rejectInput(base::fail(base::ErrorKind::LimitExceeded, "the framing of the request is too long; send chunks without extensions"));
+        return;
+    }
     setBufferedBody(m_parser->body().size());
     if (m_plane.isBodyBufferFull()) {
         m_plane.logRejected({}, {}, "no_memory", 503);
--- a/carawaylatch/proxy/callerconnection.h
+++ b/carawaylatch/proxy/callerconnection.h
@@ -89,6 +89,8 @@
 
     // Pipelined input that is buffered before reading stops.
     static constexpr std::size_t MaxPipelinedBytes = 65'536;
+    // Input of one request that the parser can't consume yet; the longest head is shorter.
+    static constexpr std::size_t MaxUnparsedBytes = 65'536;
 
     TrafficPlane &m_plane;
     Tcp::socket m_socket;
--- a/carawaylatch/proxy/eventscanner.cpp
+++ b/carawaylatch/proxy/eventscanner.cpp
@@ -1,7 +1,8 @@
-// An event ends with an empty line. Its id is the value of its "id" field, an
+// An event ends with an empty line, with or without carriage returns. Its id is the value of its "id" field, an
 // integer that increases by one with each event.
 #include "carawaylatch/proxy/eventscanner.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace carawaylatch::proxy
@@ -10,7 +11,21 @@
 namespace
 {
 
-constexpr std::string_view EventEnd = "\n\n";
+// Returns the position after the end of the first event, an empty line, or npos. The
+// search begins at `from`.
+std::size_t findEventEnd(std::string_view text, std::size_t from)
+{
+    for (std::size_t at = text.find('\n', from); at != std::string_view::npos; at = text.find('\n', at + 1)) {
+        const std::string_view next = text.substr(at + 1, 2);
+        if (next.starts_with('\n')) {
+            return at + 2;
+        }
+        if (next == "\r\n") {
+            return at + 3;
+        }
+    }
+    return std::string_view::npos;
+}
 
 std::optional<std::uint64_t> eventId(std::string_view event)
 {
@@ -63,30 +78,48 @@
 
 std::string EventScanner::feed(std::string_view bytes)
 {
+    if (m_isTooLong) {
+        return {};
+    }
     m_partial.append(bytes);
     std::string whole;
     std::size_t begin = 0;
     while (true) {
-        const std::size_t end = m_partial.find(EventEnd, begin);
+        const std::size_t end = findEventEnd(m_partial, std::max(begin, m_searched));
         if (end == std::string::npos) {
             break;
         }
-        const std::string_view event = std::string_view(m_partial).substr(begin, end + EventEnd.size() - begin);
+        const std::string_view event = std::string_view(m_partial).substr(begin, end - begin);
         if (isNew(event) && !m_hasGap) {
             whole.append(event);
         }
-        begin = end + EventEnd.size();
+        begin = end;
+        m_searched = 0;
     }
     m_partial.erase(0, begin);
+    constexpr std::size_t EndBytes = 2; // of an event's end, which may have arrived in part
+    m_searched = m_partial.size() > EndBytes ? m_partial.size() - EndBytes : 0;
+    if (m_partial.size() > MaxEventBytes) {
+        m_isTooLong = true;
+        m_partial = {};
+        m_searched = 0;
+    }
     return whole;
 }
 
 void EventScanner::restart()
 {
     m_partial.clear();
+    m_searched = 0;
+    m_isTooLong = false;
     m_isResumed = true;
 }
 
+bool EventScanner::isTooLong() const
+{
+    return m_isTooLong;
+}
+
 std::optional<std::uint64_t> EventScanner::lastEventId() const
 {
     return m_lastEventId;
@@ -94,7 +127,7 @@
 
 bool EventScanner::isAtBoundary() const
 {
-    return m_partial.empty();
+    return m_partial.empty() && !m_isTooLong;
 }
 
 bool EventScanner::hasGap() const
--- a/carawaylatch/proxy/exchange.cpp
+++ b/carawaylatch/proxy/exchange.cpp
@@ -170,9 +170,34 @@
             return;
         }
     }
+    if (!m_triedUpstreams.empty() && !hasUntriedUpstream()) {
+        giveUp("no_other_upstream");
+        return;
+    }
     joinQueue();
 }
 
+bool Exchange::hasUntriedUpstream() const
+{
+    const auto &members = m_plane.tracker().members(m_pool);
+    return std::any_of(members.begin(), members.end(), [this](const UpstreamRecord *record) {
+        const bool isTried = std::find(m_triedUpstreams.begin(), m_triedUpstreams.end(), record->upstream.id) != m_triedUpstreams.end();
+        return !isTried && record->upstream.phase == UpstreamPhase::Ready;
+    });
+}
+
+// No upstream can take the request in time.
+void Exchange::giveUp(std::string_view reason)
+{
+    if (m_isStreaming) {
+        abortReply(reason);
+    } else if (m_history.sent == m_history.notExecuted) {
+        refuse(reason, m_plane.queue(m_pool).retryDelay(m_urgency, m_plane.now()));
+    } else {
+        replyLocally(502, reason, {});
+    }
+}
+
 void Exchange::joinQueue()
 {
     const base::TimePoint now = m_plane.now();
@@ -186,18 +211,11 @@
         return;
     }
     m_queueKey = queue.add(m_urgency, shared_from_this());
-    m_queueTimer = m_plane.timers().after(now, m_isStreaming ? left : maxQueueWait - waited, [weak = weak_from_this()](base::TimePoint at) {
+    m_queueTimer = m_plane.timers().after(now, m_isStreaming ? left : maxQueueWait - waited, [weak = weak_from_this()](base::TimePoint) {
         const auto self = weak.lock();
-        if (!self || !self->m_queueKey) {
-            return;
-        }
-        self->leaveQueue();
-        if (self->m_isStreaming) {
-            self->abortReply("no_room");
-        } else if (self->m_history.sent == self->m_history.notExecuted) {
-            self->refuse("no_room", self->m_plane.queue(self->m_pool).retryDelay(self->m_urgency, at));
-        } else {
-            self->replyLocally(502, "no_other_upstream", {});
+        if (self && self->m_queueKey) {
+            self->leaveQueue();
+            self->giveUp("no_room");
         }
     });
 }
--- a/carawaylatch/proxy/exchange.h
+++ b/carawaylatch/proxy/exchange.h
@@ -67,6 +67,8 @@
     void selectPool();
     [[nodiscard]] bool isAuthorised();
     void placeOrQueue();
+    [[nodiscard]] bool hasUntriedUpstream() const;
+    void giveUp(std::string_view reason);
     void joinQueue();
     void startAttempt(const PlacementResult &placement);
     void onConnected(std::string_view problem);
@@ -75,6 +77,8 @@
     void endAttempt(AttemptEnd end, std::string_view problem);
     void releaseAttempt(AttemptEnd end);
     [[nodiscard]] AttemptEnd classifyResponse() const;
+    [[nodiscard]] bool endsInsideEvent() const;
+    void noteEventBoundary(std::string_view bytes);
     void forwardResponse();
     void beginStream();
     void forwardStream(std::string_view bytes);
@@ -121,6 +125,8 @@
     std::optional<base::TimePoint> m_sentAt; // of the first attempt that was sent
     std::optional<base::TimePoint> m_firstByteAt; // first byte of the response
     base::TimePoint m_lastByteAt; // last bytes of a streamed response
+    base::TimePoint m_lastEventAt; // last complete events of a resumable stream
+    std::string m_lastBytes; // the last two of a stream that is passed through
     base::Duration m_longestGap{}; // between consecutive reads of a streamed response
     base::UpstreamId m_lastUpstream;
     bool m_isStreaming = false; // the response head was sent to the caller
--- a/carawaylatch/proxy/exchangeattempt.cpp
+++ b/carawaylatch/proxy/exchangeattempt.cpp
@@ -34,7 +34,7 @@
         watchProgress();
     }
     const Upstream &upstream = attempt.record->upstream;
-    attempt.connection = m_plane.takeIdleConnection(upstream, m_route->isRepeatable());
+    attempt.connection = m_plane.takeIdleConnection(upstream, m_route->isRepeatable(), m_request.id);
     if (attempt.connection) {
         send();
         return;
@@ -145,7 +145,13 @@
         return;
     }
     attempt.body.append(bytes);
-    if (attempt.body.size() > MaxBufferedResponseBytes && classifyResponse() == AttemptEnd::Answered) {
+    if (attempt.body.size() <= MaxBufferedResponseBytes) {
+        return;
+    }
+    const AttemptEnd end = classifyResponse();
+    if (end != AttemptEnd::Answered) {
+        endAttempt(end == AttemptEnd::NotExecuted ? end : AttemptEnd::Broken, "the body of an error response is too long");
+    } else {
         m_isPassThrough = true;
         beginStream();
         forwardStream(std::exchange(attempt.body, {}));
@@ -176,9 +182,17 @@
     }
     m_lastByteAt = now;
     if (m_isPassThrough) {
+        noteEventBoundary(bytes);
         m_caller->sendBodyBytes(bytes);
     } else {
         const std::string events = m_scanner.feed(bytes);
+        if (m_scanner.isTooLong()) {
+            endAttempt(AttemptEnd::Broken, "an event of the stream is too long");
+            return;
+        }
+        if (!events.empty()) {
+            m_lastEventAt = now;
+        }
         if (m_scanner.hasGap()) {
             abortReply("event_missing");
             return;
@@ -220,13 +234,33 @@
         return;
     }
     const AttemptEnd end = classifyResponse();
-    if (m_isStreaming && end == AttemptEnd::Answered && !m_isPassThrough && !m_scanner.isAtBoundary()) {
+    if (m_isStreaming && end == AttemptEnd::Answered && endsInsideEvent()) {
         endAttempt(AttemptEnd::Broken, "the stream ended inside an event");
         return;
     }
     endAttempt(end, {});
 }
 
+// True if a stream has ended before the end of an event. If the end of the connection is
+// also the end of the response, an upstream that crashed may have sent it.
+bool Exchange::endsInsideEvent() const
+{
+    if (!m_isPassThrough) {
+        return !m_scanner.isAtBoundary();
+    }
+    const HttpFields &fields = m_attempt->head.fields;
+    const std::string *type = findField(fields, "content-type");
+    const bool endsWithConnection = findField(fields, "content-length") == nullptr && findField(fields, "transfer-encoding") == nullptr;
+    return endsWithConnection && type != nullptr && type->starts_with("text/event-stream") && m_lastBytes != "\n\n" && m_lastBytes != "\r\n";
+}
+
+// Keeps the last two bytes of a stream that is forwarded without splitting it into events.
+void Exchange::noteEventBoundary(std::string_view bytes)
+{
+    m_lastBytes.append(bytes.substr(bytes.size() - std::min<std::size_t>(bytes.size(), 2)));
+    m_lastBytes.erase(0, m_lastBytes.size() - std::min<std::size_t>(m_lastBytes.size(), 2));
+}
+
 void Exchange::onResponseError(std::string_view problem)
 {
     if (m_attempt) {
@@ -280,7 +314,8 @@
     if (isLateResponse) {
         return "no response within twice the target latency";
     }
-    if (m_firstByteAt && now - std::max(m_lastByteAt, attempt.startedAt) > MaxStreamGap) {
+    // Bytes that complete no event are no progress.
+    if (m_firstByteAt && now - std::max(m_lastEventAt, attempt.startedAt) > MaxStreamGap) {
         return "the stream has stalled";
     }
     return {};
--- a/carawaylatch/proxy/httpparser.cpp
+++ b/carawaylatch/proxy/httpparser.cpp
@@ -86,7 +86,7 @@
     }
     void on_body_init_impl(const boost::optional<std::uint64_t> &length, error_code & /*ec*/) override
     {
-        constexpr std::uint64_t MaxReservedBytes = 131'072; // for larger bodies the buffer grows as bytes arrive
+        constexpr std::uint64_t MaxReservedBytes = 16'384; // for larger bodies the buffer grows as bytes arrive
         if (length) {
             body.reserve(static_cast<std::size_t>(std::min(*length, MaxReservedBytes)));
         }
--- a/carawaylatch/proxy/trafficplane.cpp
+++ b/carawaylatch/proxy/trafficplane.cpp
@@ -560,7 +560,7 @@
     return out;
 }
 
-std::shared_ptr<UpstreamConnection> TrafficPlane::takeIdleConnection(const Upstream &upstream, bool isRepeatable)
+std::shared_ptr<UpstreamConnection> TrafficPlane::takeIdleConnection(const Upstream &upstream, bool isRepeatable, std::string_view requestId)
 {
     const auto it = m_idleConnections.find(upstream.id);
     if (it == m_idleConnections.end()) {
@@ -571,7 +571,8 @@
         auto connection = std::move(idle.back());
         idle.pop_back();
         const bool isSameProcess = connection->startTimeMs() == upstream.startTimeMs;
-        if (isSameProcess && (isRepeatable || now() < connection->reusableUntil())) {
+        const bool isUnambiguous = connection->requestId() != requestId;
+        if (isSameProcess && isUnambiguous && (isRepeatable || now() < connection->reusableUntil())) {
             return connection;
         }
         connection->close();
--- a/carawaylatch/proxy/trafficplane.h
+++ b/carawaylatch/proxy/trafficplane.h
@@ -148,8 +148,9 @@
     bool handleLocalPath(CallerConnection &connection, const HttpRequestHead &head);
 
     // Returns an idle connection, or nullptr. A request that must not be repeated gets
-    // none that the upstream may be about to close.
-    [[nodiscard]] std::shared_ptr<UpstreamConnection> takeIdleConnection(const Upstream &upstream, bool isRepeatable);
+    // none that the upstream may be about to close, and no request one whose last request had
+    // the same id: a second copy of that response could be taken for its own.
+    [[nodiscard]] std::shared_ptr<UpstreamConnection> takeIdleConnection(const Upstream &upstream, bool isRepeatable, std::string_view requestId);
     void addIdleConnection(std::shared_ptr<UpstreamConnection> connection);
     void removeIdleConnection(const UpstreamConnection &connection);
 
--- a/carawaylatch/proxy/upstreamconnection.cpp
+++ b/carawaylatch/proxy/upstreamconnection.cpp
@@ -41,6 +41,11 @@
     return m_startTimeMs;
 }
 
+const std::string &UpstreamConnection::requestId() const
+{
+    return m_requestId;
+}
+
 bool UpstreamConnection::isReused() const
 {
     return m_isReused;
@@ -95,6 +100,8 @@
     m_hasSeenHead = false;
     m_isMismatched = false;
     m_mismatchedResponses = 0;
+    m_mismatchedBytes = 0;
+    m_interimResponses = 0;
     m_isPaused = false;
     m_isWriting = true;
     const std::array<boost::asio::const_buffer, 2> buffers{boost::asio::buffer(m_head), boost::asio::buffer(*m_body)};
@@ -192,19 +199,21 @@
         if (m_isClosed || !m_parser) {
             return;
         }
-        std::string bytes = m_parser->takeBody();
-        if (!bytes.empty() && !m_isMismatched) {
-            if (const auto it = listener()) {
-                it->onResponseBody(std::move(bytes));
-            }
-        }
+        takeBody();
         if (m_isClosed || !m_parser) {
             return;
         }
         if (!m_parser->isComplete()) {
+            if (m_input.size() > MaxUnparsedBytes) {
+                fail("the framing of the response is too long");
+            }
             return; // more bytes are needed
         }
         if (m_isMismatched || (m_parser->head().status < 200 && !m_hasSeenHead)) {
+            if (!m_isMismatched && ++m_interimResponses > MaxInterimResponses) {
+                fail("too many interim responses");
+                return;
+            }
             m_isMismatched = false;
             m_parser.emplace(m_isHeadRequest);
             continue;
@@ -214,6 +223,23 @@
     }
 }
 
+// Passes the body bytes that have arrived to the listener; those of another request are dropped.
+void UpstreamConnection::takeBody()
+{
+    std::string bytes = m_parser->takeBody();
+    if (bytes.empty()) {
+        return;
+    }
+    if (m_isMismatched) {
+        m_mismatchedBytes += bytes.size();
+        if (m_mismatchedBytes > MaxMismatchedBytes) {
+            fail("the response to another request is too long");
+        }
+    } else if (const auto it = listener()) {
+        it->onResponseBody(std::move(bytes));
+    }
+}
+
 void UpstreamConnection::consumeHead()
 {
     const HttpResponseHead &head = m_parser->head();
--- a/carawaylatch/proxy/upstreamconnection.h
+++ b/carawaylatch/proxy/upstreamconnection.h
@@ -3,7 +3,8 @@
 // Unsolicited bytes close the connection. A response that carries the id of another
 // request is read and dropped, and the connection waits for the expected one behind
 // it; such a connection is not reused. A response without a request id is accepted
-// only as the first of its connection. All calls on the traffic thread.
+// only as the first of its connection. Everything that an upstream can send without
+// delivering a response is bounded. All calls on the traffic thread.
 #pragma once
 
 #include <array>
@@ -52,6 +53,8 @@
 
     [[nodiscard]] const base::UpstreamId &upstream() const;
     [[nodiscard]] std::uint64_t startTimeMs() const;
+    // Id of the last request sent.
+    [[nodiscard]] const std::string &requestId() const;
     // True if a response was already read on this connection.
     [[nodiscard]] bool isReused() const;
     // Until this time the upstream is expected to keep the idle connection open.
@@ -61,6 +64,7 @@
     void read();
     void onRead(std::size_t n);
     void consumeInput();
+    void takeBody();
     void consumeHead();
     void finishResponse();
     void fail(std::string_view problem);
@@ -68,6 +72,9 @@
 
     static constexpr std::size_t ReadBytes = 16'384;
     static constexpr int MaxMismatchedResponses = 4; // dropped responses to other requests
+    static constexpr std::size_t MaxMismatchedBytes = 1'048'576; // of their bodies
+    static constexpr int MaxInterimResponses = 16; // before the final one
+    static constexpr std::size_t MaxUnparsedBytes = 81'920; // a head, or the framing between two pieces of a body
 
     TrafficPlane &m_plane;
     const base::UpstreamId m_upstream;
@@ -84,6 +91,8 @@
     bool m_isHeadRequest = false;
     bool m_isMismatched = false; // the current response belongs to another request and is dropped
     int m_mismatchedResponses = 0;
+    std::size_t m_mismatchedBytes = 0;
+    int m_interimResponses = 0;
     bool m_hasSeenHead = false; // of the expected response
     bool m_isWriting = false;
     bool m_isReading = false;
