--- a/carawaylatch/gateway/controlplane.cpp
+++ b/carawaylatch/gateway/controlplane.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -14,6 +15,7 @@
 #include <utility>
 
 #include "carawaylatch/base/incarnation.h"
+#include "carawaylatch/config/valuetext.h"
 
 namespace carawaylatch::gateway
 {
@@ -26,6 +28,9 @@
 constexpr base::Duration CacheStoreInterval = base::seconds{1}; // probes cost calls, but requests that wait for a dead store cost far more
 constexpr base::Duration CoordinationPause = base::milliseconds{200}; // batches changes of ChangingEngines; draining takes three times as long
 constexpr base::Duration MaxPartialListAge = base::seconds{10}; // half of the time for which a store keeps its history
+constexpr base::Duration RelayMargin = base::milliseconds{400}; // for a poll's way, and for the reader's own call to the store
+constexpr base::Duration MaxRelayDelay = base::seconds{1}; // of a reader's confirmation beyond the wait of its watch
+constexpr base::Duration MaxHoldTime = base::seconds{30}; // of a poll
 constexpr base::Duration RecoveryWindow = base::milliseconds{2500}; // after the store is available again, in which entries may still be missing
 
 std::string messageOf(const std::exception_ptr &error)
@@ -42,7 +47,8 @@
 } // namespace
 
 ControlPlane::ControlPlane(boost::asio::io_context &loop, const base::Clock &clock, const ControlSettings &settings, ObjectClientFactory &clients,
-                           EngineClient &engines, const FleetDecoder &decoder, telemetry::EventLog &log, TableAge &tableAge, Publish publish)
+                           EngineClient &engines, const FleetDecoder &decoder, telemetry::EventLog &log, TableAge &tableAge, RelayClient &relay,
+                           Publish publish)
     : m_loop(loop)
     , m_clock(clock)
     , m_settings(settings)
@@ -55,6 +61,8 @@
     , m_lease(settings.router, base::newIncarnation(), settings.lease)
     , m_rollout(settings.rollout)
     , m_random(base::hash64(settings.router.value()))
+    , m_relay(relay)
+    , m_readers(settings.relay, settings.readers)
 {
 }
 
@@ -185,27 +193,35 @@
     std::optional<base::TimePoint> unavailableSince; // since the first of consecutive failed calls
     base::TimePoint recoveredAt{}; // first success after failed calls
     while (true) {
-        const base::Duration sentAt = TableAge::bootTime();
+        base::Duration confirmedAt = TableAge::bootTime();
         const base::TimePoint callAt = m_clock.now();
-        const bool wasStoreUnavailable = unavailableSince || callAt - recoveredAt < RecoveryWindow;
+        bool wasStoreUnavailable = unavailableSince || callAt - recoveredAt < RecoveryWindow;
+        bool isRelayed = false;
         base::Result<std::uint64_t> result = std::uint64_t{0};
         bool hasChanges = false;
         if (since == 0) {
             const std::size_t read = partial.objects.size();
             result = co_await listAll(*client, kind, wasStoreUnavailable && recoveredAt != base::TimePoint{}, partial);
-            if (!result && partial.objects.size() > read) {
+            if (result) {
+                m_watchLog.onListed(kind, result.value());
+            } else if (partial.objects.size() > read) {
                 nextPause = m_settings.retryPause; // the store is overloaded, not down: it served some pages
             }
         } else {
-            auto changes = co_await client->watch(kind, since, watchWait(kind));
-            if (changes) {
-                for (const StoredObject &object : changes.value().objects) {
+            const KindChanges changes = co_await nextChanges(*client, kind, since);
+            isRelayed = changes.isRelayed;
+            if (changes.page) {
+                const ObjectPage &page = changes.page.value();
+                wasStoreUnavailable = wasStoreUnavailable || changes.isAfterOutage;
+                for (const StoredObject &object : page.objects) {
                     m_state.onChange(kind, object, wasStoreUnavailable, m_clock.now());
                 }
-                result = std::max(changes.value().asOf, since);
-                hasChanges = !changes.value().objects.empty();
+                result = std::max(page.asOf, since);
+                m_watchLog.onChanges(kind, since, result.value(), page.objects);
+                hasChanges = !page.objects.empty();
+                confirmedAt = changes.confirmedAt;
             } else {
-                result = changes.error();
+                result = changes.page.error();
             }
         }
         const base::TimePoint now = m_clock.now();
@@ -224,11 +240,9 @@
             if (recoveredAt == base::TimePoint{}) {
                 recoveredAt = now - RecoveryWindow;
             }
-            if (kind == ObjectKind::Tables) {
-                m_tableAge.confirm(sentAt);
-            }
+            onConfirmed(kind, confirmedAt, wasStoreUnavailable);
             publishIfChanged();
-            if (hasChanges) {
+            if (hasChanges && !isRelayed) {
                 co_await pause(pauseAfterChanges(kind));
             }
             continue;
@@ -251,6 +265,127 @@
     }
 }
 
+Awaitable<ControlPlane::KindChanges> ControlPlane::nextChanges(ObjectClient &client, ObjectKind kind, std::uint64_t since)
+{
+    if (const auto reader = m_readers.reader(m_clock.now())) {
+        if (auto changes = co_await pollReader(*reader, kind, since)) {
+            co_return std::move(*changes);
+        }
+    }
+    const base::Duration sentAt = TableAge::bootTime();
+    auto page = co_await client.watch(kind, since, watchWait(kind));
+    KindChanges changes;
+    changes.page = std::move(page);
+    changes.confirmedAt = sentAt;
+    co_return changes;
+}
+
+// Returns nothing if the reader did not answer, or not with the newest state.
+Awaitable<std::optional<ControlPlane::KindChanges>> ControlPlane::pollReader(base::Endpoint reader, ObjectKind kind, std::uint64_t since)
+{
+    const bool isTables = kind == ObjectKind::Tables;
+    // The reader answers polls for the configuration at each confirmation.
+    const base::Duration wait = isTables ? m_settings.watchWait + RelayMargin : watchWait(kind);
+    const base::Duration sentAt = TableAge::bootTime();
+    const RelayPoll poll{kind, since, wait};
+    auto answer = co_await m_relay.poll(reader, poll, wait + RelayMargin);
+    std::string problem;
+    if (!answer) {
+        problem = answer.error().message;
+    } else if (!answer.value().isKnown) {
+        problem = "the changes are not known there";
+    } else if (isTables && answer.value().age > m_settings.watchWait + MaxRelayDelay) {
+        problem = "its configuration is not confirmed";
+    }
+    if (!problem.empty()) {
+        onReaderFailed(reader, kind, problem);
+        co_return std::nullopt;
+    }
+    m_readers.onAnswered(reader);
+    logReader(reader, {});
+    RelayAnswer &value = answer.value();
+    KindChanges changes;
+    changes.page = ObjectPage{std::move(value.objects), value.revision, false};
+    changes.confirmedAt = sentAt + value.held - value.age;
+    changes.isAfterOutage = value.isAfterOutage;
+    changes.isRelayed = true;
+    co_return changes;
+}
+
+// The polls for the configuration are the shortest, so they detect a dead reader first.
+void ControlPlane::onReaderFailed(const base::Endpoint &reader, ObjectKind kind, const std::string &problem)
+{
+    m_readers.onFailed(reader, m_clock.now());
+    logReader(std::nullopt, problem);
+    if (kind == ObjectKind::Tables) {
+        m_relay.interrupt();
+    }
+}
+
+void ControlPlane::logReader(const std::optional<base::Endpoint> &reader, const std::string &problem)
+{
+    if (std::exchange(m_loggedReader, reader) != reader) {
+        m_log.write(base::LogEvent::ReaderChanged, {{"reader", reader ? config::formatEndpoint(*reader) : "store"}, {"problem", problem}});
+    }
+}
+
+void ControlPlane::onConfirmed(ObjectKind kind, base::Duration confirmedAt, bool isAfterOutage)
+{
+    Confirmation &confirmation = m_confirmations[kind];
+    confirmation.at = std::max(confirmation.at, confirmedAt);
+    confirmation.isAfterOutage = isAfterOutage;
+    ++confirmation.count;
+    for (boost::asio::steady_timer *timer : confirmation.waiting) {
+        timer->cancel();
+    }
+    if (kind == ObjectKind::Tables) {
+        m_tableAge.confirm(confirmation.at);
+    }
+    if (kind == ObjectKind::Coordination) {
+        m_readers.setRouters(m_state.relaysOf(m_settings.domain));
+    }
+}
+
+Awaitable<void> ControlPlane::waitForConfirmation(ObjectKind kind, base::Duration limit)
+{
+    boost::asio::steady_timer timer(m_loop, limit);
+    auto &waiting = m_confirmations[kind].waiting;
+    const auto it = waiting.insert(waiting.end(), &timer);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    waiting.erase(it);
+}
+
+Awaitable<RelayAnswer> ControlPlane::answer(RelayPoll poll)
+{
+    const base::Duration arrivedAt = TableAge::bootTime();
+    const base::TimePoint until = m_clock.now() + std::min(poll.wait, MaxHoldTime);
+    const std::uint64_t count = m_confirmations[poll.kind].count;
+    while (true) {
+        const base::TimePoint now = m_clock.now();
+        const bool isReader = !m_readers.reader(now) && !m_isStopping;
+        auto changes = m_watchLog.changesSince(poll.kind, poll.since);
+        if (!isReader || !changes) {
+            RelayAnswer unknown;
+            co_return unknown;
+        }
+        const Confirmation &confirmation = m_confirmations[poll.kind];
+        const bool isConfirmed = poll.kind == ObjectKind::Tables && confirmation.count != count;
+        if (!changes->objects.empty() || isConfirmed || now >= until) {
+            const base::Duration at = TableAge::bootTime();
+            RelayAnswer known;
+            known.isKnown = true;
+            known.revision = changes->revision;
+            known.age = at - confirmation.at;
+            known.held = at - arrivedAt;
+            known.isAfterOutage = confirmation.isAfterOutage;
+            known.objects = std::move(changes->objects);
+            co_return known;
+        }
+        co_await waitForConfirmation(poll.kind, until - now);
+    }
+}
+
 // An unavailable cache store blocks every engine that is told to fetch from it.
 Awaitable<void> ControlPlane::watchCacheStores()
 {
@@ -297,9 +432,18 @@
 Awaitable<void> ControlPlane::registerRouter(ObjectClient &client)
 {
     const std::string name = routerObjectName();
-    const std::string text = encodeRouter(m_settings.peers);
-    const auto result = co_await client.write(ObjectKind::Coordination, name, text, 0);
-    m_isRegistered = result.has_value() || result.error().kind == base::ErrorKind::Conflict;
+    const std::string text = encodeRouter(RouterEntry{m_settings.peers, m_settings.domain, m_settings.relay});
+    auto result = co_await client.write(ObjectKind::Coordination, name, text, 0);
+    if (!result && result.error().kind == base::ErrorKind::Conflict) {
+        // An earlier process of this router wrote it, possibly with other addresses.
+        const auto stored = co_await client.read(ObjectKind::Coordination, name, ReadConsistency::Latest);
+        if (stored && stored.value().text == text) {
+            result = stored.value().revision;
+        } else if (stored) {
+            result = co_await client.write(ObjectKind::Coordination, name, text, stored.value().revision);
+        }
+    }
+    m_isRegistered = result.has_value();
     if (!m_isRegistered) {
         co_await pause(m_settings.maxRetryPause);
     }
--- a/carawaylatch/gateway/controlplane.h
+++ b/carawaylatch/gateway/controlplane.h
@@ -1,15 +1,20 @@
 // The control plane of a gateway: reads configuration and upstreams from the object
 // store, competes for the fleet's lease and, as its holder, rolls out new weights.
 //
-// One coroutine watches each kind of object; another drives the lease and the rollout.
+// One coroutine watches each kind of object; another drives the lease and the rollout. In a
+// failure domain with many routers a few of them watch the store, and the others learn of
+// changes from these (ReaderChoice, WatchLog, RelayClient); a router whose reader fails
+// watches the store itself.
 // All state belongs to the control thread. Every new snapshot is passed to `publish`,
 // which is called on the control thread.
 #pragma once
 
 #include <exception>
 #include <functional>
+#include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -24,8 +29,11 @@
 #include "carawaylatch/gateway/engineclient.h"
 #include "carawaylatch/gateway/fleetstate.h"
 #include "carawaylatch/gateway/objectclient.h"
+#include "carawaylatch/gateway/readerchoice.h"
 #include "carawaylatch/gateway/rollout.h"
 #include "carawaylatch/gateway/tableage.h"
+#include "carawaylatch/gateway/watchlog.h"
+#include "carawaylatch/gateway/watchrelay.h"
 #include "carawaylatch/telemetry/eventlog.h"
 
 namespace carawaylatch::gateway
@@ -35,6 +43,9 @@
 {
     base::RouterId router; // one id for each VM
     base::Endpoint peers; // address for load reports of other routers; port zero: none
+    base::FailureDomain domain;
+    base::Endpoint relay; // address for polls of routers of the domain; port zero: none
+    ReaderSettings readers;
     fleet::LeaseSettings lease;
     RolloutSettings rollout;
     base::Duration watchWait = base::milliseconds{1200}; // long-poll wait of a configuration watch; bounds the configuration's age
@@ -48,14 +59,14 @@
     base::Duration maxRetryPause = base::milliseconds{1000};
 };
 
-class ControlPlane
+class ControlPlane : public RelaySource
 {
 public:
     using Publish = std::function<void(std::shared_ptr<const proxy::FleetView>)>;
 
     // All references must outlive the ControlPlane.
     ControlPlane(boost::asio::io_context &loop, const base::Clock &clock, const ControlSettings &settings, ObjectClientFactory &clients, EngineClient &engines,
-                 const FleetDecoder &decoder, telemetry::EventLog &log, TableAge &tableAge, Publish publish);
+                 const FleetDecoder &decoder, telemetry::EventLog &log, TableAge &tableAge, RelayClient &relay, Publish publish);
 
     void start();
     // Releases the lease, so that another router can acquire it at once, and sends no more
@@ -67,8 +78,17 @@
     // unreachable for long. Its object is removed; a router that was only disconnected
     // writes it again.
     void onRouterUnreachable(const base::Endpoint &peers);
+    [[nodiscard]] Awaitable<RelayAnswer> answer(RelayPoll poll) override;
 
 private:
+    // Changes of one kind of object, from the store or from a reader.
+    struct KindChanges
+    {
+        base::Result<ObjectPage> page = ObjectPage{};
+        base::Duration confirmedAt{}; // bootTime() at which the state was certainly the newest
+        bool isAfterOutage = false;
+        bool isRelayed = false;
+    };
     // A list of which some pages have been read. An overloaded store rejects some calls, so
     // the list continues at the rejected page; if it restarted each time, a list of many
     // pages would never complete.
@@ -80,6 +100,12 @@
         base::TimePoint startedAt;
     };
     [[nodiscard]] Awaitable<void> watchKind(ObjectKind kind);
+    [[nodiscard]] Awaitable<KindChanges> nextChanges(ObjectClient &client, ObjectKind kind, std::uint64_t since);
+    [[nodiscard]] Awaitable<std::optional<KindChanges>> pollReader(base::Endpoint reader, ObjectKind kind, std::uint64_t since);
+    void onReaderFailed(const base::Endpoint &reader, ObjectKind kind, const std::string &problem);
+    void logReader(const std::optional<base::Endpoint> &reader, const std::string &problem);
+    void onConfirmed(ObjectKind kind, base::Duration confirmedAt, bool isAfterOutage);
+    [[nodiscard]] Awaitable<void> waitForConfirmation(ObjectKind kind, base::Duration limit);
     [[nodiscard]] Awaitable<base::Result<std::uint64_t>> listAll(ObjectClient &client, ObjectKind kind, bool wasStoreUnavailable, PartialList &partial);
     [[nodiscard]] Awaitable<void> runControlLoop();
     [[nodiscard]] Awaitable<void> watchCacheStores();
@@ -118,6 +144,19 @@
     base::Random m_random;
     std::map<ObjectKind, std::shared_ptr<ObjectClient>> m_watches; // for interrupting the watches
     std::set<base::UpstreamId> m_pendingStatusCalls; // engines with a status call in flight
+    RelayClient &m_relay;
+    ReaderChoice m_readers;
+    WatchLog m_watchLog;
+    // State of each kind for polls of other routers.
+    struct Confirmation
+    {
+        base::Duration at{}; // bootTime()
+        std::uint64_t count = 0;
+        bool isAfterOutage = false;
+        std::list<boost::asio::steady_timer *> waiting; // of polls that are held
+    };
+    std::map<ObjectKind, Confirmation> m_confirmations;
+    std::optional<base::Endpoint> m_loggedReader;
     bool m_isLeaseHolder = false;
     std::set<base::Endpoint> m_unreachableRouters; // by load report address; their objects are still to be removed
     bool m_isRegistered = false;
--- a/carawaylatch/gateway/fleetstate.cpp
+++ b/carawaylatch/gateway/fleetstate.cpp
@@ -59,15 +59,35 @@
     return out;
 }
 
-std::string encodeRouter(const base::Endpoint &peers)
+std::string encodeRouter(const RouterEntry &router)
 {
-    return peers.port == 0 ? std::string("router") : config::formatEndpoint(peers);
+    if (router.peers.port == 0) {
+        return "router";
+    }
+    std::string text = config::formatEndpoint(router.peers);
+    if (!router.domain.isEmpty() && router.relay.port != 0) {
+        text.append(" ").append(router.domain.value()).append(" ").append(config::formatEndpoint(router.relay));
+    }
+    return text;
 }
 
-std::optional<base::Endpoint> decodeRouter(std::string_view text)
+std::optional<RouterEntry> decodeRouter(std::string_view text)
 {
-    auto endpoint = config::parseEndpoint(text);
-    return endpoint ? std::optional(std::move(endpoint.value())) : std::nullopt;
+    const std::size_t peersEnd = std::min(text.find(' '), text.size());
+    auto peers = config::parseEndpoint(text.substr(0, peersEnd));
+    if (!peers) {
+        return std::nullopt;
+    }
+    RouterEntry router{std::move(peers.value()), {}, {}};
+    const std::size_t domainEnd = text.find(' ', std::min(peersEnd + 1, text.size()));
+    if (domainEnd == std::string_view::npos) {
+        return router;
+    }
+    if (auto relay = config::parseEndpoint(text.substr(domainEnd + 1))) {
+        router.domain = base::FailureDomain(text.substr(peersEnd + 1, domainEnd - peersEnd - 1));
+        router.relay = std::move(relay.value());
+    }
+    return router;
 }
 
 FleetState::FleetState(const FleetDecoder &decoder, telemetry::EventLog &log)
@@ -347,8 +367,8 @@
             continue;
         }
         ++routers;
-        if (auto endpoint = decodeRouter(object.text)) {
-            view->routerEndpoints.push_back(std::move(*endpoint));
+        if (auto router = decodeRouter(object.text)) {
+            view->routerEndpoints.push_back(std::move(router->peers));
         }
     }
     view->routers = std::max(1U, routers);
@@ -365,11 +385,24 @@
 const StoredObject *FleetState::routerAt(const base::Endpoint &peers) const
 {
     const auto it = std::find_if(m_coordinationObjects.begin(), m_coordinationObjects.end(), [&peers](const auto &coordinationObject) {
-        return coordinationObject.first.starts_with(RouterPrefix) && decodeRouter(coordinationObject.second.text) == peers;
+        const auto router = coordinationObject.first.starts_with(RouterPrefix) ? decodeRouter(coordinationObject.second.text) : std::nullopt;
+        return router && router->peers == peers;
     });
     return it == m_coordinationObjects.end() ? nullptr : &it->second;
 }
 
+std::vector<base::Endpoint> FleetState::relaysOf(const base::FailureDomain &domain) const
+{
+    std::vector<base::Endpoint> relays;
+    for (const auto &[name, object] : m_coordinationObjects) {
+        const auto router = name.starts_with(RouterPrefix) ? decodeRouter(object.text) : std::nullopt;
+        if (router && router->domain == domain) {
+            relays.push_back(router->relay);
+        }
+    }
+    return relays;
+}
+
 const std::map<base::UpstreamId, proxy::Upstream> &FleetState::upstreams() const
 {
     return m_upstreams;
--- a/carawaylatch/gateway/fleetstate.h
+++ b/carawaylatch/gateway/fleetstate.h
@@ -43,9 +43,18 @@
     [[nodiscard]] static ChangingEngines decode(std::string_view text);
 };
 
-// Value of a router's object: its address for load reports, or "router" if it has none.
-[[nodiscard]] std::string encodeRouter(const base::Endpoint &peers);
-[[nodiscard]] std::optional<base::Endpoint> decodeRouter(std::string_view text);
+// A router as its object describes it: "PEERS", or "PEERS DOMAIN RELAY" if it passes on
+// changes of the store; "router" if it has no addresses.
+struct RouterEntry
+{
+    base::Endpoint peers; // receives load reports
+    base::FailureDomain domain; // empty: it does not pass on changes
+    base::Endpoint relay; // answers polls for changes
+
+    bool operator==(const RouterEntry &) const = default;
+};
+[[nodiscard]] std::string encodeRouter(const RouterEntry &router);
+[[nodiscard]] std::optional<RouterEntry> decodeRouter(std::string_view text);
 
 class FleetState
 {
@@ -73,6 +82,8 @@
     [[nodiscard]] const StoredObject *coordinationObject(std::string_view name) const;
     // Returns the object of the router with this load report address, or null.
     [[nodiscard]] const StoredObject *routerAt(const base::Endpoint &peers) const;
+    // Returns where the routers of a failure domain pass on changes of the store.
+    [[nodiscard]] std::vector<base::Endpoint> relaysOf(const base::FailureDomain &domain) const;
     [[nodiscard]] const std::map<base::UpstreamId, proxy::Upstream> &upstreams() const;
     [[nodiscard]] const std::map<base::ModelId, proxy::WeightsTarget> &targets() const;
     [[nodiscard]] std::vector<proxy::CacheStore> cacheStores() const;
--- a/carawaylatch/gateway/gateway.cpp
+++ b/carawaylatch/gateway/gateway.cpp
@@ -47,6 +47,7 @@
     , m_controlLoop(1)
     , m_trafficLoop(1)
     , m_components(makeComponents(m_controlLoop, m_settings))
+    , m_relay(m_controlLoop, m_settings.relay)
     , m_signals(m_trafficLoop)
     , m_settingsText(readFile(m_settingsPath))
 {
@@ -54,7 +55,7 @@
         return m_tableAge.age();
     });
     m_control = std::make_unique<ControlPlane>(m_controlLoop, m_clock, m_settings.control(), *m_components.clients, *m_components.engines,
-                                               *m_components.decoder, m_log, m_tableAge, [this](std::shared_ptr<const proxy::FleetView> view) {
+                                               *m_components.decoder, m_log, m_tableAge, m_relay, [this](std::shared_ptr<const proxy::FleetView> view) {
                                                    boost::asio::post(m_trafficLoop, [this, view = std::move(view)]() mutable {
                                                        m_traffic->adopt(std::move(view));
                                                    });
@@ -76,6 +77,9 @@
     if (auto listening = m_traffic->listen(); !listening) {
         return listening;
     }
+    if (auto listening = m_relay.listen(*m_control); !listening) {
+        return listening;
+    }
     m_log.write(base::LogEvent::GatewayStarted, {{"router", m_settings.id},
                                                  {"domain", m_settings.failureDomain},
                                                  {"callers", config::formatEndpoint(m_settings.callers)},
@@ -198,6 +202,7 @@
     settings.value().operators = m_settings.operators;
     settings.value().metrics = m_settings.metrics;
     settings.value().peers = m_settings.peers;
+    settings.value().relay = m_settings.relay;
     settings.value().id = m_settings.id;
     m_settings = std::move(settings.value());
     m_traffic->applySettings(m_settings.traffic());
--- a/carawaylatch/gateway/gateway.h
+++ b/carawaylatch/gateway/gateway.h
@@ -17,6 +17,7 @@
 #include "carawaylatch/base/time.h"
 #include "carawaylatch/gateway/controlplane.h"
 #include "carawaylatch/gateway/gatewaysettings.h"
+#include "carawaylatch/gateway/http2relay.h"
 #include "carawaylatch/gateway/tableage.h"
 #include "carawaylatch/proxy/trafficplane.h"
 #include "carawaylatch/proxy/trafficstop.h"
@@ -67,6 +68,7 @@
     boost::asio::io_context m_trafficLoop;
     GatewayComponents m_components;
     std::unique_ptr<proxy::TrafficPlane> m_traffic;
+    Http2Relay m_relay;
     std::unique_ptr<ControlPlane> m_control;
     boost::asio::signal_set m_signals; // handled on the traffic thread
     base::TimerService::Subscription m_stopTimer;
--- a/carawaylatch/gateway/gatewaysettings.cpp
+++ b/carawaylatch/gateway/gatewaysettings.cpp
@@ -19,19 +19,23 @@
 using Key = GatewaySettingsKey;
 using S = GatewaySettings;
 
-constexpr std::array<Key, 17> Keys{
+constexpr std::array<Key, 19> Keys{
     Key{"gateway", "id", "name", "names this VM; one process at a time has it", true, &S::id},
     Key{"gateway", "failure_domain", "name", "failure domain of this VM", true, &S::failureDomain},
     Key{"gateway", "callers", "endpoint", "where callers connect", true, nullptr, &S::callers},
     Key{"gateway", "operators", "endpoint", "where readiness and metrics are asked for", true, nullptr, &S::operators},
     Key{"gateway", "metrics", "endpoint", "where metrics alone are asked for, beside the operators' address", false, nullptr, &S::metrics},
     Key{"gateway", "peers", "endpoint", "where other routers send reports of their load; without it none are exchanged", false, nullptr, &S::peers},
+    Key{"gateway", "relay", "endpoint", "where routers of the failure domain learn of changes of the store; without it each router watches the store itself",
+        false, nullptr, &S::relay},
     Key{"gateway", "memory_mb", "number", "megabytes that the process may use; an eighth of it holds request bodies", false, nullptr, nullptr,
         &S::memoryMegabytes},
     Key{"gateway", "grace_seconds", "number", "seconds from the stop signal to the end of the process", false, nullptr, nullptr, &S::graceSeconds},
     Key{"store", "address", "endpoint", "the object store", true, nullptr, &S::store},
     Key{"store", "timeout_ms", "number", "milliseconds for one call, without a watch's wait", false, nullptr, nullptr, &S::storeTimeoutMs},
     Key{"store", "watch_ms", "number", "milliseconds that one watch waits; bounds the age of the configuration", false, nullptr, nullptr, &S::watchWaitMs},
+    Key{"store", "readers", "number", "routers of a failure domain that watch the store for all of it; 0: each router for itself", false, nullptr, nullptr,
+        &S::storeReaders},
     Key{"retries", "share", "number", "requests sent again, for each request of a pool, over all routers", false, nullptr, nullptr, &S::retryShare},
     Key{"retries", "reserve", "number", "requests sent again in ten seconds beside the share, over all routers", false, nullptr, nullptr, &S::retryReserve},
     Key{"configuration", "max_age_ms", "number", "milliseconds after which an unconfirmed configuration serves no request with a key; 0: no limit", false,
@@ -86,6 +90,9 @@
     if (settings.storeTimeoutMs < 10 || settings.watchWaitMs < 10) {
         return belowMinimumError("timeout_ms and watch_ms", "10");
     }
+    if (settings.storeReaders < 0) {
+        return belowMinimumError("readers", "0");
+    }
     if (settings.leaveWithinMs < 100) {
         return belowMinimumError("leave_within_ms", "100");
     }
@@ -200,6 +207,9 @@
     out.upstreamsPause = base::fromMilliseconds(leaveWithinMs * UpstreamsPauseShare);
     out.router = base::RouterId(id);
     out.peers = peers;
+    out.domain = base::FailureDomain(failureDomain);
+    out.readers.perDomain = static_cast<std::size_t>(storeReaders);
+    out.relay = out.readers.perDomain > 0 ? relay : base::Endpoint{};
     out.lease.duration = base::fromMilliseconds(leaseMs * LeaseShare);
     out.lease.readInterval = base::fromMilliseconds(leaseMs * LeaseShare / 6);
     out.lease.isRouterIdUnique = true;
--- a/carawaylatch/gateway/gatewaysettings.h
+++ b/carawaylatch/gateway/gatewaysettings.h
@@ -26,12 +26,14 @@
     base::Endpoint callers;
     base::Endpoint operators;
     base::Endpoint peers;
+    base::Endpoint relay;
     base::Endpoint metrics;
     base::Endpoint store;
     double memoryMegabytes = 256; // memory limit of the process
     double graceSeconds = 8; // from the stop signal until the platform kills the process
     double storeTimeoutMs = 1000; // of one call, not counting the wait of a watch
     double watchWaitMs = 1200; // long-poll wait of one watch
+    double storeReaders = 2; // routers of a failure domain that watch the store for all; zero: each for itself
     double leaveWithinMs = 2000; // from when an upstream announces that it leaves to the last request sent to it
     double retryShare = 0.2;
     double retryReserve = 50;
--- a/carawaylatch/gateway/testing/controlplanetest.cpp
+++ b/carawaylatch/gateway/testing/controlplanetest.cpp
@@ -8,201 +8,17 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <chrono>
-#include <map>
 #include <memory>
 #include <string>
 #include <vector>
 
-#include "carawaylatch/gateway/controlplane.h"
-#include "carawaylatch/gateway/testing/fakes.h"
-#include "carawaylatch/gateway/testing/fakestore.h"
+#include "carawaylatch/gateway/testing/testcluster.h"
 
 namespace carawaylatch::gateway::testing
 {
 
-namespace
-{
-
-constexpr base::Duration LeaseTime = base::milliseconds{300};
-constexpr base::Duration LoadTime = base::milliseconds{60};
-constexpr int Engines = 3;
-
-struct RecordedOrder
-{
-    std::string holder;
-    std::uint64_t fence = 0;
-    std::uint64_t version = 0;
-    base::TimePoint at;
-};
-
-// Engines that execute every order and record it.
-class FakeEngines : public EngineClient
-{
-public:
-    FakeEngines(boost::asio::io_context &loop, const base::Clock &clock)
-        : m_loop(loop)
-        , m_clock(clock)
-    {
-    }
-    Awaitable<base::Result<OrderResponse>> order(WeightsOrder order, std::function<bool()> maySend) override
-    {
-        ++pendingOrders;
-        boost::asio::steady_timer timer(m_loop);
-        timer.expires_after(connectTime);
-        co_await timer.async_wait(boost::asio::use_awaitable);
-        --pendingOrders;
-        if (!maySend()) {
-            co_return base::fail(base::ErrorKind::Unavailable, "not sent");
-        }
-        orders[order.engine].push_back({order.holder, order.fence.value, order.version.value, m_clock.now()});
-        m_loads[order.engine] = {m_clock.now() + LoadTime, order.version};
-        co_return OrderResponse::Accepted;
-    }
-    Awaitable<base::Result<EngineStatus>> status(base::UpstreamId engine, base::Endpoint /*endpoint*/, base::ModelId /*model*/) override
-    {
-        EngineStatus status;
-        const auto it = m_loads.find(engine);
-        const bool isLoaded = it != m_loads.end() && m_clock.now() >= it->second.first;
-        status.weights = isLoaded ? it->second.second : base::WeightsVersion{1};
-        co_return status;
-    }
-    Awaitable<base::Result<void>> probeCacheStore(base::Endpoint /*endpoint*/) override
-    {
-        co_return base::ok();
-    }
-    std::map<base::UpstreamId, std::vector<RecordedOrder>> orders;
-    base::Duration connectTime{}; // until an order can be sent
-    int pendingOrders = 0; // whose connection is being opened
-
-private:
-    boost::asio::io_context &m_loop;
-    const base::Clock &m_clock;
-    std::map<base::UpstreamId, std::pair<base::TimePoint, base::WeightsVersion>> m_loads;
-};
-
-class FakeClients : public ObjectClientFactory
-{
-public:
-    explicit FakeClients(FakeStore &store)
-        : m_store(store)
-    {
-    }
-    std::unique_ptr<ObjectClient> makeClient() override
-    {
-        return std::make_unique<FakeClient>(m_store, isDisconnected);
-    }
-    bool isDisconnected = false; // from the store; all calls fail
-
-private:
-    FakeStore &m_store;
-};
-
-// The control plane of one router, and what it has published.
-struct Router
-{
-    Router(boost::asio::io_context &loop, const base::Clock &clock, FakeStore &store, FakeEngines &engines, const FleetDecoder &decoder,
-           telemetry::EventLog &log, const std::string &id)
-        : clients(store)
-        , plane(loop, clock, settings(id), clients, engines, decoder, log, age, [this](std::shared_ptr<const proxy::FleetView> view) {
-            const std::uint64_t version = view->table ? view->table->version : 0;
-            hasVersionRegressed = hasVersionRegressed || version < newestTable;
-            newestTable = std::max(newestTable, version);
-            last = std::move(view);
-        })
-    {
-        plane.start();
-    }
-    static ControlSettings settings(const std::string &id)
-    {
-        ControlSettings out;
-        out.router = base::RouterId(id);
-        out.lease.duration = LeaseTime * 6 / 10;
-        out.lease.readInterval = LeaseTime / 10;
-        out.lease.isRouterIdUnique = true;
-        out.rollout.takeoverDelay = LeaseTime;
-        out.rollout.maxDrainTime = base::milliseconds{50};
-        out.rollout.orderTimeout = base::milliseconds{400};
-        out.watchWait = base::milliseconds{60};
-        out.longWatchWait = base::milliseconds{200};
-        out.retryPause = base::milliseconds{10};
-        out.maxRetryPause = base::milliseconds{50};
-        return out;
-    }
-
-    FakeClients clients;
-    TableAge age;
-    std::shared_ptr<const proxy::FleetView> last;
-    std::uint64_t newestTable = 0;
-    bool hasVersionRegressed = false;
-    ControlPlane plane;
-};
-
-struct TestCluster
-{
-    TestCluster(boost::asio::io_context &loop, const base::Clock &clock, telemetry::EventLog &log)
-        : store(loop)
-        , engines(loop, clock)
-        , m_loop(loop)
-        , m_clock(clock)
-        , m_log(log)
-    {
-        store.put(ObjectKind::Tables, "main", "1");
-        for (int i = 0; i < Engines; ++i) {
-            store.put(ObjectKind::Upstreams, "e" + std::to_string(i), "p ready 1 1");
-        }
-    }
-    void addRouter(const std::string &id)
-    {
-        routers.push_back(std::make_unique<Router>(m_loop, m_clock, store, engines, m_decoder, m_log, id));
-    }
-    [[nodiscard]] bool isChanged(std::uint64_t version) const
-    {
-        std::size_t changed = 0;
-        for (const auto &[engine, orders] : engines.orders) {
-            changed += orders.back().version == version ? 1 : 0;
-        }
-        return changed == Engines;
-    }
-    // Returns which invariant is violated, or an empty string.
-    [[nodiscard]] std::string violation() const
-    {
-        for (const auto &router : routers) {
-            if (router->hasVersionRegressed) {
-                return "the configuration's version decreased";
-            }
-        }
-        for (const auto &[engine, orders] : engines.orders) {
-            for (std::size_t i = 1; i < orders.size(); ++i) {
-                const RecordedOrder &before = orders[i - 1];
-                const RecordedOrder &after = orders[i];
-                if (after.fence < before.fence) {
-                    return "an order with a lower fencing token follows one with a higher token";
-                }
-                if (after.holder != before.holder && (after.at - before.at < LeaseTime || after.fence == before.fence)) {
-                    return "two lease holders sent orders to one engine within the lease time";
-                }
-            }
-        }
-        return {};
-    }
-
-    FakeStore store;
-    FakeEngines engines;
-    std::vector<std::unique_ptr<Router>> routers;
-
-private:
-    boost::asio::io_context &m_loop;
-    const base::Clock &m_clock;
-    telemetry::EventLog &m_log;
-    PlainTextDecoder m_decoder;
-};
-
-} // namespace
-
 class ControlPlaneTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(ControlPlaneTest);
@@ -495,7 +311,7 @@
     {
         TestCluster &cluster = addCluster();
         const base::Endpoint gone{"10.0.0.9", 7};
-        cluster.store.put(ObjectKind::Coordination, "router.gone", encodeRouter(gone));
+        cluster.store.put(ObjectKind::Coordination, "router.gone", encodeRouter({gone, {}, {}}));
         cluster.addRouter("a");
         cluster.addRouter("b");
         const auto seesRouters = [&cluster](std::uint32_t routers) {
--- a/carawaylatch/gateway/testing/fakestore.h
+++ b/carawaylatch/gateway/testing/fakestore.h
@@ -45,6 +45,11 @@
         return m_objects[kind];
     }
 
+    [[nodiscard]] int calls() const
+    {
+        return m_calls;
+    }
+
     // Number of the call with the fault, counted from 1 over all clients; zero: none.
     int faultyCall = 0;
     CallFault fault = CallFault::None;
--- /dev/null
+++ b/carawaylatch/gateway/watchlog.cpp
@@ -0,0 +1,53 @@
+// Batches and their bound.
+#include "carawaylatch/gateway/watchlog.h"
+
+#include <algorithm>
+
+namespace carawaylatch::gateway
+{
+
+void WatchLog::onListed(ObjectKind kind, std::uint64_t revision)
+{
+    m_kinds[kind] = Kind{revision, revision, {}, 0};
+}
+
+void WatchLog::onChanges(ObjectKind kind, std::uint64_t since, std::uint64_t revision, const std::vector<StoredObject> &objects)
+{
+    Kind &log = m_kinds[kind];
+    if (log.revision != since) {
+        log = Kind{since, since, {}, 0}; // the changes between are not known
+    }
+    log.revision = std::max(log.revision, revision);
+    if (objects.empty()) {
+        return;
+    }
+    Batch batch{log.revision, objects, 0};
+    for (const StoredObject &object : objects) {
+        batch.bytes += object.name.size() + object.text.size();
+    }
+    log.bytes += batch.bytes;
+    log.batches.push_back(std::move(batch));
+    while (log.bytes > MaxBytes) {
+        log.base = log.batches.front().revision;
+        log.bytes -= log.batches.front().bytes;
+        log.batches.pop_front();
+    }
+}
+
+std::optional<ChangesSince> WatchLog::changesSince(ObjectKind kind, std::uint64_t revision) const
+{
+    const auto it = m_kinds.find(kind);
+    if (it == m_kinds.end() || it->second.revision == 0 || revision < it->second.base) {
+        return std::nullopt;
+    }
+    ChangesSince changes;
+    changes.revision = std::max(revision, it->second.revision);
+    for (const Batch &batch : it->second.batches) {
+        if (batch.revision > revision) {
+            changes.objects.insert(changes.objects.end(), batch.objects.begin(), batch.objects.end());
+        }
+    }
+    return changes;
+}
+
+} // namespace carawaylatch::gateway
--- /dev/null
+++ b/carawaylatch/gateway/watchrelay.cpp
@@ -0,0 +1,136 @@
+// Polls and answers as JSON.
+#include "carawaylatch/gateway/watchrelay.h"
+
+#include <nlohmann/json.hpp>
+
+#include <optional>
+
+namespace carawaylatch::gateway
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+base::Error malformedMessage()
+{
+    return base::fail(base::ErrorKind::InvalidArgument, "malformed message between routers; check that all routers run the same version");
+}
+
+std::optional<std::uint64_t> unsignedField(const Json &json, const char *name)
+{
+    const auto it = json.find(name);
+    return it != json.end() && it->is_number_unsigned() ? std::optional(it->get<std::uint64_t>()) : std::nullopt;
+}
+
+std::optional<std::string> textField(const Json &json, const char *name)
+{
+    const auto it = json.find(name);
+    return it != json.end() && it->is_string() ? std::optional(it->get<std::string>()) : std::nullopt;
+}
+
+std::optional<StoredObject> decodeObject(const Json &json)
+{
+    if (!json.is_object()) {
+        return std::nullopt;
+    }
+    auto name = textField(json, "name");
+    auto text = textField(json, "text");
+    const auto revision = unsignedField(json, "revision");
+    if (!name || !text || !revision) {
+        return std::nullopt;
+    }
+    return StoredObject{std::move(*name), std::move(*text), *revision, json.contains("removed")};
+}
+
+std::string dump(const Json &json)
+{
+    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+Json unknownAnswer()
+{
+    return Json{{"known", 0U}, {"revision", 0U}, {"age_us", 0U}, {"held_us", 0U}, {"outage", 0U}, {"objects", Json::array()}};
+}
+
+std::uint64_t microseconds(base::Duration duration)
+{
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(std::max(duration, base::Duration{})).count());
+}
+
+base::Duration fromMicroseconds(std::uint64_t value)
+{
+    constexpr std::uint64_t Max = 1'000'000'000'000; // eleven days
+    return std::chrono::microseconds{std::min(value, Max)};
+}
+
+} // namespace
+
+std::string encodeRelayPoll(const RelayPoll &poll)
+{
+    return dump(Json{{"kind", static_cast<std::uint64_t>(poll.kind)}, {"since", poll.since}, {"wait_us", microseconds(poll.wait)}});
+}
+
+base::Result<RelayPoll> decodeRelayPoll(std::string_view text)
+{
+    const Json json = Json::parse(text, nullptr, false);
+    if (!json.is_object()) {
+        return malformedMessage();
+    }
+    const auto kind = unsignedField(json, "kind");
+    const auto since = unsignedField(json, "since");
+    const auto wait = unsignedField(json, "wait_us");
+    if (!kind || *kind > static_cast<std::uint64_t>(ObjectKind::Leases) || !since || !wait) {
+        return malformedMessage();
+    }
+    return RelayPoll{static_cast<ObjectKind>(*kind), *since, fromMicroseconds(*wait)};
+}
+
+std::string encodeRelayAnswer(const RelayAnswer &answer)
+{
+    if (!answer.isKnown) {
+        return dump(unknownAnswer());
+    }
+    Json json{{"known", 1U}, {"revision", answer.revision}, {"age_us", microseconds(answer.age)}, {"held_us", microseconds(answer.held)}};
+    json["outage"] = answer.isAfterOutage ? 1U : 0U;
+    Json objects = Json::array();
+    for (const StoredObject &object : answer.objects) {
+        Json row{{"name", object.name}, {"text", object.text}, {"revision", object.revision}};
+        if (object.isRemoved) {
+            row["removed"] = 1U;
+        }
+        objects.push_back(std::move(row));
+    }
+    json["objects"] = std::move(objects);
+    std::string text = dump(json);
+    return text.size() <= MaxRelayBytes ? text : dump(unknownAnswer());
+}
+
+base::Result<RelayAnswer> decodeRelayAnswer(std::string_view text)
+{
+    const Json json = Json::parse(text, nullptr, false);
+    if (!json.is_object()) {
+        return malformedMessage();
+    }
+    const auto known = unsignedField(json, "known");
+    const auto revision = unsignedField(json, "revision");
+    const auto age = unsignedField(json, "age_us");
+    const auto held = unsignedField(json, "held_us");
+    const auto outage = unsignedField(json, "outage");
+    const auto objects = json.find("objects");
+    if (!known || !revision || !age || !held || !outage || objects == json.end() || !objects->is_array()) {
+        return malformedMessage();
+    }
+    RelayAnswer answer{*known == 1, *revision, fromMicroseconds(*age), fromMicroseconds(*held), *outage == 1, {}};
+    for (const Json &row : *objects) {
+        auto object = decodeObject(row);
+        if (!object) {
+            return malformedMessage();
+        }
+        answer.objects.push_back(std::move(*object));
+    }
+    return answer;
+}
+
+} // namespace carawaylatch::gateway
--- /dev/null
+++ b/carawaylatch/gateway/watchrelay.h
@@ -0,0 +1,70 @@
+// Changes of the store that a reader passes on to another router.
+//
+// A router polls a reader as it would watch the store. The answer tells how old the
+// reader's own confirmation is and how long the poll was held, both measured by the
+// reader's clock alone; the router adds them to the time at which it sent the poll, by its
+// own clock. So the age of what a router knows is counted from when the call that confirmed
+// it was sent to the store, whatever happens to an answer on its way.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "carawaylatch/base/error.h"
+#include "carawaylatch/base/ids.h"
+#include "carawaylatch/base/time.h"
+#include "carawaylatch/gateway/objectclient.h"
+
+namespace carawaylatch::gateway
+{
+
+// Longest answer; a router to which more has changed reads the store itself.
+constexpr std::size_t MaxRelayBytes = 4'000'000;
+
+struct RelayPoll
+{
+    ObjectKind kind = ObjectKind::Tables;
+    std::uint64_t since = 0; // revision that the router knows
+    base::Duration wait{}; // for a change, at most
+};
+
+struct RelayAnswer
+{
+    bool isKnown = false; // false: not a reader, or the changes since that revision are not known
+    std::uint64_t revision = 0;
+    base::Duration age{}; // of the reader's confirmation when it answered
+    base::Duration held{}; // from the poll's arrival to the answer
+    bool isAfterOutage = false; // the reader could not reach the store shortly before
+    std::vector<StoredObject> objects;
+};
+
+[[nodiscard]] std::string encodeRelayPoll(const RelayPoll &poll);
+// InvalidArgument: the text is not a poll.
+[[nodiscard]] base::Result<RelayPoll> decodeRelayPoll(std::string_view text);
+// Answers over MaxRelayBytes are encoded as not known.
+[[nodiscard]] std::string encodeRelayAnswer(const RelayAnswer &answer);
+// InvalidArgument: the text is not an answer.
+[[nodiscard]] base::Result<RelayAnswer> decodeRelayAnswer(std::string_view text);
+
+// Answers the polls of other routers.
+class RelaySource
+{
+public:
+    virtual ~RelaySource() = default;
+    [[nodiscard]] virtual Awaitable<RelayAnswer> answer(RelayPoll poll) = 0;
+};
+
+// Polls readers; one poll of a kind at a time.
+class RelayClient
+{
+public:
+    virtual ~RelayClient() = default;
+    // Unavailable: no answer within the timeout, or the connection failed.
+    [[nodiscard]] virtual Awaitable<base::Result<RelayAnswer>> poll(base::Endpoint reader, RelayPoll poll, base::Duration timeout) = 0;
+    // Makes all polls in flight fail.
+    virtual void interrupt() = 0;
+};
+
+} // namespace carawaylatch::gateway
--- a/carawaylatch/peer/http2session.cpp
+++ b/carawaylatch/peer/http2session.cpp
@@ -1,5 +1,5 @@
 // nghttp2 callbacks. A request is a POST whose body is one message with its HMAC; the
-// response is a status without a body. The flow control window is as large as the
+// response is a status and possibly a body. The flow control window is as large as the
 // largest message, so that a message never waits for a window update.
 #include "carawaylatch/peer/http2session.h"
 
@@ -59,7 +59,7 @@
     {
         auto &session = self(user);
         const auto it = session.m_streams.find(id);
-        if (session.m_role != Role::Server || it == session.m_streams.end() || it->second.isTooLarge) {
+        if (it == session.m_streams.end() || it->second.isTooLarge) {
             return 0;
         }
         auto &stream = it->second;
@@ -67,7 +67,9 @@
             session.m_bufferedBytes -= stream.body.size();
             stream.body = {};
             stream.isTooLarge = true;
-            session.m_requests.push_back({id, {}, true});
+            if (session.m_role == Role::Server) {
+                session.m_requests.push_back({id, {}, true});
+            }
             return 0;
         }
         stream.body.append(reinterpret_cast<const char *>(data), size);
@@ -93,10 +95,9 @@
         auto &session = self(user);
         const auto it = session.m_streams.find(id);
         if (it != session.m_streams.end()) {
+            session.m_bufferedBytes -= it->second.body.size();
             if (session.m_role == Role::Client) {
-                session.m_responses.push_back({id, it->second.status});
-            } else {
-                session.m_bufferedBytes -= it->second.body.size();
+                session.m_responses.push_back({id, it->second.status, std::move(it->second.body)});
             }
             session.m_streams.erase(it);
         }
@@ -110,12 +111,12 @@
             return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
         }
         auto &stream = it->second;
-        const auto n = std::min(size, stream.body.size() - stream.sent);
-        std::copy_n(stream.body.data() + stream.sent, n, buf);
+        const auto n = std::min(size, stream.output.size() - stream.sent);
+        std::copy_n(stream.output.data() + stream.sent, n, buf);
         stream.sent += n;
-        if (stream.sent == stream.body.size()) {
+        if (stream.sent == stream.output.size()) {
             *flags |= NGHTTP2_DATA_FLAG_EOF;
-            stream.body = {};
+            stream.output = {};
             stream.sent = 0;
         }
         return static_cast<ssize_t>(n);
@@ -193,17 +194,25 @@
     provider.read_callback = Callbacks::readBody;
     const auto id = nghttp2_submit_request(m_session, nullptr, headers.data(), headers.size(), &provider, nullptr);
     if (id > 0) {
-        m_streams[id].body = std::move(body);
+        m_streams[id].output = std::move(body);
     }
     return id;
 }
 
-void Http2Session::respond(std::int32_t stream, int status)
+void Http2Session::respond(std::int32_t stream, int status, std::string body)
 {
+    const auto it = m_streams.find(stream);
+    if (it == m_streams.end()) {
+        return; // closed by the client
+    }
     const auto text = std::to_string(status);
     const auto header = headerField(StatusName, text);
-    nghttp2_submit_response(m_session, stream, &header, 1, nullptr);
-    if (const auto it = m_streams.find(stream); it != m_streams.end() && it->second.isTooLarge) {
+    nghttp2_data_provider provider{};
+    provider.read_callback = Callbacks::readBody;
+    const bool hasBody = !body.empty();
+    it->second.output = std::move(body);
+    nghttp2_submit_response(m_session, stream, &header, 1, hasBody ? &provider : nullptr);
+    if (it->second.isTooLarge) {
         nghttp2_submit_rst_stream(m_session, NGHTTP2_FLAG_NONE, stream, NGHTTP2_NO_ERROR);
     }
 }
--- a/carawaylatch/peer/http2session.h
+++ b/carawaylatch/peer/http2session.h
@@ -34,9 +34,10 @@
     {
         std::int32_t stream = 0;
         int status = 0; // HTTP status; zero if the stream was closed without a response
+        std::string body; // empty if it exceeded the limit
     };
 
-    // Request bodies over `maxBodyBytes`, or over four times that for all open streams
+    // Received bodies over `maxBodyBytes`, or over four times that for all open streams
     // together, are rejected. This bounds the memory that a peer can use.
     Http2Session(Role role, std::size_t maxBodyBytes);
     ~Http2Session();
@@ -51,7 +52,7 @@
     // can be opened.
     [[nodiscard]] std::int32_t submit(std::string body);
     // Server: sends the response to a request.
-    void respond(std::int32_t stream, int status);
+    void respond(std::int32_t stream, int status, std::string body = {});
     // Server: returns and removes the requests received since the last call.
     [[nodiscard]] std::vector<Request> takeRequests();
     // Client: returns and removes the responses received since the last call.
@@ -62,8 +63,9 @@
 
     struct Stream
     {
-        std::string body; // sent by a client, received by a server; at most maxBodyBytes
-        std::size_t sent = 0; // bytes of the body passed to nghttp2
+        std::string body; // received; at most maxBodyBytes
+        std::string output; // body to send
+        std::size_t sent = 0; // bytes of the output passed to nghttp2
         int status = 0;
         bool isTooLarge = false;
     };
