--- a/carawaylatch/gateway/controlplane.cpp
+++ b/carawaylatch/gateway/controlplane.cpp
@@ -208,20 +208,20 @@
                 nextPause = m_settings.retryPause; // the store is overloaded, not down: it served some pages
             }
         } else {
-            const KindChanges changes = co_await nextChanges(*client, kind, since);
+            KindChanges changes;
+            co_await nextChanges(*client, kind, since, changes);
             isRelayed = changes.isRelayed;
-            if (changes.page) {
-                const ObjectPage &page = changes.page.value();
+            if (!changes.error) {
                 wasStoreUnavailable = wasStoreUnavailable || changes.isAfterOutage;
-                for (const StoredObject &object : page.objects) {
+                for (const StoredObject &object : changes.objects) {
                     m_state.onChange(kind, object, wasStoreUnavailable, m_clock.now());
                 }
-                result = std::max(page.asOf, since);
-                m_watchLog.onChanges(kind, since, result.value(), page.objects);
-                hasChanges = !page.objects.empty();
+                result = std::max(changes.revision, since);
+                m_watchLog.onChanges(kind, since, result.value(), changes.objects);
+                hasChanges = !changes.objects.empty();
                 confirmedAt = changes.confirmedAt;
             } else {
-                result = changes.page.error();
+                result = *changes.error;
             }
         }
         const base::TimePoint now = m_clock.now();
@@ -265,23 +265,25 @@
     }
 }
 
-Awaitable<ControlPlane::KindChanges> ControlPlane::nextChanges(ObjectClient &client, ObjectKind kind, std::uint64_t since)
+Awaitable<void> ControlPlane::nextChanges(ObjectClient &client, ObjectKind kind, std::uint64_t since, KindChanges &changes)
 {
     if (const auto reader = m_readers.reader(m_clock.now())) {
-        if (auto changes = co_await pollReader(*reader, kind, since)) {
-            co_return std::move(*changes);
+        const bool hasAnswered = co_await pollReader(*reader, kind, since, changes);
+        if (hasAnswered) {
+            co_return;
         }
     }
-    const base::Duration sentAt = TableAge::bootTime();
+    changes.confirmedAt = TableAge::bootTime();
     auto page = co_await client.watch(kind, since, watchWait(kind));
-    KindChanges changes;
-    changes.page = std::move(page);
-    changes.confirmedAt = sentAt;
-    co_return changes;
+    if (page) {
+        changes.revision = page.value().asOf;
+        changes.objects = std::move(page.value().objects);
+    } else {
+        changes.error = page.error();
+    }
 }
 
-// Returns nothing if the reader did not answer, or not with the newest state.
-Awaitable<std::optional<ControlPlane::KindChanges>> ControlPlane::pollReader(base::Endpoint reader, ObjectKind kind, std::uint64_t since)
+Awaitable<bool> ControlPlane::pollReader(base::Endpoint reader, ObjectKind kind, std::uint64_t since, KindChanges &changes)
 {
     const bool isTables = kind == ObjectKind::Tables;
     // The reader answers polls for the configuration at each confirmation.
@@ -299,17 +301,17 @@
     }
     if (!problem.empty()) {
         onReaderFailed(reader, kind, problem);
-        co_return std::nullopt;
+        co_return false;
     }
     m_readers.onAnswered(reader);
     logReader(reader, {});
     RelayAnswer &value = answer.value();
-    KindChanges changes;
-    changes.page = ObjectPage{std::move(value.objects), value.revision, false};
+    changes.revision = value.revision;
+    changes.objects = std::move(value.objects);
     changes.confirmedAt = sentAt + value.held - value.age;
     changes.isAfterOutage = value.isAfterOutage;
     changes.isRelayed = true;
-    co_return changes;
+    co_return true;
 }
 
 // The polls for the configuration are the shortest, so they detect a dead reader first.
@@ -356,7 +358,7 @@
     waiting.erase(it);
 }
 
-Awaitable<RelayAnswer> ControlPlane::answer(RelayPoll poll)
+Awaitable<std::unique_ptr<RelayAnswer>> ControlPlane::answer(RelayPoll poll)
 {
     const base::Duration arrivedAt = TableAge::bootTime();
     const base::TimePoint until = m_clock.now() + std::min(poll.wait, MaxHoldTime);
@@ -366,20 +368,19 @@
         const bool isReader = !m_readers.reader(now) && !m_isStopping;
         auto changes = m_watchLog.changesSince(poll.kind, poll.since);
         if (!isReader || !changes) {
-            RelayAnswer unknown;
-            co_return unknown;
+            co_return nullptr;
         }
         const Confirmation &confirmation = m_confirmations[poll.kind];
         const bool isConfirmed = poll.kind == ObjectKind::Tables && confirmation.count != count;
         if (!changes->objects.empty() || isConfirmed || now >= until) {
             const base::Duration at = TableAge::bootTime();
-            RelayAnswer known;
-            known.isKnown = true;
-            known.revision = changes->revision;
-            known.age = at - confirmation.at;
-            known.held = at - arrivedAt;
-            known.isAfterOutage = confirmation.isAfterOutage;
-            known.objects = std::move(changes->objects);
+            auto known = std::make_unique<RelayAnswer>();
+            known->isKnown = true;
+            known->revision = changes->revision;
+            known->age = at - confirmation.at;
+            known->held = at - arrivedAt;
+            known->isAfterOutage = confirmation.isAfterOutage;
+            known->objects = std::move(changes->objects);
             co_return known;
         }
         co_await waitForConfirmation(poll.kind, until - now);
--- a/carawaylatch/gateway/controlplane.h
+++ b/carawaylatch/gateway/controlplane.h
@@ -17,6 +17,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -78,13 +79,15 @@
     // unreachable for long. Its object is removed; a router that was only disconnected
     // writes it again.
     void onRouterUnreachable(const base::Endpoint &peers);
-    [[nodiscard]] Awaitable<RelayAnswer> answer(RelayPoll poll) override;
+    [[nodiscard]] Awaitable<std::unique_ptr<RelayAnswer>> answer(RelayPoll poll) override;
 
 private:
     // Changes of one kind of object, from the store or from a reader.
     struct KindChanges
     {
-        base::Result<ObjectPage> page = ObjectPage{};
+        std::optional<base::Error> error; // nothing was read
+        std::uint64_t revision = 0; // of the store, after the changes
+        std::vector<StoredObject> objects;
         base::Duration confirmedAt{}; // bootTime() at which the state was certainly the newest
         bool isAfterOutage = false;
         bool isRelayed = false;
@@ -100,8 +103,10 @@
         base::TimePoint startedAt;
     };
     [[nodiscard]] Awaitable<void> watchKind(ObjectKind kind);
-    [[nodiscard]] Awaitable<KindChanges> nextChanges(ObjectClient &client, ObjectKind kind, std::uint64_t since);
-    [[nodiscard]] Awaitable<std::optional<KindChanges>> pollReader(base::Endpoint reader, ObjectKind kind, std::uint64_t since);
+    // Results are passed by reference: GCC 12 destroys an aggregate that a coroutine returns twice.
+    [[nodiscard]] Awaitable<void> nextChanges(ObjectClient &client, ObjectKind kind, std::uint64_t since, KindChanges &changes);
+    // Returns false if the reader did not answer, or not with the newest state.
+    [[nodiscard]] Awaitable<bool> pollReader(base::Endpoint reader, ObjectKind kind, std::uint64_t since, KindChanges &changes);
     void onReaderFailed(const base::Endpoint &reader, ObjectKind kind, const std::string &problem);
     void logReader(const std::optional<base::Endpoint> &reader, const std::string &problem);
     void onConfirmed(ObjectKind kind, base::Duration confirmedAt, bool isAfterOutage);
--- a/carawaylatch/gateway/http2relay.cpp
+++ b/carawaylatch/gateway/http2relay.cpp
@@ -164,9 +164,9 @@
             return;
         }
         boost::asio::co_spawn(m_socket.get_executor(), m_relay->m_source->answer(poll.value()),
-                              [self = shared_from_this(), stream](const std::exception_ptr &error, const RelayAnswer &answer) {
+                              [self = shared_from_this(), stream](const std::exception_ptr & /*error*/, const std::unique_ptr<RelayAnswer> &answer) {
                                   if (self->m_relay != nullptr) {
-                                      self->m_session.respond(stream, StatusOk, encodeRelayAnswer(error ? RelayAnswer{} : answer));
+                                      self->m_session.respond(stream, StatusOk, encodeRelayAnswer(answer ? *answer : RelayAnswer{}));
                                       self->write();
                                   }
                               });
--- a/carawaylatch/gateway/testing/fakerelay.h
+++ b/carawaylatch/gateway/testing/fakerelay.h
@@ -54,7 +54,8 @@
         if (m_network.faults[reader] == RelayFault::Late) {
             co_await pause(m_network.lateDelay);
         }
-        co_return answer;
+        RelayAnswer unknown;
+        co_return answer ? std::move(*answer) : std::move(unknown);
     }
     void interrupt() override
     {
--- a/carawaylatch/gateway/testing/watchrelaytest.cpp
+++ b/carawaylatch/gateway/testing/watchrelaytest.cpp
@@ -46,10 +46,10 @@
 class FixedSource : public RelaySource
 {
 public:
-    Awaitable<RelayAnswer> answer(RelayPoll poll) override
+    Awaitable<std::unique_ptr<RelayAnswer>> answer(RelayPoll poll) override
     {
         lastPoll = poll;
-        co_return next;
+        co_return std::make_unique<RelayAnswer>(next);
     }
     RelayAnswer next;
     RelayPoll lastPoll;
--- a/carawaylatch/gateway/watchrelay.h
+++ b/carawaylatch/gateway/watchrelay.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -53,7 +54,8 @@
 {
 public:
     virtual ~RelaySource() = default;
-    [[nodiscard]] virtual Awaitable<RelayAnswer> answer(RelayPoll poll) = 0;
+    // Returns nullptr if this router is no reader, or does not know the changes.
+    [[nodiscard]] virtual Awaitable<std::unique_ptr<RelayAnswer>> answer(RelayPoll poll) = 0;
 };
 
 // Polls readers; one poll of a kind at a time.
