--- /dev/null
+++ b/carawaylatch/gateway/controlplanewatch.cpp
@@ -0,0 +1,292 @@
+// Lists and watches of controlplane.h, from the store or from a reader, and the answers to
+// routers that poll this one.
+//
+// A failed watch is restarted from the last revision that was read. A new list is needed
+// only if the store no longer has the changes since that revision. The configuration
+// counts as confirmed at the time when the confirming call was sent.
+#include "carawaylatch/gateway/controlplane.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <utility>
+
+#include "carawaylatch/config/valuetext.h"
+
+namespace carawaylatch::gateway
+{
+
+namespace
+{
+
+constexpr base::Duration MaxPartialListAge = base::seconds{10}; // half of the time for which a store keeps its history
+constexpr base::Duration RelayMargin = base::milliseconds{400}; // for a poll's way, and for the reader's own call to the store
+constexpr base::Duration MaxRelayDelay = base::seconds{1}; // of a reader's confirmation beyond the wait of its watch
+constexpr base::Duration MaxHoldTime = base::seconds{30}; // of a poll
+constexpr base::Duration RecoveryWindow = base::milliseconds{2500}; // after the store is available again, in which entries may still be missing
+constexpr base::Duration CoordinationPause = base::milliseconds{200}; // batches changes of ChangingEngines; draining takes three times as long
+
+} // namespace
+
+Awaitable<base::Result<std::uint64_t>> ControlPlane::listAll(ObjectClient &client, ObjectKind kind, bool wasStoreUnavailable, PartialList &partial)
+{
+    if (m_clock.now() - partial.startedAt > MaxPartialListAge) {
+        partial = PartialList{{}, {}, 0, m_clock.now()};
+    }
+    bool hasMore = true;
+    while (hasMore) {
+        auto page = co_await client.list(kind, partial.after);
+        if (!page) {
+            co_return page.error();
+        }
+        partial.asOf = partial.asOf == 0 ? page.value().asOf : partial.asOf;
+        hasMore = page.value().hasMore && !page.value().objects.empty();
+        for (StoredObject &object : page.value().objects) {
+            partial.after = object.name;
+            partial.objects.push_back(std::move(object));
+        }
+    }
+    const PartialList whole = std::exchange(partial, {});
+    m_state.onList(kind, whole.objects, wasStoreUnavailable, m_clock.now());
+    co_return whole.asOf;
+}
+
+// Restarts the other watches once the configuration watch succeeds again. Its wait is the
+// shortest, so it detects an outage first, while the others may still wait for responses
+// that never come.
+void ControlPlane::interruptWatches()
+{
+    for (const auto &[kind, client] : m_watches) {
+        if (kind != ObjectKind::Tables) {
+            client->interrupt();
+        }
+    }
+}
+
+base::Duration ControlPlane::watchWait(ObjectKind kind) const
+{
+    return kind == ObjectKind::Tables ? m_settings.watchWait : m_settings.longWatchWait;
+}
+
+// Delay that lets one call return changes that come together.
+base::Duration ControlPlane::pauseAfterChanges(ObjectKind kind) const
+{
+    switch (kind) {
+    case ObjectKind::Upstreams:
+        return m_settings.upstreamsPause;
+    case ObjectKind::Coordination:
+        return CoordinationPause;
+    case ObjectKind::Tables:
+    case ObjectKind::Weights:
+    case ObjectKind::Leases:
+        break;
+    }
+    return {};
+}
+
+Awaitable<void> ControlPlane::watchKind(ObjectKind kind)
+{
+    const std::shared_ptr<ObjectClient> client = m_clients.makeClient();
+    m_watches[kind] = client;
+    std::uint64_t since = 0; // last revision read; zero: list first
+    PartialList partial;
+    base::Duration nextPause = m_settings.retryPause;
+    std::optional<base::TimePoint> unavailableSince; // since the first of consecutive failed calls
+    base::TimePoint recoveredAt{}; // first success after failed calls
+    while (true) {
+        base::Duration confirmedAt = TableAge::bootTime();
+        const base::TimePoint callAt = m_clock.now();
+        bool wasStoreUnavailable = unavailableSince || callAt - recoveredAt < RecoveryWindow;
+        bool isRelayed = false;
+        base::Result<std::uint64_t> result = std::uint64_t{0};
+        bool hasChanges = false;
+        if (since == 0) {
+            const std::size_t read = partial.objects.size();
+            result = co_await listAll(*client, kind, wasStoreUnavailable && recoveredAt != base::TimePoint{}, partial);
+            if (result) {
+                m_watchLog.onListed(kind, result.value());
+            } else if (partial.objects.size() > read) {
+                nextPause = m_settings.retryPause; // the store is overloaded, not down: it served some pages
+            }
+        } else {
+            KindChanges changes;
+            co_await nextChanges(*client, kind, since, changes);
+            isRelayed = changes.isRelayed;
+            if (!changes.error) {
+                wasStoreUnavailable = wasStoreUnavailable || changes.isAfterOutage;
+                for (const StoredObject &object : changes.objects) {
+                    m_state.onChange(kind, object, wasStoreUnavailable, m_clock.now());
+                }
+                result = std::max(changes.revision, since);
+                m_watchLog.onChanges(kind, since, result.value(), changes.objects);
+                hasChanges = !changes.objects.empty();
+                confirmedAt = changes.confirmedAt;
+            } else {
+                result = *changes.error;
+            }
+        }
+        const base::TimePoint now = m_clock.now();
+        if (result) {
+            since = result.value();
+            nextPause = m_settings.retryPause;
+            if (unavailableSince) {
+                m_log.write(base::LogEvent::StoreRegained,
+                            {{"kind", std::string(objectKindName(kind))}, {"lost_ms", std::to_string(base::toMilliseconds(now - *unavailableSince))}});
+                unavailableSince.reset();
+                recoveredAt = now;
+                if (kind == ObjectKind::Tables) {
+                    interruptWatches();
+                }
+            }
+            if (recoveredAt == base::TimePoint{}) {
+                recoveredAt = now - RecoveryWindow;
+            }
+            onConfirmed(kind, confirmedAt, wasStoreUnavailable);
+            publishIfChanged();
+            if (hasChanges && !isRelayed) {
+                co_await pause(pauseAfterChanges(kind));
+            }
+            continue;
+        }
+        if (result.error().kind == base::ErrorKind::StaleState && since != 0) {
+            m_log.write(base::LogEvent::HistoryLost, {{"kind", std::string(objectKindName(kind))}});
+            since = 0;
+            continue;
+        }
+        if (!unavailableSince) {
+            unavailableSince = now;
+            m_log.write(base::LogEvent::StoreLost, {{"kind", std::string(objectKindName(kind))},
+                                                    {"problem", result.error().message},
+                                                    {"age_ms", std::to_string(base::toMilliseconds(m_tableAge.age()))}});
+        }
+        // Jitter, so that routers don't retry at the same moment.
+        const base::Duration wait = base::fromSeconds(base::toSeconds(nextPause) * (0.5 + m_random.uniformReal()));
+        nextPause = std::min<base::Duration>(nextPause * 2, m_settings.maxRetryPause);
+        co_await pause(wait);
+    }
+}
+
+Awaitable<void> ControlPlane::nextChanges(ObjectClient &client, ObjectKind kind, std::uint64_t since, KindChanges &changes)
+{
+    if (const auto reader = m_readers.reader(m_clock.now())) {
+        const bool hasAnswered = co_await pollReader(*reader, kind, since, changes);
+        if (hasAnswered) {
+            co_return;
+        }
+    }
+    changes.confirmedAt = TableAge::bootTime();
+    auto page = co_await client.watch(kind, since, watchWait(kind));
+    if (page) {
+        changes.revision = page.value().asOf;
+        changes.objects = std::move(page.value().objects);
+    } else {
+        changes.error = page.error();
+    }
+}
+
+Awaitable<bool> ControlPlane::pollReader(base::Endpoint reader, ObjectKind kind, std::uint64_t since, KindChanges &changes)
+{
+    const bool isTables = kind == ObjectKind::Tables;
+    // The reader answers polls for the configuration at each confirmation.
+    const base::Duration wait = isTables ? m_settings.watchWait + RelayMargin : watchWait(kind);
+    const base::Duration sentAt = TableAge::bootTime();
+    const RelayPoll poll{kind, since, wait};
+    auto answer = co_await m_relay.poll(reader, poll, wait + RelayMargin);
+    std::string problem;
+    if (!answer) {
+        problem = answer.error().message;
+    } else if (!answer.value().isKnown) {
+        problem = "the changes are not known there";
+    } else if (isTables && answer.value().age > m_settings.watchWait + MaxRelayDelay) {
+        problem = "its configuration is not confirmed";
+    }
+    if (!problem.empty()) {
+        onReaderFailed(reader, kind, problem);
+        co_return false;
+    }
+    m_readers.onAnswered(reader);
+    logReader(reader, {});
+    RelayAnswer &value = answer.value();
+    changes.revision = value.revision;
+    changes.objects = std::move(value.objects);
+    changes.confirmedAt = sentAt + value.held - value.age;
+    changes.isAfterOutage = value.isAfterOutage;
+    changes.isRelayed = true;
+    co_return true;
+}
+
+// The polls for the configuration are the shortest, so they detect a dead reader first.
+void ControlPlane::onReaderFailed(const base::Endpoint &reader, ObjectKind kind, const std::string &problem)
+{
+    m_readers.onFailed(reader, m_clock.now());
+    logReader(std::nullopt, problem);
+    if (kind == ObjectKind::Tables) {
+        m_relay.interrupt();
+    }
+}
+
+void ControlPlane::logReader(const std::optional<base::Endpoint> &reader, const std::string &problem)
+{
+    if (std::exchange(m_loggedReader, reader) != reader) {
+        m_log.write(base::LogEvent::ReaderChanged, {{"reader", reader ? config::formatEndpoint(*reader) : "store"}, {"problem", problem}});
+    }
+}
+
+void ControlPlane::onConfirmed(ObjectKind kind, base::Duration confirmedAt, bool isAfterOutage)
+{
+    Confirmation &confirmation = m_confirmations[kind];
+    confirmation.at = std::max(confirmation.at, confirmedAt);
+    confirmation.isAfterOutage = isAfterOutage;
+    ++confirmation.count;
+    for (boost::asio::steady_timer *timer : confirmation.waiting) {
+        timer->cancel();
+    }
+    if (kind == ObjectKind::Tables) {
+        m_tableAge.confirm(confirmation.at);
+    }
+    if (kind == ObjectKind::Coordination) {
+        m_readers.setRouters(m_state.relaysOf(m_settings.domain));
+    }
+}
+
+Awaitable<void> ControlPlane::waitForConfirmation(ObjectKind kind, base::Duration limit)
+{
+    boost::asio::steady_timer timer(m_loop, limit);
+    auto &waiting = m_confirmations[kind].waiting;
+    const auto it = waiting.insert(waiting.end(), &timer);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    waiting.erase(it);
+}
+
+Awaitable<std::unique_ptr<RelayAnswer>> ControlPlane::answer(RelayPoll poll)
+{
+    const base::Duration arrivedAt = TableAge::bootTime();
+    const base::TimePoint until = m_clock.now() + std::min(poll.wait, MaxHoldTime);
+    const std::uint64_t count = m_confirmations[poll.kind].count;
+    while (true) {
+        const base::TimePoint now = m_clock.now();
+        const bool isReader = !m_readers.reader(now) && !m_isStopping;
+        auto changes = m_watchLog.changesSince(poll.kind, poll.since);
+        if (!isReader || !changes) {
+            co_return nullptr;
+        }
+        const Confirmation &confirmation = m_confirmations[poll.kind];
+        const bool isConfirmed = poll.kind == ObjectKind::Tables && confirmation.count != count;
+        if (!changes->objects.empty() || isConfirmed || now >= until) {
+            const base::Duration at = TableAge::bootTime();
+            auto known = std::make_unique<RelayAnswer>();
+            known->isKnown = true;
+            known->revision = changes->revision;
+            known->age = at - confirmation.at;
+            known->held = at - arrivedAt;
+            known->isAfterOutage = confirmation.isAfterOutage;
+            known->objects = std::move(changes->objects);
+            co_return known;
+        }
+        co_await waitForConfirmation(poll.kind, until - now);
+    }
+}
+
+} // namespace carawaylatch::gateway
