A silent reader does not make a configuration too old to be ready

The poll took 2.0 s to fail, and the first watch of the store after it confirmed only after its own wait of 1.2 s; with the reader's last confirmation that is up to 4.5 s. Ruled out: the process that was still there at the end of a grace time; it was the next one, started after all were killed. Change: polls for the configuration end after two thirds of the watch's wait, with a margin of 0.3 s; the first watch after a failed reader waits for nothing.

--- a/carawaylatch/gateway/controlplanewatch.cpp
+++ b/carawaylatch/gateway/controlplanewatch.cpp
@@ -21,7 +21,9 @@
 {
 
 constexpr base::Duration MaxPartialListAge = base::seconds{10}; // half of the time for which a store keeps its history
-constexpr base::Duration RelayMargin = base::milliseconds{400}; // for a poll's way, and for the reader's own call to the store
+constexpr base::Duration RelayMargin = base::milliseconds{300}; // for a poll's way
+// Of the first watch after a reader failed: it confirms the state at once, as the last confirmation may be old.
+constexpr base::Duration FallbackWait = base::milliseconds{5};
 constexpr base::Duration MaxRelayDelay = base::seconds{1}; // of a reader's confirmation beyond the wait of its watch
 constexpr base::Duration MaxHoldTime = base::seconds{30}; // of a poll
 constexpr base::Duration RecoveryWindow = base::milliseconds{2500}; // after the store is available again, in which entries may still be missing
@@ -169,14 +171,16 @@
 
 Awaitable<void> ControlPlane::nextChanges(ObjectClient &client, ObjectKind kind, std::uint64_t since, KindChanges &changes)
 {
+    base::Duration wait = watchWait(kind);
     if (const auto reader = m_readers.reader(m_clock.now())) {
         const bool hasAnswered = co_await pollReader(*reader, kind, since, changes);
         if (hasAnswered) {
             co_return;
         }
+        wait = FallbackWait;
     }
     changes.confirmedAt = TableAge::bootTime();
-    auto page = co_await client.watch(kind, since, watchWait(kind));
+    auto page = co_await client.watch(kind, since, wait);
     if (page) {
         changes.revision = page.value().asOf;
         changes.objects = std::move(page.value().objects);
@@ -188,8 +192,9 @@
 Awaitable<bool> ControlPlane::pollReader(base::Endpoint reader, ObjectKind kind, std::uint64_t since, KindChanges &changes)
 {
     const bool isTables = kind == ObjectKind::Tables;
-    // The reader answers polls for the configuration at each confirmation.
-    const base::Duration wait = isTables ? m_settings.watchWait + RelayMargin : watchWait(kind);
+    // The reader answers polls for the configuration at each confirmation, and at least so often
+    // that a reader that is silent is seen before what it confirmed is too old.
+    const base::Duration wait = isTables ? m_settings.watchWait * 2 / 3 : watchWait(kind);
     const base::Duration sentAt = TableAge::bootTime();
     const RelayPoll poll{kind, since, wait};
     auto answer = co_await m_relay.poll(reader, poll, wait + RelayMargin);
--- a/carawaylatch/gateway/testing/watchrelaytest.cpp
+++ b/carawaylatch/gateway/testing/watchrelaytest.cpp
@@ -229,6 +229,7 @@
     CPPUNIT_TEST(testPollOverHttp2);
     CPPUNIT_TEST(testFewRoutersCallTheStore);
     CPPUNIT_TEST(testEveryFaultOfAReaderAtEveryStep);
+    CPPUNIT_TEST(testSilentReaderDoesNotAgeTheConfiguration);
     CPPUNIT_TEST(testStoreOutageIsSeenBehindReaders);
     CPPUNIT_TEST(testAgeIsCountedFromTheConfirmingCall);
     CPPUNIT_TEST_SUITE_END();
@@ -428,6 +429,28 @@
         std::cout << " readers: " << cases << " cases";
     }
 
+    // The configuration of a router whose reader falls silent stays young enough to be ready: at
+    // most the wait of the reader's watch, that of a poll, and the poll's margin.
+    void testSilentReaderDoesNotAgeTheConfiguration()
+    {
+        startCluster();
+        base::Duration oldest{};
+        for (const RelayFault fault : {RelayFault::Silent, RelayFault::None, RelayFault::Closed}) {
+            for (const auto &reader : readers()) {
+                m_cluster->network.faults[reader] = fault;
+            }
+            const auto end = m_clock.now() + base::milliseconds{1200};
+            while (m_clock.now() < end) {
+                m_loop->run_for(std::chrono::milliseconds{2});
+                for (const auto &router : m_cluster->routers) {
+                    oldest = std::max(oldest, router->age.age());
+                }
+            }
+        }
+        // 100 ms of a watch, 67 of a poll, 300 of its margin, and 200 for handlers on a loaded machine.
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(base::toMilliseconds(oldest)), oldest < base::milliseconds{100 + 67 + 300 + 200});
+    }
+
     // Routers behind a reader notice an outage of the store, by the age of what they know, and
     // keep upstreams whose entries expired meanwhile.
     void testStoreOutageIsSeenBehindReaders()
