--- a/carawaylatch/gateway/testing/watchrelaytest.cpp
+++ b/carawaylatch/gateway/testing/watchrelaytest.cpp
@@ -36,6 +36,7 @@
 std::vector<base::Endpoint> endpoints(int n)
 {
     std::vector<base::Endpoint> out;
+    out.reserve(static_cast<std::size_t>(n));
     for (int i = 0; i < n; ++i) {
         out.push_back({"10.0.0." + std::to_string(i + 1), 7000});
     }
@@ -297,6 +298,7 @@
     [[nodiscard]] std::vector<base::Endpoint> readers() const
     {
         std::vector<base::Endpoint> routers;
+        routers.reserve(Routers);
         for (int i = 0; i < Routers; ++i) {
             routers.push_back(relayOf(i));
         }
