A stop answers a request that is half read on a kept connection

Cause: once a stop had begun, a connection that had served a request read nothing more, so a request of which a part had arrived was answered only by its timeout; a request behind a stream whose head was sent before the stop was not answered at all. Change: what ends the reading is a response head that said that the connection closes. Tests: testStopAtEachStepOfALaterRequest and testRequestBehindAStreamIsAnswered; both fail before.

--- a/carawaylatch/proxy/callerconnection.cpp
+++ b/carawaylatch/proxy/callerconnection.cpp
@@ -98,7 +98,7 @@
 
 void CallerConnection::consumeInput()
 {
-    if (!m_exchange && !m_isReplying && !m_input.empty() && !m_isClosed && !m_isLingering && !isEnding()) {
+    if (!m_exchange && !m_isReplying && !m_input.empty() && !m_isClosed && !m_isLingering && !m_hasAnnouncedClose) {
         consumeRequest();
     }
 }
@@ -184,7 +184,7 @@
     exchange->start();
 }
 
-std::string CallerConnection::headText(const Reply &reply) const
+std::string CallerConnection::headText(const Reply &reply)
 {
     std::string out = "HTTP/1.1 " + std::to_string(reply.status) + ' ';
     out.append(reply.reason.empty() ? reasonPhrase(reply.status) : std::string_view(reply.reason)).append("\r\n");
@@ -193,6 +193,7 @@
     }
     if (m_closesAfterReply) {
         appendField(out, "Connection", "close");
+        m_hasAnnouncedClose = true;
     }
     return out;
 }
@@ -265,12 +266,12 @@
     m_exchange.reset();
     m_hasResponded = true;
     m_progressAt = m_plane.now();
-    if (m_closesAfterReply && !m_isWriting) {
+    if (m_hasAnnouncedClose && !m_isWriting) {
         closeGracefully();
         return;
     }
     armTimer();
-    if (!m_input.empty() && !m_closesAfterReply) {
+    if (!m_input.empty() && !m_hasAnnouncedClose) {
         // Posted, because a direct call would deepen the stack with each pipelined request.
         boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] {
             self->consumeInput();
@@ -329,7 +330,7 @@
     }
     if (m_exchange) {
         m_exchange->onCallerDrained();
-    } else if (m_closesAfterReply && !m_isReplying) {
+    } else if (m_hasAnnouncedClose && !m_isReplying) {
         closeGracefully();
     }
 }
@@ -438,12 +439,6 @@
     return true;
 }
 
-// True if the response that says so is being written or was written: nothing more is read.
-bool CallerConnection::isEnding() const
-{
-    return m_closesAfterReply && m_hasResponded;
-}
-
 void CallerConnection::closeGracefully()
 {
     if (m_isClosed || m_isLingering) {
--- a/carawaylatch/proxy/callerconnection.h
+++ b/carawaylatch/proxy/callerconnection.h
@@ -84,8 +84,7 @@
     void close();
     void setBufferedBody(std::size_t bytes);
     [[nodiscard]] bool mayHaveRequestUnderWay();
-    [[nodiscard]] bool isEnding() const;
-    [[nodiscard]] std::string headText(const Reply &reply) const;
+    [[nodiscard]] std::string headText(const Reply &reply);
 
     // Pipelined input that is buffered before reading stops.
     static constexpr std::size_t MaxPipelinedBytes = 65'536;
@@ -113,7 +112,8 @@
     bool m_isLingering = false; // has sent its end and waits for the caller's
     bool m_hasResponded = false; // at least once
     bool m_isLastByCaller = false; // the caller sends nothing after its current request
-    bool m_closesAfterReply = false; // requested by the caller or by shutdown
+    bool m_closesAfterReply = false; // requested by the caller or by shutdown; the next response head says so
+    bool m_hasAnnouncedClose = false; // a response head has said so; no further request is read
     bool m_isChunked = false; // the current response uses chunked transfer coding
     bool m_isReplying = false; // a streamed response has begun and is not complete
 };
