Taking an idle connection that is too old no longer uses a freed list

Cause: takeIdleConnection() held a reference to the upstream's list of idle connections and closed one that was too old; close() removes it and, with it, the list if it is empty. The next look at the list read freed memory. Change: the list is looked up again in each round. Test: testExpiredIdleConnectionIsNotReused, a use after free with the address sanitizer before, none after; test-platform with that sanitizer 75 passed.

--- a/carawaylatch/proxy/trafficplane.cpp
+++ b/carawaylatch/proxy/trafficplane.cpp
@@ -567,22 +567,20 @@
 
 std::shared_ptr<UpstreamConnection> TrafficPlane::takeIdleConnection(const Upstream &upstream, bool isRepeatable, std::string_view requestId)
 {
-    const auto it = m_idleConnections.find(upstream.id);
-    if (it == m_idleConnections.end()) {
-        return nullptr;
-    }
-    auto &idle = it->second;
-    while (!idle.empty()) {
-        auto connection = std::move(idle.back());
-        idle.pop_back();
+    while (true) {
+        const auto it = m_idleConnections.find(upstream.id);
+        if (it == m_idleConnections.end() || it->second.empty()) {
+            return nullptr;
+        }
+        auto connection = std::move(it->second.back());
+        it->second.pop_back();
         const bool isSameProcess = connection->startTimeMs() == upstream.startTimeMs;
         const bool isUnambiguous = connection->requestId() != requestId;
         if (isSameProcess && isUnambiguous && (isRepeatable || now() < connection->reusableUntil())) {
             return connection;
         }
-        connection->close();
+        connection->close(); // removes the upstream's list if it is empty
     }
-    return nullptr;
 }
 
 void TrafficPlane::addIdleConnection(std::shared_ptr<UpstreamConnection> connection)
