The relay tests wait for at least, not exactly, as many pollers as there are followers

The setup waited for exactly four routers that had polled; a reader that polled another one before it knew all routers makes five, for good. Change: the setup waits for four or more, up to 10 s. What the tests check is as before.

--- a/carawaylatch/gateway/testing/watchrelaytest.cpp
+++ b/carawaylatch/gateway/testing/watchrelaytest.cpp
@@ -261,9 +261,12 @@
             settings.watchWait = base::milliseconds{100};
             m_cluster->addRouter(settings);
         }
-        CPPUNIT_ASSERT(runUntil([this] {
-            return allHaveTable(1) && pollers() == Routers - 2;
-        }));
+        // A reader may itself have polled another router before it knew all routers.
+        CPPUNIT_ASSERT(runUntil(
+            [this] {
+                return allHaveTable(1) && pollers() >= Routers - 2;
+            },
+            base::seconds{10}));
     }
     void stopCluster()
     {
