A stream without a length is complete only after an empty line, with CRLF too

Callers saw 200 and a short body that ended as complete when an engine crashed inside an event of a stream that has neither a length nor chunks.

Class of fault: framing taken from the transport where only the content tells a complete response from a part.

Change: three bytes are kept, and endsWithEvent() stands beside the scanner that splits the other streams, so there is one definition. The type of the response is compared without case, and a response of a stream route without a type counts as a stream of events.

The same cause elsewhere: resumable streams go through EventScanner, which looks for the whole end; chunked responses and those with a length fail in the parser; a response of another type that is reset is an error (testResponseThatBreaksOff); control calls carry JSON, of which a part does not parse; carawaylatchd checks the count in the last event.

Before: testUnframedStreamIsCompleteOnlyAfterAnEvent failed at 7 bytes with CRLF, passed with LF. After: it passes, with the 11 other tests of its suite and the 53 of test-proxy.

--- a/carawaylatch/proxy/eventscanner.cpp
+++ b/carawaylatch/proxy/eventscanner.cpp
@@ -53,6 +53,11 @@
 
 } // namespace
 
+bool endsWithEvent(std::string_view lastBytes)
+{
+    return lastBytes.ends_with("\n\n") || lastBytes.ends_with("\n\r\n");
+}
+
 EventScanner::EventScanner(std::optional<std::uint64_t> lastEventId)
     : m_lastEventId(lastEventId)
     , m_isResumed(lastEventId.has_value())
@@ -97,8 +102,8 @@
         m_searched = 0;
     }
     m_partial.erase(0, begin);
-    constexpr std::size_t EndBytes = 2; // of an event's end, which may have arrived in part
-    m_searched = m_partial.size() > EndBytes ? m_partial.size() - EndBytes : 0;
+    constexpr std::size_t PartialEndBytes = EventEndBytes - 1; // of an event's end, which may have arrived in part
+    m_searched = m_partial.size() > PartialEndBytes ? m_partial.size() - PartialEndBytes : 0;
     if (m_partial.size() > MaxEventBytes) {
         m_isTooLong = true;
         m_partial = {};
--- a/carawaylatch/proxy/eventscanner.h
+++ b/carawaylatch/proxy/eventscanner.h
@@ -14,6 +14,12 @@
 namespace carawaylatch::proxy
 {
 
+// Longest end of an event: a line end and an empty line.
+constexpr std::size_t EventEndBytes = 3;
+
+// True if a stream whose last bytes, EventEndBytes or fewer if it is shorter, are these ends with a complete event.
+[[nodiscard]] bool endsWithEvent(std::string_view lastBytes);
+
 class EventScanner
 {
 public:
--- a/carawaylatch/proxy/exchange.h
+++ b/carawaylatch/proxy/exchange.h
@@ -79,6 +79,7 @@
     void releaseAttempt(AttemptEnd end);
     [[nodiscard]] AttemptEnd classifyResponse() const;
     [[nodiscard]] bool endsInsideEvent() const;
+    [[nodiscard]] bool isEventStream() const;
     void noteEventBoundary(std::string_view bytes);
     void forwardResponse();
     void beginStream();
@@ -127,7 +128,7 @@
     std::optional<base::TimePoint> m_firstByteAt; // first byte of the response
     base::TimePoint m_lastByteAt; // last bytes of a streamed response
     base::TimePoint m_lastEventAt; // last complete events of a resumable stream
-    std::string m_lastBytes; // the last two of a stream that is passed through
+    std::string m_lastBytes; // up to EventEndBytes of a stream that is passed through
     base::Duration m_longestGap{}; // between consecutive reads of a streamed response
     base::UpstreamId m_lastUpstream;
     bool m_isStreaming = false; // the response head was sent to the caller
--- a/carawaylatch/proxy/exchangeattempt.cpp
+++ b/carawaylatch/proxy/exchangeattempt.cpp
@@ -261,16 +261,26 @@
         return !m_scanner.isAtBoundary();
     }
     const HttpFields &fields = m_attempt->head.fields;
-    const std::string *type = findField(fields, "content-type");
     const bool endsWithConnection = findField(fields, "content-length") == nullptr && findField(fields, "transfer-encoding") == nullptr;
-    return endsWithConnection && type != nullptr && type->starts_with("text/event-stream") && m_lastBytes != "\n\n" && m_lastBytes != "\r\n";
+    return endsWithConnection && isEventStream() && !endsWithEvent(m_lastBytes);
 }
 
-// Keeps the last two bytes of a stream that is forwarded without splitting it into events.
+// A response on a stream route is a stream of events unless its type says otherwise.
+bool Exchange::isEventStream() const
+{
+    constexpr std::string_view EventStreamType = "text/event-stream";
+    const std::string *type = findField(m_attempt->head.fields, "content-type");
+    if (type == nullptr) {
+        return m_route->kind == CallKind::Stream;
+    }
+    return equalsIgnoringCase(std::string_view(*type).substr(0, EventStreamType.size()), EventStreamType);
+}
+
+// Keeps the last bytes of a stream that is forwarded without splitting it into events.
 void Exchange::noteEventBoundary(std::string_view bytes)
 {
-    m_lastBytes.append(bytes.substr(bytes.size() - std::min<std::size_t>(bytes.size(), 2)));
-    m_lastBytes.erase(0, m_lastBytes.size() - std::min<std::size_t>(m_lastBytes.size(), 2));
+    m_lastBytes.append(bytes.substr(bytes.size() - std::min(bytes.size(), EventEndBytes)));
+    m_lastBytes.erase(0, m_lastBytes.size() - std::min(m_lastBytes.size(), EventEndBytes));
 }
 
 void Exchange::onResponseError(std::string_view problem)
