Log the shared prompt parts and the start of the output of a failed attempt

From the log: all connections to an engine end in the same millisecond at all routers, and resumable requests are tried again at the next engine.

Hypotheses: one part is common to the crashes; one caller is; the load that is sent again crashes engines. The log of a failed attempt told none of them apart. It now has the shared parts of the prompt and how long ago its output began. A line grows only where an attempt failed.

No decision changed.

--- a/carawaylatch/proxy/exchange.h
+++ b/carawaylatch/proxy/exchange.h
@@ -33,7 +33,7 @@
     AttemptLoad load;
     base::TimePoint startedAt;
     bool isSent = false;
-    bool hasStarted = false;
+    std::optional<base::TimePoint> startedOutputAt; // first body bytes received
     bool hasCachedPrefix = false; // as expected when the upstream was selected
     HttpResponseHead head;
     UpstreamResponse response;
--- a/carawaylatch/proxy/exchangeattempt.cpp
+++ b/carawaylatch/proxy/exchangeattempt.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "carawaylatch/proxy/kvtransfer.h"
+#include "carawaylatch/proxy/promptparts.h"
 #include "carawaylatch/proxy/trafficplane.h"
 
 namespace carawaylatch::proxy
@@ -148,8 +149,8 @@
     ++m_plane.counts().reads;
     Attempt &attempt = *m_attempt;
     m_plane.tracker().onBytesReceived(*attempt.record, m_plane.now());
-    if (!attempt.hasStarted) {
-        attempt.hasStarted = true;
+    if (!attempt.startedOutputAt) {
+        attempt.startedOutputAt = m_plane.now();
         m_plane.tracker().onFirstOutput(*attempt.record, attempt.load);
     }
     if (m_isStreaming) {
@@ -300,7 +301,7 @@
     }
     m_startTimer = m_plane.timers().after(*supersededAt, m_plane.settings().placement.oldWeightsStart, [weak = weak_from_this()](base::TimePoint) {
         const auto self = weak.lock();
-        if (self && self->m_attempt && !self->m_attempt->hasStarted) {
+        if (self && self->m_attempt && !self->m_attempt->startedOutputAt) {
             self->endAttempt(AttemptEnd::Broken, "not started before its weights were too old");
         }
     });
@@ -349,7 +350,7 @@
     m_startTimer.cancel();
     Attempt &attempt = *m_attempt;
     const base::TimePoint now = m_plane.now();
-    m_plane.tracker().onAttemptEnded(*attempt.record, attempt.load, attempt.hasStarted, end, now);
+    m_plane.tracker().onAttemptEnded(*attempt.record, attempt.load, attempt.startedOutputAt.has_value(), end, now);
     m_plane.queue(m_pool).completionRate().record(now);
     m_plane.schedulePlacement();
 }
@@ -374,7 +375,9 @@
                              {"next", std::string(nextStepName(step))},
                              {"problem", problem.empty() ? "status " + std::to_string(m_attempt->head.status) : std::string(problem)},
                              {"elapsed_ms", base::formatMilliseconds(now - m_attempt->startedAt)},
-                             {"load", std::to_string(m_attempt->record->inflight)}});
+                             {"load", std::to_string(m_attempt->record->inflight)},
+                             {"output_ms", m_attempt->startedOutputAt ? base::formatMilliseconds(now - *m_attempt->startedOutputAt) : std::string("-")},
+                             {"prompt", formatSharedParts(m_request.parts)}});
     }
     switch (step) {
     case NextStep::Retry:
