Block prompt parts that crash engines, found by what their crashes have in common

Cause: nothing related crashes to prompts. Each request with the part was placed at the next engine, and a resumable one was tried again at one more. Class of fault: retrying and re-placing work that is itself the cause of the failure.

Change: CrashAttribution counts crashes by shared part, a complete response clears a part, three separate crashes block one; routers share the states by the exchange of load reports, as a message of its own, which routers of the version before refuse without harm. New requests get 503 with what is left of the block, waiting ones too; one at an engine without output ends as well.

--- a/carawaylatch/proxy/callerconnection.cpp
+++ b/carawaylatch/proxy/callerconnection.cpp
@@ -439,6 +439,13 @@
     return true;
 }
 
+void CallerConnection::endBlockedRequest()
+{
+    if (const auto exchange = m_exchange) {
+        exchange->endIfBlocked();
+    }
+}
+
 void CallerConnection::closeGracefully()
 {
     if (m_isClosed || m_isLingering) {
--- a/carawaylatch/proxy/callerconnection.h
+++ b/carawaylatch/proxy/callerconnection.h
@@ -58,6 +58,8 @@
     void closeWhenIdle();
     // Ends the request in progress with an explicit response; true if there was one.
     bool endRequest();
+    // Ends the request in progress if its prompt is blocked and no output has begun.
+    void endBlockedRequest();
     [[nodiscard]] bool isIdle() const;
     // Bytes not yet written to the socket.
     [[nodiscard]] std::size_t queuedBytes() const;
--- a/carawaylatch/proxy/exchange.cpp
+++ b/carawaylatch/proxy/exchange.cpp
@@ -163,15 +163,36 @@
     return true;
 }
 
+bool Exchange::endIfBlocked()
+{
+    if (m_isEnded || (m_attempt && m_attempt->startedOutputAt)) {
+        return false;
+    }
+    const auto blocked = m_plane.crashes().blockedFor(m_request.model, m_request.parts, m_plane.now());
+    if (!blocked) {
+        return false;
+    }
+    ++m_plane.counts().blocked;
+    leaveQueue();
+    if (m_attempt) {
+        releaseAttempt(AttemptEnd::Answered); // no fault of the upstream
+    }
+    giveUp("prompt_part_blocked", *blocked);
+    return true;
+}
+
 void Exchange::placeOrQueue()
 {
+    if (endIfBlocked()) {
+        return;
+    }
     if (m_plane.queue(m_pool).isEmpty() || m_history.sent > 0) {
         if (tryToPlace()) {
             return;
         }
     }
     if (!m_triedUpstreams.empty() && !hasUntriedUpstream()) {
-        giveUp("no_other_upstream");
+        giveUp("no_other_upstream", queueRetryDelay());
         return;
     }
     joinQueue();
@@ -187,17 +208,22 @@
 }
 
 // No upstream can take the request in time.
-void Exchange::giveUp(std::string_view reason)
+void Exchange::giveUp(std::string_view reason, base::Duration retryAfter)
 {
     if (m_isStreaming) {
         abortReply(reason);
     } else if (m_history.sent == m_history.notExecuted) {
-        refuse(reason, m_plane.queue(m_pool).retryDelay(m_urgency, m_plane.now()));
+        refuse(reason, retryAfter);
     } else {
         replyLocally(502, reason, {});
     }
 }
 
+base::Duration Exchange::queueRetryDelay() const
+{
+    return m_plane.queue(m_pool).retryDelay(m_urgency, m_plane.now());
+}
+
 void Exchange::joinQueue()
 {
     const base::TimePoint now = m_plane.now();
@@ -215,7 +241,7 @@
         const auto self = weak.lock();
         if (self && self->m_queueKey) {
             self->leaveQueue();
-            self->giveUp("no_room");
+            self->giveUp("no_room", self->queueRetryDelay());
         }
     });
 }
--- a/carawaylatch/proxy/exchange.h
+++ b/carawaylatch/proxy/exchange.h
@@ -50,6 +50,8 @@
     void cancel();
     // Ends at once with an explicit response: refused if the request certainly has not run.
     void end(std::string_view reason);
+    // Ends the request if its prompt is blocked and no output has begun. Returns true if it did.
+    bool endIfBlocked();
     // All bytes queued for the caller have been written.
     void onCallerDrained();
     // Starts an attempt if an upstream has capacity; returns false if none has.
@@ -68,7 +70,9 @@
     [[nodiscard]] bool isAuthorised();
     void placeOrQueue();
     [[nodiscard]] bool hasUntriedUpstream() const;
-    void giveUp(std::string_view reason);
+    void giveUp(std::string_view reason, base::Duration retryAfter);
+    [[nodiscard]] base::Duration queueRetryDelay() const;
+    void reportBreak();
     void joinQueue();
     void startAttempt(const PlacementResult &placement);
     void onConnected(std::string_view problem);
--- a/carawaylatch/proxy/exchangeattempt.cpp
+++ b/carawaylatch/proxy/exchangeattempt.cpp
@@ -248,6 +248,7 @@
     }
     const AttemptEnd end = classifyResponse();
     if (m_isStreaming && end == AttemptEnd::Answered && endsInsideEvent()) {
+        reportBreak();
         endAttempt(AttemptEnd::Broken, "the stream ended inside an event");
         return;
     }
@@ -287,10 +288,24 @@
 void Exchange::onResponseError(std::string_view problem)
 {
     if (m_attempt) {
+        reportBreak();
         endAttempt(AttemptEnd::Broken, problem);
     }
 }
 
+// The upstream broke the attempt off. It may have crashed, and this request may be the cause if
+// its output had hardly begun.
+void Exchange::reportBreak()
+{
+    const Attempt &attempt = *m_attempt;
+    const base::TimePoint now = m_plane.now();
+    const bool hasLongBegun = attempt.startedOutputAt && now - *attempt.startedOutputAt > CrashAttribution::FirstOutputTime;
+    if (attempt.isSent && !hasLongBegun) {
+        const Upstream &upstream = attempt.record->upstream;
+        m_plane.crashes().onBrokenOff({m_request.model, m_request.parts, upstream.id, upstream.startTimeMs, now});
+    }
+}
+
 void Exchange::watchStart()
 {
     const auto view = m_plane.view();
@@ -359,6 +374,9 @@
 {
     const base::TimePoint now = m_plane.now();
     releaseAttempt(end);
+    if (end == AttemptEnd::Answered && m_attempt->head.status < 300) {
+        m_plane.crashes().onAnswered(m_request.model, m_request.parts, now);
+    }
     m_history.connectFailures += end == AttemptEnd::NotSent ? 1 : 0;
     m_history.notExecuted += end == AttemptEnd::NotExecuted ? 1 : 0;
     m_history.hasTimeLeft = timeLeft(now) > base::Duration{};
--- a/carawaylatch/proxy/peerexchange.cpp
+++ b/carawaylatch/proxy/peerexchange.cpp
@@ -31,6 +31,11 @@
 constexpr int StatusAccepted = 204;
 constexpr int StatusRejected = 400;
 
+std::string encodeIfAny(const CrashReport &report)
+{
+    return report.parts.empty() ? std::string() : encodeCrashReport(report);
+}
+
 } // namespace
 
 std::vector<base::Endpoint> reportPeers(std::span<const base::Endpoint> routers, const base::Endpoint &self)
@@ -298,7 +303,7 @@
     std::optional<base::TimePoint> m_lostSince; // the first failure since the last response
 };
 
-PeerExchange::PeerExchange(boost::asio::io_context &loop, const base::Clock &clock, base::Endpoint self, const std::string &id, LoadReportSource &source,
+PeerExchange::PeerExchange(boost::asio::io_context &loop, const base::Clock &clock, base::Endpoint self, const std::string &id, PeerReportSource &source,
                            telemetry::EventLog &log)
     : m_loop(loop)
     , m_clock(clock)
@@ -384,15 +389,20 @@
     if (isDue) {
         m_reportedAt = now;
     }
+    const std::string crashChangesText = encodeIfAny(m_source.takeCrashChanges());
     std::string fullText; // built only if a peer needs it, which is rare
+    std::string fullCrashText;
     for (const auto &[endpoint, outbound] : m_outbound) {
         outbound->tick();
-        if (outbound->needsFullReport() && fullText.empty()) {
+        const bool needsFullReport = outbound->needsFullReport();
+        if (needsFullReport && fullText.empty()) {
             LoadReport full = m_source.fullReport();
             full.placements = changes.placements;
             fullText = encode(std::move(full));
+            fullCrashText = encodeIfAny(m_source.fullCrashReport());
         }
-        outbound->send(outbound->needsFullReport() ? fullText : changesText);
+        outbound->send(needsFullReport ? fullText : changesText);
+        outbound->send(needsFullReport ? fullCrashText : crashChangesText);
     }
 }
 
@@ -405,9 +415,18 @@
 
 void PeerExchange::onInbound(std::string_view body)
 {
-    const auto report = decodeLoadReport(body);
+    if (isCrashReport(body)) {
+        apply(decodeCrashReport(body), &PeerReportSource::onCrashReport);
+    } else {
+        apply(decodeLoadReport(body), &PeerReportSource::onReport);
+    }
+}
+
+template <typename Report>
+void PeerExchange::apply(const base::Result<Report> &report, void (PeerReportSource::*handler)(const Report &))
+{
     if (report) {
-        m_source.onReport(report.value());
+        (m_source.*handler)(report.value());
     } else if (!std::exchange(m_hasLoggedBadReport, true)) {
         m_log.write(base::LogEvent::PeerReportRefused, {{"problem", report.error().message}});
     }
--- a/carawaylatch/proxy/peerexchange.h
+++ b/carawaylatch/proxy/peerexchange.h
@@ -1,4 +1,4 @@
-// Exchanges load reports (loadreport.h) with other routers.
+// Exchanges load reports (loadreport.h) and crash reports (crashreport.h) with other routers.
 //
 // Each router keeps one HTTP/2 connection to each of its peers and posts a report
 // every ReportInterval in which something changed, and a heartbeat (an empty report)
@@ -21,6 +21,7 @@
 
 #include "carawaylatch/base/ids.h"
 #include "carawaylatch/base/time.h"
+#include "carawaylatch/proxy/crashreport.h"
 #include "carawaylatch/proxy/loadreport.h"
 #include "carawaylatch/proxy/socket.h"
 #include "carawaylatch/telemetry/eventlog.h"
@@ -36,14 +37,18 @@
 [[nodiscard]] std::vector<base::Endpoint> reportPeers(std::span<const base::Endpoint> routers, const base::Endpoint &self);
 
 // Provides this router's reports and receives those of peers.
-class LoadReportSource
+class PeerReportSource
 {
 public:
-    virtual ~LoadReportSource() = default;
+    virtual ~PeerReportSource() = default;
     // Changes since the last call.
     [[nodiscard]] virtual LoadReport takeChanges() = 0;
     [[nodiscard]] virtual LoadReport fullReport() const = 0;
     virtual void onReport(const LoadReport &report) = 0;
+    // The same for prompt parts that may crash upstreams; nothing is sent for an empty report.
+    [[nodiscard]] virtual CrashReport takeCrashChanges() = 0;
+    [[nodiscard]] virtual CrashReport fullCrashReport() const = 0;
+    virtual void onCrashReport(const CrashReport &report) = 0;
     // A peer has not responded for UnreachableTimeout. Repeated after each further UnreachableTimeout.
     virtual void onPeerUnreachable(const base::Endpoint &peer) = 0;
 };
@@ -53,7 +58,7 @@
 public:
     // All references must outlive the exchange. `self` is the endpoint to which other
     // routers connect, and `id` identifies this router in reports.
-    PeerExchange(boost::asio::io_context &loop, const base::Clock &clock, base::Endpoint self, const std::string &id, LoadReportSource &source,
+    PeerExchange(boost::asio::io_context &loop, const base::Clock &clock, base::Endpoint self, const std::string &id, PeerReportSource &source,
                  telemetry::EventLog &log);
     ~PeerExchange();
     PeerExchange(const PeerExchange &) = delete;
@@ -77,12 +82,14 @@
 
     void accept();
     void onInbound(std::string_view body);
+    template <typename Report>
+    void apply(const base::Result<Report> &report, void (PeerReportSource::*handler)(const Report &));
     [[nodiscard]] std::string encode(LoadReport report) const;
 
     boost::asio::io_context &m_loop;
     const base::Clock &m_clock;
     const base::Endpoint m_self;
-    LoadReportSource &m_source;
+    PeerReportSource &m_source;
     telemetry::EventLog &m_log;
     const std::uint64_t m_sender;
     const std::uint64_t m_incarnation;
--- /dev/null
+++ b/carawaylatch/proxy/testing/crashattributiontest.cpp
@@ -0,0 +1,375 @@
+// Tests of the attribution of crashes to prompt parts, alone and shared by routers, in virtual time.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "carawaylatch/base/hash.h"
+#include "carawaylatch/proxy/crashattribution.h"
+#include "carawaylatch/proxy/peerexchange.h"
+#include "testing/seed.h"
+
+namespace carawaylatch::proxy::testing
+{
+
+namespace
+{
+
+const base::TimePoint Start{base::hours{1}};
+const base::ModelId Model{"m"};
+constexpr std::uint64_t Template = 0xa1;
+constexpr std::uint64_t Fatal = 0xdead;
+constexpr base::Duration Tick = base::milliseconds{50}; // PeerExchange::ReportInterval
+
+std::vector<PromptPart> prompt(std::initializer_list<std::uint64_t> shared)
+{
+    std::vector<PromptPart> parts;
+    for (const std::uint64_t id : shared) {
+        parts.push_back({id, 100});
+    }
+    parts.push_back({0xffff, 10}); // the request's own part
+    return parts;
+}
+
+bool neverAnswers(const BrokenRequest & /*request*/, base::TimePoint /*since*/)
+{
+    return false;
+}
+
+// Routers that exchange their changes each tick with the neighbours that they have in a fleet.
+class Fleet
+{
+public:
+    explicit Fleet(std::size_t size)
+        : routers(size)
+        , m_peers(size)
+    {
+        std::vector<base::Endpoint> endpoints;
+        for (std::size_t i = 0; i < size; ++i) {
+            endpoints.push_back({"10.0.0.1", static_cast<std::uint16_t>(1000 + i)});
+        }
+        for (std::size_t i = 0; i < size; ++i) {
+            for (const base::Endpoint &peer : reportPeers(endpoints, endpoints[i])) {
+                m_peers[i].push_back(peer.port - 1000U);
+            }
+        }
+    }
+
+    void tick()
+    {
+        now += Tick;
+        std::vector<std::string> reports;
+        for (CrashAttribution &router : routers) {
+            router.advance(now, neverAnswers);
+            const CrashReport changes = router.takeChanges(now);
+            reportedParts += changes.parts.size();
+            reports.push_back(encodeCrashReport(changes));
+        }
+        for (std::size_t i = 0; i < routers.size(); ++i) {
+            for (const std::size_t peer : m_peers[i]) {
+                routers[peer].apply(decodeCrashReport(reports[i]).value(), now);
+            }
+        }
+    }
+
+    void run(base::Duration duration)
+    {
+        for (const base::TimePoint end = now + duration; now < end;) {
+            tick();
+        }
+    }
+
+    void breakOff(std::size_t router, std::initializer_list<std::uint64_t> shared, int upstream)
+    {
+        routers[router].onBrokenOff({Model, prompt(shared), base::UpstreamId("e" + std::to_string(upstream)), 1, now});
+    }
+
+    void answer(std::size_t router, std::initializer_list<std::uint64_t> shared)
+    {
+        routers[router].onAnswered(Model, prompt(shared), now);
+    }
+
+    [[nodiscard]] bool isBlocked(std::size_t router, std::initializer_list<std::uint64_t> shared) const
+    {
+        return routers[router].blockedFor(Model, prompt(shared), now).has_value();
+    }
+
+    [[nodiscard]] std::size_t blockedAt(std::initializer_list<std::uint64_t> shared) const
+    {
+        std::size_t n = 0;
+        for (std::size_t i = 0; i < routers.size(); ++i) {
+            n += isBlocked(i, shared) ? 1 : 0;
+        }
+        return n;
+    }
+
+    std::vector<CrashAttribution> routers;
+    base::TimePoint now = Start;
+    std::size_t reportedParts = 0;
+
+private:
+    std::vector<std::vector<std::size_t>> m_peers;
+};
+
+} // namespace
+
+class CrashAttributionTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(CrashAttributionTest);
+    CPPUNIT_TEST(testRequestsWithAFatalPart);
+    CPPUNIT_TEST(testFatalPartAtEachDepth);
+    CPPUNIT_TEST(testUpstreamsThatFailTogether);
+    CPPUNIT_TEST(testUpstreamThatStillAnswers);
+    CPPUNIT_TEST(testAnswerClearsAPart);
+    CPPUNIT_TEST(testBlockEndsAndIsRenewed);
+    CPPUNIT_TEST(testRouterThatStartsLater);
+    CPPUNIT_TEST(testReportsInAnyOrder);
+    CPPUNIT_TEST(testTablesAreBounded);
+    CPPUNIT_TEST(testReportEncoding);
+    CPPUNIT_TEST(testMalformedReports);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Load: requests with a fatal part at random routers, a few a second, of which each sent one ends an engine; sound
+    // requests share the template and the session, some are at the engine that ends. The users allow three sends
+    // later than three seconds after the fifth crash.
+    void testRequestsWithAFatalPart()
+    {
+        constexpr base::Duration StableWindow = base::seconds{3};
+        for (const std::size_t routers : {1, 4, 35, 77}) {
+            for (const int interval : {50, 200, 600, 2000}) { // ms between requests with the part
+                base::Random random(carawaylatch::testing::seed() + routers);
+                Fleet fleet(routers);
+                int crashes = 0;
+                int late = 0;
+                base::TimePoint fifthAt = base::TimePoint::max();
+                const base::TimePoint end = fleet.now + base::seconds{30};
+                for (base::TimePoint next = fleet.now; fleet.now < end; fleet.tick()) {
+                    const std::uint64_t session = 0xc0 + random.below(4);
+                    fleet.answer(random.below(routers), {Template, session});
+                    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.blockedAt({Template, session}));
+                    const std::size_t router = random.below(routers);
+                    if (fleet.now < next) {
+                        continue;
+                    }
+                    next += base::milliseconds{interval};
+                    if (fleet.isBlocked(router, {Template, 0xc0, Fatal})) {
+                        continue;
+                    }
+                    late += fifthAt != base::TimePoint::max() && fleet.now - fifthAt > StableWindow ? 1 : 0;
+                    fifthAt = ++crashes == 5 ? fleet.now : fifthAt;
+                    fleet.breakOff(router, {Template, 0xc0, Fatal}, crashes);
+                    fleet.breakOff(random.below(routers), {Template, session}, crashes);
+                }
+                const std::string text = std::to_string(routers) + " routers, " + std::to_string(interval) + " ms, " + std::to_string(crashes) + " crashes";
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(text, routers, fleet.blockedAt({Template, 0xc0, Fatal}));
+                CPPUNIT_ASSERT_MESSAGE(text, late <= 3);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(text, std::size_t{0}, fleet.blockedAt({Template, 0xc0}));
+            }
+        }
+    }
+
+    // The part stands first, in the middle or last of the shared ones; its neighbours are answered elsewhere.
+    void testFatalPartAtEachDepth()
+    {
+        for (std::size_t depth = 0; depth < 3; ++depth) {
+            Fleet fleet(4);
+            for (int crash = 0; crash < 3; ++crash) {
+                std::vector<std::uint64_t> ids{Template, 0xc0};
+                ids.insert(ids.begin() + static_cast<std::ptrdiff_t>(depth), Fatal);
+                fleet.breakOff(0, {ids[0], ids[1], ids[2]}, crash);
+                fleet.run(base::milliseconds{300});
+                fleet.answer(1, {Template, 0xc0});
+                fleet.run(base::milliseconds{300});
+            }
+            CPPUNIT_ASSERT_EQUAL(std::size_t{4}, fleet.blockedAt({Fatal}));
+            CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.blockedAt({Template, 0xc0}));
+        }
+    }
+
+    // A failure domain loses power, twice: the prompts are not the cause.
+    void testUpstreamsThatFailTogether()
+    {
+        Fleet fleet(4);
+        for (int failure = 0; failure < 2; ++failure) {
+            for (int upstream = 0; upstream < 6; ++upstream) {
+                fleet.breakOff(upstream % 4, {Template, 0xc0}, failure * 10 + upstream);
+            }
+            fleet.run(base::seconds{1});
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.blockedAt({Template, 0xc0}));
+    }
+
+    void testUpstreamThatStillAnswers()
+    {
+        CrashAttribution router;
+        for (int i = 0; i < 5; ++i) {
+            const base::TimePoint now = Start + base::seconds{i};
+            router.onBrokenOff({Model, prompt({Fatal}), base::UpstreamId("e" + std::to_string(i)), 1, now});
+            router.advance(now + base::milliseconds{250}, [now](const BrokenRequest &request, base::TimePoint since) {
+                CPPUNIT_ASSERT(request.at == now && since == now + CrashAttribution::LateBytesTime);
+                return true;
+            });
+        }
+        CPPUNIT_ASSERT(router.fullReport(Start).parts.empty());
+    }
+
+    // Before the block, and during it by a request that was under way.
+    void testAnswerClearsAPart()
+    {
+        Fleet fleet(4);
+        for (int crash = 0; crash < 6; ++crash) {
+            fleet.breakOff(crash % 4, {Template, Fatal}, crash);
+            fleet.run(base::milliseconds{300});
+            if (crash == 1) {
+                fleet.answer(2, {Template, Fatal});
+                fleet.tick();
+            }
+            const std::size_t expected = crash < 4 ? 0 : 4;
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(std::to_string(crash), expected, fleet.blockedAt({Template, Fatal}));
+        }
+        fleet.answer(3, {Template, Fatal});
+        fleet.run(base::milliseconds{300});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.blockedAt({Template, Fatal}));
+        const auto verdicts = fleet.routers[0].takeVerdicts();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, verdicts.size());
+        CPPUNIT_ASSERT(verdicts[0].isBlocked && !verdicts[1].isBlocked && verdicts[1].id == Fatal);
+    }
+
+    void testBlockEndsAndIsRenewed()
+    {
+        Fleet fleet(2);
+        int upstream = 0;
+        const auto crash = [&] {
+            fleet.breakOff(0, {Template, Fatal}, upstream++);
+            fleet.run(base::milliseconds{300});
+        };
+        crash();
+        crash();
+        crash();
+        for (int renewal = 0; renewal < 6; ++renewal) {
+            const auto left = fleet.routers[1].blockedFor(Model, prompt({Fatal}), fleet.now);
+            CPPUNIT_ASSERT(left.has_value());
+            const base::Duration expected = std::min<base::Duration>(CrashAttribution::BlockTime * (1 << renewal), CrashAttribution::MaxBlockTime);
+            CPPUNIT_ASSERT(*left <= expected && *left > expected - base::seconds{1});
+            fleet.run(*left + base::seconds{1});
+            CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.blockedAt({Fatal}));
+            crash(); // one is enough now
+        }
+        const auto left = fleet.routers[0].blockedFor(Model, prompt({Fatal}), fleet.now);
+        fleet.run(*left + CrashAttribution::MaxBlockTime + base::seconds{1});
+        CPPUNIT_ASSERT(fleet.routers[0].fullReport(fleet.now).parts.empty());
+    }
+
+    void testRouterThatStartsLater()
+    {
+        Fleet fleet(2);
+        for (int crash = 0; crash < 3; ++crash) {
+            fleet.breakOff(0, {Template, Fatal}, crash);
+            fleet.run(base::milliseconds{300});
+        }
+        CrashAttribution started;
+        started.apply(fleet.routers[1].fullReport(fleet.now), fleet.now);
+        CPPUNIT_ASSERT(started.blockedFor(Model, prompt({Fatal}), fleet.now).has_value());
+        CPPUNIT_ASSERT(!started.blockedFor(base::ModelId("other"), prompt({Fatal}), fleet.now).has_value());
+        CPPUNIT_ASSERT(!started.blockedFor(Model, {}, fleet.now).has_value());
+    }
+
+    // Routers that have got the same reports in different orders agree, and stop reporting.
+    void testReportsInAnyOrder()
+    {
+        base::Random random(carawaylatch::testing::seed());
+        for (int round = 0; round < 100; ++round) {
+            Fleet fleet(5);
+            for (int step = 0; step < 40; ++step) {
+                const std::size_t router = random.below(5);
+                const std::uint64_t part = 1 + random.below(3);
+                if (random.below(4) == 0) {
+                    fleet.answer(router, {part});
+                } else {
+                    fleet.breakOff(router, {part, 10 + random.below(3)}, static_cast<int>(random.below(12)));
+                }
+                fleet.run(Tick * static_cast<std::int64_t>(1 + random.below(8)));
+            }
+            fleet.run(base::seconds{2});
+            const std::size_t reported = fleet.reportedParts;
+            fleet.run(base::seconds{2});
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("reports end", reported, fleet.reportedParts);
+            for (std::uint64_t part = 1; part < 13; ++part) {
+                const std::size_t blocked = fleet.blockedAt({part});
+                CPPUNIT_ASSERT_MESSAGE("routers agree on part " + std::to_string(part), blocked == 0 || blocked == 5);
+            }
+        }
+    }
+
+    void testTablesAreBounded()
+    {
+        CrashAttribution router;
+        for (std::size_t i = 0; i < 20'000; ++i) {
+            const base::TimePoint now = Start + base::milliseconds{i};
+            router.onBrokenOff({Model, prompt({i}), base::UpstreamId("e"), i, now});
+            router.onAnswered(Model, prompt({1'000'000 + i}), now);
+            if (i % 100 == 0) {
+                router.advance(now, neverAnswers);
+            }
+        }
+        std::size_t reported = 0;
+        for (CrashReport report = router.takeChanges(Start); !report.parts.empty(); report = router.takeChanges(Start)) {
+            CPPUNIT_ASSERT(report.parts.size() <= MaxReportedParts);
+            reported += report.parts.size();
+        }
+        CPPUNIT_ASSERT_EQUAL(CrashAttribution::MaxParts, reported);
+    }
+
+    void testReportEncoding()
+    {
+        base::Random random(carawaylatch::testing::seed());
+        for (int i = 0; i < 200; ++i) {
+            CrashReport report;
+            for (std::uint64_t n = random.below(4); n > 0; --n) {
+                PartState part{random.next(),
+                               random.next(),
+                               static_cast<std::uint32_t>(random.next()),
+                               static_cast<std::uint8_t>(random.next()),
+                               base::milliseconds{random.below(60'000)},
+                               static_cast<std::uint8_t>(random.next()),
+                               {}};
+                part.crashes.resize(random.below(MaxCrashesPerPart + 1), {random.next(), base::milliseconds{random.below(60'000)}});
+                report.parts.push_back(part);
+            }
+            const std::string bytes = encodeCrashReport(report);
+            CPPUNIT_ASSERT(isCrashReport(bytes) && bytes.size() <= MaxReportBytes);
+            const auto decoded = decodeCrashReport(bytes);
+            CPPUNIT_ASSERT(decoded.has_value());
+            CPPUNIT_ASSERT_EQUAL(bytes, encodeCrashReport(decoded.value()));
+            CPPUNIT_ASSERT(!decodeLoadReport(bytes).has_value()); // what a router of the version before makes of it
+        }
+        CPPUNIT_ASSERT(!isCrashReport(encodeLoadReport({})));
+    }
+
+    void testMalformedReports()
+    {
+        CrashReport report;
+        report.parts.push_back({1, 2, 3, 4, base::seconds{5}, 6, {{7, base::seconds{8}}}});
+        const std::string bytes = encodeCrashReport(report);
+        for (std::size_t n = 0; n < bytes.size(); ++n) {
+            CPPUNIT_ASSERT(!decodeCrashReport(bytes.substr(0, n)).has_value());
+        }
+        CPPUNIT_ASSERT(!decodeCrashReport(bytes + "x").has_value());
+        base::Random random(carawaylatch::testing::seed());
+        CrashAttribution router;
+        for (int i = 0; i < 2000; ++i) {
+            std::string changed = bytes;
+            changed[1 + random.below(changed.size() - 1)] = static_cast<char>(random.next());
+            if (const auto decoded = decodeCrashReport(changed)) {
+                router.apply(decoded.value(), Start);
+            }
+        }
+        CPPUNIT_ASSERT(router.fullReport(Start).parts.size() <= MaxReportedParts);
+    }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(CrashAttributionTest);
+
+} // namespace carawaylatch::proxy::testing
--- a/carawaylatch/proxy/testing/peerexchangetest.cpp
+++ b/carawaylatch/proxy/testing/peerexchangetest.cpp
@@ -31,7 +31,7 @@
     CPPUNIT_TEST(testDisabledWithoutAddress);
     CPPUNIT_TEST_SUITE_END();
 
-    class Source : public LoadReportSource
+    class Source : public PeerReportSource
     {
     public:
         LoadReport takeChanges() override
@@ -48,13 +48,28 @@
         {
             received.push_back(report);
         }
+        CrashReport takeCrashChanges() override
+        {
+            return std::exchange(nextCrashes, {});
+        }
+        CrashReport fullCrashReport() const override
+        {
+            return fullCrashes;
+        }
+        void onCrashReport(const CrashReport &report) override
+        {
+            receivedCrashes.push_back(report);
+        }
         LoadReport next;
         LoadReport full;
+        CrashReport nextCrashes;
+        CrashReport fullCrashes;
         void onPeerUnreachable(const base::Endpoint &peer) override
         {
             gone.push_back(peer);
         }
         std::vector<LoadReport> received;
+        std::vector<CrashReport> receivedCrashes;
         std::vector<base::Endpoint> gone;
     };
 
--- a/carawaylatch/proxy/trafficplane.cpp
+++ b/carawaylatch/proxy/trafficplane.cpp
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "carawaylatch/proxy/exchange.h"
+#include "carawaylatch/proxy/promptparts.h"
 
 namespace carawaylatch::proxy
 {
@@ -82,6 +83,7 @@
     });
     m_reportTick = m_timers.every(now(), PeerExchange::ReportInterval, [this](base::TimePoint at) {
         m_tracker.removeSilentPeers(at);
+        confirmCrashes();
         m_peers.tick();
     });
     armTimer();
@@ -195,6 +197,52 @@
     }
 }
 
+CrashReport TrafficPlane::takeCrashChanges()
+{
+    return m_crashes.takeChanges(now());
+}
+
+CrashReport TrafficPlane::fullCrashReport() const
+{
+    return m_crashes.fullReport(now());
+}
+
+void TrafficPlane::onCrashReport(const CrashReport &report)
+{
+    m_crashes.apply(report, now());
+    applyVerdicts();
+}
+
+void TrafficPlane::confirmCrashes()
+{
+    m_crashes.advance(now(), [this](const BrokenRequest &request, base::TimePoint since) {
+        const UpstreamRecord *record = m_tracker.find(request.upstream);
+        return record != nullptr && record->upstream.startTimeMs == request.startTimeMs && record->receivedAt > since;
+    });
+    applyVerdicts();
+}
+
+void TrafficPlane::applyVerdicts()
+{
+    const auto verdicts = m_crashes.takeVerdicts();
+    if (verdicts.empty()) {
+        return;
+    }
+    for (const PartVerdict &verdict : verdicts) {
+        const std::string part = formatPartId(verdict.id);
+        if (verdict.isBlocked) {
+            m_log.write(base::LogEvent::PromptPartBlocked,
+                        {{"part", part}, {"crashes", std::to_string(verdict.crashes)}, {"seconds", base::formatSeconds(verdict.blockedFor)}});
+        } else {
+            m_log.write(base::LogEvent::PromptPartCleared, {{"part", part}});
+        }
+    }
+    const std::vector<std::shared_ptr<CallerConnection>> callers(m_callers.begin(), m_callers.end());
+    for (const auto &caller : callers) {
+        caller->endBlockedRequest();
+    }
+}
+
 void TrafficPlane::onPeerUnreachable(const base::Endpoint &peer)
 {
     m_observer.onRouterUnreachable(peer);
@@ -366,6 +414,11 @@
     return m_tracker;
 }
 
+CrashAttribution &TrafficPlane::crashes()
+{
+    return m_crashes;
+}
+
 TrafficCounts &TrafficPlane::counts()
 {
     return m_counts;
@@ -543,6 +596,8 @@
         {"upstream_reads_total", m_counts.reads},
         {"streams_resumed_total", m_counts.resumed},
         {"foreign_answers_total", m_counts.mismatchedResponses},
+        {"blocked_requests_total", m_counts.blocked},
+        {"blocked_prompt_parts", m_crashes.blockedParts(now())},
         {"inflight", m_inflight},
         {"peers", m_tracker.peers()},
         {"log_lines_dropped_total", m_log.dropped()},
--- a/carawaylatch/proxy/trafficplane.h
+++ b/carawaylatch/proxy/trafficplane.h
@@ -24,6 +24,7 @@
 #include "carawaylatch/base/hash.h"
 #include "carawaylatch/base/timerservice.h"
 #include "carawaylatch/proxy/callerconnection.h"
+#include "carawaylatch/proxy/crashattribution.h"
 #include "carawaylatch/proxy/dialect.h"
 #include "carawaylatch/proxy/fleet.h"
 #include "carawaylatch/proxy/peerexchange.h"
@@ -70,6 +71,7 @@
     std::uint64_t reads = 0; // reads of response body bytes from upstreams
     std::uint64_t mismatchedResponses = 0;
     std::uint64_t resumed = 0;
+    std::uint64_t blocked = 0; // requests with a blocked prompt part
     std::array<telemetry::LatencyHistogram, CallKindCount> firstByte{}; // latency of served requests, by CallKind
     std::array<telemetry::LatencyHistogram, CallKindCount> total{}; // latency of served requests, by CallKind
 };
@@ -85,7 +87,7 @@
     virtual void onRouterUnreachable(const base::Endpoint &peers) = 0;
 };
 
-class TrafficPlane : private LoadReportSource
+class TrafficPlane : private PeerReportSource
 {
 public:
     // All references must outlive the plane. `tableAge` returns the time since the
@@ -125,6 +127,7 @@
     [[nodiscard]] const TrafficSettings &settings() const;
     [[nodiscard]] std::shared_ptr<const FleetView> view() const;
     [[nodiscard]] UpstreamTracker &tracker();
+    [[nodiscard]] CrashAttribution &crashes();
     [[nodiscard]] TrafficCounts &counts();
     [[nodiscard]] telemetry::EventLog &log();
     [[nodiscard]] TrafficObserver &observer();
@@ -173,6 +176,12 @@
     [[nodiscard]] LoadReport takeChanges() override;
     [[nodiscard]] LoadReport fullReport() const override;
     void onReport(const LoadReport &report) override;
+    [[nodiscard]] CrashReport takeCrashChanges() override;
+    [[nodiscard]] CrashReport fullCrashReport() const override;
+    void onCrashReport(const CrashReport &report) override;
+    void confirmCrashes();
+    // Logs new verdicts, and ends requests in progress whose prompts are blocked now.
+    void applyVerdicts();
     void onPeerUnreachable(const base::Endpoint &peer) override;
     [[nodiscard]] base::Result<void> listenOn(Listener &listener, const base::Endpoint &endpoint);
     void accept(Listener &listener);
@@ -201,6 +210,7 @@
     bool m_isArmPosted = false;
     std::shared_ptr<const FleetView> m_view;
     UpstreamTracker m_tracker;
+    CrashAttribution m_crashes;
     std::map<base::PoolName, relay::RetryBudget> m_budgets;
     std::map<base::PoolName, WaitQueue> m_queues;
     std::map<base::UpstreamId, std::deque<std::shared_ptr<UpstreamConnection>>> m_idleConnections; // most recently used last
--- a/carawaylatch/proxy/upstreamtracker.cpp
+++ b/carawaylatch/proxy/upstreamtracker.cpp
@@ -105,6 +105,7 @@
 void UpstreamTracker::onBytesReceived(UpstreamRecord &record, base::TimePoint now)
 {
     record.silentSince = now;
+    record.receivedAt = now;
 }
 
 void UpstreamTracker::onAttemptStarted(UpstreamRecord &record, const AttemptLoad &load, base::TimePoint now)
--- a/carawaylatch/proxy/upstreamtracker.h
+++ b/carawaylatch/proxy/upstreamtracker.h
@@ -42,6 +42,7 @@
     std::uint32_t consecutiveConnectFailures = 0; // since the last attempt that was sent
     base::TimePoint backoffUntil; // gets no new requests before this time
     base::TimePoint silentSince; // last byte received, or start of the first outstanding request
+    base::TimePoint receivedAt; // last byte received
 
     static constexpr base::Duration MaxSampleAge = base::seconds{1}; // under load, responses arrive many times a second
 
