Upstreams that say that they leave get no requests, those that ask for a pause none until it ends

Cause: neither header was read. Placement knew of leaving only from the list, and counted a refusal with a pause as a failure.

Retry-After of a 503 is a bounded pause that binds placement, retries, queues and attempts whose connection is still opened; it is no strike; slots come back over a second. If all that could be tried pause for longer than a request may wait, the caller is told at once when the first one ends.

Guards taken out one by one: leaving ignored, pause ignored, leaving not kept when the entry goes, no check when the connection is open, a pause counted as failure, no refusal when all pause, a stale notice accepted, all slots at once after a pause: a named test failed for each (upstreamwishestest, sharedplacementtest).

Not done: answers to orders, pauses for orders.

--- a/bench/proxybench.cpp
+++ b/bench/proxybench.cpp
@@ -75,6 +75,9 @@
 class NullObserver : public proxy::TrafficObserver
 {
 public:
+    void onUpstreamLeaving(const base::UpstreamId & /*upstream*/, std::uint64_t /*startTimeMs*/) override
+    {
+    }
     void onWeightsSeen(const base::UpstreamId & /*upstream*/, base::WeightsVersion /*weights*/) override
     {
     }
--- a/carawaylatch/gateway/controlplane.cpp
+++ b/carawaylatch/gateway/controlplane.cpp
@@ -96,6 +96,12 @@
     m_isStopping = true;
 }
 
+void ControlPlane::onUpstreamLeaving(const base::UpstreamId &upstream, std::uint64_t startTimeMs)
+{
+    m_state.onUpstreamLeaving(upstream, startTimeMs);
+    publishIfChanged();
+}
+
 void ControlPlane::onWeightsSeen(const base::UpstreamId &upstream, base::WeightsVersion weights)
 {
     m_state.onWeightsSeen(upstream, weights);
@@ -370,6 +376,9 @@
     if (result) {
         m_rollout.onStatus(requestedAt, order.engine, result.value());
         const auto upstream = m_state.upstreams().find(order.engine);
+        if (result.value().isLeaving && upstream != m_state.upstreams().end()) {
+            onUpstreamLeaving(order.engine, upstream->second.startTimeMs);
+        }
         const bool hasChanged = upstream != m_state.upstreams().end() && upstream->second.models.contains(order.model)
                                 && upstream->second.models.at(order.model) < result.value().weights;
         if (hasChanged) {
--- a/carawaylatch/gateway/controlplane.h
+++ b/carawaylatch/gateway/controlplane.h
@@ -74,6 +74,8 @@
     // orders.
     void beginStop();
     // Call it on the control thread.
+    // An upstream has said that it leaves.
+    void onUpstreamLeaving(const base::UpstreamId &upstream, std::uint64_t startTimeMs);
     void onWeightsSeen(const base::UpstreamId &upstream, base::WeightsVersion weights);
     // Call it on the control thread when the router with this load report address has been
     // unreachable for long. Its object is removed; a router that was only disconnected
--- a/carawaylatch/gateway/engineclient.h
+++ b/carawaylatch/gateway/engineclient.h
@@ -39,6 +39,7 @@
     std::uint64_t acceptedOrders = 0;
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
+    bool isLeaving = false; // it has said that it leaves
 };
 
 enum class OrderResponse {
--- a/carawaylatch/gateway/fleetstate.cpp
+++ b/carawaylatch/gateway/fleetstate.cpp
@@ -303,6 +303,17 @@
     }
 }
 
+void FleetState::onUpstreamLeaving(const base::UpstreamId &upstream, std::uint64_t startTimeMs)
+{
+    const auto it = m_upstreams.find(upstream);
+    if (it == m_upstreams.end() || it->second.startTimeMs != startTimeMs || it->second.phase == proxy::UpstreamPhase::Draining) {
+        return;
+    }
+    it->second.phase = proxy::UpstreamPhase::Draining;
+    logUpstream(it->second, "draining");
+    m_isChanged = true;
+}
+
 void FleetState::onWeightsSeen(const base::UpstreamId &upstream, base::WeightsVersion weights)
 {
     const auto it = m_upstreams.find(upstream);
--- a/carawaylatch/gateway/fleetstate.h
+++ b/carawaylatch/gateway/fleetstate.h
@@ -69,6 +69,8 @@
     // before.
     void onList(ObjectKind kind, const std::vector<StoredObject> &objects, bool wasStoreUnavailable, base::TimePoint now);
     void onChange(ObjectKind kind, const StoredObject &object, bool wasStoreUnavailable, base::TimePoint now);
+    // An upstream of this incarnation has said that it leaves, whatever its entry says.
+    void onUpstreamLeaving(const base::UpstreamId &upstream, std::uint64_t startTimeMs);
     // An engine reported its weights in a response.
     void onWeightsSeen(const base::UpstreamId &upstream, base::WeightsVersion weights);
     void onCacheStoreProbed(const base::Endpoint &endpoint, bool isAlive);
--- a/carawaylatch/gateway/gateway.cpp
+++ b/carawaylatch/gateway/gateway.cpp
@@ -116,6 +116,13 @@
     }
 }
 
+void Gateway::onUpstreamLeaving(const base::UpstreamId &upstream, std::uint64_t startTimeMs)
+{
+    boost::asio::post(m_controlLoop, [this, upstream, startTimeMs] {
+        m_control->onUpstreamLeaving(upstream, startTimeMs);
+    });
+}
+
 void Gateway::onWeightsSeen(const base::UpstreamId &upstream, base::WeightsVersion weights)
 {
     boost::asio::post(m_controlLoop, [this, upstream, weights] {
--- a/carawaylatch/gateway/gateway.h
+++ b/carawaylatch/gateway/gateway.h
@@ -48,6 +48,7 @@
     // Serves until the stop after a signal is complete; returns the exit code.
     int run();
 
+    void onUpstreamLeaving(const base::UpstreamId &upstream, std::uint64_t startTimeMs) override;
     void onWeightsSeen(const base::UpstreamId &upstream, base::WeightsVersion weights) override;
     void onRouterUnreachable(const base::Endpoint &peers) override;
 
--- a/carawaylatch/proxy/crashattribution.cpp
+++ b/carawaylatch/proxy/crashattribution.cpp
@@ -154,7 +154,7 @@
     return true;
 }
 
-void CrashAttribution::apply(const CrashReport &report, base::TimePoint now)
+void CrashAttribution::apply(const FaultReport &report, base::TimePoint now)
 {
     for (const PartState &state : report.parts) {
         merge(state, now);
@@ -307,9 +307,9 @@
     return state;
 }
 
-CrashReport CrashAttribution::takeChanges(base::TimePoint now)
+FaultReport CrashAttribution::takeChanges(base::TimePoint now)
 {
-    CrashReport report;
+    FaultReport report;
     for (auto &[key, part] : m_parts) {
         if (!part.isReported && report.parts.size() < MaxReportedParts) {
             part.isReported = true;
@@ -319,9 +319,9 @@
     return report;
 }
 
-CrashReport CrashAttribution::fullReport(base::TimePoint now) const
+FaultReport CrashAttribution::fullReport(base::TimePoint now) const
 {
-    CrashReport report;
+    FaultReport report;
     for (const auto &[key, part] : m_parts) {
         if (report.parts.size() < MaxReportedParts) {
             report.parts.push_back(stateOf(key, part, now));
--- a/carawaylatch/proxy/crashattribution.h
+++ b/carawaylatch/proxy/crashattribution.h
@@ -13,7 +13,7 @@
 // the same moment count as one, because a failure outside the prompts causes those.
 //
 // A block ends after BlockTime; one more crash renews it for twice as long. Routers exchange
-// their state (crashreport.h), which merges to the same result in any order.
+// their state (faultreport.h), which merges to the same result in any order.
 //
 // A state machine of the traffic thread without I/O. Tables are bounded; when they are full,
 // evidence is lost, and a block comes later.
@@ -30,8 +30,8 @@
 
 #include "carawaylatch/base/ids.h"
 #include "carawaylatch/base/time.h"
-#include "carawaylatch/proxy/crashreport.h"
 #include "carawaylatch/proxy/dialect.h"
+#include "carawaylatch/proxy/faultreport.h"
 
 namespace carawaylatch::proxy
 {
@@ -82,16 +82,16 @@
     // Confirms crashes that are due, and removes what is outdated.
     void advance(base::TimePoint now, const HasAnsweredSince &hasAnsweredSince);
     // Merges another router's report.
-    void apply(const CrashReport &report, base::TimePoint now);
+    void apply(const FaultReport &report, base::TimePoint now);
 
     // The time left of the longest block of a shared part; nothing if none is blocked.
     [[nodiscard]] std::optional<base::Duration> blockedFor(const base::ModelId &model, std::span<const PromptPart> parts, base::TimePoint now) const;
     // Number of parts that are blocked.
     [[nodiscard]] std::size_t blockedParts(base::TimePoint now) const;
     // States that changed since the last call; those beyond MaxReportedParts are left for the next call.
-    [[nodiscard]] CrashReport takeChanges(base::TimePoint now);
+    [[nodiscard]] FaultReport takeChanges(base::TimePoint now);
     // All states, up to MaxReportedParts.
-    [[nodiscard]] CrashReport fullReport(base::TimePoint now) const;
+    [[nodiscard]] FaultReport fullReport(base::TimePoint now) const;
     // Verdicts since the last call.
     [[nodiscard]] std::vector<PartVerdict> takeVerdicts();
 
--- a/carawaylatch/proxy/dialect.h
+++ b/carawaylatch/proxy/dialect.h
@@ -68,6 +68,8 @@
     bool isSigned = false; // the response carries the upstream's signature
     bool isNotExecuted = false; // the upstream guarantees that the request did not and will not run
     bool isEncoded = false; // a content coding was applied to the body
+    bool isLeaving = false; // the upstream will end; it wants no new requests
+    std::optional<base::Duration> pause; // with a refusal: the upstream wants no requests from this router for so long
     std::optional<LoadSample> load;
     std::optional<base::WeightsVersion> weights;
     std::optional<base::Duration> keepAlive; // idle time after which the upstream closes the connection
--- a/carawaylatch/proxy/exchange.cpp
+++ b/carawaylatch/proxy/exchange.cpp
@@ -203,7 +203,7 @@
     const auto &members = m_plane.tracker().members(m_pool);
     return std::any_of(members.begin(), members.end(), [this](const UpstreamRecord *record) {
         const bool isTried = std::find(m_triedUpstreams.begin(), m_triedUpstreams.end(), record->upstream.id) != m_triedUpstreams.end();
-        return !isTried && record->upstream.phase == UpstreamPhase::Ready;
+        return !isTried && record->upstream.phase == UpstreamPhase::Ready && !record->isLeaving;
     });
 }
 
@@ -231,6 +231,11 @@
     const base::Duration maxQueueWait = std::min<base::Duration>(base::fromSeconds(base::toSeconds(m_route->targetLatency) * MaxQueueWaitShare), left / 2);
     const base::Duration waited = now - m_startedAt;
     WaitQueue &queue = m_plane.queue(m_pool);
+    const auto pausedUntil = m_plane.tracker().pausedUntil(m_pool, m_triedUpstreams, now);
+    if (pausedUntil && *pausedUntil - now > maxQueueWait - waited) {
+        giveUp("upstreams_paused", *pausedUntil - now);
+        return;
+    }
     const auto expected = queue.expectedWait(m_urgency, now);
     if (!m_isStreaming && (waited >= maxQueueWait || (expected && *expected > maxQueueWait - waited && queue.size() > 0))) {
         refuse("no_room", queue.retryDelay(m_urgency, now));
--- a/carawaylatch/proxy/exchangeattempt.cpp
+++ b/carawaylatch/proxy/exchangeattempt.cpp
@@ -58,6 +58,10 @@
         endAttempt(AttemptEnd::NotSent, problem);
         return;
     }
+    if (!m_attempt->record->takesRequests(m_plane.now())) {
+        endAttempt(AttemptEnd::NotSent, "the upstream leaves or has asked for a pause");
+        return;
+    }
     sendOrEnd();
 }
 
@@ -132,6 +136,12 @@
     if (response.load) {
         m_plane.tracker().onLoadSample(*attempt.record, *response.load, now);
     }
+    if (response.isLeaving) {
+        m_plane.onUpstreamLeaving(*attempt.record);
+    }
+    if (response.pause) {
+        m_plane.onUpstreamPause(*attempt.record, *response.pause);
+    }
     if (response.weights && *response.weights != attempt.record->weights) {
         attempt.record->weights = *response.weights;
         m_plane.observer().onWeightsSeen(attempt.record->upstream.id, *response.weights);
@@ -365,7 +375,10 @@
     m_startTimer.cancel();
     Attempt &attempt = *m_attempt;
     const base::TimePoint now = m_plane.now();
-    m_plane.tracker().onAttemptEnded(*attempt.record, attempt.load, attempt.startedOutputAt.has_value(), end, now);
+    // What an upstream wants tells nothing of its health.
+    const bool isUpstreamsWish = attempt.response.pause || !attempt.record->takesRequests(now);
+    const AttemptEnd observed = isUpstreamsWish ? AttemptEnd::NotExecuted : end;
+    m_plane.tracker().onAttemptEnded(*attempt.record, attempt.load, attempt.startedOutputAt.has_value(), observed, now);
     m_plane.queue(m_pool).completionRate().record(now);
     m_plane.schedulePlacement();
 }
--- a/carawaylatch/proxy/crashreport.cpp
+++ b/carawaylatch/proxy/faultreport.cpp
@@ -1,5 +1,5 @@
-// Encoding of crashreport.h. Decoding checks the length before it reads each row.
-#include "carawaylatch/proxy/crashreport.h"
+// Encoding of faultreport.h. Decoding checks the length before it reads each row.
+#include "carawaylatch/proxy/faultreport.h"
 
 #include <algorithm>
 #include <limits>
@@ -12,9 +12,10 @@
 namespace
 {
 
-constexpr std::size_t HeaderBytes = 3;
+constexpr std::size_t HeaderBytes = 5;
 constexpr std::size_t PartBytes = 27;
 constexpr std::size_t CrashBytes = 12;
+constexpr std::size_t LeavingBytes = 16;
 
 std::uint32_t encodeDuration(base::Duration duration)
 {
@@ -29,7 +30,7 @@
 
 base::Error malformedReport(const std::string &problem)
 {
-    return base::fail(base::ErrorKind::InvalidArgument, "malformed crash report: " + problem + "; check the version of the router that sent it");
+    return base::fail(base::ErrorKind::InvalidArgument, "malformed fault report: " + problem + "; check the version of the router that sent it");
 }
 
 void appendPart(std::string &out, const PartState &part)
@@ -62,29 +63,36 @@
 
 } // namespace
 
-std::string encodeCrashReport(const CrashReport &report)
+std::string encodeFaultReport(const FaultReport &report)
 {
     const std::size_t parts = std::min(report.parts.size(), MaxReportedParts);
+    const std::size_t leaving = std::min(report.leaving.size(), MaxReportedLeaving);
     std::string out;
-    out.reserve(HeaderBytes + parts * (PartBytes + CrashBytes));
-    appendInteger(out, CrashReportVersion);
+    out.reserve(HeaderBytes + parts * (PartBytes + CrashBytes) + leaving * LeavingBytes);
+    appendInteger(out, FaultReportVersion);
     appendInteger(out, static_cast<std::uint16_t>(parts));
+    appendInteger(out, static_cast<std::uint16_t>(leaving));
     for (std::size_t i = 0; i < parts; ++i) {
         appendPart(out, report.parts[i]);
     }
+    for (std::size_t i = 0; i < leaving; ++i) {
+        appendInteger(out, report.leaving[i].upstream);
+        appendInteger(out, report.leaving[i].startTimeMs);
+    }
     return out;
 }
 
-base::Result<CrashReport> decodeCrashReport(std::string_view bytes)
+base::Result<FaultReport> decodeFaultReport(std::string_view bytes)
 {
-    if (bytes.size() < HeaderBytes || takeInteger<std::uint8_t>(bytes) != CrashReportVersion) {
+    if (bytes.size() < HeaderBytes || takeInteger<std::uint8_t>(bytes) != FaultReportVersion) {
         return malformedReport("no header of this version");
     }
     const std::size_t parts = takeInteger<std::uint16_t>(bytes);
-    if (parts > MaxReportedParts) {
-        return malformedReport("too many parts");
+    const std::size_t leaving = takeInteger<std::uint16_t>(bytes);
+    if (parts > MaxReportedParts || leaving > MaxReportedLeaving) {
+        return malformedReport("too many rows");
     }
-    CrashReport report;
+    FaultReport report;
     for (std::size_t i = 0; i < parts; ++i) {
         if (bytes.size() < PartBytes) {
             return malformedReport("a part is cut off");
@@ -100,15 +108,20 @@
             crash.age = takeDuration(bytes);
         }
     }
-    if (!bytes.empty()) {
-        return malformedReport("bytes after the last part");
+    if (bytes.size() != leaving * LeavingBytes) {
+        return malformedReport("length does not match the row counts");
+    }
+    for (std::size_t i = 0; i < leaving; ++i) {
+        LeavingUpstream &it = report.leaving.emplace_back();
+        it.upstream = takeInteger<std::uint64_t>(bytes);
+        it.startTimeMs = takeInteger<std::uint64_t>(bytes);
     }
     return report;
 }
 
-bool isCrashReport(std::string_view bytes)
+bool isFaultReport(std::string_view bytes)
 {
-    return !bytes.empty() && static_cast<std::uint8_t>(bytes.front()) == CrashReportVersion;
+    return !bytes.empty() && static_cast<std::uint8_t>(bytes.front()) == FaultReportVersion;
 }
 
 } // namespace carawaylatch::proxy
--- a/carawaylatch/proxy/crashreport.h
+++ b/carawaylatch/proxy/faultreport.h
@@ -1,14 +1,16 @@
-// Reports that routers exchange about prompt parts that may crash upstreams.
+// Reports that routers exchange about prompt parts that may crash upstreams, and about
+// upstreams that have said that they leave.
 //
-// A report holds the state of each part that has changed, see CrashAttribution. States
-// merge to the same result in any order, so that routers forward what is new to them,
-// and a lost report is made up for by a later one.
+// A report holds the state of each part that has changed, see CrashAttribution, and each
+// upstream newly known to leave. They merge to the same result in any order, so that routers
+// forward what is new to them, and a lost report is made up for by a later one.
 //
 // On the wire, integers little-endian:
 //
-//     version u8 (2; load reports have 1), parts u16
+//     version u8 (2; load reports have 1), parts u16, leaving u16
 //     part:  key u64, id u64, generation u32, blocks u8, blocked for ms u32, depth u8, crashes u8
 //     crash: id u64, age in ms u32
+//     leaving: upstream u64, start time u64
 #pragma once
 
 #include <cstddef>
@@ -41,19 +43,35 @@
     std::vector<CrashSample> crashes; // at most MaxCrashesPerPart
 };
 
-struct CrashReport
+// An upstream that has said that it leaves.
+struct LeavingUpstream
+{
+    std::uint64_t upstream = 0; // hash of its id
+    std::uint64_t startTimeMs = 0; // its incarnation
+
+    bool operator==(const LeavingUpstream &) const = default;
+};
+
+struct FaultReport
 {
     std::vector<PartState> parts; // at most MaxReportedParts
+    std::vector<LeavingUpstream> leaving; // at most MaxReportedLeaving
+
+    [[nodiscard]] bool isEmpty() const
+    {
+        return parts.empty() && leaving.empty();
+    }
 };
 
-constexpr std::uint8_t CrashReportVersion = 2;
+constexpr std::uint8_t FaultReportVersion = 2;
 constexpr std::size_t MaxReportedParts = 256;
+constexpr std::size_t MaxReportedLeaving = 1024;
 constexpr std::size_t MaxCrashesPerPart = 8;
 
-[[nodiscard]] std::string encodeCrashReport(const CrashReport &report);
+[[nodiscard]] std::string encodeFaultReport(const FaultReport &report);
 // InvalidArgument if the bytes are not a report of this version.
-[[nodiscard]] base::Result<CrashReport> decodeCrashReport(std::string_view bytes);
-// True if the bytes begin like a crash report.
-[[nodiscard]] bool isCrashReport(std::string_view bytes);
+[[nodiscard]] base::Result<FaultReport> decodeFaultReport(std::string_view bytes);
+// True if the bytes begin like a fault report.
+[[nodiscard]] bool isFaultReport(std::string_view bytes);
 
 } // namespace carawaylatch::proxy
--- a/carawaylatch/proxy/peerexchange.cpp
+++ b/carawaylatch/proxy/peerexchange.cpp
@@ -31,9 +31,9 @@
 constexpr int StatusAccepted = 204;
 constexpr int StatusRejected = 400;
 
-std::string encodeIfAny(const CrashReport &report)
+std::string encodeIfAny(const FaultReport &report)
 {
-    return report.parts.empty() ? std::string() : encodeCrashReport(report);
+    return report.isEmpty() ? std::string() : encodeFaultReport(report);
 }
 
 } // namespace
@@ -389,9 +389,9 @@
     if (isDue) {
         m_reportedAt = now;
     }
-    const std::string crashChangesText = encodeIfAny(m_source.takeCrashChanges());
+    const std::string faultChangesText = encodeIfAny(m_source.takeFaultChanges());
     std::string fullText; // built only if a peer needs it, which is rare
-    std::string fullCrashText;
+    std::string fullFaultText;
     for (const auto &[endpoint, outbound] : m_outbound) {
         outbound->tick();
         const bool needsFullReport = outbound->needsFullReport();
@@ -399,10 +399,10 @@
             LoadReport full = m_source.fullReport();
             full.placements = changes.placements;
             fullText = encode(std::move(full));
-            fullCrashText = encodeIfAny(m_source.fullCrashReport());
+            fullFaultText = encodeIfAny(m_source.fullFaultReport());
         }
         outbound->send(needsFullReport ? fullText : changesText);
-        outbound->send(needsFullReport ? fullCrashText : crashChangesText);
+        outbound->send(needsFullReport ? fullFaultText : faultChangesText);
     }
 }
 
@@ -415,8 +415,8 @@
 
 void PeerExchange::onInbound(std::string_view body)
 {
-    if (isCrashReport(body)) {
-        apply(decodeCrashReport(body), &PeerReportSource::onCrashReport);
+    if (isFaultReport(body)) {
+        apply(decodeFaultReport(body), &PeerReportSource::onFaultReport);
     } else {
         apply(decodeLoadReport(body), &PeerReportSource::onReport);
     }
--- a/carawaylatch/proxy/peerexchange.h
+++ b/carawaylatch/proxy/peerexchange.h
@@ -1,4 +1,4 @@
-// Exchanges load reports (loadreport.h) and crash reports (crashreport.h) with other routers.
+// Exchanges load reports (loadreport.h) and fault reports (faultreport.h) with other routers.
 //
 // Each router keeps one HTTP/2 connection to each of its peers and posts a report
 // every ReportInterval in which something changed, and a heartbeat (an empty report)
@@ -21,7 +21,7 @@
 
 #include "carawaylatch/base/ids.h"
 #include "carawaylatch/base/time.h"
-#include "carawaylatch/proxy/crashreport.h"
+#include "carawaylatch/proxy/faultreport.h"
 #include "carawaylatch/proxy/loadreport.h"
 #include "carawaylatch/proxy/socket.h"
 #include "carawaylatch/telemetry/eventlog.h"
@@ -45,10 +45,10 @@
     [[nodiscard]] virtual LoadReport takeChanges() = 0;
     [[nodiscard]] virtual LoadReport fullReport() const = 0;
     virtual void onReport(const LoadReport &report) = 0;
-    // The same for prompt parts that may crash upstreams; nothing is sent for an empty report.
-    [[nodiscard]] virtual CrashReport takeCrashChanges() = 0;
-    [[nodiscard]] virtual CrashReport fullCrashReport() const = 0;
-    virtual void onCrashReport(const CrashReport &report) = 0;
+    // The same for faults of upstreams; nothing is sent for an empty report.
+    [[nodiscard]] virtual FaultReport takeFaultChanges() = 0;
+    [[nodiscard]] virtual FaultReport fullFaultReport() const = 0;
+    virtual void onFaultReport(const FaultReport &report) = 0;
     // A peer has not responded for UnreachableTimeout. Repeated after each further UnreachableTimeout.
     virtual void onPeerUnreachable(const base::Endpoint &peer) = 0;
 };
--- a/carawaylatch/proxy/placement.cpp
+++ b/carawaylatch/proxy/placement.cpp
@@ -37,7 +37,7 @@
 {
     const auto &excluded = context.query.excluded;
     const bool isChanging = hasOldWeights(context, record) && context.view.reloading.contains(record.upstream.id);
-    return record.upstream.phase == UpstreamPhase::Ready && !isChanging && std::find(excluded.begin(), excluded.end(), record.upstream.id) == excluded.end();
+    return record.takesRequests(context.query.now) && !isChanging && std::find(excluded.begin(), excluded.end(), record.upstream.id) == excluded.end();
 }
 
 bool areWeightsAllowed(const PlacementContext &context, const UpstreamRecord &record)
@@ -47,7 +47,8 @@
 
 bool hasRoom(const PlacementContext &context, const UpstreamRecord &record, const TotalLoad &load)
 {
-    const double slots = record.upstream.slots > 0 ? record.upstream.slots : std::numeric_limits<double>::max();
+    const double allSlots = record.upstream.slots > 0 ? record.upstream.slots : std::numeric_limits<double>::max();
+    const double slots = std::max(1.0, allSlots * record.resumedShare(context.query.now));
     if (!context.pool->engine) {
         return load.requests < slots * context.tuning.serviceQueueFactor;
     }
--- a/carawaylatch/proxy/testing/crashattributiontest.cpp
+++ b/carawaylatch/proxy/testing/crashattributiontest.cpp
@@ -63,13 +63,13 @@
         std::vector<std::string> reports;
         for (CrashAttribution &router : routers) {
             router.advance(now, neverAnswers);
-            const CrashReport changes = router.takeChanges(now);
+            const FaultReport changes = router.takeChanges(now);
             reportedParts += changes.parts.size();
-            reports.push_back(encodeCrashReport(changes));
+            reports.push_back(encodeFaultReport(changes));
         }
         for (std::size_t i = 0; i < routers.size(); ++i) {
             for (const std::size_t peer : m_peers[i]) {
-                routers[peer].apply(decodeCrashReport(reports[i]).value(), now);
+                routers[peer].apply(decodeFaultReport(reports[i]).value(), now);
             }
         }
     }
@@ -316,7 +316,7 @@
             }
         }
         std::size_t reported = 0;
-        for (CrashReport report = router.takeChanges(Start); !report.parts.empty(); report = router.takeChanges(Start)) {
+        for (FaultReport report = router.takeChanges(Start); !report.parts.empty(); report = router.takeChanges(Start)) {
             CPPUNIT_ASSERT(report.parts.size() <= MaxReportedParts);
             reported += report.parts.size();
         }
@@ -327,7 +327,7 @@
     {
         base::Random random(carawaylatch::testing::seed());
         for (int i = 0; i < 200; ++i) {
-            CrashReport report;
+            FaultReport report;
             for (std::uint64_t n = random.below(4); n > 0; --n) {
                 PartState part{random.next(),
                                random.next(),
@@ -339,31 +339,35 @@
                 part.crashes.resize(random.below(MaxCrashesPerPart + 1), {random.next(), base::milliseconds{random.below(60'000)}});
                 report.parts.push_back(part);
             }
-            const std::string bytes = encodeCrashReport(report);
-            CPPUNIT_ASSERT(isCrashReport(bytes) && bytes.size() <= MaxReportBytes);
-            const auto decoded = decodeCrashReport(bytes);
+            for (std::uint64_t n = random.below(4); n > 0; --n) {
+                report.leaving.push_back({random.next(), random.next()});
+            }
+            const std::string bytes = encodeFaultReport(report);
+            CPPUNIT_ASSERT(isFaultReport(bytes) && bytes.size() <= MaxReportBytes);
+            const auto decoded = decodeFaultReport(bytes);
             CPPUNIT_ASSERT(decoded.has_value());
-            CPPUNIT_ASSERT_EQUAL(bytes, encodeCrashReport(decoded.value()));
+            CPPUNIT_ASSERT_EQUAL(bytes, encodeFaultReport(decoded.value()));
+            CPPUNIT_ASSERT(report.leaving == decoded.value().leaving);
             CPPUNIT_ASSERT(!decodeLoadReport(bytes).has_value()); // what a router of the version before makes of it
         }
-        CPPUNIT_ASSERT(!isCrashReport(encodeLoadReport({})));
+        CPPUNIT_ASSERT(!isFaultReport(encodeLoadReport({})));
     }
 
     void testMalformedReports()
     {
-        CrashReport report;
+        FaultReport report;
         report.parts.push_back({1, 2, 3, 4, base::seconds{5}, 6, {{7, base::seconds{8}}}});
-        const std::string bytes = encodeCrashReport(report);
+        const std::string bytes = encodeFaultReport(report);
         for (std::size_t n = 0; n < bytes.size(); ++n) {
-            CPPUNIT_ASSERT(!decodeCrashReport(bytes.substr(0, n)).has_value());
+            CPPUNIT_ASSERT(!decodeFaultReport(bytes.substr(0, n)).has_value());
         }
-        CPPUNIT_ASSERT(!decodeCrashReport(bytes + "x").has_value());
+        CPPUNIT_ASSERT(!decodeFaultReport(bytes + "x").has_value());
         base::Random random(carawaylatch::testing::seed());
         CrashAttribution router;
         for (int i = 0; i < 2000; ++i) {
             std::string changed = bytes;
             changed[1 + random.below(changed.size() - 1)] = static_cast<char>(random.next());
-            if (const auto decoded = decodeCrashReport(changed)) {
+            if (const auto decoded = decodeFaultReport(changed)) {
                 router.apply(decoded.value(), Start);
             }
         }
--- a/carawaylatch/proxy/testing/peerexchangetest.cpp
+++ b/carawaylatch/proxy/testing/peerexchangetest.cpp
@@ -48,28 +48,28 @@
         {
             received.push_back(report);
         }
-        CrashReport takeCrashChanges() override
+        FaultReport takeFaultChanges() override
         {
             return std::exchange(nextCrashes, {});
         }
-        CrashReport fullCrashReport() const override
+        FaultReport fullFaultReport() const override
         {
             return fullCrashes;
         }
-        void onCrashReport(const CrashReport &report) override
+        void onFaultReport(const FaultReport &report) override
         {
             receivedCrashes.push_back(report);
         }
         LoadReport next;
         LoadReport full;
-        CrashReport nextCrashes;
-        CrashReport fullCrashes;
+        FaultReport nextCrashes;
+        FaultReport fullCrashes;
         void onPeerUnreachable(const base::Endpoint &peer) override
         {
             gone.push_back(peer);
         }
         std::vector<LoadReport> received;
-        std::vector<CrashReport> receivedCrashes;
+        std::vector<FaultReport> receivedCrashes;
         std::vector<base::Endpoint> gone;
     };
 
--- a/carawaylatch/proxy/testing/sharedplacementtest.cpp
+++ b/carawaylatch/proxy/testing/sharedplacementtest.cpp
@@ -31,6 +31,8 @@
     CPPUNIT_TEST(testBurstSpreadsEvenly);
     CPPUNIT_TEST(testChangesAreReportedOnce);
     CPPUNIT_TEST(testRemovedUpstreamIsReportedBeforeItsRecordIsDropped);
+    CPPUNIT_TEST(testLeavingUpstreamIsReported);
+    CPPUNIT_TEST(testPausedUpstreamsResumeSlowly);
     CPPUNIT_TEST_SUITE_END();
 
     FleetView m_view;
@@ -198,6 +200,59 @@
         m_trackers[0].adopt(m_view, Start);
         CPPUNIT_ASSERT(m_trackers[0].find(base::UpstreamId("e1")) == nullptr);
     }
+
+    // Known by one router's answer, it is used by none, also if the others list it only later, until it starts again.
+    void testLeavingUpstreamIsReported()
+    {
+        UpstreamRecord &record = *m_trackers[0].find(base::UpstreamId("e1"));
+        CPPUNIT_ASSERT(m_trackers[0].onLeaving(record, Start));
+        CPPUNIT_ASSERT(!m_trackers[0].onLeaving(record, Start));
+        const auto notices = m_trackers[0].takeLeaving();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, notices.size());
+        CPPUNIT_ASSERT(m_trackers[0].takeLeaving().empty());
+        CPPUNIT_ASSERT(m_trackers[0].leaving() == notices);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_trackers[1].applyLeaving(notices, Start).size());
+        CPPUNIT_ASSERT(m_trackers[1].applyLeaving(notices, Start).empty());
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("passed on", std::size_t{1}, m_trackers[1].takeLeaving().size());
+        UpstreamTracker later;
+        CPPUNIT_ASSERT(later.applyLeaving(notices, Start).empty());
+        later.adopt(m_view, Start);
+        for (UpstreamTracker *tracker : {&m_trackers[0], &m_trackers[1], &later}) {
+            CPPUNIT_ASSERT(!tracker->find(base::UpstreamId("e1"))->takesRequests(Start));
+            CPPUNIT_ASSERT(tracker->find(base::UpstreamId("e2"))->takesRequests(Start));
+            m_view.upstreams.front().startTimeMs = 0;
+            tracker->adopt(m_view, Start);
+            CPPUNIT_ASSERT_MESSAGE("the same incarnation", !tracker->find(base::UpstreamId("e1"))->takesRequests(Start));
+            m_view.upstreams.front().startTimeMs = 5;
+            tracker->adopt(m_view, Start);
+            CPPUNIT_ASSERT(tracker->find(base::UpstreamId("e1"))->takesRequests(Start));
+            CPPUNIT_ASSERT_MESSAGE("a late notice", tracker->applyLeaving(notices, Start).empty());
+            CPPUNIT_ASSERT(tracker->find(base::UpstreamId("e1"))->takesRequests(Start));
+        }
+    }
+
+    // Load: a third of the upstreams ask for pauses in turn. They get nothing during a pause, and few requests at first after it.
+    void testPausedUpstreamsResumeSlowly()
+    {
+        UpstreamRecord &record = *m_trackers[0].find(base::UpstreamId("e1"));
+        const base::PoolName pool = record.upstream.pool;
+        m_trackers[0].onPause(record, base::seconds{2}, base::milliseconds{100}, Start);
+        m_trackers[0].onPause(record, base::seconds{1}, base::milliseconds{0}, Start); // a shorter one changes nothing
+        const base::TimePoint end = Start + base::milliseconds{2100};
+        CPPUNIT_ASSERT(!record.takesRequests(end - base::milliseconds{1}));
+        CPPUNIT_ASSERT(record.takesRequests(end));
+        CPPUNIT_ASSERT(record.resumedShare(end) < 0.1 && record.resumedShare(end + base::seconds{1}) >= 1);
+        CPPUNIT_ASSERT_MESSAGE("others take requests", !m_trackers[0].pausedUntil(pool, {}, Start));
+        for (UpstreamRecord *other : m_trackers[0].members(pool)) {
+            if (other != &record) {
+                m_trackers[0].onPause(*other, base::seconds{3}, {}, Start);
+            }
+        }
+        CPPUNIT_ASSERT(m_trackers[0].pausedUntil(pool, {}, Start) == end);
+        const std::vector<base::UpstreamId> tried{record.upstream.id};
+        CPPUNIT_ASSERT(m_trackers[0].pausedUntil(pool, tried, Start) == Start + base::seconds{3});
+        CPPUNIT_ASSERT_EQUAL(0.0, record.failureShare);
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(SharedPlacementTest);
 
--- a/carawaylatch/proxy/trafficplane.cpp
+++ b/carawaylatch/proxy/trafficplane.cpp
@@ -197,20 +197,52 @@
     }
 }
 
-CrashReport TrafficPlane::takeCrashChanges()
+FaultReport TrafficPlane::takeFaultChanges()
 {
-    return m_crashes.takeChanges(now());
+    FaultReport report = m_crashes.takeChanges(now());
+    report.leaving = m_tracker.takeLeaving();
+    return report;
 }
 
-CrashReport TrafficPlane::fullCrashReport() const
+FaultReport TrafficPlane::fullFaultReport() const
 {
-    return m_crashes.fullReport(now());
+    FaultReport report = m_crashes.fullReport(now());
+    report.leaving = m_tracker.leaving();
+    return report;
 }
 
-void TrafficPlane::onCrashReport(const CrashReport &report)
+void TrafficPlane::onFaultReport(const FaultReport &report)
 {
     m_crashes.apply(report, now());
     applyVerdicts();
+    for (const UpstreamRecord *record : m_tracker.applyLeaving(report.leaving, now())) {
+        onLeavingKnown(*record, "router");
+    }
+}
+
+void TrafficPlane::onUpstreamLeaving(UpstreamRecord &record)
+{
+    if (m_tracker.onLeaving(record, now())) {
+        onLeavingKnown(record, "answer");
+    }
+}
+
+void TrafficPlane::onLeavingKnown(const UpstreamRecord &record, std::string_view source)
+{
+    m_log.write(base::LogEvent::UpstreamLeavingNotice, {{"upstream", record.upstream.id.value()}, {"source", std::string(source)}});
+    m_observer.onUpstreamLeaving(record.upstream.id, record.upstream.startTimeMs);
+}
+
+// Pauses that were asked for at the same time end spread over a tenth of their length.
+void TrafficPlane::onUpstreamPause(UpstreamRecord &record, base::Duration pause)
+{
+    constexpr double SpreadShare = 0.1;
+    const bool isPaused = now() < record.pausedUntil;
+    m_tracker.onPause(record, pause, base::fromSeconds(base::toSeconds(pause) * SpreadShare * m_random.uniformReal()), now());
+    if (!isPaused) {
+        ++m_counts.pauses;
+        m_log.write(base::LogEvent::UpstreamPaused, {{"upstream", record.upstream.id.value()}, {"seconds", base::formatSeconds(record.pausedUntil - now())}});
+    }
 }
 
 void TrafficPlane::confirmCrashes()
@@ -598,6 +630,7 @@
         {"foreign_answers_total", m_counts.mismatchedResponses},
         {"blocked_requests_total", m_counts.blocked},
         {"blocked_prompt_parts", m_crashes.blockedParts(now())},
+        {"upstream_pauses_total", m_counts.pauses},
         {"inflight", m_inflight},
         {"peers", m_tracker.peers()},
         {"log_lines_dropped_total", m_log.dropped()},
--- a/carawaylatch/proxy/trafficplane.h
+++ b/carawaylatch/proxy/trafficplane.h
@@ -72,6 +72,7 @@
     std::uint64_t mismatchedResponses = 0;
     std::uint64_t resumed = 0;
     std::uint64_t blocked = 0; // requests with a blocked prompt part
+    std::uint64_t pauses = 0; // asked for by upstreams
     std::array<telemetry::LatencyHistogram, CallKindCount> firstByte{}; // latency of served requests, by CallKind
     std::array<telemetry::LatencyHistogram, CallKindCount> total{}; // latency of served requests, by CallKind
 };
@@ -81,6 +82,8 @@
 {
 public:
     virtual ~TrafficObserver() = default;
+    // An upstream has said that it leaves.
+    virtual void onUpstreamLeaving(const base::UpstreamId &upstream, std::uint64_t startTimeMs) = 0;
     // A response reported a weights version that differs from the one known of the upstream.
     virtual void onWeightsSeen(const base::UpstreamId &upstream, base::WeightsVersion weights) = 0;
     // Another router has not responded for PeerExchange::UnreachableTimeout.
@@ -137,6 +140,9 @@
     [[nodiscard]] base::Duration tableAge() const;
     [[nodiscard]] relay::RetryBudget &budget(const base::PoolName &pool);
     [[nodiscard]] WaitQueue &queue(const base::PoolName &pool);
+    // An upstream has said that it leaves, or asked for a pause.
+    void onUpstreamLeaving(UpstreamRecord &record);
+    void onUpstreamPause(UpstreamRecord &record, base::Duration pause);
     // Schedules an attempt to place the queued requests of all pools; does not run it inline.
     void schedulePlacement();
     void logRejected(std::string_view id, std::string_view host, std::string_view reason, unsigned status);
@@ -176,9 +182,10 @@
     [[nodiscard]] LoadReport takeChanges() override;
     [[nodiscard]] LoadReport fullReport() const override;
     void onReport(const LoadReport &report) override;
-    [[nodiscard]] CrashReport takeCrashChanges() override;
-    [[nodiscard]] CrashReport fullCrashReport() const override;
-    void onCrashReport(const CrashReport &report) override;
+    [[nodiscard]] FaultReport takeFaultChanges() override;
+    [[nodiscard]] FaultReport fullFaultReport() const override;
+    void onFaultReport(const FaultReport &report) override;
+    void onLeavingKnown(const UpstreamRecord &record, std::string_view source);
     void confirmCrashes();
     // Logs new verdicts, and ends requests in progress whose prompts are blocked now.
     void applyVerdicts();
--- a/carawaylatch/proxy/upstreamtracker.cpp
+++ b/carawaylatch/proxy/upstreamtracker.cpp
@@ -22,6 +22,8 @@
 constexpr base::Duration InitialBackoff = base::milliseconds{250};
 // A crashed upstream is retried at this interval, which bounds how late its recovery is detected.
 constexpr base::Duration MaxBackoff = base::seconds{2};
+// An upstream that was to leave has ended after this time.
+constexpr base::Duration MaxLeavingTime = base::minutes{10};
 
 PeerUpstreamLoad ownLoad(const UpstreamRecord &record)
 {
@@ -39,6 +41,17 @@
     return inflight + otherRoutersLoad * decay;
 }
 
+bool UpstreamRecord::takesRequests(base::TimePoint now) const
+{
+    return isListed && upstream.phase == UpstreamPhase::Ready && !isLeaving && now >= pausedUntil;
+}
+
+double UpstreamRecord::resumedShare(base::TimePoint now) const
+{
+    constexpr base::Duration ResumeTime = base::seconds{1};
+    return now - pausedUntil >= ResumeTime ? 1.0 : base::toSeconds(now - pausedUntil) / base::toSeconds(ResumeTime);
+}
+
 bool UpstreamRecord::isBackedUp(base::TimePoint now) const
 {
     constexpr std::uint32_t MaxWaiting = 1; // a request that waits for the next step is not queued
@@ -69,10 +82,12 @@
             record.backoffUntil = now;
             record.otherRoutersLoad = 0;
             record.weights = {};
+            record.pausedUntil = {};
         }
         record.upstream = upstream;
         record.idHash = base::hash64(upstream.id.value());
         record.isListed = true;
+        adoptLeaving(record);
         for (const auto &[model, weights] : upstream.models) {
             record.weights = std::max(record.weights, weights);
         }
@@ -147,6 +162,96 @@
     ++record.consecutiveConnectFailures;
 }
 
+void UpstreamTracker::adoptLeaving(UpstreamRecord &record)
+{
+    const auto it = m_leaving.find(record.idHash);
+    record.isLeaving = it != m_leaving.end() && record.upstream.startTimeMs <= it->second.startTimeMs;
+    if (it != m_leaving.end() && !record.isLeaving) {
+        m_leaving.erase(it); // a new incarnation
+    }
+}
+
+bool UpstreamTracker::addLeaving(std::uint64_t idHash, std::uint64_t startTimeMs, base::TimePoint now)
+{
+    if (const auto it = m_leaving.find(idHash); it != m_leaving.end() && it->second.startTimeMs >= startTimeMs) {
+        return false;
+    }
+    std::erase_if(m_leaving, [now](const auto &it) {
+        return now - it.second.since >= MaxLeavingTime;
+    });
+    if (m_leaving.size() >= MaxReportedLeaving && !m_leaving.contains(idHash)) {
+        const auto oldest = std::min_element(m_leaving.begin(), m_leaving.end(), [](const auto &left, const auto &right) {
+            return left.second.since < right.second.since;
+        });
+        m_leaving.erase(oldest);
+    }
+    m_leaving[idHash] = Leaving{startTimeMs, now, false};
+    return true;
+}
+
+bool UpstreamTracker::onLeaving(UpstreamRecord &record, base::TimePoint now)
+{
+    record.isLeaving = true;
+    return addLeaving(record.idHash, record.upstream.startTimeMs, now);
+}
+
+void UpstreamTracker::onPause(UpstreamRecord &record, base::Duration pause, base::Duration spread, base::TimePoint now)
+{
+    record.pausedUntil = std::max(record.pausedUntil, now + pause + spread);
+}
+
+std::optional<base::TimePoint> UpstreamTracker::pausedUntil(const base::PoolName &pool, std::span<const base::UpstreamId> excluded, base::TimePoint now) const
+{
+    std::optional<base::TimePoint> first;
+    for (const UpstreamRecord *record : members(pool)) {
+        const bool isUsable = record->upstream.phase == UpstreamPhase::Ready && !record->isLeaving;
+        if (!isUsable || std::find(excluded.begin(), excluded.end(), record->upstream.id) != excluded.end()) {
+            continue;
+        }
+        if (now >= record->pausedUntil) {
+            return std::nullopt;
+        }
+        first = std::min(first.value_or(record->pausedUntil), record->pausedUntil);
+    }
+    return first;
+}
+
+std::vector<LeavingUpstream> UpstreamTracker::takeLeaving()
+{
+    std::vector<LeavingUpstream> out;
+    for (auto &[idHash, it] : m_leaving) {
+        if (!it.isReported) {
+            it.isReported = true;
+            out.push_back({idHash, it.startTimeMs});
+        }
+    }
+    return out;
+}
+
+std::vector<LeavingUpstream> UpstreamTracker::leaving() const
+{
+    std::vector<LeavingUpstream> out;
+    for (const auto &[idHash, it] : m_leaving) {
+        out.push_back({idHash, it.startTimeMs});
+    }
+    return out;
+}
+
+std::vector<const UpstreamRecord *> UpstreamTracker::applyLeaving(std::span<const LeavingUpstream> leaving, base::TimePoint now)
+{
+    std::vector<const UpstreamRecord *> found;
+    for (const LeavingUpstream &it : leaving) {
+        const auto listed = m_byIdHash.find(it.upstream);
+        const bool isEnded = listed != m_byIdHash.end() && listed->second->upstream.startTimeMs > it.startTimeMs;
+        if (isEnded || !addLeaving(it.upstream, it.startTimeMs, now) || listed == m_byIdHash.end()) {
+            continue;
+        }
+        listed->second->isLeaving = true;
+        found.push_back(listed->second);
+    }
+    return found;
+}
+
 void UpstreamTracker::onLoadSample(UpstreamRecord &record, const LoadSample &sample, base::TimePoint now)
 {
     const std::uint32_t total = sample.running + sample.waiting;
@@ -173,7 +278,7 @@
     const auto isUsable = [this, &destination, now](std::uint64_t key) {
         const auto it = m_byIdHash.find(key);
         return it != m_byIdHash.end() && it->second != &destination && it->second->upstream.pool == destination.upstream.pool
-               && it->second->upstream.phase == UpstreamPhase::Ready && now >= it->second->backoffUntil;
+               && it->second->upstream.phase == UpstreamPhase::Ready && !it->second->isLeaving && now >= it->second->backoffUntil;
     };
     const auto key = m_placements.findHolder(cacheKey, now, isUsable);
     return key ? m_byIdHash.at(*key) : nullptr;
--- a/carawaylatch/proxy/upstreamtracker.h
+++ b/carawaylatch/proxy/upstreamtracker.h
@@ -9,6 +9,8 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <span>
 #include <unordered_map>
 #include <vector>
 
@@ -16,6 +18,7 @@
 #include "carawaylatch/base/time.h"
 #include "carawaylatch/proxy/attemptrules.h"
 #include "carawaylatch/proxy/dialect.h"
+#include "carawaylatch/proxy/faultreport.h"
 #include "carawaylatch/proxy/fleet.h"
 #include "carawaylatch/proxy/loadreport.h"
 #include "carawaylatch/proxy/peerload.h"
@@ -43,9 +46,15 @@
     base::TimePoint backoffUntil; // gets no new requests before this time
     base::TimePoint silentSince; // last byte received, or start of the first outstanding request
     base::TimePoint receivedAt; // last byte received
+    bool isLeaving = false; // it has said so, to this router or another; holds for the incarnation
+    base::TimePoint pausedUntil; // it has asked this router for a pause
 
     static constexpr base::Duration MaxSampleAge = base::seconds{1}; // under load, responses arrive many times a second
 
+    // True if new requests may be sent to the upstream, as far as it and the list say.
+    [[nodiscard]] bool takesRequests(base::TimePoint now) const;
+    // Share of the slots that may be used after a pause; grows to one over ResumeTime.
+    [[nodiscard]] double resumedShare(base::TimePoint now) const;
     // True if the last recent sample showed queued requests; a new one would be queued too.
     [[nodiscard]] bool isBackedUp(base::TimePoint now) const;
     // Estimated requests at the upstream, of all routers.
@@ -85,6 +94,13 @@
     // The first body bytes of the response have arrived.
     void onFirstOutput(UpstreamRecord &record, const AttemptLoad &load);
     void onAttemptEnded(UpstreamRecord &record, const AttemptLoad &load, bool hasStarted, AttemptEnd end, base::TimePoint now);
+    // The upstream has said that it leaves. Returns false if this was known.
+    bool onLeaving(UpstreamRecord &record, base::TimePoint now);
+    // The upstream has refused a request and asked for a pause, which ends `spread` later.
+    void onPause(UpstreamRecord &record, base::Duration pause, base::Duration spread, base::TimePoint now);
+    // When the first upstream of the pool that is not `excluded` takes requests again; nothing if one does now,
+    // or if none will.
+    [[nodiscard]] std::optional<base::TimePoint> pausedUntil(const base::PoolName &pool, std::span<const base::UpstreamId> excluded, base::TimePoint now) const;
     void onLoadSample(UpstreamRecord &record, const LoadSample &sample, base::TimePoint now);
 
     // A prompt with this KV cache key is sent to the upstream.
@@ -94,6 +110,13 @@
     // An upstream of the pool of `destination` that likely holds the KV cache entry and can transfer it, or nullptr.
     [[nodiscard]] const UpstreamRecord *findKvSource(std::uint64_t cacheKey, const UpstreamRecord &destination, base::TimePoint now) const;
 
+    // Upstreams that were found to leave since the last call.
+    [[nodiscard]] std::vector<LeavingUpstream> takeLeaving();
+    // All upstreams known to leave, up to MaxReportedLeaving.
+    [[nodiscard]] std::vector<LeavingUpstream> leaving() const;
+    // Another router knows that these upstreams leave. Returns those that are listed and were not known to.
+    std::vector<const UpstreamRecord *> applyLeaving(std::span<const LeavingUpstream> leaving, base::TimePoint now);
+
     // Applies another router's report. Returns false if it was not usable.
     bool applyReport(const LoadReport &report, base::TimePoint now);
     // Removes routers that have timed out; returns their number.
@@ -108,12 +131,23 @@
     [[nodiscard]] TotalLoad totalLoad(const UpstreamRecord &record, std::uint32_t routers, base::TimePoint now) const;
 
 private:
+    struct Leaving
+    {
+        std::uint64_t startTimeMs = 0;
+        base::TimePoint since;
+        bool isReported = false;
+    };
+
     void markUnreported(UpstreamRecord &record);
+    // Returns false if the incarnation was known to leave.
+    bool addLeaving(std::uint64_t idHash, std::uint64_t startTimeMs, base::TimePoint now);
+    void adoptLeaving(UpstreamRecord &record);
 
     std::map<base::UpstreamId, UpstreamRecord> m_records; // std::map, because the pointers below need stable addresses
     std::map<base::PoolName, std::vector<UpstreamRecord *>> m_members;
     std::vector<UpstreamRecord *> m_noMembers;
-    std::unordered_map<std::uint64_t, const UpstreamRecord *> m_byIdHash; // only listed upstreams
+    std::unordered_map<std::uint64_t, UpstreamRecord *> m_byIdHash; // only listed upstreams
+    std::unordered_map<std::uint64_t, Leaving> m_leaving; // by hash of the id; also of upstreams that are not listed
     PrefixPlacements m_placements;
     PeerLoad m_peers;
     std::vector<UpstreamRecord *> m_unreported; // exactly those with isReported false
