A store that comes back from a copy: versions are ordered over its eras

Cause: objects, watches, polls between routers, conditional writes and fencing tokens were compared by revision alone. A router would have ignored what is written after the rise, followed a watch that leaves changes out, and taken a lease that another one holds as free.

Change: the store's client makes one ordered version of era and revision; without the header nothing changes. Writes and watches of an earlier era are not sent, answers of one are not used, and a write that meets the rise is unclear. A reader in an earlier era confirms nothing to a router in a later one, and routers of the version before are not believed on later eras. After a rise nobody acquires the lease for two durations, whatever the copy holds; routers list again spread over half a second and write their own objects again.

--- a/carawaylatch/fleet/lease.cpp
+++ b/carawaylatch/fleet/lease.cpp
@@ -123,7 +123,19 @@
 // True if no other router can be holding the lease by the observed version.
 bool Lease::isFree(base::TimePoint now) const
 {
-    return m_state.observedVersion && (m_state.observedVersion->value == 0 || m_state.hasNoHolder || now - m_state.observedAt >= m_settings.duration);
+    return now >= m_state.notBefore && m_state.observedVersion
+           && (m_state.observedVersion->value == 0 || m_state.hasNoHolder || now - m_state.observedAt >= m_settings.duration);
+}
+
+void Lease::onStoreRestored(base::TimePoint now)
+{
+    m_state.phase = m_state.isCallPending ? LeasePhase::Verifying : LeasePhase::Observing;
+    m_state.heldVersion = {};
+    m_state.observedVersion.reset();
+    m_state.hasNoHolder = false;
+    m_state.notBefore = now + 2 * m_settings.duration;
+    m_state.nextCall = now;
+    ++m_self.writeId; // an earlier write that is read back is not taken for an acquisition
 }
 
 LeaseAction Lease::beginRead(base::TimePoint now)
@@ -146,10 +158,14 @@
 void Lease::onWritten(base::TimePoint now, const base::Result<store::Version> &result)
 {
     m_state.isCallPending = false;
-    if (result) {
+    if (result && m_state.writeId == m_self.writeId) {
         confirm(now, result.value());
         return;
     }
+    if (result) {
+        m_state.phase = LeasePhase::Observing; // sent before the store was restored
+        return;
+    }
     if (result.error().kind == ErrorKind::Unavailable) {
         m_state.phase = m_state.phase == LeasePhase::Renewing ? LeasePhase::Holding : LeasePhase::Observing;
         m_state.nextCall = now + m_settings.readInterval;
@@ -172,7 +188,7 @@
     const auto holder = decodeLease(object.value);
     const bool isOurRouter = holder && holder.value().router == m_self.router;
     const bool isOurs = isOurRouter && holder.value().incarnation == m_self.incarnation;
-    if (isOurs && holder.value().writeId == m_self.writeId) {
+    if (isOurs && holder.value().writeId == m_self.writeId && now >= m_state.notBefore) {
         confirm(now, object.version);
     } else if (isOurs && object.version == m_state.heldVersion) {
         m_state.phase = LeasePhase::Holding; // the renewal has had no effect so far; write again
--- a/carawaylatch/fleet/lease.h
+++ b/carawaylatch/fleet/lease.h
@@ -97,6 +97,8 @@
     store::Version heldVersion;
     base::TimePoint validUntil;
     base::TimePoint heldSince;
+    // The lease is not acquired before this time, whatever the object says.
+    base::TimePoint notBefore;
     // True if another router's lease or a released lease was read.
     bool hadOtherHolder = false;
 
@@ -114,6 +116,10 @@
     void onRead(base::TimePoint now, const base::Result<store::Object> &result);
     void onWritten(base::TimePoint now, const base::Result<store::Version> &result);
 
+    // The store has lost its latest writes: this router no longer holds the lease, and does not
+    // acquire it before another holder, of which the store may know nothing, has stopped for a lease duration.
+    void onStoreRestored(base::TimePoint now);
+
     // True while this router may act as the holder. Check it right before each action.
     [[nodiscard]] bool isHeld(base::TimePoint now) const;
     // Returns the fencing token; nothing if isHeld() is false.
--- a/carawaylatch/fleet/testing/leasetest.cpp
+++ b/carawaylatch/fleet/testing/leasetest.cpp
@@ -287,6 +287,7 @@
     CPPUNIT_TEST_SUITE(LeaseTest);
     CPPUNIT_TEST(testAllInterleavings);
     CPPUNIT_TEST(testEveryFaultInEveryPhase);
+    CPPUNIT_TEST(testRestoredStore);
     CPPUNIT_TEST(testRejectsMalformedLease);
     CPPUNIT_TEST_SUITE_END();
 
@@ -319,6 +320,41 @@
         }
     }
 
+    // Whatever a store that has lost its latest writes holds, another router may hold the lease until its duration has passed.
+    void testRestoredStore()
+    {
+        const LeaseSettings settings{base::seconds{3}, base::seconds{1}, true};
+        const base::TimePoint start{base::hours{1}};
+        const store::Object own{"lease", encodeLease({base::RouterId("a"), base::Incarnation{7}, 1}), store::Version{50}};
+        const std::pair<std::string_view, base::Result<store::Object>> contents[] = {
+            {"absent", base::fail(ErrorKind::NotFound, "no object")},
+            {"released", store::Object{"lease", encodeReleasedLease(), store::Version{50}}},
+            {"own", own},
+            {"of an earlier incarnation", store::Object{"lease", encodeLease({base::RouterId("a"), base::Incarnation{6}, 9}), store::Version{50}}},
+            {"of another router", store::Object{"lease", encodeLease({base::RouterId("b"), base::Incarnation{1}, 1}), store::Version{50}}}};
+        for (const auto &[text, content] : contents) {
+            const std::string name(text);
+            Lease lease(base::RouterId("a"), base::Incarnation{7}, settings);
+            CPPUNIT_ASSERT(lease.poll(start).kind == LeaseActionKind::Read);
+            lease.onRead(start, base::fail(ErrorKind::NotFound, "no object"));
+            CPPUNIT_ASSERT(lease.poll(start).kind == LeaseActionKind::Write);
+            lease.onWritten(start, store::Version{40});
+            CPPUNIT_ASSERT(lease.isHeld(start));
+            lease.onStoreRestored(start);
+            base::TimePoint now = start;
+            for (; !lease.isHeld(now) && now < start + base::seconds{20}; now += base::milliseconds{100}) {
+                const LeaseAction action = lease.poll(now);
+                if (action.kind == LeaseActionKind::Read) {
+                    lease.onRead(now, content);
+                } else if (action.kind == LeaseActionKind::Write) {
+                    CPPUNIT_ASSERT_MESSAGE(name, now >= start + 2 * settings.duration);
+                    lease.onWritten(now, store::Version{60});
+                }
+            }
+            CPPUNIT_ASSERT_MESSAGE(name, lease.isHeld(now));
+        }
+    }
+
     void testRejectsMalformedLease()
     {
         for (const char *bytes : {"", "r", "r 1", "r 1 x", " 1 1", "r 1 -1", "r 99999999999999999999 1"}) {
--- a/carawaylatch/gateway/controlplane.cpp
+++ b/carawaylatch/gateway/controlplane.cpp
@@ -141,6 +141,7 @@
     const auto client = m_clients.makeClient();
     while (true) {
         co_await pause(ControlInterval);
+        checkStoreEra();
         m_state.onTick(m_clock.now());
         publishIfChanged();
         const bool isRouterObjectStored = m_state.coordinationObject(routerObjectName()) != nullptr;
@@ -209,6 +210,19 @@
     }
 }
 
+// What routers alone wrote may be gone: the lease, and the objects of the routers.
+void ControlPlane::checkStoreEra()
+{
+    const auto era = m_clients.storeEra();
+    const auto former = std::exchange(m_storeEra, era);
+    if (!former || former == era) {
+        return;
+    }
+    m_log.write(base::LogEvent::StoreRestored, {{"former", std::to_string(*former)}, {"era", std::to_string(*era)}});
+    m_lease.onStoreRestored(m_clock.now());
+    m_isRegistered = false;
+}
+
 Awaitable<void> ControlPlane::stepLease(ObjectClient &client)
 {
     const fleet::LeaseAction action = m_lease.poll(m_clock.now());
@@ -217,6 +231,7 @@
         // A stale read is safe for an observer: its conditional write then fails.
         const ReadConsistency consistency = isObserving ? ReadConsistency::AllowStale : ReadConsistency::Latest;
         auto result = co_await client.read(ObjectKind::Leases, std::string(LeaseName), consistency);
+        checkStoreEra();
         if (result) {
             m_lease.onRead(m_clock.now(), store::Object{result.value().name, result.value().text, store::Version{result.value().revision}});
         } else {
@@ -226,6 +241,7 @@
     }
     if (action.kind == fleet::LeaseActionKind::Write) {
         auto result = co_await client.write(ObjectKind::Leases, std::string(LeaseName), action.value, action.expected.value);
+        checkStoreEra();
         if (result) {
             m_lease.onWritten(m_clock.now(), store::Version{result.value()});
         } else {
--- a/carawaylatch/gateway/controlplane.h
+++ b/carawaylatch/gateway/controlplane.h
@@ -116,6 +116,7 @@
     [[nodiscard]] Awaitable<base::Result<std::uint64_t>> listAll(ObjectClient &client, ObjectKind kind, bool wasStoreUnavailable, PartialList &partial);
     [[nodiscard]] Awaitable<void> runControlLoop();
     [[nodiscard]] Awaitable<void> watchCacheStores();
+    void checkStoreEra();
     [[nodiscard]] Awaitable<void> stepLease(ObjectClient &client);
     [[nodiscard]] Awaitable<void> stepRollout(ObjectClient &client);
     [[nodiscard]] Awaitable<bool> publishChangingEngines(ObjectClient &client);
@@ -166,6 +167,7 @@
     std::optional<base::Endpoint> m_loggedReader;
     bool m_isLeaseHolder = false;
     std::set<base::Endpoint> m_unreachableRouters; // by load report address; their objects are still to be removed
+    std::optional<std::uint64_t> m_storeEra; // as last checked; empty before the first answer of the store
     bool m_isRegistered = false;
     bool m_wasRouterObjectStored = false; // at the last check
     bool m_isStopping = false;
--- a/carawaylatch/gateway/controlplanewatch.cpp
+++ b/carawaylatch/gateway/controlplanewatch.cpp
@@ -13,6 +13,7 @@
 #include <utility>
 
 #include "carawaylatch/config/valuetext.h"
+#include "carawaylatch/gateway/storeversion.h"
 
 namespace carawaylatch::gateway
 {
@@ -27,6 +28,7 @@
 constexpr base::Duration MaxRelayDelay = base::seconds{1}; // of a reader's confirmation beyond the wait of its watch
 constexpr base::Duration MaxHoldTime = base::seconds{30}; // of a poll
 constexpr base::Duration RecoveryWindow = base::milliseconds{2500}; // after the store is available again, in which entries may still be missing
+constexpr base::Duration RelistSpread = base::milliseconds{500}; // of the lists of all routers after the store was restored
 constexpr base::Duration CoordinationPause = base::milliseconds{200}; // batches changes of ChangingEngines; draining takes three times as long
 
 } // namespace
@@ -42,6 +44,10 @@
         if (!page) {
             co_return page.error();
         }
+        if (partial.asOf != 0 && eraOf(partial.asOf) != eraOf(page.value().asOf)) {
+            partial = PartialList{{}, {}, 0, m_clock.now()};
+            co_return base::fail(base::ErrorKind::Unavailable, "the store has come back from a copy; the list begins again");
+        }
         partial.asOf = partial.asOf == 0 ? page.value().asOf : partial.asOf;
         hasMore = page.value().hasMore && !page.value().objects.empty();
         for (StoredObject &object : page.value().objects) {
@@ -153,7 +159,12 @@
         }
         if (result.error().kind == base::ErrorKind::StaleState && since != 0) {
             m_log.write(base::LogEvent::HistoryLost, {{"kind", std::string(objectKindName(kind))}});
+            const bool isRestored = eraOf(since) != m_clients.storeEra();
             since = 0;
+            if (isRestored) {
+                recoveredAt = now; // entries of upstreams may be missing until they are written again
+                co_await pause(base::fromSeconds(base::toSeconds(RelistSpread) * m_random.uniformReal()));
+            }
             continue;
         }
         if (!unavailableSince) {
--- a/carawaylatch/gateway/objectclient.h
+++ b/carawaylatch/gateway/objectclient.h
@@ -1,17 +1,20 @@
 // Interface for calls to the object store from the control thread, as coroutines.
 //
-// A client is one connection with one call at a time. Errors:
+// A client is one connection with one call at a time. Revisions are versions that are
+// ordered over the eras of the store, see storeversion.h. A write never replaces an object
+// by a version of another era. Errors:
 //
 //   Unavailable  the call had no effect; retry later
 //   Unclear      sent, but no response: a write may have taken effect, or may do so
 //                seconds later if its condition still holds
-//   Conflict     the condition did not hold; nothing was written
+//   Conflict     the condition did not hold, or names a version of an earlier era; nothing was written
 //   NotFound     no such object
-//   StaleState   the store no longer has the history that a watch needs; list again
+//   StaleState   the store no longer has the history that a watch needs, or is in a later era; list again
 #pragma once
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility> // boost/asio/awaitable.hpp 1.74 uses std::exchange without it
@@ -82,6 +85,8 @@
 public:
     virtual ~ObjectClientFactory() = default;
     [[nodiscard]] virtual std::unique_ptr<ObjectClient> makeClient() = 0;
+    // The latest era that a client has seen, zero if the store has none; nothing before the first answer.
+    [[nodiscard]] virtual std::optional<std::uint64_t> storeEra() const = 0;
 };
 
 } // namespace carawaylatch::gateway
--- a/carawaylatch/gateway/testing/controlplanetest.cpp
+++ b/carawaylatch/gateway/testing/controlplanetest.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(testStoreOutage);
     CPPUNIT_TEST(testPagedListFromOverloadedStore);
     CPPUNIT_TEST(testUnreachableRouterIsRemoved);
+    CPPUNIT_TEST(testStoreComesBackFromACopy);
     CPPUNIT_TEST(testRemovedRouterRegistersAgain);
     CPPUNIT_TEST_SUITE_END();
 
@@ -338,6 +339,42 @@
 
     // A router that was disconnected from the other routers, but not from the store, writes
     // its removed object again.
+    // At each moment of a rollout the store comes back from a copy of before it. The lease, the list of changing
+    // engines and the routers' objects are gone; revisions are given out again; the newest table and weights come back later.
+    void testStoreComesBackFromACopy()
+    {
+        for (const int ms : {0, 20, 60, 150, 400}) {
+            TestCluster &cluster = addCluster();
+            cluster.store.keepCopy();
+            cluster.addRouter("a");
+            cluster.addRouter("b");
+            const auto isInForce = [&cluster](std::uint64_t version) {
+                return std::all_of(cluster.routers.begin(), cluster.routers.end(), [version](const auto &router) {
+                    return router->last && router->last->table && router->last->table->version == version && router->last->routers == 2;
+                });
+            };
+            cluster.store.put(ObjectKind::Tables, "main", "7");
+            CPPUNIT_ASSERT(runUntil(
+                [&] {
+                    return isInForce(7) && !cluster.store.objects(ObjectKind::Leases).empty();
+                },
+                base::seconds{5}));
+            cluster.store.put(ObjectKind::Weights, "m", "m 2");
+            m_loop->run_for(std::chrono::milliseconds{ms});
+            cluster.store.comeBackFromCopy();
+            m_loop->run_for(std::chrono::milliseconds{100});
+            cluster.store.put(ObjectKind::Weights, "m", "m 2"); // what was named is written again
+            cluster.store.put(ObjectKind::Tables, "main", "8");
+            const std::string text = "restored after " + std::to_string(ms) + " ms";
+            CPPUNIT_ASSERT_MESSAGE(text, runUntil(
+                                             [&] {
+                                                 return isInForce(8) && cluster.isChanged(2);
+                                             },
+                                             base::seconds{8}));
+            assertNoViolation();
+        }
+    }
+
     void testRemovedRouterRegistersAgain()
     {
         TestCluster &cluster = addClusterOfTwoRouters();
@@ -346,7 +383,8 @@
         };
         CPPUNIT_ASSERT(runUntil(isRegistered, base::seconds{5}));
         const StoredObject object = cluster.store.objects(ObjectKind::Coordination).at("router.a");
-        FakeClient client(cluster.store, cluster.routers[1]->clients.isDisconnected);
+        StoreEra era;
+        FakeClient client(cluster.store, cluster.routers[1]->clients.isDisconnected, era);
         bool isRemoved = false;
         boost::asio::co_spawn(
             *m_loop,
--- a/carawaylatch/gateway/testing/fakestore.h
+++ b/carawaylatch/gateway/testing/fakestore.h
@@ -11,6 +11,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "carawaylatch/gateway/objectclient.h"
+#include "carawaylatch/gateway/storeversion.h"
 
 namespace carawaylatch::gateway::testing
 {
@@ -50,6 +51,20 @@
         return m_calls;
     }
 
+    // Keeps the present state as the copy from which the store may come back.
+    void keepCopy()
+    {
+        m_copy = {m_revision, m_objects, m_changes};
+    }
+    // What was written since the copy is gone, and its revisions are given out again.
+    void comeBackFromCopy()
+    {
+        m_revision = m_copy.revision;
+        m_objects = m_copy.objects;
+        m_changes = m_copy.changes;
+        ++m_era;
+    }
+
     // Number of the call with the fault, counted from 1 over all clients; zero: none.
     int faultyCall = 0;
     CallFault fault = CallFault::None;
@@ -61,6 +76,14 @@
 private:
     friend class FakeClient;
     boost::asio::io_context &m_loop;
+    struct Copy
+    {
+        std::uint64_t revision = 0;
+        std::map<ObjectKind, std::map<std::string, StoredObject>> objects;
+        std::vector<std::pair<ObjectKind, StoredObject>> changes;
+    };
+    Copy m_copy;
+    std::uint64_t m_era = 0;
     std::uint64_t m_revision = 0;
     int m_calls = 0;
     int m_listCalls = 0;
@@ -71,9 +94,11 @@
 class FakeClient : public ObjectClient
 {
 public:
-    FakeClient(FakeStore &store, const bool &isDisconnected)
+    // `era` is shared by the clients of one router.
+    FakeClient(FakeStore &store, const bool &isDisconnected, StoreEra &era)
         : m_store(store)
         , m_isDisconnected(isDisconnected)
+        , m_era(era)
     {
     }
 
@@ -87,14 +112,14 @@
             co_return base::fail(base::ErrorKind::Unavailable, "too many calls");
         }
         ObjectPage page;
-        page.asOf = m_store.m_revision;
+        page.asOf = versionOf(m_store.m_revision);
         for (const auto &[name, object] : m_store.m_objects[kind]) {
             page.hasMore = m_store.pageSize != 0 && page.objects.size() == m_store.pageSize;
             if (page.hasMore) {
                 break;
             }
             if (name > after) {
-                page.objects.push_back(object);
+                page.objects.push_back(versioned(object));
             }
         }
         co_return page;
@@ -102,6 +127,9 @@
 
     Awaitable<base::Result<ObjectPage>> watch(ObjectKind kind, std::uint64_t since, base::Duration wait) override
     {
+        if (eraOf(since) != m_era.current) {
+            co_return base::fail(base::ErrorKind::StaleState, "the store was restored");
+        }
         const CallFault fault = co_await begin();
         if (fault == CallFault::HistoryGone) {
             co_return base::fail(base::ErrorKind::StaleState, "history is gone");
@@ -110,11 +138,15 @@
             co_return *error;
         }
         for (base::Duration waited{}; waited <= wait && !m_isInterrupted; waited += Step) {
+            noteEra();
+            if (eraOf(since) != m_era.current) {
+                co_return base::fail(base::ErrorKind::StaleState, "the store was restored");
+            }
             ObjectPage page;
-            page.asOf = m_store.m_revision;
+            page.asOf = versionOf(m_store.m_revision);
             for (const auto &[changed, object] : m_store.m_changes) {
-                if (changed == kind && object.revision > since) {
-                    page.objects.push_back(object);
+                if (changed == kind && object.revision > revisionOf(since)) {
+                    page.objects.push_back(versioned(object));
                 }
             }
             if (!page.objects.empty() || waited == wait) {
@@ -143,11 +175,17 @@
         if (it == m_store.m_objects[kind].end()) {
             co_return base::fail(base::ErrorKind::NotFound, "no object");
         }
-        co_return it->second;
+        co_return versioned(it->second);
     }
 
     Awaitable<base::Result<std::uint64_t>> write(ObjectKind kind, std::string name, std::string text, std::uint64_t expected) override
     {
+        const bool wasEraKnown = m_era.isKnown;
+        const std::uint64_t era = m_era.current;
+        if (expected != 0 && eraOf(expected) != era) {
+            co_return base::fail(base::ErrorKind::Conflict, "the store was restored");
+        }
+        expected = revisionOf(expected); // a store that was restored meanwhile can't tell
         const CallFault fault = co_await begin();
         if (fault == CallFault::AnswerLost) {
             static_cast<void>(apply(kind, name, text, expected));
@@ -161,7 +199,11 @@
         if (const auto error = errorOf(fault)) {
             co_return *error;
         }
-        co_return apply(kind, name, text, expected);
+        const auto result = apply(kind, name, text, expected);
+        if (wasEraKnown && era != m_era.current) {
+            co_return base::fail(base::ErrorKind::Unclear, "the store was restored");
+        }
+        co_return result;
     }
 
     Awaitable<base::Result<void>> remove(ObjectKind kind, std::string name, std::uint64_t expected) override
@@ -173,7 +215,7 @@
         }
         auto &objects = m_store.m_objects[kind];
         const auto it = objects.find(name);
-        if (it == objects.end() || it->second.revision != expected) {
+        if (it == objects.end() || versionOf(it->second.revision) != expected) {
             co_return base::fail(base::ErrorKind::Conflict, "revision differs");
         }
         m_store.m_changes.emplace_back(kind, StoredObject{name, {}, ++m_store.m_revision, true});
@@ -198,11 +240,28 @@
         boost::asio::steady_timer timer(m_store.m_loop, duration);
         co_await timer.async_wait(boost::asio::use_awaitable);
     }
+    void noteEra()
+    {
+        m_era = {m_store.m_era, true};
+    }
+    [[nodiscard]] std::uint64_t versionOf(std::uint64_t revision) const
+    {
+        return makeVersion(m_store.m_era, revision);
+    }
+    [[nodiscard]] StoredObject versioned(StoredObject object) const
+    {
+        object.revision = versionOf(object.revision);
+        return object;
+    }
+    // Notes the era of the answer, unless there is none.
     Awaitable<CallFault> begin()
     {
         const bool isHit = ++m_store.m_calls == m_store.faultyCall;
         const CallFault fault = m_store.isDown || m_isDisconnected ? CallFault::Refused : (isHit ? m_store.fault : CallFault::None);
         co_await pause(fault == CallFault::Slow ? LateDelay : base::milliseconds{1});
+        if (fault == CallFault::None || fault == CallFault::Slow) {
+            noteEra();
+        }
         co_return fault;
     }
     static std::optional<base::Error> errorOf(CallFault fault)
@@ -228,11 +287,12 @@
             return base::fail(base::ErrorKind::Conflict, "revision differs");
         }
         m_store.put(kind, name, text);
-        return m_store.m_revision;
+        return versionOf(m_store.m_revision);
     }
 
     FakeStore &m_store;
     const bool &m_isDisconnected;
+    StoreEra &m_era;
     bool m_isInterrupted = false;
 };
 
--- a/carawaylatch/gateway/testing/testcluster.h
+++ b/carawaylatch/gateway/testing/testcluster.h
@@ -87,12 +87,17 @@
     }
     std::unique_ptr<ObjectClient> makeClient() override
     {
-        return std::make_unique<FakeClient>(m_store, isDisconnected);
+        return std::make_unique<FakeClient>(m_store, isDisconnected, m_era);
+    }
+    std::optional<std::uint64_t> storeEra() const override
+    {
+        return m_era.isKnown ? std::optional(m_era.current) : std::nullopt;
     }
     bool isDisconnected = false; // from the store; all calls fail
 
 private:
     FakeStore &m_store;
+    StoreEra m_era;
 };
 
 // The control plane of one router, and what it has published.
--- a/carawaylatch/gateway/testing/watchrelaytest.cpp
+++ b/carawaylatch/gateway/testing/watchrelaytest.cpp
@@ -16,6 +16,7 @@
 #include "carawaylatch/base/hash.h"
 #include "carawaylatch/gateway/http2relay.h"
 #include "carawaylatch/gateway/readerchoice.h"
+#include "carawaylatch/gateway/storeversion.h"
 #include "carawaylatch/gateway/testing/testcluster.h"
 #include "carawaylatch/gateway/watchlog.h"
 #include "testing/seed.h"
@@ -62,11 +63,31 @@
 {
     CPPUNIT_TEST_SUITE(WatchLogTest);
     CPPUNIT_TEST(testUnknownRevisions);
+    CPPUNIT_TEST(testReaderOfAnEarlierEra);
     CPPUNIT_TEST(testRandomHistories);
     CPPUNIT_TEST(testBound);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // A reader that has not seen the store come back from a copy confirms nothing to a router that has, and the reverse.
+    void testReaderOfAnEarlierEra()
+    {
+        WatchLog log;
+        log.onListed(Kind, makeVersion(1, 10));
+        log.onChanges(Kind, makeVersion(1, 10), makeVersion(1, 15), {object("a", makeVersion(1, 14))});
+        CPPUNIT_ASSERT(!log.changesSince(Kind, makeVersion(2, 3)).has_value());
+        CPPUNIT_ASSERT(log.changesSince(Kind, makeVersion(1, 12)).has_value());
+        log.onListed(Kind, makeVersion(2, 3));
+        CPPUNIT_ASSERT(!log.changesSince(Kind, makeVersion(1, 15)).has_value());
+        CPPUNIT_ASSERT(log.changesSince(Kind, makeVersion(2, 3)).has_value());
+        // A router of the version before answers a poll of a later era as if it knew that era.
+        const RelayAnswer answer{true, makeVersion(2, 3), {}, {}, false, {}};
+        CPPUNIT_ASSERT(decodeRelayAnswer(encodeRelayAnswer(answer)).value().isKnown);
+        std::string former = encodeRelayAnswer(answer);
+        former.replace(former.find("\"eras\""), 6, "\"none\"");
+        CPPUNIT_ASSERT(!decodeRelayAnswer(former).value().isKnown);
+    }
+
     void testUnknownRevisions()
     {
         WatchLog log;
--- a/carawaylatch/gateway/watchlog.cpp
+++ b/carawaylatch/gateway/watchlog.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 
+#include "carawaylatch/gateway/storeversion.h"
+
 namespace carawaylatch::gateway
 {
 
@@ -37,7 +39,7 @@
 std::optional<ChangesSince> WatchLog::changesSince(ObjectKind kind, std::uint64_t revision) const
 {
     const auto it = m_kinds.find(kind);
-    if (it == m_kinds.end() || it->second.revision == 0 || revision < it->second.base) {
+    if (it == m_kinds.end() || it->second.revision == 0 || revision < it->second.base || eraOf(revision) > eraOf(it->second.revision)) {
         return std::nullopt;
     }
     ChangesSince changes;
--- a/carawaylatch/gateway/watchlog.h
+++ b/carawaylatch/gateway/watchlog.h
@@ -35,8 +35,8 @@
     void onListed(ObjectKind kind, std::uint64_t revision);
     // These objects changed from revision `since` to `revision`.
     void onChanges(ObjectKind kind, std::uint64_t since, std::uint64_t revision, const std::vector<StoredObject> &objects);
-    // Nothing if the changes since that revision are not known. A revision that is newer than
-    // all that is known gets itself, without objects.
+    // Nothing if the changes since that revision are not known, or if it is of a later era. A
+    // revision of the same era that is newer than all that is known gets itself, without objects.
     [[nodiscard]] std::optional<ChangesSince> changesSince(ObjectKind kind, std::uint64_t revision) const;
 
 private:
--- a/carawaylatch/gateway/watchrelay.cpp
+++ b/carawaylatch/gateway/watchrelay.cpp
@@ -5,6 +5,8 @@
 
 #include <optional>
 
+#include "carawaylatch/gateway/storeversion.h"
+
 namespace carawaylatch::gateway
 {
 
@@ -94,6 +96,7 @@
     }
     Json json{{"known", 1U}, {"revision", answer.revision}, {"age_us", microseconds(answer.age)}, {"held_us", microseconds(answer.held)}};
     json["outage"] = answer.isAfterOutage ? 1U : 0U;
+    json["eras"] = 1U;
     Json objects = Json::array();
     for (const StoredObject &object : answer.objects) {
         Json row{{"name", object.name}, {"text", object.text}, {"revision", object.revision}};
@@ -122,7 +125,9 @@
     if (!known || !revision || !age || !held || !outage || objects == json.end() || !objects->is_array()) {
         return malformedMessage();
     }
-    RelayAnswer answer{*known == 1, *revision, fromMicroseconds(*age), fromMicroseconds(*held), *outage == 1, {}};
+    // Routers of the version before compare revisions of different eras.
+    const bool comparesEras = unsignedField(json, "eras") == 1U || eraOf(*revision) == 0;
+    RelayAnswer answer{*known == 1 && comparesEras, *revision, fromMicroseconds(*age), fromMicroseconds(*held), *outage == 1, {}};
     for (const Json &row : *objects) {
         auto object = decodeObject(row);
         if (!object) {
