--- /dev/null
+++ b/carawaylatch/proxy/trafficfaults.cpp
@@ -0,0 +1,87 @@
+// What upstreams say of themselves and what their crashes show: reports to and from other
+// routers, verdicts and their effects, for trafficplane.h.
+#include "carawaylatch/proxy/promptparts.h"
+#include "carawaylatch/proxy/trafficplane.h"
+
+namespace carawaylatch::proxy
+{
+
+FaultReport TrafficPlane::takeFaultChanges()
+{
+    FaultReport report = m_crashes.takeChanges(now());
+    report.leaving = m_tracker.takeLeaving();
+    return report;
+}
+
+FaultReport TrafficPlane::fullFaultReport() const
+{
+    FaultReport report = m_crashes.fullReport(now());
+    report.leaving = m_tracker.leaving();
+    return report;
+}
+
+void TrafficPlane::onFaultReport(const FaultReport &report)
+{
+    m_crashes.apply(report, now());
+    applyVerdicts();
+    for (const UpstreamRecord *record : m_tracker.applyLeaving(report.leaving, now())) {
+        onLeavingKnown(*record, "router");
+    }
+}
+
+void TrafficPlane::onUpstreamLeaving(UpstreamRecord &record)
+{
+    if (m_tracker.onLeaving(record, now())) {
+        onLeavingKnown(record, "answer");
+    }
+}
+
+void TrafficPlane::onLeavingKnown(const UpstreamRecord &record, std::string_view source)
+{
+    m_log.write(base::LogEvent::UpstreamLeavingNotice, {{"upstream", record.upstream.id.value()}, {"source", std::string(source)}});
+    m_observer.onUpstreamLeaving(record.upstream.id, record.upstream.startTimeMs);
+}
+
+// Pauses that were asked for at the same time end spread over a tenth of their length.
+void TrafficPlane::onUpstreamPause(UpstreamRecord &record, base::Duration pause)
+{
+    constexpr double SpreadShare = 0.1;
+    const bool isPaused = now() < record.pausedUntil;
+    m_tracker.onPause(record, pause, base::fromSeconds(base::toSeconds(pause) * SpreadShare * m_random.uniformReal()), now());
+    if (!isPaused) {
+        ++m_counts.pauses;
+        m_log.write(base::LogEvent::UpstreamPaused, {{"upstream", record.upstream.id.value()}, {"seconds", base::formatSeconds(record.pausedUntil - now())}});
+    }
+}
+
+void TrafficPlane::confirmCrashes()
+{
+    m_crashes.advance(now(), [this](const BrokenRequest &request, base::TimePoint since) {
+        const UpstreamRecord *record = m_tracker.find(request.upstream);
+        return record != nullptr && record->upstream.startTimeMs == request.startTimeMs && record->receivedAt > since;
+    });
+    applyVerdicts();
+}
+
+void TrafficPlane::applyVerdicts()
+{
+    const auto verdicts = m_crashes.takeVerdicts();
+    if (verdicts.empty()) {
+        return;
+    }
+    for (const PartVerdict &verdict : verdicts) {
+        const std::string part = formatPartId(verdict.id);
+        if (verdict.isBlocked) {
+            m_log.write(base::LogEvent::PromptPartBlocked,
+                        {{"part", part}, {"crashes", std::to_string(verdict.crashes)}, {"seconds", base::formatSeconds(verdict.blockedFor)}});
+        } else {
+            m_log.write(base::LogEvent::PromptPartCleared, {{"part", part}});
+        }
+    }
+    const std::vector<std::shared_ptr<CallerConnection>> callers(m_callers.begin(), m_callers.end());
+    for (const auto &caller : callers) {
+        caller->endBlockedRequest();
+    }
+}
+
+} // namespace carawaylatch::proxy
--- a/carawaylatch/proxy/trafficplane.cpp
+++ b/carawaylatch/proxy/trafficplane.cpp
@@ -9,7 +9,6 @@
 #include <utility>
 
 #include "carawaylatch/proxy/exchange.h"
-#include "carawaylatch/proxy/promptparts.h"
 
 namespace carawaylatch::proxy
 {
@@ -26,24 +25,6 @@
     return Reply{status, {}, {{"Content-Type", "text/plain; version=0.0.4"}}, std::move(body)};
 }
 
-// Appends a histogram in the Prometheus text format; the last bucket has no upper edge.
-void appendHistogram(std::string &out, std::string_view name, std::string_view kind, const telemetry::LatencyHistogram &counts)
-{
-    constexpr std::size_t BucketStep = 4; // merges fine buckets, so that each exported edge is twice the previous one
-    const std::string start = "carawaylatch_gateway_" + std::string(name);
-    std::uint64_t below = 0;
-    for (std::size_t i = 0; i + 1 < counts.counts.size(); ++i) {
-        below += counts.counts[i];
-        if ((i + 1) % BucketStep == 0) {
-            const std::string edge = std::to_string(base::toSeconds(telemetry::latencyBucketEdge(i)));
-            out.append(start).append("_bucket{kind=\"").append(kind).append("\",le=\"").append(edge).append("\"} ").append(std::to_string(below)).append("\n");
-        }
-    }
-    const std::string total = std::to_string(counts.total());
-    out.append(start).append("_bucket{kind=\"").append(kind).append("\",le=\"+Inf\"} ").append(total).append("\n");
-    out.append(start).append("_count{kind=\"").append(kind).append("\"} ").append(total).append("\n");
-}
-
 } // namespace
 
 struct TrafficPlane::Listener
@@ -197,84 +178,6 @@
     }
 }
 
-FaultReport TrafficPlane::takeFaultChanges()
-{
-    FaultReport report = m_crashes.takeChanges(now());
-    report.leaving = m_tracker.takeLeaving();
-    return report;
-}
-
-FaultReport TrafficPlane::fullFaultReport() const
-{
-    FaultReport report = m_crashes.fullReport(now());
-    report.leaving = m_tracker.leaving();
-    return report;
-}
-
-void TrafficPlane::onFaultReport(const FaultReport &report)
-{
-    m_crashes.apply(report, now());
-    applyVerdicts();
-    for (const UpstreamRecord *record : m_tracker.applyLeaving(report.leaving, now())) {
-        onLeavingKnown(*record, "router");
-    }
-}
-
-void TrafficPlane::onUpstreamLeaving(UpstreamRecord &record)
-{
-    if (m_tracker.onLeaving(record, now())) {
-        onLeavingKnown(record, "answer");
-    }
-}
-
-void TrafficPlane::onLeavingKnown(const UpstreamRecord &record, std::string_view source)
-{
-    m_log.write(base::LogEvent::UpstreamLeavingNotice, {{"upstream", record.upstream.id.value()}, {"source", std::string(source)}});
-    m_observer.onUpstreamLeaving(record.upstream.id, record.upstream.startTimeMs);
-}
-
-// Pauses that were asked for at the same time end spread over a tenth of their length.
-void TrafficPlane::onUpstreamPause(UpstreamRecord &record, base::Duration pause)
-{
-    constexpr double SpreadShare = 0.1;
-    const bool isPaused = now() < record.pausedUntil;
-    m_tracker.onPause(record, pause, base::fromSeconds(base::toSeconds(pause) * SpreadShare * m_random.uniformReal()), now());
-    if (!isPaused) {
-        ++m_counts.pauses;
-        m_log.write(base::LogEvent::UpstreamPaused, {{"upstream", record.upstream.id.value()}, {"seconds", base::formatSeconds(record.pausedUntil - now())}});
-    }
-}
-
-void TrafficPlane::confirmCrashes()
-{
-    m_crashes.advance(now(), [this](const BrokenRequest &request, base::TimePoint since) {
-        const UpstreamRecord *record = m_tracker.find(request.upstream);
-        return record != nullptr && record->upstream.startTimeMs == request.startTimeMs && record->receivedAt > since;
-    });
-    applyVerdicts();
-}
-
-void TrafficPlane::applyVerdicts()
-{
-    const auto verdicts = m_crashes.takeVerdicts();
-    if (verdicts.empty()) {
-        return;
-    }
-    for (const PartVerdict &verdict : verdicts) {
-        const std::string part = formatPartId(verdict.id);
-        if (verdict.isBlocked) {
-            m_log.write(base::LogEvent::PromptPartBlocked,
-                        {{"part", part}, {"crashes", std::to_string(verdict.crashes)}, {"seconds", base::formatSeconds(verdict.blockedFor)}});
-        } else {
-            m_log.write(base::LogEvent::PromptPartCleared, {{"part", part}});
-        }
-    }
-    const std::vector<std::shared_ptr<CallerConnection>> callers(m_callers.begin(), m_callers.end());
-    for (const auto &caller : callers) {
-        caller->endBlockedRequest();
-    }
-}
-
 void TrafficPlane::onPeerUnreachable(const base::Endpoint &peer)
 {
     m_observer.onRouterUnreachable(peer);
@@ -614,45 +517,6 @@
     return false;
 }
 
-std::string TrafficPlane::metricsText() const
-{
-    const std::pair<std::string_view, std::uint64_t> counts[] = {
-        {"requests_total", m_counts.requests},
-        {"served_total", m_counts.served},
-        {"refused_total", m_counts.refused},
-        {"failed_total", m_counts.failed},
-        {"cancelled_total", m_counts.cancelled},
-        {"rejected_total", m_counts.rejected},
-        {"attempts_total", m_counts.attempts},
-        {"connections_total", m_counts.connections},
-        {"upstream_reads_total", m_counts.reads},
-        {"streams_resumed_total", m_counts.resumed},
-        {"foreign_answers_total", m_counts.mismatchedResponses},
-        {"blocked_requests_total", m_counts.blocked},
-        {"blocked_prompt_parts", m_crashes.blockedParts(now())},
-        {"upstream_pauses_total", m_counts.pauses},
-        {"inflight", m_inflight},
-        {"peers", m_tracker.peers()},
-        {"log_lines_dropped_total", m_log.dropped()},
-        {"upstreams", m_view->upstreams.size()},
-        {"table_version", m_view->table ? m_view->table->version : 0},
-        {"table_age_ms", static_cast<std::uint64_t>(base::toMilliseconds(tableAge()))},
-    };
-    std::string out;
-    for (const auto &[name, value] : counts) {
-        out.append("carawaylatch_gateway_").append(name).append(" ").append(std::to_string(value)).append("\n");
-    }
-    for (const auto &[pool, queue] : m_queues) {
-        out.append("carawaylatch_gateway_waiting{pool=\"").append(pool.value()).append("\"} ").append(std::to_string(queue.size())).append("\n");
-    }
-    for (std::size_t i = 0; i < CallKindCount; ++i) {
-        const std::string_view kind = callKindName(static_cast<CallKind>(i));
-        appendHistogram(out, "first_byte_seconds", kind, m_counts.firstByte[i]);
-        appendHistogram(out, "total_seconds", kind, m_counts.total[i]);
-    }
-    return out;
-}
-
 std::shared_ptr<UpstreamConnection> TrafficPlane::takeIdleConnection(const Upstream &upstream, bool isRepeatable, std::string_view requestId)
 {
     while (true) {
