An upstream that was never paused has all its slots right after the clock's start

Found by reading: the share of slots after a pause compared with a time point of zero, so that in the first second of the steady clock each upstream had a part of its slots only. The test asks for a record that was never paused one millisecond after the clock's start; it had 0.001 of its slots.

--- a/carawaylatch/proxy/testing/sharedplacementtest.cpp
+++ b/carawaylatch/proxy/testing/sharedplacementtest.cpp
@@ -236,6 +236,7 @@
     {
         UpstreamRecord &record = *m_trackers[0].find(base::UpstreamId("e1"));
         const base::PoolName pool = record.upstream.pool;
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("never paused, right after the clock's start", 1.0, record.resumedShare(base::TimePoint{} + base::milliseconds{1}));
         m_trackers[0].onPause(record, base::seconds{2}, base::milliseconds{100}, Start);
         m_trackers[0].onPause(record, base::seconds{1}, base::milliseconds{0}, Start); // a shorter one changes nothing
         const base::TimePoint end = Start + base::milliseconds{2100};
--- a/carawaylatch/proxy/upstreamtracker.cpp
+++ b/carawaylatch/proxy/upstreamtracker.cpp
@@ -49,7 +49,8 @@
 double UpstreamRecord::resumedShare(base::TimePoint now) const
 {
     constexpr base::Duration ResumeTime = base::seconds{1};
-    return now - pausedUntil >= ResumeTime ? 1.0 : base::toSeconds(now - pausedUntil) / base::toSeconds(ResumeTime);
+    const bool wasPaused = pausedUntil != base::TimePoint{};
+    return !wasPaused || now - pausedUntil >= ResumeTime ? 1.0 : base::toSeconds(now - pausedUntil) / base::toSeconds(ResumeTime);
 }
 
 bool UpstreamRecord::isBackedUp(base::TimePoint now) const
