--- a/carawaylatch/fleet/lease.cpp
+++ b/carawaylatch/fleet/lease.cpp
@@ -158,12 +158,12 @@
 void Lease::onWritten(base::TimePoint now, const base::Result<store::Version> &result)
 {
     m_state.isCallPending = false;
-    if (result && m_state.writeId == m_self.writeId) {
-        confirm(now, result.value());
-        return;
-    }
     if (result) {
-        m_state.phase = LeasePhase::Observing; // sent before the store was restored
+        if (m_state.writeId == m_self.writeId) {
+            confirm(now, result.value());
+        } else {
+            m_state.phase = LeasePhase::Observing; // sent before the store was restored
+        }
         return;
     }
     if (result.error().kind == ErrorKind::Unavailable) {
--- a/carawaylatch/proxy/crashattribution.cpp
+++ b/carawaylatch/proxy/crashattribution.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "carawaylatch/base/hash.h"
+#include "carawaylatch/proxy/promptparts.h"
 
 namespace carawaylatch::proxy
 {
@@ -14,12 +15,6 @@
 namespace
 {
 
-// The last part belongs to one request alone.
-std::span<const PromptPart> sharedParts(std::span<const PromptPart> parts)
-{
-    return parts.first(parts.empty() ? 0 : parts.size() - 1);
-}
-
 base::Duration blockTime(std::uint8_t blocks)
 {
     constexpr std::uint8_t MaxDoublings = 4; // reaches MaxBlockTime
@@ -51,9 +46,9 @@
     return blocks > 0 ? now >= blockedUntil + MaxBlockTime : now - changedAt >= EvidenceTime;
 }
 
-std::uint64_t CrashAttribution::partKey(const base::ModelId &model, const PromptPart &part)
+std::uint64_t CrashAttribution::partKey(std::uint64_t model, const PromptPart &part)
 {
-    return base::combineHashes(base::hash64(model.value()), part.id);
+    return base::combineHashes(model, part.id);
 }
 
 void CrashAttribution::markChanged(Part &part, base::TimePoint now)
@@ -64,8 +59,9 @@
 
 void CrashAttribution::onAnswered(const base::ModelId &model, std::span<const PromptPart> parts, base::TimePoint now)
 {
+    const std::uint64_t modelHash = base::hash64(model.value());
     for (const PromptPart &part : sharedParts(parts)) {
-        const std::uint64_t key = partKey(model, part);
+        const std::uint64_t key = partKey(modelHash, part);
         if (m_answeredAt.size() >= MaxAnsweredParts && !m_answeredAt.contains(key)) {
             m_answeredAt.clear();
         }
@@ -99,17 +95,18 @@
 void CrashAttribution::confirm(const BrokenRequest &request, base::TimePoint now)
 {
     const std::uint64_t crash = base::combineHashes(base::hash64(request.upstream.value()), request.startTimeMs);
-    std::uint8_t depth = 0;
-    for (const PromptPart &part : sharedParts(request.parts)) {
-        const std::uint64_t key = partKey(request.model, part);
+    const std::uint64_t model = base::hash64(request.model.value());
+    const auto parts = sharedParts(request.parts);
+    for (std::size_t i = 0; i < parts.size(); ++i) {
+        const std::uint64_t key = partKey(model, parts[i]);
         const auto answered = m_answeredAt.find(key);
         const bool isCleared = answered != m_answeredAt.end() && answered->second >= request.at;
-        Part *entry = isCleared ? nullptr : findOrAdd(key, part.id, now);
+        Part *entry = isCleared ? nullptr : findOrAdd(key, parts[i].id, now);
         if (entry != nullptr && addCrash(*entry, {crash, request.at}, now)) {
-            entry->depth = std::max(entry->depth, depth);
+            const auto depth = std::min<std::size_t>(i, std::numeric_limits<std::uint8_t>::max());
+            entry->depth = std::max(entry->depth, static_cast<std::uint8_t>(depth));
             markChanged(*entry, now);
         }
-        depth = depth == std::numeric_limits<std::uint8_t>::max() ? depth : static_cast<std::uint8_t>(depth + 1);
     }
 }
 
@@ -282,8 +279,9 @@
     if (m_parts.empty()) {
         return longest;
     }
+    const std::uint64_t modelHash = base::hash64(model.value());
     for (const PromptPart &part : sharedParts(parts)) {
-        const auto it = m_parts.find(partKey(model, part));
+        const auto it = m_parts.find(partKey(modelHash, part));
         if (it != m_parts.end() && it->second.isBlocked(now)) {
             longest = std::max(longest.value_or(base::Duration{}), it->second.blockedUntil - now);
         }
--- a/carawaylatch/proxy/crashattribution.h
+++ b/carawaylatch/proxy/crashattribution.h
@@ -120,7 +120,8 @@
     };
     using Parts = std::unordered_map<std::uint64_t, Part>;
 
-    [[nodiscard]] static std::uint64_t partKey(const base::ModelId &model, const PromptPart &part);
+    // `model` is the hash of the model's id.
+    [[nodiscard]] static std::uint64_t partKey(std::uint64_t model, const PromptPart &part);
     [[nodiscard]] static PartState stateOf(std::uint64_t key, const Part &part, base::TimePoint now);
     void confirm(const BrokenRequest &request, base::TimePoint now);
     // Returns nullptr if the table is full.
--- a/carawaylatch/proxy/exchange.cpp
+++ b/carawaylatch/proxy/exchange.cpp
@@ -203,7 +203,7 @@
     const auto &members = m_plane.tracker().members(m_pool);
     return std::any_of(members.begin(), members.end(), [this](const UpstreamRecord *record) {
         const bool isTried = std::find(m_triedUpstreams.begin(), m_triedUpstreams.end(), record->upstream.id) != m_triedUpstreams.end();
-        return !isTried && record->upstream.phase == UpstreamPhase::Ready && !record->isLeaving;
+        return !isTried && record->isStaying();
     });
 }
 
--- a/carawaylatch/proxy/kvtransfer.cpp
+++ b/carawaylatch/proxy/kvtransfer.cpp
@@ -2,6 +2,7 @@
 #include "carawaylatch/proxy/kvtransfer.h"
 
 #include "carawaylatch/base/hash.h"
+#include "carawaylatch/proxy/promptparts.h"
 
 namespace carawaylatch::proxy
 {
@@ -20,11 +21,12 @@
 
 std::uint64_t sharedPrefixKey(std::span<const PromptPart> parts)
 {
-    if (parts.size() < 2) {
+    const auto shared = sharedParts(parts);
+    if (shared.empty()) {
         return 0;
     }
     std::uint64_t key = 1;
-    for (const PromptPart &part : parts.first(parts.size() - 1)) {
+    for (const PromptPart &part : shared) {
         key = base::combineHashes(key, part.id);
     }
     return key;
@@ -33,8 +35,8 @@
 std::uint32_t sharedPrefixTokens(std::span<const PromptPart> parts)
 {
     std::uint32_t tokens = 0;
-    for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
-        tokens += parts[i].tokens;
+    for (const PromptPart &part : sharedParts(parts)) {
+        tokens += part.tokens;
     }
     return tokens;
 }
--- a/carawaylatch/proxy/promptparts.cpp
+++ b/carawaylatch/proxy/promptparts.cpp
@@ -1,4 +1,4 @@
-// Formatting of promptparts.h.
+// Parts and formatting of promptparts.h.
 #include "carawaylatch/proxy/promptparts.h"
 
 #include <charconv>
@@ -6,6 +6,11 @@
 namespace carawaylatch::proxy
 {
 
+std::span<const PromptPart> sharedParts(std::span<const PromptPart> parts)
+{
+    return parts.first(parts.empty() ? 0 : parts.size() - 1);
+}
+
 std::string formatPartId(std::uint64_t id)
 {
     constexpr int HexadecimalBase = 16;
@@ -17,8 +22,8 @@
 std::string formatSharedParts(std::span<const PromptPart> parts)
 {
     std::string out;
-    for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
-        out.append(i == 0 ? "" : ",").append(formatPartId(parts[i].id));
+    for (const PromptPart &part : sharedParts(parts)) {
+        out.append(out.empty() ? "" : ",").append(formatPartId(part.id));
     }
     return out.empty() ? "-" : out;
 }
--- a/carawaylatch/proxy/upstreamtracker.cpp
+++ b/carawaylatch/proxy/upstreamtracker.cpp
@@ -41,9 +41,14 @@
     return inflight + otherRoutersLoad * decay;
 }
 
+bool UpstreamRecord::isStaying() const
+{
+    return upstream.phase == UpstreamPhase::Ready && !isLeaving;
+}
+
 bool UpstreamRecord::takesRequests(base::TimePoint now) const
 {
-    return isListed && upstream.phase == UpstreamPhase::Ready && !isLeaving && now >= pausedUntil;
+    return isListed && isStaying() && now >= pausedUntil;
 }
 
 double UpstreamRecord::resumedShare(base::TimePoint now) const
@@ -205,8 +210,7 @@
 {
     std::optional<base::TimePoint> first;
     for (const UpstreamRecord *record : members(pool)) {
-        const bool isUsable = record->upstream.phase == UpstreamPhase::Ready && !record->isLeaving;
-        if (!isUsable || std::find(excluded.begin(), excluded.end(), record->upstream.id) != excluded.end()) {
+        if (!record->isStaying() || std::find(excluded.begin(), excluded.end(), record->upstream.id) != excluded.end()) {
             continue;
         }
         if (now >= record->pausedUntil) {
@@ -278,8 +282,8 @@
 {
     const auto isUsable = [this, &destination, now](std::uint64_t key) {
         const auto it = m_byIdHash.find(key);
-        return it != m_byIdHash.end() && it->second != &destination && it->second->upstream.pool == destination.upstream.pool
-               && it->second->upstream.phase == UpstreamPhase::Ready && !it->second->isLeaving && now >= it->second->backoffUntil;
+        return it != m_byIdHash.end() && it->second != &destination && it->second->upstream.pool == destination.upstream.pool && it->second->isStaying()
+               && now >= it->second->backoffUntil;
     };
     const auto key = m_placements.findHolder(cacheKey, now, isUsable);
     return key ? m_byIdHash.at(*key) : nullptr;
--- a/carawaylatch/proxy/upstreamtracker.h
+++ b/carawaylatch/proxy/upstreamtracker.h
@@ -51,6 +51,8 @@
 
     static constexpr base::Duration MaxSampleAge = base::seconds{1}; // under load, responses arrive many times a second
 
+    // True if neither the list nor the upstream itself says that it leaves.
+    [[nodiscard]] bool isStaying() const;
     // True if new requests may be sent to the upstream, as far as it and the list say.
     [[nodiscard]] bool takesRequests(base::TimePoint now) const;
     // Share of the slots that may be used after a pause; grows to one over ResumeTime.
