--- a/carawaylatch/proxy/dialect.h
+++ b/carawaylatch/proxy/dialect.h
@@ -70,6 +70,7 @@
     bool isEncoded = false; // a content coding was applied to the body
     bool isLeaving = false; // the upstream will end; it wants no new requests
     std::optional<base::Duration> pause; // with a refusal: the upstream wants no requests from this router for so long
+    std::optional<double> requestLimit; // requests a second that the upstream takes from all routers together; positive
     std::optional<LoadSample> load;
     std::optional<base::WeightsVersion> weights;
     std::optional<base::Duration> keepAlive; // idle time after which the upstream closes the connection
--- a/carawaylatch/proxy/exchangeattempt.cpp
+++ b/carawaylatch/proxy/exchangeattempt.cpp
@@ -142,6 +142,9 @@
     if (response.pause) {
         m_plane.onUpstreamPause(*attempt.record, *response.pause);
     }
+    if (response.requestLimit || response.isSigned) {
+        m_plane.onUpstreamLimit(*attempt.record, response.requestLimit);
+    }
     if (response.weights && *response.weights != attempt.record->weights) {
         attempt.record->weights = *response.weights;
         m_plane.observer().onWeightsSeen(attempt.record->upstream.id, *response.weights);
--- a/carawaylatch/proxy/trafficfaults.cpp
+++ b/carawaylatch/proxy/trafficfaults.cpp
@@ -54,6 +54,15 @@
     }
 }
 
+void TrafficPlane::onUpstreamLimit(UpstreamRecord &record, std::optional<double> perSecond)
+{
+    if (perSecond.value_or(0) != record.requestLimit) {
+        record.requestLimit = perSecond.value_or(0);
+        m_log.write(base::LogEvent::UpstreamLimitChanged,
+                    {{"upstream", record.upstream.id.value()}, {"per_second", std::to_string(record.requestLimit)}, {"source", "answer"}});
+    }
+}
+
 void TrafficPlane::confirmCrashes()
 {
     m_crashes.advance(now(), [this](const BrokenRequest &request, base::TimePoint since) {
--- a/carawaylatch/proxy/trafficplane.h
+++ b/carawaylatch/proxy/trafficplane.h
@@ -143,6 +143,8 @@
     // An upstream has said that it leaves, or asked for a pause.
     void onUpstreamLeaving(UpstreamRecord &record);
     void onUpstreamPause(UpstreamRecord &record, base::Duration pause);
+    // An upstream has named this limit in an answer, or none.
+    void onUpstreamLimit(UpstreamRecord &record, std::optional<double> perSecond);
     // Schedules an attempt to place the queued requests of all pools; does not run it inline.
     void schedulePlacement();
     void logRejected(std::string_view id, std::string_view host, std::string_view reason, unsigned status);
--- a/carawaylatch/proxy/upstreamtracker.cpp
+++ b/carawaylatch/proxy/upstreamtracker.cpp
@@ -89,6 +89,7 @@
             record.otherRoutersLoad = 0;
             record.weights = {};
             record.pausedUntil = {};
+            record.requestLimit = 0;
         }
         record.upstream = upstream;
         record.idHash = base::hash64(upstream.id.value());
--- a/carawaylatch/proxy/upstreamtracker.h
+++ b/carawaylatch/proxy/upstreamtracker.h
@@ -48,6 +48,7 @@
     base::TimePoint receivedAt; // last byte received
     bool isLeaving = false; // it has said so, to this router or another; holds for the incarnation
     base::TimePoint pausedUntil; // it has asked this router for a pause
+    double requestLimit = 0; // requests a second from all routers that its last answer named; zero: none
 
     static constexpr base::Duration MaxSampleAge = base::seconds{1}; // under load, responses arrive many times a second
 
