Keep the limits of requests that upstreams name, divided over all routers

Cause: Server-Limit was not read, and nothing between placement and sending bounds the rate at one upstream. Class of fault: a wish of an upstream that holds for all routers together, and that no router can keep by looking at its own requests. Ruled out: limits kept by each router alone, or passed by by repeats; no part of the code knew the field.

Change: RequestLimits, next to the pauses and the notices of leaving. Each router that shares an upstream sends one request per (routers that share / limit), without messages on the way of a request; a low limit is shared by a few routers only, in rendezvous order. Placement, repeats and the queue ask it, and an exchange whose connection opens after the limit was named is placed anew. Routers pass limits on with the fault reports, in a message of its own that routers of the version before refuse. If all upstreams are limited, a caller is refused at once with a time of its own.

--- a/carawaylatch/proxy/exchange.cpp
+++ b/carawaylatch/proxy/exchange.cpp
@@ -219,6 +219,19 @@
     }
 }
 
+// No upstream takes requests before `next`, which is too late for this one.
+void Exchange::giveUpBefore(const NextRequest &next)
+{
+    if (!next.isLimited) {
+        giveUp("upstreams_paused", next.at - m_plane.now());
+        return;
+    }
+    // One of the callers that wait for a limited upstream is served at a time, so each is told a time of its own.
+    // Another router may have room sooner if this one sends nothing to the upstream.
+    const bool isForOthers = next.at == base::TimePoint::max();
+    giveUp("upstreams_limited", isForOthers ? queueRetryDelay() : std::max(next.at - m_plane.now(), queueRetryDelay()));
+}
+
 base::Duration Exchange::queueRetryDelay() const
 {
     return m_plane.queue(m_pool).retryDelay(m_urgency, m_plane.now());
@@ -231,9 +244,9 @@
     const base::Duration maxQueueWait = std::min<base::Duration>(base::fromSeconds(base::toSeconds(m_route->targetLatency) * MaxQueueWaitShare), left / 2);
     const base::Duration waited = now - m_startedAt;
     WaitQueue &queue = m_plane.queue(m_pool);
-    const auto pausedUntil = m_plane.tracker().pausedUntil(m_pool, m_triedUpstreams, now);
-    if (pausedUntil && *pausedUntil - now > maxQueueWait - waited) {
-        giveUp("upstreams_paused", *pausedUntil - now);
+    const auto next = m_plane.tracker().nextRequest(m_pool, m_triedUpstreams, now);
+    if (next && next->at - now > maxQueueWait - waited) {
+        giveUpBefore(*next);
         return;
     }
     const auto expected = queue.expectedWait(m_urgency, now);
--- a/carawaylatch/proxy/exchange.h
+++ b/carawaylatch/proxy/exchange.h
@@ -71,11 +71,13 @@
     void placeOrQueue();
     [[nodiscard]] bool hasUntriedUpstream() const;
     void giveUp(std::string_view reason, base::Duration retryAfter);
+    void giveUpBefore(const NextRequest &next);
     [[nodiscard]] base::Duration queueRetryDelay() const;
     void reportBreak();
     void joinQueue();
     void startAttempt(const PlacementResult &placement);
     void onConnected(std::string_view problem);
+    [[nodiscard]] bool isUnwanted() const;
     void sendOrEnd();
     void send();
     [[nodiscard]] AttemptPlan planAttempt() const;
--- a/carawaylatch/proxy/exchangeattempt.cpp
+++ b/carawaylatch/proxy/exchangeattempt.cpp
@@ -58,13 +58,20 @@
         endAttempt(AttemptEnd::NotSent, problem);
         return;
     }
-    if (!m_attempt->record->takesRequests(m_plane.now())) {
-        endAttempt(AttemptEnd::NotSent, "the upstream leaves or has asked for a pause");
+    if (isUnwanted()) {
+        endAttempt(AttemptEnd::NotSent, "the upstream leaves, has asked for a pause or has named a limit");
         return;
     }
     sendOrEnd();
 }
 
+// True if the upstream has said, since the attempt started, that it wants no such request.
+bool Exchange::isUnwanted() const
+{
+    const UpstreamRecord &record = *m_attempt->record;
+    return !record.takesRequests(m_plane.now()) || m_plane.tracker().limits().hasBegunAfter(record.key(), m_attempt->startedAt);
+}
+
 void Exchange::sendOrEnd()
 {
     m_plane.contain(
@@ -143,7 +150,7 @@
         m_plane.onUpstreamPause(*attempt.record, *response.pause);
     }
     if (response.requestLimit || response.isSigned) {
-        m_plane.onUpstreamLimit(*attempt.record, response.requestLimit);
+        m_plane.onUpstreamLimit(*attempt.record, response.requestLimit, attempt.startedAt);
     }
     if (response.weights && *response.weights != attempt.record->weights) {
         attempt.record->weights = *response.weights;
@@ -379,7 +386,7 @@
     Attempt &attempt = *m_attempt;
     const base::TimePoint now = m_plane.now();
     // What an upstream wants tells nothing of its health.
-    const bool isUpstreamsWish = attempt.response.pause || !attempt.record->takesRequests(now);
+    const bool isUpstreamsWish = attempt.response.pause || (attempt.isSent ? !attempt.record->takesRequests(now) : isUnwanted());
     const AttemptEnd observed = isUpstreamsWish ? AttemptEnd::NotExecuted : end;
     m_plane.tracker().onAttemptEnded(*attempt.record, attempt.load, attempt.startedOutputAt.has_value(), observed, now);
     m_plane.queue(m_pool).completionRate().record(now);
--- a/carawaylatch/proxy/faultreport.cpp
+++ b/carawaylatch/proxy/faultreport.cpp
@@ -13,9 +13,11 @@
 {
 
 constexpr std::size_t HeaderBytes = 5;
+constexpr std::size_t LimitsHeaderBytes = 2; // follows the header in reports with limits
 constexpr std::size_t PartBytes = 27;
 constexpr std::size_t CrashBytes = 12;
 constexpr std::size_t LeavingBytes = 16;
+constexpr std::size_t LimitBytes = 24;
 
 std::uint32_t encodeDuration(base::Duration duration)
 {
@@ -67,11 +69,15 @@
 {
     const std::size_t parts = std::min(report.parts.size(), MaxReportedParts);
     const std::size_t leaving = std::min(report.leaving.size(), MaxReportedLeaving);
+    const std::size_t limits = std::min(report.limits.size(), MaxReportedLimits);
     std::string out;
-    out.reserve(HeaderBytes + parts * (PartBytes + CrashBytes) + leaving * LeavingBytes);
-    appendInteger(out, FaultReportVersion);
+    out.reserve(HeaderBytes + LimitsHeaderBytes + parts * (PartBytes + CrashBytes) + leaving * LeavingBytes + limits * LimitBytes);
+    appendInteger(out, limits > 0 ? FaultReportWithLimitsVersion : FaultReportVersion);
     appendInteger(out, static_cast<std::uint16_t>(parts));
     appendInteger(out, static_cast<std::uint16_t>(leaving));
+    if (limits > 0) {
+        appendInteger(out, static_cast<std::uint16_t>(limits));
+    }
     for (std::size_t i = 0; i < parts; ++i) {
         appendPart(out, report.parts[i]);
     }
@@ -79,17 +85,28 @@
         appendInteger(out, report.leaving[i].upstream);
         appendInteger(out, report.leaving[i].startTimeMs);
     }
+    for (std::size_t i = 0; i < limits; ++i) {
+        appendInteger(out, report.limits[i].upstream);
+        appendInteger(out, report.limits[i].startTimeMs);
+        appendInteger(out, report.limits[i].generation);
+        appendInteger(out, report.limits[i].milliPerSecond);
+    }
     return out;
 }
 
 base::Result<FaultReport> decodeFaultReport(std::string_view bytes)
 {
-    if (bytes.size() < HeaderBytes || takeInteger<std::uint8_t>(bytes) != FaultReportVersion) {
+    if (bytes.size() < HeaderBytes || !isFaultReport(bytes)) {
         return malformedReport("no header of this version");
     }
+    const bool hasLimits = takeInteger<std::uint8_t>(bytes) == FaultReportWithLimitsVersion;
     const std::size_t parts = takeInteger<std::uint16_t>(bytes);
     const std::size_t leaving = takeInteger<std::uint16_t>(bytes);
-    if (parts > MaxReportedParts || leaving > MaxReportedLeaving) {
+    if (hasLimits && bytes.size() < LimitsHeaderBytes) {
+        return malformedReport("the header is cut off");
+    }
+    const std::size_t limits = hasLimits ? takeInteger<std::uint16_t>(bytes) : 0;
+    if (parts > MaxReportedParts || leaving > MaxReportedLeaving || limits > MaxReportedLimits) {
         return malformedReport("too many rows");
     }
     FaultReport report;
@@ -108,7 +125,7 @@
             crash.age = takeDuration(bytes);
         }
     }
-    if (bytes.size() != leaving * LeavingBytes) {
+    if (bytes.size() != leaving * LeavingBytes + limits * LimitBytes) {
         return malformedReport("length does not match the row counts");
     }
     for (std::size_t i = 0; i < leaving; ++i) {
@@ -116,12 +133,20 @@
         it.upstream = takeInteger<std::uint64_t>(bytes);
         it.startTimeMs = takeInteger<std::uint64_t>(bytes);
     }
+    for (std::size_t i = 0; i < limits; ++i) {
+        UpstreamLimit &it = report.limits.emplace_back();
+        it.upstream = takeInteger<std::uint64_t>(bytes);
+        it.startTimeMs = takeInteger<std::uint64_t>(bytes);
+        it.generation = takeInteger<std::uint32_t>(bytes);
+        it.milliPerSecond = takeInteger<std::uint32_t>(bytes);
+    }
     return report;
 }
 
 bool isFaultReport(std::string_view bytes)
 {
-    return !bytes.empty() && static_cast<std::uint8_t>(bytes.front()) == FaultReportVersion;
+    const auto version = bytes.empty() ? std::uint8_t{0} : static_cast<std::uint8_t>(bytes.front());
+    return version == FaultReportVersion || version == FaultReportWithLimitsVersion;
 }
 
 } // namespace carawaylatch::proxy
--- a/carawaylatch/proxy/faultreport.h
+++ b/carawaylatch/proxy/faultreport.h
@@ -1,16 +1,19 @@
 // Reports that routers exchange about prompt parts that may crash upstreams, and about
-// upstreams that have said that they leave.
+// upstreams that have said that they leave or named a limit of requests.
 //
-// A report holds the state of each part that has changed, see CrashAttribution, and each
-// upstream newly known to leave. They merge to the same result in any order, so that routers
+// A report holds the state of each part that has changed, see CrashAttribution, each
+// upstream newly known to leave, and each changed limit, see RequestLimits. They merge to the same result in any order, so that routers
 // forward what is new to them, and a lost report is made up for by a later one.
 //
 // On the wire, integers little-endian:
 //
-//     version u8 (2; load reports have 1), parts u16, leaving u16
+//     version u8 (2 or 3; load reports have 1), parts u16, leaving u16, in version 3 limits u16
 //     part:  key u64, id u64, generation u32, blocks u8, blocked for ms u32, depth u8, crashes u8
 //     crash: id u64, age in ms u32
 //     leaving: upstream u64, start time u64
+//     limit: upstream u64, start time u64, generation u32, thousandths of requests a second u32
+//
+// Version 3 is used for reports with limits only: routers that don't know it refuse the whole report.
 #pragma once
 
 #include <cstddef>
@@ -52,20 +55,34 @@
     bool operator==(const LeavingUpstream &) const = default;
 };
 
+// A limit of requests that an upstream has named. A greater generation replaces a lower one.
+struct UpstreamLimit
+{
+    std::uint64_t upstream = 0; // hash of its id
+    std::uint64_t startTimeMs = 0; // its incarnation
+    std::uint32_t generation = 0;
+    std::uint32_t milliPerSecond = 0; // thousandths of requests a second from all routers; zero: the limit has ended
+
+    bool operator==(const UpstreamLimit &) const = default;
+};
+
 struct FaultReport
 {
     std::vector<PartState> parts; // at most MaxReportedParts
     std::vector<LeavingUpstream> leaving; // at most MaxReportedLeaving
+    std::vector<UpstreamLimit> limits; // at most MaxReportedLimits
 
     [[nodiscard]] bool isEmpty() const
     {
-        return parts.empty() && leaving.empty();
+        return parts.empty() && leaving.empty() && limits.empty();
     }
 };
 
 constexpr std::uint8_t FaultReportVersion = 2;
+constexpr std::uint8_t FaultReportWithLimitsVersion = 3;
 constexpr std::size_t MaxReportedParts = 256;
 constexpr std::size_t MaxReportedLeaving = 1024;
+constexpr std::size_t MaxReportedLimits = 1024;
 constexpr std::size_t MaxCrashesPerPart = 8;
 
 [[nodiscard]] std::string encodeFaultReport(const FaultReport &report);
--- a/carawaylatch/proxy/peerexchange.cpp
+++ b/carawaylatch/proxy/peerexchange.cpp
@@ -31,9 +31,16 @@
 constexpr int StatusAccepted = 204;
 constexpr int StatusRejected = 400;
 
-std::string encodeIfAny(const FaultReport &report)
+// Encodes the report as up to two messages, empty if there is nothing to tell: limits have their own, since
+// routers of a former version refuse the message that holds them.
+std::array<std::string, 2> encodeFaults(FaultReport report)
 {
-    return report.isEmpty() ? std::string() : encodeFaultReport(report);
+    FaultReport limits;
+    limits.limits = std::exchange(report.limits, {});
+    const auto encodeIfAny = [](const FaultReport &it) {
+        return it.isEmpty() ? std::string() : encodeFaultReport(it);
+    };
+    return {encodeIfAny(report), encodeIfAny(limits)};
 }
 
 } // namespace
@@ -389,9 +396,9 @@
     if (isDue) {
         m_reportedAt = now;
     }
-    const std::string faultChangesText = encodeIfAny(m_source.takeFaultChanges());
+    const auto faultChangesTexts = encodeFaults(m_source.takeFaultChanges());
     std::string fullText; // built only if a peer needs it, which is rare
-    std::string fullFaultText;
+    std::array<std::string, 2> fullFaultTexts;
     for (const auto &[endpoint, outbound] : m_outbound) {
         outbound->tick();
         const bool needsFullReport = outbound->needsFullReport();
@@ -399,10 +406,12 @@
             LoadReport full = m_source.fullReport();
             full.placements = changes.placements;
             fullText = encode(std::move(full));
-            fullFaultText = encodeIfAny(m_source.fullFaultReport());
+            fullFaultTexts = encodeFaults(m_source.fullFaultReport());
         }
         outbound->send(needsFullReport ? fullText : changesText);
-        outbound->send(needsFullReport ? fullFaultText : faultChangesText);
+        for (const std::string &text : needsFullReport ? fullFaultTexts : faultChangesTexts) {
+            outbound->send(text);
+        }
     }
 }
 
--- a/carawaylatch/proxy/placement.cpp
+++ b/carawaylatch/proxy/placement.cpp
@@ -33,11 +33,11 @@
     return context.target != nullptr && record.weights < context.target->version;
 }
 
-bool isUsable(const PlacementContext &context, const UpstreamRecord &record)
+bool isUsable(const PlacementContext &context, const UpstreamRecord &record, const UpstreamTracker &tracker)
 {
     const auto &excluded = context.query.excluded;
     const bool isChanging = hasOldWeights(context, record) && context.view.reloading.contains(record.upstream.id);
-    return record.takesRequests(context.query.now) && !isChanging && std::find(excluded.begin(), excluded.end(), record.upstream.id) == excluded.end();
+    return tracker.mayStart(record, context.query.now) && !isChanging && std::find(excluded.begin(), excluded.end(), record.upstream.id) == excluded.end();
 }
 
 bool areWeightsAllowed(const PlacementContext &context, const UpstreamRecord &record)
@@ -123,7 +123,7 @@
     PlacementResult result;
     bool isBestUnhealthy = false; // the best candidate so far is backed off or silent
     for (UpstreamRecord *record : members) {
-        if (!isUsable(context, *record) || !areWeightsAllowed(context, *record)) {
+        if (!isUsable(context, *record, tracker) || !areWeightsAllowed(context, *record)) {
             continue;
         }
         const TotalLoad load = tracker.totalLoad(*record, view.routers, query.now);
--- a/carawaylatch/proxy/testing/crashattributiontest.cpp
+++ b/carawaylatch/proxy/testing/crashattributiontest.cpp
@@ -342,12 +342,16 @@
             for (std::uint64_t n = random.below(4); n > 0; --n) {
                 report.leaving.push_back({random.next(), random.next()});
             }
+            for (std::uint64_t n = random.below(4); n > 0; --n) {
+                report.limits.push_back({random.next(), random.next(), static_cast<std::uint32_t>(random.next()), static_cast<std::uint32_t>(random.next())});
+            }
             const std::string bytes = encodeFaultReport(report);
             CPPUNIT_ASSERT(isFaultReport(bytes) && bytes.size() <= MaxReportBytes);
             const auto decoded = decodeFaultReport(bytes);
             CPPUNIT_ASSERT(decoded.has_value());
             CPPUNIT_ASSERT_EQUAL(bytes, encodeFaultReport(decoded.value()));
             CPPUNIT_ASSERT(report.leaving == decoded.value().leaving);
+            CPPUNIT_ASSERT(report.limits == decoded.value().limits);
             CPPUNIT_ASSERT(!decodeLoadReport(bytes).has_value()); // what a router of the version before makes of it
         }
         CPPUNIT_ASSERT(!isFaultReport(encodeLoadReport({})));
@@ -357,11 +361,15 @@
     {
         FaultReport report;
         report.parts.push_back({1, 2, 3, 4, base::seconds{5}, 6, {{7, base::seconds{8}}}});
+        FaultReport limits;
+        limits.limits.push_back({1, 2, 3, 4});
         const std::string bytes = encodeFaultReport(report);
-        for (std::size_t n = 0; n < bytes.size(); ++n) {
-            CPPUNIT_ASSERT(!decodeFaultReport(bytes.substr(0, n)).has_value());
+        for (const std::string &it : {bytes, encodeFaultReport(limits)}) {
+            for (std::size_t n = 0; n < it.size(); ++n) {
+                CPPUNIT_ASSERT(!decodeFaultReport(it.substr(0, n)).has_value());
+            }
+            CPPUNIT_ASSERT(!decodeFaultReport(it + "x").has_value());
         }
-        CPPUNIT_ASSERT(!decodeFaultReport(bytes + "x").has_value());
         base::Random random(carawaylatch::testing::seed());
         CrashAttribution router;
         for (int i = 0; i < 2000; ++i) {
--- a/carawaylatch/proxy/testing/sharedplacementtest.cpp
+++ b/carawaylatch/proxy/testing/sharedplacementtest.cpp
@@ -243,15 +243,15 @@
         CPPUNIT_ASSERT(!record.takesRequests(end - base::milliseconds{1}));
         CPPUNIT_ASSERT(record.takesRequests(end));
         CPPUNIT_ASSERT(record.resumedShare(end) < 0.1 && record.resumedShare(end + base::seconds{1}) >= 1);
-        CPPUNIT_ASSERT_MESSAGE("others take requests", !m_trackers[0].pausedUntil(pool, {}, Start));
+        CPPUNIT_ASSERT_MESSAGE("others take requests", !m_trackers[0].nextRequest(pool, {}, Start));
         for (UpstreamRecord *other : m_trackers[0].members(pool)) {
             if (other != &record) {
                 m_trackers[0].onPause(*other, base::seconds{3}, {}, Start);
             }
         }
-        CPPUNIT_ASSERT(m_trackers[0].pausedUntil(pool, {}, Start) == end);
+        CPPUNIT_ASSERT(m_trackers[0].nextRequest(pool, {}, Start)->at == end);
         const std::vector<base::UpstreamId> tried{record.upstream.id};
-        CPPUNIT_ASSERT(m_trackers[0].pausedUntil(pool, tried, Start) == Start + base::seconds{3});
+        CPPUNIT_ASSERT(m_trackers[0].nextRequest(pool, tried, Start)->at == Start + base::seconds{3});
         CPPUNIT_ASSERT_EQUAL(0.0, record.failureShare);
     }
 };
--- a/carawaylatch/proxy/trafficfaults.cpp
+++ b/carawaylatch/proxy/trafficfaults.cpp
@@ -10,6 +10,7 @@
 {
     FaultReport report = m_crashes.takeChanges(now());
     report.leaving = m_tracker.takeLeaving();
+    report.limits = m_tracker.limits().takeChanges();
     return report;
 }
 
@@ -17,6 +18,7 @@
 {
     FaultReport report = m_crashes.fullReport(now());
     report.leaving = m_tracker.leaving();
+    report.limits = m_tracker.limits().all();
     return report;
 }
 
@@ -27,6 +29,9 @@
     for (const UpstreamRecord *record : m_tracker.applyLeaving(report.leaving, now())) {
         onLeavingKnown(*record, "router");
     }
+    for (const UpstreamRecord *record : m_tracker.applyLimits(report.limits, now())) {
+        logLimit(*record, "router");
+    }
 }
 
 void TrafficPlane::onUpstreamLeaving(UpstreamRecord &record)
@@ -54,15 +59,20 @@
     }
 }
 
-void TrafficPlane::onUpstreamLimit(UpstreamRecord &record, std::optional<double> perSecond)
+void TrafficPlane::onUpstreamLimit(const UpstreamRecord &record, std::optional<double> perSecond, base::TimePoint sentAt)
 {
-    if (perSecond.value_or(0) != record.requestLimit) {
-        record.requestLimit = perSecond.value_or(0);
-        m_log.write(base::LogEvent::UpstreamLimitChanged,
-                    {{"upstream", record.upstream.id.value()}, {"per_second", std::to_string(record.requestLimit)}, {"source", "answer"}});
+    if (m_tracker.onLimit(record, perSecond, sentAt, now())) {
+        logLimit(record, "answer");
     }
 }
 
+void TrafficPlane::logLimit(const UpstreamRecord &record, std::string_view source)
+{
+    m_log.write(base::LogEvent::UpstreamLimitChanged, {{"upstream", record.upstream.id.value()},
+                                                       {"per_second", std::to_string(m_tracker.limits().perSecond(record.key()))},
+                                                       {"source", std::string(source)}});
+}
+
 void TrafficPlane::confirmCrashes()
 {
     m_crashes.advance(now(), [this](const BrokenRequest &request, base::TimePoint since) {
--- a/carawaylatch/proxy/trafficmetrics.cpp
+++ b/carawaylatch/proxy/trafficmetrics.cpp
@@ -44,6 +44,7 @@
         {"blocked_requests_total", m_counts.blocked},
         {"blocked_prompt_parts", m_crashes.blockedParts(now())},
         {"upstream_pauses_total", m_counts.pauses},
+        {"limited_upstreams", m_tracker.limits().size()},
         {"inflight", m_inflight},
         {"peers", m_tracker.peers()},
         {"log_lines_dropped_total", m_log.dropped()},
--- a/carawaylatch/proxy/trafficplane.cpp
+++ b/carawaylatch/proxy/trafficplane.cpp
@@ -51,6 +51,7 @@
     , m_tableAge(std::move(tableAge))
     , m_timer(loop)
     , m_view(std::make_shared<const FleetView>())
+    , m_tracker(settings.peers)
     , m_callersListener(std::make_unique<Listener>(loop))
     , m_operatorsListener(std::make_unique<Listener>(loop))
     , m_metricsListener(std::make_unique<Listener>(loop))
@@ -64,6 +65,7 @@
     });
     m_reportTick = m_timers.every(now(), PeerExchange::ReportInterval, [this](base::TimePoint at) {
         m_tracker.removeSilentPeers(at);
+        m_tracker.limits().removeOutdated(at);
         confirmCrashes();
         m_peers.tick();
     });
--- a/carawaylatch/proxy/trafficplane.h
+++ b/carawaylatch/proxy/trafficplane.h
@@ -143,8 +143,8 @@
     // An upstream has said that it leaves, or asked for a pause.
     void onUpstreamLeaving(UpstreamRecord &record);
     void onUpstreamPause(UpstreamRecord &record, base::Duration pause);
-    // An upstream has named this limit in an answer, or none.
-    void onUpstreamLimit(UpstreamRecord &record, std::optional<double> perSecond);
+    // An answer to a request that was sent at `sentAt` names this limit, or none.
+    void onUpstreamLimit(const UpstreamRecord &record, std::optional<double> perSecond, base::TimePoint sentAt);
     // Schedules an attempt to place the queued requests of all pools; does not run it inline.
     void schedulePlacement();
     void logRejected(std::string_view id, std::string_view host, std::string_view reason, unsigned status);
@@ -188,6 +188,7 @@
     [[nodiscard]] FaultReport fullFaultReport() const override;
     void onFaultReport(const FaultReport &report) override;
     void onLeavingKnown(const UpstreamRecord &record, std::string_view source);
+    void logLimit(const UpstreamRecord &record, std::string_view source);
     void confirmCrashes();
     // Logs new verdicts, and ends requests in progress whose prompts are blocked now.
     void applyVerdicts();
--- a/carawaylatch/proxy/upstreamtracker.cpp
+++ b/carawaylatch/proxy/upstreamtracker.cpp
@@ -51,6 +51,11 @@
     return isListed && isStaying() && now >= pausedUntil;
 }
 
+UpstreamKey UpstreamRecord::key() const
+{
+    return {idHash, upstream.startTimeMs};
+}
+
 double UpstreamRecord::resumedShare(base::TimePoint now) const
 {
     constexpr base::Duration ResumeTime = base::seconds{1};
@@ -75,8 +80,14 @@
     return inflight > 0 && now - silentSince > MaxSilence + prefillTime;
 }
 
+UpstreamTracker::UpstreamTracker(base::Endpoint self)
+    : m_self(std::move(self))
+{
+}
+
 void UpstreamTracker::adopt(const FleetView &view, base::TimePoint now)
 {
+    m_limits.setRouters(view.routerEndpoints, m_self, view.routers);
     for (auto &[id, record] : m_records) {
         record.isListed = false;
     }
@@ -89,12 +100,12 @@
             record.otherRoutersLoad = 0;
             record.weights = {};
             record.pausedUntil = {};
-            record.requestLimit = 0;
         }
         record.upstream = upstream;
         record.idHash = base::hash64(upstream.id.value());
         record.isListed = true;
         adoptLeaving(record);
+        m_limits.onListed(record.key());
         for (const auto &[model, weights] : upstream.models) {
             record.weights = std::max(record.weights, weights);
         }
@@ -138,6 +149,7 @@
     ++record.inflight;
     record.inflightTokens += load.memoryTokens;
     record.prefillTokens += load.prefillTokens;
+    m_limits.onRequest(record.key(), now);
     markUnreported(record);
 }
 
@@ -207,17 +219,41 @@
     record.pausedUntil = std::max(record.pausedUntil, now + pause + spread);
 }
 
-std::optional<base::TimePoint> UpstreamTracker::pausedUntil(const base::PoolName &pool, std::span<const base::UpstreamId> excluded, base::TimePoint now) const
+bool UpstreamTracker::onLimit(const UpstreamRecord &record, std::optional<double> perSecond, base::TimePoint sentAt, base::TimePoint now)
+{
+    return m_limits.observe(record.key(), perSecond, sentAt, now);
+}
+
+RequestLimits &UpstreamTracker::limits()
+{
+    return m_limits;
+}
+
+const RequestLimits &UpstreamTracker::limits() const
+{
+    return m_limits;
+}
+
+bool UpstreamTracker::mayStart(const UpstreamRecord &record, base::TimePoint now) const
+{
+    return record.takesRequests(now) && now >= m_limits.nextRequestAt(record.key()).value_or(now);
+}
+
+std::optional<NextRequest> UpstreamTracker::nextRequest(const base::PoolName &pool, std::span<const base::UpstreamId> excluded, base::TimePoint now) const
 {
-    std::optional<base::TimePoint> first;
+    std::optional<NextRequest> first;
     for (const UpstreamRecord *record : members(pool)) {
         if (!record->isStaying() || std::find(excluded.begin(), excluded.end(), record->upstream.id) != excluded.end()) {
             continue;
         }
-        if (now >= record->pausedUntil) {
+        const base::TimePoint limitedUntil = m_limits.nextRequestAt(record->key()).value_or(base::TimePoint{});
+        const NextRequest next{std::max(record->pausedUntil, limitedUntil), limitedUntil > record->pausedUntil};
+        if (now >= next.at) {
             return std::nullopt;
         }
-        first = std::min(first.value_or(record->pausedUntil), record->pausedUntil);
+        if (!first || next.at < first->at) {
+            first = next;
+        }
     }
     return first;
 }
@@ -258,6 +294,19 @@
     return found;
 }
 
+std::vector<const UpstreamRecord *> UpstreamTracker::applyLimits(std::span<const UpstreamLimit> limits, base::TimePoint now)
+{
+    std::vector<const UpstreamRecord *> found;
+    for (const UpstreamLimit &it : limits) {
+        const auto listed = m_byIdHash.find(it.upstream);
+        const bool isEnded = listed != m_byIdHash.end() && listed->second->upstream.startTimeMs > it.startTimeMs;
+        if (!isEnded && m_limits.apply(it, now) && listed != m_byIdHash.end()) {
+            found.push_back(listed->second);
+        }
+    }
+    return found;
+}
+
 void UpstreamTracker::onLoadSample(UpstreamRecord &record, const LoadSample &sample, base::TimePoint now)
 {
     const std::uint32_t total = sample.running + sample.waiting;
--- a/carawaylatch/proxy/upstreamtracker.h
+++ b/carawaylatch/proxy/upstreamtracker.h
@@ -23,6 +23,7 @@
 #include "carawaylatch/proxy/loadreport.h"
 #include "carawaylatch/proxy/peerload.h"
 #include "carawaylatch/proxy/prefixplacements.h"
+#include "carawaylatch/proxy/requestlimits.h"
 
 namespace carawaylatch::proxy
 {
@@ -48,13 +49,14 @@
     base::TimePoint receivedAt; // last byte received
     bool isLeaving = false; // it has said so, to this router or another; holds for the incarnation
     base::TimePoint pausedUntil; // it has asked this router for a pause
-    double requestLimit = 0; // requests a second from all routers that its last answer named; zero: none
 
     static constexpr base::Duration MaxSampleAge = base::seconds{1}; // under load, responses arrive many times a second
 
     // True if neither the list nor the upstream itself says that it leaves.
     [[nodiscard]] bool isStaying() const;
-    // True if new requests may be sent to the upstream, as far as it and the list say.
+    // Its incarnation, as reports name it.
+    [[nodiscard]] UpstreamKey key() const;
+    // True if new requests may be sent to the upstream, as far as it and the list say; limits apart.
     [[nodiscard]] bool takesRequests(base::TimePoint now) const;
     // Share of the slots that may be used after a pause; grows to one over ResumeTime.
     [[nodiscard]] double resumedShare(base::TimePoint now) const;
@@ -82,9 +84,19 @@
     double memoryTokens = 0;
 };
 
+// When an upstream takes the next request of this router.
+struct NextRequest
+{
+    base::TimePoint at; // TimePoint::max(): only other routers may send it requests
+    bool isLimited = false; // by a limit of requests a second, else by a pause
+};
+
 class UpstreamTracker
 {
 public:
+    // `self` is the endpoint of this router in the fleet's snapshots.
+    explicit UpstreamTracker(base::Endpoint self = {});
+
     void adopt(const FleetView &view, base::TimePoint now);
 
     [[nodiscard]] UpstreamRecord *find(const base::UpstreamId &id);
@@ -101,9 +113,16 @@
     bool onLeaving(UpstreamRecord &record, base::TimePoint now);
     // The upstream has refused a request and asked for a pause, which ends `spread` later.
     void onPause(UpstreamRecord &record, base::Duration pause, base::Duration spread, base::TimePoint now);
-    // When the first upstream of the pool that is not `excluded` takes requests again; nothing if one does now,
-    // or if none will.
-    [[nodiscard]] std::optional<base::TimePoint> pausedUntil(const base::PoolName &pool, std::span<const base::UpstreamId> excluded, base::TimePoint now) const;
+    // An answer to a request that was sent at `sentAt` names a limit of requests a second, or none. Returns true if
+    // the limit has changed.
+    bool onLimit(const UpstreamRecord &record, std::optional<double> perSecond, base::TimePoint sentAt, base::TimePoint now);
+    [[nodiscard]] RequestLimits &limits();
+    [[nodiscard]] const RequestLimits &limits() const;
+    // True if this router may send the upstream a request now.
+    [[nodiscard]] bool mayStart(const UpstreamRecord &record, base::TimePoint now) const;
+    // The first upstream of the pool that is not `excluded` to take a request after a pause or within its limit;
+    // nothing if one does now, or if none will.
+    [[nodiscard]] std::optional<NextRequest> nextRequest(const base::PoolName &pool, std::span<const base::UpstreamId> excluded, base::TimePoint now) const;
     void onLoadSample(UpstreamRecord &record, const LoadSample &sample, base::TimePoint now);
 
     // A prompt with this KV cache key is sent to the upstream.
@@ -120,6 +139,9 @@
     // Another router knows that these upstreams leave. Returns those that are listed and were not known to.
     std::vector<const UpstreamRecord *> applyLeaving(std::span<const LeavingUpstream> leaving, base::TimePoint now);
 
+    // Another router knows these limits. Returns the listed upstreams whose limit has changed.
+    std::vector<const UpstreamRecord *> applyLimits(std::span<const UpstreamLimit> limits, base::TimePoint now);
+
     // Applies another router's report. Returns false if it was not usable.
     bool applyReport(const LoadReport &report, base::TimePoint now);
     // Removes routers that have timed out; returns their number.
@@ -151,6 +173,8 @@
     std::vector<UpstreamRecord *> m_noMembers;
     std::unordered_map<std::uint64_t, UpstreamRecord *> m_byIdHash; // only listed upstreams
     std::unordered_map<std::uint64_t, Leaving> m_leaving; // by hash of the id; also of upstreams that are not listed
+    base::Endpoint m_self;
+    RequestLimits m_limits;
     PrefixPlacements m_placements;
     PeerLoad m_peers;
     std::vector<UpstreamRecord *> m_unreported; // exactly those with isReported false
