Log what failed attempts have in common beyond the prompt

E2421 has a fingerprint of method, host, path, customer, prompt and body, so that alike requests show. One hash a request; no decision changed.

--- a/carawaylatch/proxy/exchange.cpp
+++ b/carawaylatch/proxy/exchange.cpp
@@ -6,6 +6,7 @@
 
 #include "carawaylatch/base/hash.h"
 #include "carawaylatch/proxy/kvtransfer.h"
+#include "carawaylatch/proxy/promptparts.h"
 #include "carawaylatch/proxy/trafficplane.h"
 
 namespace carawaylatch::proxy
@@ -84,6 +85,7 @@
         return false;
     }
     selectPool();
+    m_fingerprint = requestFingerprint(m_head, m_request, m_customer != nullptr ? m_customer->id : base::CustomerId(), *m_body);
     m_prefixKey = sharedPrefixKey(m_request.parts);
     if (m_prefixKey != 0 && m_customer != nullptr && m_customer->isIsolated) {
         m_prefixKey = base::combineHashes(m_prefixKey, base::hash64(m_customer->id.value()));
--- a/carawaylatch/proxy/exchange.h
+++ b/carawaylatch/proxy/exchange.h
@@ -117,6 +117,7 @@
     std::shared_ptr<const FleetView> m_view; // the view in which route and key were looked up
     const Route *m_route = nullptr; // owned by m_view
     const Customer *m_customer = nullptr; // owned by m_view; nullptr on public routes
+    std::uint64_t m_fingerprint = 0; // set when the request is admitted
     base::PoolName m_pool;
     std::uint64_t m_prefixKey = 0;
     std::uint32_t m_sharedTokens = 0;
--- a/carawaylatch/proxy/exchangeattempt.cpp
+++ b/carawaylatch/proxy/exchangeattempt.cpp
@@ -418,7 +418,8 @@
                              {"elapsed_ms", base::formatMilliseconds(now - m_attempt->startedAt)},
                              {"load", std::to_string(m_attempt->record->inflight)},
                              {"output_ms", m_attempt->startedOutputAt ? base::formatMilliseconds(now - *m_attempt->startedOutputAt) : std::string("-")},
-                             {"prompt", formatSharedParts(m_request.parts)}});
+                             {"prompt", formatSharedParts(m_request.parts)},
+                             {"request", formatPartId(m_fingerprint)}});
     }
     switch (step) {
     case NextStep::Retry:
