Block requests under which upstreams crash, found by what they are as a whole

Cause: crashes were counted by shared parts of prompts alone, and a lookup has none. Class of fault: a retry, by router or caller, of work that is itself the cause of the failure; the blocks of prompt parts are the part for it. Ruled out: the load (servers end far below their slots), and counts that begin anew (there were none).

Change: the fingerprint of a request (method, host, path, customer, prompt, body) is one more subject of CrashAttribution, after all parts. Several requests may be blocked for the same crashes, since nothing tells the cause from one that was always beside it. The crashes of a blocked request count for its parts only once another request with the part crashes an upstream. A request under which an upstream has crashed before is not tried again by the router.

In virtual time at 1 to 77 routers at most three sends come later than three seconds after the third crash, over 150 s.

--- a/carawaylatch/proxy/crashattribution.cpp
+++ b/carawaylatch/proxy/crashattribution.cpp
@@ -23,17 +23,30 @@
 
 } // namespace
 
-bool CrashAttribution::Part::isBlocked(base::TimePoint now) const
+bool CrashAttribution::Subject::isRequest() const
+{
+    return depth == RequestDepth;
+}
+
+bool CrashAttribution::Subject::lists(const Crash &crash) const
+{
+    return std::any_of(crashes.begin(), crashes.end(), [&crash](const Crash &it) {
+        return it.id == crash.id;
+    });
+}
+
+bool CrashAttribution::Subject::isBlocked(base::TimePoint now) const
 {
     return blocks > 0 && now < blockedUntil;
 }
 
-std::size_t CrashAttribution::Part::separateCrashes() const
+std::size_t CrashAttribution::Subject::separateCrashes() const
 {
+    const base::Duration separation = isRequest() ? SeparateRequestCrashTime : SeparateCrashTime;
     std::size_t count = 0;
     base::TimePoint last;
     for (const Crash &crash : crashes) {
-        if (count == 0 || crash.at - last >= SeparateCrashTime) {
+        if (count == 0 || crash.at - last >= separation) {
             ++count;
             last = crash.at;
         }
@@ -41,40 +54,52 @@
     return count;
 }
 
-bool CrashAttribution::Part::isOutdated(base::TimePoint now) const
+bool CrashAttribution::Subject::isOutdated(base::TimePoint now) const
 {
     return blocks > 0 ? now >= blockedUntil + MaxBlockTime : now - changedAt >= EvidenceTime;
 }
 
-std::uint64_t CrashAttribution::partKey(std::uint64_t model, const PromptPart &part)
+template <typename Visit>
+void CrashAttribution::forEachSubject(const CrashSubjects &request, const Visit &visit)
 {
-    return base::combineHashes(model, part.id);
+    constexpr std::size_t MaxPartDepth = RequestDepth - 1;
+    const auto parts = sharedParts(request.parts);
+    const std::uint64_t model = parts.empty() ? 0 : base::hash64(request.model.value());
+    for (std::size_t i = 0; i < parts.size(); ++i) {
+        visit(base::combineHashes(model, parts[i].id), parts[i].id, static_cast<std::uint8_t>(std::min(i, MaxPartDepth)));
+    }
+    if (request.fingerprint != 0) {
+        visit(request.fingerprint, request.fingerprint, RequestDepth);
+    }
 }
 
-void CrashAttribution::markChanged(Part &part, base::TimePoint now)
+void CrashAttribution::markChanged(Subject &subject, base::TimePoint now)
 {
-    part.isReported = false;
-    part.changedAt = now;
+    subject.isReported = false;
+    subject.changedAt = now;
 }
 
-void CrashAttribution::onAnswered(const base::ModelId &model, std::span<const PromptPart> parts, base::TimePoint now)
+void CrashAttribution::onAnswered(const CrashSubjects &request, base::TimePoint now)
 {
-    const std::uint64_t modelHash = base::hash64(model.value());
-    for (const PromptPart &part : sharedParts(parts)) {
-        const std::uint64_t key = partKey(modelHash, part);
-        if (m_answeredAt.size() >= MaxAnsweredParts && !m_answeredAt.contains(key)) {
+    // Nearly each request is another one, so that their answers are noted only while there are crashes.
+    const bool hasCrashes = !m_subjects.empty() || !m_unconfirmed.empty();
+    forEachSubject(request, [&](std::uint64_t key, std::uint64_t, std::uint8_t depth) {
+        if (depth == RequestDepth && !hasCrashes) {
+            return;
+        }
+        if (m_answeredAt.size() >= MaxAnsweredSubjects && !m_answeredAt.contains(key)) {
             m_answeredAt.clear();
         }
         m_answeredAt[key] = now;
-        if (const auto it = m_parts.find(key); it != m_parts.end()) {
+        if (const auto it = m_subjects.find(key); it != m_subjects.end()) {
             clearAnswered(key, it->second, now);
         }
-    }
+    });
 }
 
 void CrashAttribution::onBrokenOff(BrokenRequest request)
 {
-    if (!sharedParts(request.parts).empty() && m_unconfirmed.size() < MaxUnconfirmed) {
+    if (m_unconfirmed.size() < MaxUnconfirmed) {
         m_unconfirmed.push_back(std::move(request));
     }
 }
@@ -95,59 +120,58 @@
 void CrashAttribution::confirm(const BrokenRequest &request, base::TimePoint now)
 {
     const std::uint64_t crash = base::combineHashes(base::hash64(request.upstream.value()), request.startTimeMs);
-    const std::uint64_t model = base::hash64(request.model.value());
-    const auto parts = sharedParts(request.parts);
-    for (std::size_t i = 0; i < parts.size(); ++i) {
-        const std::uint64_t key = partKey(model, parts[i]);
+    forEachSubject({request.model, request.parts, request.fingerprint}, [&](std::uint64_t key, std::uint64_t id, std::uint8_t depth) {
         const auto answered = m_answeredAt.find(key);
         const bool isCleared = answered != m_answeredAt.end() && answered->second >= request.at;
-        Part *entry = isCleared ? nullptr : findOrAdd(key, parts[i].id, now);
-        if (entry != nullptr && addCrash(*entry, {crash, request.at}, now)) {
-            const auto depth = std::min<std::size_t>(i, std::numeric_limits<std::uint8_t>::max());
-            entry->depth = std::max(entry->depth, static_cast<std::uint8_t>(depth));
-            markChanged(*entry, now);
+        Subject *subject = isCleared ? nullptr : findOrAdd(key, id, now);
+        if (subject == nullptr) {
+            return;
         }
-    }
+        subject->depth = std::max(subject->depth, depth);
+        if (addCrash(*subject, {crash, request.at}, now)) {
+            markChanged(*subject, now);
+        }
+    });
 }
 
-CrashAttribution::Part *CrashAttribution::findOrAdd(std::uint64_t key, std::uint64_t id, base::TimePoint now)
+CrashAttribution::Subject *CrashAttribution::findOrAdd(std::uint64_t key, std::uint64_t id, base::TimePoint now)
 {
-    const auto it = m_parts.find(key);
-    if (it != m_parts.end()) {
+    const auto it = m_subjects.find(key);
+    if (it != m_subjects.end()) {
         return &it->second;
     }
-    if (m_parts.size() >= MaxParts) {
+    if (m_subjects.size() >= MaxSubjects) {
         return nullptr;
     }
-    Part &part = m_parts[key];
-    part.id = id;
-    part.changedAt = now;
-    return &part;
+    Subject &subject = m_subjects[key];
+    subject.id = id;
+    subject.changedAt = now;
+    return &subject;
 }
 
-bool CrashAttribution::addCrash(Part &part, const Crash &crash, base::TimePoint now) const
+bool CrashAttribution::explains(const Subject &blocked, const Subject &other)
 {
-    const auto isSame = [&crash](const Crash &known) {
-        return known.id == crash.id;
-    };
-    const bool isKnown = std::any_of(part.crashes.begin(), part.crashes.end(), isSame);
-    const bool isExplained = std::any_of(m_parts.begin(), m_parts.end(), [&](const auto &it) {
-        const Part &other = it.second;
-        return &other != &part && other.isBlocked(now) && std::any_of(other.crashes.begin(), other.crashes.end(), isSame);
+    return &blocked != &other && (!blocked.isRequest() || other.isRequest());
+}
+
+bool CrashAttribution::addCrash(Subject &subject, const Crash &crash, base::TimePoint now) const
+{
+    const bool isExplained = std::any_of(m_subjects.begin(), m_subjects.end(), [&](const auto &it) {
+        return explains(it.second, subject) && it.second.isBlocked(now) && it.second.lists(crash);
     });
-    if (isKnown || isExplained) {
+    if (isExplained || subject.lists(crash)) {
         return false;
     }
-    if (part.crashes.size() >= MaxCrashesPerPart) {
-        if (crash.at <= part.crashes.front().at) {
+    if (subject.crashes.size() >= MaxCrashesPerPart) {
+        if (crash.at <= subject.crashes.front().at) {
             return false;
         }
-        part.crashes.erase(part.crashes.begin());
+        subject.crashes.erase(subject.crashes.begin());
     }
-    const auto after = std::upper_bound(part.crashes.begin(), part.crashes.end(), crash.at, [](base::TimePoint at, const Crash &known) {
+    const auto after = std::upper_bound(subject.crashes.begin(), subject.crashes.end(), crash.at, [](base::TimePoint at, const Crash &known) {
         return at < known.at;
     });
-    part.crashes.insert(after, crash);
+    subject.crashes.insert(after, crash);
     return true;
 }
 
@@ -161,145 +185,176 @@
 
 void CrashAttribution::merge(const PartState &state, base::TimePoint now)
 {
-    Part *part = findOrAdd(state.key, state.id, now);
-    if (part == nullptr) {
+    Subject *subject = findOrAdd(state.key, state.id, now);
+    if (subject == nullptr) {
         return;
     }
-    if (state.generation < part->generation) {
-        markChanged(*part, now); // the sender has missed that the part was cleared
+    if (state.generation < subject->generation) {
+        markChanged(*subject, now); // the sender has missed that the subject was cleared
         return;
     }
-    bool isChanged = state.generation > part->generation || state.depth > part->depth;
-    if (state.generation > part->generation) {
-        unblock(*part, state.generation, now);
-        part->crashes.clear();
+    bool isChanged = state.generation > subject->generation || state.depth > subject->depth;
+    if (state.generation > subject->generation) {
+        unblock(*subject, state.generation, now);
+        subject->crashes.clear();
     }
-    part->depth = std::max(part->depth, state.depth);
+    subject->depth = std::max(subject->depth, state.depth);
     for (const CrashSample &sample : state.crashes) {
-        isChanged = addCrash(*part, {sample.crash, now - sample.age}, now) || isChanged;
+        isChanged = addCrash(*subject, {sample.crash, now - sample.age}, now) || isChanged;
     }
-    if (state.blocks > part->blocks) {
-        part->blocks = state.blocks;
-        block(*part, now + state.blockedFor, now);
+    if (state.blocks > subject->blocks) {
+        subject->blocks = state.blocks;
+        block(*subject, now + state.blockedFor, now);
     }
     if (isChanged) {
-        markChanged(*part, now);
+        markChanged(*subject, now);
     }
-    clearAnswered(state.key, *part, now);
+    clearAnswered(state.key, *subject, now);
 }
 
-// Removes the crashes of a part before the last response to a request that has it.
-void CrashAttribution::clearAnswered(std::uint64_t key, Part &part, base::TimePoint now)
+// Removes the crashes of a subject before the last response to a request that has it.
+void CrashAttribution::clearAnswered(std::uint64_t key, Subject &subject, base::TimePoint now)
 {
     const auto answered = m_answeredAt.find(key);
     if (answered == m_answeredAt.end()) {
         return;
     }
-    const std::size_t removed = std::erase_if(part.crashes, [&answered](const Crash &crash) {
+    const std::size_t removed = std::erase_if(subject.crashes, [&answered](const Crash &crash) {
         return crash.at <= answered->second;
     });
-    const bool isUnexplainedBlock = part.isBlocked(now) && part.crashes.empty() && answered->second == now;
+    const bool isUnexplainedBlock = subject.isBlocked(now) && subject.crashes.empty() && answered->second == now;
     if (removed == 0 && !isUnexplainedBlock) {
         return;
     }
-    unblock(part, part.generation + 1, now);
-    markChanged(part, now);
+    unblock(subject, subject.generation + 1, now);
+    markChanged(subject, now);
 }
 
-void CrashAttribution::unblock(Part &part, std::uint32_t generation, base::TimePoint now)
+void CrashAttribution::unblock(Subject &subject, std::uint32_t generation, base::TimePoint now)
 {
-    if (part.isBlocked(now) && m_verdicts.size() < MaxParts) {
-        m_verdicts.push_back({part.id, false, 0, {}});
+    if (subject.isBlocked(now) && m_verdicts.size() < MaxSubjects) {
+        m_verdicts.push_back({subject.id, subject.isRequest(), false, 0, {}});
     }
-    part.generation = generation;
-    part.blocks = 0;
-    part.blockedUntil = {};
+    subject.generation = generation;
+    subject.blocks = 0;
+    subject.blockedUntil = {};
 }
 
-bool CrashAttribution::qualifies(const Part &part, base::TimePoint now) const
+bool CrashAttribution::qualifies(const Subject &subject, base::TimePoint now) const
 {
-    if (part.isBlocked(now) || part.crashes.empty()) {
+    if (subject.isBlocked(now) || subject.crashes.empty()) {
         return false;
     }
-    return part.blocks == 0 ? part.separateCrashes() >= MinCrashes : part.crashes.back().at >= part.blockedUntil;
+    if (subject.blocks > 0) {
+        return subject.crashes.back().at >= subject.blockedUntil;
+    }
+    return subject.separateCrashes() >= MinCrashes && (subject.isRequest() || hasCrashBeyondRequests(subject));
+}
+
+// True if a crash of a part is not one of a request that was found to be the cause.
+bool CrashAttribution::hasCrashBeyondRequests(const Subject &part) const
+{
+    return std::any_of(part.crashes.begin(), part.crashes.end(), [this](const Crash &crash) {
+        return std::none_of(m_subjects.begin(), m_subjects.end(), [&crash](const auto &it) {
+            return it.second.isRequest() && it.second.blocks > 0 && it.second.lists(crash);
+        });
+    });
 }
 
-bool CrashAttribution::isLikelierCause(std::uint64_t key, const Part &part, std::uint64_t otherKey, const Part &other) const
+bool CrashAttribution::isLikelierCause(std::uint64_t key, const Subject &subject, std::uint64_t otherKey, const Subject &other) const
 {
-    const auto rank = [this](std::uint64_t it, const Part &candidate) {
+    const auto rank = [this](std::uint64_t it, const Subject &candidate) {
         return std::tuple(candidate.separateCrashes(), !m_answeredAt.contains(it), candidate.depth, it);
     };
-    return rank(key, part) > rank(otherKey, other);
+    return rank(key, subject) > rank(otherKey, other);
 }
 
 void CrashAttribution::blockCauses(base::TimePoint now)
 {
     while (true) {
-        auto cause = m_parts.end();
-        for (auto it = m_parts.begin(); it != m_parts.end(); ++it) {
-            if (qualifies(it->second, now) && (cause == m_parts.end() || isLikelierCause(it->first, it->second, cause->first, cause->second))) {
+        auto cause = m_subjects.end();
+        for (auto it = m_subjects.begin(); it != m_subjects.end(); ++it) {
+            if (qualifies(it->second, now) && (cause == m_subjects.end() || isLikelierCause(it->first, it->second, cause->first, cause->second))) {
                 cause = it;
             }
         }
-        if (cause == m_parts.end()) {
+        if (cause == m_subjects.end()) {
             return;
         }
-        Part &part = cause->second;
-        const base::Duration duration = blockTime(part.blocks);
-        part.blocks = part.blocks == std::numeric_limits<std::uint8_t>::max() ? part.blocks : static_cast<std::uint8_t>(part.blocks + 1);
-        block(part, now + duration, now);
+        Subject &subject = cause->second;
+        const base::Duration duration = blockTime(subject.blocks);
+        subject.blocks = subject.blocks == std::numeric_limits<std::uint8_t>::max() ? subject.blocks : static_cast<std::uint8_t>(subject.blocks + 1);
+        block(subject, now + duration, now);
     }
 }
 
-void CrashAttribution::block(Part &part, base::TimePoint until, base::TimePoint now)
+void CrashAttribution::block(Subject &subject, base::TimePoint until, base::TimePoint now)
 {
-    part.blockedUntil = until;
-    markChanged(part, now);
-    if (!part.isBlocked(now)) {
+    subject.blockedUntil = until;
+    markChanged(subject, now);
+    if (!subject.isBlocked(now)) {
         return;
     }
-    if (m_verdicts.size() < MaxParts) {
-        m_verdicts.push_back({part.id, true, part.crashes.size(), until - now});
+    if (m_verdicts.size() < MaxSubjects) {
+        m_verdicts.push_back({subject.id, subject.isRequest(), true, subject.crashes.size(), until - now});
     }
-    for (auto &[key, other] : m_parts) {
-        if (&other == &part || other.isBlocked(now)) {
-            continue;
-        }
-        std::erase_if(other.crashes, [&part](const Crash &crash) {
-            return std::any_of(part.crashes.begin(), part.crashes.end(), [&crash](const Crash &explained) {
-                return explained.id == crash.id;
+    for (auto &[key, other] : m_subjects) {
+        const bool isAsLikely = subject.isRequest() && qualifies(other, now);
+        if (explains(subject, other) && !other.isBlocked(now) && !isAsLikely) {
+            std::erase_if(other.crashes, [&subject](const Crash &crash) {
+                return subject.lists(crash);
             });
-        });
+        }
     }
 }
 
-std::optional<base::Duration> CrashAttribution::blockedFor(const base::ModelId &model, std::span<const PromptPart> parts, base::TimePoint now) const
+std::optional<CrashBlock> CrashAttribution::blockOf(const CrashSubjects &request, base::TimePoint now) const
 {
-    std::optional<base::Duration> longest;
-    if (m_parts.empty()) {
+    std::optional<CrashBlock> longest;
+    if (m_subjects.empty()) {
         return longest;
     }
-    const std::uint64_t modelHash = base::hash64(model.value());
-    for (const PromptPart &part : sharedParts(parts)) {
-        const auto it = m_parts.find(partKey(modelHash, part));
-        if (it != m_parts.end() && it->second.isBlocked(now)) {
-            longest = std::max(longest.value_or(base::Duration{}), it->second.blockedUntil - now);
+    forEachSubject(request, [&](std::uint64_t key, std::uint64_t, std::uint8_t) {
+        const auto it = m_subjects.find(key);
+        if (it == m_subjects.end() || !it->second.isBlocked(now)) {
+            return;
         }
-    }
+        const base::Duration left = it->second.blockedUntil - now;
+        if (!longest || left > longest->left) {
+            longest = CrashBlock{left, it->second.isRequest()};
+        }
+    });
     return longest;
 }
 
-std::size_t CrashAttribution::blockedParts(base::TimePoint now) const
+bool CrashAttribution::isSuspect(const CrashSubjects &request) const
+{
+    const auto it = m_subjects.find(request.fingerprint);
+    return it != m_subjects.end() && (it->second.blocks > 0 || !it->second.crashes.empty());
+}
+
+std::size_t CrashAttribution::countBlocked(bool isRequest, base::TimePoint now) const
 {
-    return static_cast<std::size_t>(std::count_if(m_parts.begin(), m_parts.end(), [now](const auto &it) {
-        return it.second.isBlocked(now);
+    return static_cast<std::size_t>(std::count_if(m_subjects.begin(), m_subjects.end(), [isRequest, now](const auto &it) {
+        return it.second.isRequest() == isRequest && it.second.isBlocked(now);
     }));
 }
 
-PartState CrashAttribution::stateOf(std::uint64_t key, const Part &part, base::TimePoint now)
+std::size_t CrashAttribution::blockedParts(base::TimePoint now) const
+{
+    return countBlocked(false, now);
+}
+
+std::size_t CrashAttribution::blockedRequests(base::TimePoint now) const
+{
+    return countBlocked(true, now);
+}
+
+PartState CrashAttribution::stateOf(std::uint64_t key, const Subject &subject, base::TimePoint now)
 {
-    PartState state{key, part.id, part.generation, part.blocks, part.isBlocked(now) ? part.blockedUntil - now : base::Duration{}, part.depth, {}};
-    for (const Crash &crash : part.crashes) {
+    PartState state{key,           subject.id, subject.generation, subject.blocks, subject.isBlocked(now) ? subject.blockedUntil - now : base::Duration{},
+                    subject.depth, {}};
+    for (const Crash &crash : subject.crashes) {
         state.crashes.push_back({crash.id, now - crash.at});
     }
     return state;
@@ -308,10 +363,10 @@
 FaultReport CrashAttribution::takeChanges(base::TimePoint now)
 {
     FaultReport report;
-    for (auto &[key, part] : m_parts) {
-        if (!part.isReported && report.parts.size() < MaxReportedParts) {
-            part.isReported = true;
-            report.parts.push_back(stateOf(key, part, now));
+    for (auto &[key, subject] : m_subjects) {
+        if (!subject.isReported && report.parts.size() < MaxReportedParts) {
+            subject.isReported = true;
+            report.parts.push_back(stateOf(key, subject, now));
         }
     }
     return report;
@@ -320,22 +375,22 @@
 FaultReport CrashAttribution::fullReport(base::TimePoint now) const
 {
     FaultReport report;
-    for (const auto &[key, part] : m_parts) {
+    for (const auto &[key, subject] : m_subjects) {
         if (report.parts.size() < MaxReportedParts) {
-            report.parts.push_back(stateOf(key, part, now));
+            report.parts.push_back(stateOf(key, subject, now));
         }
     }
     return report;
 }
 
-std::vector<PartVerdict> CrashAttribution::takeVerdicts()
+std::vector<CrashVerdict> CrashAttribution::takeVerdicts()
 {
     return std::exchange(m_verdicts, {});
 }
 
 void CrashAttribution::removeOutdated(base::TimePoint now)
 {
-    std::erase_if(m_parts, [now](const auto &it) {
+    std::erase_if(m_subjects, [now](const auto &it) {
         return it.second.isOutdated(now);
     });
 }
--- a/carawaylatch/proxy/exchange.cpp
+++ b/carawaylatch/proxy/exchange.cpp
@@ -165,13 +165,18 @@
     return true;
 }
 
+CrashSubjects Exchange::crashSubjects() const
+{
+    return {m_request.model, m_request.parts, m_fingerprint};
+}
+
 bool Exchange::endIfBlocked()
 {
     if (m_isEnded || (m_attempt && m_attempt->startedOutputAt)) {
         return false;
     }
-    const auto blocked = m_plane.crashes().blockedFor(m_request.model, m_request.parts, m_plane.now());
-    if (!blocked) {
+    const auto block = m_plane.crashes().blockOf(crashSubjects(), m_plane.now());
+    if (!block) {
         return false;
     }
     ++m_plane.counts().blocked;
@@ -179,7 +184,7 @@
     if (m_attempt) {
         releaseAttempt(AttemptEnd::Answered); // no fault of the upstream
     }
-    giveUp("prompt_part_blocked", *blocked);
+    giveUp(block->isRequest ? "request_blocked" : "prompt_part_blocked", block->left);
     return true;
 }
 
--- a/carawaylatch/proxy/exchange.h
+++ b/carawaylatch/proxy/exchange.h
@@ -15,6 +15,7 @@
 #include "carawaylatch/base/timerservice.h"
 #include "carawaylatch/proxy/attemptrules.h"
 #include "carawaylatch/proxy/callerconnection.h"
+#include "carawaylatch/proxy/crashattribution.h"
 #include "carawaylatch/proxy/eventscanner.h"
 #include "carawaylatch/proxy/fleet.h"
 #include "carawaylatch/proxy/placement.h"
@@ -74,6 +75,7 @@
     void giveUpBefore(const NextRequest &next);
     [[nodiscard]] base::Duration queueRetryDelay() const;
     void reportBreak();
+    [[nodiscard]] CrashSubjects crashSubjects() const;
     void joinQueue();
     void startAttempt(const PlacementResult &placement);
     void onConnected(std::string_view problem);
--- a/carawaylatch/proxy/exchangeattempt.cpp
+++ b/carawaylatch/proxy/exchangeattempt.cpp
@@ -322,7 +322,7 @@
     const bool hasLongBegun = attempt.startedOutputAt && now - *attempt.startedOutputAt > CrashAttribution::FirstOutputTime;
     if (attempt.isSent && !hasLongBegun) {
         const Upstream &upstream = attempt.record->upstream;
-        m_plane.crashes().onBrokenOff({m_request.model, m_request.parts, upstream.id, upstream.startTimeMs, now});
+        m_plane.crashes().onBrokenOff({m_request.model, m_request.parts, m_fingerprint, upstream.id, upstream.startTimeMs, now});
     }
 }
 
@@ -398,13 +398,15 @@
     const base::TimePoint now = m_plane.now();
     releaseAttempt(end);
     if (end == AttemptEnd::Answered && m_attempt->head.status < 300) {
-        m_plane.crashes().onAnswered(m_request.model, m_request.parts, now);
+        m_plane.crashes().onAnswered(crashSubjects(), now);
     }
     m_history.connectFailures += end == AttemptEnd::NotSent ? 1 : 0;
     m_history.notExecuted += end == AttemptEnd::NotExecuted ? 1 : 0;
     m_history.hasTimeLeft = timeLeft(now) > base::Duration{};
     NextStep step = nextStep(*m_route, end, m_history);
-    if (step == NextStep::Retry && end != AttemptEnd::NotSent && !m_plane.budget(m_pool).tryTake(now)) {
+    // A request under which an upstream has crashed before does not end a second one by a retry.
+    const bool isSuspect = end == AttemptEnd::Broken && m_plane.crashes().isSuspect(crashSubjects());
+    if (step == NextStep::Retry && end != AttemptEnd::NotSent && (isSuspect || !m_plane.budget(m_pool).tryTake(now))) {
         m_history.hasBudget = false;
         step = nextStep(*m_route, end, m_history);
     }
--- a/carawaylatch/proxy/faultreport.h
+++ b/carawaylatch/proxy/faultreport.h
@@ -1,4 +1,4 @@
-// Reports that routers exchange about prompt parts that may crash upstreams, and about
+// Reports that routers exchange about prompt parts and requests that may crash upstreams, and about
 // upstreams that have said that they leave or named a limit of requests.
 //
 // A report holds the state of each part that has changed, see CrashAttribution, each
@@ -34,15 +34,15 @@
     base::Duration age{}; // since the crash, at the time of the report
 };
 
-// What a router knows of one part. A greater generation replaces a lower one.
+// What a router knows of one part, or of one whole request. A greater generation replaces a lower one.
 struct PartState
 {
-    std::uint64_t key = 0; // hash of model and part
-    std::uint64_t id = 0; // of the part, as callers write it
+    std::uint64_t key = 0; // hash of model and part; fingerprint of a request
+    std::uint64_t id = 0; // of the part, as callers write it; fingerprint of a request
     std::uint32_t generation = 0; // how often the part was cleared
     std::uint8_t blocks = 0; // how often it was blocked since
     base::Duration blockedFor{}; // left of the current block
-    std::uint8_t depth = 0; // position in the prompt
+    std::uint8_t depth = 0; // position in the prompt; 255: a whole request
     std::vector<CrashSample> crashes; // at most MaxCrashesPerPart
 };
 
--- a/carawaylatch/proxy/testing/crashattributiontest.cpp
+++ b/carawaylatch/proxy/testing/crashattributiontest.cpp
@@ -83,17 +83,27 @@
 
     void breakOff(std::size_t router, std::initializer_list<std::uint64_t> shared, int upstream)
     {
-        routers[router].onBrokenOff({Model, prompt(shared), base::UpstreamId("e" + std::to_string(upstream)), 1, now});
+        breakOffRequest(router, prompt(shared), 0, upstream);
+    }
+
+    void breakOffRequest(std::size_t router, std::vector<PromptPart> parts, std::uint64_t fingerprint, int upstream)
+    {
+        routers[router].onBrokenOff({Model, std::move(parts), fingerprint, base::UpstreamId("e" + std::to_string(upstream)), 1, now});
     }
 
     void answer(std::size_t router, std::initializer_list<std::uint64_t> shared)
     {
-        routers[router].onAnswered(Model, prompt(shared), now);
+        routers[router].onAnswered({Model, prompt(shared), 0}, now);
+    }
+
+    void answerRequest(std::size_t router, std::uint64_t fingerprint)
+    {
+        routers[router].onAnswered({Model, {}, fingerprint}, now);
     }
 
     [[nodiscard]] bool isBlocked(std::size_t router, std::initializer_list<std::uint64_t> shared) const
     {
-        return routers[router].blockedFor(Model, prompt(shared), now).has_value();
+        return routers[router].blockOf({Model, prompt(shared), 0}, now).has_value();
     }
 
     [[nodiscard]] std::size_t blockedAt(std::initializer_list<std::uint64_t> shared) const
@@ -105,6 +115,21 @@
         return n;
     }
 
+    [[nodiscard]] bool isRequestBlocked(std::size_t router, std::uint64_t fingerprint) const
+    {
+        const auto block = routers[router].blockOf({Model, {}, fingerprint}, now);
+        return block && block->isRequest;
+    }
+
+    [[nodiscard]] std::size_t requestBlockedAt(std::uint64_t fingerprint) const
+    {
+        std::size_t n = 0;
+        for (std::size_t i = 0; i < routers.size(); ++i) {
+            n += isRequestBlocked(i, fingerprint) ? 1 : 0;
+        }
+        return n;
+    }
+
     std::vector<CrashAttribution> routers;
     base::TimePoint now = Start;
     std::size_t reportedParts = 0;
@@ -125,6 +150,12 @@
     CPPUNIT_TEST(testAnswerClearsAPart);
     CPPUNIT_TEST(testBlockEndsAndIsRenewed);
     CPPUNIT_TEST(testRouterThatStartsLater);
+    CPPUNIT_TEST(testRequestThatComesAgain);
+    CPPUNIT_TEST(testFatalRequestsAmongOthers);
+    CPPUNIT_TEST(testFatalRequestAndItsParts);
+    CPPUNIT_TEST(testFatalPartAndItsRequests);
+    CPPUNIT_TEST(testRequestsAtUpstreamsThatFailTogether);
+    CPPUNIT_TEST(testAnswerClearsARequest);
     CPPUNIT_TEST(testReportsInAnyOrder);
     CPPUNIT_TEST(testTablesAreBounded);
     CPPUNIT_TEST(testReportEncoding);
@@ -207,7 +238,7 @@
         CrashAttribution router;
         for (int i = 0; i < 5; ++i) {
             const base::TimePoint now = Start + base::seconds{i};
-            router.onBrokenOff({Model, prompt({Fatal}), base::UpstreamId("e" + std::to_string(i)), 1, now});
+            router.onBrokenOff({Model, prompt({Fatal}), 0, base::UpstreamId("e" + std::to_string(i)), 1, now});
             router.advance(now + base::milliseconds{250}, [now](const BrokenRequest &request, base::TimePoint since) {
                 CPPUNIT_ASSERT(request.at == now && since == now + CrashAttribution::LateBytesTime);
                 return true;
@@ -250,16 +281,16 @@
         crash();
         crash();
         for (int renewal = 0; renewal < 6; ++renewal) {
-            const auto left = fleet.routers[1].blockedFor(Model, prompt({Fatal}), fleet.now);
+            const auto left = fleet.routers[1].blockOf({Model, prompt({Fatal}), 0}, fleet.now);
             CPPUNIT_ASSERT(left.has_value());
             const base::Duration expected = std::min<base::Duration>(CrashAttribution::BlockTime * (1 << renewal), CrashAttribution::MaxBlockTime);
-            CPPUNIT_ASSERT(*left <= expected && *left > expected - base::seconds{1});
-            fleet.run(*left + base::seconds{1});
+            CPPUNIT_ASSERT(left->left <= expected && left->left > expected - base::seconds{1});
+            fleet.run(left->left + base::seconds{1});
             CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.blockedAt({Fatal}));
             crash(); // one is enough now
         }
-        const auto left = fleet.routers[0].blockedFor(Model, prompt({Fatal}), fleet.now);
-        fleet.run(*left + CrashAttribution::MaxBlockTime + base::seconds{1});
+        const auto left = fleet.routers[0].blockOf({Model, prompt({Fatal}), 0}, fleet.now);
+        fleet.run(left->left + CrashAttribution::MaxBlockTime + base::seconds{1});
         CPPUNIT_ASSERT(fleet.routers[0].fullReport(fleet.now).parts.empty());
     }
 
@@ -272,9 +303,140 @@
         }
         CrashAttribution started;
         started.apply(fleet.routers[1].fullReport(fleet.now), fleet.now);
-        CPPUNIT_ASSERT(started.blockedFor(Model, prompt({Fatal}), fleet.now).has_value());
-        CPPUNIT_ASSERT(!started.blockedFor(base::ModelId("other"), prompt({Fatal}), fleet.now).has_value());
-        CPPUNIT_ASSERT(!started.blockedFor(Model, {}, fleet.now).has_value());
+        CPPUNIT_ASSERT(started.blockOf({Model, prompt({Fatal}), 0}, fleet.now).has_value());
+        CPPUNIT_ASSERT(!started.blockOf({base::ModelId("other"), prompt({Fatal}), 0}, fleet.now).has_value());
+        CPPUNIT_ASSERT(!started.blockOf({Model, {}, 0}, fleet.now).has_value());
+    }
+
+    // Load: the same request at random routers, with one retry at once; each send ends an upstream, on which other
+    // requests run. The users allow three sends later than three seconds after the third crash.
+    void testRequestThatComesAgain()
+    {
+        constexpr base::Duration StableWindow = base::seconds{3};
+        for (const std::size_t routers : {1, 4, 35, 77}) {
+            for (const int interval : {100, 300, 1000, 3000}) { // ms between the requests
+                base::Random random(carawaylatch::testing::seed() + routers);
+                Fleet fleet(routers);
+                int crashes = 0;
+                int late = 0;
+                std::uint64_t sound = 1;
+                base::TimePoint thirdAt = base::TimePoint::max();
+                const base::TimePoint end = fleet.now + base::seconds{150};
+                for (base::TimePoint next = fleet.now; fleet.now < end; fleet.tick()) {
+                    fleet.answerRequest(random.below(routers), ++sound);
+                    const std::size_t router = random.below(routers);
+                    if (fleet.now < next || fleet.isRequestBlocked(router, Fatal)) {
+                        continue;
+                    }
+                    next = fleet.now + base::milliseconds{interval};
+                    const bool isRetried = !fleet.routers[router].isSuspect({Model, {}, Fatal});
+                    for (int send = 0; send < (isRetried ? 2 : 1); ++send) {
+                        late += thirdAt != base::TimePoint::max() && fleet.now - thirdAt > StableWindow ? 1 : 0;
+                        thirdAt = ++crashes == 3 ? fleet.now : thirdAt;
+                        fleet.breakOffRequest(router, {}, Fatal, crashes);
+                        fleet.breakOffRequest(random.below(routers), {}, ++sound, crashes);
+                        fleet.now += base::milliseconds{25}; // until the retry has ended its upstream
+                    }
+                }
+                const std::string text = std::to_string(routers) + " routers, " + std::to_string(interval) + " ms, " + std::to_string(crashes) + " crashes";
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(text, routers, fleet.requestBlockedAt(Fatal));
+                CPPUNIT_ASSERT_MESSAGE(text, late <= 3);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(text, std::size_t{routers}, fleet.requestBlockedAt(Fatal));
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(text, std::size_t{0}, fleet.requestBlockedAt(2));
+            }
+        }
+    }
+
+    // Two fatal requests crash upstreams in turn; a third one is at some of them, and one is at all of the first three.
+    void testFatalRequestsAmongOthers()
+    {
+        constexpr std::uint64_t OtherFatal = 0xdeae;
+        constexpr std::uint64_t AtSome = 0x51;
+        constexpr std::uint64_t AtAll = 0x52;
+        Fleet fleet(4);
+        for (int crash = 0; crash < 8; ++crash) {
+            const std::uint64_t fatal = crash % 2 == 0 ? Fatal : OtherFatal;
+            if (!fleet.isRequestBlocked(0, fatal)) {
+                fleet.breakOffRequest(crash % 4, {}, fatal, crash);
+                if (crash == 0 || crash == 2) {
+                    fleet.breakOffRequest(1, {}, AtSome, crash);
+                }
+                if (crash % 2 == 0) {
+                    fleet.breakOffRequest(2, {}, AtAll, crash);
+                }
+            }
+            fleet.run(base::milliseconds{400});
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, fleet.requestBlockedAt(Fatal));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, fleet.requestBlockedAt(OtherFatal));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.requestBlockedAt(AtSome));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("nothing tells it from the cause", std::size_t{4}, fleet.requestBlockedAt(AtAll));
+    }
+
+    // A request with a prompt crashes upstreams: the prompts that share its template are not blocked with it, also
+    // not when the block ends.
+    void testFatalRequestAndItsParts()
+    {
+        Fleet fleet(4);
+        for (int crash = 0; crash < 3; ++crash) {
+            fleet.breakOffRequest(crash, prompt({Template, 0xc0}), Fatal, crash);
+            fleet.run(base::milliseconds{400});
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, fleet.requestBlockedAt(Fatal));
+        for (int second = 0; second < 63; ++second) {
+            CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.blockedAt({Template, 0xc0}));
+            fleet.run(base::seconds{1});
+        }
+    }
+
+    // The first crashes come from one request with the part, by retries; another one with it shows the part.
+    void testFatalPartAndItsRequests()
+    {
+        Fleet fleet(4);
+        for (int crash = 0; crash < 4; ++crash) {
+            fleet.breakOffRequest(crash, prompt({Template, 0xdd}), crash < 3 ? Fatal : Fatal + 1, crash);
+            fleet.run(base::milliseconds{300});
+            fleet.answer(0, {Template});
+            fleet.run(base::milliseconds{300});
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, fleet.blockedAt({0xdd}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.blockedAt({Template}));
+    }
+
+    // A failure domain loses power, twice, while all its upstreams run requests that are alike.
+    void testRequestsAtUpstreamsThatFailTogether()
+    {
+        Fleet fleet(4);
+        for (int failure = 0; failure < 2; ++failure) {
+            for (int upstream = 0; upstream < 6; ++upstream) {
+                fleet.breakOffRequest(upstream % 4, {}, 0x51, failure * 10 + upstream);
+            }
+            fleet.run(base::seconds{1});
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.requestBlockedAt(0x51));
+    }
+
+    void testAnswerClearsARequest()
+    {
+        Fleet fleet(4);
+        for (int crash = 0; crash < 5; ++crash) {
+            CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.requestBlockedAt(Fatal));
+            fleet.breakOffRequest(crash % 4, {}, Fatal, crash);
+            fleet.run(base::milliseconds{300});
+            CPPUNIT_ASSERT(fleet.routers[3].isSuspect({Model, {}, Fatal}));
+            if (crash == 1) {
+                fleet.answerRequest(2, Fatal);
+                fleet.run(base::milliseconds{100});
+                CPPUNIT_ASSERT(!fleet.routers[3].isSuspect({Model, {}, Fatal}));
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, fleet.requestBlockedAt(Fatal));
+        fleet.answerRequest(3, Fatal);
+        fleet.run(base::milliseconds{300});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.requestBlockedAt(Fatal));
+        const auto verdicts = fleet.routers[0].takeVerdicts();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, verdicts.size());
+        CPPUNIT_ASSERT(verdicts[0].isBlocked && verdicts[0].isRequest && !verdicts[1].isBlocked && verdicts[1].isRequest);
     }
 
     // Routers that have got the same reports in different orders agree, and stop reporting.
@@ -286,10 +448,12 @@
             for (int step = 0; step < 40; ++step) {
                 const std::size_t router = random.below(5);
                 const std::uint64_t part = 1 + random.below(3);
+                const std::uint64_t fingerprint = 100 + random.below(3);
                 if (random.below(4) == 0) {
                     fleet.answer(router, {part});
+                    fleet.answerRequest(router, fingerprint);
                 } else {
-                    fleet.breakOff(router, {part, 10 + random.below(3)}, static_cast<int>(random.below(12)));
+                    fleet.breakOffRequest(router, prompt({part, 10 + random.below(3)}), fingerprint, static_cast<int>(random.below(12)));
                 }
                 fleet.run(Tick * static_cast<std::int64_t>(1 + random.below(8)));
             }
@@ -301,6 +465,10 @@
                 const std::size_t blocked = fleet.blockedAt({part});
                 CPPUNIT_ASSERT_MESSAGE("routers agree on part " + std::to_string(part), blocked == 0 || blocked == 5);
             }
+            for (std::uint64_t fingerprint = 100; fingerprint < 103; ++fingerprint) {
+                const std::size_t blocked = fleet.requestBlockedAt(fingerprint);
+                CPPUNIT_ASSERT_MESSAGE("routers agree on request " + std::to_string(fingerprint), blocked == 0 || blocked == 5);
+            }
         }
     }
 
@@ -309,8 +477,8 @@
         CrashAttribution router;
         for (std::size_t i = 0; i < 20'000; ++i) {
             const base::TimePoint now = Start + base::milliseconds{i};
-            router.onBrokenOff({Model, prompt({i}), base::UpstreamId("e"), i, now});
-            router.onAnswered(Model, prompt({1'000'000 + i}), now);
+            router.onBrokenOff({Model, prompt({i}), 0, base::UpstreamId("e"), i, now});
+            router.onAnswered({Model, prompt({1'000'000 + i}), 0}, now);
             if (i % 100 == 0) {
                 router.advance(now, neverAnswers);
             }
@@ -320,7 +488,7 @@
             CPPUNIT_ASSERT(report.parts.size() <= MaxReportedParts);
             reported += report.parts.size();
         }
-        CPPUNIT_ASSERT_EQUAL(CrashAttribution::MaxParts, reported);
+        CPPUNIT_ASSERT_EQUAL(CrashAttribution::MaxSubjects, reported);
     }
 
     void testReportEncoding()
--- a/carawaylatch/proxy/trafficfaults.cpp
+++ b/carawaylatch/proxy/trafficfaults.cpp
@@ -88,13 +88,14 @@
     if (verdicts.empty()) {
         return;
     }
-    for (const PartVerdict &verdict : verdicts) {
-        const std::string part = formatPartId(verdict.id);
+    for (const CrashVerdict &verdict : verdicts) {
+        const std::string id = formatPartId(verdict.id);
+        const std::string_view field = verdict.isRequest ? "request" : "part";
         if (verdict.isBlocked) {
-            m_log.write(base::LogEvent::PromptPartBlocked,
-                        {{"part", part}, {"crashes", std::to_string(verdict.crashes)}, {"seconds", base::formatSeconds(verdict.blockedFor)}});
+            m_log.write(verdict.isRequest ? base::LogEvent::RequestBlocked : base::LogEvent::PromptPartBlocked,
+                        {{field, id}, {"crashes", std::to_string(verdict.crashes)}, {"seconds", base::formatSeconds(verdict.blockedFor)}});
         } else {
-            m_log.write(base::LogEvent::PromptPartCleared, {{"part", part}});
+            m_log.write(verdict.isRequest ? base::LogEvent::RequestCleared : base::LogEvent::PromptPartCleared, {{field, id}});
         }
     }
     const std::vector<std::shared_ptr<CallerConnection>> callers(m_callers.begin(), m_callers.end());
--- a/carawaylatch/proxy/trafficmetrics.cpp
+++ b/carawaylatch/proxy/trafficmetrics.cpp
@@ -43,6 +43,7 @@
         {"foreign_answers_total", m_counts.mismatchedResponses},
         {"blocked_requests_total", m_counts.blocked},
         {"blocked_prompt_parts", m_crashes.blockedParts(now())},
+        {"blocked_crashing_requests", m_crashes.blockedRequests(now())},
         {"upstream_pauses_total", m_counts.pauses},
         {"limited_upstreams", m_tracker.limits().size()},
         {"inflight", m_inflight},
--- a/carawaylatch/proxy/trafficplane.h
+++ b/carawaylatch/proxy/trafficplane.h
@@ -71,7 +71,7 @@
     std::uint64_t reads = 0; // reads of response body bytes from upstreams
     std::uint64_t mismatchedResponses = 0;
     std::uint64_t resumed = 0;
-    std::uint64_t blocked = 0; // requests with a blocked prompt part
+    std::uint64_t blocked = 0; // requests that are blocked, or have a blocked prompt part
     std::uint64_t pauses = 0; // asked for by upstreams
     std::array<telemetry::LatencyHistogram, CallKindCount> firstByte{}; // latency of served requests, by CallKind
     std::array<telemetry::LatencyHistogram, CallKindCount> total{}; // latency of served requests, by CallKind
