--- /dev/null
+++ b/scripts/soak.sh
@@ -0,0 +1,62 @@
+#!/usr/bin/env bash
+# Soak: gateways under series of signals, restarts, changes and faults that overlap, while callers keep their connections.
+#
+#   scripts/soak.sh SEED [SECONDS [GATEWAYS [CALLERS]]]
+#
+# Prints the findings of carawaylatch-soak; KEEP=FOLDER keeps the gateways' logs of a run with findings.
+set -u
+cd "$(dirname "$0")/.."
+BUILD=${BUILD:-build}
+SEED=$1
+DURATION=${2:-30}
+GATEWAYS=${3:-4}
+CALLERS=${4:-24}
+FOLDER=$(mktemp -d)
+# An own network for each run, so that several may run at once.
+NETWORK=127.$((1 + $$ % 250)).$((1 + $$ / 250 % 250))
+
+supervise() { # N
+    local base=$FOLDER/gateway-$1 address=$NETWORK.$((10 + $1)) process starts
+    cat >"$base.ini" <<INI
+[gateway]
+id = $address
+failure_domain = z$(($1 % 3))
+callers = $address:7001
+operators = $address:7002
+peers = $address:7003
+relay = $address:7004
+grace_seconds = 6
+[store]
+address = $NETWORK.1:7100
+[configuration]
+max_age_ms = 5000
+[upstreams]
+leave_within_ms = 2000
+INI
+    : >"$base.log"
+    while [ ! -e "$FOLDER/stop" ]; do
+        starts=$(grep -c GatewayStarted "$base.log")
+        "$BUILD/carawaylatch-gateway" --settings "$base.ini" >>"$base.log" 2>&1 &
+        process=$!
+        echo $process >"$base.pid.new" && mv "$base.pid.new" "$base.pid"
+        wait $process
+        echo "$? $(($(grep -c GatewayStarted "$base.log") - starts))" >>"$base.exits"
+        sleep 0.2
+    done
+}
+
+"$BUILD/carawaylatch-soak" --seed="$SEED" --seconds="$DURATION" --gateways="$GATEWAYS" --callers="$CALLERS" --network="$NETWORK" --folder="$FOLDER" &
+soak=$!
+for ((i = 0; i < GATEWAYS; ++i)); do
+    supervise "$i" 2>/dev/null &
+done
+wait $soak
+status=$?
+touch "$FOLDER/stop"
+for file in "$FOLDER"/gateway-*.pid; do
+    kill -KILL "$(cat "$file")" 2>/dev/null
+done
+wait
+[ "$status" != 0 ] && [ -n "${KEEP:-}" ] && mkdir -p "$KEEP" && cp -r "$FOLDER" "$KEEP/seed-$SEED"
+rm -rf "$FOLDER"
+exit $status
