--- a/carawaylatch/proxy/requestlimits.cpp
+++ b/carawaylatch/proxy/requestlimits.cpp
@@ -28,6 +28,11 @@
 
 void RequestLimits::setRouters(std::span<const base::Endpoint> routers, const base::Endpoint &self, std::uint32_t count)
 {
+    if (count == m_count && std::equal(routers.begin(), routers.end(), m_fleet.begin(), m_fleet.end())) {
+        return;
+    }
+    m_fleet.assign(routers.begin(), routers.end());
+    m_count = count;
     m_others.clear();
     for (const base::Endpoint &router : routers) {
         if (router != self) {
--- a/carawaylatch/proxy/requestlimits.h
+++ b/carawaylatch/proxy/requestlimits.h
@@ -96,6 +96,8 @@
     [[nodiscard]] static UpstreamLimit noticeOf(std::uint64_t idHash, const Limit &limit);
 
     Limits m_limits; // by hash of the upstream's id
+    std::vector<base::Endpoint> m_fleet; // as set last, with m_count
+    std::uint32_t m_count = 0;
     std::vector<std::uint64_t> m_others; // hashes of the other routers; empty if they are not all known
     std::uint64_t m_self = 0; // hash of this router
     std::uint32_t m_routers = 1;
