A blocked request no longer takes the evidence of the one that crashes upstreams

Cause: the first request that reached three crashes was blocked, and its crashes no longer counted for others. Ruled out: reports that were late; all 150 gateways had the blocks.

Change: crashes of a blocked request count for another subject once that has a crash beyond them, as before for parts; a block ends when another request explains its crashes with more.

--- a/carawaylatch/proxy/crashattribution.cpp
+++ b/carawaylatch/proxy/crashattribution.cpp
@@ -81,12 +81,7 @@
 
 void CrashAttribution::onAnswered(const CrashSubjects &request, base::TimePoint now)
 {
-    // Nearly each request is another one, so that their answers are noted only while there are crashes.
-    const bool hasCrashes = !m_subjects.empty() || !m_unconfirmed.empty();
-    forEachSubject(request, [&](std::uint64_t key, std::uint64_t, std::uint8_t depth) {
-        if (depth == RequestDepth && !hasCrashes) {
-            return;
-        }
+    forEachSubject(request, [&](std::uint64_t key, std::uint64_t, std::uint8_t) {
         if (m_answeredAt.size() >= MaxAnsweredSubjects && !m_answeredAt.contains(key)) {
             m_answeredAt.clear();
         }
@@ -149,15 +144,10 @@
     return &subject;
 }
 
-bool CrashAttribution::explains(const Subject &blocked, const Subject &other)
-{
-    return &blocked != &other && (!blocked.isRequest() || other.isRequest());
-}
-
 bool CrashAttribution::addCrash(Subject &subject, const Crash &crash, base::TimePoint now) const
 {
     const bool isExplained = std::any_of(m_subjects.begin(), m_subjects.end(), [&](const auto &it) {
-        return explains(it.second, subject) && it.second.isBlocked(now) && it.second.lists(crash);
+        return !it.second.isRequest() && &it.second != &subject && it.second.isBlocked(now) && it.second.lists(crash);
     });
     if (isExplained || subject.lists(crash)) {
         return false;
@@ -248,15 +238,15 @@
     if (subject.blocks > 0) {
         return subject.crashes.back().at >= subject.blockedUntil;
     }
-    return subject.separateCrashes() >= MinCrashes && (subject.isRequest() || hasCrashBeyondRequests(subject));
+    return subject.separateCrashes() >= MinCrashes && hasCrashBeyondRequests(subject);
 }
 
-// True if a crash of a part is not one of a request that was found to be the cause.
-bool CrashAttribution::hasCrashBeyondRequests(const Subject &part) const
+// True if a crash of a subject is not one of another request that was found to be the cause.
+bool CrashAttribution::hasCrashBeyondRequests(const Subject &subject) const
 {
-    return std::any_of(part.crashes.begin(), part.crashes.end(), [this](const Crash &crash) {
-        return std::none_of(m_subjects.begin(), m_subjects.end(), [&crash](const auto &it) {
-            return it.second.isRequest() && it.second.blocks > 0 && it.second.lists(crash);
+    return std::any_of(subject.crashes.begin(), subject.crashes.end(), [&](const Crash &crash) {
+        return std::none_of(m_subjects.begin(), m_subjects.end(), [&](const auto &it) {
+            return &it.second != &subject && it.second.isRequest() && it.second.blocks > 0 && it.second.lists(crash);
         });
     });
 }
@@ -299,8 +289,12 @@
         m_verdicts.push_back({subject.id, subject.isRequest(), true, subject.crashes.size(), until - now});
     }
     for (auto &[key, other] : m_subjects) {
-        const bool isAsLikely = subject.isRequest() && qualifies(other, now);
-        if (explains(subject, other) && !other.isBlocked(now) && !isAsLikely) {
+        if (&other == &subject) {
+            continue;
+        }
+        if (subject.isRequest()) {
+            endDisprovedBlock(other, subject, now);
+        } else if (!other.isBlocked(now)) {
             std::erase_if(other.crashes, [&subject](const Crash &crash) {
                 return subject.lists(crash);
             });
@@ -308,6 +302,19 @@
     }
 }
 
+// Ends the block of a request if another request was beside all of its crashes and beside more.
+void CrashAttribution::endDisprovedBlock(Subject &blocked, const Subject &cause, base::TimePoint now)
+{
+    const bool isExplained = std::all_of(blocked.crashes.begin(), blocked.crashes.end(), [&cause](const Crash &crash) {
+        return cause.lists(crash);
+    });
+    if (blocked.isRequest() && blocked.isBlocked(now) && isExplained && blocked.crashes.size() < cause.crashes.size()) {
+        unblock(blocked, blocked.generation + 1, now);
+        blocked.crashes.clear();
+        markChanged(blocked, now);
+    }
+}
+
 std::optional<CrashBlock> CrashAttribution::blockOf(const CrashSubjects &request, base::TimePoint now) const
 {
     std::optional<CrashBlock> longest;
--- a/carawaylatch/proxy/crashattribution.h
+++ b/carawaylatch/proxy/crashattribution.h
@@ -10,11 +10,11 @@
 // their subjects. A complete response clears the subjects of its request. A subject is blocked after
 // MinCrashes separate crashes without a response between them; if several qualify, the one that explains
 // most crashes, and of these the last in the prompt, with the whole request after all parts.
-// Its crashes no longer count for others, with two exceptions: several requests may be blocked for
-// the same crashes, because nothing tells which of them is the cause and a block costs only requests
-// that are alike; and the crashes of a blocked request still count for its parts once another request with
-// the part crashes an upstream. Crashes of several upstreams at the same moment count as one,
-// because a failure outside the requests causes those.
+// The crashes of a blocked part no longer count for others. Those of a blocked request count for
+// another subject only once that has a crash beyond them: the wrong one of two requests may have been
+// blocked. Its block ends when the other one is blocked for the same crashes and more. Crashes of
+// several upstreams at the same moment count as one, because a failure outside the requests
+// causes those.
 //
 // A block ends after BlockTime; one more crash renews it for twice as long. Routers exchange
 // their state (faultreport.h), which merges to the same result in any order.
@@ -158,17 +158,16 @@
     // Returns nullptr if the table is full.
     Subject *findOrAdd(std::uint64_t key, std::uint64_t id, base::TimePoint now);
     void merge(const PartState &state, base::TimePoint now);
-    // Returns false if the crash was known, is explained by a blocked subject or is older than all that are kept.
+    // Returns false if the crash was known, is explained by a blocked part or is older than all that are kept.
     bool addCrash(Subject &subject, const Crash &crash, base::TimePoint now) const;
-    // True if the block of `blocked` means that its crashes don't count for `other`.
-    [[nodiscard]] static bool explains(const Subject &blocked, const Subject &other);
     // The subject was cleared: its blocks end, and states of earlier generations no longer count.
     void unblock(Subject &subject, std::uint32_t generation, base::TimePoint now);
     void clearAnswered(std::uint64_t key, Subject &subject, base::TimePoint now);
     // Blocks the subjects that qualify, the most likely cause first.
     void blockCauses(base::TimePoint now);
     [[nodiscard]] bool qualifies(const Subject &subject, base::TimePoint now) const;
-    [[nodiscard]] bool hasCrashBeyondRequests(const Subject &part) const;
+    [[nodiscard]] bool hasCrashBeyondRequests(const Subject &subject) const;
+    void endDisprovedBlock(Subject &blocked, const Subject &cause, base::TimePoint now);
     [[nodiscard]] bool isLikelierCause(std::uint64_t key, const Subject &subject, std::uint64_t otherKey, const Subject &other) const;
     void block(Subject &subject, base::TimePoint until, base::TimePoint now);
     [[nodiscard]] std::size_t countBlocked(bool isRequest, base::TimePoint now) const;
