--- a/carawaylatch/gateway/controlplane.cpp
+++ b/carawaylatch/gateway/controlplane.cpp
@@ -19,6 +19,8 @@
 {
 
 constexpr base::Duration ControlInterval = base::milliseconds{50}; // between checks of lease and rollout; a check makes no call of its own
+constexpr base::Duration HeartbeatInterval = base::milliseconds{50};
+constexpr base::Duration MaxHeartbeatGap = base::milliseconds{250}; // a longer one is logged
 constexpr base::Duration StatusInterval = base::milliseconds{120}; // between status calls to an engine that is changing
 constexpr base::Duration CacheStoreInterval = base::seconds{1}; // probes cost calls, but requests that wait for a dead store cost far more
 
@@ -65,6 +67,9 @@
     start("control", [this] {
         return runControlLoop();
     });
+    start("heartbeat", [this] {
+        return runHeartbeat();
+    });
     start("cache_stores", [this] {
         return watchCacheStores();
     });
@@ -164,6 +169,19 @@
     }
 }
 
+Awaitable<void> ControlPlane::runHeartbeat()
+{
+    base::Duration last = TableAge::bootTime();
+    while (true) {
+        co_await pause(HeartbeatInterval);
+        const base::Duration now = TableAge::bootTime();
+        if (now - last > MaxHeartbeatGap) {
+            m_log.write(base::LogEvent::ControlThreadStalled, {{"stalled_ms", std::to_string(base::toMilliseconds(now - last))}});
+        }
+        last = now;
+    }
+}
+
 // Writes this router's object. Routers count these objects to compute their share of
 // fleet-wide budgets, and read from each where to send load reports.
 Awaitable<void> ControlPlane::registerRouter(ObjectClient &client)
@@ -267,7 +285,7 @@
             co_return;
         }
         if (changing) {
-            m_state.onChange(ObjectKind::Coordination, changing.value(), false, now);
+            m_state.onChange(ObjectKind::Coordination, changing.value(), false, {now, now});
             if (!m_lease.hadNoOtherHolder()) {
                 m_rollout.takeOver(now, ChangingEngines::decode(changing.value().text));
             }
@@ -313,7 +331,8 @@
     if (!written) {
         co_return false; // retried at the next check
     }
-    m_state.onChange(ObjectKind::Coordination, StoredObject{std::string(ChangingName), text, written.value(), false}, false, m_clock.now());
+    const base::TimePoint now = m_clock.now();
+    m_state.onChange(ObjectKind::Coordination, StoredObject{std::string(ChangingName), text, written.value(), false}, false, {now, now});
     publishIfChanged();
     co_return true;
 }
--- a/carawaylatch/gateway/controlplane.h
+++ b/carawaylatch/gateway/controlplane.h
@@ -115,6 +115,10 @@
     [[nodiscard]] Awaitable<void> waitForConfirmation(ObjectKind kind, base::Duration limit);
     [[nodiscard]] Awaitable<base::Result<std::uint64_t>> listAll(ObjectClient &client, ObjectKind kind, bool wasStoreUnavailable, PartialList &partial);
     [[nodiscard]] Awaitable<void> runControlLoop();
+    // Notices that the thread did not run for a while.
+    [[nodiscard]] Awaitable<void> runHeartbeat();
+    // When a change of the kind that is read now was made, by the last confirmation before it.
+    [[nodiscard]] ChangeTime changeTime(ObjectKind kind) const;
     [[nodiscard]] Awaitable<void> watchCacheStores();
     void checkStoreEra();
     [[nodiscard]] Awaitable<void> stepLease(ObjectClient &client);
--- a/carawaylatch/gateway/controlplanewatch.cpp
+++ b/carawaylatch/gateway/controlplanewatch.cpp
@@ -56,10 +56,20 @@
         }
     }
     const PartialList whole = std::exchange(partial, {});
-    m_state.onList(kind, whole.objects, wasStoreUnavailable, m_clock.now());
+    m_state.onList(kind, whole.objects, wasStoreUnavailable, changeTime(kind));
     co_return whole.asOf;
 }
 
+ChangeTime ControlPlane::changeTime(ObjectKind kind) const
+{
+    const base::TimePoint now = m_clock.now();
+    const auto confirmed = m_confirmations.find(kind);
+    if (confirmed == m_confirmations.end() || confirmed->second.count == 0) {
+        return {now, {}};
+    }
+    return {now, now - (TableAge::bootTime() - confirmed->second.at)};
+}
+
 // Restarts the other watches once the configuration watch succeeds again. Its wait is the
 // shortest, so it detects an outage first, while the others may still wait for responses
 // that never come.
@@ -123,8 +133,9 @@
             isRelayed = changes.isRelayed;
             if (!changes.error) {
                 wasStoreUnavailable = wasStoreUnavailable || changes.isAfterOutage;
+                const ChangeTime time = changeTime(kind);
                 for (const StoredObject &object : changes.objects) {
-                    m_state.onChange(kind, object, wasStoreUnavailable, m_clock.now());
+                    m_state.onChange(kind, object, wasStoreUnavailable, time);
                 }
                 result = std::max(changes.revision, since);
                 m_watchLog.onChanges(kind, since, result.value(), changes.objects);
--- a/carawaylatch/gateway/fleetstate.cpp
+++ b/carawaylatch/gateway/fleetstate.cpp
@@ -96,12 +96,12 @@
 {
 }
 
-void FleetState::onList(ObjectKind kind, const std::vector<StoredObject> &objects, bool wasStoreUnavailable, base::TimePoint now)
+void FleetState::onList(ObjectKind kind, const std::vector<StoredObject> &objects, bool wasStoreUnavailable, const ChangeTime &time)
 {
     std::set<std::string, std::less<>> names;
     for (const StoredObject &object : objects) {
         names.insert(object.name);
-        apply(kind, object, ObjectSource::List, wasStoreUnavailable, now);
+        apply(kind, object, ObjectSource::List, wasStoreUnavailable, time);
     }
     if (kind == ObjectKind::Coordination) {
         const auto erased = std::erase_if(m_coordinationObjects, [&names](const auto &it) {
@@ -119,7 +119,7 @@
         }
     }
     for (const auto &id : missing) {
-        expireUpstream(id, wasStoreUnavailable, now);
+        expireUpstream(id, wasStoreUnavailable, time.readAt);
     }
 }
 
@@ -133,32 +133,32 @@
     }
 }
 
-void FleetState::onChange(ObjectKind kind, const StoredObject &object, bool wasStoreUnavailable, base::TimePoint now)
+void FleetState::onChange(ObjectKind kind, const StoredObject &object, bool wasStoreUnavailable, const ChangeTime &time)
 {
-    apply(kind, object, ObjectSource::Watch, wasStoreUnavailable, now);
+    apply(kind, object, ObjectSource::Watch, wasStoreUnavailable, time);
 }
 
-void FleetState::apply(ObjectKind kind, const StoredObject &object, ObjectSource source, bool wasStoreUnavailable, base::TimePoint now)
+void FleetState::apply(ObjectKind kind, const StoredObject &object, ObjectSource source, bool wasStoreUnavailable, const ChangeTime &time)
 {
     try {
-        applyDecoded(kind, object, source, wasStoreUnavailable, now);
+        applyDecoded(kind, object, source, wasStoreUnavailable, time);
     } catch (const std::exception &ex) {
         // The text of one writer must not keep the objects of the others from being read.
         logIgnoredEntry(kind, object, ex.what());
     }
 }
 
-void FleetState::applyDecoded(ObjectKind kind, const StoredObject &object, ObjectSource source, bool wasStoreUnavailable, base::TimePoint now)
+void FleetState::applyDecoded(ObjectKind kind, const StoredObject &object, ObjectSource source, bool wasStoreUnavailable, const ChangeTime &time)
 {
     switch (kind) {
     case ObjectKind::Tables:
         applyTable(object);
         break;
     case ObjectKind::Weights:
-        applyWeights(object, source == ObjectSource::List, now);
+        applyWeights(object, source == ObjectSource::List, time);
         break;
     case ObjectKind::Upstreams:
-        applyUpstream(object, wasStoreUnavailable, now);
+        applyUpstream(object, wasStoreUnavailable, time.readAt);
         break;
     case ObjectKind::Coordination:
         applyCoordination(object);
@@ -190,7 +190,7 @@
                                                {"customers", std::to_string(m_table->customers.size())}});
 }
 
-void FleetState::applyWeights(const StoredObject &object, bool isListed, base::TimePoint now)
+void FleetState::applyWeights(const StoredObject &object, bool isListed, const ChangeTime &time)
 {
     if (object.isRemoved) {
         return;
@@ -206,9 +206,12 @@
         return;
     }
     // A listed version, unlike one in a watch, may have been the target for a long time.
-    target.announce(version, isListed ? base::TimePoint{} : now);
+    target.announce(version, isListed ? base::TimePoint{} : time.readAt);
     m_isChanged = true;
-    m_log.write(base::LogEvent::WeightsNamed, {{"model", model.value()}, {"version", std::to_string(version.value)}});
+    const bool isAgeKnown = time.earliest != base::TimePoint{};
+    m_log.write(base::LogEvent::WeightsNamed, {{"model", model.value()},
+                                               {"version", std::to_string(version.value)},
+                                               {"max_age_ms", isAgeKnown ? base::formatMilliseconds(time.readAt - time.earliest) : "-"}});
 }
 
 bool FleetState::isSame(const proxy::Upstream &left, const proxy::Upstream &right)
--- a/carawaylatch/gateway/fleetstate.h
+++ b/carawaylatch/gateway/fleetstate.h
@@ -56,6 +56,13 @@
 [[nodiscard]] std::string encodeRouter(const RouterEntry &router);
 [[nodiscard]] std::optional<RouterEntry> decodeRouter(std::string_view text);
 
+// When a router read a change of the store, and the earliest time at which it can have been made.
+struct ChangeTime
+{
+    base::TimePoint readAt;
+    base::TimePoint earliest; // the clock's epoch if the state before the change is not known
+};
+
 class FleetState
 {
 public:
@@ -67,8 +74,8 @@
 
     // Takes all objects of a kind. wasStoreUnavailable: calls to the store failed shortly
     // before.
-    void onList(ObjectKind kind, const std::vector<StoredObject> &objects, bool wasStoreUnavailable, base::TimePoint now);
-    void onChange(ObjectKind kind, const StoredObject &object, bool wasStoreUnavailable, base::TimePoint now);
+    void onList(ObjectKind kind, const std::vector<StoredObject> &objects, bool wasStoreUnavailable, const ChangeTime &time);
+    void onChange(ObjectKind kind, const StoredObject &object, bool wasStoreUnavailable, const ChangeTime &time);
     // An upstream of this incarnation has said that it leaves, whatever its entry says.
     void onUpstreamLeaving(const base::UpstreamId &upstream, std::uint64_t startTimeMs);
     // An engine reported its weights in a response.
@@ -95,12 +102,12 @@
         List,
         Watch,
     };
-    void apply(ObjectKind kind, const StoredObject &object, ObjectSource source, bool wasStoreUnavailable, base::TimePoint now);
-    void applyDecoded(ObjectKind kind, const StoredObject &object, ObjectSource source, bool wasStoreUnavailable, base::TimePoint now);
+    void apply(ObjectKind kind, const StoredObject &object, ObjectSource source, bool wasStoreUnavailable, const ChangeTime &time);
+    void applyDecoded(ObjectKind kind, const StoredObject &object, ObjectSource source, bool wasStoreUnavailable, const ChangeTime &time);
     void applyTable(const StoredObject &object);
     void applyUpstream(const StoredObject &object, bool wasStoreUnavailable, base::TimePoint now);
     void expireUpstream(const base::UpstreamId &id, bool wasStoreUnavailable, base::TimePoint now);
-    void applyWeights(const StoredObject &object, bool isListed, base::TimePoint now);
+    void applyWeights(const StoredObject &object, bool isListed, const ChangeTime &time);
     void applyCoordination(const StoredObject &object);
     void removeUpstream(const base::UpstreamId &id);
     void logUpstream(const proxy::Upstream &upstream, std::string_view phase);
