--- a/carawaylatch/gateway/testing/fakestore.h
+++ b/carawaylatch/gateway/testing/fakestore.h
@@ -71,6 +71,7 @@
     bool isDown = false; // every call is refused
     std::size_t pageSize = 0; // objects in a page of a list; zero: unlimited
     int refusedListEvery = 0; // every n-th list call is refused; zero: none
+    bool areWatchesHung = false; // watches are never answered, so that they fail after their wait
     bool areCoordinationReadsRefused = false; // single reads of coordination objects are refused
 
 private:
@@ -137,6 +138,7 @@
         if (const auto error = errorOf(fault)) {
             co_return *error;
         }
+        bool isHung = false;
         for (base::Duration waited{}; waited <= wait && !m_isInterrupted; waited += Step) {
             noteEra();
             if (eraOf(since) != m_era.current) {
@@ -149,7 +151,8 @@
                     page.objects.push_back(versioned(object));
                 }
             }
-            if (!page.objects.empty() || waited == wait) {
+            isHung = isHung || m_store.areWatchesHung;
+            if (!isHung && (!page.objects.empty() || waited == wait)) {
                 co_return page;
             }
             co_await pause(Step);
@@ -157,6 +160,9 @@
         if (std::exchange(m_isInterrupted, false)) {
             co_return base::fail(base::ErrorKind::Unclear, "interrupted");
         }
+        if (isHung) {
+            co_return base::fail(base::ErrorKind::Unclear, "no response");
+        }
         ObjectPage page;
         page.asOf = since;
         co_return page;
