Count the time for older weights from the earliest moment at which a version can have been named

Cause: a router counted the limit for older weights from when it read the new version. A router that was suspended, or whose watch or reader hung, read it seconds late and then let engines on older weights serve for the whole limit. Ruled out: that the limit itself fails (placement and the start timer act on time where the version is read on time), that the engine's version was unknown (engines reject a version that is not theirs).

Change: gateway/changetimes gives the latest time at which the state before a change was certainly the newest, from the calls that confirmed it and from heartbeats of the control thread; the limit counts from there. Routers that learn from a reader get its bound with the answer (change_age_us; a reader of the version before does not tell, and then the last confirmation counts). A version found in a list after the store lost its history is no longer taken for old.

--- /dev/null
+++ b/carawaylatch/gateway/changetimes.cpp
@@ -0,0 +1,58 @@
+// Confirmations of each kind of object, and heartbeats of the thread that reads them.
+#include "carawaylatch/gateway/changetimes.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace carawaylatch::gateway
+{
+
+std::optional<base::Duration> ChangeTimes::onHeartbeat(base::Duration now)
+{
+    const base::Duration last = m_lastHeartbeat.value_or(now);
+    const bool hasStalled = now - last > MaxHeartbeatGap;
+    if (hasStalled) {
+        for (auto &[name, kind] : m_kinds) {
+            kind.newestAt = newestAt(kind);
+            kind.mayHaveMissedAnswer = true;
+        }
+    }
+    m_lastButOneHeartbeat = last;
+    m_lastHeartbeat = now;
+    return hasStalled ? std::optional(now - last) : std::nullopt;
+}
+
+std::optional<base::Duration> ChangeTimes::newestAt(const Kind &kind) const
+{
+    const bool isProvedByHeartbeat = kind.newestAt && !kind.mayHaveMissedAnswer && m_lastButOneHeartbeat > kind.sentAt;
+    return isProvedByHeartbeat ? std::max(kind.newestAt, std::optional(m_lastButOneHeartbeat)) : kind.newestAt;
+}
+
+void ChangeTimes::onCallSent(ObjectKind kind, base::Duration now)
+{
+    m_kinds[kind].sentAt = now;
+}
+
+void ChangeTimes::onCallFailed(ObjectKind kind)
+{
+    m_kinds[kind].mayHaveMissedAnswer = true;
+}
+
+std::optional<base::Duration> ChangeTimes::onAnswered(ObjectKind name)
+{
+    Kind &kind = m_kinds[name];
+    const auto changedAfter = newestAt(kind);
+    kind.newestAt = std::max(changedAfter, std::optional(kind.sentAt));
+    kind.mayHaveMissedAnswer = false;
+    return changedAfter;
+}
+
+std::optional<base::Duration> ChangeTimes::onRelayed(ObjectKind name, base::Duration confirmedAt, std::optional<base::Duration> changedAfter)
+{
+    Kind &kind = m_kinds[name];
+    kind.mayHaveMissedAnswer = true; // no call of this router is in flight
+    const auto before = std::exchange(kind.newestAt, std::max(kind.newestAt, std::optional(confirmedAt)));
+    return changedAfter ? std::max(before, changedAfter) : before;
+}
+
+} // namespace carawaylatch::gateway
--- /dev/null
+++ b/carawaylatch/gateway/changetimes.h
@@ -0,0 +1,60 @@
+// Bounds for when a change of the store that this router reads was made.
+//
+// Time limits that changes set, such as that for older weights, count from when the store
+// accepted the change. A router may read it much later: it was suspended, its connection was
+// dead, or its reader was late. The bound is the last time at which the state before the
+// change was certainly the newest:
+//
+//   - when the call was sent that last confirmed this state, or
+//   - while a call is held open and the control thread runs, the last but one heartbeat:
+//     an answer that had arrived by then would have been read before the last one.
+//
+// After a failed call, or after the thread did not run for long, only the first holds until
+// the next answer, since an answer may have been lost meanwhile. A state machine without
+// I/O. All times are those of TableAge::bootTime(), which count suspension.
+#pragma once
+
+#include <map>
+#include <optional>
+
+#include "carawaylatch/base/time.h"
+#include "carawaylatch/gateway/objectclient.h"
+
+namespace carawaylatch::gateway
+{
+
+class ChangeTimes
+{
+public:
+    static constexpr base::Duration HeartbeatInterval = base::milliseconds{50};
+    // Longer than a heartbeat is late on a VM that is short of processor time.
+    static constexpr base::Duration MaxHeartbeatGap = base::milliseconds{250};
+
+    // Call it at each HeartbeatInterval. Returns the time since the last call if it is longer
+    // than MaxHeartbeatGap.
+    std::optional<base::Duration> onHeartbeat(base::Duration now);
+    void onCallSent(ObjectKind kind, base::Duration now);
+    void onCallFailed(ObjectKind kind);
+    // The store has answered the call. Returns the earliest time at which the changes in the
+    // answer can have been made; nothing if no state of the kind was read before.
+    std::optional<base::Duration> onAnswered(ObjectKind kind);
+    // A reader has answered. Its state was the newest at `confirmedAt`; the changes were made
+    // at `changedAfter` or later if it tells.
+    std::optional<base::Duration> onRelayed(ObjectKind kind, base::Duration confirmedAt, std::optional<base::Duration> changedAfter);
+
+private:
+    struct Kind
+    {
+        std::optional<base::Duration> newestAt; // the state was certainly the newest
+        base::Duration sentAt{}; // of the call in flight
+        bool mayHaveMissedAnswer = true; // heartbeats prove nothing about the call in flight
+    };
+    // The latest time at which the state of the kind was certainly the newest.
+    [[nodiscard]] std::optional<base::Duration> newestAt(const Kind &kind) const;
+
+    std::map<ObjectKind, Kind> m_kinds;
+    std::optional<base::Duration> m_lastHeartbeat;
+    base::Duration m_lastButOneHeartbeat{};
+};
+
+} // namespace carawaylatch::gateway
--- a/carawaylatch/gateway/controlplane.cpp
+++ b/carawaylatch/gateway/controlplane.cpp
@@ -19,8 +19,6 @@
 {
 
 constexpr base::Duration ControlInterval = base::milliseconds{50}; // between checks of lease and rollout; a check makes no call of its own
-constexpr base::Duration HeartbeatInterval = base::milliseconds{50};
-constexpr base::Duration MaxHeartbeatGap = base::milliseconds{250}; // a longer one is logged
 constexpr base::Duration StatusInterval = base::milliseconds{120}; // between status calls to an engine that is changing
 constexpr base::Duration CacheStoreInterval = base::seconds{1}; // probes cost calls, but requests that wait for a dead store cost far more
 
@@ -171,14 +169,11 @@
 
 Awaitable<void> ControlPlane::runHeartbeat()
 {
-    base::Duration last = TableAge::bootTime();
     while (true) {
-        co_await pause(HeartbeatInterval);
-        const base::Duration now = TableAge::bootTime();
-        if (now - last > MaxHeartbeatGap) {
-            m_log.write(base::LogEvent::ControlThreadStalled, {{"stalled_ms", std::to_string(base::toMilliseconds(now - last))}});
+        if (const auto stalled = m_changeTimes.onHeartbeat(TableAge::bootTime())) {
+            m_log.write(base::LogEvent::ControlThreadStalled, {{"stalled_ms", std::to_string(base::toMilliseconds(*stalled))}});
         }
-        last = now;
+        co_await pause(ChangeTimes::HeartbeatInterval);
     }
 }
 
--- a/carawaylatch/gateway/controlplane.h
+++ b/carawaylatch/gateway/controlplane.h
@@ -26,6 +26,7 @@
 #include "carawaylatch/base/ids.h"
 #include "carawaylatch/base/time.h"
 #include "carawaylatch/fleet/lease.h"
+#include "carawaylatch/gateway/changetimes.h"
 #include "carawaylatch/gateway/decoder.h"
 #include "carawaylatch/gateway/engineclient.h"
 #include "carawaylatch/gateway/fleetstate.h"
@@ -91,6 +92,7 @@
         std::uint64_t revision = 0; // of the store, after the changes
         std::vector<StoredObject> objects;
         base::Duration confirmedAt{}; // bootTime() at which the state was certainly the newest
+        std::optional<base::Duration> changedAfter; // bootTime(); the objects changed at this time or later
         bool isAfterOutage = false;
         bool isRelayed = false;
     };
@@ -117,8 +119,8 @@
     [[nodiscard]] Awaitable<void> runControlLoop();
     // Notices that the thread did not run for a while.
     [[nodiscard]] Awaitable<void> runHeartbeat();
-    // When a change of the kind that is read now was made, by the last confirmation before it.
-    [[nodiscard]] ChangeTime changeTime(ObjectKind kind) const;
+    // Changes that are read now, and were made at `changedAfter` (bootTime()) or later.
+    [[nodiscard]] ChangeTime changeTime(std::optional<base::Duration> changedAfter) const;
     [[nodiscard]] Awaitable<void> watchCacheStores();
     void checkStoreEra();
     [[nodiscard]] Awaitable<void> stepLease(ObjectClient &client);
@@ -159,6 +161,7 @@
     RelayClient &m_relay;
     ReaderChoice m_readers;
     WatchLog m_watchLog;
+    ChangeTimes m_changeTimes;
     // State of each kind for polls of other routers.
     struct Confirmation
     {
--- a/carawaylatch/gateway/controlplanewatch.cpp
+++ b/carawaylatch/gateway/controlplanewatch.cpp
@@ -38,6 +38,9 @@
     if (m_clock.now() - partial.startedAt > MaxPartialListAge) {
         partial = PartialList{{}, {}, 0, m_clock.now()};
     }
+    if (partial.asOf == 0) {
+        m_changeTimes.onCallSent(kind, TableAge::bootTime());
+    }
     bool hasMore = true;
     while (hasMore) {
         auto page = co_await client.list(kind, partial.after);
@@ -56,18 +59,14 @@
         }
     }
     const PartialList whole = std::exchange(partial, {});
-    m_state.onList(kind, whole.objects, wasStoreUnavailable, changeTime(kind));
+    m_state.onList(kind, whole.objects, wasStoreUnavailable, changeTime(m_changeTimes.onAnswered(kind)));
     co_return whole.asOf;
 }
 
-ChangeTime ControlPlane::changeTime(ObjectKind kind) const
+ChangeTime ControlPlane::changeTime(std::optional<base::Duration> changedAfter) const
 {
     const base::TimePoint now = m_clock.now();
-    const auto confirmed = m_confirmations.find(kind);
-    if (confirmed == m_confirmations.end() || confirmed->second.count == 0) {
-        return {now, {}};
-    }
-    return {now, now - (TableAge::bootTime() - confirmed->second.at)};
+    return {now, changedAfter ? now - (TableAge::bootTime() - *changedAfter) : base::TimePoint{}};
 }
 
 // Restarts the other watches once the configuration watch succeeds again. Its wait is the
@@ -133,12 +132,12 @@
             isRelayed = changes.isRelayed;
             if (!changes.error) {
                 wasStoreUnavailable = wasStoreUnavailable || changes.isAfterOutage;
-                const ChangeTime time = changeTime(kind);
+                const ChangeTime time = changeTime(changes.changedAfter);
                 for (const StoredObject &object : changes.objects) {
                     m_state.onChange(kind, object, wasStoreUnavailable, time);
                 }
                 result = std::max(changes.revision, since);
-                m_watchLog.onChanges(kind, since, result.value(), changes.objects);
+                m_watchLog.onChanges(kind, since, result.value(), changes.objects, changes.changedAfter.value_or(base::Duration{}));
                 hasChanges = !changes.objects.empty();
                 confirmedAt = changes.confirmedAt;
             } else {
@@ -169,6 +168,7 @@
             continue;
         }
         if (result.error().kind == base::ErrorKind::StaleState && since != 0) {
+            m_changeTimes.onCallFailed(kind);
             m_log.write(base::LogEvent::HistoryLost, {{"kind", std::string(objectKindName(kind))}});
             const bool isRestored = eraOf(since) != m_clients.storeEra();
             since = 0;
@@ -178,6 +178,7 @@
             }
             continue;
         }
+        m_changeTimes.onCallFailed(kind);
         if (!unavailableSince) {
             unavailableSince = now;
             m_log.write(base::LogEvent::StoreLost, {{"kind", std::string(objectKindName(kind))},
@@ -202,8 +203,10 @@
         wait = FallbackWait;
     }
     changes.confirmedAt = TableAge::bootTime();
+    m_changeTimes.onCallSent(kind, changes.confirmedAt);
     auto page = co_await client.watch(kind, since, wait);
     if (page) {
+        changes.changedAfter = m_changeTimes.onAnswered(kind);
         changes.revision = page.value().asOf;
         changes.objects = std::move(page.value().objects);
     } else {
@@ -229,6 +232,7 @@
         problem = "its configuration is not confirmed";
     }
     if (!problem.empty()) {
+        m_changeTimes.onCallFailed(kind);
         onReaderFailed(reader, kind, problem);
         co_return false;
     }
@@ -238,6 +242,8 @@
     changes.revision = value.revision;
     changes.objects = std::move(value.objects);
     changes.confirmedAt = sentAt + value.held - value.age;
+    const auto changedAfter = value.changeAge ? std::optional(sentAt + value.held - *value.changeAge) : std::nullopt;
+    changes.changedAfter = m_changeTimes.onRelayed(kind, changes.confirmedAt, changedAfter);
     changes.isAfterOutage = value.isAfterOutage;
     changes.isRelayed = true;
     co_return true;
@@ -309,6 +315,9 @@
             known->age = at - confirmation.at;
             known->held = at - arrivedAt;
             known->isAfterOutage = confirmation.isAfterOutage;
+            if (!changes->objects.empty()) {
+                known->changeAge = at - changes->changedAfter;
+            }
             known->objects = std::move(changes->objects);
             co_return known;
         }
--- a/carawaylatch/gateway/fleetstate.cpp
+++ b/carawaylatch/gateway/fleetstate.cpp
@@ -101,7 +101,7 @@
     std::set<std::string, std::less<>> names;
     for (const StoredObject &object : objects) {
         names.insert(object.name);
-        apply(kind, object, ObjectSource::List, wasStoreUnavailable, time);
+        apply(kind, object, wasStoreUnavailable, time);
     }
     if (kind == ObjectKind::Coordination) {
         const auto erased = std::erase_if(m_coordinationObjects, [&names](const auto &it) {
@@ -135,27 +135,27 @@
 
 void FleetState::onChange(ObjectKind kind, const StoredObject &object, bool wasStoreUnavailable, const ChangeTime &time)
 {
-    apply(kind, object, ObjectSource::Watch, wasStoreUnavailable, time);
+    apply(kind, object, wasStoreUnavailable, time);
 }
 
-void FleetState::apply(ObjectKind kind, const StoredObject &object, ObjectSource source, bool wasStoreUnavailable, const ChangeTime &time)
+void FleetState::apply(ObjectKind kind, const StoredObject &object, bool wasStoreUnavailable, const ChangeTime &time)
 {
     try {
-        applyDecoded(kind, object, source, wasStoreUnavailable, time);
+        applyDecoded(kind, object, wasStoreUnavailable, time);
     } catch (const std::exception &ex) {
         // The text of one writer must not keep the objects of the others from being read.
         logIgnoredEntry(kind, object, ex.what());
     }
 }
 
-void FleetState::applyDecoded(ObjectKind kind, const StoredObject &object, ObjectSource source, bool wasStoreUnavailable, const ChangeTime &time)
+void FleetState::applyDecoded(ObjectKind kind, const StoredObject &object, bool wasStoreUnavailable, const ChangeTime &time)
 {
     switch (kind) {
     case ObjectKind::Tables:
         applyTable(object);
         break;
     case ObjectKind::Weights:
-        applyWeights(object, source == ObjectSource::List, time);
+        applyWeights(object, time);
         break;
     case ObjectKind::Upstreams:
         applyUpstream(object, wasStoreUnavailable, time.readAt);
@@ -190,7 +190,7 @@
                                                {"customers", std::to_string(m_table->customers.size())}});
 }
 
-void FleetState::applyWeights(const StoredObject &object, bool isListed, const ChangeTime &time)
+void FleetState::applyWeights(const StoredObject &object, const ChangeTime &time)
 {
     if (object.isRemoved) {
         return;
@@ -205,8 +205,7 @@
     if (version <= target.version) {
         return;
     }
-    // A listed version, unlike one in a watch, may have been the target for a long time.
-    target.announce(version, isListed ? base::TimePoint{} : time.readAt);
+    target.announce(version, time.earliest);
     m_isChanged = true;
     const bool isAgeKnown = time.earliest != base::TimePoint{};
     m_log.write(base::LogEvent::WeightsNamed, {{"model", model.value()},
--- a/carawaylatch/gateway/fleetstate.h
+++ b/carawaylatch/gateway/fleetstate.h
@@ -98,16 +98,12 @@
     [[nodiscard]] std::vector<proxy::CacheStore> cacheStores() const;
 
 private:
-    enum class ObjectSource {
-        List,
-        Watch,
-    };
-    void apply(ObjectKind kind, const StoredObject &object, ObjectSource source, bool wasStoreUnavailable, const ChangeTime &time);
-    void applyDecoded(ObjectKind kind, const StoredObject &object, ObjectSource source, bool wasStoreUnavailable, const ChangeTime &time);
+    void apply(ObjectKind kind, const StoredObject &object, bool wasStoreUnavailable, const ChangeTime &time);
+    void applyDecoded(ObjectKind kind, const StoredObject &object, bool wasStoreUnavailable, const ChangeTime &time);
     void applyTable(const StoredObject &object);
     void applyUpstream(const StoredObject &object, bool wasStoreUnavailable, base::TimePoint now);
     void expireUpstream(const base::UpstreamId &id, bool wasStoreUnavailable, base::TimePoint now);
-    void applyWeights(const StoredObject &object, bool isListed, const ChangeTime &time);
+    void applyWeights(const StoredObject &object, const ChangeTime &time);
     void applyCoordination(const StoredObject &object);
     void removeUpstream(const base::UpstreamId &id);
     void logUpstream(const proxy::Upstream &upstream, std::string_view phase);
--- /dev/null
+++ b/carawaylatch/gateway/testing/changetimestest.cpp
@@ -0,0 +1,169 @@
+// Tests ChangeTimes in virtual time: for each way in which news can be late, the bound is never
+// later than the change, and it is close where heartbeats prove it.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <optional>
+#include <string>
+
+#include "carawaylatch/base/hash.h"
+#include "carawaylatch/gateway/changetimes.h"
+#include "testing/seed.h"
+
+namespace carawaylatch::gateway::testing
+{
+
+namespace
+{
+
+constexpr auto Kind = ObjectKind::Weights;
+constexpr base::Duration Beat = ChangeTimes::HeartbeatInterval;
+constexpr base::Duration Start = base::hours{1};
+
+} // namespace
+
+class ChangeTimesTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ChangeTimesTest);
+    CPPUNIT_TEST(testFirstAnswerBoundsNothing);
+    CPPUNIT_TEST(testChangeInAHeldCallIsYoung);
+    CPPUNIT_TEST(testChangeDuringASuspension);
+    CPPUNIT_TEST(testChangeBehindAFailedCall);
+    CPPUNIT_TEST(testAnswerThatArrivesLongAfterASuspension);
+    CPPUNIT_TEST(testRelayedChange);
+    CPPUNIT_TEST(testBoundIsNeverLaterThanTheChange);
+    CPPUNIT_TEST_SUITE_END();
+
+    ChangeTimes m_times;
+    base::Duration m_now = Start;
+
+    void beatUntil(base::Duration end)
+    {
+        while (m_now + Beat <= end) {
+            m_now += Beat;
+            static_cast<void>(m_times.onHeartbeat(m_now));
+        }
+        m_now = end;
+    }
+    // The state was read, and a call for changes is held open.
+    void startWatch()
+    {
+        static_cast<void>(m_times.onHeartbeat(m_now));
+        m_times.onCallSent(Kind, m_now);
+        static_cast<void>(m_times.onAnswered(Kind));
+        m_times.onCallSent(Kind, m_now);
+    }
+
+public:
+    void testFirstAnswerBoundsNothing()
+    {
+        m_times.onCallSent(Kind, m_now);
+        beatUntil(Start + base::seconds{1});
+        CPPUNIT_ASSERT(!m_times.onAnswered(Kind).has_value());
+    }
+
+    void testChangeInAHeldCallIsYoung()
+    {
+        startWatch();
+        beatUntil(Start + base::seconds{2} + base::milliseconds{20});
+        CPPUNIT_ASSERT(m_times.onAnswered(Kind) == Start + base::seconds{2} - Beat);
+    }
+
+    // The answer is read before or after the first heartbeat that follows the suspension.
+    void testChangeDuringASuspension()
+    {
+        for (const bool isBeatFirst : {false, true}) {
+            m_times = ChangeTimes();
+            m_now = Start;
+            startWatch();
+            beatUntil(Start + base::seconds{1});
+            m_now += base::seconds{4};
+            if (isBeatFirst) {
+                CPPUNIT_ASSERT(m_times.onHeartbeat(m_now) == base::seconds{4});
+            }
+            CPPUNIT_ASSERT(m_times.onAnswered(Kind) == Start + base::seconds{1} - Beat);
+        }
+    }
+
+    void testChangeBehindAFailedCall()
+    {
+        startWatch();
+        beatUntil(Start + base::seconds{4});
+        m_times.onCallFailed(Kind);
+        m_times.onCallSent(Kind, m_now);
+        beatUntil(m_now + base::seconds{1});
+        CPPUNIT_ASSERT(m_times.onAnswered(Kind) == Start);
+    }
+
+    // What was sent to a suspended VM may have been lost, and is sent again later and later.
+    void testAnswerThatArrivesLongAfterASuspension()
+    {
+        startWatch();
+        beatUntil(Start + base::seconds{1});
+        m_now += base::seconds{4};
+        static_cast<void>(m_times.onHeartbeat(m_now));
+        beatUntil(m_now + base::seconds{2});
+        CPPUNIT_ASSERT(m_times.onAnswered(Kind) == Start + base::seconds{1} - Beat);
+        m_times.onCallSent(Kind, m_now);
+        beatUntil(m_now + base::seconds{1});
+        CPPUNIT_ASSERT(m_times.onAnswered(Kind) == m_now - Beat); // heartbeats count again
+    }
+
+    void testRelayedChange()
+    {
+        startWatch();
+        const base::Duration confirmed = Start + base::milliseconds{300};
+        CPPUNIT_ASSERT(m_times.onRelayed(Kind, confirmed, std::nullopt) == Start);
+        CPPUNIT_ASSERT(m_times.onRelayed(Kind, confirmed, Start + base::seconds{2}) == Start + base::seconds{2});
+        // The reader knows less than this router.
+        CPPUNIT_ASSERT(m_times.onRelayed(Kind, confirmed, Start - base::seconds{1}) == confirmed);
+        // Heartbeats prove nothing about a state that a reader watches.
+        beatUntil(Start + base::seconds{5});
+        static_cast<void>(m_times.onHeartbeat(m_now + base::seconds{1}));
+        CPPUNIT_ASSERT(m_times.onRelayed(Kind, m_now, std::nullopt) == confirmed);
+    }
+
+    // Random histories of calls that are answered at once, late, or never, of suspensions and of
+    // changes, against the true times of the changes.
+    void testBoundIsNeverLaterThanTheChange()
+    {
+        constexpr int Histories = 300;
+        constexpr int Calls = 40;
+        base::Random random(carawaylatch::testing::seed());
+        for (int history = 0; history < Histories; ++history) {
+            m_times = ChangeTimes();
+            m_now = Start;
+            startWatch();
+            std::optional<base::Duration> changedAt;
+            for (int call = 0; call < Calls; ++call) {
+                const auto wait = base::fromSeconds(random.uniformReal() * 4);
+                const bool isChanged = !changedAt && random.uniformReal() < 0.5;
+                if (isChanged) {
+                    changedAt = m_now + base::fromSeconds(random.uniformReal() * base::toSeconds(wait));
+                    beatUntil(*changedAt);
+                }
+                const double way = random.uniformReal();
+                if (way < 0.3) { // suspended until the answer has long arrived
+                    m_now += wait;
+                    if (random.uniformReal() < 0.5) {
+                        static_cast<void>(m_times.onHeartbeat(m_now));
+                    }
+                } else if (way < 0.6) { // the answer is lost
+                    beatUntil(m_now + wait);
+                    m_times.onCallFailed(Kind);
+                    m_times.onCallSent(Kind, m_now);
+                    continue;
+                } else if (!changedAt) {
+                    beatUntil(m_now + wait);
+                }
+                const auto bound = m_times.onAnswered(Kind);
+                CPPUNIT_ASSERT(bound.has_value());
+                CPPUNIT_ASSERT_MESSAGE("history " + std::to_string(history) + ", call " + std::to_string(call), !changedAt || *bound <= *changedAt);
+                changedAt.reset();
+                m_times.onCallSent(Kind, m_now);
+            }
+        }
+    }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(ChangeTimesTest);
+
+} // namespace carawaylatch::gateway::testing
--- a/carawaylatch/gateway/testing/watchrelaytest.cpp
+++ b/carawaylatch/gateway/testing/watchrelaytest.cpp
@@ -74,14 +74,14 @@
     {
         WatchLog log;
         log.onListed(Kind, makeVersion(1, 10));
-        log.onChanges(Kind, makeVersion(1, 10), makeVersion(1, 15), {object("a", makeVersion(1, 14))});
+        log.onChanges(Kind, makeVersion(1, 10), makeVersion(1, 15), {object("a", makeVersion(1, 14))}, {});
         CPPUNIT_ASSERT(!log.changesSince(Kind, makeVersion(2, 3)).has_value());
         CPPUNIT_ASSERT(log.changesSince(Kind, makeVersion(1, 12)).has_value());
         log.onListed(Kind, makeVersion(2, 3));
         CPPUNIT_ASSERT(!log.changesSince(Kind, makeVersion(1, 15)).has_value());
         CPPUNIT_ASSERT(log.changesSince(Kind, makeVersion(2, 3)).has_value());
         // A router of the version before answers a poll of a later era as if it knew that era.
-        const RelayAnswer answer{true, makeVersion(2, 3), {}, {}, false, {}};
+        const RelayAnswer answer{true, makeVersion(2, 3), {}, {}, false, {}, {}};
         CPPUNIT_ASSERT(decodeRelayAnswer(encodeRelayAnswer(answer)).value().isKnown);
         std::string former = encodeRelayAnswer(answer);
         former.replace(former.find("\"eras\""), 6, "\"none\"");
@@ -96,11 +96,11 @@
         CPPUNIT_ASSERT(!log.changesSince(Kind, 9).has_value());
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{10}, log.changesSince(Kind, 10)->revision);
         CPPUNIT_ASSERT_EQUAL_MESSAGE("never back", std::uint64_t{12}, log.changesSince(Kind, 12)->revision);
-        log.onChanges(Kind, 10, 15, {object("a", 14)});
+        log.onChanges(Kind, 10, 15, {object("a", 14)}, {});
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, log.changesSince(Kind, 10)->objects.size());
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, log.changesSince(Kind, 14)->objects.size());
         CPPUNIT_ASSERT(log.changesSince(Kind, 15)->objects.empty());
-        log.onChanges(Kind, 20, 21, {object("b", 21)});
+        log.onChanges(Kind, 20, 21, {object("b", 21)}, {});
         CPPUNIT_ASSERT_MESSAGE("the changes from 15 to 20 are missing", !log.changesSince(Kind, 15).has_value());
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, log.changesSince(Kind, 20)->objects.size());
     }
@@ -128,7 +128,7 @@
                         states.back()[name] = revision;
                     }
                 }
-                log.onChanges(Kind, since, revision, objects);
+                log.onChanges(Kind, since, revision, objects, {});
             }
             for (std::uint64_t from = 1; from <= revision; ++from) {
                 auto state = states[from];
@@ -152,7 +152,7 @@
         log.onListed(Kind, 1);
         const std::string text(WatchLog::MaxBytes / 3, 't');
         for (std::uint64_t revision = 2; revision < 12; ++revision) {
-            log.onChanges(Kind, revision - 1, revision, {StoredObject{"a", text, revision, false}});
+            log.onChanges(Kind, revision - 1, revision, {StoredObject{"a", text, revision, false}}, {});
         }
         CPPUNIT_ASSERT(!log.changesSince(Kind, 5).has_value());
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, log.changesSince(Kind, 10)->objects.size());
@@ -355,15 +355,17 @@
     {
         const auto poll = decodeRelayPoll(encodeRelayPoll({ObjectKind::Weights, 77, base::milliseconds{1200}}));
         CPPUNIT_ASSERT(poll.value().kind == ObjectKind::Weights && poll.value().since == 77 && poll.value().wait == base::milliseconds{1200});
-        RelayAnswer answer{true, 9, base::milliseconds{300}, base::milliseconds{40}, true, {object("a", 8), object("b", 9, true)}};
+        RelayAnswer answer{true, 9, base::milliseconds{300}, base::milliseconds{40}, true, {object("a", 8), object("b", 9, true)}, base::milliseconds{700}};
         answer.objects[0].text = "quotes \" and \xff bytes";
         const auto decoded = decodeRelayAnswer(encodeRelayAnswer(answer)).value();
         CPPUNIT_ASSERT(decoded.isKnown && decoded.revision == 9 && decoded.age == answer.age && decoded.held == answer.held && decoded.isAfterOutage);
         CPPUNIT_ASSERT(decoded.objects.size() == 2 && !decoded.objects[0].isRemoved && decoded.objects[1].isRemoved);
+        CPPUNIT_ASSERT(decoded.changeAge == base::milliseconds{700});
+        CPPUNIT_ASSERT(!decodeRelayAnswer(encodeRelayAnswer(RelayAnswer{true, 9, {}, {}, false, {}, {}})).value().changeAge);
         answer.objects[0].text = std::string(MaxRelayBytes, 'x');
         CPPUNIT_ASSERT(!decodeRelayAnswer(encodeRelayAnswer(answer)).value().isKnown);
         // Every prefix and every changed byte is an error or a message, never a crash.
-        const std::string text = encodeRelayAnswer(RelayAnswer{true, 9, {}, {}, false, {object("a", 8)}});
+        const std::string text = encodeRelayAnswer(RelayAnswer{true, 9, {}, {}, false, {object("a", 8)}, {}});
         for (std::size_t i = 0; i < text.size(); ++i) {
             CPPUNIT_ASSERT(!decodeRelayAnswer(text.substr(0, i)).has_value());
             std::string changed = text;
@@ -378,7 +380,7 @@
     {
         Http2Relay reader(*m_loop, {"127.0.0.1", 0});
         FixedSource source;
-        source.next = RelayAnswer{true, 9, base::milliseconds{300}, {}, false, {StoredObject{"a", std::string(500'000, 't'), 9, false}}};
+        source.next = RelayAnswer{true, 9, base::milliseconds{300}, {}, false, {StoredObject{"a", std::string(500'000, 't'), 9, false}}, {}};
         CPPUNIT_ASSERT(reader.listen(source).has_value());
         Http2Relay router(*m_loop, {});
         std::vector<base::Result<RelayAnswer>> answers;
--- a/carawaylatch/gateway/testing/weightsagetest.cpp
+++ b/carawaylatch/gateway/testing/weightsagetest.cpp
@@ -128,7 +128,7 @@
             end(delay);
             CPPUNIT_ASSERT(allHaveWeights(2));
             for (const auto &router : m_cluster->routers) {
-                const base::Duration lateBy = router->last->targets.at(Model).announcements.back().seenAt - namedAt;
+                const base::Duration lateBy = router->last->targets.at(Model).announcements.back().since - namedAt;
                 if (lateBy > base::Duration{}) {
                     late += "delay " + std::to_string(static_cast<int>(delay)) + ": counted from " + base::formatMilliseconds(lateBy) + " ms later; ";
                 }
--- a/carawaylatch/gateway/watchlog.cpp
+++ b/carawaylatch/gateway/watchlog.cpp
@@ -13,7 +13,7 @@
     m_kinds[kind] = Kind{revision, revision, {}, 0};
 }
 
-void WatchLog::onChanges(ObjectKind kind, std::uint64_t since, std::uint64_t revision, const std::vector<StoredObject> &objects)
+void WatchLog::onChanges(ObjectKind kind, std::uint64_t since, std::uint64_t revision, const std::vector<StoredObject> &objects, base::Duration changedAfter)
 {
     Kind &log = m_kinds[kind];
     if (log.revision != since) {
@@ -23,7 +23,7 @@
     if (objects.empty()) {
         return;
     }
-    Batch batch{log.revision, objects, 0};
+    Batch batch{log.revision, objects, 0, changedAfter};
     for (const StoredObject &object : objects) {
         batch.bytes += object.name.size() + object.text.size();
     }
@@ -47,6 +47,7 @@
     for (const Batch &batch : it->second.batches) {
         if (batch.revision > revision) {
             changes.objects.insert(changes.objects.end(), batch.objects.begin(), batch.objects.end());
+            changes.changedAfter = std::min(changes.changedAfter, batch.changedAfter);
         }
     }
     return changes;
--- a/carawaylatch/gateway/watchlog.h
+++ b/carawaylatch/gateway/watchlog.h
@@ -24,6 +24,7 @@
 {
     std::uint64_t revision = 0; // the state after the changes
     std::vector<StoredObject> objects; // in order; the last one of a name holds
+    base::Duration changedAfter = base::Duration::max(); // none of them changed earlier; bootTime()
 };
 
 class WatchLog
@@ -33,8 +34,8 @@
 
     // All objects were read, as of a revision of the store.
     void onListed(ObjectKind kind, std::uint64_t revision);
-    // These objects changed from revision `since` to `revision`.
-    void onChanges(ObjectKind kind, std::uint64_t since, std::uint64_t revision, const std::vector<StoredObject> &objects);
+    // These objects changed from revision `since` to `revision`, at `changedAfter` (bootTime()) or later.
+    void onChanges(ObjectKind kind, std::uint64_t since, std::uint64_t revision, const std::vector<StoredObject> &objects, base::Duration changedAfter);
     // Nothing if the changes since that revision are not known, or if it is of a later era. A
     // revision of the same era that is newer than all that is known gets itself, without objects.
     [[nodiscard]] std::optional<ChangesSince> changesSince(ObjectKind kind, std::uint64_t revision) const;
@@ -45,6 +46,7 @@
         std::uint64_t revision = 0; // to which it leads
         std::vector<StoredObject> objects;
         std::size_t bytes = 0;
+        base::Duration changedAfter{};
     };
     struct Kind
     {
--- a/carawaylatch/gateway/watchrelay.cpp
+++ b/carawaylatch/gateway/watchrelay.cpp
@@ -97,6 +97,9 @@
     Json json{{"known", 1U}, {"revision", answer.revision}, {"age_us", microseconds(answer.age)}, {"held_us", microseconds(answer.held)}};
     json["outage"] = answer.isAfterOutage ? 1U : 0U;
     json["eras"] = 1U;
+    if (answer.changeAge) {
+        json["change_age_us"] = microseconds(*answer.changeAge);
+    }
     Json objects = Json::array();
     for (const StoredObject &object : answer.objects) {
         Json row{{"name", object.name}, {"text", object.text}, {"revision", object.revision}};
@@ -127,7 +130,10 @@
     }
     // Routers of the version before compare revisions of different eras.
     const bool comparesEras = unsignedField(json, "eras") == 1U || eraOf(*revision) == 0;
-    RelayAnswer answer{*known == 1 && comparesEras, *revision, fromMicroseconds(*age), fromMicroseconds(*held), *outage == 1, {}};
+    RelayAnswer answer{*known == 1 && comparesEras, *revision, fromMicroseconds(*age), fromMicroseconds(*held), *outage == 1, {}, {}};
+    if (const auto changeAge = unsignedField(json, "change_age_us")) {
+        answer.changeAge = fromMicroseconds(*changeAge);
+    }
     for (const Json &row : *objects) {
         auto object = decodeObject(row);
         if (!object) {
--- a/carawaylatch/gateway/watchrelay.h
+++ b/carawaylatch/gateway/watchrelay.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -39,6 +40,8 @@
     base::Duration held{}; // from the poll's arrival to the answer
     bool isAfterOutage = false; // the reader could not reach the store shortly before
     std::vector<StoredObject> objects;
+    // How long ago the objects may have changed when the reader answered; a router of an earlier version does not tell.
+    std::optional<base::Duration> changeAge;
 };
 
 [[nodiscard]] std::string encodeRelayPoll(const RelayPoll &poll);
--- a/carawaylatch/proxy/fleet.cpp
+++ b/carawaylatch/proxy/fleet.cpp
@@ -32,10 +32,10 @@
     return best;
 }
 
-void WeightsTarget::announce(base::WeightsVersion newest, base::TimePoint seenAt)
+void WeightsTarget::announce(base::WeightsVersion newest, base::TimePoint since)
 {
     version = newest;
-    announcements.push_back({newest, seenAt});
+    announcements.push_back({newest, since});
     if (announcements.size() > MaxAnnouncements) {
         announcements.erase(announcements.begin());
     }
@@ -45,7 +45,7 @@
 {
     base::WeightsVersion oldest;
     for (const Announcement &announcement : announcements) {
-        if (now - announcement.seenAt >= limit) {
+        if (now - announcement.since >= limit) {
             oldest = std::max(oldest, announcement.version);
         }
     }
@@ -57,7 +57,7 @@
     const auto it = std::find_if(announcements.begin(), announcements.end(), [weights](const Announcement &announcement) {
         return announcement.version > weights;
     });
-    return it == announcements.end() ? std::nullopt : std::optional(it->seenAt);
+    return it == announcements.end() ? std::nullopt : std::optional(it->since);
 }
 
 const Customer *RouteTable::customerOf(const std::string &key) const
--- a/carawaylatch/proxy/fleet.h
+++ b/carawaylatch/proxy/fleet.h
@@ -137,14 +137,15 @@
     struct Announcement
     {
         base::WeightsVersion version;
-        base::TimePoint seenAt; // when this router first saw it
+        base::TimePoint since; // no later than it was announced
     };
     static constexpr std::size_t MaxAnnouncements = 16; // older ones are dropped; fewer versions are announced within one limit
 
     base::WeightsVersion version; // the newest
     std::vector<Announcement> announcements; // oldest first; the last one is `version`
 
-    void announce(base::WeightsVersion newest, base::TimePoint seenAt);
+    // `since` is the earliest time at which it can have been announced.
+    void announce(base::WeightsVersion newest, base::TimePoint since);
     // The oldest version that may still be used if each version must be in use
     // everywhere within `limit` of its announcement; zero: any.
     [[nodiscard]] base::WeightsVersion oldestAllowed(base::TimePoint now, base::Duration limit) const;
