A request that waits at an engine is moved before its weights are too old, also if they were newest when it was sent

An attempt's time to start was limited only if newer weights were known when it was sent. One that was sent just before a version was named could wait in its engine's queue and begin on the older weights after the limit, where the engine answered others meanwhile (a silent engine is left after 0.8 s in any case).

--- a/carawaylatch/proxy/callerconnection.cpp
+++ b/carawaylatch/proxy/callerconnection.cpp
@@ -446,6 +446,13 @@
     }
 }
 
+void CallerConnection::onWeightsNamed()
+{
+    if (m_exchange) {
+        m_exchange->onWeightsNamed();
+    }
+}
+
 void CallerConnection::closeGracefully()
 {
     if (m_isClosed || m_isLingering) {
--- a/carawaylatch/proxy/callerconnection.h
+++ b/carawaylatch/proxy/callerconnection.h
@@ -60,6 +60,8 @@
     bool endRequest();
     // Ends the request in progress if its prompt is blocked and no output has begun.
     void endBlockedRequest();
+    // The snapshot names newer weights than the one before.
+    void onWeightsNamed();
     [[nodiscard]] bool isIdle() const;
     // Bytes not yet written to the socket.
     [[nodiscard]] std::size_t queuedBytes() const;
--- a/carawaylatch/proxy/exchange.h
+++ b/carawaylatch/proxy/exchange.h
@@ -53,6 +53,8 @@
     void end(std::string_view reason);
     // Ends the request if its prompt is blocked and no output has begun. Returns true if it did.
     bool endIfBlocked();
+    // The snapshot names newer weights than the one before; an attempt may be on older ones now.
+    void onWeightsNamed();
     // All bytes queued for the caller have been written.
     void onCallerDrained();
     // Starts an attempt if an upstream has capacity; returns false if none has.
--- a/carawaylatch/proxy/exchangeattempt.cpp
+++ b/carawaylatch/proxy/exchangeattempt.cpp
@@ -326,6 +326,13 @@
     }
 }
 
+void Exchange::onWeightsNamed()
+{
+    if (m_attempt && m_attempt->isSent && !m_attempt->startedOutputAt) {
+        watchStart();
+    }
+}
+
 void Exchange::watchStart()
 {
     const auto view = m_plane.view();
--- a/carawaylatch/proxy/fleet.h
+++ b/carawaylatch/proxy/fleet.h
@@ -138,6 +138,8 @@
     {
         base::WeightsVersion version;
         base::TimePoint since; // no later than it was announced
+
+        bool operator==(const Announcement &) const = default;
     };
     static constexpr std::size_t MaxAnnouncements = 16; // older ones are dropped; fewer versions are announced within one limit
 
@@ -151,6 +153,8 @@
     [[nodiscard]] base::WeightsVersion oldestAllowed(base::TimePoint now, base::Duration limit) const;
     // When the first newer version was announced; nothing if there is none.
     [[nodiscard]] std::optional<base::TimePoint> supersededAt(base::WeightsVersion weights) const;
+
+    bool operator==(const WeightsTarget &) const = default;
 };
 
 struct FleetView
--- a/carawaylatch/proxy/trafficplane.cpp
+++ b/carawaylatch/proxy/trafficplane.cpp
@@ -151,6 +151,7 @@
 void TrafficPlane::adopt(std::shared_ptr<const FleetView> view)
 {
     const bool hasOtherRouters = view->routerEndpoints != m_view->routerEndpoints;
+    const bool hasNewWeights = view->targets != m_view->targets;
     m_view = std::move(view);
     m_tracker.adopt(*m_view, now());
     closeIdleConnections([this](const base::UpstreamId &upstream) {
@@ -160,9 +161,20 @@
         m_peers.setRouters(m_view->routerEndpoints);
     }
     applyBudgets();
+    if (hasNewWeights) {
+        limitAttemptsOnOldWeights();
+    }
     schedulePlacement();
 }
 
+void TrafficPlane::limitAttemptsOnOldWeights()
+{
+    const std::vector<std::shared_ptr<CallerConnection>> callers(m_callers.begin(), m_callers.end());
+    for (const auto &caller : callers) {
+        caller->onWeightsNamed();
+    }
+}
+
 LoadReport TrafficPlane::takeChanges()
 {
     return m_tracker.takeChanges();
--- a/carawaylatch/proxy/trafficplane.h
+++ b/carawaylatch/proxy/trafficplane.h
@@ -189,6 +189,8 @@
     void onFaultReport(const FaultReport &report) override;
     void onLeavingKnown(const UpstreamRecord &record, std::string_view source);
     void logLimit(const UpstreamRecord &record, std::string_view source);
+    // Newer weights are named: attempts that wait at engines with older ones must start in time.
+    void limitAttemptsOnOldWeights();
     void confirmCrashes();
     // Logs new verdicts, and ends requests in progress whose prompts are blocked now.
     void applyVerdicts();
