Software versions of upstreams and the origin of streams: types and decoding

Nothing read the `version` of an upstream's entry or the field `Resumes` of a caller that resumes a stream, so the router could not tell which software began a stream.

Upstream names its software; FleetView has room for the versions that may have begun streams. CallerRequest names the request that began the stream; the field still goes to the upstream. TrafficObserver gets the streams that are to be stored and the question where a stream began; the gateway stores nothing yet and answers that the store could not be read.

--- a/bench/proxybench.cpp
+++ b/bench/proxybench.cpp
@@ -84,6 +84,13 @@
     void onRouterUnreachable(const base::Endpoint & /*peers*/) override
     {
     }
+    void onStreamsSent(std::vector<proxy::StreamOrigin> /*streams*/) override
+    {
+    }
+    void findOrigin(const base::PoolName & /*pool*/, std::uint64_t /*stream*/, std::function<void(proxy::OriginAnswer)> done) override
+    {
+        done({});
+    }
 };
 
 // A traffic plane on its own thread, with one scripted upstream.
--- a/carawaylatch/base/ids.h
+++ b/carawaylatch/base/ids.h
@@ -50,6 +50,7 @@
 using PoolName = TypedName<struct PoolTag>;
 using RouteName = TypedName<struct RouteTag>;
 using RouterId = TypedName<struct RouterTag>;
+using SoftwareVersion = TypedName<struct SoftwareTag>; // of an upstream's program, not of weights; empty: not named, a version like any other
 using UpstreamId = TypedName<struct UpstreamTag>;
 
 // A numeric identifier. Tag makes each kind a distinct type; zero means "not set".
--- a/carawaylatch/gateway/fleetstate.cpp
+++ b/carawaylatch/gateway/fleetstate.cpp
@@ -214,7 +214,7 @@
 bool FleetState::isSame(const proxy::Upstream &left, const proxy::Upstream &right)
 {
     return left.pool == right.pool && left.endpoint == right.endpoint && left.domain == right.domain && left.slots == right.slots && left.phase == right.phase
-           && left.startTimeMs == right.startTimeMs && left.models == right.models;
+           && left.startTimeMs == right.startTimeMs && left.software == right.software && left.models == right.models;
 }
 
 void FleetState::applyUpstream(const StoredObject &object, bool wasStoreUnavailable, base::TimePoint now)
--- a/carawaylatch/gateway/gateway.cpp
+++ b/carawaylatch/gateway/gateway.cpp
@@ -137,6 +137,15 @@
     });
 }
 
+void Gateway::onStreamsSent(std::vector<proxy::StreamOrigin> /*streams*/)
+{
+}
+
+void Gateway::findOrigin(const base::PoolName & /*pool*/, std::uint64_t /*stream*/, std::function<void(proxy::OriginAnswer)> done)
+{
+    done({});
+}
+
 void Gateway::awaitSignal()
 {
     m_signals.async_wait([this](const boost::system::error_code &ec, int signal) {
--- a/carawaylatch/gateway/gateway.h
+++ b/carawaylatch/gateway/gateway.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -51,6 +52,8 @@
     void onUpstreamLeaving(const base::UpstreamId &upstream, std::uint64_t startTimeMs) override;
     void onWeightsSeen(const base::UpstreamId &upstream, base::WeightsVersion weights) override;
     void onRouterUnreachable(const base::Endpoint &peers) override;
+    void onStreamsSent(std::vector<proxy::StreamOrigin> streams) override;
+    void findOrigin(const base::PoolName &pool, std::uint64_t stream, std::function<void(proxy::OriginAnswer)> done) override;
 
 private:
     void runLoop(boost::asio::io_context &loop, std::string_view part);
--- a/carawaylatch/proxy/dialect.h
+++ b/carawaylatch/proxy/dialect.h
@@ -33,6 +33,7 @@
     std::string key; // empty if the caller sent none
     std::optional<base::Duration> callerTimeout; // how long the caller waits for the response
     std::optional<std::uint64_t> lastEventId; // resumes a stream after this event
+    std::string resumes; // id of the request that began the stream that this one resumes; empty if the caller sent none
     base::ModelId model; // empty for plain services
     std::uint32_t promptTokens = 0;
     std::uint32_t maxOutputTokens = 0;
--- a/carawaylatch/proxy/fleet.h
+++ b/carawaylatch/proxy/fleet.h
@@ -127,6 +127,7 @@
     base::FailureDomain domain;
     std::uint32_t slots = 0;
     UpstreamPhase phase = UpstreamPhase::Ready;
+    base::SoftwareVersion software;
     std::uint64_t startTimeMs = 0; // Unix time of its start; a different value means that it restarted
     std::map<base::ModelId, base::WeightsVersion> models;
 };
@@ -157,6 +158,7 @@
     std::shared_ptr<const RouteTable> table; // nullptr before the first configuration
     std::vector<Upstream> upstreams; // ordered by id
     std::map<base::ModelId, WeightsTarget> targets;
+    std::map<base::PoolName, std::set<base::SoftwareVersion>> software; // versions that may have begun streams, as the store holds them
     std::set<base::UpstreamId> reloading; // loading weights, or about to; get no new requests
     std::set<base::Endpoint> unavailableCacheStores; // did not respond recently
     std::uint32_t routers = 1; // that share retry budgets and connection limits; at least one
--- a/carawaylatch/proxy/trafficplane.h
+++ b/carawaylatch/proxy/trafficplane.h
@@ -17,6 +17,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -30,6 +31,7 @@
 #include "carawaylatch/proxy/peerexchange.h"
 #include "carawaylatch/proxy/placement.h"
 #include "carawaylatch/proxy/socket.h"
+#include "carawaylatch/proxy/streamorigins.h"
 #include "carawaylatch/proxy/upstreamconnection.h"
 #include "carawaylatch/proxy/upstreamtracker.h"
 #include "carawaylatch/proxy/waitqueue.h"
@@ -88,6 +90,11 @@
     virtual void onWeightsSeen(const base::UpstreamId &upstream, base::WeightsVersion weights) = 0;
     // Another router has not responded for PeerExchange::UnreachableTimeout.
     virtual void onRouterUnreachable(const base::Endpoint &peers) = 0;
+    // These streams were sent to upstreams and are to be stored; each is named once.
+    virtual void onStreamsSent(std::vector<StreamOrigin> streams) = 0;
+    // Asks where a stream of the pool began; `stream` is zero if the caller does not name it. `done` is called on
+    // the traffic thread, at once or later.
+    virtual void findOrigin(const base::PoolName &pool, std::uint64_t stream, std::function<void(OriginAnswer)> done) = 0;
 };
 
 class TrafficPlane : private PeerReportSource
