--- a/carawaylatch/proxy/exchange.cpp
+++ b/carawaylatch/proxy/exchange.cpp
@@ -339,6 +339,21 @@
     caller->abort();
 }
 
+// The request that began the stream that this one resumes, for logs.
+std::string Exchange::resumedRequest() const
+{
+    if (!isResumption()) {
+        return "-";
+    }
+    return m_request.resumes.empty() ? "unnamed" : m_request.resumes;
+}
+
+// True if the request resumes a stream that another request began.
+bool Exchange::isResumption() const
+{
+    return m_route != nullptr && m_route->kind == CallKind::Stream && m_route->isResumable && m_request.lastEventId;
+}
+
 void Exchange::finish(unsigned status, std::string_view outcome, std::string_view reason)
 {
     if (m_isEnded) {
@@ -367,6 +382,8 @@
                                                        {"route", m_route != nullptr ? m_route->name.value() : std::string("-")},
                                                        {"pool", m_pool.value()},
                                                        {"upstream", m_lastUpstream.value()},
+                                                       {"software", m_lastSoftware.value()},
+                                                       {"resumes", resumedRequest()},
                                                        {"attempts", std::to_string(m_triedUpstreams.size())},
                                                        {"sent", std::to_string(m_history.sent)},
                                                        {"unexecuted", std::to_string(m_history.notExecuted)},
--- a/carawaylatch/proxy/exchange.h
+++ b/carawaylatch/proxy/exchange.h
@@ -102,6 +102,8 @@
     void abortReply(std::string_view reason);
     void finish(unsigned status, std::string_view outcome, std::string_view reason);
     void leaveQueue();
+    [[nodiscard]] bool isResumption() const;
+    [[nodiscard]] std::string resumedRequest() const;
     [[nodiscard]] base::Duration timeLeft(base::TimePoint now) const;
 
     // A non-streaming response is buffered up to this size, so that a broken one can be
@@ -140,6 +142,7 @@
     std::string m_lastBytes; // up to EventEndBytes of a stream that is passed through
     base::Duration m_longestGap{}; // between consecutive reads of a streamed response
     base::UpstreamId m_lastUpstream;
+    base::SoftwareVersion m_lastSoftware; // of m_lastUpstream when the attempt started
     bool m_isStreaming = false; // the response head was sent to the caller
     bool m_isPassThrough = false; // bytes are forwarded as they arrive, without splitting into events
     bool m_isEnded = false;
--- a/carawaylatch/proxy/exchangeattempt.cpp
+++ b/carawaylatch/proxy/exchangeattempt.cpp
@@ -29,6 +29,7 @@
     attempt.load.memoryTokens = m_request.promptTokens + m_request.maxOutputTokens;
     attempt.load.prefillTokens = placement.hasCachedPrefix ? m_request.promptTokens - std::min(m_sharedTokens, m_request.promptTokens) : m_request.promptTokens;
     m_lastUpstream = placement.record->upstream.id;
+    m_lastSoftware = placement.record->upstream.software;
     m_triedUpstreams.push_back(m_lastUpstream);
     m_plane.tracker().onAttemptStarted(*attempt.record, attempt.load, attempt.startedAt);
     if (m_route->isRepeatable()) {
@@ -414,6 +415,7 @@
         m_plane.log().write(base::LogEvent::AttemptFailed,
                             {{"id", m_request.id},
                              {"upstream", m_lastUpstream.value()},
+                             {"software", m_lastSoftware.value()},
                              {"end", std::string(attemptEndName(end))},
                              {"next", std::string(nextStepName(step))},
                              {"problem", problem.empty() ? "status " + std::to_string(m_attempt->head.status) : std::string(problem)},
