A response goes on only at upstreams of the software that began it

Not the cause: a restart under the same id; the upstreams of the joined streams were different ones.

The exchange notes the software of the upstream that began the response, and places later attempts only there. If no upstream of that software is left, the response is aborted as before when no upstream was left. Among these upstreams placement chooses as before; the rendezvous owner of a prefix is the first of them. A stream that waits for room at its software does not hold up requests that may run elsewhere.

nextRequest() has a new parameter; its calls in SharedPlacementTest pass nullptr.

--- a/carawaylatch/proxy/exchange.cpp
+++ b/carawaylatch/proxy/exchange.cpp
@@ -151,9 +151,29 @@
     query.memoryTokens = m_request.promptTokens + m_request.maxOutputTokens;
     query.domain = m_plane.settings().domain;
     query.excluded = m_triedUpstreams;
+    query.software = allowedSoftware();
     return place(query, *view, m_plane.tracker(), m_plane.settings().placement);
 }
 
+const SoftwareSet *Exchange::allowedSoftware() const
+{
+    return m_streamSoftware ? &*m_streamSoftware : nullptr;
+}
+
+bool Exchange::isBoundToSoftware() const
+{
+    const SoftwareSet *allowed = allowedSoftware();
+    const auto &members = m_plane.tracker().members(m_pool);
+    return std::any_of(members.begin(), members.end(), [allowed](const UpstreamRecord *record) {
+        return !record->runsOneOf(allowed);
+    });
+}
+
+const WaitQueue::Key &Exchange::queueKey() const
+{
+    return *m_queueKey;
+}
+
 bool Exchange::tryToPlace()
 {
     const PlacementResult placement = selectUpstream();
@@ -193,7 +213,7 @@
     if (endIfBlocked()) {
         return;
     }
-    if (m_plane.queue(m_pool).isEmpty() || m_history.sent > 0) {
+    if (m_history.sent > 0 || m_plane.canPassQueue(m_pool)) {
         if (tryToPlace()) {
             return;
         }
@@ -208,9 +228,10 @@
 bool Exchange::hasUntriedUpstream() const
 {
     const auto &members = m_plane.tracker().members(m_pool);
-    return std::any_of(members.begin(), members.end(), [this](const UpstreamRecord *record) {
+    const SoftwareSet *allowed = allowedSoftware();
+    return std::any_of(members.begin(), members.end(), [this, allowed](const UpstreamRecord *record) {
         const bool isTried = std::find(m_triedUpstreams.begin(), m_triedUpstreams.end(), record->upstream.id) != m_triedUpstreams.end();
-        return !isTried && record->isStaying();
+        return !isTried && record->isStaying() && record->runsOneOf(allowed);
     });
 }
 
@@ -251,7 +272,7 @@
     const base::Duration maxQueueWait = std::min<base::Duration>(base::fromSeconds(base::toSeconds(m_route->targetLatency) * MaxQueueWaitShare), left / 2);
     const base::Duration waited = now - m_startedAt;
     WaitQueue &queue = m_plane.queue(m_pool);
-    const auto next = m_plane.tracker().nextRequest(m_pool, m_triedUpstreams, now);
+    const auto next = m_plane.tracker().nextRequest(m_pool, m_triedUpstreams, allowedSoftware(), now);
     if (next && next->at - now > maxQueueWait - waited) {
         giveUpBefore(*next);
         return;
--- a/carawaylatch/proxy/exchange.h
+++ b/carawaylatch/proxy/exchange.h
@@ -58,6 +58,10 @@
     // Starts an attempt if an upstream has capacity; returns false if none has.
     bool tryToPlace();
     [[nodiscard]] const base::PoolName &pool() const;
+    // Its position in the queue. Only for a request that waits there.
+    [[nodiscard]] const WaitQueue::Key &queueKey() const;
+    // True if some upstreams of the pool may not run the request because of their software.
+    [[nodiscard]] bool isBoundToSoftware() const;
 
     void onResponseHead(const HttpResponseHead &head, const UpstreamResponse &response) override;
     void onResponseBody(std::string bytes) override;
@@ -67,6 +71,8 @@
 private:
     [[nodiscard]] bool admit();
     [[nodiscard]] PlacementResult selectUpstream() const;
+    // The software that may run the request; nullptr: any.
+    [[nodiscard]] const SoftwareSet *allowedSoftware() const;
     void selectPool();
     [[nodiscard]] bool isAuthorised();
     void placeOrQueue();
@@ -142,7 +148,8 @@
     std::string m_lastBytes; // up to EventEndBytes of a stream that is passed through
     base::Duration m_longestGap{}; // between consecutive reads of a streamed response
     base::UpstreamId m_lastUpstream;
-    base::SoftwareVersion m_lastSoftware; // of m_lastUpstream when the attempt started
+    base::SoftwareVersion m_lastSoftware; // of m_lastUpstream when the attempt started, or was sent
+    std::optional<SoftwareSet> m_streamSoftware; // the one version at which the stream may go on; empty while any may begin it
     bool m_isStreaming = false; // the response head was sent to the caller
     bool m_isPassThrough = false; // bytes are forwarded as they arrive, without splitting into events
     bool m_isEnded = false;
--- a/carawaylatch/proxy/exchangeattempt.cpp
+++ b/carawaylatch/proxy/exchangeattempt.cpp
@@ -60,17 +60,19 @@
         return;
     }
     if (isUnwanted()) {
-        endAttempt(AttemptEnd::NotSent, "the upstream leaves, has asked for a pause or has named a limit");
+        endAttempt(AttemptEnd::NotSent, "the upstream leaves, has asked for a pause, has named a limit or runs other software");
         return;
     }
     sendOrEnd();
 }
 
-// True if the upstream has said, since the attempt started, that it wants no such request.
+// True if the upstream has said, since the attempt started, that it wants no such request, or has started again
+// with other software.
 bool Exchange::isUnwanted() const
 {
     const UpstreamRecord &record = *m_attempt->record;
-    return !record.takesRequests(m_plane.now()) || m_plane.tracker().limits().hasBegunAfter(record.key(), m_attempt->startedAt);
+    return !record.takesRequests(m_plane.now()) || !record.runsOneOf(allowedSoftware())
+           || m_plane.tracker().limits().hasBegunAfter(record.key(), m_attempt->startedAt);
 }
 
 void Exchange::sendOrEnd()
@@ -118,6 +120,7 @@
     }
     head.append("\r\n");
     attempt.isSent = true;
+    m_lastSoftware = attempt.record->upstream.software;
     ++m_history.sent;
     ++m_plane.counts().attempts;
     if (!m_sentAt) {
@@ -202,6 +205,9 @@
         return; // resumed after a failed attempt; the caller already has a response head
     }
     m_isStreaming = true;
+    if (m_route->isResumable) {
+        m_streamSoftware.emplace().insert(m_lastSoftware);
+    }
     m_history.hasResponseStarted = true;
     m_caller->beginReply(Reply{attempt.head.status, attempt.head.reason, forwardableFields(attempt.head.fields), {}});
 }
--- a/carawaylatch/proxy/fleet.h
+++ b/carawaylatch/proxy/fleet.h
@@ -119,6 +119,8 @@
     Draining, // takes no new requests
 };
 
+using SoftwareSet = std::set<base::SoftwareVersion>;
+
 struct Upstream
 {
     base::UpstreamId id;
@@ -158,7 +160,7 @@
     std::shared_ptr<const RouteTable> table; // nullptr before the first configuration
     std::vector<Upstream> upstreams; // ordered by id
     std::map<base::ModelId, WeightsTarget> targets;
-    std::map<base::PoolName, std::set<base::SoftwareVersion>> software; // versions that may have begun streams, as the store holds them
+    std::map<base::PoolName, SoftwareSet> software; // versions that may have begun streams, as the store holds them
     std::set<base::UpstreamId> reloading; // loading weights, or about to; get no new requests
     std::set<base::Endpoint> unavailableCacheStores; // did not respond recently
     std::uint32_t routers = 1; // that share retry budgets and connection limits; at least one
--- a/carawaylatch/proxy/placement.cpp
+++ b/carawaylatch/proxy/placement.cpp
@@ -37,7 +37,8 @@
 {
     const auto &excluded = context.query.excluded;
     const bool isChanging = hasOldWeights(context, record) && context.view.reloading.contains(record.upstream.id);
-    return tracker.mayStart(record, context.query.now) && !isChanging && std::find(excluded.begin(), excluded.end(), record.upstream.id) == excluded.end();
+    return tracker.mayStart(record, context.query.now) && !isChanging && record.runsOneOf(context.query.software)
+           && std::find(excluded.begin(), excluded.end(), record.upstream.id) == excluded.end();
 }
 
 bool areWeightsAllowed(const PlacementContext &context, const UpstreamRecord &record)
@@ -94,6 +95,9 @@
     const UpstreamRecord *owner = nullptr;
     std::uint64_t best = 0;
     for (const UpstreamRecord *record : members) {
+        if (!record->runsOneOf(query.software)) {
+            continue;
+        }
         const std::uint64_t weight = base::rendezvousWeight(query.prefixKey, record->upstream.id.value());
         if (owner == nullptr || weight > best) {
             owner = record;
--- a/carawaylatch/proxy/placement.h
+++ b/carawaylatch/proxy/placement.h
@@ -5,7 +5,8 @@
 // cost in milliseconds: queued load, prompt tokens to prefill, another failure domain,
 // outdated weights and recent failures. The candidate with the lowest cost is chosen.
 // A prefix that no engine is known to hold belongs to the first upstream in rendezvous
-// order, so that routers agree without communicating.
+// order, so that routers agree without communicating; for a request that is bound to some
+// software, the first that runs it.
 #pragma once
 
 #include <cstdint>
@@ -45,6 +46,7 @@
     std::uint32_t memoryTokens = 0; // prompt and maximum output
     base::FailureDomain domain; // of this router
     std::span<const base::UpstreamId> excluded; // already tried
+    const SoftwareSet *software = nullptr; // only upstreams that run one of these; nullptr: any
 };
 
 enum class PlacementVerdict {
--- a/carawaylatch/proxy/testing/sharedplacementtest.cpp
+++ b/carawaylatch/proxy/testing/sharedplacementtest.cpp
@@ -33,6 +33,9 @@
     CPPUNIT_TEST(testRemovedUpstreamIsReportedBeforeItsRecordIsDropped);
     CPPUNIT_TEST(testLeavingUpstreamIsReported);
     CPPUNIT_TEST(testPausedUpstreamsResumeSlowly);
+    CPPUNIT_TEST(testSoftwareLimitsTheChoice);
+    CPPUNIT_TEST(testPrefixesStaySpreadWithinASoftware);
+    CPPUNIT_TEST(testPauseOfOtherSoftwareDoesNotCount);
     CPPUNIT_TEST_SUITE_END();
 
     FleetView m_view;
@@ -51,6 +54,22 @@
         out.domain = base::FailureDomain("a");
         return out;
     }
+    // e1 and e2 run v1, the others v2.
+    void useTwoVersions()
+    {
+        for (Upstream &upstream : m_view.upstreams) {
+            upstream.software = base::SoftwareVersion(upstream.id.value() <= "e2" ? "v1" : "v2");
+        }
+        for (UpstreamTracker &tracker : m_trackers) {
+            tracker.adopt(m_view, Start);
+        }
+    }
+    PlacementQuery boundQuery(std::uint64_t prompt, const SoftwareSet &software)
+    {
+        PlacementQuery out = query(prompt);
+        out.software = &software;
+        return out;
+    }
     UpstreamRecord *placeAt(int router, const PlacementQuery &query)
     {
         return place(query, m_view, m_trackers[router], m_tuning).record;
@@ -243,17 +262,64 @@
         CPPUNIT_ASSERT(!record.takesRequests(end - base::milliseconds{1}));
         CPPUNIT_ASSERT(record.takesRequests(end));
         CPPUNIT_ASSERT(record.resumedShare(end) < 0.1 && record.resumedShare(end + base::seconds{1}) >= 1);
-        CPPUNIT_ASSERT_MESSAGE("others take requests", !m_trackers[0].nextRequest(pool, {}, Start));
+        CPPUNIT_ASSERT_MESSAGE("others take requests", !m_trackers[0].nextRequest(pool, {}, nullptr, Start));
         for (UpstreamRecord *other : m_trackers[0].members(pool)) {
             if (other != &record) {
                 m_trackers[0].onPause(*other, base::seconds{3}, {}, Start);
             }
         }
-        CPPUNIT_ASSERT(m_trackers[0].nextRequest(pool, {}, Start)->at == end);
+        CPPUNIT_ASSERT(m_trackers[0].nextRequest(pool, {}, nullptr, Start)->at == end);
         const std::vector<base::UpstreamId> tried{record.upstream.id};
-        CPPUNIT_ASSERT(m_trackers[0].nextRequest(pool, tried, Start)->at == Start + base::seconds{3});
+        CPPUNIT_ASSERT(m_trackers[0].nextRequest(pool, tried, nullptr, Start)->at == Start + base::seconds{3});
         CPPUNIT_ASSERT_EQUAL(0.0, record.failureShare);
     }
+
+    void testSoftwareLimitsTheChoice()
+    {
+        useTwoVersions();
+        const SoftwareSet v1{base::SoftwareVersion("v1")};
+        const SoftwareSet both{base::SoftwareVersion("v1"), base::SoftwareVersion("v2")};
+        const SoftwareSet other{base::SoftwareVersion("v3")};
+        for (std::uint64_t prompt = 1; prompt <= 64; ++prompt) {
+            CPPUNIT_ASSERT_EQUAL(base::SoftwareVersion("v1"), placeAt(0, boundQuery(prompt, v1))->upstream.software);
+            CPPUNIT_ASSERT_EQUAL(placeAt(0, query(prompt)), placeAt(0, boundQuery(prompt, both)));
+            CPPUNIT_ASSERT(placeAt(0, boundQuery(prompt, other)) == nullptr);
+        }
+        for (const char *id : {"e1", "e2"}) {
+            m_trackers[0].onLeaving(*m_trackers[0].find(base::UpstreamId(id)), Start);
+        }
+        CPPUNIT_ASSERT_MESSAGE("only leaving upstreams run it", placeAt(0, boundQuery(1, v1)) == nullptr);
+    }
+
+    // All routers choose the same upstream for a prefix that no engine holds, and the one that holds it, as without the limit.
+    void testPrefixesStaySpreadWithinASoftware()
+    {
+        useTwoVersions();
+        const SoftwareSet v1{base::SoftwareVersion("v1")};
+        std::map<std::string, int> chosen;
+        for (std::uint64_t prompt = 1; prompt <= 64; ++prompt) {
+            const base::UpstreamId owner = placeAt(0, boundQuery(prompt, v1))->upstream.id;
+            CPPUNIT_ASSERT_EQUAL(owner, placeAt(1, boundQuery(prompt, v1))->upstream.id);
+            ++chosen[owner.value()];
+            const base::UpstreamId other(owner.value() == "e1" ? "e2" : "e1");
+            m_trackers[0].onPromptSent(kvCacheKey(prompt, base::WeightsVersion{1}), *m_trackers[0].find(other), Start);
+            CPPUNIT_ASSERT_EQUAL(other, placeAt(0, boundQuery(prompt, v1))->upstream.id);
+        }
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(chosen["e1"]) + " of 64 at e1", chosen["e1"] >= 16 && chosen["e2"] >= 16);
+    }
+
+    void testPauseOfOtherSoftwareDoesNotCount()
+    {
+        useTwoVersions();
+        const base::PoolName pool("engines");
+        const SoftwareSet v1{base::SoftwareVersion("v1")};
+        const SoftwareSet v2{base::SoftwareVersion("v2")};
+        for (const char *id : {"e1", "e2"}) {
+            m_trackers[0].onPause(*m_trackers[0].find(base::UpstreamId(id)), base::seconds{4}, {}, Start);
+        }
+        CPPUNIT_ASSERT(m_trackers[0].nextRequest(pool, {}, &v1, Start)->at == Start + base::seconds{4});
+        CPPUNIT_ASSERT_MESSAGE("others take requests", !m_trackers[0].nextRequest(pool, {}, &v2, Start));
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(SharedPlacementTest);
 
--- a/carawaylatch/proxy/trafficplane.cpp
+++ b/carawaylatch/proxy/trafficplane.cpp
@@ -18,6 +18,7 @@
 
 constexpr base::Duration TimerGranularity = base::milliseconds{2}; // far below every timeout of a request
 constexpr base::Duration TickInterval = base::milliseconds{50}; // queued requests are retried, and the log is flushed
+constexpr std::size_t MaxPassedRequests = 8; // that wait for their software, each time that queued requests are placed
 constexpr std::size_t MaxIdlePerUpstream = 64; // upper bound; also used where the pool sets none
 
 Reply plainReply(unsigned status, std::string body)
@@ -420,12 +421,36 @@
 {
     m_isPlacementScheduled = false;
     for (auto &[pool, queue] : m_queues) {
-        while (const auto exchange = queue.front()) {
-            if (!exchange->tryToPlace()) {
+        // A request that is bound to some software does not hold up those behind it.
+        WaitQueue::Key passed;
+        std::size_t passedRequests = 0;
+        while (const auto exchange = queue.after(passed)) {
+            const WaitQueue::Key key = exchange->queueKey();
+            if (exchange->tryToPlace()) {
+                continue;
+            }
+            if (!exchange->isBoundToSoftware() || ++passedRequests > MaxPassedRequests) {
                 break;
             }
+            passed = key;
+        }
+    }
+}
+
+bool TrafficPlane::canPassQueue(const base::PoolName &pool)
+{
+    const WaitQueue &waiting = queue(pool);
+    if (waiting.size() > MaxPassedRequests) {
+        return false;
+    }
+    WaitQueue::Key passed;
+    while (const auto exchange = waiting.after(passed)) {
+        if (!exchange->isBoundToSoftware()) {
+            return false;
         }
+        passed = exchange->queueKey();
     }
+    return true;
 }
 
 void TrafficPlane::logRejected(std::string_view id, std::string_view host, std::string_view reason, unsigned status)
--- a/carawaylatch/proxy/trafficplane.h
+++ b/carawaylatch/proxy/trafficplane.h
@@ -152,6 +152,8 @@
     void onUpstreamPause(UpstreamRecord &record, base::Duration pause);
     // An answer to a request that was sent at `sentAt` names this limit, or none.
     void onUpstreamLimit(const UpstreamRecord &record, std::optional<double> perSecond, base::TimePoint sentAt);
+    // True if a new request may be placed before those that wait: there are none, or a few that are bound to some software.
+    [[nodiscard]] bool canPassQueue(const base::PoolName &pool);
     // Schedules an attempt to place the queued requests of all pools; does not run it inline.
     void schedulePlacement();
     void logRejected(std::string_view id, std::string_view host, std::string_view reason, unsigned status);
--- a/carawaylatch/proxy/upstreamtracker.cpp
+++ b/carawaylatch/proxy/upstreamtracker.cpp
@@ -41,6 +41,11 @@
     return inflight + otherRoutersLoad * decay;
 }
 
+bool UpstreamRecord::runsOneOf(const SoftwareSet *software) const
+{
+    return software == nullptr || software->contains(upstream.software);
+}
+
 bool UpstreamRecord::isStaying() const
 {
     return upstream.phase == UpstreamPhase::Ready && !isLeaving;
@@ -239,11 +244,12 @@
     return record.takesRequests(now) && now >= m_limits.nextRequestAt(record.key()).value_or(now);
 }
 
-std::optional<NextRequest> UpstreamTracker::nextRequest(const base::PoolName &pool, std::span<const base::UpstreamId> excluded, base::TimePoint now) const
+std::optional<NextRequest> UpstreamTracker::nextRequest(const base::PoolName &pool, std::span<const base::UpstreamId> excluded, const SoftwareSet *software,
+                                                        base::TimePoint now) const
 {
     std::optional<NextRequest> first;
     for (const UpstreamRecord *record : members(pool)) {
-        if (!record->isStaying() || std::find(excluded.begin(), excluded.end(), record->upstream.id) != excluded.end()) {
+        if (!record->isStaying() || !record->runsOneOf(software) || std::find(excluded.begin(), excluded.end(), record->upstream.id) != excluded.end()) {
             continue;
         }
         const base::TimePoint limitedUntil = m_limits.nextRequestAt(record->key()).value_or(base::TimePoint{});
--- a/carawaylatch/proxy/upstreamtracker.h
+++ b/carawaylatch/proxy/upstreamtracker.h
@@ -54,6 +54,8 @@
 
     // True if neither the list nor the upstream itself says that it leaves.
     [[nodiscard]] bool isStaying() const;
+    // True if its software is one of these; nullptr: any.
+    [[nodiscard]] bool runsOneOf(const SoftwareSet *software) const;
     // Its incarnation, as reports name it.
     [[nodiscard]] UpstreamKey key() const;
     // True if new requests may be sent to the upstream, as far as it and the list say; limits apart.
@@ -120,9 +122,10 @@
     [[nodiscard]] const RequestLimits &limits() const;
     // True if this router may send the upstream a request now.
     [[nodiscard]] bool mayStart(const UpstreamRecord &record, base::TimePoint now) const;
-    // The first upstream of the pool that is not `excluded` to take a request after a pause or within its limit;
-    // nothing if one does now, or if none will.
-    [[nodiscard]] std::optional<NextRequest> nextRequest(const base::PoolName &pool, std::span<const base::UpstreamId> excluded, base::TimePoint now) const;
+    // The first upstream of the pool that is not `excluded` and runs one of `software` (nullptr: any) to take a
+    // request after a pause or within its limit; nothing if one does now, or if none will.
+    [[nodiscard]] std::optional<NextRequest> nextRequest(const base::PoolName &pool, std::span<const base::UpstreamId> excluded, const SoftwareSet *software,
+                                                         base::TimePoint now) const;
     void onLoadSample(UpstreamRecord &record, const LoadSample &sample, base::TimePoint now);
 
     // A prompt with this KV cache key is sent to the upstream.
--- a/carawaylatch/proxy/waitqueue.cpp
+++ b/carawaylatch/proxy/waitqueue.cpp
@@ -64,6 +64,12 @@
     return m_waiting.empty() ? nullptr : m_waiting.begin()->second;
 }
 
+std::shared_ptr<Exchange> WaitQueue::after(const Key &key) const
+{
+    const auto it = m_waiting.upper_bound(key);
+    return it == m_waiting.end() ? nullptr : it->second;
+}
+
 bool WaitQueue::isEmpty() const
 {
     return m_waiting.empty();
--- a/carawaylatch/proxy/waitqueue.h
+++ b/carawaylatch/proxy/waitqueue.h
@@ -63,6 +63,8 @@
     Key add(std::uint32_t urgency, std::shared_ptr<Exchange> exchange);
     void remove(const Key &key);
     [[nodiscard]] std::shared_ptr<Exchange> front() const;
+    // The first request that waits behind `key`, nullptr if there is none; Key{}: the first of all.
+    [[nodiscard]] std::shared_ptr<Exchange> after(const Key &key) const;
     [[nodiscard]] bool isEmpty() const;
     [[nodiscard]] std::size_t size() const;
     [[nodiscard]] CompletionRate &completionRate();
