The age test follows the routers that poll a reader, not those that polled once

Cause: the test. It took every router with more than three polls for one that learns from a late reader, whatever its last confirmation came from. A router without its own entry yet polls others although it is a reader. The young ages, of 10.0.0.2, 4, 5 and 6, are those of own watches of the store, which confirm at once (7 ms) or after their wait of 100 ms (104 ms), as they should. Ruled out: an age counted from the arrival of an answer, by the runs of the new test.

Change: the test waits until each router that is no reader follows one, then cuts these off from the store, so that late answers alone can confirm, and checks every age from the first late answer on, until each router had four. Before it checked 600 ms of whatever the routers did.

--- a/carawaylatch/gateway/testing/fakerelay.h
+++ b/carawaylatch/gateway/testing/fakerelay.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <utility> // boost/asio/awaitable.hpp 1.74 uses std::exchange without it
 
 #include <boost/asio/io_context.hpp>
@@ -44,16 +45,20 @@
         const auto source = m_network.sources.find(reader);
         const RelayFault fault = source == m_network.sources.end() ? RelayFault::Closed : m_network.faults[reader];
         if (fault == RelayFault::Closed) {
+            noteEnd(poll, std::nullopt);
             co_return base::fail(base::ErrorKind::Unavailable, "refused");
         }
         if (fault == RelayFault::Silent) {
             co_await pause(timeout);
+            noteEnd(poll, std::nullopt);
             co_return base::fail(base::ErrorKind::Unavailable, "no answer");
         }
         auto answer = co_await source->second->answer(poll);
-        if (m_network.faults[reader] == RelayFault::Late) {
+        const bool isLate = m_network.faults[reader] == RelayFault::Late;
+        if (isLate) {
             co_await pause(m_network.lateDelay);
         }
+        noteEnd(poll, answer ? std::optional(reader) : std::nullopt, isLate);
         RelayAnswer unknown;
         co_return answer ? std::move(*answer) : std::move(unknown);
     }
@@ -62,8 +67,18 @@
     }
 
     int polls = 0;
+    // Of the polls for the configuration:
+    std::optional<base::Endpoint> answeredBy; // the last finished one; nothing if it failed
+    int lateAnswers = 0;
 
 private:
+    void noteEnd(const RelayPoll &poll, const std::optional<base::Endpoint> &reader, bool isLate = false)
+    {
+        if (poll.kind == ObjectKind::Tables) {
+            answeredBy = reader;
+            lateAnswers += reader && isLate ? 1 : 0;
+        }
+    }
     Awaitable<void> pause(base::Duration duration)
     {
         boost::asio::steady_timer timer(m_loop, duration);
--- a/carawaylatch/gateway/testing/watchrelaytest.cpp
+++ b/carawaylatch/gateway/testing/watchrelaytest.cpp
@@ -500,25 +500,48 @@
         }));
     }
 
-    // An answer that is late on its way does not make what it confirms younger.
+    // An answer that is late on its way does not make what it confirms younger. Routers that are
+    // not readers are cut off from the store, so that late answers alone confirm what they know.
     void testAgeIsCountedFromTheConfirmingCall()
     {
+        constexpr int Answers = 4; // for each router
         startCluster();
+        const auto all = readers();
+        std::vector<Router *> others;
+        for (int i = 0; i < Routers; ++i) {
+            if (std::find(all.begin(), all.end(), relayOf(i)) == all.end()) {
+                others.push_back(&routerAt(relayOf(i)));
+            }
+        }
+        // Each of them follows a reader, with no call to the store in flight.
+        CPPUNIT_ASSERT(runUntil(
+            [&] {
+                return std::all_of(others.begin(), others.end(), [&](const Router *it) {
+                    return it->relay.answeredBy && std::find(all.begin(), all.end(), *it->relay.answeredBy) != all.end();
+                });
+            },
+            base::seconds{10}));
         m_cluster->network.lateDelay = base::milliseconds{150};
-        for (const auto &reader : readers()) {
+        for (const auto &reader : all) {
             m_cluster->network.faults[reader] = RelayFault::Late;
         }
-        m_loop->run_for(std::chrono::milliseconds{300});
+        for (Router *it : others) {
+            it->clients.isDisconnected = true;
+        }
         base::Duration youngest = base::hours{1};
-        const auto end = m_clock.now() + base::milliseconds{600};
-        while (m_clock.now() < end) {
-            m_loop->run_for(std::chrono::milliseconds{2});
-            for (const auto &router : m_cluster->routers) {
-                if (router->relay.polls > 3) {
-                    youngest = std::min(youngest, router->age.age());
+        CPPUNIT_ASSERT(runUntil(
+            [&] {
+                bool isDone = true;
+                for (const Router *it : others) {
+                    // Before the first late answer, what was confirmed in time may be younger.
+                    if (it->relay.lateAnswers > 0) {
+                        youngest = std::min(youngest, it->age.age());
+                    }
+                    isDone = isDone && it->relay.lateAnswers >= Answers;
                 }
-            }
-        }
+                return isDone;
+            },
+            base::seconds{10}));
         CPPUNIT_ASSERT_MESSAGE(std::to_string(base::toMilliseconds(youngest)), youngest >= base::milliseconds{140});
     }
 };
