Failing tests: a version's time counts from heartbeats of a call that was not answered

The bound of a change must not be later than the change, or older weights stay in use too long. It is later when the answer that tells of the version is lost and the router is suspended before the call fails: heartbeats between the two are taken as proof that nothing had changed. It is the same while a reader is polled for the first time, since no call of this router is in flight then. Random histories reach the first case now.

--- a/carawaylatch/gateway/testing/changetimestest.cpp
+++ b/carawaylatch/gateway/testing/changetimestest.cpp
@@ -29,6 +29,8 @@
     CPPUNIT_TEST(testChangeDuringASuspension);
     CPPUNIT_TEST(testChangeBehindAFailedCall);
     CPPUNIT_TEST(testAnswerThatArrivesLongAfterASuspension);
+    CPPUNIT_TEST(testAnswerLostBeforeASuspension);
+    CPPUNIT_TEST(testSuspensionDuringTheFirstPollOfAReader);
     CPPUNIT_TEST(testRelayedChange);
     CPPUNIT_TEST(testBoundIsNeverLaterThanTheChange);
     CPPUNIT_TEST_SUITE_END();
@@ -108,6 +110,30 @@
         CPPUNIT_ASSERT(m_times.onAnswered(Kind) == m_now - Beat); // heartbeats count again
     }
 
+    // Heartbeats before a suspension prove nothing about a call that fails after it.
+    void testAnswerLostBeforeASuspension()
+    {
+        startWatch();
+        beatUntil(Start + base::seconds{2}); // the change is made after Start, its answer is lost
+        m_now += base::seconds{1};
+        static_cast<void>(m_times.onHeartbeat(m_now));
+        m_times.onCallFailed(Kind);
+        m_times.onCallSent(Kind, m_now);
+        CPPUNIT_ASSERT(m_times.onAnswered(Kind) == Start);
+    }
+
+    // Nor about a state that is watched by a reader, from when the reader is polled.
+    void testSuspensionDuringTheFirstPollOfAReader()
+    {
+        static_cast<void>(m_times.onHeartbeat(m_now));
+        m_times.onCallSent(Kind, m_now);
+        static_cast<void>(m_times.onAnswered(Kind));
+        beatUntil(Start + base::seconds{2});
+        m_now += base::seconds{1};
+        static_cast<void>(m_times.onHeartbeat(m_now));
+        CPPUNIT_ASSERT(m_times.onRelayed(Kind, m_now, std::nullopt) == Start);
+    }
+
     void testRelayedChange()
     {
         startWatch();
@@ -149,6 +175,10 @@
                     }
                 } else if (way < 0.6) { // the answer is lost
                     beatUntil(m_now + wait);
+                    if (random.uniformReal() < 0.3) {
+                        m_now += base::seconds{1};
+                        static_cast<void>(m_times.onHeartbeat(m_now));
+                    }
                     m_times.onCallFailed(Kind);
                     m_times.onCallSent(Kind, m_now);
                     continue;
--- a/carawaylatch/gateway/testing/weightsagetest.cpp
+++ b/carawaylatch/gateway/testing/weightsagetest.cpp
@@ -23,6 +23,7 @@
 enum class Delay {
     RoutersSuspended,
     WatchesHang,
+    WatchesHangAndRoutersSuspended,
     ReadersLate,
     ReadersSilent,
 };
@@ -36,6 +37,7 @@
 {
     CPPUNIT_TEST_SUITE(WeightsAgeTest);
     CPPUNIT_TEST(testOlderWeightsEndInTimeAfterLateNews);
+    CPPUNIT_TEST(testOlderWeightsEndInTimeAfterAnswerLostBeforeSuspension);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr int Routers = 4; // two of them are readers
@@ -46,7 +48,7 @@
     // Destroyed before the cluster that its coroutines refer to.
     std::unique_ptr<boost::asio::io_context> m_loop;
 
-    void startCluster()
+    void startCluster(base::Duration longWatchWait = base::milliseconds{200})
     {
         m_loop.reset();
         m_cluster.reset();
@@ -58,6 +60,7 @@
             settings.peers = {"10.0.0." + std::to_string(i + 1), 7000};
             settings.relay = {"10.0.0." + std::to_string(i + 1), 7100};
             settings.domain = base::FailureDomain("d");
+            settings.longWatchWait = longWatchWait;
             m_cluster->addRouter(settings);
         }
         CPPUNIT_ASSERT(allHaveWeights(1));
@@ -86,6 +89,7 @@
         case Delay::RoutersSuspended:
             break;
         case Delay::WatchesHang:
+        case Delay::WatchesHangAndRoutersSuspended:
             m_cluster->store.areWatchesHung = true;
             break;
         case Delay::ReadersLate:
@@ -104,7 +108,35 @@
         } else if (delay == Delay::WatchesHang) {
             m_loop->run_for(Duration);
             m_cluster->store.areWatchesHung = false;
+        } else if (delay == Delay::WatchesHangAndRoutersSuspended) {
+            m_loop->run_for(Duration / 2);
+            std::this_thread::sleep_for(Duration);
+            m_cluster->store.areWatchesHung = false;
+        }
+    }
+    // Names a version during the delay. Returns which routers count from later than that.
+    std::string lateRouters(Delay delay)
+    {
+        std::string late;
+        if (delay == Delay::WatchesHangAndRoutersSuspended) {
+            startCluster(base::seconds{2}); // the call that tells of the version is in flight at the suspension
+            begin(delay);
+        } else {
+            startCluster();
+            begin(delay);
+            m_loop->run_for(std::chrono::milliseconds{250}); // polls and watches have begun anew
         }
+        const base::TimePoint namedAt = m_clock.now();
+        m_cluster->store.put(ObjectKind::Weights, "m", "m 2");
+        end(delay);
+        CPPUNIT_ASSERT(allHaveWeights(2));
+        for (const auto &router : m_cluster->routers) {
+            const base::Duration lateBy = router->last->targets.at(Model).announcements.back().since - namedAt;
+            if (lateBy > base::Duration{}) {
+                late += "delay " + std::to_string(static_cast<int>(delay)) + ": counted from " + base::formatMilliseconds(lateBy) + " ms later; ";
+            }
+        }
+        return late;
     }
 
 public:
@@ -120,22 +152,17 @@
     {
         std::string late;
         for (const Delay delay : AllDelays) {
-            startCluster();
-            begin(delay);
-            m_loop->run_for(std::chrono::milliseconds{250}); // polls and watches have begun anew
-            const base::TimePoint namedAt = m_clock.now();
-            m_cluster->store.put(ObjectKind::Weights, "m", "m 2");
-            end(delay);
-            CPPUNIT_ASSERT(allHaveWeights(2));
-            for (const auto &router : m_cluster->routers) {
-                const base::Duration lateBy = router->last->targets.at(Model).announcements.back().since - namedAt;
-                if (lateBy > base::Duration{}) {
-                    late += "delay " + std::to_string(static_cast<int>(delay)) + ": counted from " + base::formatMilliseconds(lateBy) + " ms later; ";
-                }
-            }
+            late += lateRouters(delay);
         }
         CPPUNIT_ASSERT_EQUAL(std::string(), late);
     }
+
+    // Heartbeats before the suspension were taken as proof that no version had been named, though
+    // the call that was to tell had failed.
+    void testOlderWeightsEndInTimeAfterAnswerLostBeforeSuspension()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string(), lateRouters(Delay::WatchesHangAndRoutersSuspended));
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(WeightsAgeTest);
 
