Heartbeats bound a change only if the call that was held is answered

Older weights could stay in use past their limit at a router whose watch lost its answer and that was suspended before the call failed, up to the wait of a watch longer.

Cause: at a stall, ChangeTimes kept the heartbeats before it as a confirmation, also if the call in flight failed afterwards, and counted heartbeats while no call was in flight. Change: they are kept for the call in flight, and dropped if it fails; without a call in flight they count nothing. A change during a suspension is bounded as closely as before.

--- a/carawaylatch/gateway/changetimes.cpp
+++ b/carawaylatch/gateway/changetimes.cpp
@@ -13,7 +13,7 @@
     const bool hasStalled = now - last > MaxHeartbeatGap;
     if (hasStalled) {
         for (auto &[name, kind] : m_kinds) {
-            kind.newestAt = newestAt(kind);
+            kind.heldUntil = newestAt(kind);
             kind.mayHaveMissedAnswer = true;
         }
     }
@@ -24,8 +24,8 @@
 
 std::optional<base::Duration> ChangeTimes::newestAt(const Kind &kind) const
 {
-    const bool isProvedByHeartbeat = kind.newestAt && !kind.mayHaveMissedAnswer && m_lastButOneHeartbeat > kind.sentAt;
-    return isProvedByHeartbeat ? std::max(kind.newestAt, std::optional(m_lastButOneHeartbeat)) : kind.newestAt;
+    const bool isProvedByHeartbeat = kind.newestAt && !kind.mayHaveMissedAnswer && kind.sentAt && m_lastButOneHeartbeat > *kind.sentAt;
+    return std::max(kind.newestAt, isProvedByHeartbeat ? std::optional(m_lastButOneHeartbeat) : kind.heldUntil);
 }
 
 void ChangeTimes::onCallSent(ObjectKind kind, base::Duration now)
@@ -36,13 +36,15 @@
 void ChangeTimes::onCallFailed(ObjectKind kind)
 {
     m_kinds[kind].mayHaveMissedAnswer = true;
+    m_kinds[kind].heldUntil.reset();
 }
 
 std::optional<base::Duration> ChangeTimes::onAnswered(ObjectKind name)
 {
     Kind &kind = m_kinds[name];
     const auto changedAfter = newestAt(kind);
-    kind.newestAt = std::max(changedAfter, std::optional(kind.sentAt));
+    kind.newestAt = std::max(changedAfter, std::exchange(kind.sentAt, {}));
+    kind.heldUntil.reset();
     kind.mayHaveMissedAnswer = false;
     return changedAfter;
 }
@@ -51,6 +53,7 @@
 {
     Kind &kind = m_kinds[name];
     kind.mayHaveMissedAnswer = true; // no call of this router is in flight
+    kind.heldUntil.reset();
     const auto before = std::exchange(kind.newestAt, std::max(kind.newestAt, std::optional(confirmedAt)));
     return changedAfter ? std::max(before, changedAfter) : before;
 }
--- a/carawaylatch/gateway/changetimes.h
+++ b/carawaylatch/gateway/changetimes.h
@@ -9,9 +9,10 @@
 //   - while a call is held open and the control thread runs, the last but one heartbeat:
 //     an answer that had arrived by then would have been read before the last one.
 //
-// After a failed call, or after the thread did not run for long, only the first holds until
-// the next answer, since an answer may have been lost meanwhile. A state machine without
-// I/O. All times are those of TableAge::bootTime(), which count suspension.
+// After a failed call only the first holds until the next answer, since an answer may have been
+// lost meanwhile. After the thread did not run for long, heartbeats before that count only if the
+// same call is answered. A state machine without I/O. All times are those of
+// TableAge::bootTime(), which count suspension.
 #pragma once
 
 #include <map>
@@ -46,7 +47,8 @@
     struct Kind
     {
         std::optional<base::Duration> newestAt; // the state was certainly the newest
-        base::Duration sentAt{}; // of the call in flight
+        std::optional<base::Duration> sentAt; // of the call in flight
+        std::optional<base::Duration> heldUntil; // the call in flight was not answered by then; counts once it is answered
         bool mayHaveMissedAnswer = true; // heartbeats prove nothing about the call in flight
     };
     // The latest time at which the state of the kind was certainly the newest.
