Failing test: a version's time counts from heartbeats while its answer is on the way

Heartbeats prove that no answer had arrived, not that none was on its way. The fake store can delay answers that have changes.

--- a/carawaylatch/gateway/testing/fakestore.h
+++ b/carawaylatch/gateway/testing/fakestore.h
@@ -41,6 +41,11 @@
         m_objects[kind][name] = object;
         m_changes.emplace_back(kind, object);
     }
+    void erase(ObjectKind kind, const std::string &name)
+    {
+        m_objects[kind].erase(name);
+        m_changes.emplace_back(kind, StoredObject{name, {}, ++m_revision, true});
+    }
     [[nodiscard]] const std::map<std::string, StoredObject> &objects(ObjectKind kind)
     {
         return m_objects[kind];
@@ -71,6 +76,7 @@
     bool isDown = false; // every call is refused
     std::size_t pageSize = 0; // objects in a page of a list; zero: unlimited
     int refusedListEvery = 0; // every n-th list call is refused; zero: none
+    base::Duration answerDelay{}; // of the answers of watches that have changes
     bool areWatchesHung = false; // watches are never answered, so that they fail after their wait
     bool areCoordinationReadsRefused = false; // single reads of coordination objects are refused
 
@@ -153,6 +159,9 @@
             }
             isHung = isHung || m_store.areWatchesHung;
             if (!isHung && (!page.objects.empty() || waited == wait)) {
+                if (!page.objects.empty() && m_store.answerDelay > base::Duration{}) {
+                    co_await pause(m_store.answerDelay);
+                }
                 co_return page;
             }
             co_await pause(Step);
--- a/carawaylatch/gateway/testing/weightsagetest.cpp
+++ b/carawaylatch/gateway/testing/weightsagetest.cpp
@@ -24,6 +24,7 @@
     RoutersSuspended,
     WatchesHang,
     WatchesHangAndRoutersSuspended,
+    AnswersSlow,
     ReadersLate,
     ReadersSilent,
 };
@@ -38,6 +39,7 @@
     CPPUNIT_TEST_SUITE(WeightsAgeTest);
     CPPUNIT_TEST(testOlderWeightsEndInTimeAfterLateNews);
     CPPUNIT_TEST(testOlderWeightsEndInTimeAfterAnswerLostBeforeSuspension);
+    CPPUNIT_TEST(testOlderWeightsEndInTimeAfterSlowAnswer);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr int Routers = 4; // two of them are readers
@@ -92,6 +94,9 @@
         case Delay::WatchesHangAndRoutersSuspended:
             m_cluster->store.areWatchesHung = true;
             break;
+        case Delay::AnswersSlow:
+            m_cluster->store.answerDelay = base::milliseconds{150};
+            break;
         case Delay::ReadersLate:
             setRelayFault(RelayFault::Late);
             break;
@@ -163,6 +168,12 @@
     {
         CPPUNIT_ASSERT_EQUAL(std::string(), lateRouters(Delay::WatchesHangAndRoutersSuspended));
     }
+
+    // An answer that is long on its way, behind a lossy link, has not arrived at the heartbeats meanwhile.
+    void testOlderWeightsEndInTimeAfterSlowAnswer()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string(), lateRouters(Delay::AnswersSlow));
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(WeightsAgeTest);
 
