Failing test: an upstream removed long after an outage is used on as if the outage had expired its entry

Whether calls to the store failed shortly before is judged when a watch is sent, and the end of an outage is noticed when the first watch after it is answered, up to 3.5 s later.

--- a/carawaylatch/gateway/testing/controlplanetest.cpp
+++ b/carawaylatch/gateway/testing/controlplanetest.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST(testNoOrderIsSentAfterTheLeaseWasReleased);
     CPPUNIT_TEST(testEntryThatThrowsIsIgnored);
     CPPUNIT_TEST(testStoreOutage);
+    CPPUNIT_TEST(testUpstreamRemovedLongAfterAnOutageIsGoneAtOnce);
     CPPUNIT_TEST(testPagedListFromOverloadedStore);
     CPPUNIT_TEST(testUnreachableRouterIsRemoved);
     CPPUNIT_TEST(testStoreComesBackFromACopy);
@@ -289,6 +290,34 @@
         assertNoViolation();
     }
 
+    // Entries that expired in an outage are back within two seconds. One that is removed later is not
+    // missing because of the outage: the upstream leaves.
+    void testUpstreamRemovedLongAfterAnOutageIsGoneAtOnce()
+    {
+        TestCluster &cluster = addCluster();
+        ControlSettings settings = Router::settings("a");
+        settings.longWatchWait = base::milliseconds{3500};
+        cluster.addRouter(settings);
+        CPPUNIT_ASSERT(runUntil(
+            [&cluster] {
+                return cluster.routers[0]->last && cluster.routers[0]->last->upstreams.size() == Engines;
+            },
+            base::seconds{5}));
+        cluster.store.isDown = true;
+        m_loop->run_for(std::chrono::milliseconds{400});
+        cluster.store.isDown = false;
+        m_loop->run_for(std::chrono::milliseconds{4500});
+        cluster.store.erase(ObjectKind::Upstreams, "e0");
+        const base::TimePoint removedAt = m_clock.now();
+        CPPUNIT_ASSERT(runUntil(
+            [&cluster] {
+                return cluster.routers[0]->last->upstreams.size() == Engines - 1;
+            },
+            base::seconds{5}));
+        const base::Duration used = m_clock.now() - removedAt;
+        CPPUNIT_ASSERT_MESSAGE(base::formatMilliseconds(used), used < FleetState::ExpiredEntryGrace / 2);
+    }
+
     // A list of twenty pages completes although the store rejects every third list call, as
     // under overload when many routers start together. Restarting the list after each
     // rejection would never complete it.
