--- a/carawaylatch/gateway/testing/weightsagetest.cpp
+++ b/carawaylatch/gateway/testing/weightsagetest.cpp
@@ -95,7 +95,7 @@
             m_cluster->store.areWatchesHung = true;
             break;
         case Delay::AnswersSlow:
-            m_cluster->store.answerDelay = base::milliseconds{150};
+            m_cluster->store.answerDelay = base::milliseconds{400};
             break;
         case Delay::ReadersLate:
             setRelayFault(RelayFault::Late);
