An upstream removed after an outage of the store is gone at once, unless the outage may have removed it

An upstream that left up to 7 s after an outage of the store still got requests for 1.7 s, as if the outage had expired its entry; with the pause after changes that passes the time to leave.

Cause: whether calls failed shortly before was judged when a watch was sent, and the end of an outage was noticed when the first held watch after it was answered, each up to 3.5 s off. Change: the first watch after a failed call waits for nothing, so that the end is noticed at once, and the earliest time of the change decides.

--- a/carawaylatch/gateway/controlplane.h
+++ b/carawaylatch/gateway/controlplane.h
@@ -108,7 +108,7 @@
     };
     [[nodiscard]] Awaitable<void> watchKind(ObjectKind kind);
     // Results are passed by reference: GCC 12 destroys an aggregate that a coroutine returns twice.
-    [[nodiscard]] Awaitable<void> nextChanges(ObjectClient &client, ObjectKind kind, std::uint64_t since, KindChanges &changes);
+    [[nodiscard]] Awaitable<void> nextChanges(ObjectClient &client, ObjectKind kind, std::uint64_t since, base::Duration wait, KindChanges &changes);
     // Returns false if the reader did not answer, or not with the newest state.
     [[nodiscard]] Awaitable<bool> pollReader(base::Endpoint reader, ObjectKind kind, std::uint64_t since, KindChanges &changes);
     void onReaderFailed(const base::Endpoint &reader, ObjectKind kind, const std::string &problem);
--- a/carawaylatch/gateway/controlplanewatch.cpp
+++ b/carawaylatch/gateway/controlplanewatch.cpp
@@ -23,7 +23,8 @@
 
 constexpr base::Duration MaxPartialListAge = base::seconds{10}; // half of the time for which a store keeps its history
 constexpr base::Duration RelayMargin = base::milliseconds{300}; // for a poll's way
-// Of the first watch after a reader failed: it confirms the state at once, as the last confirmation may be old.
+// Of the first watch after a reader or the store failed: it confirms the state at once, as the last confirmation may
+// be old, and tells when the store is available again.
 constexpr base::Duration FallbackWait = base::milliseconds{5};
 constexpr base::Duration MaxRelayDelay = base::seconds{1}; // of a reader's confirmation beyond the wait of its watch
 constexpr base::Duration MaxHoldTime = base::seconds{30}; // of a poll
@@ -128,11 +129,11 @@
             }
         } else {
             KindChanges changes;
-            co_await nextChanges(*client, kind, since, changes);
+            co_await nextChanges(*client, kind, since, unavailableSince ? FallbackWait : watchWait(kind), changes);
             isRelayed = changes.isRelayed;
             if (!changes.error) {
-                wasStoreUnavailable = wasStoreUnavailable || changes.isAfterOutage;
                 const ChangeTime time = changeTime(changes.changedAfter);
+                wasStoreUnavailable = unavailableSince || time.earliest - recoveredAt < RecoveryWindow || changes.isAfterOutage;
                 for (const StoredObject &object : changes.objects) {
                     m_state.onChange(kind, object, wasStoreUnavailable, time);
                 }
@@ -192,9 +193,8 @@
     }
 }
 
-Awaitable<void> ControlPlane::nextChanges(ObjectClient &client, ObjectKind kind, std::uint64_t since, KindChanges &changes)
+Awaitable<void> ControlPlane::nextChanges(ObjectClient &client, ObjectKind kind, std::uint64_t since, base::Duration wait, KindChanges &changes)
 {
-    base::Duration wait = watchWait(kind);
     if (const auto reader = m_readers.reader(m_clock.now())) {
         const bool hasAnswered = co_await pollReader(*reader, kind, since, changes);
         if (hasAnswered) {
