Failing test: streams are rejoined after all routers were killed

Two software versions serve, all routers are killed and start again, and callers take streams up: no router knows which software began them. The control plane has the calls for it now, which do nothing; the store has a kind for streams.

--- a/carawaylatch/gateway/controlplane.cpp
+++ b/carawaylatch/gateway/controlplane.cpp
@@ -108,6 +108,15 @@
     publishIfChanged();
 }
 
+void ControlPlane::onStreamsSent(const std::vector<proxy::StreamOrigin> & /*streams*/)
+{
+}
+
+void ControlPlane::findOrigin(const base::PoolName & /*pool*/, std::uint64_t /*stream*/, std::function<void(proxy::OriginAnswer)> done)
+{
+    done({});
+}
+
 Awaitable<void> ControlPlane::pause(base::Duration duration)
 {
     boost::asio::steady_timer timer(m_loop);
--- a/carawaylatch/gateway/controlplane.h
+++ b/carawaylatch/gateway/controlplane.h
@@ -35,6 +35,7 @@
 #include "carawaylatch/gateway/tableage.h"
 #include "carawaylatch/gateway/watchlog.h"
 #include "carawaylatch/gateway/watchrelay.h"
+#include "carawaylatch/proxy/streamorigins.h"
 #include "carawaylatch/telemetry/eventlog.h"
 
 namespace carawaylatch::gateway
@@ -81,6 +82,10 @@
     // unreachable for long. Its object is removed; a router that was only disconnected
     // writes it again.
     void onRouterUnreachable(const base::Endpoint &peers);
+    // Streams that were sent to upstreams, and which software began them.
+    void onStreamsSent(const std::vector<proxy::StreamOrigin> &streams);
+    // `done` gets the software that began a stream of the pool, as the store tells it now.
+    void findOrigin(const base::PoolName &pool, std::uint64_t stream, std::function<void(proxy::OriginAnswer)> done);
     [[nodiscard]] Awaitable<std::unique_ptr<RelayAnswer>> answer(RelayPoll poll) override;
 
 private:
--- a/carawaylatch/gateway/controlplanewatch.cpp
+++ b/carawaylatch/gateway/controlplanewatch.cpp
@@ -88,6 +88,7 @@
     case ObjectKind::Tables:
     case ObjectKind::Weights:
     case ObjectKind::Leases:
+    case ObjectKind::Streams:
         break;
     }
     return {};
--- a/carawaylatch/gateway/fleetstate.cpp
+++ b/carawaylatch/gateway/fleetstate.cpp
@@ -24,6 +24,8 @@
         return "duties";
     case ObjectKind::Leases:
         return "leases";
+    case ObjectKind::Streams:
+        return "streams";
     }
     return "";
 }
@@ -164,6 +166,7 @@
         applyCoordination(object);
         break;
     case ObjectKind::Leases:
+    case ObjectKind::Streams:
         break; // not part of this state
     }
 }
--- a/carawaylatch/gateway/objectclient.h
+++ b/carawaylatch/gateway/objectclient.h
@@ -38,6 +38,7 @@
     Upstreams, // entries that upstreams write about themselves
     Coordination, // written by routers: the engines that are changing, and one object for each router
     Leases, // written by routers; changes every second, so it is read instead of watched
+    Streams, // written by routers: the software of the streams that each has sent; listed on demand
 };
 [[nodiscard]] std::string_view objectKindName(ObjectKind kind);
 
--- a/carawaylatch/gateway/testing/fakes.h
+++ b/carawaylatch/gateway/testing/fakes.h
@@ -14,19 +14,27 @@
 namespace carawaylatch::gateway::testing
 {
 
-// Decodes "POOL PHASE BORN_MS WEIGHTS" for upstreams, a version for tables, "MODEL VERSION"
-// for weights. Throws for an upstream "throw".
+// Decodes "POOL PHASE BORN_MS WEIGHTS [SOFTWARE]" for upstreams, "VERSION [POOL]" for tables, whose pool has
+// resumable streams, and "MODEL VERSION" for weights. Throws for an upstream "throw".
 class PlainTextDecoder : public FleetDecoder
 {
 public:
     base::Result<proxy::RouteTable> decodeTable(std::string_view text) const override
     {
-        const auto version = number(text);
+        const auto words = split(text);
+        const auto version = words.empty() ? 0 : number(words[0]);
         if (version == 0) {
             return base::fail(base::ErrorKind::InvalidArgument, "not a table");
         }
         proxy::RouteTable table;
         table.version = version;
+        if (words.size() > 1) {
+            proxy::Route route;
+            route.kind = proxy::CallKind::Stream;
+            route.isResumable = true;
+            route.pools.push_back({base::PoolName(words[1]), 1});
+            table.routes.push_back(std::move(route));
+        }
         return table;
     }
     base::Result<proxy::Upstream> decodeUpstream(std::string_view name, std::string_view text) const override
@@ -35,7 +43,7 @@
             throw std::runtime_error("asked to throw");
         }
         const auto words = split(text);
-        if (words.size() != 4) {
+        if (words.size() != 4 && words.size() != 5) {
             return base::fail(base::ErrorKind::InvalidArgument, "not an upstream");
         }
         proxy::Upstream upstream;
@@ -44,6 +52,7 @@
         upstream.endpoint = base::Endpoint{"127.0.0.1", 1};
         upstream.phase = words[1] == "ready" ? proxy::UpstreamPhase::Ready : proxy::UpstreamPhase::Draining;
         upstream.startTimeMs = number(words[2]);
+        upstream.software = base::SoftwareVersion(words.size() == 5 ? words[4] : std::string_view{});
         upstream.models[base::ModelId("m")] = base::WeightsVersion{number(words[3])};
         return upstream;
     }
--- a/carawaylatch/gateway/testing/fakestore.h
+++ b/carawaylatch/gateway/testing/fakestore.h
@@ -46,6 +46,11 @@
         return m_objects[kind];
     }
 
+    // Calls that list a kind, from when they are sent.
+    [[nodiscard]] int lists(ObjectKind kind)
+    {
+        return m_lists[kind];
+    }
     [[nodiscard]] int calls() const
     {
         return m_calls;
@@ -72,6 +77,7 @@
     std::size_t pageSize = 0; // objects in a page of a list; zero: unlimited
     int refusedListEvery = 0; // every n-th list call is refused; zero: none
     bool areCoordinationReadsRefused = false; // single reads of coordination objects are refused
+    bool areWatchesSilent = false; // watches return no changes
 
 private:
     friend class FakeClient;
@@ -87,6 +93,7 @@
     std::uint64_t m_revision = 0;
     int m_calls = 0;
     int m_listCalls = 0;
+    std::map<ObjectKind, int> m_lists;
     std::map<ObjectKind, std::map<std::string, StoredObject>> m_objects;
     std::vector<std::pair<ObjectKind, StoredObject>> m_changes;
 };
@@ -104,6 +111,7 @@
 
     Awaitable<base::Result<ObjectPage>> list(ObjectKind kind, std::string after) override
     {
+        ++m_store.m_lists[kind];
         const CallFault fault = co_await begin();
         if (const auto error = errorOf(fault)) {
             co_return *error;
@@ -145,7 +153,7 @@
             ObjectPage page;
             page.asOf = versionOf(m_store.m_revision);
             for (const auto &[changed, object] : m_store.m_changes) {
-                if (changed == kind && object.revision > revisionOf(since)) {
+                if (changed == kind && object.revision > revisionOf(since) && !m_store.areWatchesSilent) {
                     page.objects.push_back(versioned(object));
                 }
             }
