The store tells which software version began a stream

What callers saw: two software versions serve, or the older one has just left, all routers are killed and start again, and streams that callers take up are joined from both. Cause: nothing outside the killed processes knew which software began a stream. Change: a router sends new resumable streams only to versions that the store names; where a pool has several, each router records the streams that it has sent, at most every max(250 ms, routers / 50 s); a question reads both afresh and is answered unknown or unavailable otherwise. A restored store is not taken for complete before streams from before are over.

--- a/carawaylatch/gateway/controlplane.cpp
+++ b/carawaylatch/gateway/controlplane.cpp
@@ -20,6 +20,7 @@
 
 constexpr base::Duration ControlInterval = base::milliseconds{50}; // between checks of lease and rollout; a check makes no call of its own
 constexpr base::Duration StatusInterval = base::milliseconds{120}; // between status calls to an engine that is changing
+constexpr base::Duration MaxConfirmationDelay = base::seconds{2}; // of the upstreams, beyond the wait of their watch
 constexpr base::Duration CacheStoreInterval = base::seconds{1}; // probes cost calls, but requests that wait for a dead store cost far more
 
 std::string messageOf(const std::exception_ptr &error)
@@ -52,6 +53,15 @@
     , m_random(base::hash64(settings.router.value()))
     , m_relay(relay)
     , m_readers(settings.relay, settings.readers)
+    , m_streamSoftware(
+          loop, clock, settings.router, clients, log,
+          [this] {
+              return streamSoftwareInput();
+          },
+          [this](const SoftwareByPool &admitted) {
+              m_state.onSoftwareAdmitted(admitted);
+              publishIfChanged();
+          })
 {
 }
 
@@ -68,6 +78,15 @@
     start("cache_stores", [this] {
         return watchCacheStores();
     });
+    start("software_versions", [this] {
+        return m_streamSoftware.runVersions();
+    });
+    start("stream_records", [this] {
+        return m_streamSoftware.runRecords();
+    });
+    start("stream_searches", [this] {
+        return m_streamSoftware.runSearches();
+    });
 }
 
 void ControlPlane::start(std::string name, std::function<Awaitable<void>()> task)
@@ -108,13 +127,31 @@
     publishIfChanged();
 }
 
-void ControlPlane::onStreamsSent(const std::vector<proxy::StreamOrigin> & /*streams*/)
+void ControlPlane::onStreamsSent(const std::vector<proxy::StreamOrigin> &streams)
+{
+    m_streamSoftware.onStreamsSent(streams);
+}
+
+void ControlPlane::findOrigin(const base::PoolName &pool, std::uint64_t stream, std::function<void(proxy::OriginAnswer)> done)
 {
+    m_streamSoftware.findOrigin(pool, stream, std::move(done));
 }
 
-void ControlPlane::findOrigin(const base::PoolName & /*pool*/, std::uint64_t /*stream*/, std::function<void(proxy::OriginAnswer)> done)
+StreamSoftwareInput ControlPlane::streamSoftwareInput()
 {
-    done({});
+    const Confirmation &upstreams = m_confirmations[ObjectKind::Upstreams];
+    StreamSoftwareInput input;
+    input.isListed = m_published && upstreams.count > 0 && m_confirmations[ObjectKind::Coordination].count > 0;
+    if (!input.isListed || !m_published->table) {
+        return input;
+    }
+    input.object = m_state.coordinationObject(SoftwareName);
+    input.versions.listed = m_listedSoftware;
+    input.versions.isCurrent = TableAge::bootTime() - upstreams.at < m_settings.longWatchWait + MaxConfirmationDelay;
+    input.versions.isLeaseHolder = m_isLeaseHolder && m_lease.isHeld(m_clock.now());
+    input.versions.routers = m_published->routers;
+    input.versions.maxStreamTime = maxStreamTime(*m_published->table);
+    return input;
 }
 
 Awaitable<void> ControlPlane::pause(base::Duration duration)
@@ -127,7 +164,9 @@
 void ControlPlane::publishIfChanged()
 {
     if (m_state.consumeChanged()) {
-        m_publish(m_state.view());
+        m_published = m_state.view();
+        m_listedSoftware = m_published->table ? listedSoftware(*m_published->table, m_state.upstreams()) : SoftwareByPool{};
+        m_publish(m_published);
     }
 }
 
@@ -215,6 +254,9 @@
         }
         const std::string name = object->name;
         const auto removed = co_await client.remove(ObjectKind::Coordination, name, object->revision);
+        if (removed || removed.error().kind == base::ErrorKind::Unclear) {
+            m_streamSoftware.onRouterRemoved(name.substr(RouterPrefix.size()));
+        }
         m_log.write(base::LogEvent::RouterForgotten, {{"name", name}, {"problem", removed ? "" : removed.error().message}});
     }
 }
--- a/carawaylatch/gateway/controlplane.h
+++ b/carawaylatch/gateway/controlplane.h
@@ -32,10 +32,10 @@
 #include "carawaylatch/gateway/objectclient.h"
 #include "carawaylatch/gateway/readerchoice.h"
 #include "carawaylatch/gateway/rollout.h"
+#include "carawaylatch/gateway/streamsoftware.h"
 #include "carawaylatch/gateway/tableage.h"
 #include "carawaylatch/gateway/watchlog.h"
 #include "carawaylatch/gateway/watchrelay.h"
-#include "carawaylatch/proxy/streamorigins.h"
 #include "carawaylatch/telemetry/eventlog.h"
 
 namespace carawaylatch::gateway
@@ -137,6 +137,7 @@
     [[nodiscard]] Awaitable<void> pollStatus(WeightsOrder order);
     [[nodiscard]] Awaitable<void> pause(base::Duration duration);
     void publishIfChanged();
+    [[nodiscard]] StreamSoftwareInput streamSoftwareInput();
     [[nodiscard]] Awaitable<void> updateHolderState(ObjectClient &client);
     [[nodiscard]] Awaitable<void> releaseLease(ObjectClient &client);
     [[nodiscard]] base::Duration watchWait(ObjectKind kind) const;
@@ -160,6 +161,9 @@
     RelayClient &m_relay;
     ReaderChoice m_readers;
     WatchLog m_watchLog;
+    StreamSoftware m_streamSoftware;
+    std::shared_ptr<const proxy::FleetView> m_published; // the last snapshot
+    SoftwareByPool m_listedSoftware; // of m_published
     // State of each kind for polls of other routers.
     struct Confirmation
     {
--- a/carawaylatch/gateway/fleetstate.cpp
+++ b/carawaylatch/gateway/fleetstate.cpp
@@ -344,6 +344,12 @@
     return m_table ? m_table->cacheStores : std::vector<proxy::CacheStore>{};
 }
 
+void FleetState::onSoftwareAdmitted(const std::map<base::PoolName, std::set<base::SoftwareVersion>> &software)
+{
+    m_software = software;
+    m_isChanged = true;
+}
+
 bool FleetState::onTick(base::TimePoint now)
 {
     std::vector<base::UpstreamId> expired;
@@ -371,6 +377,7 @@
         view->upstreams.push_back(upstream);
     }
     view->targets = m_targets;
+    view->software = m_software;
     view->unavailableCacheStores = m_deadCacheStores;
     if (const StoredObject *changing = coordinationObject(ChangingName)) {
         view->reloading = ChangingEngines::decode(changing->text).engines;
--- a/carawaylatch/gateway/fleetstate.h
+++ b/carawaylatch/gateway/fleetstate.h
@@ -74,6 +74,7 @@
     // An engine reported its weights in a response.
     void onWeightsSeen(const base::UpstreamId &upstream, base::WeightsVersion weights);
     void onCacheStoreProbed(const base::Endpoint &endpoint, bool isAlive);
+    void onSoftwareAdmitted(const std::map<base::PoolName, std::set<base::SoftwareVersion>> &software);
     // Drops upstreams whose grace period has passed; true if the snapshot has changed.
     bool onTick(base::TimePoint now);
 
@@ -116,6 +117,7 @@
     std::map<std::string, StoredObject, std::less<>> m_coordinationObjects;
     std::map<std::string, std::uint64_t> m_ignored; // name to the revision that was logged
     std::set<base::Endpoint> m_deadCacheStores;
+    std::map<base::PoolName, std::set<base::SoftwareVersion>> m_software; // that may get new streams
     std::uint64_t m_sequence = 0;
     bool m_isChanged = true;
 };
--- a/carawaylatch/gateway/gateway.cpp
+++ b/carawaylatch/gateway/gateway.cpp
@@ -137,13 +137,23 @@
     });
 }
 
-void Gateway::onStreamsSent(std::vector<proxy::StreamOrigin> /*streams*/)
+void Gateway::onStreamsSent(std::vector<proxy::StreamOrigin> streams)
 {
+    boost::asio::post(m_controlLoop, [this, streams = std::move(streams)] {
+        m_control->onStreamsSent(streams);
+    });
 }
 
-void Gateway::findOrigin(const base::PoolName & /*pool*/, std::uint64_t /*stream*/, std::function<void(proxy::OriginAnswer)> done)
+void Gateway::findOrigin(const base::PoolName &pool, std::uint64_t stream, std::function<void(proxy::OriginAnswer)> done)
 {
-    done({});
+    // `done` is moved along, so that what it refers to is released on the traffic thread.
+    boost::asio::post(m_controlLoop, [this, pool, stream, done = std::move(done)]() mutable {
+        m_control->findOrigin(pool, stream, [this, done = std::move(done)](const proxy::OriginAnswer &answer) mutable {
+            boost::asio::post(m_trafficLoop, [done = std::move(done), answer] {
+                done(answer);
+            });
+        });
+    });
 }
 
 void Gateway::awaitSignal()
