--- a/carawaylatch/gateway/controlplane.cpp
+++ b/carawaylatch/gateway/controlplane.cpp
@@ -20,6 +20,8 @@
 
 constexpr base::Duration ControlInterval = base::milliseconds{50}; // between checks of lease and rollout; a check makes no call of its own
 constexpr base::Duration StatusInterval = base::milliseconds{120}; // between status calls to an engine that is changing
+// Of the first snapshot, until the admitted software is known; a store that can't list it must not keep a router from serving.
+constexpr base::Duration MaxFirstSnapshotDelay = base::seconds{1};
 constexpr base::Duration MaxConfirmationDelay = base::seconds{2}; // of the upstreams, beyond the wait of their watch
 constexpr base::Duration CacheStoreInterval = base::seconds{1}; // probes cost calls, but requests that wait for a dead store cost far more
 
@@ -67,6 +69,7 @@
 
 void ControlPlane::start()
 {
+    m_startedAt = m_clock.now();
     for (const ObjectKind kind : {ObjectKind::Tables, ObjectKind::Upstreams, ObjectKind::Weights, ObjectKind::Coordination}) {
         start("watch_" + std::string(objectKindName(kind)), [this, kind] {
             return watchKind(kind);
@@ -145,7 +148,6 @@
     if (!input.isListed || !m_published->table) {
         return input;
     }
-    input.object = m_state.coordinationObject(SoftwareName);
     input.versions.listed = m_listedSoftware;
     input.versions.isCurrent = TableAge::bootTime() - upstreams.at < m_settings.longWatchWait + MaxConfirmationDelay;
     input.versions.isLeaseHolder = m_isLeaseHolder && m_lease.isHeld(m_clock.now());
@@ -163,6 +165,11 @@
 
 void ControlPlane::publishIfChanged()
 {
+    const bool areCoordinationObjectsListed = m_confirmations[ObjectKind::Coordination].count > 0;
+    if (!m_published && !areCoordinationObjectsListed && m_clock.now() - m_startedAt < MaxFirstSnapshotDelay) {
+        return;
+    }
+    m_streamSoftware.onObject(m_state.coordinationObject(SoftwareName));
     if (m_state.consumeChanged()) {
         m_published = m_state.view();
         m_listedSoftware = m_published->table ? listedSoftware(*m_published->table, m_state.upstreams()) : SoftwareByPool{};
--- a/carawaylatch/gateway/controlplane.h
+++ b/carawaylatch/gateway/controlplane.h
@@ -163,6 +163,7 @@
     WatchLog m_watchLog;
     StreamSoftware m_streamSoftware;
     std::shared_ptr<const proxy::FleetView> m_published; // the last snapshot
+    base::TimePoint m_startedAt;
     SoftwareByPool m_listedSoftware; // of m_published
     // State of each kind for polls of other routers.
     struct Confirmation
--- a/carawaylatch/gateway/streamsoftware.cpp
+++ b/carawaylatch/gateway/streamsoftware.cpp
@@ -16,6 +16,8 @@
 {
 
 constexpr base::Duration StepInterval = base::milliseconds{50};
+// Between reads of an object that the watch does not show: it may show the removal together with the write before it.
+constexpr base::Duration AbsenceInterval = base::seconds{5};
 constexpr std::size_t MaxRemovedRouters = 256; // beyond it the records of a removed router stay
 
 } // namespace
@@ -55,12 +57,6 @@
 
 Awaitable<void> StreamSoftware::stepVersions(ObjectClient &client, const StreamSoftwareInput &input)
 {
-    if (input.object != nullptr) {
-        m_versions.onObject(*input.object);
-    }
-    if (std::exchange(m_wasObjectSeen, input.object != nullptr) && input.object == nullptr) {
-        m_versions.onObjectGone();
-    }
     SoftwareInput versions = input.versions;
     versions.era = *m_clients.storeEra();
     const SoftwareAction action = m_versions.poll(m_clock.now(), versions);
@@ -75,6 +71,22 @@
     publishAdmitted();
 }
 
+void StreamSoftware::onObject(const StoredObject *object)
+{
+    if (object != nullptr) {
+        m_versions.onObject(*object);
+    }
+    const base::TimePoint now = m_clock.now();
+    const bool hasGone = std::exchange(m_wasObjectSeen, object != nullptr) && object == nullptr;
+    if (hasGone || now - m_checkedAt >= AbsenceInterval) {
+        m_checkedAt = now;
+        if (object == nullptr) {
+            m_versions.onObjectGone();
+        }
+    }
+    publishAdmitted();
+}
+
 void StreamSoftware::publishAdmitted()
 {
     const SoftwareByPool &admitted = m_versions.admitted();
@@ -141,7 +153,7 @@
         done({proxy::OriginVerdict::Known, *software});
         return;
     }
-    if (m_questions.size() >= MaxQuestions) {
+    if (m_questions.size() >= MaxQuestions || m_nextSearch - m_clock.now() > MaxQuestionWait) {
         done({proxy::OriginVerdict::Unavailable, {}});
         return;
     }
@@ -167,18 +179,22 @@
             questions.push_back(it.question);
         }
         OriginSearch origins(std::move(questions));
-        const bool isRead = co_await search(*client, origins);
+        std::uint32_t calls = 0;
+        const bool isRead = co_await search(*client, origins, calls);
+        const double seconds = static_cast<double>(calls) * m_input().versions.routers / ReadsPerSecond;
+        const base::Duration interval = std::max<base::Duration>(MinSearchInterval, base::fromSeconds(seconds));
+        m_nextSearch = m_clock.now() + interval;
         const std::vector<proxy::OriginAnswer> answers = origins.answers();
         for (std::size_t i = 0; i < waiting.size(); ++i) {
             waiting[i].done(isRead ? answers[i] : proxy::OriginAnswer{proxy::OriginVerdict::Unavailable, {}});
         }
-        const std::uint32_t routers = m_input().versions.routers;
-        co_await pause(std::max<base::Duration>(MinSearchInterval, base::fromSeconds(static_cast<double>(routers) / SearchesPerSecond)));
+        co_await pause(interval);
     }
 }
 
-Awaitable<bool> StreamSoftware::search(ObjectClient &client, OriginSearch &search)
+Awaitable<bool> StreamSoftware::search(ObjectClient &client, OriginSearch &search, std::uint32_t &calls)
 {
+    ++calls;
     const auto object = co_await client.read(ObjectKind::Coordination, std::string(SoftwareName), ReadConsistency::Latest);
     if (!object && object.error().kind != base::ErrorKind::NotFound) {
         co_return false;
@@ -188,6 +204,7 @@
     std::string after;
     bool hasMore = search.needsRecords();
     while (hasMore) {
+        ++calls;
         const auto page = co_await client.list(ObjectKind::Streams, after);
         if (!page) {
             co_return false;
--- a/carawaylatch/gateway/streamsoftware.h
+++ b/carawaylatch/gateway/streamsoftware.h
@@ -32,15 +32,15 @@
 {
     SoftwareInput versions; // without the era
     bool isListed = false; // the coordination objects and upstreams were read at least once
-    const StoredObject *object = nullptr; // the coordination object, as the watch has it
 };
 
 class StreamSoftware
 {
 public:
     static constexpr std::size_t MaxQuestions = 1'024; // waiting; further ones are answered Unavailable
-    static constexpr std::uint32_t SearchesPerSecond = 400; // of all routers
+    static constexpr std::uint32_t ReadsPerSecond = 800; // for searches, of all routers
     static constexpr base::Duration MinSearchInterval = base::milliseconds{20};
+    static constexpr base::Duration MaxQuestionWait = base::seconds{1}; // for a search to begin; with a longer one to come, the answer is Unavailable at once
 
     // All references must outlive the object. `publish` gets the admitted software when it has changed.
     StreamSoftware(boost::asio::io_context &loop, const base::Clock &clock, const base::RouterId &router, ObjectClientFactory &clients,
@@ -51,6 +51,8 @@
     [[nodiscard]] Awaitable<void> runRecords();
     [[nodiscard]] Awaitable<void> runSearches();
 
+    // The coordination object as the watch has it; null: absent. Publishes what it admits.
+    void onObject(const StoredObject *object);
     void onStreamsSent(const std::vector<proxy::StreamOrigin> &streams);
     void findOrigin(const base::PoolName &pool, std::uint64_t stream, std::function<void(proxy::OriginAnswer)> done);
     // The router of this name is removed from the store; its records are removed too.
@@ -66,8 +68,8 @@
     [[nodiscard]] Awaitable<void> stepVersions(ObjectClient &client, const StreamSoftwareInput &input);
     [[nodiscard]] Awaitable<void> stepRecords(ObjectClient &client, const StreamSoftwareInput &input);
     [[nodiscard]] Awaitable<void> removeRecords(ObjectClient &client);
-    // Returns false if the store could not be read.
-    [[nodiscard]] Awaitable<bool> search(ObjectClient &client, OriginSearch &search);
+    // Returns false if the store could not be read. `calls` is the number of calls made.
+    [[nodiscard]] Awaitable<bool> search(ObjectClient &client, OriginSearch &search, std::uint32_t &calls);
     void publishAdmitted();
     [[nodiscard]] Awaitable<void> pause(base::Duration duration);
 
@@ -81,9 +83,11 @@
     SoftwareVersions m_versions;
     StreamRecords m_records;
     SoftwareByPool m_published;
-    bool m_wasObjectSeen = false; // at the last step
+    bool m_wasObjectSeen = false; // at the last call of onObject()
+    base::TimePoint m_checkedAt; // that the object is absent
     std::vector<Waiting> m_questions; // put since the last search was sent
     boost::asio::steady_timer m_wake; // cancelled by a question
+    base::TimePoint m_nextSearch; // not before it
     std::set<std::string> m_removedRouters; // whose records are still to be removed
 };
 
--- a/carawaylatch/gateway/testing/fakestore.h
+++ b/carawaylatch/gateway/testing/fakestore.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -77,7 +78,9 @@
     std::size_t pageSize = 0; // objects in a page of a list; zero: unlimited
     int refusedListEvery = 0; // every n-th list call is refused; zero: none
     bool areCoordinationReadsRefused = false; // single reads of coordination objects are refused
+    std::optional<ObjectKind> refusedList; // lists of this kind are refused
     bool areWatchesSilent = false; // watches return no changes
+    bool areStaleReadsOld = false; // reads that allow stale objects return those of the copy
 
 private:
     friend class FakeClient;
@@ -116,6 +119,9 @@
         if (const auto error = errorOf(fault)) {
             co_return *error;
         }
+        if (m_store.refusedList == kind) {
+            co_return base::fail(base::ErrorKind::Unavailable, "refused");
+        }
         if (m_store.refusedListEvery != 0 && ++m_store.m_listCalls % m_store.refusedListEvery == 0) {
             co_return base::fail(base::ErrorKind::Unavailable, "too many calls");
         }
@@ -170,7 +176,7 @@
         co_return page;
     }
 
-    Awaitable<base::Result<StoredObject>> read(ObjectKind kind, std::string name, ReadConsistency /*freshness*/) override
+    Awaitable<base::Result<StoredObject>> read(ObjectKind kind, std::string name, ReadConsistency consistency) override
     {
         CallFault fault = co_await begin();
         if (m_store.areCoordinationReadsRefused && kind == ObjectKind::Coordination) {
@@ -179,8 +185,10 @@
         if (const auto error = errorOf(fault)) {
             co_return *error;
         }
-        const auto it = m_store.m_objects[kind].find(name);
-        if (it == m_store.m_objects[kind].end()) {
+        const bool isOld = m_store.areStaleReadsOld && consistency == ReadConsistency::AllowStale;
+        const auto &objects = isOld ? m_store.m_copy.objects[kind] : m_store.m_objects[kind];
+        const auto it = objects.find(name);
+        if (it == objects.end()) {
             co_return base::fail(base::ErrorKind::NotFound, "no object");
         }
         co_return versioned(it->second);
--- a/carawaylatch/gateway/testing/softwareversionstest.cpp
+++ b/carawaylatch/gateway/testing/softwareversionstest.cpp
@@ -142,6 +142,7 @@
     CPPUNIT_TEST(testRouterLeavesAdmissionToTheHolder);
     CPPUNIT_TEST(testFewRoutersOfALargeFleetWrite);
     CPPUNIT_TEST(testRacingWriters);
+    CPPUNIT_TEST(testOlderObjectIsIgnored);
     CPPUNIT_TEST(testWriteFaults);
     CPPUNIT_TEST(testAbsentVersionIsRemoved);
     CPPUNIT_TEST(testVersionThatReturnsStays);
@@ -343,6 +344,20 @@
         CPPUNIT_ASSERT(first.admits(PoolP, "v1") && second.admits(PoolP, "v1") && second.admits(PoolP, "v2"));
     }
 
+    // A watch that lags behind this router's own write.
+    void testOlderObjectIsIgnored()
+    {
+        VersionsRouter &holder = addHolder({"v1"});
+        run(base::seconds{1});
+        const StoredObject older = *m_store.object;
+        holder.input.listed[PoolP] = versions({"v1", "v2"});
+        run(base::seconds{1});
+        holder.versions.onObject(older);
+        CPPUNIT_ASSERT(holder.admits(PoolP, "v2"));
+        run(base::seconds{1});
+        CPPUNIT_ASSERT_EQUAL(2, m_store.writes);
+    }
+
     void testWriteFaults()
     {
         for (const WriteFault fault : {WriteFault::Refused, WriteFault::AnswerLost, WriteFault::AppliedLate}) {
@@ -402,6 +417,11 @@
         next.input.isLeaseHolder = true;
         run(StreamTime - base::seconds{1});
         CPPUNIT_ASSERT(holds({"v1", "v2"}));
+        // The first holder gets the lease back; what it saw before does not count.
+        next.input.isLeaseHolder = false;
+        holder.input.isLeaseHolder = true;
+        run(StreamTime - base::seconds{1});
+        CPPUNIT_ASSERT(holds({"v1", "v2"}));
         run(base::seconds{2});
         CPPUNIT_ASSERT(holds({"v2"}));
     }
@@ -436,6 +456,15 @@
 
     // The copy is older than the admission of v2, and no upstream of v2 is listed any more.
     void testRestoredStoreGetsForgottenVersions()
+    {
+        for (const bool isWatching : {true, false}) {
+            m_store = ObjectStore{};
+            m_routers.clear();
+            forgetAndRestore(isWatching);
+        }
+    }
+
+    void forgetAndRestore(bool isWatching)
     {
         VersionsRouter &holder = addHolder({"v1"});
         VersionsRouter &other = addRouter({"v1"});
@@ -449,6 +478,8 @@
         m_store.object = copy;
         m_store.object->revision = makeVersion(1, revisionOf(copy->revision));
         holder.input.isLeaseHolder = false; // the lease is not held after a rise
+        holder.isWatching = isWatching;
+        other.isWatching = isWatching;
         run(base::seconds{3});
         CPPUNIT_ASSERT(holds({"v1", "v2"}));
         CPPUNIT_ASSERT(holder.admits(PoolP, "v2") && other.admits(PoolP, "v2"));
--- a/carawaylatch/gateway/testing/streamsoftwaretest.cpp
+++ b/carawaylatch/gateway/testing/streamsoftwaretest.cpp
@@ -4,6 +4,8 @@
 
 #include <utility> // boost/asio/awaitable.hpp 1.74 uses std::exchange without it
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 
 #include <algorithm>
@@ -53,12 +55,16 @@
     CPPUNIT_TEST(testStreamsOfAVersionThatHasLeftAreNotRejoinedAtAnother);
     CPPUNIT_TEST(testOnlyVersionIsKnownWithoutRecords);
     CPPUNIT_TEST(testNewVersionIsPublishedOnceStored);
+    CPPUNIT_TEST(testFirstSnapshotHasAdmittedVersions);
+    CPPUNIT_TEST(testFirstSnapshotWithoutCoordinationObjects);
+    CPPUNIT_TEST(testRemovedObjectIsWrittenAgain);
     CPPUNIT_TEST(testVersionIsAdmittedWithoutLeaseHolder);
     CPPUNIT_TEST(testRefusedRouterAnswersUnavailable);
     CPPUNIT_TEST(testStaleWatchAnswersFromFreshRead);
     CPPUNIT_TEST(testQuestionsShareReads);
     CPPUNIT_TEST(testQuestionDuringASearchGetsALaterRead);
     CPPUNIT_TEST(testQuestionsAreBounded);
+    CPPUNIT_TEST(testReadsOfALargeFleetAreBounded);
     CPPUNIT_TEST(testRecordsOnSeveralPages);
     CPPUNIT_TEST(testRecordsOfRemovedRouterAreRemoved);
     CPPUNIT_TEST(testStoreComesBackFromACopy);
@@ -248,6 +254,60 @@
         }));
     }
 
+    // v2 came while all routers were down. The list of coordination objects, the last of a start's four, is slow.
+    void testFirstSnapshotHasAdmittedVersions()
+    {
+        TestCluster &cluster = addCluster({"v1", "v2"});
+        cluster.store.put(ObjectKind::Coordination, std::string(SoftwareName), "complete 0 p=v1");
+        cluster.store.fault = CallFault::Slow;
+        cluster.store.faultyCall = 4;
+        cluster.addRouter("a");
+        CPPUNIT_ASSERT(runUntil([&cluster] {
+            return cluster.routers[0]->first != nullptr;
+        }));
+        const SoftwareByPool &software = cluster.routers[0]->first->software;
+        CPPUNIT_ASSERT_EQUAL(std::string("p=v1"), encodePools(software));
+    }
+
+    void testRemovedObjectIsWrittenAgain()
+    {
+        TestCluster &cluster = addCluster({"v1", "v2"});
+        cluster.addRouter("a");
+        CPPUNIT_ASSERT(runUntil([&cluster] {
+            return allAdmit(cluster, {"v1", "v2"});
+        }));
+        const std::string name(SoftwareName);
+        StoreEra era;
+        const bool isDisconnected = false;
+        FakeClient client(cluster.store, isDisconnected, era);
+        std::uint64_t removed = 0;
+        boost::asio::co_spawn(
+            *m_loop,
+            [&]() -> Awaitable<void> {
+                const std::uint64_t revision = cluster.store.objects(ObjectKind::Coordination).at(name).revision;
+                const auto result = co_await client.remove(ObjectKind::Coordination, name, revision);
+                removed = result ? revision : 0;
+            },
+            boost::asio::detached);
+        CPPUNIT_ASSERT(runUntil([&] {
+            const auto &objects = cluster.store.objects(ObjectKind::Coordination);
+            const auto it = objects.find(name);
+            return removed != 0 && it != objects.end() && it->second.revision > removed;
+        }));
+        const SoftwareRecord record = SoftwareRecord::decode(cluster.store.objects(ObjectKind::Coordination).at(name).text);
+        CPPUNIT_ASSERT_EQUAL(std::string("p=v1,v2"), encodePools(record.pools));
+    }
+
+    void testFirstSnapshotWithoutCoordinationObjects()
+    {
+        TestCluster &cluster = addCluster({"v1"});
+        cluster.store.refusedList = ObjectKind::Coordination;
+        cluster.addRouter("a");
+        CPPUNIT_ASSERT(runUntil([&cluster] {
+            return cluster.routers[0]->last && cluster.routers[0]->last->upstreams.size() == Engines;
+        }));
+    }
+
     // A lease that another router holds without end.
     void testVersionIsAdmittedWithoutLeaseHolder()
     {
@@ -288,6 +348,8 @@
         CPPUNIT_ASSERT(runUntil([&cluster] {
             return allAdmit(cluster, {"v1"});
         }));
+        cluster.store.keepCopy();
+        cluster.store.areStaleReadsOld = true;
         cluster.store.areWatchesSilent = true;
         cluster.store.put(ObjectKind::Coordination, std::string(SoftwareName), "complete 0 p=v1,v2");
         cluster.store.put(ObjectKind::Streams, "z", "v2 7\n");
@@ -361,6 +423,24 @@
         }));
     }
 
+    // A second search would be due only seconds later; the caller is told at once.
+    void testReadsOfALargeFleetAreBounded()
+    {
+        constexpr int Routers = 2'000;
+        TestCluster &cluster = addCluster({"v1", "v2"});
+        for (int i = 0; i < Routers; ++i) {
+            cluster.store.put(ObjectKind::Coordination, "router.r" + std::to_string(i), "router");
+        }
+        cluster.addRouter("a");
+        CPPUNIT_ASSERT(runUntil([&cluster] {
+            return allAdmit(cluster, {"v1", "v2"});
+        }));
+        CPPUNIT_ASSERT_EQUAL(std::string("?"), ask(*cluster.routers[0], 1));
+        const int before = cluster.store.lists(ObjectKind::Streams);
+        CPPUNIT_ASSERT_EQUAL(std::string("!"), ask(*cluster.routers[0], 1));
+        CPPUNIT_ASSERT_EQUAL(before, cluster.store.lists(ObjectKind::Streams));
+    }
+
     void testRecordsOnSeveralPages()
     {
         TestCluster &cluster = addCluster({"v1", "v2"});
--- a/carawaylatch/gateway/testing/testcluster.h
+++ b/carawaylatch/gateway/testing/testcluster.h
@@ -112,6 +112,7 @@
             hasVersionRegressed = hasVersionRegressed || version < newestTable;
             newestTable = std::max(newestTable, version);
             last = std::move(view);
+            first = first ? first : last;
         })
     {
         network.sources[settings.relay] = &plane;
@@ -137,6 +138,7 @@
     FakeClients clients;
     FakeRelay relay;
     TableAge age;
+    std::shared_ptr<const proxy::FleetView> first;
     std::shared_ptr<const proxy::FleetView> last;
     std::uint64_t newestTable = 0;
     bool hasVersionRegressed = false;
