--- a/carawaylatch/proxy/exchange.h
+++ b/carawaylatch/proxy/exchange.h
@@ -19,6 +19,7 @@
 #include "carawaylatch/proxy/eventscanner.h"
 #include "carawaylatch/proxy/fleet.h"
 #include "carawaylatch/proxy/placement.h"
+#include "carawaylatch/proxy/streamorigins.h"
 #include "carawaylatch/proxy/upstreamconnection.h"
 #include "carawaylatch/proxy/upstreamtracker.h"
 #include "carawaylatch/proxy/waitqueue.h"
@@ -58,6 +59,10 @@
     // Starts an attempt if an upstream has capacity; returns false if none has.
     bool tryToPlace();
     [[nodiscard]] const base::PoolName &pool() const;
+    // Its position in the queue. Only for a request that waits there.
+    [[nodiscard]] const WaitQueue::Key &queueKey() const;
+    // True if some upstreams of the pool may not run the request because of their software.
+    [[nodiscard]] bool isBoundToSoftware() const;
 
     void onResponseHead(const HttpResponseHead &head, const UpstreamResponse &response) override;
     void onResponseBody(std::string bytes) override;
@@ -66,7 +71,9 @@
 
 private:
     [[nodiscard]] bool admit();
-    [[nodiscard]] PlacementResult selectUpstream() const;
+    [[nodiscard]] PlacementResult selectUpstream();
+    // The software that may run the request; nullptr: any.
+    [[nodiscard]] const SoftwareSet *allowedSoftware() const;
     void selectPool();
     [[nodiscard]] bool isAuthorised();
     void placeOrQueue();
@@ -102,6 +109,14 @@
     void abortReply(std::string_view reason);
     void finish(unsigned status, std::string_view outcome, std::string_view reason);
     void leaveQueue();
+    [[nodiscard]] bool isResumableStream() const;
+    [[nodiscard]] bool isResumption() const;
+    // Finds out which software began the stream that the request resumes; the request waits until then.
+    void findOrigin();
+    void onOriginFound(const OriginAnswer &answer);
+    // Limits the request to the software of its stream once that must not change any more.
+    void limitToStream();
+    [[nodiscard]] std::string resumedRequest() const;
     [[nodiscard]] base::Duration timeLeft(base::TimePoint now) const;
 
     // A non-streaming response is buffered up to this size, so that a broken one can be
@@ -140,6 +155,11 @@
     std::string m_lastBytes; // up to EventEndBytes of a stream that is passed through
     base::Duration m_longestGap{}; // between consecutive reads of a streamed response
     base::UpstreamId m_lastUpstream;
+    base::SoftwareVersion m_lastSoftware; // of m_lastUpstream when the attempt started, or was sent
+    std::uint64_t m_stream = 0; // the stream that the request begins or resumes; zero if the caller does not name it
+    bool m_isOriginPending = false;
+    base::TimerService::Subscription m_originTimer;
+    std::optional<SoftwareSet> m_streamSoftware; // the one version at which the stream may go on; empty while any may begin it
     bool m_isStreaming = false; // the response head was sent to the caller
     bool m_isPassThrough = false; // bytes are forwarded as they arrive, without splitting into events
     bool m_isEnded = false;
--- a/carawaylatch/proxy/exchangeattempt.cpp
+++ b/carawaylatch/proxy/exchangeattempt.cpp
@@ -29,6 +29,7 @@
     attempt.load.memoryTokens = m_request.promptTokens + m_request.maxOutputTokens;
     attempt.load.prefillTokens = placement.hasCachedPrefix ? m_request.promptTokens - std::min(m_sharedTokens, m_request.promptTokens) : m_request.promptTokens;
     m_lastUpstream = placement.record->upstream.id;
+    m_lastSoftware = placement.record->upstream.software;
     m_triedUpstreams.push_back(m_lastUpstream);
     m_plane.tracker().onAttemptStarted(*attempt.record, attempt.load, attempt.startedAt);
     if (m_route->isRepeatable()) {
@@ -58,18 +59,21 @@
         endAttempt(AttemptEnd::NotSent, problem);
         return;
     }
+    limitToStream();
     if (isUnwanted()) {
-        endAttempt(AttemptEnd::NotSent, "the upstream leaves, has asked for a pause or has named a limit");
+        endAttempt(AttemptEnd::NotSent, "the upstream leaves, has asked for a pause, has named a limit or runs other software");
         return;
     }
     sendOrEnd();
 }
 
-// True if the upstream has said, since the attempt started, that it wants no such request.
+// True if the upstream has said, since the attempt started, that it wants no such request, or has started again
+// with other software.
 bool Exchange::isUnwanted() const
 {
     const UpstreamRecord &record = *m_attempt->record;
-    return !record.takesRequests(m_plane.now()) || m_plane.tracker().limits().hasBegunAfter(record.key(), m_attempt->startedAt);
+    return !record.takesRequests(m_plane.now()) || !record.runsOneOf(allowedSoftware())
+           || m_plane.tracker().limits().hasBegunAfter(record.key(), m_attempt->startedAt);
 }
 
 void Exchange::sendOrEnd()
@@ -117,6 +121,10 @@
     }
     head.append("\r\n");
     attempt.isSent = true;
+    m_lastSoftware = attempt.record->upstream.software;
+    if (isResumableStream() && !isResumption()) {
+        m_plane.origins().onSent(m_stream, m_pool, m_lastSoftware, m_plane.now());
+    }
     ++m_history.sent;
     ++m_plane.counts().attempts;
     if (!m_sentAt) {
@@ -201,6 +209,9 @@
         return; // resumed after a failed attempt; the caller already has a response head
     }
     m_isStreaming = true;
+    if (m_route->isResumable) {
+        m_streamSoftware.emplace().insert(m_lastSoftware);
+    }
     m_history.hasResponseStarted = true;
     m_caller->beginReply(Reply{attempt.head.status, attempt.head.reason, forwardableFields(attempt.head.fields), {}});
 }
@@ -414,6 +425,7 @@
         m_plane.log().write(base::LogEvent::AttemptFailed,
                             {{"id", m_request.id},
                              {"upstream", m_lastUpstream.value()},
+                             {"software", m_lastSoftware.value()},
                              {"end", std::string(attemptEndName(end))},
                              {"next", std::string(nextStepName(step))},
                              {"problem", problem.empty() ? "status " + std::to_string(m_attempt->head.status) : std::string(problem)},
--- a/carawaylatch/proxy/trafficplane.cpp
+++ b/carawaylatch/proxy/trafficplane.cpp
@@ -18,6 +18,7 @@
 
 constexpr base::Duration TimerGranularity = base::milliseconds{2}; // far below every timeout of a request
 constexpr base::Duration TickInterval = base::milliseconds{50}; // queued requests are retried, and the log is flushed
+constexpr std::size_t MaxPassedRequests = 8; // that wait for their software, each time that queued requests are placed
 constexpr std::size_t MaxIdlePerUpstream = 64; // upper bound; also used where the pool sets none
 
 Reply plainReply(unsigned status, std::string body)
@@ -58,8 +59,9 @@
     , m_peers(loop, clock, settings.peers, settings.routerId, *this, log)
     , m_random(static_cast<std::uint64_t>(clock.now().time_since_epoch().count()))
 {
-    m_tick = m_timers.every(now(), TickInterval, [this](base::TimePoint) {
+    m_tick = m_timers.every(now(), TickInterval, [this](base::TimePoint at) {
         placeWaiting();
+        storeStreams(at);
         updateReadiness(notReadyReason());
         m_log.flush();
     });
@@ -153,6 +155,7 @@
     const bool hasOtherRouters = view->routerEndpoints != m_view->routerEndpoints;
     m_view = std::move(view);
     m_tracker.adopt(*m_view, now());
+    m_origins.adopt(*m_view);
     closeIdleConnections([this](const base::UpstreamId &upstream) {
         return m_tracker.find(upstream) == nullptr;
     });
@@ -356,6 +359,25 @@
     return m_crashes;
 }
 
+StreamOrigins &TrafficPlane::origins()
+{
+    return m_origins;
+}
+
+const SoftwareSet *TrafficPlane::beginningSoftware(const base::PoolName &pool) const
+{
+    const SoftwareSet *admitted = m_origins.admittedOnly(pool);
+    if (admitted == nullptr) {
+        return nullptr;
+    }
+    // Availability comes first: others may begin streams if none of the admitted software stays.
+    const auto &members = m_tracker.members(pool);
+    const bool stays = std::any_of(members.begin(), members.end(), [admitted](const UpstreamRecord *record) {
+        return record->isStaying() && record->runsOneOf(admitted);
+    });
+    return stays ? admitted : nullptr;
+}
+
 TrafficCounts &TrafficPlane::counts()
 {
     return m_counts;
@@ -420,14 +442,46 @@
 {
     m_isPlacementScheduled = false;
     for (auto &[pool, queue] : m_queues) {
-        while (const auto exchange = queue.front()) {
-            if (!exchange->tryToPlace()) {
+        // A request that is bound to some software does not hold up those behind it.
+        WaitQueue::Key passed;
+        std::size_t passedRequests = 0;
+        while (const auto exchange = queue.after(passed)) {
+            const WaitQueue::Key key = exchange->queueKey();
+            if (exchange->tryToPlace()) {
+                continue;
+            }
+            if (!exchange->isBoundToSoftware() || ++passedRequests > MaxPassedRequests) {
                 break;
             }
+            passed = key;
         }
     }
 }
 
+bool TrafficPlane::canPassQueue(const base::PoolName &pool)
+{
+    const WaitQueue &waiting = queue(pool);
+    if (waiting.size() > MaxPassedRequests) {
+        return false;
+    }
+    WaitQueue::Key passed;
+    while (const auto exchange = waiting.after(passed)) {
+        if (!exchange->isBoundToSoftware()) {
+            return false;
+        }
+        passed = exchange->queueKey();
+    }
+    return true;
+}
+
+void TrafficPlane::storeStreams(base::TimePoint at)
+{
+    std::vector<StreamOrigin> due = m_origins.takeDue(at);
+    if (!due.empty()) {
+        m_observer.onStreamsSent(std::move(due));
+    }
+}
+
 void TrafficPlane::logRejected(std::string_view id, std::string_view host, std::string_view reason, unsigned status)
 {
     ++m_counts.rejected;
--- a/carawaylatch/proxy/trafficplane.h
+++ b/carawaylatch/proxy/trafficplane.h
@@ -138,6 +138,9 @@
     [[nodiscard]] std::shared_ptr<const FleetView> view() const;
     [[nodiscard]] UpstreamTracker &tracker();
     [[nodiscard]] CrashAttribution &crashes();
+    [[nodiscard]] StreamOrigins &origins();
+    // The software that may begin streams of the pool; nullptr: any.
+    [[nodiscard]] const SoftwareSet *beginningSoftware(const base::PoolName &pool) const;
     [[nodiscard]] TrafficCounts &counts();
     [[nodiscard]] telemetry::EventLog &log();
     [[nodiscard]] TrafficObserver &observer();
@@ -152,6 +155,8 @@
     void onUpstreamPause(UpstreamRecord &record, base::Duration pause);
     // An answer to a request that was sent at `sentAt` names this limit, or none.
     void onUpstreamLimit(const UpstreamRecord &record, std::optional<double> perSecond, base::TimePoint sentAt);
+    // True if a new request may be placed before those that wait: there are none, or a few that are bound to some software.
+    [[nodiscard]] bool canPassQueue(const base::PoolName &pool);
     // Schedules an attempt to place the queued requests of all pools; does not run it inline.
     void schedulePlacement();
     void logRejected(std::string_view id, std::string_view host, std::string_view reason, unsigned status);
@@ -207,6 +212,7 @@
     void armTimer();
     void onTimer();
     void placeWaiting();
+    void storeStreams(base::TimePoint at);
     [[nodiscard]] std::string_view notReadyReason() const;
     void updateReadiness(std::string_view reason);
     [[nodiscard]] std::string metricsText() const;
@@ -228,6 +234,7 @@
     std::shared_ptr<const FleetView> m_view;
     UpstreamTracker m_tracker;
     CrashAttribution m_crashes;
+    StreamOrigins m_origins;
     std::map<base::PoolName, relay::RetryBudget> m_budgets;
     std::map<base::PoolName, WaitQueue> m_queues;
     std::map<base::UpstreamId, std::deque<std::shared_ptr<UpstreamConnection>>> m_idleConnections; // most recently used last
