--- a/carawaylatch/gateway/controlplane.h
+++ b/carawaylatch/gateway/controlplane.h
@@ -33,6 +33,7 @@
 #include "carawaylatch/gateway/objectclient.h"
 #include "carawaylatch/gateway/readerchoice.h"
 #include "carawaylatch/gateway/rollout.h"
+#include "carawaylatch/gateway/streamsoftware.h"
 #include "carawaylatch/gateway/tableage.h"
 #include "carawaylatch/gateway/watchlog.h"
 #include "carawaylatch/gateway/watchrelay.h"
@@ -82,6 +83,10 @@
     // unreachable for long. Its object is removed; a router that was only disconnected
     // writes it again.
     void onRouterUnreachable(const base::Endpoint &peers);
+    // Streams that were sent to upstreams, and which software began them.
+    void onStreamsSent(const std::vector<proxy::StreamOrigin> &streams);
+    // `done` gets the software that began a stream of the pool, as the store tells it now.
+    void findOrigin(const base::PoolName &pool, std::uint64_t stream, std::function<void(proxy::OriginAnswer)> done);
     [[nodiscard]] Awaitable<std::unique_ptr<RelayAnswer>> answer(RelayPoll poll) override;
 
 private:
@@ -138,6 +143,7 @@
     [[nodiscard]] Awaitable<void> pollStatus(WeightsOrder order);
     [[nodiscard]] Awaitable<void> pause(base::Duration duration);
     void publishIfChanged();
+    [[nodiscard]] StreamSoftwareInput streamSoftwareInput();
     [[nodiscard]] Awaitable<void> updateHolderState(ObjectClient &client);
     [[nodiscard]] Awaitable<void> releaseLease(ObjectClient &client);
     [[nodiscard]] base::Duration watchWait(ObjectKind kind) const;
@@ -162,6 +168,10 @@
     ReaderChoice m_readers;
     WatchLog m_watchLog;
     ChangeTimes m_changeTimes;
+    StreamSoftware m_streamSoftware;
+    std::shared_ptr<const proxy::FleetView> m_published; // the last snapshot
+    base::TimePoint m_startedAt;
+    SoftwareByPool m_listedSoftware; // of m_published
     // State of each kind for polls of other routers.
     struct Confirmation
     {
--- a/carawaylatch/gateway/fleetstate.cpp
+++ b/carawaylatch/gateway/fleetstate.cpp
@@ -24,6 +24,8 @@
         return "duties";
     case ObjectKind::Leases:
         return "leases";
+    case ObjectKind::Streams:
+        return "streams";
     }
     return "";
 }
@@ -164,6 +166,7 @@
         applyCoordination(object);
         break;
     case ObjectKind::Leases:
+    case ObjectKind::Streams:
         break; // not part of this state
     }
 }
@@ -343,6 +346,12 @@
     return m_table ? m_table->cacheStores : std::vector<proxy::CacheStore>{};
 }
 
+void FleetState::onSoftwareAdmitted(const std::map<base::PoolName, std::set<base::SoftwareVersion>> &software)
+{
+    m_software = software;
+    m_isChanged = true;
+}
+
 bool FleetState::onTick(base::TimePoint now)
 {
     std::vector<base::UpstreamId> expired;
@@ -370,6 +379,7 @@
         view->upstreams.push_back(upstream);
     }
     view->targets = m_targets;
+    view->software = m_software;
     view->unavailableCacheStores = m_deadCacheStores;
     if (const StoredObject *changing = coordinationObject(ChangingName)) {
         view->reloading = ChangingEngines::decode(changing->text).engines;
--- a/carawaylatch/gateway/testing/fakestore.h
+++ b/carawaylatch/gateway/testing/fakestore.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -51,6 +52,11 @@
         return m_objects[kind];
     }
 
+    // Calls that list a kind, from when they are sent.
+    [[nodiscard]] int lists(ObjectKind kind)
+    {
+        return m_lists[kind];
+    }
     [[nodiscard]] int calls() const
     {
         return m_calls;
@@ -79,6 +85,9 @@
     base::Duration answerDelay{}; // of the answers of watches that have changes
     bool areWatchesHung = false; // watches are never answered, so that they fail after their wait
     bool areCoordinationReadsRefused = false; // single reads of coordination objects are refused
+    std::optional<ObjectKind> refusedList; // lists of this kind are refused
+    bool areWatchesSilent = false; // watches return no changes
+    bool areStaleReadsOld = false; // reads that allow stale objects return those of the copy
 
 private:
     friend class FakeClient;
@@ -94,6 +103,7 @@
     std::uint64_t m_revision = 0;
     int m_calls = 0;
     int m_listCalls = 0;
+    std::map<ObjectKind, int> m_lists;
     std::map<ObjectKind, std::map<std::string, StoredObject>> m_objects;
     std::vector<std::pair<ObjectKind, StoredObject>> m_changes;
 };
@@ -111,10 +121,14 @@
 
     Awaitable<base::Result<ObjectPage>> list(ObjectKind kind, std::string after) override
     {
+        ++m_store.m_lists[kind];
         const CallFault fault = co_await begin();
         if (const auto error = errorOf(fault)) {
             co_return *error;
         }
+        if (m_store.refusedList == kind) {
+            co_return base::fail(base::ErrorKind::Unavailable, "refused");
+        }
         if (m_store.refusedListEvery != 0 && ++m_store.m_listCalls % m_store.refusedListEvery == 0) {
             co_return base::fail(base::ErrorKind::Unavailable, "too many calls");
         }
@@ -153,7 +167,7 @@
             ObjectPage page;
             page.asOf = versionOf(m_store.m_revision);
             for (const auto &[changed, object] : m_store.m_changes) {
-                if (changed == kind && object.revision > revisionOf(since)) {
+                if (changed == kind && object.revision > revisionOf(since) && !m_store.areWatchesSilent) {
                     page.objects.push_back(versioned(object));
                 }
             }
@@ -177,7 +191,7 @@
         co_return page;
     }
 
-    Awaitable<base::Result<StoredObject>> read(ObjectKind kind, std::string name, ReadConsistency /*freshness*/) override
+    Awaitable<base::Result<StoredObject>> read(ObjectKind kind, std::string name, ReadConsistency consistency) override
     {
         CallFault fault = co_await begin();
         if (m_store.areCoordinationReadsRefused && kind == ObjectKind::Coordination) {
@@ -186,8 +200,10 @@
         if (const auto error = errorOf(fault)) {
             co_return *error;
         }
-        const auto it = m_store.m_objects[kind].find(name);
-        if (it == m_store.m_objects[kind].end()) {
+        const bool isOld = m_store.areStaleReadsOld && consistency == ReadConsistency::AllowStale;
+        const auto &objects = isOld ? m_store.m_copy.objects[kind] : m_store.m_objects[kind];
+        const auto it = objects.find(name);
+        if (it == objects.end()) {
             co_return base::fail(base::ErrorKind::NotFound, "no object");
         }
         co_return versioned(it->second);
