A request that resumes a stream goes only to the software that began it

That the same upstream had changed its software was ruled out; they were different.

StreamOrigins, a state machine, records the software of each resumable stream when its request is sent: 20,000 streams, one minute. While a pool has several versions the records go to TrafficObserver::onStreamsSent(), every 50 ms; from then on the request may be sent again only to the same software. A request that resumes a stream is placed once its software is known: from the records by the id in `Resumes`, else by TrafficObserver::findOrigin() within 500 ms. Unknown or unavailable: 503 with Retry-After, nothing sent. If all upstreams of the software leave, it is refused at once. It goes to the pool that the request that began the stream went to. New streams begin only at software that the store names, unless no upstream of it stays.

--- a/carawaylatch/proxy/exchange.cpp
+++ b/carawaylatch/proxy/exchange.cpp
@@ -19,6 +19,7 @@
 // Share of the target latency that a request may wait in the queue. After a longer wait the
 // response would miss the target, and the caller does better to retry, possibly at another router.
 constexpr double MaxQueueWaitShare = 0.6;
+constexpr base::Duration OriginTimeout = base::milliseconds{500}; // to learn where a stream began; several calls to the store
 // The router replies this long after the caller's own deadline, so that the caller times out first.
 constexpr base::Duration DeadlineGrace = base::milliseconds{60};
 
@@ -54,9 +55,73 @@
             self->end("timeout");
         }
     });
+    if (isResumption()) {
+        findOrigin();
+        return;
+    }
+    if (isResumableStream()) {
+        m_stream = base::hash64(m_request.id);
+        if (const auto software = m_plane.origins().find(m_stream, m_plane.now())) {
+            m_streamSoftware.emplace().insert(*software); // its id has come before
+        }
+    }
     placeOrQueue();
 }
 
+void Exchange::findOrigin()
+{
+    const base::TimePoint now = m_plane.now();
+    m_stream = m_request.resumes.empty() ? 0 : base::hash64(m_request.resumes);
+    m_isOriginPending = true;
+    if (const auto software = m_plane.origins().find(m_stream, now)) {
+        onOriginFound({OriginVerdict::Known, *software});
+        return;
+    }
+    const auto answer = [weak = weak_from_this()](const OriginAnswer &found) {
+        if (const auto self = weak.lock()) {
+            self->onOriginFound(found);
+        }
+    };
+    m_originTimer = m_plane.timers().after(now, std::min<base::Duration>(OriginTimeout, timeLeft(now) / 2), [answer](base::TimePoint) {
+        answer({OriginVerdict::Unavailable, {}});
+    });
+    m_plane.observer().findOrigin(m_pool, m_stream, answer);
+}
+
+void Exchange::onOriginFound(const OriginAnswer &answer)
+{
+    if (m_isEnded || !m_isOriginPending) {
+        return;
+    }
+    m_isOriginPending = false;
+    m_originTimer.cancel();
+    switch (answer.verdict) {
+    case OriginVerdict::Known:
+        break;
+    case OriginVerdict::Unknown:
+        refuse("stream_origin_unknown", RetrySchedule::MinDelay);
+        return;
+    case OriginVerdict::Unavailable:
+        refuse("stream_origin_unavailable", RetrySchedule::MinDelay);
+        return;
+    }
+    if (m_stream != 0 && !m_plane.origins().find(m_stream, m_plane.now())) {
+        m_plane.origins().onLearned(m_stream, m_pool, answer.software, m_plane.now());
+    }
+    m_streamSoftware.emplace().insert(answer.software);
+    placeOrQueue();
+}
+
+void Exchange::limitToStream()
+{
+    if (m_streamSoftware || m_history.sent == 0 || !isResumableStream()) {
+        return;
+    }
+    if (const auto software = m_plane.origins().findFixed(m_stream, m_plane.now())) {
+        m_streamSoftware.emplace().insert(*software);
+    }
+}
+
 // Checks route, key and request id. Replies with an error and returns false if the request is not admitted.
 bool Exchange::admit()
 {
@@ -123,7 +188,9 @@
     for (const PoolShare &share : m_route->pools) {
         total += share.weight;
     }
-    std::uint64_t point = total > 0 ? base::hash64(m_request.id) % total : 0;
+    // The pool that the stream began in, if the request resumes one.
+    const std::string &key = isResumption() && !m_request.resumes.empty() ? m_request.resumes : m_request.id;
+    std::uint64_t point = total > 0 ? base::hash64(key) % total : 0;
     for (const PoolShare &share : m_route->pools) {
         m_pool = share.pool;
         if (point < share.weight) {
@@ -139,8 +206,9 @@
     return m_startedAt + requestTimeout - now;
 }
 
-PlacementResult Exchange::selectUpstream() const
+PlacementResult Exchange::selectUpstream()
 {
+    limitToStream();
     const auto view = m_plane.view();
     PlacementQuery query;
     query.now = m_plane.now();
@@ -157,7 +225,10 @@
 
 const SoftwareSet *Exchange::allowedSoftware() const
 {
-    return m_streamSoftware ? &*m_streamSoftware : nullptr;
+    if (m_streamSoftware) {
+        return &*m_streamSoftware;
+    }
+    return isResumableStream() ? m_plane.beginningSoftware(m_pool) : nullptr;
 }
 
 bool Exchange::isBoundToSoftware() const
@@ -218,8 +289,8 @@
             return;
         }
     }
-    if (!m_triedUpstreams.empty() && !hasUntriedUpstream()) {
-        giveUp("no_other_upstream", queueRetryDelay());
+    if ((m_streamSoftware || !m_triedUpstreams.empty()) && !hasUntriedUpstream()) {
+        giveUp(m_triedUpstreams.empty() ? "no_upstream_of_stream" : "no_other_upstream", queueRetryDelay());
         return;
     }
     joinQueue();
@@ -372,7 +443,12 @@
 // True if the request resumes a stream that another request began.
 bool Exchange::isResumption() const
 {
-    return m_route != nullptr && m_route->kind == CallKind::Stream && m_route->isResumable && m_request.lastEventId;
+    return isResumableStream() && m_request.lastEventId;
+}
+
+bool Exchange::isResumableStream() const
+{
+    return m_route != nullptr && m_route->kind == CallKind::Stream && m_route->isResumable;
 }
 
 void Exchange::finish(unsigned status, std::string_view outcome, std::string_view reason)
@@ -382,6 +458,7 @@
     }
     m_isEnded = true;
     m_deadlineTimer.cancel();
+    m_originTimer.cancel();
     leaveQueue();
     if (m_attempt && m_attempt->connection && outcome != "served" && outcome != "upstream_error") {
         m_attempt->connection->close(); // cancels the request at the upstream
--- a/carawaylatch/proxy/exchange.h
+++ b/carawaylatch/proxy/exchange.h
@@ -19,6 +19,7 @@
 #include "carawaylatch/proxy/eventscanner.h"
 #include "carawaylatch/proxy/fleet.h"
 #include "carawaylatch/proxy/placement.h"
+#include "carawaylatch/proxy/streamorigins.h"
 #include "carawaylatch/proxy/upstreamconnection.h"
 #include "carawaylatch/proxy/upstreamtracker.h"
 #include "carawaylatch/proxy/waitqueue.h"
@@ -70,7 +71,7 @@
 
 private:
     [[nodiscard]] bool admit();
-    [[nodiscard]] PlacementResult selectUpstream() const;
+    [[nodiscard]] PlacementResult selectUpstream();
     // The software that may run the request; nullptr: any.
     [[nodiscard]] const SoftwareSet *allowedSoftware() const;
     void selectPool();
@@ -108,7 +109,13 @@
     void abortReply(std::string_view reason);
     void finish(unsigned status, std::string_view outcome, std::string_view reason);
     void leaveQueue();
+    [[nodiscard]] bool isResumableStream() const;
     [[nodiscard]] bool isResumption() const;
+    // Finds out which software began the stream that the request resumes; the request waits until then.
+    void findOrigin();
+    void onOriginFound(const OriginAnswer &answer);
+    // Limits the request to the software of its stream once that must not change any more.
+    void limitToStream();
     [[nodiscard]] std::string resumedRequest() const;
     [[nodiscard]] base::Duration timeLeft(base::TimePoint now) const;
 
@@ -149,6 +156,9 @@
     base::Duration m_longestGap{}; // between consecutive reads of a streamed response
     base::UpstreamId m_lastUpstream;
     base::SoftwareVersion m_lastSoftware; // of m_lastUpstream when the attempt started, or was sent
+    std::uint64_t m_stream = 0; // the stream that the request begins or resumes; zero if the caller does not name it
+    bool m_isOriginPending = false;
+    base::TimerService::Subscription m_originTimer;
     std::optional<SoftwareSet> m_streamSoftware; // the one version at which the stream may go on; empty while any may begin it
     bool m_isStreaming = false; // the response head was sent to the caller
     bool m_isPassThrough = false; // bytes are forwarded as they arrive, without splitting into events
--- a/carawaylatch/proxy/exchangeattempt.cpp
+++ b/carawaylatch/proxy/exchangeattempt.cpp
@@ -59,6 +59,7 @@
         endAttempt(AttemptEnd::NotSent, problem);
         return;
     }
+    limitToStream();
     if (isUnwanted()) {
         endAttempt(AttemptEnd::NotSent, "the upstream leaves, has asked for a pause, has named a limit or runs other software");
         return;
@@ -121,6 +122,9 @@
     head.append("\r\n");
     attempt.isSent = true;
     m_lastSoftware = attempt.record->upstream.software;
+    if (isResumableStream() && !isResumption()) {
+        m_plane.origins().onSent(m_stream, m_pool, m_lastSoftware, m_plane.now());
+    }
     ++m_history.sent;
     ++m_plane.counts().attempts;
     if (!m_sentAt) {
--- a/carawaylatch/proxy/trafficplane.cpp
+++ b/carawaylatch/proxy/trafficplane.cpp
@@ -59,8 +59,9 @@
     , m_peers(loop, clock, settings.peers, settings.routerId, *this, log)
     , m_random(static_cast<std::uint64_t>(clock.now().time_since_epoch().count()))
 {
-    m_tick = m_timers.every(now(), TickInterval, [this](base::TimePoint) {
+    m_tick = m_timers.every(now(), TickInterval, [this](base::TimePoint at) {
         placeWaiting();
+        storeStreams(at);
         updateReadiness(notReadyReason());
         m_log.flush();
     });
@@ -154,6 +155,7 @@
     const bool hasOtherRouters = view->routerEndpoints != m_view->routerEndpoints;
     m_view = std::move(view);
     m_tracker.adopt(*m_view, now());
+    m_origins.adopt(*m_view);
     closeIdleConnections([this](const base::UpstreamId &upstream) {
         return m_tracker.find(upstream) == nullptr;
     });
@@ -357,6 +359,25 @@
     return m_crashes;
 }
 
+StreamOrigins &TrafficPlane::origins()
+{
+    return m_origins;
+}
+
+const SoftwareSet *TrafficPlane::beginningSoftware(const base::PoolName &pool) const
+{
+    const SoftwareSet *admitted = m_origins.admittedOnly(pool);
+    if (admitted == nullptr) {
+        return nullptr;
+    }
+    // Availability comes first: others may begin streams if none of the admitted software stays.
+    const auto &members = m_tracker.members(pool);
+    const bool stays = std::any_of(members.begin(), members.end(), [admitted](const UpstreamRecord *record) {
+        return record->isStaying() && record->runsOneOf(admitted);
+    });
+    return stays ? admitted : nullptr;
+}
+
 TrafficCounts &TrafficPlane::counts()
 {
     return m_counts;
@@ -453,6 +474,14 @@
     return true;
 }
 
+void TrafficPlane::storeStreams(base::TimePoint at)
+{
+    std::vector<StreamOrigin> due = m_origins.takeDue(at);
+    if (!due.empty()) {
+        m_observer.onStreamsSent(std::move(due));
+    }
+}
+
 void TrafficPlane::logRejected(std::string_view id, std::string_view host, std::string_view reason, unsigned status)
 {
     ++m_counts.rejected;
--- a/carawaylatch/proxy/trafficplane.h
+++ b/carawaylatch/proxy/trafficplane.h
@@ -138,6 +138,9 @@
     [[nodiscard]] std::shared_ptr<const FleetView> view() const;
     [[nodiscard]] UpstreamTracker &tracker();
     [[nodiscard]] CrashAttribution &crashes();
+    [[nodiscard]] StreamOrigins &origins();
+    // The software that may begin streams of the pool; nullptr: any.
+    [[nodiscard]] const SoftwareSet *beginningSoftware(const base::PoolName &pool) const;
     [[nodiscard]] TrafficCounts &counts();
     [[nodiscard]] telemetry::EventLog &log();
     [[nodiscard]] TrafficObserver &observer();
@@ -209,6 +212,7 @@
     void armTimer();
     void onTimer();
     void placeWaiting();
+    void storeStreams(base::TimePoint at);
     [[nodiscard]] std::string_view notReadyReason() const;
     void updateReadiness(std::string_view reason);
     [[nodiscard]] std::string metricsText() const;
@@ -230,6 +234,7 @@
     std::shared_ptr<const FleetView> m_view;
     UpstreamTracker m_tracker;
     CrashAttribution m_crashes;
+    StreamOrigins m_origins;
     std::map<base::PoolName, relay::RetryBudget> m_budgets;
     std::map<base::PoolName, WaitQueue> m_queues;
     std::map<base::UpstreamId, std::deque<std::shared_ptr<UpstreamConnection>>> m_idleConnections; // most recently used last
