--- a/carawaylatch/prefix/cacheindex.cpp
+++ b/carawaylatch/prefix/cacheindex.cpp
@@ -27,7 +27,9 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <bit>
+#include <map>
 
 namespace carawaylatch::prefix
 {
@@ -106,7 +108,7 @@
     std::vector<Bucket> buckets; // a power of two
     std::vector<Upstream> upstreams; // by slot
     std::array<tbb::spin_rw_mutex, LockStripes> locks;
-    std::array<bool, LockStripes> isStripeUsed{}; // an entry was ever inserted in the stripe; guarded by the stripe's lock
+    std::array<std::atomic<bool>, LockStripes> isStripeUsed{}; // an entry was ever inserted in the stripe; set under the stripe's lock
 
     explicit Tables(const CacheIndexOptions &options)
         : buckets(std::bit_floor(std::max<std::size_t>(options.maxBytes / sizeof(Bucket), 1)))
@@ -136,7 +138,7 @@
     {
         const std::size_t index = bucketOf(entry.key, entry.slot % HolderGroups);
         const tbb::spin_rw_mutex::scoped_lock lock(locks[index % LockStripes], true);
-        isStripeUsed[index % LockStripes] = true;
+        isStripeUsed[index % LockStripes].store(true, std::memory_order_relaxed);
         Entry *victim = nullptr;
         std::uint64_t victimAge = 0;
         for (auto &it : buckets[index].entries) {
@@ -205,10 +207,10 @@
     void forEachLive(std::uint32_t now, const Visit &visit)
     {
         for (std::size_t stripe = 0; stripe < LockStripes; ++stripe) {
-            const tbb::spin_rw_mutex::scoped_lock lock(locks[stripe], false);
-            if (!isStripeUsed[stripe]) {
+            if (!isStripeUsed[stripe].load(std::memory_order_relaxed)) {
                 continue;
             }
+            const tbb::spin_rw_mutex::scoped_lock lock(locks[stripe], false);
             for (std::size_t i = stripe; i < buckets.size(); i += LockStripes) {
                 visitLive(buckets[i], now, visit);
             }
@@ -429,7 +431,7 @@
         n += counts[step];
     }
     // Second pass: all entries younger than that step, and as many of that step as fit.
-    std::vector<std::vector<HotBlock>> blocks(m_tables->upstreams.size());
+    std::map<std::uint16_t, std::vector<HotBlock>> blocks; // by slot; few of all slots are in use
     std::size_t younger = 0;
     for (std::size_t i = 0; i < step; ++i) {
         younger += counts[i];
@@ -444,12 +446,10 @@
         }
     });
     HotPlacements placements;
-    for (std::size_t i = 0; i < blocks.size(); ++i) {
-        const Upstream &upstream = m_tables->upstreams[i];
-        if (!blocks[i].empty()) {
-            placements.upstreams.push_back(
-                HotUpstream{upstream.id, {upstream.incarnation.load()}, upstream.lifetimeMs.load(std::memory_order_relaxed), std::move(blocks[i])});
-        }
+    for (auto &[slot, hot] : blocks) {
+        const Upstream &upstream = m_tables->upstreams[slot];
+        placements.upstreams.push_back(
+            HotUpstream{upstream.id, {upstream.incarnation.load()}, upstream.lifetimeMs.load(std::memory_order_relaxed), std::move(hot)});
     }
     return placements;
 }
--- a/carawaylatch/prefix/heat.cpp
+++ b/carawaylatch/prefix/heat.cpp
@@ -13,6 +13,8 @@
 #include <tbb/spin_mutex.h>
 
 #include <algorithm>
+#include <array>
+#include <atomic>
 #include <bit>
 #include <cmath>
 #include <vector>
@@ -55,6 +57,7 @@
 {
     std::vector<Bucket> buckets; // a power of two
     std::array<tbb::spin_mutex, LockStripes> locks;
+    std::array<std::atomic<bool>, LockStripes> isStripeUsed{}; // a counter was ever stored in the stripe; set under the stripe's lock
     double halfLifeMs;
 
     explicit Tables(const HeatOptions &options)
@@ -97,6 +100,7 @@
             }
         }
         *coldest = Counter{key, 0, now, 0};
+        isStripeUsed[bucketOf(key) % LockStripes].store(true, std::memory_order_relaxed);
         return *coldest;
     }
 
@@ -117,6 +121,21 @@
         return heat;
     }
 
+    // Visits the counters of used stripes under their locks.
+    template <typename Visit>
+    void forEach(const Visit &visit)
+    {
+        for (std::size_t stripe = 0; stripe < LockStripes; ++stripe) {
+            if (!isStripeUsed[stripe].load(std::memory_order_relaxed)) {
+                continue;
+            }
+            const tbb::spin_mutex::scoped_lock lock(locks[stripe]);
+            for (std::size_t i = stripe; i < buckets.size(); i += LockStripes) {
+                std::for_each(buckets[i].counters.begin(), buckets[i].counters.end(), visit);
+            }
+        }
+    }
+
     [[nodiscard]] Counter find(std::uint64_t key)
     {
         const tbb::spin_mutex::scoped_lock lock(locks[bucketOf(key) % LockStripes]);
@@ -174,15 +193,12 @@
 {
     HotLevels hot;
     const std::uint32_t time = milliseconds32(now);
-    for (std::size_t i = 0; i < m_tables->buckets.size(); ++i) {
-        const tbb::spin_mutex::scoped_lock lock(m_tables->locks[i % LockStripes]);
-        for (const auto &it : m_tables->buckets[i].counters) {
-            const double heat = m_tables->rate(m_tables->sumAt(it, time));
-            if (heat >= 1) {
-                hot.levels.push_back(HotLevel{it.key, static_cast<float>(heat), it.spread});
-            }
+    m_tables->forEach([&](const Counter &counter) {
+        const double heat = m_tables->rate(m_tables->sumAt(counter, time));
+        if (heat >= 1) {
+            hot.levels.push_back(HotLevel{counter.key, static_cast<float>(heat), counter.spread});
         }
-    }
+    });
     const auto isHotter = [](const HotLevel &left, const HotLevel &right) {
         return left.heat > right.heat;
     };
