Stops and the soak name what became of connections without a request

Change: E2405 says how many connections were accepted as the listener closed, closed before their first request, had a request after that, or had sent a part of one. No decision of the product changed.

--- a/carawaylatch/gateway/gateway.cpp
+++ b/carawaylatch/gateway/gateway.cpp
@@ -181,8 +181,13 @@
     if (step != proxy::StopStep::Complete) {
         return;
     }
-    m_log.write(base::LogEvent::GatewayStopped,
-                {{"cut", std::to_string(m_stop->cutRequests())}, {"waited_ms", std::to_string(base::toMilliseconds(m_stop->duration(now)))}});
+    const proxy::StopCounts &counts = m_traffic->stopCounts();
+    m_log.write(base::LogEvent::GatewayStopped, {{"cut", std::to_string(m_stop->cutRequests())},
+                                                 {"waited_ms", std::to_string(base::toMilliseconds(m_stop->duration(now)))},
+                                                 {"backlog", std::to_string(counts.backlog)},
+                                                 {"unused", std::to_string(counts.unused)},
+                                                 {"late", std::to_string(counts.late)},
+                                                 {"partial", std::to_string(m_traffic->partialRequests())}});
     m_log.flush();
     m_trafficLoop.stop();
 }
--- a/carawaylatch/proxy/callerconnection.cpp
+++ b/carawaylatch/proxy/callerconnection.cpp
@@ -50,6 +50,11 @@
     return !m_exchange && !m_isReplying && !m_parser && m_input.empty() && !m_isWriting;
 }
 
+bool CallerConnection::hasPartialRequest() const
+{
+    return m_parser.has_value();
+}
+
 std::size_t CallerConnection::queuedBytes() const
 {
     return m_writing.size() - m_written + m_queued.size();
@@ -84,6 +89,9 @@
         return;
     }
     if (m_isLingering) {
+        if (m_discarded == 0 && !m_hasResponded) {
+            ++m_plane.stopCounts().late;
+        }
         m_discarded += n;
         if (m_discarded > MaxDiscardedBytes) {
             close();
@@ -425,6 +433,9 @@
 {
     m_closesAfterReply = true;
     if (isIdle() && !mayHaveRequestUnderWay()) {
+        if (!m_hasResponded && !m_isLingering) {
+            ++m_plane.stopCounts().unused;
+        }
         closeGracefully();
     }
 }
--- a/carawaylatch/proxy/callerconnection.h
+++ b/carawaylatch/proxy/callerconnection.h
@@ -61,6 +61,8 @@
     // Ends the request in progress if its prompt is blocked and no output has begun.
     void endBlockedRequest();
     [[nodiscard]] bool isIdle() const;
+    // True if a request was read in part.
+    [[nodiscard]] bool hasPartialRequest() const;
     // Bytes not yet written to the socket.
     [[nodiscard]] std::size_t queuedBytes() const;
 
--- a/carawaylatch/proxy/trafficplane.cpp
+++ b/carawaylatch/proxy/trafficplane.cpp
@@ -143,6 +143,7 @@
         Tcp::socket socket(m_loop);
         listener.acceptor.accept(socket, ec);
         if (!ec) {
+            ++m_stopCounts.backlog;
             addCaller(std::move(socket));
         }
     }
@@ -242,6 +243,13 @@
     }));
 }
 
+std::size_t TrafficPlane::partialRequests() const
+{
+    return static_cast<std::size_t>(std::count_if(m_callers.begin(), m_callers.end(), [](const auto &caller) {
+        return caller->hasPartialRequest();
+    }));
+}
+
 void TrafficPlane::closeAll()
 {
     boost::system::error_code ignored;
@@ -361,6 +369,11 @@
     return m_counts;
 }
 
+StopCounts &TrafficPlane::stopCounts()
+{
+    return m_stopCounts;
+}
+
 telemetry::EventLog &TrafficPlane::log()
 {
     return m_log;
--- a/carawaylatch/proxy/trafficplane.h
+++ b/carawaylatch/proxy/trafficplane.h
@@ -77,6 +77,14 @@
     std::array<telemetry::LatencyHistogram, CallKindCount> total{}; // latency of served requests, by CallKind
 };
 
+// What a planned stop did with callers' connections that had no request in progress.
+struct StopCounts
+{
+    std::size_t backlog = 0; // accepted as the listener closed
+    std::size_t unused = 0; // closed before their first request
+    std::size_t late = 0; // of these, those on which a request came after the close
+};
+
 // Receives observations of the traffic thread for the control thread.
 class TrafficObserver
 {
@@ -116,6 +124,8 @@
     std::size_t closeIdle();
     // Ends all requests in progress with an explicit response; returns their number.
     std::size_t endRequests();
+    // Connections of which a request was read in part.
+    [[nodiscard]] std::size_t partialRequests() const;
     // Closes all connections and listeners. The loop must run until their handlers have
     // completed before the plane is destroyed.
     void closeAll();
@@ -132,6 +142,7 @@
     [[nodiscard]] UpstreamTracker &tracker();
     [[nodiscard]] CrashAttribution &crashes();
     [[nodiscard]] TrafficCounts &counts();
+    [[nodiscard]] StopCounts &stopCounts();
     [[nodiscard]] telemetry::EventLog &log();
     [[nodiscard]] TrafficObserver &observer();
     [[nodiscard]] base::Random &random();
@@ -233,6 +244,7 @@
     base::TimerService::Subscription m_reportTick;
     base::Random m_random;
     TrafficCounts m_counts;
+    StopCounts m_stopCounts;
     std::size_t m_bodyBytes = 0; // of requests in progress or being read
     std::size_t m_inflight = 0;
     bool m_isStopping = false;
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -57,6 +57,9 @@
     kill -KILL "$(cat "$file")" 2>/dev/null
 done
 wait
+# What the gateways log of their planned stops, added up.
+awk '/E2405 GatewayStopped/ { ++stops; for (i = 3; i <= NF; ++i) if (split($i, field, "=") == 2) sum[field[1]] += field[2] }
+     END { printf "%d stops logged: backlog=%d unused=%d late=%d partial=%d cut=%d\n", stops, sum["backlog"], sum["unused"], sum["late"], sum["partial"], sum["cut"] }' "$FOLDER"/gateway-*.log
 [ "$status" != 0 ] && [ -n "${KEEP:-}" ] && mkdir -p "$KEEP" && cp -r "$FOLDER" "$KEEP/seed-$SEED"
 rm -rf "$FOLDER"
 exit $status
