A stop no longer closes a connection whose request was read but not yet handled

The caller sent a whole request, and the connection ended without an answer.

Cause: the bytes are in the connection's buffer and the handler is queued, so that neither the parser nor the socket shows a request, and the time allowed for the first one had passed.

Change: the stop posts the close and looks again, behind the handlers that are queued.

--- a/carawaylatch/proxy/callerconnection.cpp
+++ b/carawaylatch/proxy/callerconnection.cpp
@@ -4,6 +4,7 @@
 #include "carawaylatch/proxy/callerconnection.h"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
 #include <charconv>
@@ -432,7 +433,18 @@
 void CallerConnection::closeWhenIdle()
 {
     m_closesAfterReply = true;
-    if (isIdle() && !mayHaveRequestUnderWay()) {
+    if (!isIdle() || m_isLingering) {
+        return;
+    }
+    // Posted, because a request may have been read whose handler has not run yet.
+    boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+        self->closeIfIdle();
+    });
+}
+
+void CallerConnection::closeIfIdle()
+{
+    if (!m_isClosed && isIdle() && !mayHaveRequestUnderWay()) {
         if (!m_hasResponded && !m_isLingering) {
             ++m_plane.stopCounts().unused;
         }
--- a/carawaylatch/proxy/callerconnection.h
+++ b/carawaylatch/proxy/callerconnection.h
@@ -53,7 +53,7 @@
     void abort();
     // Closes at once and cancels the request in progress.
     void cancel();
-    // Closes now if no request is in progress or may be under way, otherwise after the
+    // Closes soon if no request is in progress or may be under way, otherwise after the
     // current one.
     void closeWhenIdle();
     // Ends the request in progress with an explicit response; true if there was one.
@@ -84,6 +84,7 @@
     void onTimeout();
     void onRequestTimeout();
     void onDisconnect();
+    void closeIfIdle();
     void closeGracefully();
     void close();
     void setBufferedBody(std::size_t bytes);
