A stop ignores new connections before it closes the listener

The caller's connection was open, and was reset before its request was read.

Cause: a connection that is established between the last accept and the close of the listener is reset by the system. Ruled out: accepting again after the close is not possible, and a backlog of zero still takes one connection.

Change: a filter at the listener ignores connection attempts for a handshake's time, then the waiting connections are accepted and the listener closes. An attempt in this time is refused when the caller's system repeats it. The listeners of operators and of other routers stay open to the end of the process; a reload touches no listener.

--- a/carawaylatch/gateway/gateway.cpp
+++ b/carawaylatch/gateway/gateway.cpp
@@ -169,7 +169,7 @@
 {
     const base::TimePoint now = m_clock.now();
     const proxy::StopStep step = m_stop->poll(now);
-    if (step == proxy::StopStep::Serving) {
+    if (step == proxy::StopStep::Serving || step == proxy::StopStep::Refusing) {
         return;
     }
     if (!m_isDraining) {
--- a/carawaylatch/proxy/socket.cpp
+++ b/carawaylatch/proxy/socket.cpp
@@ -3,9 +3,13 @@
 // only reads.
 #include "carawaylatch/proxy/socket.h"
 
+#include <linux/filter.h>
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include <algorithm>
+#include <cstdint>
+#include <iterator>
 
 #include "carawaylatch/config/valuetext.h"
 
@@ -38,6 +42,18 @@
     socket.set_option(CountOption(2), ignored);
 }
 
+void refuseConnections(Tcp::acceptor &acceptor)
+{
+    constexpr std::uint32_t FlagsOffset = 13; // in the TCP header
+    constexpr std::uint32_t SynFlag = 0x02;
+    constexpr std::uint32_t WholeSegment = 0xffffffff;
+    sock_filter code[] = {BPF_STMT(BPF_LD | BPF_B | BPF_ABS, FlagsOffset), BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, SynFlag, 0, 1), BPF_STMT(BPF_RET | BPF_K, 0),
+                          BPF_STMT(BPF_RET | BPF_K, WholeSegment)};
+    const sock_fprog program{std::size(code), code};
+    // An error is ignored: the listener then takes connections until it closes.
+    (void)::setsockopt(acceptor.native_handle(), SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program);
+}
+
 base::Result<void> openAcceptor(Tcp::acceptor &acceptor, const base::Endpoint &endpoint)
 {
     boost::system::error_code ec;
--- a/carawaylatch/proxy/socket.h
+++ b/carawaylatch/proxy/socket.h
@@ -19,4 +19,7 @@
 // Opens, binds and listens. Unavailable if the address is in use or not local to this VM.
 [[nodiscard]] base::Result<void> openAcceptor(Tcp::acceptor &acceptor, const base::Endpoint &endpoint);
 
+// Lets the system ignore new connections, while handshakes under way are completed.
+void refuseConnections(Tcp::acceptor &acceptor);
+
 } // namespace carawaylatch::proxy
--- a/carawaylatch/proxy/trafficplane.cpp
+++ b/carawaylatch/proxy/trafficplane.cpp
@@ -218,6 +218,11 @@
     return m_isLeaving;
 }
 
+void TrafficPlane::refuseConnections()
+{
+    proxy::refuseConnections(m_callersListener->acceptor);
+}
+
 void TrafficPlane::beginLeaving()
 {
     m_isLeaving = true;
--- a/carawaylatch/proxy/trafficplane.h
+++ b/carawaylatch/proxy/trafficplane.h
@@ -115,6 +115,8 @@
     void applySettings(const TrafficSettings &settings);
     // Reports not ready from now on; connections close after the request in progress.
     void beginStop();
+    // Refuses new connections from now on; those that are waiting can still be accepted.
+    void refuseConnections();
     // The load balancer no longer sends traffic: refuses new requests from now on, and accepts
     // no connections but those that are already waiting.
     void beginLeaving();
--- a/carawaylatch/proxy/trafficstop.cpp
+++ b/carawaylatch/proxy/trafficstop.cpp
@@ -8,6 +8,14 @@
 namespace carawaylatch::proxy
 {
 
+namespace
+{
+
+// A connection whose handshake has begun is established within this time.
+constexpr base::Duration HandshakeTime = base::milliseconds{40};
+
+} // namespace
+
 TrafficStop::TrafficStop(TrafficPlane &plane, const TrafficStopSettings &settings, base::TimePoint now)
     : m_plane(plane)
     , m_settings(settings)
@@ -20,6 +28,12 @@
 {
     const base::Duration elapsed = duration(now);
     if (m_step == StopStep::Serving && elapsed >= std::min(m_settings.balancerDelay, m_settings.grace - m_settings.answerReserve)) {
+        m_step = StopStep::Refusing;
+        m_refusingSince = now;
+        m_plane.refuseConnections();
+        return m_step;
+    }
+    if (m_step == StopStep::Refusing && now - m_refusingSince >= HandshakeTime) {
         m_step = StopStep::Leaving;
         m_plane.beginLeaving();
     }
--- a/carawaylatch/proxy/trafficstop.h
+++ b/carawaylatch/proxy/trafficstop.h
@@ -1,7 +1,7 @@
 // The planned stop of a traffic plane.
 //
 // Steps: not ready, while the load balancer still sends connections; then no new
-// connections, and idle ones close; then the end, once the last response is written.
+// connections; then no listener, and idle connections close; then the end, once the last response is written.
 // Requests that have no response shortly before the end of the grace period get an
 // explicit one. poll() is called at a fixed interval by the owner of the event loop.
 #pragma once
@@ -22,6 +22,7 @@
 
 enum class StopStep {
     Serving, // the load balancer may still send connections
+    Refusing, // no new connections; those whose handshake is under way are established
     Leaving, // requests in progress are finished
     Answering, // requests that are not finished have been given a response
     Complete,
@@ -44,6 +45,7 @@
     const TrafficStopSettings m_settings;
     const base::TimePoint m_startedAt;
     StopStep m_step = StopStep::Serving;
+    base::TimePoint m_refusingSince; // from StopStep::Refusing on
     std::size_t m_cutRequests = 0;
 };
 
