A stop waits a second for the first request of a connection

The caller's connection was accepted, and was closed before the request that the caller sent 500 ms later; one lost segment or a busy VM of the caller suffices for such a delay.

Cause: a stop closed a connection without a request 300 ms after it was accepted.

Change: it does so after a second. A stop with such a connection lasts up to 0.7 s longer, within the grace period as before.

--- a/carawaylatch/proxy/callerconnection.cpp
+++ b/carawaylatch/proxy/callerconnection.cpp
@@ -26,7 +26,7 @@
 // Input discarded meanwhile; a caller that sends more is not waiting for an end.
 constexpr std::size_t MaxDiscardedBytes = 1'048'576;
 // The first request of a connection follows its opening within this time.
-constexpr base::Duration FirstRequestDelay = base::milliseconds{300};
+constexpr base::Duration FirstRequestDelay = base::seconds{1};
 // A body that arrives slowly but steadily may take this many idle timeouts.
 constexpr int MaxBodyTimeouts = 4;
 
