The soak ends a gateway that starts as the run ends

Cause: the script read the former process id while the gateway was being started again, and waited for one that nobody ended. Change: who starts a gateway ends it if the run has ended meanwhile. Not yet run with a start at that moment.

--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -39,6 +39,8 @@
         "$BUILD/carawaylatch-gateway" --settings "$base.ini" >>"$base.log" 2>&1 &
         process=$!
         echo $process >"$base.pid.new" && mv "$base.pid.new" "$base.pid"
+        # The end of the run may have read the former id.
+        [ -e "$FOLDER/stop" ] && kill -KILL $process
         wait $process
         echo "$? $(($(grep -c GatewayStarted "$base.log") - starts))" >>"$base.exits"
         sleep 0.2
