--- a/carawaylatch/proxy/callerconnection.cpp
+++ b/carawaylatch/proxy/callerconnection.cpp
@@ -4,6 +4,7 @@
 #include "carawaylatch/proxy/callerconnection.h"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
 #include <charconv>
@@ -25,7 +26,7 @@
 // Input discarded meanwhile; a caller that sends more is not waiting for an end.
 constexpr std::size_t MaxDiscardedBytes = 1'048'576;
 // The first request of a connection follows its opening within this time.
-constexpr base::Duration FirstRequestDelay = base::milliseconds{300};
+constexpr base::Duration FirstRequestDelay = base::seconds{1};
 // A body that arrives slowly but steadily may take this many idle timeouts.
 constexpr int MaxBodyTimeouts = 4;
 
@@ -50,6 +51,11 @@
     return !m_exchange && !m_isReplying && !m_parser && m_input.empty() && !m_isWriting;
 }
 
+bool CallerConnection::hasPartialRequest() const
+{
+    return m_parser.has_value();
+}
+
 std::size_t CallerConnection::queuedBytes() const
 {
     return m_writing.size() - m_written + m_queued.size();
@@ -84,6 +90,9 @@
         return;
     }
     if (m_isLingering) {
+        if (m_discarded == 0 && !m_hasResponded) {
+            ++m_plane.stopCounts().late;
+        }
         m_discarded += n;
         if (m_discarded > MaxDiscardedBytes) {
             close();
@@ -424,7 +433,21 @@
 void CallerConnection::closeWhenIdle()
 {
     m_closesAfterReply = true;
-    if (isIdle() && !mayHaveRequestUnderWay()) {
+    if (!isIdle() || m_isLingering) {
+        return;
+    }
+    // Posted, because a request may have been read whose handler has not run yet.
+    boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+        self->closeIfIdle();
+    });
+}
+
+void CallerConnection::closeIfIdle()
+{
+    if (!m_isClosed && isIdle() && !mayHaveRequestUnderWay()) {
+        if (!m_hasResponded && !m_isLingering) {
+            ++m_plane.stopCounts().unused;
+        }
         closeGracefully();
     }
 }
--- a/carawaylatch/proxy/callerconnection.h
+++ b/carawaylatch/proxy/callerconnection.h
@@ -53,7 +53,7 @@
     void abort();
     // Closes at once and cancels the request in progress.
     void cancel();
-    // Closes now if no request is in progress or may be under way, otherwise after the
+    // Closes soon if no request is in progress or may be under way, otherwise after the
     // current one.
     void closeWhenIdle();
     // Ends the request in progress with an explicit response; true if there was one.
@@ -63,6 +63,8 @@
     // The snapshot names newer weights than the one before.
     void onWeightsNamed();
     [[nodiscard]] bool isIdle() const;
+    // True if a request was read in part.
+    [[nodiscard]] bool hasPartialRequest() const;
     // Bytes not yet written to the socket.
     [[nodiscard]] std::size_t queuedBytes() const;
 
@@ -84,6 +86,7 @@
     void onTimeout();
     void onRequestTimeout();
     void onDisconnect();
+    void closeIfIdle();
     void closeGracefully();
     void close();
     void setBufferedBody(std::size_t bytes);
--- a/carawaylatch/proxy/trafficplane.cpp
+++ b/carawaylatch/proxy/trafficplane.cpp
@@ -145,6 +145,7 @@
         Tcp::socket socket(m_loop);
         listener.acceptor.accept(socket, ec);
         if (!ec) {
+            ++m_stopCounts.backlog;
             addCaller(std::move(socket));
         }
     }
@@ -232,6 +233,11 @@
     return m_isLeaving;
 }
 
+void TrafficPlane::refuseConnections()
+{
+    proxy::refuseConnections(m_callersListener->acceptor);
+}
+
 void TrafficPlane::beginLeaving()
 {
     m_isLeaving = true;
@@ -257,6 +263,13 @@
     }));
 }
 
+std::size_t TrafficPlane::partialRequests() const
+{
+    return static_cast<std::size_t>(std::count_if(m_callers.begin(), m_callers.end(), [](const auto &caller) {
+        return caller->hasPartialRequest();
+    }));
+}
+
 void TrafficPlane::closeAll()
 {
     boost::system::error_code ignored;
@@ -395,6 +408,11 @@
     return m_counts;
 }
 
+StopCounts &TrafficPlane::stopCounts()
+{
+    return m_stopCounts;
+}
+
 telemetry::EventLog &TrafficPlane::log()
 {
     return m_log;
--- a/carawaylatch/proxy/trafficplane.h
+++ b/carawaylatch/proxy/trafficplane.h
@@ -79,6 +79,14 @@
     std::array<telemetry::LatencyHistogram, CallKindCount> total{}; // latency of served requests, by CallKind
 };
 
+// What a planned stop did with callers' connections that had no request in progress.
+struct StopCounts
+{
+    std::size_t backlog = 0; // accepted as the listener closed
+    std::size_t unused = 0; // closed before their first request
+    std::size_t late = 0; // of these, those on which a request came after the close
+};
+
 // Receives observations of the traffic thread for the control thread.
 class TrafficObserver
 {
@@ -114,6 +122,8 @@
     void applySettings(const TrafficSettings &settings);
     // Reports not ready from now on; connections close after the request in progress.
     void beginStop();
+    // Refuses new connections from now on; those that are waiting can still be accepted.
+    void refuseConnections();
     // The load balancer no longer sends traffic: refuses new requests from now on, and accepts
     // no connections but those that are already waiting.
     void beginLeaving();
@@ -123,6 +133,8 @@
     std::size_t closeIdle();
     // Ends all requests in progress with an explicit response; returns their number.
     std::size_t endRequests();
+    // Connections of which a request was read in part.
+    [[nodiscard]] std::size_t partialRequests() const;
     // Closes all connections and listeners. The loop must run until their handlers have
     // completed before the plane is destroyed.
     void closeAll();
@@ -142,6 +154,7 @@
     // The software that may begin streams of the pool; nullptr: any.
     [[nodiscard]] const SoftwareSet *beginningSoftware(const base::PoolName &pool) const;
     [[nodiscard]] TrafficCounts &counts();
+    [[nodiscard]] StopCounts &stopCounts();
     [[nodiscard]] telemetry::EventLog &log();
     [[nodiscard]] TrafficObserver &observer();
     [[nodiscard]] base::Random &random();
@@ -249,6 +262,7 @@
     base::TimerService::Subscription m_reportTick;
     base::Random m_random;
     TrafficCounts m_counts;
+    StopCounts m_stopCounts;
     std::size_t m_bodyBytes = 0; // of requests in progress or being read
     std::size_t m_inflight = 0;
     bool m_isStopping = false;
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -39,6 +39,8 @@
         "$BUILD/carawaylatch-gateway" --settings "$base.ini" >>"$base.log" 2>&1 &
         process=$!
         echo $process >"$base.pid.new" && mv "$base.pid.new" "$base.pid"
+        # The end of the run may have read the former id.
+        [ -e "$FOLDER/stop" ] && kill -KILL $process
         wait $process
         echo "$? $(($(grep -c GatewayStarted "$base.log") - starts))" >>"$base.exits"
         sleep 0.2
@@ -57,6 +59,9 @@
     kill -KILL "$(cat "$file")" 2>/dev/null
 done
 wait
+# What the gateways log of their planned stops, added up.
+awk '/E2405 GatewayStopped/ { ++stops; for (i = 3; i <= NF; ++i) if (split($i, field, "=") == 2) sum[field[1]] += field[2] }
+     END { printf "%d stops logged: backlog=%d unused=%d late=%d partial=%d cut=%d\n", stops, sum["backlog"], sum["unused"], sum["late"], sum["partial"], sum["cut"] }' "$FOLDER"/gateway-*.log
 [ "$status" != 0 ] && [ -n "${KEEP:-}" ] && mkdir -p "$KEEP" && cp -r "$FOLDER" "$KEEP/seed-$SEED"
 rm -rf "$FOLDER"
 exit $status
