The wake-up of the search for streams ends with the task that waits for it

The address sanitizer found it in the tests' tear-down, which ends the event loop before the control plane: the timer was a member of StreamSoftware and was destroyed after its loop. In a gateway the loop lives longer, so callers saw nothing. The timer belongs to the task that waits now, as with the polls that readers hold.

--- a/carawaylatch/gateway/streamsoftware.cpp
+++ b/carawaylatch/gateway/streamsoftware.cpp
@@ -33,7 +33,6 @@
     , m_publish(std::move(publish))
     , m_versions(base::hash64(router.value(), 1))
     , m_records(base::hash64(router.value(), 2))
-    , m_wake(loop)
 {
 }
 
@@ -158,7 +157,18 @@
         return;
     }
     m_questions.push_back({{pool, stream}, std::move(done)});
-    m_wake.cancel();
+    if (m_searchTimer != nullptr) {
+        m_searchTimer->cancel();
+    }
+}
+
+Awaitable<void> StreamSoftware::waitForQuestion()
+{
+    boost::asio::steady_timer timer(m_loop, boost::asio::steady_timer::time_point::max());
+    m_searchTimer = &timer;
+    boost::system::error_code ignored;
+    co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    m_searchTimer = nullptr;
 }
 
 Awaitable<void> StreamSoftware::runSearches()
@@ -166,9 +176,7 @@
     const auto client = m_clients.makeClient();
     while (true) {
         if (m_questions.empty()) {
-            m_wake.expires_at(boost::asio::steady_timer::time_point::max());
-            boost::system::error_code ignored;
-            co_await m_wake.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+            co_await waitForQuestion();
             continue;
         }
         // Questions that come from now on need a later read.
--- a/carawaylatch/gateway/streamsoftware.h
+++ b/carawaylatch/gateway/streamsoftware.h
@@ -68,6 +68,7 @@
     [[nodiscard]] Awaitable<void> stepVersions(ObjectClient &client, const StreamSoftwareInput &input);
     [[nodiscard]] Awaitable<void> stepRecords(ObjectClient &client, const StreamSoftwareInput &input);
     [[nodiscard]] Awaitable<void> removeRecords(ObjectClient &client);
+    [[nodiscard]] Awaitable<void> waitForQuestion();
     // Returns false if the store could not be read. `calls` is the number of calls made.
     [[nodiscard]] Awaitable<bool> search(ObjectClient &client, OriginSearch &search, std::uint32_t &calls);
     void publishAdmitted();
@@ -86,7 +87,7 @@
     bool m_wasObjectSeen = false; // at the last call of onObject()
     base::TimePoint m_checkedAt; // that the object is absent
     std::vector<Waiting> m_questions; // put since the last search was sent
-    boost::asio::steady_timer m_wake; // cancelled by a question
+    boost::asio::steady_timer *m_searchTimer = nullptr; // while the search waits for questions; owned by waitForQuestion()
     base::TimePoint m_nextSearch; // not before it
     std::set<std::string> m_removedRouters; // whose records are still to be removed
 };
