Orders and stalls are logged with what tells a late order from a late clock

E1903 is written when an order's first byte may be sent, no longer when it is planned, with the time since it was planned and the time for which the lease is still held; E2436 tells how much of a stall the VM was suspended. No change of what is sent.

--- a/carawaylatch/gateway/controlplane.cpp
+++ b/carawaylatch/gateway/controlplane.cpp
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "carawaylatch/base/incarnation.h"
+#include "carawaylatch/base/suspendedtime.h"
 
 namespace carawaylatch::gateway
 {
@@ -224,9 +225,12 @@
 
 Awaitable<void> ControlPlane::runHeartbeat()
 {
+    base::Duration suspended = base::suspendedTime();
     while (true) {
+        const base::Duration suspendedBefore = std::exchange(suspended, base::suspendedTime());
         if (const auto stalled = m_changeTimes.onHeartbeat(TableAge::bootTime())) {
-            m_log.write(base::LogEvent::ControlThreadStalled, {{"stalled_ms", std::to_string(base::toMilliseconds(*stalled))}});
+            m_log.write(base::LogEvent::ControlThreadStalled, {{"stalled_ms", std::to_string(base::toMilliseconds(*stalled))},
+                                                               {"suspended_ms", std::to_string(base::toMilliseconds(suspended - suspendedBefore))}});
         }
         co_await pause(ChangeTimes::HeartbeatInterval);
     }
@@ -416,10 +420,6 @@
         }
         order.holder = m_settings.router.value();
         order.fence = *m_lease.fence(m_clock.now());
-        m_log.write(base::LogEvent::EngineOrdered, {{"engine", order.engine.value()},
-                                                    {"weights_version", std::to_string(order.version.value)},
-                                                    {"adapter", ""},
-                                                    {"fence", std::to_string(order.fence.value)}});
         boost::asio::co_spawn(m_loop, sendOrder(order, now), logged("order"));
     }
     for (const WeightsOrder &order : m_rollout.pendingOrders()) {
@@ -436,9 +436,18 @@
 Awaitable<void> ControlPlane::sendOrder(WeightsOrder order, base::TimePoint plannedAt)
 {
     // The lease was held without interruption since the order was planned.
-    const auto maySend = [this, plannedAt] {
+    const auto maySend = [this, plannedAt, &order] {
         const base::TimePoint now = m_clock.now();
-        return m_isLeaseHolder && m_lease.isHeld(now) && m_lease.heldDuration(now) >= now - plannedAt;
+        if (!m_isLeaseHolder || !m_lease.isHeld(now) || m_lease.heldDuration(now) < now - plannedAt) {
+            return false;
+        }
+        m_log.write(base::LogEvent::EngineOrdered, {{"engine", order.engine.value()},
+                                                    {"weights_version", std::to_string(order.version.value)},
+                                                    {"adapter", ""},
+                                                    {"fence", std::to_string(order.fence.value)},
+                                                    {"planned_ms", std::to_string(base::toMilliseconds(now - plannedAt))},
+                                                    {"lease_left_ms", std::to_string(base::toMilliseconds(m_lease.state().validUntil - now))}});
+        return true;
     };
     const auto result = co_await m_engines.order(order, maySend);
     std::string problem;
