Red: a holder that was suspended gives an order with a token below its successor's

The test replaces clock_gettime(), so that CLOCK_MONOTONIC omits the time for which the VM of one of two routers is suspended. The holder is suspended while it opens connections for its orders, until its successor has ordered all engines.

--- /dev/null
+++ b/carawaylatch/gateway/testing/leasehandovertest.cpp
@@ -0,0 +1,108 @@
+// Tests what engines receive while the lease passes from one router to another: no order with a
+// lower fencing token after one with a higher token, and no orders of two holders within the lease time.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <utility> // boost/asio/awaitable.hpp 1.74 uses std::exchange without it
+
+#include <boost/asio/io_context.hpp>
+
+#include <chrono>
+#include <memory>
+#include <string>
+
+#include "carawaylatch/gateway/testing/suspension.h"
+#include "carawaylatch/gateway/testing/testcluster.h"
+
+namespace carawaylatch::gateway::testing
+{
+
+class LeaseHandoverTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(LeaseHandoverTest);
+    CPPUNIT_TEST(testSuspendedHolderSendsNoOrder);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr base::Duration Limit = base::seconds{10};
+
+    base::SteadyClock m_clock;
+    NullLog m_log;
+    std::unique_ptr<TestCluster> m_cluster;
+    base::Duration m_suspended{}; // in all, of the VM of the router "a"
+    // Destroyed before the cluster that its coroutines refer to.
+    std::unique_ptr<boost::asio::io_context> m_otherLoop; // of the router "a"
+    std::unique_ptr<boost::asio::io_context> m_loop; // of the store, the engines and all other routers
+
+    void runOthers()
+    {
+        m_loop->restart();
+        m_loop->run_for(std::chrono::milliseconds{2});
+    }
+    void runAll()
+    {
+        runOthers();
+        const Suspension suspension(m_suspended);
+        m_otherLoop->restart(); // it has no work while its calls wait on the other loop
+        m_otherLoop->run_for(std::chrono::milliseconds{2});
+    }
+    template <typename Condition>
+    bool runUntil(void (LeaseHandoverTest::*step)(), Condition condition)
+    {
+        const base::TimePoint end = m_clock.now() + Limit;
+        while (!condition() && m_clock.now() < end) {
+            (this->*step)();
+        }
+        return condition();
+    }
+    std::string leaseText() const
+    {
+        const auto &leases = m_cluster->store.objects(ObjectKind::Leases);
+        return leases.empty() ? std::string() : leases.begin()->second.text;
+    }
+    void assertNoViolation()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string(), m_cluster->violation());
+    }
+
+public:
+    void setUp() override
+    {
+        m_loop = std::make_unique<boost::asio::io_context>(1);
+        m_otherLoop = std::make_unique<boost::asio::io_context>(1);
+        m_cluster = std::make_unique<TestCluster>(*m_loop, m_clock, m_log.log);
+        m_cluster->addRouter(Router::settings("a"), *m_otherLoop);
+        CPPUNIT_ASSERT(runUntil(&LeaseHandoverTest::runAll, [this] {
+            return leaseText().starts_with("a ");
+        }));
+        m_cluster->addRouter("b");
+    }
+    void tearDown() override
+    {
+        m_otherLoop.reset();
+        m_loop.reset();
+        m_cluster.reset();
+    }
+
+    // The VM of the holder is suspended while it opens connections for its orders, until another router has sent its own.
+    void testSuspendedHolderSendsNoOrder()
+    {
+        m_cluster->engines.connectTime = base::milliseconds{60};
+        m_cluster->store.put(ObjectKind::Weights, "m", "m 2");
+        CPPUNIT_ASSERT(runUntil(&LeaseHandoverTest::runAll, [this] {
+            return m_cluster->engines.pendingOrders > 0;
+        }));
+        const base::TimePoint suspendedAt = m_clock.now();
+        CPPUNIT_ASSERT(runUntil(&LeaseHandoverTest::runOthers, [this] {
+            return m_cluster->isChanged(2);
+        }));
+        m_suspended = m_clock.now() - suspendedAt;
+        const base::TimePoint resumedAt = m_clock.now();
+        CPPUNIT_ASSERT(runUntil(&LeaseHandoverTest::runAll, [this, resumedAt] {
+            return m_clock.now() - resumedAt > 2 * LeaseTime;
+        }));
+        assertNoViolation();
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LeaseHandoverTest);
+
+} // namespace carawaylatch::gateway::testing
--- a/carawaylatch/gateway/testing/testcluster.h
+++ b/carawaylatch/gateway/testing/testcluster.h
@@ -165,7 +165,12 @@
     }
     void addRouter(const ControlSettings &settings)
     {
-        routers.push_back(std::make_unique<Router>(m_loop, m_clock, store, engines, m_decoder, m_log, network, settings));
+        addRouter(settings, m_loop);
+    }
+    // The router runs only while `loop` runs.
+    void addRouter(const ControlSettings &settings, boost::asio::io_context &loop)
+    {
+        routers.push_back(std::make_unique<Router>(loop, m_clock, store, engines, m_decoder, m_log, network, settings));
     }
     [[nodiscard]] bool isChanged(std::uint64_t version) const
     {
