A second successor knows the orders of the holders before

Engines got orders of two holders within the lease time when the lease changed hands twice within the takeover delay. Cause: the list of changing engines is written by each holder from its own changes, so the first successor, which waits for the engines that it inherited, took these out of it; and a new process on the VM of the last holder did not read it at all. Change: inherited engines stay in the list until their delay has passed, as changed to version zero, which routers of the former version read too and which makes no engine unavailable. A new process waits for orders of its former one for the time that an order can be on its way, and for those that were inherited for the whole delay.

--- a/carawaylatch/gateway/controlplane.cpp
+++ b/carawaylatch/gateway/controlplane.cpp
@@ -343,9 +343,8 @@
         }
         if (changing) {
             m_state.onChange(ObjectKind::Coordination, changing.value(), false, {now, now});
-            if (!m_lease.hadNoOtherHolder()) {
-                m_rollout.takeOver(now, ChangingEngines::decode(changing.value().text));
-            }
+            m_rollout.takeOver(now, ChangingEngines::decode(changing.value().text),
+                               m_lease.hadNoOtherHolder() ? PreviousHolder::SameRouter : PreviousHolder::OtherRouter);
         }
         m_isLeaseHolder = true;
         m_log.write(base::LogEvent::FleetLeaseGained, {{"domain", "fleet"}, {"fence", std::to_string(m_lease.fence(now)->value)}});
@@ -376,7 +375,7 @@
 // them from responses and entries.
 Awaitable<bool> ControlPlane::publishChangingEngines(ObjectClient &client)
 {
-    const ChangingEngines changing = m_rollout.changing();
+    const ChangingEngines changing = m_rollout.changing(m_clock.now());
     const StoredObject *seen = m_state.coordinationObject(ChangingName);
     const ChangingEngines published = ChangingEngines::decode(seen != nullptr ? seen->text : std::string_view{});
     const bool isIncluded = std::includes(published.engines.begin(), published.engines.end(), changing.engines.begin(), changing.engines.end());
--- a/carawaylatch/gateway/rollout.cpp
+++ b/carawaylatch/gateway/rollout.cpp
@@ -197,25 +197,33 @@
     return out;
 }
 
-ChangingEngines Rollout::changing() const
+ChangingEngines Rollout::changing(base::TimePoint now) const
 {
     ChangingEngines out;
+    for (const auto &[engine, until] : m_noOrdersUntil) {
+        if (now < until) {
+            out.changed.emplace(engine, base::WeightsVersion{});
+        }
+    }
     for (const auto &[engine, change] : m_changes) {
         out.engines.insert(engine);
     }
     for (const auto &[engine, completed] : m_completed) {
-        out.changed.emplace(engine, completed.weights);
+        out.changed.insert_or_assign(engine, completed.weights);
     }
     return out;
 }
 
-void Rollout::takeOver(base::TimePoint now, const ChangingEngines &inherited)
+void Rollout::takeOver(base::TimePoint now, const ChangingEngines &inherited, PreviousHolder holder)
 {
+    const bool isOwn = holder == PreviousHolder::SameRouter;
+    const base::TimePoint ownUntil = now + (isOwn ? m_settings.orderFlightTime : m_settings.takeoverDelay);
     for (const auto &engine : inherited.engines) {
-        m_noOrdersUntil[engine] = now + m_settings.takeoverDelay;
+        m_noOrdersUntil[engine] = ownUntil;
     }
     for (const auto &[engine, weights] : inherited.changed) {
-        m_noOrdersUntil[engine] = now + m_settings.takeoverDelay;
+        const bool isInheritedTwice = weights == base::WeightsVersion{};
+        m_noOrdersUntil[engine] = isInheritedTwice ? now + m_settings.takeoverDelay : ownUntil;
     }
 }
 
--- a/carawaylatch/gateway/rollout.h
+++ b/carawaylatch/gateway/rollout.h
@@ -38,9 +38,16 @@
     std::uint32_t minLoadLimit = 2;
     base::Duration maxDrainTime = base::milliseconds{700}; // most requests finish earlier
     base::Duration takeoverDelay = base::seconds{3}; // after taking the lease over from another holder
+    base::Duration orderFlightTime = base::milliseconds{1500}; // the longest time from sending an order to its arrival
     base::Duration orderTimeout = base::seconds{3}; // after it an order without effect is repeated; loads take a fifth of it
 };
 
+// Who held the lease before this process, and published the engines that it inherits.
+enum class PreviousHolder {
+    SameRouter, // an earlier process of this router
+    OtherRouter,
+};
+
 class Rollout
 {
 public:
@@ -53,11 +60,12 @@
     void onStatus(base::TimePoint requestedAt, const base::UpstreamId &engine, const EngineStatus &status);
     // Returns an order for each engine whose change is not complete; poll their status.
     [[nodiscard]] std::vector<WeightsOrder> pendingOrders() const;
-    // Returns the engines to publish to other routers.
-    [[nodiscard]] ChangingEngines changing() const;
-    // Another router held the lease before and may just have sent orders to these engines:
-    // they get no orders from this router until takeoverDelay has passed.
-    void takeOver(base::TimePoint now, const ChangingEngines &inherited);
+    // Returns the engines to publish to other routers. Those of previous holders that get no
+    // orders yet count as changed to version zero, for the next holder.
+    [[nodiscard]] ChangingEngines changing(base::TimePoint now) const;
+    // A previous holder may just have sent orders to these engines: they get no orders from this
+    // router until takeoverDelay has passed, or orderFlightTime if it was this router itself.
+    void takeOver(base::TimePoint now, const ChangingEngines &inherited, PreviousHolder holder);
     // Drops all state. Call it when the lease is lost.
     void reset();
 
@@ -80,7 +88,7 @@
     RolloutSettings m_settings;
     fleet::WeightsController m_controller;
     std::map<base::UpstreamId, Change> m_changes;
-    std::map<base::UpstreamId, base::TimePoint> m_noOrdersUntil; // engines of a previous lease holder
+    std::map<base::UpstreamId, base::TimePoint> m_noOrdersUntil; // engines of previous lease holders
     struct CompletedChange
     {
         base::WeightsVersion weights;
--- a/carawaylatch/gateway/testing/leasehandovertest.cpp
+++ b/carawaylatch/gateway/testing/leasehandovertest.cpp
@@ -20,9 +20,12 @@
 {
     CPPUNIT_TEST_SUITE(LeaseHandoverTest);
     CPPUNIT_TEST(testSuspendedHolderSendsNoOrder);
+    CPPUNIT_TEST(testSecondSuccessorWaitsForOrdersOfTheFirstHolder);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr base::Duration Limit = base::seconds{10};
+    // Long enough for several hand-overs.
+    static constexpr base::Duration LongLeaseTime = 3 * LeaseTime;
 
     base::SteadyClock m_clock;
     NullLog m_log;
@@ -58,6 +61,30 @@
         const auto &leases = m_cluster->store.objects(ObjectKind::Leases);
         return leases.empty() ? std::string() : leases.begin()->second.text;
     }
+    static ControlSettings longLeaseSettings(const std::string &id)
+    {
+        ControlSettings out = Router::settings(id);
+        out.lease.duration = LongLeaseTime * 6 / 10;
+        out.rollout.takeoverDelay = LongLeaseTime;
+        return out;
+    }
+    void addRouterWithLongLease(const std::string &id)
+    {
+        m_cluster->addRouter(longLeaseSettings(id));
+    }
+    void startWithLongLeases()
+    {
+        m_cluster->leaseTime = LongLeaseTime;
+        addRouterWithLongLease("a");
+        CPPUNIT_ASSERT(runUntil(&LeaseHandoverTest::runOthers, [this] {
+            return leaseText().starts_with("a ");
+        }));
+        addRouterWithLongLease("b");
+        m_cluster->store.put(ObjectKind::Weights, "m", "m 2");
+        CPPUNIT_ASSERT(runUntil(&LeaseHandoverTest::runOthers, [this] {
+            return m_cluster->isChanged(2);
+        }));
+    }
     void assertNoViolation()
     {
         CPPUNIT_ASSERT_EQUAL(std::string(), m_cluster->violation());
@@ -69,11 +96,6 @@
         m_loop = std::make_unique<boost::asio::io_context>(1);
         m_otherLoop = std::make_unique<boost::asio::io_context>(1);
         m_cluster = std::make_unique<TestCluster>(*m_loop, m_clock, m_log.log);
-        m_cluster->addRouter(Router::settings("a"), *m_otherLoop);
-        CPPUNIT_ASSERT(runUntil(&LeaseHandoverTest::runAll, [this] {
-            return leaseText().starts_with("a ");
-        }));
-        m_cluster->addRouter("b");
     }
     void tearDown() override
     {
@@ -85,6 +107,11 @@
     // The VM of the holder is suspended while it opens connections for its orders, until another router has sent its own.
     void testSuspendedHolderSendsNoOrder()
     {
+        m_cluster->addRouter(Router::settings("a"), *m_otherLoop);
+        CPPUNIT_ASSERT(runUntil(&LeaseHandoverTest::runAll, [this] {
+            return leaseText().starts_with("a ");
+        }));
+        m_cluster->addRouter("b");
         m_cluster->engines.connectTime = base::milliseconds{60};
         m_cluster->store.put(ObjectKind::Weights, "m", "m 2");
         CPPUNIT_ASSERT(runUntil(&LeaseHandoverTest::runAll, [this] {
@@ -101,6 +128,27 @@
         }));
         assertNoViolation();
     }
+
+    // The first successor stops before it has sent orders of its own.
+    void testSecondSuccessorWaitsForOrdersOfTheFirstHolder()
+    {
+        startWithLongLeases();
+        m_cluster->store.put(ObjectKind::Weights, "m", "m 3");
+        m_cluster->routers[0]->plane.beginStop();
+        CPPUNIT_ASSERT(runUntil(&LeaseHandoverTest::runOthers, [this] {
+            return leaseText().starts_with("b ");
+        }));
+        addRouterWithLongLease("c");
+        const base::TimePoint stopAt = m_clock.now() + LongLeaseTime / 6;
+        CPPUNIT_ASSERT(runUntil(&LeaseHandoverTest::runOthers, [this, stopAt] {
+            return m_clock.now() >= stopAt;
+        }));
+        m_cluster->routers[1]->plane.beginStop();
+        CPPUNIT_ASSERT(runUntil(&LeaseHandoverTest::runOthers, [this] {
+            return m_cluster->isChanged(3);
+        }));
+        assertNoViolation();
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LeaseHandoverTest);
--- a/carawaylatch/gateway/testing/rollouttest.cpp
+++ b/carawaylatch/gateway/testing/rollouttest.cpp
@@ -27,6 +27,8 @@
     CPPUNIT_TEST(testLostOrderIsRepeated);
     CPPUNIT_TEST(testRejectedOrderIsRepeatedAfterPause);
     CPPUNIT_TEST(testEnginesOfPreviousHolderGetNoOrders);
+    CPPUNIT_TEST(testInheritedEnginesAreNamedToTheNextHolder);
+    CPPUNIT_TEST(testNewProcessWaitsForOrdersOfTheFormer);
     CPPUNIT_TEST(testLeavingEngineIsDropped);
     CPPUNIT_TEST_SUITE_END();
 
@@ -67,7 +69,7 @@
             }
         }
         m_maxLoads = std::max(m_maxLoads, m_loads.size());
-        m_maxUnavailable = std::max(m_maxUnavailable, m_rollout->changing().engines.size());
+        m_maxUnavailable = std::max(m_maxUnavailable, m_rollout->changing(m_now).engines.size());
     }
 
     bool isUpToDate(std::uint64_t version) const
@@ -120,7 +122,7 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_maxLoads);
         CPPUNIT_ASSERT(m_maxUnavailable <= Engines / 2);
         step();
-        CPPUNIT_ASSERT(m_rollout->changing().engines.empty());
+        CPPUNIT_ASSERT(m_rollout->changing(m_now).engines.empty());
     }
 
     // Guards against engines that load a replaced version and get the newer one only after
@@ -170,7 +172,7 @@
         ChangingEngines inherited;
         inherited.engines = {engine(0)};
         inherited.changed = {{engine(1), base::WeightsVersion{1}}};
-        m_rollout->takeOver(m_now, inherited);
+        m_rollout->takeOver(m_now, inherited, PreviousHolder::OtherRouter);
         announceVersion(2);
         std::set<base::UpstreamId> orderedDuringDelay;
         while (m_now - Start < RolloutSettings{}.takeoverDelay - Step) {
@@ -185,14 +187,49 @@
         CPPUNIT_ASSERT(runUntilUpToDate(2) < base::seconds{8});
     }
 
+    // The lease may change hands once more before the delay has passed.
+    void testInheritedEnginesAreNamedToTheNextHolder()
+    {
+        ChangingEngines inherited;
+        inherited.engines = {engine(0)};
+        inherited.changed = {{engine(1), base::WeightsVersion{1}}};
+        m_rollout->takeOver(m_now, inherited, PreviousHolder::OtherRouter);
+        const ChangingEngines published = ChangingEngines::decode(m_rollout->changing(m_now).encode());
+        CPPUNIT_ASSERT(published.engines.empty()); // they take requests
+        CPPUNIT_ASSERT(published.changed.contains(engine(0)) && published.changed.contains(engine(1)));
+        m_rollout->reset();
+        m_rollout->takeOver(m_now, published, PreviousHolder::SameRouter);
+        announceVersion(2);
+        while (m_now - Start < RolloutSettings{}.takeoverDelay - Step) {
+            step();
+            CPPUNIT_ASSERT(!m_loads.contains(engine(0)) && !m_loads.contains(engine(1)));
+        }
+        CPPUNIT_ASSERT(m_rollout->changing(Start + RolloutSettings{}.takeoverDelay).changed.count(engine(0)) == 0);
+        CPPUNIT_ASSERT(runUntilUpToDate(2) < base::seconds{8});
+    }
+
+    // Orders of the process before can still be under way, with lower fencing tokens.
+    void testNewProcessWaitsForOrdersOfTheFormer()
+    {
+        ChangingEngines inherited;
+        inherited.engines = {engine(0)};
+        m_rollout->takeOver(m_now, inherited, PreviousHolder::SameRouter);
+        announceVersion(2);
+        while (m_now - Start < RolloutSettings{}.orderFlightTime - Step) {
+            step();
+            CPPUNIT_ASSERT(!m_loads.contains(engine(0)));
+        }
+        CPPUNIT_ASSERT(runUntilUpToDate(2) < base::seconds{8});
+    }
+
     void testLeavingEngineIsDropped()
     {
         announceVersion(2);
         step();
-        const base::UpstreamId leaving = *m_rollout->changing().engines.begin();
+        const base::UpstreamId leaving = *m_rollout->changing(m_now).engines.begin();
         m_state->onChange(ObjectKind::Upstreams, StoredObject{leaving.value(), "p draining 1 1", 2, false}, false, {m_now, m_now});
         step();
-        CPPUNIT_ASSERT(!m_rollout->changing().engines.contains(leaving));
+        CPPUNIT_ASSERT(!m_rollout->changing(m_now).engines.contains(leaving));
         for (int i = 0; i < 200; ++i) {
             step();
         }
--- a/carawaylatch/gateway/testing/testcluster.h
+++ b/carawaylatch/gateway/testing/testcluster.h
@@ -126,6 +126,7 @@
         out.lease.readInterval = LeaseTime / 10;
         out.lease.isRouterIdUnique = true;
         out.rollout.takeoverDelay = LeaseTime;
+        out.rollout.orderFlightTime = base::milliseconds{150};
         out.rollout.maxDrainTime = base::milliseconds{50};
         out.rollout.orderTimeout = base::milliseconds{400};
         out.watchWait = base::milliseconds{60};
@@ -195,7 +196,7 @@
                 if (after.fence < before.fence) {
                     return "an order with a lower fencing token follows one with a higher token";
                 }
-                if (after.holder != before.holder && (after.at - before.at < LeaseTime || after.fence == before.fence)) {
+                if (after.holder != before.holder && (after.at - before.at < leaseTime || after.fence == before.fence)) {
                     return "two lease holders sent orders to one engine within the lease time";
                 }
             }
@@ -203,6 +204,7 @@
         return {};
     }
 
+    base::Duration leaseTime = LeaseTime; // between orders of two holders to one engine
     FakeStore store;
     FakeEngines engines;
     RelayNetwork network;
