After the store came back from a copy orders wait for a holder that it does not know

The copy may lack the lease and the list of changing engines, while their holder goes on for two thirds of a lease duration. The next one waited for two durations and, without a list, gave orders at once: 2.4 s after the last order of the former at a lease time of 3 s. Change: no orders for a lease duration and the takeover delay from when the restored store was noticed.

--- a/carawaylatch/gateway/controlplane.cpp
+++ b/carawaylatch/gateway/controlplane.cpp
@@ -294,7 +294,10 @@
         return;
     }
     m_log.write(base::LogEvent::StoreRestored, {{"former", std::to_string(*former)}, {"era", std::to_string(*era)}});
-    m_lease.onStoreRestored(m_clock.now());
+    const base::TimePoint now = m_clock.now();
+    m_lease.onStoreRestored(now);
+    // The list of engines that the holder of before has ordered may be gone, and its lease may last a lease duration.
+    m_rollout.holdOrdersUntil(now + m_settings.lease.duration + m_settings.rollout.takeoverDelay);
     m_isRegistered = false;
 }
 
--- a/carawaylatch/gateway/rollout.cpp
+++ b/carawaylatch/gateway/rollout.cpp
@@ -137,6 +137,9 @@
 std::vector<WeightsOrder> Rollout::plan(base::TimePoint now, const fleet::LeaseTerm &term, const FleetState &state)
 {
     removeCompleted(now, state);
+    if (now < m_holdOrdersUntil) {
+        return {};
+    }
     const Fleet fleet = observe(now, state);
     startDraining(now, term, fleet, state);
     // A draining engine loads the newest target directly, without the version before it.
@@ -227,6 +230,11 @@
     }
 }
 
+void Rollout::holdOrdersUntil(base::TimePoint time)
+{
+    m_holdOrdersUntil = std::max(m_holdOrdersUntil, time);
+}
+
 void Rollout::reset()
 {
     m_noOrdersUntil.clear();
--- a/carawaylatch/gateway/rollout.h
+++ b/carawaylatch/gateway/rollout.h
@@ -66,6 +66,8 @@
     // A previous holder may just have sent orders to these engines: they get no orders from this
     // router until takeoverDelay has passed, or orderFlightTime if it was this router itself.
     void takeOver(base::TimePoint now, const ChangingEngines &inherited, PreviousHolder holder);
+    // No engine gets orders before this time, also after reset().
+    void holdOrdersUntil(base::TimePoint time);
     // Drops all state. Call it when the lease is lost.
     void reset();
 
@@ -89,6 +91,7 @@
     fleet::WeightsController m_controller;
     std::map<base::UpstreamId, Change> m_changes;
     std::map<base::UpstreamId, base::TimePoint> m_noOrdersUntil; // engines of previous lease holders
+    base::TimePoint m_holdOrdersUntil; // for all engines
     struct CompletedChange
     {
         base::WeightsVersion weights;
--- a/carawaylatch/gateway/testing/leasehandovertest.cpp
+++ b/carawaylatch/gateway/testing/leasehandovertest.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST_SUITE(LeaseHandoverTest);
     CPPUNIT_TEST(testSuspendedHolderSendsNoOrder);
     CPPUNIT_TEST(testSecondSuccessorWaitsForOrdersOfTheFirstHolder);
+    CPPUNIT_TEST(testOrdersWaitForAHolderThatTheRestoredStoreDoesNotKnow);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr base::Duration Limit = base::seconds{10};
@@ -80,6 +81,7 @@
             return leaseText().starts_with("a ");
         }));
         addRouterWithLongLease("b");
+        m_cluster->store.keepCopy();
         m_cluster->store.put(ObjectKind::Weights, "m", "m 2");
         CPPUNIT_ASSERT(runUntil(&LeaseHandoverTest::runOthers, [this] {
             return m_cluster->isChanged(2);
@@ -149,6 +151,25 @@
         }));
         assertNoViolation();
     }
+
+    // The last renewal of the holder is gone with the copy, so that it is valid although the store does not know of it.
+    void testOrdersWaitForAHolderThatTheRestoredStoreDoesNotKnow()
+    {
+        startWithLongLeases();
+        m_cluster->routers[0]->clients.isDisconnected = true;
+        m_cluster->store.comeBackFromCopy();
+        m_cluster->store.put(ObjectKind::Weights, "m", "m 3");
+        const base::TimePoint validUntil = m_clock.now() + longLeaseSettings("a").lease.duration * 2 / 3;
+        CPPUNIT_ASSERT(runUntil(&LeaseHandoverTest::runOthers, [this] {
+            return m_cluster->isChanged(3);
+        }));
+        for (const auto &[engine, orders] : m_cluster->engines.orders) {
+            for (const RecordedOrder &order : orders) {
+                CPPUNIT_ASSERT(order.holder == "a" || order.at >= validUntil + LongLeaseTime);
+            }
+        }
+        assertNoViolation();
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LeaseHandoverTest);
