A holder whose lease lapses does not forget the orders that it sent

Change: the rollout keeps the last order of each engine until the takeover delay after its end, whatever becomes of the lease; names it to successors; and sends no other while it is under way. An order carries the token of the moment at which its first byte leaves.

--- a/carawaylatch/gateway/controlplane.cpp
+++ b/carawaylatch/gateway/controlplane.cpp
@@ -227,10 +227,11 @@
 {
     base::Duration suspended = base::suspendedTime();
     while (true) {
-        const base::Duration suspendedBefore = std::exchange(suspended, base::suspendedTime());
+        const base::Duration suspendedNow = base::suspendedTime() - suspended;
+        suspended += suspendedNow;
         if (const auto stalled = m_changeTimes.onHeartbeat(TableAge::bootTime())) {
-            m_log.write(base::LogEvent::ControlThreadStalled, {{"stalled_ms", std::to_string(base::toMilliseconds(*stalled))},
-                                                               {"suspended_ms", std::to_string(base::toMilliseconds(suspended - suspendedBefore))}});
+            m_log.write(base::LogEvent::ControlThreadStalled,
+                        {{"stalled_ms", std::to_string(base::toMilliseconds(*stalled))}, {"suspended_ms", std::to_string(base::toMilliseconds(suspendedNow))}});
         }
         co_await pause(ChangeTimes::HeartbeatInterval);
     }
@@ -290,15 +291,18 @@
 {
     const auto era = m_clients.storeEra();
     const auto former = std::exchange(m_storeEra, era);
-    if (!former || former == era) {
+    const bool isFirst = !former;
+    if (former == era || isFirst) {
         return;
     }
-    m_log.write(base::LogEvent::StoreRestored, {{"former", std::to_string(*former)}, {"era", std::to_string(*era)}});
+    if (!isFirst) {
+        m_log.write(base::LogEvent::StoreRestored, {{"former", std::to_string(*former)}, {"era", std::to_string(*era)}});
+        m_isRegistered = false;
+    }
     const base::TimePoint now = m_clock.now();
     m_lease.onStoreRestored(now);
     // The list of engines that the holder of before has ordered may be gone, and its lease may last a lease duration.
     m_rollout.holdOrdersUntil(now + m_settings.lease.duration + m_settings.rollout.takeoverDelay);
-    m_isRegistered = false;
 }
 
 Awaitable<void> ControlPlane::stepLease(ObjectClient &client)
@@ -417,12 +421,15 @@
     const bool isPublished = co_await publishChangingEngines(client);
     for (WeightsOrder &order : orders) {
         if (!isPublished || !m_lease.isHeld(m_clock.now())) {
+            m_rollout.onOrderEnded(m_clock.now(), order.engine);
             m_rollout.onOrderRejected(m_clock.now(), order.engine);
             continue;
         }
         order.holder = m_settings.router.value();
-        order.fence = *m_lease.fence(m_clock.now());
-        boost::asio::co_spawn(m_loop, sendOrder(order, now), logged("order"));
+        boost::asio::co_spawn(m_loop, sendOrder(order, now), [this, engine = order.engine, log = logged("order")](const std::exception_ptr &error) {
+            m_rollout.onOrderEnded(m_clock.now(), engine);
+            log(error);
+        });
     }
     for (const WeightsOrder &order : m_rollout.pendingOrders()) {
         if (!m_pendingStatusCalls.contains(order.engine)) {
@@ -437,21 +444,22 @@
 
 Awaitable<void> ControlPlane::sendOrder(WeightsOrder order, base::TimePoint plannedAt)
 {
-    // The lease was held without interruption since the order was planned.
-    const auto maySend = [this, plannedAt, &order] {
+    // The token of the lease if it was held without interruption since the order was planned.
+    const auto currentFence = [this, plannedAt, &order]() -> std::optional<base::FencingToken> {
         const base::TimePoint now = m_clock.now();
-        if (!m_isLeaseHolder || !m_lease.isHeld(now) || m_lease.heldDuration(now) < now - plannedAt) {
-            return false;
+        const auto fence = m_lease.fence(now);
+        if (!m_isLeaseHolder || !fence || m_lease.heldDuration(now) < now - plannedAt || m_clients.storeEra() != m_storeEra) {
+            return std::nullopt;
         }
         m_log.write(base::LogEvent::EngineOrdered, {{"engine", order.engine.value()},
                                                     {"weights_version", std::to_string(order.version.value)},
                                                     {"adapter", ""},
-                                                    {"fence", std::to_string(order.fence.value)},
+                                                    {"fence", std::to_string(fence->value)},
                                                     {"planned_ms", std::to_string(base::toMilliseconds(now - plannedAt))},
                                                     {"lease_left_ms", std::to_string(base::toMilliseconds(m_lease.state().validUntil - now))}});
-        return true;
+        return fence;
     };
-    const auto result = co_await m_engines.order(order, maySend);
+    const auto result = co_await m_engines.order(order, currentFence);
     std::string problem;
     if (!result) {
         problem = result.error().message;
--- a/carawaylatch/gateway/engineclient.h
+++ b/carawaylatch/gateway/engineclient.h
@@ -52,11 +52,11 @@
 {
 public:
     virtual ~EngineClient() = default;
-    // Asks `maySend` right before the order's first byte is sent, and sends nothing if it
-    // returns false: the lease may end while the connection is opened.
+    // Asks `currentFence` right before the order's first byte is sent, and sends nothing if it
+    // returns none: the lease may end while the connection is opened.
     // StaleState: the fencing token is outdated. Unavailable: not sent. After any other
     // error the order may be executed, even later.
-    [[nodiscard]] virtual Awaitable<base::Result<OrderResponse>> order(WeightsOrder order, std::function<bool()> maySend) = 0;
+    [[nodiscard]] virtual Awaitable<base::Result<OrderResponse>> order(WeightsOrder order, std::function<std::optional<base::FencingToken>()> currentFence) = 0;
     // Checks that a store for cached prompt state (KV cache) responds.
     [[nodiscard]] virtual Awaitable<base::Result<void>> probeCacheStore(base::Endpoint endpoint) = 0;
     [[nodiscard]] virtual Awaitable<base::Result<EngineStatus>> status(base::UpstreamId engine, base::Endpoint endpoint, base::ModelId model) = 0;
--- a/carawaylatch/gateway/rollout.cpp
+++ b/carawaylatch/gateway/rollout.cpp
@@ -87,6 +87,16 @@
     });
 }
 
+void Rollout::removeOutdated(base::TimePoint now)
+{
+    std::erase_if(m_noOrdersUntil, [now](const auto &it) {
+        return now >= it.second;
+    });
+    std::erase_if(m_sentOrders, [this, now](const auto &it) {
+        return !it.second.isUnderWay && now - it.second.at >= m_settings.takeoverDelay;
+    });
+}
+
 Rollout::Fleet Rollout::observe(base::TimePoint now, const FleetState &state)
 {
     std::map<std::pair<base::PoolName, base::ModelId>, config::Pool> pools;
@@ -137,6 +147,7 @@
 std::vector<WeightsOrder> Rollout::plan(base::TimePoint now, const fleet::LeaseTerm &term, const FleetState &state)
 {
     removeCompleted(now, state);
+    removeOutdated(now);
     if (now < m_holdOrdersUntil) {
         return {};
     }
@@ -160,7 +171,11 @@
         if ((!isRepeated && !isFirst) || now < change.earliestOrderAt) {
             continue;
         }
+        if (isUnderWay(id)) {
+            continue;
+        }
         freeLoads -= isFirst ? 1 : 0;
+        m_sentOrders[id] = SentOrder{true, now};
         change.orderedAt = now;
         WeightsOrder order = change.order;
         order.runningRequests = RunningRequestPolicy::Continue;
@@ -173,6 +188,17 @@
     return orders;
 }
 
+bool Rollout::isUnderWay(const base::UpstreamId &engine) const
+{
+    const auto it = m_sentOrders.find(engine);
+    return it != m_sentOrders.end() && it->second.isUnderWay;
+}
+
+void Rollout::onOrderEnded(base::TimePoint now, const base::UpstreamId &engine)
+{
+    m_sentOrders[engine] = SentOrder{false, now};
+}
+
 void Rollout::onOrderRejected(base::TimePoint now, const base::UpstreamId &engine)
 {
     constexpr base::Duration OrderPause = base::milliseconds{300}; // about half the time of a load
@@ -208,6 +234,9 @@
             out.changed.emplace(engine, base::WeightsVersion{});
         }
     }
+    for (const auto &[engine, order] : m_sentOrders) {
+        out.changed.emplace(engine, base::WeightsVersion{});
+    }
     for (const auto &[engine, change] : m_changes) {
         out.engines.insert(engine);
     }
@@ -221,12 +250,16 @@
 {
     const bool isOwn = holder == PreviousHolder::SameRouter;
     const base::TimePoint ownUntil = now + (isOwn ? m_settings.orderFlightTime : m_settings.takeoverDelay);
+    const auto wait = [this](const base::UpstreamId &engine, base::TimePoint until) {
+        base::TimePoint &known = m_noOrdersUntil[engine];
+        known = std::max(known, until);
+    };
     for (const auto &engine : inherited.engines) {
-        m_noOrdersUntil[engine] = ownUntil;
+        wait(engine, ownUntil);
     }
     for (const auto &[engine, weights] : inherited.changed) {
-        const bool isInheritedTwice = weights == base::WeightsVersion{};
-        m_noOrdersUntil[engine] = isInheritedTwice ? now + m_settings.takeoverDelay : ownUntil;
+        const bool mayBeOfOthers = weights == base::WeightsVersion{};
+        wait(engine, mayBeOfOthers ? now + m_settings.takeoverDelay : ownUntil);
     }
 }
 
@@ -237,10 +270,8 @@
 
 void Rollout::reset()
 {
-    m_noOrdersUntil.clear();
     m_controller.reset();
     m_changes.clear();
-    m_completed.clear();
 }
 
 } // namespace carawaylatch::gateway
--- a/carawaylatch/gateway/rollout.h
+++ b/carawaylatch/gateway/rollout.h
@@ -55,20 +55,24 @@
 
     // Moves engines through the stages and returns the orders to send now.
     [[nodiscard]] std::vector<WeightsOrder> plan(base::TimePoint now, const fleet::LeaseTerm &term, const FleetState &state);
+    // Call it once for each order that plan() has returned, when nothing of it can arrive any more. Until
+    // then the engine gets no other order.
+    void onOrderEnded(base::TimePoint now, const base::UpstreamId &engine);
     // The order was certainly not accepted; it will be repeated.
     void onOrderRejected(base::TimePoint now, const base::UpstreamId &engine);
     void onStatus(base::TimePoint requestedAt, const base::UpstreamId &engine, const EngineStatus &status);
     // Returns an order for each engine whose change is not complete; poll their status.
     [[nodiscard]] std::vector<WeightsOrder> pendingOrders() const;
-    // Returns the engines to publish to other routers. Those of previous holders that get no
-    // orders yet count as changed to version zero, for the next holder.
+    // Returns the engines to publish to other routers. Other engines that were ordered of late, by this
+    // router or by previous holders, count as changed to version zero, for the next holder.
     [[nodiscard]] ChangingEngines changing(base::TimePoint now) const;
     // A previous holder may just have sent orders to these engines: they get no orders from this
     // router until takeoverDelay has passed, or orderFlightTime if it was this router itself.
     void takeOver(base::TimePoint now, const ChangingEngines &inherited, PreviousHolder holder);
     // No engine gets orders before this time, also after reset().
     void holdOrdersUntil(base::TimePoint time);
-    // Drops all state. Call it when the lease is lost.
+    // Drops all changes. Call it when the lease is lost. Orders that may have arrived of late are still known,
+    // as this router may acquire the lease again.
     void reset();
 
 private:
@@ -84,6 +88,8 @@
 
     [[nodiscard]] Fleet observe(base::TimePoint now, const FleetState &state);
     void removeCompleted(base::TimePoint now, const FleetState &state);
+    void removeOutdated(base::TimePoint now);
+    [[nodiscard]] bool isUnderWay(const base::UpstreamId &engine) const;
     void startDraining(base::TimePoint now, const fleet::LeaseTerm &term, const Fleet &fleet, const FleetState &state);
     [[nodiscard]] bool isDrained(base::TimePoint now, const Change &change) const;
 
@@ -92,6 +98,12 @@
     std::map<base::UpstreamId, Change> m_changes;
     std::map<base::UpstreamId, base::TimePoint> m_noOrdersUntil; // engines of previous lease holders
     base::TimePoint m_holdOrdersUntil; // for all engines
+    struct SentOrder
+    {
+        bool isUnderWay = true;
+        base::TimePoint at; // planned, or ended if it is not under way
+    };
+    std::map<base::UpstreamId, SentOrder> m_sentOrders; // the last of each engine, for takeoverDelay after its end
     struct CompletedChange
     {
         base::WeightsVersion weights;
--- a/carawaylatch/gateway/testing/leasehandovertest.cpp
+++ b/carawaylatch/gateway/testing/leasehandovertest.cpp
@@ -22,6 +22,9 @@
     CPPUNIT_TEST(testSuspendedHolderSendsNoOrder);
     CPPUNIT_TEST(testSecondSuccessorWaitsForOrdersOfTheFirstHolder);
     CPPUNIT_TEST(testOrdersWaitForAHolderThatTheRestoredStoreDoesNotKnow);
+    CPPUNIT_TEST(testSlowOrderIsNotOvertakenWhenTheLeaseLapses);
+    CPPUNIT_TEST(testOrdersOfAHolderWhoseLeaseLapsedStayKnown);
+    CPPUNIT_TEST(testSuccessorWhoseLeaseLapsesWaitsForInheritedOrders);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr base::Duration Limit = base::seconds{10};
@@ -87,6 +90,25 @@
             return m_cluster->isChanged(2);
         }));
     }
+    // The store does not answer the router until its lease has ended.
+    void lapse(std::size_t router)
+    {
+        m_cluster->routers[router]->clients.isDisconnected = true;
+        const bool isLong = m_cluster->leaseTime == LongLeaseTime;
+        const base::TimePoint end = m_clock.now() + (isLong ? LongLeaseTime : LeaseTime) * 2 / 3;
+        CPPUNIT_ASSERT(runUntil(&LeaseHandoverTest::runOthers, [this, end] {
+            return m_clock.now() > end;
+        }));
+        m_cluster->routers[router]->clients.isDisconnected = false;
+    }
+    base::TimePoint lastOrderAt() const
+    {
+        base::TimePoint last;
+        for (const auto &[engine, orders] : m_cluster->engines.orders) {
+            last = std::max(last, orders.back().at);
+        }
+        return last;
+    }
     void assertNoViolation()
     {
         CPPUNIT_ASSERT_EQUAL(std::string(), m_cluster->violation());
@@ -170,6 +192,57 @@
         }
         assertNoViolation();
     }
+
+    // An order is still opening its connection when the lease of its router lapses; the router acquires the lease again.
+    void testSlowOrderIsNotOvertakenWhenTheLeaseLapses()
+    {
+        m_cluster->addRouter("a");
+        CPPUNIT_ASSERT(runUntil(&LeaseHandoverTest::runOthers, [this] {
+            return leaseText().starts_with("a ");
+        }));
+        m_cluster->engines.connectTime = LeaseTime * 3 / 2;
+        m_cluster->store.put(ObjectKind::Weights, "m", "m 2");
+        CPPUNIT_ASSERT(runUntil(&LeaseHandoverTest::runOthers, [this] {
+            return m_cluster->engines.pendingOrders > 0;
+        }));
+        m_cluster->engines.connectTime = base::milliseconds{1};
+        lapse(0);
+        CPPUNIT_ASSERT(runUntil(&LeaseHandoverTest::runOthers, [this] {
+            return m_cluster->isChanged(2) && m_cluster->engines.pendingOrders == 0;
+        }));
+        assertNoViolation();
+    }
+
+    void testOrdersOfAHolderWhoseLeaseLapsedStayKnown()
+    {
+        startWithLongLeases();
+        const base::TimePoint end = lastOrderAt() + LongLeaseTime;
+        lapse(0);
+        m_cluster->store.put(ObjectKind::Weights, "m", "m 3");
+        // Orders of the new plan make the router write the list again.
+        CPPUNIT_ASSERT(runUntil(&LeaseHandoverTest::runOthers, [this, end] {
+            const auto &objects = m_cluster->store.objects(ObjectKind::Coordination);
+            const auto it = objects.find(std::string(ChangingName));
+            const auto changing = ChangingEngines::decode(it == objects.end() ? std::string_view() : it->second.text);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(it->second.text, std::size_t{Engines}, changing.engines.size() + changing.changed.size());
+            return m_clock.now() > end;
+        }));
+    }
+
+    void testSuccessorWhoseLeaseLapsesWaitsForInheritedOrders()
+    {
+        startWithLongLeases();
+        m_cluster->store.put(ObjectKind::Weights, "m", "m 3");
+        m_cluster->routers[0]->plane.beginStop();
+        CPPUNIT_ASSERT(runUntil(&LeaseHandoverTest::runOthers, [this] {
+            return leaseText().starts_with("b ");
+        }));
+        lapse(1);
+        CPPUNIT_ASSERT(runUntil(&LeaseHandoverTest::runOthers, [this] {
+            return m_cluster->isChanged(3);
+        }));
+        assertNoViolation();
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LeaseHandoverTest);
--- a/carawaylatch/gateway/testing/rollouttest.cpp
+++ b/carawaylatch/gateway/testing/rollouttest.cpp
@@ -64,6 +64,7 @@
         }
         for (const WeightsOrder &order : m_rollout->plan(m_now, fleet::LeaseTerm{base::FencingToken{5}, Start}, *m_state)) {
             ++m_orders;
+            m_rollout->onOrderEnded(m_now, order.engine);
             if (!m_dropsOrders) {
                 m_loads[order.engine] = {m_now, order.version};
             }
--- a/carawaylatch/gateway/testing/testcluster.h
+++ b/carawaylatch/gateway/testing/testcluster.h
@@ -42,17 +42,18 @@
         , m_clock(clock)
     {
     }
-    Awaitable<base::Result<OrderResponse>> order(WeightsOrder order, std::function<bool()> maySend) override
+    Awaitable<base::Result<OrderResponse>> order(WeightsOrder order, std::function<std::optional<base::FencingToken>()> currentFence) override
     {
         ++pendingOrders;
         boost::asio::steady_timer timer(m_loop);
         timer.expires_after(connectTime);
         co_await timer.async_wait(boost::asio::use_awaitable);
         --pendingOrders;
-        if (!maySend()) {
+        const auto fence = currentFence();
+        if (!fence) {
             co_return base::fail(base::ErrorKind::Unavailable, "not sent");
         }
-        orders[order.engine].push_back({order.holder, order.fence.value, order.version.value, m_clock.now()});
+        orders[order.engine].push_back({order.holder, fence->value, order.version.value, m_clock.now()});
         m_loads[order.engine] = {m_clock.now() + LoadTime, order.version};
         co_return OrderResponse::Accepted;
     }
