Nothing of an order arrives after the end of its call

The connection of an order without an answer was closed in the ordinary way, so the kernel sent its bytes again, for up to 1.5 s, also after the process had ended; and the timeout of the call omits a suspension. Another order, of this router or the next, could have been sent meanwhile, with a higher token. The takeover delay is the lease time, the longest call and a margin, 3.9 s instead of 3.6 s at a lease time of 3 s: with 3.6 s, a release and an order at the end of its call the gap was 2.95 s.

--- a/carawaylatch/gateway/controlplane.cpp
+++ b/carawaylatch/gateway/controlplane.cpp
@@ -229,6 +229,9 @@
     while (true) {
         const base::Duration suspendedNow = base::suspendedTime() - suspended;
         suspended += suspendedNow;
+        if (suspendedNow > ChangeTimes::HeartbeatInterval) {
+            m_engines.abandonOrders(); // the timeouts of their calls omit a suspension
+        }
         if (const auto stalled = m_changeTimes.onHeartbeat(TableAge::bootTime())) {
             m_log.write(base::LogEvent::ControlThreadStalled,
                         {{"stalled_ms", std::to_string(base::toMilliseconds(*stalled))}, {"suspended_ms", std::to_string(base::toMilliseconds(suspendedNow))}});
@@ -359,6 +362,7 @@
         m_isLeaseHolder = false;
         m_log.write(base::LogEvent::FleetLeaseLost, {{"domain", "fleet"}});
         m_rollout.reset();
+        m_engines.abandonOrders();
     }
 }
 
@@ -370,6 +374,7 @@
         co_return;
     }
     m_isLeaseHolder = false;
+    m_engines.abandonOrders();
     m_log.write(base::LogEvent::FleetLeaseLost, {{"domain", "fleet"}});
     const auto released = co_await client.write(ObjectKind::Leases, std::string(LeaseName), fleet::encodeReleasedLease(), fence->value);
     if (!released) {
--- a/carawaylatch/gateway/engineclient.h
+++ b/carawaylatch/gateway/engineclient.h
@@ -52,11 +52,16 @@
 {
 public:
     virtual ~EngineClient() = default;
+    // Time from the first byte of an order to the end of the call. None of its bytes arrives later.
+    static constexpr base::Duration MaxOrderTime = base::milliseconds{800};
+
     // Asks `currentFence` right before the order's first byte is sent, and sends nothing if it
     // returns none: the lease may end while the connection is opened.
     // StaleState: the fencing token is outdated. Unavailable: not sent. After any other
     // error the order may be executed, even later.
     [[nodiscard]] virtual Awaitable<base::Result<OrderResponse>> order(WeightsOrder order, std::function<std::optional<base::FencingToken>()> currentFence) = 0;
+    // Resets the connections of all orders in progress, so that no byte of them arrives any more.
+    virtual void abandonOrders() = 0;
     // Checks that a store for cached prompt state (KV cache) responds.
     [[nodiscard]] virtual Awaitable<base::Result<void>> probeCacheStore(base::Endpoint endpoint) = 0;
     [[nodiscard]] virtual Awaitable<base::Result<EngineStatus>> status(base::UpstreamId engine, base::Endpoint endpoint, base::ModelId model) = 0;
--- a/carawaylatch/gateway/gatewaysettings.cpp
+++ b/carawaylatch/gateway/gatewaysettings.cpp
@@ -199,9 +199,8 @@
 ControlSettings GatewaySettings::control() const
 {
     constexpr double LeaseShare = 0.6; // lease duration; the holder uses at most two thirds of it
-    // For so long a new holder sends no orders to engines of the previous one, whose last
-    // order may still be in flight after its lease has expired.
-    constexpr double TakeoverDelayShare = 1.2;
+    constexpr base::Duration OrderMargin = base::milliseconds{100}; // of the arrival of an order after the end of its call
+    constexpr base::Duration OrderTime = EngineClient::MaxOrderTime + OrderMargin;
     constexpr double UpstreamsPauseShare = 0.2; // of the time to leave; the rest covers a slow call and requests in flight
     ControlSettings out;
     out.upstreamsPause = base::fromMilliseconds(leaveWithinMs * UpstreamsPauseShare);
@@ -213,7 +212,9 @@
     out.lease.duration = base::fromMilliseconds(leaseMs * LeaseShare);
     out.lease.readInterval = base::fromMilliseconds(leaseMs * LeaseShare / 6);
     out.lease.isRouterIdUnique = true;
-    out.rollout.takeoverDelay = base::fromMilliseconds(leaseMs * TakeoverDelayShare);
+    // The previous holder's last order may have been sent right before its lease ended, and arrive at the end of its call.
+    out.rollout.takeoverDelay = base::fromMilliseconds(leaseMs) + OrderTime;
+    out.rollout.orderFlightTime = OrderTime;
     out.watchWait = base::fromMilliseconds(watchWaitMs);
     return out;
 }
--- a/carawaylatch/gateway/testing/testcluster.h
+++ b/carawaylatch/gateway/testing/testcluster.h
@@ -69,6 +69,9 @@
     {
         co_return base::ok();
     }
+    void abandonOrders() override
+    {
+    }
     std::map<base::UpstreamId, std::vector<RecordedOrder>> orders;
     base::Duration connectTime{}; // until an order can be sent
     int pendingOrders = 0; // whose connection is being opened
