--- a/carawaylatch/gateway/controlplane.cpp
+++ b/carawaylatch/gateway/controlplane.cpp
@@ -294,8 +294,9 @@
 {
     const auto era = m_clients.storeEra();
     const auto former = std::exchange(m_storeEra, era);
+    // A new process in a later era does not know when the store was restored either.
     const bool isFirst = !former;
-    if (former == era || isFirst) {
+    if (former == era || (isFirst && *era == 0)) {
         return;
     }
     if (!isFirst) {
--- a/carawaylatch/gateway/testing/leasehandovertest.cpp
+++ b/carawaylatch/gateway/testing/leasehandovertest.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(testSuspendedHolderSendsNoOrder);
     CPPUNIT_TEST(testSecondSuccessorWaitsForOrdersOfTheFirstHolder);
     CPPUNIT_TEST(testOrdersWaitForAHolderThatTheRestoredStoreDoesNotKnow);
+    CPPUNIT_TEST(testNewProcessWaitsForAHolderThatTheRestoredStoreDoesNotKnow);
     CPPUNIT_TEST(testSlowOrderIsNotOvertakenWhenTheLeaseLapses);
     CPPUNIT_TEST(testOrdersOfAHolderWhoseLeaseLapsedStayKnown);
     CPPUNIT_TEST(testSuccessorWhoseLeaseLapsesWaitsForInheritedOrders);
@@ -193,6 +194,29 @@
         assertNoViolation();
     }
 
+    // The process starts in the new era, so that it does not notice the change.
+    void testNewProcessWaitsForAHolderThatTheRestoredStoreDoesNotKnow()
+    {
+        addRouterWithLongLease("a");
+        m_cluster->leaseTime = LongLeaseTime;
+        m_cluster->store.keepCopy();
+        CPPUNIT_ASSERT(runUntil(&LeaseHandoverTest::runOthers, [this] {
+            return leaseText().starts_with("a ");
+        }));
+        m_cluster->store.put(ObjectKind::Weights, "m", "m 2");
+        CPPUNIT_ASSERT(runUntil(&LeaseHandoverTest::runOthers, [this] {
+            return m_cluster->isChanged(2);
+        }));
+        m_cluster->routers[0]->clients.isDisconnected = true;
+        m_cluster->store.comeBackFromCopy();
+        m_cluster->store.put(ObjectKind::Weights, "m", "m 3");
+        addRouterWithLongLease("b");
+        CPPUNIT_ASSERT(runUntil(&LeaseHandoverTest::runOthers, [this] {
+            return m_cluster->isChanged(3);
+        }));
+        assertNoViolation();
+    }
+
     // An order is still opening its connection when the lease of its router lapses; the router acquires the lease again.
     void testSlowOrderIsNotOvertakenWhenTheLeaseLapses()
     {
