ChangeTimes tells when the store returned

Whether the entry of a missing upstream may have expired in an outage of the store was worked out in the watch from three flags. ChangeTimes now keeps when calls of a kind failed and succeeded again, ChangeTime carries it to FleetState, and a reader tells it in its answers (return_age_us beside the flag that routers of the version before read). The share of leave_within_ms for which such an upstream may be used stands beside the pause after changes. No change of behaviour at a leave_within_ms of 2000.

--- a/carawaylatch/gateway/changetimes.cpp
+++ b/carawaylatch/gateway/changetimes.cpp
@@ -58,4 +58,35 @@
     return changedAfter ? std::max(before, changedAfter) : before;
 }
 
+void ChangeTimes::onStoreFailed(ObjectKind name, base::Duration now)
+{
+    Kind &kind = m_kinds[name];
+    kind.storeLostAt = kind.storeLostAt.value_or(now);
+}
+
+void ChangeTimes::onStoreAnswered(ObjectKind name, base::Duration now)
+{
+    if (std::exchange(m_kinds[name].storeLostAt, {})) {
+        onStoreReturned(name, now);
+    }
+}
+
+void ChangeTimes::onStoreReturned(ObjectKind name, base::Duration at)
+{
+    Kind &kind = m_kinds[name];
+    kind.storeReturnedAt = std::max(kind.storeReturnedAt, std::optional(at));
+}
+
+std::optional<base::Duration> ChangeTimes::storeLostAt(ObjectKind kind) const
+{
+    const auto it = m_kinds.find(kind);
+    return it == m_kinds.end() ? std::nullopt : it->second.storeLostAt;
+}
+
+std::optional<base::Duration> ChangeTimes::storeReturnedAt(ObjectKind kind) const
+{
+    const auto it = m_kinds.find(kind);
+    return it == m_kinds.end() ? std::nullopt : it->second.storeReturnedAt;
+}
+
 } // namespace carawaylatch::gateway
--- a/carawaylatch/gateway/changetimes.h
+++ b/carawaylatch/gateway/changetimes.h
@@ -11,7 +11,11 @@
 //
 // After a failed call only the first holds until the next answer, since an answer may have been
 // lost meanwhile. After the thread did not run for long, heartbeats before that count only if the
-// same call is answered. A state machine without I/O. All times are those of
+// same call is answered.
+//
+// Entries that expired while the store was unavailable are written again soon after its
+// return, so the class also tells when the calls for a kind succeeded again: the store was back
+// at that time or before. A state machine without I/O. All times are those of
 // TableAge::bootTime(), which count suspension.
 #pragma once
 
@@ -43,6 +47,17 @@
     // at `changedAfter` or later if it tells.
     std::optional<base::Duration> onRelayed(ObjectKind kind, base::Duration confirmedAt, std::optional<base::Duration> changedAfter);
 
+    // The store did not answer a call, or refused it.
+    void onStoreFailed(ObjectKind kind, base::Duration now);
+    // The store, or a reader, answered a call.
+    void onStoreAnswered(ObjectKind kind, base::Duration now);
+    // The store is known to have returned at this time or before.
+    void onStoreReturned(ObjectKind kind, base::Duration at);
+    // When the first of the calls failed that have failed since the last answer.
+    [[nodiscard]] std::optional<base::Duration> storeLostAt(ObjectKind kind) const;
+    // Nothing if no call has failed since the start.
+    [[nodiscard]] std::optional<base::Duration> storeReturnedAt(ObjectKind kind) const;
+
 private:
     struct Kind
     {
@@ -50,6 +65,8 @@
         std::optional<base::Duration> sentAt; // of the call in flight
         std::optional<base::Duration> heldUntil; // the call in flight was not answered by then; counts once it is answered
         bool mayHaveMissedAnswer = true; // heartbeats prove nothing about the call in flight
+        std::optional<base::Duration> storeLostAt;
+        std::optional<base::Duration> storeReturnedAt;
     };
     // The latest time at which the state of the kind was certainly the newest.
     [[nodiscard]] std::optional<base::Duration> newestAt(const Kind &kind) const;
--- a/carawaylatch/gateway/controlplane.cpp
+++ b/carawaylatch/gateway/controlplane.cpp
@@ -49,7 +49,7 @@
     , m_log(log)
     , m_tableAge(tableAge)
     , m_publish(std::move(publish))
-    , m_state(decoder, log)
+    , m_state(decoder, log, settings.removal)
     , m_lease(settings.router, base::newIncarnation(), settings.lease)
     , m_rollout(settings.rollout)
     , m_random(base::hash64(settings.router.value()))
@@ -338,7 +338,7 @@
             co_return;
         }
         if (changing) {
-            m_state.onChange(ObjectKind::Coordination, changing.value(), false, {now, now});
+            m_state.onChange(ObjectKind::Coordination, changing.value(), {now, now, {}});
             if (!m_lease.hadNoOtherHolder()) {
                 m_rollout.takeOver(now, ChangingEngines::decode(changing.value().text));
             }
@@ -385,7 +385,7 @@
         co_return false; // retried at the next check
     }
     const base::TimePoint now = m_clock.now();
-    m_state.onChange(ObjectKind::Coordination, StoredObject{std::string(ChangingName), text, written.value(), false}, false, {now, now});
+    m_state.onChange(ObjectKind::Coordination, StoredObject{std::string(ChangingName), text, written.value(), false}, {now, now, {}});
     publishIfChanged();
     co_return true;
 }
--- a/carawaylatch/gateway/controlplane.h
+++ b/carawaylatch/gateway/controlplane.h
@@ -55,9 +55,7 @@
     // Long-poll wait of the other watches. A longer wait means fewer calls, but a dead
     // connection is noticed only after the wait.
     base::Duration longWatchWait = base::milliseconds{3500};
-    // Pause after changes of upstreams, so that one call returns changes that come together.
-    // Also the longest additional delay of a change.
-    base::Duration upstreamsPause = base::milliseconds{400};
+    RemovalLimits removal;
     base::Duration retryPause = base::milliseconds{150}; // after a failed call; doubles up to maxRetryPause
     base::Duration maxRetryPause = base::milliseconds{1000};
 };
@@ -98,7 +96,6 @@
         std::vector<StoredObject> objects;
         base::Duration confirmedAt{}; // bootTime() at which the state was certainly the newest
         std::optional<base::Duration> changedAfter; // bootTime(); the objects changed at this time or later
-        bool isAfterOutage = false;
         bool isRelayed = false;
     };
     // A list of which some pages have been read. An overloaded store rejects some calls, so
@@ -118,14 +115,14 @@
     [[nodiscard]] Awaitable<bool> pollReader(base::Endpoint reader, ObjectKind kind, std::uint64_t since, KindChanges &changes);
     void onReaderFailed(const base::Endpoint &reader, ObjectKind kind, const std::string &problem);
     void logReader(const std::optional<base::Endpoint> &reader, const std::string &problem);
-    void onConfirmed(ObjectKind kind, base::Duration confirmedAt, bool isAfterOutage);
+    void onConfirmed(ObjectKind kind, base::Duration confirmedAt);
     [[nodiscard]] Awaitable<void> waitForConfirmation(ObjectKind kind, base::Duration limit);
-    [[nodiscard]] Awaitable<base::Result<std::uint64_t>> listAll(ObjectClient &client, ObjectKind kind, bool wasStoreUnavailable, PartialList &partial);
+    [[nodiscard]] Awaitable<base::Result<std::uint64_t>> listAll(ObjectClient &client, ObjectKind kind, PartialList &partial);
     [[nodiscard]] Awaitable<void> runControlLoop();
     // Notices that the thread did not run for a while.
     [[nodiscard]] Awaitable<void> runHeartbeat();
     // Changes that are read now, and were made at `changedAfter` (bootTime()) or later.
-    [[nodiscard]] ChangeTime changeTime(std::optional<base::Duration> changedAfter) const;
+    [[nodiscard]] ChangeTime changeTime(ObjectKind kind, std::optional<base::Duration> changedAfter) const;
     [[nodiscard]] Awaitable<void> watchCacheStores();
     void checkStoreEra();
     [[nodiscard]] Awaitable<void> stepLease(ObjectClient &client);
@@ -177,7 +174,6 @@
     {
         base::Duration at{}; // bootTime()
         std::uint64_t count = 0;
-        bool isAfterOutage = false;
         std::list<boost::asio::steady_timer *> waiting; // of polls that are held
     };
     std::map<ObjectKind, Confirmation> m_confirmations;
--- a/carawaylatch/gateway/controlplanewatch.cpp
+++ b/carawaylatch/gateway/controlplanewatch.cpp
@@ -28,13 +28,12 @@
 constexpr base::Duration FallbackWait = base::milliseconds{5};
 constexpr base::Duration MaxRelayDelay = base::seconds{1}; // of a reader's confirmation beyond the wait of its watch
 constexpr base::Duration MaxHoldTime = base::seconds{30}; // of a poll
-constexpr base::Duration RecoveryWindow = base::milliseconds{2500}; // after the store is available again, in which entries may still be missing
 constexpr base::Duration RelistSpread = base::milliseconds{500}; // of the lists of all routers after the store was restored
 constexpr base::Duration CoordinationPause = base::milliseconds{200}; // batches changes of ChangingEngines; draining takes three times as long
 
 } // namespace
 
-Awaitable<base::Result<std::uint64_t>> ControlPlane::listAll(ObjectClient &client, ObjectKind kind, bool wasStoreUnavailable, PartialList &partial)
+Awaitable<base::Result<std::uint64_t>> ControlPlane::listAll(ObjectClient &client, ObjectKind kind, PartialList &partial)
 {
     if (m_clock.now() - partial.startedAt > MaxPartialListAge) {
         partial = PartialList{{}, {}, 0, m_clock.now()};
@@ -60,14 +59,20 @@
         }
     }
     const PartialList whole = std::exchange(partial, {});
-    m_state.onList(kind, whole.objects, wasStoreUnavailable, changeTime(m_changeTimes.onAnswered(kind)));
+    m_changeTimes.onStoreAnswered(kind, TableAge::bootTime());
+    const auto changedAfter = m_changeTimes.onAnswered(kind);
+    m_state.onList(kind, whole.objects, changeTime(kind, changedAfter));
     co_return whole.asOf;
 }
 
-ChangeTime ControlPlane::changeTime(std::optional<base::Duration> changedAfter) const
+ChangeTime ControlPlane::changeTime(ObjectKind kind, std::optional<base::Duration> changedAfter) const
 {
     const base::TimePoint now = m_clock.now();
-    return {now, changedAfter ? now - (TableAge::bootTime() - *changedAfter) : base::TimePoint{}};
+    const auto onClock = [now, bootTime = TableAge::bootTime()](base::Duration at) {
+        return now - (bootTime - at);
+    };
+    const auto storeReturnedAt = m_changeTimes.storeReturnedAt(kind);
+    return {now, changedAfter ? onClock(*changedAfter) : base::TimePoint{}, storeReturnedAt ? std::optional(onClock(*storeReturnedAt)) : std::nullopt};
 }
 
 // Restarts the other watches once the configuration watch succeeds again. Its wait is the
@@ -92,7 +97,7 @@
 {
     switch (kind) {
     case ObjectKind::Upstreams:
-        return m_settings.upstreamsPause;
+        return m_settings.removal.pause;
     case ObjectKind::Coordination:
         return CoordinationPause;
     case ObjectKind::Tables:
@@ -111,18 +116,15 @@
     std::uint64_t since = 0; // last revision read; zero: list first
     PartialList partial;
     base::Duration nextPause = m_settings.retryPause;
-    std::optional<base::TimePoint> unavailableSince; // since the first of consecutive failed calls
-    base::TimePoint recoveredAt{}; // first success after failed calls
     while (true) {
         base::Duration confirmedAt = TableAge::bootTime();
-        const base::TimePoint callAt = m_clock.now();
-        bool wasStoreUnavailable = unavailableSince || callAt - recoveredAt < RecoveryWindow;
+        const auto lostAt = m_changeTimes.storeLostAt(kind);
         bool isRelayed = false;
         base::Result<std::uint64_t> result = std::uint64_t{0};
         bool hasChanges = false;
         if (since == 0) {
             const std::size_t read = partial.objects.size();
-            result = co_await listAll(*client, kind, wasStoreUnavailable && recoveredAt != base::TimePoint{}, partial);
+            result = co_await listAll(*client, kind, partial);
             if (result) {
                 m_watchLog.onListed(kind, result.value());
             } else if (partial.objects.size() > read) {
@@ -130,13 +132,12 @@
             }
         } else {
             KindChanges changes;
-            co_await nextChanges(*client, kind, since, unavailableSince ? FallbackWait : watchWait(kind), changes);
+            co_await nextChanges(*client, kind, since, lostAt ? FallbackWait : watchWait(kind), changes);
             isRelayed = changes.isRelayed;
             if (!changes.error) {
-                const ChangeTime time = changeTime(changes.changedAfter);
-                wasStoreUnavailable = unavailableSince || time.earliest - recoveredAt < RecoveryWindow || changes.isAfterOutage;
+                const ChangeTime time = changeTime(kind, changes.changedAfter);
                 for (const StoredObject &object : changes.objects) {
-                    m_state.onChange(kind, object, wasStoreUnavailable, time);
+                    m_state.onChange(kind, object, time);
                 }
                 result = std::max(changes.revision, since);
                 m_watchLog.onChanges(kind, since, result.value(), changes.objects, changes.changedAfter.value_or(base::Duration{}));
@@ -146,23 +147,18 @@
                 result = *changes.error;
             }
         }
-        const base::TimePoint now = m_clock.now();
+        const base::Duration now = TableAge::bootTime();
         if (result) {
             since = result.value();
             nextPause = m_settings.retryPause;
-            if (unavailableSince) {
+            if (lostAt) {
                 m_log.write(base::LogEvent::StoreRegained,
-                            {{"kind", std::string(objectKindName(kind))}, {"lost_ms", std::to_string(base::toMilliseconds(now - *unavailableSince))}});
-                unavailableSince.reset();
-                recoveredAt = now;
+                            {{"kind", std::string(objectKindName(kind))}, {"lost_ms", std::to_string(base::toMilliseconds(now - *lostAt))}});
                 if (kind == ObjectKind::Tables) {
                     interruptWatches();
                 }
             }
-            if (recoveredAt == base::TimePoint{}) {
-                recoveredAt = now - RecoveryWindow;
-            }
-            onConfirmed(kind, confirmedAt, wasStoreUnavailable);
+            onConfirmed(kind, confirmedAt);
             publishIfChanged();
             if (hasChanges && !isRelayed) {
                 co_await pause(pauseAfterChanges(kind));
@@ -175,14 +171,14 @@
             const bool isRestored = eraOf(since) != m_clients.storeEra();
             since = 0;
             if (isRestored) {
-                recoveredAt = now; // entries of upstreams may be missing until they are written again
+                m_changeTimes.onStoreReturned(kind, now); // entries of upstreams may be missing until they are written again
                 co_await pause(base::fromSeconds(base::toSeconds(RelistSpread) * m_random.uniformReal()));
             }
             continue;
         }
         m_changeTimes.onCallFailed(kind);
-        if (!unavailableSince) {
-            unavailableSince = now;
+        m_changeTimes.onStoreFailed(kind, now);
+        if (!lostAt) {
             m_log.write(base::LogEvent::StoreLost, {{"kind", std::string(objectKindName(kind))},
                                                     {"problem", result.error().message},
                                                     {"age_ms", std::to_string(base::toMilliseconds(m_tableAge.age()))}});
@@ -207,6 +203,7 @@
     m_changeTimes.onCallSent(kind, changes.confirmedAt);
     auto page = co_await client.watch(kind, since, wait);
     if (page) {
+        m_changeTimes.onStoreAnswered(kind, TableAge::bootTime());
         changes.changedAfter = m_changeTimes.onAnswered(kind);
         changes.revision = page.value().asOf;
         changes.objects = std::move(page.value().objects);
@@ -245,7 +242,10 @@
     changes.confirmedAt = sentAt + value.held - value.age;
     const auto changedAfter = value.changeAge ? std::optional(sentAt + value.held - *value.changeAge) : std::nullopt;
     changes.changedAfter = m_changeTimes.onRelayed(kind, changes.confirmedAt, changedAfter);
-    changes.isAfterOutage = value.isAfterOutage;
+    m_changeTimes.onStoreAnswered(kind, TableAge::bootTime());
+    if (value.returnAge) {
+        m_changeTimes.onStoreReturned(kind, sentAt + value.held - *value.returnAge);
+    }
     changes.isRelayed = true;
     co_return true;
 }
@@ -267,11 +267,10 @@
     }
 }
 
-void ControlPlane::onConfirmed(ObjectKind kind, base::Duration confirmedAt, bool isAfterOutage)
+void ControlPlane::onConfirmed(ObjectKind kind, base::Duration confirmedAt)
 {
     Confirmation &confirmation = m_confirmations[kind];
     confirmation.at = std::max(confirmation.at, confirmedAt);
-    confirmation.isAfterOutage = isAfterOutage;
     ++confirmation.count;
     for (boost::asio::steady_timer *timer : confirmation.waiting) {
         timer->cancel();
@@ -315,7 +314,9 @@
             known->revision = changes->revision;
             known->age = at - confirmation.at;
             known->held = at - arrivedAt;
-            known->isAfterOutage = confirmation.isAfterOutage;
+            if (const auto returnedAt = m_changeTimes.storeReturnedAt(poll.kind)) {
+                known->returnAge = at - *returnedAt;
+            }
             if (!changes->objects.empty()) {
                 known->changeAge = at - changes->changedAfter;
             }
--- a/carawaylatch/gateway/fleetstate.cpp
+++ b/carawaylatch/gateway/fleetstate.cpp
@@ -92,18 +92,19 @@
     return router;
 }
 
-FleetState::FleetState(const FleetDecoder &decoder, telemetry::EventLog &log)
+FleetState::FleetState(const FleetDecoder &decoder, telemetry::EventLog &log, const RemovalLimits &limits)
     : m_decoder(decoder)
     , m_log(log)
+    , m_limits(limits)
 {
 }
 
-void FleetState::onList(ObjectKind kind, const std::vector<StoredObject> &objects, bool wasStoreUnavailable, const ChangeTime &time)
+void FleetState::onList(ObjectKind kind, const std::vector<StoredObject> &objects, const ChangeTime &time)
 {
     std::set<std::string, std::less<>> names;
     for (const StoredObject &object : objects) {
         names.insert(object.name);
-        apply(kind, object, wasStoreUnavailable, time);
+        apply(kind, object, time);
     }
     if (kind == ObjectKind::Coordination) {
         const auto erased = std::erase_if(m_coordinationObjects, [&names](const auto &it) {
@@ -121,36 +122,37 @@
         }
     }
     for (const auto &id : missing) {
-        expireUpstream(id, wasStoreUnavailable, time.readAt);
+        expireUpstream(id, time);
     }
 }
 
-void FleetState::expireUpstream(const base::UpstreamId &id, bool wasStoreUnavailable, base::TimePoint now)
+void FleetState::expireUpstream(const base::UpstreamId &id, const ChangeTime &time)
 {
     const auto it = m_upstreams.find(id);
-    if (it != m_upstreams.end() && wasStoreUnavailable && it->second.phase == proxy::UpstreamPhase::Ready) {
-        m_expired.emplace(id, now + ExpiredEntryGrace);
+    const bool mayHaveExpired = time.storeReturnedAt && time.earliest - *time.storeReturnedAt < RecoveryWindow;
+    if (it != m_upstreams.end() && mayHaveExpired && it->second.phase == proxy::UpstreamPhase::Ready) {
+        m_expired.emplace(id, time.readAt + m_limits.maxUse);
     } else {
         removeUpstream(id);
     }
 }
 
-void FleetState::onChange(ObjectKind kind, const StoredObject &object, bool wasStoreUnavailable, const ChangeTime &time)
+void FleetState::onChange(ObjectKind kind, const StoredObject &object, const ChangeTime &time)
 {
-    apply(kind, object, wasStoreUnavailable, time);
+    apply(kind, object, time);
 }
 
-void FleetState::apply(ObjectKind kind, const StoredObject &object, bool wasStoreUnavailable, const ChangeTime &time)
+void FleetState::apply(ObjectKind kind, const StoredObject &object, const ChangeTime &time)
 {
     try {
-        applyDecoded(kind, object, wasStoreUnavailable, time);
+        applyDecoded(kind, object, time);
     } catch (const std::exception &ex) {
         // The text of one writer must not keep the objects of the others from being read.
         logIgnoredEntry(kind, object, ex.what());
     }
 }
 
-void FleetState::applyDecoded(ObjectKind kind, const StoredObject &object, bool wasStoreUnavailable, const ChangeTime &time)
+void FleetState::applyDecoded(ObjectKind kind, const StoredObject &object, const ChangeTime &time)
 {
     switch (kind) {
     case ObjectKind::Tables:
@@ -160,7 +162,7 @@
         applyWeights(object, time);
         break;
     case ObjectKind::Upstreams:
-        applyUpstream(object, wasStoreUnavailable, time.readAt);
+        applyUpstream(object, time);
         break;
     case ObjectKind::Coordination:
         applyCoordination(object);
@@ -222,12 +224,12 @@
            && left.startTimeMs == right.startTimeMs && left.software == right.software && left.models == right.models;
 }
 
-void FleetState::applyUpstream(const StoredObject &object, bool wasStoreUnavailable, base::TimePoint now)
+void FleetState::applyUpstream(const StoredObject &object, const ChangeTime &time)
 {
     const base::UpstreamId id(object.name);
     if (object.isRemoved) {
         m_ignored.erase(object.name);
-        expireUpstream(id, wasStoreUnavailable, now);
+        expireUpstream(id, time);
         return;
     }
     auto decoded = m_decoder.decodeUpstream(object.name, object.text);
--- a/carawaylatch/gateway/fleetstate.h
+++ b/carawaylatch/gateway/fleetstate.h
@@ -61,21 +61,30 @@
 {
     base::TimePoint readAt;
     base::TimePoint earliest; // the clock's epoch if the state before the change is not known
+    std::optional<base::TimePoint> storeReturnedAt; // at this time or before, if it was unavailable since the start
+};
+
+// Parts of the time after which no request may reach an upstream whose entry was removed.
+struct RemovalLimits
+{
+    // After changes of upstreams, so that one call returns changes that come together. Also the
+    // longest additional delay of a removal.
+    base::Duration pause = base::milliseconds{400};
+    // From the removal to when the upstream is dropped, where its entry may have expired in an outage of the
+    // store; the rest of the time covers requests on their way.
+    base::Duration maxUse = base::milliseconds{1700};
 };
 
 class FleetState
 {
 public:
-    // Once the store is available again, upstreams renew their expired entries within
-    // about this time.
-    static constexpr base::Duration ExpiredEntryGrace = base::milliseconds{1700};
+    static constexpr base::Duration RecoveryWindow = base::milliseconds{2500}; // after the store's return, in which entries may still be missing
 
-    FleetState(const FleetDecoder &decoder, telemetry::EventLog &log);
+    FleetState(const FleetDecoder &decoder, telemetry::EventLog &log, const RemovalLimits &limits = {});
 
-    // Takes all objects of a kind. wasStoreUnavailable: calls to the store failed shortly
-    // before.
-    void onList(ObjectKind kind, const std::vector<StoredObject> &objects, bool wasStoreUnavailable, const ChangeTime &time);
-    void onChange(ObjectKind kind, const StoredObject &object, bool wasStoreUnavailable, const ChangeTime &time);
+    // Takes all objects of a kind.
+    void onList(ObjectKind kind, const std::vector<StoredObject> &objects, const ChangeTime &time);
+    void onChange(ObjectKind kind, const StoredObject &object, const ChangeTime &time);
     // An upstream of this incarnation has said that it leaves, whatever its entry says.
     void onUpstreamLeaving(const base::UpstreamId &upstream, std::uint64_t startTimeMs);
     // An engine reported its weights in a response.
@@ -99,11 +108,11 @@
     [[nodiscard]] std::vector<proxy::CacheStore> cacheStores() const;
 
 private:
-    void apply(ObjectKind kind, const StoredObject &object, bool wasStoreUnavailable, const ChangeTime &time);
-    void applyDecoded(ObjectKind kind, const StoredObject &object, bool wasStoreUnavailable, const ChangeTime &time);
+    void apply(ObjectKind kind, const StoredObject &object, const ChangeTime &time);
+    void applyDecoded(ObjectKind kind, const StoredObject &object, const ChangeTime &time);
     void applyTable(const StoredObject &object);
-    void applyUpstream(const StoredObject &object, bool wasStoreUnavailable, base::TimePoint now);
-    void expireUpstream(const base::UpstreamId &id, bool wasStoreUnavailable, base::TimePoint now);
+    void applyUpstream(const StoredObject &object, const ChangeTime &time);
+    void expireUpstream(const base::UpstreamId &id, const ChangeTime &time);
     void applyWeights(const StoredObject &object, const ChangeTime &time);
     void applyCoordination(const StoredObject &object);
     void removeUpstream(const base::UpstreamId &id);
@@ -113,6 +122,7 @@
 
     const FleetDecoder &m_decoder;
     telemetry::EventLog &m_log;
+    const RemovalLimits m_limits;
     std::shared_ptr<const proxy::RouteTable> m_table;
     std::map<base::UpstreamId, proxy::Upstream> m_upstreams;
     std::map<base::UpstreamId, base::TimePoint> m_expired; // entries that disappeared, and until when their upstreams are used
--- a/carawaylatch/gateway/gatewaysettings.cpp
+++ b/carawaylatch/gateway/gatewaysettings.cpp
@@ -202,9 +202,11 @@
     // For so long a new holder sends no orders to engines of the previous one, whose last
     // order may still be in flight after its lease has expired.
     constexpr double TakeoverDelayShare = 1.2;
-    constexpr double UpstreamsPauseShare = 0.2; // of the time to leave; the rest covers a slow call and requests in flight
+    constexpr double RemovalPauseShare = 0.2; // of the time to leave; the rest covers a slow call and requests in flight
+    constexpr double RemovalUseShare = 0.85; // of the time to leave; the rest covers requests in flight
     ControlSettings out;
-    out.upstreamsPause = base::fromMilliseconds(leaveWithinMs * UpstreamsPauseShare);
+    out.removal.pause = base::fromMilliseconds(leaveWithinMs * RemovalPauseShare);
+    out.removal.maxUse = base::fromMilliseconds(leaveWithinMs * RemovalUseShare);
     out.router = base::RouterId(id);
     out.peers = peers;
     out.domain = base::FailureDomain(failureDomain);
--- a/carawaylatch/gateway/testing/controlplanetest.cpp
+++ b/carawaylatch/gateway/testing/controlplanetest.cpp
@@ -315,7 +315,7 @@
             },
             base::seconds{5}));
         const base::Duration used = m_clock.now() - removedAt;
-        CPPUNIT_ASSERT_MESSAGE(base::formatMilliseconds(used), used < FleetState::ExpiredEntryGrace / 2);
+        CPPUNIT_ASSERT_MESSAGE(base::formatMilliseconds(used), used < RemovalLimits{}.maxUse / 2);
     }
 
     // A list of twenty pages completes although the store rejects every third list call, as
--- a/carawaylatch/gateway/testing/fleetstatetest.cpp
+++ b/carawaylatch/gateway/testing/fleetstatetest.cpp
@@ -50,7 +50,7 @@
 
     void change(ObjectKind kind, const StoredObject &object)
     {
-        m_state->onChange(kind, object, false, {Start, Start});
+        m_state->onChange(kind, object, {Start, Start, {}});
     }
     bool hasUpstream(const std::string &id)
     {
@@ -69,7 +69,7 @@
         change(ObjectKind::Tables, object("main", "7"));
         change(ObjectKind::Tables, object("main", "5", 2));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, m_state->view()->table->version);
-        m_state->onList(ObjectKind::Tables, {object("main", "6", 3)}, false, {Start, Start});
+        m_state->onList(ObjectKind::Tables, {object("main", "6", 3)}, {Start, Start, {}});
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, m_state->view()->table->version);
         change(ObjectKind::Tables, removal("main"));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, m_state->view()->table->version);
@@ -119,17 +119,17 @@
         change(ObjectKind::Upstreams, object("ready", "p ready 10 1"));
         change(ObjectKind::Upstreams, object("leaving", "p draining 10 1"));
         change(ObjectKind::Upstreams, object("removed", "p ready 10 1"));
-        m_state->onChange(ObjectKind::Upstreams, removal("removed"), true, {Start, Start});
-        m_state->onList(ObjectKind::Upstreams, {}, true, {Start, Start});
+        m_state->onChange(ObjectKind::Upstreams, removal("removed"), {Start, Start, Start});
+        m_state->onList(ObjectKind::Upstreams, {}, {Start, Start, Start});
         CPPUNIT_ASSERT(hasUpstream("ready"));
         CPPUNIT_ASSERT(hasUpstream("removed"));
         CPPUNIT_ASSERT(!hasUpstream("leaving"));
-        CPPUNIT_ASSERT(!m_state->onTick(Start + FleetState::ExpiredEntryGrace - base::milliseconds{1}));
+        CPPUNIT_ASSERT(!m_state->onTick(Start + RemovalLimits{}.maxUse - base::milliseconds{1}));
         change(ObjectKind::Upstreams, object("ready", "p ready 10 1", 2));
-        CPPUNIT_ASSERT(m_state->onTick(Start + FleetState::ExpiredEntryGrace));
+        CPPUNIT_ASSERT(m_state->onTick(Start + RemovalLimits{}.maxUse));
         CPPUNIT_ASSERT(hasUpstream("ready"));
         CPPUNIT_ASSERT(!hasUpstream("removed"));
-        m_state->onList(ObjectKind::Upstreams, {}, false, {Start, Start});
+        m_state->onList(ObjectKind::Upstreams, {}, {Start, Start, {}});
         CPPUNIT_ASSERT_MESSAGE("without an outage, a missing entry removes its upstream", !hasUpstream("ready"));
     }
 
@@ -137,7 +137,7 @@
     // so uses older weights for too long.
     void testListedVersionAllowsNoOlderWeights()
     {
-        m_state->onList(ObjectKind::Weights, {object("m", "m 3")}, false, {Start, {}});
+        m_state->onList(ObjectKind::Weights, {object("m", "m 3")}, {Start, {}, {}});
         const auto limit = base::seconds{6};
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, m_state->targets().at(base::ModelId("m")).oldestAllowed(Start, limit).value);
         change(ObjectKind::Weights, object("m", "m 4", 2));
--- a/carawaylatch/gateway/testing/watchrelaytest.cpp
+++ b/carawaylatch/gateway/testing/watchrelaytest.cpp
@@ -81,7 +81,7 @@
         CPPUNIT_ASSERT(!log.changesSince(Kind, makeVersion(1, 15)).has_value());
         CPPUNIT_ASSERT(log.changesSince(Kind, makeVersion(2, 3)).has_value());
         // A router of the version before answers a poll of a later era as if it knew that era.
-        const RelayAnswer answer{true, makeVersion(2, 3), {}, {}, false, {}, {}};
+        const RelayAnswer answer{true, makeVersion(2, 3), {}, {}, {}, {}, {}};
         CPPUNIT_ASSERT(decodeRelayAnswer(encodeRelayAnswer(answer)).value().isKnown);
         std::string former = encodeRelayAnswer(answer);
         former.replace(former.find("\"eras\""), 6, "\"none\"");
@@ -355,17 +355,19 @@
     {
         const auto poll = decodeRelayPoll(encodeRelayPoll({ObjectKind::Weights, 77, base::milliseconds{1200}}));
         CPPUNIT_ASSERT(poll.value().kind == ObjectKind::Weights && poll.value().since == 77 && poll.value().wait == base::milliseconds{1200});
-        RelayAnswer answer{true, 9, base::milliseconds{300}, base::milliseconds{40}, true, {object("a", 8), object("b", 9, true)}, base::milliseconds{700}};
+        RelayAnswer answer{
+            true, 9, base::milliseconds{300}, base::milliseconds{40}, base::milliseconds{500}, {object("a", 8), object("b", 9, true)}, base::milliseconds{700}};
         answer.objects[0].text = "quotes \" and \xff bytes";
         const auto decoded = decodeRelayAnswer(encodeRelayAnswer(answer)).value();
-        CPPUNIT_ASSERT(decoded.isKnown && decoded.revision == 9 && decoded.age == answer.age && decoded.held == answer.held && decoded.isAfterOutage);
+        CPPUNIT_ASSERT(decoded.isKnown && decoded.revision == 9 && decoded.age == answer.age && decoded.held == answer.held
+                       && decoded.returnAge == answer.returnAge);
         CPPUNIT_ASSERT(decoded.objects.size() == 2 && !decoded.objects[0].isRemoved && decoded.objects[1].isRemoved);
         CPPUNIT_ASSERT(decoded.changeAge == base::milliseconds{700});
-        CPPUNIT_ASSERT(!decodeRelayAnswer(encodeRelayAnswer(RelayAnswer{true, 9, {}, {}, false, {}, {}})).value().changeAge);
+        CPPUNIT_ASSERT(!decodeRelayAnswer(encodeRelayAnswer(RelayAnswer{true, 9, {}, {}, {}, {}, {}})).value().changeAge);
         answer.objects[0].text = std::string(MaxRelayBytes, 'x');
         CPPUNIT_ASSERT(!decodeRelayAnswer(encodeRelayAnswer(answer)).value().isKnown);
         // Every prefix and every changed byte is an error or a message, never a crash.
-        const std::string text = encodeRelayAnswer(RelayAnswer{true, 9, {}, {}, false, {object("a", 8)}, {}});
+        const std::string text = encodeRelayAnswer(RelayAnswer{true, 9, {}, {}, {}, {object("a", 8)}, {}});
         for (std::size_t i = 0; i < text.size(); ++i) {
             CPPUNIT_ASSERT(!decodeRelayAnswer(text.substr(0, i)).has_value());
             std::string changed = text;
@@ -380,7 +382,7 @@
     {
         Http2Relay reader(*m_loop, {"127.0.0.1", 0});
         FixedSource source;
-        source.next = RelayAnswer{true, 9, base::milliseconds{300}, {}, false, {StoredObject{"a", std::string(500'000, 't'), 9, false}}, {}};
+        source.next = RelayAnswer{true, 9, base::milliseconds{300}, {}, {}, {StoredObject{"a", std::string(500'000, 't'), 9, false}}, {}};
         CPPUNIT_ASSERT(reader.listen(source).has_value());
         Http2Relay router(*m_loop, {});
         std::vector<base::Result<RelayAnswer>> answers;
--- a/carawaylatch/gateway/watchrelay.cpp
+++ b/carawaylatch/gateway/watchrelay.cpp
@@ -5,6 +5,7 @@
 
 #include <optional>
 
+#include "carawaylatch/gateway/fleetstate.h"
 #include "carawaylatch/gateway/storeversion.h"
 
 namespace carawaylatch::gateway
@@ -95,7 +96,10 @@
         return dump(unknownAnswer());
     }
     Json json{{"known", 1U}, {"revision", answer.revision}, {"age_us", microseconds(answer.age)}, {"held_us", microseconds(answer.held)}};
-    json["outage"] = answer.isAfterOutage ? 1U : 0U;
+    json["outage"] = answer.returnAge && *answer.returnAge < FleetState::RecoveryWindow ? 1U : 0U; // for routers of the version before
+    if (answer.returnAge) {
+        json["return_age_us"] = microseconds(*answer.returnAge);
+    }
     json["eras"] = 1U;
     if (answer.changeAge) {
         json["change_age_us"] = microseconds(*answer.changeAge);
@@ -130,7 +134,12 @@
     }
     // Routers of the version before compare revisions of different eras.
     const bool comparesEras = unsignedField(json, "eras") == 1U || eraOf(*revision) == 0;
-    RelayAnswer answer{*known == 1 && comparesEras, *revision, fromMicroseconds(*age), fromMicroseconds(*held), *outage == 1, {}, {}};
+    RelayAnswer answer{*known == 1 && comparesEras, *revision, fromMicroseconds(*age), fromMicroseconds(*held), {}, {}, {}};
+    if (const auto returnAge = unsignedField(json, "return_age_us")) {
+        answer.returnAge = fromMicroseconds(*returnAge);
+    } else if (*outage == 1) {
+        answer.returnAge = base::Duration{}; // a router of the version before does not tell when
+    }
     if (const auto changeAge = unsignedField(json, "change_age_us")) {
         answer.changeAge = fromMicroseconds(*changeAge);
     }
--- a/carawaylatch/gateway/watchrelay.h
+++ b/carawaylatch/gateway/watchrelay.h
@@ -38,7 +38,7 @@
     std::uint64_t revision = 0;
     base::Duration age{}; // of the reader's confirmation when it answered
     base::Duration held{}; // from the poll's arrival to the answer
-    bool isAfterOutage = false; // the reader could not reach the store shortly before
+    std::optional<base::Duration> returnAge; // how long ago the store was back, if the reader could not reach it before
     std::vector<StoredObject> objects;
     // How long ago the objects may have changed when the reader answered; a router of an earlier version does not tell.
     std::optional<base::Duration> changeAge;
