A missing upstream is dropped in time beside slow calls for the lease

Callers: after an outage of the store, a router went on sending requests to an upstream whose entry was missing, past the time for which it may, as long as one of its calls for the lease or its registration had no answer.

Cause: the end of that time was looked for in the loop that makes these calls, between them. It is now looked for at each heartbeat of the control thread, which makes no calls.

--- a/carawaylatch/gateway/controlplane.cpp
+++ b/carawaylatch/gateway/controlplane.cpp
@@ -200,8 +200,6 @@
     while (true) {
         co_await pause(ControlInterval);
         checkStoreEra();
-        m_state.onTick(m_clock.now());
-        publishIfChanged();
         const bool isRouterObjectStored = m_state.coordinationObject(routerObjectName()) != nullptr;
         if (std::exchange(m_wasRouterObjectStored, isRouterObjectStored) && !isRouterObjectStored) {
             m_isRegistered = false; // another router removed it as unreachable
@@ -228,6 +226,8 @@
         if (const auto stalled = m_changeTimes.onHeartbeat(TableAge::bootTime())) {
             m_log.write(base::LogEvent::ControlThreadStalled, {{"stalled_ms", std::to_string(base::toMilliseconds(*stalled))}});
         }
+        m_state.onTick(m_clock.now());
+        publishIfChanged();
         co_await pause(ChangeTimes::HeartbeatInterval);
     }
 }
--- a/carawaylatch/gateway/controlplane.h
+++ b/carawaylatch/gateway/controlplane.h
@@ -119,7 +119,7 @@
     [[nodiscard]] Awaitable<void> waitForConfirmation(ObjectKind kind, base::Duration limit);
     [[nodiscard]] Awaitable<base::Result<std::uint64_t>> listAll(ObjectClient &client, ObjectKind kind, PartialList &partial);
     [[nodiscard]] Awaitable<void> runControlLoop();
-    // Notices that the thread did not run for a while.
+    // Makes no calls. Notices that the thread did not run for a while, and ends what is limited in time.
     [[nodiscard]] Awaitable<void> runHeartbeat();
     // Changes that are read now, and were made at `changedAfter` (bootTime()) or later.
     [[nodiscard]] ChangeTime changeTime(ObjectKind kind, std::optional<base::Duration> changedAfter) const;
--- a/carawaylatch/gateway/testing/controlplanetest.cpp
+++ b/carawaylatch/gateway/testing/controlplanetest.cpp
@@ -30,6 +30,7 @@
     CPPUNIT_TEST(testEntryThatThrowsIsIgnored);
     CPPUNIT_TEST(testStoreOutage);
     CPPUNIT_TEST(testUpstreamRemovedLongAfterAnOutageIsGoneAtOnce);
+    CPPUNIT_TEST(testUpstreamMissingAfterAnOutageIsGoneInTimeBesideSlowCalls);
     CPPUNIT_TEST(testPagedListFromOverloadedStore);
     CPPUNIT_TEST(testUnreachableRouterIsRemoved);
     CPPUNIT_TEST(testStoreComesBackFromACopy);
@@ -318,6 +319,37 @@
         CPPUNIT_ASSERT_MESSAGE(base::formatMilliseconds(used), used < RemovalLimits{}.maxUse / 2);
     }
 
+    // The end of the time for which a missing upstream is used was noticed only between the calls for the lease.
+    void testUpstreamMissingAfterAnOutageIsGoneInTimeBesideSlowCalls()
+    {
+        constexpr base::Duration MaxLateness = base::milliseconds{300};
+        TestCluster &cluster = addCluster();
+        cluster.addRouter("a");
+        const auto hasUpstreams = [&cluster](std::size_t upstreams) {
+            return cluster.routers[0]->last && cluster.routers[0]->last->upstreams.size() == upstreams;
+        };
+        CPPUNIT_ASSERT(runUntil(
+            [&hasUpstreams] {
+                return hasUpstreams(Engines);
+            },
+            base::seconds{5}));
+        cluster.store.isDown = true;
+        m_loop->run_for(std::chrono::milliseconds{400});
+        cluster.store.erase(ObjectKind::Upstreams, "e0");
+        cluster.store.leaseCallTime = base::seconds{4};
+        cluster.store.isDown = false;
+        const base::TimePoint returnedAt = m_clock.now();
+        m_loop->run_for(std::chrono::milliseconds{500});
+        CPPUNIT_ASSERT_MESSAGE("its entry may still come back", hasUpstreams(Engines));
+        CPPUNIT_ASSERT(runUntil(
+            [&hasUpstreams] {
+                return hasUpstreams(Engines - 1);
+            },
+            base::seconds{8}));
+        const base::Duration used = m_clock.now() - returnedAt;
+        CPPUNIT_ASSERT_MESSAGE(base::formatMilliseconds(used), used < RemovalLimits{}.maxUse + MaxLateness);
+    }
+
     // A list of twenty pages completes although the store rejects every third list call, as
     // under overload when many routers start together. Restarting the list after each
     // rejection would never complete it.
--- a/carawaylatch/gateway/testing/fakestore.h
+++ b/carawaylatch/gateway/testing/fakestore.h
@@ -83,6 +83,7 @@
     std::size_t pageSize = 0; // objects in a page of a list; zero: unlimited
     int refusedListEvery = 0; // every n-th list call is refused; zero: none
     base::Duration answerDelay{}; // of the answers of watches that have changes
+    base::Duration leaseCallTime{}; // of reads and writes of leases
     bool areWatchesHung = false; // watches are never answered, so that they fail after their wait
     bool areCoordinationReadsRefused = false; // single reads of coordination objects are refused
     std::optional<ObjectKind> refusedList; // lists of this kind are refused
@@ -194,6 +195,9 @@
     Awaitable<base::Result<StoredObject>> read(ObjectKind kind, std::string name, ReadConsistency consistency) override
     {
         CallFault fault = co_await begin();
+        if (kind == ObjectKind::Leases) {
+            co_await pause(m_store.leaseCallTime);
+        }
         if (m_store.areCoordinationReadsRefused && kind == ObjectKind::Coordination) {
             fault = CallFault::Refused;
         }
@@ -218,6 +222,9 @@
         }
         expected = revisionOf(expected); // a store that was restored meanwhile can't tell
         const CallFault fault = co_await begin();
+        if (kind == ObjectKind::Leases) {
+            co_await pause(m_store.leaseCallTime);
+        }
         if (fault == CallFault::AnswerLost) {
             static_cast<void>(apply(kind, name, text, expected));
         }
