An answer that other answers have overtaken proves nothing by its heartbeats

Cause: while a watch is held, heartbeats of the control thread were taken as proof that nothing had changed. They prove only that no answer had arrived. Ruled out: counting from the call alone (up to 3.5 s too early for every version), and the revisions alone (1.2 s to 2.4 s).

Change: the store has one count of revisions for all kinds. If an answer to any other call told of the change's revision before the heartbeat that would be the proof, that heartbeat is no proof, and the change counts from when the last call was sent whose answer told of an earlier revision. Answers that are not overtaken count as before. So what remains unseen is at most the wait of the configuration's watch, 1.2 s, instead of the call's timeout.

--- a/carawaylatch/gateway/changetimes.cpp
+++ b/carawaylatch/gateway/changetimes.cpp
@@ -39,16 +39,39 @@
     m_kinds[kind].heldUntil.reset();
 }
 
-std::optional<base::Duration> ChangeTimes::onAnswered(ObjectKind name)
+std::optional<base::Duration> ChangeTimes::onAnswered(ObjectKind name, std::optional<std::uint64_t> changedIn)
 {
     Kind &kind = m_kinds[name];
-    const auto changedAfter = newestAt(kind);
+    auto changedAfter = newestAt(kind);
+    if (changedIn && changedAfter && isSeenBefore(*changedIn, *changedAfter)) {
+        changedAfter = kind.newestAt;
+        for (const SeenRevision &seen : m_seenRevisions) {
+            if (seen.revision < *changedIn) {
+                changedAfter = std::max(changedAfter, std::optional(seen.sentAt));
+            }
+        }
+    }
     kind.newestAt = std::max(changedAfter, std::exchange(kind.sentAt, {}));
     kind.heldUntil.reset();
     kind.mayHaveMissedAnswer = false;
     return changedAfter;
 }
 
+bool ChangeTimes::isSeenBefore(std::uint64_t revision, base::Duration at) const
+{
+    return std::any_of(m_seenRevisions.begin(), m_seenRevisions.end(), [revision, at](const SeenRevision &seen) {
+        return seen.revision >= revision && seen.answeredAt < at;
+    });
+}
+
+void ChangeTimes::onRevisionSeen(std::uint64_t revision, base::Duration sentAt, base::Duration now)
+{
+    m_seenRevisions.push_back({revision, sentAt, now});
+    if (m_seenRevisions.size() > MaxSeenRevisions) {
+        m_seenRevisions.pop_front();
+    }
+}
+
 std::optional<base::Duration> ChangeTimes::onRelayed(ObjectKind name, base::Duration confirmedAt, std::optional<base::Duration> changedAfter)
 {
     Kind &kind = m_kinds[name];
--- a/carawaylatch/gateway/changetimes.h
+++ b/carawaylatch/gateway/changetimes.h
@@ -9,6 +9,11 @@
 //   - while a call is held open and the control thread runs, the last but one heartbeat:
 //     an answer that had arrived by then would have been read before the last one.
 //
+// An answer may be on its way for longer than that, for instance behind a lossy link. The store has one
+// count of revisions for all kinds, so an answer to any other call that tells of the change's revision, or
+// of a later one, shows this if it was read before. Then the bound is when the last call was sent whose
+// answer told of an earlier revision.
+//
 // After a failed call only the first holds until the next answer, since an answer may have been
 // lost meanwhile. After the thread did not run for long, heartbeats before that count only if the
 // same call is answered.
@@ -20,6 +25,8 @@
 // TableAge::bootTime(), which count suspension.
 #pragma once
 
+#include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 
@@ -42,8 +49,11 @@
     void onCallSent(ObjectKind kind, base::Duration now);
     void onCallFailed(ObjectKind kind);
     // The store has answered the call. Returns the earliest time at which the changes in the
-    // answer can have been made; nothing if no state of the kind was read before.
-    std::optional<base::Duration> onAnswered(ObjectKind kind);
+    // answer can have been made; nothing if no state of the kind was read before. `changedIn` is the
+    // revision of the first of them, if it is known.
+    std::optional<base::Duration> onAnswered(ObjectKind kind, std::optional<std::uint64_t> changedIn = std::nullopt);
+    // A call for any kind that was sent at `sentAt` is answered: the revision was `revision` in between.
+    void onRevisionSeen(std::uint64_t revision, base::Duration sentAt, base::Duration now);
     // A reader has answered. Its state was the newest at `confirmedAt`; the changes were made
     // at `changedAfter` or later if it tells.
     std::optional<base::Duration> onRelayed(ObjectKind kind, base::Duration confirmedAt, std::optional<base::Duration> changedAfter);
@@ -76,7 +86,18 @@
     // The latest time at which the state of the kind was certainly the newest.
     [[nodiscard]] std::optional<base::Duration> newestAt(const Kind &kind) const;
 
+    struct SeenRevision
+    {
+        std::uint64_t revision = 0;
+        base::Duration sentAt{}; // of the call
+        base::Duration answeredAt{};
+    };
+    static constexpr std::size_t MaxSeenRevisions = 256; // more than the calls of the longest watch
+    // An answer that was read before `at` tells of this revision or of a later one.
+    [[nodiscard]] bool isSeenBefore(std::uint64_t revision, base::Duration at) const;
+
     std::map<ObjectKind, Kind> m_kinds;
+    std::deque<SeenRevision> m_seenRevisions; // the latest ones
     std::optional<base::Duration> m_lastHeartbeat;
     base::Duration m_lastButOneHeartbeat{};
 };
--- a/carawaylatch/gateway/controlplanewatch.cpp
+++ b/carawaylatch/gateway/controlplanewatch.cpp
@@ -31,6 +31,18 @@
 constexpr base::Duration RelistSpread = base::milliseconds{500}; // of the lists of all routers after the store was restored
 constexpr base::Duration CoordinationPause = base::milliseconds{200}; // batches changes of ChangingEngines; draining takes three times as long
 
+// The first revision in which these objects changed. A removal may have the revision of the change before it.
+std::optional<std::uint64_t> firstRevision(const std::vector<StoredObject> &changes)
+{
+    std::optional<std::uint64_t> first;
+    for (const StoredObject &change : changes) {
+        if (!change.isRemoved) {
+            first = std::min(first.value_or(change.revision), change.revision);
+        }
+    }
+    return first;
+}
+
 } // namespace
 
 Awaitable<base::Result<std::uint64_t>> ControlPlane::listAll(ObjectClient &client, ObjectKind kind, PartialList &partial)
@@ -204,7 +216,8 @@
     auto page = co_await client.watch(kind, since, wait);
     if (page) {
         m_changeTimes.onStoreAnswered(kind, TableAge::bootTime());
-        changes.changedAfter = m_changeTimes.onAnswered(kind);
+        changes.changedAfter = m_changeTimes.onAnswered(kind, firstRevision(page.value().objects));
+        m_changeTimes.onRevisionSeen(page.value().asOf, changes.confirmedAt, TableAge::bootTime());
         changes.revision = page.value().asOf;
         changes.objects = std::move(page.value().objects);
     } else {
--- a/carawaylatch/gateway/testing/changetimestest.cpp
+++ b/carawaylatch/gateway/testing/changetimestest.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(testSuspensionDuringTheFirstPollOfAReader);
     CPPUNIT_TEST(testRelayedChange);
     CPPUNIT_TEST(testReturnIsTheFirstAnswerAfterTheLastFailedCall);
+    CPPUNIT_TEST(testChangeWhoseAnswerIsLongOnItsWay);
     CPPUNIT_TEST(testBoundIsNeverLaterThanTheChange);
     CPPUNIT_TEST_SUITE_END();
 
@@ -149,6 +150,43 @@
         CPPUNIT_ASSERT(m_times.onRelayed(Kind, m_now, std::nullopt) == confirmed);
     }
 
+    // Answers to other calls tell of the revision while the answer with the change is on its way.
+    void testChangeWhoseAnswerIsLongOnItsWay()
+    {
+        constexpr std::uint64_t Revision = 7; // of the change
+        constexpr base::Duration Step = base::milliseconds{100};
+        for (int changedIn = 3; changedIn < 30; ++changedIn) {
+            for (const int onItsWay : {0, 1, 4, 9, 30}) {
+                m_times = ChangeTimes();
+                m_now = Start;
+                startWatch();
+                // The watch of another kind is answered every second, and its next one is sent at once.
+                constexpr int CallSteps = 10;
+                const base::Duration changedAt = Start + Step * changedIn + Step / 2;
+                base::Duration otherSentAt = Start;
+                for (int step = 1; step <= changedIn + onItsWay; ++step) {
+                    beatUntil(Start + Step * step);
+                    if (step % CallSteps == 0) {
+                        m_times.onRevisionSeen(m_now < changedAt ? Revision - 1 : Revision + 1, otherSentAt, m_now);
+                        otherSentAt = m_now;
+                    }
+                }
+                beatUntil(std::max(m_now, changedAt) + base::milliseconds{1});
+                const auto bound = m_times.onAnswered(Kind, Revision);
+                const std::string text = "changed in step " + std::to_string(changedIn) + ", " + std::to_string(onItsWay) + " steps on its way: ";
+                // An answer that no other call has overtaken by two heartbeats looks as if it had just been sent.
+                const int overtakenAt = (changedIn / CallSteps + 1) * CallSteps;
+                const base::Duration lastBeat = m_now - Beat * 2;
+                const bool isOvertaken = overtakenAt <= changedIn + onItsWay && Start + Step * overtakenAt < lastBeat;
+                CPPUNIT_ASSERT_MESSAGE(text, bound.has_value());
+                CPPUNIT_ASSERT_MESSAGE(text + base::formatMilliseconds(*bound - changedAt), !isOvertaken || *bound <= changedAt);
+                CPPUNIT_ASSERT_MESSAGE(text, *bound - changedAt <= Step * CallSteps);
+                CPPUNIT_ASSERT_MESSAGE(text, changedAt - *bound <= Step * CallSteps * 2);
+                CPPUNIT_ASSERT_MESSAGE(text, onItsWay > 0 || changedAt - *bound <= Beat * 2);
+            }
+        }
+    }
+
     // Calls for the kind are sent again only after a pause; those for other kinds tell sooner.
     void testReturnIsTheFirstAnswerAfterTheLastFailedCall()
     {
