An entry that returns in the same answer as its removal stays

Callers: nothing by itself. After an outage of the store in which the entries of servers lapse, the first answer to a router that notices the return late holds each removal and the entry's return. The upstream was removed and added again: what it had said of itself (its weights, that it drains) was forgotten, and E2414 told of upstreams that were gone.

Ruled out: upstreams dropped between two answers; the two events of each have the same time.

Change: of the changes in one answer, a removal counts only if no later one is of the same object. FleetStateTest::testEntryThatReturnsInTheSameAnswerChangesNothing fails without it.

--- a/carawaylatch/gateway/controlplanewatch.cpp
+++ b/carawaylatch/gateway/controlplanewatch.cpp
@@ -147,10 +147,7 @@
             co_await nextChanges(*client, kind, since, lostAt ? FallbackWait : watchWait(kind), changes);
             isRelayed = changes.isRelayed;
             if (!changes.error) {
-                const ChangeTime time = changeTime(kind, changes.changedAfter);
-                for (const StoredObject &object : changes.objects) {
-                    m_state.onChange(kind, object, time);
-                }
+                m_state.onChanges(kind, changes.objects, changeTime(kind, changes.changedAfter));
                 result = std::max(changes.revision, since);
                 m_watchLog.onChanges(kind, since, result.value(), changes.objects, changes.changedAfter.value_or(base::Duration{}));
                 hasChanges = !changes.objects.empty();
--- a/carawaylatch/gateway/fleetstate.cpp
+++ b/carawaylatch/gateway/fleetstate.cpp
@@ -152,6 +152,19 @@
     apply(kind, object, time);
 }
 
+void FleetState::onChanges(ObjectKind kind, const std::vector<StoredObject> &objects, const ChangeTime &time)
+{
+    std::map<std::string_view, std::size_t> last;
+    for (std::size_t i = 0; i < objects.size(); ++i) {
+        last[objects[i].name] = i;
+    }
+    for (std::size_t i = 0; i < objects.size(); ++i) {
+        if (!objects[i].isRemoved || last[objects[i].name] == i) {
+            apply(kind, objects[i], time);
+        }
+    }
+}
+
 void FleetState::apply(ObjectKind kind, const StoredObject &object, const ChangeTime &time)
 {
     try {
--- a/carawaylatch/gateway/fleetstate.h
+++ b/carawaylatch/gateway/fleetstate.h
@@ -87,6 +87,8 @@
     // Takes all objects of a kind.
     void onList(ObjectKind kind, const std::vector<StoredObject> &objects, const ChangeTime &time);
     void onChange(ObjectKind kind, const StoredObject &object, const ChangeTime &time);
+    // Takes changes that were read together, in their order. A removal counts only if no later one is of the same object.
+    void onChanges(ObjectKind kind, const std::vector<StoredObject> &objects, const ChangeTime &time);
     // An upstream of this incarnation has said that it leaves, whatever its entry says.
     void onUpstreamLeaving(const base::UpstreamId &upstream, std::uint64_t startTimeMs);
     // An engine reported its weights in a response.
--- a/carawaylatch/gateway/testing/fleetstatetest.cpp
+++ b/carawaylatch/gateway/testing/fleetstatetest.cpp
@@ -37,6 +37,7 @@
     CPPUNIT_TEST(testMalformedEntryRemovesUpstream);
     CPPUNIT_TEST(testEntryOfEarlierIncarnationIsIgnored);
     CPPUNIT_TEST(testExpiredEntriesStayDuringGrace);
+    CPPUNIT_TEST(testEntryThatReturnsInTheSameAnswerChangesNothing);
     CPPUNIT_TEST(testListedVersionAllowsNoOlderWeights);
     CPPUNIT_TEST(testReportedWeightsOverrideEntry);
     CPPUNIT_TEST(testRoutersAreCounted);
@@ -133,6 +134,23 @@
         CPPUNIT_ASSERT_MESSAGE("without an outage, a missing entry removes its upstream", !hasUpstream("ready"));
     }
 
+    // The first answer after a long outage holds the removal of an entry and its return: what the upstream
+    // reported itself is kept.
+    void testEntryThatReturnsInTheSameAnswerChangesNothing()
+    {
+        const base::UpstreamId id("e");
+        change(ObjectKind::Upstreams, object("e", "p ready 10 1"));
+        m_state->onWeightsSeen(id, base::WeightsVersion{2});
+        static_cast<void>(m_state->consumeChanged());
+        m_state->onChanges(ObjectKind::Upstreams, {removal("e"), object("e", "p ready 10 1", 2)}, {Start, Start, {}});
+        CPPUNIT_ASSERT(!m_state->consumeChanged());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, m_state->upstreams().at(id).models.begin()->second.value);
+        m_state->onChanges(ObjectKind::Upstreams, {object("e", "p draining 10 1", 3), removal("e"), object("e", "p ready 10 1", 4)}, {Start, Start, {}});
+        CPPUNIT_ASSERT(m_state->upstreams().at(id).phase == proxy::UpstreamPhase::Draining);
+        m_state->onChanges(ObjectKind::Upstreams, {object("e", "p ready 11 1", 5), removal("e")}, {Start, Start, {}});
+        CPPUNIT_ASSERT(!hasUpstream("e"));
+    }
+
     // Guards against a restarted router that treats a listed version as just announced and
     // so uses older weights for too long.
     void testListedVersionAllowsNoOlderWeights()
--- a/carawaylatch/gateway/testing/removedupstreamtest.cpp
+++ b/carawaylatch/gateway/testing/removedupstreamtest.cpp
@@ -92,9 +92,7 @@
     {
         m_times.onStoreAnswered(Kind, m_now);
         const auto changedAfter = m_times.onAnswered(Kind);
-        for (const StoredObject &object : objects) {
-            m_state.onChange(Kind, object, time(changedAfter));
-        }
+        m_state.onChanges(Kind, objects, time(changedAfter));
         noteDrop();
         lastChange = changedAfter;
     }
@@ -123,9 +121,7 @@
         answer = decodeRelayAnswer(encodeRelayAnswer(answer)).value();
         const auto changedAfter = m_times.onRelayed(Kind, confirmedAt, answer.changeAge ? std::optional(at - *answer.changeAge) : std::nullopt);
         m_times.onReaderAnswered(Kind, confirmedAt, answer.returnAge ? std::optional(at - *answer.returnAge) : std::nullopt);
-        for (const StoredObject &object : answer.objects) {
-            m_state.onChange(Kind, object, time(changedAfter));
-        }
+        m_state.onChanges(Kind, answer.objects, time(changedAfter));
         noteDrop();
     }
     // A call for another kind of object succeeds.
