The test store's watches wait by the clock

Cause: the watch of FakeStore added up steps of 5 ms, each of which ends late when the process waits for a processor; a watch of 100 ms then takes up to a second, and the configuration that it confirms is that old. Not the product: what the product adds is what a late thread adds.

The tests and their bounds are unchanged.

--- a/carawaylatch/gateway/testing/fakestore.h
+++ b/carawaylatch/gateway/testing/fakestore.h
@@ -1,6 +1,8 @@
 // In-memory object store behind ObjectClient that injects one fault at a chosen call.
 #pragma once
 
+#include <algorithm>
+#include <chrono>
 #include <map>
 #include <memory>
 #include <optional>
@@ -160,7 +162,10 @@
             co_return *error;
         }
         bool isHung = false;
-        for (base::Duration waited{}; waited <= wait && !m_isInterrupted; waited += Step) {
+        bool isOver = false;
+        const auto until = std::chrono::steady_clock::now() + wait; // steps are late on a busy machine
+        while (!isOver && !m_isInterrupted) {
+            isOver = std::chrono::steady_clock::now() >= until;
             noteEra();
             if (eraOf(since) != m_era.current) {
                 co_return base::fail(base::ErrorKind::StaleState, "the store was restored");
@@ -173,23 +178,18 @@
                 }
             }
             isHung = isHung || m_store.areWatchesHung;
-            if (!isHung && (!page.objects.empty() || waited == wait)) {
+            if (!isHung && (!page.objects.empty() || isOver)) {
                 if (!page.objects.empty() && m_store.answerDelay > base::Duration{}) {
                     co_await pause(m_store.answerDelay);
                 }
                 co_return page;
             }
-            co_await pause(Step);
-        }
-        if (std::exchange(m_isInterrupted, false)) {
-            co_return base::fail(base::ErrorKind::Unclear, "interrupted");
-        }
-        if (isHung) {
-            co_return base::fail(base::ErrorKind::Unclear, "no response");
+            if (!isOver) {
+                co_await pause(std::min<base::Duration>(Step, until - std::chrono::steady_clock::now()));
+            }
         }
-        ObjectPage page;
-        page.asOf = since;
-        co_return page;
+        const bool wasInterrupted = std::exchange(m_isInterrupted, false);
+        co_return base::fail(base::ErrorKind::Unclear, wasInterrupted ? "interrupted" : "no response");
     }
 
     Awaitable<base::Result<StoredObject>> read(ObjectKind kind, std::string name, ReadConsistency consistency) override
