--- a/carawaylatch/gateway/changetimes.cpp
+++ b/carawaylatch/gateway/changetimes.cpp
@@ -39,16 +39,39 @@
     m_kinds[kind].heldUntil.reset();
 }
 
-std::optional<base::Duration> ChangeTimes::onAnswered(ObjectKind name)
+std::optional<base::Duration> ChangeTimes::onAnswered(ObjectKind name, std::optional<std::uint64_t> changedIn)
 {
     Kind &kind = m_kinds[name];
-    const auto changedAfter = newestAt(kind);
+    auto changedAfter = newestAt(kind);
+    if (changedIn && changedAfter && isSeenBefore(*changedIn, *changedAfter)) {
+        changedAfter = kind.newestAt;
+        for (const SeenRevision &seen : m_seenRevisions) {
+            if (seen.revision < *changedIn) {
+                changedAfter = std::max(changedAfter, std::optional(seen.sentAt));
+            }
+        }
+    }
     kind.newestAt = std::max(changedAfter, std::exchange(kind.sentAt, {}));
     kind.heldUntil.reset();
     kind.mayHaveMissedAnswer = false;
     return changedAfter;
 }
 
+bool ChangeTimes::isSeenBefore(std::uint64_t revision, base::Duration at) const
+{
+    return std::any_of(m_seenRevisions.begin(), m_seenRevisions.end(), [revision, at](const SeenRevision &seen) {
+        return seen.revision >= revision && seen.answeredAt < at;
+    });
+}
+
+void ChangeTimes::onRevisionSeen(std::uint64_t revision, base::Duration sentAt, base::Duration now)
+{
+    m_seenRevisions.push_back({revision, sentAt, now});
+    if (m_seenRevisions.size() > MaxSeenRevisions) {
+        m_seenRevisions.pop_front();
+    }
+}
+
 std::optional<base::Duration> ChangeTimes::onRelayed(ObjectKind name, base::Duration confirmedAt, std::optional<base::Duration> changedAfter)
 {
     Kind &kind = m_kinds[name];
@@ -58,4 +81,53 @@
     return changedAfter ? std::max(before, changedAfter) : before;
 }
 
+void ChangeTimes::onStoreFailed(ObjectKind name, base::Duration now)
+{
+    Kind &kind = m_kinds[name];
+    kind.storeLostAt = kind.storeLostAt.value_or(now);
+    if (kind.sentAt > kind.otherAnsweredAt) {
+        kind.otherAnsweredAt.reset();
+    }
+}
+
+void ChangeTimes::onStoreAnswered(ObjectKind name, base::Duration at)
+{
+    for (auto &[other, kind] : m_kinds) {
+        if (other != name && kind.storeLostAt && !kind.otherAnsweredAt && at > *kind.storeLostAt) {
+            kind.otherAnsweredAt = at;
+        }
+    }
+    Kind &kind = m_kinds[name];
+    if (const auto lostAt = std::exchange(kind.storeLostAt, {})) {
+        onStoreReturned(name, std::max(*lostAt, std::exchange(kind.otherAnsweredAt, {}).value_or(at)));
+    }
+}
+
+void ChangeTimes::onReaderAnswered(ObjectKind name, base::Duration confirmedAt, std::optional<base::Duration> returnedAt)
+{
+    const bool isSameOutage = returnedAt && returnedAt > storeLostAt(name);
+    onStoreAnswered(name, isSameOutage ? *returnedAt : confirmedAt);
+    if (returnedAt) {
+        onStoreReturned(name, *returnedAt);
+    }
+}
+
+void ChangeTimes::onStoreReturned(ObjectKind name, base::Duration at)
+{
+    Kind &kind = m_kinds[name];
+    kind.storeReturnedAt = std::max(kind.storeReturnedAt, std::optional(at));
+}
+
+std::optional<base::Duration> ChangeTimes::storeLostAt(ObjectKind kind) const
+{
+    const auto it = m_kinds.find(kind);
+    return it == m_kinds.end() ? std::nullopt : it->second.storeLostAt;
+}
+
+std::optional<base::Duration> ChangeTimes::storeReturnedAt(ObjectKind kind) const
+{
+    const auto it = m_kinds.find(kind);
+    return it == m_kinds.end() ? std::nullopt : it->second.storeReturnedAt;
+}
+
 } // namespace carawaylatch::gateway
--- a/carawaylatch/gateway/controlplane.cpp
+++ b/carawaylatch/gateway/controlplane.cpp
@@ -50,7 +50,7 @@
     , m_log(log)
     , m_tableAge(tableAge)
     , m_publish(std::move(publish))
-    , m_state(decoder, log)
+    , m_state(decoder, log, settings.removal)
     , m_lease(settings.router, base::newIncarnation(), settings.lease)
     , m_rollout(settings.rollout)
     , m_random(base::hash64(settings.router.value()))
@@ -201,8 +201,6 @@
     while (true) {
         co_await pause(ControlInterval);
         checkStoreEra();
-        m_state.onTick(m_clock.now());
-        publishIfChanged();
         const bool isRouterObjectStored = m_state.coordinationObject(routerObjectName()) != nullptr;
         if (std::exchange(m_wasRouterObjectStored, isRouterObjectStored) && !isRouterObjectStored) {
             m_isRegistered = false; // another router removed it as unreachable
@@ -236,6 +234,8 @@
             m_log.write(base::LogEvent::ControlThreadStalled,
                         {{"stalled_ms", std::to_string(base::toMilliseconds(*stalled))}, {"suspended_ms", std::to_string(base::toMilliseconds(suspendedNow))}});
         }
+        m_state.onTick(m_clock.now());
+        publishIfChanged();
         co_await pause(ChangeTimes::HeartbeatInterval);
     }
 }
@@ -353,7 +353,7 @@
             co_return;
         }
         if (changing) {
-            m_state.onChange(ObjectKind::Coordination, changing.value(), false, {now, now});
+            m_state.onChange(ObjectKind::Coordination, changing.value(), {now, now, {}});
             m_rollout.takeOver(now, ChangingEngines::decode(changing.value().text),
                                m_lease.hadNoOtherHolder() ? PreviousHolder::SameRouter : PreviousHolder::OtherRouter);
         }
@@ -401,7 +401,7 @@
         co_return false; // retried at the next check
     }
     const base::TimePoint now = m_clock.now();
-    m_state.onChange(ObjectKind::Coordination, StoredObject{std::string(ChangingName), text, written.value(), false}, false, {now, now});
+    m_state.onChange(ObjectKind::Coordination, StoredObject{std::string(ChangingName), text, written.value(), false}, {now, now, {}});
     publishIfChanged();
     co_return true;
 }
--- a/carawaylatch/gateway/gatewaysettings.cpp
+++ b/carawaylatch/gateway/gatewaysettings.cpp
@@ -201,9 +201,11 @@
     constexpr double LeaseShare = 0.6; // lease duration; the holder uses at most two thirds of it
     constexpr base::Duration OrderMargin = base::milliseconds{100}; // of the arrival of an order after the end of its call
     constexpr base::Duration OrderTime = EngineClient::MaxOrderTime + OrderMargin;
-    constexpr double UpstreamsPauseShare = 0.2; // of the time to leave; the rest covers a slow call and requests in flight
+    constexpr double RemovalPauseShare = 0.2; // of the time to leave; the rest covers a slow call and requests in flight
+    constexpr double RemovalUseShare = 0.85; // of the time to leave; the rest covers requests in flight
     ControlSettings out;
-    out.upstreamsPause = base::fromMilliseconds(leaveWithinMs * UpstreamsPauseShare);
+    out.removal.pause = base::fromMilliseconds(leaveWithinMs * RemovalPauseShare);
+    out.removal.maxUse = base::fromMilliseconds(leaveWithinMs * RemovalUseShare);
     out.router = base::RouterId(id);
     out.peers = peers;
     out.domain = base::FailureDomain(failureDomain);
--- a/carawaylatch/gateway/testing/changetimestest.cpp
+++ b/carawaylatch/gateway/testing/changetimestest.cpp
@@ -32,6 +32,8 @@
     CPPUNIT_TEST(testAnswerLostBeforeASuspension);
     CPPUNIT_TEST(testSuspensionDuringTheFirstPollOfAReader);
     CPPUNIT_TEST(testRelayedChange);
+    CPPUNIT_TEST(testReturnIsTheFirstAnswerAfterTheLastFailedCall);
+    CPPUNIT_TEST(testChangeWhoseAnswerIsLongOnItsWay);
     CPPUNIT_TEST(testBoundIsNeverLaterThanTheChange);
     CPPUNIT_TEST_SUITE_END();
 
@@ -148,6 +150,84 @@
         CPPUNIT_ASSERT(m_times.onRelayed(Kind, m_now, std::nullopt) == confirmed);
     }
 
+    // Answers to other calls tell of the revision while the answer with the change is on its way.
+    void testChangeWhoseAnswerIsLongOnItsWay()
+    {
+        constexpr std::uint64_t Revision = 7; // of the change
+        constexpr base::Duration Step = base::milliseconds{100};
+        for (int changedIn = 3; changedIn < 30; ++changedIn) {
+            for (const int onItsWay : {0, 1, 4, 9, 30}) {
+                m_times = ChangeTimes();
+                m_now = Start;
+                startWatch();
+                // The watch of another kind is answered every second, and its next one is sent at once.
+                constexpr int CallSteps = 10;
+                const base::Duration changedAt = Start + Step * changedIn + Step / 2;
+                base::Duration otherSentAt = Start;
+                for (int step = 1; step <= changedIn + onItsWay; ++step) {
+                    beatUntil(Start + Step * step);
+                    if (step % CallSteps == 0) {
+                        m_times.onRevisionSeen(m_now < changedAt ? Revision - 1 : Revision + 1, otherSentAt, m_now);
+                        otherSentAt = m_now;
+                    }
+                }
+                beatUntil(std::max(m_now, changedAt) + base::milliseconds{1});
+                const auto bound = m_times.onAnswered(Kind, Revision);
+                const std::string text = "changed in step " + std::to_string(changedIn) + ", " + std::to_string(onItsWay) + " steps on its way: ";
+                // An answer that no other call has overtaken by two heartbeats looks as if it had just been sent.
+                const int overtakenAt = (changedIn / CallSteps + 1) * CallSteps;
+                const base::Duration lastBeat = m_now - Beat * 2;
+                const bool isOvertaken = overtakenAt <= changedIn + onItsWay && Start + Step * overtakenAt < lastBeat;
+                CPPUNIT_ASSERT_MESSAGE(text, bound.has_value());
+                CPPUNIT_ASSERT_MESSAGE(text + base::formatMilliseconds(*bound - changedAt), !isOvertaken || *bound <= changedAt);
+                CPPUNIT_ASSERT_MESSAGE(text, *bound - changedAt <= Step * CallSteps);
+                CPPUNIT_ASSERT_MESSAGE(text, changedAt - *bound <= Step * CallSteps * 2);
+                CPPUNIT_ASSERT_MESSAGE(text, onItsWay > 0 || changedAt - *bound <= Beat * 2);
+            }
+        }
+    }
+
+    // Calls for the kind are sent again only after a pause; those for other kinds tell sooner.
+    void testReturnIsTheFirstAnswerAfterTheLastFailedCall()
+    {
+        constexpr auto Other = ObjectKind::Tables;
+        const auto at = [](int ms) {
+            return Start + base::milliseconds{ms};
+        };
+        const auto failCall = [&](int sentMs, int failedMs) {
+            m_times.onCallSent(Kind, at(sentMs));
+            m_times.onStoreFailed(Kind, at(failedMs));
+        };
+        m_times.onStoreAnswered(Kind, at(0));
+        CPPUNIT_ASSERT(!m_times.storeReturnedAt(Kind).has_value());
+        m_times.onStoreAnswered(Other, at(50));
+        failCall(0, 100);
+        failCall(300, 400);
+        CPPUNIT_ASSERT(m_times.storeLostAt(Kind) == at(100));
+        m_times.onStoreAnswered(Kind, at(1000));
+        CPPUNIT_ASSERT(m_times.storeReturnedAt(Kind) == at(1000));
+        failCall(1100, 1200);
+        m_times.onStoreAnswered(Other, at(1500));
+        m_times.onStoreAnswered(Other, at(1600));
+        m_times.onStoreAnswered(Kind, at(2500));
+        CPPUNIT_ASSERT(m_times.storeReturnedAt(Kind) == at(1500));
+        failCall(2600, 2700);
+        m_times.onStoreAnswered(Other, at(2800));
+        failCall(2900, 3000); // the store is away again
+        m_times.onStoreAnswered(Other, at(3500));
+        failCall(3400, 3600); // sent before the return
+        m_times.onStoreAnswered(Kind, at(4000));
+        CPPUNIT_ASSERT(m_times.storeReturnedAt(Kind) == at(3500));
+        // A reader whose state is older than the failure tells nothing of the return, its own return does.
+        failCall(4100, 4200);
+        m_times.onReaderAnswered(Kind, at(4150), std::nullopt);
+        CPPUNIT_ASSERT(m_times.storeReturnedAt(Kind) == at(4200));
+        failCall(4300, 4400);
+        m_times.onReaderAnswered(Kind, at(6000), at(5000));
+        CPPUNIT_ASSERT(m_times.storeReturnedAt(Kind) == at(5000));
+        CPPUNIT_ASSERT(!m_times.storeLostAt(Kind).has_value());
+    }
+
     // Random histories of calls that are answered at once, late, or never, of suspensions and of
     // changes, against the true times of the changes.
     void testBoundIsNeverLaterThanTheChange()
--- a/carawaylatch/gateway/testing/fakestore.h
+++ b/carawaylatch/gateway/testing/fakestore.h
@@ -1,6 +1,8 @@
 // In-memory object store behind ObjectClient that injects one fault at a chosen call.
 #pragma once
 
+#include <algorithm>
+#include <chrono>
 #include <map>
 #include <memory>
 #include <optional>
@@ -83,6 +85,7 @@
     std::size_t pageSize = 0; // objects in a page of a list; zero: unlimited
     int refusedListEvery = 0; // every n-th list call is refused; zero: none
     base::Duration answerDelay{}; // of the answers of watches that have changes
+    base::Duration leaseCallTime{}; // of reads and writes of leases
     bool areWatchesHung = false; // watches are never answered, so that they fail after their wait
     bool areCoordinationReadsRefused = false; // single reads of coordination objects are refused
     std::optional<ObjectKind> refusedList; // lists of this kind are refused
@@ -159,7 +162,10 @@
             co_return *error;
         }
         bool isHung = false;
-        for (base::Duration waited{}; waited <= wait && !m_isInterrupted; waited += Step) {
+        bool isOver = false;
+        const auto until = std::chrono::steady_clock::now() + wait; // steps are late on a busy machine
+        while (!isOver && !m_isInterrupted) {
+            isOver = std::chrono::steady_clock::now() >= until;
             noteEra();
             if (eraOf(since) != m_era.current) {
                 co_return base::fail(base::ErrorKind::StaleState, "the store was restored");
@@ -172,28 +178,26 @@
                 }
             }
             isHung = isHung || m_store.areWatchesHung;
-            if (!isHung && (!page.objects.empty() || waited == wait)) {
+            if (!isHung && (!page.objects.empty() || isOver)) {
                 if (!page.objects.empty() && m_store.answerDelay > base::Duration{}) {
                     co_await pause(m_store.answerDelay);
                 }
                 co_return page;
             }
-            co_await pause(Step);
-        }
-        if (std::exchange(m_isInterrupted, false)) {
-            co_return base::fail(base::ErrorKind::Unclear, "interrupted");
-        }
-        if (isHung) {
-            co_return base::fail(base::ErrorKind::Unclear, "no response");
+            if (!isOver) {
+                co_await pause(std::min<base::Duration>(Step, until - std::chrono::steady_clock::now()));
+            }
         }
-        ObjectPage page;
-        page.asOf = since;
-        co_return page;
+        const bool wasInterrupted = std::exchange(m_isInterrupted, false);
+        co_return base::fail(base::ErrorKind::Unclear, wasInterrupted ? "interrupted" : "no response");
     }
 
     Awaitable<base::Result<StoredObject>> read(ObjectKind kind, std::string name, ReadConsistency consistency) override
     {
         CallFault fault = co_await begin();
+        if (kind == ObjectKind::Leases) {
+            co_await pause(m_store.leaseCallTime);
+        }
         if (m_store.areCoordinationReadsRefused && kind == ObjectKind::Coordination) {
             fault = CallFault::Refused;
         }
@@ -218,6 +222,9 @@
         }
         expected = revisionOf(expected); // a store that was restored meanwhile can't tell
         const CallFault fault = co_await begin();
+        if (kind == ObjectKind::Leases) {
+            co_await pause(m_store.leaseCallTime);
+        }
         if (fault == CallFault::AnswerLost) {
             static_cast<void>(apply(kind, name, text, expected));
         }
@@ -268,7 +275,7 @@
 
     Awaitable<void> pause(base::Duration duration)
     {
-        boost::asio::steady_timer timer(m_store.m_loop, duration);
+        boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, duration);
         co_await timer.async_wait(boost::asio::use_awaitable);
     }
     void noteEra()
--- a/carawaylatch/gateway/testing/fleetstatetest.cpp
+++ b/carawaylatch/gateway/testing/fleetstatetest.cpp
@@ -37,6 +37,7 @@
     CPPUNIT_TEST(testMalformedEntryRemovesUpstream);
     CPPUNIT_TEST(testEntryOfEarlierIncarnationIsIgnored);
     CPPUNIT_TEST(testExpiredEntriesStayDuringGrace);
+    CPPUNIT_TEST(testEntryThatReturnsInTheSameAnswerChangesNothing);
     CPPUNIT_TEST(testListedVersionAllowsNoOlderWeights);
     CPPUNIT_TEST(testReportedWeightsOverrideEntry);
     CPPUNIT_TEST(testRoutersAreCounted);
@@ -50,7 +51,7 @@
 
     void change(ObjectKind kind, const StoredObject &object)
     {
-        m_state->onChange(kind, object, false, {Start, Start});
+        m_state->onChange(kind, object, {Start, Start, {}});
     }
     bool hasUpstream(const std::string &id)
     {
@@ -69,7 +70,7 @@
         change(ObjectKind::Tables, object("main", "7"));
         change(ObjectKind::Tables, object("main", "5", 2));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, m_state->view()->table->version);
-        m_state->onList(ObjectKind::Tables, {object("main", "6", 3)}, false, {Start, Start});
+        m_state->onList(ObjectKind::Tables, {object("main", "6", 3)}, {Start, Start, {}});
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, m_state->view()->table->version);
         change(ObjectKind::Tables, removal("main"));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, m_state->view()->table->version);
@@ -119,25 +120,42 @@
         change(ObjectKind::Upstreams, object("ready", "p ready 10 1"));
         change(ObjectKind::Upstreams, object("leaving", "p draining 10 1"));
         change(ObjectKind::Upstreams, object("removed", "p ready 10 1"));
-        m_state->onChange(ObjectKind::Upstreams, removal("removed"), true, {Start, Start});
-        m_state->onList(ObjectKind::Upstreams, {}, true, {Start, Start});
+        m_state->onChange(ObjectKind::Upstreams, removal("removed"), {Start, Start, Start});
+        m_state->onList(ObjectKind::Upstreams, {}, {Start, Start, Start});
         CPPUNIT_ASSERT(hasUpstream("ready"));
         CPPUNIT_ASSERT(hasUpstream("removed"));
         CPPUNIT_ASSERT(!hasUpstream("leaving"));
-        CPPUNIT_ASSERT(!m_state->onTick(Start + FleetState::ExpiredEntryGrace - base::milliseconds{1}));
+        CPPUNIT_ASSERT(!m_state->onTick(Start + RemovalLimits{}.maxUse - base::milliseconds{1}));
         change(ObjectKind::Upstreams, object("ready", "p ready 10 1", 2));
-        CPPUNIT_ASSERT(m_state->onTick(Start + FleetState::ExpiredEntryGrace));
+        CPPUNIT_ASSERT(m_state->onTick(Start + RemovalLimits{}.maxUse));
         CPPUNIT_ASSERT(hasUpstream("ready"));
         CPPUNIT_ASSERT(!hasUpstream("removed"));
-        m_state->onList(ObjectKind::Upstreams, {}, false, {Start, Start});
+        m_state->onList(ObjectKind::Upstreams, {}, {Start, Start, {}});
         CPPUNIT_ASSERT_MESSAGE("without an outage, a missing entry removes its upstream", !hasUpstream("ready"));
     }
 
+    // The first answer after a long outage holds the removal of an entry and its return: what the upstream
+    // reported itself is kept.
+    void testEntryThatReturnsInTheSameAnswerChangesNothing()
+    {
+        const base::UpstreamId id("e");
+        change(ObjectKind::Upstreams, object("e", "p ready 10 1"));
+        m_state->onWeightsSeen(id, base::WeightsVersion{2});
+        static_cast<void>(m_state->consumeChanged());
+        m_state->onChanges(ObjectKind::Upstreams, {removal("e"), object("e", "p ready 10 1", 2)}, {Start, Start, {}});
+        CPPUNIT_ASSERT(!m_state->consumeChanged());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, m_state->upstreams().at(id).models.begin()->second.value);
+        m_state->onChanges(ObjectKind::Upstreams, {object("e", "p draining 10 1", 3), removal("e"), object("e", "p ready 10 1", 4)}, {Start, Start, {}});
+        CPPUNIT_ASSERT(m_state->upstreams().at(id).phase == proxy::UpstreamPhase::Draining);
+        m_state->onChanges(ObjectKind::Upstreams, {object("e", "p ready 11 1", 5), removal("e")}, {Start, Start, {}});
+        CPPUNIT_ASSERT(!hasUpstream("e"));
+    }
+
     // Guards against a restarted router that treats a listed version as just announced and
     // so uses older weights for too long.
     void testListedVersionAllowsNoOlderWeights()
     {
-        m_state->onList(ObjectKind::Weights, {object("m", "m 3")}, false, {Start, {}});
+        m_state->onList(ObjectKind::Weights, {object("m", "m 3")}, {Start, {}, {}});
         const auto limit = base::seconds{6};
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, m_state->targets().at(base::ModelId("m")).oldestAllowed(Start, limit).value);
         change(ObjectKind::Weights, object("m", "m 4", 2));
--- a/carawaylatch/gateway/testing/testcluster.h
+++ b/carawaylatch/gateway/testing/testcluster.h
@@ -37,15 +37,14 @@
 class FakeEngines : public EngineClient
 {
 public:
-    FakeEngines(boost::asio::io_context &loop, const base::Clock &clock)
-        : m_loop(loop)
-        , m_clock(clock)
+    explicit FakeEngines(const base::Clock &clock)
+        : m_clock(clock)
     {
     }
     Awaitable<base::Result<OrderResponse>> order(WeightsOrder order, std::function<std::optional<base::FencingToken>()> currentFence) override
     {
         ++pendingOrders;
-        boost::asio::steady_timer timer(m_loop);
+        boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor);
         timer.expires_after(connectTime);
         co_await timer.async_wait(boost::asio::use_awaitable);
         --pendingOrders;
@@ -77,7 +76,6 @@
     int pendingOrders = 0; // whose connection is being opened
 
 private:
-    boost::asio::io_context &m_loop;
     const base::Clock &m_clock;
     std::map<base::UpstreamId, std::pair<base::TimePoint, base::WeightsVersion>> m_loads;
 };
@@ -154,7 +152,7 @@
 {
     TestCluster(boost::asio::io_context &loop, const base::Clock &clock, telemetry::EventLog &log)
         : store(loop)
-        , engines(loop, clock)
+        , engines(clock)
         , m_loop(loop)
         , m_clock(clock)
         , m_log(log)
