Find out whether a router is cut off from the upstreams of a pool

Callers of a router that reached no upstream were refused after four connections of 400 ms each, and its log held only the single failures (E2421): it could not be told from crashed upstreams, back-off or a limit, nor since when it lasted.

Reachability is a state machine without I/O over the outcomes of connections: a failure, a connection that takes 100 ms, or silence of all outstanding requests starts probes, bare connections to a few upstreams; the verdict needs four different upstreams (all of a smaller pool) that fail without a success in between, and two that are reached end it. E2438 and E2439 say when, with the gauge unreached_pools and the counter upstream_probes_total. Nothing acts on the verdict yet.

Tests in virtual time: a cut with hanging connections is found within 600 ms of the first one, with refused ones within 150 ms, in a pool without traffic 500 ms after another pool's verdict; ten crashed upstreams of sixteen, two of three, and a silent upstream are no cut; the end is noticed within 300 ms.

--- a/carawaylatch/proxy/trafficmetrics.cpp
+++ b/carawaylatch/proxy/trafficmetrics.cpp
@@ -46,6 +46,8 @@
         {"blocked_crashing_requests", m_crashes.blockedRequests(now())},
         {"upstream_pauses_total", m_counts.pauses},
         {"limited_upstreams", m_tracker.limits().size()},
+        {"unreached_pools", m_reach.cutPools()},
+        {"upstream_probes_total", m_counts.probes},
         {"inflight", m_inflight},
         {"peers", m_tracker.peers()},
         {"log_lines_dropped_total", m_log.dropped()},
--- a/carawaylatch/proxy/trafficplane.cpp
+++ b/carawaylatch/proxy/trafficplane.cpp
@@ -59,6 +59,7 @@
     , m_random(static_cast<std::uint64_t>(clock.now().time_since_epoch().count()))
 {
     m_tick = m_timers.every(now(), TickInterval, [this](base::TimePoint at) {
+        watchReach(at);
         placeWaiting();
         storeStreams(at);
         updateReadiness(notReadyReason());
@@ -156,6 +157,7 @@
     const bool hasNewWeights = view->targets != m_view->targets;
     m_view = std::move(view);
     m_tracker.adopt(*m_view, now());
+    m_reach.adopt(*m_view, now());
     m_origins.adopt(*m_view);
     closeIdleConnections([this](const base::UpstreamId &upstream) {
         return m_tracker.find(upstream) == nullptr;
@@ -276,6 +278,7 @@
     m_operatorsListener->acceptor.close(ignored);
     m_metricsListener->acceptor.close(ignored);
     m_peers.closeAll();
+    endProbes();
     m_timer.cancel();
     const std::vector<std::shared_ptr<CallerConnection>> callers(m_callers.begin(), m_callers.end());
     for (const auto &caller : callers) {
@@ -541,38 +544,6 @@
     m_callers.erase(connection);
 }
 
-std::string_view TrafficPlane::notReadyReason() const
-{
-    if (m_isStopping) {
-        return "stopping";
-    }
-    if (!m_view->table) {
-        return "no_configuration";
-    }
-    if (m_view->upstreams.empty()) {
-        return "no_upstreams";
-    }
-    if (m_settings.readyTableAge > base::Duration{} && tableAge() > m_settings.readyTableAge) {
-        return "configuration_not_confirmed";
-    }
-    return {};
-}
-
-void TrafficPlane::updateReadiness(std::string_view reason)
-{
-    if (reason == m_notReadyReason) {
-        return;
-    }
-    m_notReadyReason = reason;
-    const std::string age = std::to_string(base::toMilliseconds(tableAge()));
-    if (reason.empty()) {
-        m_log.write(base::LogEvent::GatewayReady,
-                    {{"table", std::to_string(m_view->table->version)}, {"upstreams", std::to_string(m_view->upstreams.size())}, {"age_ms", age}});
-    } else {
-        m_log.write(base::LogEvent::GatewayNotReady, {{"reason", std::string(reason)}, {"age_ms", age}});
-    }
-}
-
 bool TrafficPlane::handleLocalPath(CallerConnection &connection, const HttpRequestHead &head)
 {
     constexpr std::string_view MetricsPath = "/metrics";
--- a/carawaylatch/proxy/trafficplane.h
+++ b/carawaylatch/proxy/trafficplane.h
@@ -30,6 +30,7 @@
 #include "carawaylatch/proxy/fleet.h"
 #include "carawaylatch/proxy/peerexchange.h"
 #include "carawaylatch/proxy/placement.h"
+#include "carawaylatch/proxy/reachability.h"
 #include "carawaylatch/proxy/socket.h"
 #include "carawaylatch/proxy/streamorigins.h"
 #include "carawaylatch/proxy/upstreamconnection.h"
@@ -70,6 +71,7 @@
     std::uint64_t rejected = 0;
     std::uint64_t attempts = 0;
     std::uint64_t connections = 0; // connection attempts to upstreams
+    std::uint64_t probes = 0; // connections that only find out whether an upstream is reached
     std::uint64_t reads = 0; // reads of response body bytes from upstreams
     std::uint64_t mismatchedResponses = 0;
     std::uint64_t resumed = 0;
@@ -149,6 +151,7 @@
     [[nodiscard]] const TrafficSettings &settings() const;
     [[nodiscard]] std::shared_ptr<const FleetView> view() const;
     [[nodiscard]] UpstreamTracker &tracker();
+    [[nodiscard]] Reachability &reach();
     [[nodiscard]] CrashAttribution &crashes();
     [[nodiscard]] StreamOrigins &origins();
     // The software that may begin streams of the pool; nullptr: any.
@@ -220,6 +223,13 @@
     // Logs new verdicts, and ends requests in progress whose prompts are blocked now.
     void applyVerdicts();
     void onPeerUnreachable(const base::Endpoint &peer) override;
+    // Probes upstreams of suspected pools, and applies changed verdicts.
+    void watchReach(base::TimePoint at);
+    void startProbe(const base::UpstreamId &upstream);
+    void endProbes();
+    // True if requests are outstanding at the pool and no byte has come for Reachability::SuspiciousSilence.
+    [[nodiscard]] bool isPoolSilent(const base::PoolName &pool, base::TimePoint at) const;
+    void onReachChanged(const ReachChange &change);
     [[nodiscard]] base::Result<void> listenOn(Listener &listener, const base::Endpoint &endpoint);
     void accept(Listener &listener);
     void acceptWaiting(Listener &listener);
@@ -248,6 +258,8 @@
     bool m_isArmPosted = false;
     std::shared_ptr<const FleetView> m_view;
     UpstreamTracker m_tracker;
+    Reachability m_reach;
+    std::map<base::UpstreamId, std::shared_ptr<UpstreamConnection>> m_probes; // that have no outcome yet
     CrashAttribution m_crashes;
     StreamOrigins m_origins;
     std::map<base::PoolName, relay::RetryBudget> m_budgets;
--- a/carawaylatch/proxy/upstreamconnection.cpp
+++ b/carawaylatch/proxy/upstreamconnection.cpp
@@ -66,10 +66,12 @@
         });
         return;
     }
+    m_isConnecting = true;
+    m_plane.reach().onConnecting(m_upstream, m_plane.now());
     const auto callback = std::make_shared<std::function<void(std::string_view)>>(std::move(done));
     m_connectTimer = m_plane.timers().after(m_plane.now(), timeout, [weak = weak_from_this(), callback](base::TimePoint) {
         if (const auto self = weak.lock(); self && !self->m_isClosed) {
-            self->close();
+            self->onConnectFailed();
             (*callback)("connect timed out");
         }
     });
@@ -79,15 +81,24 @@
         }
         self->m_connectTimer.cancel();
         if (error) {
-            self->close();
+            self->onConnectFailed();
             (*callback)(error.message());
             return;
         }
+        self->m_isConnecting = false;
+        self->m_plane.reach().onConnected(self->m_upstream, self->m_plane.now());
         setSocketOptions(self->m_socket, UpstreamAckTimeout);
         (*callback)({});
     });
 }
 
+void UpstreamConnection::onConnectFailed()
+{
+    m_isConnecting = false;
+    m_plane.reach().onConnectFailed(m_upstream, m_plane.now());
+    close();
+}
+
 void UpstreamConnection::send(std::string head, std::shared_ptr<const std::string> body, std::string requestId, bool isHeadRequest,
                               std::weak_ptr<ResponseListener> listener)
 {
@@ -136,6 +147,9 @@
         return;
     }
     m_isClosed = true;
+    if (std::exchange(m_isConnecting, false)) {
+        m_plane.reach().onConnectAbandoned(m_upstream);
+    }
     m_connectTimer.cancel();
     m_listener.reset();
     boost::system::error_code ignored;
--- a/carawaylatch/proxy/upstreamconnection.h
+++ b/carawaylatch/proxy/upstreamconnection.h
@@ -61,6 +61,7 @@
     [[nodiscard]] base::TimePoint reusableUntil() const;
 
 private:
+    void onConnectFailed();
     void read();
     void onRead(std::size_t n);
     void consumeInput();
@@ -97,6 +98,7 @@
     bool m_isWriting = false;
     bool m_isReading = false;
     bool m_isPaused = false;
+    bool m_isConnecting = false;
     bool m_isClosed = false;
     bool m_isReused = false;
     base::Duration m_keepAlive{}; // as announced by the upstream; zero: unknown
