Forward requests to another router while this one is cut off from their pool

The class of fault: each failure was judged by itself, and a router was taken to be either whole or dead. Ruled out: back-off that outlasts the cut, and slow refusals alone (a refusal at once fails a first try as well).

While a router is cut off from a pool it passes requests for it, with the remaining deadline, to another router over the ordinary callers' endpoint. The other one checks route, key, limits and budget itself, tries once, and never forwards further; it marks its own refusals as not executed, so that the request may go to a third router. Requests that wait for a connection, are queued, or are silent on a kept connection and may be repeated move at the verdict; if no router reaches the pool they are refused at once. A connection given up under suspicion is reset. Readiness ends when all pools are unreached and no router serves them.

--- a/carawaylatch/proxy/attemptrules.cpp
+++ b/carawaylatch/proxy/attemptrules.cpp
@@ -1,6 +1,8 @@
 // Implementation of the retry rules in attemptrules.h.
 #include "carawaylatch/proxy/attemptrules.h"
 
+#include <algorithm>
+
 namespace carawaylatch::proxy
 {
 
@@ -17,9 +19,7 @@
     if (end == AttemptEnd::NotSent) {
         return history.connectFailures < MaxConnectFailures;
     }
-    // Attempts that did not run the request don't count towards the route's limit.
-    const bool hasAttemptLeft = history.sent - history.notExecuted < route.maxAttempts;
-    return hasAttemptLeft && history.notExecuted <= MaxNotExecutedAttempts && history.hasBudget;
+    return hasAttemptLeft(route, history) && history.notExecuted <= MaxNotExecutedAttempts && history.hasBudget;
 }
 
 // True if it is certain that no attempt ran or will run.
@@ -30,6 +30,11 @@
 
 } // namespace
 
+bool hasAttemptLeft(const Route &route, const AttemptHistory &history)
+{
+    return history.sent - history.notExecuted < std::min(route.maxAttempts, history.maxAttempts);
+}
+
 NextStep nextStep(const Route &route, AttemptEnd end, const AttemptHistory &history)
 {
     if (end == AttemptEnd::Answered) {
--- a/carawaylatch/proxy/attemptrules.h
+++ b/carawaylatch/proxy/attemptrules.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <string_view>
 
 #include "carawaylatch/proxy/fleet.h"
@@ -27,6 +28,7 @@
 {
     std::uint32_t sent = 0; // attempts of which at least one byte was sent, including the last one
     std::uint32_t notExecuted = 0; // of these, attempts that the upstream reported as not executed
+    std::uint32_t maxAttempts = std::numeric_limits<std::uint32_t>::max(); // in addition to the route's limit
     std::uint32_t connectFailures = 0; // failed connection attempts
     bool hasResponseStarted = false; // part of the response has been sent to the caller
     bool hasTimeLeft = true;
@@ -47,6 +49,9 @@
 // Retries of a request after "not executed" responses, before it is refused.
 constexpr std::uint32_t MaxNotExecutedAttempts = 3;
 
+// True if the request may be sent once more as far as the number of attempts goes; those that did not run it don't count.
+[[nodiscard]] bool hasAttemptLeft(const Route &route, const AttemptHistory &history);
+
 [[nodiscard]] NextStep nextStep(const Route &route, AttemptEnd end, const AttemptHistory &history);
 
 // Names used in logs, such as "not_sent" and "try_again".
--- a/carawaylatch/proxy/callerconnection.cpp
+++ b/carawaylatch/proxy/callerconnection.cpp
@@ -476,6 +476,13 @@
     }
 }
 
+void CallerConnection::onPoolCut()
+{
+    if (const auto exchange = m_exchange) {
+        exchange->onPoolCut();
+    }
+}
+
 void CallerConnection::closeGracefully()
 {
     if (m_isClosed || m_isLingering) {
--- a/carawaylatch/proxy/callerconnection.h
+++ b/carawaylatch/proxy/callerconnection.h
@@ -62,6 +62,8 @@
     void endBlockedRequest();
     // The snapshot names newer weights than the one before.
     void onWeightsNamed();
+    // This router has found that it is cut off from a pool.
+    void onPoolCut();
     [[nodiscard]] bool isIdle() const;
     // True if a request was read in part.
     [[nodiscard]] bool hasPartialRequest() const;
--- a/carawaylatch/proxy/dialect.h
+++ b/carawaylatch/proxy/dialect.h
@@ -38,6 +38,8 @@
     std::uint32_t promptTokens = 0;
     std::uint32_t maxOutputTokens = 0;
     std::vector<PromptPart> parts; // the last one is specific to this request
+    // Another router forwards the request, which may be sent so often here; it is not forwarded again.
+    std::optional<std::uint32_t> forwardedAttempts;
 };
 
 // The router's decisions about one attempt.
@@ -54,6 +56,15 @@
     std::optional<base::Endpoint> saveTo; // cache store to which to save it
 };
 
+// The router's decisions about a request that it forwards to another router.
+struct ForwardPlan
+{
+    base::Duration timeLeft{}; // until the request's deadline
+    std::uint32_t attempts = 1; // that the other router may make
+    std::optional<std::uint64_t> lastEventId; // resumes the stream after this event
+    std::string resumes; // id of the request that began the stream; empty: as the caller's
+};
+
 // Load that an upstream reports in a response.
 struct LoadSample
 {
@@ -85,9 +96,13 @@
     [[nodiscard]] virtual CallerRequest parseRequest(const HttpRequestHead &head) const = 0;
     // Returns the serialized request head without Content-Length and without the final empty line.
     [[nodiscard]] virtual std::string formatAttemptHead(const HttpRequestHead &head, const AttemptPlan &plan) const = 0;
+    // The same for a request to another router, which decides about it like about a caller's.
+    [[nodiscard]] virtual std::string formatForwardHead(const HttpRequestHead &head, const ForwardPlan &plan) const = 0;
     [[nodiscard]] virtual UpstreamResponse parseResponse(const HttpResponseHead &head) const = 0;
     // Name of the field that carries the request id, for responses of the router itself.
     [[nodiscard]] virtual std::string_view requestIdField() const = 0;
+    // Name of the field by which a response guarantees that the request did not and will not run.
+    [[nodiscard]] virtual std::string_view notExecutedField() const = 0;
     // Path of the readiness check.
     [[nodiscard]] virtual std::string_view readinessPath() const = 0;
 };
--- a/carawaylatch/proxy/exchange.cpp
+++ b/carawaylatch/proxy/exchange.cpp
@@ -48,7 +48,12 @@
     if (!admit()) {
         return;
     }
-    m_plane.budget(m_pool).countRequest(m_plane.now());
+    if (m_request.forwardedAttempts) {
+        m_history.maxAttempts = *m_request.forwardedAttempts;
+        ++m_plane.counts().receivedForwards;
+    } else {
+        m_plane.budget(m_pool).countRequest(m_plane.now()); // at the first router only
+    }
     const base::Duration requestTimeout = std::min(m_route->timeout, m_request.callerTimeout.value_or(m_route->timeout) + DeadlineGrace);
     m_deadlineTimer = m_plane.timers().after(m_startedAt, requestTimeout, [weak = weak_from_this()](base::TimePoint) {
         if (const auto self = weak.lock()) {
@@ -247,6 +252,9 @@
 
 bool Exchange::tryToPlace()
 {
+    if (m_queueKey && forwardOrGiveUp()) {
+        return true;
+    }
     const PlacementResult placement = selectUpstream();
     if (placement.verdict != PlacementVerdict::Chosen) {
         return false;
@@ -284,6 +292,9 @@
     if (endIfBlocked()) {
         return;
     }
+    if (forwardOrGiveUp()) {
+        return;
+    }
     if (m_history.sent > 0 || m_plane.canPassQueue(m_pool)) {
         if (tryToPlace()) {
             return;
@@ -416,6 +427,9 @@
     if (!m_request.id.empty()) {
         reply.fields.push_back({std::string(m_plane.dialect().requestIdField()), m_request.id});
     }
+    if (m_request.forwardedAttempts && m_history.sent == m_history.notExecuted) {
+        reply.fields.push_back({std::string(m_plane.dialect().notExecutedField()), "1"}); // the router that forwarded it may try another one
+    }
     if (retryAfter > base::Duration{}) {
         reply.fields.push_back({"Retry-After", base::formatSeconds(retryAfter)});
     }
@@ -482,7 +496,7 @@
                                                        {"upstream", m_lastUpstream.value()},
                                                        {"software", m_lastSoftware.value()},
                                                        {"resumes", resumedRequest()},
-                                                       {"attempts", std::to_string(m_triedUpstreams.size())},
+                                                       {"attempts", std::to_string(m_triedUpstreams.size() + m_triedRouters.size())},
                                                        {"sent", std::to_string(m_history.sent)},
                                                        {"unexecuted", std::to_string(m_history.notExecuted)},
                                                        {"status", std::to_string(status)},
--- a/carawaylatch/proxy/exchange.h
+++ b/carawaylatch/proxy/exchange.h
@@ -31,7 +31,8 @@
 struct Attempt
 {
     std::shared_ptr<UpstreamConnection> connection;
-    UpstreamRecord *record = nullptr;
+    UpstreamRecord *record = nullptr; // of the upstream, or of the other router if isForward
+    bool isForward = false; // to another router
     AttemptLoad load;
     base::TimePoint startedAt;
     bool isSent = false;
@@ -56,6 +57,8 @@
     bool endIfBlocked();
     // The snapshot names newer weights than the one before; an attempt may be on older ones now.
     void onWeightsNamed();
+    // This router has found that it is cut off from a pool.
+    void onPoolCut();
     // All bytes queued for the caller have been written.
     void onCallerDrained();
     // Starts an attempt if an upstream has capacity; returns false if none has.
@@ -87,6 +90,23 @@
     [[nodiscard]] CrashSubjects crashSubjects() const;
     void joinQueue();
     void startAttempt(const PlacementResult &placement);
+    void connectAttempt();
+    // Forwards the request to another router, or refuses it, if this one is cut off from its pool. Returns false if
+    // the request is to be placed here.
+    [[nodiscard]] bool forwardOrGiveUp();
+    [[nodiscard]] UpstreamRecord *selectRouter() const;
+    void startForward(UpstreamRecord &router);
+    [[nodiscard]] std::string forwardHead() const;
+    // True if only other routers know where the stream that has begun may go on.
+    [[nodiscard]] bool isBoundToRouters() const;
+    [[nodiscard]] bool hasSeveralSoftware() const;
+    // True if another attempt can be made at once.
+    [[nodiscard]] bool canMove();
+    [[nodiscard]] UpstreamTracker &trackerOf(const Attempt &attempt) const;
+    // Notes that the request is sent to an upstream.
+    void noteSent();
+    // Notes what an upstream says of itself in a response.
+    void noteResponse(const UpstreamResponse &response);
     void onConnected(std::string_view problem);
     [[nodiscard]] bool isUnwanted() const;
     void sendOrEnd();
@@ -142,6 +162,7 @@
     std::uint32_t m_sharedTokens = 0;
     std::uint32_t m_urgency = 0;
     std::vector<base::UpstreamId> m_triedUpstreams;
+    std::vector<base::UpstreamId> m_triedRouters; // to which the request was forwarded
     AttemptHistory m_history;
     std::optional<Attempt> m_attempt; // in progress
     std::optional<WaitQueue::Key> m_queueKey; // while waiting
@@ -162,6 +183,7 @@
     bool m_isOriginPending = false;
     base::TimerService::Subscription m_originTimer;
     std::optional<SoftwareSet> m_streamSoftware; // the one version at which the stream may go on; empty while any may begin it
+    bool m_isBegunElsewhere = false; // another router sent the head of the response
     bool m_isStreaming = false; // the response head was sent to the caller
     bool m_isPassThrough = false; // bytes are forwarded as they arrive, without splitting into events
     bool m_isEnded = false;
--- a/carawaylatch/proxy/exchangeattempt.cpp
+++ b/carawaylatch/proxy/exchangeattempt.cpp
@@ -35,8 +35,16 @@
     if (m_route->isRepeatable()) {
         watchProgress();
     }
+    connectAttempt();
+}
+
+void Exchange::connectAttempt()
+{
+    Attempt &attempt = *m_attempt;
     const Upstream &upstream = attempt.record->upstream;
-    attempt.connection = m_plane.takeIdleConnection(upstream, m_route->isRepeatable(), m_request.id);
+    // A connection that has been idle may be broken; a request that must not be repeated would be lost on it.
+    const bool isFresh = !m_route->isRepeatable() && (attempt.isForward || m_plane.reach().isSuspected(upstream.id));
+    attempt.connection = isFresh ? nullptr : m_plane.takeIdleConnection(upstream, m_route->isRepeatable(), m_request.id);
     if (attempt.connection) {
         sendOrEnd();
         return;
@@ -60,7 +68,7 @@
         return;
     }
     limitToStream();
-    if (isUnwanted()) {
+    if (!m_attempt->isForward && isUnwanted()) {
         endAttempt(AttemptEnd::NotSent, "the upstream leaves, has asked for a pause, has named a limit or runs other software");
         return;
     }
@@ -113,29 +121,38 @@
 void Exchange::send()
 {
     Attempt &attempt = *m_attempt;
-    const AttemptPlan plan = planAttempt();
-    std::string head = m_plane.dialect().formatAttemptHead(m_head, plan);
+    std::string head = attempt.isForward ? forwardHead() : m_plane.dialect().formatAttemptHead(m_head, planAttempt());
     const bool hasBody = !m_body->empty() || findField(m_head.fields, "content-length") != nullptr || findField(m_head.fields, "transfer-encoding") != nullptr;
     if (hasBody) {
         appendField(head, "Content-Length", std::to_string(m_body->size()));
     }
     head.append("\r\n");
     attempt.isSent = true;
+    ++m_history.sent;
+    if (!m_sentAt) {
+        m_sentAt = m_plane.now();
+    }
+    m_scanner.restart();
+    if (attempt.isForward) {
+        ++m_plane.counts().forwarded;
+    } else {
+        noteSent();
+    }
+    attempt.connection->send(std::move(head), m_body, m_request.id, m_head.method == "HEAD", weak_from_this());
+}
+
+void Exchange::noteSent()
+{
+    Attempt &attempt = *m_attempt;
     m_lastSoftware = attempt.record->upstream.software;
     if (isResumableStream() && !isResumption()) {
         m_plane.origins().onSent(m_stream, m_pool, m_lastSoftware, m_plane.now());
     }
-    ++m_history.sent;
     ++m_plane.counts().attempts;
-    if (!m_sentAt) {
-        m_sentAt = m_plane.now();
-    }
     if (m_prefixKey != 0) {
         m_plane.tracker().onPromptSent(kvCacheKey(m_prefixKey, attempt.record->weights), *attempt.record, m_plane.now());
     }
-    m_scanner.restart();
     watchStart();
-    attempt.connection->send(std::move(head), m_body, m_request.id, m_head.method == "HEAD", weak_from_this());
 }
 
 void Exchange::onResponseHead(const HttpResponseHead &head, const UpstreamResponse &response)
@@ -147,7 +164,19 @@
     const base::TimePoint now = m_plane.now();
     attempt.head = head;
     attempt.response = response;
-    m_plane.tracker().onBytesReceived(*attempt.record, now);
+    trackerOf(attempt).onBytesReceived(*attempt.record, now);
+    if (!attempt.isForward) {
+        noteResponse(response);
+    }
+    if (m_route->kind == CallKind::Stream && classifyResponse() == AttemptEnd::Answered && head.status < 300) {
+        beginStream();
+    }
+}
+
+void Exchange::noteResponse(const UpstreamResponse &response)
+{
+    Attempt &attempt = *m_attempt;
+    const base::TimePoint now = m_plane.now();
     if (response.load) {
         m_plane.tracker().onLoadSample(*attempt.record, *response.load, now);
     }
@@ -164,9 +193,6 @@
         attempt.record->weights = *response.weights;
         m_plane.observer().onWeightsSeen(attempt.record->upstream.id, *response.weights);
     }
-    if (m_route->kind == CallKind::Stream && classifyResponse() == AttemptEnd::Answered && head.status < 300) {
-        beginStream();
-    }
 }
 
 void Exchange::onResponseBody(std::string bytes)
@@ -176,10 +202,10 @@
     }
     ++m_plane.counts().reads;
     Attempt &attempt = *m_attempt;
-    m_plane.tracker().onBytesReceived(*attempt.record, m_plane.now());
+    trackerOf(attempt).onBytesReceived(*attempt.record, m_plane.now());
     if (!attempt.startedOutputAt) {
         attempt.startedOutputAt = m_plane.now();
-        m_plane.tracker().onFirstOutput(*attempt.record, attempt.load);
+        trackerOf(attempt).onFirstOutput(*attempt.record, attempt.load);
     }
     if (m_isStreaming) {
         forwardStream(bytes);
@@ -209,7 +235,8 @@
         return; // resumed after a failed attempt; the caller already has a response head
     }
     m_isStreaming = true;
-    if (m_route->isResumable) {
+    m_isBegunElsewhere = attempt.isForward;
+    if (m_route->isResumable && !attempt.isForward) {
         m_streamSoftware.emplace().insert(m_lastSoftware);
     }
     m_history.hasResponseStarted = true;
@@ -262,6 +289,9 @@
         return AttemptEnd::NotExecuted;
     }
     const unsigned status = attempt.head.status;
+    if (attempt.isForward && !attempt.response.isSigned && impliesNotExecuted(status)) {
+        return AttemptEnd::NotExecuted; // the other router's own promise
+    }
     if (status >= 500 || impliesNotExecuted(status)) {
         return AttemptEnd::ServerError;
     }
@@ -331,7 +361,7 @@
     const Attempt &attempt = *m_attempt;
     const base::TimePoint now = m_plane.now();
     const bool hasLongBegun = attempt.startedOutputAt && now - *attempt.startedOutputAt > CrashAttribution::FirstOutputTime;
-    if (attempt.isSent && !hasLongBegun) {
+    if (attempt.isSent && !attempt.isForward && !hasLongBegun) {
         const Upstream &upstream = attempt.record->upstream;
         m_plane.crashes().onBrokenOff({m_request.model, m_request.parts, m_fingerprint, upstream.id, upstream.startTimeMs, now});
     }
@@ -339,7 +369,7 @@
 
 void Exchange::onWeightsNamed()
 {
-    if (m_attempt && m_attempt->isSent && !m_attempt->startedOutputAt) {
+    if (m_attempt && m_attempt->isSent && !m_attempt->isForward && !m_attempt->startedOutputAt) {
         watchStart();
     }
 }
@@ -369,7 +399,7 @@
         }
         const std::string_view reason = self->stallReason(now);
         // A stalled attempt is aborted only if the retry budget and an upstream are available for another one.
-        if (!reason.empty() && self->m_plane.budget(self->m_pool).mayTake(now) && self->selectUpstream().verdict == PlacementVerdict::Chosen) {
+        if (!reason.empty() && self->m_plane.budget(self->m_pool).mayTake(now) && self->canMove()) {
             self->endAttempt(AttemptEnd::Broken, reason);
         }
     });
@@ -380,9 +410,12 @@
 std::string_view Exchange::stallReason(base::TimePoint now) const
 {
     const Attempt &attempt = *m_attempt;
-    if (m_history.sent - m_history.notExecuted >= m_route->maxAttempts) {
+    if (!hasAttemptLeft(*m_route, m_history)) {
         return {};
     }
+    if (!attempt.isForward && m_plane.reach().isCut(m_pool) && now - attempt.record->silentSince > Reachability::SuspiciousSilence) {
+        return "the pool is not reached";
+    }
     if (attempt.record->isSilent(now, m_plane.settings().placement.prefillMillisecondsPerToken)) {
         return "the upstream is silent";
     }
@@ -404,10 +437,12 @@
     Attempt &attempt = *m_attempt;
     const base::TimePoint now = m_plane.now();
     // What an upstream wants tells nothing of its health.
-    const bool isUpstreamsWish = attempt.response.pause || (attempt.isSent ? !attempt.record->takesRequests(now) : isUnwanted());
+    const bool isUpstreamsWish = !attempt.isForward && (attempt.response.pause || (attempt.isSent ? !attempt.record->takesRequests(now) : isUnwanted()));
     const AttemptEnd observed = isUpstreamsWish ? AttemptEnd::NotExecuted : end;
-    m_plane.tracker().onAttemptEnded(*attempt.record, attempt.load, attempt.startedOutputAt.has_value(), observed, now);
-    m_plane.queue(m_pool).completionRate().record(now);
+    trackerOf(attempt).onAttemptEnded(*attempt.record, attempt.load, attempt.startedOutputAt.has_value(), observed, now);
+    if (!attempt.isForward) {
+        m_plane.queue(m_pool).completionRate().record(now);
+    }
     m_plane.schedulePlacement();
 }
 
@@ -415,7 +450,7 @@
 {
     const base::TimePoint now = m_plane.now();
     releaseAttempt(end);
-    if (end == AttemptEnd::Answered && m_attempt->head.status < 300) {
+    if (end == AttemptEnd::Answered && !m_attempt->isForward && m_attempt->head.status < 300) {
         m_plane.crashes().onAnswered(crashSubjects(), now);
     }
     m_history.connectFailures += end == AttemptEnd::NotSent ? 1 : 0;
--- a/carawaylatch/proxy/peerexchange.cpp
+++ b/carawaylatch/proxy/peerexchange.cpp
@@ -397,6 +397,7 @@
         m_reportedAt = now;
     }
     const auto faultChangesTexts = encodeFaults(m_source.takeFaultChanges());
+    const std::string reachText = dueReachText(now);
     std::string fullText; // built only if a peer needs it, which is rare
     std::array<std::string, 2> fullFaultTexts;
     for (const auto &[endpoint, outbound] : m_outbound) {
@@ -412,9 +413,26 @@
         for (const std::string &text : needsFullReport ? fullFaultTexts : faultChangesTexts) {
             outbound->send(text);
         }
+        outbound->send(needsFullReport ? m_reachText : reachText);
     }
 }
 
+// The reach report if it is due, else empty.
+std::string PeerExchange::dueReachText(base::TimePoint now)
+{
+    ReachReport report = m_source.reachReport();
+    const bool isChanged = report.unreachedPools != m_reportedUnreached || report.takesRequests != m_reportedTakesRequests;
+    if (!isChanged && !m_reachText.empty() && now - m_reachReportedAt < HeartbeatInterval) {
+        return {};
+    }
+    report.sender = m_sender;
+    m_reachReportedAt = now;
+    m_reportedUnreached = report.unreachedPools;
+    m_reportedTakesRequests = report.takesRequests;
+    m_reachText = encodeReachReport(report);
+    return m_reachText;
+}
+
 std::string PeerExchange::encode(LoadReport report) const
 {
     report.sender = m_sender;
@@ -424,7 +442,9 @@
 
 void PeerExchange::onInbound(std::string_view body)
 {
-    if (isFaultReport(body)) {
+    if (isReachReport(body)) {
+        apply(decodeReachReport(body), &PeerReportSource::onReachReport);
+    } else if (isFaultReport(body)) {
         apply(decodeFaultReport(body), &PeerReportSource::onFaultReport);
     } else {
         apply(decodeLoadReport(body), &PeerReportSource::onReport);
--- a/carawaylatch/proxy/peerexchange.h
+++ b/carawaylatch/proxy/peerexchange.h
@@ -1,4 +1,4 @@
-// Exchanges load reports (loadreport.h) and fault reports (faultreport.h) with other routers.
+// Exchanges load reports (loadreport.h), fault reports (faultreport.h) and reach reports (reachreport.h) with other routers.
 //
 // Each router keeps one HTTP/2 connection to each of its peers and posts a report
 // every ReportInterval in which something changed, and a heartbeat (an empty report)
@@ -23,6 +23,7 @@
 #include "carawaylatch/base/time.h"
 #include "carawaylatch/proxy/faultreport.h"
 #include "carawaylatch/proxy/loadreport.h"
+#include "carawaylatch/proxy/reachreport.h"
 #include "carawaylatch/proxy/socket.h"
 #include "carawaylatch/telemetry/eventlog.h"
 
@@ -49,6 +50,9 @@
     [[nodiscard]] virtual FaultReport takeFaultChanges() = 0;
     [[nodiscard]] virtual FaultReport fullFaultReport() const = 0;
     virtual void onFaultReport(const FaultReport &report) = 0;
+    // What this router reaches; sent with each heartbeat, and when the pools change.
+    [[nodiscard]] virtual ReachReport reachReport() const = 0;
+    virtual void onReachReport(const ReachReport &report) = 0;
     // A peer has not responded for UnreachableTimeout. Repeated after each further UnreachableTimeout.
     virtual void onPeerUnreachable(const base::Endpoint &peer) = 0;
 };
@@ -85,6 +89,7 @@
     template <typename Report>
     void apply(const base::Result<Report> &report, void (PeerReportSource::*handler)(const Report &));
     [[nodiscard]] std::string encode(LoadReport report) const;
+    [[nodiscard]] std::string dueReachText(base::TimePoint now);
 
     boost::asio::io_context &m_loop;
     const base::Clock &m_clock;
@@ -99,6 +104,10 @@
     std::set<std::shared_ptr<Inbound>> m_inbound;
     std::map<base::Endpoint, std::shared_ptr<Outbound>> m_outbound;
     base::TimePoint m_reportedAt; // last report or heartbeat
+    base::TimePoint m_reachReportedAt;
+    std::string m_reachText; // the last one
+    std::vector<std::uint64_t> m_reportedUnreached; // as of m_reachText
+    bool m_reportedTakesRequests = false;
     bool m_hasLoggedBadReport = false; // a malformed report is logged only once
 };
 
--- a/carawaylatch/proxy/reachability.cpp
+++ b/carawaylatch/proxy/reachability.cpp
@@ -195,11 +195,22 @@
     return it != m_pools.end() && it->second.isCut;
 }
 
-std::size_t Reachability::cutPools() const
+std::vector<base::PoolName> Reachability::cutPools() const
 {
-    return static_cast<std::size_t>(std::count_if(m_pools.begin(), m_pools.end(), [](const auto &it) {
+    std::vector<base::PoolName> out;
+    for (const auto &[name, pool] : m_pools) {
+        if (pool.isCut) {
+            out.push_back(name);
+        }
+    }
+    return out;
+}
+
+bool Reachability::isCutFromAll() const
+{
+    return !m_pools.empty() && std::all_of(m_pools.begin(), m_pools.end(), [](const auto &it) {
         return it.second.isCut;
-    }));
+    });
 }
 
 bool Reachability::isSuspected(const base::UpstreamId &upstream) const
--- a/carawaylatch/proxy/reachability.h
+++ b/carawaylatch/proxy/reachability.h
@@ -52,7 +52,9 @@
     [[nodiscard]] std::vector<ReachChange> takeChanges();
 
     [[nodiscard]] bool isCut(const base::PoolName &pool) const;
-    [[nodiscard]] std::size_t cutPools() const;
+    [[nodiscard]] std::vector<base::PoolName> cutPools() const;
+    // True if there are pools, and all of them are cut off.
+    [[nodiscard]] bool isCutFromAll() const;
     // True if the pool of the upstream is suspected or cut off.
     [[nodiscard]] bool isSuspected(const base::UpstreamId &upstream) const;
     // Share of the requests that this router may send itself; grows to one over ResumeTime after a cut.
--- a/carawaylatch/proxy/testing/peerexchangetest.cpp
+++ b/carawaylatch/proxy/testing/peerexchangetest.cpp
@@ -56,6 +56,14 @@
         {
             return fullCrashes;
         }
+        ReachReport reachReport() const override
+        {
+            return reach;
+        }
+        void onReachReport(const ReachReport &report) override
+        {
+            receivedReach.push_back(report);
+        }
         void onFaultReport(const FaultReport &report) override
         {
             receivedCrashes.push_back(report);
@@ -64,6 +72,8 @@
         LoadReport full;
         FaultReport nextCrashes;
         FaultReport fullCrashes;
+        ReachReport reach{0, true, 7, base::FailureDomain("a"), {"10.1.0.3", 80}, {}};
+        std::vector<ReachReport> receivedReach;
         void onPeerUnreachable(const base::Endpoint &peer) override
         {
             gone.push_back(peer);
--- a/carawaylatch/proxy/testing/reachabilitytest.cpp
+++ b/carawaylatch/proxy/testing/reachabilitytest.cpp
@@ -133,7 +133,8 @@
         const auto changes = m_reach.takeChanges();
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, changes.size());
         CPPUNIT_ASSERT(changes[0].isCut && changes[0].pool == Large && changes[0].tried == 4);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_reach.cutPools());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_reach.cutPools().size());
+        CPPUNIT_ASSERT(m_reach.isCutFromAll());
     }
 
     void testRefusedConnections()
--- a/carawaylatch/proxy/trafficplane.cpp
+++ b/carawaylatch/proxy/trafficplane.cpp
@@ -67,6 +67,7 @@
     });
     m_reportTick = m_timers.every(now(), PeerExchange::ReportInterval, [this](base::TimePoint at) {
         m_tracker.removeSilentPeers(at);
+        m_peerRouters.expire(at);
         m_tracker.limits().removeOutdated(at);
         confirmCrashes();
         m_peers.tick();
--- a/carawaylatch/proxy/trafficplane.h
+++ b/carawaylatch/proxy/trafficplane.h
@@ -29,6 +29,7 @@
 #include "carawaylatch/proxy/dialect.h"
 #include "carawaylatch/proxy/fleet.h"
 #include "carawaylatch/proxy/peerexchange.h"
+#include "carawaylatch/proxy/peerrouters.h"
 #include "carawaylatch/proxy/placement.h"
 #include "carawaylatch/proxy/reachability.h"
 #include "carawaylatch/proxy/socket.h"
@@ -71,6 +72,8 @@
     std::uint64_t rejected = 0;
     std::uint64_t attempts = 0;
     std::uint64_t connections = 0; // connection attempts to upstreams
+    std::uint64_t forwarded = 0; // requests sent to other routers
+    std::uint64_t receivedForwards = 0; // requests that other routers have forwarded to this one
     std::uint64_t probes = 0; // connections that only find out whether an upstream is reached
     std::uint64_t reads = 0; // reads of response body bytes from upstreams
     std::uint64_t mismatchedResponses = 0;
@@ -152,6 +155,7 @@
     [[nodiscard]] std::shared_ptr<const FleetView> view() const;
     [[nodiscard]] UpstreamTracker &tracker();
     [[nodiscard]] Reachability &reach();
+    [[nodiscard]] PeerRouters &peerRouters();
     [[nodiscard]] CrashAttribution &crashes();
     [[nodiscard]] StreamOrigins &origins();
     // The software that may begin streams of the pool; nullptr: any.
@@ -215,6 +219,8 @@
     [[nodiscard]] FaultReport takeFaultChanges() override;
     [[nodiscard]] FaultReport fullFaultReport() const override;
     void onFaultReport(const FaultReport &report) override;
+    [[nodiscard]] ReachReport reachReport() const override;
+    void onReachReport(const ReachReport &report) override;
     void onLeavingKnown(const UpstreamRecord &record, std::string_view source);
     void logLimit(const UpstreamRecord &record, std::string_view source);
     // Newer weights are named: attempts that wait at engines with older ones must start in time.
@@ -270,6 +276,7 @@
     std::unique_ptr<Listener> m_operatorsListener;
     std::unique_ptr<Listener> m_metricsListener;
     PeerExchange m_peers;
+    PeerRouters m_peerRouters;
     base::TimerService::Subscription m_tick;
     base::TimerService::Subscription m_reportTick;
     base::Random m_random;
--- a/carawaylatch/proxy/trafficreach.cpp
+++ b/carawaylatch/proxy/trafficreach.cpp
@@ -12,6 +12,29 @@
     return m_reach;
 }
 
+PeerRouters &TrafficPlane::peerRouters()
+{
+    return m_peerRouters;
+}
+
+ReachReport TrafficPlane::reachReport() const
+{
+    ReachReport report;
+    report.takesRequests = notReadyReason().empty();
+    report.inflight = static_cast<std::uint32_t>(m_inflight);
+    report.domain = m_settings.domain;
+    report.callers = callersEndpoint();
+    for (const base::PoolName &pool : m_reach.cutPools()) {
+        report.unreachedPools.push_back(base::hash64(pool.value()));
+    }
+    return report;
+}
+
+void TrafficPlane::onReachReport(const ReachReport &report)
+{
+    m_peerRouters.apply(report, now());
+}
+
 bool TrafficPlane::isPoolSilent(const base::PoolName &pool, base::TimePoint at) const
 {
     const auto &members = m_tracker.members(pool);
@@ -49,12 +72,14 @@
     ++m_counts.probes;
     const auto probe = std::make_shared<UpstreamConnection>(*this, upstream, record->upstream.startTimeMs);
     m_probes.emplace(upstream, probe);
-    probe->connect(record->upstream.endpoint, Reachability::ProbeTimeout, [this, upstream](std::string_view) {
+    probe->connect(record->upstream.endpoint, Reachability::ProbeTimeout, [this, upstream](std::string_view problem) {
         const auto it = m_probes.find(upstream);
         if (it != m_probes.end()) {
             const auto ended = std::move(it->second);
             m_probes.erase(it);
-            ended->close();
+            if (problem.empty()) {
+                ended->keepIdle();
+            }
         }
     });
 }
@@ -74,6 +99,13 @@
     } else {
         m_log.write(base::LogEvent::PoolReached, {{"pool", change.pool.value()}, {"cut_ms", lasted}});
     }
+    if (change.isCut) {
+        const std::vector<std::shared_ptr<CallerConnection>> callers(m_callers.begin(), m_callers.end());
+        for (const auto &caller : callers) {
+            caller->onPoolCut();
+        }
+    }
+    schedulePlacement();
 }
 
 std::string_view TrafficPlane::notReadyReason() const
@@ -90,6 +122,13 @@
     if (m_settings.readyTableAge > base::Duration{} && tableAge() > m_settings.readyTableAge) {
         return "configuration_not_confirmed";
     }
+    const auto cutPools = m_reach.cutPools();
+    const bool isServedElsewhere = std::any_of(cutPools.begin(), cutPools.end(), [this](const base::PoolName &pool) {
+        return m_peerRouters.reaches(pool);
+    });
+    if (m_reach.isCutFromAll() && !isServedElsewhere) {
+        return "no_upstream_reached";
+    }
     return {};
 }
 
--- a/carawaylatch/proxy/upstreamconnection.cpp
+++ b/carawaylatch/proxy/upstreamconnection.cpp
@@ -128,6 +128,13 @@
     read();
 }
 
+void UpstreamConnection::keepIdle()
+{
+    m_reusableUntil = m_plane.now() + DefaultKeepAlive;
+    m_plane.addIdleConnection(shared_from_this());
+    read();
+}
+
 void UpstreamConnection::pauseReading()
 {
     m_isPaused = true;
@@ -153,6 +160,10 @@
     m_connectTimer.cancel();
     m_listener.reset();
     boost::system::error_code ignored;
+    if (m_parser && m_plane.reach().isSuspected(m_upstream)) {
+        // The system drops what it has not delivered, so that the request does not arrive when the path is back.
+        m_socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    }
     m_socket.close(ignored);
     m_plane.removeIdleConnection(*this);
 }
--- a/carawaylatch/proxy/upstreamconnection.h
+++ b/carawaylatch/proxy/upstreamconnection.h
@@ -1,4 +1,4 @@
-// One reusable HTTP/1.1 connection to an upstream: sends a request and reads its response.
+// One reusable HTTP/1.1 connection to an upstream or to another router: sends a request and reads its response.
 //
 // Unsolicited bytes close the connection. A response that carries the id of another
 // request is read and dropped, and the connection waits for the expected one behind
@@ -46,6 +46,8 @@
     void connect(const base::Endpoint &endpoint, base::Duration timeout, std::function<void(std::string_view problem)> done);
     // Sends one request and shares ownership of the body until it is written.
     void send(std::string head, std::shared_ptr<const std::string> body, std::string requestId, bool isHeadRequest, std::weak_ptr<ResponseListener> listener);
+    // Keeps a connection without a request for a later one.
+    void keepIdle();
     void pauseReading();
     void resumeReading();
     // Closes the connection and drops the request on it; no callback is made.
