--- a/carawaylatch/proxy/exchange.cpp
+++ b/carawaylatch/proxy/exchange.cpp
@@ -223,7 +223,8 @@
     query.sharedTokens = m_sharedTokens;
     query.memoryTokens = m_request.promptTokens + m_request.maxOutputTokens;
     query.domain = m_plane.settings().domain;
-    query.excluded = m_triedUpstreams;
+    const std::vector<base::UpstreamId> excluded = excludedUpstreams();
+    query.excluded = excluded;
     query.software = allowedSoftware();
     return place(query, *view, m_plane.tracker(), m_plane.settings().placement);
 }
--- a/carawaylatch/proxy/exchange.h
+++ b/carawaylatch/proxy/exchange.h
@@ -100,6 +100,10 @@
     // True if only other routers know where the stream that has begun may go on.
     [[nodiscard]] bool isBoundToRouters() const;
     [[nodiscard]] bool hasSeveralSoftware() const;
+    // True if kept connections to upstreams of the pool still work, though it is cut off.
+    [[nodiscard]] bool hasLivingConnections() const;
+    // Upstreams that get no attempt: those tried, and while the pool is cut off those without a kept connection.
+    [[nodiscard]] std::vector<base::UpstreamId> excludedUpstreams() const;
     // True if another attempt can be made at once.
     [[nodiscard]] bool canMove();
     [[nodiscard]] UpstreamTracker &trackerOf(const Attempt &attempt) const;
--- a/carawaylatch/proxy/exchangeattempt.cpp
+++ b/carawaylatch/proxy/exchangeattempt.cpp
@@ -43,7 +43,8 @@
     Attempt &attempt = *m_attempt;
     const Upstream &upstream = attempt.record->upstream;
     // A connection that has been idle may be broken; a request that must not be repeated would be lost on it.
-    const bool isFresh = !m_route->isRepeatable() && (attempt.isForward || m_plane.reach().isSuspected(upstream.id));
+    const bool isDoubtful = m_plane.reach().isSuspected(upstream.id) && !hasLivingConnections();
+    const bool isFresh = !m_route->isRepeatable() && (attempt.isForward || isDoubtful);
     attempt.connection = isFresh ? nullptr : m_plane.takeIdleConnection(upstream, m_route->isRepeatable(), m_request.id);
     if (attempt.connection) {
         sendOrEnd();
--- a/carawaylatch/proxy/exchangeforward.cpp
+++ b/carawaylatch/proxy/exchangeforward.cpp
@@ -14,7 +14,7 @@
 namespace
 {
 
-constexpr base::Duration UnreachedRetryAfter = base::milliseconds{100}; // other callers' endpoints may serve the request at once
+constexpr base::Duration UnreachedRetryAfter = base::milliseconds{250}; // as long as a cut that has ended takes to be noticed
 constexpr std::uint32_t ForwardedAttempts = 1; // that another router may make
 
 } // namespace
@@ -48,6 +48,28 @@
     return m_plane.peerRouters().choose(m_pool, m_plane.settings().domain, m_triedRouters, m_plane.random(), m_plane.now());
 }
 
+bool Exchange::hasLivingConnections() const
+{
+    const auto cutAt = m_plane.reach().cutAt(m_pool);
+    const auto &members = m_plane.tracker().members(m_pool);
+    return cutAt && std::any_of(members.begin(), members.end(), [this, &cutAt](const UpstreamRecord *record) {
+               return record->receivedAt > *cutAt && m_plane.hasIdleConnection(record->upstream.id);
+           });
+}
+
+std::vector<base::UpstreamId> Exchange::excludedUpstreams() const
+{
+    std::vector<base::UpstreamId> out = m_triedUpstreams;
+    if (m_plane.reach().isCut(m_pool)) {
+        for (const UpstreamRecord *record : m_plane.tracker().members(m_pool)) {
+            if (!m_plane.hasIdleConnection(record->upstream.id)) {
+                out.push_back(record->upstream.id);
+            }
+        }
+    }
+    return out;
+}
+
 bool Exchange::canMove()
 {
     if (m_plane.reach().isCut(m_pool) || isBoundToRouters()) {
@@ -70,6 +92,9 @@
     if (router == nullptr && !mustForward) {
         return false;
     }
+    if (router == nullptr && !isBoundToRouters() && hasLivingConnections()) {
+        return false;
+    }
     leaveQueue();
     if (router != nullptr) {
         startForward(*router);
--- a/carawaylatch/proxy/idleconnections.cpp
+++ b/carawaylatch/proxy/idleconnections.cpp
@@ -32,6 +32,11 @@
     }
 }
 
+bool TrafficPlane::hasIdleConnection(const base::UpstreamId &upstream) const
+{
+    return m_idleConnections.contains(upstream); // lists are never empty
+}
+
 void TrafficPlane::addIdleConnection(std::shared_ptr<UpstreamConnection> connection)
 {
     auto &idle = m_idleConnections[connection->upstream()];
--- a/carawaylatch/proxy/reachability.cpp
+++ b/carawaylatch/proxy/reachability.cpp
@@ -195,6 +195,12 @@
     return it != m_pools.end() && it->second.isCut;
 }
 
+std::optional<base::TimePoint> Reachability::cutAt(const base::PoolName &pool) const
+{
+    const auto it = m_pools.find(pool);
+    return it != m_pools.end() && it->second.isCut ? std::optional(it->second.cutAt) : std::nullopt;
+}
+
 std::vector<base::PoolName> Reachability::cutPools() const
 {
     std::vector<base::PoolName> out;
--- a/carawaylatch/proxy/reachability.h
+++ b/carawaylatch/proxy/reachability.h
@@ -52,6 +52,8 @@
     [[nodiscard]] std::vector<ReachChange> takeChanges();
 
     [[nodiscard]] bool isCut(const base::PoolName &pool) const;
+    // When the pool was found to be cut off; nothing if it is not.
+    [[nodiscard]] std::optional<base::TimePoint> cutAt(const base::PoolName &pool) const;
     [[nodiscard]] std::vector<base::PoolName> cutPools() const;
     // True if there are pools, and all of them are cut off.
     [[nodiscard]] bool isCutFromAll() const;
--- a/carawaylatch/proxy/trafficplane.h
+++ b/carawaylatch/proxy/trafficplane.h
@@ -208,6 +208,7 @@
     // none that the upstream may be about to close, and no request one whose last request had
     // the same id: a second copy of that response could be taken for its own.
     [[nodiscard]] std::shared_ptr<UpstreamConnection> takeIdleConnection(const Upstream &upstream, bool isRepeatable, std::string_view requestId);
+    [[nodiscard]] bool hasIdleConnection(const base::UpstreamId &upstream) const;
     void addIdleConnection(std::shared_ptr<UpstreamConnection> connection);
     void removeIdleConnection(const UpstreamConnection &connection);
 
