A cut of this router's paths is no crash of the upstreams

A break does not count while the pool of several upstreams is cut off. Another router that sees a real crash still tells it.

--- a/carawaylatch/proxy/trafficfaults.cpp
+++ b/carawaylatch/proxy/trafficfaults.cpp
@@ -77,7 +77,12 @@
 {
     m_crashes.advance(now(), [this](const BrokenRequest &request, base::TimePoint since) {
         const UpstreamRecord *record = m_tracker.find(request.upstream);
-        return record != nullptr && record->upstream.startTimeMs == request.startTimeMs && record->receivedAt > since;
+        if (record == nullptr || record->upstream.startTimeMs != request.startTimeMs) {
+            return false;
+        }
+        // Upstreams that are not reached any more need not have crashed; a single one that crashed is not reached either.
+        const bool isCutOff = m_reach.isCut(record->upstream.pool) && m_tracker.members(record->upstream.pool).size() > 1;
+        return isCutOff || record->receivedAt > since;
     });
     applyVerdicts();
 }
