--- a/carawaylatch/proxy/trafficplane.h
+++ b/carawaylatch/proxy/trafficplane.h
@@ -29,7 +29,9 @@
 #include "carawaylatch/proxy/dialect.h"
 #include "carawaylatch/proxy/fleet.h"
 #include "carawaylatch/proxy/peerexchange.h"
+#include "carawaylatch/proxy/peerrouters.h"
 #include "carawaylatch/proxy/placement.h"
+#include "carawaylatch/proxy/reachability.h"
 #include "carawaylatch/proxy/socket.h"
 #include "carawaylatch/proxy/streamorigins.h"
 #include "carawaylatch/proxy/upstreamconnection.h"
@@ -70,6 +72,9 @@
     std::uint64_t rejected = 0;
     std::uint64_t attempts = 0;
     std::uint64_t connections = 0; // connection attempts to upstreams
+    std::uint64_t forwarded = 0; // requests sent to other routers
+    std::uint64_t receivedForwards = 0; // requests that other routers have forwarded to this one
+    std::uint64_t probes = 0; // connections that only find out whether an upstream is reached
     std::uint64_t reads = 0; // reads of response body bytes from upstreams
     std::uint64_t mismatchedResponses = 0;
     std::uint64_t resumed = 0;
@@ -149,6 +154,8 @@
     [[nodiscard]] const TrafficSettings &settings() const;
     [[nodiscard]] std::shared_ptr<const FleetView> view() const;
     [[nodiscard]] UpstreamTracker &tracker();
+    [[nodiscard]] Reachability &reach();
+    [[nodiscard]] PeerRouters &peerRouters();
     [[nodiscard]] CrashAttribution &crashes();
     [[nodiscard]] StreamOrigins &origins();
     // The software that may begin streams of the pool; nullptr: any.
@@ -201,6 +208,7 @@
     // none that the upstream may be about to close, and no request one whose last request had
     // the same id: a second copy of that response could be taken for its own.
     [[nodiscard]] std::shared_ptr<UpstreamConnection> takeIdleConnection(const Upstream &upstream, bool isRepeatable, std::string_view requestId);
+    [[nodiscard]] bool hasIdleConnection(const base::UpstreamId &upstream) const;
     void addIdleConnection(std::shared_ptr<UpstreamConnection> connection);
     void removeIdleConnection(const UpstreamConnection &connection);
 
@@ -212,6 +220,8 @@
     [[nodiscard]] FaultReport takeFaultChanges() override;
     [[nodiscard]] FaultReport fullFaultReport() const override;
     void onFaultReport(const FaultReport &report) override;
+    [[nodiscard]] ReachReport reachReport() const override;
+    void onReachReport(const ReachReport &report) override;
     void onLeavingKnown(const UpstreamRecord &record, std::string_view source);
     void logLimit(const UpstreamRecord &record, std::string_view source);
     // Newer weights are named: attempts that wait at engines with older ones must start in time.
@@ -220,6 +230,13 @@
     // Logs new verdicts, and ends requests in progress whose prompts are blocked now.
     void applyVerdicts();
     void onPeerUnreachable(const base::Endpoint &peer) override;
+    // Probes upstreams of suspected pools, and applies changed verdicts.
+    void watchReach(base::TimePoint at);
+    void startProbe(const base::UpstreamId &upstream);
+    void endProbes();
+    // True if requests are outstanding at the pool and no byte has come for Reachability::SuspiciousSilence.
+    [[nodiscard]] bool isPoolSilent(const base::PoolName &pool, base::TimePoint at) const;
+    void onReachChanged(const ReachChange &change);
     [[nodiscard]] base::Result<void> listenOn(Listener &listener, const base::Endpoint &endpoint);
     void accept(Listener &listener);
     void acceptWaiting(Listener &listener);
@@ -248,6 +265,8 @@
     bool m_isArmPosted = false;
     std::shared_ptr<const FleetView> m_view;
     UpstreamTracker m_tracker;
+    Reachability m_reach;
+    std::map<base::UpstreamId, std::shared_ptr<UpstreamConnection>> m_probes; // that have no outcome yet
     CrashAttribution m_crashes;
     StreamOrigins m_origins;
     std::map<base::PoolName, relay::RetryBudget> m_budgets;
@@ -258,6 +277,7 @@
     std::unique_ptr<Listener> m_operatorsListener;
     std::unique_ptr<Listener> m_metricsListener;
     PeerExchange m_peers;
+    PeerRouters m_peerRouters;
     base::TimerService::Subscription m_tick;
     base::TimerService::Subscription m_reportTick;
     base::Random m_random;
