Resumed streams go on only with signed events of the first answer's status

Callers of a resumable stream that broke off found the text of the next upstream's error among their events, or a stream that ended as complete.

A complete 404, 3xx or 204 is an answer for the retry rules, so the stream was ended as complete. A long response that is forwarded as it arrives and breaks off was retried on a resumable route, and the next one's events followed.

Ruled out: heads in the body (framing is parsed for each attempt), gaps (the scanner aborts).

Change: an attempt's body is forwarded only after its head was classified as a part of the stream: signed, of the status of the first answer, a stream of events. A stream without a length needs one complete event of its own, as a crashed upstream may close in order right after its head. AttemptHistory::canResume says that the part the caller has ends after a whole event.

--- a/carawaylatch/proxy/attemptrules.cpp
+++ b/carawaylatch/proxy/attemptrules.cpp
@@ -36,7 +36,7 @@
         return NextStep::Forward;
     }
     if (history.hasResponseStarted) {
-        return isRetryAllowed(route, end, history) && route.kind == CallKind::Stream && route.isResumable ? NextStep::Retry : NextStep::Abort;
+        return isRetryAllowed(route, end, history) && history.canResume ? NextStep::Retry : NextStep::Abort;
     }
     if (isRetryAllowed(route, end, history)) {
         return NextStep::Retry;
--- a/carawaylatch/proxy/attemptrules.h
+++ b/carawaylatch/proxy/attemptrules.h
@@ -29,6 +29,7 @@
     std::uint32_t notExecuted = 0; // of these, attempts that the upstream reported as not executed
     std::uint32_t connectFailures = 0; // failed connection attempts
     bool hasResponseStarted = false; // part of the response has been sent to the caller
+    bool canResume = false; // that part ends after a whole event
     bool hasTimeLeft = true;
     bool hasBudget = true; // the pool's retry budget allows another attempt
 };
--- a/carawaylatch/proxy/exchange.h
+++ b/carawaylatch/proxy/exchange.h
@@ -40,6 +40,8 @@
     HttpResponseHead head;
     UpstreamResponse response;
     std::string body; // of a response that is buffered until it is complete
+    bool isStreamed = false; // the body is forwarded as it arrives
+    bool hasEvents = false; // complete events were forwarded; set only for resumable streams
 };
 
 class Exchange : public std::enable_shared_from_this<Exchange>, public ResponseListener
@@ -95,6 +97,7 @@
     void endAttempt(AttemptEnd end, std::string_view problem);
     void releaseAttempt(AttemptEnd end);
     [[nodiscard]] AttemptEnd classifyResponse() const;
+    [[nodiscard]] bool mayBePartOfStream() const;
     [[nodiscard]] bool endsInsideEvent() const;
     [[nodiscard]] bool isEventStream() const;
     void noteEventBoundary(std::string_view bytes);
@@ -163,6 +166,7 @@
     base::TimerService::Subscription m_originTimer;
     std::optional<SoftwareSet> m_streamSoftware; // the one version at which the stream may go on; empty while any may begin it
     bool m_isStreaming = false; // the response head was sent to the caller
+    unsigned m_streamStatus = 0; // in that head
     bool m_isPassThrough = false; // bytes are forwarded as they arrive, without splitting into events
     bool m_isEnded = false;
 };
--- a/carawaylatch/proxy/exchangeattempt.cpp
+++ b/carawaylatch/proxy/exchangeattempt.cpp
@@ -181,7 +181,7 @@
         attempt.startedOutputAt = m_plane.now();
         m_plane.tracker().onFirstOutput(*attempt.record, attempt.load);
     }
-    if (m_isStreaming) {
+    if (attempt.isStreamed) {
         forwardStream(bytes);
         return;
     }
@@ -202,6 +202,7 @@
 void Exchange::beginStream()
 {
     Attempt &attempt = *m_attempt;
+    attempt.isStreamed = true;
     if (!m_route->isResumable) {
         m_isPassThrough = true;
     }
@@ -209,10 +210,12 @@
         return; // resumed after a failed attempt; the caller already has a response head
     }
     m_isStreaming = true;
+    m_streamStatus = attempt.head.status;
     if (m_route->isResumable) {
         m_streamSoftware.emplace().insert(m_lastSoftware);
     }
     m_history.hasResponseStarted = true;
+    m_history.canResume = !m_isPassThrough;
     m_caller->beginReply(Reply{attempt.head.status, attempt.head.reason, forwardableFields(attempt.head.fields), {}});
 }
 
@@ -236,6 +239,7 @@
         }
         if (!events.empty()) {
             m_lastEventAt = now;
+            m_attempt->hasEvents = true;
         }
         if (m_scanner.hasGap()) {
             abortReply("event_missing");
@@ -269,9 +273,18 @@
     if (isSuccess && (!attempt.response.isSigned || attempt.response.isEncoded)) {
         return AttemptEnd::Broken; // altered by an intermediary, or not sent by the upstream
     }
+    if (m_isStreaming && !mayBePartOfStream()) {
+        return AttemptEnd::ServerError;
+    }
     return AttemptEnd::Answered;
 }
 
+// True if the response can continue the one of which the caller already has the head.
+bool Exchange::mayBePartOfStream() const
+{
+    return m_attempt->isStreamed || (m_attempt->head.status == m_streamStatus && isEventStream());
+}
+
 void Exchange::onResponseEnd()
 {
     if (!m_attempt) {
@@ -290,11 +303,11 @@
 // also the end of the response, an upstream that crashed may have sent it.
 bool Exchange::endsInsideEvent() const
 {
-    if (!m_isPassThrough) {
-        return !m_scanner.isAtBoundary();
-    }
     const HttpFields &fields = m_attempt->head.fields;
     const bool endsWithConnection = findField(fields, "content-length") == nullptr && findField(fields, "transfer-encoding") == nullptr;
+    if (!m_isPassThrough) {
+        return !m_scanner.isAtBoundary() || (endsWithConnection && !m_attempt->hasEvents);
+    }
     return endsWithConnection && isEventStream() && !endsWithEvent(m_lastBytes);
 }
 
--- a/carawaylatch/proxy/testing/decisionstest.cpp
+++ b/carawaylatch/proxy/testing/decisionstest.cpp
@@ -51,16 +51,18 @@
         for (const Route &route : routes) {
             for (std::size_t i = 0; i < AttemptEndCount; ++i) {
                 const auto end = static_cast<AttemptEnd>(i);
-                for (std::uint32_t bits = 0; bits < 4 * 4 * 8; ++bits) {
+                for (std::uint32_t bits = 0; bits < 4 * 4 * 16; ++bits) {
                     AttemptHistory history;
                     history.sent = bits % 4;
                     history.notExecuted = (bits / 4) % 4;
                     history.hasResponseStarted = (bits & 16U) != 0;
                     history.hasTimeLeft = (bits & 32U) != 0;
                     history.hasBudget = (bits & 64U) != 0;
+                    history.canResume = (bits & 128U) != 0;
                     const bool isPossible = history.notExecuted <= history.sent && (end != AttemptEnd::NotExecuted || history.notExecuted > 0)
                                             && (end == AttemptEnd::NotSent || history.sent > 0)
-                                            && !(history.hasResponseStarted && history.sent == history.notExecuted);
+                                            && !(history.hasResponseStarted && history.sent == history.notExecuted)
+                                            && (!history.canResume || (history.hasResponseStarted && route.isResumable));
                     if (isPossible) {
                         checkInvariants(route, end, history);
                         ++cases;
@@ -88,6 +90,7 @@
             CPPUNIT_ASSERT_MESSAGE("a response that has started is never replaced by another one",
                                    step == NextStep::Forward || step == NextStep::Abort || step == NextStep::Retry);
             CPPUNIT_ASSERT(step != NextStep::Forward || end == AttemptEnd::Answered);
+            CPPUNIT_ASSERT_MESSAGE("only whole events are continued", step != NextStep::Retry || history.canResume);
         }
     }
 
@@ -102,8 +105,9 @@
         CPPUNIT_ASSERT(nextStep(safe, AttemptEnd::ServerError, {.sent = 1}) == NextStep::Retry);
         CPPUNIT_ASSERT(nextStep(safe, AttemptEnd::ServerError, {.sent = 2}) == NextStep::Forward);
         const Route resumable = routeOf(CallKind::Stream, true, 2);
-        CPPUNIT_ASSERT(nextStep(resumable, AttemptEnd::Broken, {.sent = 1, .hasResponseStarted = true}) == NextStep::Retry);
-        CPPUNIT_ASSERT(nextStep(resumable, AttemptEnd::Broken, {.sent = 2, .hasResponseStarted = true}) == NextStep::Abort);
+        CPPUNIT_ASSERT(nextStep(resumable, AttemptEnd::Broken, {.sent = 1, .hasResponseStarted = true, .canResume = true}) == NextStep::Retry);
+        CPPUNIT_ASSERT(nextStep(resumable, AttemptEnd::Broken, {.sent = 2, .hasResponseStarted = true, .canResume = true}) == NextStep::Abort);
+        CPPUNIT_ASSERT(nextStep(resumable, AttemptEnd::Broken, {.sent = 1, .hasResponseStarted = true}) == NextStep::Abort);
         const Route stream = routeOf(CallKind::Stream, false, 2);
         CPPUNIT_ASSERT(nextStep(stream, AttemptEnd::Broken, {.sent = 1, .hasResponseStarted = true}) == NextStep::Abort);
     }
