A problem of an entry is logged once, however often it is written

An entry that can't be used was logged at each of its revisions, with its whole name: a writer that repeats it with each heartbeat filled the log.

Change: FleetState remembers the problem that was logged for a name instead of the revision, and logs 200 bytes of each at most. A full memory is cleared for new names only.

--- a/carawaylatch/gateway/fleetstate.cpp
+++ b/carawaylatch/gateway/fleetstate.cpp
@@ -11,6 +11,13 @@
 namespace carawaylatch::gateway
 {
 
+namespace
+{
+
+constexpr std::size_t MaxLoggedBytes = 200; // of a name or a problem, which may quote the text of any writer
+
+} // namespace
+
 std::string_view objectKindName(ObjectKind kind)
 {
     switch (kind) {
@@ -226,7 +233,7 @@
 {
     const base::UpstreamId id(object.name);
     if (object.isRemoved) {
-        m_ignored.erase(object.name);
+        m_ignored.erase(object.name.substr(0, MaxLoggedBytes));
         expireUpstream(id, wasStoreUnavailable, now);
         return;
     }
@@ -439,12 +446,17 @@
 void FleetState::logIgnoredEntry(ObjectKind kind, const StoredObject &object, const std::string &problem)
 {
     constexpr std::size_t MaxIgnored = 256; // names remembered to log each problem only once
-    if (m_ignored.size() >= MaxIgnored) {
-        m_ignored.clear();
+    const std::string name = object.name.substr(0, MaxLoggedBytes);
+    const std::string shownProblem = problem.substr(0, MaxLoggedBytes);
+    const auto known = m_ignored.find(name);
+    if (known != m_ignored.end() && known->second == shownProblem) {
+        return;
     }
-    if (std::exchange(m_ignored[object.name], object.revision) != object.revision) {
-        m_log.write(base::LogEvent::EntryIgnored, {{"kind", std::string(objectKindName(kind))}, {"name", object.name}, {"problem", problem}});
+    if (known == m_ignored.end() && m_ignored.size() >= MaxIgnored) {
+        m_ignored.clear();
     }
+    m_ignored[name] = shownProblem;
+    m_log.write(base::LogEvent::EntryIgnored, {{"kind", std::string(objectKindName(kind))}, {"name", name}, {"problem", shownProblem}});
 }
 
 } // namespace carawaylatch::gateway
--- a/carawaylatch/gateway/fleetstate.h
+++ b/carawaylatch/gateway/fleetstate.h
@@ -118,7 +118,7 @@
     std::map<base::UpstreamId, base::TimePoint> m_expired; // entries that disappeared, and until when their upstreams are used
     std::map<base::ModelId, proxy::WeightsTarget> m_targets;
     std::map<std::string, StoredObject, std::less<>> m_coordinationObjects;
-    std::map<std::string, std::uint64_t> m_ignored; // name to the revision that was logged
+    std::map<std::string, std::string> m_ignored; // the beginning of a name to the problem that was logged
     std::set<base::Endpoint> m_deadCacheStores;
     std::map<base::PoolName, std::set<base::SoftwareVersion>> m_software; // that may get new streams
     std::uint64_t m_sequence = 0;
