Connections to upstreams survive a silence of up to two seconds

An upstream that acknowledged nothing for half a second or more, at the wrong moment, lost the connection although it was back: a request that must not be repeated ended in 502, and its answer came to a closed connection.

Cause: TCP_USER_TIMEOUT was 1,500 ms and probes were set for 1 s idle, 1 s interval, 2 probes. On Linux a user timeout replaces the count: at the second check, 2 s after the last bytes, one unanswered probe is enough. The time in which a silence was tolerated was zero.

Ruled out: user timeouts that a library sets (none of the headers that we build against names the option), isSilent() and the progress checks (they act on repeatable requests only).

Change: silenceLimits() derives idle time, interval and user timeout from the time of detection, and toleratedSilence() says what survives. Upstreams: detection after 4 s. Callers: 6 s, as before. Store, engine calls, relay and peers: 2 s, as before; their calls are repeated or read back, and a watch that hangs must be seen early.

--- a/carawaylatch/gateway/http2relay.cpp
+++ b/carawaylatch/gateway/http2relay.cpp
@@ -22,7 +22,7 @@
 {
 
 constexpr base::Duration ConnectTimeout = base::milliseconds{400}; // routers of one failure domain
-constexpr base::Duration AckTimeout = base::milliseconds{1500}; // without acknowledgements for this long, the path is broken
+constexpr base::seconds SilenceDetection{2}; // a poll is sent again, and changes must not come late
 constexpr base::Duration AcceptPause = base::milliseconds{20};
 constexpr std::size_t MaxPollBytes = 4096;
 constexpr std::size_t MaxInbound = 2048; // connections of other routers, four for each
@@ -98,7 +98,7 @@
             co_await m_stream->async_connect(endpoint, boost::asio::redirect_error(boost::asio::use_awaitable, ec));
         }
         if (!ec) {
-            proxy::setSocketOptions(m_stream->socket(), AckTimeout);
+            proxy::setSocketOptions(m_stream->socket(), proxy::silenceLimits(SilenceDetection));
         }
         co_return ec;
     }
@@ -128,7 +128,7 @@
         , m_socket(std::move(socket))
         , m_session(peer::Http2Session::Role::Server, MaxPollBytes)
     {
-        proxy::setSocketOptions(m_socket, AckTimeout);
+        proxy::setSocketOptions(m_socket, proxy::silenceLimits(SilenceDetection));
     }
 
     void read()
--- a/carawaylatch/proxy/callerconnection.cpp
+++ b/carawaylatch/proxy/callerconnection.cpp
@@ -20,7 +20,7 @@
 {
 
 // A caller that acknowledges nothing for this long is disconnected; streams send data every few milliseconds.
-constexpr base::Duration CallerAckTimeout = base::seconds{5};
+constexpr base::seconds SilenceDetection{6};
 // A connection that has sent its end waits this long for the caller's; several round trips.
 constexpr base::Duration LingerTimeout = base::milliseconds{500};
 // Input discarded meanwhile; a caller that sends more is not waiting for an end.
@@ -37,7 +37,7 @@
     , m_socket(std::move(socket))
     , m_acceptedAt(plane.now())
 {
-    setSocketOptions(m_socket, CallerAckTimeout);
+    setSocketOptions(m_socket, silenceLimits(SilenceDetection));
 }
 
 void CallerConnection::start()
--- a/carawaylatch/proxy/peerexchange.cpp
+++ b/carawaylatch/proxy/peerexchange.cpp
@@ -23,6 +23,7 @@
 
 constexpr base::Duration HeartbeatInterval = base::milliseconds{400}; // a third of PeerLoad::PeerTimeout
 constexpr base::Duration ConnectTimeout = base::milliseconds{700}; // several round trips, but less than the one second after which a lost SYN is sent again
+constexpr base::seconds SilenceDetection{2}; // reports are sent several times a second, and a new connection loses none
 constexpr base::Duration ResponseTimeout = base::seconds{1}; // a peer so busy that it responds later is of no use
 constexpr base::Duration InitialRetryDelay = base::milliseconds{500}; // after a failure; doubles up to MaxRetryDelay
 constexpr base::Duration MaxRetryDelay = base::seconds{8}; // bounds the cost of removed routers, which stay listed
@@ -74,7 +75,7 @@
         , m_socket(std::move(socket))
         , m_session(peer::Http2Session::Role::Server, MaxReportBytes)
     {
-        setSocketOptions(m_socket, ResponseTimeout * 2);
+        setSocketOptions(m_socket, silenceLimits(SilenceDetection));
     }
 
     void read()
@@ -221,7 +222,7 @@
     {
         m_state = State::Open;
         m_session.emplace(peer::Http2Session::Role::Client, MaxReportBytes);
-        setSocketOptions(m_socket, ResponseTimeout * 2);
+        setSocketOptions(m_socket, silenceLimits(SilenceDetection));
         m_needsFullReport = true;
         read();
     }
--- a/carawaylatch/proxy/socket.cpp
+++ b/carawaylatch/proxy/socket.cpp
@@ -1,6 +1,10 @@
 // A broken network path sends no reset. TCP_USER_TIMEOUT bounds how long sent data may
 // stay unacknowledged, and keep-alive probes detect a dead peer on a connection that
 // only reads.
+//
+// Linux checks at each probe's time, and a user timeout replaces the count of probes: the connection ends at the first
+// check at which its last bytes are older than the user timeout and a probe is unanswered. A peer that was silent in
+// between is saved by the last probe before that check, if it is sent after the silence.
 #include "carawaylatch/proxy/socket.h"
 
 #include <linux/filter.h>
@@ -22,24 +26,38 @@
 using UserTimeoutOption = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 using IdleOption = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
 using IntervalOption = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
-using CountOption = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
 
 constexpr int Backlog = 1024; // connections waiting to be accepted; many callers may connect at once
 
 } // namespace
 
-void setSocketOptions(Tcp::socket &socket, base::Duration ackTimeout)
+SilenceLimits silenceLimits(base::seconds detection)
+{
+    constexpr base::seconds ProbeInterval{1}; // the shortest that can be set
+    SilenceLimits limits{ProbeInterval, ProbeInterval, {}};
+    // Half an interval before the check that is meant, so that its own delay does not decide which one it is.
+    limits.userTimeout = std::max(detection, limits.idle + limits.interval) - base::Duration(limits.interval) / 2;
+    return limits;
+}
+
+base::Duration toleratedSilence(const SilenceLimits &limits)
+{
+    base::Duration lastProbe = limits.idle; // before the check that ends the connection
+    while (lastProbe + limits.interval < limits.userTimeout) {
+        lastProbe += limits.interval;
+    }
+    return lastProbe - limits.idle; // the silence may begin right before the first probe
+}
+
+void setSocketOptions(Tcp::socket &socket, const SilenceLimits &limits)
 {
     // Errors are ignored: without an option the request's own timer still bounds the wait.
     boost::system::error_code ignored;
-    const int milliseconds = static_cast<int>(base::toMilliseconds(ackTimeout));
-    const int seconds = std::max(1, milliseconds / 2000);
     socket.set_option(Tcp::no_delay(true), ignored);
-    socket.set_option(UserTimeoutOption(milliseconds), ignored);
+    socket.set_option(UserTimeoutOption(static_cast<int>(base::toMilliseconds(limits.userTimeout))), ignored);
     socket.set_option(boost::asio::socket_base::keep_alive(true), ignored);
-    socket.set_option(IdleOption(seconds), ignored);
-    socket.set_option(IntervalOption(seconds), ignored);
-    socket.set_option(CountOption(2), ignored);
+    socket.set_option(IdleOption(static_cast<int>(limits.idle.count())), ignored);
+    socket.set_option(IntervalOption(static_cast<int>(limits.interval.count())), ignored);
 }
 
 void refuseConnections(Tcp::acceptor &acceptor)
--- a/carawaylatch/proxy/socket.h
+++ b/carawaylatch/proxy/socket.h
@@ -12,9 +12,22 @@
 
 using Tcp = boost::asio::ip::tcp;
 
-// Disables Nagle's algorithm, and lets the kernel end a connection whose peer has
-// acknowledged nothing for `ackTimeout`, whether data is in flight or it is idle.
-void setSocketOptions(Tcp::socket &socket, base::Duration ackTimeout);
+// When the kernel sends keep-alive probes on a connection, and when it ends one whose peer acknowledges nothing.
+struct SilenceLimits
+{
+    base::seconds idle; // from the last bytes received to the first probe
+    base::seconds interval; // between probes
+    base::Duration userTimeout; // for data that was sent; also decides when probes give up
+};
+
+// Returns the limits that end a connection `detection` after its last bytes, at least two seconds.
+[[nodiscard]] SilenceLimits silenceLimits(base::seconds detection);
+
+// Any silence of the peer that is shorter than this is survived by an idle connection.
+[[nodiscard]] base::Duration toleratedSilence(const SilenceLimits &limits);
+
+// Disables Nagle's algorithm and sets the limits.
+void setSocketOptions(Tcp::socket &socket, const SilenceLimits &limits);
 
 // Opens, binds and listens. Unavailable if the address is in use or not local to this VM.
 [[nodiscard]] base::Result<void> openAcceptor(Tcp::acceptor &acceptor, const base::Endpoint &endpoint);
--- a/carawaylatch/proxy/upstreamconnection.cpp
+++ b/carawaylatch/proxy/upstreamconnection.cpp
@@ -14,8 +14,9 @@
 namespace
 {
 
-// An upstream that acknowledges nothing for this long is unreachable; longer than the delays of a congested path.
-constexpr base::Duration UpstreamAckTimeout = base::milliseconds{1500};
+// An upstream that acknowledges nothing for this long is unreachable. A sound one may fall silent for a second or so,
+// and a request that must not be repeated has to survive that.
+constexpr base::seconds SilenceDetection{4};
 // Time for which an idle connection is expected to stay open if the upstream announces none.
 constexpr base::Duration DefaultKeepAlive = base::milliseconds{800};
 // Share of the announced idle time that is used, so that a request does not race with the close.
@@ -83,7 +84,7 @@
             (*callback)(error.message());
             return;
         }
-        setSocketOptions(self->m_socket, UpstreamAckTimeout);
+        setSocketOptions(self->m_socket, silenceLimits(SilenceDetection));
         (*callback)({});
     });
 }
