--- a/carawaylatch/proxy/attemptrules.h
+++ b/carawaylatch/proxy/attemptrules.h
@@ -31,6 +31,7 @@
     std::uint32_t maxAttempts = std::numeric_limits<std::uint32_t>::max(); // in addition to the route's limit
     std::uint32_t connectFailures = 0; // failed connection attempts
     bool hasResponseStarted = false; // part of the response has been sent to the caller
+    bool canResume = false; // that part ends after a whole event
     bool hasTimeLeft = true;
     bool hasBudget = true; // the pool's retry budget allows another attempt
 };
