Keep rejections of brittle upstreams below what they name

Cause: no part read Server-Brittle. Routers fill plain services to two requests a slot and see each other's load 50 ms late, so that upstreams that queue nothing any more reject dozens of requests in a second, and fall over.

Ruled out: dividing N among the routers alone (N below their number leaves most with none, and all of it is used up while the pool is full); stopping after N rejections (each router sees its own, late).

Change: proxy/brittleupstreams tells placement whether a request certainly has room (this router's part of the capacity, or of what the others leave free), may be risked (all routers together N/2 a second) or must not be sent. The merging of numbers that upstreams name and the rendezvous order of routers moved from requestlimits to upstreamnotices and routershare, which both use. Reports of version 4 carry the word in messages of their own; routers of the former version refuse these and nothing else. Answers to status calls are read too.

--- a/carawaylatch/gateway/controlplane.cpp
+++ b/carawaylatch/gateway/controlplane.cpp
@@ -467,6 +467,8 @@
         if (result.value().isLeaving && upstream != m_state.upstreams().end()) {
             onUpstreamLeaving(order.engine, upstream->second.startTimeMs);
         }
+        m_state.onBrittleWord(order.engine, {result.value().brittle, requestedAt});
+        publishIfChanged();
         const bool hasChanged = upstream != m_state.upstreams().end() && upstream->second.models.contains(order.model)
                                 && upstream->second.models.at(order.model) < result.value().weights;
         if (hasChanged) {
--- a/carawaylatch/gateway/engineclient.h
+++ b/carawaylatch/gateway/engineclient.h
@@ -40,6 +40,7 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     bool isLeaving = false; // it has said that it leaves
+    std::optional<std::uint32_t> brittle; // rejections a second that it takes; nothing if it doesn't say that it is brittle
 };
 
 enum class OrderResponse {
--- a/carawaylatch/gateway/fleetstate.cpp
+++ b/carawaylatch/gateway/fleetstate.cpp
@@ -248,6 +248,7 @@
             upstream.phase = proxy::UpstreamPhase::Draining; // draining is final for an incarnation
         }
         if (isSameLife) {
+            upstream.brittle = it->second.brittle;
             for (auto &[model, weights] : upstream.models) {
                 // The entry lags behind the version that the engine reported itself.
                 if (const auto known = it->second.models.find(model); known != it->second.models.end()) {
@@ -319,6 +320,20 @@
     m_isChanged = true;
 }
 
+void FleetState::onBrittleWord(const base::UpstreamId &upstream, const proxy::BrittleWord &word)
+{
+    const auto it = m_upstreams.find(upstream);
+    if (it == m_upstreams.end()) {
+        return;
+    }
+    auto &known = it->second.brittle;
+    if ((known ? known->rejections : std::nullopt) == word.rejections) {
+        return;
+    }
+    known = word;
+    m_isChanged = true;
+}
+
 void FleetState::onWeightsSeen(const base::UpstreamId &upstream, base::WeightsVersion weights)
 {
     const auto it = m_upstreams.find(upstream);
--- a/carawaylatch/gateway/fleetstate.h
+++ b/carawaylatch/gateway/fleetstate.h
@@ -78,6 +78,8 @@
     void onChange(ObjectKind kind, const StoredObject &object, bool wasStoreUnavailable, const ChangeTime &time);
     // An upstream of this incarnation has said that it leaves, whatever its entry says.
     void onUpstreamLeaving(const base::UpstreamId &upstream, std::uint64_t startTimeMs);
+    // An answer to a status call said whether the upstream is brittle.
+    void onBrittleWord(const base::UpstreamId &upstream, const proxy::BrittleWord &word);
     // An engine reported its weights in a response.
     void onWeightsSeen(const base::UpstreamId &upstream, base::WeightsVersion weights);
     void onCacheStoreProbed(const base::Endpoint &endpoint, bool isAlive);
--- a/carawaylatch/gateway/testing/fleetstatetest.cpp
+++ b/carawaylatch/gateway/testing/fleetstatetest.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(testTableVersionNeverDecreases);
     CPPUNIT_TEST(testMalformedTableIsIgnored);
     CPPUNIT_TEST(testDrainingIsFinalForAnIncarnation);
+    CPPUNIT_TEST(testBrittleWordHoldsForAnIncarnation);
     CPPUNIT_TEST(testMalformedEntryRemovesUpstream);
     CPPUNIT_TEST(testEntryOfEarlierIncarnationIsIgnored);
     CPPUNIT_TEST(testExpiredEntriesStayDuringGrace);
@@ -95,6 +96,27 @@
         CPPUNIT_ASSERT(m_state->view()->upstreams.front().phase == proxy::UpstreamPhase::Ready);
     }
 
+    void testBrittleWordHoldsForAnIncarnation()
+    {
+        const base::UpstreamId engine("e");
+        const auto brittle = [this] {
+            return m_state->view()->upstreams.front().brittle;
+        };
+        change(ObjectKind::Upstreams, object("e", "p ready 10 1"));
+        m_state->onBrittleWord(engine, {std::nullopt, base::TimePoint{base::seconds{1}}});
+        CPPUNIT_ASSERT_MESSAGE("nothing new", !brittle());
+        m_state->onBrittleWord(engine, {5, base::TimePoint{base::seconds{2}}});
+        m_state->onBrittleWord(engine, {5, base::TimePoint{base::seconds{3}}});
+        change(ObjectKind::Upstreams, object("e", "p ready 10 2", 2));
+        CPPUNIT_ASSERT_EQUAL(5U, brittle()->rejections.value());
+        CPPUNIT_ASSERT(brittle()->askedAt == base::TimePoint{base::seconds{2}});
+        m_state->onBrittleWord(engine, {std::nullopt, base::TimePoint{base::seconds{4}}});
+        CPPUNIT_ASSERT(!brittle()->rejections);
+        m_state->onBrittleWord(engine, {5, base::TimePoint{base::seconds{5}}});
+        change(ObjectKind::Upstreams, object("e", "p ready 11 1", 3));
+        CPPUNIT_ASSERT(!brittle());
+    }
+
     void testMalformedEntryRemovesUpstream()
     {
         change(ObjectKind::Upstreams, object("e", "p ready 10 1"));
--- a/carawaylatch/proxy/dialect.h
+++ b/carawaylatch/proxy/dialect.h
@@ -72,6 +72,8 @@
     bool isLeaving = false; // the upstream will end; it wants no new requests
     std::optional<base::Duration> pause; // with a refusal: the upstream wants no requests from this router for so long
     std::optional<double> requestLimit; // requests a second that the upstream takes from all routers together; positive
+    bool isFull = false; // the upstream has rejected the request because it has no room
+    std::optional<std::uint32_t> brittle; // the upstream crashes if it rejects more requests in a second
     std::optional<LoadSample> load;
     std::optional<base::WeightsVersion> weights;
     std::optional<base::Duration> keepAlive; // idle time after which the upstream closes the connection
--- a/carawaylatch/proxy/exchangeattempt.cpp
+++ b/carawaylatch/proxy/exchangeattempt.cpp
@@ -28,6 +28,7 @@
     attempt.startedAt = m_plane.now();
     attempt.load.memoryTokens = m_request.promptTokens + m_request.maxOutputTokens;
     attempt.load.prefillTokens = placement.hasCachedPrefix ? m_request.promptTokens - std::min(m_sharedTokens, m_request.promptTokens) : m_request.promptTokens;
+    attempt.load.room = placement.room;
     m_lastUpstream = placement.record->upstream.id;
     m_lastSoftware = placement.record->upstream.software;
     m_triedUpstreams.push_back(m_lastUpstream);
@@ -160,6 +161,12 @@
     if (response.requestLimit || response.isSigned) {
         m_plane.onUpstreamLimit(*attempt.record, response.requestLimit, attempt.startedAt);
     }
+    if (response.brittle || response.isSigned) {
+        m_plane.onUpstreamBrittle(*attempt.record, response.brittle, attempt.startedAt);
+    }
+    if (response.isFull) {
+        m_plane.onUpstreamFull(*attempt.record, attempt.load);
+    }
     if (response.weights && *response.weights != attempt.record->weights) {
         attempt.record->weights = *response.weights;
         m_plane.observer().onWeightsSeen(attempt.record->upstream.id, *response.weights);
--- a/carawaylatch/proxy/faultreport.cpp
+++ b/carawaylatch/proxy/faultreport.cpp
@@ -13,11 +13,11 @@
 {
 
 constexpr std::size_t HeaderBytes = 5;
-constexpr std::size_t LimitsHeaderBytes = 2; // follows the header in reports with limits
+constexpr std::size_t CountBytes = 2; // of limits, then of brittle upstreams; follow the header in the versions that have them
 constexpr std::size_t PartBytes = 27;
 constexpr std::size_t CrashBytes = 12;
 constexpr std::size_t LeavingBytes = 16;
-constexpr std::size_t LimitBytes = 24;
+constexpr std::size_t NoticeBytes = 24;
 
 std::uint32_t encodeDuration(base::Duration duration)
 {
@@ -63,21 +63,55 @@
     return takeInteger<std::uint8_t>(bytes);
 }
 
+void appendNotices(std::string &out, const std::vector<UpstreamNotice> &notices, std::size_t count)
+{
+    for (std::size_t i = 0; i < count; ++i) {
+        appendInteger(out, notices[i].upstream);
+        appendInteger(out, notices[i].startTimeMs);
+        appendInteger(out, notices[i].generation);
+        appendInteger(out, notices[i].value);
+    }
+}
+
+void takeNotices(std::string_view &bytes, std::vector<UpstreamNotice> &notices, std::size_t count)
+{
+    for (std::size_t i = 0; i < count; ++i) {
+        UpstreamNotice &it = notices.emplace_back();
+        it.upstream = takeInteger<std::uint64_t>(bytes);
+        it.startTimeMs = takeInteger<std::uint64_t>(bytes);
+        it.generation = takeInteger<std::uint32_t>(bytes);
+        it.value = takeInteger<std::uint32_t>(bytes);
+    }
+}
+
+std::uint8_t versionOf(const FaultReport &report)
+{
+    if (!report.brittle.empty()) {
+        return FaultReportWithBrittleVersion;
+    }
+    return report.limits.empty() ? FaultReportVersion : FaultReportWithLimitsVersion;
+}
+
 } // namespace
 
 std::string encodeFaultReport(const FaultReport &report)
 {
     const std::size_t parts = std::min(report.parts.size(), MaxReportedParts);
     const std::size_t leaving = std::min(report.leaving.size(), MaxReportedLeaving);
-    const std::size_t limits = std::min(report.limits.size(), MaxReportedLimits);
+    const std::size_t limits = std::min(report.limits.size(), MaxReportedNotices);
+    const std::size_t brittle = std::min(report.brittle.size(), MaxReportedNotices);
+    const std::uint8_t version = versionOf(report);
     std::string out;
-    out.reserve(HeaderBytes + LimitsHeaderBytes + parts * (PartBytes + CrashBytes) + leaving * LeavingBytes + limits * LimitBytes);
-    appendInteger(out, limits > 0 ? FaultReportWithLimitsVersion : FaultReportVersion);
+    out.reserve(HeaderBytes + 2 * CountBytes + parts * (PartBytes + CrashBytes) + leaving * LeavingBytes + (limits + brittle) * NoticeBytes);
+    appendInteger(out, version);
     appendInteger(out, static_cast<std::uint16_t>(parts));
     appendInteger(out, static_cast<std::uint16_t>(leaving));
-    if (limits > 0) {
+    if (version >= FaultReportWithLimitsVersion) {
         appendInteger(out, static_cast<std::uint16_t>(limits));
     }
+    if (version >= FaultReportWithBrittleVersion) {
+        appendInteger(out, static_cast<std::uint16_t>(brittle));
+    }
     for (std::size_t i = 0; i < parts; ++i) {
         appendPart(out, report.parts[i]);
     }
@@ -85,12 +119,8 @@
         appendInteger(out, report.leaving[i].upstream);
         appendInteger(out, report.leaving[i].startTimeMs);
     }
-    for (std::size_t i = 0; i < limits; ++i) {
-        appendInteger(out, report.limits[i].upstream);
-        appendInteger(out, report.limits[i].startTimeMs);
-        appendInteger(out, report.limits[i].generation);
-        appendInteger(out, report.limits[i].milliPerSecond);
-    }
+    appendNotices(out, report.limits, limits);
+    appendNotices(out, report.brittle, brittle);
     return out;
 }
 
@@ -99,14 +129,16 @@
     if (bytes.size() < HeaderBytes || !isFaultReport(bytes)) {
         return malformedReport("no header of this version");
     }
-    const bool hasLimits = takeInteger<std::uint8_t>(bytes) == FaultReportWithLimitsVersion;
+    const auto version = takeInteger<std::uint8_t>(bytes);
     const std::size_t parts = takeInteger<std::uint16_t>(bytes);
     const std::size_t leaving = takeInteger<std::uint16_t>(bytes);
-    if (hasLimits && bytes.size() < LimitsHeaderBytes) {
+    const std::size_t counts = static_cast<std::size_t>(version) - FaultReportVersion;
+    if (bytes.size() < counts * CountBytes) {
         return malformedReport("the header is cut off");
     }
-    const std::size_t limits = hasLimits ? takeInteger<std::uint16_t>(bytes) : 0;
-    if (parts > MaxReportedParts || leaving > MaxReportedLeaving || limits > MaxReportedLimits) {
+    const std::size_t limits = counts > 0 ? takeInteger<std::uint16_t>(bytes) : 0;
+    const std::size_t brittle = counts > 1 ? takeInteger<std::uint16_t>(bytes) : 0;
+    if (parts > MaxReportedParts || leaving > MaxReportedLeaving || limits > MaxReportedNotices || brittle > MaxReportedNotices) {
         return malformedReport("too many rows");
     }
     FaultReport report;
@@ -125,7 +157,7 @@
             crash.age = takeDuration(bytes);
         }
     }
-    if (bytes.size() != leaving * LeavingBytes + limits * LimitBytes) {
+    if (bytes.size() != leaving * LeavingBytes + (limits + brittle) * NoticeBytes) {
         return malformedReport("length does not match the row counts");
     }
     for (std::size_t i = 0; i < leaving; ++i) {
@@ -133,20 +165,15 @@
         it.upstream = takeInteger<std::uint64_t>(bytes);
         it.startTimeMs = takeInteger<std::uint64_t>(bytes);
     }
-    for (std::size_t i = 0; i < limits; ++i) {
-        UpstreamLimit &it = report.limits.emplace_back();
-        it.upstream = takeInteger<std::uint64_t>(bytes);
-        it.startTimeMs = takeInteger<std::uint64_t>(bytes);
-        it.generation = takeInteger<std::uint32_t>(bytes);
-        it.milliPerSecond = takeInteger<std::uint32_t>(bytes);
-    }
+    takeNotices(bytes, report.limits, limits);
+    takeNotices(bytes, report.brittle, brittle);
     return report;
 }
 
 bool isFaultReport(std::string_view bytes)
 {
     const auto version = bytes.empty() ? std::uint8_t{0} : static_cast<std::uint8_t>(bytes.front());
-    return version == FaultReportVersion || version == FaultReportWithLimitsVersion;
+    return version >= FaultReportVersion && version <= FaultReportWithBrittleVersion;
 }
 
 } // namespace carawaylatch::proxy
--- a/carawaylatch/proxy/faultreport.h
+++ b/carawaylatch/proxy/faultreport.h
@@ -1,19 +1,22 @@
 // Reports that routers exchange about prompt parts and requests that may crash upstreams, and about
-// upstreams that have said that they leave or named a limit of requests.
+// upstreams that have said that they leave, named a limit of requests or are brittle.
 //
 // A report holds the state of each part that has changed, see CrashAttribution, each
-// upstream newly known to leave, and each changed limit, see RequestLimits. They merge to the same result in any order, so that routers
-// forward what is new to them, and a lost report is made up for by a later one.
+// upstream newly known to leave, and each changed limit and brittle state, see UpstreamNotices. They merge to the same
+// result in any order, so that routers forward what is new to them, and a lost report is made up for by a later one.
 //
 // On the wire, integers little-endian:
 //
-//     version u8 (2 or 3; load reports have 1), parts u16, leaving u16, in version 3 limits u16
+//     version u8 (2, 3 or 4; load reports have 1), parts u16, leaving u16, from version 3 on limits u16, in 4 brittle u16
 //     part:  key u64, id u64, generation u32, blocks u8, blocked for ms u32, depth u8, crashes u8
 //     crash: id u64, age in ms u32
 //     leaving: upstream u64, start time u64
 //     limit: upstream u64, start time u64, generation u32, thousandths of requests a second u32
 //
-// Version 3 is used for reports with limits only: routers that don't know it refuse the whole report.
+//     brittle: upstream u64, start time u64, generation u32, rejections a second that it takes and one u32
+//
+// Versions 3 and 4 are used only for reports with limits and brittle upstreams: routers that don't know them refuse the
+// whole report.
 #pragma once
 
 #include <cstddef>
@@ -55,34 +58,36 @@
     bool operator==(const LeavingUpstream &) const = default;
 };
 
-// A limit of requests that an upstream has named. A greater generation replaces a lower one.
-struct UpstreamLimit
+// A number that an upstream has named. A greater generation replaces a lower one.
+struct UpstreamNotice
 {
     std::uint64_t upstream = 0; // hash of its id
     std::uint64_t startTimeMs = 0; // its incarnation
     std::uint32_t generation = 0;
-    std::uint32_t milliPerSecond = 0; // thousandths of requests a second from all routers; zero: the limit has ended
+    std::uint32_t value = 0; // zero: the upstream names none any more
 
-    bool operator==(const UpstreamLimit &) const = default;
+    bool operator==(const UpstreamNotice &) const = default;
 };
 
 struct FaultReport
 {
     std::vector<PartState> parts; // at most MaxReportedParts
     std::vector<LeavingUpstream> leaving; // at most MaxReportedLeaving
-    std::vector<UpstreamLimit> limits; // at most MaxReportedLimits
+    std::vector<UpstreamNotice> limits; // thousandths of requests a second from all routers; at most MaxReportedNotices
+    std::vector<UpstreamNotice> brittle; // rejections a second that the upstream takes, and one; at most MaxReportedNotices
 
     [[nodiscard]] bool isEmpty() const
     {
-        return parts.empty() && leaving.empty() && limits.empty();
+        return parts.empty() && leaving.empty() && limits.empty() && brittle.empty();
     }
 };
 
 constexpr std::uint8_t FaultReportVersion = 2;
 constexpr std::uint8_t FaultReportWithLimitsVersion = 3;
+constexpr std::uint8_t FaultReportWithBrittleVersion = 4;
 constexpr std::size_t MaxReportedParts = 256;
 constexpr std::size_t MaxReportedLeaving = 1024;
-constexpr std::size_t MaxReportedLimits = 1024;
+constexpr std::size_t MaxReportedNotices = 1024;
 constexpr std::size_t MaxCrashesPerPart = 8;
 
 [[nodiscard]] std::string encodeFaultReport(const FaultReport &report);
--- a/carawaylatch/proxy/fleet.h
+++ b/carawaylatch/proxy/fleet.h
@@ -121,6 +121,15 @@
 
 using SoftwareSet = std::set<base::SoftwareVersion>;
 
+// What an upstream's answer to a call of the control thread said of its being brittle.
+struct BrittleWord
+{
+    std::optional<std::uint32_t> rejections; // that it takes a second; nothing if it isn't brittle
+    base::TimePoint askedAt;
+
+    bool operator==(const BrittleWord &) const = default;
+};
+
 struct Upstream
 {
     base::UpstreamId id;
@@ -132,6 +141,7 @@
     base::SoftwareVersion software;
     std::uint64_t startTimeMs = 0; // Unix time of its start; a different value means that it restarted
     std::map<base::ModelId, base::WeightsVersion> models;
+    std::optional<BrittleWord> brittle; // the last one that told something new; nothing if there is none
 };
 
 // The weights version that a model should run.
--- a/carawaylatch/proxy/peerexchange.cpp
+++ b/carawaylatch/proxy/peerexchange.cpp
@@ -31,16 +31,18 @@
 constexpr int StatusAccepted = 204;
 constexpr int StatusRejected = 400;
 
-// Encodes the report as up to two messages, empty if there is nothing to tell: limits have their own, since
-// routers of a former version refuse the message that holds them.
-std::array<std::string, 2> encodeFaults(FaultReport report)
+// Encodes the report as up to three messages, empty if there is nothing to tell: limits and brittle upstreams have
+// their own, since routers of a former version refuse the message that holds them.
+std::array<std::string, 3> encodeFaults(FaultReport report)
 {
     FaultReport limits;
     limits.limits = std::exchange(report.limits, {});
+    FaultReport brittle;
+    brittle.brittle = std::exchange(report.brittle, {});
     const auto encodeIfAny = [](const FaultReport &it) {
         return it.isEmpty() ? std::string() : encodeFaultReport(it);
     };
-    return {encodeIfAny(report), encodeIfAny(limits)};
+    return {encodeIfAny(report), encodeIfAny(limits), encodeIfAny(brittle)};
 }
 
 } // namespace
@@ -398,7 +400,7 @@
     }
     const auto faultChangesTexts = encodeFaults(m_source.takeFaultChanges());
     std::string fullText; // built only if a peer needs it, which is rare
-    std::array<std::string, 2> fullFaultTexts;
+    std::array<std::string, 3> fullFaultTexts;
     for (const auto &[endpoint, outbound] : m_outbound) {
         outbound->tick();
         const bool needsFullReport = outbound->needsFullReport();
--- a/carawaylatch/proxy/peerload.cpp
+++ b/carawaylatch/proxy/peerload.cpp
@@ -1,6 +1,7 @@
 // Sums are updated by the difference between a peer's previous and new values.
 #include "carawaylatch/proxy/peerload.h"
 
+#include <algorithm>
 #include <vector>
 
 namespace carawaylatch::proxy
@@ -48,6 +49,18 @@
     return it == m_sums.end() ? PeerUpstreamLoad{} : it->second;
 }
 
+PeerLoad::AtLeast PeerLoad::atLeast(std::uint64_t upstream, const AtLeast &each) const
+{
+    AtLeast sum;
+    for (const auto &[sender, peer] : m_peers) {
+        const auto it = peer.loads.find(upstream);
+        const PeerUpstreamLoad load = it != peer.loads.end() ? it->second : PeerUpstreamLoad{};
+        sum.requests += std::max(each.requests, static_cast<double>(load.requests));
+        sum.memoryTokens += std::max(each.memoryTokens, static_cast<double>(load.memoryTokens));
+    }
+    return sum;
+}
+
 std::size_t PeerLoad::peers() const
 {
     return m_peers.size();
--- a/carawaylatch/proxy/peerload.h
+++ b/carawaylatch/proxy/peerload.h
@@ -29,6 +29,13 @@
     // Total load of all peers at an upstream.
     [[nodiscard]] PeerUpstreamLoad at(std::uint64_t upstream) const;
     [[nodiscard]] std::size_t peers() const;
+    // The same sums, with each peer's requests and memory counted as these numbers if they are lower.
+    struct AtLeast
+    {
+        double requests = 0;
+        double memoryTokens = 0;
+    };
+    [[nodiscard]] AtLeast atLeast(std::uint64_t upstream, const AtLeast &each) const;
 
 private:
     struct Peer
--- a/carawaylatch/proxy/placement.cpp
+++ b/carawaylatch/proxy/placement.cpp
@@ -16,6 +16,13 @@
 // Share of an engine's memory for running requests; the rest holds cached prefixes.
 constexpr double UsableMemoryShare = 0.9;
 
+// Candidates of a lower rank come first, whatever their cost.
+enum class CandidateRank {
+    Certain,
+    Risky, // may reject the request
+    Unhealthy, // backed off or silent
+};
+
 // Inputs that are the same for all candidates of one query.
 struct PlacementContext
 {
@@ -46,10 +53,27 @@
     return context.target == nullptr || record.weights >= context.oldestWeights;
 }
 
+// Slots that may be used now; zero if their number is unknown.
+double usableSlots(const PlacementContext &context, const UpstreamRecord &record)
+{
+    return record.upstream.slots > 0 ? std::max(1.0, record.upstream.slots * record.resumedShare(context.query.now)) : 0;
+}
+
+Room brittleRoom(const PlacementContext &context, const UpstreamRecord &record, const TotalLoad &load, const UpstreamTracker &tracker)
+{
+    RoomQuery room;
+    room.slots = usableSlots(context, record);
+    if (context.pool->engine) {
+        room.memoryTokens = static_cast<double>(context.pool->engine->cacheTokens) * UsableMemoryShare;
+        room.neededMemoryTokens = context.query.memoryTokens;
+    }
+    return tracker.room(record, room, load, context.query.now);
+}
+
 bool hasRoom(const PlacementContext &context, const UpstreamRecord &record, const TotalLoad &load)
 {
-    const double allSlots = record.upstream.slots > 0 ? record.upstream.slots : std::numeric_limits<double>::max();
-    const double slots = std::max(1.0, allSlots * record.resumedShare(context.query.now));
+    const double known = usableSlots(context, record);
+    const double slots = known > 0 ? known : std::numeric_limits<double>::max();
     if (!context.pool->engine) {
         return load.requests < slots * context.tuning.serviceQueueFactor;
     }
@@ -125,28 +149,30 @@
         context.owner = rendezvousOwner(query, members);
     }
     PlacementResult result;
-    bool isBestUnhealthy = false; // the best candidate so far is backed off or silent
+    CandidateRank bestRank = CandidateRank::Certain;
     for (UpstreamRecord *record : members) {
         if (!isUsable(context, *record, tracker) || !areWeightsAllowed(context, *record)) {
             continue;
         }
         const TotalLoad load = tracker.totalLoad(*record, view.routers, query.now);
-        if (!hasRoom(context, *record, load)) {
+        const Room room = brittleRoom(context, *record, load, tracker);
+        if (room == Room::None || !hasRoom(context, *record, load)) {
             result.verdict = result.record == nullptr ? PlacementVerdict::Full : result.verdict;
             continue;
         }
         const bool isUnhealthy = query.now < record->backoffUntil || record->isSilent(query.now, tuning.prefillMillisecondsPerToken);
+        const CandidateRank rank = isUnhealthy ? CandidateRank::Unhealthy : (room == Room::Risk ? CandidateRank::Risky : CandidateRank::Certain);
         const bool hasCachedPrefix = isPrefixCached(context, *record, tracker);
         const double cost = costOf(context, *record, load, hasCachedPrefix);
-        const bool isBetter = result.record == nullptr || (isBestUnhealthy && !isUnhealthy) || (isBestUnhealthy == isUnhealthy && cost < result.cost);
+        const bool isBetter = result.record == nullptr || rank < bestRank || (rank == bestRank && cost < result.cost);
         if (isBetter) {
-            result = PlacementResult{PlacementVerdict::Chosen, record, hasCachedPrefix, cost};
-            isBestUnhealthy = isUnhealthy;
+            result = PlacementResult{PlacementVerdict::Chosen, record, hasCachedPrefix, cost, room};
+            bestRank = rank;
         }
     }
-    if (isBestUnhealthy) {
+    if (bestRank == CandidateRank::Unhealthy) {
         // All upstreams with capacity are backed off or silent; the request waits until one recovers.
-        return PlacementResult{PlacementVerdict::Full, nullptr, false, 0};
+        return PlacementResult{PlacementVerdict::Full, nullptr, false, 0, Room::Free};
     }
     return result;
 }
--- a/carawaylatch/proxy/placement.h
+++ b/carawaylatch/proxy/placement.h
@@ -61,6 +61,7 @@
     UpstreamRecord *record = nullptr; // set if the verdict is Chosen
     bool hasCachedPrefix = false; // the upstream is expected to hold the shared prefix
     double cost = 0; // milliseconds
+    Room room = Room::Free; // at the upstream
 };
 
 [[nodiscard]] PlacementResult place(const PlacementQuery &query, const FleetView &view, UpstreamTracker &tracker, const PlacementTuning &tuning);
--- a/carawaylatch/proxy/requestlimits.h
+++ b/carawaylatch/proxy/requestlimits.h
@@ -8,10 +8,9 @@
 // a few routers only, the first in rendezvous order; the others send nothing there.
 //
 // Routers tell each other the limits that they see, because those that send nothing can't see
-// them (faultreport.h). Each change gets the next generation, and a greater generation replaces
-// a lower one, so that reports merge to the same result in any order.
+// them (faultreport.h, upstreamnotices.h).
 //
-// A state machine of the traffic thread without I/O. At most MaxReportedLimits upstreams.
+// A state machine of the traffic thread without I/O. At most MaxReportedNotices upstreams.
 #pragma once
 
 #include <cstdint>
@@ -22,18 +21,12 @@
 
 #include "carawaylatch/base/ids.h"
 #include "carawaylatch/base/time.h"
-#include "carawaylatch/proxy/faultreport.h"
+#include "carawaylatch/proxy/routershare.h"
+#include "carawaylatch/proxy/upstreamnotices.h"
 
 namespace carawaylatch::proxy
 {
 
-// An upstream, as reports name it.
-struct UpstreamKey
-{
-    std::uint64_t idHash = 0;
-    std::uint64_t startTimeMs = 0; // its incarnation
-};
-
 class RequestLimits
 {
 public:
@@ -51,7 +44,7 @@
     // has changed.
     bool observe(const UpstreamKey &upstream, std::optional<double> perSecond, base::TimePoint sentAt, base::TimePoint now);
     // Merges another router's notice. Returns true if the limit has changed.
-    bool apply(const UpstreamLimit &notice, base::TimePoint now);
+    bool apply(const UpstreamNotice &notice, base::TimePoint now);
     // This router sends a request.
     void onRequest(const UpstreamKey &upstream, base::TimePoint now);
     // Drops what is known of earlier incarnations of the upstream.
@@ -69,38 +62,25 @@
     // Number of upstreams that have a limit.
     [[nodiscard]] std::size_t size() const;
     // Limits that changed since the last call, or are due to be reported again.
-    [[nodiscard]] std::vector<UpstreamLimit> takeChanges();
-    [[nodiscard]] std::vector<UpstreamLimit> all() const;
+    [[nodiscard]] std::vector<UpstreamNotice> takeChanges();
+    [[nodiscard]] std::vector<UpstreamNotice> all() const;
 
 private:
-    struct Limit
+    // When this router sends requests to an upstream that has a limit.
+    struct Pace
     {
         std::uint64_t startTimeMs = 0;
-        std::uint32_t generation = 0;
-        std::uint32_t milliPerSecond = 0; // zero: the limit has ended
-        base::TimePoint begunAt; // the upstream had no limit before
-        base::TimePoint namedAt; // last seen in an answer or a notice
-        base::TimePoint refreshedAt; // changed, or reported again because it still holds
         base::TimePoint lastRequestAt; // when the last request of this router was due, or the start of the limit
         base::Duration interval{}; // between requests of this router; zero: it sends none
-        bool isReported = false;
     };
-    using Limits = std::unordered_map<std::uint64_t, Limit>;
 
-    [[nodiscard]] const Limit *find(const UpstreamKey &upstream) const;
-    // Returns the limit of this incarnation, which is new if a former one or none was known.
-    Limit &findOrAdd(const UpstreamKey &upstream);
-    void set(std::uint64_t idHash, Limit &limit, std::uint32_t generation, std::uint32_t milliPerSecond, base::TimePoint now);
-    static void refresh(Limit &limit, base::TimePoint now);
+    // Brings the pace in line with a limit that has changed; `hadLimit` tells whether there was one before.
+    void setPace(const UpstreamKey &upstream, bool hadLimit, base::TimePoint now);
     [[nodiscard]] base::Duration intervalOf(std::uint64_t idHash, std::uint32_t milliPerSecond) const;
-    [[nodiscard]] static UpstreamLimit noticeOf(std::uint64_t idHash, const Limit &limit);
 
-    Limits m_limits; // by hash of the upstream's id
-    std::vector<base::Endpoint> m_fleet; // as set last, with m_count
-    std::uint32_t m_count = 0;
-    std::vector<std::uint64_t> m_others; // hashes of the other routers; empty if they are not all known
-    std::uint64_t m_self = 0; // hash of this router
-    std::uint32_t m_routers = 1;
+    UpstreamNotices m_limits{MaxAge, RefreshInterval}; // in thousandths of requests a second
+    RouterShare m_routers;
+    std::unordered_map<std::uint64_t, Pace> m_paces; // by hash of the upstream's id
 };
 
 } // namespace carawaylatch::proxy
--- a/carawaylatch/proxy/testing/crashattributiontest.cpp
+++ b/carawaylatch/proxy/testing/crashattributiontest.cpp
@@ -551,6 +551,9 @@
             for (std::uint64_t n = random.below(4); n > 0; --n) {
                 report.limits.push_back({random.next(), random.next(), static_cast<std::uint32_t>(random.next()), static_cast<std::uint32_t>(random.next())});
             }
+            for (std::uint64_t n = random.below(4); n > 0; --n) {
+                report.brittle.push_back({random.next(), random.next(), static_cast<std::uint32_t>(random.next()), static_cast<std::uint32_t>(random.next())});
+            }
             const std::string bytes = encodeFaultReport(report);
             CPPUNIT_ASSERT(isFaultReport(bytes) && bytes.size() <= MaxReportBytes);
             const auto decoded = decodeFaultReport(bytes);
@@ -558,6 +561,7 @@
             CPPUNIT_ASSERT_EQUAL(bytes, encodeFaultReport(decoded.value()));
             CPPUNIT_ASSERT(report.leaving == decoded.value().leaving);
             CPPUNIT_ASSERT(report.limits == decoded.value().limits);
+            CPPUNIT_ASSERT(report.brittle == decoded.value().brittle);
             CPPUNIT_ASSERT(!decodeLoadReport(bytes).has_value()); // what a router of the version before makes of it
         }
         CPPUNIT_ASSERT(!isFaultReport(encodeLoadReport({})));
@@ -569,8 +573,10 @@
         report.parts.push_back({1, 2, 3, 4, base::seconds{5}, 6, {{7, base::seconds{8}}}});
         FaultReport limits;
         limits.limits.push_back({1, 2, 3, 4});
+        FaultReport brittle;
+        brittle.brittle.push_back({1, 2, 3, 4});
         const std::string bytes = encodeFaultReport(report);
-        for (const std::string &it : {bytes, encodeFaultReport(limits)}) {
+        for (const std::string &it : {bytes, encodeFaultReport(limits), encodeFaultReport(brittle)}) {
             for (std::size_t n = 0; n < it.size(); ++n) {
                 CPPUNIT_ASSERT(!decodeFaultReport(it.substr(0, n)).has_value());
             }
--- a/carawaylatch/proxy/testing/requestlimitstest.cpp
+++ b/carawaylatch/proxy/testing/requestlimitstest.cpp
@@ -189,14 +189,14 @@
         base::Random random(carawaylatch::testing::seed());
         for (int round = 0; round < 200; ++round) {
             auto routers = fleet(4);
-            std::vector<UpstreamLimit> sent;
+            std::vector<UpstreamNotice> sent;
             base::TimePoint now = Start;
             for (int i = 0; i < 12; ++i) {
                 now += Step;
                 RequestLimits &router = routers[random.below(routers.size())];
                 const bool isEnd = random.below(3) == 0;
                 (void)router.observe(Engine, isEnd ? std::nullopt : std::optional(1.0 + static_cast<double>(random.below(3))), now, now);
-                for (const UpstreamLimit &notice : router.takeChanges()) {
+                for (const UpstreamNotice &notice : router.takeChanges()) {
                     sent.push_back(notice);
                 }
                 if (!sent.empty()) {
@@ -205,7 +205,7 @@
             }
             for (int exchange = 0; exchange < 3; ++exchange) {
                 for (const RequestLimits &from : routers) {
-                    for (const UpstreamLimit &notice : from.all()) {
+                    for (const UpstreamNotice &notice : from.all()) {
                         for (RequestLimits &to : routers) {
                             (void)to.apply(notice, now);
                         }
@@ -241,7 +241,7 @@
     {
         RequestLimits limits;
         (void)limits.observe(Engine, 1.0, Start, Start);
-        const UpstreamLimit notice = limits.all().front();
+        const UpstreamNotice notice = limits.all().front();
         const UpstreamKey restarted{Engine.idHash, Engine.startTimeMs + 1};
         CPPUNIT_ASSERT(!limits.nextRequestAt(restarted));
         limits.onListed(restarted);
--- a/carawaylatch/proxy/trafficfaults.cpp
+++ b/carawaylatch/proxy/trafficfaults.cpp
@@ -11,6 +11,7 @@
     FaultReport report = m_crashes.takeChanges(now());
     report.leaving = m_tracker.takeLeaving();
     report.limits = m_tracker.limits().takeChanges();
+    report.brittle = m_tracker.brittle().takeChanges();
     return report;
 }
 
@@ -19,6 +20,7 @@
     FaultReport report = m_crashes.fullReport(now());
     report.leaving = m_tracker.leaving();
     report.limits = m_tracker.limits().all();
+    report.brittle = m_tracker.brittle().all();
     return report;
 }
 
@@ -32,6 +34,8 @@
     for (const UpstreamRecord *record : m_tracker.applyLimits(report.limits, now())) {
         logLimit(*record, "router");
     }
+    m_tracker.applyBrittle(report.brittle, now());
+    logBrittleEvents();
 }
 
 void TrafficPlane::onUpstreamLeaving(UpstreamRecord &record)
@@ -73,6 +77,37 @@
                                                        {"source", std::string(source)}});
 }
 
+void TrafficPlane::onUpstreamBrittle(UpstreamRecord &record, std::optional<std::uint32_t> rejections, base::TimePoint sentAt)
+{
+    m_tracker.onBrittle(record, rejections, sentAt, now());
+    logBrittleEvents();
+}
+
+void TrafficPlane::onUpstreamFull(const UpstreamRecord &record, const AttemptLoad &load)
+{
+    ++m_counts.rejections;
+    m_counts.risks += load.room == Room::Risk ? 1 : 0;
+    m_tracker.onRejected(record, load, now());
+}
+
+void TrafficPlane::logBrittleEvents()
+{
+    for (const BrittleEvent &event : m_tracker.takeBrittleEvents()) {
+        const std::string rejected = std::to_string(event.rejected);
+        if (!event.rejections) {
+            m_log.write(base::LogEvent::UpstreamNotBrittle,
+                        {{"upstream", event.upstream.value()}, {"rejected", rejected}, {"source", std::string(event.source)}});
+            continue;
+        }
+        const std::string takes = std::to_string(*event.rejections);
+        if (event.isGone) {
+            m_log.write(base::LogEvent::BrittleUpstreamGone, {{"upstream", event.upstream.value()}, {"per_second", takes}, {"rejected", rejected}});
+        } else {
+            m_log.write(base::LogEvent::UpstreamBrittle, {{"upstream", event.upstream.value()}, {"per_second", takes}, {"source", std::string(event.source)}});
+        }
+    }
+}
+
 void TrafficPlane::confirmCrashes()
 {
     m_crashes.advance(now(), [this](const BrokenRequest &request, base::TimePoint since) {
--- a/carawaylatch/proxy/trafficplane.cpp
+++ b/carawaylatch/proxy/trafficplane.cpp
@@ -66,7 +66,7 @@
     });
     m_reportTick = m_timers.every(now(), PeerExchange::ReportInterval, [this](base::TimePoint at) {
         m_tracker.removeSilentPeers(at);
-        m_tracker.limits().removeOutdated(at);
+        m_tracker.removeOutdatedNotices(at);
         confirmCrashes();
         m_peers.tick();
     });
@@ -156,6 +156,7 @@
     const bool hasNewWeights = view->targets != m_view->targets;
     m_view = std::move(view);
     m_tracker.adopt(*m_view, now());
+    logBrittleEvents();
     m_origins.adopt(*m_view);
     closeIdleConnections([this](const base::UpstreamId &upstream) {
         return m_tracker.find(upstream) == nullptr;
--- a/carawaylatch/proxy/trafficplane.h
+++ b/carawaylatch/proxy/trafficplane.h
@@ -75,6 +75,8 @@
     std::uint64_t resumed = 0;
     std::uint64_t blocked = 0; // requests that are blocked, or have a blocked prompt part
     std::uint64_t pauses = 0; // asked for by upstreams
+    std::uint64_t rejections = 0; // by upstreams that were full
+    std::uint64_t risks = 0; // of these, rejections that were risked at brittle upstreams
     std::array<telemetry::LatencyHistogram, CallKindCount> firstByte{}; // latency of served requests, by CallKind
     std::array<telemetry::LatencyHistogram, CallKindCount> total{}; // latency of served requests, by CallKind
 };
@@ -168,6 +170,11 @@
     void onUpstreamPause(UpstreamRecord &record, base::Duration pause);
     // An answer to a request that was sent at `sentAt` names this limit, or none.
     void onUpstreamLimit(const UpstreamRecord &record, std::optional<double> perSecond, base::TimePoint sentAt);
+    // A valid answer to a request that was sent at `sentAt` says that the upstream takes so many rejections a second, or
+    // does not say that it is brittle.
+    void onUpstreamBrittle(UpstreamRecord &record, std::optional<std::uint32_t> rejections, base::TimePoint sentAt);
+    // The upstream has rejected an attempt because it is full.
+    void onUpstreamFull(const UpstreamRecord &record, const AttemptLoad &load);
     // True if a new request may be placed before those that wait: there are none, or a few that are bound to some software.
     [[nodiscard]] bool canPassQueue(const base::PoolName &pool);
     // Schedules an attempt to place the queued requests of all pools; does not run it inline.
@@ -214,6 +221,7 @@
     void onFaultReport(const FaultReport &report) override;
     void onLeavingKnown(const UpstreamRecord &record, std::string_view source);
     void logLimit(const UpstreamRecord &record, std::string_view source);
+    void logBrittleEvents();
     // Newer weights are named: attempts that wait at engines with older ones must start in time.
     void limitAttemptsOnOldWeights();
     void confirmCrashes();
--- a/carawaylatch/proxy/upstreamtracker.cpp
+++ b/carawaylatch/proxy/upstreamtracker.cpp
@@ -93,11 +93,19 @@
 void UpstreamTracker::adopt(const FleetView &view, base::TimePoint now)
 {
     m_limits.setRouters(view.routerEndpoints, m_self, view.routers);
+    m_brittle.setRouters(view.routerEndpoints, m_self, view.routers);
+    std::vector<UpstreamRecord *> unlisted;
     for (auto &[id, record] : m_records) {
-        record.isListed = false;
+        if (std::exchange(record.isListed, false)) {
+            unlisted.push_back(&record);
+        }
     }
     for (const Upstream &upstream : view.upstreams) {
         UpstreamRecord &record = m_records[upstream.id];
+        if (record.upstream.startTimeMs != upstream.startTimeMs) {
+            onIncarnationGone(record);
+            record.hasAnswered = false;
+        }
         if (record.upstream.startTimeMs != upstream.startTimeMs || record.upstream.endpoint != upstream.endpoint) {
             record.failureShare = 0;
             record.consecutiveConnectFailures = 0;
@@ -111,10 +119,17 @@
         record.isListed = true;
         adoptLeaving(record);
         m_limits.onListed(record.key());
+        m_brittle.onListed(record.key());
+        adoptBrittle(record, now);
         for (const auto &[model, weights] : upstream.models) {
             record.weights = std::max(record.weights, weights);
         }
     }
+    for (const UpstreamRecord *record : unlisted) {
+        if (!record->isListed) {
+            onIncarnationGone(*record);
+        }
+    }
     std::erase_if(m_records, [](const auto &it) {
         return !it.second.isListed && it.second.inflight == 0 && it.second.isReported;
     });
@@ -126,6 +141,7 @@
             m_members[record.upstream.pool].push_back(&record);
         }
     }
+    updateBrittlePools(now);
 }
 
 UpstreamRecord *UpstreamTracker::find(const base::UpstreamId &id)
@@ -155,6 +171,9 @@
     record.inflightTokens += load.memoryTokens;
     record.prefillTokens += load.prefillTokens;
     m_limits.onRequest(record.key(), now);
+    if (load.room != Room::Free) {
+        m_brittle.onRequest(record.key(), load.room, load.memoryTokens, now);
+    }
     markUnreported(record);
 }
 
@@ -252,7 +271,11 @@
         if (!record->isStaying() || !record->runsOneOf(software) || std::find(excluded.begin(), excluded.end(), record->upstream.id) != excluded.end()) {
             continue;
         }
-        const base::TimePoint limitedUntil = m_limits.nextRequestAt(record->key()).value_or(base::TimePoint{});
+        base::TimePoint limitedUntil = m_limits.nextRequestAt(record->key()).value_or(base::TimePoint{});
+        const auto brittle = rejections(*record);
+        if (brittle && !isMostlyHeard() && m_brittle.isForOthers(record->key(), *brittle, record->upstream.slots)) {
+            limitedUntil = base::TimePoint::max();
+        }
         const NextRequest next{std::max(record->pausedUntil, limitedUntil), limitedUntil > record->pausedUntil};
         if (now >= next.at) {
             return std::nullopt;
@@ -300,10 +323,10 @@
     return found;
 }
 
-std::vector<const UpstreamRecord *> UpstreamTracker::applyLimits(std::span<const UpstreamLimit> limits, base::TimePoint now)
+std::vector<const UpstreamRecord *> UpstreamTracker::applyLimits(std::span<const UpstreamNotice> limits, base::TimePoint now)
 {
     std::vector<const UpstreamRecord *> found;
-    for (const UpstreamLimit &it : limits) {
+    for (const UpstreamNotice &it : limits) {
         const auto listed = m_byIdHash.find(it.upstream);
         const bool isEnded = listed != m_byIdHash.end() && listed->second->upstream.startTimeMs > it.startTimeMs;
         if (!isEnded && m_limits.apply(it, now) && listed != m_byIdHash.end()) {
--- a/carawaylatch/proxy/upstreamtracker.h
+++ b/carawaylatch/proxy/upstreamtracker.h
@@ -11,12 +11,14 @@
 #include <map>
 #include <optional>
 #include <span>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
 #include "carawaylatch/base/ids.h"
 #include "carawaylatch/base/time.h"
 #include "carawaylatch/proxy/attemptrules.h"
+#include "carawaylatch/proxy/brittleupstreams.h"
 #include "carawaylatch/proxy/dialect.h"
 #include "carawaylatch/proxy/faultreport.h"
 #include "carawaylatch/proxy/fleet.h"
@@ -49,6 +51,8 @@
     base::TimePoint receivedAt; // last byte received
     bool isLeaving = false; // it has said so, to this router or another; holds for the incarnation
     base::TimePoint pausedUntil; // it has asked this router for a pause
+    bool hasAnswered = false; // this router has had a valid answer from this incarnation
+    base::TimePoint brittleAskedAt; // of the last word of the control thread that was taken
 
     static constexpr base::Duration MaxSampleAge = base::seconds{1}; // under load, responses arrive many times a second
 
@@ -76,6 +80,25 @@
 {
     std::uint64_t memoryTokens = 0; // prompt and maximum output
     std::uint64_t prefillTokens = 0; // prompt tokens to process
+    Room room = Room::Free; // when the attempt started
+};
+
+// Capacity of an upstream, and what a request needs of it; zero: unknown, or no bound.
+struct RoomQuery
+{
+    double slots = 0;
+    double memoryTokens = 0;
+    double neededMemoryTokens = 0;
+};
+
+// An upstream has become brittle, is brittle no longer, takes another number of rejections, or has gone while it was.
+struct BrittleEvent
+{
+    base::UpstreamId upstream;
+    std::optional<std::uint32_t> rejections; // that it takes a second; nothing if it isn't brittle any more
+    std::string_view source; // how this router knows
+    bool isGone = false; // it has started again or left the list, without notice
+    std::uint64_t rejected = 0; // requests of this router that it has rejected meanwhile
 };
 
 // Known or estimated load of all routers at one upstream.
@@ -118,6 +141,17 @@
     // An answer to a request that was sent at `sentAt` names a limit of requests a second, or none. Returns true if
     // the limit has changed.
     bool onLimit(const UpstreamRecord &record, std::optional<double> perSecond, base::TimePoint sentAt, base::TimePoint now);
+    // A valid answer to a request that was sent at `sentAt` says that the upstream takes this number of rejections
+    // a second, or does not say that it is brittle.
+    void onBrittle(UpstreamRecord &record, std::optional<std::uint32_t> rejections, base::TimePoint sentAt, base::TimePoint now);
+    // The upstream has rejected a request because it is full.
+    void onRejected(const UpstreamRecord &record, const AttemptLoad &load, base::TimePoint now);
+    // The room for a request at an upstream, as far as it is brittle.
+    [[nodiscard]] Room room(const UpstreamRecord &record, const RoomQuery &query, const TotalLoad &load, base::TimePoint now) const;
+    [[nodiscard]] BrittleUpstreams &brittle();
+    [[nodiscard]] const BrittleUpstreams &brittle() const;
+    // What has changed of brittle upstreams since the last call.
+    [[nodiscard]] std::vector<BrittleEvent> takeBrittleEvents();
     [[nodiscard]] RequestLimits &limits();
     [[nodiscard]] const RequestLimits &limits() const;
     // True if this router may send the upstream a request now.
@@ -143,7 +177,12 @@
     std::vector<const UpstreamRecord *> applyLeaving(std::span<const LeavingUpstream> leaving, base::TimePoint now);
 
     // Another router knows these limits. Returns the listed upstreams whose limit has changed.
-    std::vector<const UpstreamRecord *> applyLimits(std::span<const UpstreamLimit> limits, base::TimePoint now);
+    std::vector<const UpstreamRecord *> applyLimits(std::span<const UpstreamNotice> limits, base::TimePoint now);
+
+    // Another router knows that these upstreams are brittle, or no longer.
+    void applyBrittle(std::span<const UpstreamNotice> notices, base::TimePoint now);
+    // Drops limits and brittle upstreams that nobody sees any more.
+    void removeOutdatedNotices(base::TimePoint now);
 
     // Applies another router's report. Returns false if it was not usable.
     bool applyReport(const LoadReport &report, base::TimePoint now);
@@ -170,6 +209,16 @@
     // Returns false if the incarnation was known to leave.
     bool addLeaving(std::uint64_t idHash, std::uint64_t startTimeMs, base::TimePoint now);
     void adoptLeaving(UpstreamRecord &record);
+    // Takes what the control thread has heard of the upstream.
+    void adoptBrittle(UpstreamRecord &record, base::TimePoint now);
+    // Notes an upstream that was brittle in an incarnation that has ended or is not listed any more.
+    void onIncarnationGone(const UpstreamRecord &record);
+    void onBrittleChanged(const UpstreamRecord &record, std::string_view source, base::TimePoint now);
+    void updateBrittlePools(base::TimePoint now);
+    // True if at least half of the other routers report their load.
+    [[nodiscard]] bool isMostlyHeard() const;
+    // The rejections a second that the upstream takes as far as this router knows; nothing if it isn't brittle.
+    [[nodiscard]] std::optional<std::uint32_t> rejections(const UpstreamRecord &record) const;
 
     std::map<base::UpstreamId, UpstreamRecord> m_records; // std::map, because the pointers below need stable addresses
     std::map<base::PoolName, std::vector<UpstreamRecord *>> m_members;
@@ -178,6 +227,9 @@
     std::unordered_map<std::uint64_t, Leaving> m_leaving; // by hash of the id; also of upstreams that are not listed
     base::Endpoint m_self;
     RequestLimits m_limits;
+    BrittleUpstreams m_brittle;
+    std::map<base::PoolName, base::TimePoint> m_brittlePools; // when they last had listed upstreams that are brittle
+    std::vector<BrittleEvent> m_brittleEvents;
     PrefixPlacements m_placements;
     PeerLoad m_peers;
     std::vector<UpstreamRecord *> m_unreported; // exactly those with isReported false
