--- a/carawaylatch/proxy/brittletracking.cpp
+++ b/carawaylatch/proxy/brittletracking.cpp
@@ -31,23 +31,26 @@
     if (!takes) {
         return Room::Free;
     }
-    const double routers = m_brittle.routers();
-    const double unheard = std::max(0.0, routers - 1 - static_cast<double>(m_peers.peers()));
-    const double part = BrittleUpstreams::ReservedShare / routers;
-    const PeerLoad::AtLeast heard = m_peers.atLeast(record.idHash, {query.slots * part, query.memoryTokens * part});
     CapacityUse slots;
     slots.capacity = query.slots;
     slots.own = record.inflight;
     slots.others = std::max(load.requests, record.load(now)) - slots.own;
-    slots.reserved = std::max(slots.others, heard.requests + unheard * query.slots / routers);
     slots.need = 1;
     CapacityUse memory;
     memory.capacity = query.memoryTokens;
     memory.own = static_cast<double>(record.inflightTokens);
     memory.others = std::max(0.0, load.memoryTokens - memory.own);
-    memory.reserved = std::max(memory.others, heard.memoryTokens + unheard * query.memoryTokens / routers);
     memory.need = query.neededMemoryTokens;
-    return m_brittle.room(record.key(), *takes, slots, memory, isMostlyHeard(), now);
+    const bool isHeard = isMostlyHeard();
+    if (isHeard) {
+        const double routers = m_brittle.routers();
+        const double unheard = std::max(0.0, routers - 1 - static_cast<double>(m_peers.peers()));
+        const double part = BrittleUpstreams::ReservedShare / routers;
+        const PeerLoad::AtLeast heard = m_peers.atLeast(record.idHash, {query.slots * part, query.memoryTokens * part});
+        slots.reserved = std::max(slots.others, heard.requests + unheard * query.slots / routers);
+        memory.reserved = std::max(memory.others, heard.memoryTokens + unheard * query.memoryTokens / routers);
+    }
+    return m_brittle.room(record.key(), *takes, slots, memory, isHeard, now);
 }
 
 void UpstreamTracker::onBrittle(UpstreamRecord &record, std::optional<std::uint32_t> rejections, base::TimePoint sentAt, base::TimePoint now)
--- a/carawaylatch/proxy/routershare.cpp
+++ b/carawaylatch/proxy/routershare.cpp
@@ -9,6 +9,13 @@
 namespace carawaylatch::proxy
 {
 
+namespace
+{
+
+constexpr std::size_t MaxRanks = 4096; // of ended upstreams too, until the fleet changes
+
+} // namespace
+
 bool RouterShare::setRouters(std::span<const base::Endpoint> routers, const base::Endpoint &self, std::uint32_t count)
 {
     if (count == m_count && std::equal(routers.begin(), routers.end(), m_fleet.begin(), m_fleet.end())) {
@@ -17,6 +24,7 @@
     m_fleet.assign(routers.begin(), routers.end());
     m_count = count;
     m_others.clear();
+    m_ranks.clear();
     for (const base::Endpoint &router : routers) {
         if (router != self) {
             m_others.push_back(base::hash64(config::formatEndpoint(router)));
@@ -43,10 +51,18 @@
 
 std::uint32_t RouterShare::routersBefore(std::uint64_t upstream) const
 {
+    if (const auto it = m_ranks.find(upstream); it != m_ranks.end()) {
+        return it->second;
+    }
+    if (m_ranks.size() >= MaxRanks) {
+        m_ranks.clear();
+    }
     const auto isBefore = [upstream, own = base::combineHashes(upstream, m_self)](std::uint64_t router) {
         return base::combineHashes(upstream, router) > own;
     };
-    return static_cast<std::uint32_t>(std::count_if(m_others.begin(), m_others.end(), isBefore));
+    const auto rank = static_cast<std::uint32_t>(std::count_if(m_others.begin(), m_others.end(), isBefore));
+    m_ranks.emplace(upstream, rank);
+    return rank;
 }
 
 std::uint32_t RouterShare::rank(std::uint64_t upstream) const
--- a/carawaylatch/proxy/routershare.h
+++ b/carawaylatch/proxy/routershare.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <span>
+#include <unordered_map>
 #include <vector>
 
 #include "carawaylatch/base/ids.h"
@@ -31,6 +32,7 @@
     [[nodiscard]] std::uint32_t rankFromEnd(std::uint64_t upstream) const;
 
 private:
+    // Kept, because it takes a step for each router and is asked for at each placement.
     [[nodiscard]] std::uint32_t routersBefore(std::uint64_t upstream) const;
 
     std::vector<base::Endpoint> m_fleet; // as set last, with m_count
@@ -38,6 +40,7 @@
     std::vector<std::uint64_t> m_others; // hashes of the other routers; empty if they are not all known
     std::uint64_t m_self = 0; // hash of this router
     std::uint32_t m_routers = 1;
+    mutable std::unordered_map<std::uint64_t, std::uint32_t> m_ranks; // results of routersBefore(); at most MaxRanks
 };
 
 } // namespace carawaylatch::proxy
