--- a/carawaylatch/proxy/reachreport.h
+++ b/carawaylatch/proxy/reachreport.h
@@ -30,7 +30,7 @@
     std::vector<std::uint64_t> unreachedPools; // hashes of their names; at most MaxReportedPools
 };
 
-constexpr std::uint8_t ReachReportVersion = 4;
+constexpr std::uint8_t ReachReportVersion = 5;
 constexpr std::size_t MaxReportedPools = 256;
 
 [[nodiscard]] std::string encodeReachReport(const ReachReport &report);
