An HTTP server starts its threads as they are needed

Each server started 96 threads, so a test program with six servers had over 512, which is all that the thread sanitizer's runtime has room for on arm64: store, http and router ended in its check of the trace memory (MapThreadTrace) on this kind of machine, on the code before any change of this work. Ruled out: a race; the check fails as a thread is created. Change: a pool that starts a thread when a task finds none idle, up to the same limit. Tests as before: http, store and router pass.

--- a/carawaylatch/http/httpserver.cpp
+++ b/carawaylatch/http/httpserver.cpp
@@ -6,6 +6,8 @@
 #include <thread>
 #include <utility>
 
+#include "carawaylatch/http/threadpool.h"
+
 namespace carawaylatch::http
 {
 
@@ -24,7 +26,7 @@
         : m_endpoint(std::move(endpoint))
     {
         m_server.new_task_queue = [threads] {
-            return new httplib::ThreadPool(threads);
+            return new ThreadPool(threads);
         };
         m_server.set_keep_alive_timeout(KeepAliveSeconds);
         m_server.set_keep_alive_max_count(KeepAliveRequests);
