A handler of a listener that was destroyed does nothing

A use after free in the address sanitizer run of TrafficStopTest::testConnectionsWhileTheListenerClosesAreAnswered, on the code before and after this work's changes: the accept handler took any error but operation_aborted for a lack of descriptors, also after its listener had closed, and went on every 20 ms, or after the plane was destroyed. Change: the handler holds its listener weakly, and ends with a closed acceptor.

--- a/carawaylatch/proxy/trafficplane.cpp
+++ b/carawaylatch/proxy/trafficplane.cpp
@@ -52,9 +52,9 @@
     , m_timer(loop)
     , m_view(std::make_shared<const FleetView>())
     , m_tracker(settings.peers)
-    , m_callersListener(std::make_unique<Listener>(loop))
-    , m_operatorsListener(std::make_unique<Listener>(loop))
-    , m_metricsListener(std::make_unique<Listener>(loop))
+    , m_callersListener(std::make_shared<Listener>(loop))
+    , m_operatorsListener(std::make_shared<Listener>(loop))
+    , m_metricsListener(std::make_shared<Listener>(loop))
     , m_peers(loop, clock, settings.peers, settings.routerId, *this, log)
     , m_random(static_cast<std::uint64_t>(clock.now().time_since_epoch().count()))
 {
@@ -82,18 +82,18 @@
     if (auto result = m_peers.listen(); !result) {
         return result;
     }
-    if (auto result = listenOn(*m_callersListener, m_settings.callers); !result) {
+    if (auto result = listenOn(m_callersListener, m_settings.callers); !result) {
         return result;
     }
-    if (auto result = listenOn(*m_operatorsListener, m_settings.operators); !result || m_settings.metrics.port == 0) {
+    if (auto result = listenOn(m_operatorsListener, m_settings.operators); !result || m_settings.metrics.port == 0) {
         return result;
     }
-    return listenOn(*m_metricsListener, m_settings.metrics);
+    return listenOn(m_metricsListener, m_settings.metrics);
 }
 
-base::Result<void> TrafficPlane::listenOn(Listener &listener, const base::Endpoint &endpoint)
+base::Result<void> TrafficPlane::listenOn(const std::shared_ptr<Listener> &listener, const base::Endpoint &endpoint)
 {
-    if (auto opened = openAcceptor(listener.acceptor, endpoint); !opened) {
+    if (auto opened = openAcceptor(listener->acceptor, endpoint); !opened) {
         return opened;
     }
     accept(listener);
@@ -107,24 +107,31 @@
     return ec ? m_settings.callers : base::Endpoint{local.address().to_string(), local.port()};
 }
 
-void TrafficPlane::accept(Listener &listener)
+void TrafficPlane::accept(const std::shared_ptr<Listener> &listener)
 {
-    listener.next = Tcp::socket(m_loop);
-    listener.acceptor.async_accept(listener.next, [this, &listener](const boost::system::error_code &ec) {
+    listener->next = Tcp::socket(m_loop);
+    // A handler can run after the plane has been destroyed, and its listeners with it.
+    listener->acceptor.async_accept(listener->next, [this, weak = std::weak_ptr(listener)](const boost::system::error_code &ec) {
+        const auto self = weak.lock();
+        if (!self) {
+            return;
+        }
         if (!ec) {
-            addCaller(std::move(listener.next));
-            accept(listener);
+            addCaller(std::move(self->next));
+        }
+        if (!self->acceptor.is_open()) {
             return;
         }
-        if (ec == boost::asio::error::operation_aborted) {
+        if (!ec) {
+            accept(self);
             return;
         }
         // Usually out of descriptors; waits until other connections have closed.
         constexpr base::Duration AcceptPause = base::milliseconds{20};
-        listener.pause.expires_after(AcceptPause);
-        listener.pause.async_wait([this, &listener](const boost::system::error_code &error) {
-            if (!error) {
-                accept(listener);
+        self->pause.expires_after(AcceptPause);
+        self->pause.async_wait([this, weak](const boost::system::error_code &error) {
+            if (const auto again = weak.lock(); again && !error && again->acceptor.is_open()) {
+                accept(again);
             }
         });
     });
--- a/carawaylatch/proxy/trafficplane.h
+++ b/carawaylatch/proxy/trafficplane.h
@@ -245,8 +245,8 @@
     // True if requests are outstanding at the pool and no byte has come for Reachability::SuspiciousSilence.
     [[nodiscard]] bool isPoolSilent(const base::PoolName &pool, base::TimePoint at) const;
     void onReachChanged(const ReachChange &change);
-    [[nodiscard]] base::Result<void> listenOn(Listener &listener, const base::Endpoint &endpoint);
-    void accept(Listener &listener);
+    [[nodiscard]] base::Result<void> listenOn(const std::shared_ptr<Listener> &listener, const base::Endpoint &endpoint);
+    void accept(const std::shared_ptr<Listener> &listener);
     void acceptWaiting(Listener &listener);
     void addCaller(Tcp::socket socket);
     void armTimer();
@@ -281,9 +281,9 @@
     std::map<base::PoolName, WaitQueue> m_queues;
     std::map<base::UpstreamId, std::deque<std::shared_ptr<UpstreamConnection>>> m_idleConnections; // most recently used last
     std::set<std::shared_ptr<CallerConnection>> m_callers;
-    std::unique_ptr<Listener> m_callersListener;
-    std::unique_ptr<Listener> m_operatorsListener;
-    std::unique_ptr<Listener> m_metricsListener;
+    std::shared_ptr<Listener> m_callersListener;
+    std::shared_ptr<Listener> m_operatorsListener;
+    std::shared_ptr<Listener> m_metricsListener;
     PeerExchange m_peers;
     PeerRouters m_peerRouters;
     base::TimerService::Subscription m_tick;
