A break counts as a crash unless another router reaches the pool

Ruled out: forwarded attempts, which the other router counts. Change: the pool counts as cut off for this only while another router reaches it. A router without peers can't tell, and counts.

--- a/carawaylatch/proxy/trafficfaults.cpp
+++ b/carawaylatch/proxy/trafficfaults.cpp
@@ -115,8 +115,8 @@
         if (record == nullptr || record->upstream.startTimeMs != request.startTimeMs) {
             return false;
         }
-        // Upstreams that are not reached any more need not have crashed; a single one that crashed is not reached either.
-        const bool isCutOff = m_reach.isCut(record->upstream.pool) && m_tracker.members(record->upstream.pool).size() > 1;
+        // Upstreams that only other routers reach have not crashed.
+        const bool isCutOff = m_reach.isCut(record->upstream.pool) && m_peerRouters.reaches(record->upstream.pool);
         return isCutOff || record->receivedAt > since;
     });
     applyVerdicts();
