--- a/review/common.sh
+++ b/review/common.sh
@@ -1,10 +1,10 @@
 # Parts that the scripts of the cases share: an own loopback network, gateways as the deploy file starts them, their end.
-# Sourced after `cd` to the repository; CASE is the folder of the case.
-CASE_FOLDER=$(cd "$(dirname "${BASH_SOURCE[1]}")" && pwd)
+# A script sets CASE_FOLDER and RECORD before it sources this file.
 REVIEW=$(cd "$CASE_FOLDER/.." && pwd)
 ROOT=$(cd "$REVIEW/.." && pwd)
 TROUBLE=${TROUBLE:-1}
 export TROUBLE
+printf 'review/%s/run.sh, TROUBLE=%s\n' "$(basename "$CASE_FOLDER")" "$TROUBLE" >"$RECORD" || exit 2
 WORK=$(mktemp -d)
 NETWORK=127.$((1 + $$ % 250)).$((1 + $$ / 250 % 250))
 PIDS=()
@@ -64,10 +64,10 @@
 # Runs the stand-in of the case beside N gateways in zones dakar-a, dakar-b, dakar-c; exits with its verdict.
 run_case() { # PROGRAM GATEWAYS
     [ -x "$ROOT/target/carawaylatch-gateway" ] && [ -x "$REVIEW/build/$1" ] || {
-        echo "build the deploy file and run review/build.sh first" >&2
+        echo "not run: build the deploy file and run review/build.sh first" | tee -a "$RECORD" >&2
         exit 2
     }
-    "$REVIEW/build/$1" "$NETWORK" "$CASE_FOLDER/record.txt" "$WORK" "$2" &
+    "$REVIEW/build/$1" "$NETWORK" "$RECORD" "$WORK" "$2" &
     local standin=$! i zones=(dakar-a dakar-b dakar-c)
     PIDS+=($standin)
     for ((i = 0; i < $2; ++i)); do
@@ -77,5 +77,11 @@
     local status=$?
     [ -n "${KEEP:-}" ] && cp "$WORK"/gateway-*.log "$KEEP"/
     [ $status -le 2 ] || status=2
+    if [ $status = 2 ]; then
+        for ((i = 0; i < $2; ++i)); do
+            echo "gateway $i wrote last:" && tail -n 5 "$WORK/gateway-$i.log"
+        done >>"$RECORD"
+    fi
+    echo "exit status $status" >>"$RECORD"
     exit $status
 }
--- a/review/standin/case1.cpp
+++ b/review/standin/case1.cpp
@@ -133,6 +133,7 @@
             .append("\r\nCarawaylatch-Key: ")
             .append(Key)
             .append("\r\n\r\n");
+        m_record.write("client " + std::to_string(client) + " sends request " + id);
         Message answer;
         const ReadEnd end = connection.write(text) ? connection.read(answer, true, milliseconds{DeadlineMs}) : ReadEnd::Broken;
         const auto elapsed = std::chrono::duration_cast<milliseconds>(Clock::now() - sentAt);
--- a/review/standin/case2.cpp
+++ b/review/standin/case2.cpp
@@ -136,10 +136,11 @@
     text.append(id).append("\r\nCarawaylatch-Model: ").append(Model).append("\r\nCarawaylatch-Token-Usage: 9190,13\r\nCarawaylatch-Prompt-Prefix: ");
     text.append(templates[number % 4]).append(",").append(id.substr(8)).append(":2890\r\nCarawaylatch-Deadline-Ms: 5000\r\nCarawaylatch-Key: ");
     text.append(key).append("\r\nContent-Length: 4\r\n\r\nwhat");
+    record.write("client sends " + id + " with key " + key);
     Message answer;
     const bool isServed =
         connection && connection->write(text) && connection->read(answer, true, milliseconds{5000}) == ReadEnd::Complete && answer.status() == 200;
-    record.write("client sends " + id + " with key " + key + ": " + (isServed ? "served" : "status " + std::to_string(answer.status())));
+    record.write("client gets for " + id + ": " + (isServed ? "served" : "status " + std::to_string(answer.status())));
     std::this_thread::sleep_for(milliseconds{50});
     return isServed;
 }
--- a/review/standin/platform.cpp
+++ b/review/standin/platform.cpp
@@ -44,7 +44,6 @@
 Record::Record(const std::string &path)
     : m_path(path)
 {
-    std::ofstream(m_path, std::ios::trunc);
 }
 
 double Record::now() const
