A long answer that is passed on is no longer judged as one that has not begun

Cause: Exchange::stallReason() judged every attempt of a safe route by the time for a response that has not begun, also after the answer had outgrown the buffer of 256 KiB and its bytes were at the caller. Ending such an attempt can only reset the connection, because a plain answer can't go on at another upstream. The phase was the one of the attempt's start, not of the check.

Ruled out: a larger buffer or a longer limit moves the size or the time at which answers are cut. Watching a passed-on answer for progress and resetting it early gains nothing for the caller; an upstream's silence is no reason to end it.

--- a/carawaylatch/proxy/exchange.h
+++ b/carawaylatch/proxy/exchange.h
@@ -19,6 +19,7 @@
 #include "carawaylatch/proxy/eventscanner.h"
 #include "carawaylatch/proxy/fleet.h"
 #include "carawaylatch/proxy/placement.h"
+#include "carawaylatch/proxy/stallrules.h"
 #include "carawaylatch/proxy/streamorigins.h"
 #include "carawaylatch/proxy/upstreamconnection.h"
 #include "carawaylatch/proxy/upstreamtracker.h"
@@ -132,7 +133,9 @@
     void watchProgress();
     // Aborts an attempt that an engine has not started before its weights are too old.
     void watchStart();
-    [[nodiscard]] std::string_view stallReason(base::TimePoint now) const;
+    [[nodiscard]] ResponsePhase responsePhase() const;
+    // Returns why the attempt counts as stalled, or nothing.
+    [[nodiscard]] std::string_view findStall(base::TimePoint now) const;
     void refuse(std::string_view reason, base::Duration retryAfter);
     void replyLocally(unsigned status, std::string_view reason, base::Duration retryAfter);
     void abortReply(std::string_view reason);
--- a/carawaylatch/proxy/exchangeattempt.cpp
+++ b/carawaylatch/proxy/exchangeattempt.cpp
@@ -15,8 +15,6 @@
 {
 
 constexpr base::Duration ProgressInterval = base::milliseconds{100}; // between checks of an attempt's progress
-constexpr int LateResponseFactor = 2; // of the target latency; leaves time for a retry to produce a useful response
-constexpr base::Duration MaxStreamGap = base::milliseconds{1200}; // twice the time that an engine takes to load weights
 
 } // namespace
 
@@ -418,7 +416,7 @@
         if (!self || !self->m_attempt || !self->m_attempt->isSent) {
             return;
         }
-        const std::string_view reason = self->stallReason(now);
+        const std::string_view reason = self->findStall(now);
         // A stalled attempt is aborted only if the retry budget and an upstream are available for another one.
         if (!reason.empty() && self->m_plane.budget(self->m_pool).mayTake(now) && self->canMove()) {
             self->endAttempt(AttemptEnd::Broken, reason);
@@ -426,29 +424,34 @@
     });
 }
 
-// Returns why the attempt counts as stalled, or nothing. An attempt is never stalled when the request has no
-// attempts left, because aborting it would gain nothing.
-std::string_view Exchange::stallReason(base::TimePoint now) const
+// The caller may have bytes of an earlier attempt while this one still waits.
+ResponsePhase Exchange::responsePhase() const
+{
+    if (m_isStreaming) {
+        return ResponsePhase::PassedOn;
+    }
+    return m_attempt->startedOutputAt ? ResponsePhase::Buffered : ResponsePhase::Waiting;
+}
+
+// An attempt is never stalled when the request has no attempts left, because ending it would gain nothing.
+std::string_view Exchange::findStall(base::TimePoint now) const
 {
     const Attempt &attempt = *m_attempt;
     if (!hasAttemptLeft(*m_route, m_history)) {
         return {};
     }
-    if (!attempt.isForward && m_plane.reach().isCut(m_pool) && now - attempt.record->silentSince > Reachability::SuspiciousSilence) {
-        return "the pool is not reached";
-    }
-    if (attempt.record->isSilent(now, m_plane.settings().placement.prefillMillisecondsPerToken)) {
-        return "the upstream is silent";
-    }
-    const bool isLateResponse = m_route->kind == CallKind::Idempotent && now - attempt.startedAt > m_route->targetLatency * LateResponseFactor;
-    if (isLateResponse) {
-        return "no response within twice the target latency";
-    }
-    // Bytes that complete no event are no progress.
-    if (m_firstByteAt && now - std::max(m_lastEventAt, attempt.startedAt) > MaxStreamGap) {
-        return "the stream has stalled";
-    }
-    return {};
+    AttemptState state;
+    state.kind = m_route->kind;
+    state.phase = responsePhase();
+    state.canResume = m_history.canResume;
+    state.isPoolCut = !attempt.isForward && m_plane.reach().isCut(m_pool) && now - attempt.record->silentSince > Reachability::SuspiciousSilence;
+    state.isUpstreamSilent = attempt.record->isSilent(now, m_plane.settings().placement.prefillMillisecondsPerToken);
+    state.age = now - attempt.startedAt;
+    state.targetLatency = m_route->targetLatency;
+    if (m_firstByteAt) {
+        state.eventGap = now - std::max(m_lastEventAt, attempt.startedAt);
+    }
+    return stallReason(state);
 }
 
 void Exchange::releaseAttempt(AttemptEnd end)
