An answer that is nearly buffered is no longer given up for a second attempt

Cause: a safe request is tried again at twice the target latency while the caller has no byte of the answer, however much of it has arrived at the router. An answer of up to 256 KiB that takes longer than that is thrown away, though the second attempt has less time left than the first one had.

Ruled out: keeping every answer of which a byte has come; a byte now and then would then hold the request until its timeout though another upstream would answer.

Change: BodyProgress keeps the recent pace of a body. One that ends in the time left at this pace, or without a length arrives at 8 KiB a second, is not late. Silence of the upstream and a cut pool still move it.

The whole test programs were not run on this commit alone.

--- a/carawaylatch/proxy/exchange.h
+++ b/carawaylatch/proxy/exchange.h
@@ -14,6 +14,7 @@
 
 #include "carawaylatch/base/timerservice.h"
 #include "carawaylatch/proxy/attemptrules.h"
+#include "carawaylatch/proxy/bodyprogress.h"
 #include "carawaylatch/proxy/callerconnection.h"
 #include "carawaylatch/proxy/crashattribution.h"
 #include "carawaylatch/proxy/eventscanner.h"
@@ -41,6 +42,7 @@
     bool hasCachedPrefix = false; // as expected when the upstream was selected
     HttpResponseHead head;
     UpstreamResponse response;
+    BodyProgress progress;
     std::string body; // of a response that is buffered until it is complete
     bool isStreamed = false; // the body is forwarded as it arrives
     bool hasEvents = false; // complete events were forwarded; set only for resumable streams
--- a/carawaylatch/proxy/exchangeattempt.cpp
+++ b/carawaylatch/proxy/exchangeattempt.cpp
@@ -2,6 +2,7 @@
 #include "carawaylatch/proxy/exchange.h"
 
 #include <algorithm>
+#include <charconv>
 #include <utility>
 
 #include "carawaylatch/proxy/kvtransfer.h"
@@ -16,6 +17,17 @@
 
 constexpr base::Duration ProgressInterval = base::milliseconds{100}; // between checks of an attempt's progress
 
+// Nothing if the end of the body is marked by its last chunk or the end of the connection.
+std::optional<std::uint64_t> bodyLength(const HttpResponseHead &head)
+{
+    const std::string *text = findField(head.fields, "content-length");
+    std::uint64_t length = 0;
+    if (text == nullptr || std::from_chars(text->data(), text->data() + text->size(), length).ec != std::errc()) {
+        return std::nullopt;
+    }
+    return length;
+}
+
 } // namespace
 
 void Exchange::startAttempt(const PlacementResult &placement)
@@ -217,6 +229,7 @@
         forwardStream(bytes);
         return;
     }
+    attempt.progress.onBytes(bytes.size(), m_plane.now());
     attempt.body.append(bytes);
     if (attempt.body.size() <= MaxBufferedResponseBytes) {
         return;
@@ -448,6 +461,7 @@
     state.isUpstreamSilent = attempt.record->isSilent(now, m_plane.settings().placement.prefillMillisecondsPerToken);
     state.age = now - attempt.startedAt;
     state.targetLatency = m_route->targetLatency;
+    state.isBodyInTime = attempt.progress.isInTime(bodyLength(attempt.head), timeLeft(now), now);
     if (m_firstByteAt) {
         state.eventGap = now - std::max(m_lastEventAt, attempt.startedAt);
     }
--- a/carawaylatch/proxy/stallrules.cpp
+++ b/carawaylatch/proxy/stallrules.cpp
@@ -10,9 +10,11 @@
 constexpr int LateResponseFactor = 2; // of the target latency; leaves time for a retry to produce a useful response
 constexpr base::Duration MaxStreamGap = base::milliseconds{1200}; // twice the time that an engine takes to load weights
 
+// A body that will be complete in time is worth more than a second attempt.
 bool isLate(const AttemptState &attempt)
 {
-    return attempt.kind == CallKind::Idempotent && attempt.age > attempt.targetLatency * LateResponseFactor;
+    const bool makesProgress = attempt.phase == ResponsePhase::Buffered && attempt.isBodyInTime;
+    return attempt.kind == CallKind::Idempotent && attempt.age > attempt.targetLatency * LateResponseFactor && !makesProgress;
 }
 
 } // namespace
--- a/carawaylatch/proxy/stallrules.h
+++ b/carawaylatch/proxy/stallrules.h
@@ -30,6 +30,7 @@
     bool isUpstreamSilent = false;
     base::Duration age{}; // since the attempt started
     base::Duration targetLatency{};
+    bool isBodyInTime = false; // at its pace; see BodyProgress
     std::optional<base::Duration> eventGap; // since the last complete event; nothing before the first bytes of a stream
 };
 
--- a/carawaylatch/proxy/testing/stallrulestest.cpp
+++ b/carawaylatch/proxy/testing/stallrulestest.cpp
@@ -2,9 +2,12 @@
 // docs/design/time-limits.md.
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "carawaylatch/proxy/bodyprogress.h"
 #include "carawaylatch/proxy/stallrules.h"
 
 namespace carawaylatch::proxy::testing
@@ -33,6 +36,8 @@
     CPPUNIT_TEST_SUITE(StallRulesTest);
     CPPUNIT_TEST(testNothingEndsWhatAnotherAttemptCannotContinue);
     CPPUNIT_TEST(testLimitsByPhase);
+    CPPUNIT_TEST(testBodyInTimeIsNotLate);
+    CPPUNIT_TEST(testPaceOfABody);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -95,6 +100,56 @@
             CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.reason, std::string(stallReason(row.state)));
         }
     }
+
+    void testBodyInTimeIsNotLate()
+    {
+        for (const ResponsePhase phase : {ResponsePhase::Waiting, ResponsePhase::Buffered}) {
+            for (const bool isInTime : {true, false}) {
+                AttemptState state = stateOf(CallKind::Idempotent, phase, base::seconds{1});
+                state.isBodyInTime = isInTime;
+                CPPUNIT_ASSERT_EQUAL(phase == ResponsePhase::Buffered && isInTime, stallReason(state).empty());
+            }
+        }
+    }
+
+    // The whole time is 1.5 s; bytes come every 50 ms from 100 ms on, and the verdict is of 1 s.
+    void testPaceOfABody()
+    {
+        struct Row
+        {
+            const char *name;
+            std::optional<std::uint64_t> length;
+            std::uint64_t first; // bytes at once
+            std::uint64_t piece; // bytes of each later read; zero: none
+            bool isInTime;
+        };
+        const base::TimePoint start{base::hours{1}};
+        const base::TimePoint end = start + base::milliseconds{1500};
+        const base::TimePoint now = start + base::seconds{1};
+        for (const Row &row :
+             {Row{"nothing", 1000, 0, 0, false}, Row{"nothing, no length", std::nullopt, 0, 0, false}, Row{"half and silence", 1000, 500, 0, false},
+              Row{"nearly all and silence", 1000, 700, 0, true}, Row{"a quick beginning, then single bytes", 200'000, 100'000, 1, false},
+              Row{"single bytes", 1000, 1, 1, false}, Row{"single bytes, no length", std::nullopt, 1, 1, false}, Row{"steady", 200'000, 8000, 8000, true},
+              Row{"steady, too slow", 400'000, 8000, 8000, false}, Row{"steady, no length", std::nullopt, 8000, 8000, true},
+              Row{"slow, no length", std::nullopt, 500, 500, true}, Row{"slower, no length", std::nullopt, 300, 300, false}}) {
+            BodyProgress progress;
+            if (row.first > 0) {
+                progress.onBytes(row.first, start + base::milliseconds{100});
+            }
+            for (base::TimePoint at = start + base::milliseconds{150}; row.piece > 0 && at <= now; at += base::milliseconds{50}) {
+                progress.onBytes(row.piece, at);
+            }
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.isInTime, progress.isInTime(row.length, end - now, now));
+        }
+        // Later, the quick beginning counts for nothing even where a long time is left.
+        BodyProgress progress;
+        progress.onBytes(100'000, start);
+        for (base::TimePoint at = start; at < start + base::seconds{2}; at += base::milliseconds{50}) {
+            progress.onBytes(1, at);
+        }
+        CPPUNIT_ASSERT(!progress.isInTime(200'000, base::seconds{60}, start + base::seconds{2}));
+        CPPUNIT_ASSERT(!progress.isInTime(std::nullopt, base::seconds{60}, start + base::seconds{2}));
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(StallRulesTest);
 
