--- a/carawaylatch/proxy/exchange.h
+++ b/carawaylatch/proxy/exchange.h
@@ -14,11 +14,13 @@
 
 #include "carawaylatch/base/timerservice.h"
 #include "carawaylatch/proxy/attemptrules.h"
+#include "carawaylatch/proxy/bodyprogress.h"
 #include "carawaylatch/proxy/callerconnection.h"
 #include "carawaylatch/proxy/crashattribution.h"
 #include "carawaylatch/proxy/eventscanner.h"
 #include "carawaylatch/proxy/fleet.h"
 #include "carawaylatch/proxy/placement.h"
+#include "carawaylatch/proxy/stallrules.h"
 #include "carawaylatch/proxy/streamorigins.h"
 #include "carawaylatch/proxy/upstreamconnection.h"
 #include "carawaylatch/proxy/upstreamtracker.h"
@@ -40,6 +42,7 @@
     bool hasCachedPrefix = false; // as expected when the upstream was selected
     HttpResponseHead head;
     UpstreamResponse response;
+    BodyProgress progress;
     std::string body; // of a response that is buffered until it is complete
     bool isStreamed = false; // the body is forwarded as it arrives
     bool hasEvents = false; // complete events were forwarded; set only for resumable streams
@@ -132,7 +135,9 @@
     void watchProgress();
     // Aborts an attempt that an engine has not started before its weights are too old.
     void watchStart();
-    [[nodiscard]] std::string_view stallReason(base::TimePoint now) const;
+    [[nodiscard]] ResponsePhase responsePhase() const;
+    // Returns why the attempt counts as stalled, or nothing.
+    [[nodiscard]] std::string_view findStall(base::TimePoint now) const;
     void refuse(std::string_view reason, base::Duration retryAfter);
     void replyLocally(unsigned status, std::string_view reason, base::Duration retryAfter);
     void abortReply(std::string_view reason);
