A success without a length of which only the head came is no answer

What callers saw: a server ended right after its head, which named no length (the connection is the framing), and closed in order. Callers got its 200, signed, with "Content-Length: 0". Of the reported failure (a server that stops in the middle of its head) this is the one cut that showed here; every cut inside the head is refused already (testAnswersOfUpstreams).

Cause: without a length the end of the connection ends the body. Streams need a whole event for that; other answers needed nothing. Change: Exchange::onResponseEnd() treats a success (but 204, 205 and answers to HEAD) without a first byte of its body as broken off: repeated if that is allowed, else 502. A server with an empty body to send names its length. A body that is cut after its first byte by an orderly close still can't be told from a whole one (docs/PROOF.md, not proved).

--- a/carawaylatch/proxy/exchange.h
+++ b/carawaylatch/proxy/exchange.h
@@ -122,6 +122,8 @@
     void releaseAttempt(AttemptEnd end);
     [[nodiscard]] AttemptEnd classifyResponse() const;
     [[nodiscard]] bool mayBePartOfStream() const;
+    [[nodiscard]] bool endsWithConnection() const;
+    [[nodiscard]] bool endsAfterHead() const;
     [[nodiscard]] bool endsInsideEvent() const;
     [[nodiscard]] bool isEventStream() const;
     void noteEventBoundary(std::string_view bytes);
--- a/carawaylatch/proxy/exchangeattempt.cpp
+++ b/carawaylatch/proxy/exchangeattempt.cpp
@@ -329,6 +329,11 @@
         return;
     }
     const AttemptEnd end = classifyResponse();
+    if (end == AttemptEnd::Answered && endsAfterHead()) {
+        reportBreak();
+        endAttempt(AttemptEnd::Broken, "the response ended before its body");
+        return;
+    }
     if (m_isStreaming && end == AttemptEnd::Answered && endsInsideEvent()) {
         reportBreak();
         endAttempt(AttemptEnd::Broken, "the stream ended inside an event");
@@ -337,16 +342,31 @@
     endAttempt(end, {});
 }
 
-// True if a stream has ended before the end of an event. If the end of the connection is
-// also the end of the response, an upstream that crashed may have sent it.
-bool Exchange::endsInsideEvent() const
+// True if the end of the connection is also the end of the response. An upstream that crashed may have sent it.
+bool Exchange::endsWithConnection() const
 {
     const HttpFields &fields = m_attempt->head.fields;
-    const bool endsWithConnection = findField(fields, "content-length") == nullptr && findField(fields, "transfer-encoding") == nullptr;
+    return findField(fields, "content-length") == nullptr && findField(fields, "transfer-encoding") == nullptr;
+}
+
+// True if a successful response has ended with its connection before the first byte of its body. An upstream that has an
+// empty body to send names its length.
+bool Exchange::endsAfterHead() const
+{
+    constexpr unsigned NoContent = 204;
+    constexpr unsigned ResetContent = 205;
+    const unsigned status = m_attempt->head.status;
+    const bool hasBody = m_head.method != "HEAD" && status < 300 && status != NoContent && status != ResetContent;
+    return hasBody && endsWithConnection() && !m_attempt->startedOutputAt;
+}
+
+// True if a stream has ended before the end of an event.
+bool Exchange::endsInsideEvent() const
+{
     if (!m_isPassThrough) {
-        return !m_scanner.isAtBoundary() || (endsWithConnection && !m_attempt->hasEvents);
+        return !m_scanner.isAtBoundary() || (endsWithConnection() && !m_attempt->hasEvents);
     }
-    return endsWithConnection && isEventStream() && !endsWithEvent(m_lastBytes);
+    return endsWithConnection() && isEventStream() && !endsWithEvent(m_lastBytes);
 }
 
 // A response on a stream route is a stream of events unless its type says otherwise.
