A router that forwards a stream forgets that it had sent it itself

Here it takes a router that is cut off from its upstreams and does not know the new version: it has sent the request to a server of v1, which stays silent, forwards it to another router, and that one begins the stream at v2. The stream breaks, its caller comes back to the first router, and this finds its own record: v1.

Cause: a request was not forwarded if it may have begun here and its pool has several versions, but a router that is out of step knows of one. Its record was left as it was. Ruled out: questions that go to the store (a fresh read, streamsoftwaretest), the same within one response (testStreamOfAnotherRouterDoesNotGoOnAtOlderSoftware passed before: the response is bound to other routers).

Change: the record is dropped as the request is forwarded (StreamOrigins::onForwarded()), so that a request which takes the stream up asks the store. If the record was given away for storing, or the response is bound to a version, the request is not forwarded, as with several versions.

--- a/carawaylatch/proxy/exchange.h
+++ b/carawaylatch/proxy/exchange.h
@@ -102,6 +102,10 @@
     // True if only other routers know where the stream that has begun may go on.
     [[nodiscard]] bool isBoundToRouters() const;
     [[nodiscard]] bool hasSeveralSoftware() const;
+    // True if the request begins a stream.
+    [[nodiscard]] bool beginsStream() const;
+    // True if the stream that the request begins must not begin at another router.
+    [[nodiscard]] bool isBoundToThisRouter() const;
     // True if kept connections to upstreams of the pool still work, though it is cut off.
     [[nodiscard]] bool hasLivingConnections() const;
     // Upstreams that get no attempt: those tried, and while the pool is cut off those without a kept connection.
--- a/carawaylatch/proxy/exchangeattempt.cpp
+++ b/carawaylatch/proxy/exchangeattempt.cpp
@@ -70,6 +70,10 @@
         return;
     }
     limitToStream();
+    if (m_attempt->isForward && isBoundToThisRouter()) {
+        endAttempt(AttemptEnd::NotSent, "the software of the stream was stored");
+        return;
+    }
     if (!m_attempt->isForward && isUnwanted()) {
         endAttempt(AttemptEnd::NotSent, "the upstream leaves, has asked for a pause, has named a limit or runs other software");
         return;
@@ -137,6 +141,9 @@
     m_scanner.restart();
     if (attempt.isForward) {
         ++m_plane.counts().forwarded;
+        if (beginsStream()) {
+            m_plane.origins().onForwarded(m_stream);
+        }
     } else {
         noteSent();
     }
--- a/carawaylatch/proxy/exchangeforward.cpp
+++ b/carawaylatch/proxy/exchangeforward.cpp
@@ -37,12 +37,22 @@
     return m_isBegunElsewhere && isResumableStream() && !m_streamSoftware;
 }
 
+bool Exchange::beginsStream() const
+{
+    return isResumableStream() && !m_scanner.lastEventId();
+}
+
+// Another router may begin the stream anew, at software that this one need not know of.
+bool Exchange::isBoundToThisRouter() const
+{
+    const bool hasBegun = m_history.sent > m_history.notExecuted;
+    return beginsStream() && (m_streamSoftware || (hasBegun && (hasSeveralSoftware() || m_plane.origins().findFixed(m_stream, m_plane.now()))));
+}
+
 // The router to forward the request to, or nullptr.
 UpstreamRecord *Exchange::selectRouter() const
 {
-    // Another router would begin the stream anew, perhaps at software other than this one has sent it to.
-    const bool hasBegun = m_streamSoftware || m_history.sent > m_history.notExecuted;
-    if (m_request.forwardedAttempts || (isResumableStream() && !m_scanner.lastEventId() && hasBegun && hasSeveralSoftware())) {
+    if (m_request.forwardedAttempts || isBoundToThisRouter()) {
         return nullptr;
     }
     return m_plane.peerRouters().choose(m_pool, m_plane.settings().domain, m_triedRouters, m_plane.random(), m_plane.now());
--- a/carawaylatch/proxy/streamorigins.cpp
+++ b/carawaylatch/proxy/streamorigins.cpp
@@ -71,6 +71,14 @@
     }
 }
 
+void StreamOrigins::onForwarded(std::uint64_t stream)
+{
+    const auto it = m_streams.find(stream);
+    if (it != m_streams.end() && !it->second.isFixed) {
+        remove(stream);
+    }
+}
+
 void StreamOrigins::onLearned(std::uint64_t stream, const base::PoolName &pool, const base::SoftwareVersion &software, base::TimePoint now)
 {
     record(stream, pool, software, true, now);
@@ -123,8 +131,14 @@
 
 void StreamOrigins::removeOldest()
 {
-    m_streams.erase(m_order.front());
-    m_order.pop_front();
+    remove(m_order.front());
+}
+
+void StreamOrigins::remove(std::uint64_t stream)
+{
+    const auto it = m_streams.find(stream);
+    m_order.erase(it->second.order);
+    m_streams.erase(it);
 }
 
 } // namespace carawaylatch::proxy
--- a/carawaylatch/proxy/streamorigins.h
+++ b/carawaylatch/proxy/streamorigins.h
@@ -60,6 +60,8 @@
     // The request that begins a stream is sent to an upstream of this software. Moves its record if it has one;
     // only to the same software if findFixed() knows it.
     void onSent(std::uint64_t stream, const base::PoolName &pool, const base::SoftwareVersion &software, base::TimePoint now);
+    // The request may begin the stream at another router, which records it; what findFixed() knows stays.
+    void onForwarded(std::uint64_t stream);
     // The store knows where the stream began.
     void onLearned(std::uint64_t stream, const base::PoolName &pool, const base::SoftwareVersion &software, base::TimePoint now);
     // The software at which the stream began, if this router knows it.
@@ -91,6 +93,7 @@
     void record(std::uint64_t stream, const base::PoolName &pool, const base::SoftwareVersion &software, bool isFixed, base::TimePoint now);
     void removeOutdated(base::TimePoint now);
     void removeOldest();
+    void remove(std::uint64_t stream);
 
     std::unordered_map<std::uint64_t, Stream> m_streams;
     std::list<std::uint64_t> m_order; // exactly the keys of m_streams, by sentAt
--- a/carawaylatch/proxy/testing/streamoriginstest.cpp
+++ b/carawaylatch/proxy/testing/streamoriginstest.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(testOldestRecordsAreDropped);
     CPPUNIT_TEST(testIdsThatComeAgain);
     CPPUNIT_TEST(testLearnedOriginsAreNotStoredAgain);
+    CPPUNIT_TEST(testForwardedStreamsAreForgottenUnlessStored);
     CPPUNIT_TEST(testAdmittedSoftware);
     CPPUNIT_TEST(testRandomSteps);
     CPPUNIT_TEST_SUITE_END();
@@ -219,6 +220,24 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), due());
     }
 
+    void testForwardedStreamsAreForgottenUnlessStored()
+    {
+        m_origins.adopt(view({V1}, {V1}));
+        send(1, V1);
+        send(2, V1);
+        m_origins.onForwarded(1);
+        m_origins.onForwarded(9); // not known
+        CPPUNIT_ASSERT_EQUAL(std::string("-"), known(1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_origins.size());
+        m_origins.adopt(view({V1, V2}, {V1}));
+        CPPUNIT_ASSERT_EQUAL(std::string("2 v1 "), due());
+        m_origins.onForwarded(2);
+        CPPUNIT_ASSERT_EQUAL(std::string("v1"), fixed(2));
+        send(1, V2); // the other router did not take it
+        m_origins.onForwarded(1);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("due, but forgotten before it was given away", std::string(), due());
+    }
+
     void testAdmittedSoftware()
     {
         struct Row
