New streams begin only at software that the store names

Cause: availability was put first: with no admitted upstream left, any version began streams. The promise that one named version tells the software of all streams did not hold meanwhile, up to 1.5 s without a lease holder.

Change: such requests wait and are refused (503, not run) like those without a free upstream, until the store names the version. The old behaviour stays where no answer rests on that promise: the store names no version of the pool, or 16, as many as it takes.

--- a/carawaylatch/gateway/softwareversions.h
+++ b/carawaylatch/gateway/softwareversions.h
@@ -24,6 +24,7 @@
 #include "carawaylatch/base/time.h"
 #include "carawaylatch/gateway/objectclient.h"
 #include "carawaylatch/proxy/fleet.h"
+#include "carawaylatch/proxy/streamorigins.h"
 
 namespace carawaylatch::gateway
 {
@@ -39,7 +40,7 @@
 // The object: "complete ERA" or "incomplete", then the pools.
 struct SoftwareRecord
 {
-    static constexpr std::size_t MaxVersions = 16; // of a pool; a further one is not added
+    static constexpr std::size_t MaxVersions = proxy::MaxAdmittedSoftware; // of a pool; a further one is not added
     static constexpr std::size_t MaxPools = 1'024; // further ones are not added
     static constexpr std::size_t MaxNameBytes = 128; // of a pool or a version; longer ones are not added
 
--- a/carawaylatch/proxy/streamorigins.h
+++ b/carawaylatch/proxy/streamorigins.h
@@ -11,6 +11,7 @@
 // the store says. While the store names one, a stream that no router knows began there.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <list>
 #include <map>
@@ -28,6 +29,9 @@
 // No stream is resumed later than this after it began.
 constexpr base::Duration MaxStreamTime = base::minutes{1};
 
+// The store names no more versions of a pool than these.
+constexpr std::size_t MaxAdmittedSoftware = 16;
+
 struct StreamOrigin
 {
     std::uint64_t stream = 0; // base::hash64 of the id of the request that began it
--- a/carawaylatch/proxy/trafficplane.cpp
+++ b/carawaylatch/proxy/trafficplane.cpp
@@ -390,10 +390,13 @@
 const SoftwareSet *TrafficPlane::beginningSoftware(const base::PoolName &pool) const
 {
     const SoftwareSet *admitted = m_origins.admittedOnly(pool);
-    if (admitted == nullptr) {
+    if (admitted == nullptr || admitted->empty()) {
         return nullptr;
     }
-    // Availability comes first: others may begin streams if none of the admitted software stays.
+    if (admitted->size() < MaxAdmittedSoftware) {
+        return admitted;
+    }
+    // A further version can't be admitted, but while the store names so many, the software of streams is known from records.
     const auto &members = m_tracker.members(pool);
     const bool stays = std::any_of(members.begin(), members.end(), [admitted](const UpstreamRecord *record) {
         return record->isStaying() && record->runsOneOf(admitted);
