--- a/carawaylatch/proxy/streamorigins.cpp
+++ b/carawaylatch/proxy/streamorigins.cpp
@@ -21,12 +21,8 @@
     });
     for (const auto &[pool, versions] : listed) {
         const auto stored = view.software.find(pool);
-        const SoftwareSet begun = stored != view.software.end() ? stored->second : SoftwareSet{};
         PoolState &state = m_pools[pool];
-        std::erase_if(state.admitted, [&versions = versions, &begun](const base::SoftwareVersion &it) {
-            return !begun.contains(it) && !versions.contains(it);
-        });
-        state.admitted.insert(begun.begin(), begun.end());
+        state.admitted = stored != view.software.end() ? stored->second : SoftwareSet{};
         state.isLimited = !std::includes(state.admitted.begin(), state.admitted.end(), versions.begin(), versions.end());
         SoftwareSet all = state.admitted;
         all.insert(versions.begin(), versions.end());
@@ -71,6 +67,14 @@
     }
 }
 
+void StreamOrigins::onForwarded(std::uint64_t stream)
+{
+    const auto it = m_streams.find(stream);
+    if (it != m_streams.end() && !it->second.isFixed) {
+        remove(stream);
+    }
+}
+
 void StreamOrigins::onLearned(std::uint64_t stream, const base::PoolName &pool, const base::SoftwareVersion &software, base::TimePoint now)
 {
     record(stream, pool, software, true, now);
@@ -123,8 +127,14 @@
 
 void StreamOrigins::removeOldest()
 {
-    m_streams.erase(m_order.front());
-    m_order.pop_front();
+    remove(m_order.front());
+}
+
+void StreamOrigins::remove(std::uint64_t stream)
+{
+    const auto it = m_streams.find(stream);
+    m_order.erase(it->second.order);
+    m_streams.erase(it);
 }
 
 } // namespace carawaylatch::proxy
--- a/carawaylatch/proxy/streamorigins.h
+++ b/carawaylatch/proxy/streamorigins.h
@@ -11,6 +11,7 @@
 // the store says. While the store names one, a stream that no router knows began there.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <list>
 #include <map>
@@ -28,6 +29,9 @@
 // No stream is resumed later than this after it began.
 constexpr base::Duration MaxStreamTime = base::minutes{1};
 
+// The store names no more versions of a pool than these.
+constexpr std::size_t MaxAdmittedSoftware = 16;
+
 struct StreamOrigin
 {
     std::uint64_t stream = 0; // base::hash64 of the id of the request that began it
@@ -60,6 +64,8 @@
     // The request that begins a stream is sent to an upstream of this software. Moves its record if it has one;
     // only to the same software if findFixed() knows it.
     void onSent(std::uint64_t stream, const base::PoolName &pool, const base::SoftwareVersion &software, base::TimePoint now);
+    // The request may begin the stream at another router, which records it; what findFixed() knows stays.
+    void onForwarded(std::uint64_t stream);
     // The store knows where the stream began.
     void onLearned(std::uint64_t stream, const base::PoolName &pool, const base::SoftwareVersion &software, base::TimePoint now);
     // The software at which the stream began, if this router knows it.
@@ -83,7 +89,7 @@
     };
     struct PoolState
     {
-        SoftwareSet admitted; // once admitted, until neither the store nor an upstream names it
+        SoftwareSet admitted;
         bool hasSeveral = false; // versions that may have begun streams or are listed
         bool isLimited = false; // a listed version is not admitted
     };
@@ -91,6 +97,7 @@
     void record(std::uint64_t stream, const base::PoolName &pool, const base::SoftwareVersion &software, bool isFixed, base::TimePoint now);
     void removeOutdated(base::TimePoint now);
     void removeOldest();
+    void remove(std::uint64_t stream);
 
     std::unordered_map<std::uint64_t, Stream> m_streams;
     std::list<std::uint64_t> m_order; // exactly the keys of m_streams, by sentAt
