A stream that is taken up is not refused for a long queue

Cause: not a lost origin. When a router is killed, its callers come to the others all at once. New requests join the queue at once; a stream that is taken up first waits 20 to 55 ms for the answer where it began, finds the queue long by the estimate of its wait, and was refused. It was held to a share of the target latency of the first event, which it has met or missed long before.

Change: a stream that goes on, within its answer or taken up, waits before the requests of its urgency that have not begun. One that is taken up may wait until half of its time has passed, and is not refused for the expected wait.

--- a/carawaylatch/proxy/exchange.cpp
+++ b/carawaylatch/proxy/exchange.cpp
@@ -345,28 +345,47 @@
 
 base::Duration Exchange::queueRetryDelay() const
 {
-    return m_plane.queue(m_pool).retryDelay(m_urgency, m_plane.now());
+    return m_plane.queue(m_pool).retryDelay(queueRank(), m_plane.now());
+}
+
+bool Exchange::goesOn() const
+{
+    return m_isStreaming || isResumption();
+}
+
+// A stream that goes on waits before the requests of its urgency that have not begun.
+std::uint32_t Exchange::queueRank() const
+{
+    return 2 * m_urgency + (goesOn() ? 0 : 1);
+}
+
+// How long the request may wait from its start. A stream that is taken up again has met or missed its target latency before.
+base::Duration Exchange::maxQueueWait(base::Duration left) const
+{
+    const base::Duration share = base::fromSeconds(base::toSeconds(m_route->targetLatency) * MaxQueueWaitShare);
+    return isResumption() ? left / 2 : std::min<base::Duration>(share, left / 2);
 }
 
 void Exchange::joinQueue()
 {
     const base::TimePoint now = m_plane.now();
     const base::Duration left = timeLeft(now);
-    const base::Duration maxQueueWait = std::min<base::Duration>(base::fromSeconds(base::toSeconds(m_route->targetLatency) * MaxQueueWaitShare), left / 2);
+    const base::Duration maxWait = maxQueueWait(left);
     const base::Duration waited = now - m_startedAt;
     WaitQueue &queue = m_plane.queue(m_pool);
     const auto next = m_plane.tracker().nextRequest(m_pool, m_triedUpstreams, allowedSoftware(), now);
-    if (next && next->at - now > maxQueueWait - waited) {
+    if (next && next->at - now > maxWait - waited) {
         giveUpBefore(*next);
         return;
     }
-    const auto expected = queue.expectedWait(m_urgency, now);
-    if (!m_isStreaming && (waited >= maxQueueWait || (expected && *expected > maxQueueWait - waited && queue.size() > 0))) {
-        refuse("no_room", queue.retryDelay(m_urgency, now));
+    const auto expected = queue.expectedWait(queueRank(), now);
+    const bool isTooLong = !goesOn() && expected && *expected > maxWait - waited && queue.size() > 0;
+    if (!m_isStreaming && (waited >= maxWait || isTooLong)) {
+        refuse("no_room", queueRetryDelay());
         return;
     }
-    m_queueKey = queue.add(m_urgency, shared_from_this());
-    m_queueTimer = m_plane.timers().after(now, m_isStreaming ? left : maxQueueWait - waited, [weak = weak_from_this()](base::TimePoint) {
+    m_queueKey = queue.add(queueRank(), shared_from_this());
+    m_queueTimer = m_plane.timers().after(now, m_isStreaming ? left : maxWait - waited, [weak = weak_from_this()](base::TimePoint) {
         const auto self = weak.lock();
         if (self && self->m_queueKey) {
             self->leaveQueue();
--- a/carawaylatch/proxy/exchange.h
+++ b/carawaylatch/proxy/exchange.h
@@ -88,6 +88,10 @@
     void giveUp(std::string_view reason, base::Duration retryAfter);
     void giveUpBefore(const NextRequest &next);
     [[nodiscard]] base::Duration queueRetryDelay() const;
+    // True if the request goes on with a stream of which its caller has had a part.
+    [[nodiscard]] bool goesOn() const;
+    [[nodiscard]] std::uint32_t queueRank() const;
+    [[nodiscard]] base::Duration maxQueueWait(base::Duration left) const;
     void reportBreak();
     [[nodiscard]] CrashSubjects crashSubjects() const;
     void joinQueue();
