The log tells whose list of changing engines a new holder inherits

At a hand-over of the lease the logs could not distinguish whether the next holder took the list for its own, who had written it, and whether the holder that orders had written one at all. E1906 names the revision, what it was taken for and how many engines it names; E1907 the revision that a holder writes. With both, the writer of an inherited list is found by its revision in the routers' logs.

--- a/carawaylatch/gateway/controlplane.cpp
+++ b/carawaylatch/gateway/controlplane.cpp
@@ -354,8 +354,13 @@
         }
         if (changing) {
             m_state.onChange(ObjectKind::Coordination, changing.value(), {now, now, {}});
-            m_rollout.takeOver(now, ChangingEngines::decode(changing.value().text),
-                               m_lease.hadNoOtherHolder() ? PreviousHolder::SameRouter : PreviousHolder::OtherRouter);
+            const auto inherited = ChangingEngines::decode(changing.value().text);
+            const bool isOwn = m_lease.hadNoOtherHolder();
+            m_rollout.takeOver(now, inherited, isOwn ? PreviousHolder::SameRouter : PreviousHolder::OtherRouter);
+            m_log.write(base::LogEvent::OrdersInherited, {{"revision", std::to_string(changing.value().revision)},
+                                                          {"source", isOwn ? "own" : "other"},
+                                                          {"engines", std::to_string(inherited.engines.size())},
+                                                          {"changed", std::to_string(inherited.changed.size())}});
         }
         m_isLeaseHolder = true;
         m_log.write(base::LogEvent::FleetLeaseGained, {{"domain", "fleet"}, {"fence", std::to_string(m_lease.fence(now)->value)}});
@@ -400,6 +405,9 @@
     if (!written) {
         co_return false; // retried at the next check
     }
+    m_log.write(base::LogEvent::ChangingEnginesWritten, {{"revision", std::to_string(written.value())},
+                                                         {"engines", std::to_string(changing.engines.size())},
+                                                         {"changed", std::to_string(changing.changed.size())}});
     const base::TimePoint now = m_clock.now();
     m_state.onChange(ObjectKind::Coordination, StoredObject{std::string(ChangingName), text, written.value(), false}, {now, now, {}});
     publishIfChanged();
