Red: a new process takes the former holder's orders for its own

Router a orders engines and releases the lease; router b acquires it and is killed before it has written the list of engines; the new process on b's VM finds the lease held by its own VM and takes the list, which a wrote, for its own. It then waits for the flight time of an order instead of the takeover delay: "two lease holders sent orders to one engine within the lease time", 3 of 3 runs.

--- a/carawaylatch/gateway/testing/leasehandovertest.cpp
+++ b/carawaylatch/gateway/testing/leasehandovertest.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(testSlowOrderIsNotOvertakenWhenTheLeaseLapses);
     CPPUNIT_TEST(testOrdersOfAHolderWhoseLeaseLapsedStayKnown);
     CPPUNIT_TEST(testSuccessorWhoseLeaseLapsesWaitsForInheritedOrders);
+    CPPUNIT_TEST(testNewProcessWaitsForOrdersThatItsFormerDidNotList);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr base::Duration Limit = base::seconds{10};
@@ -267,6 +268,25 @@
         }));
         assertNoViolation();
     }
+
+    // The former process was killed after it had acquired the lease, before it had written the list of engines.
+    void testNewProcessWaitsForOrdersThatItsFormerDidNotList()
+    {
+        startWithLongLeases();
+        m_cluster->store.put(ObjectKind::Weights, "m", "m 3");
+        m_cluster->store.areCoordinationReadsRefused = true;
+        m_cluster->routers[0]->plane.beginStop();
+        CPPUNIT_ASSERT(runUntil(&LeaseHandoverTest::runOthers, [this] {
+            return leaseText().starts_with("b ");
+        }));
+        m_cluster->routers[1]->clients.isDisconnected = true;
+        m_cluster->store.areCoordinationReadsRefused = false;
+        addRouterWithLongLease("b");
+        CPPUNIT_ASSERT(runUntil(&LeaseHandoverTest::runOthers, [this] {
+            return m_cluster->isChanged(3);
+        }));
+        assertNoViolation();
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LeaseHandoverTest);
