After a holder of an older build no engine is ordered for the takeover delay

While an upgrade runs, a router of an older build can hold the lease for a moment between two of this one.

Evidence: testSuccessorOfAnOlderBuildWaitsForOrdersThatItForgot and testAllEnginesWaitAfterAHolderOfAnOlderBuild fail without the guard. Ruled out: a wait for the engines of the list alone, since the missing ones are not known.

A list without a writer, or of a form that this build does not know, counts as incomplete: all engines wait for the takeover delay. A holder that still waits says so in its own list ("*=0"), for the next one. After an upgrade nothing changes. Rollout knows its router and decides whose orders the list names.

--- a/carawaylatch/gateway/controlplane.cpp
+++ b/carawaylatch/gateway/controlplane.cpp
@@ -52,7 +52,7 @@
     , m_publish(std::move(publish))
     , m_state(decoder, log, settings.removal)
     , m_lease(settings.router, base::newIncarnation(), settings.lease)
-    , m_rollout(settings.rollout)
+    , m_rollout(settings.router, settings.rollout)
     , m_random(base::hash64(settings.router.value()))
     , m_relay(relay)
     , m_readers(settings.relay, settings.readers)
@@ -355,10 +355,9 @@
         if (changing) {
             m_state.onChange(ObjectKind::Coordination, changing.value(), {now, now, {}});
             const auto inherited = ChangingEngines::decode(changing.value().text);
-            const bool isOwn = inherited.writer == m_settings.router;
-            m_rollout.takeOver(now, inherited, isOwn ? PreviousHolder::SameRouter : PreviousHolder::OtherRouter);
+            m_rollout.takeOver(now, inherited);
             m_log.write(base::LogEvent::OrdersInherited, {{"revision", std::to_string(changing.value().revision)},
-                                                          {"source", isOwn ? "own" : "other"},
+                                                          {"writer", inherited.writer.value()},
                                                           {"engines", std::to_string(inherited.engines.size())},
                                                           {"changed", std::to_string(inherited.changed.size())}});
         }
@@ -393,8 +392,7 @@
 // them from responses and entries.
 Awaitable<bool> ControlPlane::publishChangingEngines(ObjectClient &client)
 {
-    ChangingEngines changing = m_rollout.changing(m_clock.now());
-    changing.writer = m_settings.router;
+    const ChangingEngines changing = m_rollout.changing(m_clock.now());
     const StoredObject *seen = m_state.coordinationObject(ChangingName);
     const ChangingEngines published = ChangingEngines::decode(seen != nullptr ? seen->text : std::string_view{});
     const bool isIncluded = std::includes(published.engines.begin(), published.engines.end(), changing.engines.begin(), changing.engines.end());
--- a/carawaylatch/gateway/fleetstate.cpp
+++ b/carawaylatch/gateway/fleetstate.cpp
@@ -14,10 +14,11 @@
 namespace
 {
 
-// Begins the word of a list of changing engines that names its writer. Builds that don't know it take the word
-// for an engine that completed a change.
+// Words of a list of changing engines that name no engine. Builds that don't know them take them for engines that
+// completed a change.
 constexpr char WriterMark = '@';
-constexpr std::uint64_t ListForm = 2; // of a list that names all engines that were ordered of late, by any holder
+constexpr std::string_view IncompleteMark = "*";
+constexpr std::uint64_t ListForm = 2; // a reader takes a list of another form for one without a writer
 
 constexpr std::size_t MaxLoggedBytes = 200; // of a name or a problem, which may quote the text of any writer
 
@@ -48,6 +49,9 @@
     if (!writer.isEmpty()) {
         text.append(1, WriterMark).append(writer.value()).append("=").append(std::to_string(ListForm));
     }
+    if (!writer.isEmpty() && isIncomplete) {
+        text.append(" ").append(IncompleteMark).append("=0");
+    }
     for (const auto &engine : engines) {
         text.append(text.empty() ? "" : " ").append(engine.value());
     }
@@ -60,6 +64,7 @@
 ChangingEngines ChangingEngines::decode(std::string_view text)
 {
     ChangingEngines out;
+    bool hasIncompleteMark = false;
     while (!text.empty()) {
         const std::size_t space = text.find(' ');
         const std::string_view word = text.substr(0, space);
@@ -67,16 +72,20 @@
         base::WeightsVersion version;
         if (equals != std::string_view::npos) {
             std::from_chars(word.data() + equals + 1, word.data() + word.size(), version.value);
-            if (word.front() != WriterMark) {
-                out.changed.emplace(base::UpstreamId(word.substr(0, equals)), version);
+            const std::string_view name = word.substr(0, equals);
+            if (name == IncompleteMark) {
+                hasIncompleteMark = true;
+            } else if (!name.starts_with(WriterMark)) {
+                out.changed.emplace(base::UpstreamId(name), version);
             } else if (version.value == ListForm) {
-                out.writer = base::RouterId(word.substr(1, equals - 1));
+                out.writer = base::RouterId(name.substr(1));
             }
         } else if (!word.empty()) {
             out.engines.insert(base::UpstreamId(word));
         }
         text = space == std::string_view::npos ? std::string_view{} : text.substr(space + 1);
     }
+    out.isIncomplete = out.writer.isEmpty() || hasIncompleteMark;
     return out;
 }
 
--- a/carawaylatch/gateway/fleetstate.h
+++ b/carawaylatch/gateway/fleetstate.h
@@ -34,12 +34,16 @@
 constexpr std::string_view RouterPrefix = "router."; // one object for each router that has started
 
 // Engines that change weights, as published by the lease holder: "@r=2 a b=7" means that router r has
-// written the list, that a is changing, and that b has completed its change to version 7.
+// written the list, that a is changing, and that b has completed its change to version 7; "*=0", that engines
+// are missing in it.
 struct ChangingEngines
 {
     base::RouterId writer; // empty if the list is of a build that names none
     std::set<base::UpstreamId> engines; // changing, or draining before it
     std::map<base::UpstreamId, base::WeightsVersion> changed; // completed changes; version zero: ordered of late
+    // Engines that are not named may have been ordered of late as well. So it is for a list without a writer,
+    // since builds that name none forget the orders of earlier holders.
+    bool isIncomplete = false;
 
     [[nodiscard]] std::string encode() const;
     [[nodiscard]] static ChangingEngines decode(std::string_view text);
--- a/carawaylatch/gateway/rollout.cpp
+++ b/carawaylatch/gateway/rollout.cpp
@@ -56,8 +56,9 @@
     std::vector<fleet::ObservedEngine> engines;
 };
 
-Rollout::Rollout(RolloutSettings settings)
-    : m_settings(settings)
+Rollout::Rollout(base::RouterId router, RolloutSettings settings)
+    : m_router(std::move(router))
+    , m_settings(settings)
     , m_controller(WholeFleet, controllerSettings(settings))
 {
 }
@@ -229,6 +230,8 @@
 ChangingEngines Rollout::changing(base::TimePoint now) const
 {
     ChangingEngines out;
+    out.writer = m_router;
+    out.isIncomplete = now < m_holdOrdersUntil;
     for (const auto &[engine, until] : m_noOrdersUntil) {
         if (now < until) {
             out.changed.emplace(engine, base::WeightsVersion{});
@@ -246,14 +249,17 @@
     return out;
 }
 
-void Rollout::takeOver(base::TimePoint now, const ChangingEngines &inherited, PreviousHolder holder)
+void Rollout::takeOver(base::TimePoint now, const ChangingEngines &inherited)
 {
-    const bool isOwn = holder == PreviousHolder::SameRouter;
+    const bool isOwn = inherited.writer == m_router;
     const base::TimePoint ownUntil = now + (isOwn ? m_settings.orderFlightTime : m_settings.takeoverDelay);
     const auto wait = [this](const base::UpstreamId &engine, base::TimePoint until) {
         base::TimePoint &known = m_noOrdersUntil[engine];
         known = std::max(known, until);
     };
+    if (inherited.isIncomplete) {
+        holdOrdersUntil(now + m_settings.takeoverDelay);
+    }
     for (const auto &engine : inherited.engines) {
         wait(engine, ownUntil);
     }
--- a/carawaylatch/gateway/rollout.h
+++ b/carawaylatch/gateway/rollout.h
@@ -42,17 +42,10 @@
     base::Duration orderTimeout = base::seconds{3}; // after it an order without effect is repeated; loads take a fifth of it
 };
 
-// Who published the engines that this process inherits. A holder that was killed before its first order may
-// have published none, so it need not be the one that held the lease last.
-enum class PreviousHolder {
-    SameRouter, // this router, in this process or an earlier one
-    OtherRouter,
-};
-
 class Rollout
 {
 public:
-    explicit Rollout(RolloutSettings settings);
+    Rollout(base::RouterId router, RolloutSettings settings);
 
     // Moves engines through the stages and returns the orders to send now.
     [[nodiscard]] std::vector<WeightsOrder> plan(base::TimePoint now, const fleet::LeaseTerm &term, const FleetState &state);
@@ -67,9 +60,10 @@
     // Returns the engines to publish to other routers. Other engines that were ordered of late, by this
     // router or by previous holders, count as changed to version zero, for the next holder.
     [[nodiscard]] ChangingEngines changing(base::TimePoint now) const;
-    // A previous holder may just have sent orders to these engines: they get no orders from this
-    // router until takeoverDelay has passed, or orderFlightTime if it was this router itself.
-    void takeOver(base::TimePoint now, const ChangingEngines &inherited, PreviousHolder holder);
+    // Previous holders may just have sent orders to these engines: they get no orders from this
+    // router until takeoverDelay has passed, or orderFlightTime if this router sent them itself. The
+    // writer of the list tells, since the last holder may have published none.
+    void takeOver(base::TimePoint now, const ChangingEngines &inherited);
     // No engine gets orders before this time, also after reset().
     void holdOrdersUntil(base::TimePoint time);
     // Drops all changes. Call it when the lease is lost. Orders that may have arrived of late are still known,
@@ -94,6 +88,7 @@
     void startDraining(base::TimePoint now, const fleet::LeaseTerm &term, const Fleet &fleet, const FleetState &state);
     [[nodiscard]] bool isDrained(base::TimePoint now, const Change &change) const;
 
+    base::RouterId m_router;
     RolloutSettings m_settings;
     fleet::WeightsController m_controller;
     std::map<base::UpstreamId, Change> m_changes;
--- a/carawaylatch/gateway/testing/fleetstatetest.cpp
+++ b/carawaylatch/gateway/testing/fleetstatetest.cpp
@@ -43,6 +43,7 @@
     CPPUNIT_TEST(testReportedWeightsOverrideEntry);
     CPPUNIT_TEST(testRoutersAreCounted);
     CPPUNIT_TEST(testChangingEnginesRoundTrip);
+    CPPUNIT_TEST(testChangingEnginesOfOtherBuilds);
     CPPUNIT_TEST(testDeadCacheStoresAreInTheView);
     CPPUNIT_TEST_SUITE_END();
 
@@ -220,13 +221,31 @@
         ChangingEngines changing;
         changing.engines = {base::UpstreamId("a"), base::UpstreamId("b")};
         changing.changed = {{base::UpstreamId("c"), base::WeightsVersion{7}}};
-        const ChangingEngines read = ChangingEngines::decode(changing.encode());
-        CPPUNIT_ASSERT(read.engines == changing.engines);
-        CPPUNIT_ASSERT(read.changed == changing.changed);
+        changing.writer = base::RouterId("10.1.0.4");
+        for (const bool isIncomplete : {false, true}) {
+            changing.isIncomplete = isIncomplete;
+            const ChangingEngines read = ChangingEngines::decode(changing.encode());
+            CPPUNIT_ASSERT_EQUAL(changing.writer.value(), read.writer.value());
+            CPPUNIT_ASSERT(read.engines == changing.engines);
+            CPPUNIT_ASSERT(read.changed == changing.changed);
+            CPPUNIT_ASSERT_EQUAL(isIncomplete, read.isIncomplete);
+        }
         CPPUNIT_ASSERT(ChangingEngines::decode("").engines.empty());
         CPPUNIT_ASSERT(ChangingEngines::decode("  = =x a=").engines.empty());
     }
 
+    // Lists of builds that name no writer, and of a later form, may lack engines that were ordered.
+    void testChangingEnginesOfOtherBuilds()
+    {
+        for (const char *text : {"", "a b=7", "@10.1.0.4=3 a b=7", "@10.1.0.4 a b=7", "*=0"}) {
+            const ChangingEngines read = ChangingEngines::decode(text);
+            CPPUNIT_ASSERT_MESSAGE(text, read.writer.isEmpty());
+            CPPUNIT_ASSERT_MESSAGE(text, read.isIncomplete);
+        }
+        CPPUNIT_ASSERT(ChangingEngines::decode("a b=7").engines.contains(base::UpstreamId("a")));
+        CPPUNIT_ASSERT(!ChangingEngines::decode("@10.1.0.4=2").isIncomplete);
+    }
+
     void testDeadCacheStoresAreInTheView()
     {
         const base::Endpoint store{"127.0.0.1", 9};
--- a/carawaylatch/gateway/testing/leasehandovertest.cpp
+++ b/carawaylatch/gateway/testing/leasehandovertest.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(testOrdersOfAHolderWhoseLeaseLapsedStayKnown);
     CPPUNIT_TEST(testSuccessorWhoseLeaseLapsesWaitsForInheritedOrders);
     CPPUNIT_TEST(testNewProcessWaitsForOrdersThatItsFormerDidNotList);
+    CPPUNIT_TEST(testSuccessorOfAnOlderBuildWaitsForOrdersThatItForgot);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr base::Duration Limit = base::seconds{10};
@@ -287,6 +288,20 @@
         }));
         assertNoViolation();
     }
+
+    // A router whose build names no writer held the lease in between, and wrote a list of its own changes.
+    void testSuccessorOfAnOlderBuildWaitsForOrdersThatItForgot()
+    {
+        startWithLongLeases();
+        m_cluster->store.put(ObjectKind::Weights, "m", "m 3");
+        m_cluster->routers[0]->clients.isDisconnected = true;
+        m_cluster->store.put(ObjectKind::Coordination, std::string(ChangingName), "");
+        m_cluster->store.put(ObjectKind::Leases, std::string(LeaseName), fleet::encodeReleasedLease());
+        CPPUNIT_ASSERT(runUntil(&LeaseHandoverTest::runOthers, [this] {
+            return m_cluster->isChanged(3);
+        }));
+        assertNoViolation();
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LeaseHandoverTest);
--- a/carawaylatch/gateway/testing/rollouttest.cpp
+++ b/carawaylatch/gateway/testing/rollouttest.cpp
@@ -16,6 +16,8 @@
 
 const base::TimePoint Start{base::hours{1}};
 constexpr base::Duration Step = base::milliseconds{50};
+const base::RouterId Self("self");
+const base::RouterId Other("other");
 
 } // namespace
 
@@ -29,6 +31,7 @@
     CPPUNIT_TEST(testEnginesOfPreviousHolderGetNoOrders);
     CPPUNIT_TEST(testInheritedEnginesAreNamedToTheNextHolder);
     CPPUNIT_TEST(testNewProcessWaitsForOrdersOfTheFormer);
+    CPPUNIT_TEST(testAllEnginesWaitAfterAHolderOfAnOlderBuild);
     CPPUNIT_TEST(testLeavingEngineIsDropped);
     CPPUNIT_TEST_SUITE_END();
 
@@ -99,7 +102,7 @@
     {
         m_log = std::make_unique<NullLog>();
         m_state = std::make_unique<FleetState>(m_decoder, m_log->log);
-        m_rollout = std::make_unique<Rollout>(RolloutSettings{});
+        m_rollout = std::make_unique<Rollout>(Self, RolloutSettings{});
         for (int i = 0; i < Engines; ++i) {
             m_state->onChange(ObjectKind::Upstreams, StoredObject{engine(i).value(), "p ready 1 1", 1, false}, {Start, Start, {}});
         }
@@ -173,7 +176,8 @@
         ChangingEngines inherited;
         inherited.engines = {engine(0)};
         inherited.changed = {{engine(1), base::WeightsVersion{1}}};
-        m_rollout->takeOver(m_now, inherited, PreviousHolder::OtherRouter);
+        inherited.writer = Other;
+        m_rollout->takeOver(m_now, inherited);
         announceVersion(2);
         std::set<base::UpstreamId> orderedDuringDelay;
         while (m_now - Start < RolloutSettings{}.takeoverDelay - Step) {
@@ -194,12 +198,13 @@
         ChangingEngines inherited;
         inherited.engines = {engine(0)};
         inherited.changed = {{engine(1), base::WeightsVersion{1}}};
-        m_rollout->takeOver(m_now, inherited, PreviousHolder::OtherRouter);
+        inherited.writer = Other;
+        m_rollout->takeOver(m_now, inherited);
         const ChangingEngines published = ChangingEngines::decode(m_rollout->changing(m_now).encode());
         CPPUNIT_ASSERT(published.engines.empty()); // they take requests
         CPPUNIT_ASSERT(published.changed.contains(engine(0)) && published.changed.contains(engine(1)));
         m_rollout->reset();
-        m_rollout->takeOver(m_now, published, PreviousHolder::SameRouter);
+        m_rollout->takeOver(m_now, published);
         announceVersion(2);
         while (m_now - Start < RolloutSettings{}.takeoverDelay - Step) {
             step();
@@ -214,7 +219,8 @@
     {
         ChangingEngines inherited;
         inherited.engines = {engine(0)};
-        m_rollout->takeOver(m_now, inherited, PreviousHolder::SameRouter);
+        inherited.writer = Self;
+        m_rollout->takeOver(m_now, inherited);
         announceVersion(2);
         while (m_now - Start < RolloutSettings{}.orderFlightTime - Step) {
             step();
@@ -223,6 +229,23 @@
         CPPUNIT_ASSERT(runUntilUpToDate(2) < base::seconds{8});
     }
 
+    // Its list may lack engines that the holder before it had ordered. The next holder learns that as well.
+    void testAllEnginesWaitAfterAHolderOfAnOlderBuild()
+    {
+        m_rollout->takeOver(m_now, ChangingEngines::decode("e0"));
+        announceVersion(2);
+        const ChangingEngines published = ChangingEngines::decode(m_rollout->changing(m_now).encode());
+        CPPUNIT_ASSERT(published.isIncomplete);
+        m_rollout = std::make_unique<Rollout>(Other, RolloutSettings{});
+        m_rollout->takeOver(m_now, published);
+        while (m_now - Start < RolloutSettings{}.takeoverDelay - Step) {
+            step();
+            CPPUNIT_ASSERT(m_loads.empty());
+        }
+        CPPUNIT_ASSERT(runUntilUpToDate(2) < base::seconds{8});
+        CPPUNIT_ASSERT(!m_rollout->changing(m_now).isIncomplete);
+    }
+
     void testLeavingEngineIsDropped()
     {
         announceVersion(2);
