Orders are sent only by a list that their sender has written

A holder wrote no list if the one that it had read named its engines already. That list is of another router, and a late write of that router may have replaced it in the store meanwhile, so the next holder could read one without the engines that were ordered. It takes a watch that is late by more than the takeover delay; nothing shows that it happened.

ChangingEngines::mustReplace() decides, tested by a table whose rows with another writer fail without the condition. A write that fails because the store has another list is followed by a read, so that a late watch does not keep the holder from sending orders.

--- a/carawaylatch/gateway/controlplane.cpp
+++ b/carawaylatch/gateway/controlplane.cpp
@@ -387,6 +387,19 @@
     }
 }
 
+// A late write of a former holder may have replaced the list, and the watch may tell of it late.
+Awaitable<void> ControlPlane::readChangingEngines(ObjectClient &client, base::Error error)
+{
+    if (error.kind != base::ErrorKind::Conflict) {
+        co_return;
+    }
+    const auto changing = co_await client.read(ObjectKind::Coordination, std::string(ChangingName), ReadConsistency::Latest);
+    if (changing) {
+        const base::TimePoint now = m_clock.now();
+        m_state.onChange(ObjectKind::Coordination, changing.value(), {now, now, {}});
+    }
+}
+
 // Writes the object as soon as an engine starts to change. Completed changes are included
 // but cause no write of their own while engines are changing, as routers also learn of
 // them from responses and entries.
@@ -395,13 +408,13 @@
     const ChangingEngines changing = m_rollout.changing(m_clock.now());
     const StoredObject *seen = m_state.coordinationObject(ChangingName);
     const ChangingEngines published = ChangingEngines::decode(seen != nullptr ? seen->text : std::string_view{});
-    const bool isIncluded = std::includes(published.engines.begin(), published.engines.end(), changing.engines.begin(), changing.engines.end());
-    if (isIncluded && (!changing.engines.empty() || published.engines.empty())) {
+    if (!changing.mustReplace(published)) {
         co_return true;
     }
     const std::string text = changing.encode();
     const auto written = co_await client.write(ObjectKind::Coordination, std::string(ChangingName), text, seen != nullptr ? seen->revision : 0);
     if (!written) {
+        co_await readChangingEngines(client, written.error());
         co_return false; // retried at the next check
     }
     m_log.write(base::LogEvent::ChangingEnginesWritten, {{"revision", std::to_string(written.value())},
--- a/carawaylatch/gateway/controlplane.h
+++ b/carawaylatch/gateway/controlplane.h
@@ -128,6 +128,8 @@
     [[nodiscard]] Awaitable<void> stepLease(ObjectClient &client);
     [[nodiscard]] Awaitable<void> stepRollout(ObjectClient &client);
     [[nodiscard]] Awaitable<bool> publishChangingEngines(ObjectClient &client);
+    // Reads the list again if `error` says that the store has another one.
+    [[nodiscard]] Awaitable<void> readChangingEngines(ObjectClient &client, base::Error error);
     [[nodiscard]] Awaitable<void> registerRouter(ObjectClient &client);
     [[nodiscard]] Awaitable<void> removeUnreachableRouters(ObjectClient &client);
     [[nodiscard]] std::string routerObjectName() const;
--- a/carawaylatch/gateway/fleetstate.cpp
+++ b/carawaylatch/gateway/fleetstate.cpp
@@ -89,6 +89,15 @@
     return out;
 }
 
+bool ChangingEngines::mustReplace(const ChangingEngines &published) const
+{
+    if (engines.empty()) {
+        return !published.engines.empty();
+    }
+    const bool isIncluded = std::includes(published.engines.begin(), published.engines.end(), engines.begin(), engines.end());
+    return !isIncluded || published.writer != writer;
+}
+
 std::string encodeRouter(const RouterEntry &router)
 {
     if (router.peers.port == 0) {
--- a/carawaylatch/gateway/fleetstate.h
+++ b/carawaylatch/gateway/fleetstate.h
@@ -47,6 +47,9 @@
 
     [[nodiscard]] std::string encode() const;
     [[nodiscard]] static ChangingEngines decode(std::string_view text);
+    // True if this list must be written before its writer sends orders, or since `published` still names engines
+    // that have completed their changes. A list that another router wrote may have been replaced by now.
+    [[nodiscard]] bool mustReplace(const ChangingEngines &published) const;
 };
 
 // A router as its object describes it: "PEERS", or "PEERS DOMAIN RELAY" if it passes on
--- a/carawaylatch/gateway/testing/fleetstatetest.cpp
+++ b/carawaylatch/gateway/testing/fleetstatetest.cpp
@@ -44,6 +44,7 @@
     CPPUNIT_TEST(testRoutersAreCounted);
     CPPUNIT_TEST(testChangingEnginesRoundTrip);
     CPPUNIT_TEST(testChangingEnginesOfOtherBuilds);
+    CPPUNIT_TEST(testOrdersFollowOnlyAListOfTheirSender);
     CPPUNIT_TEST(testDeadCacheStoresAreInTheView);
     CPPUNIT_TEST_SUITE_END();
 
@@ -246,6 +247,30 @@
         CPPUNIT_ASSERT(!ChangingEngines::decode("@10.1.0.4=2").isIncomplete);
     }
 
+    void testOrdersFollowOnlyAListOfTheirSender()
+    {
+        struct Case
+        {
+            const char *published;
+            const char *own;
+            bool mustReplace;
+        };
+        const Case cases[] = {
+            {"@a=2 e0 e1", "@a=2 e0", false},
+            {"@a=2 e0 e1", "@a=2 e0 e2", true},
+            {"@b=2 e0 e1", "@a=2 e0", true}, // the list in the store may be another one by now
+            {"e0 e1", "@a=2 e0", true},
+            {"@a=2 e0", "@a=2", true}, // e0 has completed its change
+            {"@b=2 e0", "@a=2", true},
+            {"@b=2 e0=0", "@a=2", false},
+            {"", "@a=2", false},
+        };
+        for (const Case &it : cases) {
+            const bool mustReplace = ChangingEngines::decode(it.own).mustReplace(ChangingEngines::decode(it.published));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(std::string(it.published) + " | " + it.own, it.mustReplace, mustReplace);
+        }
+    }
+
     void testDeadCacheStoresAreInTheView()
     {
         const base::Endpoint store{"127.0.0.1", 9};
