--- a/carawaylatch/gateway/controlplane.cpp
+++ b/carawaylatch/gateway/controlplane.cpp
@@ -52,7 +52,7 @@
     , m_publish(std::move(publish))
     , m_state(decoder, log, settings.removal)
     , m_lease(settings.router, base::newIncarnation(), settings.lease)
-    , m_rollout(settings.rollout)
+    , m_rollout(settings.router, settings.rollout)
     , m_random(base::hash64(settings.router.value()))
     , m_relay(relay)
     , m_readers(settings.relay, settings.readers)
@@ -354,8 +354,12 @@
         }
         if (changing) {
             m_state.onChange(ObjectKind::Coordination, changing.value(), {now, now, {}});
-            m_rollout.takeOver(now, ChangingEngines::decode(changing.value().text),
-                               m_lease.hadNoOtherHolder() ? PreviousHolder::SameRouter : PreviousHolder::OtherRouter);
+            const auto inherited = ChangingEngines::decode(changing.value().text);
+            m_rollout.takeOver(now, inherited);
+            m_log.write(base::LogEvent::OrdersInherited, {{"revision", std::to_string(changing.value().revision)},
+                                                          {"writer", inherited.writer.value()},
+                                                          {"engines", std::to_string(inherited.engines.size())},
+                                                          {"changed", std::to_string(inherited.changed.size())}});
         }
         m_isLeaseHolder = true;
         m_log.write(base::LogEvent::FleetLeaseGained, {{"domain", "fleet"}, {"fence", std::to_string(m_lease.fence(now)->value)}});
@@ -383,6 +387,19 @@
     }
 }
 
+// A late write of a former holder may have replaced the list, and the watch may tell of it late.
+Awaitable<void> ControlPlane::readChangingEngines(ObjectClient &client, base::Error error)
+{
+    if (error.kind != base::ErrorKind::Conflict) {
+        co_return;
+    }
+    const auto changing = co_await client.read(ObjectKind::Coordination, std::string(ChangingName), ReadConsistency::Latest);
+    if (changing) {
+        const base::TimePoint now = m_clock.now();
+        m_state.onChange(ObjectKind::Coordination, changing.value(), {now, now, {}});
+    }
+}
+
 // Writes the object as soon as an engine starts to change. Completed changes are included
 // but cause no write of their own while engines are changing, as routers also learn of
 // them from responses and entries.
@@ -391,15 +408,18 @@
     const ChangingEngines changing = m_rollout.changing(m_clock.now());
     const StoredObject *seen = m_state.coordinationObject(ChangingName);
     const ChangingEngines published = ChangingEngines::decode(seen != nullptr ? seen->text : std::string_view{});
-    const bool isIncluded = std::includes(published.engines.begin(), published.engines.end(), changing.engines.begin(), changing.engines.end());
-    if (isIncluded && (!changing.engines.empty() || published.engines.empty())) {
+    if (!changing.mustReplace(published)) {
         co_return true;
     }
     const std::string text = changing.encode();
     const auto written = co_await client.write(ObjectKind::Coordination, std::string(ChangingName), text, seen != nullptr ? seen->revision : 0);
     if (!written) {
+        co_await readChangingEngines(client, written.error());
         co_return false; // retried at the next check
     }
+    m_log.write(base::LogEvent::ChangingEnginesWritten, {{"revision", std::to_string(written.value())},
+                                                         {"engines", std::to_string(changing.engines.size())},
+                                                         {"changed", std::to_string(changing.changed.size())}});
     const base::TimePoint now = m_clock.now();
     m_state.onChange(ObjectKind::Coordination, StoredObject{std::string(ChangingName), text, written.value(), false}, {now, now, {}});
     publishIfChanged();
--- a/carawaylatch/gateway/fleetstate.h
+++ b/carawaylatch/gateway/fleetstate.h
@@ -33,15 +33,23 @@
 constexpr std::string_view ChangingName = "changing"; // encoded ChangingEngines
 constexpr std::string_view RouterPrefix = "router."; // one object for each router that has started
 
-// Engines that change weights, as published by the lease holder: "a b=7" means that a is
-// changing and that b has completed its change to version 7.
+// Engines that change weights, as published by the lease holder: "@r=2 a b=7" means that router r has
+// written the list, that a is changing, and that b has completed its change to version 7; "*=0", that engines
+// are missing in it.
 struct ChangingEngines
 {
+    base::RouterId writer; // empty if the list is of a build that names none
     std::set<base::UpstreamId> engines; // changing, or draining before it
-    std::map<base::UpstreamId, base::WeightsVersion> changed; // completed changes
+    std::map<base::UpstreamId, base::WeightsVersion> changed; // completed changes; version zero: ordered of late
+    // Engines that are not named may have been ordered of late as well. So it is for a list without a writer,
+    // since builds that name none forget the orders of earlier holders.
+    bool isIncomplete = false;
 
     [[nodiscard]] std::string encode() const;
     [[nodiscard]] static ChangingEngines decode(std::string_view text);
+    // True if this list must be written before its writer sends orders, or since `published` still names engines
+    // that have completed their changes. A list that another router wrote may have been replaced by now.
+    [[nodiscard]] bool mustReplace(const ChangingEngines &published) const;
 };
 
 // A router as its object describes it: "PEERS", or "PEERS DOMAIN RELAY" if it passes on
