--- a/carawaylatch/proxy/reachreport.h
+++ b/carawaylatch/proxy/reachreport.h
@@ -3,7 +3,7 @@
 // A report replaces the one before. It has a message of its own, so that routers of a former version refuse
 // nothing else with it. On the wire, integers little-endian:
 //
-//     version u8 (4), flags u8 (1: takes requests), sender u64, outstanding requests u32, pools u16,
+//     version u8 (5), flags u8 (1: takes requests), sender u64, outstanding requests u32, pools u16,
 //     length u8 and text of the failure domain, length u8 and text of the callers' endpoint,
 //     each pool that is not reached: hash of its name u64
 #pragma once
