Soak with two builds side by side

OLD_BUILD=FOLDER names a folder with the gateway program of another build; OLD says which processes run it: each second gateway, each gateway until its first restart, or from then on. Without OLD_BUILD nothing changes.

--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -4,6 +4,8 @@
 #   scripts/soak.sh SEED [SECONDS [GATEWAYS [CALLERS]]]
 #
 # Prints the findings of carawaylatch-soak; KEEP=FOLDER keeps the gateways' logs of a run with findings.
+# With OLD_BUILD=FOLDER two builds run side by side: OLD=odd (default): each second gateway runs the program of that folder;
+# OLD=first: each gateway runs it until its first restart; OLD=later: from its first restart on.
 set -u
 cd "$(dirname "$0")/.."
 BUILD=${BUILD:-build}
@@ -15,6 +17,22 @@
 # An own network for each run, so that several may run at once.
 NETWORK=127.$((1 + $$ % 250)).$((1 + $$ / 250 % 250))
 
+program() { # N STARTS: the program of the gateway's next process, after so many
+    local old
+    case "${OLD:-odd}" in
+    odd) old=$(($1 % 2)) ;;
+    first) old=$(($2 == 0)) ;;
+    later) old=$(($2 > 0)) ;;
+    *) echo "OLD is odd, first or later" >&2 && return 1 ;;
+    esac
+    if [ -n "${OLD_BUILD:-}" ] && [ $old = 1 ]; then
+        echo "$OLD_BUILD/carawaylatch-gateway"
+    else
+        echo "$BUILD/carawaylatch-gateway"
+    fi
+}
+program 0 0 >/dev/null || exit 2
+
 supervise() { # N
     local base=$FOLDER/gateway-$1 address=$NETWORK.$((10 + $1)) process starts
     cat >"$base.ini" <<INI
@@ -36,7 +54,7 @@
     : >"$base.log"
     while [ ! -e "$FOLDER/stop" ]; do
         starts=$(grep -c GatewayStarted "$base.log")
-        "$BUILD/carawaylatch-gateway" --settings "$base.ini" >>"$base.log" 2>&1 &
+        "$(program "$1" "$starts")" --settings "$base.ini" >>"$base.log" 2>&1 &
         process=$!
         echo $process >"$base.pid.new" && mv "$base.pid.new" "$base.pid"
         # The end of the run may have read the former id.
