--- a/carawaylatch/gateway/testing/buildcontracttest.cpp
+++ b/carawaylatch/gateway/testing/buildcontracttest.cpp
@@ -104,8 +104,13 @@
     void testChangingEngines()
     {
         const std::vector<Recorded> recorded{
-            {"9c5a2bb", "m-1 m-2 m-3=7"}, {"0268692", "m-1 m-2 m-3=7"}, {"d1f7250", "m-1 m-2 m-3=7"},
-            {"af84c7d", "m-1 m-2 m-3=7"}, {"5c96e71", "m-1 m-2 m-3=7"}, {"372c752", "m-1 m-2 m-3=7 m-4=0"},
+            {"9c5a2bb", "m-1 m-2 m-3=7"},
+            {"0268692", "m-1 m-2 m-3=7"},
+            {"d1f7250", "m-1 m-2 m-3=7"},
+            {"af84c7d", "m-1 m-2 m-3=7"},
+            {"5c96e71", "m-1 m-2 m-3=7"},
+            {"372c752", "m-1 m-2 m-3=7 m-4=0"},
+            {"3894884", "@10.0.0.1=2 *=0 m-1 m-2 m-3=7 m-4=0"},
         };
         for (const Recorded &it : recorded) {
             const ChangingEngines decoded = ChangingEngines::decode(it.text);
@@ -114,6 +119,8 @@
         }
         ChangingEngines changing = changingEngines();
         changing.changed.emplace(base::UpstreamId("m-4"), base::WeightsVersion{});
+        changing.writer = base::RouterId("10.0.0.1");
+        changing.isIncomplete = true;
         CPPUNIT_ASSERT(ChangingEngines::decode(recorded.back().text).changed == changing.changed);
         CPPUNIT_ASSERT_EQUAL(newest(recorded), changing.encode());
     }
