An upstream that is not read is no longer taken for a silent one

Cause: while a caller takes nothing, the router reads nothing from its upstream, and the time since the last byte and since the last event of a stream grows all the same. After 0.8 s the upstream counted as silent, for placement, for the other requests there and for the question whether the pool is reached; after 1.2 s a resumable stream of a slow reader was moved to another upstream, for a retry of the budget and the work of its prompt again. This was an open row of docs/design/time-limits.md.

Ruled out: longer limits, which sound upstreams with fast readers would then get as well.

Change: an attempt that is not read is not judged; an upstream is silent only if one of its requests is read. Both times count anew when reading goes on. The caller's own limits and the request's timeout hold meanwhile.

--- a/carawaylatch/proxy/exchange.h
+++ b/carawaylatch/proxy/exchange.h
@@ -45,6 +45,7 @@
     BodyProgress progress;
     std::string body; // of a response that is buffered until it is complete
     bool isStreamed = false; // the body is forwarded as it arrives
+    bool isReadingPaused = false; // until the caller has taken what is queued
     bool hasEvents = false; // complete events were forwarded; set only for resumable streams
 };
 
@@ -131,6 +132,8 @@
     void forwardResponse();
     void beginStream();
     void forwardStream(std::string_view bytes);
+    void pauseReading();
+    void resumeReading();
     // Aborts an attempt that makes no progress if the request may be retried at another upstream.
     void watchProgress();
     // Aborts an attempt that an engine has not started before its weights are too old.
@@ -186,7 +189,7 @@
     std::optional<base::TimePoint> m_sentAt; // of the first attempt that was sent
     std::optional<base::TimePoint> m_firstByteAt; // first byte of the response
     base::TimePoint m_lastByteAt; // last bytes of a streamed response
-    base::TimePoint m_lastEventAt; // last complete events of a resumable stream
+    base::TimePoint m_lastEventAt; // last complete events of a resumable stream, or the end of a pause in reading
     std::string m_lastBytes; // up to EventEndBytes of a stream that is passed through
     base::Duration m_longestGap{}; // between consecutive reads of a streamed response
     base::UpstreamId m_lastUpstream;
--- a/carawaylatch/proxy/exchangeattempt.cpp
+++ b/carawaylatch/proxy/exchangeattempt.cpp
@@ -294,17 +294,36 @@
         m_caller->sendBodyBytes(events);
     }
     if (m_caller->queuedBytes() > MaxCallerQueueBytes) {
-        m_attempt->connection->pauseReading();
+        pauseReading();
+    }
+}
+
+void Exchange::pauseReading()
+{
+    Attempt &attempt = *m_attempt;
+    attempt.connection->pauseReading();
+    if (!std::exchange(attempt.isReadingPaused, true)) {
+        trackerOf(attempt).onReadingPaused(*attempt.record);
     }
 }
 
 void Exchange::onCallerDrained()
 {
-    if (m_attempt && m_attempt->connection) {
+    if (m_attempt && m_attempt->isReadingPaused) {
+        resumeReading();
         m_attempt->connection->resumeReading();
     }
 }
 
+// The time of the pause was the caller's, not the upstream's.
+void Exchange::resumeReading()
+{
+    Attempt &attempt = *m_attempt;
+    attempt.isReadingPaused = false;
+    m_lastEventAt = m_plane.now();
+    trackerOf(attempt).onReadingResumed(*attempt.record, m_lastEventAt);
+}
+
 AttemptEnd Exchange::classifyResponse() const
 {
     const Attempt &attempt = *m_attempt;
@@ -457,6 +476,7 @@
     state.kind = m_route->kind;
     state.phase = responsePhase();
     state.canResume = m_history.canResume;
+    state.isReadingPaused = attempt.isReadingPaused;
     state.isPoolCut = !attempt.isForward && m_plane.reach().isCut(m_pool) && now - attempt.record->silentSince > Reachability::SuspiciousSilence;
     state.isUpstreamSilent = attempt.record->isSilent(now, m_plane.settings().placement.prefillMillisecondsPerToken);
     state.age = now - attempt.startedAt;
@@ -473,6 +493,9 @@
     m_progressTimer.cancel();
     m_startTimer.cancel();
     Attempt &attempt = *m_attempt;
+    if (attempt.isReadingPaused) {
+        resumeReading();
+    }
     const base::TimePoint now = m_plane.now();
     // What an upstream wants tells nothing of its health.
     const bool isUpstreamsWish = !attempt.isForward && (attempt.response.pause || (attempt.isSent ? !attempt.record->takesRequests(now) : isUnwanted()));
--- a/carawaylatch/proxy/stallrules.cpp
+++ b/carawaylatch/proxy/stallrules.cpp
@@ -24,6 +24,9 @@
     if (attempt.phase == ResponsePhase::PassedOn && !attempt.canResume) {
         return {}; // the end of the attempt would be the end of the response
     }
+    if (attempt.isReadingPaused) {
+        return {};
+    }
     if (attempt.isPoolCut) {
         return "the pool is not reached";
     }
--- a/carawaylatch/proxy/stallrules.h
+++ b/carawaylatch/proxy/stallrules.h
@@ -26,6 +26,7 @@
     CallKind kind = CallKind::AtMostOnce;
     ResponsePhase phase = ResponsePhase::Waiting;
     bool canResume = false; // another attempt may continue what was passed on
+    bool isReadingPaused = false; // the caller takes nothing, so nothing is known of the upstream
     bool isPoolCut = false; // and the upstream is suspiciously silent
     bool isUpstreamSilent = false;
     base::Duration age{}; // since the attempt started
--- a/carawaylatch/proxy/testing/decisionstest.cpp
+++ b/carawaylatch/proxy/testing/decisionstest.cpp
@@ -225,6 +225,7 @@
     CPPUNIT_TEST(testEngineMemoryIsCounted);
     CPPUNIT_TEST(testFailedUpstreamBacksOff);
     CPPUNIT_TEST(testSilentUpstreamIsAvoided);
+    CPPUNIT_TEST(testUpstreamThatIsNotReadIsNotSilent);
     CPPUNIT_TEST(testPromptsAreSpreadOverCacheStores);
     CPPUNIT_TEST_SUITE_END();
 
@@ -394,6 +395,26 @@
         }
     }
 
+    // An upstream that is not read, as the callers take nothing, tells nothing by its silence; the time counts anew afterwards.
+    void testUpstreamThatIsNotReadIsNotSilent()
+    {
+        UpstreamRecord *record = m_tracker.find(base::UpstreamId("e1"));
+        const auto isSilent = [this, record](int milliseconds) {
+            return record->isSilent(Start + base::milliseconds{milliseconds}, m_tuning.prefillMillisecondsPerToken);
+        };
+        m_tracker.onAttemptStarted(*record, {}, Start);
+        m_tracker.onReadingPaused(*record);
+        CPPUNIT_ASSERT(!isSilent(5000));
+        m_tracker.onAttemptStarted(*record, {}, Start + base::seconds{5});
+        CPPUNIT_ASSERT(!isSilent(5700));
+        CPPUNIT_ASSERT(isSilent(5900)); // the second request is read
+        m_tracker.onAttemptEnded(*record, {}, false, AttemptEnd::Answered, Start + base::seconds{6});
+        CPPUNIT_ASSERT(!isSilent(9000));
+        m_tracker.onReadingResumed(*record, Start + base::seconds{9});
+        CPPUNIT_ASSERT(!isSilent(9700));
+        CPPUNIT_ASSERT(isSilent(9900));
+    }
+
     // Prompts are spread over three stores; the loss of one store moves only its own prompts.
     void testPromptsAreSpreadOverCacheStores()
     {
--- a/carawaylatch/proxy/testing/stallrulestest.cpp
+++ b/carawaylatch/proxy/testing/stallrulestest.cpp
@@ -38,6 +38,7 @@
     CPPUNIT_TEST(testLimitsByPhase);
     CPPUNIT_TEST(testBodyInTimeIsNotLate);
     CPPUNIT_TEST(testPaceOfABody);
+    CPPUNIT_TEST(testNothingIsStalledWhileItIsNotRead);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -150,6 +151,16 @@
         CPPUNIT_ASSERT(!progress.isInTime(200'000, base::seconds{60}, start + base::seconds{2}));
         CPPUNIT_ASSERT(!progress.isInTime(std::nullopt, base::seconds{60}, start + base::seconds{2}));
     }
+
+    void testNothingIsStalledWhileItIsNotRead()
+    {
+        AttemptState state = stateOf(CallKind::Stream, ResponsePhase::PassedOn, base::seconds{30});
+        state.eventGap = base::seconds{30};
+        state.isUpstreamSilent = true;
+        CPPUNIT_ASSERT(!stallReason(state).empty());
+        state.isReadingPaused = true;
+        CPPUNIT_ASSERT(stallReason(state).empty());
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(StallRulesTest);
 
--- a/carawaylatch/proxy/trafficreach.cpp
+++ b/carawaylatch/proxy/trafficreach.cpp
@@ -39,7 +39,7 @@
 {
     const auto &members = m_tracker.members(pool);
     const auto isBusy = [](const UpstreamRecord *record) {
-        return record->inflight > 0;
+        return record->isRead();
     };
     return std::any_of(members.begin(), members.end(), isBusy) && std::all_of(members.begin(), members.end(), [&](const UpstreamRecord *record) {
                return !isBusy(record) || at - record->silentSince > Reachability::SuspiciousSilence;
--- a/carawaylatch/proxy/upstreamtracker.cpp
+++ b/carawaylatch/proxy/upstreamtracker.cpp
@@ -75,6 +75,11 @@
     return waiting > MaxWaiting && now - sampledAt < MaxBackedUpAge;
 }
 
+bool UpstreamRecord::isRead() const
+{
+    return inflight > paused;
+}
+
 bool UpstreamRecord::isSilent(base::TimePoint now, double prefillMillisecondsPerToken) const
 {
     // Longer than a load of weights, which stalls an engine for about 600 ms.
@@ -82,7 +87,7 @@
     // Prompts of other routers are processed before and between this router's.
     constexpr double PrefillMargin = 3;
     const base::Duration prefillTime = base::fromSeconds(static_cast<double>(prefillTokens) * prefillMillisecondsPerToken * PrefillMargin / 1000);
-    return inflight > 0 && now - silentSince > MaxSilence + prefillTime;
+    return isRead() && now - silentSince > MaxSilence + prefillTime;
 }
 
 UpstreamTracker::UpstreamTracker(base::Endpoint self)
@@ -164,7 +169,7 @@
 
 void UpstreamTracker::onAttemptStarted(UpstreamRecord &record, const AttemptLoad &load, base::TimePoint now)
 {
-    if (record.inflight == 0) {
+    if (!record.isRead()) {
         record.silentSince = now;
     }
     ++record.inflight;
@@ -183,6 +188,19 @@
     markUnreported(record);
 }
 
+void UpstreamTracker::onReadingPaused(UpstreamRecord &record)
+{
+    ++record.paused;
+}
+
+void UpstreamTracker::onReadingResumed(UpstreamRecord &record, base::TimePoint now)
+{
+    if (!record.isRead()) {
+        record.silentSince = now;
+    }
+    --record.paused;
+}
+
 void UpstreamTracker::onAttemptEnded(UpstreamRecord &record, const AttemptLoad &load, bool hasStarted, AttemptEnd end, base::TimePoint now)
 {
     --record.inflight;
--- a/carawaylatch/proxy/upstreamtracker.h
+++ b/carawaylatch/proxy/upstreamtracker.h
@@ -37,6 +37,7 @@
     bool isReported = true; // other routers have been sent the load below
     bool isListed = false; // in the current snapshot
     std::uint32_t inflight = 0; // outstanding requests of this router
+    std::uint32_t paused = 0; // of these, the ones whose responses are not read, as their callers take nothing
     std::uint64_t inflightTokens = 0; // upper bound of the KV cache that these use
     std::uint64_t prefillTokens = 0; // prompt tokens that the upstream has yet to process for these
     // Requests of other routers at the time of the last sample; discounted to zero over MaxSampleAge.
@@ -47,7 +48,7 @@
     double failureShare = 0; // of attempts, as an exponentially weighted moving average
     std::uint32_t consecutiveConnectFailures = 0; // since the last attempt that was sent
     base::TimePoint backoffUntil; // gets no new requests before this time
-    base::TimePoint silentSince; // last byte received, or start of the first outstanding request
+    base::TimePoint silentSince; // last byte received, or since when bytes are expected again
     base::TimePoint receivedAt; // last byte received
     bool isLeaving = false; // it has said so, to this router or another; holds for the incarnation
     base::TimePoint pausedUntil; // it has asked this router for a pause
@@ -70,7 +71,9 @@
     [[nodiscard]] bool isBackedUp(base::TimePoint now) const;
     // Estimated requests at the upstream, of all routers.
     [[nodiscard]] double load(base::TimePoint now) const;
-    // True if requests are outstanding and no byte was received for longer than the
+    // True if this router reads what the upstream sends for one request at least.
+    [[nodiscard]] bool isRead() const;
+    // True if it is read and no byte was received for longer than the
     // prefill of their prompts can take: the upstream or the path to it is down.
     [[nodiscard]] bool isSilent(base::TimePoint now, double prefillMillisecondsPerToken) const;
 };
@@ -131,6 +134,9 @@
     void onAttemptStarted(UpstreamRecord &record, const AttemptLoad &load, base::TimePoint now);
     // Bytes of a response have arrived.
     void onBytesReceived(UpstreamRecord &record, base::TimePoint now);
+    // The response of one request is not read until onReadingResumed().
+    void onReadingPaused(UpstreamRecord &record);
+    void onReadingResumed(UpstreamRecord &record, base::TimePoint now);
     // The first body bytes of the response have arrived.
     void onFirstOutput(UpstreamRecord &record, const AttemptLoad &load);
     void onAttemptEnded(UpstreamRecord &record, const AttemptLoad &load, bool hasStarted, AttemptEnd end, base::TimePoint now);
