A resumed stream with a missing event leaves no load at its upstream

Cause: a stream whose next upstream leaves out an event is reset at the caller, but its attempt was dropped without being taken from the upstream's load. Each such stream took one place of that upstream for as long as this router ran.

Found by going through all ways on which an attempt ends, for the list of what is computed once in docs/design/time-limits.md; the others take the load back.

Change: the attempt is released before the reset.

Seen: testMissingEventLeavesNoLoadAtItsUpstream: one request outstanding after the end of the stream before, none with the change.

--- a/carawaylatch/proxy/exchangeattempt.cpp
+++ b/carawaylatch/proxy/exchangeattempt.cpp
@@ -288,6 +288,7 @@
             m_attempt->hasEvents = true;
         }
         if (m_scanner.hasGap()) {
+            releaseAttempt(AttemptEnd::Broken);
             abortReply("event_missing");
             return;
         }
