A resumed stream is no longer moved while the prompt of its next attempt is read

Cause: the limit of 1.2 s between events applied once the caller had the first bytes of the stream, whichever attempt had sent them. The next attempt, which waits for its first output as the first one did, was judged as one that is in the middle of its events: on a long prompt it was moved again during the prefill, for an attempt of the route, a retry of the budget and the prefill so far.

--- a/carawaylatch/proxy/exchangeattempt.cpp
+++ b/carawaylatch/proxy/exchangeattempt.cpp
@@ -473,19 +473,23 @@
     if (!hasAttemptLeft(*m_route, m_history)) {
         return {};
     }
+    const double prefillRate = m_plane.settings().placement.prefillMillisecondsPerToken;
     AttemptState state;
     state.kind = m_route->kind;
     state.phase = responsePhase();
     state.canResume = m_history.canResume;
     state.isReadingPaused = attempt.isReadingPaused;
     state.isPoolCut = !attempt.isForward && m_plane.reach().isCut(m_pool) && now - attempt.record->silentSince > Reachability::SuspiciousSilence;
-    state.isUpstreamSilent = attempt.record->isSilent(now, m_plane.settings().placement.prefillMillisecondsPerToken);
+    state.isUpstreamSilent = attempt.record->isSilent(now, prefillRate);
     state.age = now - attempt.startedAt;
     state.targetLatency = m_route->targetLatency;
     state.isBodyInTime = attempt.progress.isInTime(bodyLength(attempt.head), timeLeft(now), now);
     if (m_firstByteAt) {
         state.eventGap = now - std::max(m_lastEventAt, attempt.startedAt);
     }
+    if (!attempt.startedOutputAt) {
+        state.prefillTime = attempt.record->prefillTime(prefillRate);
+    }
     return stallReason(state);
 }
 
--- a/carawaylatch/proxy/stallrules.cpp
+++ b/carawaylatch/proxy/stallrules.cpp
@@ -37,7 +37,7 @@
         return "no response within twice the target latency";
     }
     // Bytes that complete no event are no progress.
-    if (attempt.eventGap && *attempt.eventGap > MaxStreamGap) {
+    if (attempt.eventGap && *attempt.eventGap > MaxStreamGap + attempt.prefillTime) {
         return "the stream has stalled";
     }
     return {};
--- a/carawaylatch/proxy/stallrules.h
+++ b/carawaylatch/proxy/stallrules.h
@@ -32,6 +32,7 @@
     base::Duration age{}; // since the attempt started
     base::Duration targetLatency{};
     bool isBodyInTime = false; // at its pace; see BodyProgress
+    base::Duration prefillTime{}; // that may pass before the first output of the attempt; zero once it has come
     std::optional<base::Duration> eventGap; // since the last complete event; nothing before the first bytes of a stream
 };
 
--- a/carawaylatch/proxy/testing/stallrulestest.cpp
+++ b/carawaylatch/proxy/testing/stallrulestest.cpp
@@ -97,6 +97,10 @@
         rows.push_back({"stream, gap", gap, {}});
         gap.eventGap = base::milliseconds{1201};
         rows.push_back({"stream, long gap", gap, "the stream has stalled"});
+        gap.prefillTime = base::milliseconds{500};
+        rows.push_back({"stream, the prompt of a later attempt is read", gap, {}});
+        gap.eventGap = base::milliseconds{1701};
+        rows.push_back({"stream, long gap after that", gap, "the stream has stalled"});
         for (const Row &row : rows) {
             CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.reason, std::string(stallReason(row.state)));
         }
--- a/carawaylatch/proxy/upstreamtracker.cpp
+++ b/carawaylatch/proxy/upstreamtracker.cpp
@@ -75,6 +75,13 @@
     return waiting > MaxWaiting && now - sampledAt < MaxBackedUpAge;
 }
 
+base::Duration UpstreamRecord::prefillTime(double millisecondsPerToken) const
+{
+    // Prompts of other routers are processed before and between this router's.
+    constexpr double PrefillMargin = 3;
+    return base::fromSeconds(static_cast<double>(prefillTokens) * millisecondsPerToken * PrefillMargin / 1000);
+}
+
 bool UpstreamRecord::isRead() const
 {
     return inflight > paused;
@@ -84,10 +91,7 @@
 {
     // Longer than a load of weights, which stalls an engine for about 600 ms.
     constexpr base::Duration MaxSilence = base::milliseconds{800};
-    // Prompts of other routers are processed before and between this router's.
-    constexpr double PrefillMargin = 3;
-    const base::Duration prefillTime = base::fromSeconds(static_cast<double>(prefillTokens) * prefillMillisecondsPerToken * PrefillMargin / 1000);
-    return isRead() && now - silentSince > MaxSilence + prefillTime;
+    return isRead() && now - silentSince > MaxSilence + prefillTime(prefillMillisecondsPerToken);
 }
 
 UpstreamTracker::UpstreamTracker(base::Endpoint self)
--- a/carawaylatch/proxy/upstreamtracker.h
+++ b/carawaylatch/proxy/upstreamtracker.h
@@ -71,6 +71,8 @@
     [[nodiscard]] bool isBackedUp(base::TimePoint now) const;
     // Estimated requests at the upstream, of all routers.
     [[nodiscard]] double load(base::TimePoint now) const;
+    // Time that the prefill of the prompts that this router has sent may take.
+    [[nodiscard]] base::Duration prefillTime(double millisecondsPerToken) const;
     // True if this router reads what the upstream sends for one request at least.
     [[nodiscard]] bool isRead() const;
     // True if it is read and no byte was received for longer than the
