--- a/carawaylatch/proxy/stallrules.cpp
+++ b/carawaylatch/proxy/stallrules.cpp
@@ -24,6 +24,9 @@
     if (attempt.phase == ResponsePhase::PassedOn && !attempt.canResume) {
         return {}; // the end of the attempt would be the end of the response
     }
+    if (attempt.isReadingPaused) {
+        return {};
+    }
     if (attempt.isPoolCut) {
         return "the pool is not reached";
     }
@@ -34,7 +37,7 @@
         return "no response within twice the target latency";
     }
     // Bytes that complete no event are no progress.
-    if (attempt.eventGap && *attempt.eventGap > MaxStreamGap) {
+    if (attempt.eventGap && *attempt.eventGap > MaxStreamGap + attempt.prefillTime) {
         return "the stream has stalled";
     }
     return {};
--- a/carawaylatch/proxy/stallrules.h
+++ b/carawaylatch/proxy/stallrules.h
@@ -26,11 +26,13 @@
     CallKind kind = CallKind::AtMostOnce;
     ResponsePhase phase = ResponsePhase::Waiting;
     bool canResume = false; // another attempt may continue what was passed on
+    bool isReadingPaused = false; // the caller takes nothing, so nothing is known of the upstream
     bool isPoolCut = false; // and the upstream is suspiciously silent
     bool isUpstreamSilent = false;
     base::Duration age{}; // since the attempt started
     base::Duration targetLatency{};
     bool isBodyInTime = false; // at its pace; see BodyProgress
+    base::Duration prefillTime{}; // that may pass before the first output of the attempt; zero once it has come
     std::optional<base::Duration> eventGap; // since the last complete event; nothing before the first bytes of a stream
 };
 
--- a/carawaylatch/proxy/testing/stallrulestest.cpp
+++ b/carawaylatch/proxy/testing/stallrulestest.cpp
@@ -38,6 +38,7 @@
     CPPUNIT_TEST(testLimitsByPhase);
     CPPUNIT_TEST(testBodyInTimeIsNotLate);
     CPPUNIT_TEST(testPaceOfABody);
+    CPPUNIT_TEST(testNothingIsStalledWhileItIsNotRead);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -96,6 +97,10 @@
         rows.push_back({"stream, gap", gap, {}});
         gap.eventGap = base::milliseconds{1201};
         rows.push_back({"stream, long gap", gap, "the stream has stalled"});
+        gap.prefillTime = base::milliseconds{500};
+        rows.push_back({"stream, the prompt of a later attempt is read", gap, {}});
+        gap.eventGap = base::milliseconds{1701};
+        rows.push_back({"stream, long gap after that", gap, "the stream has stalled"});
         for (const Row &row : rows) {
             CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.reason, std::string(stallReason(row.state)));
         }
@@ -150,6 +155,16 @@
         CPPUNIT_ASSERT(!progress.isInTime(200'000, base::seconds{60}, start + base::seconds{2}));
         CPPUNIT_ASSERT(!progress.isInTime(std::nullopt, base::seconds{60}, start + base::seconds{2}));
     }
+
+    void testNothingIsStalledWhileItIsNotRead()
+    {
+        AttemptState state = stateOf(CallKind::Stream, ResponsePhase::PassedOn, base::seconds{30});
+        state.eventGap = base::seconds{30};
+        state.isUpstreamSilent = true;
+        CPPUNIT_ASSERT(!stallReason(state).empty());
+        state.isReadingPaused = true;
+        CPPUNIT_ASSERT(stallReason(state).empty());
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(StallRulesTest);
 
