Streams that no admitted software can begin do not hold up other requests

Other requests pass eight that wait for their software, so behind more of them requests without a stream waited up to 0.6 of their target latency, though an upstream was free.

Change: such a stream is refused at once (503, not run, `software_not_stored`), like one whose software has left. The lease holder admits a version at its next control interval, so the caller's next try mostly finds it. testNoStreamBeginsBeforeItsSoftwareIsStored asserted that one waits and begins once v2 is named; it asserts now that one sent then begins.

Before: testStreamsWithoutAdmittedSoftwareHoldUpNoOther failed (12 streams in the queue instead of 0). Now it passes; test-platform 170 passed, 0 failed.

--- a/carawaylatch/proxy/exchange.cpp
+++ b/carawaylatch/proxy/exchange.cpp
@@ -301,8 +301,10 @@
             return;
         }
     }
-    if ((m_streamSoftware || !m_triedUpstreams.empty()) && !hasUntriedUpstream()) {
-        giveUp(m_triedUpstreams.empty() ? "no_upstream_of_stream" : "no_other_upstream", queueRetryDelay());
+    // In the queue, requests that no upstream may take would hold up others.
+    if ((allowedSoftware() != nullptr || !m_triedUpstreams.empty()) && !hasUntriedUpstream()) {
+        const std::string_view reason = m_streamSoftware ? "no_upstream_of_stream" : "software_not_stored";
+        giveUp(m_triedUpstreams.empty() ? reason : "no_other_upstream", queueRetryDelay());
         return;
     }
     joinQueue();
