KV cache that a customer made before it became isolated is not used by others

Cause: the cache salt was the model, the weights and, for an isolated customer, its name. The salt and the key of the shared prefix were also made of the isolation at admission, so an attempt that was sent after the change still used the former text.

Ruled out: the version of the configuration in the salt (a cold start of everybody with each configuration); the names of the isolated customers only (once such a customer is removed, the others find again what it made before); a mark kept by the routers (not known after a restart, and routers would differ).

Change: a cache scope (proxy/customers.h) that depends on the configuration alone. Customers that aren't isolated share one that is made of the names of all of them; an isolated customer has its own, and requests without a customer have one. It is made for each attempt by the configuration in force, and is shared only if the customer was not isolated at admission either. Salt, keys of prefixes, choice of source and store, and reports to other routers all use it. No text of a former version is a scope, so nothing is taken over in an upgrade.

Given up: each change of the set of customers that share reads the shared prompts once more.

--- a/carawaylatch/proxy/exchange.cpp
+++ b/carawaylatch/proxy/exchange.cpp
@@ -156,10 +156,7 @@
     }
     selectPool();
     m_fingerprint = requestFingerprint(m_head, m_request, m_customer != nullptr ? m_customer->id : base::CustomerId(), *m_body);
-    m_prefixKey = sharedPrefixKey(m_request.parts);
-    if (m_prefixKey != 0 && m_customer != nullptr && m_customer->isIsolated) {
-        m_prefixKey = base::combineHashes(m_prefixKey, base::hash64(m_customer->id.value()));
-    }
+    m_sharedPrefix = sharedPrefixKey(m_request.parts);
     m_sharedTokens = sharedPrefixTokens(m_request.parts);
     constexpr std::uint32_t RoutePriorities = 3; // route priorities within one customer priority
     constexpr std::uint32_t LeastUrgent = 9;
@@ -179,7 +176,7 @@
         refuse("table_not_confirmed", RetrySchedule::MinDelay);
         return false;
     }
-    m_customer = m_view->table->customerOf(m_request.key);
+    m_customer = m_view->table->customers.find(m_request.key);
     if (m_customer == nullptr) {
         replyLocally(401, "unknown_key", {});
         return false;
@@ -205,6 +202,18 @@
     }
 }
 
+std::uint64_t Exchange::cacheScope() const
+{
+    const auto view = m_plane.view();
+    const RouteTable &inForce = view->table ? *view->table : *m_view->table;
+    return inForce.customers.cacheScope(m_customer, m_request.key);
+}
+
+std::uint64_t Exchange::prefixKey() const
+{
+    return m_sharedPrefix == 0 ? 0 : base::combineHashes(m_sharedPrefix, cacheScope());
+}
+
 base::Duration Exchange::timeLeft(base::TimePoint now) const
 {
     const base::Duration requestTimeout = std::min(m_route->timeout, m_request.callerTimeout.value_or(m_route->timeout));
@@ -219,7 +228,7 @@
     query.now = m_plane.now();
     query.pool = m_pool;
     query.model = m_request.model;
-    query.prefixKey = m_prefixKey;
+    query.prefixKey = prefixKey();
     query.sharedTokens = m_sharedTokens;
     query.memoryTokens = m_request.promptTokens + m_request.maxOutputTokens;
     query.domain = m_plane.settings().domain;
--- a/carawaylatch/proxy/exchange.h
+++ b/carawaylatch/proxy/exchange.h
@@ -147,6 +147,10 @@
     void limitToStream();
     [[nodiscard]] std::string resumedRequest() const;
     [[nodiscard]] base::Duration timeLeft(base::TimePoint now) const;
+    // Whose KV cache the request may use by the configuration in force now, which may be newer than m_view.
+    [[nodiscard]] std::uint64_t cacheScope() const;
+    // Key of the shared prefix within the cache scope; zero if there is none.
+    [[nodiscard]] std::uint64_t prefixKey() const;
 
     // A non-streaming response is buffered up to this size, so that a broken one can be
     // retried or replaced by an error; a longer one is forwarded as it arrives.
@@ -165,7 +169,7 @@
     const Customer *m_customer = nullptr; // owned by m_view; nullptr on public routes
     std::uint64_t m_fingerprint = 0; // set when the request is admitted
     base::PoolName m_pool;
-    std::uint64_t m_prefixKey = 0;
+    std::uint64_t m_sharedPrefix = 0; // key of the shared prefix, the same for all customers; zero if there is none
     std::uint32_t m_sharedTokens = 0;
     std::uint32_t m_urgency = 0;
     std::vector<base::UpstreamId> m_triedUpstreams;
--- a/carawaylatch/proxy/exchangeattempt.cpp
+++ b/carawaylatch/proxy/exchangeattempt.cpp
@@ -112,11 +112,10 @@
         return plan;
     }
     plan.weights = m_attempt->record->weights;
-    const std::string owner = m_customer != nullptr && m_customer->isIsolated ? m_customer->id.value() : std::string();
-    const KvTransferPlan state = planKvTransfer(m_prefixKey, m_sharedTokens, *m_attempt->record, *m_plane.view(), m_plane.tracker(), m_plane.now());
+    const KvTransferPlan state = planKvTransfer(prefixKey(), m_sharedTokens, *m_attempt->record, *m_plane.view(), m_plane.tracker(), m_plane.now());
     plan.fetchFrom = state.fetchFrom;
     plan.saveTo = state.saveTo;
-    plan.cacheNamespace = m_request.model.value() + '.' + std::to_string(plan.weights.value) + '.' + owner;
+    plan.cacheNamespace = cacheNamespace(m_request.model, plan.weights, cacheScope());
     return plan;
 }
 
@@ -151,8 +150,8 @@
         m_plane.origins().onSent(m_stream, m_pool, m_lastSoftware, m_plane.now());
     }
     ++m_plane.counts().attempts;
-    if (m_prefixKey != 0) {
-        m_plane.tracker().onPromptSent(kvCacheKey(m_prefixKey, attempt.record->weights), *attempt.record, m_plane.now());
+    if (m_sharedPrefix != 0) {
+        m_plane.tracker().onPromptSent(kvCacheKey(prefixKey(), attempt.record->weights), *attempt.record, m_plane.now());
     }
     watchStart();
 }
--- a/carawaylatch/proxy/fleet.cpp
+++ b/carawaylatch/proxy/fleet.cpp
@@ -60,12 +60,6 @@
     return it == announcements.end() ? std::nullopt : std::optional(it->since);
 }
 
-const Customer *RouteTable::customerOf(const std::string &key) const
-{
-    const auto it = keys.find(key);
-    return it == keys.end() ? nullptr : &customers[it->second];
-}
-
 const Pool *RouteTable::pool(const base::PoolName &name) const
 {
     const auto it = std::find_if(pools.begin(), pools.end(), [&name](const Pool &pool) {
--- a/carawaylatch/proxy/fleet.h
+++ b/carawaylatch/proxy/fleet.h
@@ -13,11 +13,11 @@
 #include <set>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 #include <vector>
 
 #include "carawaylatch/base/ids.h"
 #include "carawaylatch/base/time.h"
+#include "carawaylatch/proxy/customers.h"
 
 namespace carawaylatch::proxy
 {
@@ -79,13 +79,6 @@
     base::FailureDomain domain;
 };
 
-struct Customer
-{
-    base::CustomerId id;
-    std::optional<std::uint32_t> priority; // ranks above the route's priority
-    bool isIsolated = false; // shares no KV cache with other customers
-};
-
 // Limits on caller input.
 struct CallerLimits
 {
@@ -102,15 +95,13 @@
     std::vector<Route> routes;
     std::vector<Pool> pools;
     std::vector<CacheStore> cacheStores;
-    std::vector<Customer> customers;
-    std::unordered_map<std::string, std::size_t> keys; // API key to index in `customers`
+    Customers customers;
     CallerLimits limits;
     bool needsKeys = false; // the configuration lists customers
 
     // Returns the host's route with the longest path prefix that matches, or nullptr.
     // A query or fragment in `target` is not part of the path.
     [[nodiscard]] const Route *match(std::string_view host, std::string_view target) const;
-    [[nodiscard]] const Customer *customerOf(const std::string &key) const;
     [[nodiscard]] const Pool *pool(const base::PoolName &name) const;
 };
 
--- a/carawaylatch/proxy/kvtransfer.cpp
+++ b/carawaylatch/proxy/kvtransfer.cpp
@@ -19,6 +19,11 @@
     return base::combineHashes(prefixKey, weights.value);
 }
 
+std::string cacheNamespace(const base::ModelId &model, base::WeightsVersion weights, std::uint64_t scope)
+{
+    return model.value() + '.' + std::to_string(weights.value) + '.' + formatPartId(scope);
+}
+
 std::uint64_t sharedPrefixKey(std::span<const PromptPart> parts)
 {
     const auto shared = sharedParts(parts);
--- a/carawaylatch/proxy/kvtransfer.h
+++ b/carawaylatch/proxy/kvtransfer.h
@@ -1,4 +1,4 @@
-// KV cache keys of shared prompt prefixes, and from where an engine fetches their KV cache.
+// Names and keys of KV cache, and from where an engine fetches their KV cache.
 //
 // An engine's memory holds the KV cache of only a few shared prefixes, and fetching
 // one over the network is ten times as fast as recomputing it. An engine without the
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <optional>
 #include <span>
+#include <string>
 
 #include "carawaylatch/base/ids.h"
 #include "carawaylatch/base/time.h"
@@ -23,6 +24,9 @@
 
 // Key of a prefix's KV cache, which depends on the weights version that computed it.
 [[nodiscard]] std::uint64_t kvCacheKey(std::uint64_t prefixKey, base::WeightsVersion weights);
+// The text under which engines keep KV cache of a model. Equal only for the same model, weights and cache scope
+// (see customers.h).
+[[nodiscard]] std::string cacheNamespace(const base::ModelId &model, base::WeightsVersion weights, std::uint64_t scope);
 // Hash of a prompt's shared prefix (all parts but the last), zero if there is none.
 [[nodiscard]] std::uint64_t sharedPrefixKey(std::span<const PromptPart> parts);
 // Number of tokens of a prompt's shared prefix.
