A request that names no model gets a cache salt too

Cause: an attempt for a request without a model was sent without a salt, as to a plain service. An engine keeps the parts of such a prompt under the one text that an absent salt stands for, shared by all, isolated or not.

Ruled out: a salt for every request; plain services have no use for it.

Change: a request that lists parts of its prompt counts as one for an engine.

Test: CacheIsolationTest::testRequestsThatNameNoModel; it failed before with "" (no customer) using a part made by "t". test-platform: 163 passed.

--- a/carawaylatch/proxy/exchangeattempt.cpp
+++ b/carawaylatch/proxy/exchangeattempt.cpp
@@ -108,7 +108,7 @@
     }
     plan.urgency = m_urgency;
     plan.lastEventId = m_scanner.lastEventId();
-    if (m_request.model.isEmpty()) {
+    if (m_request.model.isEmpty() && m_request.parts.empty()) {
         return plan;
     }
     plan.weights = m_attempt->record->weights;
