--- a/carawaylatch/proxy/exchange.cpp
+++ b/carawaylatch/proxy/exchange.cpp
@@ -78,8 +78,8 @@
     const base::TimePoint now = m_plane.now();
     m_stream = m_request.resumes.empty() ? 0 : base::hash64(m_request.resumes);
     m_isOriginPending = true;
-    if (const auto known = m_plane.originOf(m_stream)) {
-        onOriginFound(*known);
+    if (const auto software = m_plane.origins().find(m_stream, now)) {
+        onOriginFound({OriginVerdict::Known, *software});
         return;
     }
     const auto answer = [weak = weak_from_this()](const OriginAnswer &found) {
--- a/carawaylatch/proxy/peerexchange.cpp
+++ b/carawaylatch/proxy/peerexchange.cpp
@@ -184,14 +184,6 @@
         write();
     }
 
-    // The peer runs: ends the delay before the next try, so that a router that has started again gets its full report.
-    void connectSoon()
-    {
-        if (m_state == State::Idle) {
-            m_retryAt = m_exchange->m_clock.now();
-        }
-    }
-
     void close()
     {
         m_exchange = nullptr;
@@ -360,8 +352,6 @@
             return;
         }
         if (!ec && m_inbound.size() < MaxInbound) {
-            boost::system::error_code ignored;
-            onPeerConnected(m_next.remote_endpoint(ignored).address().to_string());
             const auto inbound = std::make_shared<Inbound>(*this, std::move(m_next));
             m_inbound.insert(inbound);
             inbound->read();
@@ -374,24 +364,12 @@
     m_isAccepting = true;
 }
 
-void PeerExchange::onPeerConnected(const std::string &address)
-{
-    for (const auto &[endpoint, outbound] : m_outbound) {
-        if (endpoint.address == address) {
-            outbound->connectSoon();
-        }
-    }
-}
-
 void PeerExchange::setRouters(std::span<const base::Endpoint> routers)
 {
     if (m_self.port == 0) {
         return;
     }
     const auto peers = reportPeers(routers, m_self);
-    m_hasAllAsPeers = std::all_of(routers.begin(), routers.end(), [this, &peers](const base::Endpoint &router) {
-        return router == m_self || std::find(peers.begin(), peers.end(), router) != peers.end();
-    });
     std::erase_if(m_outbound, [&peers](const auto &it) {
         const bool isGone = std::find(peers.begin(), peers.end(), it.first) == peers.end();
         if (isGone) {
@@ -410,7 +388,6 @@
 {
     const base::TimePoint now = m_clock.now();
     LoadReport changes = m_source.takeChanges(); // also when disabled, because nothing else clears them
-    const StreamReport streamChanges = m_source.takeStreamChanges(); // the same
     if (m_self.port == 0) {
         return;
     }
@@ -424,10 +401,8 @@
     }
     const auto faultChangesTexts = encodeFaults(m_source.takeFaultChanges());
     const std::string reachText = dueReachText(now);
-    const std::string streamsText = encodeStreams(streamChanges);
     std::string fullText; // built only if a peer needs it, which is rare
     std::array<std::string, 3> fullFaultTexts;
-    std::string fullStreamsText;
     for (const auto &[endpoint, outbound] : m_outbound) {
         outbound->tick();
         const bool needsFullReport = outbound->needsFullReport();
@@ -436,22 +411,15 @@
             full.placements = changes.placements;
             fullText = encode(std::move(full));
             fullFaultTexts = encodeFaults(m_source.fullFaultReport());
-            fullStreamsText = encodeStreams(m_source.fullStreamReport());
         }
         outbound->send(needsFullReport ? fullText : changesText);
         for (const std::string &text : needsFullReport ? fullFaultTexts : faultChangesTexts) {
             outbound->send(text);
         }
         outbound->send(needsFullReport ? m_reachText : reachText);
-        outbound->send(needsFullReport ? fullStreamsText : streamsText);
     }
 }
 
-std::string PeerExchange::encodeStreams(const StreamReport &report) const
-{
-    return m_hasAllAsPeers && !report.streams.empty() ? encodeStreamReport(report) : std::string();
-}
-
 // The reach report if it is due, else empty.
 std::string PeerExchange::dueReachText(base::TimePoint now)
 {
@@ -481,8 +449,6 @@
         apply(decodeReachReport(body), &PeerReportSource::onReachReport);
     } else if (isFaultReport(body)) {
         apply(decodeFaultReport(body), &PeerReportSource::onFaultReport);
-    } else if (isStreamReport(body)) {
-        apply(decodeStreamReport(body), &PeerReportSource::onStreamReport);
     } else {
         apply(decodeLoadReport(body), &PeerReportSource::onReport);
     }
--- a/carawaylatch/proxy/peerexchange.h
+++ b/carawaylatch/proxy/peerexchange.h
@@ -1,5 +1,4 @@
-// Exchanges load reports (loadreport.h), fault reports (faultreport.h), reach reports (reachreport.h) and stream reports
-// (streamreport.h) with other routers.
+// Exchanges load reports (loadreport.h), fault reports (faultreport.h) and reach reports (reachreport.h) with other routers.
 //
 // Each router keeps one HTTP/2 connection to each of its peers and posts a report
 // every ReportInterval in which something changed, and a heartbeat (an empty report)
@@ -26,7 +25,6 @@
 #include "carawaylatch/proxy/loadreport.h"
 #include "carawaylatch/proxy/reachreport.h"
 #include "carawaylatch/proxy/socket.h"
-#include "carawaylatch/proxy/streamreport.h"
 #include "carawaylatch/telemetry/eventlog.h"
 
 namespace carawaylatch::proxy
@@ -55,11 +53,6 @@
     // What this router reaches; sent with each heartbeat, and when the pools change.
     [[nodiscard]] virtual ReachReport reachReport() const = 0;
     virtual void onReachReport(const ReachReport &report) = 0;
-    // The software of streams; nothing is sent for an empty report, nor in a fleet of which the peers are only a part:
-    // few questions would meet a router that was told.
-    [[nodiscard]] virtual StreamReport takeStreamChanges() = 0;
-    [[nodiscard]] virtual StreamReport fullStreamReport() const = 0;
-    virtual void onStreamReport(const StreamReport &report) = 0;
     // A peer has not responded for UnreachableTimeout. Repeated after each further UnreachableTimeout.
     virtual void onPeerUnreachable(const base::Endpoint &peer) = 0;
 };
@@ -97,9 +90,6 @@
     void apply(const base::Result<Report> &report, void (PeerReportSource::*handler)(const Report &));
     [[nodiscard]] std::string encode(LoadReport report) const;
     [[nodiscard]] std::string dueReachText(base::TimePoint now);
-    [[nodiscard]] std::string encodeStreams(const StreamReport &report) const;
-    // A router at this address has connected to this one, so it runs.
-    void onPeerConnected(const std::string &address);
 
     boost::asio::io_context &m_loop;
     const base::Clock &m_clock;
@@ -113,7 +103,6 @@
     bool m_isAccepting = false;
     std::set<std::shared_ptr<Inbound>> m_inbound;
     std::map<base::Endpoint, std::shared_ptr<Outbound>> m_outbound;
-    bool m_hasAllAsPeers = true; // no router of the fleet is beyond them
     base::TimePoint m_reportedAt; // last report or heartbeat
     base::TimePoint m_reachReportedAt;
     std::string m_reachText; // the last one
--- a/carawaylatch/proxy/streamorigins.cpp
+++ b/carawaylatch/proxy/streamorigins.cpp
@@ -32,14 +32,14 @@
         }
         // Streams that began while there was one version.
         for (const auto &[stream, value] : m_streams) {
-            if (value.pool == pool && !value.isStored) {
+            if (value.pool == pool && !value.isFixed) {
                 m_due.push_back(stream);
             }
         }
     }
 }
 
-StreamOrigins::Stream &StreamOrigins::record(std::uint64_t stream, const base::PoolName &pool, const base::SoftwareVersion &software, base::TimePoint now)
+void StreamOrigins::record(std::uint64_t stream, const base::PoolName &pool, const base::SoftwareVersion &software, bool isFixed, base::TimePoint now)
 {
     removeOutdated(now);
     const auto [it, isNew] = m_streams.try_emplace(stream);
@@ -51,24 +51,18 @@
     it->second.pool = pool;
     it->second.software = software;
     it->second.sentAt = now;
+    it->second.isFixed = isFixed;
     if (m_streams.size() > MaxStreams) {
         removeOldest();
     }
-    return it->second;
 }
 
 void StreamOrigins::onSent(std::uint64_t stream, const base::PoolName &pool, const base::SoftwareVersion &software, base::TimePoint now)
 {
     const bool isFixed = findFixed(stream, now) == software;
-    Stream &value = record(stream, pool, software, now);
-    if (!isFixed) {
-        value.isFixed = false;
-        value.isStored = false;
-        value.isTold = false;
-        m_untold.push_back(stream);
-    }
+    record(stream, pool, software, isFixed, now);
     const auto state = m_pools.find(pool);
-    if (!value.isStored && state != m_pools.end() && state->second.hasSeveral) {
+    if (!isFixed && state != m_pools.end() && state->second.hasSeveral) {
         m_due.push_back(stream);
     }
 }
@@ -83,10 +77,7 @@
 
 void StreamOrigins::onLearned(std::uint64_t stream, const base::PoolName &pool, const base::SoftwareVersion &software, base::TimePoint now)
 {
-    Stream &value = record(stream, pool, software, now);
-    value.isFixed = true;
-    value.isStored = true;
-    value.isTold = true;
+    record(stream, pool, software, true, now);
 }
 
 std::optional<base::SoftwareVersion> StreamOrigins::find(std::uint64_t stream, base::TimePoint now) const
@@ -108,24 +99,8 @@
     std::vector<StreamOrigin> out;
     for (const std::uint64_t stream : std::exchange(m_due, {})) {
         const auto it = m_streams.find(stream);
-        if (it != m_streams.end() && !it->second.isStored) {
-            it->second.isFixed = true;
-            it->second.isStored = true;
-            out.push_back({stream, it->second.software});
-        }
-    }
-    return out;
-}
-
-std::vector<StreamOrigin> StreamOrigins::takeUntold(base::TimePoint now)
-{
-    removeOutdated(now);
-    std::vector<StreamOrigin> out;
-    for (const std::uint64_t stream : std::exchange(m_untold, {})) {
-        const auto it = m_streams.find(stream);
-        if (it != m_streams.end() && !it->second.isTold) {
+        if (it != m_streams.end() && !it->second.isFixed) {
             it->second.isFixed = true;
-            it->second.isTold = true;
             out.push_back({stream, it->second.software});
         }
     }
--- a/carawaylatch/proxy/streamorigins.h
+++ b/carawaylatch/proxy/streamorigins.h
@@ -3,9 +3,9 @@
 // A stream may go on only at upstreams of this version; they don't check it. A router
 // knows it of the streams that it sent itself, and asks the control thread for the others.
 // StreamOrigins is the state machine of the former, on the traffic thread and without
-// I/O. A stream is recorded when its request is sent. takeUntold() gives the record away for
-// other routers, and takeDue() for storing while its pool has several versions; from then on it must
-// not change, and the request may be sent again only to the same version.
+// I/O. A stream is recorded when its request is sent. While its pool has several versions,
+// takeDue() gives the record away for storing; from then on it must not change, and the
+// request may be sent again only to the same version.
 //
 // Routers send new streams only to admitted versions, those that may have begun streams as
 // the store says. While the store names one, a stream that no router knows began there.
@@ -70,12 +70,10 @@
     void onLearned(std::uint64_t stream, const base::PoolName &pool, const base::SoftwareVersion &software, base::TimePoint now);
     // The software at which the stream began, if this router knows it.
     [[nodiscard]] std::optional<base::SoftwareVersion> find(std::uint64_t stream, base::TimePoint now) const;
-    // The same, if the record was given away or learned, and must not change any more.
+    // The same, if the record was given away and must not change any more.
     [[nodiscard]] std::optional<base::SoftwareVersion> findFixed(std::uint64_t stream, base::TimePoint now) const;
     // Records to be stored that were not returned before.
     [[nodiscard]] std::vector<StreamOrigin> takeDue(base::TimePoint now);
-    // Records of requests that were sent since the last call, to be told to other routers.
-    [[nodiscard]] std::vector<StreamOrigin> takeUntold(base::TimePoint now);
     // The software that may begin streams of the pool if some of the listed software may not, else nullptr.
     [[nodiscard]] const SoftwareSet *admittedOnly(const base::PoolName &pool) const;
     [[nodiscard]] std::size_t size() const;
@@ -86,9 +84,7 @@
         base::PoolName pool;
         base::SoftwareVersion software;
         base::TimePoint sentAt;
-        bool isFixed = false; // given away, or learned
-        bool isStored = false; // given away for storing, or learned
-        bool isTold = false; // given away for other routers, or learned
+        bool isFixed = false; // given away for storing, or read from the store
         std::list<std::uint64_t>::iterator order; // in m_order
     };
     struct PoolState
@@ -98,7 +94,7 @@
         bool isLimited = false; // a listed version is not admitted
     };
 
-    Stream &record(std::uint64_t stream, const base::PoolName &pool, const base::SoftwareVersion &software, base::TimePoint now);
+    void record(std::uint64_t stream, const base::PoolName &pool, const base::SoftwareVersion &software, bool isFixed, base::TimePoint now);
     void removeOutdated(base::TimePoint now);
     void removeOldest();
     void remove(std::uint64_t stream);
@@ -107,7 +103,6 @@
     std::list<std::uint64_t> m_order; // exactly the keys of m_streams, by sentAt
     std::map<base::PoolName, PoolState> m_pools;
     std::vector<std::uint64_t> m_due; // may name streams that were given away or dropped
-    std::vector<std::uint64_t> m_untold; // the same
 };
 
 } // namespace carawaylatch::proxy
--- a/carawaylatch/proxy/testing/peerexchangetest.cpp
+++ b/carawaylatch/proxy/testing/peerexchangetest.cpp
@@ -4,7 +4,6 @@
 #include <fcntl.h>
 #include <unistd.h>
 
-#include <algorithm>
 #include <chrono>
 #include <map>
 #include <memory>
@@ -26,9 +25,6 @@
     CPPUNIT_TEST(testRingIsMutualAndBounded);
     CPPUNIT_TEST(testReportsArrive);
     CPPUNIT_TEST(testRestartedPeerGetsFullReport);
-    CPPUNIT_TEST(testRestartedPeerIsToldOfStreamsAtOnce);
-    CPPUNIT_TEST(testStreamsAreTold);
-    CPPUNIT_TEST(testStreamsAreNotToldBeyondThePeers);
     CPPUNIT_TEST(testUnresponsivePeerDoesNotBlockOthers);
     CPPUNIT_TEST(testMalformedInput);
     CPPUNIT_TEST(testUnreachablePeer);
@@ -72,23 +68,8 @@
         {
             receivedCrashes.push_back(report);
         }
-        StreamReport takeStreamChanges() override
-        {
-            return std::exchange(nextStreams, {});
-        }
-        StreamReport fullStreamReport() const override
-        {
-            return fullStreams;
-        }
-        void onStreamReport(const StreamReport &report) override
-        {
-            receivedStreams.push_back(report);
-        }
         LoadReport next;
         LoadReport full;
-        StreamReport nextStreams;
-        StreamReport fullStreams;
-        std::vector<StreamReport> receivedStreams;
         FaultReport nextCrashes;
         FaultReport fullCrashes;
         ReachReport reach{0, true, 7, base::FailureDomain("a"), {"10.1.0.3", 80}, {}};
@@ -249,74 +230,6 @@
             std::chrono::milliseconds{5000}));
     }
 
-    // The clock stands still, so that no delay before the next try passes.
-    void testRestartedPeerIsToldOfStreamsAtOnce()
-    {
-        base::ManualClock clock;
-        const base::SoftwareVersion software("v1");
-        const auto make = [&](std::size_t at, const std::string &name) {
-            m_exchanges[at] = std::make_unique<PeerExchange>(m_loop, clock, m_routers[at], name, *m_sources[at], *m_log);
-            CPPUNIT_ASSERT(m_exchanges[at]->listen().has_value());
-            m_exchanges[at]->setRouters(std::vector<base::Endpoint>{m_routers[0], m_routers[1]});
-        };
-        for (const std::size_t at : {0, 1}) {
-            m_sources.push_back(std::make_unique<Source>());
-            m_exchanges.emplace_back();
-            make(at, "r" + std::to_string(at));
-        }
-        m_sources[0]->fullStreams.streams = {{7, software, {}}};
-        const auto isTold = [this] {
-            return !m_sources[1]->receivedStreams.empty();
-        };
-        CPPUNIT_ASSERT(tickUntil(isTold));
-        m_exchanges[1].reset();
-        m_sources[1]->receivedStreams.clear();
-        m_loop.run_for(std::chrono::milliseconds{50});
-        CPPUNIT_ASSERT_MESSAGE("the loss is noticed", !tickUntil(isTold, std::chrono::milliseconds{100}));
-        make(1, "again");
-        CPPUNIT_ASSERT(tickUntil(isTold));
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, m_sources[1]->receivedStreams.front().streams.front().stream);
-    }
-
-    void testStreamsAreTold()
-    {
-        addExchange(m_routers[0]);
-        addExchange(m_routers[1]);
-        connectAll();
-        CPPUNIT_ASSERT(tickUntil([this] {
-            return !m_sources[1]->received.empty();
-        }));
-        CPPUNIT_ASSERT_MESSAGE("nothing is sent for an empty report", m_sources[1]->receivedStreams.empty());
-        m_sources[0]->nextStreams.streams = {{8, base::SoftwareVersion("v2"), base::milliseconds{3}}};
-        CPPUNIT_ASSERT(tickUntil([this] {
-            return !m_sources[1]->receivedStreams.empty();
-        }));
-        const StreamReport &report = m_sources[1]->receivedStreams.front();
-        CPPUNIT_ASSERT((report.streams == std::vector<ToldStream>{{8, base::SoftwareVersion("v2"), base::milliseconds{3}}}));
-    }
-
-    // One of 34 routers is no peer of the first; none is told of streams.
-    void testStreamsAreNotToldBeyondThePeers()
-    {
-        for (std::size_t i = m_routers.size(); i < MaxReportPeers + 2; ++i) {
-            m_routers.push_back({"127.0.0.1", static_cast<std::uint16_t>(1 + i)});
-        }
-        std::sort(m_routers.begin(), m_routers.end());
-        addExchange(m_routers[MaxReportPeers + 1]);
-        addExchange(m_routers[MaxReportPeers]);
-        m_sources[0]->fullStreams.streams = {{7, base::SoftwareVersion("v1"), {}}};
-        connectAll();
-        CPPUNIT_ASSERT(tickUntil([this] {
-            return !m_sources[1]->received.empty();
-        }));
-        m_sources[0]->nextStreams = m_sources[0]->fullStreams;
-        CPPUNIT_ASSERT(!tickUntil(
-            [this] {
-                return !m_sources[1]->receivedStreams.empty();
-            },
-            std::chrono::milliseconds{100}));
-    }
-
     // One peer accepts connections but never responds; reports to the other one must still arrive.
     void testUnresponsivePeerDoesNotBlockOthers()
     {
--- a/carawaylatch/proxy/testing/streamoriginstest.cpp
+++ b/carawaylatch/proxy/testing/streamoriginstest.cpp
@@ -35,7 +35,6 @@
     CPPUNIT_TEST(testIdsThatComeAgain);
     CPPUNIT_TEST(testLearnedOriginsAreNotStoredAgain);
     CPPUNIT_TEST(testForwardedStreamsAreForgottenUnlessStored);
-    CPPUNIT_TEST(testToldRecordsAreStoredLater);
     CPPUNIT_TEST(testAdmittedSoftware);
     CPPUNIT_TEST(testRandomSteps);
     CPPUNIT_TEST_SUITE_END();
@@ -69,15 +68,6 @@
         }
         return out;
     }
-    // The same of those that are told to other routers.
-    std::string untold()
-    {
-        std::string out;
-        for (const StreamOrigin &it : m_origins.takeUntold(m_now)) {
-            out += std::to_string(it.stream) + ' ' + it.software.value() + ' ';
-        }
-        return out;
-    }
     std::string known(std::uint64_t stream) const
     {
         const auto software = m_origins.find(stream, m_now);
@@ -248,30 +238,6 @@
         CPPUNIT_ASSERT_EQUAL_MESSAGE("due, but forgotten before it was given away", std::string(), due());
     }
 
-    // What other routers were told does not change, and is stored as soon as the pool has a second version.
-    void testToldRecordsAreStoredLater()
-    {
-        m_origins.adopt(view({V1}, {V1}));
-        send(1, V1);
-        send(2, V1);
-        send(2, V2);
-        m_origins.onLearned(3, Pool, V1, m_now);
-        CPPUNIT_ASSERT_EQUAL(std::string("-"), fixed(1));
-        CPPUNIT_ASSERT_EQUAL(std::string("1 v1 2 v2 "), untold());
-        CPPUNIT_ASSERT_EQUAL(std::string("v1"), fixed(1));
-        CPPUNIT_ASSERT_EQUAL(std::string("v2"), fixed(2));
-        CPPUNIT_ASSERT_EQUAL(std::string(), untold());
-        CPPUNIT_ASSERT_EQUAL(std::string(), due());
-        send(1, V1);
-        CPPUNIT_ASSERT_EQUAL_MESSAGE("told already", std::string(), untold());
-        m_origins.adopt(view({V1, V2}, {V1}));
-        const std::string stored = due();
-        CPPUNIT_ASSERT_MESSAGE(stored, stored == "1 v1 2 v2 " || stored == "2 v2 1 v1 ");
-        send(4, V2);
-        CPPUNIT_ASSERT_EQUAL(std::string("4 v2 "), due());
-        CPPUNIT_ASSERT_EQUAL_MESSAGE("stored before it was told", std::string("4 v2 "), untold());
-    }
-
     void testAdmittedSoftware()
     {
         struct Row
--- a/carawaylatch/proxy/trafficplane.cpp
+++ b/carawaylatch/proxy/trafficplane.cpp
@@ -382,6 +382,11 @@
     return m_crashes;
 }
 
+StreamOrigins &TrafficPlane::origins()
+{
+    return m_origins;
+}
+
 const SoftwareSet *TrafficPlane::beginningSoftware(const base::PoolName &pool) const
 {
     const SoftwareSet *admitted = m_origins.admittedOnly(pool);
@@ -500,6 +505,14 @@
     return true;
 }
 
+void TrafficPlane::storeStreams(base::TimePoint at)
+{
+    std::vector<StreamOrigin> due = m_origins.takeDue(at);
+    if (!due.empty()) {
+        m_observer.onStreamsSent(std::move(due));
+    }
+}
+
 void TrafficPlane::logRejected(std::string_view id, std::string_view host, std::string_view reason, unsigned status)
 {
     ++m_counts.rejected;
--- a/carawaylatch/proxy/trafficplane.h
+++ b/carawaylatch/proxy/trafficplane.h
@@ -14,7 +14,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -31,7 +30,6 @@
 #include "carawaylatch/proxy/fleet.h"
 #include "carawaylatch/proxy/peerexchange.h"
 #include "carawaylatch/proxy/peerrouters.h"
-#include "carawaylatch/proxy/peerstreams.h"
 #include "carawaylatch/proxy/placement.h"
 #include "carawaylatch/proxy/reachability.h"
 #include "carawaylatch/proxy/socket.h"
@@ -162,8 +160,6 @@
     [[nodiscard]] PeerRouters &peerRouters();
     [[nodiscard]] CrashAttribution &crashes();
     [[nodiscard]] StreamOrigins &origins();
-    // What this router knows of the stream without the store; nothing if it has not heard of it.
-    [[nodiscard]] std::optional<OriginAnswer> originOf(std::uint64_t stream) const;
     // The software that may begin streams of the pool; nullptr: any.
     [[nodiscard]] const SoftwareSet *beginningSoftware(const base::PoolName &pool) const;
     [[nodiscard]] TrafficCounts &counts();
@@ -233,9 +229,6 @@
     void onFaultReport(const FaultReport &report) override;
     [[nodiscard]] ReachReport reachReport() const override;
     void onReachReport(const ReachReport &report) override;
-    [[nodiscard]] StreamReport takeStreamChanges() override;
-    [[nodiscard]] StreamReport fullStreamReport() const override;
-    void onStreamReport(const StreamReport &report) override;
     void onLeavingKnown(const UpstreamRecord &record, std::string_view source);
     void logLimit(const UpstreamRecord &record, std::string_view source);
     void logBrittleEvents();
@@ -284,7 +277,6 @@
     std::map<base::UpstreamId, std::shared_ptr<UpstreamConnection>> m_probes; // that have no outcome yet
     CrashAttribution m_crashes;
     StreamOrigins m_origins;
-    PeerStreams m_peerStreams;
     std::map<base::PoolName, relay::RetryBudget> m_budgets;
     std::map<base::PoolName, WaitQueue> m_queues;
     std::map<base::UpstreamId, std::deque<std::shared_ptr<UpstreamConnection>>> m_idleConnections; // most recently used last
