A router that is told to stop gives up the lease at once

The signal now ends the part of the control plane that holds the lease; tables and upstreams are watched until the end as before.

--- a/carawaylatch/gateway/gateway.cpp
+++ b/carawaylatch/gateway/gateway.cpp
@@ -178,6 +178,10 @@
     }
     const base::TimePoint now = m_clock.now();
     m_log.write(base::LogEvent::GatewayStopping, {{"inflight", std::to_string(m_traffic->inflight())}});
+    // At once, so that a router that is about to end neither keeps nor acquires the lease.
+    boost::asio::post(m_controlLoop, [this] {
+        m_control->beginStop();
+    });
     m_stop.emplace(*m_traffic, proxy::TrafficStopSettings{LoadBalancerDelay, base::fromSeconds(m_settings.graceSeconds) - ExitReserve, AnswerReserve}, now);
     m_stopTimer = m_traffic->timers().every(now, StopInterval, [this](base::TimePoint) {
         continueStop();
@@ -191,12 +195,6 @@
     if (step == proxy::StopStep::Serving || step == proxy::StopStep::Refusing) {
         return;
     }
-    if (!m_isDraining) {
-        m_isDraining = true;
-        boost::asio::post(m_controlLoop, [this] {
-            m_control->beginStop();
-        });
-    }
     if (step != proxy::StopStep::Complete) {
         return;
     }
--- a/carawaylatch/gateway/gateway.h
+++ b/carawaylatch/gateway/gateway.h
@@ -78,7 +78,6 @@
     base::TimerService::Subscription m_stopTimer;
     base::TimerService::Subscription m_settingsTimer;
     std::optional<proxy::TrafficStop> m_stop;
-    bool m_isDraining = false; // the load balancer sends no more connections
     std::string m_settingsText; // content of the file as last read
 };
 
