--- a/carawaylatch/fleet/lease.cpp
+++ b/carawaylatch/fleet/lease.cpp
@@ -93,6 +93,11 @@
     return base::FencingToken{m_state.heldVersion.value};
 }
 
+bool Lease::hadNoOtherHolder() const
+{
+    return !m_state.hadOtherHolder;
+}
+
 base::Duration Lease::heldDuration(base::TimePoint now) const
 {
     return isHeld(now) ? now - m_state.heldSince : base::Duration{};
@@ -188,6 +193,7 @@
     } else if (isOurs && object.version == m_state.heldVersion) {
         m_state.phase = LeasePhase::Holding; // the renewal has had no effect so far; write again
     } else {
+        m_state.hadOtherHolder = m_state.hadOtherHolder || !isOurRouter;
         const bool isReleased = object.value == encodeReleasedLease();
         observe(now, object.version, isOurs || isReleased || (isOurRouter && m_settings.isRouterIdUnique));
     }
--- a/carawaylatch/fleet/lease.h
+++ b/carawaylatch/fleet/lease.h
@@ -101,6 +101,8 @@
     base::TimePoint heldSince;
     // The lease is not acquired before this time, whatever the object says.
     base::TimePoint notBefore;
+    // True if another router's lease or a released lease was read.
+    bool hadOtherHolder = false;
 
     bool operator==(const LeaseState &) const = default;
 };
@@ -124,6 +126,8 @@
     [[nodiscard]] bool isHeld(base::TimePoint now) const;
     // Returns the fencing token; nothing if isHeld() is false.
     [[nodiscard]] std::optional<base::FencingToken> fence(base::TimePoint now) const;
+    // True if this router has never read a lease of another router or a released lease.
+    [[nodiscard]] bool hadNoOtherHolder() const;
     // Time since this router learned that it had acquired the lease, which it has held
     // without interruption since. Orders of the previous holder can be in flight for a
     // while after that.
--- a/carawaylatch/gateway/controlplane.cpp
+++ b/carawaylatch/gateway/controlplane.cpp
@@ -201,6 +201,7 @@
     while (true) {
         co_await pause(ControlInterval);
         checkStoreEra();
+        noteList();
         const bool isRouterObjectStored = m_state.coordinationObject(routerObjectName()) != nullptr;
         if (std::exchange(m_wasRouterObjectStored, isRouterObjectStored) && !isRouterObjectStored) {
             m_isRegistered = false; // another router removed it as unreachable
@@ -355,7 +356,9 @@
         if (changing) {
             m_state.onChange(ObjectKind::Coordination, changing.value(), {now, now, {}});
             const auto inherited = ChangingEngines::decode(changing.value().text);
-            m_rollout.takeOver(now, inherited);
+            const PreviousHolder holder = m_lease.hadNoOtherHolder() ? PreviousHolder::SameRouter : PreviousHolder::OtherRouter;
+            m_rollout.takeOver(now, inherited, holder, changing.value().revision == m_list.revision ? m_list.seenAt : now);
+            m_list.isWritten = false;
             m_log.write(base::LogEvent::OrdersInherited, {{"revision", std::to_string(changing.value().revision)},
                                                           {"writer", inherited.writer.value()},
                                                           {"engines", std::to_string(inherited.engines.size())},
@@ -371,16 +374,32 @@
     }
 }
 
+// Notes when this router first knew of the list of changing engines that it knows now.
+void ControlPlane::noteList()
+{
+    const StoredObject *object = m_state.coordinationObject(ChangingName);
+    if (object != nullptr && object->revision != m_list.revision) {
+        m_list.revision = object->revision;
+        m_list.seenAt = m_clock.now();
+    }
+}
+
 // Marks the lease as released, so that an observer can acquire it at once.
 Awaitable<void> ControlPlane::releaseLease(ObjectClient &client)
 {
-    const auto fence = m_lease.fence(m_clock.now());
-    if (!fence) {
+    if (!m_lease.isHeld(m_clock.now())) {
         co_return;
     }
     m_isLeaseHolder = false;
     m_engines.abandonOrders();
     m_log.write(base::LogEvent::FleetLeaseLost, {{"domain", "fleet"}});
+    m_rollout.reset();
+    // The next holder waits for engines that this list names, but not for those that only drained.
+    static_cast<void>(co_await publishChangingEngines(client));
+    const auto fence = m_lease.fence(m_clock.now());
+    if (!fence) {
+        co_return;
+    }
     const auto released = co_await client.write(ObjectKind::Leases, std::string(LeaseName), fleet::encodeReleasedLease(), fence->value);
     if (!released) {
         m_log.write(base::LogEvent::StoreLost, {{"kind", "leases"}, {"problem", released.error().message}, {"age_ms", "0"}});
@@ -390,7 +409,7 @@
 // A late write of a former holder may have replaced the list, and the watch may tell of it late.
 Awaitable<void> ControlPlane::readChangingEngines(ObjectClient &client, base::Error error)
 {
-    if (error.kind != base::ErrorKind::Conflict) {
+    if (error.kind != base::ErrorKind::Conflict || !m_lease.isHeld(m_clock.now())) {
         co_return;
     }
     const auto changing = co_await client.read(ObjectKind::Coordination, std::string(ChangingName), ReadConsistency::Latest);
@@ -407,16 +426,18 @@
 {
     const ChangingEngines changing = m_rollout.changing(m_clock.now());
     const StoredObject *seen = m_state.coordinationObject(ChangingName);
-    const ChangingEngines published = ChangingEngines::decode(seen != nullptr ? seen->text : std::string_view{});
-    if (!changing.mustReplace(published)) {
+    const ChangingEngines published = seen != nullptr ? ChangingEngines::decode(seen->text) : ChangingEngines();
+    if (!changing.mustReplace(published) && (m_list.isWritten || changing.engines.empty())) {
         co_return true;
     }
+    m_list.isWritten = false; // a write without an answer may still replace the list
     const std::string text = changing.encode();
     const auto written = co_await client.write(ObjectKind::Coordination, std::string(ChangingName), text, seen != nullptr ? seen->revision : 0);
     if (!written) {
         co_await readChangingEngines(client, written.error());
         co_return false; // retried at the next check
     }
+    m_list.isWritten = true;
     m_log.write(base::LogEvent::ChangingEnginesWritten, {{"revision", std::to_string(written.value())},
                                                          {"engines", std::to_string(changing.engines.size())},
                                                          {"changed", std::to_string(changing.changed.size())}});
--- a/carawaylatch/gateway/controlplane.h
+++ b/carawaylatch/gateway/controlplane.h
@@ -125,6 +125,7 @@
     [[nodiscard]] ChangeTime changeTime(ObjectKind kind, std::optional<base::Duration> changedAfter) const;
     [[nodiscard]] Awaitable<void> watchCacheStores();
     void checkStoreEra();
+    void noteList();
     [[nodiscard]] Awaitable<void> stepLease(ObjectClient &client);
     [[nodiscard]] Awaitable<void> stepRollout(ObjectClient &client);
     [[nodiscard]] Awaitable<bool> publishChangingEngines(ObjectClient &client);
@@ -181,6 +182,13 @@
     std::map<ObjectKind, Confirmation> m_confirmations;
     std::optional<base::Endpoint> m_loggedReader;
     bool m_isLeaseHolder = false;
+    struct ChangingList
+    {
+        std::uint64_t revision = 0;
+        base::TimePoint seenAt; // when this revision was first known here
+        bool isWritten = false; // the last write was by this holder, and was answered
+    };
+    ChangingList m_list;
     std::set<base::Endpoint> m_unreachableRouters; // by load report address; their objects are still to be removed
     std::optional<std::uint64_t> m_storeEra; // as last checked; empty before the first answer of the store
     bool m_isRegistered = false;
--- a/carawaylatch/gateway/fleetstate.cpp
+++ b/carawaylatch/gateway/fleetstate.cpp
@@ -15,7 +15,7 @@
 {
 
 // Words of a list of changing engines that name no engine. Builds that don't know them take them for engines that
-// completed a change.
+// completed a change, and some of these write them again with the version zero.
 constexpr char WriterMark = '@';
 constexpr std::string_view IncompleteMark = "*";
 constexpr std::uint64_t ListForm = 2; // a reader takes a list of another form for one without a writer
@@ -50,7 +50,7 @@
         text.append(1, WriterMark).append(writer.value()).append("=").append(std::to_string(ListForm));
     }
     if (!writer.isEmpty() && isIncomplete) {
-        text.append(" ").append(IncompleteMark).append("=0");
+        text.append(" ").append(IncompleteMark).append("=").append(std::to_string(base::toMilliseconds(incompleteFor)));
     }
     for (const auto &engine : engines) {
         text.append(text.empty() ? "" : " ").append(engine.value());
@@ -64,7 +64,7 @@
 ChangingEngines ChangingEngines::decode(std::string_view text)
 {
     ChangingEngines out;
-    bool hasIncompleteMark = false;
+    std::optional<base::WeightsVersion> incompleteMilliseconds;
     while (!text.empty()) {
         const std::size_t space = text.find(' ');
         const std::string_view word = text.substr(0, space);
@@ -74,7 +74,7 @@
             std::from_chars(word.data() + equals + 1, word.data() + word.size(), version.value);
             const std::string_view name = word.substr(0, equals);
             if (name == IncompleteMark) {
-                hasIncompleteMark = true;
+                incompleteMilliseconds = version;
             } else if (!name.starts_with(WriterMark)) {
                 out.changed.emplace(base::UpstreamId(name), version);
             } else if (version.value == ListForm) {
@@ -85,14 +85,20 @@
         }
         text = space == std::string_view::npos ? std::string_view{} : text.substr(space + 1);
     }
-    out.isIncomplete = out.writer.isEmpty() || hasIncompleteMark;
+    if (out.writer.isEmpty()) {
+        out.isIncomplete = true;
+        out.incompleteFor = base::Duration::max();
+    } else if (incompleteMilliseconds) {
+        out.isIncomplete = true;
+        out.incompleteFor = base::fromMilliseconds(static_cast<double>(incompleteMilliseconds->value));
+    }
     return out;
 }
 
 bool ChangingEngines::mustReplace(const ChangingEngines &published) const
 {
     if (engines.empty()) {
-        return !published.engines.empty();
+        return !published.engines.empty() || (published.isIncomplete && !isIncomplete);
     }
     const bool isIncluded = std::includes(published.engines.begin(), published.engines.end(), engines.begin(), engines.end());
     return !isIncluded || published.writer != writer;
--- a/carawaylatch/gateway/fleetstate.h
+++ b/carawaylatch/gateway/fleetstate.h
@@ -34,8 +34,8 @@
 constexpr std::string_view RouterPrefix = "router."; // one object for each router that has started
 
 // Engines that change weights, as published by the lease holder: "@r=2 a b=7" means that router r has
-// written the list, that a is changing, and that b has completed its change to version 7; "*=0", that engines
-// are missing in it.
+// written the list, that a is changing, and that b has completed its change to version 7; "*=900", that other
+// engines may have been ordered as well, and none is to be ordered for 900 ms.
 struct ChangingEngines
 {
     base::RouterId writer; // empty if the list is of a build that names none
@@ -44,11 +44,12 @@
     // Engines that are not named may have been ordered of late as well. So it is for a list without a writer,
     // since builds that name none forget the orders of earlier holders.
     bool isIncomplete = false;
+    base::Duration incompleteFor{}; // from when the list was written; the longest time if there is no writer
 
     [[nodiscard]] std::string encode() const;
     [[nodiscard]] static ChangingEngines decode(std::string_view text);
-    // True if this list must be written before its writer sends orders, or since `published` still names engines
-    // that have completed their changes. A list that another router wrote may have been replaced by now.
+    // True if the writer of this list has to write it: before it orders engines that `published` doesn't name
+    // under its own name, or to drop engines that have completed their changes or a time that is over.
     [[nodiscard]] bool mustReplace(const ChangingEngines &published) const;
 };
 
--- a/carawaylatch/gateway/rollout.cpp
+++ b/carawaylatch/gateway/rollout.cpp
@@ -232,6 +232,7 @@
     ChangingEngines out;
     out.writer = m_router;
     out.isIncomplete = now < m_holdOrdersUntil;
+    out.incompleteFor = out.isIncomplete ? m_holdOrdersUntil - now : base::Duration{};
     for (const auto &[engine, until] : m_noOrdersUntil) {
         if (now < until) {
             out.changed.emplace(engine, base::WeightsVersion{});
@@ -249,16 +250,17 @@
     return out;
 }
 
-void Rollout::takeOver(base::TimePoint now, const ChangingEngines &inherited)
+void Rollout::takeOver(base::TimePoint now, const ChangingEngines &inherited, PreviousHolder holder, base::TimePoint seenAt)
 {
-    const bool isOwn = inherited.writer == m_router;
+    const bool isOwn = holder == PreviousHolder::SameRouter && inherited.writer == m_router;
     const base::TimePoint ownUntil = now + (isOwn ? m_settings.orderFlightTime : m_settings.takeoverDelay);
     const auto wait = [this](const base::UpstreamId &engine, base::TimePoint until) {
         base::TimePoint &known = m_noOrdersUntil[engine];
         known = std::max(known, until);
     };
     if (inherited.isIncomplete) {
-        holdOrdersUntil(now + m_settings.takeoverDelay);
+        // Orders that the list lacks were sent before it was written.
+        holdOrdersUntil(seenAt + std::min(inherited.incompleteFor, m_settings.takeoverDelay));
     }
     for (const auto &engine : inherited.engines) {
         wait(engine, ownUntil);
--- a/carawaylatch/gateway/rollout.h
+++ b/carawaylatch/gateway/rollout.h
@@ -42,6 +42,12 @@
     base::Duration orderTimeout = base::seconds{3}; // after it an order without effect is repeated; loads take a fifth of it
 };
 
+// Who held the lease before this process, as far as its lease tells.
+enum class PreviousHolder {
+    SameRouter, // an earlier process of this router
+    OtherRouter,
+};
+
 class Rollout
 {
 public:
@@ -62,8 +68,9 @@
     [[nodiscard]] ChangingEngines changing(base::TimePoint now) const;
     // Previous holders may just have sent orders to these engines: they get no orders from this
     // router until takeoverDelay has passed, or orderFlightTime if this router sent them itself. The
-    // writer of the list tells, since the last holder may have published none.
-    void takeOver(base::TimePoint now, const ChangingEngines &inherited);
+    // writer of the list tells as well, since the last holder may have published none. `seenAt` is
+    // when this router first read the list, or later.
+    void takeOver(base::TimePoint now, const ChangingEngines &inherited, PreviousHolder holder, base::TimePoint seenAt);
     // No engine gets orders before this time, also after reset().
     void holdOrdersUntil(base::TimePoint time);
     // Drops all changes. Call it when the lease is lost. Orders that may have arrived of late are still known,
--- a/carawaylatch/gateway/testing/buildcontracttest.cpp
+++ b/carawaylatch/gateway/testing/buildcontracttest.cpp
@@ -110,7 +110,7 @@
             {"af84c7d", "m-1 m-2 m-3=7"},
             {"5c96e71", "m-1 m-2 m-3=7"},
             {"372c752", "m-1 m-2 m-3=7 m-4=0"},
-            {"3894884", "@10.0.0.1=2 *=0 m-1 m-2 m-3=7 m-4=0"},
+            {"3894884", "@10.0.0.1=2 *=900 m-1 m-2 m-3=7 m-4=0"},
         };
         for (const Recorded &it : recorded) {
             const ChangingEngines decoded = ChangingEngines::decode(it.text);
@@ -121,6 +121,7 @@
         changing.changed.emplace(base::UpstreamId("m-4"), base::WeightsVersion{});
         changing.writer = base::RouterId("10.0.0.1");
         changing.isIncomplete = true;
+        changing.incompleteFor = base::milliseconds{900};
         CPPUNIT_ASSERT(ChangingEngines::decode(recorded.back().text).changed == changing.changed);
         CPPUNIT_ASSERT_EQUAL(newest(recorded), changing.encode());
     }
--- a/carawaylatch/gateway/testing/leasehandovertest.cpp
+++ b/carawaylatch/gateway/testing/leasehandovertest.cpp
@@ -6,8 +6,10 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "carawaylatch/gateway/testing/suspension.h"
@@ -28,6 +30,10 @@
     CPPUNIT_TEST(testSuccessorWhoseLeaseLapsesWaitsForInheritedOrders);
     CPPUNIT_TEST(testNewProcessWaitsForOrdersThatItsFormerDidNotList);
     CPPUNIT_TEST(testSuccessorOfAnOlderBuildWaitsForOrdersThatItForgot);
+    CPPUNIT_TEST(testEnginesThatOnlyDrainedAreOrderedByTheNextHolderAtOnce);
+    CPPUNIT_TEST(testOwnListDoesNotTellOfOrdersThatAnotherRouterDidNotList);
+    CPPUNIT_TEST(testNoOrderByAListThatALateWriteReplaced);
+    CPPUNIT_TEST(testListOfAnOlderBuildIsReplacedAfterItsTime);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr base::Duration Limit = base::seconds{10};
@@ -104,6 +110,25 @@
         }));
         m_cluster->routers[router]->clients.isDisconnected = false;
     }
+    // No router reaches the store any more; the list names all engines, and newer weights are named.
+    void stopAllForALeaseTime()
+    {
+        for (const auto &router : m_cluster->routers) {
+            router->clients.isDisconnected = true;
+        }
+        const base::TimePoint end = m_clock.now() + LongLeaseTime;
+        CPPUNIT_ASSERT(runUntil(&LeaseHandoverTest::runOthers, [this, end] {
+            return m_clock.now() > end;
+        }));
+        m_cluster->store.put(ObjectKind::Coordination, std::string(ChangingName), "@a=2 e0 e1 e2");
+        m_cluster->store.put(ObjectKind::Weights, "m", "m 3");
+    }
+    ChangingEngines publishedList() const
+    {
+        const auto &objects = m_cluster->store.objects(ObjectKind::Coordination);
+        const auto it = objects.find(std::string(ChangingName));
+        return ChangingEngines::decode(it == objects.end() ? std::string_view() : it->second.text);
+    }
     base::TimePoint lastOrderAt() const
     {
         base::TimePoint last;
@@ -306,6 +331,93 @@
         }));
         assertNoViolation();
     }
+
+    // Weights that are named during a rolling stop must not wait for the takeover delay of each holder.
+    void testEnginesThatOnlyDrainedAreOrderedByTheNextHolderAtOnce()
+    {
+        m_cluster->engines.runningRequests = 1;
+        ControlSettings first = longLeaseSettings("a");
+        first.rollout.maxDrainTime = Limit;
+        m_cluster->addRouter(first);
+        CPPUNIT_ASSERT(runUntil(&LeaseHandoverTest::runOthers, [this] {
+            return leaseText().starts_with("a ");
+        }));
+        addRouterWithLongLease("b");
+        m_cluster->store.put(ObjectKind::Weights, "m", "m 2");
+        const base::TimePoint drainsAt = m_clock.now() + base::milliseconds{200};
+        CPPUNIT_ASSERT(runUntil(&LeaseHandoverTest::runOthers, [this, drainsAt] {
+            return m_clock.now() > drainsAt;
+        }));
+        CPPUNIT_ASSERT(m_cluster->engines.orders.empty());
+        const std::set<base::UpstreamId> draining = publishedList().engines;
+        CPPUNIT_ASSERT(!draining.empty());
+        m_cluster->routers[0]->plane.beginStop();
+        CPPUNIT_ASSERT(runUntil(&LeaseHandoverTest::runOthers, [this] {
+            return leaseText().starts_with("b ");
+        }));
+        const base::TimePoint takenOverAt = m_clock.now();
+        CPPUNIT_ASSERT(runUntil(&LeaseHandoverTest::runOthers, [this, &draining] {
+            return std::all_of(draining.begin(), draining.end(), [this](const base::UpstreamId &engine) {
+                return m_cluster->engines.orders.contains(engine);
+            });
+        }));
+        CPPUNIT_ASSERT(m_clock.now() - takenOverAt < LongLeaseTime);
+        assertNoViolation();
+    }
+
+    // A new process of a build before be3af4f takes nothing over, and writes no list if the engines are named already.
+    void testOwnListDoesNotTellOfOrdersThatAnotherRouterDidNotList()
+    {
+        startWithLongLeases();
+        stopAllForALeaseTime();
+        const std::uint64_t fence = m_cluster->store.objects(ObjectKind::Leases).begin()->second.revision;
+        for (auto &[engine, orders] : m_cluster->engines.orders) {
+            orders.push_back({"former", fence + 1, 2, m_clock.now()});
+        }
+        m_cluster->store.put(ObjectKind::Leases, std::string(LeaseName), fleet::encodeReleasedLease());
+        addRouterWithLongLease("a");
+        CPPUNIT_ASSERT(runUntil(&LeaseHandoverTest::runOthers, [this] {
+            return m_cluster->isChanged(3);
+        }));
+        assertNoViolation();
+    }
+
+    // The list is replaced after the new process has read it, and the watch does not tell.
+    void testNoOrderByAListThatALateWriteReplaced()
+    {
+        startWithLongLeases();
+        stopAllForALeaseTime();
+        m_cluster->store.put(ObjectKind::Leases, std::string(LeaseName), fleet::encodeReleasedLease());
+        addRouterWithLongLease("a");
+        CPPUNIT_ASSERT(runUntil(&LeaseHandoverTest::runOthers, [this] {
+            return leaseText().starts_with("a ");
+        }));
+        const base::TimePoint readAt = m_clock.now() + base::milliseconds{100};
+        CPPUNIT_ASSERT(runUntil(&LeaseHandoverTest::runOthers, [this, readAt] {
+            return m_clock.now() > readAt;
+        }));
+        m_cluster->store.areWatchesSilent = true;
+        m_cluster->store.put(ObjectKind::Coordination, std::string(ChangingName), "@a=2");
+        CPPUNIT_ASSERT(runUntil(&LeaseHandoverTest::runOthers, [this] {
+            for (const auto &[engine, orders] : m_cluster->engines.orders) {
+                const ChangingEngines list = publishedList();
+                const bool isNamed = list.engines.contains(engine) || list.changed.contains(engine);
+                CPPUNIT_ASSERT_MESSAGE(engine.value(), orders.back().version != 3 || isNamed);
+            }
+            return m_cluster->isChanged(3);
+        }));
+    }
+
+    void testListOfAnOlderBuildIsReplacedAfterItsTime()
+    {
+        m_cluster->store.put(ObjectKind::Coordination, std::string(ChangingName), "e0");
+        addRouterWithLongLease("b");
+        const base::TimePoint end = m_clock.now() + 2 * LongLeaseTime;
+        CPPUNIT_ASSERT(runUntil(&LeaseHandoverTest::runOthers, [this, end] {
+            return m_clock.now() > end;
+        }));
+        CPPUNIT_ASSERT(!publishedList().isIncomplete);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LeaseHandoverTest);
--- a/carawaylatch/gateway/testing/rollouttest.cpp
+++ b/carawaylatch/gateway/testing/rollouttest.cpp
@@ -32,6 +32,7 @@
     CPPUNIT_TEST(testInheritedEnginesAreNamedToTheNextHolder);
     CPPUNIT_TEST(testNewProcessWaitsForOrdersOfTheFormer);
     CPPUNIT_TEST(testAllEnginesWaitAfterAHolderOfAnOlderBuild);
+    CPPUNIT_TEST(testIncompleteListCountsFromWhenItWasSeen);
     CPPUNIT_TEST(testLeavingEngineIsDropped);
     CPPUNIT_TEST_SUITE_END();
 
@@ -177,7 +178,7 @@
         inherited.engines = {engine(0)};
         inherited.changed = {{engine(1), base::WeightsVersion{1}}};
         inherited.writer = Other;
-        m_rollout->takeOver(m_now, inherited);
+        m_rollout->takeOver(m_now, inherited, PreviousHolder::OtherRouter, m_now);
         announceVersion(2);
         std::set<base::UpstreamId> orderedDuringDelay;
         while (m_now - Start < RolloutSettings{}.takeoverDelay - Step) {
@@ -199,12 +200,12 @@
         inherited.engines = {engine(0)};
         inherited.changed = {{engine(1), base::WeightsVersion{1}}};
         inherited.writer = Other;
-        m_rollout->takeOver(m_now, inherited);
+        m_rollout->takeOver(m_now, inherited, PreviousHolder::OtherRouter, m_now);
         const ChangingEngines published = ChangingEngines::decode(m_rollout->changing(m_now).encode());
         CPPUNIT_ASSERT(published.engines.empty()); // they take requests
         CPPUNIT_ASSERT(published.changed.contains(engine(0)) && published.changed.contains(engine(1)));
         m_rollout->reset();
-        m_rollout->takeOver(m_now, published);
+        m_rollout->takeOver(m_now, published, PreviousHolder::SameRouter, m_now);
         announceVersion(2);
         while (m_now - Start < RolloutSettings{}.takeoverDelay - Step) {
             step();
@@ -220,7 +221,7 @@
         ChangingEngines inherited;
         inherited.engines = {engine(0)};
         inherited.writer = Self;
-        m_rollout->takeOver(m_now, inherited);
+        m_rollout->takeOver(m_now, inherited, PreviousHolder::SameRouter, m_now);
         announceVersion(2);
         while (m_now - Start < RolloutSettings{}.orderFlightTime - Step) {
             step();
@@ -232,18 +233,41 @@
     // Its list may lack engines that the holder before it had ordered. The next holder learns that as well.
     void testAllEnginesWaitAfterAHolderOfAnOlderBuild()
     {
-        m_rollout->takeOver(m_now, ChangingEngines::decode("e0"));
+        const base::Duration delay = RolloutSettings{}.takeoverDelay;
+        m_rollout->takeOver(m_now, ChangingEngines::decode("e0"), PreviousHolder::OtherRouter, m_now);
         announceVersion(2);
-        const ChangingEngines published = ChangingEngines::decode(m_rollout->changing(m_now).encode());
-        CPPUNIT_ASSERT(published.isIncomplete);
-        m_rollout = std::make_unique<Rollout>(Other, RolloutSettings{});
-        m_rollout->takeOver(m_now, published);
-        while (m_now - Start < RolloutSettings{}.takeoverDelay - Step) {
+        // Hand-overs don't begin the time anew.
+        for (int i = 1; i <= 3; ++i) {
+            while (m_now - Start < delay * i / 4) {
+                step();
+                CPPUNIT_ASSERT(m_loads.empty());
+            }
+            const ChangingEngines published = ChangingEngines::decode(m_rollout->changing(m_now).encode());
+            CPPUNIT_ASSERT(published.isIncomplete);
+            m_rollout = std::make_unique<Rollout>(i % 2 == 0 ? Self : Other, RolloutSettings{});
+            m_rollout->takeOver(m_now, published, PreviousHolder::OtherRouter, m_now);
+        }
+        while (m_now - Start < delay - Step) {
             step();
             CPPUNIT_ASSERT(m_loads.empty());
         }
-        CPPUNIT_ASSERT(runUntilUpToDate(2) < base::seconds{8});
+        while (m_now - Start < delay + base::seconds{1}) {
+            step();
+        }
+        CPPUNIT_ASSERT(m_orders > 0);
         CPPUNIT_ASSERT(!m_rollout->changing(m_now).isIncomplete);
+        CPPUNIT_ASSERT(runUntilUpToDate(2) < base::seconds{8});
+    }
+
+    // What a list may lack was ordered before it was written.
+    void testIncompleteListCountsFromWhenItWasSeen()
+    {
+        m_rollout->takeOver(m_now, ChangingEngines::decode("@other=2 *=60000"), PreviousHolder::OtherRouter, m_now - RolloutSettings{}.takeoverDelay);
+        announceVersion(2);
+        for (int i = 0; i < 40; ++i) {
+            step();
+        }
+        CPPUNIT_ASSERT(m_orders > 0);
     }
 
     void testLeavingEngineIsDropped()
--- a/carawaylatch/gateway/testing/testcluster.h
+++ b/carawaylatch/gateway/testing/testcluster.h
@@ -62,6 +62,7 @@
         const auto it = m_loads.find(engine);
         const bool isLoaded = it != m_loads.end() && m_clock.now() >= it->second.first;
         status.weights = isLoaded ? it->second.second : base::WeightsVersion{1};
+        status.running = runningRequests;
         co_return status;
     }
     Awaitable<base::Result<void>> probeCacheStore(base::Endpoint /*endpoint*/) override
@@ -73,6 +74,7 @@
     }
     std::map<base::UpstreamId, std::vector<RecordedOrder>> orders;
     base::Duration connectTime{}; // until an order can be sent
+    std::uint32_t runningRequests = 0; // of each engine
     int pendingOrders = 0; // whose connection is being opened
 
 private:
