--- a/carawaylatch/gateway/testing/buildcontracttest.cpp
+++ b/carawaylatch/gateway/testing/buildcontracttest.cpp
@@ -110,7 +110,7 @@
             {"af84c7d", "m-1 m-2 m-3=7"},
             {"5c96e71", "m-1 m-2 m-3=7"},
             {"372c752", "m-1 m-2 m-3=7 m-4=0"},
-            {"3894884", "@10.0.0.1=2 *=900 m-1 m-2 m-3=7 m-4=0"},
+            {"fc2a9c4", "@10.0.0.1=2 *=900 m-1 m-2 m-3=7 m-4=0"},
         };
         for (const Recorded &it : recorded) {
             const ChangingEngines decoded = ChangingEngines::decode(it.text);
