--- a/carawaylatch/gateway/fleetstate.cpp
+++ b/carawaylatch/gateway/fleetstate.cpp
@@ -18,6 +18,7 @@
 // completed a change, and some of these write them again with the version zero.
 constexpr char WriterMark = '@';
 constexpr std::string_view IncompleteMark = "*";
+constexpr std::uint64_t MaxIncompleteMs = 3'600'000; // longer than any takeover delay
 constexpr std::uint64_t ListForm = 2; // a reader takes a list of another form for one without a writer
 
 constexpr std::size_t MaxLoggedBytes = 200; // of a name or a problem, which may quote the text of any writer
@@ -90,7 +91,7 @@
         out.incompleteFor = base::Duration::max();
     } else if (incompleteMilliseconds) {
         out.isIncomplete = true;
-        out.incompleteFor = base::fromMilliseconds(static_cast<double>(incompleteMilliseconds->value));
+        out.incompleteFor = base::milliseconds{std::min(incompleteMilliseconds->value, MaxIncompleteMs)};
     }
     return out;
 }
--- a/carawaylatch/gateway/testing/fleetstatetest.cpp
+++ b/carawaylatch/gateway/testing/fleetstatetest.cpp
@@ -247,6 +247,7 @@
         }
         CPPUNIT_ASSERT(ChangingEngines::decode("a b=7").engines.contains(base::UpstreamId("a")));
         CPPUNIT_ASSERT(!ChangingEngines::decode("@10.1.0.4=2").isIncomplete);
+        CPPUNIT_ASSERT(ChangingEngines::decode("@10.1.0.4=2 *=18446744073709551615").incompleteFor == base::hours{1});
     }
 
     void testOrdersFollowOnlyAListOfTheirSender()
