A request for an engine always has a cache salt

What callers saw: nothing; what an isolated customer's request had made was used by others, if these requests name no model and have a list of prompt parts that the router can't read.

Cause: the salt was left out of requests without a model and without readable parts. Engines keep and find parts under the absent salt for everybody, and an engine may read what the router's decoder rejects as a whole for one malformed item.

Ruled out: requests with a model, which have a salt whatever their parts are.

Change: a request whose pool consists of engines has a salt, the customer's scope in it. Requests of other services have none, as before.

Seen: testPromptPartsThatCanNotBeRead fails without the change ("u" uses a part made by "t", t isolated) and passes with it; CacheIsolationTest 7 of 7.

--- a/carawaylatch/proxy/exchange.h
+++ b/carawaylatch/proxy/exchange.h
@@ -167,6 +167,8 @@
     [[nodiscard]] base::Duration timeLeft(base::TimePoint now) const;
     // Whose KV cache the request may use by the configuration in force now, which may be newer than m_view.
     [[nodiscard]] std::uint64_t cacheScope() const;
+    // True if the request's pool consists of engines. They may find prompt parts where this router does not.
+    [[nodiscard]] bool isForEngine() const;
     // Key of the shared prefix within the cache scope; zero if there is none.
     [[nodiscard]] std::uint64_t prefixKey() const;
 
--- a/carawaylatch/proxy/exchangeattempt.cpp
+++ b/carawaylatch/proxy/exchangeattempt.cpp
@@ -112,6 +112,12 @@
         });
 }
 
+bool Exchange::isForEngine() const
+{
+    const Pool *pool = m_view->table->pool(m_pool);
+    return pool != nullptr && pool->engine.has_value();
+}
+
 AttemptPlan Exchange::planAttempt() const
 {
     AttemptPlan plan;
@@ -122,7 +128,7 @@
     }
     plan.urgency = m_urgency;
     plan.lastEventId = m_scanner.lastEventId();
-    if (m_request.model.isEmpty() && m_request.parts.empty()) {
+    if (m_request.model.isEmpty() && m_request.parts.empty() && !isForEngine()) {
         return plan;
     }
     plan.weights = m_attempt->record->weights;
