Cached state is shared only by a configuration that was confirmed of late

What callers saw: nothing; a request that a router sent a second time used what a customer had made that was isolated by then.

Cause: the age of the configuration is checked when a request is admitted, and not again. A router that is cut off from the store admits no requests with keys after max_age_ms, but those that it has admitted go on for up to their timeout, and their further attempts chose the cache scope by the configuration that it still had, of whatever age.

Ruled out: a newer configuration at the router, which each attempt has used since.

Change: while the configuration is older than max_age_ms an attempt has its customer's own scope. It finds no shared parts then; new requests are refused at that time, so this concerns further attempts only.

Seen: testAttemptUnderAConfigurationThatIsNotConfirmed fails without the change and passes with it; CacheIsolationTest 7 of 7.

--- a/carawaylatch/proxy/customers.cpp
+++ b/carawaylatch/proxy/customers.cpp
@@ -42,12 +42,14 @@
 
 std::uint64_t Customers::cacheScope(const Customer *admitted, const std::string &key) const
 {
-    if (admitted == nullptr) {
-        return PublicScope;
-    }
     const Customer *current = find(key);
-    const bool isSharing = !admitted->isIsolated && current != nullptr && current->id == admitted->id && !current->isIsolated;
-    return isSharing ? base::combineHashes(SharedKind, m_sharingNames) : base::combineHashes(OwnKind, base::hash64(admitted->id.value()));
+    const bool isSharing = admitted != nullptr && !admitted->isIsolated && current != nullptr && current->id == admitted->id && !current->isIsolated;
+    return isSharing ? base::combineHashes(SharedKind, m_sharingNames) : ownCacheScope(admitted);
+}
+
+std::uint64_t Customers::ownCacheScope(const Customer *customer)
+{
+    return customer == nullptr ? PublicScope : base::combineHashes(OwnKind, base::hash64(customer->id.value()));
 }
 
 } // namespace carawaylatch::proxy
--- a/carawaylatch/proxy/customers.h
+++ b/carawaylatch/proxy/customers.h
@@ -46,6 +46,8 @@
     // as one of `admitted` (nullptr: of no customer). It is shared only if the customer was not isolated then and
     // isn't now.
     [[nodiscard]] std::uint64_t cacheScope(const Customer *admitted, const std::string &key) const;
+    // Returns the scope that the customer shares with nobody (nullptr: the public scope).
+    [[nodiscard]] static std::uint64_t ownCacheScope(const Customer *customer);
 
 private:
     std::vector<Customer> m_customers;
--- a/carawaylatch/proxy/exchange.cpp
+++ b/carawaylatch/proxy/exchange.cpp
@@ -171,8 +171,7 @@
     if (m_route->isPublic || !m_view->table->needsKeys) {
         return true;
     }
-    const base::Duration maxAge = m_plane.settings().maxTableAge;
-    if (maxAge > base::Duration{} && m_plane.tableAge() > maxAge) {
+    if (!m_plane.isTableConfirmed()) {
         refuse("table_not_confirmed", RetrySchedule::MinDelay);
         return false;
     }
@@ -206,7 +205,7 @@
 {
     const auto view = m_plane.view();
     const RouteTable &inForce = view->table ? *view->table : *m_view->table;
-    return inForce.customers.cacheScope(m_customer, m_request.key);
+    return m_plane.isTableConfirmed() ? inForce.customers.cacheScope(m_customer, m_request.key) : Customers::ownCacheScope(m_customer);
 }
 
 std::uint64_t Exchange::prefixKey() const
--- a/carawaylatch/proxy/trafficplane.cpp
+++ b/carawaylatch/proxy/trafficplane.cpp
@@ -445,6 +445,11 @@
     return m_tableAge();
 }
 
+bool TrafficPlane::isTableConfirmed() const
+{
+    return m_settings.maxTableAge == base::Duration{} || tableAge() <= m_settings.maxTableAge;
+}
+
 relay::RetryBudget &TrafficPlane::budget(const base::PoolName &pool)
 {
     return m_budgets.try_emplace(pool).first->second;
--- a/carawaylatch/proxy/trafficplane.h
+++ b/carawaylatch/proxy/trafficplane.h
@@ -170,6 +170,8 @@
     [[nodiscard]] ParserLimits parserLimits() const;
     [[nodiscard]] CallerLimits callerLimits() const;
     [[nodiscard]] base::Duration tableAge() const;
+    // False if the configuration is too old to tell who may use a route or a customer's cached state.
+    [[nodiscard]] bool isTableConfirmed() const;
     [[nodiscard]] relay::RetryBudget &budget(const base::PoolName &pool);
     [[nodiscard]] WaitQueue &queue(const base::PoolName &pool);
     // An upstream has said that it leaves, or asked for a pause.
