A caller that reads nothing gets no more of its pipelined requests processed

What callers saw: nothing at once; a caller that sends requests one after the other and reads no response makes the router keep them all, until it runs out of memory and the requests of other callers end with it.

Cause: the reply to a request went into the connection's output, and the next pipelined request was begun whatever was in it. Only the relay of a stream paused, and only for the stream's own bytes.

Ruled out: the input, of which 64 KiB are kept; the time without progress, which ends such a connection after 6 s only and by then 189 replies of 200,000 bytes were queued in a run of the test.

Change: no further request is begun while more than 64 KiB of former replies wait to be written; once they are written the input goes on. A failure of a posted step ends its connection only, as that of a direct one.

Seen: testPipelinedRequestsOfACallerThatDoesNotRead fails without the bound (150 of 150 requests of 200,000 bytes each sent to the server) and passes with it; the requests that waited are all answered once the caller reads.

--- a/carawaylatch/proxy/callerconnection.cpp
+++ b/carawaylatch/proxy/callerconnection.cpp
@@ -107,7 +107,8 @@
 
 void CallerConnection::consumeInput()
 {
-    if (!m_exchange && !m_isReplying && !m_input.empty() && !m_isClosed && !m_isLingering && !m_hasAnnouncedClose) {
+    const bool hasRoom = queuedBytes() <= MaxQueuedBytes;
+    if (!m_exchange && !m_isReplying && !m_input.empty() && !m_isClosed && !m_isLingering && !m_hasAnnouncedClose && hasRoom) {
         consumeRequest();
     }
 }
@@ -280,16 +281,29 @@
         return;
     }
     armTimer();
-    if (!m_input.empty() && !m_hasAnnouncedClose) {
-        // Posted, because a direct call would deepen the stack with each pipelined request.
-        boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] {
-            self->consumeInput();
-            self->read();
-        });
-    }
+    continueInput();
     read();
 }
 
+void CallerConnection::continueInput()
+{
+    if (m_input.empty() || m_hasAnnouncedClose) {
+        return;
+    }
+    // Posted, because a direct call would deepen the stack with each pipelined request.
+    boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+        self->m_plane.contain(
+            "caller",
+            [&self] {
+                self->consumeInput();
+                self->read();
+            },
+            [&self] {
+                self->cancel();
+            });
+    });
+}
+
 void CallerConnection::write(std::string_view bytes)
 {
     m_queued.append(bytes);
@@ -341,6 +355,8 @@
         m_exchange->onCallerDrained();
     } else if (m_hasAnnouncedClose && !m_isReplying) {
         closeGracefully();
+    } else {
+        continueInput(); // which may have waited for the caller to read
     }
 }
 
--- a/carawaylatch/proxy/callerconnection.h
+++ b/carawaylatch/proxy/callerconnection.h
@@ -2,8 +2,9 @@
 //
 // The connection keeps reading while a request is in progress, so that a disconnect
 // is detected at once; pipelined bytes are buffered up to MaxPipelinedBytes.
-// Requests of one connection are processed one at a time. All calls on the traffic
-// thread.
+// Requests of one connection are processed one at a time, and none is begun while the
+// caller has more than MaxQueuedBytes of former responses to read. All calls on the
+// traffic thread.
 //
 // A connection ends in two steps: it sends its end, and then reads until the caller's.
 // A close with unread input would reset the connection, and the caller would lose what
@@ -79,6 +80,8 @@
     void rejectRequest(const Reply &rejection);
     void startExchange();
     void finishRequest();
+    // Processes the next pipelined request, if any.
+    void continueInput();
     void write(std::string_view bytes);
     void flush();
     void writeSome();
@@ -97,6 +100,8 @@
 
     // Pipelined input that is buffered before reading stops.
     static constexpr std::size_t MaxPipelinedBytes = 65'536;
+    // Responses that wait to be written, above which no further request is begun.
+    static constexpr std::size_t MaxQueuedBytes = 65'536;
     // Input of one request that the parser can't consume yet; the longest head is shorter.
     static constexpr std::size_t MaxUnparsedBytes = 65'536;
 
