A peer that does not read sends no requests without end

What operators would see: a router whose memory grows while another router, or whatever is connected to its port for peers, sends HTTP/2 requests and reads no response.

Cause: an inbound connection read on while its output waited to be written. nghttp2 keeps the response to each request, and a reset for each one above the limit of streams, without a bound; the latter are ten times as long as what causes them.

Ruled out: bodies, which are bounded over all streams; PING and SETTINGS, whose answers nghttp2 bounds itself; connections to peers, which end after a second without a response.

Change: an inbound connection reads on once its output is written, and ends when a write fails.

--- a/carawaylatch/proxy/peerexchange.cpp
+++ b/carawaylatch/proxy/peerexchange.cpp
@@ -92,7 +92,6 @@
                 self->m_exchange->onInbound(request.body);
             }
             self->write();
-            self->read();
         });
     }
 
@@ -106,20 +105,20 @@
     }
 
 private:
+    // Writes all output before it reads on, so that a peer that does not read makes no more of it.
     void write()
     {
-        if (!m_output.empty()) {
-            return; // the handler of the pending write calls write() again
-        }
         m_output = m_session.takeOutput();
         if (m_output.empty()) {
+            read();
             return;
         }
         boost::asio::async_write(m_socket, boost::asio::buffer(m_output), [self = shared_from_this()](const boost::system::error_code &ec, std::size_t) {
-            self->m_output.clear();
-            if (!ec && self->m_exchange != nullptr) {
-                self->write();
+            if (ec || self->m_exchange == nullptr) {
+                self->close();
+                return;
             }
+            self->write();
         });
     }
 
--- a/carawaylatch/proxy/testing/peerexchangetest.cpp
+++ b/carawaylatch/proxy/testing/peerexchangetest.cpp
@@ -14,6 +14,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "carawaylatch/proxy/peerexchange.h"
+#include "testing/endlesshttp2caller.h"
 
 namespace carawaylatch::proxy::testing
 {
@@ -27,6 +28,7 @@
     CPPUNIT_TEST(testRestartedPeerGetsFullReport);
     CPPUNIT_TEST(testUnresponsivePeerDoesNotBlockOthers);
     CPPUNIT_TEST(testMalformedInput);
+    CPPUNIT_TEST(testEndlessRequestsOfAPeerThatDoesNotRead);
     CPPUNIT_TEST(testUnreachablePeer);
     CPPUNIT_TEST(testDisabledWithoutAddress);
     CPPUNIT_TEST_SUITE_END();
@@ -275,6 +277,21 @@
                                                                                      std::chrono::milliseconds{5000}));
     }
 
+    // The responses to them would be kept without a bound.
+    void testEndlessRequestsOfAPeerThatDoesNotRead()
+    {
+        addExchange(m_routers[0]);
+        const auto caller = std::make_shared<carawaylatch::testing::EndlessHttp2Caller>(m_loop);
+        caller->start(m_routers[0].port);
+        CPPUNIT_ASSERT_MESSAGE("still taken: " + std::to_string(caller->sentBytes()), caller->runUntilStopped());
+        addExchange(m_routers[1]);
+        connectAll();
+        m_sources[1]->full.loads = {{7, 1, 1, 1}};
+        CPPUNIT_ASSERT(tickUntil([this] {
+            return hasReceived(0, 7);
+        }));
+    }
+
     // Nothing listens on the second address, and the third accepts connections but never
     // responds, like a suspended process. The clock advances in steps of ten seconds.
     void testUnreachablePeer()
