A router that does not read sends no polls without end

Change: a connection reads on once its output is written, ends when a write fails, and has at most four polls whose answers are not ready; a router sends one after the other. Another one is rejected, as one that can't be decoded.

Seen: testEndlessPollsOfACallerThatDoesNotRead fails without the change (139 MB taken in five seconds, and going on) and passes with it; test-gateway 158 passed. The limit of four polls has no test.

--- a/carawaylatch/gateway/http2relay.cpp
+++ b/carawaylatch/gateway/http2relay.cpp
@@ -25,6 +25,7 @@
 constexpr base::seconds SilenceDetection{2}; // a poll is sent again, and changes must not come late
 constexpr base::Duration AcceptPause = base::milliseconds{20};
 constexpr std::size_t MaxPollBytes = 4096;
+constexpr std::size_t MaxPolls = 4; // in progress on one connection; a router sends one after the other
 constexpr std::size_t MaxInbound = 2048; // connections of other routers, four for each
 constexpr int StatusOk = 200;
 constexpr int StatusRejected = 400;
@@ -131,9 +132,15 @@
         proxy::setSocketOptions(m_socket, proxy::silenceLimits(SilenceDetection));
     }
 
+    // Reads on once all output is written, so that a router that does not read makes no more of it.
     void read()
     {
+        if (m_isReading || !m_output.empty()) {
+            return;
+        }
+        m_isReading = true;
         m_socket.async_read_some(boost::asio::buffer(m_chunk), [self = shared_from_this()](const boost::system::error_code &ec, std::size_t n) {
+            self->m_isReading = false;
             if (ec || self->m_relay == nullptr || !self->m_session.receive({self->m_chunk.data(), n})) {
                 self->close();
                 return;
@@ -159,12 +166,14 @@
     void onRequest(std::int32_t stream, const std::string &body)
     {
         const auto poll = decodeRelayPoll(body);
-        if (!poll) {
+        if (!poll || m_polls == MaxPolls) {
             m_session.respond(stream, StatusRejected);
             return;
         }
+        ++m_polls;
         boost::asio::co_spawn(m_socket.get_executor(), m_relay->m_source->answer(poll.value()),
                               [self = shared_from_this(), stream](const std::exception_ptr & /*error*/, const std::unique_ptr<RelayAnswer> &answer) {
+                                  --self->m_polls;
                                   if (self->m_relay != nullptr) {
                                       self->m_session.respond(stream, StatusOk, encodeRelayAnswer(answer ? *answer : RelayAnswer{}));
                                       self->write();
@@ -183,9 +192,12 @@
         }
         boost::asio::async_write(m_socket, boost::asio::buffer(m_output), [self = shared_from_this()](const boost::system::error_code &ec, std::size_t) {
             self->m_output.clear();
-            if (!ec && self->m_relay != nullptr) {
-                self->write();
+            if (ec || self->m_relay == nullptr) {
+                self->close();
+                return;
             }
+            self->write();
+            self->read();
         });
     }
 
@@ -194,6 +206,8 @@
     peer::Http2Session m_session;
     std::array<char, MaxPollBytes> m_chunk{};
     std::string m_output; // buffer of the pending write
+    std::size_t m_polls = 0; // whose answers are not ready
+    bool m_isReading = false;
 };
 
 Http2Relay::Http2Relay(boost::asio::io_context &loop, base::Endpoint self)
--- a/carawaylatch/gateway/testing/watchrelaytest.cpp
+++ b/carawaylatch/gateway/testing/watchrelaytest.cpp
@@ -19,6 +19,7 @@
 #include "carawaylatch/gateway/storeversion.h"
 #include "carawaylatch/gateway/testing/testcluster.h"
 #include "carawaylatch/gateway/watchlog.h"
+#include "testing/endlesshttp2caller.h"
 #include "testing/seed.h"
 
 namespace carawaylatch::gateway::testing
@@ -249,6 +250,7 @@
     CPPUNIT_TEST_SUITE(WatchRelayTest);
     CPPUNIT_TEST(testMessages);
     CPPUNIT_TEST(testPollOverHttp2);
+    CPPUNIT_TEST(testEndlessPollsOfACallerThatDoesNotRead);
     CPPUNIT_TEST(testFewRoutersCallTheStore);
     CPPUNIT_TEST(testEveryFaultOfAReaderAtEveryStep);
     CPPUNIT_TEST(testSilentReaderDoesNotAgeTheConfiguration);
@@ -412,6 +414,17 @@
         CPPUNIT_ASSERT(!answers[3].has_value());
     }
 
+    // The answers to them would be kept without a bound.
+    void testEndlessPollsOfACallerThatDoesNotRead()
+    {
+        Http2Relay reader(*m_loop, {"127.0.0.1", 0});
+        FixedSource source;
+        CPPUNIT_ASSERT(reader.listen(source).has_value());
+        const auto caller = std::make_shared<carawaylatch::testing::EndlessHttp2Caller>(*m_loop);
+        caller->start(reader.endpoint().port);
+        CPPUNIT_ASSERT_MESSAGE("still taken: " + std::to_string(caller->sentBytes()), caller->runUntilStopped());
+    }
+
     void testFewRoutersCallTheStore()
     {
         startCluster();
