Responses of all callers together have a bound in memory

What operators would see: a router that is killed for its memory, and the requests of all its callers with it, while many callers that do not read are sent long streams.

Cause: each response may keep 256 KiB, and nothing counted them together. The engines of the users' smaller deployment have 576 slots, so that one router of 165 MB may hold 151 MB for callers that have stopped reading.

Ruled out: request bodies, which are counted (an eighth of memory_mb); a single response, which is bounded; bodies of errors without end, which do not accumulate: each ends once its 256 KiB have come.

Change: the bytes of responses are counted (buffered_response_bytes). While they are more than a quarter of memory_mb, a response keeps 16 KiB: a stream is not read on above it, and a longer buffered response is passed on, or is given up if it is an error. Callers that read are served as before.

--- a/carawaylatch/gateway/gatewaysettings.cpp
+++ b/carawaylatch/gateway/gatewaysettings.cpp
@@ -28,8 +28,8 @@
     Key{"gateway", "peers", "endpoint", "where other routers send reports of their load; without it none are exchanged", false, nullptr, &S::peers},
     Key{"gateway", "relay", "endpoint", "where routers of the failure domain learn of changes of the store; without it each router watches the store itself",
         false, nullptr, &S::relay},
-    Key{"gateway", "memory_mb", "number", "megabytes that the process may use; an eighth of it holds request bodies", false, nullptr, nullptr,
-        &S::memoryMegabytes},
+    Key{"gateway", "memory_mb", "number", "megabytes that the process may use; an eighth of it holds request bodies, a quarter responses", false, nullptr,
+        nullptr, &S::memoryMegabytes},
     Key{"gateway", "grace_seconds", "number", "seconds from the stop signal to the end of the process", false, nullptr, nullptr, &S::graceSeconds},
     Key{"store", "address", "endpoint", "the object store", true, nullptr, &S::store},
     Key{"store", "timeout_ms", "number", "milliseconds for one call, without a watch's wait", false, nullptr, nullptr, &S::storeTimeoutMs},
@@ -177,6 +177,7 @@
     // doesn't flap.
     constexpr double ReadyAgeShare = 0.62;
     constexpr double MaxBodiesShare = 0.125; // request bodies' share of the process's memory
+    constexpr double MaxResponsesShare = 0.25; // responses' share
     constexpr double OldWeightsShare = 0.8; // the last requests on older weights are sent within this share of the time
     constexpr double OldWeightsStartShare = 0.925; // and start within this; the rest covers network delay and late notification
     proxy::TrafficSettings out;
@@ -191,6 +192,7 @@
     out.maxTableAge = base::fromMilliseconds(maxAgeMs * UsedAgeShare);
     out.readyTableAge = base::fromMilliseconds(maxAgeMs * ReadyAgeShare);
     out.maxBufferedBodyBytes = static_cast<std::uint64_t>(memoryMegabytes * 1e6 * MaxBodiesShare);
+    out.maxBufferedResponseBytes = static_cast<std::uint64_t>(memoryMegabytes * 1e6 * MaxResponsesShare);
     out.placement.oldWeightsLimit = base::fromMilliseconds(changeWithinMs * OldWeightsShare);
     out.placement.oldWeightsStart = base::fromMilliseconds(changeWithinMs * OldWeightsStartShare);
     return out;
--- a/carawaylatch/proxy/callerconnection.cpp
+++ b/carawaylatch/proxy/callerconnection.cpp
@@ -35,6 +35,7 @@
 CallerConnection::CallerConnection(TrafficPlane &plane, Tcp::socket socket)
     : m_plane(plane)
     , m_socket(std::move(socket))
+    , m_buffered(plane.responseBytes())
     , m_acceptedAt(plane.now())
 {
     setSocketOptions(m_socket, silenceLimits(SilenceDetection));
@@ -312,6 +313,7 @@
 
 void CallerConnection::flush()
 {
+    m_buffered.set(queuedBytes());
     if (m_isWriting || m_isClosed || m_queued.empty()) {
         return;
     }
@@ -331,6 +333,7 @@
             return;
         }
         self->m_written += n;
+        self->m_buffered.set(self->queuedBytes());
         self->onWritten();
     });
 }
@@ -529,6 +532,7 @@
     }
     m_isClosed = true;
     m_timer.cancel();
+    m_buffered.set(0);
     setBufferedBody(0);
     boost::system::error_code ignored;
     m_socket.close(ignored);
--- a/carawaylatch/proxy/callerconnection.h
+++ b/carawaylatch/proxy/callerconnection.h
@@ -19,6 +19,7 @@
 #include <string_view>
 
 #include "carawaylatch/base/timerservice.h"
+#include "carawaylatch/proxy/bufferedbytes.h"
 #include "carawaylatch/proxy/httpmessage.h"
 #include "carawaylatch/proxy/httpparser.h"
 #include "carawaylatch/proxy/socket.h"
@@ -114,6 +115,7 @@
     std::string m_writing; // buffer of the pending write
     std::size_t m_written = 0; // bytes of m_writing that were sent
     std::string m_queued; // to be written after m_writing
+    BufferedBytes m_buffered; // queuedBytes()
     std::size_t m_bufferedBody = 0; // body bytes of m_parser, as counted by the plane
     std::size_t m_discarded = 0; // bytes read since the connection sent its end
     base::TimerService::Subscription m_timer;
--- a/carawaylatch/proxy/exchange.h
+++ b/carawaylatch/proxy/exchange.h
@@ -15,6 +15,7 @@
 #include "carawaylatch/base/timerservice.h"
 #include "carawaylatch/proxy/attemptrules.h"
 #include "carawaylatch/proxy/bodyprogress.h"
+#include "carawaylatch/proxy/bufferedbytes.h"
 #include "carawaylatch/proxy/callerconnection.h"
 #include "carawaylatch/proxy/crashattribution.h"
 #include "carawaylatch/proxy/eventscanner.h"
@@ -32,6 +33,11 @@
 // One attempt of an exchange, from the selection of an upstream to its end.
 struct Attempt
 {
+    explicit Attempt(std::shared_ptr<std::size_t> bufferedBytes)
+        : buffered(std::move(bufferedBytes))
+    {
+    }
+
     std::shared_ptr<UpstreamConnection> connection;
     UpstreamRecord *record = nullptr; // of the upstream, or of the other router if isForward
     bool isForward = false; // to another router
@@ -43,7 +49,9 @@
     HttpResponseHead head;
     UpstreamResponse response;
     BodyProgress progress;
-    std::string body; // of a response that is buffered until it is complete
+    // Of a response that is buffered until it is complete, so that a broken one can be retried or replaced by an error.
+    std::string body;
+    BufferedBytes buffered; // size of `body`
     bool isStreamed = false; // the body is forwarded as it arrives
     bool isReadingPaused = false; // until the caller has taken what is queued
     bool hasEvents = false; // complete events were forwarded; set only for resumable streams
@@ -172,12 +180,6 @@
     // Key of the shared prefix within the cache scope; zero if there is none.
     [[nodiscard]] std::uint64_t prefixKey() const;
 
-    // A non-streaming response is buffered up to this size, so that a broken one can be
-    // retried or replaced by an error; a longer one is forwarded as it arrives.
-    static constexpr std::size_t MaxBufferedResponseBytes = 262'144;
-    // Bytes queued for a slow caller above which reading from the upstream pauses.
-    static constexpr std::size_t MaxCallerQueueBytes = 262'144;
-
     TrafficPlane &m_plane;
     std::shared_ptr<CallerConnection> m_caller; // reset when the exchange ends
     HttpRequestHead m_head;
--- a/carawaylatch/proxy/exchangeattempt.cpp
+++ b/carawaylatch/proxy/exchangeattempt.cpp
@@ -32,7 +32,7 @@
 
 void Exchange::startAttempt(const PlacementResult &placement)
 {
-    Attempt &attempt = m_attempt.emplace();
+    Attempt &attempt = m_attempt.emplace(m_plane.responseBytes());
     attempt.record = placement.record;
     attempt.hasCachedPrefix = placement.hasCachedPrefix;
     attempt.startedAt = m_plane.now();
@@ -243,7 +243,8 @@
     }
     attempt.progress.onBytes(bytes.size(), m_plane.now());
     attempt.body.append(bytes);
-    if (attempt.body.size() <= MaxBufferedResponseBytes) {
+    attempt.buffered.set(attempt.body.size());
+    if (attempt.body.size() <= m_plane.responseBufferBytes()) {
         return;
     }
     const AttemptEnd end = classifyResponse();
@@ -252,6 +253,7 @@
     } else {
         m_isPassThrough = true;
         beginStream();
+        attempt.buffered.set(0);
         forwardStream(std::exchange(attempt.body, {}));
     }
 }
@@ -306,7 +308,7 @@
         }
         m_caller->sendBodyBytes(events);
     }
-    if (m_caller->queuedBytes() > MaxCallerQueueBytes) {
+    if (m_caller->queuedBytes() > m_plane.responseBufferBytes()) {
         pauseReading();
     }
 }
--- a/carawaylatch/proxy/exchangeforward.cpp
+++ b/carawaylatch/proxy/exchangeforward.cpp
@@ -116,7 +116,7 @@
 
 void Exchange::startForward(UpstreamRecord &router)
 {
-    Attempt &attempt = m_attempt.emplace();
+    Attempt &attempt = m_attempt.emplace(m_plane.responseBytes());
     attempt.record = &router;
     attempt.isForward = true;
     attempt.startedAt = m_plane.now();
--- a/carawaylatch/proxy/trafficmetrics.cpp
+++ b/carawaylatch/proxy/trafficmetrics.cpp
@@ -54,6 +54,7 @@
         {"upstream_rejections_total", m_counts.rejections},
         {"risked_rejections_total", m_counts.risks},
         {"inflight", m_inflight},
+        {"buffered_response_bytes", *m_responseBytes},
         {"peers", m_tracker.peers()},
         {"log_lines_dropped_total", m_log.dropped()},
         {"upstreams", m_view->upstreams.size()},
--- a/carawaylatch/proxy/trafficplane.cpp
+++ b/carawaylatch/proxy/trafficplane.cpp
@@ -538,6 +538,18 @@
     return m_bodyBytes > m_settings.maxBufferedBodyBytes;
 }
 
+const std::shared_ptr<std::size_t> &TrafficPlane::responseBytes() const
+{
+    return m_responseBytes;
+}
+
+std::size_t TrafficPlane::responseBufferBytes() const
+{
+    constexpr std::size_t UsualBytes = 262'144;
+    constexpr std::size_t LeastBytes = 16'384;
+    return *m_responseBytes > m_settings.maxBufferedResponseBytes ? LeastBytes : UsualBytes;
+}
+
 void TrafficPlane::onExchangeStarted(std::size_t bodyBytes)
 {
     m_bodyBytes += bodyBytes;
--- a/carawaylatch/proxy/trafficplane.h
+++ b/carawaylatch/proxy/trafficplane.h
@@ -58,6 +58,7 @@
     base::Duration readyTableAge = base::seconds{3}; // not ready if the table is older
     base::Duration connectTimeout = base::milliseconds{400}; // several round trips between failure domains
     std::uint64_t maxBufferedBodyBytes = 32'000'000; // request bodies in memory; requests are refused above it
+    std::uint64_t maxBufferedResponseBytes = 64'000'000; // responses in memory; above it little of each is buffered
     PlacementTuning placement;
 };
 
@@ -196,6 +197,10 @@
     void onBodyBuffered(std::size_t formerBytes, std::size_t bytes);
     // True if buffered request bodies exceed their memory limit.
     [[nodiscard]] bool isBodyBufferFull() const;
+    // The sum of all bytes of responses that wait for their end or for their caller to read.
+    [[nodiscard]] const std::shared_ptr<std::size_t> &responseBytes() const;
+    // Bytes of one response above which it is passed on, or no longer read from its upstream.
+    [[nodiscard]] std::size_t responseBufferBytes() const;
     void removeCaller(const std::shared_ptr<CallerConnection> &connection);
     // Runs a step of one connection. An exception from it is logged, and `onFailure` ends the
     // connection; the others are not affected.
@@ -294,6 +299,7 @@
     TrafficCounts m_counts;
     StopCounts m_stopCounts;
     std::size_t m_bodyBytes = 0; // of requests in progress or being read
+    const std::shared_ptr<std::size_t> m_responseBytes = std::make_shared<std::size_t>(0);
     std::size_t m_inflight = 0;
     bool m_isStopping = false;
     bool m_isLeaving = false;
