--- a/carawaylatch/proxy/testing/buildcontracttest.cpp
+++ b/carawaylatch/proxy/testing/buildcontracttest.cpp
@@ -7,7 +7,9 @@
 #include <string_view>
 #include <vector>
 
+#include "carawaylatch/proxy/customers.h"
 #include "carawaylatch/proxy/faultreport.h"
+#include "carawaylatch/proxy/kvtransfer.h"
 #include "carawaylatch/proxy/loadreport.h"
 #include "carawaylatch/proxy/reachreport.h"
 
@@ -69,6 +71,7 @@
     CPPUNIT_TEST(testFaultReportsWithBrittleUpstreams);
     CPPUNIT_TEST(testReachReports);
     CPPUNIT_TEST(testReportsAreToldApartByTheirFirstByte);
+    CPPUNIT_TEST(testCacheNamespaces);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -180,6 +183,25 @@
             CPPUNIT_ASSERT_EQUAL_MESSAGE(message, first == 5, decodeReachReport(reach).has_value());
         }
     }
+
+    // State that one build has made is found by another one under the same text only, so a text that builds have written for
+    // some customers is never written for others.
+    void testCacheNamespaces()
+    {
+        const base::ModelId model("m");
+        Customers customers;
+        customers.add({base::CustomerId("t"), std::nullopt, false}, std::vector<std::string>{"key-t"});
+        customers.add({base::CustomerId("u"), std::nullopt, false}, std::vector<std::string>{"key-u"});
+        customers.add({base::CustomerId("v"), std::nullopt, true}, std::vector<std::string>{"key-v"});
+        const auto textOf = [&](const std::string &key) {
+            return cacheNamespace(model, base::WeightsVersion{3}, customers.cacheScope(customers.find(key), key));
+        };
+        // From de6f193 on. Former builds wrote "m.3." for customers that share, and "m.3.v" for one that does not.
+        CPPUNIT_ASSERT_EQUAL(std::string("m.3.7fc0b2366f6db28f"), textOf("key-t"));
+        CPPUNIT_ASSERT_EQUAL(std::string("m.3.7fc0b2366f6db28f"), textOf("key-u"));
+        CPPUNIT_ASSERT_EQUAL(std::string("m.3.b474ae0c099049de"), textOf("key-v"));
+        CPPUNIT_ASSERT_EQUAL(std::string("m.3.0"), textOf(""));
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(ReportContractTest);
 
