Tests keep the ports of their routers

Cause: the fixture took a free port by binding to port zero, closed that socket, and let the router listen some milliseconds later. Meanwhile the port belongs to whoever asks next: another process, a connection of the test, or the fixture's next router.

Change: the socket stays bound until tearDown(), and does not listen. PeerExchangeTest, which took its ports in the same way, does the same.

No check is changed.

--- a/carawaylatch/proxy/testing/peerexchangetest.cpp
+++ b/carawaylatch/proxy/testing/peerexchangetest.cpp
@@ -92,11 +92,15 @@
     std::vector<std::unique_ptr<Source>> m_sources;
     std::vector<std::unique_ptr<PeerExchange>> m_exchanges;
     std::vector<base::Endpoint> m_routers;
+    std::vector<Tcp::acceptor> m_reserved; // bound, not listening
 
-    static base::Endpoint freeEndpoint(boost::asio::io_context &loop)
+    // Nobody else gets its port until tearDown().
+    base::Endpoint reserveEndpoint()
     {
-        Tcp::acceptor acceptor(loop, Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
-        return {"127.0.0.1", acceptor.local_endpoint().port()};
+        Tcp::acceptor &socket = m_reserved.emplace_back(m_loop, Tcp::v4());
+        socket.set_option(boost::asio::socket_base::reuse_address(true));
+        socket.bind({boost::asio::ip::make_address("127.0.0.1"), 0});
+        return {"127.0.0.1", socket.local_endpoint().port()};
     }
     void addExchange(const base::Endpoint &endpoint)
     {
@@ -146,7 +150,7 @@
         m_null = ::open("/dev/null", O_WRONLY | O_CLOEXEC);
         m_log = std::make_unique<telemetry::EventLog>(m_null, 10'000, m_clock);
         for (int i = 0; i < 3; ++i) {
-            m_routers.push_back(freeEndpoint(m_loop));
+            m_routers.push_back(reserveEndpoint());
         }
     }
     void tearDown() override
@@ -156,6 +160,7 @@
         m_loop.run_for(std::chrono::milliseconds{50});
         m_sources.clear();
         m_routers.clear();
+        m_reserved.clear();
         m_log.reset();
         ::close(m_null);
     }
