--- a/carawaylatch/proxy/trafficplane.h
+++ b/carawaylatch/proxy/trafficplane.h
@@ -299,7 +299,7 @@
     TrafficCounts m_counts;
     StopCounts m_stopCounts;
     std::size_t m_bodyBytes = 0; // of requests in progress or being read
-    const std::shared_ptr<std::size_t> m_responseBytes = std::make_shared<std::size_t>(0);
+    const std::shared_ptr<std::size_t> m_responseBytes = std::make_shared<std::size_t>(0); // sum of the BufferedBytes of callers and attempts
     std::size_t m_inflight = 0;
     bool m_isStopping = false;
     bool m_isLeaving = false;
