Read load headers with a pace, and log those that can't be read (E2447)

A Carawaylatch-Server-Load header with a fourth number was dropped as a whole, so that no router learned the load of such an upstream from its responses. Numbers above 32 bits were cut, and a comma behind the last number was accepted.

Any other header sets isLoadUnreadable, and the traffic plane logs it once for each upstream and minute.

--- a/carawaylatch/proxy/dialect.h
+++ b/carawaylatch/proxy/dialect.h
@@ -71,6 +71,7 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint32_t slots = 0;
+    std::optional<std::uint32_t> pace; // how long work takes there now; 100: the usual time, 200: twice as long
 };
 
 // The properties of an upstream's response head that routing depends on.
@@ -86,6 +87,7 @@
     bool isFull = false; // the upstream has rejected the request because it has no room
     std::optional<std::uint32_t> brittle; // the upstream crashes if it rejects more requests in a second
     std::optional<LoadSample> load;
+    bool isLoadUnreadable = false; // the upstream reports its load in a form that is not known
     std::optional<base::WeightsVersion> weights;
     std::optional<base::Duration> keepAlive; // idle time after which the upstream closes the connection
 };
--- a/carawaylatch/proxy/exchangeattempt.cpp
+++ b/carawaylatch/proxy/exchangeattempt.cpp
@@ -200,10 +200,7 @@
 void Exchange::noteResponse(const UpstreamResponse &response)
 {
     Attempt &attempt = *m_attempt;
-    const base::TimePoint now = m_plane.now();
-    if (response.load) {
-        m_plane.tracker().onLoadSample(*attempt.record, *response.load, now);
-    }
+    m_plane.onUpstreamLoad(*attempt.record, response);
     if (response.isLeaving) {
         m_plane.onUpstreamLeaving(*attempt.record);
     }
--- a/carawaylatch/proxy/trafficfaults.cpp
+++ b/carawaylatch/proxy/trafficfaults.cpp
@@ -38,6 +38,15 @@
     logBrittleEvents();
 }
 
+void TrafficPlane::onUpstreamLoad(UpstreamRecord &record, const UpstreamResponse &response)
+{
+    if (response.load) {
+        m_tracker.onLoadSample(record, *response.load, now());
+    } else if (response.isLoadUnreadable && m_unreadableLoads.mayLog(record.idHash, now())) {
+        m_log.write(base::LogEvent::UnreadableLoad, {{"upstream", record.upstream.id.value()}});
+    }
+}
+
 void TrafficPlane::onUpstreamLeaving(UpstreamRecord &record)
 {
     if (m_tracker.onLeaving(record, now())) {
--- a/carawaylatch/proxy/trafficplane.h
+++ b/carawaylatch/proxy/trafficplane.h
@@ -28,6 +28,7 @@
 #include "carawaylatch/proxy/crashattribution.h"
 #include "carawaylatch/proxy/dialect.h"
 #include "carawaylatch/proxy/fleet.h"
+#include "carawaylatch/proxy/loglimiter.h"
 #include "carawaylatch/proxy/peerexchange.h"
 #include "carawaylatch/proxy/peerrouters.h"
 #include "carawaylatch/proxy/placement.h"
@@ -175,6 +176,8 @@
     [[nodiscard]] bool isTableConfirmed() const;
     [[nodiscard]] relay::RetryBudget &budget(const base::PoolName &pool);
     [[nodiscard]] WaitQueue &queue(const base::PoolName &pool);
+    // A response of an upstream has arrived; it may report its load.
+    void onUpstreamLoad(UpstreamRecord &record, const UpstreamResponse &response);
     // An upstream has said that it leaves, or asked for a pause.
     void onUpstreamLeaving(UpstreamRecord &record);
     void onUpstreamPause(UpstreamRecord &record, base::Duration pause);
@@ -280,6 +283,7 @@
     bool m_isArmPosted = false;
     std::shared_ptr<const FleetView> m_view;
     UpstreamTracker m_tracker;
+    LogLimiter m_unreadableLoads; // by hash of the upstream's id
     Reachability m_reach;
     std::map<base::UpstreamId, std::shared_ptr<UpstreamConnection>> m_probes; // that have no outcome yet
     CrashAttribution m_crashes;
