Placement follows the pace that upstreams report

The costs of another failure domain, of failures, of old weights and of recomputation for operators are not multiplied.

Idle upstreams of any pace cost the same if only queued work is multiplied. The request's own work therefore counts, relative to the usual pace: one request more for a plain service, the prompt behind the shared prefix for an engine. At the usual pace the term is exactly zero. A whole call's duration (60 ms) as the own work of plain services was ruled out: it would outweigh the half of all slots in use, so that one figure moves more requests than needed.

--- a/carawaylatch/proxy/exchange.cpp
+++ b/carawaylatch/proxy/exchange.cpp
@@ -229,6 +229,7 @@
     query.model = m_request.model;
     query.prefixKey = prefixKey();
     query.sharedTokens = m_sharedTokens;
+    query.ownTokens = m_request.promptTokens - std::min(m_sharedTokens, m_request.promptTokens);
     query.memoryTokens = m_request.promptTokens + m_request.maxOutputTokens;
     query.domain = m_plane.settings().domain;
     const std::vector<base::UpstreamId> excluded = excludedUpstreams();
--- a/carawaylatch/proxy/placement.cpp
+++ b/carawaylatch/proxy/placement.cpp
@@ -91,6 +91,13 @@
            || tracker.placements().isLikelyCached(kvCacheKey(context.query.prefixKey, record.weights), record.idHash, context.query.now);
 }
 
+// Work at an upstream of this pace, relative to the request's own work at one of the usual pace; exactly
+// `queued` at the usual pace. The own work counts, since a slow upstream is slow for the request also while idle.
+double pacedWork(double queued, double own, double factor)
+{
+    return queued * factor + own * (factor - 1);
+}
+
 double costOf(const PlacementContext &context, const UpstreamRecord &record, const TotalLoad &load, bool hasCachedPrefix)
 {
     const PlacementTuning &tuning = context.tuning;
@@ -98,15 +105,17 @@
     if (record.upstream.domain != context.query.domain) {
         cost += tuning.otherDomainMilliseconds;
     }
+    const double factor = record.pace.factor(context.query.now, tuning.pace);
+    const double requests = pacedWork(load.requests, 1, factor);
     if (!context.pool->engine) {
         const double slots = std::max<std::uint32_t>(record.upstream.slots, 1);
-        return cost + tuning.fullServiceMilliseconds * load.requests / slots;
+        return cost + tuning.fullServiceMilliseconds * requests / slots;
     }
-    cost += load.prefillTokens * tuning.prefillMillisecondsPerToken;
-    cost += load.requests * tuning.runningRequestMilliseconds;
+    cost += pacedWork(load.prefillTokens, context.query.ownTokens, factor) * tuning.prefillMillisecondsPerToken;
+    cost += requests * tuning.runningRequestMilliseconds;
     if (!hasCachedPrefix) {
         const double ownerShare = context.owner == &record ? tuning.ownerShare : 1.0;
-        cost += context.query.sharedTokens * (tuning.prefillMillisecondsPerToken + tuning.recomputeMillisecondsPerToken) * ownerShare;
+        cost += context.query.sharedTokens * (tuning.prefillMillisecondsPerToken * factor + tuning.recomputeMillisecondsPerToken) * ownerShare;
     }
     if (hasOldWeights(context, record)) {
         cost += tuning.oldWeightsMilliseconds;
--- a/carawaylatch/proxy/placement.h
+++ b/carawaylatch/proxy/placement.h
@@ -4,6 +4,9 @@
 // weights change, and plain services with few slots. Each candidate gets an expected
 // cost in milliseconds: queued load, prompt tokens to prefill, another failure domain,
 // outdated weights and recent failures. The candidate with the lowest cost is chosen.
+// The pace that an upstream reports multiplies the time of work: what is queued there and
+// the request itself. The time of the request is the same at all upstreams of the usual
+// pace and is left out there.
 // A prefix that no engine is known to hold belongs to the first upstream in rendezvous
 // order, so that routers agree without communicating; for a request that is bound to some
 // software, the first that runs it.
@@ -31,6 +34,7 @@
     double otherDomainMilliseconds = 12; // traffic between failure domains, a cost to operators more than to callers
     double oldWeightsMilliseconds = 60; // penalty, because responses of old weights have less value
     double failureMilliseconds = 1500; // expected loss of a failed attempt
+    PaceBounds pace;
     std::uint32_t serviceQueueFactor = 2; // maximum requests per slot of a plain service
     base::Duration oldWeightsLimit = base::seconds{6}; // older weights get no requests this long after a new version is announced
     base::Duration oldWeightsStart = base::milliseconds{7400}; // a request on older weights is aborted if it has not started this long after the announcement
@@ -43,6 +47,7 @@
     base::ModelId model; // empty for plain services
     std::uint64_t prefixKey = 0; // hash of the shared prefix; zero if there is none
     std::uint32_t sharedTokens = 0;
+    std::uint32_t ownTokens = 0; // of the prompt behind the shared prefix
     std::uint32_t memoryTokens = 0; // prompt and maximum output
     base::FailureDomain domain; // of this router
     std::span<const base::UpstreamId> excluded; // already tried
--- a/carawaylatch/proxy/upstreamtracker.cpp
+++ b/carawaylatch/proxy/upstreamtracker.cpp
@@ -120,6 +120,7 @@
             record.consecutiveConnectFailures = 0;
             record.backoffUntil = now;
             record.otherRoutersLoad = 0;
+            record.pace.reset();
             record.weights = {};
             record.pausedUntil = {};
         }
@@ -364,6 +365,9 @@
     record.otherRoutersLoad = total > record.inflight ? total - record.inflight : 0;
     record.waiting = sample.waiting;
     record.sampledAt = now;
+    if (sample.pace) {
+        record.pace.record(*sample.pace, now);
+    }
 }
 
 void UpstreamTracker::onPromptSent(std::uint64_t cacheKey, const UpstreamRecord &record, base::TimePoint now)
--- a/carawaylatch/proxy/upstreamtracker.h
+++ b/carawaylatch/proxy/upstreamtracker.h
@@ -26,6 +26,7 @@
 #include "carawaylatch/proxy/peerload.h"
 #include "carawaylatch/proxy/prefixplacements.h"
 #include "carawaylatch/proxy/requestlimits.h"
+#include "carawaylatch/proxy/upstreampace.h"
 
 namespace carawaylatch::proxy
 {
@@ -44,6 +45,7 @@
     std::uint32_t otherRoutersLoad = 0;
     std::uint32_t waiting = 0; // requests queued at the upstream at the time of the last sample
     base::TimePoint sampledAt;
+    UpstreamPace pace; // of this incarnation
     base::WeightsVersion weights; // newest known version of its model; zero: unknown
     double failureShare = 0; // of attempts, as an exponentially weighted moving average
     std::uint32_t consecutiveConnectFailures = 0; // since the last attempt that was sent
