Enforce customers' limits in the traffic plane

The configuration's rate_per_s, burst, unit and uncached_tokens were not read, so that no router kept a customer's limit. They become a CustomerLimit of the customer; LimitEnforcement drives the state machine, and an exchange is counted after its admission and before its placement. The retry budget counts requests after the limit: what is refused there is no load of the pool.

--- a/carawaylatch/gateway/fleetstate.cpp
+++ b/carawaylatch/gateway/fleetstate.cpp
@@ -260,6 +260,10 @@
                                                {"routes", std::to_string(m_table->routes.size())},
                                                {"pools", std::to_string(m_table->pools.size())},
                                                {"customers", std::to_string(m_table->customers.size())}});
+    for (const proxy::LimitProblem &it : m_table->limitProblems) {
+        m_log.write(base::LogEvent::LimitUnusable,
+                    {{"customer", it.customer.value()}, {"problem", it.problem}, {"version", std::to_string(m_table->version)}});
+    }
 }
 
 void FleetState::applyWeights(const StoredObject &object, const ChangeTime &time)
--- a/carawaylatch/gateway/gatewaysettings.cpp
+++ b/carawaylatch/gateway/gatewaysettings.cpp
@@ -19,7 +19,9 @@
 using Key = GatewaySettingsKey;
 using S = GatewaySettings;
 
-constexpr std::array<Key, 19> Keys{
+constexpr double MaxLimitWindowSeconds = 86'400; // one day; keeps times far below the range of a duration
+
+constexpr std::array<Key, 22> Keys{
     Key{"gateway", "id", "name", "names this VM; one process at a time has it", true, &S::id},
     Key{"gateway", "failure_domain", "name", "failure domain of this VM", true, &S::failureDomain},
     Key{"gateway", "callers", "endpoint", "where callers connect", true, nullptr, &S::callers},
@@ -45,6 +47,11 @@
     Key{"weights", "change_within_ms", "number", "milliseconds from a version's naming to the last request on older weights", false, nullptr, nullptr,
         &S::changeWithinMs},
     Key{"weights", "lease_ms", "number", "milliseconds between the last order of one holder and the first of another", false, nullptr, nullptr, &S::leaseMs},
+    Key{"limits", "window_seconds", "number", "seconds over which customers' limits are evaluated", false, nullptr, nullptr, &S::limitWindowSeconds, 0,
+        MaxLimitWindowSeconds},
+    Key{"limits", "overshoot", "number", "fraction by which a limit may be exceeded in the window; at most 1", false, nullptr, nullptr, &S::limitOvershoot, -1,
+        1},
+    Key{"limits", "slack", "number", "units allowed in the window beside that fraction", false, nullptr, nullptr, &S::limitSlack},
 };
 
 base::Error invalidValueError(std::string_view fileName, const config::IniEntry &entry, const std::string &problem)
@@ -71,6 +78,10 @@
         if (!number) {
             return invalidValueError(fileName, entry, number.error().message);
         }
+        if (number.value() <= key.above || number.value() > key.most) {
+            const std::string least = key.above < 0 ? "0 or more" : "above " + config::formatFraction(key.above);
+            return invalidValueError(fileName, entry, "must be " + least + " and at most " + config::formatFraction(key.most));
+        }
         settings.*key.number = number.value();
     }
     return base::ok();
@@ -195,6 +206,9 @@
     out.maxBufferedResponseBytes = static_cast<std::uint64_t>(memoryMegabytes * 1e6 * MaxResponsesShare);
     out.placement.oldWeightsLimit = base::fromMilliseconds(changeWithinMs * OldWeightsShare);
     out.placement.oldWeightsStart = base::fromMilliseconds(changeWithinMs * OldWeightsStartShare);
+    out.limits.window = base::fromSeconds(limitWindowSeconds);
+    out.limits.overshoot = limitOvershoot;
+    out.limits.slack = limitSlack;
     return out;
 }
 
--- a/carawaylatch/gateway/gatewaysettings.h
+++ b/carawaylatch/gateway/gatewaysettings.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <span>
 #include <string>
 #include <string_view>
@@ -40,6 +41,9 @@
     double maxAgeMs = 0; // of an unconfirmed configuration, for requests with a key; zero: no limit
     double changeWithinMs = 8000; // from the announcement of new weights to the last request on older ones
     double leaseMs = 3000;
+    double limitWindowSeconds = 8; // span over which customers' limits are evaluated
+    double limitOvershoot = 0.1;
+    double limitSlack = 0;
 
     [[nodiscard]] proxy::TrafficSettings traffic() const;
     [[nodiscard]] ControlSettings control() const;
@@ -55,6 +59,8 @@
     std::string GatewaySettings::*text = nullptr;
     base::Endpoint GatewaySettings::*endpoint = nullptr;
     double GatewaySettings::*number = nullptr;
+    double above = -1; // a number must be greater than this
+    double most = std::numeric_limits<double>::max(); // and at most this
 };
 
 [[nodiscard]] std::span<const GatewaySettingsKey> gatewaySettingsKeys();
--- a/carawaylatch/gateway/testing/gatewaysettingstest.cpp
+++ b/carawaylatch/gateway/testing/gatewaysettingstest.cpp
@@ -39,6 +39,10 @@
         CPPUNIT_ASSERT_EQUAL(std::uint16_t{3}, settings.value().store.port);
         CPPUNIT_ASSERT_EQUAL(0.25, settings.value().retryShare);
         CPPUNIT_ASSERT_EQUAL(2000.0, settings.value().leaseMs);
+        const auto limits = parseGatewaySettings(text("[limits]\nwindow_seconds = 4\novershoot = 0\nslack = 110000\n"), "f");
+        const admission::LimitTolerance expected{base::seconds{4}, 0, 110'000, {}};
+        CPPUNIT_ASSERT(limits.value().traffic().limits == expected);
+        CPPUNIT_ASSERT(settings.value().traffic().limits == admission::LimitTolerance{}); // the defaults of both are the same
     }
 
     void testErrorsNameTheKey()
@@ -52,6 +56,11 @@
             {"[weights]\nlease_ms = 5\n", "lease_ms"},
             {"[gateway]\nmemory_mb = 1\n", "memory_mb"},
             {"[store]\nwatch_ms = -3\n", "watch_ms"},
+            {"[limits]\nwindow_seconds = 0\n", "f:12: window_seconds"},
+            {"[limits]\nwindow_seconds = 1000000\n", "f:12: window_seconds"},
+            {"[limits]\novershoot = 1.1\n", "f:12: overshoot"},
+            {"[limits]\novershoot = -0.1\n", "f:12: overshoot"},
+            {"[limits]\nslack = nan\n", "f:12: slack"},
         };
         for (const auto &[more, key] : invalidTexts) {
             const auto settings = parseGatewaySettings(text(more), "f");
--- a/carawaylatch/proxy/customers.cpp
+++ b/carawaylatch/proxy/customers.cpp
@@ -34,6 +34,17 @@
     return m_customers.size();
 }
 
+std::vector<admission::NamedLimit> Customers::limits() const
+{
+    std::vector<admission::NamedLimit> out;
+    for (const Customer &it : m_customers) {
+        if (it.limit) {
+            out.push_back({it.id, *it.limit});
+        }
+    }
+    return out;
+}
+
 const Customer *Customers::find(const std::string &key) const
 {
     const auto it = m_keys.find(key);
--- a/carawaylatch/proxy/customers.h
+++ b/carawaylatch/proxy/customers.h
@@ -22,6 +22,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "carawaylatch/admission/customerlimit.h"
 #include "carawaylatch/base/ids.h"
 
 namespace carawaylatch::proxy
@@ -32,6 +33,7 @@
     base::CustomerId id;
     std::optional<std::uint32_t> priority; // ranks above the route's priority
     bool isIsolated = false; // shares no KV cache with other customers
+    std::optional<admission::CustomerLimit> limit{}; // over all routers; nothing: none
 };
 
 class Customers
@@ -42,6 +44,8 @@
     [[nodiscard]] std::size_t size() const;
     // Returns the customer that holds the key, or nullptr.
     [[nodiscard]] const Customer *find(const std::string &key) const;
+    // The limits of the customers that have one.
+    [[nodiscard]] std::vector<admission::NamedLimit> limits() const;
     // Returns the cache scope of a request that was admitted with this key, maybe under an earlier configuration,
     // as one of `admitted` (nullptr: of no customer). It is shared only if the customer was not isolated then and
     // isn't now.
--- a/carawaylatch/proxy/exchange.cpp
+++ b/carawaylatch/proxy/exchange.cpp
@@ -1,4 +1,5 @@
-// Admission, queueing and completion of an exchange; attempts are in exchangeattempt.cpp.
+// Admission, queueing and completion of an exchange; attempts are in exchangeattempt.cpp,
+// limits of customers in exchangelimit.cpp.
 #include "carawaylatch/proxy/exchange.h"
 
 #include <algorithm>
@@ -16,9 +17,6 @@
 {
 
 constexpr base::Duration OtherRouterRetryAfter = base::milliseconds{50}; // another router can take the request at once
-// Share of the target latency that a request may wait in the queue. After a longer wait the
-// response would miss the target, and the caller does better to retry, possibly at another router.
-constexpr double MaxQueueWaitShare = 0.6;
 constexpr base::Duration OriginTimeout = base::milliseconds{500}; // to learn where a stream began; several calls to the store
 // The router replies this long after the caller's own deadline, so that the caller times out first.
 constexpr base::Duration DeadlineGrace = base::milliseconds{60};
@@ -51,8 +49,6 @@
     if (m_request.forwardedAttempts) {
         m_history.maxAttempts = *m_request.forwardedAttempts;
         ++m_plane.counts().receivedForwards;
-    } else {
-        m_plane.budget(m_pool).countRequest(m_plane.now()); // at the first router only
     }
     const base::Duration requestTimeout = std::min(m_route->timeout, m_request.callerTimeout.value_or(m_route->timeout) + DeadlineGrace);
     m_deadlineTimer = m_plane.timers().after(m_startedAt, requestTimeout, [weak = weak_from_this()](base::TimePoint) {
@@ -60,6 +56,14 @@
             self->end("timeout");
         }
     });
+    countAgainstLimit();
+}
+
+void Exchange::begin()
+{
+    if (!m_request.forwardedAttempts) {
+        m_plane.budget(m_pool).countRequest(m_plane.now()); // at the first router only
+    }
     if (isResumption()) {
         findOrigin();
         return;
@@ -372,8 +376,7 @@
 // How long the request may wait from its start. A stream that is taken up again has met or missed its target latency before.
 base::Duration Exchange::maxQueueWait(base::Duration left) const
 {
-    const base::Duration share = base::fromSeconds(base::toSeconds(m_route->targetLatency) * MaxQueueWaitShare);
-    return isResumption() ? left / 2 : std::min<base::Duration>(share, left / 2);
+    return isResumption() ? left / 2 : std::min<base::Duration>(m_route->maxQueueWait(), left / 2);
 }
 
 void Exchange::joinQueue()
@@ -464,7 +467,8 @@
         reply.fields.push_back({"Retry-After", base::formatSeconds(retryAfter)});
     }
     const auto caller = m_caller;
-    finish(status, status == 503 ? "refused" : (status < 500 ? "rejected" : "failed"), reason);
+    const bool isRefused = status == 503 || status == 429;
+    finish(status, isRefused ? "refused" : (status < 500 ? "rejected" : "failed"), reason);
     caller->reply(reply);
 }
 
@@ -504,6 +508,7 @@
     m_deadlineTimer.cancel();
     m_originTimer.cancel();
     leaveQueue();
+    releaseLimit();
     if (m_attempt && m_attempt->connection && outcome != "served" && outcome != "upstream_error") {
         m_attempt->connection->close(); // cancels the request at the upstream
     }
--- a/carawaylatch/proxy/exchange.h
+++ b/carawaylatch/proxy/exchange.h
@@ -1,7 +1,7 @@
 // One caller request, from its last byte to the end of its response.
 //
-// The steps: check route and key, select an upstream or wait in the queue, connect,
-// send, reply. After each failed attempt nextStep() decides what follows. An
+// The steps: check route and key, count the request against its customer's limit, select an
+// upstream or wait in the queue, connect, send, reply. After each failed attempt nextStep() decides what follows. An
 // exchange ends exactly once, with one log line.
 #pragma once
 
@@ -12,6 +12,7 @@
 #include <string_view>
 #include <vector>
 
+#include "carawaylatch/admission/customerlimits.h"
 #include "carawaylatch/base/timerservice.h"
 #include "carawaylatch/proxy/attemptrules.h"
 #include "carawaylatch/proxy/bodyprogress.h"
@@ -90,6 +91,13 @@
 
 private:
     [[nodiscard]] bool admit();
+    // Counts the request against its customer's limit, and begins or refuses it, maybe after another router has answered.
+    void countAgainstLimit();
+    void onLimitDecided(const admission::LimitDecision &decision);
+    // Ends the wait for a decision, and gives back what a request counted that was never sent.
+    void releaseLimit();
+    // The request is admitted and within its customer's limit.
+    void begin();
     [[nodiscard]] PlacementResult selectUpstream();
     // The software that may run the request; nullptr: any.
     [[nodiscard]] const SoftwareSet *allowedSoftware() const;
@@ -194,6 +202,9 @@
     std::uint64_t m_sharedPrefix = 0; // key of the shared prefix, the same for all customers; zero if there is none
     std::uint32_t m_sharedTokens = 0;
     std::uint32_t m_urgency = 0;
+    std::optional<std::uint64_t> m_limitTicket; // while the request waits for a decision on its customer's limit
+    std::uint32_t m_limitCost = 0; // what the request counts; zero: it counts against no limit
+    std::optional<base::TimePoint> m_limitUsableUntil; // end of the term of what it has counted
     std::vector<base::UpstreamId> m_triedUpstreams;
     std::vector<base::UpstreamId> m_triedRouters; // to which the request was forwarded
     AttemptHistory m_history;
--- a/carawaylatch/proxy/fleet.h
+++ b/carawaylatch/proxy/fleet.h
@@ -51,6 +51,14 @@
     bool isResumable = false; // a stream may be resumed at another upstream
     std::vector<PoolShare> pools; // at least one
 
+    // Share of the target latency that a request may wait in the queue. After a longer wait the
+    // response would miss the target, and the caller does better to retry, possibly at another router.
+    static constexpr double MaxQueueWaitShare = 0.6;
+    // How long a request may wait in the queue.
+    [[nodiscard]] base::Duration maxQueueWait() const
+    {
+        return base::fromSeconds(base::toSeconds(targetLatency) * MaxQueueWaitShare);
+    }
     // True if a request may run more than once.
     [[nodiscard]] bool isRepeatable() const
     {
@@ -88,6 +96,13 @@
     base::Duration idleTimeout = base::seconds{15};
 };
 
+// A customer's limit in the configuration that can't be used as it is.
+struct LimitProblem
+{
+    base::CustomerId customer;
+    std::string problem; // what is wrong, what applies instead, and the remedy
+};
+
 class RouteTable
 {
 public:
@@ -97,6 +112,7 @@
     std::vector<CacheStore> cacheStores;
     Customers customers;
     CallerLimits limits;
+    std::vector<LimitProblem> limitProblems; // at most one for each customer
     bool needsKeys = false; // the configuration lists customers
 
     // Returns the host's route with the longest path prefix that matches, or nullptr.
--- a/carawaylatch/proxy/trafficmetrics.cpp
+++ b/carawaylatch/proxy/trafficmetrics.cpp
@@ -53,6 +53,11 @@
         {"brittle_upstreams", m_tracker.brittle().size()},
         {"upstream_rejections_total", m_counts.rejections},
         {"risked_rejections_total", m_counts.risks},
+        {"limit_refused_total", m_customerLimits.counts().overLimit},
+        {"limit_unavailable_total", m_customerLimits.counts().unavailable},
+        {"limit_asks_total", m_customerLimits.counts().asks},
+        {"limit_grants_total", m_customerLimits.counts().grants},
+        {"limited_customers", m_customerLimits.limitedCustomers()},
         {"inflight", m_inflight},
         {"buffered_response_bytes", *m_responseBytes},
         {"peers", m_tracker.peers()},
@@ -65,6 +70,11 @@
     for (const auto &[name, value] : counts) {
         out.append("carawaylatch_gateway_").append(name).append(" ").append(std::to_string(value)).append("\n");
     }
+    constexpr double Percent = 100;
+    for (std::uint32_t i = 0; i < admission::LimitGroups && m_customerLimits.limitedCustomers() > 0; ++i) {
+        const auto share = static_cast<std::uint64_t>(m_customerLimits.heldShare(i) * Percent + 0.5);
+        out.append("carawaylatch_gateway_limit_share_percent{group=\"").append(std::to_string(i)).append("\"} ").append(std::to_string(share)).append("\n");
+    }
     for (const auto &[pool, queue] : m_queues) {
         out.append("carawaylatch_gateway_waiting{pool=\"").append(pool.value()).append("\"} ").append(std::to_string(queue.size())).append("\n");
     }
--- a/carawaylatch/proxy/trafficplane.cpp
+++ b/carawaylatch/proxy/trafficplane.cpp
@@ -56,6 +56,7 @@
     , m_operatorsListener(std::make_shared<Listener>(loop))
     , m_metricsListener(std::make_shared<Listener>(loop))
     , m_peers(loop, clock, settings.peers, settings.routerId, *this, log)
+    , m_customerLimits(loop, clock, m_peers, settings.peers, log)
     , m_random(static_cast<std::uint64_t>(clock.now().time_since_epoch().count()))
 {
     m_tick = m_timers.every(now(), TickInterval, [this](base::TimePoint at) {
@@ -70,6 +71,7 @@
         m_peerRouters.expire(at);
         m_tracker.removeOutdatedNotices(at);
         confirmCrashes();
+        m_customerLimits.tick();
         m_peers.tick();
     });
     armTimer();
@@ -174,6 +176,7 @@
     if (hasOtherRouters) {
         m_peers.setRouters(m_view->routerEndpoints);
     }
+    m_customerLimits.adopt(*m_view, m_settings.limits);
     applyBudgets();
     if (hasNewWeights) {
         limitAttemptsOnOldWeights();
@@ -230,6 +233,7 @@
 {
     m_settings = settings;
     applyBudgets();
+    m_customerLimits.adopt(*m_view, m_settings.limits);
 }
 
 void TrafficPlane::beginStop()
@@ -251,6 +255,7 @@
 void TrafficPlane::beginLeaving()
 {
     m_isLeaving = true;
+    m_customerLimits.stop();
     acceptWaiting(*m_callersListener);
     boost::system::error_code ignored;
     m_callersListener->acceptor.close(ignored);
@@ -387,6 +392,16 @@
     return m_origins;
 }
 
+LimitEnforcement &TrafficPlane::customerLimits()
+{
+    return m_customerLimits;
+}
+
+std::string TrafficPlane::onPeerRequest(std::string_view body)
+{
+    return m_customerLimits.onPeerRequest(body);
+}
+
 const SoftwareSet *TrafficPlane::beginningSoftware(const base::PoolName &pool) const
 {
     const SoftwareSet *admitted = m_origins.admittedOnly(pool);
--- a/carawaylatch/proxy/trafficplane.h
+++ b/carawaylatch/proxy/trafficplane.h
@@ -22,12 +22,14 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "carawaylatch/admission/customerlimit.h"
 #include "carawaylatch/base/hash.h"
 #include "carawaylatch/base/timerservice.h"
 #include "carawaylatch/proxy/callerconnection.h"
 #include "carawaylatch/proxy/crashattribution.h"
 #include "carawaylatch/proxy/dialect.h"
 #include "carawaylatch/proxy/fleet.h"
+#include "carawaylatch/proxy/limitenforcement.h"
 #include "carawaylatch/proxy/peerexchange.h"
 #include "carawaylatch/proxy/peerrouters.h"
 #include "carawaylatch/proxy/placement.h"
@@ -60,6 +62,7 @@
     std::uint64_t maxBufferedBodyBytes = 32'000'000; // request bodies in memory; requests are refused above it
     std::uint64_t maxBufferedResponseBytes = 64'000'000; // responses in memory; above it little of each is buffered
     PlacementTuning placement;
+    admission::LimitTolerance limits; // how exactly customers' limits are kept; the longest wait is derived from the routes
 };
 
 // Counters since the start of the process, exposed as metrics.
@@ -161,6 +164,7 @@
     [[nodiscard]] PeerRouters &peerRouters();
     [[nodiscard]] CrashAttribution &crashes();
     [[nodiscard]] StreamOrigins &origins();
+    [[nodiscard]] LimitEnforcement &customerLimits();
     // The software that may begin streams of the pool; nullptr: any.
     [[nodiscard]] const SoftwareSet *beginningSoftware(const base::PoolName &pool) const;
     [[nodiscard]] TrafficCounts &counts();
@@ -236,6 +240,7 @@
     void onFaultReport(const FaultReport &report) override;
     [[nodiscard]] ReachReport reachReport() const override;
     void onReachReport(const ReachReport &report) override;
+    [[nodiscard]] std::string onPeerRequest(std::string_view body) override;
     void onLeavingKnown(const UpstreamRecord &record, std::string_view source);
     void logLimit(const UpstreamRecord &record, std::string_view source);
     void logBrittleEvents();
@@ -292,6 +297,7 @@
     std::shared_ptr<Listener> m_operatorsListener;
     std::shared_ptr<Listener> m_metricsListener;
     PeerExchange m_peers;
+    LimitEnforcement m_customerLimits;
     PeerRouters m_peerRouters;
     base::TimerService::Subscription m_tick;
     base::TimerService::Subscription m_reportTick;
