Leases of shares: lender and borrower of customers' limits

The interface of quotaleases.h had no implementation. A lender keeps at most one loan a group and lends it only to the newest poll of the first live candidate; a borrower counts an answer from the time of its poll. Ruled out: keeping loans of several incarnations of a borrower (a poll of another incarnation waits until the loan has ended, which is the safe side), and accepting any term (one that the start delay does not cover is lent nothing).

The interface gains copying and stateText(), which the exploration of all interleavings needs, and MaxTerm.

--- /dev/null
+++ b/carawaylatch/admission/quotaleases.cpp
@@ -0,0 +1,669 @@
+// Leases of shares; see the header for the rules.
+//
+// Lender: at most one loan a group. A loan runs until its time is over, or until its
+// borrower has either left out the group in a poll or applied an answer above all that
+// lent it. Only a poll with a higher sequence than any before extends a loan, and an
+// answer to an older poll repeats a loan only if a later poll has extended it.
+//
+// Borrower: an answer is applied if its sequence is above all applied ones of the
+// lender's incarnation. One of another incarnation must belong to a later poll than any
+// answer applied before: whatever a new process lends after its start delay answers a
+// poll sent after the former process ended, so late answers of the former one cannot
+// displace it. The time until which an answer lends is that of its poll, or of a later
+// poll if that ends earlier, since the lender may have extended the loan by any of them.
+//
+// A poll of an unknown incarnation is not considered while a loan to the former one
+// runs, as the former process may still use it.
+#include "carawaylatch/admission/quotaleases.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <map>
+#include <sstream>
+
+#include "carawaylatch/base/hash.h"
+
+namespace carawaylatch::admission
+{
+
+namespace
+{
+
+constexpr base::Duration MinPollInterval = base::milliseconds{150};
+constexpr base::Duration PollIntervalPerRouter = base::milliseconds{2}; // a coordinator sends at most 500 polls a second
+constexpr int PollsPerTerm = 4; // a lease survives three lost polls
+constexpr base::Duration LeaseMargin = base::milliseconds{100}; // terms are rounded and clocks are read late
+constexpr int DriftDivisor = 50; // rates of two clocks differ by 1/50 at most
+constexpr int StartDivisor = 4; // a former process may have granted longer terms at another number of routers
+constexpr int AcceptedTermDivisor = 10; // longer terms than this part above the own one are not covered by the start delay
+constexpr std::size_t MaxSentPolls = 8; // polls before these ended before the answer could matter
+constexpr base::Duration TakeoverDelay = base::seconds{1}; // a share does not move to a candidate that comes and goes
+
+constexpr GroupMask bitOf(std::uint32_t group)
+{
+    return GroupMask{1} << group;
+}
+
+bool has(GroupMask groups, std::uint32_t group)
+{
+    return (groups & bitOf(group)) != 0;
+}
+
+// The routers of the fleet and the candidates of each group.
+struct FleetView
+{
+    std::vector<RouterKey> routers; // sorted
+    std::uint32_t count = 1;
+    std::array<std::vector<RouterKey>, LimitGroups> candidates; // the best first
+
+    [[nodiscard]] bool lists(RouterKey router) const
+    {
+        return std::binary_search(routers.begin(), routers.end(), router);
+    }
+    [[nodiscard]] bool isCandidate(RouterKey router, std::uint32_t group) const
+    {
+        const auto &order = candidates[group];
+        return std::find(order.begin(), order.end(), router) != order.end();
+    }
+    [[nodiscard]] GroupMask groupsOf(RouterKey router) const
+    {
+        GroupMask groups = 0;
+        for (std::uint32_t i = 0; i < LimitGroups; ++i) {
+            groups |= isCandidate(router, i) ? bitOf(i) : 0;
+        }
+        return groups;
+    }
+};
+
+FleetView makeFleetView(std::span<const RouterKey> routers, std::uint32_t count)
+{
+    FleetView fleet;
+    fleet.routers.assign(routers.begin(), routers.end());
+    std::sort(fleet.routers.begin(), fleet.routers.end());
+    fleet.routers.erase(std::unique(fleet.routers.begin(), fleet.routers.end()), fleet.routers.end());
+    fleet.count = std::max({count, static_cast<std::uint32_t>(fleet.routers.size()), 1U});
+    for (std::uint32_t i = 0; i < LimitGroups; ++i) {
+        std::vector<std::pair<std::uint64_t, RouterKey>> weights;
+        for (const RouterKey it : fleet.routers) {
+            weights.emplace_back(base::combineHashes(i, it), it);
+        }
+        const auto n = static_cast<std::ptrdiff_t>(std::min(weights.size(), QuotaLeases::MaxCandidates));
+        std::partial_sort(weights.begin(), weights.begin() + n, weights.end(), std::greater<>());
+        for (std::ptrdiff_t j = 0; j < n; ++j) {
+            fleet.candidates[i].push_back(weights[static_cast<std::size_t>(j)].second);
+        }
+    }
+    return fleet;
+}
+
+// What a lender knows of a candidate.
+struct Candidate
+{
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0; // the highest of this incarnation
+    GroupMask groups = 0; // of that poll
+    base::TimePoint polledAt{};
+    base::Duration nextPoll{};
+    std::array<base::TimePoint, LimitGroups> since{}; // polls for the group without a gap
+
+    [[nodiscard]] bool isAlive(std::uint32_t group, base::TimePoint now) const
+    {
+        return has(groups, group) && now - polledAt <= nextPoll * 5 / 2;
+    }
+};
+
+struct Loan
+{
+    RouterKey borrower = 0;
+    std::uint64_t incarnation = 0; // of the borrower
+    base::TimePoint until; // never moves back
+    std::uint64_t extendedBy = 0; // sequence of the poll
+    std::uint64_t lastAnswer = 0; // the last one that lent the share
+};
+
+struct SentPoll
+{
+    std::uint64_t sequence = 0;
+    base::TimePoint ends; // of this poll's term, and of those of all later ones
+    GroupMask groups = 0; // that neither this poll nor a later one left out
+};
+
+// What a borrower knows of a lender.
+struct Lender
+{
+    std::vector<SentPoll> sent{}; // the latest MaxSentPolls
+    base::TimePoint created{};
+    base::TimePoint sentAt{}; // the last poll
+    base::TimePoint returnsUntil{}; // while polls without groups are repeated, as any of them may be lost
+    base::Duration promised{}; // until the next poll
+    std::uint64_t incarnation = 0;
+    std::uint64_t applied = 0; // highest sequence of an answer of that incarnation
+    std::uint64_t appliedPoll = 0; // highest sequence of a poll with an applied answer
+    std::uint32_t routers = 0;
+    std::array<base::TimePoint, LimitGroups> ends{}; // the share is held before this time
+
+    [[nodiscard]] bool holdsAny(base::TimePoint now) const
+    {
+        return std::any_of(ends.begin(), ends.end(), [now](base::TimePoint it) {
+            return now < it;
+        });
+    }
+    // Drops what is held of other groups, so that a poll may leave them out.
+    void keepOnly(GroupMask groups)
+    {
+        for (std::uint32_t i = 0; i < LimitGroups; ++i) {
+            ends[i] = has(groups, i) ? ends[i] : base::TimePoint{};
+        }
+        for (SentPoll &it : sent) {
+            it.groups &= groups;
+        }
+    }
+};
+
+} // namespace
+
+class QuotaLeases::Impl
+{
+public:
+    Impl(RouterKey self, std::uint64_t incarnation, base::TimePoint now)
+        : m_self(self)
+        , m_incarnation(incarnation)
+        , m_started(now)
+    {
+    }
+
+    void setRouters(std::span<const RouterKey> routers, std::uint32_t count, base::TimePoint now);
+    void stop();
+    std::vector<std::pair<RouterKey, SharePoll>> duePolls(base::TimePoint now);
+    ShareAnswer onPoll(const SharePoll &poll, base::TimePoint now);
+    void onAnswer(const ShareAnswer &answer, base::TimePoint now);
+    std::optional<RouterKey> coordinator(std::uint32_t group, base::TimePoint now) const;
+    double heldShare(std::uint32_t group, base::TimePoint now) const;
+    std::vector<RouterKey> peers() const;
+    std::string stateText(base::TimePoint now) const;
+
+private:
+    const Loan *loan(std::uint32_t group, base::TimePoint now) const;
+    const Candidate *aliveCandidate(RouterKey router, std::uint32_t group, base::TimePoint now) const;
+    RouterKey target(std::uint32_t group, base::TimePoint now) const;
+    bool ownsShare(base::TimePoint now) const;
+    bool isFirst(std::uint32_t group, base::TimePoint now) const;
+    void dropCandidates(base::TimePoint now);
+    Candidate *admit(const SharePoll &poll, base::TimePoint now);
+    void applyPoll(const SharePoll &poll, Candidate &candidate, base::TimePoint now);
+    bool lend(const SharePoll &poll, std::uint32_t group, bool isNewest, base::TimePoint now);
+    void setGroups(GroupMask groups);
+    std::optional<base::Duration> dueInterval(const Lender &lender, double phase, bool isFirstOfAny, base::TimePoint now) const;
+    SharePoll makePoll(Lender &lender, base::Duration interval, base::TimePoint now);
+
+    RouterKey m_self;
+    std::uint64_t m_incarnation;
+    base::TimePoint m_started;
+    base::TimePoint m_usableFrom = base::TimePoint::max(); // end of the start delay; not before the routers are known
+    FleetView m_fleet;
+    bool m_isStopped = false;
+    // As a lender.
+    std::array<std::optional<Loan>, LimitGroups> m_loans;
+    std::map<RouterKey, Candidate> m_candidates; // candidates, and borrowers while their loan runs
+    std::uint64_t m_lastAnswer = 0;
+    // As a borrower.
+    GroupMask m_groups = 0; // for which this router polls
+    std::map<RouterKey, Lender> m_lenders; // all other routers, if this one is or was a candidate
+    std::uint64_t m_lastPoll = 0;
+};
+
+void QuotaLeases::Impl::setRouters(std::span<const RouterKey> routers, std::uint32_t count, base::TimePoint now)
+{
+    m_fleet = makeFleetView(routers, count);
+    const base::TimePoint usableFrom = m_started + startDelay(m_fleet.count);
+    if (now < m_usableFrom) {
+        m_usableFrom = m_usableFrom == base::TimePoint::max() ? usableFrom : std::max(m_usableFrom, usableFrom);
+    }
+    dropCandidates(now);
+    setGroups(m_isStopped ? 0 : m_fleet.groupsOf(m_self));
+    std::erase_if(m_lenders, [this](const auto &it) {
+        return !m_fleet.lists(it.first);
+    });
+    for (const RouterKey it : m_fleet.routers) {
+        if (m_groups != 0 && it != m_self) {
+            m_lenders.try_emplace(it, Lender{.created = now});
+        }
+    }
+}
+
+void QuotaLeases::Impl::stop()
+{
+    m_isStopped = true;
+    setGroups(0);
+}
+
+void QuotaLeases::Impl::setGroups(GroupMask groups)
+{
+    m_groups = groups;
+    for (auto &[key, lender] : m_lenders) {
+        lender.keepOnly(groups);
+    }
+}
+
+const Loan *QuotaLeases::Impl::loan(std::uint32_t group, base::TimePoint now) const
+{
+    const auto &loan = m_loans[group];
+    return loan && now < loan->until ? &*loan : nullptr;
+}
+
+const Candidate *QuotaLeases::Impl::aliveCandidate(RouterKey router, std::uint32_t group, base::TimePoint now) const
+{
+    const auto it = m_candidates.find(router);
+    return it != m_candidates.end() && it->second.isAlive(group, now) ? &it->second : nullptr;
+}
+
+// Returns the router at which the share should be: a candidate, or this router, also while no candidate is alive.
+RouterKey QuotaLeases::Impl::target(std::uint32_t group, base::TimePoint now) const
+{
+    const Loan *lent = loan(group, now);
+    bool isBehindBorrower = false;
+    for (const RouterKey it : m_fleet.candidates[group]) {
+        if (it == m_self && !m_isStopped) {
+            return m_self;
+        }
+        const Candidate *candidate = aliveCandidate(it, group, now);
+        if (lent != nullptr && it == lent->borrower) {
+            if (candidate != nullptr) {
+                return it;
+            }
+            isBehindBorrower = true;
+        } else if (candidate != nullptr && (lent == nullptr || isBehindBorrower || now - candidate->since[group] >= TakeoverDelay)) {
+            return it;
+        }
+    }
+    return m_self;
+}
+
+bool QuotaLeases::Impl::ownsShare(base::TimePoint now) const
+{
+    return m_fleet.lists(m_self) && now >= m_usableFrom;
+}
+
+void QuotaLeases::Impl::dropCandidates(base::TimePoint now)
+{
+    std::erase_if(m_candidates, [this, now](const auto &it) {
+        for (std::uint32_t i = 0; i < LimitGroups; ++i) {
+            const Loan *lent = loan(i, now);
+            if (m_fleet.isCandidate(it.first, i) || (lent != nullptr && lent->borrower == it.first)) {
+                return false;
+            }
+        }
+        return true;
+    });
+}
+
+// Returns the record of the sender, or nothing if its poll must not be considered.
+Candidate *QuotaLeases::Impl::admit(const SharePoll &poll, base::TimePoint now)
+{
+    dropCandidates(now);
+    const auto it = m_candidates.find(poll.sender);
+    if (it == m_candidates.end()) {
+        if (poll.sender == m_self || m_fleet.groupsOf(poll.sender) == 0) {
+            return nullptr;
+        }
+    } else if (it->second.incarnation == poll.incarnation) {
+        return &it->second;
+    }
+    for (std::uint32_t i = 0; i < LimitGroups; ++i) {
+        const Loan *lent = loan(i, now);
+        if (lent != nullptr && lent->borrower == poll.sender && lent->incarnation != poll.incarnation) {
+            return nullptr;
+        }
+    }
+    Candidate &candidate = m_candidates[poll.sender];
+    candidate = Candidate{.incarnation = poll.incarnation};
+    return &candidate;
+}
+
+void QuotaLeases::Impl::applyPoll(const SharePoll &poll, Candidate &candidate, base::TimePoint now)
+{
+    for (std::uint32_t i = 0; i < LimitGroups; ++i) {
+        if (!candidate.isAlive(i, now)) {
+            candidate.since[i] = now;
+        }
+        auto &lent = m_loans[i];
+        const bool isApplied = poll.lenderIncarnation == m_incarnation && lent && poll.appliedAnswer > lent->lastAnswer;
+        if (lent && lent->borrower == poll.sender && (isApplied || !has(poll.groups, i))) {
+            lent.reset();
+        }
+    }
+    candidate.sequence = poll.sequence;
+    candidate.groups = poll.groups;
+    candidate.polledAt = now;
+    candidate.nextPoll = std::clamp(poll.nextPoll, base::Duration{}, MaxTerm);
+}
+
+// Returns whether the sender has the share of the group by the answer to its poll.
+bool QuotaLeases::Impl::lend(const SharePoll &poll, std::uint32_t group, bool isNewest, base::TimePoint now)
+{
+    const base::Duration term = std::min(poll.term, MaxTerm);
+    const base::Duration longest = leaseTerm(m_fleet.count) + leaseTerm(m_fleet.count) / AcceptedTermDivisor;
+    if (!has(poll.groups, group) || !ownsShare(now) || target(group, now) != poll.sender) {
+        return false;
+    }
+    const Loan *running = loan(group, now);
+    if (running != nullptr && running->borrower != poll.sender) {
+        return false;
+    }
+    auto &lent = m_loans[group];
+    if (!isNewest) {
+        if (running == nullptr || lent->extendedBy < poll.sequence) {
+            return false;
+        }
+    } else {
+        if (term <= base::Duration{} || term > longest) {
+            return false;
+        }
+        const base::TimePoint until = now + lentTime(term);
+        const base::TimePoint former = running != nullptr ? running->until : until;
+        lent = Loan{.borrower = poll.sender, .incarnation = poll.incarnation, .until = std::max(until, former), .extendedBy = poll.sequence, .lastAnswer = 0};
+    }
+    lent->lastAnswer = m_lastAnswer;
+    return true;
+}
+
+ShareAnswer QuotaLeases::Impl::onPoll(const SharePoll &poll, base::TimePoint now)
+{
+    ShareAnswer answer{.sender = m_self,
+                       .incarnation = m_incarnation,
+                       .sequence = ++m_lastAnswer,
+                       .pollIncarnation = poll.incarnation,
+                       .pollSequence = poll.sequence,
+                       .lent = 0,
+                       .routers = m_fleet.count};
+    Candidate *candidate = admit(poll, now);
+    if (candidate == nullptr) {
+        return answer;
+    }
+    const bool isNewest = poll.sequence > candidate->sequence;
+    if (isNewest) {
+        applyPoll(poll, *candidate, now);
+    }
+    for (std::uint32_t i = 0; i < LimitGroups; ++i) {
+        answer.lent |= lend(poll, i, isNewest, now) ? bitOf(i) : 0;
+    }
+    return answer;
+}
+
+void QuotaLeases::Impl::onAnswer(const ShareAnswer &answer, base::TimePoint now)
+{
+    const auto found = m_lenders.find(answer.sender);
+    if (found == m_lenders.end() || answer.pollIncarnation != m_incarnation) {
+        return;
+    }
+    Lender &lender = found->second;
+    const bool isNext = answer.incarnation == lender.incarnation ? answer.sequence > lender.applied : answer.pollSequence > lender.appliedPoll;
+    if (!isNext) {
+        return;
+    }
+    lender.incarnation = answer.incarnation;
+    lender.applied = answer.sequence;
+    lender.appliedPoll = std::max(lender.appliedPoll, answer.pollSequence);
+    lender.routers = answer.routers;
+    const auto poll = std::find_if(lender.sent.begin(), lender.sent.end(), [&answer](const SentPoll &it) {
+        return it.sequence == answer.pollSequence;
+    });
+    for (std::uint32_t i = 0; i < LimitGroups; ++i) {
+        if (!has(answer.lent, i) || answer.routers == 0) {
+            lender.ends[i] = base::TimePoint{};
+        } else if (poll != lender.sent.end() && has(poll->groups, i) && now < poll->ends) {
+            lender.ends[i] = std::max(lender.ends[i], poll->ends);
+        }
+    }
+}
+
+// Whether this router would coordinate the group, as far as it hears of better candidates.
+bool QuotaLeases::Impl::isFirst(std::uint32_t group, base::TimePoint now) const
+{
+    if (!has(m_groups, group)) {
+        return false;
+    }
+    for (const RouterKey it : m_fleet.candidates[group]) {
+        if (it == m_self) {
+            return true;
+        }
+        if (aliveCandidate(it, group, now) != nullptr) {
+            return false;
+        }
+    }
+    return false;
+}
+
+// Returns the time to the next poll if one is due. Polls are sent when the lender's place in the interval passes, so
+// that those to different lenders are spread over it.
+std::optional<base::Duration> QuotaLeases::Impl::dueInterval(const Lender &lender, double phase, bool isFirstOfAny, base::TimePoint now) const
+{
+    const base::Duration fast = pollInterval(m_fleet.count);
+    const bool isFast = isFirstOfAny || m_groups == 0 || lender.holdsAny(now);
+    const base::Duration interval = isFast ? fast : std::max(fast, StandbyInterval);
+    const auto slot = [&](base::TimePoint at) {
+        return std::floor(base::toSeconds(at - m_started) / base::toSeconds(interval) - phase);
+    };
+    const bool isNew = lender.sent.empty();
+    const bool isSlot = slot(now) != slot(isNew ? lender.created : lender.sentAt);
+    if (m_groups == 0) {
+        const bool isReturned = isNew || lender.sent.back().groups == 0;
+        return !isNew && now < lender.returnsUntil && (!isReturned || isSlot) ? std::optional(interval) : std::nullopt;
+    }
+    return isSlot || (!isNew && now >= lender.sentAt + lender.promised) ? std::optional(interval) : std::nullopt;
+}
+
+SharePoll QuotaLeases::Impl::makePoll(Lender &lender, base::Duration interval, base::TimePoint now)
+{
+    const base::Duration term = leaseTerm(m_fleet.count);
+    lender.keepOnly(m_groups);
+    for (SentPoll &it : lender.sent) {
+        it.ends = std::min(it.ends, now + term);
+    }
+    if (lender.sent.size() == MaxSentPolls) {
+        lender.sent.erase(lender.sent.begin());
+    }
+    lender.sent.push_back({.sequence = ++m_lastPoll, .ends = now + term, .groups = m_groups});
+    lender.sentAt = now;
+    lender.promised = interval;
+    if (m_groups != 0) {
+        lender.returnsUntil = now + lentTime(term);
+    }
+    return {.sender = m_self,
+            .incarnation = m_incarnation,
+            .sequence = m_lastPoll,
+            .groups = m_groups,
+            .term = term,
+            .nextPoll = interval,
+            .lenderIncarnation = lender.incarnation,
+            .appliedAnswer = lender.applied};
+}
+
+std::vector<std::pair<RouterKey, SharePoll>> QuotaLeases::Impl::duePolls(base::TimePoint now)
+{
+    std::vector<std::pair<RouterKey, SharePoll>> polls;
+    bool isFirstOfAny = false;
+    for (std::uint32_t i = 0; i < LimitGroups; ++i) {
+        isFirstOfAny = isFirstOfAny || isFirst(i, now);
+    }
+    double place = 0;
+    for (auto &[key, lender] : m_lenders) {
+        const double phase = place++ / static_cast<double>(m_lenders.size());
+        if (const auto interval = dueInterval(lender, phase, isFirstOfAny, now)) {
+            polls.emplace_back(key, makePoll(lender, *interval, now));
+        }
+    }
+    if (m_groups == 0) {
+        std::erase_if(m_lenders, [now](const auto &it) {
+            return now >= it.second.returnsUntil;
+        });
+    }
+    return polls;
+}
+
+std::optional<RouterKey> QuotaLeases::Impl::coordinator(std::uint32_t group, base::TimePoint now) const
+{
+    if (group >= LimitGroups || now < m_usableFrom) {
+        return std::nullopt;
+    }
+    if (m_fleet.lists(m_self)) {
+        const Loan *lent = loan(group, now);
+        const RouterKey holder = lent != nullptr ? lent->borrower : m_self;
+        return lent == nullptr || target(group, now) == holder ? std::optional(holder) : std::nullopt;
+    }
+    // A router that owns nothing asks where it would lend.
+    for (const RouterKey it : m_fleet.candidates[group]) {
+        if (aliveCandidate(it, group, now) != nullptr) {
+            return it;
+        }
+    }
+    return std::nullopt;
+}
+
+double QuotaLeases::Impl::heldShare(std::uint32_t group, base::TimePoint now) const
+{
+    if (group >= LimitGroups) {
+        return 0;
+    }
+    double share = ownsShare(now) && loan(group, now) == nullptr ? 1.0 / m_fleet.count : 0.0;
+    for (const auto &[key, lender] : m_lenders) {
+        share += now < lender.ends[group] ? 1.0 / lender.routers : 0.0;
+    }
+    return std::min(share, 1.0);
+}
+
+std::vector<RouterKey> QuotaLeases::Impl::peers() const
+{
+    std::vector<RouterKey> peers;
+    if (m_fleet.groupsOf(m_self) != 0) {
+        peers = m_fleet.routers;
+    } else {
+        for (const auto &it : m_fleet.candidates) {
+            peers.insert(peers.end(), it.begin(), it.end());
+        }
+        std::sort(peers.begin(), peers.end());
+        peers.erase(std::unique(peers.begin(), peers.end()), peers.end());
+    }
+    std::erase(peers, m_self);
+    return peers;
+}
+
+std::string QuotaLeases::Impl::stateText(base::TimePoint now) const
+{
+    std::ostringstream out;
+    // Times long past no longer matter.
+    const auto since = [now](base::TimePoint at) {
+        return std::max<std::int64_t>(-2 * MaxTerm.count(), (at - now).count());
+    };
+    out << m_incarnation << ',' << (m_usableFrom == base::TimePoint::max() ? -1 : std::max<std::int64_t>(0, (m_usableFrom - now).count())) << ',' << m_isStopped
+        << m_groups << ',' << m_lastAnswer << ',' << m_lastPoll;
+    for (const auto &it : m_loans) {
+        if (it && now < it->until) {
+            out << "|l" << it->borrower << ',' << it->incarnation << ',' << since(it->until) << ',' << it->extendedBy << ',' << it->lastAnswer;
+        }
+    }
+    for (const auto &[key, it] : m_candidates) {
+        out << "|c" << key << ',' << it.incarnation << ',' << it.sequence << ',' << it.groups << ',' << since(it.polledAt) << ',' << it.nextPoll.count();
+        for (std::uint32_t i = 0; i < LimitGroups; ++i) {
+            out << ',' << (it.isAlive(i, now) ? std::max(since(it.since[i]), -TakeoverDelay.count()) : 1);
+        }
+    }
+    for (const auto &[key, it] : m_lenders) {
+        out << "|b" << key << ',' << it.incarnation << ',' << it.applied << ',' << it.appliedPoll << ',' << it.routers << ',' << since(it.sentAt) << ','
+            << it.promised.count();
+        for (const base::TimePoint ends : it.ends) {
+            out << ',' << std::max<std::int64_t>(0, since(ends));
+        }
+        for (const SentPoll &sent : it.sent) {
+            out << ';' << sent.sequence << ',' << std::max<std::int64_t>(0, since(sent.ends)) << ',' << sent.groups;
+        }
+    }
+    return out.str();
+}
+
+QuotaLeases::QuotaLeases(RouterKey self, std::uint64_t incarnation, base::TimePoint now)
+    : m_impl(std::make_unique<Impl>(self, incarnation, now))
+{
+}
+
+QuotaLeases::~QuotaLeases() = default;
+QuotaLeases::QuotaLeases(const QuotaLeases &other)
+    : m_impl(std::make_unique<Impl>(*other.m_impl))
+{
+}
+QuotaLeases &QuotaLeases::operator=(const QuotaLeases &other)
+{
+    *m_impl = *other.m_impl;
+    return *this;
+}
+QuotaLeases::QuotaLeases(QuotaLeases &&) noexcept = default;
+QuotaLeases &QuotaLeases::operator=(QuotaLeases &&) noexcept = default;
+
+void QuotaLeases::setRouters(std::span<const RouterKey> routers, std::uint32_t count, base::TimePoint now)
+{
+    m_impl->setRouters(routers, count, now);
+}
+
+void QuotaLeases::stop()
+{
+    m_impl->stop();
+}
+
+std::vector<std::pair<RouterKey, SharePoll>> QuotaLeases::duePolls(base::TimePoint now)
+{
+    return m_impl->duePolls(now);
+}
+
+ShareAnswer QuotaLeases::onPoll(const SharePoll &poll, base::TimePoint now)
+{
+    return m_impl->onPoll(poll, now);
+}
+
+void QuotaLeases::onAnswer(const ShareAnswer &answer, base::TimePoint now)
+{
+    m_impl->onAnswer(answer, now);
+}
+
+std::optional<RouterKey> QuotaLeases::coordinator(std::uint32_t group, base::TimePoint now) const
+{
+    return m_impl->coordinator(group, now);
+}
+
+double QuotaLeases::heldShare(std::uint32_t group, base::TimePoint now) const
+{
+    return m_impl->heldShare(group, now);
+}
+
+std::vector<RouterKey> QuotaLeases::peers() const
+{
+    return m_impl->peers();
+}
+
+std::string QuotaLeases::stateText(base::TimePoint now) const
+{
+    return m_impl->stateText(now);
+}
+
+base::Duration QuotaLeases::pollInterval(std::uint32_t routers)
+{
+    return std::clamp<base::Duration>(routers * PollIntervalPerRouter, MinPollInterval, MaxTerm / PollsPerTerm);
+}
+
+base::Duration QuotaLeases::leaseTerm(std::uint32_t routers)
+{
+    return PollsPerTerm * pollInterval(routers);
+}
+
+base::Duration QuotaLeases::lentTime(base::Duration term)
+{
+    return term + term / DriftDivisor + LeaseMargin;
+}
+
+base::Duration QuotaLeases::startDelay(std::uint32_t routers)
+{
+    const base::Duration term = leaseTerm(routers);
+    return term + term / StartDivisor + LeaseMargin;
+}
+
+} // namespace carawaylatch::admission
--- a/carawaylatch/admission/quotaleases.h
+++ b/carawaylatch/admission/quotaleases.h
@@ -27,6 +27,7 @@
 #include <memory>
 #include <optional>
 #include <span>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -41,9 +42,13 @@
 public:
     static constexpr std::size_t MaxCandidates = 5; // two failure domains lost at once rarely hold all of them
     static constexpr base::Duration StandbyInterval = base::seconds{1};
+    // Bounds the time for which a lost borrower blocks a share; reached from 1,250 routers on.
+    static constexpr base::Duration MaxTerm = base::seconds{10};
 
     QuotaLeases(RouterKey self, std::uint64_t incarnation, base::TimePoint now);
     ~QuotaLeases();
+    QuotaLeases(const QuotaLeases &other);
+    QuotaLeases &operator=(const QuotaLeases &other);
     QuotaLeases(QuotaLeases &&) noexcept;
     QuotaLeases &operator=(QuotaLeases &&) noexcept;
 
@@ -67,6 +72,8 @@
     [[nodiscard]] double heldShare(std::uint32_t group, base::TimePoint now) const;
     // The routers to which this one needs a connection: candidates, and all routers if it is one itself.
     [[nodiscard]] std::vector<RouterKey> peers() const;
+    // For tests: instances with equal texts behave alike from `now` on.
+    [[nodiscard]] std::string stateText(base::TimePoint now) const;
 
     // Time between two polls of one lender, and the term of a lease, at this number of routers.
     [[nodiscard]] static base::Duration pollInterval(std::uint32_t routers);
