--- a/carawaylatch/proxy/peerexchange.cpp
+++ b/carawaylatch/proxy/peerexchange.cpp
@@ -3,6 +3,7 @@
 #include "carawaylatch/proxy/peerexchange.h"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
@@ -14,6 +15,7 @@
 #include "carawaylatch/base/incarnation.h"
 #include "carawaylatch/config/valuetext.h"
 #include "carawaylatch/peer/http2session.h"
+#include "carawaylatch/proxy/limitcodec.h"
 
 namespace carawaylatch::proxy
 {
@@ -25,13 +27,22 @@
 constexpr base::Duration ConnectTimeout = base::milliseconds{700}; // several round trips, but less than the one second after which a lost SYN is sent again
 constexpr base::seconds SilenceDetection{2}; // reports are sent several times a second, and a new connection loses none
 constexpr base::Duration ResponseTimeout = base::seconds{1}; // a peer so busy that it responds later is of no use
-constexpr base::Duration InitialRetryDelay = base::milliseconds{500}; // after a failure; doubles up to MaxRetryDelay
-constexpr base::Duration MaxRetryDelay = base::seconds{8}; // bounds the cost of removed routers, which stay listed
+constexpr base::Duration RequestPeerLossDelay = base::seconds{5}; // after which a loss is logged; these peers change often, with coordinators
 constexpr std::size_t MaxUnanswered = 16; // reports to one peer; further ones are skipped, and a full report follows
-constexpr std::size_t MaxInbound = 2 * MaxReportPeers; // routers may temporarily know different rings
+constexpr std::size_t MaxReportInbound = 2 * MaxReportPeers; // routers may temporarily know different rings
+constexpr int StatusAnswered = 200;
 constexpr int StatusAccepted = 204;
 constexpr int StatusRejected = 400;
 
+// Delays between connection attempts; the delay doubles with each failure.
+struct RetryDelays
+{
+    base::Duration first;
+    base::Duration max;
+};
+constexpr RetryDelays ReportRetryDelays{base::milliseconds{500}, base::seconds{8}}; // bounds the cost of removed routers, which stay listed
+constexpr RetryDelays RequestRetryDelays{base::milliseconds{200}, base::seconds{2}}; // a coordinator that restarts is soon needed again
+
 // Encodes the report as up to three messages, empty if there is nothing to tell: limits and brittle upstreams have
 // their own, since routers of a former version refuse the message that holds them.
 std::array<std::string, 3> encodeFaults(FaultReport report)
@@ -88,8 +99,10 @@
                 return;
             }
             for (const auto &request : self->m_session.takeRequests()) {
-                self->m_session.respond(request.stream, request.isTooLarge ? StatusRejected : StatusAccepted);
-                self->m_exchange->onInbound(request.body);
+                if (self->m_exchange == nullptr) {
+                    return; // closed by a handler of the source
+                }
+                self->answer(request);
             }
             self->write();
         });
@@ -105,6 +118,18 @@
     }
 
 private:
+    void answer(const peer::Http2Session::Request &request)
+    {
+        if (isSharePoll(request.body) || isTokenRequest(request.body)) {
+            std::string text = m_exchange->m_source.onPeerRequest(request.body);
+            const int status = text.empty() ? StatusAccepted : StatusAnswered;
+            m_session.respond(request.stream, status, std::move(text));
+            return;
+        }
+        m_session.respond(request.stream, request.isTooLarge ? StatusRejected : StatusAccepted);
+        m_exchange->onInbound(request.body);
+    }
+
     // Writes all output before it reads on, so that a peer that does not read makes no more of it.
     void write()
     {
@@ -133,25 +158,49 @@
 class PeerExchange::Outbound : public std::enable_shared_from_this<Outbound>
 {
 public:
-    Outbound(PeerExchange &exchange, base::Endpoint endpoint)
+    enum class Purpose {
+        Reports,
+        Requests,
+        Both,
+    };
+
+    Outbound(PeerExchange &exchange, base::Endpoint endpoint, Purpose purpose)
         : m_exchange(&exchange)
         , m_endpoint(std::move(endpoint))
         , m_socket(exchange.m_loop)
+        , m_purpose(purpose)
+        , m_retryDelay(retryDelays().first)
     {
     }
 
+    void setPurpose(Purpose purpose)
+    {
+        if (purpose == m_purpose) {
+            return;
+        }
+        m_purpose = purpose;
+        m_needsFullReport = true; // reports may have been left out
+        m_retryDelay = std::min(m_retryDelay, retryDelays().max);
+        if (m_state == State::Idle && !m_isInvalid) {
+            m_retryAt = std::min(m_retryAt, m_exchange->m_clock.now() + m_retryDelay);
+        }
+    }
+
     // Connects when the retry delay has passed, and drops a connection whose peer does not respond.
     void tick()
     {
         const base::TimePoint now = m_exchange->m_clock.now();
-        if (m_state == State::Idle && now >= m_retryAt) {
+        if (m_state == State::Idle && now >= m_retryAt && !m_isInvalid) {
             connect();
         } else if (m_state == State::Connecting && now - m_waitingSince > ConnectTimeout) {
             drop("connect timed out");
-        } else if (m_state == State::Open && m_unanswered > 0 && now - m_waitingSince > ResponseTimeout) {
+        } else if (m_state == State::Open && isResponseOverdue(now)) {
             drop("response timed out");
         }
-        if (m_lostSince && now - *m_lostSince >= UnreachableTimeout) {
+        if (m_lostSince && !m_isLossLogged && now - *m_lostSince > RequestPeerLossDelay) {
+            logLoss();
+        }
+        if (m_lostSince && sendsReports() && now - *m_lostSince >= UnreachableTimeout) {
             m_lostSince = now;
             m_exchange->m_source.onPeerUnreachable(m_endpoint);
         }
@@ -160,13 +209,13 @@
     // True if the peer needs a full report: it has got none on this connection, or reports to it were skipped.
     [[nodiscard]] bool needsFullReport() const
     {
-        return m_state == State::Open && m_needsFullReport;
+        return m_state == State::Open && sendsReports() && m_needsFullReport;
     }
 
     // Sends a report, or skips it if too many are unanswered.
     void send(const std::string &report)
     {
-        if (m_state != State::Open) {
+        if (m_state != State::Open || !sendsReports()) {
             return;
         }
         if (m_unanswered >= MaxUnanswered) {
@@ -183,10 +232,22 @@
         write();
     }
 
+    void request(std::string body, RequestHandler done)
+    {
+        const bool isAllowed = m_state == State::Open && m_requests.size() < MaxUnansweredRequests;
+        const std::int32_t stream = isAllowed ? m_session->submit(std::move(body)) : -1;
+        if (stream <= 0) {
+            m_exchange->complete(std::move(done), std::nullopt);
+            return;
+        }
+        m_requests.emplace(stream, Request{m_exchange->m_clock.now(), std::move(done)});
+        write();
+    }
+
     void close()
     {
-        m_exchange = nullptr;
         reset();
+        m_exchange = nullptr;
     }
 
 private:
@@ -195,13 +256,35 @@
         Connecting,
         Open,
     };
+    struct Request
+    {
+        base::TimePoint sentAt;
+        RequestHandler done;
+    };
+
+    [[nodiscard]] bool sendsReports() const
+    {
+        return m_purpose != Purpose::Requests;
+    }
+
+    [[nodiscard]] const RetryDelays &retryDelays() const
+    {
+        return m_purpose == Purpose::Reports ? ReportRetryDelays : RequestRetryDelays;
+    }
+
+    // Checks the oldest request, too: a peer that responds to others only would fill the table of requests.
+    [[nodiscard]] bool isResponseOverdue(base::TimePoint now) const
+    {
+        const bool isWaiting = m_unanswered > 0 || m_awaitsFirstBytes;
+        return (isWaiting && now - m_waitingSince > ResponseTimeout) || (!m_requests.empty() && now - m_requests.begin()->second.sentAt > ResponseTimeout);
+    }
 
     void connect()
     {
         boost::system::error_code ec;
         const auto address = boost::asio::ip::make_address(m_endpoint.address, ec);
         if (ec) {
-            m_retryAt = base::TimePoint::max(); // an invalid address is never retried
+            m_isInvalid = true;
             return;
         }
         m_state = State::Connecting;
@@ -226,19 +309,42 @@
         setSocketOptions(m_socket, silenceLimits(SilenceDetection));
         m_needsFullReport = true;
         read();
+        // Without reports there may be no response for long. The peer's process answers the start of the protocol instead.
+        m_awaitsFirstBytes = !sendsReports();
+        if (m_awaitsFirstBytes) {
+            m_waitingSince = m_exchange->m_clock.now();
+            write();
+        }
     }
 
-    // Only responses show that a peer is alive: the kernel accepts connections even for a suspended process.
-    void onResponses(std::size_t answers)
+    // Only received bytes show that a peer is alive: the kernel accepts connections even for a suspended process.
+    void onAlive()
     {
-        m_unanswered -= std::min(answers, m_unanswered);
-        m_waitingSince = m_exchange->m_clock.now();
-        m_retryDelay = InitialRetryDelay;
-        if (std::exchange(m_lostSince, std::nullopt)) {
+        m_retryDelay = retryDelays().first;
+        m_lostSince.reset();
+        if (std::exchange(m_isLossLogged, false)) {
             m_exchange->m_log.write(base::LogEvent::PeerRegained, {{"peer", config::formatEndpoint(m_endpoint)}});
         }
     }
 
+    void onReceived()
+    {
+        bool isAlive = std::exchange(m_awaitsFirstBytes, false);
+        for (peer::Http2Session::Response &response : m_session->takeResponses()) {
+            isAlive = true;
+            if (auto request = m_requests.extract(response.stream); !request.empty()) {
+                const bool isAnswer = response.status == StatusAnswered && !response.body.empty();
+                m_exchange->complete(std::move(request.mapped().done), isAnswer ? std::optional(std::move(response.body)) : std::nullopt);
+            } else if (m_unanswered > 0) {
+                --m_unanswered;
+                m_waitingSince = m_exchange->m_clock.now();
+            }
+        }
+        if (isAlive) {
+            onAlive();
+        }
+    }
+
     void read()
     {
         m_socket.async_read_some(boost::asio::buffer(m_chunk),
@@ -250,9 +356,7 @@
                                          self->drop(ec ? ec.message() : "invalid HTTP/2 response");
                                          return;
                                      }
-                                     if (const std::size_t answers = self->m_session->takeResponses().size(); answers > 0) {
-                                         self->onResponses(answers);
-                                     }
+                                     self->onReceived();
                                      self->write();
                                      self->read();
                                  });
@@ -280,13 +384,22 @@
     {
         reset();
         m_retryAt = m_exchange->m_clock.now() + m_retryDelay;
-        m_retryDelay = std::min<base::Duration>(m_retryDelay * 2, MaxRetryDelay);
+        m_retryDelay = std::min<base::Duration>(m_retryDelay * 2, retryDelays().max);
         if (!m_lostSince) {
             m_lostSince = m_exchange->m_clock.now();
-            m_exchange->m_log.write(base::LogEvent::PeerLost, {{"peer", config::formatEndpoint(m_endpoint)}, {"problem", problem}});
+            m_lossProblem = problem;
+            if (sendsReports()) {
+                logLoss();
+            }
         }
     }
 
+    void logLoss()
+    {
+        m_isLossLogged = true;
+        m_exchange->m_log.write(base::LogEvent::PeerLost, {{"peer", config::formatEndpoint(m_endpoint)}, {"problem", m_lossProblem}});
+    }
+
     void reset()
     {
         ++m_generation;
@@ -294,6 +407,10 @@
         m_socket.close(ignored);
         m_state = State::Idle;
         m_unanswered = 0;
+        m_awaitsFirstBytes = false;
+        for (auto &[stream, request] : std::exchange(m_requests, {})) {
+            m_exchange->complete(std::move(request.done), std::nullopt);
+        }
     }
 
     PeerExchange *m_exchange; // nullptr once closed
@@ -306,10 +423,16 @@
     std::uint64_t m_generation = 0; // of the connection; handlers of former connections return at once
     base::TimePoint m_waitingSince; // start of the wait for the connection or for a response
     base::TimePoint m_retryAt;
-    base::Duration m_retryDelay = InitialRetryDelay;
+    Purpose m_purpose;
+    bool m_isInvalid = false; // the address, which is then never tried again
+    base::Duration m_retryDelay; // at most retryDelays().max
     std::size_t m_unanswered = 0; // reports without a response; at most MaxUnanswered
     bool m_needsFullReport = true;
-    std::optional<base::TimePoint> m_lostSince; // the first failure since the last response
+    std::map<std::int32_t, Request> m_requests; // without a response, by stream, so in the order sent; at most MaxUnansweredRequests
+    bool m_awaitsFirstBytes = false; // of a new connection for requests only
+    std::optional<base::TimePoint> m_lostSince; // the first failure since the peer was last alive
+    std::string m_lossProblem; // of that failure
+    bool m_isLossLogged = false; // PeerRegained is written only after PeerLost
 };
 
 PeerExchange::PeerExchange(boost::asio::io_context &loop, const base::Clock &clock, base::Endpoint self, const std::string &id, PeerReportSource &source,
@@ -350,7 +473,7 @@
         if (ec == boost::asio::error::operation_aborted) {
             return;
         }
-        if (!ec && m_inbound.size() < MaxInbound) {
+        if (!ec && m_inbound.size() < MaxReportInbound + m_routers) {
             const auto inbound = std::make_shared<Inbound>(*this, std::move(m_next));
             m_inbound.insert(inbound);
             inbound->read();
@@ -369,18 +492,69 @@
         return;
     }
     const auto peers = reportPeers(routers, m_self);
-    std::erase_if(m_outbound, [&peers](const auto &it) {
-        const bool isGone = std::find(peers.begin(), peers.end(), it.first) == peers.end();
+    m_routers = routers.size();
+    m_reportPeers = {peers.begin(), peers.end()};
+    updateOutbound();
+}
+
+void PeerExchange::setRequestPeers(std::span<const base::Endpoint> peers)
+{
+    if (m_self.port == 0) {
+        return;
+    }
+    m_requestPeers.clear();
+    for (const base::Endpoint &peer : peers) {
+        if (peer != m_self && m_requestPeers.size() < MaxRequestPeers) {
+            m_requestPeers.insert(peer);
+        }
+    }
+    updateOutbound();
+}
+
+// Closes and creates connections so that there is one to each peer, with its purpose.
+void PeerExchange::updateOutbound()
+{
+    std::erase_if(m_outbound, [this](const auto &it) {
+        const bool isGone = !m_reportPeers.contains(it.first) && !m_requestPeers.contains(it.first);
         if (isGone) {
             it.second->close();
         }
         return isGone;
     });
-    for (const base::Endpoint &peer : peers) {
-        if (!m_outbound.contains(peer)) {
-            m_outbound.emplace(peer, std::make_shared<Outbound>(*this, peer));
+    const auto add = [this](const base::Endpoint &peer, Outbound::Purpose purpose) {
+        if (const auto it = m_outbound.find(peer); it != m_outbound.end()) {
+            it->second->setPurpose(purpose);
+        } else {
+            m_outbound.emplace(peer, std::make_shared<Outbound>(*this, peer, purpose));
         }
+    };
+    for (const base::Endpoint &peer : m_reportPeers) {
+        add(peer, m_requestPeers.contains(peer) ? Outbound::Purpose::Both : Outbound::Purpose::Reports);
     }
+    for (const base::Endpoint &peer : m_requestPeers) {
+        if (!m_reportPeers.contains(peer)) {
+            add(peer, Outbound::Purpose::Requests);
+        }
+    }
+}
+
+void PeerExchange::request(const base::Endpoint &peer, std::string body, RequestHandler done)
+{
+    if (const auto it = m_outbound.find(peer); it != m_outbound.end()) {
+        it->second->request(std::move(body), std::move(done));
+    } else {
+        complete(std::move(done), std::nullopt);
+    }
+}
+
+// Calls the handler from the loop, unless closeAll() is called before.
+void PeerExchange::complete(RequestHandler done, std::optional<std::string> body)
+{
+    boost::asio::post(m_loop, [done = std::move(done), body = std::move(body), isOpen = std::weak_ptr(m_isOpen)]() mutable {
+        if (!isOpen.expired()) {
+            done(std::move(body));
+        }
+    });
 }
 
 void PeerExchange::tick()
@@ -471,6 +645,7 @@
         outbound->close();
     }
     m_outbound.clear();
+    m_isOpen = std::make_shared<const bool>(true);
     const auto inbound = std::exchange(m_inbound, {});
     for (const auto &it : inbound) {
         it->close();
--- a/carawaylatch/proxy/peerexchange.h
+++ b/carawaylatch/proxy/peerexchange.h
@@ -1,4 +1,5 @@
-// Exchanges load reports (loadreport.h), fault reports (faultreport.h) and reach reports (reachreport.h) with other routers.
+// Exchanges load reports (loadreport.h), fault reports (faultreport.h) and reach reports (reachreport.h) with other routers,
+// and requests by which routers enforce customers' limits together (limitcodec.h).
 //
 // Each router keeps one HTTP/2 connection to each of its peers and posts a report
 // every ReportInterval in which something changed, and a heartbeat (an empty report)
@@ -6,11 +7,16 @@
 // and retried with exponential backoff. It does not delay other peers, and placement
 // continues with this router's own data. Peers are the nearest neighbours in a ring
 // of all routers, so their number and the cost are bounded for any fleet size.
+//
+// Requests go over the same connections, and over further ones to routers that get no
+// reports. Nothing is sent on a connection for requests only while none is in progress.
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -32,6 +38,12 @@
 
 // Maximum number of routers to which one router reports.
 constexpr std::size_t MaxReportPeers = 32;
+// Maximum number of routers with which one router exchanges requests; more than the largest fleet has. Further ones are
+// left out.
+constexpr std::size_t MaxRequestPeers = 4096;
+// Maximum number of requests to one router without a response; further ones fail at once. A router sends a poll and a
+// few token requests within the time in which a live router responds.
+constexpr std::size_t MaxUnansweredRequests = 64;
 
 // The routers to which `self` reports: the nearest on both sides in the ring of all
 // sorted endpoints, so that the relation is symmetric.
@@ -55,6 +67,8 @@
     virtual void onReachReport(const ReachReport &report) = 0;
     // A peer has not responded for UnreachableTimeout. Repeated after each further UnreachableTimeout.
     virtual void onPeerUnreachable(const base::Endpoint &peer) = 0;
+    // Answers a request of another router, whose first byte is 6 or 7; empty: no answer.
+    [[nodiscard]] virtual std::string onPeerRequest(std::string_view body) = 0;
 };
 
 class PeerExchange
@@ -72,6 +86,14 @@
     [[nodiscard]] base::Result<void> listen();
     // Sets the routers of the fleet, which may include this one.
     void setRouters(std::span<const base::Endpoint> routers);
+    // Sets the routers with which requests are exchanged, at most MaxRequestPeers; this one is ignored.
+    void setRequestPeers(std::span<const base::Endpoint> peers);
+    // The body of the response, or nothing if there is none.
+    using RequestHandler = std::function<void(std::optional<std::string>)>;
+    // Sends a request to a router to which there is a connection. The handler is always called from the loop, never
+    // inline: with nothing if the router is not connected, is removed or does not respond, responds without a body or
+    // with another status than 200, or if MaxUnansweredRequests are waiting. closeAll() discards handlers without a call.
+    void request(const base::Endpoint &peer, std::string body, RequestHandler done);
     // Sends due reports and makes due connections; to be called every ReportInterval.
     void tick();
     void closeAll();
@@ -85,6 +107,8 @@
     class Outbound;
 
     void accept();
+    void updateOutbound();
+    void complete(RequestHandler done, std::optional<std::string> body);
     void onInbound(std::string_view body);
     template <typename Report>
     void apply(const base::Result<Report> &report, void (PeerReportSource::*handler)(const Report &));
@@ -102,7 +126,11 @@
     Tcp::socket m_next;
     bool m_isAccepting = false;
     std::set<std::shared_ptr<Inbound>> m_inbound;
-    std::map<base::Endpoint, std::shared_ptr<Outbound>> m_outbound;
+    std::size_t m_routers = 0; // of the fleet
+    std::set<base::Endpoint> m_reportPeers; // at most MaxReportPeers
+    std::set<base::Endpoint> m_requestPeers; // at most MaxRequestPeers
+    std::map<base::Endpoint, std::shared_ptr<Outbound>> m_outbound; // one for each of both sets
+    std::shared_ptr<const bool> m_isOpen = std::make_shared<const bool>(true); // handlers of requests hold a weak pointer; replaced by closeAll()
     base::TimePoint m_reportedAt; // last report or heartbeat
     base::TimePoint m_reachReportedAt;
     std::string m_reachText; // the last one
--- a/carawaylatch/proxy/testing/peerexchangetest.cpp
+++ b/carawaylatch/proxy/testing/peerexchangetest.cpp
@@ -80,6 +80,10 @@
         {
             gone.push_back(peer);
         }
+        std::string onPeerRequest(std::string_view /*body*/) override
+        {
+            return {};
+        }
         std::vector<LoadReport> received;
         std::vector<FaultReport> receivedCrashes;
         std::vector<base::Endpoint> gone;
--- a/carawaylatch/proxy/trafficplane.cpp
+++ b/carawaylatch/proxy/trafficplane.cpp
@@ -211,6 +211,11 @@
     m_observer.onRouterUnreachable(peer);
 }
 
+std::string TrafficPlane::onPeerRequest(std::string_view /*body*/)
+{
+    return {}; // this router lends no share of a limit and grants no tokens
+}
+
 // Divides the fleet's retry reserve by one router more than are known, so that a router
 // that was just added does not exceed it.
 void TrafficPlane::applyBudgets()
--- a/carawaylatch/proxy/trafficplane.h
+++ b/carawaylatch/proxy/trafficplane.h
@@ -245,6 +245,7 @@
     // Logs new verdicts, and ends requests in progress whose prompts are blocked now.
     void applyVerdicts();
     void onPeerUnreachable(const base::Endpoint &peer) override;
+    [[nodiscard]] std::string onPeerRequest(std::string_view body) override;
     // Probes upstreams of suspected pools, and applies changed verdicts.
     void watchReach(base::TimePoint at);
     void startProbe(const base::UpstreamId &upstream);
