--- a/carawaylatch/proxy/testing/buildcontracttest.cpp
+++ b/carawaylatch/proxy/testing/buildcontracttest.cpp
@@ -10,6 +10,7 @@
 #include "carawaylatch/proxy/customers.h"
 #include "carawaylatch/proxy/faultreport.h"
 #include "carawaylatch/proxy/kvtransfer.h"
+#include "carawaylatch/proxy/limitcodec.h"
 #include "carawaylatch/proxy/loadreport.h"
 #include "carawaylatch/proxy/reachreport.h"
 
@@ -70,6 +71,7 @@
     CPPUNIT_TEST(testFaultReportsWithLimits);
     CPPUNIT_TEST(testFaultReportsWithBrittleUpstreams);
     CPPUNIT_TEST(testReachReports);
+    CPPUNIT_TEST(testLimitMessages);
     CPPUNIT_TEST(testReportsAreToldApartByTheirFirstByte);
     CPPUNIT_TEST(testCacheNamespaces);
     CPPUNIT_TEST_SUITE_END();
@@ -166,6 +168,28 @@
         CPPUNIT_ASSERT(bytesOf(recorded.back()) == encodeReachReport(report));
     }
 
+    // Former builds have none of these messages, and answer 204.
+    void testLimitMessages()
+    {
+        const char *const build = "landing of customers' limits";
+        const admission::SharePoll poll{Sender, 70, 9, 5, base::milliseconds{600}, base::milliseconds{150}, 71, 4};
+        const Recorded pollText{build, "0608070605040302014600000000000000090000000000000005000000580200009600000047000000000000000400000000000000"};
+        CPPUNIT_ASSERT(decodeSharePoll(bytesOf(pollText)).value() == poll && encodeSharePoll(poll) == bytesOf(pollText));
+
+        const admission::ShareAnswer answer{Sender, 71, 4, 70, 9, 5, 35};
+        const Recorded answerText{build, "06080706050403020147000000000000000400000000000000460000000000000009000000000000000500000023000000"};
+        CPPUNIT_ASSERT(decodeShareAnswer(bytesOf(answerText)).value() == answer && encodeShareAnswer(answer) == bytesOf(answerText));
+
+        const admission::TokenRequest request{Sender, {{0xaabb, 9200, 860, 2580}, {0xccdd, 1, 1, 0}}};
+        const Recorded requestText{build, "0708070605040302010200bbaa000000000000f02300005c030000140a0000ddcc000000000000010000000100000000000000"};
+        CPPUNIT_ASSERT(decodeTokenRequest(bytesOf(requestText)).value() == request && encodeTokenRequest(request) == bytesOf(requestText));
+
+        const admission::TokenGrant grant{
+            {{0xaabb, admission::GrantVerdict::Granted, 11'780, {}}, {0xccdd, admission::GrantVerdict::Denied, 0, base::milliseconds{1250}}}};
+        const Recorded grantText{build, "070200bbaa00000000000000042e000000000000ddcc0000000000000100000000e2040000"};
+        CPPUNIT_ASSERT(decodeTokenGrant(bytesOf(grantText)).value() == grant && encodeTokenGrant(grant) == bytesOf(grantText));
+    }
+
     // A decoder takes no report of another form, nor one of a later build, for its own.
     void testReportsAreToldApartByTheirFirstByte()
     {
@@ -173,7 +197,9 @@
             std::string load = encodeLoadReport(loadReport());
             std::string fault = encodeFaultReport(faultReport());
             std::string reach = encodeReachReport(ReachReport{Sender, true, 0, {}, base::Endpoint{"10.0.0.1", 7001}, {}});
-            for (std::string *bytes : {&load, &fault, &reach}) {
+            std::string poll = encodeSharePoll({});
+            std::string request = encodeTokenRequest({});
+            for (std::string *bytes : {&load, &fault, &reach, &poll, &request}) {
                 bytes->front() = static_cast<char>(first);
             }
             const std::string message = "first byte " + std::to_string(first);
@@ -181,6 +207,8 @@
             CPPUNIT_ASSERT_EQUAL_MESSAGE(message, first >= 2 && first <= 4, isFaultReport(fault));
             CPPUNIT_ASSERT_EQUAL_MESSAGE(message, first == 2, decodeFaultReport(fault).has_value());
             CPPUNIT_ASSERT_EQUAL_MESSAGE(message, first == 5, decodeReachReport(reach).has_value());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(message, first == 6, isSharePoll(poll) && decodeSharePoll(poll).has_value());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(message, first == 7, isTokenRequest(request) && decodeTokenRequest(request).has_value());
         }
     }
 
