--- a/carawaylatch/admission/testing/limitfleet.h
+++ b/carawaylatch/admission/testing/limitfleet.h
@@ -220,7 +220,7 @@
     void tick(std::size_t n, std::uint64_t process)
     {
         if (m_routers[n].process == process) {
-            onRouter(n, process, [] { });
+            onRouter(n, process, [] {});
             at(m_now + CustomerLimits::TickInterval, [this, n, process] {
                 tick(n, process);
             });
@@ -324,7 +324,7 @@
 
 // The most that may be used in any window, each request at the worst moment of its span, as a part of what
 // `allowed` gives for a window that starts at a time.
-template<typename Allowed>
+template <typename Allowed>
 [[nodiscard]] double worstWindow(const FleetUse &use, base::Duration window, Allowed &&allowed)
 {
     std::multimap<base::TimePoint, double> changes; // of the sum, by the window's start
