--- a/carawaylatch/gateway/fleetstate.cpp
+++ b/carawaylatch/gateway/fleetstate.cpp
@@ -261,8 +261,7 @@
                                                {"pools", std::to_string(m_table->pools.size())},
                                                {"customers", std::to_string(m_table->customers.size())}});
     for (const proxy::LimitProblem &it : m_table->limitProblems) {
-        m_log.write(base::LogEvent::LimitUnusable,
-                    {{"customer", it.customer.value()}, {"problem", it.problem}, {"version", std::to_string(m_table->version)}});
+        m_log.write(base::LogEvent::LimitUnusable, {{"customer", it.customer.value()}, {"problem", it.problem}, {"version", std::to_string(m_table->version)}});
     }
 }
 
--- a/carawaylatch/proxy/limitenforcement.cpp
+++ b/carawaylatch/proxy/limitenforcement.cpp
@@ -50,14 +50,13 @@
 
 } // namespace
 
-LimitEnforcement::LimitEnforcement(boost::asio::io_context &loop, const base::Clock &clock, PeerExchange &peers, base::Endpoint self,
-                                   telemetry::EventLog &log)
+LimitEnforcement::LimitEnforcement(boost::asio::io_context &loop, const base::Clock &clock, PeerExchange &peers, base::Endpoint self, telemetry::EventLog &log)
     : LimitEnforcement(loop, clock, peers, std::move(self), log, base::newIncarnation().value)
 {
 }
 
-LimitEnforcement::LimitEnforcement(boost::asio::io_context &loop, const base::Clock &clock, PeerExchange &peers, base::Endpoint self,
-                                   telemetry::EventLog &log, std::uint64_t incarnation)
+LimitEnforcement::LimitEnforcement(boost::asio::io_context &loop, const base::Clock &clock, PeerExchange &peers, base::Endpoint self, telemetry::EventLog &log,
+                                   std::uint64_t incarnation)
     : m_loop(loop)
     , m_clock(clock)
     , m_peers(peers)
--- a/carawaylatch/proxy/trafficplane.cpp
+++ b/carawaylatch/proxy/trafficplane.cpp
@@ -214,11 +214,6 @@
     m_observer.onRouterUnreachable(peer);
 }
 
-std::string TrafficPlane::onPeerRequest(std::string_view /*body*/)
-{
-    return {}; // this router lends no share of a limit and grants no tokens
-}
-
 // Divides the fleet's retry reserve by one router more than are known, so that a router
 // that was just added does not exceed it.
 void TrafficPlane::applyBudgets()
@@ -397,16 +392,6 @@
     return m_origins;
 }
 
-LimitEnforcement &TrafficPlane::customerLimits()
-{
-    return m_customerLimits;
-}
-
-std::string TrafficPlane::onPeerRequest(std::string_view body)
-{
-    return m_customerLimits.onPeerRequest(body);
-}
-
 const SoftwareSet *TrafficPlane::beginningSoftware(const base::PoolName &pool) const
 {
     const SoftwareSet *admitted = m_origins.admittedOnly(pool);
--- a/carawaylatch/proxy/trafficplane.h
+++ b/carawaylatch/proxy/trafficplane.h
@@ -164,7 +164,10 @@
     [[nodiscard]] PeerRouters &peerRouters();
     [[nodiscard]] CrashAttribution &crashes();
     [[nodiscard]] StreamOrigins &origins();
-    [[nodiscard]] LimitEnforcement &customerLimits();
+    [[nodiscard]] LimitEnforcement &customerLimits()
+    {
+        return m_customerLimits;
+    }
     // The software that may begin streams of the pool; nullptr: any.
     [[nodiscard]] const SoftwareSet *beginningSoftware(const base::PoolName &pool) const;
     [[nodiscard]] TrafficCounts &counts();
@@ -240,7 +243,10 @@
     void onFaultReport(const FaultReport &report) override;
     [[nodiscard]] ReachReport reachReport() const override;
     void onReachReport(const ReachReport &report) override;
-    [[nodiscard]] std::string onPeerRequest(std::string_view body) override;
+    [[nodiscard]] std::string onPeerRequest(std::string_view body) override
+    {
+        return m_customerLimits.onPeerRequest(body);
+    }
     void onLeavingKnown(const UpstreamRecord &record, std::string_view source);
     void logLimit(const UpstreamRecord &record, std::string_view source);
     void logBrittleEvents();
@@ -250,7 +256,6 @@
     // Logs new verdicts, and ends requests in progress whose prompts are blocked now.
     void applyVerdicts();
     void onPeerUnreachable(const base::Endpoint &peer) override;
-    [[nodiscard]] std::string onPeerRequest(std::string_view body) override;
     // Probes upstreams of suspected pools, and applies changed verdicts.
     void watchReach(base::TimePoint at);
     void startProbe(const base::UpstreamId &upstream);
