Generated runs of a fleet with limits

Routers are killed, frozen, cut off, restarted and added, messages lost, delayed and reordered, and limits changed. Each request counts in every window that meets the span in which it may be used, which covers the earliest and the latest moment.

Shifts between routers are measured with twice the rate in ten seeds: at 1.3 times, the sizes of 60 requests vary so much that the demand itself was at times below the limit.

--- a/carawaylatch/admission/testing/customerlimitstest.cpp
+++ b/carawaylatch/admission/testing/customerlimitstest.cpp
@@ -101,18 +101,25 @@
     // Callers all at one router, then at two, then everywhere: a share bound to a router would be lost.
     void testShiftsBetweenRouters()
     {
-        LimitFleet fleet(options());
-        fleet.run(Settled);
-        std::vector<std::size_t> everywhere = all(fleet);
-        for (const std::vector<std::size_t> &routers : {std::vector<std::size_t>{3}, {7, 20}, everywhere, {12}}) {
-            load(fleet, 1.3 * Usual.perSecond, base::seconds{6}, routers);
-            const base::TimePoint start = fleet.now();
-            fleet.run(base::seconds{6});
-            const double used = fleet.use(Customer).tokens(start + base::seconds{1}, start + base::seconds{6}) / (5 * Usual.perSecond);
-            std::cout << " " << routers.size() << " routers " << used;
-            CPPUNIT_ASSERT(used >= 0.9);
+        double least = 1;
+        for (std::uint64_t seed = Seed; seed < Seed + 10; ++seed) {
+            FleetOptions seeded = options();
+            seeded.seed = seed;
+            LimitFleet fleet(seeded);
+            fleet.run(Settled);
+            std::vector<std::size_t> everywhere = all(fleet);
+            for (const std::vector<std::size_t> &routers : {std::vector<std::size_t>{3}, {7, 20}, everywhere, {12}}) {
+                load(fleet, 2 * Usual.perSecond, base::seconds{6}, routers);
+                const base::TimePoint start = fleet.now();
+                fleet.run(base::seconds{6});
+                const double used = fleet.use(Customer).tokens(start + base::seconds{1}, start + base::seconds{6}) / (5 * Usual.perSecond);
+                std::cout << " " << routers.size() << ":" << used;
+                least = std::min(least, used);
+            }
+            assertWithinBound(fleet);
         }
-        assertWithinBound(fleet);
+        std::cout << " least used of the limit " << least;
+        CPPUNIT_ASSERT(least >= 0.9);
     }
     // Below the limit nothing may be refused; requests that find no tokens here pay a round trip.
     void testSteadyLoadBelowTheLimit()
--- a/carawaylatch/admission/testing/limitfleettest.cpp
+++ b/carawaylatch/admission/testing/limitfleettest.cpp
@@ -18,6 +18,7 @@
 constexpr base::Duration ApplyTime = base::seconds{3}; // until all routers have learnt of a configuration or a list of routers
 constexpr base::Duration RunTime = base::seconds{60};
 constexpr std::uint64_t Seeds = 40;
+constexpr std::uint32_t LargestRequest = 9'200;
 const base::CustomerId Customer("acme");
 
 // A run that is a function of its seed.
@@ -65,14 +66,19 @@
     FleetOptions makeOptions(std::uint64_t seed)
     {
         constexpr std::array Rates{46'000.0, 300'000.0, 1'200'000.0};
-        const double rate = Rates.at(m_random.below(Rates.size()));
-        const CustomerLimit limit{.unit = LimitUnit::Tokens, .perSecond = rate, .burst = rate * m_random.uniformReal()};
+        CustomerLimit limit{.unit = LimitUnit::Tokens};
+        LimitTolerance tolerance;
+        do { // a limit without room for the largest request checks little
+            limit.perSecond = Rates.at(m_random.below(Rates.size()));
+            limit.burst = limit.perSecond * m_random.uniformReal();
+            tolerance = {.slack = m_random.below(2) == 0 ? 0 : 110'000.0, .maxQueueWait = base::milliseconds{m_random.below(1'000)}};
+        } while (bucketCapacity(limit, tolerance) < LargestRequest);
         return {.routers = 3 + m_random.below(38),
                 .seed = seed,
                 .longestDelay = base::milliseconds{1 + m_random.below(m_random.below(2) == 0 ? 5 : 300)},
                 .loss = m_random.below(2) == 0 ? 0 : 0.1 * m_random.uniformReal(),
                 .limits = {{.customer = Customer, .limit = limit}},
-                .tolerance = {.slack = m_random.below(2) == 0 ? 0 : 110'000.0, .maxQueueWait = base::milliseconds{m_random.below(1'000)}}};
+                .tolerance = tolerance};
     }
     void load(base::TimePoint end)
     {
@@ -80,7 +86,7 @@
         const double perSecond = m_options.limits[0].limit.perSecond * (0.5 + 3 * m_random.uniformReal());
         for (base::TimePoint at = m_fleet.now(); at < end; at += base::fromSeconds(2 * m_random.uniformReal() * Mean / perSecond)) {
             m_fleet.at(at, [this] {
-                constexpr std::array<std::uint32_t, 4> Sizes{200, 860, 9'200, 2'540};
+                constexpr std::array<std::uint32_t, 4> Sizes{200, 860, LargestRequest, 2'540};
                 m_fleet.request({.router = randomRouter(), .customer = Customer, .cost = Sizes.at(m_random.below(Sizes.size())), .retries = 1});
             });
         }
@@ -192,6 +198,7 @@
             GeneratedRun run(seed);
             run.run();
             worst = std::max(worst, run.worst());
+            CPPUNIT_ASSERT(!run.use().granted.empty());
             if (run.worst() > 1) {
                 broken += "seed " + std::to_string(seed) + ": " + run.describe() + "\n";
             }
