--- a/carawaylatch/proxy/trafficmetrics.cpp
+++ b/carawaylatch/proxy/trafficmetrics.cpp
@@ -1,6 +1,8 @@
 // Metrics of trafficplane.h in the Prometheus text format.
 #include "carawaylatch/proxy/trafficplane.h"
 
+#include <cmath>
+
 namespace carawaylatch::proxy
 {
 
@@ -72,7 +74,7 @@
     }
     constexpr double Percent = 100;
     for (std::uint32_t i = 0; i < admission::LimitGroups && m_customerLimits.limitedCustomers() > 0; ++i) {
-        const auto share = static_cast<std::uint64_t>(m_customerLimits.heldShare(i) * Percent + 0.5);
+        const auto share = std::lround(m_customerLimits.heldShare(i) * Percent);
         out.append("carawaylatch_gateway_limit_share_percent{group=\"").append(std::to_string(i)).append("\"} ").append(std::to_string(share)).append("\n");
     }
     for (const auto &[pool, queue] : m_queues) {
