--- a/carawaylatch/proxy/testing/peerrequesttest.cpp
+++ b/carawaylatch/proxy/testing/peerrequesttest.cpp
@@ -243,7 +243,14 @@
         }
         return false;
     }
-    // Rounds in which whatever could arrive does, without time passing.
+    // Runs until so many requests are completed, without time passing.
+    void waitFor(const Answers &answers, std::size_t count)
+    {
+        CPPUNIT_ASSERT(passUntil([&answers, count] {
+            return answers.size() >= count;
+        }));
+    }
+    // Rounds without time passing, in which what must not happen could happen.
     void settle()
     {
         for (int i = 0; i < 15; ++i) {
@@ -264,8 +271,8 @@
         m_peer->reading = reading;
         PeerExchange &exchange = addExchange(reserveEndpoint());
         exchange.setRequestPeers(std::vector{endpoint});
-        CPPUNIT_ASSERT(passUntil([this] {
-            return !m_peer->connections.empty();
+        CPPUNIT_ASSERT(passUntil([this, reading] {
+            return !m_peer->connections.empty() && (reading == StandInPeer::Reading::No || m_peer->bytes > 0);
         }));
         settle();
         return {exchange, endpoint};
@@ -316,9 +323,10 @@
         Answers early;
         caller.request(endpoint, "\6x", addTo(early));
         CPPUNIT_ASSERT_MESSAGE("handlers are not called inline", early.empty());
-        settle();
+        waitFor(early, 1);
         CPPUNIT_ASSERT(early == Answers{std::nullopt});
         Answers answers;
+        settle();
         const std::string large = '\7' + std::string(10'000, 'l') + "x\6";
         for (const std::string &body : {std::string("\6x\6"), std::string("\7yz\6"), large}) {
             caller.request(endpoint, body, addTo(answers));
@@ -356,7 +364,7 @@
         StandInPeer::respond(connection, connection.waiting[2].stream, 200, "answer");
         StandInPeer::respond(connection, connection.waiting[0].stream, 204, "");
         StandInPeer::respond(connection, connection.waiting[1].stream, 204, "");
-        settle();
+        waitFor(answers, 1);
         CPPUNIT_ASSERT(answers == Answers{"answer"});
         m_peer->response = {204, ""};
         exchange.setRequestPeers({});
@@ -399,6 +407,7 @@
             Answers answers;
             exchange.request(endpoint, "\6", addTo(answers));
             CPPUNIT_ASSERT_MESSAGE(it.name, answers.empty());
+            waitFor(answers, 1);
             settle();
             CPPUNIT_ASSERT_MESSAGE(it.name, answers == Answers{std::nullopt});
         }
@@ -416,7 +425,7 @@
             settle();
             CPPUNIT_ASSERT(answers.empty());
             pass(base::milliseconds{200});
-            settle();
+            waitFor(answers, 1);
             CPPUNIT_ASSERT(answers == Answers{std::nullopt});
             tearDown();
             setUp();
@@ -435,8 +444,9 @@
         for (int i = 0; i < 5; ++i) {
             exchange.request(endpoint, "\6", addTo(answers));
             pass(base::milliseconds{250});
-            settle();
+            waitFor(answers, static_cast<std::size_t>(i) + 1);
         }
+        waitFor(kept, 1);
         CPPUNIT_ASSERT(kept == Answers{std::nullopt});
     }
 
@@ -447,6 +457,9 @@
         for (std::size_t i = 0; i < answers.size(); ++i) {
             exchange.request(endpoint, '\6' + std::to_string(i), addTo(answers[i]));
         }
+        CPPUNIT_ASSERT(passUntil([this] {
+            return m_peer->connections[0]->waiting.size() >= MaxUnansweredRequests;
+        }));
         settle();
         for (std::size_t i = 0; i < answers.size(); ++i) {
             CPPUNIT_ASSERT(answers[i] == (i < MaxUnansweredRequests ? Answers{} : Answers{std::nullopt}));
@@ -456,14 +469,14 @@
         for (std::size_t i = MaxUnansweredRequests; i-- > 0;) {
             StandInPeer::respond(connection, connection.waiting[i].stream, 200, connection.waiting[i].body.substr(1));
         }
-        settle();
         for (std::size_t i = 0; i < MaxUnansweredRequests; ++i) {
+            waitFor(answers[i], 1);
             CPPUNIT_ASSERT_MESSAGE("matched by stream", answers[i] == Answers{std::to_string(i)});
         }
         m_peer->response = {200, "again"};
         Answers again;
         exchange.request(endpoint, "\6", addTo(again));
-        settle();
+        waitFor(again, 1);
         CPPUNIT_ASSERT(again == Answers{"again"});
     }
 
@@ -482,6 +495,7 @@
         settle();
         exchange.setRequestPeers({});
         CPPUNIT_ASSERT(answers.empty());
+        waitFor(answers, 3);
         settle();
         CPPUNIT_ASSERT(answers == Answers(3));
         exchange.setRequestPeers(std::vector{endpoint});
@@ -520,7 +534,7 @@
         settle();
         Answers answers;
         exchange.request(endpoint, "\6", addTo(answers));
-        settle();
+        waitFor(answers, 1);
         CPPUNIT_ASSERT(answers == Answers{"back"});
     }
 
@@ -571,8 +585,7 @@
             for (std::size_t i = 1; i <= Routers; ++i) {
                 m_exchanges[i]->request(endpoint, "\6", addTo(answers));
             }
-            settle();
-            CPPUNIT_ASSERT_EQUAL(Routers, answers.size());
+            waitFor(answers, Routers);
             return static_cast<std::size_t>(std::count(answers.begin(), answers.end(), std::optional<std::string>("\6")));
         };
         settle();
