--- a/carawaylatch/proxy/testing/limitcodectest.cpp
+++ b/carawaylatch/proxy/testing/limitcodectest.cpp
@@ -11,7 +11,14 @@
 namespace carawaylatch::proxy::testing
 {
 
-using namespace carawaylatch::admission; // the messages
+using admission::AllLimitGroups;
+using admission::GrantVerdict;
+using admission::GroupMask;
+using admission::MaxTokenEntries;
+using admission::ShareAnswer;
+using admission::SharePoll;
+using admission::TokenGrant;
+using admission::TokenRequest;
 
 class LimitCodecTest : public CppUnit::TestFixture
 {
