--- a/carawaylatch/proxy/peerexchange.cpp
+++ b/carawaylatch/proxy/peerexchange.cpp
@@ -1,8 +1,9 @@
-// Connections of the exchange. peer::Http2Session implements the protocol; this file
-// handles the sockets, each with one pending read and at most one pending write.
+// Timing of reports, and the connections that peers open: one read is pending, and at most one write.
+// peer::Http2Session implements the protocol, peeroutbound.h the connections to peers.
 #include "carawaylatch/proxy/peerexchange.h"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
@@ -12,8 +13,9 @@
 
 #include "carawaylatch/base/hash.h"
 #include "carawaylatch/base/incarnation.h"
-#include "carawaylatch/config/valuetext.h"
 #include "carawaylatch/peer/http2session.h"
+#include "carawaylatch/proxy/limitcodec.h"
+#include "carawaylatch/proxy/peeroutbound.h"
 
 namespace carawaylatch::proxy
 {
@@ -22,13 +24,7 @@
 {
 
 constexpr base::Duration HeartbeatInterval = base::milliseconds{400}; // a third of PeerLoad::PeerTimeout
-constexpr base::Duration ConnectTimeout = base::milliseconds{700}; // several round trips, but less than the one second after which a lost SYN is sent again
-constexpr base::seconds SilenceDetection{2}; // reports are sent several times a second, and a new connection loses none
-constexpr base::Duration ResponseTimeout = base::seconds{1}; // a peer so busy that it responds later is of no use
-constexpr base::Duration InitialRetryDelay = base::milliseconds{500}; // after a failure; doubles up to MaxRetryDelay
-constexpr base::Duration MaxRetryDelay = base::seconds{8}; // bounds the cost of removed routers, which stay listed
-constexpr std::size_t MaxUnanswered = 16; // reports to one peer; further ones are skipped, and a full report follows
-constexpr std::size_t MaxInbound = 2 * MaxReportPeers; // routers may temporarily know different rings
+constexpr std::size_t MaxReportInbound = 2 * MaxReportPeers; // besides one of each router of the fleet; routers may temporarily know different rings
 constexpr int StatusAccepted = 204;
 constexpr int StatusRejected = 400;
 
@@ -77,7 +73,7 @@
         , m_socket(std::move(socket))
         , m_session(peer::Http2Session::Role::Server, MaxReportBytes)
     {
-        setSocketOptions(m_socket, silenceLimits(SilenceDetection));
+        setSocketOptions(m_socket, silenceLimits(PeerSilenceDetection));
     }
 
     void read()
@@ -88,8 +84,10 @@
                 return;
             }
             for (const auto &request : self->m_session.takeRequests()) {
-                self->m_session.respond(request.stream, request.isTooLarge ? StatusRejected : StatusAccepted);
-                self->m_exchange->onInbound(request.body);
+                if (self->m_exchange == nullptr) {
+                    return; // closed by a handler of the source
+                }
+                self->answer(request);
             }
             self->write();
         });
@@ -105,6 +103,18 @@
     }
 
 private:
+    void answer(const peer::Http2Session::Request &request)
+    {
+        if (isSharePoll(request.body) || isTokenRequest(request.body)) {
+            std::string text = m_exchange->m_source.onPeerRequest(request.body);
+            const int status = text.empty() ? StatusAccepted : StatusAnswered;
+            m_session.respond(request.stream, status, std::move(text));
+            return;
+        }
+        m_session.respond(request.stream, request.isTooLarge ? StatusRejected : StatusAccepted);
+        m_exchange->onInbound(request.body);
+    }
+
     // Writes all output before it reads on, so that a peer that does not read makes no more of it.
     void write()
     {
@@ -129,189 +139,6 @@
     std::string m_output; // buffer of the pending write
 };
 
-// Connection that this router opens to a peer.
-class PeerExchange::Outbound : public std::enable_shared_from_this<Outbound>
-{
-public:
-    Outbound(PeerExchange &exchange, base::Endpoint endpoint)
-        : m_exchange(&exchange)
-        , m_endpoint(std::move(endpoint))
-        , m_socket(exchange.m_loop)
-    {
-    }
-
-    // Connects when the retry delay has passed, and drops a connection whose peer does not respond.
-    void tick()
-    {
-        const base::TimePoint now = m_exchange->m_clock.now();
-        if (m_state == State::Idle && now >= m_retryAt) {
-            connect();
-        } else if (m_state == State::Connecting && now - m_waitingSince > ConnectTimeout) {
-            drop("connect timed out");
-        } else if (m_state == State::Open && m_unanswered > 0 && now - m_waitingSince > ResponseTimeout) {
-            drop("response timed out");
-        }
-        if (m_lostSince && now - *m_lostSince >= UnreachableTimeout) {
-            m_lostSince = now;
-            m_exchange->m_source.onPeerUnreachable(m_endpoint);
-        }
-    }
-
-    // True if the peer needs a full report: it has got none on this connection, or reports to it were skipped.
-    [[nodiscard]] bool needsFullReport() const
-    {
-        return m_state == State::Open && m_needsFullReport;
-    }
-
-    // Sends a report, or skips it if too many are unanswered.
-    void send(const std::string &report)
-    {
-        if (m_state != State::Open) {
-            return;
-        }
-        if (m_unanswered >= MaxUnanswered) {
-            m_needsFullReport = true;
-            return;
-        }
-        if (report.empty() || m_session->submit(report) <= 0) {
-            return;
-        }
-        m_needsFullReport = false;
-        if (m_unanswered++ == 0) {
-            m_waitingSince = m_exchange->m_clock.now();
-        }
-        write();
-    }
-
-    void close()
-    {
-        m_exchange = nullptr;
-        reset();
-    }
-
-private:
-    enum class State {
-        Idle,
-        Connecting,
-        Open,
-    };
-
-    void connect()
-    {
-        boost::system::error_code ec;
-        const auto address = boost::asio::ip::make_address(m_endpoint.address, ec);
-        if (ec) {
-            m_retryAt = base::TimePoint::max(); // an invalid address is never retried
-            return;
-        }
-        m_state = State::Connecting;
-        m_waitingSince = m_exchange->m_clock.now();
-        m_socket.async_connect(Tcp::endpoint(address, m_endpoint.port),
-                               [self = shared_from_this(), generation = m_generation](const boost::system::error_code &error) {
-                                   if (self->m_generation != generation || self->m_exchange == nullptr) {
-                                       return;
-                                   }
-                                   if (error) {
-                                       self->drop(error.message());
-                                       return;
-                                   }
-                                   self->open();
-                               });
-    }
-
-    void open()
-    {
-        m_state = State::Open;
-        m_session.emplace(peer::Http2Session::Role::Client, MaxReportBytes);
-        setSocketOptions(m_socket, silenceLimits(SilenceDetection));
-        m_needsFullReport = true;
-        read();
-    }
-
-    // Only responses show that a peer is alive: the kernel accepts connections even for a suspended process.
-    void onResponses(std::size_t answers)
-    {
-        m_unanswered -= std::min(answers, m_unanswered);
-        m_waitingSince = m_exchange->m_clock.now();
-        m_retryDelay = InitialRetryDelay;
-        if (std::exchange(m_lostSince, std::nullopt)) {
-            m_exchange->m_log.write(base::LogEvent::PeerRegained, {{"peer", config::formatEndpoint(m_endpoint)}});
-        }
-    }
-
-    void read()
-    {
-        m_socket.async_read_some(boost::asio::buffer(m_chunk),
-                                 [self = shared_from_this(), generation = m_generation](const boost::system::error_code &ec, std::size_t n) {
-                                     if (self->m_generation != generation || self->m_exchange == nullptr) {
-                                         return;
-                                     }
-                                     if (ec || !self->m_session->receive({self->m_chunk.data(), n})) {
-                                         self->drop(ec ? ec.message() : "invalid HTTP/2 response");
-                                         return;
-                                     }
-                                     if (const std::size_t answers = self->m_session->takeResponses().size(); answers > 0) {
-                                         self->onResponses(answers);
-                                     }
-                                     self->write();
-                                     self->read();
-                                 });
-    }
-
-    void write()
-    {
-        if (!m_output.empty()) {
-            return; // the handler of the pending write calls write() again
-        }
-        m_output = m_session->takeOutput();
-        if (m_output.empty()) {
-            return;
-        }
-        boost::asio::async_write(m_socket, boost::asio::buffer(m_output),
-                                 [self = shared_from_this(), generation = m_generation](const boost::system::error_code &ec, std::size_t) {
-                                     self->m_output.clear();
-                                     if (!ec && self->m_generation == generation && self->m_exchange != nullptr) {
-                                         self->write();
-                                     }
-                                 });
-    }
-
-    void drop(const std::string &problem)
-    {
-        reset();
-        m_retryAt = m_exchange->m_clock.now() + m_retryDelay;
-        m_retryDelay = std::min<base::Duration>(m_retryDelay * 2, MaxRetryDelay);
-        if (!m_lostSince) {
-            m_lostSince = m_exchange->m_clock.now();
-            m_exchange->m_log.write(base::LogEvent::PeerLost, {{"peer", config::formatEndpoint(m_endpoint)}, {"problem", problem}});
-        }
-    }
-
-    void reset()
-    {
-        ++m_generation;
-        boost::system::error_code ignored;
-        m_socket.close(ignored);
-        m_state = State::Idle;
-        m_unanswered = 0;
-    }
-
-    PeerExchange *m_exchange; // nullptr once closed
-    const base::Endpoint m_endpoint;
-    Tcp::socket m_socket;
-    std::optional<peer::Http2Session> m_session; // of the current connection
-    std::array<char, 1024> m_chunk{};
-    std::string m_output; // buffer of the pending write, which may belong to a former connection
-    State m_state = State::Idle;
-    std::uint64_t m_generation = 0; // of the connection; handlers of former connections return at once
-    base::TimePoint m_waitingSince; // start of the wait for the connection or for a response
-    base::TimePoint m_retryAt;
-    base::Duration m_retryDelay = InitialRetryDelay;
-    std::size_t m_unanswered = 0; // reports without a response; at most MaxUnanswered
-    bool m_needsFullReport = true;
-    std::optional<base::TimePoint> m_lostSince; // the first failure since the last response
-};
-
 PeerExchange::PeerExchange(boost::asio::io_context &loop, const base::Clock &clock, base::Endpoint self, const std::string &id, PeerReportSource &source,
                            telemetry::EventLog &log)
     : m_loop(loop)
@@ -350,7 +177,7 @@
         if (ec == boost::asio::error::operation_aborted) {
             return;
         }
-        if (!ec && m_inbound.size() < MaxInbound) {
+        if (!ec && m_inbound.size() < MaxReportInbound + m_routers) {
             const auto inbound = std::make_shared<Inbound>(*this, std::move(m_next));
             m_inbound.insert(inbound);
             inbound->read();
@@ -369,20 +196,71 @@
         return;
     }
     const auto peers = reportPeers(routers, m_self);
-    std::erase_if(m_outbound, [&peers](const auto &it) {
-        const bool isGone = std::find(peers.begin(), peers.end(), it.first) == peers.end();
+    m_routers = routers.size();
+    m_reportPeers = {peers.begin(), peers.end()};
+    updateOutbound();
+}
+
+void PeerExchange::setRequestPeers(std::span<const base::Endpoint> peers)
+{
+    if (m_self.port == 0) {
+        return;
+    }
+    m_requestPeers.clear();
+    for (const base::Endpoint &peer : peers) {
+        if (peer != m_self && m_requestPeers.size() < MaxRequestPeers) {
+            m_requestPeers.insert(peer);
+        }
+    }
+    updateOutbound();
+}
+
+// Closes and creates connections so that there is one to each peer, with its purpose.
+void PeerExchange::updateOutbound()
+{
+    std::erase_if(m_outbound, [this](const auto &it) {
+        const bool isGone = !m_reportPeers.contains(it.first) && !m_requestPeers.contains(it.first);
         if (isGone) {
             it.second->close();
         }
         return isGone;
     });
-    for (const base::Endpoint &peer : peers) {
-        if (!m_outbound.contains(peer)) {
-            m_outbound.emplace(peer, std::make_shared<Outbound>(*this, peer));
+    const auto add = [this](const base::Endpoint &peer, Outbound::Purpose purpose) {
+        if (const auto it = m_outbound.find(peer); it != m_outbound.end()) {
+            it->second->setPurpose(purpose);
+        } else {
+            m_outbound.emplace(peer, std::make_shared<Outbound>(*this, peer, purpose));
+        }
+    };
+    for (const base::Endpoint &peer : m_reportPeers) {
+        add(peer, m_requestPeers.contains(peer) ? Outbound::Purpose::Both : Outbound::Purpose::Reports);
+    }
+    for (const base::Endpoint &peer : m_requestPeers) {
+        if (!m_reportPeers.contains(peer)) {
+            add(peer, Outbound::Purpose::Requests);
         }
     }
 }
 
+void PeerExchange::request(const base::Endpoint &peer, std::string body, RequestHandler done)
+{
+    if (const auto it = m_outbound.find(peer); it != m_outbound.end()) {
+        it->second->request(std::move(body), std::move(done));
+    } else {
+        complete(std::move(done), std::nullopt);
+    }
+}
+
+// Calls the handler from the loop, unless closeAll() is called before.
+void PeerExchange::complete(RequestHandler done, std::optional<std::string> body)
+{
+    boost::asio::post(m_loop, [done = std::move(done), body = std::move(body), isOpen = std::weak_ptr(m_isOpen)]() mutable {
+        if (!isOpen.expired()) {
+            done(std::move(body));
+        }
+    });
+}
+
 void PeerExchange::tick()
 {
     const base::TimePoint now = m_clock.now();
@@ -471,6 +349,7 @@
         outbound->close();
     }
     m_outbound.clear();
+    m_isOpen = std::make_shared<const bool>(true);
     const auto inbound = std::exchange(m_inbound, {});
     for (const auto &it : inbound) {
         it->close();
--- a/carawaylatch/proxy/trafficplane.h
+++ b/carawaylatch/proxy/trafficplane.h
@@ -22,12 +22,14 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "carawaylatch/admission/customerlimit.h"
 #include "carawaylatch/base/hash.h"
 #include "carawaylatch/base/timerservice.h"
 #include "carawaylatch/proxy/callerconnection.h"
 #include "carawaylatch/proxy/crashattribution.h"
 #include "carawaylatch/proxy/dialect.h"
 #include "carawaylatch/proxy/fleet.h"
+#include "carawaylatch/proxy/limitenforcement.h"
 #include "carawaylatch/proxy/loglimiter.h"
 #include "carawaylatch/proxy/peerexchange.h"
 #include "carawaylatch/proxy/peerrouters.h"
@@ -61,6 +63,7 @@
     std::uint64_t maxBufferedBodyBytes = 32'000'000; // request bodies in memory; requests are refused above it
     std::uint64_t maxBufferedResponseBytes = 64'000'000; // responses in memory; above it little of each is buffered
     PlacementTuning placement;
+    admission::LimitTolerance limits; // how exactly customers' limits are kept; the longest wait is derived from the routes
 };
 
 // Counters since the start of the process, exposed as metrics.
@@ -162,6 +165,10 @@
     [[nodiscard]] PeerRouters &peerRouters();
     [[nodiscard]] CrashAttribution &crashes();
     [[nodiscard]] StreamOrigins &origins();
+    [[nodiscard]] LimitEnforcement &customerLimits()
+    {
+        return m_customerLimits;
+    }
     // The software that may begin streams of the pool; nullptr: any.
     [[nodiscard]] const SoftwareSet *beginningSoftware(const base::PoolName &pool) const;
     [[nodiscard]] TrafficCounts &counts();
@@ -239,6 +246,10 @@
     void onFaultReport(const FaultReport &report) override;
     [[nodiscard]] ReachReport reachReport() const override;
     void onReachReport(const ReachReport &report) override;
+    [[nodiscard]] std::string onPeerRequest(std::string_view body) override
+    {
+        return m_customerLimits.onPeerRequest(body);
+    }
     void onLeavingKnown(const UpstreamRecord &record, std::string_view source);
     void logLimit(const UpstreamRecord &record, std::string_view source);
     void logBrittleEvents();
@@ -296,6 +307,7 @@
     std::shared_ptr<Listener> m_operatorsListener;
     std::shared_ptr<Listener> m_metricsListener;
     PeerExchange m_peers;
+    LimitEnforcement m_customerLimits;
     PeerRouters m_peerRouters;
     base::TimerService::Subscription m_tick;
     base::TimerService::Subscription m_reportTick;
