--- a/carawaylatch/admission/quotaleases.cpp
+++ b/carawaylatch/admission/quotaleases.cpp
@@ -180,6 +180,7 @@
     void onAnswer(const ShareAnswer &answer, base::TimePoint now);
     std::optional<RouterKey> coordinator(std::uint32_t group, base::TimePoint now) const;
     double heldShare(std::uint32_t group, base::TimePoint now) const;
+    std::vector<RouterKey> heldFrom(std::uint32_t group, base::TimePoint now) const;
     std::vector<RouterKey> peers() const;
     std::string stateText(base::TimePoint now) const;
 
@@ -262,7 +263,12 @@
 RouterKey QuotaLeases::Impl::target(std::uint32_t group, base::TimePoint now) const
 {
     const Loan *lent = loan(group, now);
-    bool isBehindBorrower = false;
+    // A share in use, by a borrower or by this router as coordinator, moves only to a candidate that stays.
+    bool isFree = lent == nullptr && (m_isStopped || !m_fleet.isCandidate(m_self, group));
+    const auto mayTakeOver = [&](const Candidate &candidate) {
+        const bool wasBeforeUse = lent == nullptr && candidate.since[group] < m_usableFrom;
+        return isFree || wasBeforeUse || now - candidate.since[group] >= TakeoverDelay;
+    };
     for (const RouterKey it : m_fleet.candidates[group]) {
         if (it == m_self && !m_isStopped) {
             return m_self;
@@ -272,8 +278,8 @@
             if (candidate != nullptr) {
                 return it;
             }
-            isBehindBorrower = true;
-        } else if (candidate != nullptr && (lent == nullptr || isBehindBorrower || now - candidate->since[group] >= TakeoverDelay)) {
+            isFree = true;
+        } else if (candidate != nullptr && mayTakeOver(*candidate)) {
             return it;
         }
     }
@@ -533,6 +539,23 @@
     return std::min(share, 1.0);
 }
 
+std::vector<RouterKey> QuotaLeases::Impl::heldFrom(std::uint32_t group, base::TimePoint now) const
+{
+    std::vector<RouterKey> owners;
+    if (group >= LimitGroups) {
+        return owners;
+    }
+    if (ownsShare(now) && loan(group, now) == nullptr) {
+        owners.push_back(m_self);
+    }
+    for (const auto &[key, lender] : m_lenders) {
+        if (now < lender.ends[group]) {
+            owners.push_back(key);
+        }
+    }
+    return owners;
+}
+
 std::vector<RouterKey> QuotaLeases::Impl::peers() const
 {
     std::vector<RouterKey> peers;
@@ -635,6 +658,11 @@
     return m_impl->heldShare(group, now);
 }
 
+std::vector<RouterKey> QuotaLeases::heldFrom(std::uint32_t group, base::TimePoint now) const
+{
+    return m_impl->heldFrom(group, now);
+}
+
 std::vector<RouterKey> QuotaLeases::peers() const
 {
     return m_impl->peers();
--- a/carawaylatch/admission/quotaleases.h
+++ b/carawaylatch/admission/quotaleases.h
@@ -70,6 +70,8 @@
     [[nodiscard]] std::optional<RouterKey> coordinator(std::uint32_t group, base::TimePoint now) const;
     // The part of the group's limits that this router holds, 0 to 1: its own share and those that it has borrowed.
     [[nodiscard]] double heldShare(std::uint32_t group, base::TimePoint now) const;
+    // The routers whose shares of the group this one may use now; includes itself if it holds its own.
+    [[nodiscard]] std::vector<RouterKey> heldFrom(std::uint32_t group, base::TimePoint now) const;
     // The routers to which this one needs a connection: candidates, and all routers if it is one itself.
     [[nodiscard]] std::vector<RouterKey> peers() const;
     // For tests: instances with equal texts behave alike from `now` on.
