Limits: a coordinator grants nothing from lost shares after a pause

A request for tokens may be the first event after a pause. No test reached the update of the shares before it; the new test fails without that update.

--- a/carawaylatch/admission/testing/customerlimitstest.cpp
+++ b/carawaylatch/admission/testing/customerlimitstest.cpp
@@ -79,6 +79,7 @@
     CPPUNIT_TEST(testCoordinatorKilled);
     CPPUNIT_TEST(testCoordinatorFrozen);
     CPPUNIT_TEST(testCoordinatorCutOff);
+    CPPUNIT_TEST(testNothingGrantedAfterPause);
     CPPUNIT_TEST(testCustomerRemovedWhileRequestsWait);
     CPPUNIT_TEST(testLimitChangedWhileRequestsWait);
     CPPUNIT_TEST(testPartialGrant);
@@ -205,6 +206,16 @@
             fleet.kill(n);
         });
     }
+    // The first event after a pause may be a request for tokens, from a bucket that others have by then.
+    void testNothingGrantedAfterPause()
+    {
+        LimitFleet fleet(options());
+        fleet.run(Settled);
+        CustomerLimits &limits = *fleet.routers()[fleet.coordinator(group())].limits;
+        const TokenRequest request{.sender = 1, .entries = {{.customer = base::hash64(Customer.value()), .needed = 9'200, .smallest = 9'200}}};
+        CPPUNIT_ASSERT(limits.onTokenRequest(request, fleet.now()).entries.at(0).verdict == GrantVerdict::Granted);
+        CPPUNIT_ASSERT(limits.onTokenRequest(request, fleet.now() + base::seconds{5}).entries.at(0).verdict != GrantVerdict::Granted);
+    }
     // It must not grant from its bucket what others grant by then.
     void testCoordinatorFrozen()
     {
--- a/carawaylatch/admission/testing/limitbucketstest.cpp
+++ b/carawaylatch/admission/testing/limitbucketstest.cpp
@@ -163,6 +163,9 @@
         it.now += base::seconds{5};
         it.hold(1);
         CPPUNIT_ASSERT_DOUBLES_EQUAL(0, it.level(), Tolerance);
+        it.hold(1.5); // routers with different lists
+        it.now += base::seconds{5};
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(46'000, it.level(), Tolerance);
     }
     // A limit that falls by four while the customer sends: the old level would be granted on top of the new limit.
     void testChangedLimits()
