Tests of limits: a timed out ask is asked again, no polls without limits

The test without limits looked just after a tick, when no poll is due, so that it passed without the check. It now looks five seconds later. The test of a timeout expects a new request for tokens at the timeout; the coordinator's polls go on, since without them no coordinator is known.

--- a/carawaylatch/admission/testing/customerlimitstest.cpp
+++ b/carawaylatch/admission/testing/customerlimitstest.cpp
@@ -362,6 +362,18 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decisions.size());
         CPPUNIT_ASSERT(decisions[0].decision.verdict == LimitVerdict::Unavailable);
         CPPUNIT_ASSERT(decisions[0].decision.retryAfter >= base::milliseconds{400} && decisions[0].decision.retryAfter <= base::milliseconds{600});
+        CPPUNIT_ASSERT(it.request(860).verdict == LimitVerdict::Pending);
+        LimitFleet::Router &coordinator = it.fleet.routers()[it.fleet.coordinator(group())];
+        for (const LimitMessage &message : coordinator.limits->takeMessages(sent + base::milliseconds{200})) {
+            if (message.to == it.fleet.routers()[it.router].key) { // its polls arrive, so that it is still the coordinator
+                (void)it.limits().onPoll(std::get<SharePoll>(message.content), sent + base::milliseconds{200});
+            }
+        }
+        const auto later = it.limits().takeMessages(sent + CustomerLimits::AskTimeout);
+        CPPUNIT_ASSERT(std::any_of(later.begin(), later.end(), [](const LimitMessage &message) {
+            return std::holds_alternative<TokenRequest>(message.content);
+        }));
+        it.limits().cancel(2);
         TokenGrant grant{.entries = {{.customer = it.key, .verdict = GrantVerdict::Granted, .tokens = 1'720}}};
         it.limits().onGrant(ask.id, grant, sent + base::milliseconds{400});
         const LimitDecision decision = it.limits().request(Customer, 860, sent + GrantTerm - base::Duration{1});
@@ -396,7 +408,7 @@
         fleet.run(Settled);
         CustomerLimits &limits = *fleet.routers()[0].limits;
         CPPUNIT_ASSERT(limits.peers().empty());
-        CPPUNIT_ASSERT(limits.takeMessages(fleet.now()).empty());
+        CPPUNIT_ASSERT(limits.takeMessages(fleet.now() + base::seconds{5}).empty()); // polls would be due
         CPPUNIT_ASSERT(limits.request(Customer, 1, fleet.now()).verdict == LimitVerdict::Granted);
     }
 
