Limits are divided among the routers of the last ten seconds

After the store comes back from a copy the list of routers is short until each has written its entry again. Routers that took such a list for the whole fleet would each own a great part of every limit. A longer list counts at once, a shorter one after ten seconds.

--- a/carawaylatch/proxy/limitenforcement.cpp
+++ b/carawaylatch/proxy/limitenforcement.cpp
@@ -86,11 +86,13 @@
 
 void LimitEnforcement::adoptRouters(const FleetView &view)
 {
-    if (view.routerEndpoints == m_routerEndpoints && view.routers == m_routers) {
+    const base::TimePoint now = m_clock.now();
+    m_fleetSize.set(std::max(view.routers, static_cast<std::uint32_t>(view.routerEndpoints.size())), now);
+    if (view.routerEndpoints == m_routerEndpoints && m_fleetSize.counted(now) == m_routers) {
         return;
     }
     m_routerEndpoints = view.routerEndpoints;
-    m_routers = view.routers;
+    m_routers = m_fleetSize.counted(now);
     m_endpoints.clear();
     std::vector<admission::RouterKey> keys;
     if (m_self.port == 0) {
@@ -103,7 +105,8 @@
             }
         }
     }
-    m_limits.setRouters(keys, m_routers, m_clock.now());
+    m_routerKeys = std::move(keys);
+    m_limits.setRouters(m_routerKeys, m_routers, now);
     schedulePump();
 }
 
@@ -121,6 +124,10 @@
     if (m_limits.limitedCustomers() == 0 && m_waiting.empty() && m_connected.empty() && !hasLoggedShare) {
         return;
     }
+    if (const std::uint32_t routers = m_fleetSize.counted(m_clock.now()); routers != m_routers) {
+        m_routers = routers;
+        m_limits.setRouters(m_routerKeys, m_routers, m_clock.now());
+    }
     pump();
     countRefusals();
     logRefusals();
--- a/carawaylatch/proxy/limitenforcement.h
+++ b/carawaylatch/proxy/limitenforcement.h
@@ -22,6 +22,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "carawaylatch/admission/customerlimits.h"
+#include "carawaylatch/admission/fleetsize.h"
 #include "carawaylatch/proxy/customers.h"
 #include "carawaylatch/telemetry/eventlog.h"
 
@@ -96,7 +97,9 @@
     std::shared_ptr<const RouteTable> m_table; // of the limits in force
     admission::LimitTolerance m_tolerance;
     std::vector<base::Endpoint> m_routerEndpoints;
-    std::uint32_t m_routers = 0;
+    admission::FleetSize m_fleetSize;
+    std::uint32_t m_routers = 0; // as last passed to m_limits, with m_routerKeys
+    std::vector<admission::RouterKey> m_routerKeys;
     std::unordered_map<admission::RouterKey, base::Endpoint> m_endpoints; // of the fleet's routers
     std::vector<admission::RouterKey> m_connected; // routers to which a connection was asked for
     std::unordered_map<std::uint64_t, Done> m_waiting; // by ticket; at most CustomerLimits::MaxPending
