[queue] share_by_customer: the queue of a pool shares it between customers

WaitQueue keeps requests by ticket and leaves their order to WaitOrder. A position can change while a request waits, so an exchange holds its ticket and asks for the position. The exchange names customer and work: tokens of prompt and output at engines, 1 elsewhere. The expected wait counts the requests ahead of one of that customer.

The setting is 0 or 1; any other text is an error with file, line and key. A change applies to requests that join from then on.

WaitQueueTest follows the new signatures; its assertions are the same.

--- a/carawaylatch/gateway/gatewaysettings.cpp
+++ b/carawaylatch/gateway/gatewaysettings.cpp
@@ -19,7 +19,9 @@
 using Key = GatewaySettingsKey;
 using S = GatewaySettings;
 
-constexpr std::array<Key, 19> Keys{
+constexpr std::string_view SwitchForm = "0 or 1";
+
+constexpr std::array<Key, 20> Keys{
     Key{"gateway", "id", "name", "names this VM; one process at a time has it", true, &S::id},
     Key{"gateway", "failure_domain", "name", "failure domain of this VM", true, &S::failureDomain},
     Key{"gateway", "callers", "endpoint", "where callers connect", true, nullptr, &S::callers},
@@ -38,6 +40,9 @@
         &S::storeReaders},
     Key{"retries", "share", "number", "requests sent again, for each request of a pool, over all routers", false, nullptr, nullptr, &S::retryShare},
     Key{"retries", "reserve", "number", "requests sent again in ten seconds beside the share, over all routers", false, nullptr, nullptr, &S::retryReserve},
+    Key{"queue", "share_by_customer", SwitchForm,
+        "1: customers whose requests of one urgency wait share capacity by work; 0: these are served in order of arrival", false, nullptr, nullptr,
+        &S::shareByCustomer},
     Key{"configuration", "max_age_ms", "number", "milliseconds after which an unconfirmed configuration serves no request with a key; 0: no limit", false,
         nullptr, nullptr, &S::maxAgeMs},
     Key{"upstreams", "leave_within_ms", "number", "milliseconds from the news that an upstream leaves to the last request that it is sent", false, nullptr,
@@ -71,6 +76,9 @@
         if (!number) {
             return invalidValueError(fileName, entry, number.error().message);
         }
+        if (key.form == SwitchForm && entry.value != "0" && entry.value != "1") {
+            return invalidValueError(fileName, entry, "must be 0 or 1, not '" + entry.value + "'");
+        }
         settings.*key.number = number.value();
     }
     return base::ok();
@@ -189,6 +197,7 @@
     out.routerId = id;
     out.retryShare = retryShare;
     out.retryReserve = static_cast<std::uint32_t>(retryReserve);
+    out.queueOrder = shareByCustomer != 0 ? proxy::QueueOrder::ByCustomer : proxy::QueueOrder::ByArrival;
     out.maxTableAge = base::fromMilliseconds(maxAgeMs * UsedAgeShare);
     out.readyTableAge = base::fromMilliseconds(maxAgeMs * ReadyAgeShare);
     out.maxBufferedBodyBytes = static_cast<std::uint64_t>(memoryMegabytes * 1e6 * MaxBodiesShare);
--- a/carawaylatch/gateway/gatewaysettings.h
+++ b/carawaylatch/gateway/gatewaysettings.h
@@ -37,6 +37,7 @@
     double leaveWithinMs = 2000; // from when an upstream announces that it leaves to the last request sent to it
     double retryShare = 0.2;
     double retryReserve = 50;
+    double shareByCustomer = 0; // 1: customers of one urgency share capacity by work; 0: in order of arrival
     double maxAgeMs = 0; // of an unconfirmed configuration, for requests with a key; zero: no limit
     double changeWithinMs = 8000; // from the announcement of new weights to the last request on older ones
     double leaseMs = 3000;
@@ -49,7 +50,7 @@
 {
     std::string_view section;
     std::string_view name;
-    std::string_view form; // of the value: "name", "endpoint" or "number"
+    std::string_view form; // of the value: "name", "endpoint", "number" or SwitchForm
     std::string_view meaning;
     bool isRequired = false;
     std::string GatewaySettings::*text = nullptr;
--- a/carawaylatch/gateway/testing/gatewaysettingstest.cpp
+++ b/carawaylatch/gateway/testing/gatewaysettingstest.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST_SUITE(GatewaySettingsTest);
     CPPUNIT_TEST(testAllKeys);
     CPPUNIT_TEST(testErrorsNameTheKey);
+    CPPUNIT_TEST(testShareByCustomer);
     CPPUNIT_TEST(testMissingKeys);
     CPPUNIT_TEST(testDerivedLimitsStayBelowSettings);
     CPPUNIT_TEST(testTemplateHasKnownKeys);
@@ -52,6 +53,7 @@
             {"[weights]\nlease_ms = 5\n", "lease_ms"},
             {"[gateway]\nmemory_mb = 1\n", "memory_mb"},
             {"[store]\nwatch_ms = -3\n", "watch_ms"},
+            {"[queue]\nshare_by_customer = 2\n", "share_by_customer"},
         };
         for (const auto &[more, key] : invalidTexts) {
             const auto settings = parseGatewaySettings(text(more), "f");
@@ -60,6 +62,26 @@
         }
     }
 
+    void testShareByCustomer()
+    {
+        const std::string key = "[queue]\nshare_by_customer = ";
+        const auto order = [this](const std::string &more) {
+            return parseGatewaySettings(text(more), "f").value().traffic().queueOrder;
+        };
+        CPPUNIT_ASSERT(order("") == proxy::QueueOrder::ByArrival);
+        CPPUNIT_ASSERT(order(key + "0\n") == proxy::QueueOrder::ByArrival);
+        CPPUNIT_ASSERT(order(key + "1\n") == proxy::QueueOrder::ByCustomer);
+        const std::string before = text();
+        const auto lines = std::count(before.begin(), before.end(), '\n') + 2;
+        for (const char *value : {"2", "-1", "0.5", "1.0", "yes", "01", "1 1"}) {
+            const auto settings = parseGatewaySettings(text(key + value + "\n"), "f.ini");
+            CPPUNIT_ASSERT_MESSAGE(value, !settings.has_value());
+            const std::string &message = settings.error().message;
+            CPPUNIT_ASSERT_MESSAGE(message, message.find("f.ini:" + std::to_string(lines)) != std::string::npos);
+            CPPUNIT_ASSERT_MESSAGE(message, message.find("share_by_customer") != std::string::npos);
+        }
+    }
+
     void testMissingKeys()
     {
         for (const GatewaySettingsKey &key : gatewaySettingsKeys()) {
--- a/carawaylatch/proxy/exchange.cpp
+++ b/carawaylatch/proxy/exchange.cpp
@@ -255,21 +255,21 @@
     });
 }
 
-const WaitQueue::Key &Exchange::queueKey() const
+WaitQueue::Key Exchange::queueKey() const
 {
-    return *m_queueKey;
+    return m_plane.queue(m_pool).key(*m_queueTicket);
 }
 
 bool Exchange::tryToPlace()
 {
-    if (m_queueKey && forwardOrGiveUp()) {
+    if (m_queueTicket && forwardOrGiveUp()) {
         return true;
     }
     const PlacementResult placement = selectUpstream();
     if (placement.verdict != PlacementVerdict::Chosen) {
         return false;
     }
-    leaveQueue();
+    leaveQueue(QueueExit::Served);
     startAttempt(placement);
     return true;
 }
@@ -356,7 +356,7 @@
 
 base::Duration Exchange::queueRetryDelay() const
 {
-    return m_plane.queue(m_pool).retryDelay(queueRank(), m_plane.now());
+    return m_plane.queue(m_pool).retryDelay(queuedRequest(), m_plane.now());
 }
 
 bool Exchange::goesOn() const
@@ -370,6 +370,12 @@
     return 2 * m_urgency + (goesOn() ? 0 : 1);
 }
 
+QueuedRequest Exchange::queuedRequest() const
+{
+    const std::uint64_t tokens = std::uint64_t{m_request.promptTokens} + m_request.maxOutputTokens;
+    return {queueRank(), m_customer != nullptr ? m_customer->id : base::CustomerId(), isForEngine() ? tokens : 1};
+}
+
 // How long the request may wait from its start. A stream that is taken up again has met or missed its target latency before.
 base::Duration Exchange::maxQueueWait(base::Duration left) const
 {
@@ -389,27 +395,27 @@
         giveUpBefore(*next);
         return;
     }
-    const auto expected = queue.expectedWait(queueRank(), now);
+    const auto expected = queue.expectedWait(queuedRequest(), now);
     const bool isTooLong = !goesOn() && expected && *expected > maxWait - waited && queue.size() > 0;
     if (!m_isStreaming && (waited >= maxWait || isTooLong)) {
         refuse("no_room", queueRetryDelay());
         return;
     }
-    m_queueKey = queue.add(queueRank(), shared_from_this());
+    m_queueTicket = queue.add(queuedRequest(), shared_from_this());
     m_queueTimer = m_plane.timers().after(now, m_isStreaming ? left : maxWait - waited, [weak = weak_from_this()](base::TimePoint) {
         const auto self = weak.lock();
-        if (self && self->m_queueKey) {
+        if (self && self->m_queueTicket) {
             self->leaveQueue();
             self->giveUp("no_room", self->queueRetryDelay());
         }
     });
 }
 
-void Exchange::leaveQueue()
+void Exchange::leaveQueue(QueueExit exit)
 {
-    if (m_queueKey) {
-        m_plane.queue(m_pool).remove(*m_queueKey);
-        m_queueKey.reset();
+    if (m_queueTicket) {
+        m_plane.queue(m_pool).remove(*m_queueTicket, exit);
+        m_queueTicket.reset();
         m_queueTimer.cancel();
     }
 }
--- a/carawaylatch/proxy/exchange.h
+++ b/carawaylatch/proxy/exchange.h
@@ -79,7 +79,7 @@
     bool tryToPlace();
     [[nodiscard]] const base::PoolName &pool() const;
     // Its position in the queue. Only for a request that waits there.
-    [[nodiscard]] const WaitQueue::Key &queueKey() const;
+    [[nodiscard]] WaitQueue::Key queueKey() const;
     // True if some upstreams of the pool may not run the request because of their software.
     [[nodiscard]] bool isBoundToSoftware() const;
 
@@ -103,6 +103,7 @@
     // True if the request goes on with a stream of which its caller has had a part.
     [[nodiscard]] bool goesOn() const;
     [[nodiscard]] std::uint32_t queueRank() const;
+    [[nodiscard]] QueuedRequest queuedRequest() const;
     [[nodiscard]] base::Duration maxQueueWait(base::Duration left) const;
     void reportBreak();
     [[nodiscard]] CrashSubjects crashSubjects() const;
@@ -163,7 +164,7 @@
     void replyLocally(unsigned status, std::string_view reason, base::Duration retryAfter);
     void abortReply(std::string_view reason);
     void finish(unsigned status, std::string_view outcome, std::string_view reason);
-    void leaveQueue();
+    void leaveQueue(QueueExit exit = QueueExit::Left);
     [[nodiscard]] bool isResumableStream() const;
     [[nodiscard]] bool isResumption() const;
     // Finds out which software began the stream that the request resumes; the request waits until then.
@@ -198,7 +199,7 @@
     std::vector<base::UpstreamId> m_triedRouters; // to which the request was forwarded
     AttemptHistory m_history;
     std::optional<Attempt> m_attempt; // in progress
-    std::optional<WaitQueue::Key> m_queueKey; // while waiting
+    std::optional<WaitQueue::Ticket> m_queueTicket; // while waiting
     base::TimerService::Subscription m_deadlineTimer;
     base::TimerService::Subscription m_queueTimer;
     base::TimerService::Subscription m_startTimer; // armed until an attempt on older weights has started
--- a/carawaylatch/proxy/testing/decisionstest.cpp
+++ b/carawaylatch/proxy/testing/decisionstest.cpp
@@ -549,12 +549,12 @@
     void testUrgentFirstThenOldest()
     {
         WaitQueue queue;
-        const auto late = queue.add(4, nullptr);
-        const auto first = queue.add(1, nullptr);
-        const auto second = queue.add(1, nullptr);
-        CPPUNIT_ASSERT(first < second);
-        CPPUNIT_ASSERT(second < late);
-        queue.remove(first);
+        const auto late = queue.add({4}, nullptr);
+        const auto first = queue.add({1}, nullptr);
+        const auto second = queue.add({1}, nullptr);
+        CPPUNIT_ASSERT(queue.key(first) < queue.key(second));
+        CPPUNIT_ASSERT(queue.key(second) < queue.key(late));
+        queue.remove(first, QueueExit::Served);
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, queue.size());
     }
 
@@ -562,17 +562,17 @@
     void testExpectedWait()
     {
         WaitQueue queue;
-        CPPUNIT_ASSERT(!queue.expectedWait(1, Start));
+        CPPUNIT_ASSERT(!queue.expectedWait({1}, Start));
         base::TimePoint now = Start;
         for (int i = 0; i < 50; ++i) {
             now += base::milliseconds{100};
             queue.completionRate().record(now);
         }
         for (int i = 0; i < 9; ++i) {
-            queue.add(1, nullptr);
-            queue.add(2, nullptr);
+            queue.add({1}, nullptr);
+            queue.add({2}, nullptr);
         }
-        const double wait = base::toSeconds(*queue.expectedWait(1, now));
+        const double wait = base::toSeconds(*queue.expectedWait({1}, now));
         CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, wait, 0.1);
     }
 
--- a/carawaylatch/proxy/trafficplane.cpp
+++ b/carawaylatch/proxy/trafficplane.cpp
@@ -457,7 +457,9 @@
 
 WaitQueue &TrafficPlane::queue(const base::PoolName &pool)
 {
-    return m_queues[pool];
+    WaitQueue &queue = m_queues[pool];
+    queue.setOrder(m_settings.queueOrder);
+    return queue;
 }
 
 void TrafficPlane::schedulePlacement()
--- a/carawaylatch/proxy/trafficplane.h
+++ b/carawaylatch/proxy/trafficplane.h
@@ -60,6 +60,7 @@
     base::Duration connectTimeout = base::milliseconds{400}; // several round trips between failure domains
     std::uint64_t maxBufferedBodyBytes = 32'000'000; // request bodies in memory; requests are refused above it
     std::uint64_t maxBufferedResponseBytes = 64'000'000; // responses in memory; above it little of each is buffered
+    QueueOrder queueOrder = QueueOrder::ByArrival; // of requests of equal urgency
     PlacementTuning placement;
 };
 
--- a/carawaylatch/proxy/waitqueue.cpp
+++ b/carawaylatch/proxy/waitqueue.cpp
@@ -1,9 +1,9 @@
-// Queue order, wait estimate and retry times of waitqueue.h.
+// Waiting requests, wait estimate and retry times of waitqueue.h.
 #include "carawaylatch/proxy/waitqueue.h"
 
 #include <algorithm>
 #include <cmath>
-#include <iterator>
+#include <utility>
 
 namespace carawaylatch::proxy
 {
@@ -37,37 +37,47 @@
     return at - now;
 }
 
-std::optional<base::Duration> WaitQueue::expectedWait(std::uint32_t urgency, base::TimePoint now) const
+void WaitQueue::setOrder(QueueOrder order)
+{
+    m_order.setOrder(order);
+}
+
+std::optional<base::Duration> WaitQueue::expectedWait(const QueuedRequest &request, base::TimePoint now) const
 {
     const double rate = m_completionRate.perSecond(now);
     if (rate < MinRate) {
         return std::nullopt;
     }
-    const auto ahead = std::distance(m_waiting.begin(), m_waiting.lower_bound({urgency + 1, 0}));
-    return base::fromSeconds((static_cast<double>(ahead) + 1) / rate);
+    return base::fromSeconds((static_cast<double>(m_order.ahead(request)) + 1) / rate);
+}
+
+WaitQueue::Ticket WaitQueue::add(const QueuedRequest &request, std::shared_ptr<Exchange> exchange)
+{
+    const Ticket ticket = m_order.join(request);
+    m_waiting.emplace(ticket, std::move(exchange));
+    return ticket;
 }
 
-WaitQueue::Key WaitQueue::add(std::uint32_t urgency, std::shared_ptr<Exchange> exchange)
+void WaitQueue::remove(Ticket ticket, QueueExit exit)
 {
-    const Key key{urgency, ++m_arrivals};
-    m_waiting.emplace(key, std::move(exchange));
-    return key;
+    m_order.leave(ticket, exit);
+    m_waiting.erase(ticket);
 }
 
-void WaitQueue::remove(const Key &key)
+WaitQueue::Key WaitQueue::key(Ticket ticket) const
 {
-    m_waiting.erase(key);
+    return m_order.key(ticket);
 }
 
 std::shared_ptr<Exchange> WaitQueue::front() const
 {
-    return m_waiting.empty() ? nullptr : m_waiting.begin()->second;
+    return after({});
 }
 
 std::shared_ptr<Exchange> WaitQueue::after(const Key &key) const
 {
-    const auto it = m_waiting.upper_bound(key);
-    return it == m_waiting.end() ? nullptr : it->second;
+    const auto ticket = m_order.after(key);
+    return ticket ? m_waiting.at(*ticket) : nullptr;
 }
 
 bool WaitQueue::isEmpty() const
@@ -85,9 +95,9 @@
     return m_completionRate;
 }
 
-base::Duration WaitQueue::retryDelay(std::uint32_t urgency, base::TimePoint now)
+base::Duration WaitQueue::retryDelay(const QueuedRequest &request, base::TimePoint now)
 {
-    return m_retrySchedule.next(now, expectedWait(urgency, now), m_completionRate.perSecond(now));
+    return m_retrySchedule.next(now, expectedWait(request, now), m_completionRate.perSecond(now));
 }
 
 } // namespace carawaylatch::proxy
--- a/carawaylatch/proxy/waitqueue.h
+++ b/carawaylatch/proxy/waitqueue.h
@@ -3,16 +3,16 @@
 // Handles overload of a pool. A request waits only while it can still be answered in
 // time: the queue estimates its wait from the pool's recent completion rate, and a
 // request with too long an estimate is refused at once with a Retry-After time at
-// which capacity is likely. Requests of equal urgency are served in order of arrival.
+// which capacity is likely. The order of requests of equal urgency is in waitorder.h.
 #pragma once
 
 #include <cstdint>
-#include <map>
 #include <memory>
 #include <optional>
-#include <utility>
+#include <unordered_map>
 
 #include "carawaylatch/base/time.h"
+#include "carawaylatch/proxy/waitorder.h"
 
 namespace carawaylatch::proxy
 {
@@ -56,12 +56,17 @@
 class WaitQueue
 {
 public:
-    using Key = std::pair<std::uint32_t, std::uint64_t>; // urgency, order of arrival
+    using Key = WaitOrder::Key;
+    using Ticket = WaitOrder::Ticket;
 
-    // Returns the expected wait of a request of this urgency; nothing if the completion rate is too low for an estimate.
-    [[nodiscard]] std::optional<base::Duration> expectedWait(std::uint32_t urgency, base::TimePoint now) const;
-    Key add(std::uint32_t urgency, std::shared_ptr<Exchange> exchange);
-    void remove(const Key &key);
+    // Applies to requests that are added from now on.
+    void setOrder(QueueOrder order);
+    // Returns the expected wait of a request; nothing if the completion rate is too low for an estimate.
+    [[nodiscard]] std::optional<base::Duration> expectedWait(const QueuedRequest &request, base::TimePoint now) const;
+    Ticket add(const QueuedRequest &request, std::shared_ptr<Exchange> exchange);
+    void remove(Ticket ticket, QueueExit exit);
+    // The present position of a waiting request.
+    [[nodiscard]] Key key(Ticket ticket) const;
     [[nodiscard]] std::shared_ptr<Exchange> front() const;
     // The first request that waits behind `key`, nullptr if there is none; Key{}: the first of all.
     [[nodiscard]] std::shared_ptr<Exchange> after(const Key &key) const;
@@ -69,11 +74,11 @@
     [[nodiscard]] std::size_t size() const;
     [[nodiscard]] CompletionRate &completionRate();
     // Delay after which a caller that is refused now should retry.
-    [[nodiscard]] base::Duration retryDelay(std::uint32_t urgency, base::TimePoint now);
+    [[nodiscard]] base::Duration retryDelay(const QueuedRequest &request, base::TimePoint now);
 
 private:
-    std::map<Key, std::shared_ptr<Exchange>> m_waiting;
-    std::uint64_t m_arrivals = 0;
+    WaitOrder m_order;
+    std::unordered_map<Ticket, std::shared_ptr<Exchange>> m_waiting; // of the tickets in m_order
     CompletionRate m_completionRate;
     RetrySchedule m_retrySchedule;
 };
