--- a/carawaylatch/proxy/testing/waitordertest.cpp
+++ b/carawaylatch/proxy/testing/waitordertest.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <array>
 #include <iostream>
+#include <iterator>
 #include <map>
 #include <set>
 #include <string>
@@ -189,9 +190,9 @@
             }
             if (i % 50 == 0 || model.size() < 10) {
                 std::vector<Ticket> expected;
-                for (const auto &[urgency, ticket] : model) {
-                    expected.push_back(ticket);
-                }
+                std::transform(model.begin(), model.end(), std::back_inserter(expected), [](const auto &it) {
+                    return it.second;
+                });
                 CPPUNIT_ASSERT(expected == ticketsOf(order));
             }
             while (model.size() > 300) {
@@ -322,9 +323,9 @@
     void testRequestsThatLeaveAreNotCharged()
     {
         WaitOrder order = orderByCustomer();
-        std::vector<Ticket> sent;
-        for (int i = 0; i < 10; ++i) {
-            sent.push_back(order.join(requestOf("a", 100)));
+        std::vector<Ticket> sent(10);
+        for (Ticket &ticket : sent) {
+            ticket = order.join(requestOf("a", 100));
         }
         const Ticket first = order.join(requestOf("b", 100));
         const Ticket second = order.join(requestOf("b", 100));
@@ -378,7 +379,7 @@
             if (i >= 3) {
                 tags.onLeft(base::CustomerId("waits"), ticket - 7);
             }
-            CPPUNIT_ASSERT_MESSAGE(std::to_string(tags.customers()), tags.customers() <= 2 * 4);
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(tags.customers()), tags.customers() <= std::size_t{8});
         }
         for (const Ticket left : {ticket - 5, ticket - 3, ticket - 1}) {
             tags.onLeft(base::CustomerId("waits"), left);
