Limits: no token from a level below one token

A request for tokens with a smallest of zero got one token from an empty bucket: partialGrant() gave at least one multiple of the smallest, which counts as at least one. A router sends such a request when it holds enough for its smallest request, as after a decided request was cancelled; each such message created up to one token.

Ruled out: refusing a smallest of zero, since it is the correct request of a router that holds tokens. partialGrant() now rounds the level down, with the same allowance for rounding as the check before it.

testNothingFromPartsOfTokens failed before (1 token for the expected 0) and passes.

--- a/carawaylatch/admission/limitbuckets.cpp
+++ b/carawaylatch/admission/limitbuckets.cpp
@@ -102,10 +102,11 @@
 }
 
 // What the level gives to the requests that wait; whole multiples of the smallest, since less may serve none of them.
+// A requester that already holds enough for its smallest request asks with a smallest of zero, and may get nothing.
 double partialGrant(double level, const TokenRequestEntry &entry)
 {
     const double smallest = std::max<std::uint32_t>(entry.smallest, 1);
-    return std::max(smallest, std::floor(level / smallest) * smallest);
+    return std::floor((level + Rounding) / smallest) * smallest;
 }
 
 TokenGrantEntry grant(Bucket &bucket, const TokenRequestEntry &entry)
--- a/carawaylatch/admission/testing/limitbucketstest.cpp
+++ b/carawaylatch/admission/testing/limitbucketstest.cpp
@@ -63,6 +63,7 @@
     CPPUNIT_TEST_SUITE(LimitBucketsTest);
     CPPUNIT_TEST(testCapacity);
     CPPUNIT_TEST(testGrants);
+    CPPUNIT_TEST(testNothingFromPartsOfTokens);
     CPPUNIT_TEST(testDeniedRequestsHavePlaces);
     CPPUNIT_TEST(testFloodOfDenialsIsBounded);
     CPPUNIT_TEST(testTooLarge);
@@ -109,6 +110,19 @@
         CPPUNIT_ASSERT(it.take(1).verdict == GrantVerdict::NoCoordinator);
         CPPUNIT_ASSERT(it.buckets.take({.customer = Key + LimitGroups, .needed = 1, .smallest = 1}, it.now).verdict == GrantVerdict::NoCoordinator);
     }
+    // A router that already holds enough for its smallest request asks for the rest with a smallest of zero. Each such
+    // request must not get a token that the bucket does not have.
+    void testNothingFromPartsOfTokens()
+    {
+        Buckets it({.perSecond = 0.5, .burst = 1});
+        for (int n = 0; n < 100; ++n) {
+            const TokenGrantEntry grant = it.buckets.take({.customer = Key, .needed = 2, .smallest = 0}, it.now);
+            CPPUNIT_ASSERT_EQUAL(0U, grant.tokens);
+        }
+        it.now += base::seconds{1};
+        CPPUNIT_ASSERT_EQUAL(0U, it.buckets.take({.customer = Key, .needed = 2, .smallest = 0}, it.now).tokens);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.5, it.level(), Tolerance);
+    }
     // A customer at a multiple of its rate: times that are all equal bring all callers back at once.
     void testDeniedRequestsHavePlaces()
     {
