Limits: tokens of before a limit or its unit are not credited

A refund, a cancelled decision or a late grant filled the balance after the unit of the limit had changed: 860 tokens became 860 requests. So did a refund of a request that was never counted because there was no limit then, and a late grant after the limit was removed and came back in another unit. Only late grants of an account that stayed were checked.

All credits now pass one check: a lot ends GrantTerm after it was asked for or earlier, so its end tells whether that was before the account counted in its present unit. Ruled out: a unit in each decision, which would also have to go through the callers.

testRefundInFormerUnit and testLateGrantInFormerUnit failed before and pass.

--- a/carawaylatch/admission/customerlimits.cpp
+++ b/carawaylatch/admission/customerlimits.cpp
@@ -193,7 +193,7 @@
     if (!account) {
         return; // has no limit any more
     }
-    if (entry.verdict == GrantVerdict::Granted && ask.sent >= account->unitSince) {
+    if (entry.verdict == GrantVerdict::Granted) {
         m_balances.onGranted(*account, {.usableUntil = ask.sent + GrantTerm, .tokens = entry.tokens}, now);
     }
     if (account->askId != id) {
--- a/carawaylatch/admission/testing/customerlimitstest.cpp
+++ b/carawaylatch/admission/testing/customerlimitstest.cpp
@@ -82,6 +82,8 @@
     CPPUNIT_TEST(testNothingGrantedAfterPause);
     CPPUNIT_TEST(testCustomerRemovedWhileRequestsWait);
     CPPUNIT_TEST(testLimitChangedWhileRequestsWait);
+    CPPUNIT_TEST(testRefundInFormerUnit);
+    CPPUNIT_TEST(testLateGrantInFormerUnit);
     CPPUNIT_TEST(testPartialGrant);
     CPPUNIT_TEST(testCustomersShareMessages);
     CPPUNIT_TEST(testBounds);
@@ -261,6 +263,46 @@
         CPPUNIT_ASSERT(it.limits().takeDecisions(it.fleet.now()).empty());
         CPPUNIT_ASSERT_EQUAL(200U, std::get<TokenRequest>(it.ask().content).entries.at(0).needed);
     }
+    // Refunds of requests that were counted in the former unit, or not at all, would be tokens that nobody granted.
+    void testRefundInFormerUnit()
+    {
+        const std::vector<NamedLimit> requests{{.customer = Customer, .limit = {.perSecond = 100, .burst = 300}}};
+        for (const bool isDecided : {false, true}) {
+            Asker it;
+            CPPUNIT_ASSERT(it.request(860).verdict == LimitVerdict::Pending);
+            it.answer(it.ask().id, {.customer = it.key, .verdict = GrantVerdict::Granted, .tokens = 860});
+            const base::TimePoint later = it.fleet.now() + base::milliseconds{1};
+            if (!isDecided) {
+                CPPUNIT_ASSERT_EQUAL(std::size_t{1}, it.limits().takeDecisions(it.fleet.now()).size());
+            }
+            it.limits().configure(requests, {.slack = 1'000}, later);
+            if (isDecided) {
+                it.limits().cancel(1);
+            } else {
+                it.limits().refund(Customer, 860, it.fleet.now() + GrantTerm, later);
+            }
+            CPPUNIT_ASSERT(it.limits().request(Customer, 1, later).verdict == LimitVerdict::Pending);
+        }
+        Asker unlimited;
+        unlimited.limits().configure({}, {}, unlimited.fleet.now());
+        const LimitDecision decision = unlimited.request(860);
+        const base::TimePoint later = unlimited.fleet.now() + base::milliseconds{1};
+        unlimited.limits().configure(requests, {.slack = 1'000}, later);
+        unlimited.limits().refund(Customer, 860, decision.usableUntil, later);
+        CPPUNIT_ASSERT(unlimited.limits().request(Customer, 1, later).verdict == LimitVerdict::Pending);
+    }
+    // A limit that is removed and comes back in another unit: a grant from before would count in the new unit.
+    void testLateGrantInFormerUnit()
+    {
+        Asker it;
+        CPPUNIT_ASSERT(it.request(860).verdict == LimitVerdict::Pending);
+        const LimitMessage ask = it.ask();
+        it.fleet.run(base::milliseconds{1});
+        it.limits().configure({}, {}, it.fleet.now());
+        it.limits().configure(std::vector{NamedLimit{.customer = Customer, .limit = {.perSecond = 100, .burst = 300}}}, {.slack = 1'000}, it.fleet.now());
+        it.answer(ask.id, {.customer = it.key, .verdict = GrantVerdict::Granted, .tokens = 860});
+        CPPUNIT_ASSERT(it.request(1).verdict == LimitVerdict::Pending);
+    }
     // A grant that does not cover all: tokens kept for the first request would end unused.
     void testPartialGrant()
     {
--- a/carawaylatch/admission/tokenbalances.cpp
+++ b/carawaylatch/admission/tokenbalances.cpp
@@ -121,10 +121,11 @@
             account = std::make_unique<LimitAccount>();
             account->customer = named.customer;
             account->key = base::hash64(named.customer.value());
+            account->countedFrom = now;
         }
         if (account->limit.unit != named.limit.unit) {
             account->balance.clear();
-            account->unitSince = now;
+            account->countedFrom = now;
         }
         if (account->limit != named.limit) {
             account->deniedUntil = now;
@@ -248,7 +249,7 @@
         return;
     }
     if (LimitAccount *account = find(decided->customer); account && decided->result.decision.verdict == LimitVerdict::Granted) {
-        account->balance.add({.usableUntil = decided->result.decision.usableUntil, .tokens = decided->cost});
+        credit(*account, {.usableUntil = decided->result.decision.usableUntil, .tokens = decided->cost});
     }
     m_decided.erase(decided);
 }
@@ -294,9 +295,16 @@
     return account.nextRetry - now;
 }
 
+void TokenBalances::credit(LimitAccount &account, const TokenLot &lot)
+{
+    if (lot.usableUntil - GrantTerm >= account.countedFrom) {
+        account.balance.add(lot);
+    }
+}
+
 void TokenBalances::onGranted(LimitAccount &account, const TokenLot &lot, base::TimePoint now)
 {
-    account.balance.add(lot);
+    credit(account, lot);
     settle(account, [&](const WaitingRequest &request) {
         const TokenLot taken = account.balance.take(request.cost, now);
         return taken.tokens != 0 ? granted(account, request.cost, taken.usableUntil, now)
--- a/carawaylatch/admission/tokenbalances.h
+++ b/carawaylatch/admission/tokenbalances.h
@@ -85,7 +85,7 @@
     base::CustomerId customer;
     CustomerKey key = 0;
     CustomerLimit limit;
-    base::TimePoint unitSince; // grants asked for before are in another unit
+    base::TimePoint countedFrom; // tokens asked for before are in another unit, or were never counted
     double capacity = 0; // of the bucket of the whole limit; a larger request is never granted
     TokenBalance balance;
     RecentUse use;
@@ -149,6 +149,9 @@
     // Applies `decide` to each waiting request, in order; those for which it gives Pending go on waiting.
     template <typename Decide>
     void settle(LimitAccount &account, Decide &&decide);
+    // Adds tokens to the balance, unless they are of before the limit or its unit; a lot ends GrantTerm after it was
+    // asked for, or earlier.
+    static void credit(LimitAccount &account, const TokenLot &lot);
     // When a request refused here is to come back: behind those refused before.
     [[nodiscard]] base::Duration nextPlace(LimitAccount &account, std::uint32_t cost, base::TimePoint now);
 
