Limits: each number of routers counts until ten seconds after it was listed

A short list that came ten seconds after an earlier removal counted almost at once: of 300, 299 and 35 routers listed at 0, 1 and 10.9 s, 35 counted at 11 s, although 299 were listed 0.1 s before. The class kept a single greater number with the time of the first decrease.

It now keeps the falling numbers with the times at which each stopped being listed. Ruled out: starting the delay again at each decrease, which would count removed routers for as long as others are removed.

testListsInTime expected the former result in two steps (33 at 30 s, although 34 were listed until 25 s and 33 only since); it now expects 34, the greater number. testShortListAfterRemoval failed before (35 for 299) and passes.

--- a/carawaylatch/admission/fleetsize.h
+++ b/carawaylatch/admission/fleetsize.h
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <vector>
 
 #include "carawaylatch/base/time.h"
 
@@ -21,24 +22,36 @@
     // The list has this many routers now.
     void set(std::uint32_t listed, base::TimePoint now)
     {
-        const std::uint32_t former = counted(now);
-        if (listed >= former) {
-            m_counted = listed;
-        } else if (m_listed >= m_counted || former < m_counted) {
-            m_counted = former;
-            m_shrunkAt = now;
+        if (listed < m_listed) {
+            dropUpTo(m_listed);
+            m_former.push_back({.listed = m_listed, .endedAt = now});
         }
+        dropUpTo(listed);
         m_listed = listed;
     }
     [[nodiscard]] std::uint32_t counted(base::TimePoint now) const
     {
-        return m_listed < m_counted && now - m_shrunkAt < ShrinkDelay ? m_counted : m_listed;
+        const auto it = std::find_if(m_former.begin(), m_former.end(), [now](const Former &former) {
+            return now - former.endedAt < ShrinkDelay;
+        });
+        return it != m_former.end() ? it->listed : m_listed;
     }
 
 private:
+    struct Former
+    {
+        std::uint32_t listed = 0;
+        base::TimePoint endedAt;
+    };
+    void dropUpTo(std::uint32_t listed)
+    {
+        std::erase_if(m_former, [listed](const Former &it) {
+            return it.listed <= listed;
+        });
+    }
+
     std::uint32_t m_listed = 0;
-    std::uint32_t m_counted = 0; // the greatest number since the list became shorter; else as m_listed
-    base::TimePoint m_shrunkAt; // when the list became shorter than m_counted
+    std::vector<Former> m_former; // greater numbers, falling; each number of routers at most once
 };
 
 } // namespace carawaylatch::admission
