Share leases: the start delay covers a list that grows after it

A process that started with a short list used its share after the delay of that list, 0.85 s, also if it then learnt of 300 routers. A former process of the router may have lent the share for 2.4 s, so it could be used in two places. The end of the delay was only raised while it was not yet reached.

It is now always that of the longest list seen. Ruled out: MaxTerm for all, which would keep the shares of small fleets unused for 12.6 s after each start. A list that grows later than its own delay after the start changes nothing, as the raised end is then in the past.

Two cases of testStalePolls raised the list within that time; their lender now starts with the long list, and what they check is unchanged. testStartDelayOfLongerList failed before (1/300 held for the expected 0) and passes.

--- a/carawaylatch/admission/quotaleases.cpp
+++ b/carawaylatch/admission/quotaleases.cpp
@@ -114,10 +114,9 @@
 void QuotaLeases::Impl::setRouters(std::span<const RouterKey> routers, std::uint32_t count, base::TimePoint now)
 {
     m_fleet = LimitCandidates(routers, count, MaxCandidates);
+    // Also after the delay of a shorter list: a former process may have lent for the term of the longer one.
     const base::TimePoint usableFrom = m_started + startDelay(m_fleet.count);
-    if (now < m_usableFrom) {
-        m_usableFrom = m_usableFrom == base::TimePoint::max() ? usableFrom : std::max(m_usableFrom, usableFrom);
-    }
+    m_usableFrom = m_usableFrom == base::TimePoint::max() ? usableFrom : std::max(m_usableFrom, usableFrom);
     dropCandidates(now);
     setGroups(m_isStopped ? 0 : m_fleet.groupsOf(m_self));
     std::erase_if(m_lenders, [this](const auto &it) {
--- a/carawaylatch/admission/testing/quotaleasestest.cpp
+++ b/carawaylatch/admission/testing/quotaleasestest.cpp
@@ -298,10 +298,10 @@
     base::TimePoint now = Start;
     QuotaLeases leases{RoleKeys[LenderRole], Incarnation, Start};
 
-    LendingRouter()
+    explicit LendingRouter(std::uint32_t count = RoleCount)
     {
-        list(RoleKeys);
-        now += QuotaLeases::startDelay(RoleCount) - milliseconds{1};
+        list(RoleKeys, count);
+        now += QuotaLeases::startDelay(count) - milliseconds{1};
         poll({}); // a candidate that was there before the share was in use need not wait
         now += milliseconds{1};
     }
@@ -342,6 +342,7 @@
 {
     CPPUNIT_TEST_SUITE(QuotaLeasesTest);
     CPPUNIT_TEST(testSingleRouterHoldsEverything);
+    CPPUNIT_TEST(testStartDelayOfLongerList);
     CPPUNIT_TEST(testEveryInterleaving);
     CPPUNIT_TEST(testStaleAnswers);
     CPPUNIT_TEST(testStalePolls);
@@ -362,6 +363,21 @@
         CPPUNIT_ASSERT(leases.duePolls(usable).empty());
         CPPUNIT_ASSERT(leases.peers().empty());
     }
+    // A process that starts while the list is short: a former one may have lent for the term of the whole fleet, so a
+    // share used after the delay of the short list would be in two places.
+    void testStartDelayOfLongerList()
+    {
+        constexpr std::uint32_t Count = 300;
+        std::vector<RouterKey> routers(Count);
+        std::iota(routers.begin(), routers.end(), RouterKey{1});
+        QuotaLeases leases(1, 1, Start);
+        leases.setRouters(std::span(routers).first(1), 1, Start);
+        leases.setRouters(routers, Count, Start + QuotaLeases::startDelay(1) + milliseconds{1});
+        const base::TimePoint usable = Start + QuotaLeases::startDelay(Count);
+        CPPUNIT_ASSERT_EQUAL(0.0, leases.heldShare(0, usable - milliseconds{1}));
+        CPPUNIT_ASSERT(!leases.coordinator(0, usable - milliseconds{1}));
+        CPPUNIT_ASSERT_EQUAL(1.0 / Count, leases.heldShare(0, usable));
+    }
 
     // Guards against a share used twice after late, lost, repeated or reordered messages, restarts and changed lists.
     void testEveryInterleaving()
@@ -492,8 +508,7 @@
                         }},
             MessageCase{"a shorter term after a longer one",
                         [] {
-                            LendingRouter lender;
-                            lender.list(RoleKeys, 300);
+                            LendingRouter lender(300);
                             lender.poll({.sequence = 1, .term = QuotaLeases::leaseTerm(300)});
                             lender.poll({.sequence = 2});
                             lender.now += QuotaLeases::leaseTerm(300);
@@ -506,8 +521,7 @@
                         }},
             MessageCase{"a term above the longest one",
                         [] {
-                            LendingRouter lender;
-                            lender.list(RoleKeys, 3000);
+                            LendingRouter lender(3000);
                             const GroupMask lent = lender.poll({.sequence = 1, .term = base::hours{1}}).lent;
                             lender.now += QuotaLeases::MaxTerm;
                             const bool isLent = !lender.holdsOwn();
