Limits: a Retry-After is not shorter than the bucket needs

A denial said ten seconds at most, also for a limit of 0.001 a second or for 55,000 tokens at 1,000 a second, so callers came back in vain up to a hundred times. The bound is meant for the backlog of callers that may have given up.

It now applies to the backlog only; the time in which the bucket fills for the request itself is stated up to 24 hours. The bound was defined twice, in the buckets and in the balances, and is now in customerlimit.h. Ruled out: dropping the bound, which sends later callers away for minutes after a flood (testFloodOfDenialsIsBounded).

testRetryOfSlowRates failed before (10,000 ms for 1,000,000) and passes; the requester's side has no test of its own.

--- a/carawaylatch/admission/customerlimit.cpp
+++ b/carawaylatch/admission/customerlimit.cpp
@@ -1,4 +1,4 @@
-// The cost of one request; see customerlimit.h.
+// The cost of one request, and the time in which a limit gives it; see customerlimit.h.
 #include "carawaylatch/admission/customerlimit.h"
 
 #include <algorithm>
@@ -16,4 +16,12 @@
     return static_cast<std::uint32_t>(std::clamp<std::uint64_t>(tokens != 0 ? tokens : defaultTokens, 1, MaxCost));
 }
 
+base::Duration fillTime(double tokens, double perSecond)
+{
+    if (tokens >= perSecond * base::toSeconds(MaxRetryAfter)) {
+        return MaxRetryAfter;
+    }
+    return tokens > 0 ? base::fromSeconds(tokens / perSecond) : base::Duration{};
+}
+
 } // namespace carawaylatch::admission
--- a/carawaylatch/admission/customerlimit.h
+++ b/carawaylatch/admission/customerlimit.h
@@ -47,4 +47,12 @@
     bool operator==(const LimitTolerance &) const = default;
 };
 
+// Bounds the part of a Retry-After that is due to requests refused before; many of their callers give up.
+inline constexpr base::Duration MaxBacklogTime = base::seconds{10};
+// Bounds any Retry-After; a time in milliseconds fits the messages between routers.
+inline constexpr base::Duration MaxRetryAfter = base::hours{24};
+
+// The time in which a positive rate gives this many tokens, at most MaxRetryAfter; zero for a negative number.
+[[nodiscard]] base::Duration fillTime(double tokens, double perSecond);
+
 } // namespace carawaylatch::admission
--- a/carawaylatch/admission/limitbuckets.cpp
+++ b/carawaylatch/admission/limitbuckets.cpp
@@ -6,8 +6,9 @@
 //
 // Denied requests form a backlog of tokens that drains at the refill rate. A further
 // denied request is told to come back when the backlog and its own tokens have been
-// filled. Callers may give up, so the backlog is bounded by MaxRetryTime, and a request
-// that finds tokens takes them whatever was promised.
+// filled. Callers may give up, so the backlog is bounded by MaxBacklogTime, and a request
+// that finds tokens takes them whatever was promised. The time in which the bucket fills
+// for the request itself is never shortened, as the caller would come back in vain.
 #include "carawaylatch/admission/limitbuckets.h"
 
 #include <algorithm>
@@ -26,7 +27,6 @@
 
 constexpr double LeastFillSeconds = 0.25; // a capacity below this part of the rate is of little use to bursty callers
 constexpr double ExtraLevel = 0.5; // of the capacity; below it only requests that wait are served
-constexpr base::Duration MaxRetryTime = base::seconds{10}; // callers rarely wait longer
 constexpr base::Duration PartTooSmallRetry = base::seconds{1}; // by then the shares have usually come together
 // Absorbs rounding in levels and shares; far below one request.
 constexpr double Rounding = 1e-6;
@@ -86,7 +86,7 @@
             promised = std::max(0.0, promised - base::toSeconds(now - last) * lower);
             last = now;
         }
-        promised = std::min(promised, rate() * base::toSeconds(MaxRetryTime));
+        promised = std::min(promised, rate() * base::toSeconds(MaxBacklogTime));
     }
 };
 
@@ -94,9 +94,10 @@
 {
     const double backlog = bucket.promised > 0 ? bucket.promised : -bucket.level;
     const double missing = std::max(backlog + entry.smallest, entry.smallest - bucket.level);
-    const double longest = bucket.rate() * base::toSeconds(MaxRetryTime);
+    const double longest = bucket.rate() * base::toSeconds(MaxBacklogTime);
     bucket.promised = std::clamp(backlog + std::max(entry.needed, entry.smallest), 0.0, longest);
-    const base::Duration wait = missing < longest ? base::fromSeconds(missing / bucket.rate()) : MaxRetryTime;
+    const base::Duration place = missing < longest ? base::fromSeconds(missing / bucket.rate()) : MaxBacklogTime;
+    const base::Duration wait = std::max(place, fillTime(entry.smallest - bucket.level, bucket.rate()));
     return {
         .customer = entry.customer, .verdict = GrantVerdict::Denied, .retryAfter = toWholeMilliseconds(std::max<base::Duration>(wait, base::milliseconds{1}))};
 }
--- a/carawaylatch/admission/testing/limitbucketstest.cpp
+++ b/carawaylatch/admission/testing/limitbucketstest.cpp
@@ -70,6 +70,7 @@
     CPPUNIT_TEST(testMovesMakeNoTokens);
     CPPUNIT_TEST(testChangedLimits);
     CPPUNIT_TEST(testFractionalRate);
+    CPPUNIT_TEST(testRetryOfSlowRates);
     CPPUNIT_TEST(testGeneratedRunsStayBelowLine);
     CPPUNIT_TEST_SUITE_END();
 
@@ -212,6 +213,14 @@
         }
         CPPUNIT_ASSERT_EQUAL(10, granted);
     }
+    // A time shorter than the bucket needs for the request itself brings each caller back in vain.
+    void testRetryOfSlowRates()
+    {
+        Buckets slow({.perSecond = 0.001, .burst = 1});
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{1'000'000}, retryMs(slow.take(1)));
+        Buckets large({.unit = LimitUnit::Tokens, .perSecond = 1'000, .burst = 55'000});
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{55'000}, retryMs(large.take(55'000)));
+    }
     // Requests, shares and limits of any kind: no span may get more than the line of the highest limit in it allows.
     void testGeneratedRunsStayBelowLine()
     {
--- a/carawaylatch/admission/tokenbalances.cpp
+++ b/carawaylatch/admission/tokenbalances.cpp
@@ -11,7 +11,6 @@
 namespace
 {
 
-constexpr base::Duration MaxRetryTime = base::seconds{10}; // as for denials of a coordinator: callers rarely wait longer
 constexpr base::Duration MaxRetryJitter = base::milliseconds{50}; // parts callers that were refused by many routers at once
 constexpr base::Duration UnavailableRetry = base::milliseconds{400}; // most of the time in which shares move on
 constexpr base::Duration UnavailableJitter = UnavailableRetry / 2;
@@ -289,9 +288,8 @@
 
 base::Duration TokenBalances::nextPlace(LimitAccount &account, std::uint32_t cost, base::TimePoint now)
 {
-    const double seconds = cost / account.limit.perSecond;
-    const base::Duration step = seconds < base::toSeconds(MaxRetryTime) ? base::fromSeconds(seconds) : MaxRetryTime;
-    account.nextRetry = std::min(std::max(account.nextRetry, now) + step, now + MaxRetryTime);
+    const base::Duration step = fillTime(cost, account.limit.perSecond);
+    account.nextRetry = std::min(std::max(account.nextRetry, now) + step, now + std::max(step, MaxBacklogTime));
     return account.nextRetry - now;
 }
 
@@ -316,7 +314,7 @@
 {
     account.deniedUntil = now + CustomerLimits::DeniedInterval;
     account.deniedCost = account.askedSmallest;
-    account.nextRetry = now + std::clamp<base::Duration>(retryAfter, base::milliseconds{1}, MaxRetryTime);
+    account.nextRetry = now + std::clamp<base::Duration>(retryAfter, base::milliseconds{1}, MaxRetryAfter);
     bool isFirst = true;
     settle(account, [&](const WaitingRequest &request) {
         if (request.cost < account.deniedCost) {
