Limits: a request that two grants do not cover gets 429, not a time-out

While small requests kept arriving at a router, each request for tokens had a small one as its smallest and was granted. A large one beside them was never denied; it waited for 250 ms and was refused with 503 limit_unavailable, although the coordinator answered.

A request that was part of two requests for tokens and is not covered by the second grant is now refused as over the limit. Ruled out: refusing after the first partial grant, as tokens may remain for it (testPartialGrant).

testLargeRequestAmongSmallIsDenied failed before and passes.

--- a/carawaylatch/admission/customerlimits.cpp
+++ b/carawaylatch/admission/customerlimits.cpp
@@ -200,7 +200,9 @@
         return; // a late answer; a newer one decides on the requests that wait
     }
     account->askId = 0;
-    if (entry.verdict == GrantVerdict::Denied) {
+    if (entry.verdict == GrantVerdict::Granted) {
+        m_balances.refusePassedOver(*account, now);
+    } else if (entry.verdict == GrantVerdict::Denied) {
         m_balances.onDenied(*account, entry.retryAfter, now);
     } else if (entry.verdict == GrantVerdict::TooLarge) {
         m_balances.onTooLarge(*account);
--- a/carawaylatch/admission/testing/customerlimitstest.cpp
+++ b/carawaylatch/admission/testing/customerlimitstest.cpp
@@ -3,6 +3,7 @@
 
 #include <iostream>
 #include <numeric>
+#include <optional>
 #include <vector>
 
 #include "carawaylatch/admission/testing/limitfleet.h"
@@ -85,6 +86,7 @@
     CPPUNIT_TEST(testRefundInFormerUnit);
     CPPUNIT_TEST(testLateGrantInFormerUnit);
     CPPUNIT_TEST(testPartialGrant);
+    CPPUNIT_TEST(testLargeRequestAmongSmallIsDenied);
     CPPUNIT_TEST(testCustomersShareMessages);
     CPPUNIT_TEST(testBounds);
     CPPUNIT_TEST(testDenialsAreAnsweredHere);
@@ -323,6 +325,28 @@
         CPPUNIT_ASSERT_EQUAL(20U, entry.smallest);
         CPPUNIT_ASSERT_EQUAL(1'720U - 180U, entry.extra);
     }
+    // A large request that waits while small ones keep arriving is over the limit: it must get a time, not a time-out.
+    void testLargeRequestAmongSmallIsDenied()
+    {
+        Asker it;
+        CPPUNIT_ASSERT(it.request(9'200).verdict == LimitVerdict::Pending);
+        const std::uint64_t large = 1;
+        const base::TimePoint start = it.fleet.now();
+        std::optional<LimitDecision> decision;
+        for (base::TimePoint now = start; !decision && now <= start + base::milliseconds{300}; now += base::milliseconds{20}) {
+            (void)it.limits().request(Customer, 860, now);
+            for (const LimitMessage &message : it.limits().takeMessages(now)) {
+                if (std::holds_alternative<TokenRequest>(message.content)) { // the bucket fills by 860 in 19 ms
+                    it.limits().onGrant(message.id, {.entries = {{.customer = it.key, .verdict = GrantVerdict::Granted, .tokens = 860}}}, now);
+                }
+            }
+            for (const TicketDecision &decided : it.limits().takeDecisions(now)) {
+                decision = decided.ticket == large ? std::optional(decided.decision) : decision;
+            }
+        }
+        CPPUNIT_ASSERT(decision.has_value());
+        CPPUNIT_ASSERT(decision->verdict == LimitVerdict::OverLimit);
+    }
     // A message for each customer would cost as many messages as there are customers.
     void testCustomersShareMessages()
     {
--- a/carawaylatch/admission/tokenbalances.cpp
+++ b/carawaylatch/admission/tokenbalances.cpp
@@ -257,7 +257,8 @@
 {
     std::uint64_t needed = 0;
     std::uint32_t smallest = std::numeric_limits<std::uint32_t>::max();
-    for (const WaitingRequest &request : account.waiting) {
+    for (WaitingRequest &request : account.waiting) {
+        ++request.asks;
         needed += request.cost;
         smallest = std::min(smallest, request.cost);
     }
@@ -328,6 +329,15 @@
     });
 }
 
+void TokenBalances::refusePassedOver(LimitAccount &account, base::TimePoint now)
+{
+    constexpr std::uint32_t MaxAsks = 2;
+    settle(account, [&](const WaitingRequest &request) {
+        return request.asks >= MaxAsks ? overLimit(account, nextPlace(account, request.cost, now))
+                                       : LimitDecision{.verdict = LimitVerdict::Pending, .retryAfter = {}, .usableUntil = {}};
+    });
+}
+
 void TokenBalances::onTooLarge(LimitAccount &account)
 {
     settle(account, [&](const WaitingRequest &request) {
--- a/carawaylatch/admission/tokenbalances.h
+++ b/carawaylatch/admission/tokenbalances.h
@@ -77,6 +77,7 @@
     std::uint64_t ticket = 0;
     std::uint32_t cost = 0;
     base::TimePoint deadline;
+    std::uint32_t asks = 0; // messages that asked for it
 };
 
 // One customer with a limit, as this router sees it.
@@ -129,6 +130,9 @@
     // Answers to the last entry().
     void onGranted(LimitAccount &account, const TokenLot &lot, base::TimePoint now);
     void onDenied(LimitAccount &account, base::Duration retryAfter, base::TimePoint now);
+    // The last entry() was answered by a grant: refuses requests that two grants did not cover, as smaller ones that
+    // keep arriving would take all tokens until the time-out.
+    void refusePassedOver(LimitAccount &account, base::TimePoint now);
     void onTooLarge(LimitAccount &account);
     void onUnavailable(LimitAccount &account);
     // Refuses requests that have waited for AskTimeout.
