--- a/carawaylatch/admission/testing/limitbucketstest.cpp
+++ b/carawaylatch/admission/testing/limitbucketstest.cpp
@@ -63,12 +63,14 @@
     CPPUNIT_TEST_SUITE(LimitBucketsTest);
     CPPUNIT_TEST(testCapacity);
     CPPUNIT_TEST(testGrants);
+    CPPUNIT_TEST(testNothingFromPartsOfTokens);
     CPPUNIT_TEST(testDeniedRequestsHavePlaces);
     CPPUNIT_TEST(testFloodOfDenialsIsBounded);
     CPPUNIT_TEST(testTooLarge);
     CPPUNIT_TEST(testMovesMakeNoTokens);
     CPPUNIT_TEST(testChangedLimits);
     CPPUNIT_TEST(testFractionalRate);
+    CPPUNIT_TEST(testRetryOfSlowRates);
     CPPUNIT_TEST(testGeneratedRunsStayBelowLine);
     CPPUNIT_TEST_SUITE_END();
 
@@ -109,6 +111,19 @@
         CPPUNIT_ASSERT(it.take(1).verdict == GrantVerdict::NoCoordinator);
         CPPUNIT_ASSERT(it.buckets.take({.customer = Key + LimitGroups, .needed = 1, .smallest = 1}, it.now).verdict == GrantVerdict::NoCoordinator);
     }
+    // A router that already holds enough for its smallest request asks for the rest with a smallest of zero. Each such
+    // request must not get a token that the bucket does not have.
+    void testNothingFromPartsOfTokens()
+    {
+        Buckets it({.perSecond = 0.5, .burst = 1});
+        for (int n = 0; n < 100; ++n) {
+            const TokenGrantEntry grant = it.buckets.take({.customer = Key, .needed = 2, .smallest = 0}, it.now);
+            CPPUNIT_ASSERT_EQUAL(0U, grant.tokens);
+        }
+        it.now += base::seconds{1};
+        CPPUNIT_ASSERT_EQUAL(0U, it.buckets.take({.customer = Key, .needed = 2, .smallest = 0}, it.now).tokens);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.5, it.level(), Tolerance);
+    }
     // A customer at a multiple of its rate: times that are all equal bring all callers back at once.
     void testDeniedRequestsHavePlaces()
     {
@@ -198,6 +213,14 @@
         }
         CPPUNIT_ASSERT_EQUAL(10, granted);
     }
+    // A time shorter than the bucket needs for the request itself brings each caller back in vain.
+    void testRetryOfSlowRates()
+    {
+        Buckets slow({.perSecond = 0.001, .burst = 1});
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{1'000'000}, retryMs(slow.take(1)));
+        Buckets large({.unit = LimitUnit::Tokens, .perSecond = 1'000, .burst = 55'000});
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{55'000}, retryMs(large.take(55'000)));
+    }
     // Requests, shares and limits of any kind: no span may get more than the line of the highest limit in it allows.
     void testGeneratedRunsStayBelowLine()
     {
--- a/carawaylatch/admission/tokenbalances.cpp
+++ b/carawaylatch/admission/tokenbalances.cpp
@@ -11,7 +11,6 @@
 namespace
 {
 
-constexpr base::Duration MaxRetryTime = base::seconds{10}; // as for denials of a coordinator: callers rarely wait longer
 constexpr base::Duration MaxRetryJitter = base::milliseconds{50}; // parts callers that were refused by many routers at once
 constexpr base::Duration UnavailableRetry = base::milliseconds{400}; // most of the time in which shares move on
 constexpr base::Duration UnavailableJitter = UnavailableRetry / 2;
@@ -121,10 +120,11 @@
             account = std::make_unique<LimitAccount>();
             account->customer = named.customer;
             account->key = base::hash64(named.customer.value());
+            account->countedFrom = now;
         }
         if (account->limit.unit != named.limit.unit) {
             account->balance.clear();
-            account->unitSince = now;
+            account->countedFrom = now;
         }
         if (account->limit != named.limit) {
             account->deniedUntil = now;
@@ -248,7 +248,7 @@
         return;
     }
     if (LimitAccount *account = find(decided->customer); account && decided->result.decision.verdict == LimitVerdict::Granted) {
-        account->balance.add({.usableUntil = decided->result.decision.usableUntil, .tokens = decided->cost});
+        credit(*account, {.usableUntil = decided->result.decision.usableUntil, .tokens = decided->cost});
     }
     m_decided.erase(decided);
 }
@@ -257,7 +257,8 @@
 {
     std::uint64_t needed = 0;
     std::uint32_t smallest = std::numeric_limits<std::uint32_t>::max();
-    for (const WaitingRequest &request : account.waiting) {
+    for (WaitingRequest &request : account.waiting) {
+        ++request.asks;
         needed += request.cost;
         smallest = std::min(smallest, request.cost);
     }
@@ -288,15 +289,21 @@
 
 base::Duration TokenBalances::nextPlace(LimitAccount &account, std::uint32_t cost, base::TimePoint now)
 {
-    const double seconds = cost / account.limit.perSecond;
-    const base::Duration step = seconds < base::toSeconds(MaxRetryTime) ? base::fromSeconds(seconds) : MaxRetryTime;
-    account.nextRetry = std::min(std::max(account.nextRetry, now) + step, now + MaxRetryTime);
+    const base::Duration step = fillTime(cost, account.limit.perSecond);
+    account.nextRetry = std::min(std::max(account.nextRetry, now) + step, now + std::max(step, MaxBacklogTime));
     return account.nextRetry - now;
 }
 
+void TokenBalances::credit(LimitAccount &account, const TokenLot &lot)
+{
+    if (lot.usableUntil - GrantTerm >= account.countedFrom) {
+        account.balance.add(lot);
+    }
+}
+
 void TokenBalances::onGranted(LimitAccount &account, const TokenLot &lot, base::TimePoint now)
 {
-    account.balance.add(lot);
+    credit(account, lot);
     settle(account, [&](const WaitingRequest &request) {
         const TokenLot taken = account.balance.take(request.cost, now);
         return taken.tokens != 0 ? granted(account, request.cost, taken.usableUntil, now)
@@ -308,14 +315,26 @@
 {
     account.deniedUntil = now + CustomerLimits::DeniedInterval;
     account.deniedCost = account.askedSmallest;
-    account.nextRetry = now + std::clamp<base::Duration>(retryAfter, base::milliseconds{1}, MaxRetryTime);
+    account.nextRetry = now + std::clamp<base::Duration>(retryAfter, base::milliseconds{1}, MaxRetryAfter);
     bool isFirst = true;
     settle(account, [&](const WaitingRequest &request) {
         if (request.cost < account.deniedCost) {
             return LimitDecision{.verdict = LimitVerdict::Pending, .retryAfter = {}, .usableUntil = {}};
         }
-        const base::Duration place = std::exchange(isFirst, false) ? account.nextRetry - now : nextPlace(account, request.cost, now);
-        return overLimit(account, place);
+        if (std::exchange(isFirst, false)) { // the time of the denial is that of the smallest request
+            account.nextRetry += fillTime(request.cost - account.deniedCost, account.limit.perSecond);
+            return overLimit(account, account.nextRetry - now);
+        }
+        return overLimit(account, nextPlace(account, request.cost, now));
+    });
+}
+
+void TokenBalances::refusePassedOver(LimitAccount &account, base::TimePoint now)
+{
+    constexpr std::uint32_t MaxAsks = 2;
+    settle(account, [&](const WaitingRequest &request) {
+        return request.asks >= MaxAsks ? overLimit(account, nextPlace(account, request.cost, now))
+                                       : LimitDecision{.verdict = LimitVerdict::Pending, .retryAfter = {}, .usableUntil = {}};
     });
 }
 
--- a/carawaylatch/admission/tokenbalances.h
+++ b/carawaylatch/admission/tokenbalances.h
@@ -77,6 +77,7 @@
     std::uint64_t ticket = 0;
     std::uint32_t cost = 0;
     base::TimePoint deadline;
+    std::uint32_t asks = 0; // messages that asked for it
 };
 
 // One customer with a limit, as this router sees it.
@@ -85,7 +86,7 @@
     base::CustomerId customer;
     CustomerKey key = 0;
     CustomerLimit limit;
-    base::TimePoint unitSince; // grants asked for before are in another unit
+    base::TimePoint countedFrom; // tokens asked for before are in another unit, or were never counted
     double capacity = 0; // of the bucket of the whole limit; a larger request is never granted
     TokenBalance balance;
     RecentUse use;
@@ -129,6 +130,9 @@
     // Answers to the last entry().
     void onGranted(LimitAccount &account, const TokenLot &lot, base::TimePoint now);
     void onDenied(LimitAccount &account, base::Duration retryAfter, base::TimePoint now);
+    // The last entry() was answered by a grant: refuses requests that two grants did not cover, as smaller ones that
+    // keep arriving would take all tokens until the time-out.
+    void refusePassedOver(LimitAccount &account, base::TimePoint now);
     void onTooLarge(LimitAccount &account);
     void onUnavailable(LimitAccount &account);
     // Refuses requests that have waited for AskTimeout.
@@ -149,6 +153,9 @@
     // Applies `decide` to each waiting request, in order; those for which it gives Pending go on waiting.
     template <typename Decide>
     void settle(LimitAccount &account, Decide &&decide);
+    // Adds tokens to the balance, unless they are of before the limit or its unit; a lot ends GrantTerm after it was
+    // asked for, or earlier.
+    static void credit(LimitAccount &account, const TokenLot &lot);
     // When a request refused here is to come back: behind those refused before.
     [[nodiscard]] base::Duration nextPlace(LimitAccount &account, std::uint32_t cost, base::TimePoint now);
 
