Fair queueing: requests served before earlier ones of their customer are charged

The start tag of a customer's next request followed from the last request that waits. A request bound to some software may be passed over; while it waited, those of its customer that were served before it were not counted, and a customer with one more request at a time was always before all others.

Raising the tag of the request that was passed over was ruled out: it would then wait behind other customers for work that its customer has had already, and positions could rise under the cursor of the placement.

The finish tag of all work of a customer is kept while requests wait, and is computed anew from the work that was served when one leaves.

--- a/carawaylatch/proxy/starttags.cpp
+++ b/carawaylatch/proxy/starttags.cpp
@@ -2,7 +2,6 @@
 #include "carawaylatch/proxy/starttags.h"
 
 #include <algorithm>
-#include <iterator>
 
 namespace carawaylatch::proxy
 {
@@ -13,9 +12,8 @@
     if (it == m_customers.end()) {
         return m_virtualTime;
     }
-    const auto &waiting = it->second.waiting;
-    const std::uint64_t finish = waiting.empty() ? it->second.finish : waiting.rbegin()->second.start + waiting.rbegin()->second.work;
-    return std::max(m_virtualTime, finish);
+    const Customer &state = it->second;
+    return std::max(m_virtualTime, state.waiting.empty() ? state.finish : state.lastFinish);
 }
 
 std::uint64_t StartTags::join(const base::CustomerId &customer, Ticket ticket, std::uint64_t work)
@@ -25,7 +23,8 @@
     if (state.waiting.empty()) {
         m_idle.erase({state.finish, customer});
     }
-    state.waiting.emplace(ticket, Waiting{std::max<std::uint64_t>(work, 1), m_virtualTime, start});
+    const Waiting &joined = state.waiting.emplace(ticket, Waiting{std::max<std::uint64_t>(work, 1), m_virtualTime, start}).first->second;
+    state.lastFinish = start + joined.work;
     ++m_waiting;
     return start;
 }
@@ -41,22 +40,24 @@
     remove(customer, state, ticket);
 }
 
+// Sums up from the work that was served: the tags of waiting requests leave out what was served before earlier ones.
 std::vector<StartTags::Change> StartTags::onLeft(const base::CustomerId &customer, Ticket ticket)
 {
     Customer &state = m_customers.at(customer);
-    const auto left = state.waiting.find(ticket);
-    const bool isFirst = left == state.waiting.begin();
-    std::uint64_t finish = isFirst ? state.finish : std::prev(left)->second.start + std::prev(left)->second.work;
+    std::uint64_t finish = state.finish;
     std::vector<Change> changes;
-    for (auto it = std::next(left); it != state.waiting.end(); ++it) {
-        const std::uint64_t start = std::max(it->second.joinedAt, finish);
-        if (start >= it->second.start) {
-            break; // the later ones follow from this tag
+    for (auto &[other, it] : state.waiting) {
+        if (other == ticket) {
+            continue;
         }
-        it->second.start = start;
-        changes.push_back({it->first, start});
-        finish = start + it->second.work;
+        const std::uint64_t start = std::max(it.joinedAt, finish);
+        if (other > ticket && start < it.start) {
+            it.start = start;
+            changes.push_back({other, start});
+        }
+        finish = start + it.work;
     }
+    state.lastFinish = std::min(state.lastFinish, finish);
     remove(customer, state, ticket);
     return changes;
 }
--- a/carawaylatch/proxy/starttags.h
+++ b/carawaylatch/proxy/starttags.h
@@ -58,6 +58,7 @@
     struct Customer
     {
         std::uint64_t finish = 0; // finish tag of the work that was served
+        std::uint64_t lastFinish = 0; // finish tag of all work, served or waiting; only while requests wait
         std::map<Ticket, Waiting> waiting;
     };
 
--- a/carawaylatch/proxy/testing/waitordertest.cpp
+++ b/carawaylatch/proxy/testing/waitordertest.cpp
@@ -157,6 +157,8 @@
     CPPUNIT_TEST(testLargeBesideSmall);
     CPPUNIT_TEST(testUrgentFirst);
     CPPUNIT_TEST(testRequestsThatLeaveAreNotCharged);
+    CPPUNIT_TEST(testRequestsServedBeforeEarlierOnesAreCharged);
+    CPPUNIT_TEST(testChargeStaysAfterLaterRequestLeaves);
     CPPUNIT_TEST(testAhead);
     CPPUNIT_TEST(testOrderChangesWhileRequestsWait);
     CPPUNIT_TEST(testStateIsBounded);
@@ -335,6 +337,44 @@
         CPPUNIT_ASSERT((ticketsOf(order) == std::vector<Ticket>{sent[9], first, second}));
     }
 
+    // A's first request is bound to some software and is passed over. If the requests of A that are served meanwhile
+    // were not charged, A's next one would always be before those of B, which would get nothing.
+    void testRequestsServedBeforeEarlierOnesAreCharged()
+    {
+        WaitOrder order = orderByCustomer();
+        order.join(requestOf("a", 10));
+        const WaitOrder::Key passed = order.key(1);
+        for (int i = 0; i < 10; ++i) {
+            order.join(requestOf("b", 100));
+        }
+        Ticket next = order.join(requestOf("a", 100));
+        int servedA = 0;
+        for (int i = 0; i < 10; ++i) {
+            const Ticket ticket = *order.after(passed);
+            order.leave(ticket, QueueExit::Served);
+            if (ticket == next) {
+                ++servedA;
+                next = order.join(requestOf("a", 100));
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(5, servedA);
+    }
+
+    // The same where a request that joined after the one that was served leaves.
+    void testChargeStaysAfterLaterRequestLeaves()
+    {
+        WaitOrder order = orderByCustomer();
+        order.join(requestOf("a", 10));
+        const Ticket served = order.join(requestOf("a", 100));
+        const Ticket left = order.join(requestOf("a", 100));
+        const Ticket last = order.join(requestOf("a", 100));
+        order.leave(served, QueueExit::Served);
+        order.leave(left, QueueExit::Left);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{110}, order.key(last).start);
+        order.leave(last, QueueExit::Left);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{110}, order.key(order.join(requestOf("a", 100))).start);
+    }
+
     void testAhead()
     {
         WaitOrder order = orderByCustomer();
