Limits: tokens of a former unit are not given back in the new one

A request that ended unsent, or was cancelled before its decision was taken, gave back its cost after the unit of its customer's limit had changed: 9,200 tokens became 9,200 requests, for up to GrantTerm. Grants asked for before the change were dropped already, by the time of the change; tokens given back are compared with the same time now. It is also set for a customer that is listed anew, since it may have had a limit in another unit shortly before.

Clearing the cost at the exchange was ruled out: it does not see changes of the configuration.

--- a/carawaylatch/admission/customerlimits.cpp
+++ b/carawaylatch/admission/customerlimits.cpp
@@ -261,7 +261,7 @@
 void CustomerLimits::refund(const base::CustomerId &customer, std::uint32_t cost, base::TimePoint usableUntil, base::TimePoint now)
 {
     LimitAccount *account = m_impl->m_balances.find(customer);
-    if (account && usableUntil > now) {
+    if (account && usableUntil > now && account->isOfUnit(usableUntil)) {
         m_impl->m_balances.onGranted(*account, {.usableUntil = usableUntil, .tokens = cost}, now);
     }
 }
--- a/carawaylatch/admission/testing/customerlimitstest.cpp
+++ b/carawaylatch/admission/testing/customerlimitstest.cpp
@@ -88,6 +88,8 @@
     CPPUNIT_TEST(testDenialsAreAnsweredHere);
     CPPUNIT_TEST(testLateGrantAndTimeout);
     CPPUNIT_TEST(testRefundAndCancel);
+    CPPUNIT_TEST(testRefundInTheFormerUnit);
+    CPPUNIT_TEST(testCancelInTheFormerUnit);
     CPPUNIT_TEST(testOffWithoutLimits);
     CPPUNIT_TEST_SUITE_END();
 
@@ -399,6 +401,35 @@
         it.limits().cancel(waits.ticket);
         CPPUNIT_ASSERT(it.asks().empty());
     }
+    // Tokens of a request that ends unsent after the unit has changed would be that many requests.
+    void testRefundInTheFormerUnit()
+    {
+        Asker it;
+        const CustomerLimit requests{.perSecond = 100'000, .burst = 100'000};
+        CPPUNIT_ASSERT(it.request(9'200).verdict == LimitVerdict::Pending);
+        it.answer(it.ask().id, {.customer = it.key, .verdict = GrantVerdict::Granted, .tokens = 18'400});
+        const auto granted = it.limits().takeDecisions(it.fleet.now());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, granted.size());
+        const LimitDecision second = it.request(9'200);
+        CPPUNIT_ASSERT(second.verdict == LimitVerdict::Granted);
+        it.fleet.run(base::milliseconds{1});
+        it.limits().configure(std::vector{NamedLimit{.customer = Customer, .limit = requests}}, {.slack = 1'000}, it.fleet.now());
+        it.limits().refund(Customer, 9'200, second.usableUntil, it.fleet.now());
+        CPPUNIT_ASSERT(it.request(1).verdict == LimitVerdict::Pending);
+    }
+    // The same for a request that was decided before the change, and cancelled before its decision was taken.
+    void testCancelInTheFormerUnit()
+    {
+        Asker it;
+        const CustomerLimit requests{.perSecond = 100'000, .burst = 100'000};
+        const LimitDecision waits = it.request(9'200);
+        CPPUNIT_ASSERT(waits.verdict == LimitVerdict::Pending);
+        it.answer(it.ask().id, {.customer = it.key, .verdict = GrantVerdict::Granted, .tokens = 9'200});
+        const base::TimePoint changed = it.fleet.now() + base::milliseconds{1};
+        it.limits().configure(std::vector{NamedLimit{.customer = Customer, .limit = requests}}, {.slack = 1'000}, changed);
+        it.limits().cancel(waits.ticket);
+        CPPUNIT_ASSERT(it.limits().request(Customer, 1, changed).verdict == LimitVerdict::Pending);
+    }
     // No cost without limits.
     void testOffWithoutLimits()
     {
--- a/carawaylatch/admission/tokenbalances.cpp
+++ b/carawaylatch/admission/tokenbalances.cpp
@@ -121,6 +121,7 @@
             account = std::make_unique<LimitAccount>();
             account->customer = named.customer;
             account->key = base::hash64(named.customer.value());
+            account->unitSince = now; // it may have been removed with a limit in another unit
         }
         if (account->limit.unit != named.limit.unit) {
             account->balance.clear();
@@ -247,8 +248,9 @@
     if (decided == m_decided.end()) {
         return;
     }
-    if (LimitAccount *account = find(decided->customer); account && decided->result.decision.verdict == LimitVerdict::Granted) {
-        account->balance.add({.usableUntil = decided->result.decision.usableUntil, .tokens = decided->cost});
+    const LimitDecision &decision = decided->result.decision;
+    if (LimitAccount *account = find(decided->customer); account && decision.verdict == LimitVerdict::Granted && account->isOfUnit(decision.usableUntil)) {
+        account->balance.add({.usableUntil = decision.usableUntil, .tokens = decided->cost});
     }
     m_decided.erase(decided);
 }
--- a/carawaylatch/admission/tokenbalances.h
+++ b/carawaylatch/admission/tokenbalances.h
@@ -85,7 +85,7 @@
     base::CustomerId customer;
     CustomerKey key = 0;
     CustomerLimit limit;
-    base::TimePoint unitSince; // grants asked for before are in another unit
+    base::TimePoint unitSince; // grants asked for before may be in another unit
     double capacity = 0; // of the bucket of the whole limit; a larger request is never granted
     TokenBalance balance;
     RecentUse use;
@@ -97,6 +97,12 @@
     base::TimePoint nextRetry; // until when callers were told to wait
     std::uint64_t overLimit = 0; // since the last takeRefusals()
     std::uint64_t unavailable = 0;
+
+    // Whether tokens with this end of their use were granted in the present unit.
+    [[nodiscard]] bool isOfUnit(base::TimePoint usableUntil) const
+    {
+        return usableUntil - GrantTerm >= unitSince;
+    }
 };
 
 class TokenBalances
