Fair queueing: requests without a token count are charged

A request for an engine that states no tokens had a work of 1. A customer that leaves out the statement was served before all others of its urgency, whatever it sent. Its work is now what it counts against its customer's limit (uncached_tokens). For customers without a limit in tokens nothing is known of such requests; they still have a work of 1.

--- a/carawaylatch/proxy/exchange.cpp
+++ b/carawaylatch/proxy/exchange.cpp
@@ -374,9 +374,14 @@
     return 2 * m_urgency + (goesOn() ? 0 : 1);
 }
 
+// The work of a request that states no tokens is what it counts against its customer's limit: a customer that leaves
+// out the statement would otherwise be served before all others.
 QueuedRequest Exchange::queuedRequest() const
 {
-    const std::uint64_t tokens = std::uint64_t{m_request.promptTokens} + m_request.maxOutputTokens;
+    std::uint64_t tokens = std::uint64_t{m_request.promptTokens} + m_request.maxOutputTokens;
+    if (tokens == 0 && m_customer != nullptr && m_customer->limit) {
+        tokens = m_customer->limit->cost(0);
+    }
     return {queueRank(), m_customer != nullptr ? m_customer->id : base::CustomerId(), isForEngine() ? tokens : 1};
 }
 
