--- a/carawaylatch/proxy/exchangelimit.cpp
+++ b/carawaylatch/proxy/exchangelimit.cpp
@@ -1,7 +1,8 @@
 // An exchange and its customer's limit.
 //
-// A request is counted once, after it is admitted and before it is placed, at the router that its
-// caller sent it to. While it waits for a decision it holds no place in the queue; what ends any
+// A request is counted once, after it is admitted and before it is placed. One that another router
+// forwards is counted at both: nothing shows that the mark of a forwarded request is not a caller's,
+// and forwarding is rare. While it waits for a decision it holds no place in the queue; what ends any
 // request ends this wait too. The pool's retry budget counts a request after its limit has: what is
 // refused here is no load of the pool, and must not entitle others to retries.
 #include "carawaylatch/proxy/exchange.h"
@@ -13,14 +14,22 @@
 
 void Exchange::countAgainstLimit()
 {
-    if (m_customer == nullptr || !m_customer->limit || m_request.forwardedAttempts) {
+    if (m_customer == nullptr || !m_customer->limit) {
         begin();
         return;
     }
     m_limitCost = m_customer->limit->cost(std::uint64_t{m_request.promptTokens} + m_request.maxOutputTokens);
     const auto done = [weak = weak_from_this()](const admission::LimitDecision &decision) {
         if (const auto self = weak.lock()) {
-            self->onLimitDecided(decision);
+            // Decisions on several requests arrive together; an exception in one must not lose the others.
+            self->m_plane.contain(
+                "limit decision",
+                [&self, &decision] {
+                    self->onLimitDecided(decision);
+                },
+                [&self] {
+                    self->end("unexpected_error");
+                });
         }
     };
     onLimitDecided(m_plane.customerLimits().request(m_customer->id, m_limitCost, done));
--- a/carawaylatch/proxy/limitenforcement.cpp
+++ b/carawaylatch/proxy/limitenforcement.cpp
@@ -81,9 +81,24 @@
     m_tolerance = needed;
     const auto limits = m_table ? m_table->customers.limits() : std::vector<admission::NamedLimit>{};
     m_limits.configure(limits, m_tolerance, m_clock.now());
+    logUnusableLimits(limits);
     schedulePump();
 }
 
+// With such a limit all requests of the customer are refused for good.
+void LimitEnforcement::logUnusableLimits(std::span<const admission::NamedLimit> limits)
+{
+    for (const admission::NamedLimit &it : limits) {
+        if (admission::bucketCapacity(it.limit, m_tolerance) < 1) {
+            m_log.write(
+                base::LogEvent::LimitUnusable,
+                {{"customer", it.customer.value()},
+                 {"problem", "no request fits into what [limits] tolerates; raise overshoot or slack, or lower the longest target latency of the routes"},
+                 {"version", std::to_string(m_table->version)}});
+        }
+    }
+}
+
 void LimitEnforcement::adoptRouters(const FleetView &view)
 {
     const base::TimePoint now = m_clock.now();
--- a/carawaylatch/proxy/limitenforcement.h
+++ b/carawaylatch/proxy/limitenforcement.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -77,6 +78,7 @@
     };
 
     void adoptRouters(const FleetView &view);
+    void logUnusableLimits(std::span<const admission::NamedLimit> limits);
     void schedulePump();
     // Sends due messages and passes on decisions.
     void pump();
