Placement follows load summaries in fleets of more than 65 routers

Cause: with more than 65 routers fewer than half of the others report to a router, and the load of an upstream was estimated from the router's own requests. With 90 routers and 60 engines the busiest engine got 2.9 times the mean.

Change: reports and the router's own load feed LoadSummaries, summaries travel over the connections between routers, and totalLoad() uses them. Prompt placements that come with them are taken over. Smaller fleets exchange what they did.

--- a/carawaylatch/gateway/fleetstate.cpp
+++ b/carawaylatch/gateway/fleetstate.cpp
@@ -6,6 +6,7 @@
 #include <exception>
 #include <utility>
 
+#include "carawaylatch/base/hash.h"
 #include "carawaylatch/config/valuetext.h"
 
 namespace carawaylatch::gateway
@@ -479,6 +480,7 @@
         ++routers;
         if (auto router = decodeRouter(object.text)) {
             view->routerEndpoints.push_back(std::move(router->peers));
+            view->routerKeys.push_back(base::hash64(std::string_view(name).substr(RouterPrefix.size())));
         }
     }
     view->routers = std::max(1U, routers);
--- a/carawaylatch/proxy/fleet.h
+++ b/carawaylatch/proxy/fleet.h
@@ -187,6 +187,7 @@
     std::set<base::Endpoint> unavailableCacheStores; // did not respond recently
     std::uint32_t routers = 1; // that share retry budgets and connection limits; at least one
     std::vector<base::Endpoint> routerEndpoints; // where routers receive load reports; includes routers that have stopped
+    std::vector<std::uint64_t> routerKeys; // base::hash64 of the id of each of them, as load reports name their sender
     std::uint64_t sequence = 0; // increases with each snapshot of this process
 };
 
--- a/carawaylatch/proxy/peerexchange.cpp
+++ b/carawaylatch/proxy/peerexchange.cpp
@@ -71,7 +71,7 @@
     Inbound(PeerExchange &exchange, Tcp::socket socket)
         : m_exchange(&exchange)
         , m_socket(std::move(socket))
-        , m_session(peer::Http2Session::Role::Server, MaxReportBytes)
+        , m_session(peer::Http2Session::Role::Server, std::max(MaxReportBytes, MaxLoadSummaryBytes))
     {
         setSocketOptions(m_socket, silenceLimits(PeerSilenceDetection));
     }
@@ -215,11 +215,35 @@
     updateOutbound();
 }
 
+void PeerExchange::setSummaryPeers(std::span<const base::Endpoint> peers)
+{
+    if (m_self.port == 0) {
+        return;
+    }
+    std::set<base::Endpoint> receivers;
+    for (const base::Endpoint &peer : peers) {
+        if (peer != m_self && receivers.size() < MaxRequestPeers) {
+            receivers.insert(peer);
+        }
+    }
+    if (receivers != m_summaryPeers) {
+        m_summaryPeers = std::move(receivers);
+        updateOutbound();
+    }
+}
+
+void PeerExchange::sendSummary(const base::Endpoint &peer, const std::string &summary)
+{
+    request(peer, summary, [](const std::optional<std::string> &) {
+        // The next summary makes up for a lost one.
+    });
+}
+
 // Closes and creates connections so that there is one to each peer, with its purpose.
 void PeerExchange::updateOutbound()
 {
     std::erase_if(m_outbound, [this](const auto &it) {
-        const bool isGone = !m_reportPeers.contains(it.first) && !m_requestPeers.contains(it.first);
+        const bool isGone = !m_reportPeers.contains(it.first) && !m_requestPeers.contains(it.first) && !m_summaryPeers.contains(it.first);
         if (isGone) {
             it.second->close();
         }
@@ -233,11 +257,14 @@
         }
     };
     for (const base::Endpoint &peer : m_reportPeers) {
-        add(peer, m_requestPeers.contains(peer) ? Outbound::Purpose::Both : Outbound::Purpose::Reports);
+        const bool hasRequests = m_requestPeers.contains(peer) || m_summaryPeers.contains(peer);
+        add(peer, hasRequests ? Outbound::Purpose::Both : Outbound::Purpose::Reports);
     }
-    for (const base::Endpoint &peer : m_requestPeers) {
-        if (!m_reportPeers.contains(peer)) {
-            add(peer, Outbound::Purpose::Requests);
+    for (const auto *peers : {&m_requestPeers, &m_summaryPeers}) {
+        for (const base::Endpoint &peer : *peers) {
+            if (!m_reportPeers.contains(peer)) {
+                add(peer, Outbound::Purpose::Requests);
+            }
         }
     }
 }
@@ -326,6 +353,8 @@
         apply(decodeReachReport(body), &PeerReportSource::onReachReport);
     } else if (isFaultReport(body)) {
         apply(decodeFaultReport(body), &PeerReportSource::onFaultReport);
+    } else if (isLoadSummary(body)) {
+        apply(decodeLoadSummary(body), &PeerReportSource::onSummary);
     } else {
         apply(decodeLoadReport(body), &PeerReportSource::onReport);
     }
--- a/carawaylatch/proxy/peerexchange.h
+++ b/carawaylatch/proxy/peerexchange.h
@@ -1,5 +1,6 @@
 // Exchanges load reports (loadreport.h), fault reports (faultreport.h) and reach reports (reachreport.h) with other routers,
-// and requests by which routers enforce customers' limits together (limitcodec.h).
+// requests by which routers enforce customers' limits together (limitcodec.h), and load summaries of large fleets
+// (loadsummary.h).
 //
 // Each router keeps one HTTP/2 connection to each of its peers and posts a report
 // every ReportInterval in which something changed, and a heartbeat (an empty report)
@@ -29,6 +30,7 @@
 #include "carawaylatch/base/time.h"
 #include "carawaylatch/proxy/faultreport.h"
 #include "carawaylatch/proxy/loadreport.h"
+#include "carawaylatch/proxy/loadsummary.h"
 #include "carawaylatch/proxy/reachreport.h"
 #include "carawaylatch/proxy/socket.h"
 #include "carawaylatch/telemetry/eventlog.h"
@@ -67,6 +69,10 @@
     virtual void onReachReport(const ReachReport &report) = 0;
     // A peer has not responded for UnreachableTimeout. Repeated after each further UnreachableTimeout.
     virtual void onPeerUnreachable(const base::Endpoint &peer) = 0;
+    // Load of other routers, summed by one of them. Sources that take no summaries ignore it.
+    virtual void onSummary(const LoadSummary & /*summary*/)
+    {
+    }
     // Answers a request of another router, whose first byte is 6 or 7; empty: no answer.
     [[nodiscard]] virtual std::string onPeerRequest(std::string_view body) = 0;
 };
@@ -88,6 +94,10 @@
     void setRouters(std::span<const base::Endpoint> routers);
     // Sets the routers with which requests are exchanged, at most MaxRequestPeers; this one is ignored.
     void setRequestPeers(std::span<const base::Endpoint> peers);
+    // Sets the routers to which this one sends summaries, at most MaxRequestPeers; this one is ignored.
+    void setSummaryPeers(std::span<const base::Endpoint> peers);
+    // Sends a summary, or drops it if the router is not connected or does not respond in time.
+    void sendSummary(const base::Endpoint &peer, const std::string &summary);
     // The body of the response, or nothing if there is none.
     using RequestHandler = std::function<void(std::optional<std::string>)>;
     // Sends a request to a router to which there is a connection. The handler is always called from the loop, never
@@ -129,7 +139,8 @@
     std::size_t m_routers = 0; // of the fleet
     std::set<base::Endpoint> m_reportPeers; // at most MaxReportPeers
     std::set<base::Endpoint> m_requestPeers; // at most MaxRequestPeers
-    std::map<base::Endpoint, std::shared_ptr<Outbound>> m_outbound; // one for each of both sets
+    std::set<base::Endpoint> m_summaryPeers; // at most MaxRequestPeers
+    std::map<base::Endpoint, std::shared_ptr<Outbound>> m_outbound; // one for each endpoint of the three sets
     std::shared_ptr<const bool> m_isOpen = std::make_shared<const bool>(true); // handlers of requests hold a weak pointer; replaced by closeAll()
     base::TimePoint m_reportedAt; // last report or heartbeat
     base::TimePoint m_reachReportedAt;
--- a/carawaylatch/proxy/trafficplane.cpp
+++ b/carawaylatch/proxy/trafficplane.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "carawaylatch/base/incarnation.h"
 #include "carawaylatch/proxy/exchange.h"
 
 namespace carawaylatch::proxy
@@ -51,7 +52,7 @@
     , m_tableAge(std::move(tableAge))
     , m_timer(loop)
     , m_view(std::make_shared<const FleetView>())
-    , m_tracker(settings.peers)
+    , m_tracker(settings.peers, base::hash64(settings.routerId), base::newIncarnation().value)
     , m_callersListener(std::make_shared<Listener>(loop))
     , m_operatorsListener(std::make_shared<Listener>(loop))
     , m_metricsListener(std::make_shared<Listener>(loop))
@@ -73,6 +74,7 @@
         confirmCrashes();
         m_customerLimits.tick();
         m_peers.tick();
+        sendSummaries(at);
     });
     armTimer();
 }
@@ -192,23 +194,6 @@
     }
 }
 
-LoadReport TrafficPlane::takeChanges()
-{
-    return m_tracker.takeChanges();
-}
-
-LoadReport TrafficPlane::fullReport() const
-{
-    return m_tracker.fullReport();
-}
-
-void TrafficPlane::onReport(const LoadReport &report)
-{
-    if (m_tracker.applyReport(report, now())) {
-        schedulePlacement(); // an upstream may have capacity again
-    }
-}
-
 void TrafficPlane::onPeerUnreachable(const base::Endpoint &peer)
 {
     m_observer.onRouterUnreachable(peer);
--- a/carawaylatch/proxy/trafficplane.h
+++ b/carawaylatch/proxy/trafficplane.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -88,6 +89,8 @@
     std::uint64_t pauses = 0; // asked for by upstreams
     std::uint64_t rejections = 0; // by upstreams that were full
     std::uint64_t risks = 0; // of these, rejections that were risked at brittle upstreams
+    std::uint64_t summariesSent = 0; // load summaries, to all receivers
+    std::uint64_t summariesReceived = 0;
     std::array<telemetry::LatencyHistogram, CallKindCount> firstByte{}; // latency of served requests, by CallKind
     std::array<telemetry::LatencyHistogram, CallKindCount> total{}; // latency of served requests, by CallKind
 };
@@ -242,6 +245,10 @@
     [[nodiscard]] LoadReport takeChanges() override;
     [[nodiscard]] LoadReport fullReport() const override;
     void onReport(const LoadReport &report) override;
+    void onSummary(const LoadSummary &summary) override;
+    // Sends the summaries that are due.
+    void sendSummaries(base::TimePoint at);
+    void logSummarizer(base::TimePoint at);
     [[nodiscard]] FaultReport takeFaultChanges() override;
     [[nodiscard]] FaultReport fullFaultReport() const override;
     void onFaultReport(const FaultReport &report) override;
@@ -321,6 +328,7 @@
     bool m_isStopping = false;
     bool m_isLeaving = false;
     bool m_isPlacementScheduled = false;
+    std::optional<std::uint16_t> m_summarizedArc; // as last logged
     std::string m_notReadyReason = "starting"; // last logged value; empty: ready
 };
 
--- a/carawaylatch/proxy/upstreamtracker.cpp
+++ b/carawaylatch/proxy/upstreamtracker.cpp
@@ -94,8 +94,9 @@
     return isRead() && now - silentSince > MaxSilence + prefillTime(prefillMillisecondsPerToken);
 }
 
-UpstreamTracker::UpstreamTracker(base::Endpoint self)
+UpstreamTracker::UpstreamTracker(base::Endpoint self, std::uint64_t key, std::uint64_t incarnation)
     : m_self(std::move(self))
+    , m_summaries(key, incarnation)
 {
 }
 
@@ -103,6 +104,7 @@
 {
     m_limits.setRouters(view.routerEndpoints, m_self, view.routers);
     m_brittle.setRouters(view.routerEndpoints, m_self, view.routers);
+    m_summaries.setRouters(view.routerEndpoints, view.routerKeys, m_self, now);
     std::vector<UpstreamRecord *> unlisted;
     for (auto &[id, record] : m_records) {
         if (std::exchange(record.isListed, false)) {
@@ -402,9 +404,33 @@
     for (const PrefixPlacement &placement : report.placements) {
         m_placements.onPromptSent(placement.cacheKey, placement.upstream, now);
     }
+    if (m_summaries.isActive()) {
+        m_summaries.onReport(report, now);
+    }
     return true;
 }
 
+void UpstreamTracker::applySummary(const LoadSummary &summary, base::TimePoint now)
+{
+    if (!m_summaries.isActive()) {
+        return;
+    }
+    m_summaries.onSummary(summary, now);
+    for (const PrefixPlacement &placement : summary.placements) {
+        m_placements.onPromptSent(placement.cacheKey, placement.upstream, now);
+    }
+}
+
+LoadSummaries &UpstreamTracker::summaries()
+{
+    return m_summaries;
+}
+
+const LoadSummaries &UpstreamTracker::summaries() const
+{
+    return m_summaries;
+}
+
 std::size_t UpstreamTracker::removeSilentPeers(base::TimePoint now)
 {
     return m_peers.expire(now);
@@ -455,11 +481,14 @@
 {
     TotalLoad load;
     const std::size_t others = routers > 0 ? routers - 1 : 0;
-    if (m_peers.peers() * 2 >= others) {
-        const PeerUpstreamLoad peers = m_peers.at(record.idHash);
-        load.requests = static_cast<double>(record.inflight) + peers.requests;
-        load.prefillTokens = static_cast<double>(record.prefillTokens) + peers.prefillTokens;
-        load.memoryTokens = static_cast<double>(record.inflightTokens) + peers.memoryTokens;
+    std::optional<PeerUpstreamLoad> known = m_summaries.isActive() ? m_summaries.others(record.idHash, now) : std::nullopt;
+    if (!known && m_peers.peers() * 2 >= others) {
+        known = m_peers.at(record.idHash);
+    }
+    if (known) {
+        load.requests = static_cast<double>(record.inflight) + known->requests;
+        load.prefillTokens = static_cast<double>(record.prefillTokens) + known->prefillTokens;
+        load.memoryTokens = static_cast<double>(record.inflightTokens) + known->memoryTokens;
         return load;
     }
     load.requests = record.load(now);
--- a/carawaylatch/proxy/upstreamtracker.h
+++ b/carawaylatch/proxy/upstreamtracker.h
@@ -23,6 +23,7 @@
 #include "carawaylatch/proxy/faultreport.h"
 #include "carawaylatch/proxy/fleet.h"
 #include "carawaylatch/proxy/loadreport.h"
+#include "carawaylatch/proxy/loadsummaries.h"
 #include "carawaylatch/proxy/peerload.h"
 #include "carawaylatch/proxy/prefixplacements.h"
 #include "carawaylatch/proxy/requestlimits.h"
@@ -126,8 +127,8 @@
 class UpstreamTracker
 {
 public:
-    // `self` is the endpoint of this router in the fleet's snapshots.
-    explicit UpstreamTracker(base::Endpoint self = {});
+    // `self` is the endpoint of this router in the fleet's snapshots, `key` its name as the sender of load reports.
+    explicit UpstreamTracker(base::Endpoint self = {}, std::uint64_t key = 0, std::uint64_t incarnation = 0);
 
     void adopt(const FleetView &view, base::TimePoint now);
 
@@ -203,8 +204,13 @@
     [[nodiscard]] LoadReport takeChanges();
     // All current load of this router, without placements.
     [[nodiscard]] LoadReport fullReport() const;
-    // Load of all `routers` at an upstream: the sum of their reports if at least half of
-    // the others report, otherwise an estimate from this router's own load and samples.
+    // Load of other routers that one of them has summed; placements are taken over.
+    void applySummary(const LoadSummary &summary, base::TimePoint now);
+    // In a fleet in which not all routers report to each other.
+    [[nodiscard]] LoadSummaries &summaries();
+    [[nodiscard]] const LoadSummaries &summaries() const;
+    // Load of all `routers` at an upstream: the sum of a load summary or, if at least half of the others
+    // report, of their reports, otherwise an estimate from this router's own load and samples.
     [[nodiscard]] TotalLoad totalLoad(const UpstreamRecord &record, std::uint32_t routers, base::TimePoint now) const;
 
 private:
@@ -242,6 +248,7 @@
     std::vector<BrittleEvent> m_brittleEvents;
     PrefixPlacements m_placements;
     PeerLoad m_peers;
+    LoadSummaries m_summaries;
     std::vector<UpstreamRecord *> m_unreported; // exactly those with isReported false
     std::vector<PrefixPlacement> m_newPlacements; // not reported yet; at most MaxReportRows
 };
