Tests of load summaries between routers and in placement

A summary of the largest size arrives over loopback, and a router that does not hear the load of 87 of 89 others places by a summary: both fail without the integration. A former base of reports is kept while the fleet is small, since peers send full reports only when they connect.

--- a/carawaylatch/proxy/loadsummaries.h
+++ b/carawaylatch/proxy/loadsummaries.h
@@ -42,6 +42,11 @@
     static constexpr base::Duration OwnLoadAge = base::milliseconds{100};
 
     LoadSummaries(std::uint64_t self, std::uint64_t incarnation);
+    ~LoadSummaries() = default;
+    LoadSummaries(const LoadSummaries &) = delete; // m_used points into m_fleet, which survives a move only
+    LoadSummaries &operator=(const LoadSummaries &) = delete;
+    LoadSummaries(LoadSummaries &&) = default;
+    LoadSummaries &operator=(LoadSummaries &&) = default;
 
     // Sets the listed routers; `keys` is parallel to `endpoints`.
     void setRouters(std::span<const base::Endpoint> endpoints, std::span<const std::uint64_t> keys, const base::Endpoint &self, base::TimePoint now);
@@ -117,8 +122,8 @@
     [[nodiscard]] std::uint32_t arcCovered() const;
     [[nodiscard]] std::uint32_t fleetCovered() const;
 
-    const std::uint64_t m_self;
-    const std::uint64_t m_incarnation;
+    std::uint64_t m_self;
+    std::uint64_t m_incarnation;
     std::vector<Router> m_ring; // all listed routers
     std::unordered_map<std::uint64_t, std::size_t> m_indexes; // in m_ring, by key; empty while not active
     std::optional<std::size_t> m_index; // of this router in m_ring; set if active
--- a/carawaylatch/proxy/summedloads.h
+++ b/carawaylatch/proxy/summedloads.h
@@ -70,7 +70,7 @@
     void changeSum(const PeerUpstreamLoad &former, const PeerUpstreamLoad &load);
     void removeRows(Sender &sender);
 
-    const std::size_t m_maxSenders;
+    std::size_t m_maxSenders;
     std::map<std::uint64_t, Sender> m_senders; // at most m_maxSenders
     std::unordered_map<std::uint64_t, Sum> m_sums; // by upstream; only those with load
     std::set<std::uint64_t> m_changed; // upstreams; bounded by the rows that were counted since it was last taken or discarded
--- a/carawaylatch/proxy/testing/peerexchangetest.cpp
+++ b/carawaylatch/proxy/testing/peerexchangetest.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(testEndlessRequestsOfAPeerThatDoesNotRead);
     CPPUNIT_TEST(testUnreachablePeer);
     CPPUNIT_TEST(testDisabledWithoutAddress);
+    CPPUNIT_TEST(testSummariesArrive);
     CPPUNIT_TEST_SUITE_END();
 
     class Source : public PeerReportSource
@@ -84,7 +85,12 @@
         {
             return {};
         }
+        void onSummary(const LoadSummary &summary) override
+        {
+            receivedSummaries.push_back(summary);
+        }
         std::vector<LoadReport> received;
+        std::vector<LoadSummary> receivedSummaries;
         std::vector<FaultReport> receivedCrashes;
         std::vector<base::Endpoint> gone;
     };
@@ -337,6 +343,45 @@
         m_exchanges[0]->tick();
         CPPUNIT_ASSERT_MESSAGE("changes are taken even if the exchange is disabled", m_sources[0]->next.loads.empty());
     }
+
+    // A summary that the receiver takes for a report would be refused, and one as large as they get would be cut off.
+    void testSummariesArrive()
+    {
+        addExchange(m_routers[0]);
+        addExchange(m_routers[1]);
+        m_exchanges[0]->setSummaryPeers(std::vector{m_routers[0], m_routers[1], m_routers[2]}); // itself, a peer, one that is down
+        LoadSummary summary{11, 12, true, true, 1, 3, 90, {}, {}};
+        for (std::uint64_t i = 0; i < MaxReportRows; ++i) {
+            summary.loads.push_back({i, 1, 2, 3});
+            summary.placements.push_back({i, i + 1});
+        }
+        const std::string text = encodeLoadSummary(summary);
+        CPPUNIT_ASSERT(tickUntil([&] {
+            for (const base::Endpoint &peer : m_routers) {
+                m_exchanges[0]->sendSummary(peer, text);
+            }
+            return !m_sources[1]->receivedSummaries.empty();
+        }));
+        const LoadSummary &received = m_sources[1]->receivedSummaries.front();
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{90}, received.coveredRouters);
+        CPPUNIT_ASSERT_EQUAL(MaxReportRows, received.loads.size());
+        CPPUNIT_ASSERT(received.placements == summary.placements);
+        CPPUNIT_ASSERT_MESSAGE("a router that only gets summaries gets no reports", m_sources[1]->received.empty());
+        m_exchanges[0]->setSummaryPeers({});
+        // Those under way arrive.
+        CPPUNIT_ASSERT(!tickUntil(
+            [] {
+                return false;
+            },
+            std::chrono::milliseconds{50}));
+        const std::size_t count = m_sources[1]->receivedSummaries.size();
+        m_exchanges[0]->sendSummary(m_routers[1], text);
+        CPPUNIT_ASSERT(!tickUntil(
+            [&] {
+                return m_sources[1]->receivedSummaries.size() > count;
+            },
+            std::chrono::milliseconds{100}));
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(PeerExchangeTest);
 
--- a/carawaylatch/proxy/testing/sharedplacementtest.cpp
+++ b/carawaylatch/proxy/testing/sharedplacementtest.cpp
@@ -36,6 +36,7 @@
     CPPUNIT_TEST(testSoftwareLimitsTheChoice);
     CPPUNIT_TEST(testPrefixesStaySpreadWithinASoftware);
     CPPUNIT_TEST(testPauseOfOtherSoftwareDoesNotCount);
+    CPPUNIT_TEST(testLoadOfRoutersThatDoNotReportHere);
     CPPUNIT_TEST_SUITE_END();
 
     FleetView m_view;
@@ -320,6 +321,45 @@
         CPPUNIT_ASSERT(m_trackers[0].nextRequest(pool, {}, &v1, Start)->at == Start + base::seconds{4});
         CPPUNIT_ASSERT_MESSAGE("others take requests", !m_trackers[0].nextRequest(pool, {}, &v2, Start));
     }
+
+    // 90 routers see the same engines; most of the load is at routers whose reports this one does not get.
+    void testLoadOfRoutersThatDoNotReportHere()
+    {
+        constexpr std::size_t Routers = 90;
+        m_view.routers = Routers;
+        for (std::size_t i = 0; i < Routers; ++i) {
+            m_view.routerEndpoints.push_back({"10.1.0." + std::to_string(100 + i), 7040});
+            m_view.routerKeys.push_back(1000 + i);
+        }
+        UpstreamTracker &tracker = m_trackers[0];
+        tracker = UpstreamTracker(m_view.routerEndpoints[2], m_view.routerKeys[2], 1);
+        tracker.adopt(m_view, Start);
+        const auto chosen = [&](base::Duration after) {
+            PlacementQuery asked = query(0);
+            asked.now = Start + after;
+            return place(asked, m_view, tracker, m_tuning).record->upstream.id;
+        };
+        const Arc arc = arcAt(Routers, arcOf(Routers, 2));
+        LoadSummary summary;
+        summary.sender = m_view.routerKeys[indexOfRank(arc, 0)];
+        summary.incarnation = 1;
+        summary.isFull = true;
+        summary.isFleet = true;
+        summary.arc = static_cast<std::uint16_t>(arcOf(Routers, 2));
+        summary.arcs = static_cast<std::uint16_t>(arcCount(Routers));
+        summary.coveredRouters = Routers;
+        for (const char *busy : {"e1", "e2", "e4"}) {
+            summary.loads.push_back({tracker.find(base::UpstreamId(busy))->idHash, 12, 40'000, 20'000});
+        }
+        const std::uint64_t cacheKey = kvCacheKey(7, base::WeightsVersion{1});
+        summary.placements.push_back({cacheKey, tracker.find(base::UpstreamId("e4"))->idHash});
+        tracker.applySummary(summary, Start);
+        CPPUNIT_ASSERT_EQUAL(base::UpstreamId("e3"), chosen({}));
+        const UpstreamRecord &e1 = *tracker.find(base::UpstreamId("e1"));
+        CPPUNIT_ASSERT_EQUAL(12.0, tracker.totalLoad(e1, Routers, Start).requests);
+        CPPUNIT_ASSERT(tracker.placements().isLikelyCached(cacheKey, tracker.find(base::UpstreamId("e4"))->idHash, Start));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("an old summary says nothing of the load now", 0.0, tracker.totalLoad(e1, Routers, Start + base::seconds{1}).requests);
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(SharedPlacementTest);
 
--- a/carawaylatch/proxy/upstreamtracker.cpp
+++ b/carawaylatch/proxy/upstreamtracker.cpp
@@ -404,9 +404,7 @@
     for (const PrefixPlacement &placement : report.placements) {
         m_placements.onPromptSent(placement.cacheKey, placement.upstream, now);
     }
-    if (m_summaries.isActive()) {
-        m_summaries.onReport(report, now);
-    }
+    m_summaries.onReport(report, now);
     return true;
 }
 
