--- a/carawaylatch/proxy/testing/loadsummariestest.cpp
+++ b/carawaylatch/proxy/testing/loadsummariestest.cpp
@@ -328,7 +328,7 @@
         const std::size_t summarizer = fleet.ranked(1, 0);
         const std::size_t before = fleet.router(summarizer).sent;
         fleet.run(base::seconds{1});
-        CPPUNIT_ASSERT_EQUAL(std::size_t{20 * (29 + 2 * 2)}, fleet.router(summarizer).sent - before);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{20} * (29 + 2 * 2), fleet.router(summarizer).sent - before);
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.router(fleet.ranked(1, 1)).sent);
     }
 
