--- a/carawaylatch/proxy/testing/loadsummariestest.cpp
+++ b/carawaylatch/proxy/testing/loadsummariestest.cpp
@@ -228,7 +228,9 @@
         });
         sendReports(index);
         for (const auto &[receivers, summary] : router.machine.due(m_now)) {
-            const LoadSummary decoded = decodeLoadSummary(encodeLoadSummary(summary)).value();
+            const auto received = decodeLoadSummary(encodeLoadSummary(summary));
+            CPPUNIT_ASSERT(received.has_value());
+            const LoadSummary &decoded = received.value();
             for (const base::Endpoint &receiver : receivers) {
                 ++router.sent;
                 if (m_random.below(100) < lostPercent) {
