--- a/carawaylatch/proxy/testing/loadsummariestest.cpp
+++ b/carawaylatch/proxy/testing/loadsummariestest.cpp
@@ -228,7 +228,9 @@
         });
         sendReports(index);
         for (const auto &[receivers, summary] : router.machine.due(m_now)) {
-            const LoadSummary decoded = decodeLoadSummary(encodeLoadSummary(summary)).value();
+            const auto received = decodeLoadSummary(encodeLoadSummary(summary));
+            CPPUNIT_ASSERT(received.has_value());
+            const LoadSummary &decoded = received.value();
             for (const base::Endpoint &receiver : receivers) {
                 ++router.sent;
                 if (m_random.below(100) < lostPercent) {
@@ -328,7 +330,7 @@
         const std::size_t summarizer = fleet.ranked(1, 0);
         const std::size_t before = fleet.router(summarizer).sent;
         fleet.run(base::seconds{1});
-        CPPUNIT_ASSERT_EQUAL(std::size_t{20 * (29 + 2 * 2)}, fleet.router(summarizer).sent - before);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{20} * (29 + 2 * 2), fleet.router(summarizer).sent - before);
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.router(fleet.ranked(1, 1)).sent);
     }
 
