Shares of limits are usable once all candidates have confirmed the restart

Cause: a router that starts waits for the longest term of a lease that an earlier process may have granted (850 ms at up to 75 routers), also when all borrowers have already told it that they use none. With all 35 routers killed at once, the shares were together 1005 ms after the start of the processes.

Change: StartDelay ends the delay of a group when every other candidate has polled with the incarnation of this process. A changed list needs new confirmations. A candidate polls again at once after the first answer of a new process, and does not stay on standby for a lender that has not answered yet. A candidate that has applied an answer of a new process ignores answers of others to polls sent before; a reordered poll could otherwise let an answer of the earlier process displace it after it had confirmed. Requests wait for a coordinator that is being determined, up to AskTimeout, and Retry-After of limit_unavailable is the time until shares can be usable.

Ruled out: a second round of confirmations at the lender, which needs no rule at the candidate, but one more poll of each candidate.

--- a/carawaylatch/admission/borrowedshares.cpp
+++ b/carawaylatch/admission/borrowedshares.cpp
@@ -37,6 +37,7 @@
     sent.push_back({.sequence = poll.sequence, .ends = now + poll.term, .groups = poll.groups});
     sentAt = now;
     promised = poll.nextPoll;
+    isRestarted = false;
 }
 
 void BorrowedShares::apply(const ShareAnswer &answer, base::TimePoint now)
@@ -45,6 +46,10 @@
     if (!isNext) {
         return;
     }
+    if (answer.incarnation != incarnation) {
+        appliedPoll = sent.empty() ? appliedPoll : std::max(appliedPoll, sent.back().sequence);
+        isRestarted = true;
+    }
     incarnation = answer.incarnation;
     applied = answer.sequence;
     appliedPoll = std::max(appliedPoll, answer.pollSequence);
--- a/carawaylatch/admission/borrowedshares.h
+++ b/carawaylatch/admission/borrowedshares.h
@@ -1,9 +1,11 @@
 // What a borrower has of one lender, by the polls it sent and the answers it applied.
 //
 // An answer is applied if its sequence is above all applied ones of the lender's
-// incarnation. One of another incarnation must belong to a later poll than any answer
-// applied before: whatever a new process lends after its start delay answers a poll sent
-// after the former process ended, so late answers of the former one cannot displace it.
+// incarnation. One of another incarnation must belong to a poll that was sent after the
+// last change of the incarnation, and later than any with an applied answer. A poll that
+// was sent after an answer of a new process was applied cannot have reached the former
+// one, so answers of the former process, however late, are not applied after it. The next
+// poll tells the lender so, which ends its start delay (startdelay.h).
 // The time until which an answer lends is that of its poll, or of a later poll if that
 // ends earlier, since the lender may have extended the loan by any of them.
 #pragma once
@@ -36,7 +38,8 @@
     base::Duration promised{}; // until the next poll
     std::uint64_t incarnation = 0; // of the lender, by the last applied answer
     std::uint64_t applied = 0; // highest sequence of an answer of that incarnation
-    std::uint64_t appliedPoll = 0; // highest sequence of a poll with an applied answer
+    std::uint64_t appliedPoll = 0; // answers of other incarnations to this poll and earlier ones are not applied
+    bool isRestarted = false; // since the last poll, an answer of a new incarnation was applied
     std::uint32_t routers = 0; // the lender's share is one in this number
     std::array<base::TimePoint, LimitGroups> ends{}; // the share is held before this time
 
--- a/carawaylatch/admission/customerlimits.cpp
+++ b/carawaylatch/admission/customerlimits.cpp
@@ -49,6 +49,8 @@
     }
     void syncShare(std::uint32_t group, base::TimePoint now);
     void syncShares(base::TimePoint now);
+    [[nodiscard]] LimitDecision unavailable(LimitAccount &account, base::TimePoint now);
+    void syncRetries(base::TimePoint now);
     [[nodiscard]] LimitDecision request(LimitAccount &account, std::uint32_t cost, base::TimePoint now);
     [[nodiscard]] LimitDecision takeOwn(LimitAccount &account, std::uint32_t cost, base::TimePoint now);
     void serveFromOwn(LimitAccount &account, base::TimePoint now);
@@ -83,21 +85,30 @@
     }
 }
 
+void CustomerLimits::Impl::syncRetries(base::TimePoint now)
+{
+    for (std::uint32_t group = 0; group < LimitGroups; ++group) {
+        m_balances.setTimeToShares(group, m_leases.timeToShares(group, now));
+    }
+}
+
+LimitDecision CustomerLimits::Impl::unavailable(LimitAccount &account, base::TimePoint now)
+{
+    syncRetries(now);
+    return m_balances.unavailable(account);
+}
+
 LimitDecision CustomerLimits::Impl::request(LimitAccount &account, std::uint32_t cost, base::TimePoint now)
 {
     LimitDecision decision = m_balances.decide(account, cost, now);
     if (decision.verdict != LimitVerdict::Pending) {
         return decision;
     }
-    const std::optional<RouterKey> coordinator = m_leases.coordinator(limitGroup(account.key), now);
-    if (!coordinator) {
-        return m_balances.unavailable(account);
-    }
-    if (*coordinator == m_self) {
+    if (m_leases.coordinator(limitGroup(account.key), now) == m_self) {
         return takeOwn(account, cost, now);
     }
     if (m_balances.waiting() >= MaxPending) {
-        return m_balances.unavailable(account);
+        return unavailable(account, now);
     }
     decision.ticket = m_balances.wait(account, cost, now);
     return decision;
@@ -117,7 +128,7 @@
     case GrantVerdict::NoCoordinator:
         break;
     }
-    return m_balances.unavailable(account);
+    return unavailable(account, now);
 }
 
 // Requests began to wait before this router became the coordinator.
@@ -155,8 +166,9 @@
         }
         const std::optional<RouterKey> coordinator = m_leases.coordinator(limitGroup(key), now);
         if (!coordinator) {
-            m_balances.onUnavailable(account);
-        } else if (*coordinator == m_self) {
+            continue; // waits until there is one, or for AskTimeout
+        }
+        if (*coordinator == m_self) {
             serveFromOwn(account, now);
         } else {
             asked[*coordinator].push_back(&account);
@@ -211,11 +223,11 @@
     }
 }
 
-// Requests go on waiting, for their own time, if there is another coordinator by now.
+// Requests go on waiting, for their own time, if there is another coordinator by now, or if it is being determined.
 void CustomerLimits::Impl::onNoGrant(LimitAccount &account, const Ask &ask, base::TimePoint now)
 {
-    const std::optional<RouterKey> coordinator = m_leases.coordinator(limitGroup(account.key), now);
-    if (!coordinator || *coordinator == ask.to) {
+    if (m_leases.coordinator(limitGroup(account.key), now) == ask.to) {
+        syncRetries(now);
         m_balances.onUnavailable(account);
     }
 }
@@ -270,6 +282,9 @@
 
 std::vector<TicketDecision> CustomerLimits::takeDecisions(base::TimePoint now)
 {
+    if (m_impl->m_balances.waiting() != 0) {
+        m_impl->syncRetries(now);
+    }
     return m_impl->m_balances.takeDecisions(now);
 }
 
--- a/carawaylatch/admission/customerlimits.h
+++ b/carawaylatch/admission/customerlimits.h
@@ -8,7 +8,8 @@
 //     }
 //
 // The coordinator of the customer's group (quotaleases.h) has the bucket
-// (limitbuckets.h). This router asks it for tokens when a request finds none here, for
+// (limitbuckets.h). While it is being determined, requests wait for it, for AskTimeout.
+// This router asks it for tokens when a request finds none here, for
 // all requests of the customer that wait, and for some more while there is plenty. Tokens
 // that are not used within GrantTerm of the sending of the request are dropped. After a
 // denial requests of that customer that find no tokens are refused here for DeniedInterval, so that a customer
--- a/carawaylatch/admission/quotaleases.cpp
+++ b/carawaylatch/admission/quotaleases.cpp
@@ -17,6 +17,7 @@
 
 #include "carawaylatch/admission/borrowedshares.h"
 #include "carawaylatch/admission/limitcandidates.h"
+#include "carawaylatch/admission/startdelay.h"
 
 namespace carawaylatch::admission
 {
@@ -32,6 +33,7 @@
 constexpr int StartDivisor = 4; // a former process may have granted longer terms at another number of routers
 constexpr int AcceptedTermDivisor = 10; // longer terms than this part above the own one are not covered by the start delay
 constexpr base::Duration TakeoverDelay = base::seconds{1}; // a share does not move to a candidate that comes and goes
+constexpr base::Duration LeastMoveTime = base::milliseconds{400}; // the next candidate may be on standby and must poll first
 
 // What a lender knows of a candidate.
 struct Candidate
@@ -67,6 +69,7 @@
         : m_self(self)
         , m_incarnation(incarnation)
         , m_started(now)
+        , m_startDelay(self, incarnation, now)
     {
     }
 
@@ -76,6 +79,7 @@
     ShareAnswer onPoll(const SharePoll &poll, base::TimePoint now);
     void onAnswer(const ShareAnswer &answer, base::TimePoint now);
     std::optional<RouterKey> coordinator(std::uint32_t group, base::TimePoint now) const;
+    std::optional<base::Duration> timeToShares(std::uint32_t group, base::TimePoint now) const;
     double heldShare(std::uint32_t group, base::TimePoint now) const;
     std::vector<RouterKey> heldFrom(std::uint32_t group, base::TimePoint now) const;
     std::vector<RouterKey> peers() const;
@@ -85,7 +89,7 @@
     const Loan *loan(std::uint32_t group, base::TimePoint now) const;
     const Candidate *aliveCandidate(RouterKey router, std::uint32_t group, base::TimePoint now) const;
     RouterKey target(std::uint32_t group, base::TimePoint now) const;
-    bool ownsShare(base::TimePoint now) const;
+    bool ownsShare(std::uint32_t group, base::TimePoint now) const;
     bool isFirst(std::uint32_t group, base::TimePoint now) const;
     void dropCandidates(base::TimePoint now);
     Candidate *admit(const SharePoll &poll, base::TimePoint now);
@@ -98,7 +102,7 @@
     RouterKey m_self;
     std::uint64_t m_incarnation;
     base::TimePoint m_started;
-    base::TimePoint m_usableFrom = base::TimePoint::max(); // end of the start delay; not before the routers are known
+    StartDelay m_startDelay;
     LimitCandidates m_fleet;
     bool m_isStopped = false;
     // As a lender.
@@ -114,9 +118,7 @@
 void QuotaLeases::Impl::setRouters(std::span<const RouterKey> routers, std::uint32_t count, base::TimePoint now)
 {
     m_fleet = LimitCandidates(routers, count, MaxCandidates);
-    // Also after the delay of a shorter list: a former process may have lent for the term of the longer one.
-    const base::TimePoint usableFrom = m_started + startDelay(m_fleet.count);
-    m_usableFrom = m_usableFrom == base::TimePoint::max() ? usableFrom : std::max(m_usableFrom, usableFrom);
+    m_startDelay.setRouters(m_fleet, startDelay(m_fleet.count), now);
     dropCandidates(now);
     setGroups(m_isStopped ? 0 : m_fleet.groupsOf(m_self));
     std::erase_if(m_lenders, [this](const auto &it) {
@@ -162,7 +164,7 @@
     // A share in use, by a borrower or by this router as coordinator, moves only to a candidate that stays.
     bool isFree = lent == nullptr && (m_isStopped || !m_fleet.isCandidate(m_self, group));
     const auto mayTakeOver = [&](const Candidate &candidate) {
-        const bool wasBeforeUse = lent == nullptr && candidate.since[group] < m_usableFrom;
+        const bool wasBeforeUse = lent == nullptr && candidate.since[group] < m_startDelay.end(group);
         return isFree || wasBeforeUse || now - candidate.since[group] >= TakeoverDelay;
     };
     for (const RouterKey it : m_fleet.candidates[group]) {
@@ -182,9 +184,9 @@
     return m_self;
 }
 
-bool QuotaLeases::Impl::ownsShare(base::TimePoint now) const
+bool QuotaLeases::Impl::ownsShare(std::uint32_t group, base::TimePoint now) const
 {
-    return m_fleet.lists(m_self) && now >= m_usableFrom;
+    return m_fleet.lists(m_self) && now >= m_startDelay.end(group);
 }
 
 void QuotaLeases::Impl::dropCandidates(base::TimePoint now)
@@ -246,7 +248,7 @@
 {
     const base::Duration term = std::min(poll.term, MaxTerm);
     const base::Duration longest = leaseTerm(m_fleet.count) + leaseTerm(m_fleet.count) / AcceptedTermDivisor;
-    if (!hasGroup(poll.groups, group) || !ownsShare(now) || target(group, now) != poll.sender) {
+    if (!hasGroup(poll.groups, group) || !ownsShare(group, now) || target(group, now) != poll.sender) {
         return false;
     }
     const Loan *running = loan(group, now);
@@ -279,6 +281,7 @@
                        .pollSequence = poll.sequence,
                        .lent = 0,
                        .routers = m_fleet.count};
+    m_startDelay.onPoll(poll, m_fleet, now);
     Candidate *candidate = admit(poll, now);
     if (candidate == nullptr) {
         return answer;
@@ -324,7 +327,9 @@
 std::optional<base::Duration> QuotaLeases::Impl::dueInterval(const BorrowedShares &lender, double phase, bool isFirstOfAny, base::TimePoint now) const
 {
     const base::Duration fast = pollInterval(m_fleet.count);
-    const bool isFast = isFirstOfAny || m_groups == 0 || lender.holdsAny(now);
+    // A router that starts waits for answers to all candidates, also to those on standby.
+    const bool isStarting = lender.applied == 0 && now - lender.created < startDelay(m_fleet.count);
+    const bool isFast = isFirstOfAny || m_groups == 0 || isStarting || lender.holdsAny(now);
     const base::Duration interval = isFast ? fast : std::max(fast, StandbyInterval);
     const auto slot = [&](base::TimePoint at) {
         return std::floor(base::toSeconds(at - m_started) / base::toSeconds(interval) - phase);
@@ -335,7 +340,7 @@
         const bool isReturned = isNew || lender.sent.back().groups == 0;
         return !isNew && now < lender.returnsUntil && (!isReturned || isSlot) ? std::optional(interval) : std::nullopt;
     }
-    return isSlot || (!isNew && now >= lender.sentAt + lender.promised) ? std::optional(interval) : std::nullopt;
+    return isSlot || lender.isRestarted || (!isNew && now >= lender.sentAt + lender.promised) ? std::optional(interval) : std::nullopt;
 }
 
 SharePoll QuotaLeases::Impl::makePoll(BorrowedShares &lender, base::Duration interval, base::TimePoint now)
@@ -379,7 +384,7 @@
 
 std::optional<RouterKey> QuotaLeases::Impl::coordinator(std::uint32_t group, base::TimePoint now) const
 {
-    if (group >= LimitGroups || now < m_usableFrom) {
+    if (group >= LimitGroups || now < m_startDelay.end(group)) {
         return std::nullopt;
     }
     if (m_fleet.lists(m_self)) {
@@ -396,12 +401,24 @@
     return std::nullopt;
 }
 
+std::optional<base::Duration> QuotaLeases::Impl::timeToShares(std::uint32_t group, base::TimePoint now) const
+{
+    if (group >= LimitGroups || m_startDelay.end(group) == base::TimePoint::max() || coordinator(group, now)) {
+        return std::nullopt;
+    }
+    if (now < m_startDelay.end(group)) {
+        return m_startDelay.end(group) - now + pollInterval(m_fleet.count);
+    }
+    const Loan *lent = loan(group, now);
+    return lent != nullptr ? std::optional(std::max(lent->until - now, LeastMoveTime)) : std::nullopt;
+}
+
 double QuotaLeases::Impl::heldShare(std::uint32_t group, base::TimePoint now) const
 {
     if (group >= LimitGroups) {
         return 0;
     }
-    double share = ownsShare(now) && loan(group, now) == nullptr ? 1.0 / m_fleet.count : 0.0;
+    double share = ownsShare(group, now) && loan(group, now) == nullptr ? 1.0 / m_fleet.count : 0.0;
     for (const auto &[key, lender] : m_lenders) {
         share += now < lender.ends[group] ? 1.0 / lender.routers : 0.0;
     }
@@ -414,7 +431,7 @@
     if (group >= LimitGroups) {
         return owners;
     }
-    if (ownsShare(now) && loan(group, now) == nullptr) {
+    if (ownsShare(group, now) && loan(group, now) == nullptr) {
         owners.push_back(m_self);
     }
     for (const auto &[key, lender] : m_lenders) {
@@ -448,8 +465,7 @@
     const auto since = [now](base::TimePoint at) {
         return std::max<std::int64_t>(-2 * MaxTerm.count(), (at - now).count());
     };
-    out << m_incarnation << ',' << (m_usableFrom == base::TimePoint::max() ? -1 : std::max<std::int64_t>(0, (m_usableFrom - now).count())) << ',' << m_isStopped
-        << m_groups << ',' << m_lastAnswer << ',' << m_lastPoll;
+    out << m_incarnation << ',' << m_startDelay.stateText(now) << ',' << m_isStopped << m_groups << ',' << m_lastAnswer << ',' << m_lastPoll;
     for (const auto &it : m_loans) {
         if (it && now < it->until) {
             out << "|l" << it->borrower << ',' << it->incarnation << ',' << since(it->until) << ',' << it->extendedBy << ',' << it->lastAnswer;
@@ -463,7 +479,7 @@
     }
     for (const auto &[key, it] : m_lenders) {
         out << "|b" << key << ',' << it.incarnation << ',' << it.applied << ',' << it.appliedPoll << ',' << it.routers << ',' << since(it.sentAt) << ','
-            << it.promised.count();
+            << it.promised.count() << ',' << it.isRestarted << ',' << (it.applied == 0 ? since(it.created) : 0);
         for (const base::TimePoint ends : it.ends) {
             out << ',' << std::max<std::int64_t>(0, since(ends));
         }
@@ -522,6 +538,11 @@
     return m_impl->coordinator(group, now);
 }
 
+std::optional<base::Duration> QuotaLeases::timeToShares(std::uint32_t group, base::TimePoint now) const
+{
+    return m_impl->timeToShares(group, now);
+}
+
 double QuotaLeases::heldShare(std::uint32_t group, base::TimePoint now) const
 {
     return m_impl->heldShare(group, now);
--- a/carawaylatch/admission/quotaleases.h
+++ b/carawaylatch/admission/quotaleases.h
@@ -12,7 +12,7 @@
 //     poll, that it has applied an answer that no longer lends it, or if it has left out
 //     the group.
 //   - A process that has just started neither uses nor lends its share until every lease
-//     that a former process of the router can have granted has ended.
+//     that a former process of the router can have granted has ended (startdelay.h).
 //
 // The candidates of a group are the first MaxCandidates routers in its rendezvous order.
 // A router lends to the first of them that polls it, and keeps its share if that is itself
@@ -68,6 +68,8 @@
     // The router to ask for tokens: the one to which this router lends its share, or this router. Nothing while the
     // share is with a borrower that is no longer heard of, and before the start delay has passed.
     [[nodiscard]] std::optional<RouterKey> coordinator(std::uint32_t group, base::TimePoint now) const;
+    // While there is no coordinator: how long it takes at most until there can be one; nothing if that is not known.
+    [[nodiscard]] std::optional<base::Duration> timeToShares(std::uint32_t group, base::TimePoint now) const;
     // The part of the group's limits that this router holds, 0 to 1: its own share and those that it has borrowed.
     [[nodiscard]] double heldShare(std::uint32_t group, base::TimePoint now) const;
     // The routers whose shares of the group this one may use now; includes itself if it holds its own.
--- /dev/null
+++ b/carawaylatch/admission/testing/limitrestarttest.cpp
@@ -0,0 +1,152 @@
+// Customers' limits after all routers of a fleet were killed and started again: how long
+// shares cannot be used, and what requests are told meanwhile.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <iostream>
+
+#include "carawaylatch/admission/testing/limitfleet.h"
+
+namespace carawaylatch::admission::testing
+{
+
+namespace
+{
+
+using base::milliseconds;
+
+constexpr std::size_t Routers = 35;
+constexpr base::Duration Settled = base::seconds{6}; // start delay, first leases, full buckets
+constexpr base::Duration Down = milliseconds{500};
+constexpr base::Duration Together = milliseconds{350}; // from the start of the processes until shares are together
+const base::CustomerId Customer("acme");
+
+FleetOptions options(std::uint64_t seed)
+{
+    return {.routers = Routers,
+            .seed = seed,
+            .leastDelay = base::microseconds{200},
+            .longestDelay = milliseconds{3},
+            .limits = {{.customer = Customer, .limit = {.unit = LimitUnit::Tokens, .perSecond = 46'000, .burst = 46'000}}}};
+}
+
+void killAll(LimitFleet &fleet)
+{
+    for (std::size_t n = 0; n < fleet.routers().size(); ++n) {
+        fleet.kill(n);
+    }
+}
+
+void startAll(LimitFleet &fleet)
+{
+    for (std::size_t n = 0; n < fleet.routers().size(); ++n) {
+        fleet.start(n);
+        fleet.listRouters(n);
+    }
+}
+
+// The part of a group's limits that its coordinator holds.
+double heldByCoordinator(LimitFleet &fleet, std::uint32_t group)
+{
+    return fleet.routers()[fleet.coordinator(group)].limits->heldShare(group, fleet.now());
+}
+
+} // namespace
+
+class LimitRestartTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(LimitRestartTest);
+    CPPUNIT_TEST(testSharesAreTogether);
+    CPPUNIT_TEST(testRequestsWait);
+    CPPUNIT_TEST(testRetryIsTheRestOfTheDelay);
+    CPPUNIT_TEST(testRetryAfterLostBorrower);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // All routers are killed and started at once: every request of a customer with a limit was refused for 850 ms.
+    void testSharesAreTogether()
+    {
+        base::Duration longest{};
+        for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+            LimitFleet fleet(options(seed));
+            fleet.run(Settled);
+            killAll(fleet);
+            fleet.run(Down);
+            startAll(fleet);
+            const base::TimePoint started = fleet.now();
+            for (std::uint32_t group = 0; group < LimitGroups; ++group) {
+                while (heldByCoordinator(fleet, group) < 0.999 && fleet.now() < started + base::seconds{3}) {
+                    fleet.run(milliseconds{5});
+                }
+            }
+            longest = std::max(longest, fleet.now() - started);
+        }
+        std::cout << " shares together after " << base::toMilliseconds(longest) << " ms";
+        CPPUNIT_ASSERT(longest <= Together);
+    }
+    // Requests that arrived while the coordinator was being determined were refused at once, though it was known soon.
+    void testRequestsWait()
+    {
+        LimitFleet fleet(options(1));
+        fleet.run(Settled);
+        killAll(fleet);
+        fleet.run(Down);
+        startAll(fleet);
+        fleet.run(milliseconds{150}); // some shares are not usable yet
+        for (std::size_t n = 0; n < Routers; ++n) {
+            fleet.request({.router = n, .customer = Customer, .cost = 100});
+        }
+        fleet.run(base::Duration{1});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, fleet.use(Customer).unavailable);
+        CPPUNIT_ASSERT(fleet.use(Customer).pending > 0);
+        fleet.run(base::seconds{1});
+        const FleetUse &use = fleet.use(Customer);
+        std::cout << " pending " << use.pending << ", granted " << use.granted.size() << ", unavailable " << use.unavailable;
+        CPPUNIT_ASSERT(use.granted.size() + use.overLimit >= Routers - Routers / 10);
+    }
+    // Callers were told to come back after 400 to 600 ms, also where the start delay was shorter or longer.
+    void testRetryIsTheRestOfTheDelay()
+    {
+        LimitFleet fleet(options(1));
+        killAll(fleet);
+        fleet.start(0); // no candidate answers it
+        fleet.listRouters(0);
+        CustomerLimits &limits = *fleet.routers()[0].limits;
+        const base::TimePoint started = fleet.now();
+        const base::Duration usable = QuotaLeases::startDelay(Routers) + QuotaLeases::pollInterval(Routers);
+        const auto retryOfRequestAt = [&](base::Duration at) {
+            CPPUNIT_ASSERT(limits.request(Customer, 1, started + at).verdict == LimitVerdict::Pending);
+            const auto decisions = limits.takeDecisions(started + at + CustomerLimits::AskTimeout);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decisions.size());
+            CPPUNIT_ASSERT(decisions[0].decision.verdict == LimitVerdict::Unavailable);
+            return decisions[0].decision.retryAfter;
+        };
+        for (const base::Duration at : {milliseconds{0}, milliseconds{200}, milliseconds{550}}) {
+            const base::Duration rest = usable - at - CustomerLimits::AskTimeout;
+            const base::Duration retry = retryOfRequestAt(at);
+            CPPUNIT_ASSERT(retry >= rest && retry <= rest * 4 / 3);
+        }
+        // Callers that were refused at the same time do not all come back at the same time.
+        CPPUNIT_ASSERT(retryOfRequestAt(milliseconds{10}) - retryOfRequestAt(milliseconds{10}) != base::Duration{});
+    }
+    // Callers were told a time that ended before the term of a lost borrower, and were refused again.
+    void testRetryAfterLostBorrower()
+    {
+        FleetOptions many = options(1);
+        many.routers = 40;
+        LimitFleet fleet(many);
+        fleet.run(Settled);
+        const std::uint32_t group = limitGroup(base::hash64(Customer.value()));
+        const std::size_t router = (fleet.coordinator(group) + 1) % many.routers;
+        CustomerLimits &limits = *fleet.routers()[router].limits;
+        const base::TimePoint silent = fleet.now() + QuotaLeases::pollInterval(40) * 5 / 2; // the borrower is heard of no more
+        CPPUNIT_ASSERT(limits.request(Customer, 1, silent).verdict == LimitVerdict::Pending);
+        const auto decisions = limits.takeDecisions(silent + CustomerLimits::AskTimeout);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decisions.size());
+        CPPUNIT_ASSERT(decisions[0].decision.verdict == LimitVerdict::Unavailable);
+        CPPUNIT_ASSERT(decisions[0].decision.retryAfter >= milliseconds{400});
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LimitRestartTest);
+
+} // namespace carawaylatch::admission::testing
--- a/carawaylatch/admission/tokenbalances.cpp
+++ b/carawaylatch/admission/tokenbalances.cpp
@@ -14,6 +14,7 @@
 constexpr base::Duration MaxRetryJitter = base::milliseconds{50}; // parts callers that were refused by many routers at once
 constexpr base::Duration UnavailableRetry = base::milliseconds{400}; // most of the time in which shares move on
 constexpr base::Duration UnavailableJitter = UnavailableRetry / 2;
+constexpr int KnownTimeJitterDivisor = 3; // parts callers that were all refused until the same time
 
 std::uint32_t saturated(std::uint64_t n)
 {
@@ -214,8 +215,15 @@
 {
     ++account.unavailable;
     ++m_counts.unavailable;
-    const auto jitter = base::Duration{m_random.below(UnavailableJitter.count())};
-    return {.verdict = LimitVerdict::Unavailable, .retryAfter = UnavailableRetry + jitter, .usableUntil = {}};
+    const std::optional<base::Duration> &known = m_timeToShares.at(limitGroup(account.key));
+    const base::Duration most = known ? *known / KnownTimeJitterDivisor : UnavailableJitter;
+    const auto jitter = base::Duration{m_random.below(std::max<std::int64_t>(1, most.count()))};
+    return {.verdict = LimitVerdict::Unavailable, .retryAfter = known.value_or(UnavailableRetry) + jitter, .usableUntil = {}};
+}
+
+void TokenBalances::setTimeToShares(std::uint32_t group, std::optional<base::Duration> time)
+{
+    m_timeToShares.at(group) = time;
 }
 
 std::uint64_t TokenBalances::wait(LimitAccount &account, std::uint32_t cost, base::TimePoint now)
--- a/carawaylatch/admission/tokenbalances.h
+++ b/carawaylatch/admission/tokenbalances.h
@@ -19,6 +19,7 @@
 #include <cstdint>
 #include <deque>
 #include <memory>
+#include <optional>
 #include <set>
 #include <span>
 #include <unordered_map>
@@ -121,6 +122,9 @@
     [[nodiscard]] LimitDecision overLimit(LimitAccount &account, base::Duration retryAfter);
     [[nodiscard]] LimitDecision tooLarge(LimitAccount &account);
     [[nodiscard]] LimitDecision unavailable(LimitAccount &account);
+    // How long it takes until shares of the group can be used; nothing if that is not known. For retries of requests
+    // that are refused as unavailable from now on.
+    void setTimeToShares(std::uint32_t group, std::optional<base::Duration> time);
 
     [[nodiscard]] std::uint64_t wait(LimitAccount &account, std::uint32_t cost, base::TimePoint now);
     void cancel(std::uint64_t ticket);
@@ -167,6 +171,7 @@
     std::vector<Decided> m_decided; // at most the requests that waited since the last takeDecisions()
     std::uint64_t m_lastTicket = 0;
     LimitCounts m_counts;
+    std::array<std::optional<base::Duration>, LimitGroups> m_timeToShares{};
 };
 
 } // namespace carawaylatch::admission
--- a/cmake/gateway.cmake
+++ b/cmake/gateway.cmake
@@ -4,7 +4,8 @@
 file(GLOB GATEWAY_SOURCES CONFIGURE_DEPENDS carawaylatch/proxy/*.cpp carawaylatch/gateway/*.cpp platform/*.cpp)
 add_executable(carawaylatch-gateway daemon/gateway/main.cpp ${GATEWAY_SOURCES}
     carawaylatch/admission/borrowedshares.cpp carawaylatch/admission/customerlimit.cpp carawaylatch/admission/customerlimits.cpp carawaylatch/admission/limitbuckets.cpp
-    carawaylatch/admission/limitcandidates.cpp carawaylatch/admission/quotaleases.cpp carawaylatch/admission/tokenbalances.cpp
+    carawaylatch/admission/limitcandidates.cpp carawaylatch/admission/quotaleases.cpp carawaylatch/admission/startdelay.cpp
+    carawaylatch/admission/tokenbalances.cpp
     carawaylatch/base/error.cpp carawaylatch/base/hash.cpp carawaylatch/base/incarnation.cpp carawaylatch/base/logevents.cpp
     carawaylatch/base/suspendedtime.cpp carawaylatch/base/time.cpp carawaylatch/base/timerservice.cpp
     carawaylatch/config/inidocument.cpp carawaylatch/config/valuetext.cpp
