--- a/carawaylatch/admission/testing/limitfleettest.cpp
+++ b/carawaylatch/admission/testing/limitfleettest.cpp
@@ -19,6 +19,7 @@
 constexpr base::Duration ApplyTime = base::seconds{3}; // until all routers have learnt of a configuration or a list of routers
 constexpr base::Duration RunTime = base::seconds{60};
 constexpr std::uint64_t Runs = 40; // each with a seed of its own
+constexpr std::uint64_t RestartRuns = 10;
 constexpr std::uint32_t LargestRequest = 9'200;
 const base::CustomerId Customer("acme");
 
@@ -26,6 +27,8 @@
 class GeneratedRun
 {
 public:
+    using Fault = void (GeneratedRun::*)();
+
     explicit GeneratedRun(std::uint64_t seed)
         : m_random(seed)
         , m_options(makeOptions(seed))
@@ -36,14 +39,12 @@
 
     void run()
     {
-        const base::TimePoint end = m_fleet.now() + RunTime;
-        load(end);
-        for (base::TimePoint at = m_fleet.now() + base::seconds{4}; at < end; at += base::milliseconds{200 + m_random.below(3'000)}) {
-            m_fleet.at(at, [this] {
-                (this->*Faults.at(m_random.below(Faults.size())))();
-            });
-        }
-        m_fleet.run(RunTime);
+        run(Faults);
+    }
+    // Restarts of all routers and of single ones, with changed lists and candidates that are cut off.
+    void runRestarts()
+    {
+        run(RestartFaults);
     }
     [[nodiscard]] double worst()
     {
@@ -64,6 +65,18 @@
     }
 
 private:
+    template <std::size_t Count>
+    void run(const std::array<Fault, Count> &faults)
+    {
+        const base::TimePoint end = m_fleet.now() + RunTime;
+        load(end);
+        for (base::TimePoint at = m_fleet.now() + base::seconds{4}; at < end; at += base::milliseconds{200 + m_random.below(3'000)}) {
+            m_fleet.at(at, [this, &faults] {
+                (this->*faults.at(m_random.below(faults.size())))();
+            });
+        }
+        m_fleet.run(RunTime);
+    }
     FleetOptions makeOptions(std::uint64_t seed)
     {
         constexpr std::array Rates{46'000.0, 300'000.0, 1'200'000.0};
@@ -134,6 +147,19 @@
             m_fleet.listRouters(n);
         });
     }
+    void restartAll()
+    {
+        for (std::size_t n = 0; n < m_fleet.routers().size(); ++n) {
+            if (m_fleet.routers()[n].process == 0) {
+                continue; // starts again by itself
+            }
+            m_fleet.kill(n);
+            m_fleet.at(m_fleet.now() + base::milliseconds{300 + m_random.below(100)}, [this, n] {
+                m_fleet.start(n);
+                m_fleet.listRouters(n);
+            });
+        }
+    }
     void add()
     {
         if (m_fleet.routers().size() < 40) {
@@ -173,8 +199,10 @@
         return highest;
     }
 
-    static constexpr std::array Faults{&GeneratedRun::cut,     &GeneratedRun::heal, &GeneratedRun::heal,       &GeneratedRun::freeze,
-                                       &GeneratedRun::restart, &GeneratedRun::add,  &GeneratedRun::changeLimit};
+    static constexpr std::array<Fault, 7> RestartFaults{&GeneratedRun::cut,     &GeneratedRun::heal,       &GeneratedRun::heal, &GeneratedRun::freeze,
+                                                        &GeneratedRun::restart, &GeneratedRun::restartAll, &GeneratedRun::add};
+    static constexpr std::array<Fault, 7> Faults{&GeneratedRun::cut,     &GeneratedRun::heal, &GeneratedRun::heal,       &GeneratedRun::freeze,
+                                                 &GeneratedRun::restart, &GeneratedRun::add,  &GeneratedRun::changeLimit};
 
     base::Random m_random;
     FleetOptions m_options;
@@ -188,24 +216,36 @@
 {
     CPPUNIT_TEST_SUITE(LimitFleetTest);
     CPPUNIT_TEST(testGeneratedRuns);
+    CPPUNIT_TEST(testGeneratedRestarts);
     CPPUNIT_TEST_SUITE_END();
 
 public:
     void testGeneratedRuns()
+    {
+        checkRuns(Runs, &GeneratedRun::run);
+    }
+    // Shares are used early after restarts; a former candidate may then use one at the same time.
+    void testGeneratedRestarts()
+    {
+        checkRuns(RestartRuns, &GeneratedRun::runRestarts);
+    }
+
+private:
+    static void checkRuns(std::uint64_t runs, void (GeneratedRun::*play)())
     {
         const std::uint64_t first = carawaylatch::testing::seed();
         std::string broken;
         double worst = 0;
-        for (std::uint64_t seed = first; seed < first + Runs; ++seed) {
+        for (std::uint64_t seed = first; seed < first + runs; ++seed) {
             GeneratedRun run(seed);
-            run.run();
+            (run.*play)();
             worst = std::max(worst, run.worst());
             CPPUNIT_ASSERT(!run.use().granted.empty());
             if (run.worst() > 1) {
                 broken += "seed " + std::to_string(seed) + ": " + run.describe() + "\n";
             }
         }
-        std::cout << " seeds " << first << " to " << first + Runs - 1 << ", worst window " << worst << " of the allowed\n";
+        std::cout << " seeds " << first << " to " << first + runs - 1 << ", worst window " << worst << " of the allowed\n";
         CPPUNIT_ASSERT_EQUAL(std::string{}, broken);
     }
 };
--- a/carawaylatch/admission/testing/limitrestarttest.cpp
+++ b/carawaylatch/admission/testing/limitrestarttest.cpp
@@ -4,6 +4,7 @@
 
 #include <iostream>
 
+#include "carawaylatch/admission/startdelay.h"
 #include "carawaylatch/admission/testing/limitfleet.h"
 
 namespace carawaylatch::admission::testing
@@ -50,12 +51,42 @@
     return fleet.routers()[fleet.coordinator(group)].limits->heldShare(group, fleet.now());
 }
 
+// The start delay of router 1.
+struct Starting
+{
+    static constexpr std::uint64_t Incarnation = 7;
+    static constexpr base::Duration Delay = milliseconds{850};
+    base::TimePoint now{base::hours{1}};
+    StartDelay delay{1, Incarnation, now};
+    LimitCandidates fleet;
+
+    void list(std::initializer_list<RouterKey> routers)
+    {
+        fleet = LimitCandidates(std::span(routers.begin(), routers.size()), 1, QuotaLeases::MaxCandidates);
+        delay.setRouters(fleet, Delay, now);
+    }
+    void poll(const SharePoll &poll)
+    {
+        delay.onPoll(poll, fleet, now);
+    }
+    void confirm(RouterKey sender)
+    {
+        poll({.sender = sender, .lenderIncarnation = Incarnation, .appliedAnswer = 1});
+    }
+    [[nodiscard]] bool hasEnded() const
+    {
+        return now >= delay.end(0);
+    }
+};
+
 } // namespace
 
 class LimitRestartTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(LimitRestartTest);
     CPPUNIT_TEST(testSharesAreTogether);
+    CPPUNIT_TEST(testChangedListNeedsNewConfirmations);
+    CPPUNIT_TEST(testUnconfirmedDelayStays);
     CPPUNIT_TEST(testRequestsWait);
     CPPUNIT_TEST(testRetryIsTheRestOfTheDelay);
     CPPUNIT_TEST(testRetryAfterLostBorrower);
@@ -83,6 +114,42 @@
         std::cout << " shares together after " << base::toMilliseconds(longest) << " ms";
         CPPUNIT_ASSERT(longest <= Together);
     }
+    // A lease of the earlier process may be with a candidate that only the new list names.
+    void testChangedListNeedsNewConfirmations()
+    {
+        Starting it;
+        it.list({1, 2, 3});
+        it.confirm(2);
+        it.list({1, 2, 3, 4});
+        it.confirm(3);
+        it.confirm(4);
+        CPPUNIT_ASSERT(!it.hasEnded());
+        it.confirm(2);
+        CPPUNIT_ASSERT(it.hasEnded());
+        it.list({1, 2, 3, 4}); // unchanged
+        CPPUNIT_ASSERT(it.hasEnded());
+        it.list({1, 2, 3, 4, 5});
+        CPPUNIT_ASSERT(!it.hasEnded());
+        it.now += Starting::Delay;
+        CPPUNIT_ASSERT(it.hasEnded());
+        it.list({1, 2, 3});
+        CPPUNIT_ASSERT(it.hasEnded());
+    }
+    // A candidate that is cut off, answers of an earlier process and a list without others prove nothing.
+    void testUnconfirmedDelayStays()
+    {
+        Starting it;
+        it.list({1});
+        it.confirm(2); // not listed
+        CPPUNIT_ASSERT(!it.hasEnded());
+        it.list({1, 2, 3});
+        it.confirm(2); // 3 is cut off
+        it.poll({.sender = 3, .lenderIncarnation = Starting::Incarnation - 1, .appliedAnswer = 9});
+        it.poll({.sender = 3}); // a new process, which has no answer yet
+        CPPUNIT_ASSERT(!it.hasEnded());
+        it.confirm(3);
+        CPPUNIT_ASSERT(it.hasEnded());
+    }
     // Requests that arrived while the coordinator was being determined were refused at once, though it was known soon.
     void testRequestsWait()
     {
--- a/carawaylatch/admission/testing/quotafleettest.cpp
+++ b/carawaylatch/admission/testing/quotafleettest.cpp
@@ -15,6 +15,7 @@
 #include <utility>
 #include <variant>
 
+#include "carawaylatch/admission/limitcandidates.h"
 #include "carawaylatch/admission/quotaleases.h"
 #include "carawaylatch/base/hash.h"
 #include "testing/seed.h"
@@ -71,6 +72,16 @@
     {
         return m_listed;
     }
+    // Restarted routers may use their share while a former candidate, which their list no longer has, uses it too.
+    void allowFormerCandidates()
+    {
+        m_areFormerCandidatesAllowed = true;
+    }
+    // Steps in which a former candidate used a share beside its owner.
+    [[nodiscard]] std::uint64_t formerCandidateSteps() const
+    {
+        return m_formerCandidateSteps;
+    }
     void setFaults(Faults faults)
     {
         m_faults = faults;
@@ -81,6 +92,7 @@
         Router &router = m_routers[key];
         router.rate = router.rate == 0 ? 0.99 + 0.02 * m_random.uniformReal() : router.rate;
         router.isFrozen = false;
+        router.started = m_now;
         router.leases.emplace(key, ++m_incarnation, clock(router));
         updateList(key);
     }
@@ -114,6 +126,7 @@
     {
         Router &router = m_routers[key];
         if (router.leases && !router.isFrozen) {
+            router.fleet = LimitCandidates(m_listed, 1, QuotaLeases::MaxCandidates);
             router.leases->setRouters(m_listed, static_cast<std::uint32_t>(m_listed.size()), clock(router));
         }
     }
@@ -190,6 +203,8 @@
         bool isFrozen = false;
         int side = 0; // routers of different sides cannot reach each other
         std::vector<Message> unread; // arrived while frozen
+        LimitCandidates fleet; // by its list
+        base::Duration started{}; // its process
     };
 
     // Clocks also differ by a constant.
@@ -236,12 +251,24 @@
         }
     }
 
-    void checkEachShareIsAtOnePlace() const
+    // Whether a lease of an earlier process of the owner may still be used: by a router that is no candidate by the
+    // owner's list and does not know that, for one term.
+    [[nodiscard]] bool isFormerCandidate(RouterKey holder, RouterKey owner, std::uint32_t group) const
+    {
+        const Router &router = m_routers.at(owner);
+        const base::Duration term = QuotaLeases::leaseTerm(static_cast<std::uint32_t>(m_routers.size()));
+        return m_areFormerCandidatesAllowed && !router.fleet.isCandidate(holder, group) && m_now - router.started <= term * 102 / 100;
+    }
+    void checkEachShareIsAtOnePlace()
     {
         for (std::uint32_t group = 0; group < LimitGroups; ++group) {
             std::map<RouterKey, RouterKey> holders;
             for (const auto &[key, router] : m_routers) {
                 for (const RouterKey it : heldBy(key, group)) {
+                    if (key != it && isFormerCandidate(key, it, group)) {
+                        m_formerCandidateSteps += 1;
+                        continue;
+                    }
                     const auto [holder, isNew] = holders.emplace(it, key);
                     CPPUNIT_ASSERT_MESSAGE("router " + std::to_string(it) + "'s share of group " + std::to_string(group) + " is at routers "
                                                + std::to_string(holder->second) + " and " + std::to_string(key) + " at "
@@ -259,6 +286,8 @@
     std::uint64_t m_incarnation = 0;
     base::Duration m_now{};
     Faults m_faults;
+    bool m_areFormerCandidatesAllowed = false;
+    std::uint64_t m_formerCandidateSteps = 0;
 };
 
 // A fleet with random faults, followed by calm.
@@ -284,8 +313,62 @@
         }
         calm();
     }
+    // Restarts of all routers and of single lenders, with candidates that are cut off, late messages of earlier
+    // processes and lists that change. Returns the steps in which a former candidate used a share too.
+    std::uint64_t runRestarts()
+    {
+        base::Random &random = m_fleet.random();
+        m_fleet.allowFormerCandidates();
+        for (int i = 0; i < 20; ++i) {
+            const double late = random.below(2) == 0 ? 0 : 0.5 * random.uniformReal();
+            m_fleet.setFaults({0.1 * random.uniformReal(), 0.2 * random.uniformReal(), late});
+            m_fleet.advance(milliseconds{200 + random.below(1500)});
+            if (random.below(3) == 0) {
+                m_fleet.cutOff(randomRouter());
+            }
+            if (random.below(3) == 0) {
+                changeList();
+            }
+            if (random.below(2) == 0) {
+                restartAll(milliseconds{random.below(300)});
+            } else {
+                m_fleet.restart(randomRouter());
+            }
+            m_fleet.advance(milliseconds{random.below(400)});
+            if (random.below(2) == 0) {
+                m_fleet.updateLists();
+            }
+            for (RouterKey it = 1; it < m_nextRouter; ++it) {
+                m_fleet.heal(it);
+            }
+        }
+        calm();
+        return m_fleet.formerCandidateSteps();
+    }
 
 private:
+    RouterKey randomRouter()
+    {
+        return 1 + m_fleet.random().below(m_nextRouter - 1);
+    }
+    void restartAll(base::Duration down)
+    {
+        for (RouterKey it = 1; it < m_nextRouter; ++it) {
+            m_fleet.kill(it);
+        }
+        m_fleet.advance(down);
+        for (RouterKey it = 1; it < m_nextRouter; ++it) {
+            m_fleet.restart(it);
+        }
+    }
+    void changeList()
+    {
+        auto &listed = m_fleet.listed();
+        const RouterKey router = randomRouter();
+        if (listed.size() > 2 && std::erase(listed, router) == 0) {
+            listed.push_back(router);
+        }
+    }
     void fault()
     {
         using Action = void (Fleet::*)(RouterKey);
@@ -333,6 +416,7 @@
 {
     CPPUNIT_TEST_SUITE(QuotaFleetTest);
     CPPUNIT_TEST(testGeneratedRuns);
+    CPPUNIT_TEST(testGeneratedRestarts);
     CPPUNIT_TEST(testSingleFailures);
     CPPUNIT_TEST(testCoordinatorReturns);
     CPPUNIT_TEST_SUITE_END();
@@ -348,6 +432,18 @@
         }
     }
 
+    // Guards against a share that is used at once after a restart, and by a borrower of the earlier process too.
+    void testGeneratedRestarts()
+    {
+        std::uint64_t steps = 0;
+        for (std::uint64_t run = 0; run < 12; ++run) {
+            const std::uint64_t seed = carawaylatch::testing::seed() + run;
+            std::cout << (run % 8 == 0 ? "\n  seeds " : ", ") << seed << std::flush;
+            steps += GeneratedRun(seed).runRestarts();
+        }
+        std::cout << "; former candidates used " << steps << " shares for a step each" << std::flush;
+    }
+
     // Guards against failovers that take longer than the design states.
     void testSingleFailures()
     {
