--- a/carawaylatch/admission/testing/limitrestarttest.cpp
+++ b/carawaylatch/admission/testing/limitrestarttest.cpp
@@ -2,7 +2,10 @@
 // shares cannot be used, and what requests are told meanwhile.
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <iostream>
+#include <numeric>
+#include <vector>
 
 #include "carawaylatch/admission/startdelay.h"
 #include "carawaylatch/admission/testing/limitfleet.h"
@@ -136,6 +139,10 @@
         CPPUNIT_ASSERT(it.hasEnded());
         it.list({1, 2, 3});
         CPPUNIT_ASSERT(it.hasEnded());
+        it.now += milliseconds{1};
+        it.confirm(2);
+        it.confirm(3);
+        CPPUNIT_ASSERT(it.delay.lasted(it.now) == Starting::Delay);
     }
     // A candidate that is cut off, answers of an earlier process and a list without others prove nothing.
     void testUnconfirmedDelayStays()
@@ -154,6 +161,8 @@
         it.now += milliseconds{20};
         it.confirm(3);
         CPPUNIT_ASSERT(it.hasEnded());
+        it.now += Starting::Delay;
+        it.list({1, 2, 3, 4}); // the delay has ended before
         CPPUNIT_ASSERT(it.delay.lasted(it.now) == milliseconds{20});
     }
     // Requests that arrived while the coordinator was being determined were refused at once, though it was known soon.
@@ -204,19 +213,32 @@
     // Callers were told a time that ended before the term of a lost borrower, and were refused again.
     void testRetryAfterLostBorrower()
     {
-        FleetOptions many = options(1);
-        many.routers = 40;
-        LimitFleet fleet(many);
-        fleet.run(Settled);
+        constexpr std::uint32_t Many = 300; // terms are long enough that the rest is above the least retry
+        std::vector<RouterKey> routers(Many);
+        std::iota(routers.begin(), routers.end(), RouterKey{1});
+        const LimitCandidates fleet(routers, Many, QuotaLeases::MaxCandidates);
+        const auto self = *std::find_if(routers.begin(), routers.end(), [&fleet](RouterKey it) {
+            return fleet.groupsOf(it) == 0;
+        });
+        base::TimePoint now{base::hours{1}};
+        CustomerLimits limits(self, 1, 1, now);
+        limits.configure(options(1).limits, FleetOptions{}.tolerance, now);
+        limits.setRouters(routers, Many, now);
+        now += QuotaLeases::startDelay(Many);
         const std::uint32_t group = limitGroup(base::hash64(Customer.value()));
-        const std::size_t router = (fleet.coordinator(group) + 1) % many.routers;
-        CustomerLimits &limits = *fleet.routers()[router].limits;
-        const base::TimePoint silent = fleet.now() + QuotaLeases::pollInterval(40) * 5 / 2; // the borrower is heard of no more
-        CPPUNIT_ASSERT(limits.request(Customer, 1, silent).verdict == LimitVerdict::Pending);
-        const auto decisions = limits.takeDecisions(silent + CustomerLimits::AskTimeout);
+        const base::Duration interval = QuotaLeases::pollInterval(Many);
+        const base::Duration term = QuotaLeases::leaseTerm(Many);
+        const SharePoll poll{
+            .sender = fleet.candidates.at(group)[0], .incarnation = 1, .sequence = 1, .groups = AllLimitGroups, .term = term, .nextPoll = interval};
+        CPPUNIT_ASSERT(hasGroup(limits.onPoll(poll, now).lent, group));
+        const base::TimePoint until = now + QuotaLeases::lentTime(term);
+        now += interval * 5 / 2 + milliseconds{1}; // the borrower is heard of no more
+        CPPUNIT_ASSERT(limits.request(Customer, 1, now).verdict == LimitVerdict::Pending);
+        now += CustomerLimits::AskTimeout;
+        const auto decisions = limits.takeDecisions(now);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decisions.size());
         CPPUNIT_ASSERT(decisions[0].decision.verdict == LimitVerdict::Unavailable);
-        CPPUNIT_ASSERT(decisions[0].decision.retryAfter >= milliseconds{400});
+        CPPUNIT_ASSERT(decisions[0].decision.retryAfter >= until - now && decisions[0].decision.retryAfter <= (until - now) * 4 / 3);
     }
 };
 
