--- a/carawaylatch/admission/customerlimits.h
+++ b/carawaylatch/admission/customerlimits.h
@@ -8,7 +8,8 @@
 //     }
 //
 // The coordinator of the customer's group (quotaleases.h) has the bucket
-// (limitbuckets.h). This router asks it for tokens when a request finds none here, for
+// (limitbuckets.h). While it is being determined, requests wait for it, for AskTimeout.
+// This router asks it for tokens when a request finds none here, for
 // all requests of the customer that wait, and for some more while there is plenty. Tokens
 // that are not used within GrantTerm of the sending of the request are dropped. After a
 // denial requests of that customer that find no tokens are refused here for DeniedInterval, so that a customer
@@ -127,6 +128,8 @@
     [[nodiscard]] std::vector<RouterKey> peers() const;
     [[nodiscard]] std::size_t limitedCustomers() const;
     [[nodiscard]] double heldShare(std::uint32_t group, base::TimePoint now) const;
+    // See QuotaLeases::startDelayLasted().
+    [[nodiscard]] std::optional<base::Duration> startDelayLasted(base::TimePoint now) const;
     [[nodiscard]] const LimitCounts &counts() const;
     // Customers with refusals since the last call.
     [[nodiscard]] std::vector<LimitUse> takeRefusals();
--- a/carawaylatch/proxy/trafficmetrics.cpp
+++ b/carawaylatch/proxy/trafficmetrics.cpp
@@ -63,6 +63,7 @@
         {"load_summaries_sent_total", m_counts.summariesSent},
         {"load_summaries_received_total", m_counts.summariesReceived},
         {"load_summary_covered_routers", m_tracker.summaries().coveredRouters(now())},
+        {"limit_start_delay_ms", m_customerLimits.startDelayMs()},
         {"inflight", m_inflight},
         {"buffered_response_bytes", *m_responseBytes},
         {"peers", m_tracker.peers()},
