Fewer calls to the store: refusals with a reason, few candidates for the lease

A poller whose reader failed went on to the third router of the order, which did not know of the failure, was no reader and counted as failed itself, and so on, each step with a call to the store. All routers read the fleet's lease, and all wrote it when its holder was lost.

Ruled out: pollers of a failed reader that go on along the order with a longer back-off (the calls come later, not fewer); a new version of the relay's messages (a member that a former build ignores is enough).

Change: a refused poll tells why (refusal). A router behind the first two is polled only while both have failed. A router that is behind makes one watch of the store and polls the same reader again. After a refused or lost connection, a reader that stops or a router that is no reader, another one is polled in the same step. Time-outs interrupt only the polls of that reader. Two routers of each domain are candidates for the lease; others observe it every two lease durations.

--- a/carawaylatch/gateway/controlplane.cpp
+++ b/carawaylatch/gateway/controlplane.cpp
@@ -52,6 +52,7 @@
     , m_publish(std::move(publish))
     , m_state(decoder, log, settings.removal)
     , m_lease(settings.router, base::newIncarnation(), settings.lease)
+    , m_leaseObserver(settings.lease.duration, base::hash64(settings.router.value()))
     , m_rollout(settings.router, settings.rollout)
     , m_random(base::hash64(settings.router.value()))
     , m_relay(relay)
@@ -120,6 +121,10 @@
 void ControlPlane::beginStop()
 {
     m_isStopping = true;
+    // Routers whose polls are held go to another reader now; when the process ends they would lose the connection.
+    for (const auto &[kind, confirmation] : m_confirmations) {
+        wakePolls(kind);
+    }
 }
 
 void ControlPlane::onUpstreamLeaving(const base::UpstreamId &upstream, std::uint64_t startTimeMs)
@@ -310,20 +315,34 @@
     m_rollout.holdOrdersUntil(now + m_settings.lease.duration + m_settings.rollout.takeoverDelay);
 }
 
+Awaitable<bool> ControlPlane::readLease(ObjectClient &client, ReadConsistency consistency)
+{
+    auto result = co_await client.read(ObjectKind::Leases, std::string(LeaseName), consistency);
+    checkStoreEra();
+    if (result) {
+        m_lease.onRead(m_clock.now(), store::Object{result.value().name, result.value().text, store::Version{result.value().revision}});
+        co_return true;
+    }
+    m_lease.onRead(m_clock.now(), result.error());
+    co_return result.error().kind == base::ErrorKind::NotFound;
+}
+
 Awaitable<void> ControlPlane::stepLease(ObjectClient &client)
 {
+    const LeaseTurn turn = m_leaseObserver.turn(m_clock.now(), m_readers.isAmongFirst(), m_lease.state());
+    if (turn == LeaseTurn::Wait) {
+        co_return;
+    }
+    if (turn == LeaseTurn::Read) {
+        const bool isRead = co_await readLease(client, ReadConsistency::AllowStale);
+        m_leaseObserver.onRead(isRead ? m_lease.state().observedVersion : std::nullopt);
+        co_return;
+    }
     const fleet::LeaseAction action = m_lease.poll(m_clock.now());
     if (action.kind == fleet::LeaseActionKind::Read) {
         const bool isObserving = m_lease.state().phase == fleet::LeasePhase::Observing;
         // A stale read is safe for an observer: its conditional write then fails.
-        const ReadConsistency consistency = isObserving ? ReadConsistency::AllowStale : ReadConsistency::Latest;
-        auto result = co_await client.read(ObjectKind::Leases, std::string(LeaseName), consistency);
-        checkStoreEra();
-        if (result) {
-            m_lease.onRead(m_clock.now(), store::Object{result.value().name, result.value().text, store::Version{result.value().revision}});
-        } else {
-            m_lease.onRead(m_clock.now(), result.error());
-        }
+        static_cast<void>(co_await readLease(client, isObserving ? ReadConsistency::AllowStale : ReadConsistency::Latest));
         co_return;
     }
     if (action.kind == fleet::LeaseActionKind::Write) {
--- a/carawaylatch/gateway/controlplane.h
+++ b/carawaylatch/gateway/controlplane.h
@@ -30,6 +30,7 @@
 #include "carawaylatch/gateway/decoder.h"
 #include "carawaylatch/gateway/engineclient.h"
 #include "carawaylatch/gateway/fleetstate.h"
+#include "carawaylatch/gateway/leaseobserver.h"
 #include "carawaylatch/gateway/objectclient.h"
 #include "carawaylatch/gateway/readerchoice.h"
 #include "carawaylatch/gateway/rollout.h"
@@ -111,11 +112,19 @@
     [[nodiscard]] Awaitable<void> watchKind(ObjectKind kind);
     // Results are passed by reference: GCC 12 destroys an aggregate that a coroutine returns twice.
     [[nodiscard]] Awaitable<void> nextChanges(ObjectClient &client, ObjectKind kind, std::uint64_t since, base::Duration wait, KindChanges &changes);
-    // Returns false if the reader did not answer, or not with the newest state.
-    [[nodiscard]] Awaitable<bool> pollReader(base::Endpoint reader, ObjectKind kind, std::uint64_t since, KindChanges &changes);
-    void onReaderFailed(const base::Endpoint &reader, ObjectKind kind, const std::string &problem);
+    enum class PollResult {
+        Answered,
+        AnotherReader, // this one is gone or no reader; another one may answer at once
+        Store, // the store is asked next
+    };
+    [[nodiscard]] Awaitable<PollResult> pollReader(base::Endpoint reader, RelayPoll poll, KindChanges &changes);
+    [[nodiscard]] PollResult onPollFailed(const base::Endpoint &reader, ObjectKind kind, base::Duration elapsed, base::Duration timeout);
+    [[nodiscard]] PollResult onPollRefused(const base::Endpoint &reader, ObjectKind kind, RelayRefusal refusal);
     void logReader(const std::optional<base::Endpoint> &reader, const std::string &problem);
-    void onConfirmed(ObjectKind kind, base::Duration confirmedAt);
+    void onConfirmed(ObjectKind kind, base::Duration confirmedAt, bool isRelayed);
+    void wakePolls(ObjectKind kind);
+    // Returns why polls of a kind are not answered by this router now.
+    [[nodiscard]] RelayRefusal refusalOf(ObjectKind kind);
     [[nodiscard]] Awaitable<void> waitForConfirmation(ObjectKind kind, base::Duration limit);
     [[nodiscard]] Awaitable<base::Result<std::uint64_t>> listAll(ObjectClient &client, ObjectKind kind, PartialList &partial);
     [[nodiscard]] Awaitable<void> runControlLoop();
@@ -127,6 +136,8 @@
     void checkStoreEra();
     void noteList();
     [[nodiscard]] Awaitable<void> stepLease(ObjectClient &client);
+    // Returns false if the read failed.
+    [[nodiscard]] Awaitable<bool> readLease(ObjectClient &client, ReadConsistency consistency);
     [[nodiscard]] Awaitable<void> stepRollout(ObjectClient &client);
     [[nodiscard]] Awaitable<bool> publishChangingEngines(ObjectClient &client);
     // Reads the list again if `error` says that the store has another one.
@@ -160,6 +171,7 @@
     Publish m_publish;
     FleetState m_state;
     fleet::Lease m_lease;
+    LeaseObserver m_leaseObserver;
     Rollout m_rollout;
     base::Random m_random;
     std::map<ObjectKind, std::shared_ptr<ObjectClient>> m_watches; // for interrupting the watches
@@ -177,6 +189,7 @@
     {
         base::Duration at{}; // bootTime()
         std::uint64_t count = 0;
+        bool isRelayed = false; // the last one
         std::list<boost::asio::steady_timer *> waiting; // of polls that are held
     };
     std::map<ObjectKind, Confirmation> m_confirmations;
--- a/carawaylatch/gateway/controlplanewatch.cpp
+++ b/carawaylatch/gateway/controlplanewatch.cpp
@@ -26,6 +26,8 @@
 // Of the first watch after a reader or the store failed: it confirms the state at once, as the last confirmation may
 // be old, and tells when the store is available again.
 constexpr base::Duration FallbackWait = base::milliseconds{5};
+// In one step. Each of them may take RelayMargin to fail, and what this router knows ages meanwhile.
+constexpr std::size_t MaxPollsInStep = 2;
 constexpr base::Duration MaxRelayDelay = base::seconds{1}; // of a reader's confirmation beyond the wait of its watch
 constexpr base::Duration MaxHoldTime = base::seconds{30}; // of a poll
 constexpr base::Duration RelistSpread = base::milliseconds{500}; // of the lists of all routers after the store was restored
@@ -43,6 +45,13 @@
     return first;
 }
 
+std::unique_ptr<RelayAnswer> refused(RelayRefusal refusal)
+{
+    auto answer = std::make_unique<RelayAnswer>();
+    answer->refusal = refusal;
+    return answer;
+}
+
 } // namespace
 
 Awaitable<base::Result<std::uint64_t>> ControlPlane::listAll(ObjectClient &client, ObjectKind kind, PartialList &partial)
@@ -167,7 +176,7 @@
                     interruptWatches();
                 }
             }
-            onConfirmed(kind, confirmedAt);
+            onConfirmed(kind, confirmedAt, isRelayed);
             publishIfChanged();
             if (hasChanges && !isRelayed) {
                 co_await pause(pauseAfterChanges(kind));
@@ -201,12 +210,23 @@
 
 Awaitable<void> ControlPlane::nextChanges(ObjectClient &client, ObjectKind kind, std::uint64_t since, base::Duration wait, KindChanges &changes)
 {
-    if (const auto reader = m_readers.reader(m_clock.now())) {
-        const bool hasAnswered = co_await pollReader(*reader, kind, since, changes);
-        if (hasAnswered) {
+    // The reader answers polls for the configuration at each confirmation, and at least so often
+    // that a reader that is silent is seen before what it confirmed is too old.
+    base::Duration pollWait = kind == ObjectKind::Tables ? m_settings.watchWait * 2 / 3 : watchWait(kind);
+    for (std::size_t polls = 0; polls < MaxPollsInStep; ++polls) {
+        const auto reader = m_readers.reader(m_clock.now());
+        if (!reader) {
+            break;
+        }
+        const PollResult result = co_await pollReader(*reader, RelayPoll{kind, since, pollWait}, changes);
+        if (result == PollResult::Answered) {
             co_return;
         }
         wait = FallbackWait;
+        pollWait = FallbackWait;
+        if (result == PollResult::Store) {
+            break;
+        }
     }
     changes.confirmedAt = TableAge::bootTime();
     m_changeTimes.onCallSent(kind, changes.confirmedAt);
@@ -222,31 +242,32 @@
     }
 }
 
-Awaitable<bool> ControlPlane::pollReader(base::Endpoint reader, ObjectKind kind, std::uint64_t since, KindChanges &changes)
+Awaitable<ControlPlane::PollResult> ControlPlane::pollReader(base::Endpoint reader, RelayPoll poll, KindChanges &changes)
 {
-    const bool isTables = kind == ObjectKind::Tables;
-    // The reader answers polls for the configuration at each confirmation, and at least so often
-    // that a reader that is silent is seen before what it confirmed is too old.
-    const base::Duration wait = isTables ? m_settings.watchWait * 2 / 3 : watchWait(kind);
+    const ObjectKind kind = poll.kind;
     const base::Duration sentAt = TableAge::bootTime();
-    const RelayPoll poll{kind, since, wait};
-    auto answer = co_await m_relay.poll(reader, poll, wait + RelayMargin);
-    std::string problem;
+    const base::TimePoint startedAt = m_clock.now();
+    const base::Duration timeout = poll.wait + RelayMargin;
+    auto answer = co_await m_relay.poll(reader, poll, timeout);
     if (!answer) {
-        problem = answer.error().message;
-    } else if (!answer.value().isKnown) {
-        problem = "the changes are not known there";
-    } else if (isTables && answer.value().age > m_settings.watchWait + MaxRelayDelay) {
-        problem = "its configuration is not confirmed";
+        m_changeTimes.onCallFailed(kind);
+        logReader(std::nullopt, answer.error().message);
+        co_return onPollFailed(reader, kind, m_clock.now() - startedAt, timeout);
     }
-    if (!problem.empty()) {
+    RelayAnswer &value = answer.value();
+    if (!value.isKnown) {
+        m_changeTimes.onCallFailed(kind);
+        co_return onPollRefused(reader, kind, value.refusal);
+    }
+    if (kind == ObjectKind::Tables && value.age > m_settings.watchWait + MaxRelayDelay) {
         m_changeTimes.onCallFailed(kind);
-        onReaderFailed(reader, kind, problem);
-        co_return false;
+        m_readers.onFailed(reader, m_clock.now(), ReaderFailure::NotServing, kind);
+        m_relay.interrupt(reader);
+        logReader(std::nullopt, "its configuration is not confirmed");
+        co_return PollResult::Store;
     }
-    m_readers.onAnswered(reader);
+    m_readers.onAnswered(reader, kind);
     logReader(reader, {});
-    RelayAnswer &value = answer.value();
     changes.revision = value.revision;
     changes.objects = std::move(value.objects);
     changes.confirmedAt = sentAt + value.held - value.age;
@@ -255,17 +276,46 @@
     const auto returnedAt = value.returnAge ? std::optional(sentAt + value.held - *value.returnAge) : std::nullopt;
     m_changeTimes.onReaderAnswered(kind, changes.confirmedAt, returnedAt);
     changes.isRelayed = true;
-    co_return true;
+    co_return PollResult::Answered;
 }
 
-// The polls for the configuration are the shortest, so they detect a dead reader first.
-void ControlPlane::onReaderFailed(const base::Endpoint &reader, ObjectKind kind, const std::string &problem)
+ControlPlane::PollResult ControlPlane::onPollFailed(const base::Endpoint &reader, ObjectKind kind, base::Duration elapsed, base::Duration timeout)
 {
-    m_readers.onFailed(reader, m_clock.now());
-    logReader(std::nullopt, problem);
+    m_readers.onFailed(reader, m_clock.now(), ReaderFailure::Unreachable, kind);
+    if (elapsed < timeout) {
+        return PollResult::AnotherReader; // the connection failed, or the poll was interrupted
+    }
+    // The polls for the configuration are the shortest, so they detect a silent reader first.
     if (kind == ObjectKind::Tables) {
-        m_relay.interrupt();
+        m_relay.interrupt(reader);
     }
+    return PollResult::Store;
+}
+
+ControlPlane::PollResult ControlPlane::onPollRefused(const base::Endpoint &reader, ObjectKind kind, RelayRefusal refusal)
+{
+    const base::TimePoint now = m_clock.now();
+    switch (refusal) {
+    case RelayRefusal::Behind:
+        m_readers.onBehind(reader, now, kind);
+        return PollResult::Store;
+    case RelayRefusal::NotReader:
+        m_readers.onNotReader(reader, now, kind);
+        logReader(std::nullopt, "it is no reader");
+        return PollResult::AnotherReader;
+    case RelayRefusal::Stopping:
+        m_readers.onFailed(reader, now, ReaderFailure::Unreachable, kind);
+        logReader(std::nullopt, "it is stopping");
+        return PollResult::AnotherReader;
+    case RelayRefusal::None:
+        break;
+    }
+    m_readers.onFailed(reader, now, ReaderFailure::Unreachable, kind);
+    logReader(std::nullopt, "the changes are not known there");
+    if (kind == ObjectKind::Tables) {
+        m_relay.interrupt(reader);
+    }
+    return PollResult::Store;
 }
 
 void ControlPlane::logReader(const std::optional<base::Endpoint> &reader, const std::string &problem)
@@ -275,14 +325,20 @@
     }
 }
 
-void ControlPlane::onConfirmed(ObjectKind kind, base::Duration confirmedAt)
+void ControlPlane::wakePolls(ObjectKind kind)
+{
+    for (boost::asio::steady_timer *timer : m_confirmations[kind].waiting) {
+        timer->cancel();
+    }
+}
+
+void ControlPlane::onConfirmed(ObjectKind kind, base::Duration confirmedAt, bool isRelayed)
 {
     Confirmation &confirmation = m_confirmations[kind];
     confirmation.at = std::max(confirmation.at, confirmedAt);
+    confirmation.isRelayed = isRelayed;
     ++confirmation.count;
-    for (boost::asio::steady_timer *timer : confirmation.waiting) {
-        timer->cancel();
-    }
+    wakePolls(kind);
     if (kind == ObjectKind::Tables) {
         m_tableAge.confirm(confirmation.at);
     }
@@ -301,6 +357,18 @@
     waiting.erase(it);
 }
 
+RelayRefusal ControlPlane::refusalOf(ObjectKind kind)
+{
+    if (m_isStopping) {
+        return RelayRefusal::Stopping;
+    }
+    // A router that polls a reader again after its back-off is no reader only once that reader has answered: until then
+    // the others that learn from this router would find none.
+    const Confirmation &confirmation = m_confirmations[kind];
+    const bool isReader = !m_readers.reader(m_clock.now()) || !confirmation.isRelayed;
+    return isReader && confirmation.count > 0 ? RelayRefusal::None : RelayRefusal::NotReader;
+}
+
 Awaitable<std::unique_ptr<RelayAnswer>> ControlPlane::answer(RelayPoll poll)
 {
     const base::Duration arrivedAt = TableAge::bootTime();
@@ -308,12 +376,15 @@
     const std::uint64_t count = m_confirmations[poll.kind].count;
     while (true) {
         const base::TimePoint now = m_clock.now();
-        const bool isReader = !m_readers.reader(now) && !m_isStopping;
+        const Confirmation &confirmation = m_confirmations[poll.kind];
+        const RelayRefusal refusal = refusalOf(poll.kind);
+        if (refusal != RelayRefusal::None) {
+            co_return refused(refusal);
+        }
         auto changes = m_watchLog.changesSince(poll.kind, poll.since);
-        if (!isReader || !changes) {
-            co_return nullptr;
+        if (!changes) {
+            co_return refused(RelayRefusal::Behind);
         }
-        const Confirmation &confirmation = m_confirmations[poll.kind];
         const bool isConfirmed = poll.kind == ObjectKind::Tables && confirmation.count != count;
         if (!changes->objects.empty() || isConfirmed || now >= until) {
             const base::Duration at = TableAge::bootTime();
--- a/carawaylatch/gateway/http2relay.cpp
+++ b/carawaylatch/gateway/http2relay.cpp
@@ -285,10 +285,12 @@
     co_return decodeRelayAnswer(text.value());
 }
 
-void Http2Relay::interrupt()
+void Http2Relay::interrupt(const base::Endpoint &reader)
 {
     for (const auto &[kind, channel] : m_channels) {
-        channel->interrupt();
+        if (channel->reader() == reader) {
+            channel->interrupt();
+        }
     }
 }
 
--- a/carawaylatch/gateway/http2relay.h
+++ b/carawaylatch/gateway/http2relay.h
@@ -34,7 +34,7 @@
     [[nodiscard]] base::Endpoint endpoint() const;
 
     [[nodiscard]] Awaitable<base::Result<RelayAnswer>> poll(base::Endpoint reader, RelayPoll poll, base::Duration timeout) override;
-    void interrupt() override;
+    void interrupt(const base::Endpoint &reader) override;
 
 private:
     class Channel;
--- a/carawaylatch/gateway/testing/fakerelay.h
+++ b/carawaylatch/gateway/testing/fakerelay.h
@@ -58,11 +58,11 @@
         if (isLate) {
             co_await pause(m_network.lateDelay);
         }
-        noteEnd(poll, answer ? std::optional(reader) : std::nullopt, isLate);
+        noteEnd(poll, answer && answer->isKnown ? std::optional(reader) : std::nullopt, isLate);
         RelayAnswer unknown;
         co_return answer ? std::move(*answer) : std::move(unknown);
     }
-    void interrupt() override
+    void interrupt(const base::Endpoint & /*reader*/) override
     {
     }
 
--- a/carawaylatch/gateway/watchrelay.cpp
+++ b/carawaylatch/gateway/watchrelay.cpp
@@ -52,9 +52,13 @@
     return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
-Json unknownAnswer()
+Json refusalAnswer(RelayRefusal refusal)
 {
-    return Json{{"known", 0U}, {"revision", 0U}, {"age_us", 0U}, {"held_us", 0U}, {"outage", 0U}, {"objects", Json::array()}};
+    Json json{{"known", 0U}, {"revision", 0U}, {"age_us", 0U}, {"held_us", 0U}, {"outage", 0U}, {"objects", Json::array()}};
+    if (refusal != RelayRefusal::None) {
+        json["refusal"] = static_cast<std::uint64_t>(refusal);
+    }
+    return json;
 }
 
 std::uint64_t microseconds(base::Duration duration)
@@ -93,7 +97,7 @@
 std::string encodeRelayAnswer(const RelayAnswer &answer)
 {
     if (!answer.isKnown) {
-        return dump(unknownAnswer());
+        return dump(refusalAnswer(answer.refusal));
     }
     Json json{{"known", 1U}, {"revision", answer.revision}, {"age_us", microseconds(answer.age)}, {"held_us", microseconds(answer.held)}};
     json["outage"] = answer.returnAge && *answer.returnAge < FleetState::EntryReturnTime ? 1U : 0U; // for routers of the version before
@@ -114,7 +118,7 @@
     }
     json["objects"] = std::move(objects);
     std::string text = dump(json);
-    return text.size() <= MaxRelayBytes ? text : dump(unknownAnswer());
+    return text.size() <= MaxRelayBytes ? text : dump(refusalAnswer(RelayRefusal::Behind));
 }
 
 base::Result<RelayAnswer> decodeRelayAnswer(std::string_view text)
@@ -143,6 +147,10 @@
     if (const auto changeAge = unsignedField(json, "change_age_us")) {
         answer.changeAge = fromMicroseconds(*changeAge);
     }
+    const auto refusal = unsignedField(json, "refusal");
+    if (*known != 1 && refusal && *refusal <= static_cast<std::uint64_t>(RelayRefusal::Stopping)) {
+        answer.refusal = static_cast<RelayRefusal>(*refusal);
+    }
     for (const Json &row : *objects) {
         auto object = decodeObject(row);
         if (!object) {
--- a/carawaylatch/gateway/watchrelay.h
+++ b/carawaylatch/gateway/watchrelay.h
@@ -32,9 +32,17 @@
     base::Duration wait{}; // for a change, at most
 };
 
+// Why a poll is not answered with changes.
+enum class RelayRefusal : std::uint8_t {
+    None, // answered, or a router of an earlier version refused without a reason
+    Behind, // the changes since that revision are not known, or too large
+    NotReader, // the router polls others itself, or has not read the objects of the kind yet
+    Stopping, // must stay last
+};
+
 struct RelayAnswer
 {
-    bool isKnown = false; // false: not a reader, or the changes since that revision are not known
+    bool isKnown = false; // false: see refusal
     std::uint64_t revision = 0;
     base::Duration age{}; // of the reader's confirmation when it answered
     base::Duration held{}; // from the poll's arrival to the answer
@@ -42,6 +50,7 @@
     std::vector<StoredObject> objects;
     // How long ago the objects may have changed when the reader answered; a router of an earlier version does not tell.
     std::optional<base::Duration> changeAge;
+    RelayRefusal refusal = RelayRefusal::None;
 };
 
 [[nodiscard]] std::string encodeRelayPoll(const RelayPoll &poll);
@@ -57,7 +66,7 @@
 {
 public:
     virtual ~RelaySource() = default;
-    // Returns nullptr if this router is no reader, or does not know the changes.
+    // Returns nullptr if the poll is refused without a reason.
     [[nodiscard]] virtual Awaitable<std::unique_ptr<RelayAnswer>> answer(RelayPoll poll) = 0;
 };
 
@@ -66,10 +75,10 @@
 {
 public:
     virtual ~RelayClient() = default;
-    // Unavailable: no answer within the timeout, or the connection failed.
+    // Unavailable: no answer within the timeout, or, before it, the connection failed or the poll was interrupted.
     [[nodiscard]] virtual Awaitable<base::Result<RelayAnswer>> poll(base::Endpoint reader, RelayPoll poll, base::Duration timeout) = 0;
-    // Makes all polls in flight fail.
-    virtual void interrupt() = 0;
+    // Makes all polls of a reader that are in flight fail.
+    virtual void interrupt(const base::Endpoint &reader) = 0;
 };
 
 } // namespace carawaylatch::gateway
