--- a/carawaylatch/gateway/testing/storecallstest.cpp
+++ b/carawaylatch/gateway/testing/storecallstest.cpp
@@ -493,10 +493,7 @@
     // The candidates are two routers of a domain, working or not, and routers that learn from no reader.
     void testCandidatesOfADomain()
     {
-        std::vector<base::Endpoint> routers;
-        for (int i = 0; i < 30; ++i) {
-            routers.push_back({"10.0.0." + std::to_string(i + 1), 7100});
-        }
+        const std::vector<base::Endpoint> routers = Domain<PresentChoice>().order;
         int candidates = 0;
         for (const base::Endpoint &self : routers) {
             ReaderChoice choice(self, {});
--- a/carawaylatch/gateway/testing/testcluster.h
+++ b/carawaylatch/gateway/testing/testcluster.h
@@ -82,6 +82,41 @@
     std::map<base::UpstreamId, std::pair<base::TimePoint, base::WeightsVersion>> m_loads;
 };
 
+struct StoreCalls
+{
+    int watches = 0;
+    int leaseCalls = 0;
+};
+
+// Counts calls of one router.
+class CountedClient : public FakeClient
+{
+public:
+    CountedClient(FakeStore &store, const bool &isDisconnected, StoreEra &era, StoreCalls &calls)
+        : FakeClient(store, isDisconnected, era)
+        , m_calls(calls)
+    {
+    }
+    Awaitable<base::Result<ObjectPage>> watch(ObjectKind kind, std::uint64_t since, base::Duration wait) override
+    {
+        ++m_calls.watches;
+        return FakeClient::watch(kind, since, wait);
+    }
+    Awaitable<base::Result<StoredObject>> read(ObjectKind kind, std::string name, ReadConsistency consistency) override
+    {
+        m_calls.leaseCalls += kind == ObjectKind::Leases ? 1 : 0;
+        return FakeClient::read(kind, std::move(name), consistency);
+    }
+    Awaitable<base::Result<std::uint64_t>> write(ObjectKind kind, std::string name, std::string text, std::uint64_t expected) override
+    {
+        m_calls.leaseCalls += kind == ObjectKind::Leases ? 1 : 0;
+        return FakeClient::write(kind, std::move(name), std::move(text), expected);
+    }
+
+private:
+    StoreCalls &m_calls;
+};
+
 class FakeClients : public ObjectClientFactory
 {
 public:
@@ -91,13 +126,14 @@
     }
     std::unique_ptr<ObjectClient> makeClient() override
     {
-        return std::make_unique<FakeClient>(m_store, isDisconnected, m_era);
+        return std::make_unique<CountedClient>(m_store, isDisconnected, m_era, calls);
     }
     std::optional<std::uint64_t> storeEra() const override
     {
         return m_era.isKnown ? std::optional(m_era.current) : std::nullopt;
     }
     bool isDisconnected = false; // from the store; all calls fail
+    StoreCalls calls;
 
 private:
     FakeStore &m_store;
