A reader that answers stays one although polls to it were interrupted

Cause: when the configuration of a reader is not confirmed, its other polls are interrupted, and their failure made it an unreachable one; the next answer of any kind then ended its time of 2 s.

Change: the first failure of a time decides its reason; a test has the step.

--- a/carawaylatch/gateway/readerchoice.cpp
+++ b/carawaylatch/gateway/readerchoice.cpp
@@ -86,8 +86,7 @@
     Failure &failure = m_failures[reader];
     const bool isUnreachable = reason == ReaderFailure::Unreachable;
     if (now < failure.until) {
-        failure.isUnreachable = failure.isUnreachable || isUnreachable;
-        return; // several calls failed together
+        return; // several calls failed together, or the others were interrupted because of the first
     }
     const bool isFirst = failure.backoff == base::Duration{};
     failure.backoff = isFirst || !isUnreachable ? m_settings.minBackoff : std::min<base::Duration>(failure.backoff * 2, m_settings.maxBackoff);
--- a/carawaylatch/gateway/testing/storecallstest.cpp
+++ b/carawaylatch/gateway/testing/storecallstest.cpp
@@ -338,6 +338,7 @@
         const base::TimePoint now;
         const base::Endpoint reader = choice.reader(now).value();
         choice.onFailed(reader, now, ReaderFailure::NotServing, Kind);
+        choice.onFailed(reader, now, ReaderFailure::Unreachable, ObjectKind::Upstreams); // its poll was interrupted
         choice.onAnswered(reader, ObjectKind::Weights);
         CPPUNIT_ASSERT(choice.reader(now) != reader);
         choice.onAnswered(reader, Kind);
