Read on responses whose callers take nothing

Cause: a response of 2 MB of which the caller takes nothing for 4 s is lost when its upstream aborts it after 2 s unread.

Change: Exchange asks UnreadResponses when more is queued for the caller than usual, at each read from then on, and every 250 ms while reading is paused, until the caller has taken all. A caller's connection frees the sent part of a long write once it is the larger one; otherwise a caller that takes a few bytes at a time keeps memory that is no longer counted. Metrics: responses_paused, responses_read_on_total.

--- a/carawaylatch/proxy/callerconnection.cpp
+++ b/carawaylatch/proxy/callerconnection.cpp
@@ -29,6 +29,8 @@
 constexpr base::Duration FirstRequestDelay = base::seconds{1};
 // A body that arrives slowly but steadily may take this many idle timeouts.
 constexpr int MaxBodyTimeouts = 4;
+// Sent bytes of a write below which they are kept until its end; what is queued for a caller that keeps up is shorter.
+constexpr std::size_t MinReleasedBytes = 524'288;
 
 } // namespace
 
@@ -62,6 +64,11 @@
     return m_writing.size() - m_written + m_queued.size();
 }
 
+base::TimePoint CallerConnection::progressAt() const
+{
+    return m_progressAt;
+}
+
 void CallerConnection::read()
 {
     if (m_isReading || m_isClosed || m_input.size() > MaxPipelinedBytes) {
@@ -345,6 +352,7 @@
         return;
     }
     if (m_written < m_writing.size()) {
+        releaseWritten();
         writeSome();
         return;
     }
@@ -363,6 +371,16 @@
     }
 }
 
+// Frees the part of a long write that was sent, once it is the larger one, so that the bytes that are counted as queued
+// are at least half of the memory. Copying each byte of a write at most once keeps that cheap.
+void CallerConnection::releaseWritten()
+{
+    if (m_written >= MinReleasedBytes && m_written >= m_writing.size() - m_written) {
+        m_writing = std::string(m_writing, m_written);
+        m_written = 0;
+    }
+}
+
 void CallerConnection::armTimer()
 {
     const CallerLimits limits = m_plane.callerLimits();
--- a/carawaylatch/proxy/callerconnection.h
+++ b/carawaylatch/proxy/callerconnection.h
@@ -71,6 +71,8 @@
     [[nodiscard]] bool hasPartialRequest() const;
     // Bytes not yet written to the socket.
     [[nodiscard]] std::size_t queuedBytes() const;
+    // When the last bytes of the request were read, or the system last took bytes of the response.
+    [[nodiscard]] base::TimePoint progressAt() const;
 
 private:
     void read();
@@ -87,6 +89,7 @@
     void flush();
     void writeSome();
     void onWritten();
+    void releaseWritten();
     void armTimer();
     void armTimer(base::Duration wait);
     void onTimeout();
--- a/carawaylatch/proxy/exchange.h
+++ b/carawaylatch/proxy/exchange.h
@@ -24,6 +24,7 @@
 #include "carawaylatch/proxy/placement.h"
 #include "carawaylatch/proxy/stallrules.h"
 #include "carawaylatch/proxy/streamorigins.h"
+#include "carawaylatch/proxy/unreadresponses.h"
 #include "carawaylatch/proxy/upstreamconnection.h"
 #include "carawaylatch/proxy/upstreamtracker.h"
 #include "carawaylatch/proxy/waitqueue.h"
@@ -54,7 +55,8 @@
     std::string body;
     BufferedBytes buffered; // size of `body`
     bool isStreamed = false; // the body is forwarded as it arrives
-    bool isReadingPaused = false; // until the caller has taken what is queued
+    bool isReadingPaused = false; // until the caller has taken what is queued, or it is read on
+    std::optional<UnreadResponses::Ticket> unread; // from a pause until the caller has taken all
     bool hasEvents = false; // complete events were forwarded; set only for resumable streams
 };
 
@@ -159,8 +161,12 @@
     void forwardResponse();
     void beginStream();
     void forwardStream(std::string_view bytes);
+    void limitReading();
+    [[nodiscard]] bool mayReadOn();
     void pauseReading();
+    void continueReading();
     void resumeReading();
+    void forgetUnread();
     // Aborts an attempt that makes no progress if the request may be retried at another upstream.
     void watchProgress();
     // Aborts an attempt that an engine has not started before its weights are too old.
@@ -215,6 +221,7 @@
     base::TimerService::Subscription m_queueTimer;
     base::TimerService::Subscription m_startTimer; // armed until an attempt on older weights has started
     base::TimerService::Subscription m_progressTimer; // armed during attempts of a repeatable request
+    base::TimerService::Subscription m_unreadTimer; // armed while the attempt has a ticket of UnreadResponses
     EventScanner m_scanner;
     std::optional<base::TimePoint> m_sentAt; // of the first attempt that was sent
     std::optional<base::TimePoint> m_firstByteAt; // first byte of the response
--- a/carawaylatch/proxy/exchangeattempt.cpp
+++ b/carawaylatch/proxy/exchangeattempt.cpp
@@ -305,35 +305,7 @@
         }
         m_caller->sendBodyBytes(events);
     }
-    if (m_caller->queuedBytes() > m_plane.responseBufferBytes()) {
-        pauseReading();
-    }
-}
-
-void Exchange::pauseReading()
-{
-    Attempt &attempt = *m_attempt;
-    attempt.connection->pauseReading();
-    if (!std::exchange(attempt.isReadingPaused, true)) {
-        trackerOf(attempt).onReadingPaused(*attempt.record);
-    }
-}
-
-void Exchange::onCallerDrained()
-{
-    if (m_attempt && m_attempt->isReadingPaused) {
-        resumeReading();
-        m_attempt->connection->resumeReading();
-    }
-}
-
-// The time of the pause was the caller's, not the upstream's.
-void Exchange::resumeReading()
-{
-    Attempt &attempt = *m_attempt;
-    attempt.isReadingPaused = false;
-    m_lastEventAt = m_plane.now();
-    trackerOf(attempt).onReadingResumed(*attempt.record, m_lastEventAt);
+    limitReading();
 }
 
 AttemptEnd Exchange::classifyResponse() const
@@ -529,6 +501,7 @@
     m_progressTimer.cancel();
     m_startTimer.cancel();
     Attempt &attempt = *m_attempt;
+    forgetUnread();
     if (attempt.isReadingPaused) {
         resumeReading();
     }
--- a/carawaylatch/proxy/trafficmetrics.cpp
+++ b/carawaylatch/proxy/trafficmetrics.cpp
@@ -62,6 +62,8 @@
         {"limited_customers", m_customerLimits.limitedCustomers()},
         {"inflight", m_inflight},
         {"buffered_response_bytes", *m_responseBytes},
+        {"responses_paused", m_unread.paused()},
+        {"responses_read_on_total", m_unread.readOn()},
         {"peers", m_tracker.peers()},
         {"log_lines_dropped_total", m_log.dropped()},
         {"upstreams", m_view->upstreams.size()},
--- a/carawaylatch/proxy/trafficplane.h
+++ b/carawaylatch/proxy/trafficplane.h
@@ -37,6 +37,7 @@
 #include "carawaylatch/proxy/reachability.h"
 #include "carawaylatch/proxy/socket.h"
 #include "carawaylatch/proxy/streamorigins.h"
+#include "carawaylatch/proxy/unreadresponses.h"
 #include "carawaylatch/proxy/upstreamconnection.h"
 #include "carawaylatch/proxy/upstreamtracker.h"
 #include "carawaylatch/proxy/waitqueue.h"
@@ -212,6 +213,11 @@
     [[nodiscard]] const std::shared_ptr<std::size_t> &responseBytes() const;
     // Bytes of one response above which it is passed on, or no longer read from its upstream.
     [[nodiscard]] std::size_t responseBufferBytes() const;
+    // Responses whose callers read slowly.
+    [[nodiscard]] UnreadResponses &unread()
+    {
+        return m_unread;
+    }
     void removeCaller(const std::shared_ptr<CallerConnection> &connection);
     // Runs a step of one connection. An exception from it is logged, and `onFailure` ends the
     // connection; the others are not affected.
@@ -317,6 +323,7 @@
     StopCounts m_stopCounts;
     std::size_t m_bodyBytes = 0; // of requests in progress or being read
     const std::shared_ptr<std::size_t> m_responseBytes = std::make_shared<std::size_t>(0); // sum of the BufferedBytes of callers and attempts
+    UnreadResponses m_unread;
     std::size_t m_inflight = 0;
     bool m_isStopping = false;
     bool m_isLeaving = false;
