Faults that a review of the four parts found

Summaries: rows beyond the size of a full summary follow at once instead of reading as idle; a first rank that starts again replaces the second only once it covers half of the list; placements of the own arc reach all of its routers; E2448 names the routers that are summed; a list that did not change is not sorted again; up to 16,384 rows of a sender. Unread responses: a quarter of the limit stays free for callers that keep up. Lease: a router that is no candidate goes on after a write of its own that took effect late. Readers: E2426 names the store only when the store is asked; a reader that failed is not taken for behind twice in turn. All were found by reading, none was seen in a run.

--- a/carawaylatch/admission/startdelay.h
+++ b/carawaylatch/admission/startdelay.h
@@ -7,7 +7,7 @@
 // candidate applies no answer of an earlier process after it (borrowedshares.h).
 //
 // A router that was a candidate in an earlier list only is not asked. It may use a lease
-// of the earlier process for the rest of the term: one share, for one term.
+// of the earlier process for the rest of the term: one share of each router that restarted, for one term.
 //
 // Without I/O. Not thread-safe. Memory is bounded by the candidates of all groups.
 #pragma once
--- a/carawaylatch/gateway/controlplane.h
+++ b/carawaylatch/gateway/controlplane.h
@@ -98,6 +98,7 @@
         base::Duration confirmedAt{}; // bootTime() at which the state was certainly the newest
         std::optional<base::Duration> changedAfter; // bootTime(); the objects changed at this time or later
         bool isRelayed = false;
+        std::string readerProblem; // why the last reader that was polled did not serve
     };
     // A list of which some pages have been read. An overloaded store rejects some calls, so
     // the list continues at the rejected page; if it restarted each time, a list of many
@@ -119,7 +120,7 @@
     };
     [[nodiscard]] Awaitable<PollResult> pollReader(base::Endpoint reader, RelayPoll poll, KindChanges &changes);
     [[nodiscard]] PollResult onPollFailed(const base::Endpoint &reader, ObjectKind kind, base::Duration elapsed, base::Duration timeout);
-    [[nodiscard]] PollResult onPollRefused(const base::Endpoint &reader, ObjectKind kind, RelayRefusal refusal);
+    [[nodiscard]] PollResult onPollRefused(const base::Endpoint &reader, ObjectKind kind, RelayRefusal refusal, std::string &problem);
     void logReader(const std::optional<base::Endpoint> &reader, const std::string &problem);
     void onConfirmed(ObjectKind kind, base::Duration confirmedAt, bool isRelayed);
     void wakePolls(ObjectKind kind);
--- a/carawaylatch/gateway/controlplanewatch.cpp
+++ b/carawaylatch/gateway/controlplanewatch.cpp
@@ -228,6 +228,9 @@
             break;
         }
     }
+    if (!changes.readerProblem.empty()) {
+        logReader(std::nullopt, changes.readerProblem);
+    }
     changes.confirmedAt = TableAge::bootTime();
     m_changeTimes.onCallSent(kind, changes.confirmedAt);
     auto page = co_await client.watch(kind, since, wait);
@@ -251,19 +254,19 @@
     auto answer = co_await m_relay.poll(reader, poll, timeout);
     if (!answer) {
         m_changeTimes.onCallFailed(kind);
-        logReader(std::nullopt, answer.error().message);
+        changes.readerProblem = answer.error().message;
         co_return onPollFailed(reader, kind, m_clock.now() - startedAt, timeout);
     }
     RelayAnswer &value = answer.value();
     if (!value.isKnown) {
         m_changeTimes.onCallFailed(kind);
-        co_return onPollRefused(reader, kind, value.refusal);
+        co_return onPollRefused(reader, kind, value.refusal, changes.readerProblem);
     }
     if (kind == ObjectKind::Tables && value.age > m_settings.watchWait + MaxRelayDelay) {
         m_changeTimes.onCallFailed(kind);
         m_readers.onFailed(reader, m_clock.now(), ReaderFailure::NotServing, kind);
         m_relay.interrupt(reader);
-        logReader(std::nullopt, "its configuration is not confirmed");
+        changes.readerProblem = "its configuration is not confirmed";
         co_return PollResult::Store;
     }
     m_readers.onAnswered(reader, kind);
@@ -292,7 +295,7 @@
     return PollResult::Store;
 }
 
-ControlPlane::PollResult ControlPlane::onPollRefused(const base::Endpoint &reader, ObjectKind kind, RelayRefusal refusal)
+ControlPlane::PollResult ControlPlane::onPollRefused(const base::Endpoint &reader, ObjectKind kind, RelayRefusal refusal, std::string &problem)
 {
     const base::TimePoint now = m_clock.now();
     switch (refusal) {
@@ -301,17 +304,17 @@
         return PollResult::Store;
     case RelayRefusal::NotReader:
         m_readers.onNotReader(reader, now, kind);
-        logReader(std::nullopt, "it is no reader");
+        problem = "it is no reader";
         return PollResult::AnotherReader;
     case RelayRefusal::Stopping:
         m_readers.onFailed(reader, now, ReaderFailure::Unreachable, kind);
-        logReader(std::nullopt, "it is stopping");
+        problem = "it is stopping";
         return PollResult::AnotherReader;
     case RelayRefusal::None:
         break;
     }
     m_readers.onFailed(reader, now, ReaderFailure::Unreachable, kind);
-    logReader(std::nullopt, "the changes are not known there");
+    problem = "the changes are not known there";
     if (kind == ObjectKind::Tables) {
         m_relay.interrupt(reader);
     }
--- a/carawaylatch/gateway/leaseobserver.cpp
+++ b/carawaylatch/gateway/leaseobserver.cpp
@@ -32,14 +32,17 @@
 {
     if (isCandidate) {
         m_nextRead.reset();
+        m_wasPolling = true;
         return LeaseTurn::Poll;
     }
     if (!m_nextRead) {
         m_nextRead = now + randomTime(m_random, m_leaseDuration, MinFirstRead, MaxFirstRead);
     }
-    // A holder goes on, and so does a router whose write is still to be verified.
+    // A holder goes on, and so does a router whose write is still to be verified, or has taken effect late.
     const bool isUnchanged = m_unchanged && m_unchanged == state.observedVersion;
-    if (state.phase != fleet::LeasePhase::Observing || isUnchanged) {
+    const bool isOwn = m_wasPolling && state.hasNoHolder;
+    m_wasPolling = state.phase != fleet::LeasePhase::Observing || isUnchanged || isOwn;
+    if (m_wasPolling) {
         return LeaseTurn::Poll;
     }
     if (now < *m_nextRead) {
--- a/carawaylatch/gateway/leaseobserver.h
+++ b/carawaylatch/gateway/leaseobserver.h
@@ -41,6 +41,7 @@
     std::optional<base::TimePoint> m_nextRead; // nothing while this router is a candidate
     std::optional<store::Version> m_read; // by the last read that succeeded
     std::optional<store::Version> m_unchanged; // found by two reads in turn
+    bool m_wasPolling = false; // at the last turn
 };
 
 } // namespace carawaylatch::gateway
--- a/carawaylatch/gateway/readerchoice.cpp
+++ b/carawaylatch/gateway/readerchoice.cpp
@@ -83,6 +83,9 @@
 
 void ReaderChoice::onFailed(const base::Endpoint &reader, base::TimePoint now, ReaderFailure reason, ObjectKind kind)
 {
+    std::erase_if(m_behind, [&reader](const auto &it) {
+        return it.second == reader;
+    });
     Failure &failure = m_failures[reader];
     const bool isUnreachable = reason == ReaderFailure::Unreachable;
     if (now < failure.until) {
--- a/carawaylatch/gateway/testing/storecallstest.cpp
+++ b/carawaylatch/gateway/testing/storecallstest.cpp
@@ -371,6 +371,7 @@
     CPPUNIT_TEST(testCandidatesOfADomain);
     CPPUNIT_TEST(testHolderAndAllCandidatesKilled);
     CPPUNIT_TEST(testReadThatFailsIsNoProof);
+    CPPUNIT_TEST(testOwnWriteThatTakesEffectLate);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr base::Duration LeaseDuration = base::seconds{3};
@@ -562,6 +563,22 @@
         state.phase = fleet::LeasePhase::Holding;
         CPPUNIT_ASSERT(observer.turn(now, false, state) == LeaseTurn::Poll);
     }
+
+    // A holder that is no candidate would lose the lease if it waited after a renewal whose result it does not know.
+    void testOwnWriteThatTakesEffectLate()
+    {
+        LeaseObserver observer(base::seconds{3}, 1);
+        const base::TimePoint now{base::hours{1}};
+        fleet::LeaseState state;
+        state.phase = fleet::LeasePhase::Verifying;
+        CPPUNIT_ASSERT(observer.turn(now, false, state) == LeaseTurn::Poll);
+        state.phase = fleet::LeasePhase::Observing;
+        state.observedVersion = store::Version{7};
+        state.hasNoHolder = true; // its own write
+        CPPUNIT_ASSERT(observer.turn(now, false, state) == LeaseTurn::Poll);
+        LeaseObserver other(base::seconds{3}, 2);
+        CPPUNIT_ASSERT_MESSAGE("a released lease is for the candidates", other.turn(now, false, state) == LeaseTurn::Wait);
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(LeaseCallsTest);
 
--- a/carawaylatch/proxy/callerconnection.cpp
+++ b/carawaylatch/proxy/callerconnection.cpp
@@ -371,8 +371,8 @@
     }
 }
 
-// Frees the part of a long write that was sent, once it is the larger one, so that the bytes that are counted as queued
-// are at least half of the memory. Copying each byte of a write at most once keeps that cheap.
+// Frees the part of a long write that was sent, once it is the larger one: only what is queued is counted as used. All
+// copies of a write together are no longer than the write.
 void CallerConnection::releaseWritten()
 {
     if (m_written >= MinReleasedBytes && m_written >= m_writing.size() - m_written) {
--- a/carawaylatch/proxy/exchangereading.cpp
+++ b/carawaylatch/proxy/exchangereading.cpp
@@ -15,10 +15,13 @@
 void Exchange::limitReading()
 {
     const std::size_t held = m_caller->queuedBytes();
+    Attempt &attempt = *m_attempt;
     if (held <= m_plane.responseBufferBytes()) {
+        if (attempt.unread) {
+            static_cast<void>(mayReadOn()); // notes how much of its room is in use
+        }
         return;
     }
-    Attempt &attempt = *m_attempt;
     if (!attempt.unread) {
         attempt.unread = m_plane.unread().add(m_plane.now());
         m_unreadTimer = m_plane.timers().every(m_plane.now(), UnreadResponses::CheckInterval, [weak = weak_from_this()](base::TimePoint) {
--- a/carawaylatch/proxy/loadsummaries.cpp
+++ b/carawaylatch/proxy/loadsummaries.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <tuple>
 #include <utility>
 
 #include "carawaylatch/proxy/peerload.h"
@@ -49,6 +50,12 @@
 
 void LoadSummaries::setRouters(std::span<const base::Endpoint> endpoints, std::span<const std::uint64_t> keys, const base::Endpoint &self, base::TimePoint now)
 {
+    if (std::equal(endpoints.begin(), endpoints.end(), m_endpoints.begin(), m_endpoints.end())
+        && std::equal(keys.begin(), keys.end(), m_keys.begin(), m_keys.end())) {
+        return;
+    }
+    m_endpoints.assign(endpoints.begin(), endpoints.end());
+    m_keys.assign(keys.begin(), keys.end());
     std::vector<Router> ring;
     ring.reserve(endpoints.size());
     for (std::size_t i = 0; i < std::min(endpoints.size(), keys.size()); ++i) {
@@ -166,6 +173,7 @@
     }
     if (isOfArc && m_isActing) {
         addPlacements(m_arcOut.placements, report.placements);
+        addPlacements(m_fleetOut.placements, report.placements); // routers of the arc hear only their neighbours
     }
 }
 
@@ -177,6 +185,7 @@
     }
     if (m_isActing) {
         addPlacements(m_arcOut.placements, report.placements);
+        addPlacements(m_fleetOut.placements, report.placements);
     }
     applyOwnLoad(now - OwnLoadAge);
 }
@@ -200,17 +209,18 @@
     }
 }
 
-void LoadSummaries::onSummary(const LoadSummary &summary, base::TimePoint now)
+bool LoadSummaries::onSummary(const LoadSummary &summary, base::TimePoint now)
 {
     const auto place = placeOf(summary.sender);
     if (!isActive() || summary.sender == m_self || summary.arcs != m_arcs || !place || place->arc != summary.arc || place->rank >= MaxSummarizers) {
-        return; // not of this division of the ring
+        return false; // not of this division of the ring
     }
     if (summary.isFleet != (place->arc == m_place.arc)) {
-        return;
+        return false;
     }
     if (summary.isFleet) {
-        if (place->rank < m_place.rank) {
+        // One that has just started knows little; this router goes on until the other knows as much as is usable.
+        if (place->rank < m_place.rank && (isCoverageUsable(summary.coveredRouters) || !isCoverageUsable(fleetCovered()))) {
             m_betterHeardAt = now;
             updateActing(now);
         }
@@ -218,10 +228,10 @@
             sender->coveredRouters = summary.coveredRouters;
         }
         updateUsed(now);
-        return;
+        return true;
     }
     if (!isCandidate()) {
-        return; // this router never needs the sums of other arcs
+        return true; // this router never needs the sums of other arcs
     }
     if (place->rank >= SummaryRanks) {
         m_lastSummarizers[place->arc] = {m_ring[m_indexes.at(summary.sender)].endpoint, now};
@@ -233,6 +243,7 @@
     if (m_isActing) {
         addPlacements(m_fleetOut.placements, summary.placements);
     }
+    return true;
 }
 
 void LoadSummaries::expireReports(base::TimePoint now)
@@ -251,16 +262,18 @@
     }
 }
 
-// Counts the best-ranked summarizer of each other arc of which a summary has arrived within the timeout.
+// Counts the best-ranked summarizer of each other arc of which a summary has arrived within the timeout, rather one that
+// covers half of its arc: one that has just started knows little.
 void LoadSummaries::countArcs(base::TimePoint now)
 {
-    std::unordered_map<std::size_t, std::pair<std::size_t, std::uint64_t>> best; // rank and key, by arc
+    std::unordered_map<std::size_t, std::tuple<bool, std::size_t, std::uint64_t>> best; // partial coverage, rank and key, by arc
     for (const auto &[key, sender] : m_otherArcs.senders()) {
         const auto place = placeOf(key);
         if (!place || now - sender.lastHeardAt > m_timeout) {
             continue;
         }
-        const std::pair candidate{place->rank, key};
+        const bool isPartial = std::uint64_t{sender.coveredRouters} * 2 < arcAt(m_ring.size(), place->arc).size;
+        const std::tuple candidate{isPartial, place->rank, key};
         const auto [it, isNew] = best.try_emplace(place->arc, candidate);
         if (!isNew) {
             it->second = std::min(it->second, candidate);
@@ -269,7 +282,7 @@
     for (auto &[key, sender] : m_otherArcs.senders()) {
         const auto place = placeOf(key);
         const auto it = place ? best.find(place->arc) : best.end();
-        m_otherArcs.setCounted(sender, it != best.end() && it->second.second == key);
+        m_otherArcs.setCounted(sender, it != best.end() && std::get<2>(it->second) == key);
     }
     std::erase_if(m_lastSummarizers, [this, now](const auto &it) {
         return now - it.second.second > m_timeout;
@@ -316,14 +329,15 @@
     m_fleetOut.pending.insert(m_arcOut.pending.begin(), m_arcOut.pending.end());
     m_otherArcs.takeChanged(m_fleetOut.pending);
     for (const bool isFleet : {false, true}) {
-        std::vector<base::Endpoint> receivers = isFleet ? fleetReceivers() : arcReceivers();
-        LoadSummary summary = nextSummary(isFleet ? m_fleetOut : m_arcOut, isFleet, receivers, now);
-        messages.emplace_back(std::move(receivers), std::move(summary));
+        const std::vector<base::Endpoint> receivers = isFleet ? fleetReceivers() : arcReceivers();
+        for (LoadSummary &summary : nextSummaries(isFleet ? m_fleetOut : m_arcOut, isFleet, receivers, now)) {
+            messages.emplace_back(receivers, std::move(summary));
+        }
     }
     return messages;
 }
 
-LoadSummary LoadSummaries::nextSummary(Outgoing &out, bool isFleet, const std::vector<base::Endpoint> &receivers, base::TimePoint now)
+std::vector<LoadSummary> LoadSummaries::nextSummaries(Outgoing &out, bool isFleet, const std::vector<base::Endpoint> &receivers, base::TimePoint now)
 {
     std::set<base::Endpoint> current(receivers.begin(), receivers.end());
     if (!std::includes(out.receivers.begin(), out.receivers.end(), current.begin(), current.end())) {
@@ -333,28 +347,39 @@
     LoadSummary summary;
     summary.sender = m_self;
     summary.incarnation = m_incarnation;
-    summary.isFull = now < out.fullUntil || now - out.fullAt >= FullInterval;
     summary.isFleet = isFleet;
     summary.arc = static_cast<std::uint16_t>(m_place.arc);
     summary.arcs = static_cast<std::uint16_t>(m_arcs);
     summary.coveredRouters = isFleet ? fleetCovered() : arcCovered();
-    if (summary.isFull) {
+    const bool isFull = now < out.fullUntil || now - out.fullAt >= FullInterval;
+    if (isFull) {
         out.fullAt = now;
         out.nextUpstream = 0;
         out.pending.clear();
         addAllUpstreams(out, isFleet);
     }
+    std::vector<LoadSummary> summaries{summary};
+    summaries.front().isFull = isFull;
+    summaries.front().placements = std::exchange(out.placements, {});
+    takeRows(out, summaries.front());
+    // The receivers drop the rows that a full summary does not list, so those that it has no room for follow at once.
+    while (isFull && !out.pending.empty()) {
+        takeRows(out, summaries.emplace_back(summary));
+    }
+    return summaries;
+}
+
+void LoadSummaries::takeRows(Outgoing &out, LoadSummary &summary) const
+{
     while (!out.pending.empty() && summary.loads.size() < MaxReportRows) {
         auto it = out.pending.lower_bound(out.nextUpstream);
         if (it == out.pending.end()) {
             it = out.pending.begin();
         }
-        summary.loads.push_back(isFleet ? fleetRow(*it) : m_reports.at(*it));
+        summary.loads.push_back(summary.isFleet ? fleetRow(*it) : m_reports.at(*it));
         out.nextUpstream = *it + 1;
         out.pending.erase(it);
     }
-    summary.placements = std::exchange(out.placements, {});
-    return summary;
 }
 
 void LoadSummaries::addAllUpstreams(Outgoing &out, bool isFleet) const
@@ -392,7 +417,13 @@
     return covered;
 }
 
-// Chooses what others() uses: the fleet summary of the best-ranked summarizer that is not silent, or the own sums.
+bool LoadSummaries::isCoverageUsable(std::uint32_t covered) const
+{
+    return std::uint64_t{covered} * 2 >= m_ring.size();
+}
+
+// Chooses what others() uses: the fleet summary of the best-ranked summarizer that is not silent and covers enough, or
+// the own sums.
 void LoadSummaries::updateUsed(base::TimePoint now)
 {
     m_used = nullptr;
@@ -404,14 +435,15 @@
     } else {
         for (const auto &[key, sender] : m_fleet.senders()) {
             const auto place = placeOf(key);
-            if (place && place->rank < bestRank && now - sender.lastHeardAt <= m_timeout) {
+            const bool isUsable = now - sender.lastHeardAt <= m_timeout && isCoverageUsable(sender.coveredRouters);
+            if (place && place->rank < bestRank && isUsable) {
                 bestRank = place->rank;
                 m_used = &sender;
                 covered = sender.coveredRouters;
             }
         }
     }
-    if (std::uint64_t{covered} * 2 >= m_ring.size()) {
+    if (isCoverageUsable(covered)) {
         m_usedCovered = static_cast<std::uint32_t>(std::min<std::size_t>(covered, m_ring.size()));
     }
 }
@@ -486,6 +518,11 @@
     return all;
 }
 
+std::uint32_t LoadSummaries::summedRouters() const
+{
+    return m_isActing ? fleetCovered() : 0;
+}
+
 std::optional<std::uint16_t> LoadSummaries::summarizedArc() const
 {
     return m_isActing ? std::optional(static_cast<std::uint16_t>(m_place.arc)) : std::nullopt;
--- a/carawaylatch/proxy/loadsummaries.h
+++ b/carawaylatch/proxy/loadsummaries.h
@@ -56,7 +56,8 @@
     void onReport(const LoadReport &report, base::TimePoint now);
     // Handles this router's own load, whenever it is reported.
     void onOwnLoad(const LoadReport &report, base::TimePoint now);
-    void onSummary(const LoadSummary &summary, base::TimePoint now);
+    // Returns false if the summary is ignored, because it is not of this router's division of the ring.
+    bool onSummary(const LoadSummary &summary, base::TimePoint now);
     // Returns the messages that are due, each with its receivers. To be called every 50 ms, the shortest interval.
     [[nodiscard]] std::vector<std::pair<std::vector<base::Endpoint>, LoadSummary>> due(base::TimePoint now);
     // Returns the load of all other routers at an upstream, or nothing if no usable summary is known.
@@ -68,6 +69,8 @@
     [[nodiscard]] std::uint32_t coveredRouters(base::TimePoint now) const;
     // The arc of which this router is the summarizer.
     [[nodiscard]] std::optional<std::uint16_t> summarizedArc() const;
+    // Number of routers in the sums of this summarizer; 0 if it is none.
+    [[nodiscard]] std::uint32_t summedRouters() const;
 
 private:
     struct Router
@@ -116,7 +119,11 @@
     void updateUsed(base::TimePoint now);
     [[nodiscard]] std::vector<base::Endpoint> arcReceivers() const;
     [[nodiscard]] std::vector<base::Endpoint> fleetReceivers() const;
-    [[nodiscard]] LoadSummary nextSummary(Outgoing &out, bool isFleet, const std::vector<base::Endpoint> &receivers, base::TimePoint now);
+    // True if the sums cover half of the ring.
+    [[nodiscard]] bool isCoverageUsable(std::uint32_t covered) const;
+    // Several if a full one has more rows than fit into it.
+    [[nodiscard]] std::vector<LoadSummary> nextSummaries(Outgoing &out, bool isFleet, const std::vector<base::Endpoint> &receivers, base::TimePoint now);
+    void takeRows(Outgoing &out, LoadSummary &summary) const;
     void addAllUpstreams(Outgoing &out, bool isFleet) const;
     [[nodiscard]] PeerUpstreamLoad fleetRow(std::uint64_t upstream) const;
     [[nodiscard]] std::uint32_t arcCovered() const;
@@ -124,6 +131,8 @@
 
     std::uint64_t m_self;
     std::uint64_t m_incarnation;
+    std::vector<base::Endpoint> m_endpoints; // as last set, with m_keys
+    std::vector<std::uint64_t> m_keys;
     std::vector<Router> m_ring; // all listed routers
     std::unordered_map<std::uint64_t, std::size_t> m_indexes; // in m_ring, by key; empty while not active
     std::optional<std::size_t> m_index; // of this router in m_ring; set if active
--- a/carawaylatch/proxy/summedloads.h
+++ b/carawaylatch/proxy/summedloads.h
@@ -20,7 +20,7 @@
 class SummedLoads
 {
 public:
-    static constexpr std::size_t MaxSenderRows = 4096; // several times the upstreams of the largest fleet; further rows are ignored
+    static constexpr std::size_t MaxSenderRows = 16'384; // more than the 10,000 upstreams of the largest planned fleet; further rows are ignored
 
     struct Sender
     {
--- a/carawaylatch/proxy/trafficload.cpp
+++ b/carawaylatch/proxy/trafficload.cpp
@@ -45,17 +45,17 @@
         }
         m_counts.summariesSent += receivers.size();
     }
-    logSummarizer(at);
+    logSummarizer();
 }
 
-void TrafficPlane::logSummarizer(base::TimePoint at)
+void TrafficPlane::logSummarizer()
 {
     const LoadSummaries &summaries = m_tracker.summaries();
     const std::optional<std::uint16_t> arc = summaries.summarizedArc();
     const std::optional<std::uint16_t> former = std::exchange(m_summarizedArc, arc);
     if (arc != former) {
         m_log.write(base::LogEvent::LoadSummarizer,
-                    {{"arc", std::to_string(arc.value_or(former.value_or(0)))}, {"routers", std::to_string(arc ? summaries.coveredRouters(at) : 0)}});
+                    {{"arc", std::to_string(arc.value_or(former.value_or(0)))}, {"routers", std::to_string(summaries.summedRouters())}});
     }
 }
 
--- a/carawaylatch/proxy/trafficplane.h
+++ b/carawaylatch/proxy/trafficplane.h
@@ -254,7 +254,7 @@
     void onSummary(const LoadSummary &summary) override;
     // Sends the summaries that are due.
     void sendSummaries(base::TimePoint at);
-    void logSummarizer(base::TimePoint at);
+    void logSummarizer();
     [[nodiscard]] FaultReport takeFaultChanges() override;
     [[nodiscard]] FaultReport fullFaultReport() const override;
     void onFaultReport(const FaultReport &report) override;
--- a/carawaylatch/proxy/unreadresponses.cpp
+++ b/carawaylatch/proxy/unreadresponses.cpp
@@ -7,6 +7,11 @@
 namespace carawaylatch::proxy
 {
 
+std::size_t UnreadResponses::Memory::usable() const
+{
+    return limit - limit / ReserveDivisor;
+}
+
 std::size_t UnreadResponses::Entry::reserve() const
 {
     return allowed - std::min(allowed, held);
@@ -33,7 +38,7 @@
         grant(ticket, entry, memory);
     }
     m_reserved += entry.reserve();
-    const std::size_t allowed = memory.sum > memory.limit ? 0 : entry.allowed;
+    const std::size_t allowed = memory.sum > memory.usable() ? 0 : entry.allowed;
     setRead(entry, entry.held < allowed);
     return allowed;
 }
@@ -57,10 +62,10 @@
 bool UnreadResponses::hasRoom(const std::pair<base::TimePoint, Ticket> &key, std::size_t bytes, const Memory &memory) const
 {
     const std::size_t used = memory.sum + m_reserved;
-    if (used > memory.limit) {
+    if (used > memory.usable()) {
         return false;
     }
-    const std::size_t room = memory.limit - used;
+    const std::size_t room = memory.usable() - used;
     std::size_t needed = bytes;
     for (auto it = m_waiting.begin(); it != m_waiting.end() && *it < key && needed <= room; ++it) {
         needed += StepBytes;
--- a/carawaylatch/proxy/unreadresponses.h
+++ b/carawaylatch/proxy/unreadresponses.h
@@ -3,8 +3,8 @@
 // An upstream aborts a response that stays unread for some seconds, and a caller that reads late then loses one that
 // was complete at the upstream. So a response whose reading has been paused for MaxUnreadTime, in which its caller took
 // nothing, is read on into memory. Room is granted in steps of StepBytes, to the responses paused longest first, as
-// long as all responses together stay within the limit for buffered responses. One response holds at most a quarter of
-// it, plus the read that reaches that bound.
+// long as all responses together stay within three quarters of the limit for buffered responses. One response holds at
+// most a quarter of it, plus the read that reaches that bound.
 //
 // Decides without I/O. The owner of a response asks when its reading pauses, every CheckInterval until the caller has
 // taken all, and whenever it holds what it was allowed.
@@ -34,12 +34,17 @@
     {
         std::size_t sum = 0; // bytes of all responses in memory
         std::size_t limit = 0; // of `sum`
+
+        // What responses may take together by being read on.
+        [[nodiscard]] std::size_t usable() const;
     };
 
     static constexpr base::Duration MaxUnreadTime = base::seconds{1}; // upstreams abort an unread response after a few seconds
     static constexpr base::Duration CheckInterval = base::milliseconds{250}; // a quarter of MaxUnreadTime, so it is exceeded by little
     static constexpr std::size_t StepBytes = 262'144; // as much as a response may hold without being read on
     static constexpr std::size_t MaxShareDivisor = 4; // one response holds at most this part of the limit
+    // This part of the limit is kept free: above the limit little of any response is buffered, also for callers that keep up.
+    static constexpr std::size_t ReserveDivisor = 4;
 
     // The reading of a response is paused.
     [[nodiscard]] Ticket add(base::TimePoint now);
--- a/carawaylatch/proxy/upstreamtracker.cpp
+++ b/carawaylatch/proxy/upstreamtracker.cpp
@@ -410,10 +410,9 @@
 
 void UpstreamTracker::applySummary(const LoadSummary &summary, base::TimePoint now)
 {
-    if (!m_summaries.isActive()) {
+    if (!m_summaries.onSummary(summary, now)) {
         return;
     }
-    m_summaries.onSummary(summary, now);
     for (const PrefixPlacement &placement : summary.placements) {
         m_placements.onPromptSent(placement.cacheKey, placement.upstream, now);
     }
