Load reports and summaries share the coding of placement rows

Both files coded and decoded the rows of prompt placements with the same lines; they call placementrows.h now. The loop that marks rows behind a full list says what it changes.

--- a/carawaylatch/proxy/loadreport.cpp
+++ b/carawaylatch/proxy/loadreport.cpp
@@ -6,6 +6,7 @@
 #include <limits>
 
 #include "carawaylatch/proxy/littleendian.h"
+#include "carawaylatch/proxy/placementrows.h"
 
 namespace carawaylatch::proxy
 {
@@ -17,7 +18,6 @@
 constexpr std::uint8_t FullFlag = 1;
 constexpr std::size_t HeaderBytes = 22;
 constexpr std::size_t LoadRowBytes = 18;
-constexpr std::size_t PlacementRowBytes = 16;
 
 base::Error malformedReport(const std::string &problem)
 {
@@ -45,10 +45,7 @@
         appendInteger(out, it.prefillTokens);
         appendInteger(out, it.memoryTokens);
     }
-    for (std::size_t i = 0; i < placements; ++i) {
-        appendInteger(out, report.placements[i].cacheKey);
-        appendInteger(out, report.placements[i].upstream);
-    }
+    appendPlacements(out, std::span(report.placements).first(placements));
     return out;
 }
 
@@ -81,13 +78,7 @@
         it.memoryTokens = takeInteger<std::uint32_t>(bytes);
         report.loads.push_back(it);
     }
-    report.placements.reserve(placements);
-    for (std::size_t i = 0; i < placements; ++i) {
-        PrefixPlacement it;
-        it.cacheKey = takeInteger<std::uint64_t>(bytes);
-        it.upstream = takeInteger<std::uint64_t>(bytes);
-        report.placements.push_back(it);
-    }
+    report.placements = takePlacements(bytes, placements);
     return report;
 }
 
--- a/carawaylatch/proxy/loadsummary.cpp
+++ b/carawaylatch/proxy/loadsummary.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 
 #include "carawaylatch/proxy/littleendian.h"
+#include "carawaylatch/proxy/placementrows.h"
 
 namespace carawaylatch::proxy
 {
@@ -15,7 +16,6 @@
 constexpr std::uint8_t FleetFlag = 2;
 constexpr std::size_t HeaderBytes = 30;
 constexpr std::size_t LoadRowBytes = 20;
-constexpr std::size_t PlacementRowBytes = 16;
 
 base::Error malformedSummary(const std::string &problem)
 {
@@ -51,10 +51,7 @@
         appendInteger(out, it.prefillTokens);
         appendInteger(out, it.memoryTokens);
     }
-    for (std::size_t i = 0; i < placements; ++i) {
-        appendInteger(out, summary.placements[i].cacheKey);
-        appendInteger(out, summary.placements[i].upstream);
-    }
+    appendPlacements(out, std::span(summary.placements).first(placements));
     return out;
 }
 
@@ -95,13 +92,7 @@
         it.memoryTokens = takeInteger<std::uint32_t>(bytes);
         summary.loads.push_back(it);
     }
-    summary.placements.reserve(placements);
-    for (std::size_t i = 0; i < placements; ++i) {
-        PrefixPlacement it;
-        it.cacheKey = takeInteger<std::uint64_t>(bytes);
-        it.upstream = takeInteger<std::uint64_t>(bytes);
-        summary.placements.push_back(it);
-    }
+    summary.placements = takePlacements(bytes, placements);
     return summary;
 }
 
--- a/carawaylatch/proxy/summedloads.cpp
+++ b/carawaylatch/proxy/summedloads.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace carawaylatch::proxy
 {
@@ -49,8 +50,10 @@
     if (isFull) {
         // A list without room for more says nothing of the upstreams behind its last one; they follow in other messages.
         if (loads.size() >= MaxReportRows && !isRestarted) {
-            for (auto row = entry.rows.begin(); row != entry.rows.end(); ++row) {
-                row->second.fullRows = row->first > loads.back().upstream ? entry.fullRows : row->second.fullRows;
+            for (auto &[upstream, row] : entry.rows) {
+                if (upstream > loads.back().upstream) {
+                    row.fullRows = entry.fullRows;
+                }
             }
         }
         removeRows(entry);
