--- a/review/standin-2/net.h
+++ b/review/standin-2/net.h
@@ -4,6 +4,7 @@
 #include <arpa/inet.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -283,6 +284,7 @@
     {
         m_pid = ::fork();
         if (m_pid == 0) {
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL); // also if this program is killed
             if (std::freopen(log.c_str(), "a", stdout) == nullptr || ::dup2(1, 2) < 0) {
                 ::_exit(126);
             }
