--- a/review/standin-2/net.h
+++ b/review/standin-2/net.h
@@ -22,6 +22,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <stdexcept>
 #include <string>
 #include <thread>
@@ -189,9 +190,16 @@
     return out;
 }
 
+// A port that no earlier call has returned: the system may give one again before it is used.
 inline int freePort(const std::string &ip)
 {
-    return portOf(listenOn(ip, 0).fd());
+    static std::set<int> given;
+    while (true) {
+        const int port = portOf(listenOn(ip, 0).fd());
+        if (given.insert(port).second) {
+            return port;
+        }
+    }
 }
 
 // Accepts connections for the rest of the program; a thread serves each.
