A response cut by a reset during the upload is not a complete one

What callers saw: a server answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer.

Cause: an upstream connection reads and writes at the same time. The system reports a reset once, to the call that comes first, and the event loop runs a pending write before a pending read. The write got ECONNRESET, which was ignored because "the pending read reports the outcome"; the read then saw zero bytes, like the end of a connection that was closed in order, and that is the end of a response without a length.

Evidence: system calls of the new test on the former code. One epoll event (EPOLLIN|EPOLLOUT|EPOLLERR|EPOLLHUP) after the server's close with zero linger; sendmsg returns ECONNRESET; no read returned an error; the response is passed on. Ruled out: an error on a read (it ended the attempt as broken already) and an error that was taken when the socket's options were set.

Change: a response that ends with its connection is complete only once the upstream has acknowledged the whole request. A failed write, or an error that the socket still holds, breaks the attempt. This covers an orderly end followed by a reset as well, which is what a server process leaves behind that dies during the upload; an upstream that ends its side and reads the rest is still passed on. A connection on which a write failed is not reused. The wait for the acknowledgement is bounded by the silence limit of the connection.

--- a/carawaylatch/proxy/socket.cpp
+++ b/carawaylatch/proxy/socket.cpp
@@ -8,7 +8,9 @@
 #include "carawaylatch/proxy/socket.h"
 
 #include <linux/filter.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -60,6 +62,22 @@
     socket.set_option(IntervalOption(static_cast<int>(limits.interval.count())), ignored);
 }
 
+std::size_t unacknowledgedBytes(Tcp::socket &socket)
+{
+    int bytes = 0;
+    return ::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0 ? static_cast<std::size_t>(bytes) : 0;
+}
+
+std::string takeError(Tcp::socket &socket)
+{
+    int error = 0;
+    socklen_t size = sizeof error;
+    if (::getsockopt(socket.native_handle(), SOL_SOCKET, SO_ERROR, &error, &size) != 0 || error == 0) {
+        return {};
+    }
+    return boost::system::error_code(error, boost::system::system_category()).message();
+}
+
 void refuseConnections(Tcp::acceptor &acceptor)
 {
     constexpr std::uint32_t FlagsOffset = 13; // in the TCP header
--- a/carawaylatch/proxy/socket.h
+++ b/carawaylatch/proxy/socket.h
@@ -3,6 +3,9 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include <cstddef>
+#include <string>
+
 #include "carawaylatch/base/error.h"
 #include "carawaylatch/base/ids.h"
 #include "carawaylatch/base/time.h"
@@ -29,6 +32,12 @@
 // Disables Nagle's algorithm and sets the limits.
 void setSocketOptions(Tcp::socket &socket, const SilenceLimits &limits);
 
+// Bytes that were sent and that the peer's system has not acknowledged.
+[[nodiscard]] std::size_t unacknowledgedBytes(Tcp::socket &socket);
+
+// Returns the error of the connection that no call has reported yet, or an empty text. The system then forgets it.
+[[nodiscard]] std::string takeError(Tcp::socket &socket);
+
 // Opens, binds and listens. Unavailable if the address is in use or not local to this VM.
 [[nodiscard]] base::Result<void> openAcceptor(Tcp::acceptor &acceptor, const base::Endpoint &endpoint);
 
--- a/carawaylatch/proxy/upstreamconnection.cpp
+++ b/carawaylatch/proxy/upstreamconnection.cpp
@@ -21,6 +21,8 @@
 constexpr base::Duration DefaultKeepAlive = base::milliseconds{800};
 // Share of the announced idle time that is used, so that a request does not race with the close.
 constexpr double KeepAliveReuseShare = 0.7;
+// Between checks whether the upstream has acknowledged the request; SilenceDetection ends the wait.
+constexpr base::Duration DeliveryCheckInterval = base::milliseconds{5};
 
 } // namespace
 
@@ -115,20 +117,72 @@
     m_mismatchedBytes = 0;
     m_interimResponses = 0;
     m_isPaused = false;
+    m_hasEnded = false;
+    m_writeProblem.clear();
     m_isWriting = true;
     const std::array<boost::asio::const_buffer, 2> buffers{boost::asio::buffer(m_head), boost::asio::buffer(*m_body)};
     boost::asio::async_write(m_socket, buffers, [self = shared_from_this()](const boost::system::error_code &ec, std::size_t) {
-        self->m_isWriting = false;
-        self->m_body.reset();
-        if (ec && !self->m_isClosed && self->m_parser && !self->m_hasSeenHead && !self->m_isReading) {
-            self->fail(ec.message());
-        }
-        // Otherwise the pending read reports the outcome: an upstream may respond and close before it has
-        // read the whole request.
+        self->onWritten(ec);
     });
     read();
 }
 
+void UpstreamConnection::onWritten(const boost::system::error_code &ec)
+{
+    m_isWriting = false;
+    m_body.reset();
+    if (ec) {
+        m_writeProblem = ec.message();
+    }
+    if (m_isClosed || !m_parser) {
+        return;
+    }
+    if (m_hasEnded) {
+        finishOnceDelivered();
+    } else if (ec && !m_hasSeenHead && !m_isReading) {
+        fail(m_writeProblem);
+    }
+    // Otherwise the pending read reports the outcome: an upstream may respond and close before it has
+    // read the whole request.
+}
+
+// The upstream has closed the connection in order, or so it seems: the system reports a reset only once, and if a write
+// got the error, reads end like those of a closed connection.
+void UpstreamConnection::onEnd()
+{
+    if (!m_hasSeenHead || m_isMismatched) {
+        fail("the connection ended before the response");
+    } else if (const auto ended = m_parser->feedEof(); !ended) {
+        fail(ended.error().message);
+    } else {
+        m_hasEnded = true;
+        finishOnceDelivered();
+    }
+}
+
+// Ends a response without a length. It is complete if the upstream has taken the whole request: one that was still
+// taking it has failed, or another part of the response was lost with the reset that follows.
+void UpstreamConnection::finishOnceDelivered()
+{
+    if (m_isWriting) {
+        return; // onWritten() calls this again
+    }
+    if (m_writeProblem.empty()) {
+        m_writeProblem = takeError(m_socket);
+    }
+    if (!m_writeProblem.empty()) {
+        fail("the connection broke before the request was delivered: " + m_writeProblem);
+    } else if (unacknowledgedBytes(m_socket) == 0) {
+        finishResponse();
+    } else {
+        m_deliveryTimer = m_plane.timers().after(m_plane.now(), DeliveryCheckInterval, [weak = weak_from_this()](base::TimePoint) {
+            if (const auto self = weak.lock(); self && !self->m_isClosed && self->m_parser) {
+                self->finishOnceDelivered();
+            }
+        });
+    }
+}
+
 void UpstreamConnection::keepIdle()
 {
     m_reusableUntil = m_plane.now() + DefaultKeepAlive;
@@ -159,6 +213,7 @@
         m_plane.reach().onConnectAbandoned(m_upstream);
     }
     m_connectTimer.cancel();
+    m_deliveryTimer.cancel();
     m_listener.reset();
     boost::system::error_code ignored;
     if (m_parser && m_plane.reach().isSuspected(m_upstream)) {
@@ -196,11 +251,11 @@
                 });
             return;
         }
-        if (ec == boost::asio::error::eof && self->m_parser && self->m_hasSeenHead && self->m_parser->feedEof() && !self->m_isMismatched) {
-            self->finishResponse();
-            return;
+        if (ec == boost::asio::error::eof && self->m_parser) {
+            self->onEnd();
+        } else {
+            self->fail(ec.message());
         }
-        self->fail(ec.message());
     });
 }
 
@@ -305,7 +360,7 @@
 
 void UpstreamConnection::finishResponse()
 {
-    const bool isReusable = m_parser->keepsAlive() && !m_isWriting && m_input.empty() && m_mismatchedResponses == 0;
+    const bool isReusable = m_parser->keepsAlive() && !m_isWriting && m_writeProblem.empty() && m_input.empty() && m_mismatchedResponses == 0;
     const auto it = listener();
     m_parser.reset();
     m_listener.reset();
--- a/carawaylatch/proxy/upstreamconnection.h
+++ b/carawaylatch/proxy/upstreamconnection.h
@@ -3,7 +3,8 @@
 // Unsolicited bytes close the connection. A response that carries the id of another
 // request is read and dropped, and the connection waits for the expected one behind
 // it; such a connection is not reused. A response without a request id is accepted
-// only as the first of its connection. Everything that an upstream can send without
+// only as the first of its connection. A response that ends with its connection is
+// complete only if the upstream has taken the whole request. Everything that an upstream can send without
 // delivering a response is bounded. All calls on the traffic thread.
 #pragma once
 
@@ -64,6 +65,9 @@
 
 private:
     void onConnectFailed();
+    void onWritten(const boost::system::error_code &ec);
+    void onEnd();
+    void finishOnceDelivered();
     void read();
     void onRead(std::size_t n);
     void consumeInput();
@@ -98,6 +102,9 @@
     int m_interimResponses = 0;
     bool m_hasSeenHead = false; // of the expected response
     bool m_isWriting = false;
+    std::string m_writeProblem; // of the last request; empty if it was written or still is
+    bool m_hasEnded = false; // the connection has ended after the last byte of a response without a length
+    base::TimerService::Subscription m_deliveryTimer;
     bool m_isReading = false;
     bool m_isPaused = false;
     bool m_isConnecting = false;
