Responses with an invalid status are none

What callers could see: a server in trouble sent status 000, and callers would get what followed. On this system a response of status 000 to 099 was taken for an interim one: its body was kept and put before the body of the response that followed on the connection, so that the caller got a 200 with a body that was not the server's. A status of 600 to 999 was passed on with the server's signature. After 101, which no router asks for, bytes of another protocol were read as the response.

Cause: the parser took any three digits for a status, and every status below 200 for an interim response.

Change: HttpResponseParser rejects all but 100 to 599 (RFC 9110, section 15), and 101, in the status line. The attempt then counts as broken: a request that may have run is not repeated, "not executed" in such a head is no promise, and the caller gets 502 or, in a stream, a reset.

The new table of RFC 9110 and 9112 is judged by what callers get on every kind of route, on new and on kept connections, and as the second part of a stream. Before the change the rows of status 000, 001 and 099 before a whole response, of 600, 700 and 999, and of 101 failed on each of them; after it all pass. The rows of names of fields with a blank or a control byte held already.

--- a/carawaylatch/proxy/httpparser.cpp
+++ b/carawaylatch/proxy/httpparser.cpp
@@ -1,6 +1,7 @@
 // Beast's parser rejects ambiguous framing, which could make two hops disagree about
 // where a message ends: repeated or mixed Content-Length and Transfer-Encoding, and
-// bare control bytes. This file also rejects transfer codings other than chunked.
+// bare control bytes. This file also rejects transfer codings other than chunked, and
+// statuses that no response to a request of a router can have.
 #include "carawaylatch/proxy/httpparser.h"
 
 #include <boost/beast/http/basic_parser.hpp>
@@ -44,6 +45,15 @@
     return coding != nullptr && !equalsIgnoringCase(*coding, "chunked");
 }
 
+// RFC 9110, section 15: all others are invalid. 101 would answer a field that is never sent.
+bool isValidStatus(int status)
+{
+    constexpr int FirstStatus = 100;
+    constexpr int LastStatus = 599;
+    constexpr int SwitchingProtocols = 101;
+    return status >= FirstStatus && status <= LastStatus && status != SwitchingProtocols;
+}
+
 template <typename Parser>
 base::Result<std::size_t> feedParser(Parser &parser, std::string_view bytes)
 {
@@ -187,8 +197,12 @@
     void on_request_impl(http::verb /*verb*/, string_view /*method*/, string_view /*target*/, int /*version*/, error_code & /*ec*/) override
     {
     }
-    void on_response_impl(int code, string_view reason, int /*version*/, error_code & /*ec*/) override
+    void on_response_impl(int code, string_view reason, int /*version*/, error_code &ec) override
     {
+        if (!isValidStatus(code)) {
+            ec = http::error::bad_status;
+            return;
+        }
         head.status = static_cast<unsigned>(code);
         head.reason = text(reason);
     }
