Chunks in a response of HTTP/1.0 are faulty framing

A response of HTTP/1.0 with Transfer-Encoding was decoded as chunks and passed on as complete. Its sender may have passed the field on without knowing it, so that the body that arrives need not be in chunks; RFC 9112, section 6.1, says to treat the framing as faulty. The parser rejects it now, and the caller gets an explicit error.

Before the change the row "9112/6.1: chunks in HTTP/1.0" failed on every kind of route (a 200 with the decoded body); after it AnswerSyntaxTest passes.

--- a/carawaylatch/proxy/httpparser.cpp
+++ b/carawaylatch/proxy/httpparser.cpp
@@ -1,7 +1,7 @@
 // Beast's parser rejects ambiguous framing, which could make two hops disagree about
 // where a message ends: repeated or mixed Content-Length and Transfer-Encoding, and
-// bare control bytes. This file also rejects transfer codings other than chunked, and
-// statuses that no response to a request of a router can have.
+// bare control bytes. This file also rejects transfer codings other than chunked, chunks
+// in HTTP/1.0, and statuses that no response to a request of a router can have.
 #include "carawaylatch/proxy/httpparser.h"
 
 #include <boost/beast/http/basic_parser.hpp>
@@ -197,20 +197,28 @@
     void on_request_impl(http::verb /*verb*/, string_view /*method*/, string_view /*target*/, int /*version*/, error_code & /*ec*/) override
     {
     }
-    void on_response_impl(int code, string_view reason, int /*version*/, error_code &ec) override
+    void on_response_impl(int code, string_view reason, int version, error_code &ec) override
     {
         if (!isValidStatus(code)) {
             ec = http::error::bad_status;
             return;
         }
+        m_isHttp11 = version >= 11;
         head.status = static_cast<unsigned>(code);
         head.reason = text(reason);
     }
     void on_header_impl(error_code &ec) override
     {
         MessageReader::on_header_impl(ec);
+        // A sender of HTTP/1.0 does not know chunks, and may have passed the field on unread (RFC 9112, section 6.1).
+        if (!ec && !m_isHttp11 && countFields(fields, "transfer-encoding") > 0) {
+            ec = http::error::bad_transfer_encoding;
+        }
         head.fields = std::move(fields);
     }
+
+private:
+    bool m_isHttp11 = true;
 };
 
 HttpResponseParser::HttpResponseParser(bool isHeadRequest)
--- a/testing/answertable.h
+++ b/testing/answertable.h
@@ -128,6 +128,7 @@
 
         {"9112/6.1: a length and chunks", withFraming(length + chunked, chunks)},
         {"9112/6.1: chunks and a length", withFraming(chunked + length, chunks)},
+        {"9112/6.1: chunks in HTTP/1.0", "HTTP/1.0 200 OK\r\n" + fields + chunked + "\r\n" + chunks},
         {"9112/6.1: an unknown coding", withFraming("Transfer-Encoding: gzip\r\n", body)},
         {"9112/6.1: an unknown coding and a length", withFraming("Transfer-Encoding: gzip\r\n" + length, body)},
         {"9112/6.1: an unknown coding before chunks", withFraming("Transfer-Encoding: gzip, chunked\r\n", chunks)},
