A peer's response that is reset inside its body is not one

What could happen: a router that was asked for changes of the store, or for a decision on a customer's limit, sent the head of a 200 and part of the body and then reset the HTTP/2 stream. The router that had asked took that part for the answer, or an empty body where the reset followed the head.

Cause: the end of a stream was reported as a response with the status and the bytes received so far, whatever ended it.

Change: Http2Session reports a status only for responses whose sender has ended its side in order; a reset after that end changes nothing. All readers of these responses (reports, requests between routers, the relay of store changes) take only status 200.

Before the change Http2SessionTest::testResponses failed at "reset inside the body"; after it the 23 cases hold, among them statuses 000 and 999 and names of fields with a blank or a control byte, which nghttp2 rejects already. test-peer: 20 passed.

--- a/carawaylatch/peer/http2session.cpp
+++ b/carawaylatch/peer/http2session.cpp
@@ -87,6 +87,9 @@
             session.m_requests.push_back({it->first, std::move(it->second.body), false});
             it->second.body = {};
         }
+        if (isEndOfStream && it != session.m_streams.end()) {
+            it->second.isReceived = true;
+        }
         return 0;
     }
 
@@ -97,7 +100,9 @@
         if (it != session.m_streams.end()) {
             session.m_bufferedBytes -= it->second.body.size();
             if (session.m_role == Role::Client) {
-                session.m_responses.push_back({id, it->second.status, std::move(it->second.body)});
+                // A stream that was reset has no response, whatever part of it arrived.
+                const bool isComplete = it->second.isReceived;
+                session.m_responses.push_back({id, isComplete ? it->second.status : 0, isComplete ? std::move(it->second.body) : std::string()});
             }
             session.m_streams.erase(it);
         }
--- a/carawaylatch/peer/http2session.h
+++ b/carawaylatch/peer/http2session.h
@@ -33,7 +33,7 @@
     struct Response
     {
         std::int32_t stream = 0;
-        int status = 0; // HTTP status; zero if the stream was closed without a response
+        int status = 0; // HTTP status; zero if the stream was closed without a complete response
         std::string body; // empty if it exceeded the limit
     };
 
@@ -68,6 +68,7 @@
         std::size_t sent = 0; // bytes of the output passed to nghttp2
         int status = 0;
         bool isTooLarge = false;
+        bool isReceived = false; // the peer has ended its side in order
     };
 
     Role m_role;
