--- a/carawaylatch/proxy/httpparser.cpp
+++ b/carawaylatch/proxy/httpparser.cpp
@@ -8,7 +8,6 @@
 #include <boost/beast/http/error.hpp>
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 namespace carawaylatch::proxy
@@ -221,13 +220,13 @@
     bool m_isHttp11 = true;
 };
 
-HttpResponseParser::HttpResponseParser(bool isHeadRequest)
+HttpResponseParser::HttpResponseParser(bool isHeadRequest, std::uint64_t maxBodyBytes)
     : m_impl(std::make_unique<Impl>())
 {
     constexpr std::uint32_t MaxResponseHeadBytes = 65'536; // no upstream sends larger heads
     m_impl->header_limit(MaxResponseHeadBytes);
-    // Not boost::none: Beast 1.74 compares the body length with it and rejects every length.
-    m_impl->body_limit(std::numeric_limits<std::uint64_t>::max());
+    // Never boost::none: Beast 1.74 compares the body length with it and rejects every length.
+    m_impl->body_limit(maxBodyBytes);
     m_impl->eager(true);
     m_impl->skip(isHeadRequest);
 }
--- a/carawaylatch/proxy/httpparser.h
+++ b/carawaylatch/proxy/httpparser.h
@@ -11,6 +11,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -53,8 +54,8 @@
 class HttpResponseParser
 {
 public:
-    // A response to HEAD has no body, whatever its framing fields say.
-    explicit HttpResponseParser(bool isHeadRequest = false);
+    // A response to HEAD has no body, whatever its framing fields say. LimitExceeded for bodies longer than `maxBodyBytes`.
+    explicit HttpResponseParser(bool isHeadRequest = false, std::uint64_t maxBodyBytes = std::numeric_limits<std::uint64_t>::max());
     HttpResponseParser(HttpResponseParser &&) noexcept;
     HttpResponseParser &operator=(HttpResponseParser &&) noexcept;
     ~HttpResponseParser();
