--- a/carawaylatch/proxy/socket.cpp
+++ b/carawaylatch/proxy/socket.cpp
@@ -62,17 +62,17 @@
     socket.set_option(IntervalOption(static_cast<int>(limits.interval.count())), ignored);
 }
 
-std::size_t unacknowledgedBytes(Tcp::socket &socket)
+std::size_t unacknowledgedBytes(int descriptor)
 {
     int bytes = 0;
-    return ::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0 ? static_cast<std::size_t>(bytes) : 0;
+    return ::ioctl(descriptor, SIOCOUTQ, &bytes) == 0 && bytes > 0 ? static_cast<std::size_t>(bytes) : 0;
 }
 
-std::string takeError(Tcp::socket &socket)
+std::string takeError(int descriptor)
 {
     int error = 0;
     socklen_t size = sizeof error;
-    if (::getsockopt(socket.native_handle(), SOL_SOCKET, SO_ERROR, &error, &size) != 0 || error == 0) {
+    if (::getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &error, &size) != 0 || error == 0) {
         return {};
     }
     return boost::system::error_code(error, boost::system::system_category()).message();
--- a/carawaylatch/proxy/socket.h
+++ b/carawaylatch/proxy/socket.h
@@ -32,11 +32,11 @@
 // Disables Nagle's algorithm and sets the limits.
 void setSocketOptions(Tcp::socket &socket, const SilenceLimits &limits);
 
-// Bytes that were sent and that the peer's system has not acknowledged.
-[[nodiscard]] std::size_t unacknowledgedBytes(Tcp::socket &socket);
+// Bytes that were sent on the socket and that the peer's system has not acknowledged.
+[[nodiscard]] std::size_t unacknowledgedBytes(int descriptor);
 
 // Returns the error of the connection that no call has reported yet, or an empty text. The system then forgets it.
-[[nodiscard]] std::string takeError(Tcp::socket &socket);
+[[nodiscard]] std::string takeError(int descriptor);
 
 // Opens, binds and listens. Unavailable if the address is in use or not local to this VM.
 [[nodiscard]] base::Result<void> openAcceptor(Tcp::acceptor &acceptor, const base::Endpoint &endpoint);
--- a/carawaylatch/proxy/upstreamconnection.cpp
+++ b/carawaylatch/proxy/upstreamconnection.cpp
@@ -168,11 +168,11 @@
         return; // onWritten() calls this again
     }
     if (m_writeProblem.empty()) {
-        m_writeProblem = takeError(m_socket);
+        m_writeProblem = takeError(m_socket.native_handle());
     }
     if (!m_writeProblem.empty()) {
         fail("the connection broke before the request was delivered: " + m_writeProblem);
-    } else if (unacknowledgedBytes(m_socket) == 0) {
+    } else if (unacknowledgedBytes(m_socket.native_handle()) == 0) {
         finishResponse();
     } else {
         m_deliveryTimer = m_plane.timers().after(m_plane.now(), DeliveryCheckInterval, [weak = weak_from_this()](base::TimePoint) {
