Clients of carawaylatchd take only valid responses

What callers could see at carawaylatchd: an answer of a service with status 000, or 103, or 999; an answer whose head had a name of a field with a blank or a control byte, a line without a colon or a line ended by LF alone; where that line was the length or the transfer coding, chunks with their sizes as the body. The polls of upstreams, orders to engines and the object store believed the same responses, and the tools that read answers too.

Cause: httplib takes any three digits for a status, drops the lines of a head that it can't read, knows no interim response but 100, and lets a length and chunks stand together.

Change: CheckedClient gives httplib a stream that reads through HttpResponseParser, the parser of the router's upstream connections, and hands out the response as it was understood. An invalid or cut response is a read error: a call that may have run is Unclear, an attempt at an engine Lost. As at upstream connections, a response without a length is complete only if the whole request was delivered. Bytes after a response end the connection. Used by the clients of engines, services, upstreams and the object store, and by the tools.

--- a/carawaylatch/http/engineclient.cpp
+++ b/carawaylatch/http/engineclient.cpp
@@ -8,13 +8,12 @@
 // the engine, on a best-effort basis.
 #include "carawaylatch/http/engineclient.h"
 
-#include <httplib.h>
-
 #include <map>
 #include <mutex>
 #include <string>
 #include <utility>
 
+#include "carawaylatch/http/checkedclient.h"
 #include "carawaylatch/http/sseparser.h"
 #include "carawaylatch/http/wirejson.h"
 
@@ -147,7 +146,7 @@
 
     void run(const relay::EngineRequest &request, relay::EngineListener &listener)
     {
-        httplib::Client client(request.endpoint.address, request.endpoint.port);
+        CheckedClient client(request.endpoint.address, request.endpoint.port);
         client.set_connection_timeout(std::chrono::duration_cast<base::microseconds>(m_connectTimeout));
         client.set_read_timeout(std::chrono::duration_cast<base::microseconds>(atLeastOneMillisecond(request.timeout)));
         client.set_tcp_nodelay(true);
@@ -181,7 +180,7 @@
 private:
     struct RunningAttempt
     {
-        httplib::Client *client = nullptr;
+        CheckedClient *client = nullptr;
         bool isCancelled = false;
     };
 
@@ -235,7 +234,7 @@
 
     void requestCancel(const relay::EngineRequest &request) const
     {
-        httplib::Client client(request.endpoint.address, request.endpoint.port);
+        CheckedClient client(request.endpoint.address, request.endpoint.port);
         client.set_connection_timeout(std::chrono::duration_cast<base::microseconds>(CancelTimeout));
         client.set_read_timeout(std::chrono::duration_cast<base::microseconds>(CancelTimeout));
         static_cast<void>(client.Delete("/v1/streams/" + toHex(request.attempt.value)));
--- a/carawaylatch/http/serviceclient.cpp
+++ b/carawaylatch/http/serviceclient.cpp
@@ -2,8 +2,7 @@
 // be closed, it would be unknown whether the service had read the request.
 #include "carawaylatch/http/serviceclient.h"
 
-#include <httplib.h>
-
+#include "carawaylatch/http/checkedclient.h"
 #include "carawaylatch/http/wirejson.h"
 
 namespace carawaylatch::http
@@ -28,7 +27,7 @@
 
 base::Result<orders::ServiceAnswer> ServiceClient::call(const orders::ServiceRequest &request)
 {
-    httplib::Client client(request.endpoint.address, request.endpoint.port);
+    CheckedClient client(request.endpoint.address, request.endpoint.port);
     client.set_connection_timeout(std::chrono::duration_cast<base::microseconds>(m_connectTimeout));
     client.set_read_timeout(std::chrono::duration_cast<base::microseconds>(std::max<base::Duration>(request.timeout, base::milliseconds{1})));
     client.set_tcp_nodelay(true);
--- a/carawaylatch/http/upstreamclient.cpp
+++ b/carawaylatch/http/upstreamclient.cpp
@@ -1,8 +1,7 @@
 // Implements the polling of upstreams on a pool of keep-alive connections.
 #include "carawaylatch/http/upstreamclient.h"
 
-#include <httplib.h>
-
+#include "carawaylatch/http/checkedclient.h"
 #include "carawaylatch/http/wirejson.h"
 
 namespace carawaylatch::http
@@ -90,7 +89,7 @@
             return connection;
         }
     }
-    auto connection = std::make_unique<httplib::Client>(endpoint.address, endpoint.port);
+    auto connection = std::make_unique<CheckedClient>(endpoint.address, endpoint.port);
     connection->set_keep_alive(true);
     connection->set_tcp_nodelay(true);
     connection->set_connection_timeout(std::chrono::duration_cast<base::microseconds>(m_timeout));
--- a/carawaylatch/http/upstreamclient.h
+++ b/carawaylatch/http/upstreamclient.h
@@ -16,14 +16,11 @@
 #include "carawaylatch/prefix/cacheindex.h"
 #include "carawaylatch/upstreams/loadreport.h"
 
-namespace httplib
-{
-class Client;
-} // namespace httplib
-
 namespace carawaylatch::http
 {
 
+class CheckedClient;
+
 class UpstreamClient : public fleet::EngineControl
 {
 public:
@@ -42,7 +39,7 @@
     [[nodiscard]] base::Result<fleet::EngineReport> report(const base::UpstreamId &upstream, const base::Endpoint &endpoint) override;
 
 private:
-    using Connection = std::unique_ptr<httplib::Client>;
+    using Connection = std::unique_ptr<CheckedClient>;
 
     [[nodiscard]] Connection acquireConnection(const base::Endpoint &endpoint);
     void releaseConnection(const base::Endpoint &endpoint, Connection connection);
--- a/carawaylatch/store/httpobjectstore.cpp
+++ b/carawaylatch/store/httpobjectstore.cpp
@@ -6,13 +6,12 @@
 // Unavailable.
 #include "carawaylatch/store/httpobjectstore.h"
 
-#include <httplib.h>
-
 #include <algorithm>
 #include <mutex>
 #include <set>
 #include <utility>
 
+#include "carawaylatch/http/checkedclient.h"
 #include "carawaylatch/store/objectjson.h"
 
 namespace carawaylatch::store
@@ -141,15 +140,15 @@
     }
 
 private:
-    std::unique_ptr<httplib::Client> acquire()
+    std::unique_ptr<http::CheckedClient> acquire()
     {
         const std::lock_guard lock(m_mutex);
         if (m_isStopped) {
             return nullptr;
         }
-        std::unique_ptr<httplib::Client> client;
+        std::unique_ptr<http::CheckedClient> client;
         if (m_idle.empty()) {
-            client = std::make_unique<httplib::Client>(m_endpoint.address, m_endpoint.port);
+            client = std::make_unique<http::CheckedClient>(m_endpoint.address, m_endpoint.port);
             client->set_keep_alive(true);
             client->set_tcp_nodelay(true);
             client->set_connection_timeout(std::chrono::duration_cast<base::microseconds>(m_timeout));
@@ -162,7 +161,7 @@
         return client;
     }
 
-    void release(std::unique_ptr<httplib::Client> client)
+    void release(std::unique_ptr<http::CheckedClient> client)
     {
         const std::lock_guard lock(m_mutex);
         m_busy.erase(client.get());
@@ -179,8 +178,8 @@
     std::atomic<std::uint64_t> m_failures = 0;
     std::mutex m_mutex;
     // All below are guarded by m_mutex.
-    std::vector<std::unique_ptr<httplib::Client>> m_idle;
-    std::set<httplib::Client *> m_busy;
+    std::vector<std::unique_ptr<http::CheckedClient>> m_idle;
+    std::set<http::CheckedClient *> m_busy;
     bool m_isStopped = false;
 };
 
@@ -194,7 +193,7 @@
 base::Result<Object> HttpObjectStore::read(std::string_view name)
 {
     ++m_reads;
-    BOOST_OUTCOME_TRY(body, m_connections->run(CallKind::Read, name, {}, [&](httplib::Client &client) {
+    BOOST_OUTCOME_TRY(body, m_connections->run(CallKind::Read, name, {}, [&](http::CheckedClient &client) {
         return client.Get(objectPath(name));
     }));
     return decodeObject(body);
@@ -203,7 +202,7 @@
 base::Result<Version> HttpObjectStore::write(std::string_view name, std::string_view value, Version expected)
 {
     ++m_writes;
-    BOOST_OUTCOME_TRY(body, m_connections->run(CallKind::Write, name, {}, [&](httplib::Client &client) {
+    BOOST_OUTCOME_TRY(body, m_connections->run(CallKind::Write, name, {}, [&](http::CheckedClient &client) {
         return client.Put(objectPath(name), condition(expected), value.data(), value.size(), "application/octet-stream");
     }));
     return unclearIfUndecodable(decodeVersion(body));
@@ -212,7 +211,7 @@
 base::Result<void> HttpObjectStore::remove(std::string_view name, Version expected)
 {
     ++m_writes;
-    BOOST_OUTCOME_TRY(m_connections->run(CallKind::Write, name, {}, [&](httplib::Client &client) {
+    BOOST_OUTCOME_TRY(m_connections->run(CallKind::Write, name, {}, [&](http::CheckedClient &client) {
         return client.Delete(objectPath(name), condition(expected));
     }));
     return base::ok();
@@ -221,7 +220,7 @@
 base::Result<ObjectChanges> HttpObjectStore::list(std::string_view prefix)
 {
     ++m_reads;
-    BOOST_OUTCOME_TRY(body, m_connections->run(CallKind::Read, prefix, {}, [&](httplib::Client &client) {
+    BOOST_OUTCOME_TRY(body, m_connections->run(CallKind::Read, prefix, {}, [&](http::CheckedClient &client) {
         return client.Get("/v1/list", httplib::Params{{"prefix", std::string(prefix)}}, httplib::Headers{});
     }));
     return decodeChanges(body);
@@ -232,7 +231,7 @@
     ++m_reads;
     const httplib::Params params{
         {"prefix", std::string(prefix)}, {"since", std::to_string(since.value)}, {"wait_ms", std::to_string(base::toMilliseconds(wait))}};
-    BOOST_OUTCOME_TRY(body, m_connections->run(CallKind::Read, prefix, wait, [&](httplib::Client &client) {
+    BOOST_OUTCOME_TRY(body, m_connections->run(CallKind::Read, prefix, wait, [&](http::CheckedClient &client) {
         return client.Get("/v1/watch", params, httplib::Headers{});
     }));
     return decodeChanges(body);
@@ -241,7 +240,7 @@
 base::Result<std::vector<VmRecord>> HttpObjectStore::vms()
 {
     ++m_reads;
-    BOOST_OUTCOME_TRY(body, m_connections->run(CallKind::Read, "vms", {}, [&](httplib::Client &client) {
+    BOOST_OUTCOME_TRY(body, m_connections->run(CallKind::Read, "vms", {}, [&](http::CheckedClient &client) {
         return client.Get("/v1/vms");
     }));
     return decodeVms(body);
--- a/tools/ctl/routerclient.cpp
+++ b/tools/ctl/routerclient.cpp
@@ -5,10 +5,10 @@
 // unchanged.
 #include "tools/ctl/routerclient.h"
 
-#include <httplib.h>
 #include <nlohmann/json.hpp>
 
 #include "carawaylatch/base/time.h"
+#include "carawaylatch/http/checkedclient.h"
 
 namespace carawaylatch::ctl
 {
@@ -88,7 +88,7 @@
     }
 
     std::string m_address;
-    httplib::Client m_client;
+    http::CheckedClient m_client;
 };
 
 } // namespace
--- a/tools/load/loadclient.cpp
+++ b/tools/load/loadclient.cpp
@@ -2,13 +2,14 @@
 //
 // A streamed body passes through the event splitter into the verifier as it arrives; token
 // times are taken there. The body of a refused request is kept and its error parsed.
-// httplib reports a body that ended early as a read error, which distinguishes an aborted
-// transfer from a clean end.
+// A body that ended early is a read error, which distinguishes an aborted transfer from a
+// clean end.
 #include "tools/load/loadclient.h"
 
-#include <httplib.h>
 #include <nlohmann/json.hpp>
 
+#include "carawaylatch/http/checkedclient.h"
+
 namespace carawaylatch::load
 {
 
@@ -134,7 +135,7 @@
     explicit Connections(const LoadClientOptions &options)
     {
         for (const auto &it : options.targets) {
-            auto client = std::make_unique<httplib::Client>(it.address, it.port);
+            auto client = std::make_unique<http::CheckedClient>(it.address, it.port);
             client->set_keep_alive(true);
             client->set_tcp_nodelay(true);
             client->set_connection_timeout(base::seconds{2});
@@ -143,7 +144,7 @@
         }
     }
 
-    std::vector<std::unique_ptr<httplib::Client>> clients;
+    std::vector<std::unique_ptr<http::CheckedClient>> clients;
 };
 
 LoadClient::LoadClient(const LoadClientOptions &options)
--- a/tools/load/orderverifier.cpp
+++ b/tools/load/orderverifier.cpp
@@ -11,12 +11,13 @@
 // are treated as the same order.
 #include "tools/load/orderverifier.h"
 
-#include <httplib.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <map>
 
+#include "carawaylatch/http/checkedclient.h"
+
 namespace carawaylatch::load
 {
 
@@ -99,7 +100,7 @@
 
 base::Result<std::vector<JournalEntry>> fetchJournal(const base::Endpoint &service)
 {
-    httplib::Client client(service.address, service.port);
+    http::CheckedClient client(service.address, service.port);
     client.set_connection_timeout(base::seconds{2});
     const auto response = client.Get("/journal");
     const auto address = service.address + ":" + std::to_string(service.port);
