A response's framing is bounded in carawaylatchd's clients

CheckedStream kept bytes that wait to be parsed without a bound: chunk extensions or trailers without end would have filled the memory. It gives up above 80 KiB, as upstream connections do.

--- a/carawaylatch/http/checkedclient.cpp
+++ b/carawaylatch/http/checkedclient.cpp
@@ -24,6 +24,7 @@
 
 constexpr unsigned FirstFinalStatus = 200;
 constexpr int MaxInterimResponses = 16; // before the final one
+constexpr std::size_t MaxUnparsedBytes = 81'920; // a head, or the framing between two pieces of a body
 
 // The socket of one call. The response is handed out as it was understood, not as it was received.
 class CheckedStream : public httplib::Stream
@@ -131,9 +132,9 @@
     {
         while (!m_received.empty() && !m_isInvalid && !m_parser->isComplete()) {
             const auto used = m_parser->feed(m_received);
-            m_isInvalid = !used;
-            if (!used || (used.value() == 0 && !m_parser->isComplete())) {
-                return; // invalid, or more bytes are needed
+            m_isInvalid = !used || (used.value() == 0 && m_received.size() > MaxUnparsedBytes);
+            if (m_isInvalid || (used.value() == 0 && !m_parser->isComplete())) {
+                return; // more bytes are needed
             }
             m_received.erase(0, used.value());
             if (!m_parser->isHeadComplete()) {
