--- a/carawaylatch/http/testing/answersyntaxtest.cpp
+++ b/carawaylatch/http/testing/answersyntaxtest.cpp
@@ -24,7 +24,7 @@
 {
 
 using carawaylatch::testing::AnswerRow;
-using carawaylatch::testing::answerTable;
+using carawaylatch::testing::AnswerTable;
 using carawaylatch::testing::FailedRows;
 
 namespace
@@ -163,7 +163,7 @@
     void testServices()
     {
         FailedRows failed;
-        for (const AnswerRow &row : answerTable("X-Attempt-Id: 3\r\n", "booked")) {
+        for (const AnswerRow &row : AnswerTable("X-Attempt-Id: 3\r\n", "booked").rows()) {
             m_server.answer(row.bytes, [&] {
                 orders::ServiceRequest request;
                 request.attempt = {3};
@@ -185,7 +185,7 @@
     {
         FailedRows failed;
         const std::string events = "data: {\"index\":0,\"text\":\"a\"}\n\ndata: {\"done\":true,\"count\":1,\"usage\":{}}\n\n";
-        for (const AnswerRow &row : answerTable("X-Attempt-Id: a1\r\n", events)) {
+        for (const AnswerRow &row : AnswerTable("X-Attempt-Id: a1\r\n", events).rows()) {
             m_server.answer(row.bytes, [&] {
                 relay::EngineRequest request;
                 request.attempt = {0xA1};
@@ -205,7 +205,7 @@
     {
         FailedRows failed;
         const std::string report = R"({"incarnation":"a","model":"m","weights_version":1,"state":"live"})";
-        for (const AnswerRow &row : answerTable("", report)) {
+        for (const AnswerRow &row : AnswerTable("", report).rows()) {
             m_server.answer(row.bytes, [&] {
                 failed.check(row.isWhole == UpstreamClient(Timeout).loadReport(m_server.endpoint()).has_value(), row.rule);
             });
@@ -216,7 +216,7 @@
     void testEngineOrders()
     {
         FailedRows failed;
-        for (const AnswerRow &row : answerTable("", "{}")) {
+        for (const AnswerRow &row : AnswerTable("", "{}").rows()) {
             m_server.answer(row.bytes, [&] {
                 const auto result = UpstreamClient(Timeout).order(base::UpstreamId("engine-1"), m_server.endpoint(), {});
                 failed.check(row.isWhole == result.has_value(), row.rule);
@@ -230,7 +230,7 @@
     {
         FailedRows failed;
         const std::string object = R"({"name":"o","version":4,"value":"YQ=="})";
-        for (const AnswerRow &row : answerTable("", object)) {
+        for (const AnswerRow &row : AnswerTable("", object).rows()) {
             m_server.answer(row.bytes, [&] {
                 store::HttpObjectStore objects(m_server.endpoint(), base::FailureDomain("z"), Timeout);
                 failed.check(row.isWhole == objects.read("o").has_value(), row.rule);
