Log: from whom a change of an upstream was learned, and why one is kept

When an upstream that is gone came back, the log of its router did not tell which reader had told the entry, whether the router knew a later revision already, or why the upstream stayed in use. E2414 names the incarnation, the source, the entry's revision, the revision as of which the router knew the upstreams, and the age of what the source told; E2449 is new and tells why and for how long an upstream stays in use whose entry is gone.

Nothing else changes.

--- a/carawaylatch/gateway/controlplane.h
+++ b/carawaylatch/gateway/controlplane.h
@@ -97,7 +97,7 @@
         std::vector<StoredObject> objects;
         base::Duration confirmedAt{}; // bootTime() at which the state was certainly the newest
         std::optional<base::Duration> changedAfter; // bootTime(); the objects changed at this time or later
-        bool isRelayed = false;
+        base::Endpoint reader; // that told them; port zero: the store
         std::string readerProblem; // why the last reader that was polled did not serve
     };
     // A list of which some pages have been read. An overloaded store rejects some calls, so
@@ -132,7 +132,7 @@
     // Makes no calls. Notices that the thread did not run for a while, and ends what is limited in time.
     [[nodiscard]] Awaitable<void> runHeartbeat();
     // Changes that are read now, and were made at `changedAfter` (bootTime()) or later.
-    [[nodiscard]] ChangeTime changeTime(ObjectKind kind, std::optional<base::Duration> changedAfter) const;
+    [[nodiscard]] ChangeTime changeTime(ObjectKind kind, std::optional<base::Duration> changedAfter, const ChangeSource &source) const;
     [[nodiscard]] Awaitable<void> watchCacheStores();
     void checkStoreEra();
     void noteList();
--- a/carawaylatch/gateway/controlplanewatch.cpp
+++ b/carawaylatch/gateway/controlplanewatch.cpp
@@ -59,8 +59,9 @@
     if (m_clock.now() - partial.startedAt > MaxPartialListAge) {
         partial = PartialList{{}, {}, 0, m_clock.now()};
     }
+    const base::Duration sentAt = TableAge::bootTime();
     if (partial.asOf == 0) {
-        m_changeTimes.onCallSent(kind, TableAge::bootTime());
+        m_changeTimes.onCallSent(kind, sentAt);
     }
     bool hasMore = true;
     while (hasMore) {
@@ -82,18 +83,18 @@
     const PartialList whole = std::exchange(partial, {});
     m_changeTimes.onStoreAnswered(kind, TableAge::bootTime());
     const auto changedAfter = m_changeTimes.onAnswered(kind);
-    m_state.onList(kind, whole.objects, changeTime(kind, changedAfter));
+    m_state.onList(kind, whole.objects, changeTime(kind, changedAfter, {{}, 0, TableAge::bootTime() - sentAt}));
     co_return whole.asOf;
 }
 
-ChangeTime ControlPlane::changeTime(ObjectKind kind, std::optional<base::Duration> changedAfter) const
+ChangeTime ControlPlane::changeTime(ObjectKind kind, std::optional<base::Duration> changedAfter, const ChangeSource &source) const
 {
     const base::TimePoint now = m_clock.now();
     const auto onClock = [now, bootTime = TableAge::bootTime()](base::Duration at) {
         return now - (bootTime - at);
     };
     const auto storeReturnedAt = m_changeTimes.storeReturnedAt(kind);
-    return {now, changedAfter ? onClock(*changedAfter) : base::TimePoint{}, storeReturnedAt ? std::optional(onClock(*storeReturnedAt)) : std::nullopt};
+    return {now, changedAfter ? onClock(*changedAfter) : base::TimePoint{}, storeReturnedAt ? std::optional(onClock(*storeReturnedAt)) : std::nullopt, source};
 }
 
 // Restarts the other watches once the configuration watch succeeds again. Its wait is the
@@ -154,9 +155,10 @@
         } else {
             KindChanges changes;
             co_await nextChanges(*client, kind, since, lostAt ? FallbackWait : watchWait(kind), changes);
-            isRelayed = changes.isRelayed;
+            isRelayed = changes.reader.port != 0;
             if (!changes.error) {
-                m_state.onChanges(kind, changes.objects, changeTime(kind, changes.changedAfter));
+                const ChangeSource source{changes.reader, since, TableAge::bootTime() - changes.confirmedAt};
+                m_state.onChanges(kind, changes.objects, changeTime(kind, changes.changedAfter, source));
                 result = std::max(changes.revision, since);
                 m_watchLog.onChanges(kind, since, result.value(), changes.objects, changes.changedAfter.value_or(base::Duration{}));
                 hasChanges = !changes.objects.empty();
@@ -278,7 +280,7 @@
     changes.changedAfter = m_changeTimes.onRelayed(kind, changes.confirmedAt, changedAfter);
     const auto returnedAt = value.returnAge ? std::optional(sentAt + value.held - *value.returnAge) : std::nullopt;
     m_changeTimes.onReaderAnswered(kind, changes.confirmedAt, returnedAt);
-    changes.isRelayed = true;
+    changes.reader = reader;
     co_return PollResult::Answered;
 }
 
--- a/carawaylatch/gateway/fleetstate.cpp
+++ b/carawaylatch/gateway/fleetstate.cpp
@@ -167,7 +167,7 @@
         }
     }
     for (const auto &id : missing) {
-        expireUpstream(id, time);
+        expireUpstream(id, 0, time);
     }
 }
 
@@ -181,15 +181,28 @@
     return std::min(returnedAt + EntryReturnTime, std::max(returnedAt, removal.earliest) + m_limits.maxUse);
 }
 
-void FleetState::expireUpstream(const base::UpstreamId &id, const ChangeTime &time)
+void FleetState::expireUpstream(const base::UpstreamId &id, std::uint64_t revision, const ChangeTime &time)
 {
     const auto it = m_upstreams.find(id);
     const base::TimePoint until = usedUntil(time);
-    if (it != m_upstreams.end() && time.readAt < until && it->second.phase == proxy::UpstreamPhase::Ready) {
-        m_expired.emplace(id, until);
-    } else {
-        removeUpstream(id);
+    const Origin origin = originOf(revision, time);
+    if (it == m_upstreams.end() || time.readAt >= until || it->second.phase != proxy::UpstreamPhase::Ready) {
+        removeUpstream(id, origin);
+        return;
+    }
+    if (!m_expired.emplace(id, until).second) {
+        return;
     }
+    const bool isRemovalKnown = time.earliest != base::TimePoint{};
+    m_log.write(base::LogEvent::UpstreamKept, {{"upstream", id.value()},
+                                               {"incarnation", std::to_string(it->second.startTimeMs)},
+                                               {"source", origin.source},
+                                               {"revision", origin.revision},
+                                               {"since", origin.since},
+                                               {"age_ms", origin.age},
+                                               {"returned_ms", base::formatMilliseconds(time.readAt - *time.storeReturnedAt)},
+                                               {"removed_ms", isRemovalKnown ? base::formatMilliseconds(time.readAt - time.earliest) : "-"},
+                                               {"kept_ms", base::formatMilliseconds(until - time.readAt)}});
 }
 
 void FleetState::onChange(ObjectKind kind, const StoredObject &object, const ChangeTime &time)
@@ -300,13 +313,13 @@
     const base::UpstreamId id(object.name);
     if (object.isRemoved) {
         m_ignored.erase(object.name.substr(0, MaxLoggedBytes));
-        expireUpstream(id, time);
+        expireUpstream(id, object.revision, time);
         return;
     }
     auto decoded = m_decoder.decodeUpstream(object.name, object.text);
     if (!decoded) {
         logIgnoredEntry(ObjectKind::Upstreams, object, decoded.error().message);
-        removeUpstream(id);
+        removeUpstream(id, originOf(object.revision, time));
         return;
     }
     m_expired.erase(id);
@@ -334,31 +347,43 @@
         }
     }
     const std::string_view phase = upstream.phase == proxy::UpstreamPhase::Ready ? "ready" : "draining";
-    logUpstream(upstream, phase);
+    logUpstream(upstream, phase, originOf(object.revision, time));
     m_upstreams[id] = std::move(upstream);
     m_isChanged = true;
 }
 
-void FleetState::removeUpstream(const base::UpstreamId &id)
+FleetState::Origin FleetState::originOf(std::uint64_t revision, const ChangeTime &time)
+{
+    const ChangeSource &source = time.source;
+    return {source.reader.port == 0 ? "store" : config::formatEndpoint(source.reader), std::to_string(revision), std::to_string(source.since),
+            base::formatMilliseconds(source.age)};
+}
+
+void FleetState::removeUpstream(const base::UpstreamId &id, const Origin &origin)
 {
     m_expired.erase(id);
     const auto it = m_upstreams.find(id);
     if (it == m_upstreams.end()) {
         return;
     }
-    logUpstream(it->second, "gone");
+    logUpstream(it->second, "gone", origin);
     m_upstreams.erase(it);
     m_isChanged = true;
 }
 
-void FleetState::logUpstream(const proxy::Upstream &upstream, std::string_view phase)
+void FleetState::logUpstream(const proxy::Upstream &upstream, std::string_view phase, const Origin &origin)
 {
     const auto weights = upstream.models.empty() ? std::uint64_t{0} : upstream.models.begin()->second.value;
     m_log.write(base::LogEvent::UpstreamChanged, {{"upstream", upstream.id.value()},
                                                   {"pool", upstream.pool.value()},
                                                   {"phase", std::string(phase)},
                                                   {"weights", std::to_string(weights)},
-                                                  {"endpoint", config::formatEndpoint(upstream.endpoint)}});
+                                                  {"endpoint", config::formatEndpoint(upstream.endpoint)},
+                                                  {"incarnation", std::to_string(upstream.startTimeMs)},
+                                                  {"source", origin.source},
+                                                  {"revision", origin.revision},
+                                                  {"since", origin.since},
+                                                  {"age_ms", origin.age}});
 }
 
 void FleetState::applyCoordination(const StoredObject &object)
@@ -389,7 +414,7 @@
         return;
     }
     it->second.phase = proxy::UpstreamPhase::Draining;
-    logUpstream(it->second, "draining");
+    logUpstream(it->second, "draining", {"upstream"});
     m_isChanged = true;
 }
 
@@ -449,7 +474,7 @@
         }
     }
     for (const auto &id : expired) {
-        removeUpstream(id);
+        removeUpstream(id, {"timer"});
     }
     return !expired.empty();
 }
--- a/carawaylatch/gateway/fleetstate.h
+++ b/carawaylatch/gateway/fleetstate.h
@@ -66,12 +66,21 @@
 [[nodiscard]] std::string encodeRouter(const RouterEntry &router);
 [[nodiscard]] std::optional<RouterEntry> decodeRouter(std::string_view text);
 
+// From whom a router read changes; for its log.
+struct ChangeSource
+{
+    base::Endpoint reader; // port zero: the store itself
+    std::uint64_t since = 0; // revision as of which the router knew the objects of the kind before
+    base::Duration age{}; // since the state that was told was certainly the newest
+};
+
 // When a router read a change of the store, and the earliest time at which it can have been made.
 struct ChangeTime
 {
     base::TimePoint readAt;
     base::TimePoint earliest; // the clock's epoch if the state before the change is not known
     std::optional<base::TimePoint> storeReturnedAt; // at this time or before, if it was unavailable since the start
+    ChangeSource source = {};
 };
 
 // Parts of the time after which no request may reach an upstream whose entry was removed.
@@ -129,11 +138,20 @@
     void applyUpstream(const StoredObject &object, const ChangeTime &time);
     // Until when an upstream is used whose entry was removed.
     [[nodiscard]] base::TimePoint usedUntil(const ChangeTime &removal) const;
-    void expireUpstream(const base::UpstreamId &id, const ChangeTime &time);
+    void expireUpstream(const base::UpstreamId &id, std::uint64_t revision, const ChangeTime &time);
     void applyWeights(const StoredObject &object, const ChangeTime &time);
     void applyCoordination(const StoredObject &object);
-    void removeUpstream(const base::UpstreamId &id);
-    void logUpstream(const proxy::Upstream &upstream, std::string_view phase);
+    // Where a change of an upstream comes from, as the log tells it.
+    struct Origin
+    {
+        std::string source;
+        std::string revision = "-";
+        std::string since = "-";
+        std::string age = "-";
+    };
+    [[nodiscard]] static Origin originOf(std::uint64_t revision, const ChangeTime &time);
+    void removeUpstream(const base::UpstreamId &id, const Origin &origin);
+    void logUpstream(const proxy::Upstream &upstream, std::string_view phase, const Origin &origin);
     void logIgnoredEntry(ObjectKind kind, const StoredObject &object, const std::string &problem);
     [[nodiscard]] static bool isSame(const proxy::Upstream &left, const proxy::Upstream &right);
 
