What a reader tells never replaces what its follower knows

Its reader, back from 3.5 s without the store, passed on all that it had missed as one batch, which begins before the revision that the poll names. Only the coordination objects compared revisions, only per object, and not after a removal.

Now KnownObjects decides for all kinds what is news, from lists, watches, readers, single reads and own writes: a change is news if it is later than the revision as of which the kind is known and than the object's last change. The revision of a removal can be that of the change before it, so a removal is told by its place: an object that an answer leaves removed is absent as of the answer's revision. Eras order revisions after a store came back from a copy; a list of an earlier revision in the same era holds whole. Readers leave out changes that the poller knows, which also serves followers of former builds; no message changes its form.

Tests changed: FleetStateTest gave one revision to several changes, and to all removals 99, as no store does; its changes have revisions of their own now, with the same assertions, and the removal that is ignored is one as of an earlier revision. RemovedUpstreamTest gives an entry that returns a later revision. In WatchLogTest::testUnknownRevisions a poll from revision 14 expected to be told the change of revision 14 again, which is the fault; now it expects not to be.

--- a/carawaylatch/gateway/controlplane.cpp
+++ b/carawaylatch/gateway/controlplane.cpp
@@ -373,7 +373,7 @@
             co_return;
         }
         if (changing) {
-            m_state.onChange(ObjectKind::Coordination, changing.value(), {now, now, {}});
+            m_state.onObject(ObjectKind::Coordination, changing.value(), {now, now, {}});
             const auto inherited = ChangingEngines::decode(changing.value().text);
             const PreviousHolder holder = m_lease.hadNoOtherHolder() ? PreviousHolder::SameRouter : PreviousHolder::OtherRouter;
             m_rollout.takeOver(now, inherited, holder, changing.value().revision == m_list.revision ? m_list.seenAt : now);
@@ -434,7 +434,7 @@
     const auto changing = co_await client.read(ObjectKind::Coordination, std::string(ChangingName), ReadConsistency::Latest);
     if (changing) {
         const base::TimePoint now = m_clock.now();
-        m_state.onChange(ObjectKind::Coordination, changing.value(), {now, now, {}});
+        m_state.onObject(ObjectKind::Coordination, changing.value(), {now, now, {}});
     }
 }
 
@@ -461,7 +461,7 @@
                                                          {"engines", std::to_string(changing.engines.size())},
                                                          {"changed", std::to_string(changing.changed.size())}});
     const base::TimePoint now = m_clock.now();
-    m_state.onChange(ObjectKind::Coordination, StoredObject{std::string(ChangingName), text, written.value(), false}, {now, now, {}});
+    m_state.onObject(ObjectKind::Coordination, StoredObject{std::string(ChangingName), text, written.value(), false}, {now, now, {}});
     publishIfChanged();
     co_return true;
 }
--- a/carawaylatch/gateway/controlplanewatch.cpp
+++ b/carawaylatch/gateway/controlplanewatch.cpp
@@ -83,7 +83,7 @@
     const PartialList whole = std::exchange(partial, {});
     m_changeTimes.onStoreAnswered(kind, TableAge::bootTime());
     const auto changedAfter = m_changeTimes.onAnswered(kind);
-    m_state.onList(kind, whole.objects, changeTime(kind, changedAfter, {{}, 0, TableAge::bootTime() - sentAt}));
+    m_state.onList(kind, whole.objects, whole.asOf, changeTime(kind, changedAfter, {{}, 0, TableAge::bootTime() - sentAt}));
     co_return whole.asOf;
 }
 
@@ -158,8 +158,8 @@
             isRelayed = changes.reader.port != 0;
             if (!changes.error) {
                 const ChangeSource source{changes.reader, since, TableAge::bootTime() - changes.confirmedAt};
-                m_state.onChanges(kind, changes.objects, changeTime(kind, changes.changedAfter, source));
                 result = std::max(changes.revision, since);
+                m_state.onChanges(kind, changes.objects, result.value(), changeTime(kind, changes.changedAfter, source));
                 m_watchLog.onChanges(kind, since, result.value(), changes.objects, changes.changedAfter.value_or(base::Duration{}));
                 hasChanges = !changes.objects.empty();
                 confirmedAt = changes.confirmedAt;
--- a/carawaylatch/gateway/fleetstate.cpp
+++ b/carawaylatch/gateway/fleetstate.cpp
@@ -144,30 +144,27 @@
 {
 }
 
-void FleetState::onList(ObjectKind kind, const std::vector<StoredObject> &objects, const ChangeTime &time)
+void FleetState::onList(ObjectKind kind, const std::vector<StoredObject> &objects, std::uint64_t asOf, const ChangeTime &time)
 {
-    std::set<std::string, std::less<>> names;
-    for (const StoredObject &object : objects) {
-        names.insert(object.name);
+    applyAll(kind, m_known.onList(kind, objects, asOf), time);
+}
+
+void FleetState::onChanges(ObjectKind kind, const std::vector<StoredObject> &objects, std::uint64_t asOf, const ChangeTime &time)
+{
+    applyAll(kind, m_known.onChanges(kind, objects, asOf), time);
+}
+
+void FleetState::onObject(ObjectKind kind, const StoredObject &object, const ChangeTime &time)
+{
+    if (m_known.onObject(kind, object)) {
         apply(kind, object, time);
     }
-    if (kind == ObjectKind::Coordination) {
-        const auto erased = std::erase_if(m_coordinationObjects, [&names](const auto &it) {
-            return !names.contains(it.first);
-        });
-        m_isChanged = m_isChanged || erased > 0;
-    }
-    if (kind != ObjectKind::Upstreams) {
-        return; // configurations and target weights stay when their object is missing
-    }
-    std::vector<base::UpstreamId> missing;
-    for (const auto &[id, upstream] : m_upstreams) {
-        if (!names.contains(id.value()) && !m_expired.contains(id)) {
-            missing.push_back(id);
-        }
-    }
-    for (const auto &id : missing) {
-        expireUpstream(id, 0, time);
+}
+
+void FleetState::applyAll(ObjectKind kind, const std::vector<StoredObject> &objects, const ChangeTime &time)
+{
+    for (const StoredObject &object : objects) {
+        apply(kind, object, time);
     }
 }
 
@@ -205,24 +202,6 @@
                                                {"kept_ms", base::formatMilliseconds(until - time.readAt)}});
 }
 
-void FleetState::onChange(ObjectKind kind, const StoredObject &object, const ChangeTime &time)
-{
-    apply(kind, object, time);
-}
-
-void FleetState::onChanges(ObjectKind kind, const std::vector<StoredObject> &objects, const ChangeTime &time)
-{
-    std::map<std::string_view, std::size_t> last;
-    for (std::size_t i = 0; i < objects.size(); ++i) {
-        last[objects[i].name] = i;
-    }
-    for (std::size_t i = 0; i < objects.size(); ++i) {
-        if (!objects[i].isRemoved || last[objects[i].name] == i) {
-            apply(kind, objects[i], time);
-        }
-    }
-}
-
 void FleetState::apply(ObjectKind kind, const StoredObject &object, const ChangeTime &time)
 {
     try {
@@ -388,12 +367,6 @@
 
 void FleetState::applyCoordination(const StoredObject &object)
 {
-    const auto it = m_coordinationObjects.find(object.name);
-    // A removal can have the same revision as the change before it.
-    const std::uint64_t known = it == m_coordinationObjects.end() ? 0 : it->second.revision;
-    if (known > object.revision || (known == object.revision && !object.isRemoved)) {
-        return;
-    }
     m_isChanged = true;
     if (object.isRemoved) {
         m_coordinationObjects.erase(object.name);
--- a/carawaylatch/gateway/fleetstate.h
+++ b/carawaylatch/gateway/fleetstate.h
@@ -21,6 +21,7 @@
 #include "carawaylatch/base/ids.h"
 #include "carawaylatch/base/time.h"
 #include "carawaylatch/gateway/decoder.h"
+#include "carawaylatch/gateway/knownobjects.h"
 #include "carawaylatch/gateway/objectclient.h"
 #include "carawaylatch/proxy/fleet.h"
 #include "carawaylatch/telemetry/eventlog.h"
@@ -102,11 +103,13 @@
 
     FleetState(const FleetDecoder &decoder, telemetry::EventLog &log, const RemovalLimits &limits = {});
 
-    // Takes all objects of a kind.
-    void onList(ObjectKind kind, const std::vector<StoredObject> &objects, const ChangeTime &time);
-    void onChange(ObjectKind kind, const StoredObject &object, const ChangeTime &time);
-    // Takes changes that were read together, in their order. A removal counts only if no later one is of the same object.
-    void onChanges(ObjectKind kind, const std::vector<StoredObject> &objects, const ChangeTime &time);
+    // Of what the following take, only news is applied, see KnownObjects. Takes all objects of a kind, as of this revision
+    // or later.
+    void onList(ObjectKind kind, const std::vector<StoredObject> &objects, std::uint64_t asOf, const ChangeTime &time);
+    // Takes changes that lead to this revision, in their order.
+    void onChanges(ObjectKind kind, const std::vector<StoredObject> &objects, std::uint64_t asOf, const ChangeTime &time);
+    // Takes an object that was read or written by itself.
+    void onObject(ObjectKind kind, const StoredObject &object, const ChangeTime &time);
     // An upstream of this incarnation has said that it leaves, whatever its entry says.
     void onUpstreamLeaving(const base::UpstreamId &upstream, std::uint64_t startTimeMs);
     // An answer to a status call said whether the upstream is brittle.
@@ -132,6 +135,7 @@
     [[nodiscard]] std::vector<proxy::CacheStore> cacheStores() const;
 
 private:
+    void applyAll(ObjectKind kind, const std::vector<StoredObject> &objects, const ChangeTime &time);
     void apply(ObjectKind kind, const StoredObject &object, const ChangeTime &time);
     void applyDecoded(ObjectKind kind, const StoredObject &object, const ChangeTime &time);
     void applyTable(const StoredObject &object);
@@ -158,6 +162,7 @@
     const FleetDecoder &m_decoder;
     telemetry::EventLog &m_log;
     const RemovalLimits m_limits;
+    KnownObjects m_known; // decides what is applied to the members below
     std::shared_ptr<const proxy::RouteTable> m_table;
     std::map<base::UpstreamId, proxy::Upstream> m_upstreams;
     std::map<base::UpstreamId, base::TimePoint> m_expired; // entries that disappeared, and until when their upstreams are used
--- a/carawaylatch/gateway/testing/controlplanetest.cpp
+++ b/carawaylatch/gateway/testing/controlplanetest.cpp
@@ -445,7 +445,7 @@
         CPPUNIT_ASSERT(runUntil(isRegistered, base::seconds{5}));
         const StoredObject object = cluster.store.objects(ObjectKind::Coordination).at("router.a");
         StoreEra era;
-        FakeClient client(cluster.store, cluster.routers[1]->clients.isDisconnected, era);
+        FakeClient client(cluster.store, cluster.routers[1]->clients, era);
         bool isRemoved = false;
         boost::asio::co_spawn(
             *m_loop,
--- a/carawaylatch/gateway/testing/fakerelay.h
+++ b/carawaylatch/gateway/testing/fakerelay.h
@@ -1,10 +1,14 @@
 // Polls between the control planes of one test, with faults of each router.
 #pragma once
 
+#include <exception>
+#include <list>
 #include <map>
+#include <memory>
 #include <optional>
 #include <utility> // boost/asio/awaitable.hpp 1.74 uses std::exchange without it
 
+#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -53,7 +57,21 @@
             noteEnd(poll, std::nullopt);
             co_return base::fail(base::ErrorKind::Unavailable, "no answer");
         }
-        auto answer = co_await source->second->answer(poll);
+        const auto call = std::make_shared<Call>(Call{reader, boost::asio::steady_timer(m_loop, boost::asio::steady_timer::time_point::max()), {}, false});
+        m_calls.push_back(call);
+        boost::asio::co_spawn(m_loop, source->second->answer(poll), [call](const std::exception_ptr &, std::unique_ptr<RelayAnswer> answer) {
+            call->answer = std::move(answer);
+            call->isAnswered = true;
+            call->ended.cancel();
+        });
+        boost::system::error_code ignored;
+        co_await call->ended.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+        m_calls.remove(call);
+        if (!call->isAnswered) {
+            noteEnd(poll, std::nullopt);
+            co_return base::fail(base::ErrorKind::Unavailable, "interrupted");
+        }
+        const std::unique_ptr<RelayAnswer> answer = std::move(call->answer);
         const bool isLate = m_network.faults[reader] == RelayFault::Late;
         if (isLate) {
             co_await pause(m_network.lateDelay);
@@ -62,8 +80,13 @@
         RelayAnswer unknown;
         co_return answer ? std::move(*answer) : std::move(unknown);
     }
-    void interrupt(const base::Endpoint & /*reader*/) override
+    void interrupt(const base::Endpoint &reader) override
     {
+        for (const auto &call : m_calls) {
+            if (call->reader == reader) {
+                call->ended.cancel();
+            }
+        }
     }
 
     int polls = 0;
@@ -72,6 +95,14 @@
     int lateAnswers = 0;
 
 private:
+    // A poll that its reader holds.
+    struct Call
+    {
+        base::Endpoint reader;
+        boost::asio::steady_timer ended;
+        std::unique_ptr<RelayAnswer> answer;
+        bool isAnswered = false;
+    };
     void noteEnd(const RelayPoll &poll, const std::optional<base::Endpoint> &reader, bool isLate = false)
     {
         if (poll.kind == ObjectKind::Tables) {
@@ -87,6 +118,7 @@
 
     boost::asio::io_context &m_loop;
     RelayNetwork &m_network;
+    std::list<std::shared_ptr<Call>> m_calls;
 };
 
 } // namespace carawaylatch::gateway::testing
--- a/carawaylatch/gateway/testing/fakestore.h
+++ b/carawaylatch/gateway/testing/fakestore.h
@@ -111,13 +111,20 @@
     std::vector<std::pair<ObjectKind, StoredObject>> m_changes;
 };
 
+// A router's way to the store.
+struct StoreLink
+{
+    bool isDisconnected = false; // calls fail at once
+    bool isSilent = false; // calls are taken and not answered, and fail after their time
+};
+
 class FakeClient : public ObjectClient
 {
 public:
-    // `era` is shared by the clients of one router.
-    FakeClient(FakeStore &store, const bool &isDisconnected, StoreEra &era)
+    // `link` and `era` are shared by the clients of one router.
+    FakeClient(FakeStore &store, const StoreLink &link, StoreEra &era)
         : m_store(store)
-        , m_isDisconnected(isDisconnected)
+        , m_link(link)
         , m_era(era)
     {
     }
@@ -164,7 +171,7 @@
         bool isHung = false;
         bool isOver = false;
         const auto until = std::chrono::steady_clock::now() + wait; // steps are late on a busy machine
-        while (!isOver && !m_isInterrupted) {
+        while (!isOver && !m_isInterrupted && !m_link.isDisconnected) {
             isOver = std::chrono::steady_clock::now() >= until;
             noteEra();
             if (eraOf(since) != m_era.current) {
@@ -177,7 +184,7 @@
                     page.objects.push_back(versioned(object));
                 }
             }
-            isHung = isHung || m_store.areWatchesHung;
+            isHung = isHung || m_store.areWatchesHung || m_link.isSilent;
             if (!isHung && (!page.objects.empty() || isOver)) {
                 if (!page.objects.empty() && m_store.answerDelay > base::Duration{}) {
                     co_await pause(m_store.answerDelay);
@@ -188,6 +195,9 @@
                 co_await pause(std::min<base::Duration>(Step, until - std::chrono::steady_clock::now()));
             }
         }
+        if (isOver && m_link.isSilent) {
+            co_await pause(CallTime);
+        }
         const bool wasInterrupted = std::exchange(m_isInterrupted, false);
         co_return base::fail(base::ErrorKind::Unclear, wasInterrupted ? "interrupted" : "no response");
     }
@@ -272,6 +282,7 @@
 private:
     static constexpr base::Duration Step = base::milliseconds{5};
     static constexpr base::Duration LateDelay = base::milliseconds{150};
+    static constexpr base::Duration CallTime = base::seconds{1}; // of a call that is not answered
 
     Awaitable<void> pause(base::Duration duration)
     {
@@ -295,7 +306,11 @@
     Awaitable<CallFault> begin()
     {
         const bool isHit = ++m_store.m_calls == m_store.faultyCall;
-        const CallFault fault = m_store.isDown || m_isDisconnected ? CallFault::Refused : (isHit ? m_store.fault : CallFault::None);
+        const CallFault fault = m_store.isDown || m_link.isDisconnected ? CallFault::Refused : (isHit ? m_store.fault : CallFault::None);
+        if (m_link.isSilent) {
+            co_await pause(CallTime);
+            co_return CallFault::AnswerLost;
+        }
         co_await pause(fault == CallFault::Slow ? LateDelay : base::milliseconds{1});
         if (fault == CallFault::None || fault == CallFault::Slow) {
             noteEra();
@@ -329,7 +344,7 @@
     }
 
     FakeStore &m_store;
-    const bool &m_isDisconnected;
+    const StoreLink &m_link;
     StoreEra &m_era;
     bool m_isInterrupted = false;
 };
--- a/carawaylatch/gateway/testing/fleetstatetest.cpp
+++ b/carawaylatch/gateway/testing/fleetstatetest.cpp
@@ -51,10 +51,13 @@
     PlainTextDecoder m_decoder;
     std::unique_ptr<NullLog> m_log;
     std::unique_ptr<FleetState> m_state;
+    std::uint64_t m_revision = 0;
 
-    void change(ObjectKind kind, const StoredObject &object)
+    // A change that is later than all before.
+    void change(ObjectKind kind, StoredObject object)
     {
-        m_state->onChange(kind, object, {Start, Start, {}});
+        object.revision = ++m_revision;
+        m_state->onChanges(kind, {object}, m_revision, {Start, Start, {}});
     }
     bool hasUpstream(const std::string &id)
     {
@@ -66,6 +69,7 @@
     {
         m_log = std::make_unique<NullLog>();
         m_state = std::make_unique<FleetState>(m_decoder, m_log->log);
+        m_revision = 0;
     }
 
     void testTableVersionNeverDecreases()
@@ -73,7 +77,7 @@
         change(ObjectKind::Tables, object("main", "7"));
         change(ObjectKind::Tables, object("main", "5", 2));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, m_state->view()->table->version);
-        m_state->onList(ObjectKind::Tables, {object("main", "6", 3)}, {Start, Start, {}});
+        m_state->onList(ObjectKind::Tables, {object("main", "6", 3)}, 3, {Start, Start, {}});
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, m_state->view()->table->version);
         change(ObjectKind::Tables, removal("main"));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, m_state->view()->table->version);
@@ -144,17 +148,17 @@
         change(ObjectKind::Upstreams, object("ready", "p ready 10 1"));
         change(ObjectKind::Upstreams, object("leaving", "p draining 10 1"));
         change(ObjectKind::Upstreams, object("removed", "p ready 10 1"));
-        m_state->onChange(ObjectKind::Upstreams, removal("removed"), {Start, Start, Start});
-        m_state->onList(ObjectKind::Upstreams, {}, {Start, Start, Start});
+        m_state->onChanges(ObjectKind::Upstreams, {removal("removed")}, ++m_revision, {Start, Start, Start});
+        m_state->onList(ObjectKind::Upstreams, {}, m_revision, {Start, Start, Start});
         CPPUNIT_ASSERT(hasUpstream("ready"));
         CPPUNIT_ASSERT(hasUpstream("removed"));
         CPPUNIT_ASSERT(!hasUpstream("leaving"));
         CPPUNIT_ASSERT(!m_state->onTick(Start + RemovalLimits{}.maxUse - base::milliseconds{1}));
-        change(ObjectKind::Upstreams, object("ready", "p ready 10 1", 2));
+        change(ObjectKind::Upstreams, object("ready", "p ready 10 1", 3));
         CPPUNIT_ASSERT(m_state->onTick(Start + RemovalLimits{}.maxUse));
         CPPUNIT_ASSERT(hasUpstream("ready"));
         CPPUNIT_ASSERT(!hasUpstream("removed"));
-        m_state->onList(ObjectKind::Upstreams, {}, {Start, Start, {}});
+        m_state->onList(ObjectKind::Upstreams, {}, m_revision, {Start, Start, {}});
         CPPUNIT_ASSERT_MESSAGE("without an outage, a missing entry removes its upstream", !hasUpstream("ready"));
     }
 
@@ -166,12 +170,12 @@
         change(ObjectKind::Upstreams, object("e", "p ready 10 1"));
         m_state->onWeightsSeen(id, base::WeightsVersion{2});
         static_cast<void>(m_state->consumeChanged());
-        m_state->onChanges(ObjectKind::Upstreams, {removal("e"), object("e", "p ready 10 1", 2)}, {Start, Start, {}});
+        m_state->onChanges(ObjectKind::Upstreams, {removal("e"), object("e", "p ready 10 1", 2)}, 2, {Start, Start, {}});
         CPPUNIT_ASSERT(!m_state->consumeChanged());
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, m_state->upstreams().at(id).models.begin()->second.value);
-        m_state->onChanges(ObjectKind::Upstreams, {object("e", "p draining 10 1", 3), removal("e"), object("e", "p ready 10 1", 4)}, {Start, Start, {}});
+        m_state->onChanges(ObjectKind::Upstreams, {object("e", "p draining 10 1", 3), removal("e"), object("e", "p ready 10 1", 4)}, 4, {Start, Start, {}});
         CPPUNIT_ASSERT(m_state->upstreams().at(id).phase == proxy::UpstreamPhase::Draining);
-        m_state->onChanges(ObjectKind::Upstreams, {object("e", "p ready 11 1", 5), removal("e")}, {Start, Start, {}});
+        m_state->onChanges(ObjectKind::Upstreams, {object("e", "p ready 11 1", 5), removal("e")}, 5, {Start, Start, {}});
         CPPUNIT_ASSERT(!hasUpstream("e"));
     }
 
@@ -179,7 +183,7 @@
     // so uses older weights for too long.
     void testListedVersionAllowsNoOlderWeights()
     {
-        m_state->onList(ObjectKind::Weights, {object("m", "m 3")}, {Start, {}, {}});
+        m_state->onList(ObjectKind::Weights, {object("m", "m 3")}, ++m_revision, {Start, {}, {}});
         const auto limit = base::seconds{6};
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, m_state->targets().at(base::ModelId("m")).oldestAllowed(Start, limit).value);
         change(ObjectKind::Weights, object("m", "m 4", 2));
@@ -210,11 +214,16 @@
         CPPUNIT_ASSERT(m_state->view()->routerEndpoints[0] == peers);
         CPPUNIT_ASSERT_EQUAL(std::string("router.b"), m_state->routerAt(peers)->name);
         CPPUNIT_ASSERT(m_state->routerAt(base::Endpoint{"10.0.0.1", 7340}) == nullptr);
-        // A removal can have the same revision as the change before it; an older removal is ignored.
-        change(ObjectKind::Coordination, StoredObject{"router.b", {}, 0, true});
-        CPPUNIT_ASSERT_EQUAL(2U, m_state->view()->routers);
-        change(ObjectKind::Coordination, StoredObject{"router.b", {}, 1, true});
-        CPPUNIT_ASSERT_EQUAL(1U, m_state->view()->routers);
+        // A removal can have the same revision as the change before it, or none; one that is told as of an earlier revision is ignored.
+        const auto remove = [this](std::uint64_t revision, std::uint64_t asOf) {
+            m_state->onChanges(ObjectKind::Coordination, {StoredObject{"router.b", {}, revision, true}}, asOf, {Start, Start, {}});
+            return m_state->view()->routers;
+        };
+        CPPUNIT_ASSERT_EQUAL(2U, remove(0, 0));
+        CPPUNIT_ASSERT_EQUAL(2U, remove(1, 1));
+        CPPUNIT_ASSERT_EQUAL(1U, remove(2, 3));
+        change(ObjectKind::Coordination, object("router.b", "10.0.0.2:7340"));
+        CPPUNIT_ASSERT_EQUAL(1U, remove(0, 9));
     }
 
     void testChangingEnginesRoundTrip()
--- a/carawaylatch/gateway/testing/removedupstreamtest.cpp
+++ b/carawaylatch/gateway/testing/removedupstreamtest.cpp
@@ -56,7 +56,7 @@
         static_cast<void>(m_times.onHeartbeat(m_now));
         m_times.onCallSent(Kind, m_now);
         static_cast<void>(m_times.onAnswered(Kind));
-        m_state.onList(Kind, {entry()}, time({}));
+        m_state.onList(Kind, {entry()}, 1, time({}));
         m_times.onCallSent(Kind, m_now);
     }
     static StoredObject entry()
@@ -67,6 +67,10 @@
     {
         return {"e", {}, 2, true};
     }
+    static StoredObject returned()
+    {
+        return {"e", entry().text, 3, false};
+    }
     void runUntil(base::Duration end)
     {
         while (m_now + Beat <= end) {
@@ -92,7 +96,7 @@
     {
         m_times.onStoreAnswered(Kind, m_now);
         const auto changedAfter = m_times.onAnswered(Kind);
-        m_state.onChanges(Kind, objects, time(changedAfter));
+        m_state.onChanges(Kind, objects, asOf(objects), time(changedAfter));
         noteDrop();
         lastChange = changedAfter;
     }
@@ -103,7 +107,7 @@
     void onListed(const std::vector<StoredObject> &objects)
     {
         m_times.onStoreAnswered(Kind, m_now);
-        m_state.onList(Kind, objects, time(m_times.onAnswered(Kind)));
+        m_state.onList(Kind, objects, removal().revision, time(m_times.onAnswered(Kind)));
         noteDrop();
     }
     // Takes what a reader answered at `at`.
@@ -121,7 +125,7 @@
         answer = decodeRelayAnswer(encodeRelayAnswer(answer)).value();
         const auto changedAfter = m_times.onRelayed(Kind, confirmedAt, answer.changeAge ? std::optional(at - *answer.changeAge) : std::nullopt);
         m_times.onReaderAnswered(Kind, confirmedAt, answer.returnAge ? std::optional(at - *answer.returnAge) : std::nullopt);
-        m_state.onChanges(Kind, answer.objects, time(changedAfter));
+        m_state.onChanges(Kind, answer.objects, asOf(answer.objects), time(changedAfter));
         noteDrop();
     }
     // A call for another kind of object succeeds.
@@ -142,6 +146,11 @@
     std::optional<base::Duration> lastChange; // earliest time of the last changes
 
 private:
+    // The revision to which these changes lead.
+    static std::uint64_t asOf(const std::vector<StoredObject> &objects)
+    {
+        return objects.empty() ? 1 : objects.back().revision;
+    }
     [[nodiscard]] ChangeTime time(std::optional<base::Duration> changedAfter) const
     {
         const auto returnedAt = m_times.storeReturnedAt(Kind);
@@ -291,7 +300,7 @@
                     reader.runUntil(OutageStart);
                     readRemoval(router, reader, returnedAt, returnedAt + milliseconds{ms}, read, limit);
                     router.runUntil(returnedAt + milliseconds{back});
-                    router.onWatched({VirtualRouter::entry()});
+                    router.onWatched({VirtualRouter::returned()});
                     router.runUntil(returnedAt + base::seconds{10});
                     CPPUNIT_ASSERT_MESSAGE(row(base::seconds{9}, milliseconds{ms}, read) + ", back after " + std::to_string(back) + " ms",
                                            !router.droppedAt && router.isUsed());
--- a/carawaylatch/gateway/testing/rollouttest.cpp
+++ b/carawaylatch/gateway/testing/rollouttest.cpp
@@ -95,7 +95,7 @@
 
     void announceVersion(std::uint64_t version)
     {
-        m_state->onChange(ObjectKind::Weights, StoredObject{"m", "m " + std::to_string(version), version, false}, {m_now, m_now, {}});
+        m_state->onObject(ObjectKind::Weights, StoredObject{"m", "m " + std::to_string(version), version, false}, {m_now, m_now, {}});
     }
 
 public:
@@ -105,7 +105,7 @@
         m_state = std::make_unique<FleetState>(m_decoder, m_log->log);
         m_rollout = std::make_unique<Rollout>(Self, RolloutSettings{});
         for (int i = 0; i < Engines; ++i) {
-            m_state->onChange(ObjectKind::Upstreams, StoredObject{engine(i).value(), "p ready 1 1", 1, false}, {Start, Start, {}});
+            m_state->onObject(ObjectKind::Upstreams, StoredObject{engine(i).value(), "p ready 1 1", 1, false}, {Start, Start, {}});
         }
         m_loads.clear();
         m_now = Start;
@@ -275,7 +275,7 @@
         announceVersion(2);
         step();
         const base::UpstreamId leaving = *m_rollout->changing(m_now).engines.begin();
-        m_state->onChange(ObjectKind::Upstreams, StoredObject{leaving.value(), "p draining 1 1", 2, false}, {m_now, m_now, {}});
+        m_state->onObject(ObjectKind::Upstreams, StoredObject{leaving.value(), "p draining 1 1", 2, false}, {m_now, m_now, {}});
         step();
         CPPUNIT_ASSERT(!m_rollout->changing(m_now).engines.contains(leaving));
         for (int i = 0; i < 200; ++i) {
--- /dev/null
+++ b/carawaylatch/gateway/testing/stalereadertest.cpp
@@ -0,0 +1,224 @@
+// Tests with stepped clocks how long routers that learn of changes from a reader act on what the store has replaced,
+// while their readers are cut off from the store, refused by it, silent, or back from any of these. The routers under
+// test are never disturbed themselves.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <utility> // boost/asio/awaitable.hpp 1.74 uses std::exchange without it
+
+#include <boost/asio/io_context.hpp>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "carawaylatch/gateway/gatewaysettings.h"
+#include "carawaylatch/gateway/testing/suspension.h"
+#include "carawaylatch/gateway/testing/testcluster.h"
+
+namespace carawaylatch::gateway::testing
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr base::Duration Step = milliseconds{5};
+constexpr base::Duration Heartbeat = ChangeTimes::HeartbeatInterval;
+constexpr std::size_t Routers = 3; // of one failure domain, two of them readers
+constexpr std::uint64_t Born = 1'700'000'000'000;
+
+std::string entry(const std::string &phase, std::uint64_t weights)
+{
+    return "p " + phase + " " + std::to_string(Born) + " " + std::to_string(weights);
+}
+
+// A failure domain in virtual time. It notes the longest time for which the router that is no reader uses an upstream
+// after its leaving was acknowledged, or holds an earlier configuration or target weights.
+class StaleDomain
+{
+public:
+    StaleDomain()
+        : m_cluster(m_loop, m_clock, m_log.log)
+    {
+        GatewaySettings gateway;
+        std::vector<base::Endpoint> relays;
+        for (std::size_t i = 0; i < Routers; ++i) {
+            gateway.id = std::string(1, static_cast<char>('a' + i));
+            gateway.failureDomain = "d";
+            gateway.relay = {"10.0.0." + std::to_string(i + 1), 7100};
+            gateway.peers = {"10.0.0." + std::to_string(i + 1), 7000};
+            relays.push_back(gateway.relay);
+            m_cluster.addRouter(gateway.control());
+        }
+        for (std::size_t i = 0; i < Routers; ++i) {
+            ReaderChoice choice(relays[i], {});
+            choice.setRouters(relays);
+            (choice.isAmongFirst() ? readers : followers).push_back(m_cluster.routers[i].get());
+        }
+        m_relays = relays;
+        run(base::seconds{12}); // until the follower learns from a reader
+        reader = readerOfFollower();
+    }
+    ~StaleDomain()
+    {
+        m_loop.stop();
+    }
+    StaleDomain(const StaleDomain &) = delete;
+    StaleDomain &operator=(const StaleDomain &) = delete;
+
+    [[nodiscard]] Router *readerOfFollower()
+    {
+        const auto endpoint = followers.front()->relay.answeredBy;
+        for (std::size_t i = 0; endpoint && i < Routers; ++i) {
+            if (m_relays[i] == *endpoint) {
+                return m_cluster.routers[i].get();
+            }
+        }
+        return nullptr;
+    }
+    void setFault(const Router *router, RelayFault fault)
+    {
+        for (std::size_t i = 0; i < Routers; ++i) {
+            if (m_cluster.routers[i].get() == router) {
+                m_cluster.network.faults[m_relays[i]] = fault;
+            }
+        }
+    }
+    FakeStore &store()
+    {
+        return m_cluster.store;
+    }
+    void run(base::Duration time)
+    {
+        for (const base::TimePoint end = m_clock.now() + time; m_clock.now() < end;) {
+            m_steps.step(m_loop, Step);
+            observe();
+        }
+    }
+    // Runs, while entries of other upstreams change.
+    void runBusy(base::Duration time)
+    {
+        for (base::Duration left = time; left > base::Duration{}; left -= milliseconds{300}) {
+            store().put(ObjectKind::Upstreams, "busy", entry("ready", ++m_weights));
+            run(std::min<base::Duration>(left, milliseconds{300}));
+        }
+    }
+    void put(const std::string &upstream, const std::string &phase)
+    {
+        store().put(ObjectKind::Upstreams, upstream, entry(phase, ++m_weights));
+        if (phase == "draining") {
+            m_leftAt.emplace(upstream, m_clock.now());
+        }
+    }
+    void remove(const std::string &upstream)
+    {
+        store().erase(ObjectKind::Upstreams, upstream);
+        m_leftAt.emplace(upstream, m_clock.now());
+    }
+    // The operator names a configuration and weights.
+    void nameVersions()
+    {
+        ++m_version;
+        store().put(ObjectKind::Tables, "main", std::to_string(m_version));
+        store().put(ObjectKind::Weights, "m", "m " + std::to_string(m_version));
+        m_namedAt = m_clock.now();
+    }
+    [[nodiscard]] int followerCalls() const
+    {
+        return followers.front()->clients.calls.watches;
+    }
+    [[nodiscard]] bool uses(const std::string &upstream) const
+    {
+        const auto &upstreams = followers.front()->last->upstreams;
+        return std::any_of(upstreams.begin(), upstreams.end(), [&upstream](const proxy::Upstream &it) {
+            return it.id.value() == upstream && it.phase == proxy::UpstreamPhase::Ready;
+        });
+    }
+
+    std::vector<Router *> readers;
+    std::vector<Router *> followers;
+    Router *reader = nullptr; // from which the follower learns
+    base::Duration longestUse{}; // of an upstream that has left
+    base::Duration longestVersion{}; // of a configuration or weights that were replaced
+
+private:
+    void observe()
+    {
+        const auto &view = followers.empty() ? nullptr : followers.front()->last;
+        if (!view) {
+            return;
+        }
+        const base::TimePoint now = m_clock.now();
+        for (const auto &[upstream, leftAt] : m_leftAt) {
+            longestUse = std::max(longestUse, uses(upstream) ? now - leftAt : base::Duration{});
+        }
+        const auto target = view->targets.find(base::ModelId("m"));
+        const bool isNewest =
+            m_version == 1 || (view->table->version == m_version && target != view->targets.end() && target->second.version.value == m_version);
+        longestVersion = std::max(longestVersion, isNewest ? base::Duration{} : now - m_namedAt);
+    }
+
+    SteppedClock m_steps;
+    base::SteadyClock m_clock;
+    NullLog m_log;
+    boost::asio::io_context m_loop{1};
+    TestCluster m_cluster;
+    std::vector<base::Endpoint> m_relays;
+    std::map<std::string, base::TimePoint> m_leftAt;
+    std::uint64_t m_weights = 1;
+    std::uint64_t m_version = 1;
+    base::TimePoint m_namedAt;
+};
+
+} // namespace
+
+class StaleReaderTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(StaleReaderTest);
+    CPPUNIT_TEST(testReaderThatIsBackBringsNoRemovedUpstreamBack);
+    CPPUNIT_TEST_SUITE_END();
+
+    // From the acknowledgement of a change to when the traffic thread has it; the rest of the time to leave covers requests on their way.
+    static base::Duration limit()
+    {
+        return GatewaySettings().control().removal.maxUse + Heartbeat;
+    }
+
+public:
+    // A router took up an upstream that was gone, from a reader that was back after 3.5 s, and used it for the time that entries
+    // have to come back after an outage of the store, though it had never missed the store itself (DRAIN).
+    void testReaderThatIsBackBringsNoRemovedUpstreamBack()
+    {
+        std::string late;
+        for (const int cut : {3000, 3500, 4000, 4500, 5500}) {
+            for (const int phase : {0, 100, 200, 300, 400, 500, 600, 700, 800, 900, 1000, 1100}) {
+                StaleDomain domain;
+                CPPUNIT_ASSERT(domain.reader != nullptr);
+                domain.put("leaving", "ready");
+                domain.runBusy(base::seconds{1} + milliseconds{phase});
+                CPPUNIT_ASSERT(domain.uses("leaving"));
+                domain.reader->clients.isDisconnected = true;
+                domain.run(milliseconds{50});
+                domain.put("leaving", "ready");
+                domain.runBusy(milliseconds{1250});
+                domain.remove("leaving");
+                domain.runBusy(milliseconds{cut - 1300});
+                domain.reader->clients.isDisconnected = false;
+                domain.runBusy(base::seconds{6});
+                CPPUNIT_ASSERT(!domain.uses("leaving"));
+                if (domain.longestUse > limit()) {
+                    late += "cut for " + std::to_string(cut) + " ms, phase " + std::to_string(phase) + ": used for "
+                            + base::formatMilliseconds(domain.longestUse) + " ms after its removal\n";
+                }
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string(), late);
+    }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(StaleReaderTest);
+
+} // namespace carawaylatch::gateway::testing
--- a/carawaylatch/gateway/testing/streamsoftwaretest.cpp
+++ b/carawaylatch/gateway/testing/streamsoftwaretest.cpp
@@ -278,8 +278,8 @@
         }));
         const std::string name(SoftwareName);
         StoreEra era;
-        const bool isDisconnected = false;
-        FakeClient client(cluster.store, isDisconnected, era);
+        const StoreLink link;
+        FakeClient client(cluster.store, link, era);
         std::uint64_t removed = 0;
         boost::asio::co_spawn(
             *m_loop,
--- a/carawaylatch/gateway/testing/testcluster.h
+++ b/carawaylatch/gateway/testing/testcluster.h
@@ -92,8 +92,8 @@
 class CountedClient : public FakeClient
 {
 public:
-    CountedClient(FakeStore &store, const bool &isDisconnected, StoreEra &era, StoreCalls &calls)
-        : FakeClient(store, isDisconnected, era)
+    CountedClient(FakeStore &store, const StoreLink &link, StoreEra &era, StoreCalls &calls)
+        : FakeClient(store, link, era)
         , m_calls(calls)
     {
     }
@@ -117,7 +117,7 @@
     StoreCalls &m_calls;
 };
 
-class FakeClients : public ObjectClientFactory
+class FakeClients : public ObjectClientFactory, public StoreLink
 {
 public:
     explicit FakeClients(FakeStore &store)
@@ -126,13 +126,12 @@
     }
     std::unique_ptr<ObjectClient> makeClient() override
     {
-        return std::make_unique<CountedClient>(m_store, isDisconnected, m_era, calls);
+        return std::make_unique<CountedClient>(m_store, *this, m_era, calls);
     }
     std::optional<std::uint64_t> storeEra() const override
     {
         return m_era.isKnown ? std::optional(m_era.current) : std::nullopt;
     }
-    bool isDisconnected = false; // from the store; all calls fail
     StoreCalls calls;
 
 private:
--- a/carawaylatch/gateway/testing/watchrelaytest.cpp
+++ b/carawaylatch/gateway/testing/watchrelaytest.cpp
@@ -99,7 +99,8 @@
         CPPUNIT_ASSERT_EQUAL_MESSAGE("never back", std::uint64_t{12}, log.changesSince(Kind, 12)->revision);
         log.onChanges(Kind, 10, 15, {object("a", 14)}, {});
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, log.changesSince(Kind, 10)->objects.size());
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, log.changesSince(Kind, 14)->objects.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, log.changesSince(Kind, 13)->objects.size());
+        CPPUNIT_ASSERT_MESSAGE("a change that is known", log.changesSince(Kind, 14)->objects.empty() && log.changesSince(Kind, 14)->revision == 15);
         CPPUNIT_ASSERT(log.changesSince(Kind, 15)->objects.empty());
         log.onChanges(Kind, 20, 21, {object("b", 21)}, {});
         CPPUNIT_ASSERT_MESSAGE("the changes from 15 to 20 are missing", !log.changesSince(Kind, 15).has_value());
@@ -136,6 +137,7 @@
                 const auto changes = log.changesSince(Kind, from);
                 CPPUNIT_ASSERT(changes && changes->revision == revision);
                 for (const StoredObject &it : changes->objects) {
+                    CPPUNIT_ASSERT_MESSAGE("a change that is known", it.isRemoved || it.revision > from);
                     if (it.isRemoved) {
                         state.erase(it.name);
                     } else {
--- a/carawaylatch/gateway/watchlog.cpp
+++ b/carawaylatch/gateway/watchlog.cpp
@@ -2,6 +2,8 @@
 #include "carawaylatch/gateway/watchlog.h"
 
 #include <algorithm>
+#include <map>
+#include <string_view>
 
 #include "carawaylatch/gateway/storeversion.h"
 
@@ -44,10 +46,25 @@
     }
     ChangesSince changes;
     changes.revision = std::max(revision, it->second.revision);
-    for (const Batch &batch : it->second.batches) {
-        if (batch.revision > revision) {
-            changes.objects.insert(changes.objects.end(), batch.objects.begin(), batch.objects.end());
-            changes.changedAfter = std::min(changes.changedAfter, batch.changedAfter);
+    const std::deque<Batch> &batches = it->second.batches;
+    const auto later = std::find_if(batches.begin(), batches.end(), [revision](const Batch &batch) {
+        return batch.revision > revision;
+    });
+    std::map<std::string_view, const StoredObject *> last;
+    for (auto batch = later; batch != batches.end(); ++batch) {
+        for (const StoredObject &object : batch->objects) {
+            last[object.name] = &object;
+        }
+    }
+    const auto isKnown = [revision](const StoredObject &object) {
+        return !object.isRemoved && object.revision <= revision;
+    };
+    for (auto batch = later; batch != batches.end(); ++batch) {
+        for (const StoredObject &object : batch->objects) {
+            if (!isKnown(object) && !isKnown(*last[object.name])) {
+                changes.objects.push_back(object);
+                changes.changedAfter = std::min(changes.changedAfter, batch->changedAfter);
+            }
         }
     }
     return changes;
--- a/carawaylatch/gateway/watchlog.h
+++ b/carawaylatch/gateway/watchlog.h
@@ -2,9 +2,11 @@
 // learn of changes from it instead of the store.
 //
 // A state machine without I/O. It holds batches, each of which leads from one revision of
-// the store to a later one. A router at any revision within them gets all later batches
-// whole, even where it knows a part of one: the last state of each object is then the same
-// as at this router. Batches are dropped, oldest first, beyond MaxBytes of a kind.
+// the store to a later one. A router at any revision within them gets all later batches,
+// without the changes that it knows: the last state of each object is then the same as at
+// this router. Removals are told again, since their revision may be that of the change before
+// them; the router leaves out those that it knows (KnownObjects). Batches are dropped, oldest
+// first, beyond MaxBytes of a kind.
 #pragma once
 
 #include <cstdint>
