The outage of a reader is none of its follower's

Entries that expire while the store is unavailable come back within 2 s, so their upstreams are kept for that time. A follower took the reader's return for its own, and kept what the reader told as removed.

Now only calls of the router itself that failed make an outage. The reader's return ends one that the router has seen itself, as before.

RemovedUpstreamTest::testOutageOfAReaderIsNotThatOfItsFollower failed before (the upstream was still in use).

--- a/carawaylatch/gateway/changetimes.cpp
+++ b/carawaylatch/gateway/changetimes.cpp
@@ -105,11 +105,9 @@
 
 void ChangeTimes::onReaderAnswered(ObjectKind name, base::Duration confirmedAt, std::optional<base::Duration> returnedAt)
 {
-    const bool isSameOutage = returnedAt && returnedAt > storeLostAt(name);
+    const auto lostAt = storeLostAt(name);
+    const bool isSameOutage = lostAt && returnedAt > lostAt;
     onStoreAnswered(name, isSameOutage ? *returnedAt : confirmedAt);
-    if (returnedAt) {
-        onStoreReturned(name, *returnedAt);
-    }
 }
 
 void ChangeTimes::onStoreReturned(ObjectKind name, base::Duration at)
--- a/carawaylatch/gateway/changetimes.h
+++ b/carawaylatch/gateway/changetimes.h
@@ -21,7 +21,8 @@
 // Entries that expired while the store was unavailable are written again soon after its
 // return. The class bounds the return, too: the store was back when it first answered any call
 // after the last one for the kind that failed. The next call for the kind itself may follow much
-// later, after the pause between retries. A state machine without I/O. All times are those of
+// later, after the pause between retries. Only calls of this router that failed make an outage: a reader that was cut off
+// from the store may have been the only one. A state machine without I/O. All times are those of
 // TableAge::bootTime(), which count suspension.
 #pragma once
 
@@ -63,7 +64,7 @@
     // The store answered a call.
     void onStoreAnswered(ObjectKind kind, base::Duration at);
     // A reader answered. The store confirmed its state at `confirmedAt`, and was back for it at `returnedAt` if the
-    // reader tells.
+    // reader tells. Both end an outage that this router has seen itself; one that only the reader had is none of this router.
     void onReaderAnswered(ObjectKind kind, base::Duration confirmedAt, std::optional<base::Duration> returnedAt);
     // The store is known to have returned at this time or before.
     void onStoreReturned(ObjectKind kind, base::Duration at);
--- a/carawaylatch/gateway/testing/removedupstreamtest.cpp
+++ b/carawaylatch/gateway/testing/removedupstreamtest.cpp
@@ -179,6 +179,7 @@
     CPPUNIT_TEST(testUpstreamRemovedAroundAnOutageIsUsedNoLongerThanItsBound);
     CPPUNIT_TEST(testUpstreamWhoseEntryReturnsInTimeIsNeverDropped);
     CPPUNIT_TEST(testUpstreamMissingAfterASecondOutage);
+    CPPUNIT_TEST(testOutageOfAReaderIsNotThatOfItsFollower);
     CPPUNIT_TEST(testLimitsLeaveAMarginInTheTimeToLeave);
     CPPUNIT_TEST_SUITE_END();
 
@@ -328,6 +329,23 @@
         CPPUNIT_ASSERT_MESSAGE(base::formatMilliseconds(*router.droppedAt - returnedAt), *router.droppedAt - returnedAt <= limit.maxUse + Beat);
     }
 
+    // A reader that comes back from an outage of its own tells of a removal. Its follower, which has missed no answer of the
+    // store, kept the upstream in use for the time in which entries come back after an outage.
+    void testOutageOfAReaderIsNotThatOfItsFollower()
+    {
+        const RemovalLimits limit = limits(2000);
+        VirtualRouter router(OutageStart - base::seconds{1}, limit);
+        VirtualRouter reader(OutageStart - base::seconds{1}, limit);
+        reader.runUntil(OutageStart);
+        const base::Duration returnedAt = OutageStart + milliseconds{3500};
+        reader.failCalls(returnedAt);
+        reader.onWatched({VirtualRouter::removal()});
+        CPPUNIT_ASSERT_MESSAGE("its own outage counts for the reader", reader.isUsed());
+        router.runUntil(returnedAt);
+        router.onRelayed(reader, returnedAt, returnedAt, {VirtualRouter::removal()});
+        CPPUNIT_ASSERT(!router.isUsed());
+    }
+
     // The pause delays the reading of a removal, so it must end before the last use; what remains of the
     // time covers requests on their way.
     void testLimitsLeaveAMarginInTheTimeToLeave()
