A response with a folded line in its head is discarded

A line of a response's head that begins with a blank was joined to the field before it. Behind the server's signature the caller got a 200 whose signature is not the server's; behind the request id the response counted as another request's.

RFC 9112, section 5.2, allows a proxy to discard such a response with 502, or to replace the fold by blanks. The row "a folded value" of answertable.h took the second for good, with a field of no meaning; but the table is for readers whose callers compare fields byte for byte, so the row is changed to the first, and eleven more are added: tabs, two folds, folds of blanks alone, behind the fields that identify the response, in each framing, and in an interim response.

HttpResponseParser rejects it, so all readers of responses do: upstreams, forwarding, store, orders, status, probes, and the clients of carawaylatchd. A folded trailer is not covered: trailers are dropped.

--- a/carawaylatch/proxy/httpparser.cpp
+++ b/carawaylatch/proxy/httpparser.cpp
@@ -1,7 +1,8 @@
 // Beast's parser rejects ambiguous framing, which could make two hops disagree about
 // where a message ends: repeated or mixed Content-Length and Transfer-Encoding, and
 // bare control bytes. This file also rejects transfer codings other than chunked, chunks
-// in HTTP/1.0, and statuses that no response to a request of a router can have.
+// in HTTP/1.0, statuses that no response to a request of a router can have, and responses with
+// folded lines, which Beast joins to the field before.
 #include "carawaylatch/proxy/httpparser.h"
 
 #include <boost/beast/http/basic_parser.hpp>
@@ -53,6 +54,15 @@
     return status >= FirstStatus && status <= LastStatus && status != SwitchingProtocols;
 }
 
+// True if a line of the head begins with a blank and so belongs to the field before it (RFC 9112, section 5.2). A proxy may
+// discard such a response; joined, the field would be another than the upstream's.
+bool hasFoldedLine(std::string_view bytes)
+{
+    constexpr std::string_view EndOfHead = "\r\n\r\n";
+    const std::string_view head = bytes.substr(0, bytes.find(EndOfHead));
+    return head.find("\r\n ") != std::string_view::npos || head.find("\r\n\t") != std::string_view::npos;
+}
+
 template <typename Parser>
 base::Result<std::size_t> feedParser(Parser &parser, std::string_view bytes)
 {
@@ -236,6 +246,10 @@
 
 base::Result<std::size_t> HttpResponseParser::feed(std::string_view bytes)
 {
+    // The parser takes a head only once it is whole, so the bytes begin with it until then.
+    if (!isHeadComplete() && hasFoldedLine(bytes)) {
+        return base::fail(base::ErrorKind::InvalidArgument, "malformed HTTP/1.1 message (folded line in the head); send each field on one line");
+    }
     return feedParser(*m_impl, bytes);
 }
 
--- a/testing/answertable.h
+++ b/testing/answertable.h
@@ -165,7 +165,18 @@
     [[nodiscard]] std::vector<AnswerRow> foldRows() const
     {
         return {
-            {"9112/5.2: a folded value", withField("X-A: b\r\n c"), true},
+            {"9112/5.2: a folded value", withField("X-A: b\r\n c")},
+            {"9112/5.2: a value folded with a tab", withField("X-A: b\r\n\tc")},
+            {"9112/5.2: a value folded twice", withField("X-A: b\r\n c\r\n d")},
+            {"9112/5.2: a fold with no more than blanks", withField("X-A: b\r\n \t ")},
+            {"9112/5.2: a folded value of blanks", withField("X-A:\r\n b")},
+            {"9112/5.2: a fold behind the fields that identify the response", withFraming(" c\r\n" + m_length, m_body)},
+            {"9112/5.2: a fold with a tab behind these", withFraming("\tc\r\n" + m_length, m_body)},
+            {"9112/5.2: a fold behind these, in chunks", withFraming(" c\r\n" + m_chunked, m_chunks)},
+            {"9112/5.2: a fold behind these, up to the end of the connection", withFraming(" c\r\n", m_body)},
+            {"9112/5.2: a fold that looks like a field", withFraming(" X-A: b\r\n" + m_length, m_body)},
+            {"9112/5.2: a fold at the end of the head", withFraming(m_length + " \r\n", m_body)},
+            {"9112/5.2: a fold in an interim response", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n y\r\n\r\n" + m_whole},
             {"9112/5.2: a folded length", withFraming("Content-Length: " + m_size + "\r\n 0\r\n", m_body)},
             {"9112/5.2: a folded transfer coding", withFraming("Transfer-Encoding: chunked\r\n ,gzip\r\n", m_chunks)},
         };
