Tests of readers: polls of a fake relay end with the event loop

The coroutines own them now, and the domain of StaleReaderTest destroys its loop first, as the other tests do. No assertion, bound or seed is changed.

--- a/carawaylatch/gateway/testing/fakerelay.h
+++ b/carawaylatch/gateway/testing/fakerelay.h
@@ -2,11 +2,11 @@
 #pragma once
 
 #include <exception>
-#include <list>
 #include <map>
 #include <memory>
 #include <optional>
 #include <utility> // boost/asio/awaitable.hpp 1.74 uses std::exchange without it
+#include <vector>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
@@ -54,6 +54,9 @@
         }
         const auto call = std::make_shared<Call>(Call{reader, boost::asio::steady_timer(m_loop), {}, false, false});
         const auto endsAt = boost::asio::steady_timer::clock_type::now() + timeout;
+        std::erase_if(m_calls, [](const std::weak_ptr<Call> &it) {
+            return it.expired();
+        });
         m_calls.push_back(call);
         bool isTaken = false;
         while (!call->isAnswered || m_network.faults[reader] == RelayFault::Silent) {
@@ -67,7 +70,6 @@
                 });
             }
             if (isOver || call->isInterrupted) {
-                m_calls.remove(call);
                 noteEnd(poll, std::nullopt);
                 co_return base::fail(base::ErrorKind::Unavailable, isOver ? "no answer" : "interrupted");
             }
@@ -75,7 +77,6 @@
             boost::system::error_code ignored;
             co_await call->ended.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
         }
-        m_calls.remove(call);
         const std::unique_ptr<RelayAnswer> answer = std::move(call->answer);
         const bool isLate = m_network.faults[reader] == RelayFault::Late;
         if (isLate) {
@@ -87,8 +88,8 @@
     }
     void interrupt(const base::Endpoint &reader) override
     {
-        for (const auto &call : m_calls) {
-            if (call->reader == reader) {
+        for (const auto &it : m_calls) {
+            if (const auto call = it.lock(); call && call->reader == reader) {
                 call->isInterrupted = true;
                 call->ended.cancel();
             }
@@ -126,7 +127,7 @@
 
     boost::asio::io_context &m_loop;
     RelayNetwork &m_network;
-    std::list<std::shared_ptr<Call>> m_calls;
+    std::vector<std::weak_ptr<Call>> m_calls; // owned by the coroutines of the polls, which end with the event loop
 };
 
 } // namespace carawaylatch::gateway::testing
--- a/carawaylatch/gateway/testing/stalereadertest.cpp
+++ b/carawaylatch/gateway/testing/stalereadertest.cpp
@@ -47,7 +47,7 @@
 {
 public:
     StaleDomain()
-        : m_cluster(m_loop, m_clock, m_log.log)
+        : m_cluster(*m_loop, m_clock, m_log.log)
     {
         GatewaySettings gateway;
         std::vector<base::Endpoint> relays;
@@ -70,7 +70,7 @@
     }
     ~StaleDomain()
     {
-        m_loop.stop();
+        m_loop.reset(); // the coroutines refer to the cluster
     }
     StaleDomain(const StaleDomain &) = delete;
     StaleDomain &operator=(const StaleDomain &) = delete;
@@ -111,7 +111,7 @@
     void run(base::Duration time)
     {
         for (const base::TimePoint end = m_clock.now() + time; m_clock.now() < end;) {
-            m_steps.step(m_loop, Step);
+            m_steps.step(*m_loop, Step);
             observe();
         }
     }
@@ -191,7 +191,7 @@
     SteppedClock m_steps;
     base::SteadyClock m_clock;
     NullLog m_log;
-    boost::asio::io_context m_loop{1};
+    std::unique_ptr<boost::asio::io_context> m_loop = std::make_unique<boost::asio::io_context>(1);
     TestCluster m_cluster;
     std::vector<base::Endpoint> m_relays;
     std::map<std::string, base::TimePoint> m_leftAt;
