--- a/carawaylatch/gateway/testing/stalereadertest.cpp
+++ b/carawaylatch/gateway/testing/stalereadertest.cpp
@@ -274,7 +274,7 @@
     static void checkRandomTroubles(base::Duration Delays::*delay)
     {
         constexpr std::uint64_t Rounds = 300;
-        static const std::vector<Delays> played = [] {
+        static const std::vector<Delays> Played = [] {
             std::vector<Delays> out;
             for (std::uint64_t round = 0; round < Rounds; ++round) {
                 out.push_back(playRandomTroubles(base::Random(carawaylatch::testing::seed() + round)));
@@ -283,8 +283,8 @@
         }();
         std::string late;
         for (std::uint64_t round = 0; round < Rounds; ++round) {
-            if (played[round].*delay > limit() + LateDelay) {
-                late += "seed " + std::to_string(carawaylatch::testing::seed() + round) + ": " + base::formatMilliseconds(played[round].*delay) + " ms\n";
+            if (Played[round].*delay > limit() + LateDelay) {
+                late += "seed " + std::to_string(carawaylatch::testing::seed() + round) + ": " + base::formatMilliseconds(Played[round].*delay) + " ms\n";
             }
         }
         CPPUNIT_ASSERT_EQUAL(std::string(), late);
