A connection that the store closed while it was idle is no outage

The router learned from readers, and its own connections to the store had been closed while they were idle. When it turned to the store all four calls failed at once with "End of file" (E2410, StoreLost), so the router took the next answer for the end of an outage and kept servers that were gone.

Cause: HttpClient reused a kept connection without looking at it, and passed its end on as a failed call.

Ruled out: a silence of the store (the calls failed within a millisecond), a cut of this router (its last one had ended 5 s before).

Change: a kept connection is checked before it is used again. If its end was still on the way, a GET is sent once more at once on a new connection (RFC 9110, 9.2.2). A write is not, since it may have taken effect; nor is a watch that is cut off while it waits, since its answer may be lost.

--- a/carawaylatch/proxy/socket.cpp
+++ b/carawaylatch/proxy/socket.cpp
@@ -13,7 +13,10 @@
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include <boost/asio/error.hpp>
+
 #include <algorithm>
+#include <cerrno>
 #include <cstdint>
 #include <iterator>
 
@@ -78,6 +81,18 @@
     return boost::system::error_code(error, boost::system::system_category()).message();
 }
 
+bool hasEnded(int descriptor)
+{
+    char byte = 0;
+    const ssize_t n = ::recv(descriptor, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+    return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
+bool isClosedByPeer(const boost::system::error_code &ec)
+{
+    return ec == boost::asio::error::eof || ec == boost::asio::error::connection_reset || ec == boost::asio::error::broken_pipe;
+}
+
 void refuseConnections(Tcp::acceptor &acceptor)
 {
     constexpr std::uint32_t FlagsOffset = 13; // in the TCP header
--- a/carawaylatch/proxy/socket.h
+++ b/carawaylatch/proxy/socket.h
@@ -38,6 +38,16 @@
 // Returns the error of the connection that no call has reported yet, or an empty text. The system then forgets it.
 [[nodiscard]] std::string takeError(int descriptor);
 
+// True if the peer has ended an idle connection, or has sent bytes that nobody asked for. Its end may still be on the way.
+[[nodiscard]] bool hasEnded(int descriptor);
+
+// From when a request is written to a kept connection until its end is known, if the peer had closed it while it was idle. A
+// request that may be sent again is sent on a new connection then: the end says nothing about the peer (RFC 9110, 9.2.2). A
+// later end is another matter, since a response may have been lost with it.
+constexpr base::Duration MaxCloseDelay = base::milliseconds{100};
+// True if the peer has ended the connection.
+[[nodiscard]] bool isClosedByPeer(const boost::system::error_code &ec);
+
 // Opens, binds and listens. Unavailable if the address is in use or not local to this VM.
 [[nodiscard]] base::Result<void> openAcceptor(Tcp::acceptor &acceptor, const base::Endpoint &endpoint);
 
