A connection that a reader closed while it was idle does not make it unreachable

A router keeps its connections to a reader while it learns from another one. If the reader restarts meanwhile, the first poll met the end of the old connection, and the reader was passed over for 2 s, doubling up to 30 s, with a call to the store for each kind.

Change: such a poll is sent once more at once on a new connection. Polls change nothing, so that is safe.

Test: testPollAfterTheReaderClosedAnIdleConnection failed on ("End of file") and passes.

Other clients that keep connections: the lease uses the store's client; status calls and orders to engines open a connection each; the links between routers read all the time and see an end at once; cpp-httplib, under carawaylatchd's clients, checks a kept connection before it uses it.

--- a/carawaylatch/gateway/http2relay.cpp
+++ b/carawaylatch/gateway/http2relay.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <array>
+#include <chrono>
 #include <optional>
 #include <utility>
 
@@ -52,7 +53,31 @@
         return m_reader;
     }
 
+    // A poll on a connection that the reader closed while it was idle is sent once more, on a new one.
     Awaitable<base::Result<std::string>> call(std::string body, base::Duration timeout)
+    {
+        const bool isKept = m_stream.has_value();
+        const auto sentAt = std::chrono::steady_clock::now();
+        std::string text;
+        auto ec = co_await exchange(body, timeout, text);
+        if (isKept && proxy::isClosedByPeer(ec) && std::chrono::steady_clock::now() - sentAt < proxy::MaxCloseDelay) {
+            ec = co_await exchange(body, timeout, text);
+        }
+        if (ec) {
+            co_return noAnswer(ec.message());
+        }
+        co_return text;
+    }
+
+    void interrupt()
+    {
+        if (m_stream) {
+            m_stream->cancel();
+        }
+    }
+
+private:
+    Awaitable<boost::system::error_code> exchange(std::string body, base::Duration timeout, std::string &text)
     {
         boost::system::error_code ec;
         if (!m_stream) {
@@ -61,13 +86,15 @@
         if (!ec) {
             m_stream->expires_after(timeout);
             const std::int32_t id = m_session->submit(std::move(body));
-            while (!ec && id > 0) {
+            ec = id > 0 ? ec : boost::asio::error::connection_aborted;
+            while (!ec) {
                 if (const std::string output = m_session->takeOutput(); !output.empty()) {
                     co_await boost::asio::async_write(*m_stream, boost::asio::buffer(output), boost::asio::redirect_error(boost::asio::use_awaitable, ec));
                 }
                 for (auto &response : m_session->takeResponses()) {
                     if (response.stream == id && response.status == StatusOk) {
-                        co_return std::move(response.body);
+                        text = std::move(response.body);
+                        co_return ec;
                     }
                 }
                 if (!ec) {
@@ -76,17 +103,9 @@
             }
         }
         m_stream.reset();
-        co_return noAnswer(ec.message());
-    }
-
-    void interrupt()
-    {
-        if (m_stream) {
-            m_stream->cancel();
-        }
+        co_return ec;
     }
 
-private:
     Awaitable<boost::system::error_code> connect(base::Duration timeout)
     {
         boost::system::error_code ec;
