A router that was cut off keeps missing upstreams from the return, not from its late retry

The bound is 3 s: a router counts as undisturbed then.

Cause: an entry that is missing after an outage keeps its upstream in use for 1.7 s from the return, and the return was the first call that succeeded. The pause before it is up to 1.5 s (a second, with jitter), so the upstream was used for up to 3.2 s after the store was back.

Change: the return is at most 0.8 s after the last call that failed was sent.

Test: testUpstreamIsNotKeptFromALateRetry failed on (3,200 ms) and passes.

--- a/carawaylatch/gateway/changetimes.cpp
+++ b/carawaylatch/gateway/changetimes.cpp
@@ -93,6 +93,7 @@
         kind.storeLostAt = now;
         kind.contactAt = m_contactAt;
     }
+    m_failedCallSentAt = std::max(m_failedCallSentAt, kind.sentAt.value_or(now));
     if (kind.sentAt > kind.otherAnsweredAt) {
         kind.otherAnsweredAt.reset();
     }
@@ -108,7 +109,8 @@
     }
     Kind &kind = m_kinds[name];
     if (const auto lostAt = std::exchange(kind.storeLostAt, {})) {
-        const base::Duration returnedAt = std::max(*lostAt, std::exchange(kind.otherAnsweredAt, {}).value_or(at));
+        const base::Duration answeredAt = std::max(*lostAt, std::exchange(kind.otherAnsweredAt, {}).value_or(at));
+        const base::Duration returnedAt = std::max(*lostAt, std::min(answeredAt, m_failedCallSentAt + MaxReturnDelay));
         endOutage(kind, returnedAt, returnedAt - kind.contactAt);
     }
 }
--- a/carawaylatch/gateway/changetimes.h
+++ b/carawaylatch/gateway/changetimes.h
@@ -21,8 +21,9 @@
 // Entries that expired while the store was unavailable are written again soon after its
 // return. The class bounds the return, too: the store was back when it first answered any call
 // after the last one for the kind that failed. The next call for the kind itself may follow much
-// later, after the pause between retries. Only calls of this router that failed make an outage: a reader that was cut off
-// from the store may have been the only one.
+// later, after the pause between retries. Nor was the store back much later than when the last call was sent that failed,
+// as far as time limits go: a router that is back counts as undisturbed some seconds after that, whenever it notices.
+// Only calls of this router that failed make an outage: a reader that was cut off from the store may have been the only one.
 //
 // An entry expires in an outage only if its writer can't write it for a time that is longer than that between two of its
 // writes. So the class tells how long the store may have been out of reach at most: from the last contact, by any call or
@@ -47,6 +48,8 @@
     static constexpr base::Duration HeartbeatInterval = base::milliseconds{50};
     // Longer than a heartbeat is late on a VM that is short of processor time.
     static constexpr base::Duration MaxHeartbeatGap = base::milliseconds{250};
+    // From when the last call that failed was sent to the return, at most; about as long as a pause between retries.
+    static constexpr base::Duration MaxReturnDelay = base::milliseconds{800};
 
     // Call it at each HeartbeatInterval. Returns the time since the last call if it is longer
     // than MaxHeartbeatGap.
@@ -111,6 +114,7 @@
     std::map<ObjectKind, Kind> m_kinds;
     std::deque<SeenRevision> m_seenRevisions; // the latest ones
     base::Duration m_contactAt{}; // last time at which the store was in reach
+    base::Duration m_failedCallSentAt{}; // of the last call that failed
     std::optional<base::Duration> m_lastHeartbeat;
     base::Duration m_lastButOneHeartbeat{};
 };
--- a/carawaylatch/gateway/testing/removedupstreamtest.cpp
+++ b/carawaylatch/gateway/testing/removedupstreamtest.cpp
@@ -189,6 +189,7 @@
     CPPUNIT_TEST(testUpstreamMissingAfterASecondOutage);
     CPPUNIT_TEST(testOutageOfAReaderIsNotThatOfItsFollower);
     CPPUNIT_TEST(testRemovalBeforeAShortOutageIsNotKept);
+    CPPUNIT_TEST(testUpstreamIsNotKeptFromALateRetry);
     CPPUNIT_TEST(testLimitsLeaveAMarginInTheTimeToLeave);
     CPPUNIT_TEST_SUITE_END();
 
@@ -377,6 +378,30 @@
         }
     }
 
+    // A router whose last pause between retries was long noticed the return late, and kept an upstream that was removed during the
+    // outage from then on. A router counts as undisturbed three seconds after the return.
+    void testUpstreamIsNotKeptFromALateRetry()
+    {
+        constexpr base::Duration Undisturbed = base::seconds{3};
+        const RemovalLimits limit = limits(2000);
+        for (const int pause : {300, 900, 1500, 2500}) {
+            VirtualRouter router(OutageStart - base::seconds{1}, limit);
+            router.runUntil(OutageStart);
+            router.failCalls(OutageStart + milliseconds{3500});
+            const base::Duration returnedAt = router.now(); // right after the last call that fails was sent
+            router.failCall(milliseconds{pause});
+            router.onWatched({VirtualRouter::removal()});
+            const base::Duration readAt = router.now();
+            router.runUntil(returnedAt + base::seconds{10});
+            CPPUNIT_ASSERT(router.droppedAt.has_value());
+            const base::Duration onTheWay = base::fromMilliseconds(2000) * 15 / 100; // of requests
+            const base::Duration bound = std::max(readAt, returnedAt + Undisturbed - onTheWay + Beat);
+            CPPUNIT_ASSERT_MESSAGE("pause of " + std::to_string(pause) + " ms: dropped " + base::formatMilliseconds(*router.droppedAt - returnedAt)
+                                       + " ms after the return",
+                                   *router.droppedAt <= bound);
+        }
+    }
+
     // The pause delays the reading of a removal, so it must end before the last use; what remains of the
     // time covers requests on their way.
     void testLimitsLeaveAMarginInTheTimeToLeave()
