Test: clients of carawaylatchd on connections that were closed while idle

The same cause as at the gateway's store client, looked for on related paths: HttpObjectStore and UpstreamClient keep connections through cpp-httplib, which checks them before it uses them. The test passed before any change.

--- a/carawaylatch/http/testing/answersyntaxtest.cpp
+++ b/carawaylatch/http/testing/answersyntaxtest.cpp
@@ -78,6 +78,21 @@
         server.join();
     }
 
+    // Runs the call while this many requests are answered, and each connection is closed right after its answer.
+    void answerAndClose(const std::string &bytes, int requests, const std::function<void()> &call) const
+    {
+        std::thread server([this, &bytes, requests] {
+            for (int i = 0; i < requests; ++i) {
+                const int socket = ::accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
+                static_cast<void>(readRequest(socket));
+                static_cast<void>(::send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL));
+                ::close(socket);
+            }
+        });
+        call();
+        server.join();
+    }
+
     // Answers at the first bytes of a request, and reads no more of it.
     void answerEarly(const std::string &bytes, bool isClosed, const std::function<void()> &call) const
     {
@@ -155,6 +170,7 @@
     CPPUNIT_TEST(testEngineOrders);
     CPPUNIT_TEST(testObjects);
     CPPUNIT_TEST(testEarlyResponses);
+    CPPUNIT_TEST(testConnectionsClosedWhileIdle);
     CPPUNIT_TEST_SUITE_END();
 
     RawServer m_server;
@@ -268,6 +284,34 @@
         }
         CPPUNIT_ASSERT_EQUAL(std::string(), failed.text());
     }
+
+    // The end of a kept connection says nothing about a server; calls on it must not fail, nor be sent twice.
+    void testConnectionsClosedWhileIdle()
+    {
+        constexpr int Calls = 3;
+        const auto answerOf = [](const std::string &body) {
+            return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+        };
+        const auto awaitEnd = [] {
+            std::this_thread::sleep_for(base::milliseconds{20}); // of the connection
+        };
+        m_server.answerAndClose(answerOf(R"({"name":"o","version":4,"value":"YQ=="})"), Calls, [&] {
+            store::HttpObjectStore objects(m_server.endpoint(), base::FailureDomain("z"), Timeout);
+            CPPUNIT_ASSERT(objects.read("o").has_value());
+            awaitEnd();
+            CPPUNIT_ASSERT(objects.read("o").has_value());
+            awaitEnd();
+            CPPUNIT_ASSERT(objects.write("o", "a", {}).has_value());
+        });
+        m_server.answerAndClose(answerOf(R"({"incarnation":"a","model":"m","weights_version":1,"state":"live"})"), Calls, [&] {
+            UpstreamClient client(Timeout);
+            CPPUNIT_ASSERT(client.loadReport(m_server.endpoint()).has_value());
+            awaitEnd();
+            CPPUNIT_ASSERT(client.loadReport(m_server.endpoint()).has_value());
+            awaitEnd();
+            CPPUNIT_ASSERT(client.order(base::UpstreamId("engine-1"), m_server.endpoint(), {}).has_value());
+        });
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(ClientAnswerSyntaxTest);
 
