Only a reader that the store does not answer takes back what it told

A router that is no reader refuses a poll with the time of its own last watch, which can be long ago. That time counted for the asker, which then read the store although the next router of the order would have answered. It costs calls alone, so there is no test of it beside testCallsDuringOutages.

--- a/carawaylatch/gateway/controlplanewatch.cpp
+++ b/carawaylatch/gateway/controlplanewatch.cpp
@@ -312,7 +312,7 @@
         contactAt = std::max(contactAt, std::optional(answeredAt - age));
         if (answer.isKnown) {
             m_contact.onReaderTold(told, answeredAt - age);
-        } else if (told == kind) {
+        } else if (told == kind && answer.refusal == RelayRefusal::NoStore) {
             m_contact.onReaderDoubted(told, answeredAt - age);
         }
     }
