Test of stopping readers: a poll is moved, for the linter

A poll holds the revisions that its sender knows since, so a copy of it is no longer free. The linter passes the file and all others of carawaylatch/gateway.

--- a/carawaylatch/gateway/testing/readerstoptest.cpp
+++ b/carawaylatch/gateway/testing/readerstoptest.cpp
@@ -73,9 +73,10 @@
     std::optional<RelayAnswer> ask(std::size_t reader, RelayPoll poll, const std::function<void()> &whileHeld = {})
     {
         std::optional<RelayAnswer> out;
-        boost::asio::co_spawn(*m_loop, router(reader).plane.answer(poll), [&out](const std::exception_ptr &, const std::unique_ptr<RelayAnswer> &answer) {
-            out = *answer;
-        });
+        boost::asio::co_spawn(*m_loop, router(reader).plane.answer(std::move(poll)),
+                              [&out](const std::exception_ptr &, const std::unique_ptr<RelayAnswer> &answer) {
+                                  out = *answer;
+                              });
         if (whileHeld) {
             m_loop->run_for(std::chrono::milliseconds{20});
             CPPUNIT_ASSERT(!out);
