Test of the relay's connections: a file name that PROOF can name

scripts/check.d/proof.sh reads names of test files without digits, so it looked for the test in the file named before (1 of 359 missing).

--- a/carawaylatch/gateway/testing/http2relaytest.cpp
+++ b/carawaylatch/gateway/testing/relayconnectiontest.cpp
@@ -33,9 +33,9 @@
 
 } // namespace
 
-class Http2RelayTest : public CppUnit::TestFixture
+class RelayConnectionTest : public CppUnit::TestFixture
 {
-    CPPUNIT_TEST_SUITE(Http2RelayTest);
+    CPPUNIT_TEST_SUITE(RelayConnectionTest);
     CPPUNIT_TEST(testPollAfterTheReaderClosedAnIdleConnection);
     CPPUNIT_TEST_SUITE_END();
 
@@ -79,6 +79,6 @@
         CPPUNIT_ASSERT_MESSAGE("it is gone", !poll(router, endpoint).empty());
     }
 };
-CPPUNIT_TEST_SUITE_REGISTRATION(Http2RelayTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(RelayConnectionTest);
 
 } // namespace carawaylatch::gateway::testing
